--- /dev/null
+++ b/crates/pinerill-rehearse/src/main.rs
@@ -0,0 +1,3 @@
+//! The rehearsal kit command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/pinerill-sim/src/main.rs
@@ -0,0 +1,3 @@
+//! The simulation command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/pinerill-types/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder of the workspace scaffold.
--- /dev/null
+++ b/crates/pinerill/src/main.rs
@@ -0,0 +1,3 @@
+//! The `pinerill` command line.
+
+fn main() {}
