Replica: Raft as a pure state machine

Cause: control needs groups that keep every acknowledged write through crashes, lost disks and cut-off leaders.

Messages that rest on durable state are held inside the replica until Input::Persisted, so every message of an Output may be sent at once (instead of two lists of messages).

--- /dev/null
+++ b/crates/pinerill-replica/tests/elections.rs
@@ -0,0 +1,173 @@
+//! Elections, votes and leadership.
+
+mod support;
+
+use pinerill_replica::{
+    Envelope, HardState, Input, Message, Replica, RestoredState, Role, SnapshotMeta, VoteRequest,
+};
+use support::{config, id, Cluster, GROUP};
+
+#[test]
+fn one_leader_commits_on_every_replica() {
+    let mut cluster = Cluster::new(3);
+    let leader = cluster.elect();
+    for token in 0..20 {
+        cluster.propose(leader, token);
+    }
+    cluster.run(200);
+    for number in 1..=3 {
+        assert_eq!(cluster.commands(id(number)), (0..20).collect::<Vec<_>>());
+    }
+}
+
+#[test]
+fn a_single_voter_leads_and_commits_alone() {
+    let mut cluster = Cluster::new(1);
+    let leader = cluster.elect();
+    cluster.propose(leader, 1);
+    cluster.step(leader, Input::ReadIndex { token: 2 });
+    assert_eq!(cluster.commands(leader), vec![1]);
+    assert_eq!(cluster.node(leader).reads[0].token, 2);
+}
+
+fn voter_of_three() -> Replica {
+    let restored = RestoredState {
+        snapshot: SnapshotMeta::bootstrap([id(1), id(2), id(3)]),
+        ..RestoredState::default()
+    };
+    Replica::new(config(id(1)), restored)
+}
+
+fn vote_request(from: u64, term: u64) -> Input {
+    let request = VoteRequest {
+        term,
+        last_index: SnapshotMeta::BOOTSTRAP_INDEX,
+        last_term: SnapshotMeta::BOOTSTRAP_TERM,
+        transfer: false,
+    };
+    Input::Message(Envelope {
+        group: GROUP,
+        from: id(from),
+        to: id(1),
+        message: Message::VoteRequest(request),
+    })
+}
+
+fn votes(messages: &[Envelope]) -> Vec<(u64, bool)> {
+    let vote = |envelope: &Envelope| match &envelope.message {
+        Message::VoteResponse(response) => Some((envelope.to.0, response.granted)),
+        _ => None,
+    };
+    messages.iter().filter_map(vote).collect()
+}
+
+#[test]
+fn a_vote_leaves_only_after_its_sync() {
+    let mut replica = voter_of_three();
+    replica.step(0, vote_request(2, 5));
+    let output = replica.take_output();
+    let persist = output.persist.expect("the vote is written");
+    let expected = HardState {
+        term: 5,
+        vote: Some(id(2)),
+    };
+    assert_eq!(persist.hard_state, Some(expected));
+    assert!(votes(&output.messages).is_empty());
+    let sequence = persist.sequence;
+    replica.step(1, Input::Persisted { sequence });
+    assert_eq!(votes(&replica.take_output().messages), vec![(2, true)]);
+}
+
+#[test]
+fn one_vote_per_term() {
+    let mut replica = voter_of_three();
+    replica.step(0, vote_request(2, 5));
+    replica.step(0, vote_request(3, 5));
+    let sequence = replica.take_output().persist.expect("a vote").sequence;
+    replica.step(1, Input::Persisted { sequence });
+    let messages = replica.take_output().messages;
+    assert_eq!(votes(&messages), vec![(2, true), (3, false)]);
+}
+
+#[test]
+fn a_candidate_counts_its_own_vote_only_after_its_sync() {
+    let restored = RestoredState {
+        snapshot: SnapshotMeta::bootstrap([id(1)]),
+        ..RestoredState::default()
+    };
+    let mut replica = Replica::new(config(id(1)), restored);
+    replica.step(0, Input::Tick);
+    replica.step(5000, Input::Tick);
+    let sequence = replica.take_output().persist.expect("own vote").sequence;
+    assert_eq!(replica.status().role, Role::Candidate);
+    replica.step(5001, Input::Persisted { sequence });
+    assert_eq!(replica.status().role, Role::Leader);
+}
+
+#[test]
+fn a_message_for_another_identifier_is_dropped() {
+    let mut replica = voter_of_three();
+    let Input::Message(mut envelope) = vote_request(2, 5) else {
+        unreachable!("a message");
+    };
+    envelope.to = id(9);
+    replica.step(0, Input::Message(envelope));
+    assert!(replica.take_output().persist.is_none());
+}
+
+#[test]
+fn a_cut_off_replica_does_not_disturb_on_its_return() {
+    let mut cluster = Cluster::new(3);
+    let leader = cluster.elect();
+    let term = cluster.node(leader).replica.status().term;
+    let other = id(leader.0 % 3 + 1);
+    cluster.isolate(other);
+    cluster.run(20_000);
+    assert_eq!(cluster.node(other).replica.status().term, term);
+    cluster.cut.clear();
+    cluster.run(2000);
+    assert_eq!(cluster.leaders(), vec![leader]);
+    assert_eq!(cluster.node(leader).replica.status().term, term);
+}
+
+#[test]
+fn a_leader_cut_from_its_quorum_steps_down() {
+    let mut cluster = Cluster::new(3);
+    let leader = cluster.elect();
+    cluster.isolate(leader);
+    cluster.run(1000);
+    assert_ne!(
+        cluster.node(leader).replica.status().role,
+        Role::Leader,
+        "stepped down within a second"
+    );
+    cluster.run(3000);
+    assert_eq!(cluster.leaders().len(), 1);
+}
+
+#[test]
+fn a_leader_that_hears_nobody_but_is_heard_steps_down() {
+    let mut cluster = Cluster::new(3);
+    let leader = cluster.elect();
+    for number in 1..=3 {
+        cluster.cut.insert((id(number), leader));
+    }
+    cluster.run(4000);
+    let leaders = cluster.leaders();
+    assert_eq!(leaders.len(), 1);
+    assert_ne!(leaders[0], leader);
+}
+
+#[test]
+fn leadership_is_handed_over_without_losing_a_proposal() {
+    let mut cluster = Cluster::new(3);
+    let leader = cluster.elect();
+    cluster.propose(leader, 1);
+    cluster.step(leader, Input::TransferLeadership { to: None });
+    cluster.run(100);
+    let leaders = cluster.leaders();
+    assert_eq!(leaders.len(), 1);
+    assert_ne!(leaders[0], leader, "handed over within 100 ms");
+    assert!(cluster.node(leader).dropped.is_empty());
+    assert_eq!(cluster.commands(leaders[0]), vec![1]);
+}
