--- a/crates/pinerill-wire/src/api.rs
+++ b/crates/pinerill-wire/src/api.rs
@@ -8,7 +8,7 @@
 
 use async_trait::async_trait;
 
-use crate::message::{GroupRecord, Refusal, Request, Response};
+use crate::message::{GroupRecord, Notification, Refusal, Request, Response};
 
 /// Role of a process, proved by the handshake.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -90,6 +90,11 @@
 pub trait Service: Send + Sync + 'static {
     /// Answers one request; never panics on bad input.
     async fn call(&self, peer: &Peer, request: Request) -> Response;
+
+    /// Takes in one notification; must not block.
+    fn notified(&self, peer: &Peer, notification: Notification) {
+        let _ = (peer, notification);
+    }
 }
 
 /// Asks the control machines.
--- /dev/null
+++ b/crates/pinerill-wire/src/client.rs
@@ -0,0 +1,212 @@
+//! Finds the control machine that can answer: any one, or a group's leader.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_trait::async_trait;
+use parking_lot::Mutex;
+use rand::seq::SliceRandom;
+use tokio::sync::Mutex as AsyncMutex;
+use tokio::time::sleep;
+
+use crate::api::{CallError, CallErrorKind, ControlApi};
+use crate::connection::{Connection, Identity, LinkCounters};
+use crate::message::{GroupRecord, RefusalCode, Request, Response};
+
+/// Pause before the next control machine is tried.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Longest wait for one machine before the next is asked: a leader that is
+/// cut off in silence must not use up the whole time.
+const LEADER_TRY: Duration = Duration::from_secs(2);
+/// A call is not started with less time than this left.
+const SHORTEST_CALL: Duration = Duration::from_millis(1);
+
+type Slot = Arc<AsyncMutex<Option<Connection>>>;
+
+/// Connections to control machines, opened when first needed.
+pub struct ControlClient {
+    identity: Identity,
+    /// In this process's own random order, so that nodes spread.
+    addresses: Vec<SocketAddr>,
+    /// Index in `addresses` of the machine in use.
+    preferred: Mutex<usize>,
+    leaders: Mutex<HashMap<u32, SocketAddr>>,
+    slots: Mutex<HashMap<SocketAddr, Slot>>,
+    counters: Arc<LinkCounters>,
+}
+
+impl ControlClient {
+    /// A client of the control machines at `addresses` (at least one).
+    pub fn new(identity: Identity, addresses: &[SocketAddr]) -> Self {
+        let mut addresses = addresses.to_vec();
+        addresses.shuffle(&mut rand::thread_rng());
+        Self {
+            identity,
+            addresses,
+            preferred: Mutex::new(0),
+            leaders: Mutex::new(HashMap::new()),
+            slots: Mutex::new(HashMap::new()),
+            counters: Arc::new(LinkCounters::default()),
+        }
+    }
+
+    /// Bytes and frames over all its connections.
+    pub fn counters(&self) -> &Arc<LinkCounters> {
+        &self.counters
+    }
+
+    /// Asks the machine at `address`.
+    ///
+    /// # Errors
+    /// As [`Connection::call`].
+    pub async fn call_at(
+        &self,
+        address: SocketAddr,
+        request: Request,
+        time: Duration,
+    ) -> Result<Response, CallError> {
+        let connection = self.connection(address).await?;
+        connection.call(request, time).await
+    }
+
+    async fn connection(&self, address: SocketAddr) -> Result<Connection, CallError> {
+        let slot = self.slots.lock().entry(address).or_default().clone();
+        let mut held = slot.lock().await;
+        if let Some(connection) = held.as_ref().filter(|one| !one.is_closed()) {
+            return Ok(connection.clone());
+        }
+        let opened = Connection::open(address, &self.identity, self.counters.clone()).await?;
+        *held = Some(opened.clone());
+        Ok(opened)
+    }
+
+    fn preferred(&self) -> SocketAddr {
+        self.addresses[*self.preferred.lock()]
+    }
+
+    /// Moves on to the next machine, unless another call already did.
+    fn move_on_from(&self, address: SocketAddr) {
+        let mut preferred = self.preferred.lock();
+        if self.addresses[*preferred] == address {
+            *preferred = (*preferred + 1) % self.addresses.len();
+        }
+    }
+
+    fn leader(&self, group: u32) -> Option<SocketAddr> {
+        self.leaders.lock().get(&group).copied()
+    }
+
+    fn forget_leader(&self, group: u32, address: SocketAddr) {
+        let mut leaders = self.leaders.lock();
+        if leaders.get(&group) == Some(&address) {
+            leaders.remove(&group);
+        }
+    }
+}
+
+/// Whether another machine may answer what this one did not.
+fn worth_elsewhere(error: &CallError) -> bool {
+    match &error.kind {
+        CallErrorKind::NotSent | CallErrorKind::Unknown => true,
+        CallErrorKind::Refused(refusal) => matches!(
+            refusal.code,
+            RefusalCode::NotLeader
+                | RefusalCode::UnknownGroup
+                | RefusalCode::Unavailable
+                | RefusalCode::OutcomeUnknown
+        ),
+    }
+}
+
+fn leader_hint(error: &CallError) -> Option<SocketAddr> {
+    match &error.kind {
+        CallErrorKind::Refused(refusal) => refusal.leader,
+        _ => None,
+    }
+}
+
+/// Time left until `end`, or none when it is as good as up.
+fn time_left(end: Instant) -> Option<Duration> {
+    end.checked_duration_since(Instant::now())
+        .filter(|left| *left >= SHORTEST_CALL)
+}
+
+#[async_trait]
+impl ControlApi for ControlClient {
+    async fn call_any(&self, request: Request, timeout: Duration) -> Result<Response, CallError> {
+        let end = Instant::now() + timeout;
+        let mut left = Some(timeout);
+        let mut tries = 0;
+        loop {
+            let address = self.preferred();
+            let share = left.unwrap_or(SHORTEST_CALL);
+            let error = match self.call_at(address, request.clone(), share).await {
+                Ok(response) => return Ok(response),
+                Err(error) => error,
+            };
+            if !worth_elsewhere(&error) {
+                return Err(error);
+            }
+            self.move_on_from(address);
+            tries += 1;
+            left = time_left(end);
+            if left.is_none() || tries >= self.addresses.len() {
+                return Err(error);
+            }
+        }
+    }
+
+    async fn call_leader(
+        &self,
+        group: u32,
+        request: Request,
+        timeout: Duration,
+    ) -> Result<Response, CallError> {
+        let end = Instant::now() + timeout;
+        let mut guess = self.leader(group).unwrap_or_else(|| self.preferred());
+        loop {
+            let left = time_left(end).unwrap_or(SHORTEST_CALL);
+            let share = left.min(LEADER_TRY);
+            let error = match self.call_at(guess, request.clone(), share).await {
+                Ok(response) => {
+                    self.leaders.lock().insert(group, guess);
+                    return Ok(response);
+                }
+                Err(error) => error,
+            };
+            if !worth_elsewhere(&error) {
+                return Err(error);
+            }
+            self.forget_leader(group, guess);
+            if time_left(end).is_none() {
+                return Err(error);
+            }
+            guess = match leader_hint(&error).filter(|hint| *hint != guess) {
+                Some(hint) => hint,
+                None => {
+                    sleep(RETRY_PAUSE).await;
+                    self.next_after(guess)
+                }
+            };
+        }
+    }
+
+    fn learn_groups(&self, groups: &[GroupRecord]) {
+        let mut leaders = self.leaders.lock();
+        for group in groups {
+            if let Some(leader) = group.leader {
+                leaders.insert(group.group, leader);
+            }
+        }
+    }
+}
+
+impl ControlClient {
+    fn next_after(&self, address: SocketAddr) -> SocketAddr {
+        let found = self.addresses.iter().position(|one| *one == address);
+        let next = found.map_or(0, |index| (index + 1) % self.addresses.len());
+        self.addresses[next]
+    }
+}
--- a/crates/pinerill-wire/src/message/mod.rs
+++ b/crates/pinerill-wire/src/message/mod.rs
@@ -30,6 +30,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
+use pinerill_replica::Envelope;
 use pinerill_types::job::JobStatus;
 
 /// Number of the group that holds bundles, membership and the partition map.
@@ -114,6 +115,13 @@
     Refused(Refusal),
 }
 
+/// What one process tells another without an answer.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Notification {
+    /// Messages of replicated groups, of all groups between two processes.
+    Replica(Vec<Envelope>),
+}
+
 /// Why a request was not carried out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum RefusalCode {
