Command line, and tests of types and wire

Cause: operators and callers need their commands; the contract needs tests. Flags' values are parsed as values, since a number given as text was refused.

--- a/crates/pinerill-node/src/lib.rs
+++ b/crates/pinerill-node/src/lib.rs
@@ -1,1 +1,9 @@
 //! Placeholder of the workspace scaffold.
+
+/// Runs a node until it is told to stop.
+///
+/// # Errors
+/// When it cannot start.
+pub async fn run(_settings: pinerill_types::settings::Settings) -> anyhow::Result<()> {
+    anyhow::bail!("not there yet")
+}
--- a/crates/pinerill-types/src/settings/mod.rs
+++ b/crates/pinerill-types/src/settings/mod.rs
@@ -8,6 +8,7 @@
 use std::path::{Path, PathBuf};
 
 use figment::providers::{Env, Format, Serialized, Toml};
+use figment::value::Value;
 use figment::Figment;
 use serde::{Deserialize, Serialize};
 
@@ -217,7 +218,7 @@
         .merge(Toml::file_exact(path))
         .merge(Env::prefixed(ENVIRONMENT_PREFIX).split("__"));
     for one in overrides {
-        figment = figment.merge(Serialized::default(&one.field, &one.value));
+        figment = figment.merge(Serialized::default(&one.field, parse_value(&one.value)));
     }
     let settings: Settings = figment
         .extract()
@@ -232,6 +233,14 @@
     })
 }
 
+/// A flag's value as a number, a list, … or else as text.
+fn parse_value(text: &str) -> Value {
+    match text.parse::<Value>() {
+        Ok(value) => value,
+        Err(never) => match never {},
+    }
+}
+
 fn join_errors(errors: figment::Error) -> String {
     let messages: Vec<String> = errors.into_iter().map(|one| one.to_string()).collect();
     messages.join("; ")
--- /dev/null
+++ b/crates/pinerill-wire/tests/connections.rs
@@ -0,0 +1,279 @@
+//! Connections: who is let in, what ends them, and calls in flight.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use pinerill_wire::api::{CallErrorKind, ControlApi, Peer, Role, Service};
+use pinerill_wire::client::ControlClient;
+use pinerill_wire::codec::{encode_frame, Frame};
+use pinerill_wire::connection::{
+    serve, ClusterKey, Connection, Identity, LinkCounters, ServerCounters,
+};
+use pinerill_wire::message::{
+    BundleShow, ClusterStatusRequest, Refusal, RefusalCode, ReplaceReplica, Request, Response,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+const LONG: Duration = Duration::from_secs(20);
+const SHORT: Duration = Duration::from_millis(100);
+
+/// Leads or names a leader; delays `ReplaceReplica` by its number.
+struct Control {
+    leader: Option<SocketAddr>,
+}
+
+#[async_trait]
+impl Service for Control {
+    async fn call(&self, peer: &Peer, request: Request) -> Response {
+        match request {
+            Request::ReplaceReplica(ReplaceReplica { lost, .. }) => {
+                tokio::time::sleep(Duration::from_millis(lost)).await;
+                Response::ReplaceReplica(pinerill_wire::message::ReplaceReplicaResponse {
+                    done: lost as u32,
+                    remaining: 0,
+                })
+            }
+            Request::BundleShow(BundleShow) => std::future::pending().await,
+            _ if self.leader.is_some() => {
+                let mut refusal = Refusal::new(
+                    RefusalCode::NotLeader,
+                    "test",
+                    peer.name.clone(),
+                    "elsewhere",
+                );
+                refusal.leader = self.leader;
+                Response::Refused(refusal)
+            }
+            _ => Response::Done,
+        }
+    }
+}
+
+struct Server {
+    address: SocketAddr,
+    counters: Arc<ServerCounters>,
+    stop: CancellationToken,
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+fn identity(cluster: &str, key: u8) -> Identity {
+    let key = ClusterKey::from_bytes([key; 32]);
+    Identity::new(cluster, key, Role::Control, "machine", "zone")
+}
+
+async fn start(leader: Option<SocketAddr>) -> Server {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("bound");
+    let counters = Arc::new(ServerCounters::default());
+    let stop = CancellationToken::new();
+    let service = Arc::new(Control { leader });
+    let server = serve(
+        listener,
+        identity("home", 1),
+        service,
+        counters.clone(),
+        stop.clone(),
+    );
+    tokio::spawn(server);
+    Server {
+        address,
+        counters,
+        stop,
+    }
+}
+
+async fn open(address: SocketAddr, identity: Identity) -> Result<Connection, String> {
+    Connection::open(address, &identity, Arc::new(LinkCounters::default()))
+        .await
+        .map_err(|error| {
+            assert_eq!(error.kind, CallErrorKind::NotSent);
+            assert!(error.peer.contains(&address.to_string()));
+            format!("{}: {}", error.step, error.message)
+        })
+}
+
+fn status() -> Request {
+    Request::ClusterStatus(ClusterStatusRequest)
+}
+
+#[tokio::test]
+async fn stranger_without_the_key_is_refused_by_name_of_the_reason() {
+    let server = start(None).await;
+    let refused = open(server.address, identity("home", 2)).await.err();
+    let reason = refused.expect("must be refused");
+    assert!(
+        reason.contains("handshake") && reason.contains("does not know the cluster key"),
+        "{reason}"
+    );
+}
+
+#[tokio::test]
+async fn process_of_another_cluster_is_refused() {
+    let server = start(None).await;
+    let refused = open(server.address, identity("away", 1)).await.err();
+    let reason = refused.expect("must be refused");
+    assert!(
+        reason.contains("this is cluster `home`, not `away`"),
+        "{reason}"
+    );
+}
+
+#[tokio::test]
+async fn data_folder_of_another_cluster_is_refused() {
+    let server_identity = identity("home", 1).with_replica(1, 10);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("bound");
+    let stop = CancellationToken::new();
+    tokio::spawn(serve(
+        listener,
+        server_identity,
+        Arc::new(Control { leader: None }),
+        Arc::new(ServerCounters::default()),
+        stop.clone(),
+    ));
+    let other = identity("home", 1).with_replica(2, 11);
+    let reason = open(address, other).await.err().expect("must be refused");
+    assert!(reason.contains("cluster identity"), "{reason}");
+    let newcomer = identity("home", 1).with_replica(3, 0);
+    open(address, newcomer).await.expect("a newcomer is let in");
+    stop.cancel();
+}
+
+#[tokio::test]
+async fn answers_find_their_calls_out_of_order() {
+    let server = start(None).await;
+    let connection = open(server.address, identity("home", 1))
+        .await
+        .expect("open");
+    let call = |lost| {
+        let connection = connection.clone();
+        async move {
+            let request = Request::ReplaceReplica(ReplaceReplica { lost, new: 0 });
+            match connection.call(request, LONG).await.expect("answer") {
+                Response::ReplaceReplica(progress) => u64::from(progress.done),
+                other => panic!("unexpected {other:?}"),
+            }
+        }
+    };
+    let answers = tokio::join!(call(60), call(1), call(30));
+    assert_eq!(answers, (60, 1, 30));
+}
+
+#[tokio::test]
+async fn late_answer_ends_as_unknown_and_harms_no_other_call() {
+    let server = start(None).await;
+    let connection = open(server.address, identity("home", 1))
+        .await
+        .expect("open");
+    let (late, soon) = tokio::join!(
+        connection.call(Request::BundleShow(BundleShow), SHORT),
+        connection.call(status(), LONG),
+    );
+    assert_eq!(late.expect_err("no answer").kind, CallErrorKind::Unknown);
+    assert_eq!(soon, Ok(Response::Done));
+}
+
+/// Sends raw bytes on a proved connection's stead and reads what comes back.
+async fn raw(address: SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    let mut stream = TcpStream::connect(address).await.expect("connect");
+    stream.write_all(bytes).await.expect("write");
+    let mut answer = Vec::new();
+    // A reset is as good an end as a close.
+    let _ = stream.read_to_end(&mut answer).await;
+    answer
+}
+
+fn framed(length: u32, message: &[u8]) -> Vec<u8> {
+    let mut bytes = length.to_le_bytes().to_vec();
+    bytes.extend_from_slice(&0u64.to_le_bytes());
+    bytes.extend_from_slice(message);
+    bytes
+}
+
+fn contains(bytes: &[u8], text: &str) -> bool {
+    bytes
+        .windows(text.len())
+        .any(|part| part == text.as_bytes())
+}
+
+#[tokio::test]
+async fn too_long_frame_closes_only_its_connection() {
+    let server = start(None).await;
+    let good = open(server.address, identity("home", 1))
+        .await
+        .expect("open");
+    let answer = raw(server.address, &framed(u32::MAX, &[])).await;
+    assert!(contains(&answer, "a frame of 4294967295 bytes"));
+    assert_eq!(good.call(status(), LONG).await, Ok(Response::Done));
+}
+
+#[tokio::test]
+async fn malformed_frame_closes_only_its_connection() {
+    let server = start(None).await;
+    let good = open(server.address, identity("home", 1))
+        .await
+        .expect("open");
+    let answer = raw(server.address, &framed(16, &[0xff; 16])).await;
+    assert!(contains(&answer, "malformed message"));
+    assert_eq!(good.call(status(), LONG).await, Ok(Response::Done));
+}
+
+#[tokio::test]
+async fn request_before_the_proof_is_refused() {
+    let server = start(None).await;
+    let message = encode_frame(&Frame::Request(status()));
+    let answer = raw(server.address, &framed(message.len() as u32, &message)).await;
+    assert!(contains(&answer, "unexpected frame instead of a hello"));
+    let served = server
+        .counters
+        .requests
+        .load(std::sync::atomic::Ordering::Relaxed);
+    assert_eq!(served, 0);
+}
+
+#[tokio::test]
+async fn client_follows_the_leader_hint() {
+    let leader = start(None).await;
+    let follower = start(Some(leader.address)).await;
+    let client = ControlClient::new(identity("home", 1), &[follower.address]);
+    let answer = client.call_leader(3, status(), LONG).await;
+    assert_eq!(answer, Ok(Response::Done));
+}
+
+#[tokio::test]
+async fn client_passes_over_a_dead_machine() {
+    let alive = start(None).await;
+    let dead = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let dead_address = dead.local_addr().expect("bound");
+    drop(dead);
+    for _ in 0..4 {
+        let client = ControlClient::new(identity("home", 1), &[dead_address, alive.address]);
+        assert_eq!(client.call_any(status(), LONG).await, Ok(Response::Done));
+    }
+}
+
+#[tokio::test]
+async fn call_in_flight_ends_as_unknown_when_the_connection_breaks() {
+    let server = start(None).await;
+    let connection = open(server.address, identity("home", 1))
+        .await
+        .expect("open");
+    let call = connection.call(Request::BundleShow(BundleShow), LONG);
+    let close = async {
+        tokio::time::sleep(SHORT).await;
+        connection.close();
+    };
+    let (answer, ()) = tokio::join!(call, close);
+    assert_eq!(answer.expect_err("broken").kind, CallErrorKind::Unknown);
+    let after = connection.call(status(), LONG).await;
+    assert_eq!(after.expect_err("closed").kind, CallErrorKind::NotSent);
+}
--- /dev/null
+++ b/crates/pinerill/src/command/mod.rs
@@ -0,0 +1,7 @@
+//! One file per subcommand.
+
+pub mod bundle;
+pub mod cluster;
+pub mod job;
+pub mod process;
+pub mod settings;
