Bundle digest by hash tree; changes applied in place and checked by what they touch

A change among 29,000 tenants hashed, cloned and checked the whole bundle. The digest is now the root of a tree with 256 buckets (new definition, domain pinerill-bundle-2), IndexedBundle applies a change with undo, and check_change checks what the change can have broken. Bundle::digest, with_change and check_bundle keep their signatures. ChangeError has a new variant, Wrong.

Test: generated bundles changed in place equal those computed anew, and check_change finds a problem exactly when check_bundle does.

--- a/crates/pinerill-types/src/bundle/change.rs
+++ b/crates/pinerill-types/src/bundle/change.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::check::Problem;
 use super::document::Bundle;
 use super::entry::{Entry, EntryKey};
 use crate::id::Digest;
@@ -48,6 +49,17 @@
         /// The digest of the result.
         found: Digest,
     },
+    /// The result has problems.
+    #[error("the bundle is wrong: {}", list(.problems))]
+    Wrong {
+        /// All problems.
+        problems: Vec<Problem>,
+    },
+}
+
+fn list(problems: &[Problem]) -> String {
+    let lines: Vec<String> = problems.iter().map(Problem::to_string).collect();
+    lines.join("; ")
 }
 
 impl Bundle {
--- a/crates/pinerill-types/src/bundle/check.rs
+++ b/crates/pinerill-types/src/bundle/check.rs
@@ -3,8 +3,10 @@
 
 use std::fmt;
 
+use super::change::BundleChange;
 use super::document::{Bundle, Model, Service, Tenant};
-use crate::id::{is_name, ServiceName};
+use super::entry::EntryKind;
+use crate::id::{is_name, ModelName, ServiceName, TenantName};
 
 /// Shortest configuration lease, milliseconds: below it, a node would stop
 /// serving at each election.
@@ -71,6 +73,63 @@
     problems
 }
 
+/// Problems that `change` brought into `bundle`, which has it applied already.
+///
+/// Costs time in proportion to the change, except that all services are
+/// checked after a change of models, and all tenants after one that removes a
+/// service. Finds a problem exactly when [`check_bundle`] does, provided the
+/// bundle before the change had none.
+pub fn check_change(bundle: &Bundle, change: &BundleChange) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    check_policy(bundle, &mut problems);
+    for entry in &change.set {
+        check_name(entry.key.kind, &entry.key.name, &mut problems);
+        check_entry(bundle, entry.key.kind, &entry.key.name, &mut problems);
+    }
+    let set = change.set.iter().map(|entry| entry.key.kind);
+    let removed = change.removed.iter().map(|key| key.kind);
+    if set.chain(removed).any(|kind| kind == EntryKind::Model) {
+        for (name, service) in &bundle.services {
+            check_service(bundle, name, service, &mut problems);
+        }
+    }
+    let mut removed = change.removed.iter().map(|key| key.kind);
+    if removed.any(|kind| kind == EntryKind::Service) {
+        for (name, tenant) in &bundle.tenants {
+            check_tenant(bundle, name.as_str(), tenant, &mut problems);
+        }
+    }
+    problems
+}
+
+fn check_entry(bundle: &Bundle, kind: EntryKind, name: &str, problems: &mut Vec<Problem>) {
+    match kind {
+        EntryKind::Policy => {}
+        EntryKind::Operator => {
+            if let Some(operator) = bundle.operators.get(&name.into()) {
+                let field = format!("operators.{name}.public_key");
+                check_hex(&field, &operator.public_key, problems);
+            }
+        }
+        EntryKind::Model => {
+            if let Some(model) = bundle.models.get(&ModelName::from(name)) {
+                check_model(name, model, problems);
+            }
+        }
+        EntryKind::Service => {
+            let name = ServiceName::from(name);
+            if let Some(service) = bundle.services.get(&name) {
+                check_service(bundle, &name, service, problems);
+            }
+        }
+        EntryKind::Tenant => {
+            if let Some(tenant) = bundle.tenants.get(&TenantName::from(name)) {
+                check_tenant(bundle, name, tenant, problems);
+            }
+        }
+    }
+}
+
 fn check_policy(bundle: &Bundle, problems: &mut Vec<Problem>) {
     let policy = &bundle.policy;
     let operators = bundle.operators.len() as u32;
@@ -98,14 +157,25 @@
 }
 
 fn check_names(bundle: &Bundle, problems: &mut Vec<Problem>) {
-    let names = bundle
-        .entries()
-        .into_keys()
-        .filter(|key| !key.name.is_empty() || key.kind != super::EntryKind::Policy);
-    for key in names.filter(|key| !is_name(&key.name)) {
+    for name in bundle.operators.keys() {
+        check_name(EntryKind::Operator, name.as_str(), problems);
+    }
+    for name in bundle.models.keys() {
+        check_name(EntryKind::Model, name.as_str(), problems);
+    }
+    for name in bundle.services.keys() {
+        check_name(EntryKind::Service, name.as_str(), problems);
+    }
+    for name in bundle.tenants.keys() {
+        check_name(EntryKind::Tenant, name.as_str(), problems);
+    }
+}
+
+fn check_name(kind: EntryKind, name: &str, problems: &mut Vec<Problem>) {
+    if kind != EntryKind::Policy && !is_name(name) {
         problems.push(Problem::new(
-            format!("{:?} name", key.kind).to_lowercase(),
-            key.name,
+            format!("{kind:?} name").to_lowercase(),
+            name,
             "1 to 128 of A-Z a-z 0-9 . _ -",
         ));
     }
--- a/crates/pinerill-types/src/bundle/entry.rs
+++ b/crates/pinerill-types/src/bundle/entry.rs
@@ -3,14 +3,11 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use sha2::{Digest as _, Sha256};
 
 use super::document::{Bundle, Model, Operator, Policy, Service, Tenant};
+use super::tree::EntryTree;
 use crate::id::{Digest, ModelName, OperatorName, ServiceName, TenantName};
 
-/// First bytes that go into a bundle's digest.
-const DIGEST_DOMAIN: &[u8] = b"pinerill-bundle-1";
-
 /// The section that an entry belongs to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -65,9 +62,24 @@
         entries
     }
 
+    /// Value of one entry as JSON; none when there is no such entry.
+    pub fn entry(&self, key: &EntryKey) -> Option<String> {
+        let name = key.name.as_str();
+        match key.kind {
+            EntryKind::Policy if name.is_empty() => Some(value_of(&self.policy)),
+            EntryKind::Policy => None,
+            EntryKind::Operator => self.operators.get(&OperatorName::from(name)).map(value_of),
+            EntryKind::Model => self.models.get(&ModelName::from(name)).map(value_of),
+            EntryKind::Service => self.services.get(&ServiceName::from(name)).map(value_of),
+            EntryKind::Tenant => self.tenants.get(&TenantName::from(name)).map(value_of),
+        }
+    }
+
     /// Digest over the version and every entry.
+    ///
+    /// Hashes the whole bundle; [`super::IndexedBundle`] keeps the digest.
     pub fn digest(&self) -> Digest {
-        digest_of(self.version, &self.entries())
+        EntryTree::new(&self.entries()).root(self.version)
     }
 
     /// Sets one entry from its JSON value.
@@ -131,24 +143,9 @@
         kind,
         name: name.to_owned(),
     };
-    let value = serde_json::to_string(value).expect("bundle values are plain data");
-    entries.insert(key, value);
-}
-
-fn digest_of(version: u64, entries: &BTreeMap<EntryKey, String>) -> Digest {
-    let mut hasher = Sha256::new();
-    hasher.update(DIGEST_DOMAIN);
-    hasher.update(version.to_be_bytes());
-    for (key, value) in entries {
-        hasher.update([key.kind as u8]);
-        hash_text(&mut hasher, &key.name);
-        hash_text(&mut hasher, value);
-    }
-    Digest(hasher.finalize().into())
+    entries.insert(key, value_of(value));
 }
 
-/// The length goes first, so that no two sequences of texts hash alike.
-fn hash_text(hasher: &mut Sha256, text: &str) {
-    hasher.update((text.len() as u64).to_be_bytes());
-    hasher.update(text.as_bytes());
+fn value_of<T: Serialize>(value: &T) -> String {
+    serde_json::to_string(value).expect("bundle values are plain data")
 }
