--- a/crates/pinerill-wire/src/message/job.rs
+++ b/crates/pinerill-wire/src/message/job.rs
@@ -1,13 +1,16 @@
 //! Batch jobs: submit, lease, end, read, cancel.
 //!
-//! `group` is always the job group that the message is for.
+//! `group` is always the job group that the message is for. The messages that
+//! change something are `serde` types as well: job groups keep them in their
+//! logs, under a version byte.
 
 use pinerill_types::job::{AttemptEnd, ItemInput, ItemState, JobState, JobStatus, LeasedItem};
 use pinerill_types::{Digest, JobId, NodeName, ServiceName, TenantName};
+use serde::{Deserialize, Serialize};
 
 /// One part of a job. Parts arrive in order; a part that was already
 /// received is skipped, so each may be sent again.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SubmitJob {
     /// The group, from the hash of tenant and idempotency key.
     pub group: u32,
@@ -36,7 +39,7 @@
 }
 
 /// Answer to a part.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SubmitJobResponse {
     /// The job.
     pub job: JobId,
@@ -91,7 +94,7 @@
 }
 
 /// Cancels a job.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CancelJob {
     /// Who asks.
     pub tenant: TenantName,
@@ -118,7 +121,7 @@
 }
 
 /// How many items of a service a node wants.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseWant {
     /// The service.
     pub service: ServiceName,
@@ -127,7 +130,7 @@
 }
 
 /// Asks for items to run.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseItems {
     /// The group.
     pub group: u32,
@@ -152,7 +155,7 @@
 }
 
 /// Names one attempt of one item.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct AttemptRef {
     /// The job.
     pub job: JobId,
@@ -163,7 +166,7 @@
 }
 
 /// The end of one attempt.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AttemptReport {
     /// Which attempt.
     pub attempt: AttemptRef,
@@ -172,7 +175,7 @@
 }
 
 /// Reports ends of attempts; may be sent again.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndAttempts {
     /// The group.
     pub group: u32,
@@ -183,7 +186,7 @@
 }
 
 /// Whether an end counts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum AttemptVerdict {
     /// It counts (also when the same report came before).
     Counted,
@@ -201,7 +204,7 @@
 }
 
 /// Renews leases.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RenewLeases {
     /// The group.
     pub group: u32,
@@ -214,7 +217,7 @@
 }
 
 /// Which leases are no more.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RenewLeasesResponse {
     /// Attempts to stop: cancelled, expired or ended by another.
     pub lost: Vec<AttemptRef>,
