Rehearsal kit: stand-ins for worker, platform list, weight store, script and relay

Cause: the fleet needs the outside systems of docs/PROTOCOLS.md to run against. Change: a pure engine model (continuous batching, prefix cache, priorities, preemption, pause, cancel), its worker process with ledger, cache events, load reports, fenced orders and KV transfer; platform list, weight store, old script and TCP relay; child processes and ports of the coming fleet launcher; docs/REHEARSAL.md with each parameter's source.

--- /dev/null
+++ b/crates/pinerill-rehearse/src/fleet/mod.rs
@@ -0,0 +1,4 @@
+//! Starts and stops the processes of a rehearsal.
+
+pub mod ports;
+pub mod process;
--- a/crates/pinerill-rehearse/src/lib.rs
+++ b/crates/pinerill-rehearse/src/lib.rs
@@ -1,1 +1,9 @@
-//! Placeholder of the workspace scaffold.
+//! Rehearsal kit of pinerill: stand-ins, load, fleet launcher, faults, reports.
+//!
+//! The kit is not part of the fleet; it may start processes.
+
+pub mod answer;
+pub mod engine;
+pub mod fleet;
+pub mod ledger;
+pub mod standin;
--- a/crates/pinerill-rehearse/src/main.rs
+++ b/crates/pinerill-rehearse/src/main.rs
@@ -1,3 +1,49 @@
 //! The rehearsal kit command line.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use pinerill_rehearse::standin::{self, StandIn};
+
+/// Rehearses pinerill on one machine: stand-ins, load, fleet and reports.
+#[derive(Parser, Debug)]
+#[command(version)]
+struct CommandLine {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand, Debug)]
+enum Command {
+    /// Runs one stand-in; the kit starts these itself.
+    #[command(subcommand, hide = true)]
+    Standin(StandIn),
+}
+
+fn main() -> ExitCode {
+    let command_line = CommandLine::parse();
+    match run(command_line.command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("pinerill-rehearse: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(command: Command) -> anyhow::Result<()> {
+    match command {
+        Command::Standin(standin) => runtime(STANDIN_THREADS)?.block_on(standin::run(standin)),
+    }
+}
+
+/// Threads of a stand-in's runtime: many stand-ins share the machine.
+const STANDIN_THREADS: usize = 2;
+
+fn runtime(threads: usize) -> anyhow::Result<tokio::runtime::Runtime> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(threads)
+        .enable_all()
+        .build()?;
+    Ok(runtime)
+}
--- /dev/null
+++ b/crates/pinerill-rehearse/src/standin/mod.rs
@@ -0,0 +1,36 @@
+//! Stand-ins for the systems outside pinerill, each its own process.
+
+pub mod http;
+pub mod platform;
+pub mod relay;
+pub mod script;
+pub mod weights;
+pub mod worker;
+
+use clap::Subcommand;
+
+/// The stand-ins, as hidden subcommands.
+#[derive(Subcommand, Debug)]
+pub enum StandIn {
+    /// A worker with its engines.
+    Worker(Box<worker::WorkerArguments>),
+    /// The platform's list of machines.
+    Platform(platform::PlatformArguments),
+    /// The weight store.
+    Weights(weights::WeightsArguments),
+    /// An old script.
+    Script(script::ScriptArguments),
+    /// Relays of the links between zones.
+    Relay(relay::RelayArguments),
+}
+
+/// Runs a stand-in until SIGTERM or SIGINT. Fails when its address is taken.
+pub async fn run(standin: StandIn) -> anyhow::Result<()> {
+    match standin {
+        StandIn::Worker(arguments) => worker::run(*arguments).await,
+        StandIn::Platform(arguments) => platform::run(arguments).await,
+        StandIn::Weights(arguments) => weights::run(arguments).await,
+        StandIn::Script(arguments) => script::run(arguments).await,
+        StandIn::Relay(arguments) => relay::run(arguments).await,
+    }
+}
--- /dev/null
+++ b/crates/pinerill-rehearse/src/standin/worker/host.rs
@@ -0,0 +1,427 @@
+//! Drives one engine model with the clock, and carries its events to readers,
+//! ledger and cache events.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::error;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use super::cache_events::{CacheEventKind, CacheEventLog};
+use super::catalog::{Catalog, CatalogRefusal};
+use super::kv_handles::KvHandles;
+use super::request::{EngineRequest, FinishReason, Progress, RequestRecord};
+use crate::engine::messages::{
+    CancelState, EngineEvent, EngineLoad, Micros, Refusal, RequestId, RequestState,
+};
+use crate::engine::model::EngineModel;
+use crate::engine::parameters::EngineParameters;
+use crate::ledger::{unix_ms, Ledger, LedgerEvent, LedgerLine};
+use crate::standin::http::Failure;
+
+/// Whose engine it is.
+#[derive(Clone, Debug)]
+pub struct EngineIdentity {
+    /// Name of the worker.
+    pub worker: String,
+    /// Number of the engine.
+    pub number: usize,
+    /// Incarnation of the worker.
+    pub incarnation: u64,
+}
+
+impl EngineIdentity {
+    /// Full name, `{worker}/{engine}`.
+    pub fn full_name(&self) -> String {
+        format!("{}/{}", self.worker, self.number)
+    }
+}
+
+/// What changes under one lock.
+#[derive(Debug)]
+struct Inner {
+    model: EngineModel,
+    catalog: Catalog,
+    records: HashMap<RequestId, Arc<RequestRecord>>,
+    handles: KvHandles,
+    leaving: bool,
+}
+
+/// One engine of a worker.
+#[derive(Debug)]
+pub struct EngineHost {
+    /// Whose engine it is.
+    pub identity: EngineIdentity,
+    parameters: EngineParameters,
+    inner: Mutex<Inner>,
+    wake: Notify,
+    readers: AtomicUsize,
+    started_at: Instant,
+    ledger: Arc<Ledger>,
+    cache_events: Arc<CacheEventLog>,
+}
+
+impl EngineHost {
+    /// An idle engine.
+    pub fn new(
+        identity: EngineIdentity,
+        parameters: EngineParameters,
+        catalog: Catalog,
+        ledger: Arc<Ledger>,
+        cache_events: Arc<CacheEventLog>,
+    ) -> Self {
+        let inner = Inner {
+            model: EngineModel::new(parameters.clone()),
+            catalog,
+            records: HashMap::new(),
+            handles: KvHandles::default(),
+            leaving: false,
+        };
+        Self {
+            identity,
+            parameters,
+            inner: Mutex::new(inner),
+            wake: Notify::new(),
+            readers: AtomicUsize::new(0),
+            started_at: Instant::now(),
+            ledger,
+            cache_events,
+        }
+    }
+
+    /// Steps the model at its times; sleeps while there is nothing to do.
+    pub async fn run(self: Arc<Self>) {
+        loop {
+            match self.step() {
+                Some(at) => tokio::time::sleep_until(self.instant_of(at)).await,
+                None => self.wake.notified().await,
+            }
+        }
+    }
+
+    /// Takes a request in, or answers why it never runs.
+    pub fn submit(&self, request: &EngineRequest) -> Result<Arc<RequestRecord>, Failure> {
+        let record = Arc::new(RequestRecord::new(request));
+        let mut inner = self.inner.lock();
+        if inner.leaving {
+            return Err(Failure::new(503, "leaving", "this worker is leaving"));
+        }
+        let tokens_left = request.max_tokens.saturating_sub(request.continue_from);
+        inner
+            .catalog
+            .check(&request.model, &request.adapter, tokens_left)
+            .map_err(|refusal| catalog_failure(refusal, &request.model))?;
+        let imported_tokens = inner.imported_tokens(request, &record.content);
+        let submission = request.submission(self.parameters.block_tokens, imported_tokens);
+        let idle = inner.model.next_step_at().is_none();
+        inner
+            .model
+            .submit(self.now(), submission)
+            .map_err(refusal_failure)?;
+        let id = record.request_id.clone();
+        inner.records.insert(id, record.clone());
+        drop(inner);
+        if idle {
+            self.wake.notify_one();
+        }
+        Ok(record)
+    }
+
+    /// Ends a request.
+    pub fn cancel(&self, id: &RequestId) -> CancelState {
+        let mut inner = self.inner.lock();
+        let was_live = matches!(
+            inner.model.state(id),
+            RequestState::Waiting
+                | RequestState::Running
+                | RequestState::Paused
+                | RequestState::Preempted
+        );
+        let (state, _) = inner.model.cancel(self.now(), id);
+        if was_live {
+            if let Some(record) = inner.records.get(id).cloned() {
+                self.end_cancelled(&record);
+            }
+        }
+        state
+    }
+
+    /// Lets a request step aside, or lets it run again; answers its state.
+    pub fn set_paused(&self, id: &RequestId, paused: bool) -> RequestState {
+        let state = match paused {
+            true => self.inner.lock().model.pause(id),
+            false => self.inner.lock().model.unpause(id),
+        };
+        self.wake.notify_one();
+        state
+    }
+
+    /// The record of a request, also after its end.
+    pub fn record(&self, id: &str) -> Option<Arc<RequestRecord>> {
+        self.inner.lock().records.get(id).cloned()
+    }
+
+    /// Refuses new requests from now on; paused ones run again.
+    pub fn leave(&self) {
+        let mut inner = self.inner.lock();
+        inner.leaving = true;
+        inner.model.unpause_all();
+        drop(inner);
+        self.wake.notify_one();
+    }
+
+    /// Whether the worker is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.inner.lock().leaving
+    }
+
+    /// Whether a request runs or an answer is being read.
+    pub fn is_busy(&self) -> bool {
+        self.readers.load(Ordering::SeqCst) > 0 || !self.inner.lock().model.is_idle()
+    }
+
+    /// Counts at this moment.
+    pub fn load(&self) -> EngineLoad {
+        self.inner.lock().model.load()
+    }
+
+    /// The catalog at this moment.
+    pub fn catalog(&self) -> Catalog {
+        self.inner.lock().catalog.clone()
+    }
+
+    /// Changes the catalog.
+    pub fn with_catalog<Output>(&self, change: impl FnOnce(&mut Catalog) -> Output) -> Output {
+        change(&mut self.inner.lock().catalog)
+    }
+
+    /// Exports the KV cache of a request; `None` when it holds none.
+    pub fn export_kv(&self, id: &RequestId) -> Option<(String, u32)> {
+        let mut inner = self.inner.lock();
+        let record = inner.records.get(id)?.clone();
+        let progress = *record.progress.borrow();
+        let tokens = match progress.finish {
+            Some(FinishReason::Length) => record.prompt_tokens + progress.generated,
+            Some(FinishReason::Cancelled) => return None,
+            None => inner.model.exportable_tokens(id)?,
+        };
+        let name = format!(
+            "{}-{}-{id}",
+            self.identity.incarnation, self.identity.number
+        );
+        inner
+            .handles
+            .insert(name.clone(), record.content.clone(), tokens);
+        Some((name, tokens))
+    }
+
+    /// Keeps an imported handle for the request that brings it.
+    pub fn import_kv(&self, handle: String, content: String, tokens: u32) {
+        self.inner.lock().handles.insert(handle, content, tokens);
+    }
+
+    /// Content and tokens of a handle.
+    pub fn kv_handle(&self, handle: &str) -> Option<(String, u32)> {
+        self.inner.lock().handles.get(handle)
+    }
+
+    /// Counts a reader of an answer until the guard is dropped.
+    pub fn reader(self: &Arc<Self>) -> ReaderGuard {
+        self.readers.fetch_add(1, Ordering::SeqCst);
+        ReaderGuard(self.clone())
+    }
+
+    fn step(&self) -> Option<Micros> {
+        let mut inner = self.inner.lock();
+        let events = inner.model.step(self.now());
+        let next = inner.model.next_step_at();
+        self.publish(&inner.records, &events);
+        next
+    }
+
+    /// Ledger first, so that nothing is read that isn't written down.
+    fn publish(&self, records: &HashMap<RequestId, Arc<RequestRecord>>, events: &[EngineEvent]) {
+        let mut lines = Vec::new();
+        let mut changes = Vec::new();
+        for event in events {
+            match event {
+                EngineEvent::Stored { block, tokens } => {
+                    self.record_cache(CacheEventKind::Stored, *block, *tokens)
+                }
+                EngineEvent::Evicted { block, tokens } => {
+                    self.record_cache(CacheEventKind::Evicted, *block, *tokens)
+                }
+                EngineEvent::Started { request_id, .. }
+                | EngineEvent::Token { request_id, .. }
+                | EngineEvent::Finished { request_id, .. }
+                | EngineEvent::Preempted { request_id, .. }
+                | EngineEvent::Resumed { request_id } => {
+                    if let Some(record) = records.get(request_id) {
+                        self.apply(record, event, &mut lines, &mut changes);
+                    }
+                }
+            }
+        }
+        self.write_ledger(&lines);
+        for (record, progress) in changes {
+            record.progress.send_replace(progress);
+        }
+    }
+
+    fn apply<'a>(
+        &self,
+        record: &'a Arc<RequestRecord>,
+        event: &EngineEvent,
+        lines: &mut Vec<LedgerLine>,
+        changes: &mut Vec<(&'a Arc<RequestRecord>, Progress)>,
+    ) {
+        let index = change_index(record, changes);
+        let progress = &mut changes[index].1;
+        let ledger_event = match event {
+            EngineEvent::Started { cached_tokens, .. } => {
+                progress.started = true;
+                progress.cached_tokens = *cached_tokens;
+                LedgerEvent::Started
+            }
+            EngineEvent::Token { generated, .. } => {
+                progress.generated = *generated;
+                return;
+            }
+            EngineEvent::Finished {
+                recomputed_tokens, ..
+            } => {
+                progress.recomputed_tokens = *recomputed_tokens;
+                progress.finish = Some(FinishReason::Length);
+                LedgerEvent::Finished
+            }
+            EngineEvent::Preempted { .. } => LedgerEvent::Preempted,
+            EngineEvent::Resumed { .. } => LedgerEvent::Resumed,
+            EngineEvent::Stored { .. } | EngineEvent::Evicted { .. } => return,
+        };
+        lines.push(self.ledger_line(record, progress, ledger_event));
+    }
+
+    fn end_cancelled(&self, record: &Arc<RequestRecord>) {
+        let mut progress = *record.progress.borrow();
+        progress.finish = Some(FinishReason::Cancelled);
+        if progress.started {
+            let line = self.ledger_line(record, &progress, LedgerEvent::Cancelled);
+            self.write_ledger(&[line]);
+        }
+        record.progress.send_replace(progress);
+    }
+
+    fn ledger_line(
+        &self,
+        record: &RequestRecord,
+        progress: &Progress,
+        event: LedgerEvent,
+    ) -> LedgerLine {
+        let finished = event == LedgerEvent::Finished;
+        LedgerLine {
+            time_ms: unix_ms(),
+            engine: self.identity.full_name(),
+            incarnation: self.identity.incarnation,
+            event,
+            request_id: record.request_id.to_string(),
+            content: record.content.clone(),
+            priority: record.priority,
+            prompt_tokens: record.prompt_tokens,
+            cached_tokens: progress.cached_tokens,
+            continue_from: record.continue_from,
+            generated: progress.generated,
+            recomputed_tokens: progress.recomputed_tokens,
+            digest: finished.then(|| record.answer.digest(progress.generated)),
+        }
+    }
+
+    fn write_ledger(&self, lines: &[LedgerLine]) {
+        if let Err(failure) = self.ledger.append(lines) {
+            error!("writing the ledger of {}: {failure}", self.identity.worker);
+        }
+    }
+
+    fn record_cache(&self, kind: CacheEventKind, block: u64, tokens: u32) {
+        let engine = self.identity.number;
+        self.cache_events.record(engine, kind, block, tokens);
+    }
+
+    fn now(&self) -> Micros {
+        self.started_at.elapsed().as_micros() as Micros
+    }
+
+    fn instant_of(&self, at: Micros) -> Instant {
+        self.started_at + Duration::from_micros(at)
+    }
+}
+
+impl Inner {
+    fn imported_tokens(&self, request: &EngineRequest, content: &str) -> u32 {
+        let handle = request.kv_handle.as_ref();
+        match handle.and_then(|name| self.handles.get(name)) {
+            Some((of_content, tokens)) if of_content == content => tokens,
+            _ => 0,
+        }
+    }
+}
+
+/// Counts as a reader while it lives.
+#[derive(Debug)]
+pub struct ReaderGuard(Arc<EngineHost>);
+
+impl Drop for ReaderGuard {
+    fn drop(&mut self) {
+        self.0.readers.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+fn change_index<'a>(
+    record: &'a Arc<RequestRecord>,
+    changes: &mut Vec<(&'a Arc<RequestRecord>, Progress)>,
+) -> usize {
+    let known = changes
+        .iter()
+        .position(|(other, _)| Arc::ptr_eq(other, record));
+    known.unwrap_or_else(|| {
+        let progress = *record.progress.borrow();
+        changes.push((record, progress));
+        changes.len() - 1
+    })
+}
+
+fn refusal_failure(refusal: Refusal) -> Failure {
+    match refusal {
+        Refusal::DuplicateRequest => Failure::new(
+            409,
+            "duplicate_request",
+            "this incarnation has seen the identifier",
+        ),
+        Refusal::CancelledBeforeStart => Failure::new(
+            503,
+            "cancelled_before_start",
+            "a cancel came before the request",
+        ),
+        Refusal::QueueFull => Failure {
+            retry_after: Some(1),
+            ..Failure::new(429, "queue_full", "the queue of this priority is full")
+        },
+        Refusal::TooLarge => Failure::new(
+            400,
+            "bad_request",
+            "prompt and answer never fit in the KV cache",
+        ),
+    }
+}
+
+fn catalog_failure(refusal: CatalogRefusal, model: &str) -> Failure {
+    let code = match refusal {
+        CatalogRefusal::ModelNotLoaded => "model_not_loaded",
+        CatalogRefusal::Loading => "loading",
+        CatalogRefusal::WrongRole => "wrong_role",
+    };
+    Failure::new(503, code, format!("model {model}"))
+}
