--- a/crates/pinerill-types/src/bundle/indexed.rs
+++ b/crates/pinerill-types/src/bundle/indexed.rs
@@ -67,6 +67,31 @@
         self.apply_when(change, |bundle| check_change(bundle, change))
     }
 
+    /// Sets `entries` on top of this bundle and gives the change that does so,
+    /// for tools that make changes without a whole document.
+    ///
+    /// # Errors
+    /// When an entry's value is not of its section's type; the bundle is then
+    /// as it was.
+    pub fn compose(&mut self, entries: Vec<Entry>) -> Result<BundleChange, ChangeError> {
+        let base_version = self.bundle.version;
+        let mut change = BundleChange {
+            version: base_version + 1,
+            base: self.digest,
+            digest: Digest::default(),
+            set: entries,
+            removed: Vec::new(),
+        };
+        let mut undo = Vec::new();
+        if let Err(error) = self.edit(&change, &mut undo) {
+            self.revert(base_version, undo);
+            return Err(error);
+        }
+        self.digest = self.tree.root(self.bundle.version);
+        change.digest = self.digest;
+        Ok(change)
+    }
+
     fn apply_when(
         &mut self,
         change: &BundleChange,
--- a/crates/pinerill-types/tests/indexed_bundle.rs
+++ b/crates/pinerill-types/tests/indexed_bundle.rs
@@ -195,3 +195,21 @@
     let error = assert_refused_and_unchanged(change);
     assert!(matches!(error, ChangeError::Entry { .. }));
 }
+
+#[test]
+fn composed_change_leads_to_the_same_bundle_elsewhere() {
+    let founding = pinerill_types::bundle::Bundle::default();
+    let mut here = IndexedBundle::new(founding.clone());
+    let mut there = IndexedBundle::new(founding);
+    let entry = pinerill_types::bundle::Entry {
+        key: pinerill_types::bundle::EntryKey {
+            kind: pinerill_types::bundle::EntryKind::Tenant,
+            name: "crew".to_owned(),
+        },
+        value: "{\"key_hashes\":[],\"services\":[]}".to_owned(),
+    };
+    let change = here.compose(vec![entry]).expect("a tenant");
+    there.apply(&change).expect("applies to its base");
+    assert_eq!(here.digest(), there.digest());
+    assert_eq!(there.version(), 1);
+}
