Scale command: real and hollow processes at several sizes, fitted lines

Cause: docs/CAPACITY.md needs slopes, not guesses. Result: compiles and lints clean; not run, since control does not start yet.

--- a/crates/pinerill-rehearse/src/lib.rs
+++ b/crates/pinerill-rehearse/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod engine;
 pub mod fleet;
 pub mod ledger;
+pub mod scale;
 pub mod standin;
--- a/crates/pinerill-rehearse/src/main.rs
+++ b/crates/pinerill-rehearse/src/main.rs
@@ -18,6 +18,8 @@
     /// Runs one stand-in; the kit starts these itself.
     #[command(subcommand, hide = true)]
     Standin(StandIn),
+    /// Runs real and hollow processes at several sizes and fits lines.
+    Scale(pinerill_rehearse::scale::ScaleArguments),
 }
 
 fn main() -> ExitCode {
@@ -33,6 +35,9 @@
 
 fn run(command: Command) -> anyhow::Result<()> {
     match command {
+        Command::Scale(arguments) => {
+            runtime(KIT_THREADS)?.block_on(pinerill_rehearse::scale::run(arguments))
+        }
         Command::Standin(standin) => runtime(STANDIN_THREADS)?.block_on(standin::run(standin)),
     }
 }
@@ -40,6 +45,9 @@
 /// Threads of a stand-in's runtime: many stand-ins share the machine.
 const STANDIN_THREADS: usize = 2;
 
+/// Threads of the kit's own runtime.
+const KIT_THREADS: usize = 4;
+
 fn runtime(threads: usize) -> anyhow::Result<tokio::runtime::Runtime> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(threads)
--- /dev/null
+++ b/crates/pinerill-rehearse/src/scale/fleet.rs
@@ -0,0 +1,359 @@
+//! The processes of a scale run: real control machines, one real node, and
+//! hollow processes.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use anyhow::{bail, ensure, Context};
+use ed25519_dalek::SigningKey;
+use pinerill_types::bundle::{Bundle, Operator, Policy};
+use pinerill_types::settings::{
+    ClusterSettings, ControlSettings, LogSettings, NodeSettings, Settings,
+};
+use pinerill_types::{NodeName, OperatorName, ZoneName};
+use pinerill_wire::api::{ControlApi, Role};
+use pinerill_wire::client::ControlClient;
+use pinerill_wire::connection::{ClusterKey, Identity};
+use pinerill_wire::message::{
+    ClusterInit, ClusterStatusRequest, ClusterStatusResponse, Request, Response,
+};
+
+use super::hollow::HollowResults;
+use super::load::Signer;
+use super::size::{Size, CONTROLS, NODES_PER_PROCESS};
+use crate::fleet::ports::free_addresses;
+use crate::fleet::process::{ChildProcess, ProcessSpec, Signal};
+
+/// Zones of the letter's size.
+const ZONES: u64 = 13;
+/// Longest time until the control machines answer.
+const START_TIME: Duration = Duration::from_secs(20);
+/// Longest time of a planned stop.
+const STOP_TIME: Duration = Duration::from_secs(30);
+/// Pause between two looks.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+/// Longest time for one question.
+const CALL_TIME: Duration = Duration::from_secs(10);
+/// The cluster's key: nothing here is secret.
+const KEY: [u8; 32] = [7; 32];
+/// Operator of the run.
+const OPERATOR: &str = "scale";
+
+/// The running processes.
+pub struct ScaleFleet {
+    folder: PathBuf,
+    cluster: ClusterSettings,
+    /// Control machines.
+    pub controls: Vec<ChildProcess>,
+    /// The real node.
+    pub node: Option<ChildProcess>,
+    /// Where the real node serves its metrics.
+    pub node_admin: SocketAddr,
+    hollow_workers: Option<ChildProcess>,
+    hollow_nodes: Vec<(ChildProcess, PathBuf)>,
+    worker_address: SocketAddr,
+}
+
+/// Names of the zones.
+pub fn zones() -> Vec<String> {
+    (0..ZONES).map(|zone| format!("zone-{zone}")).collect()
+}
+
+/// The operator who signs in this run.
+pub fn signer() -> Signer {
+    Signer {
+        operator: OperatorName::from(OPERATOR),
+        key: SigningKey::from_bytes(&KEY),
+    }
+}
+
+fn sibling(name: &str) -> anyhow::Result<PathBuf> {
+    let own = std::env::current_exe().context("finding the own program")?;
+    let path = own.with_file_name(name);
+    ensure!(path.is_file(), "{} is missing; build it", path.display());
+    Ok(path)
+}
+
+impl ScaleFleet {
+    /// Starts control machines and hollow workers, and founds the cluster.
+    ///
+    /// # Errors
+    /// When a process does not start or the cluster is not founded.
+    pub async fn start(folder: &Path, size: &Size) -> anyhow::Result<Self> {
+        let addresses = free_addresses(2 * CONTROLS as usize + 3)?;
+        let (control_addresses, rest) = addresses.split_at(CONTROLS as usize);
+        let (admin_addresses, rest) = rest.split_at(CONTROLS as usize);
+        let key_file = folder.join("cluster.key");
+        let key_text: String = KEY.iter().map(|byte| format!("{byte:02x}")).collect();
+        std::fs::write(&key_file, key_text).context("writing the cluster key")?;
+        let mut fleet = Self {
+            folder: folder.to_owned(),
+            cluster: ClusterSettings {
+                name: "scale".to_owned(),
+                key_file,
+                controls: control_addresses.to_vec(),
+            },
+            controls: Vec::new(),
+            node: None,
+            node_admin: rest[1],
+            hollow_workers: None,
+            hollow_nodes: Vec::new(),
+            worker_address: rest[0],
+        };
+        fleet.start_workers(size)?;
+        for (index, (listen, admin)) in control_addresses.iter().zip(admin_addresses).enumerate() {
+            fleet.start_control(index, *listen, *admin)?;
+        }
+        fleet.found(size).await?;
+        fleet.start_node(rest[2])?;
+        Ok(fleet)
+    }
+
+    fn start_workers(&mut self, size: &Size) -> anyhow::Result<()> {
+        let arguments = vec![
+            "standin".to_owned(),
+            "hollow-workers".to_owned(),
+            format!("--listen={}", self.worker_address),
+            format!("--workers={}", size.workers),
+            format!("--zones={}", zones().join(",")),
+        ];
+        let program = std::env::current_exe().context("finding the own program")?;
+        self.hollow_workers = Some(self.start_process("hollow-workers", program, arguments)?);
+        Ok(())
+    }
+
+    fn start_control(
+        &mut self,
+        index: usize,
+        listen: SocketAddr,
+        admin: SocketAddr,
+    ) -> anyhow::Result<()> {
+        let zone = zones()[index % ZONES as usize].clone();
+        let settings = Settings {
+            cluster: self.cluster.clone(),
+            control: Some(ControlSettings {
+                name: NodeName(format!("control-{index}")),
+                zone: ZoneName(zone),
+                listen,
+                admin,
+                data_folder: self.folder.join(format!("control-{index}")),
+                platform: Some(self.worker_address),
+                heartbeat_ms: 100,
+                election_ms: 1_000,
+                snapshot_entries: 10_000,
+                concurrent_loads: 4,
+            }),
+            node: None,
+            log: LogSettings::default(),
+        };
+        let process = self.start_pinerill(&format!("control-{index}"), "control", &settings)?;
+        self.controls.push(process);
+        Ok(())
+    }
+
+    fn start_node(&mut self, listen: SocketAddr) -> anyhow::Result<()> {
+        let zones = zones();
+        let settings = Settings {
+            cluster: self.cluster.clone(),
+            control: None,
+            node: Some(NodeSettings {
+                name: NodeName::from("real-node"),
+                zone: ZoneName(zones[0].clone()),
+                neighbours: Vec::new(),
+                listen,
+                admin: self.node_admin,
+                body_limit_kib: 1_024,
+                batch_limit_kib: 65_536,
+                worker_subset: 48,
+                report_poll_ms: 500,
+                drain_ms: 10_000,
+            }),
+            log: LogSettings::default(),
+        };
+        self.node = Some(self.start_pinerill("real-node", "node", &settings)?);
+        Ok(())
+    }
+
+    fn start_pinerill(
+        &self,
+        name: &str,
+        subcommand: &str,
+        settings: &Settings,
+    ) -> anyhow::Result<ChildProcess> {
+        let path = self.write_settings(name, settings)?;
+        let arguments = vec![
+            subcommand.to_owned(),
+            "--settings".to_owned(),
+            path.display().to_string(),
+        ];
+        self.start_process(name, sibling("pinerill")?, arguments)
+    }
+
+    fn write_settings(&self, name: &str, settings: &Settings) -> anyhow::Result<PathBuf> {
+        let path = self.folder.join(format!("{name}.toml"));
+        let text = toml::to_string(settings).context("writing settings")?;
+        std::fs::write(&path, text).with_context(|| format!("writing {}", path.display()))?;
+        Ok(path)
+    }
+
+    fn start_process(
+        &self,
+        name: &str,
+        program: PathBuf,
+        arguments: Vec<String>,
+    ) -> anyhow::Result<ChildProcess> {
+        ChildProcess::start(&ProcessSpec {
+            name: name.to_owned(),
+            program,
+            arguments,
+            log_folder: self.folder.clone(),
+        })
+    }
+
+    /// A client of the control machines.
+    pub fn client(&self) -> Arc<ControlClient> {
+        let key = ClusterKey::from_bytes(KEY);
+        let identity = Identity::new(&self.cluster.name, key, Role::Operator, OPERATOR, "");
+        Arc::new(ControlClient::new(identity, &self.cluster.controls))
+    }
+
+    async fn found(&mut self, size: &Size) -> anyhow::Result<()> {
+        let signer = signer();
+        let public_key = signer.key.verifying_key().to_bytes();
+        let mut founding = Bundle {
+            policy: Policy::default(),
+            ..Bundle::default()
+        };
+        let operator = Operator {
+            public_key: public_key
+                .iter()
+                .map(|byte| format!("{byte:02x}"))
+                .collect(),
+        };
+        founding.operators.insert(signer.operator, operator);
+        let request = Request::ClusterInit(ClusterInit {
+            founding,
+            job_groups: size.job_groups as u32,
+            voters: CONTROLS as u32,
+        });
+        let client = self.client();
+        let end = Instant::now() + START_TIME;
+        loop {
+            match client.call_any(request.clone(), CALL_TIME).await {
+                Ok(Response::ClusterInit(_)) => break,
+                Ok(other) => bail!("founding the cluster: unexpected {other:?}"),
+                Err(error) if Instant::now() >= end => {
+                    return Err(error).context("founding the cluster");
+                }
+                Err(_) => self.ensure_running()?,
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+        self.await_leaders(size.job_groups as usize + 1).await
+    }
+
+    /// Waits until every group has a leader.
+    async fn await_leaders(&mut self, groups: usize) -> anyhow::Result<()> {
+        let end = Instant::now() + START_TIME;
+        let client = self.client();
+        while Instant::now() < end {
+            if let Ok(status) = cluster_status(&client).await {
+                let led = status.groups.iter().filter(|group| group.leader.is_some());
+                if led.count() >= groups {
+                    return Ok(());
+                }
+            }
+            self.ensure_running()?;
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+        bail!("not all of {groups} groups have a leader after {START_TIME:?}")
+    }
+
+    fn ensure_running(&mut self) -> anyhow::Result<()> {
+        for process in &mut self.controls {
+            process.ensure_running()?;
+        }
+        Ok(())
+    }
+
+    /// Starts the hollow nodes.
+    ///
+    /// # Errors
+    /// When a process does not start.
+    pub fn start_hollow_nodes(&mut self, size: &Size, lease_limit: u32) -> anyhow::Result<()> {
+        let settings = Settings {
+            cluster: self.cluster.clone(),
+            control: None,
+            node: None,
+            log: LogSettings::default(),
+        };
+        let settings_path = self.write_settings("hollow", &settings)?;
+        let program = std::env::current_exe().context("finding the own program")?;
+        let mut first = 0;
+        while first < size.nodes {
+            let count = NODES_PER_PROCESS.min(size.nodes - first);
+            let name = format!("hollow-nodes-{first}");
+            let out = self.folder.join(format!("{name}.json"));
+            let arguments = vec![
+                "standin".to_owned(),
+                "hollow-nodes".to_owned(),
+                format!("--settings={}", settings_path.display()),
+                format!("--first={first}"),
+                format!("--count={count}"),
+                format!("--zones={}", zones().join(",")),
+                format!("--lease-limit={lease_limit}"),
+                format!("--out={}", out.display()),
+            ];
+            let process = self.start_process(&name, program.clone(), arguments)?;
+            self.hollow_nodes.push((process, out));
+            first += count;
+        }
+        Ok(())
+    }
+
+    /// Stops the hollow nodes and adds up what they saw.
+    ///
+    /// # Errors
+    /// When one died or wrote no results.
+    pub async fn stop_hollow_nodes(&mut self) -> anyhow::Result<HollowResults> {
+        let mut total = HollowResults::default();
+        for (process, _) in &mut self.hollow_nodes {
+            process.signal(Signal::Terminate)?;
+        }
+        for (mut process, out) in self.hollow_nodes.drain(..) {
+            process.stop(STOP_TIME).await?;
+            let text = std::fs::read_to_string(&out)
+                .with_context(|| format!("reading {}", out.display()))?;
+            total.add(&serde_json::from_str(&text)?);
+        }
+        Ok(total)
+    }
+
+    /// Stops everything in a planned way.
+    ///
+    /// # Errors
+    /// When a process does not end with exit code 0.
+    pub async fn stop(mut self) -> anyhow::Result<()> {
+        if let Some(mut node) = self.node.take() {
+            node.stop(STOP_TIME).await?;
+        }
+        for process in &mut self.controls {
+            process.stop(STOP_TIME).await?;
+        }
+        Ok(())
+    }
+}
+
+/// Asks for the cluster's status.
+///
+/// # Errors
+/// When no control machine answers.
+pub async fn cluster_status(client: &ControlClient) -> anyhow::Result<ClusterStatusResponse> {
+    let request = Request::ClusterStatus(ClusterStatusRequest);
+    match client.call_any(request, CALL_TIME).await? {
+        Response::ClusterStatus(status) => Ok(status),
+        other => bail!("reading the cluster's status: unexpected {other:?}"),
+    }
+}
--- a/crates/pinerill-rehearse/src/scale/hollow/node.rs
+++ b/crates/pinerill-rehearse/src/scale/hollow/node.rs
@@ -270,5 +270,9 @@
 /// An answer of the size that a repair order or a round of questions has.
 fn answer(item: &LeasedItem) -> String {
     const ANSWER_BYTES: usize = 400;
-    format!("{{\"text\":\"{:0>width$}\"}}", item.index, width = ANSWER_BYTES)
+    format!(
+        "{{\"text\":\"{:0>width$}\"}}",
+        item.index,
+        width = ANSWER_BYTES
+    )
 }
--- a/crates/pinerill-rehearse/src/scale/hollow/process.rs
+++ b/crates/pinerill-rehearse/src/scale/hollow/process.rs
@@ -124,11 +124,7 @@
     }
 }
 
-async fn begin(
-    arguments: &HollowArguments,
-    nodes: &[Arc<HollowNode>],
-    tally: &Tally,
-) -> Start {
+async fn begin(arguments: &HollowArguments, nodes: &[Arc<HollowNode>], tally: &Tally) -> Start {
     sleep(Duration::from_secs(arguments.warm_up_seconds)).await;
     begin_now(nodes, tally)
 }
--- a/crates/pinerill-rehearse/src/standin/mod.rs
+++ b/crates/pinerill-rehearse/src/standin/mod.rs
@@ -20,6 +20,10 @@
     Weights(weights::WeightsArguments),
     /// An old script.
     Script(script::ScriptArguments),
+    /// Hollow nodes of a scale run.
+    HollowNodes(crate::scale::hollow::HollowArguments),
+    /// Hollow workers of a scale run.
+    HollowWorkers(crate::scale::hollow::HollowWorkerArguments),
     /// Relays of the links between zones.
     Relay(relay::RelayArguments),
 }
@@ -31,6 +35,8 @@
         StandIn::Platform(arguments) => platform::run(arguments).await,
         StandIn::Weights(arguments) => weights::run(arguments).await,
         StandIn::Script(arguments) => script::run(arguments).await,
+        StandIn::HollowNodes(arguments) => crate::scale::hollow::run_nodes(arguments).await,
+        StandIn::HollowWorkers(arguments) => crate::scale::hollow::run_workers(arguments).await,
         StandIn::Relay(arguments) => relay::run(arguments).await,
     }
 }
