Group host: many replicated groups in one process

Cause: control runs one meta group and many job groups per process; each must be cheap when idle and share syncs when busy.

Change: pinerill_control::host with GroupHost, GroupHandle, StateMachine, TableWriter and Transport. One tokio task per group that sleeps until the replica's next deadline and feeds it everything that waits at once.

--- /dev/null
+++ b/crates/pinerill-control/src/host/group_host.rs
@@ -0,0 +1,227 @@
+//! The host: starts groups, routes messages, stops.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::{Mutex, RwLock};
+use pinerill_replica::{Envelope, GroupId, Replica, ReplicaId, SnapshotMeta};
+use pinerill_storage::{GroupStore, Operation, RestoredGroup, WriteBatch};
+use tokio::sync::{mpsc, watch, Semaphore};
+use tokio::task::JoinHandle;
+
+use super::counters::{count, CounterCells};
+use super::event::Event;
+use super::task::GroupTask;
+use super::{
+    GroupHandle, GroupStatus, HostCounters, HostError, HostSettings, StateMachine, Transport,
+};
+
+struct RunningGroup {
+    events: mpsc::UnboundedSender<Event>,
+    status: watch::Receiver<GroupStatus>,
+}
+
+/// What the host shares with its tasks.
+pub(super) struct Shared {
+    pub(super) store: Arc<dyn GroupStore>,
+    pub(super) transport: Arc<dyn Transport>,
+    pub(super) settings: HostSettings,
+    pub(super) counters: CounterCells,
+}
+
+struct Inner {
+    shared: Arc<Shared>,
+    groups: RwLock<HashMap<GroupId, RunningGroup>>,
+    tasks: Mutex<Vec<JoinHandle<()>>>,
+}
+
+/// Runs the groups of one process; clones are handles on the same host.
+#[derive(Clone)]
+pub struct GroupHost {
+    inner: Arc<Inner>,
+}
+
+impl GroupHost {
+    /// Starts a host without groups.
+    pub fn start(
+        store: Arc<dyn GroupStore>,
+        transport: Arc<dyn Transport>,
+        settings: HostSettings,
+    ) -> Self {
+        let shared = Shared {
+            store,
+            transport,
+            settings,
+            counters: CounterCells::default(),
+        };
+        GroupHost {
+            inner: Arc::new(Inner {
+                shared: Arc::new(shared),
+                groups: RwLock::default(),
+                tasks: Mutex::default(),
+            }),
+        }
+    }
+
+    /// The identifier of this process's data folder.
+    pub fn replica_id(&self) -> ReplicaId {
+        self.inner.shared.store.identity().replica
+    }
+
+    /// Runs a group. If the store knows it, it continues from there and
+    /// `members` is ignored. Otherwise `members` are the first voters of a
+    /// new group; all of them must be given the same ones, once, by the
+    /// bootstrap. Without members, the replica waits to be added as a
+    /// learner. Must be called within a tokio runtime.
+    pub fn add_group<M: StateMachine>(
+        &self,
+        group: GroupId,
+        members: &[ReplicaId],
+        machine: M,
+    ) -> Result<GroupHandle<M>, HostError> {
+        let mut groups = self.inner.groups.write();
+        if groups.contains_key(&group) {
+            return Err(HostError::GroupRuns(group));
+        }
+        let shared = self.inner.shared.clone();
+        let mut machine = machine;
+        let restored = restore(&shared, group, members, &mut machine)?;
+        let config = shared.settings.replica_config(self.replica_id(), group);
+        let replica = Replica::new(config, restored.state);
+        let (events, inbox) = mpsc::unbounded_channel();
+        let status = GroupStatus::new(group, replica.status());
+        let (status_sender, status) = watch::channel(status);
+        let machine = Arc::new(RwLock::new(machine));
+        let handle = GroupHandle {
+            group,
+            machine: machine.clone(),
+            store: shared.store.clone(),
+            events: events.clone(),
+            places: Arc::new(Semaphore::new(shared.settings.max_pending_proposals)),
+            status: status.clone(),
+            read_timeout: shared.settings.read_timeout,
+        };
+        let task = GroupTask::new(
+            group,
+            replica,
+            machine,
+            shared,
+            events.downgrade(),
+            status_sender,
+        );
+        self.inner.tasks.lock().push(tokio::spawn(task.run(inbox)));
+        groups.insert(group, RunningGroup { events, status });
+        Ok(handle)
+    }
+
+    /// Groups that run here.
+    pub fn groups(&self) -> Vec<GroupId> {
+        self.inner.groups.read().keys().copied().collect()
+    }
+
+    /// Passes a message from the transport to its group.
+    pub fn on_message(&self, envelope: Envelope) {
+        let counters = &self.inner.shared.counters;
+        count(&counters.messages_received, 1);
+        let groups = self.inner.groups.read();
+        match groups.get(&envelope.group) {
+            // A closed inbox means that the group stops: the message is lost.
+            Some(group) => drop(group.events.send(Event::Message(envelope))),
+            None => count(&counters.messages_unknown_group, 1),
+        }
+    }
+
+    /// Counters since the start.
+    pub fn counters(&self) -> HostCounters {
+        let shared = &self.inner.shared;
+        shared.counters.values(shared.store.as_ref())
+    }
+
+    /// A planned stop: hands over every leadership, then stops the groups.
+    pub async fn stop(&self) {
+        self.hand_over().await;
+        self.halt().await;
+    }
+
+    /// Stops the groups at once, as a crash would.
+    pub async fn halt(&self) {
+        for (_, group) in self.inner.groups.write().drain() {
+            let _ = group.events.send(Event::Stop);
+        }
+        let tasks = std::mem::take(&mut *self.inner.tasks.lock());
+        for task in tasks {
+            let _ = task.await;
+        }
+    }
+
+    async fn hand_over(&self) {
+        let own = self.replica_id();
+        let mut led = Vec::new();
+        for group in self.inner.groups.read().values() {
+            let status = group.status.clone();
+            let leads = status.borrow().leader == Some(own);
+            if leads {
+                let _ = group.events.send(Event::TransferLeadership { to: None });
+                led.push(status);
+            }
+        }
+        let limit: Duration = self.inner.shared.settings.election_max;
+        let all_handed_over = async {
+            for status in &mut led {
+                let _ = status.wait_for(|status| status.leader != Some(own)).await;
+            }
+        };
+        let _ = tokio::time::timeout(limit, all_handed_over).await;
+    }
+}
+
+fn restore<M: StateMachine>(
+    shared: &Shared,
+    group: GroupId,
+    members: &[ReplicaId],
+    machine: &mut M,
+) -> Result<RestoredGroup, HostError> {
+    let storage = |error| HostError::Storage { group, error };
+    let stored = shared.store.restore(group).map_err(storage)?;
+    let Some(stored) = stored else {
+        return Ok(bootstrap(shared, group, members, machine));
+    };
+    if stored.state.snapshot.index > 0 {
+        machine
+            .restore(&stored.memory)
+            .map_err(|error| HostError::Restore { group, error })?;
+    }
+    Ok(stored)
+}
+
+/// Writes the first snapshot of a new group. Nothing waits for its sync: any
+/// vote or acknowledgement of the replica is written, and so synced, after it.
+fn bootstrap<M: StateMachine>(
+    shared: &Shared,
+    group: GroupId,
+    members: &[ReplicaId],
+    machine: &M,
+) -> RestoredGroup {
+    let mut restored = RestoredGroup {
+        state: Default::default(),
+        memory: Vec::new(),
+    };
+    if members.is_empty() {
+        return restored;
+    }
+    restored.memory = machine.snapshot();
+    restored.state.snapshot = SnapshotMeta::bootstrap(members.iter().copied());
+    let mut batch = WriteBatch::new(group);
+    batch.operations.push(Operation::SaveSnapshot {
+        meta: restored.state.snapshot.clone(),
+        memory: restored.memory.clone(),
+    });
+    let log_failure = move |result: Result<(), _>| {
+        if let Err(error) = result {
+            log::error!("group {group}: bootstrap: {error}");
+        }
+    };
+    shared.store.write(batch, Box::new(log_failure));
+    restored
+}
--- /dev/null
+++ b/crates/pinerill-control/src/host/mod.rs
@@ -0,0 +1,29 @@
+//! Runs many replicated groups in one process.
+//!
+//! Each group is one tokio task around a [`pinerill_replica::Replica`]. The
+//! task feeds the replica whatever has arrived, all at once, so that
+//! proposals, reads and messages that wait together share writes, appends and
+//! heartbeat rounds. Writes of all groups go to one store, which syncs them
+//! together. An idle group costs its heartbeats and nothing else: tasks sleep
+//! until the replica's next deadline.
+
+mod counters;
+mod error;
+mod event;
+mod group_host;
+mod handle;
+mod machine;
+mod settings;
+mod status;
+mod table_visibility;
+mod task;
+mod task_output;
+mod task_snapshot;
+
+pub use counters::HostCounters;
+pub use error::{ChangeError, HostError, ProposeError, ReadError};
+pub use group_host::GroupHost;
+pub use handle::{GroupHandle, TableReader};
+pub use machine::{StateMachine, TableWriter, Transport};
+pub use settings::HostSettings;
+pub use status::GroupStatus;
--- /dev/null
+++ b/crates/pinerill-control/src/host/status.rs
@@ -0,0 +1,63 @@
+//! A group as seen from this process.
+
+use pinerill_replica::{GroupId, Membership, PeerStatus, ReplicaId, Role, Status};
+
+/// A group as seen from this process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GroupStatus {
+    /// The group.
+    pub group: GroupId,
+    /// This process's replica.
+    pub replica: ReplicaId,
+    /// Its role.
+    pub role: Role,
+    /// Its term.
+    pub term: u64,
+    /// The leader of the term, if known.
+    pub leader: Option<ReplicaId>,
+    /// Whether, as leader, it has committed an entry of its own term.
+    pub settled: bool,
+    /// Highest committed index it knows.
+    pub commit: u64,
+    /// Highest index applied.
+    pub applied: u64,
+    /// Voters and learners in force.
+    pub members: Membership,
+    /// Whether the last membership change is committed.
+    pub members_committed: bool,
+    /// Followers, if it leads.
+    pub peers: Vec<PeerStatus>,
+}
+
+impl GroupStatus {
+    pub(super) fn new(group: GroupId, status: Status) -> Self {
+        GroupStatus {
+            group,
+            replica: status.id,
+            role: status.role,
+            term: status.term,
+            leader: status.leader,
+            settled: status.settled,
+            commit: status.commit,
+            applied: status.applied,
+            members_committed: status.membership_index <= status.commit,
+            members: status.membership,
+            peers: status.peers,
+        }
+    }
+
+    /// Whether anything but the followers' progress differs.
+    pub(super) fn differs_from(&self, other: &GroupStatus) -> bool {
+        let position = |status: &GroupStatus| (status.term, status.commit, status.applied);
+        let leadership = |status: &GroupStatus| (status.role, status.leader, status.settled);
+        position(self) != position(other)
+            || leadership(self) != leadership(other)
+            || self.members_committed != other.members_committed
+            || self.members != other.members
+    }
+
+    /// Whether this replica leads and knows everything committed before.
+    pub fn leads(&self) -> bool {
+        self.role == Role::Leader && self.settled
+    }
+}
--- /dev/null
+++ b/crates/pinerill-control/src/host/task_snapshot.rs
@@ -0,0 +1,88 @@
+//! Saving, sending and compacting behind snapshots.
+
+use std::path::Path;
+
+use pinerill_replica::{Input, SnapshotRequest};
+use pinerill_storage::{Operation, SnapshotStream, StorageCause, StorageError, WriteBatch};
+
+use super::event::StoredWrite;
+use super::task::GroupTask;
+use super::StateMachine;
+
+pub(super) fn refused_snapshot(error: anyhow::Error) -> StorageError {
+    let cause = StorageCause::Corrupted(format!("{error:#}"));
+    StorageError::new("restore", Path::new("(received snapshot)"), cause)
+}
+
+impl<M: StateMachine> GroupTask<M> {
+    /// Saves a snapshot after enough entries or bytes. It is queued at the
+    /// store behind the table writes of every entry that it covers.
+    pub(super) fn save_snapshot_if_due(&mut self) {
+        let settings = &self.shared.settings;
+        let applied = self.visibility.applied();
+        let entries = applied - self.snapshot_index;
+        let due = entries >= settings.snapshot_entries
+            || (entries > 0 && self.bytes_since_snapshot >= settings.snapshot_bytes);
+        if !due || self.saving_snapshot {
+            return;
+        }
+        let Some(meta) = self.replica.snapshot_meta(applied) else {
+            return;
+        };
+        self.saving_snapshot = true;
+        self.snapshot_index = applied;
+        self.bytes_since_snapshot = 0;
+        let memory = self.machine.read().snapshot();
+        let completion = self.completion(StoredWrite::Snapshot(meta.clone()));
+        let operation = Operation::SaveSnapshot { meta, memory };
+        self.write_one(operation, completion);
+    }
+
+    pub(super) fn compact_log(&self, up_to: u64) {
+        let completion = self.completion(StoredWrite::Compaction);
+        self.write_one(Operation::CompactLog { up_to }, completion);
+    }
+
+    fn write_one(&self, operation: Operation, completion: pinerill_storage::Completion) {
+        let batch = WriteBatch {
+            group: self.group,
+            operations: vec![operation],
+        };
+        self.shared.store.write(batch, completion);
+    }
+
+    /// Reads the part of the stored snapshot that a follower needs next.
+    pub(super) fn read_snapshot_chunk(&mut self, request: SnapshotRequest) {
+        match self.next_chunk(request) {
+            Ok(Some(input)) => self.step(input),
+            Ok(None) => {}
+            Err(error) => log::error!("group {}: snapshot for {}: {error}", self.group, request.to),
+        }
+    }
+
+    fn next_chunk(&mut self, request: SnapshotRequest) -> Result<Option<Input>, StorageError> {
+        let known = self.outgoing_snapshots.remove(&request.to);
+        let continued =
+            known.filter(|stream| request.offset > 0 && stream.offset() == request.offset);
+        let opened = match continued {
+            Some(stream) => Some(stream),
+            None => SnapshotStream::open(self.shared.store.reader(self.group)?)?,
+        };
+        let Some(mut stream) = opened else {
+            return Ok(None);
+        };
+        let offset = stream.offset();
+        let (bytes, done) = stream.next_chunk(self.shared.settings.snapshot_chunk_bytes)?;
+        let meta = stream.meta().clone();
+        if !done {
+            self.outgoing_snapshots.insert(request.to, stream);
+        }
+        Ok(Some(Input::SnapshotChunkRead {
+            to: request.to,
+            meta,
+            offset,
+            bytes,
+            done,
+        }))
+    }
+}
--- a/crates/pinerill-control/src/lib.rs
+++ b/crates/pinerill-control/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder of the workspace scaffold.
+//! Control machines: replicated groups and what they decide.
+
+pub mod host;
--- /dev/null
+++ b/crates/pinerill-control/tests/host_support/mod.rs
@@ -0,0 +1,196 @@
+//! Hosts in one process, joined by a transport that can be cut.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::RwLock;
+use pinerill_control::host::{
+    GroupHandle, GroupHost, HostSettings, ProposeError, StateMachine, TableWriter, Transport,
+};
+use pinerill_replica::{Envelope, GroupId, ReplicaId};
+use pinerill_storage::GroupStore;
+
+pub const GROUP: GroupId = GroupId(1);
+pub const WAIT: Duration = Duration::from_secs(20);
+
+/// Counts commands and writes each one to the table under its own name.
+#[derive(Default)]
+pub struct CountingMachine {
+    pub count: u64,
+    pub last_index: u64,
+}
+
+impl StateMachine for CountingMachine {
+    fn apply(&mut self, index: u64, command: &[u8], table: &mut dyn TableWriter) -> Vec<u8> {
+        assert!(index > self.last_index, "entries in order, each once");
+        self.last_index = index;
+        self.count += 1;
+        table.put(command, &self.count.to_be_bytes());
+        self.count.to_be_bytes().to_vec()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        [self.count.to_be_bytes(), self.last_index.to_be_bytes()].concat()
+    }
+
+    fn restore(&mut self, bytes: &[u8]) -> anyhow::Result<()> {
+        let (count, last_index) = bytes.split_at(8);
+        self.count = u64::from_be_bytes(count.try_into()?);
+        self.last_index = u64::from_be_bytes(last_index.try_into()?);
+        Ok(())
+    }
+}
+
+/// Delivers at once to the hosts of the same process.
+#[derive(Default)]
+pub struct Network {
+    hosts: RwLock<HashMap<ReplicaId, GroupHost>>,
+    cut: RwLock<HashSet<ReplicaId>>,
+}
+
+impl Transport for Network {
+    fn send(&self, to: ReplicaId, envelope: Envelope) {
+        let cut = self.cut.read();
+        if cut.contains(&to) || cut.contains(&envelope.from) {
+            return;
+        }
+        let host = self.hosts.read().get(&to).cloned();
+        if let Some(host) = host {
+            host.on_message(envelope);
+        }
+    }
+}
+
+impl Network {
+    pub fn cut(&self, replica: ReplicaId) {
+        self.cut.write().insert(replica);
+    }
+
+    pub fn join(&self, replica: ReplicaId) {
+        self.cut.write().remove(&replica);
+    }
+
+    pub fn remove(&self, replica: ReplicaId) {
+        self.hosts.write().remove(&replica);
+    }
+}
+
+pub struct Member {
+    pub host: GroupHost,
+    pub group: GroupHandle<CountingMachine>,
+}
+
+pub struct Cluster {
+    pub network: Arc<Network>,
+    pub members: BTreeMap<ReplicaId, Member>,
+    pub settings: HostSettings,
+}
+
+pub fn settings() -> HostSettings {
+    HostSettings {
+        heartbeat: Duration::from_millis(30),
+        election_min: Duration::from_millis(150),
+        election_max: Duration::from_millis(300),
+        snapshot_entries: 100,
+        compaction_margin: 10,
+        snapshot_chunk_bytes: 512,
+        ..HostSettings::default()
+    }
+}
+
+impl Cluster {
+    pub fn new() -> Self {
+        Cluster {
+            network: Arc::default(),
+            members: BTreeMap::new(),
+            settings: settings(),
+        }
+    }
+
+    pub fn start(&mut self, store: Arc<dyn GroupStore>, voters: &[ReplicaId]) -> ReplicaId {
+        let replica = store.identity().replica;
+        let host = GroupHost::start(store, self.network.clone(), self.settings.clone());
+        let machine = CountingMachine::default();
+        let group = host.add_group(GROUP, voters, machine).expect("starts");
+        self.network.hosts.write().insert(replica, host.clone());
+        self.members.insert(replica, Member { host, group });
+        replica
+    }
+
+    pub async fn halt(&mut self, replica: ReplicaId) {
+        self.network.remove(replica);
+        let member = self.members.remove(&replica).expect("runs");
+        member.host.halt().await;
+    }
+
+    pub async fn leader(&self) -> ReplicaId {
+        eventually("a settled leader", || {
+            self.members
+                .iter()
+                .find(|(_, member)| member.group.status().leads())
+                .map(|(replica, _)| *replica)
+        })
+        .await
+    }
+
+    pub async fn leader_group(&self) -> GroupHandle<CountingMachine> {
+        let leader = self.leader().await;
+        self.members[&leader].group.clone()
+    }
+
+    /// Proposes until a leader has taken and committed the command.
+    pub async fn propose(&self, command: &str) {
+        loop {
+            let group = self.leader_group().await;
+            match group.propose(command.as_bytes().to_vec()).await {
+                Ok(_) => return,
+                Err(ProposeError::Stopped) => panic!("stopped"),
+                Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+            }
+        }
+    }
+
+    pub async fn propose_many(&self, from: u64, to: u64) {
+        for number in from..to {
+            self.propose(&format!("{number:05}")).await;
+        }
+    }
+
+    /// Reads every member at a confirmed index and compares the tables.
+    pub async fn check_all_have(&self, from: u64, to: u64) {
+        for member in self.members.values() {
+            confirmed_read(&member.group).await;
+            let table = member.group.table().expect("readable");
+            for number in from..to {
+                let key = format!("{number:05}");
+                let value = table.get(key.as_bytes()).expect("readable");
+                assert!(value.is_some(), "{key} is in every table");
+            }
+        }
+    }
+}
+
+/// Repeats a read barrier while there is no leader.
+pub async fn confirmed_read(group: &GroupHandle<CountingMachine>) -> u64 {
+    let start = tokio::time::Instant::now();
+    loop {
+        match group.read_barrier().await {
+            Ok(index) => return index,
+            Err(error) => assert!(start.elapsed() < WAIT, "{error}"),
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+pub async fn eventually<T>(what: &str, mut probe: impl FnMut() -> Option<T>) -> T {
+    let start = tokio::time::Instant::now();
+    loop {
+        if let Some(found) = probe() {
+            return found;
+        }
+        assert!(start.elapsed() < WAIT, "timed out waiting for {what}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
--- a/crates/pinerill-replica/src/snapshot.rs
+++ b/crates/pinerill-replica/src/snapshot.rs
@@ -122,18 +122,18 @@
             return;
         };
         let end = transfer.offset + bytes.len() as u64;
-        let advances = response.next_offset == end;
-        let restarts = response.next_offset == 0 && transfer.offset > 0;
-        if current != Some(response.index) || !(advances || restarts) {
+        // The current offset repeats an earlier answer. Anything else but the
+        // end of the current chunk means that the follower lost its place.
+        let repeated = response.next_offset == transfer.offset && end > transfer.offset;
+        if current != Some(response.index) || repeated {
             return;
         }
+        let advances = response.next_offset == end;
+        let offset = if advances { end } else { 0 };
         transfer.chunk = None;
-        transfer.offset = response.next_offset;
+        transfer.offset = offset;
         transfer.sent_ms = now_ms;
-        let request = SnapshotRequest {
-            to: from,
-            offset: response.next_offset,
-        };
+        let request = SnapshotRequest { to: from, offset };
         self.output.snapshot_requests.push(request);
     }
 
@@ -211,7 +211,7 @@
             .incoming_snapshot
             .as_ref()
             .is_some_and(|incoming| incoming.from == from && incoming.meta == chunk.meta);
-        if same {
+        if same && chunk.offset > 0 {
             return;
         }
         self.incoming_snapshot = (chunk.offset == 0).then(|| IncomingSnapshot {
