--- a/crates/pinerill-control/src/lib.rs
+++ b/crates/pinerill-control/src/lib.rs
@@ -1,4 +1,6 @@
-//! Placeholder of the workspace scaffold.
+//! Control machines: replicated groups and what they decide.
+
+pub mod host;
 
 /// Runs a control machine until it is told to stop.
 ///
