--- /dev/null
+++ b/crates/pinerill-control/src/machine.rs
@@ -0,0 +1,34 @@
+//! What a replicated group asks of its state machine.
+
+/// Writes of one command to the group's state table.
+pub trait TableWriter {
+    /// Sets a key.
+    fn put(&mut self, key: &[u8], value: &[u8]);
+    /// Removes a key.
+    fn delete(&mut self, key: &[u8]);
+}
+
+/// Reads of the group's state table.
+pub trait TableReader {
+    /// Value of a key.
+    ///
+    /// # Errors
+    /// When the store can't be read.
+    fn get(&self, key: &[u8]) -> anyhow::Result<Option<Vec<u8>>>;
+}
+
+/// A deterministic state machine.
+///
+/// `apply` may write to the table but never reads it, so that replaying
+/// entries after a restart is idempotent.
+pub trait StateMachine: Send + Sync + 'static {
+    /// Applies the committed command at `index` and returns its reply.
+    fn apply(&mut self, index: u64, command: &[u8], table: &mut dyn TableWriter) -> Vec<u8>;
+    /// The part of the state that is in memory; the table travels besides.
+    fn snapshot(&self) -> Vec<u8>;
+    /// Replaces the part in memory.
+    ///
+    /// # Errors
+    /// When the bytes are not a snapshot of this machine.
+    fn restore(&mut self, bytes: &[u8]) -> anyhow::Result<()>;
+}
