--- a/crates/pinerill-control/src/lib.rs
+++ b/crates/pinerill-control/src/lib.rs
@@ -1,6 +1,12 @@
-//! Control machines: replicated groups and what they decide.
+//! The control machine: replicated state machines and what serves them.
+//!
+//! [`meta`] and `job` are pure state machines: no clock, no I/O, no
+//! randomness. Replicated groups of the [`host`] feed them committed commands.
 
+pub mod codec;
 pub mod host;
+pub mod machine;
+pub mod meta;
 
 /// Runs a control machine until it is told to stop.
 ///
