Node: online path from gateway to engine

The caller's side (rocket), admission, bounded fair queue, routing, engine client with resume and retries, configuration lease and watch, membership and probes.

--- /dev/null
+++ b/crates/pinerill-node/src/dispatcher.rs
@@ -0,0 +1,295 @@
+//! Gives each online request a place at an engine, or lets it wait in the
+//! bounded queue of its service.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use pinerill_types::{EngineId, ServiceName, TenantName};
+use tokio::sync::oneshot;
+
+use crate::clock;
+use crate::configuration::ServicePlan;
+use crate::membership::{Engine, Fleet, FleetView};
+use crate::metrics::Metrics;
+use crate::queue::{Enqueued, FairQueue, Ticket};
+use crate::routing::choose;
+
+/// Tokens in one cached block.
+const BLOCK_TOKENS: u32 = 64;
+
+/// What a request needs of an engine.
+#[derive(Debug)]
+pub struct Demand {
+    /// Its service.
+    pub plan: Arc<ServicePlan>,
+    /// Whose request it is.
+    pub tenant: TenantName,
+    /// Length of its prompt, tokens.
+    pub prompt_tokens: u32,
+    /// Names of the prompt's whole blocks.
+    pub blocks: Arc<Vec<u64>>,
+    /// Engines that failed it before.
+    pub excluded: Vec<EngineId>,
+}
+
+/// Why there is no place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoPlace {
+    /// No engine serves the service.
+    NoBackend,
+    /// The wait would be, or was, longer than the service allows; come back
+    /// after so many milliseconds.
+    Overloaded(u64),
+}
+
+struct Waiter {
+    demand: Demand,
+    reply: oneshot::Sender<Result<Place, NoPlace>>,
+}
+
+#[derive(Default)]
+struct ServiceQueue {
+    queue: FairQueue,
+    waiters: HashMap<Ticket, Waiter>,
+}
+
+/// Places at engines and the queues before them.
+pub struct Dispatcher {
+    fleet: Arc<Fleet>,
+    metrics: Arc<Metrics>,
+    queues: Mutex<HashMap<ServiceName, ServiceQueue>>,
+    next_ticket: AtomicU64,
+}
+
+/// A place of one request at an engine; given back when dropped.
+pub struct Place {
+    /// The engine.
+    pub engine: Arc<Engine>,
+    dispatcher: Arc<Dispatcher>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.engine.online.fetch_sub(1, Ordering::Relaxed);
+        self.dispatcher.pump();
+    }
+}
+
+impl Dispatcher {
+    /// No request waits.
+    pub fn new(fleet: Arc<Fleet>, metrics: Arc<Metrics>) -> Self {
+        Self {
+            fleet,
+            metrics,
+            queues: Mutex::default(),
+            next_ticket: AtomicU64::new(0),
+        }
+    }
+
+    /// A place now, or after a wait of at most `patience`.
+    ///
+    /// # Errors
+    /// [`NoPlace`].
+    pub async fn acquire(
+        self: &Arc<Self>,
+        demand: Demand,
+        patience: Duration,
+    ) -> Result<Place, NoPlace> {
+        let service = demand.plan.name.clone();
+        let tenant = demand.tenant.clone();
+        let ticket = self.next_ticket.fetch_add(1, Ordering::Relaxed);
+        let receiver = match self.place_or_wait(demand, ticket, patience)? {
+            Ok(place) => return Ok(place),
+            Err(receiver) => receiver,
+        };
+        let waiting = WaitGuard {
+            dispatcher: self,
+            service,
+            tenant,
+            ticket,
+        };
+        let answer = tokio::time::timeout(patience, receiver).await;
+        drop(waiting);
+        match answer {
+            Ok(Ok(answer)) => answer,
+            _ => Err(NoPlace::Overloaded(patience.as_millis() as u64)),
+        }
+    }
+
+    #[allow(clippy::type_complexity)]
+    fn place_or_wait(
+        self: &Arc<Self>,
+        demand: Demand,
+        ticket: Ticket,
+        patience: Duration,
+    ) -> Result<Result<Place, oneshot::Receiver<Result<Place, NoPlace>>>, NoPlace> {
+        let view = self.fleet.view();
+        if !has_backend(&view, &demand) {
+            return Err(NoPlace::NoBackend);
+        }
+        let mut queues = self.queues.lock();
+        let service = queues.entry(demand.plan.name.clone()).or_default();
+        if service.queue.is_empty() {
+            if let Some(engine) = self.choose_engine(&view, &demand) {
+                return Ok(Ok(self.take_place(engine)));
+            }
+        }
+        let limit = demand.plan.settings.queue_limit as usize;
+        let patience_ms = patience.as_millis() as u64;
+        let enqueued = service
+            .queue
+            .enqueue(&demand.tenant, ticket, limit, patience_ms);
+        let displaced = match enqueued {
+            Enqueued::Refused(wait) => return Err(NoPlace::Overloaded(wait)),
+            Enqueued::Displaced(other) => service.waiters.remove(&other),
+            Enqueued::Waits => None,
+        };
+        let (reply, receiver) = oneshot::channel();
+        service.waiters.insert(ticket, Waiter { demand, reply });
+        drop(queues);
+        self.metrics.queued.inc();
+        if let Some(waiter) = displaced {
+            self.metrics.queued.dec();
+            let _ = waiter.reply.send(Err(NoPlace::Overloaded(patience_ms)));
+        }
+        Ok(Err(receiver))
+    }
+
+    fn take_place(self: &Arc<Self>, engine: Arc<Engine>) -> Place {
+        engine.online.fetch_add(1, Ordering::Relaxed);
+        engine.sign_online();
+        if engine.worker.is_driven() {
+            self.fleet.online_arrived.notify_one();
+        }
+        Place {
+            engine,
+            dispatcher: self.clone(),
+        }
+    }
+
+    fn choose_engine(&self, view: &FleetView, demand: &Demand) -> Option<Arc<Engine>> {
+        let engines = view.services.get(&demand.plan.name)?;
+        let now_ms = clock::now_ms();
+        let (cached_tokens, hinted) = self.hinted(engines, demand);
+        let all_excluded = demand.excluded.len() >= engines.decode.len();
+        let chosen = choose(
+            engines.decode.len(),
+            &hinted,
+            demand.prompt_tokens,
+            [rand::random(), rand::random()],
+            |index| {
+                let engine = &engines.decode[index];
+                let cached = if hinted.contains(&index) {
+                    cached_tokens
+                } else {
+                    0
+                };
+                let mut candidate = engine.candidate(now_ms, cached);
+                candidate.suspected |= !all_excluded && demand.excluded.contains(&engine.id);
+                candidate
+            },
+        )?;
+        if hinted.contains(&chosen) {
+            self.metrics.prefix_hints.inc();
+        }
+        Some(engines.decode[chosen].clone())
+    }
+
+    fn hinted(
+        &self,
+        engines: &crate::membership::ServiceEngines,
+        demand: &Demand,
+    ) -> (u32, Vec<usize>) {
+        if demand.blocks.is_empty() {
+            return (0, Vec::new());
+        }
+        let hints = self.fleet.hints.lock();
+        let Some((blocks, holders)) = hints.longest(&demand.blocks) else {
+            return (0, Vec::new());
+        };
+        let indices = holders
+            .iter()
+            .filter_map(|holder| engines.index.get(holder).copied())
+            .collect();
+        (blocks as u32 * BLOCK_TOKENS, indices)
+    }
+
+    /// Gives free places to requests that wait.
+    pub fn pump(self: &Arc<Self>) {
+        let mut placed = Vec::new();
+        let mut queues = self.queues.lock();
+        if queues.values().all(|service| service.queue.is_empty()) {
+            return;
+        }
+        let view = self.fleet.view();
+        for service in queues.values_mut() {
+            while let Some((waiter, engine)) = self.next_placement(service, &view) {
+                placed.push((waiter, self.take_place(engine)));
+            }
+        }
+        drop(queues);
+        for (waiter, place) in placed {
+            self.metrics.queued.dec();
+            let _ = waiter.reply.send(Ok(place));
+        }
+    }
+
+    fn next_placement(
+        &self,
+        service: &mut ServiceQueue,
+        view: &FleetView,
+    ) -> Option<(Waiter, Arc<Engine>)> {
+        let ticket = service.queue.peek()?;
+        let demand = &service.waiters.get(&ticket)?.demand;
+        let engine = self.choose_engine(view, demand)?;
+        service.queue.pop(clock::now_ms());
+        let waiter = service.waiters.remove(&ticket)?;
+        Some((waiter, engine))
+    }
+
+    /// Looks for free places whenever the fleet changes.
+    pub async fn run(self: Arc<Self>) {
+        loop {
+            self.fleet.changed.notified().await;
+            self.pump();
+        }
+    }
+
+    /// How many requests wait.
+    pub fn waiting(&self) -> usize {
+        let queues = self.queues.lock();
+        queues.values().map(|service| service.queue.len()).sum()
+    }
+}
+
+fn has_backend(view: &FleetView, demand: &Demand) -> bool {
+    let engines = view.services.get(&demand.plan.name);
+    engines.is_some_and(|engines| {
+        let mut decode = engines.decode.iter();
+        decode.any(|engine| !engine.worker.is_leaving())
+    })
+}
+
+/// Takes a request out of the queue when it no longer waits.
+struct WaitGuard<'a> {
+    dispatcher: &'a Dispatcher,
+    service: ServiceName,
+    tenant: TenantName,
+    ticket: Ticket,
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        let mut queues = self.dispatcher.queues.lock();
+        let Some(service) = queues.get_mut(&self.service) else {
+            return;
+        };
+        if service.queue.remove(&self.tenant, self.ticket) {
+            service.waiters.remove(&self.ticket);
+            self.dispatcher.metrics.queued.dec();
+        }
+    }
+}
--- /dev/null
+++ b/crates/pinerill-node/src/engine/mod.rs
@@ -0,0 +1,14 @@
+//! Towards engines: frames, their assembly into an answer, and the client.
+
+mod assembly;
+mod client;
+mod frame;
+mod sse;
+
+pub use assembly::{Accepted, Assembly, Finish};
+pub use client::{
+    error_chain, worker_client, AttachError, CancelAnswer, EngineCall, EngineClient, PauseAnswer,
+    Priority, Refusal, SendError, SendOutcome,
+};
+pub use frame::{parse_load_header, Frame, LoadHeader, Usage};
+pub use sse::SseParser;
--- /dev/null
+++ b/crates/pinerill-node/src/gateway/mod.rs
@@ -0,0 +1,11 @@
+//! The callers' side: HTTP by rocket.
+
+mod admission;
+mod answer;
+mod caller;
+mod disconnect;
+mod online;
+mod server;
+
+pub use disconnect::Disconnects;
+pub use server::{admin_server, caller_server};
--- /dev/null
+++ b/crates/pinerill-node/src/membership/probe.rs
@@ -0,0 +1,160 @@
+//! Polls each worker's load report and cache events.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pinerill_types::{EngineId, WorkerName};
+use serde::Deserialize;
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use super::fleet::{Fleet, WorkerEntry};
+use super::report::WorkerReport;
+
+/// Longest wait for a load report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long a poll for cache events stays open, milliseconds.
+const EVENTS_WAIT_MS: u64 = 10_000;
+/// Longest wait for cache events.
+const EVENTS_TIMEOUT: Duration = Duration::from_millis(EVENTS_WAIT_MS + 2_000);
+/// Pause between two polls for cache events, so that busy engines are read in
+/// heaps.
+const EVENTS_PAUSE: Duration = Duration::from_millis(250);
+/// Pause after a failed poll for cache events.
+const EVENTS_FAILED_PAUSE: Duration = Duration::from_secs(2);
+
+#[derive(Debug, Deserialize)]
+struct CacheEvents {
+    next: u64,
+    events: Vec<CacheEvent>,
+}
+
+#[derive(Debug, Deserialize)]
+struct CacheEvent {
+    engine: u16,
+    kind: CacheEventKind,
+    prefix: String,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum CacheEventKind {
+    Stored,
+    Evicted,
+}
+
+/// Keeps one pair of polls for each worker of the fleet's view.
+pub struct ProbeShell {
+    fleet: Arc<Fleet>,
+    pause: Duration,
+    running: HashMap<WorkerName, (WorkerEntry, DropGuard)>,
+}
+
+impl ProbeShell {
+    /// Polls with this pause between two reports of a worker.
+    pub fn new(fleet: Arc<Fleet>, pause: Duration) -> Self {
+        Self {
+            fleet,
+            pause,
+            running: HashMap::new(),
+        }
+    }
+
+    /// Follows the fleet until the task is dropped.
+    pub async fn run(mut self) {
+        loop {
+            self.follow();
+            tokio::select! {
+                () = self.fleet.changed.notified() => {}
+                () = tokio::time::sleep(self.pause) => {}
+            }
+        }
+    }
+
+    fn follow(&mut self) {
+        let view = self.fleet.view();
+        self.running.retain(|name, (entry, _)| {
+            let current = view.workers.get(name);
+            current.is_some_and(|one| Arc::ptr_eq(&one.worker, &entry.worker))
+        });
+        for (name, entry) in &view.workers {
+            if self.running.contains_key(name) {
+                continue;
+            }
+            let guard = self.start(entry.clone());
+            self.running.insert(name.clone(), (entry.clone(), guard));
+        }
+    }
+
+    fn start(&self, entry: WorkerEntry) -> DropGuard {
+        let stop = CancellationToken::new();
+        let reports = poll_reports(self.fleet.clone(), entry.clone(), self.pause);
+        let events = poll_events(self.fleet.clone(), entry);
+        let stopped = stop.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = stopped.cancelled() => {}
+                ((), ()) = futures::future::join(reports, events) => {}
+            }
+        });
+        stop.drop_guard()
+    }
+}
+
+async fn poll_reports(fleet: Arc<Fleet>, entry: WorkerEntry, pause: Duration) {
+    loop {
+        match fetch_report(&entry).await {
+            Ok(report) => fleet.take_report(&entry, &report),
+            Err(_) => fleet.connection_failed(&entry.worker),
+        }
+        tokio::time::sleep(pause).await;
+    }
+}
+
+async fn fetch_report(entry: &WorkerEntry) -> reqwest::Result<WorkerReport> {
+    let url = format!("http://{}/worker", entry.worker.address);
+    let request = entry.worker.http.get(url).timeout(REPORT_TIMEOUT);
+    request.send().await?.error_for_status()?.json().await
+}
+
+async fn poll_events(fleet: Arc<Fleet>, entry: WorkerEntry) {
+    let mut after = 0;
+    loop {
+        match fetch_events(&entry, after).await {
+            Ok(events) => {
+                after = events.next;
+                take_events(&fleet, &entry, &events.events);
+                tokio::time::sleep(EVENTS_PAUSE).await;
+            }
+            Err(_) => {
+                after = 0;
+                tokio::time::sleep(EVENTS_FAILED_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn fetch_events(entry: &WorkerEntry, after: u64) -> reqwest::Result<CacheEvents> {
+    let address = entry.worker.address;
+    let url =
+        format!("http://{address}/worker/cache_events?after={after}&wait_ms={EVENTS_WAIT_MS}");
+    let request = entry.worker.http.get(url).timeout(EVENTS_TIMEOUT);
+    request.send().await?.error_for_status()?.json().await
+}
+
+fn take_events(fleet: &Fleet, entry: &WorkerEntry, events: &[CacheEvent]) {
+    let mut hints = fleet.hints.lock();
+    for event in events {
+        let Ok(prefix) = u64::from_str_radix(&event.prefix, 16) else {
+            continue;
+        };
+        let engine = EngineId {
+            worker: entry.worker.name.clone(),
+            engine: event.engine,
+        };
+        match event.kind {
+            CacheEventKind::Stored => hints.stored(prefix, &engine),
+            CacheEventKind::Evicted => hints.evicted(prefix, &engine),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pinerill-node/src/node.rs
@@ -0,0 +1,94 @@
+//! What the parts of one node share.
+
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use pinerill_types::settings::NodeSettings;
+use pinerill_wire::api::ControlApi;
+
+use crate::admission::TenantLimits;
+use crate::clock;
+use crate::configuration::Configuration;
+use crate::dispatcher::Dispatcher;
+use crate::drain::Drain;
+use crate::engine::worker_client;
+use crate::gateway::Disconnects;
+use crate::groups::Groups;
+use crate::membership::Fleet;
+use crate::metrics::Metrics;
+use crate::online::ExecutionContext;
+
+/// The shared parts of one node.
+pub struct Node {
+    /// Its settings.
+    pub settings: NodeSettings,
+    /// Random number of this start.
+    pub incarnation: u64,
+    /// Control machines.
+    pub api: Arc<dyn ControlApi>,
+    /// The bundle in force.
+    pub configuration: Arc<Configuration>,
+    /// Workers and engines.
+    pub fleet: Arc<Fleet>,
+    /// Replicated groups.
+    pub groups: Arc<Groups>,
+    /// What online requests share.
+    pub execution: Arc<ExecutionContext>,
+    /// Limits of tenants.
+    pub limits: Arc<Mutex<TenantLimits>>,
+    /// Requests in flight and the planned stop.
+    pub drain: Arc<Drain>,
+    /// Callers who went away.
+    pub disconnects: Arc<Disconnects>,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+}
+
+impl Node {
+    /// A node that has not begun to watch or listen.
+    ///
+    /// # Errors
+    /// When counters or connections can't be set up.
+    pub fn new(settings: NodeSettings, api: Arc<dyn ControlApi>) -> anyhow::Result<Self> {
+        let metrics = Arc::new(Metrics::new()?);
+        let fleet = Arc::new(Fleet::new(&settings, metrics.clone()));
+        let dispatcher = Arc::new(Dispatcher::new(fleet.clone(), metrics.clone()));
+        let execution = Arc::new(ExecutionContext {
+            fleet: fleet.clone(),
+            dispatcher,
+            metrics: metrics.clone(),
+            scripts: worker_client()?,
+            budgets: Mutex::default(),
+        });
+        Ok(Self {
+            incarnation: rand::random(),
+            disconnects: Arc::new(Disconnects::new(settings.listen)),
+            settings,
+            api,
+            configuration: Arc::default(),
+            fleet,
+            groups: Arc::default(),
+            execution,
+            limits: Arc::default(),
+            drain: Arc::default(),
+            metrics,
+        })
+    }
+
+    /// Why it takes no requests; empty when it does.
+    pub fn unready_reasons(&self) -> Vec<&'static str> {
+        let mut reasons = Vec::new();
+        if self.drain.has_started() {
+            reasons.push("draining");
+        }
+        if self.configuration.catalog().is_none() {
+            reasons.push("no bundle was confirmed yet");
+        } else if !self.configuration.is_confirmed(clock::now_ms()) {
+            reasons.push("the bundle is not confirmed");
+        }
+        if self.fleet.view().workers.is_empty() {
+            reasons.push("no worker is known");
+        }
+        reasons
+    }
+}
--- /dev/null
+++ b/crates/pinerill-node/src/online/prefill.rs
@@ -0,0 +1,74 @@
+//! Prefill at an engine of that role, whose KV cache the decoding engine then
+//! imports. Anything that fails here costs only the prefill at the decoder.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::execution::OnlineRequest;
+use crate::clock;
+use crate::engine::{EngineCall, Priority, SendOutcome};
+use crate::membership::{Engine, Fleet, Role};
+
+/// Prompts below this many bytes are not worth the transfer.
+const PROMPT_BYTES_MINIMUM: usize = 1_024;
+/// Longest wait for the prefill.
+const PREFILL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest wait for an export or import.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The handle of a prefill that `decoder` has imported, if there is one.
+pub async fn prepare_prefill(
+    fleet: &Fleet,
+    request: &OnlineRequest,
+    decoder: &Arc<Engine>,
+) -> Option<String> {
+    let long = request.parsed.prompt.len() >= PROMPT_BYTES_MINIMUM;
+    if decoder.role() != Role::Decode || !long {
+        return None;
+    }
+    let engine = least_loaded(fleet, request)?;
+    let id = format!("{}.prefill", request.id);
+    let call = EngineCall {
+        path: request.kind.path(),
+        request_id: &id,
+        priority: Priority::Online,
+        adapter: request.plan.adapter.as_deref(),
+        kv_handle: None,
+        continue_from: 0,
+        body: request.parsed.prefill_body(&request.plan.model),
+    };
+    let sent = tokio::time::timeout(PREFILL_TIMEOUT, run_prefill(&engine, call)).await;
+    if !sent.unwrap_or(false) {
+        return None;
+    }
+    let handle = engine.client.export_kv(&id, TRANSFER_TIMEOUT).await?;
+    let source = engine.source();
+    let imported = decoder
+        .client
+        .import_kv(&handle, &source, TRANSFER_TIMEOUT)
+        .await;
+    imported.then_some(handle)
+}
+
+async fn run_prefill(engine: &Engine, call: EngineCall<'_>) -> bool {
+    match engine.client.send(call).await {
+        Ok(SendOutcome::Answer(response)) => response.bytes().await.is_ok(),
+        _ => false,
+    }
+}
+
+fn least_loaded(fleet: &Fleet, request: &OnlineRequest) -> Option<Arc<Engine>> {
+    let view = fleet.view();
+    let now_ms = clock::now_ms();
+    let engines = view.services.get(&request.plan.name)?;
+    let usable = engines
+        .prefill
+        .iter()
+        .filter(|engine| engine.worker.accepts_work(now_ms));
+    usable
+        .min_by(|left, right| {
+            let load = |engine: &Engine| engine.candidate(now_ms, 0).online;
+            load(left).total_cmp(&load(right))
+        })
+        .cloned()
+}
--- /dev/null
+++ b/crates/pinerill-node/src/routing/mod.rs
@@ -0,0 +1,11 @@
+//! Which engine a request goes to. All parts are pure.
+
+mod choice;
+mod load;
+mod prefix;
+mod rendezvous;
+
+pub use choice::{choose, Candidate};
+pub use load::LoadEstimate;
+pub use prefix::{block_names, PrefixHints};
+pub use rendezvous::{rendezvous_owner, rendezvous_weight, select_workers};
--- /dev/null
+++ b/crates/pinerill-node/src/run.rs
@@ -0,0 +1,218 @@
+//! Starts the parts of a node, and stops them in a planned way.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pinerill_types::settings::Settings;
+use pinerill_wire::api::ControlApi;
+use rocket::fairing::AdHoc;
+use rocket::{Build, Ignite, Rocket, Shutdown};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::configuration::WatchShell;
+use crate::gateway::{admin_server, caller_server};
+use crate::membership::ProbeShell;
+use crate::node::Node;
+
+/// Longest wait until the servers have closed their connections.
+const SERVER_STOP_LIMIT: Duration = Duration::from_secs(4);
+/// How long readiness is off before the listener closes, so that callers who
+/// are on their way get an answer.
+const READINESS_LEAD: Duration = Duration::from_millis(200);
+
+/// Why a node ended with an error.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// The settings have no section `node`.
+    #[error("start node with settings: the section [node] is missing")]
+    NoSettings,
+    /// A server could not listen, or failed.
+    #[error("serve at {address}: {message}")]
+    Server {
+        /// Where it listens.
+        address: SocketAddr,
+        /// What went wrong.
+        message: String,
+    },
+    /// The planned stop ended before all requests did.
+    #[error("stop node: {cut} requests in flight were cut")]
+    Cut {
+        /// How many.
+        cut: usize,
+    },
+}
+
+/// Says when to stop.
+#[derive(Debug, Clone, Default)]
+pub struct StopSignals {
+    /// Stop, and let what is in flight finish.
+    pub planned: CancellationToken,
+    /// Stop now.
+    pub forced: CancellationToken,
+}
+
+impl StopSignals {
+    /// The first SIGTERM or SIGINT stops in a planned way, the second at once.
+    ///
+    /// # Errors
+    /// When the system refuses handlers.
+    pub fn from_system() -> std::io::Result<Self> {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let signals = Self::default();
+        let tokens = signals.clone();
+        tokio::spawn(async move {
+            for token in [&tokens.planned, &tokens.forced] {
+                tokio::select! {
+                    _ = terminate.recv() => {}
+                    _ = interrupt.recv() => {}
+                }
+                token.cancel();
+            }
+        });
+        Ok(signals)
+    }
+}
+
+/// Runs a node until SIGTERM or SIGINT.
+///
+/// # Errors
+/// When it can't start, or when the stop cut requests.
+pub async fn run(settings: Settings) -> anyhow::Result<()> {
+    let api = control_api(&settings)?;
+    let signals = StopSignals::from_system()?;
+    run_with(settings, api, signals).await
+}
+
+fn control_api(_settings: &Settings) -> anyhow::Result<Arc<dyn ControlApi>> {
+    anyhow::bail!("no client of control machines yet")
+}
+
+/// Runs a node until it is told to stop.
+///
+/// # Errors
+/// When it can't start, or when the stop cut requests.
+pub async fn run_with(
+    settings: Settings,
+    api: Arc<dyn ControlApi>,
+    signals: StopSignals,
+) -> anyhow::Result<()> {
+    let counters_pause = Duration::from_secs(settings.log.counters_seconds);
+    let node_settings = settings.node.ok_or(RunError::NoSettings)?;
+    let node = Arc::new(Node::new(node_settings, api)?);
+    let callers = Server::start(node.settings.listen, caller_server(node.clone())).await?;
+    let admin = Server::start(node.settings.admin, admin_server(node.clone())).await?;
+    let tasks = start_tasks(&node, counters_pause);
+    log::info!(
+        "node {} serves at {}",
+        node.settings.name,
+        node.settings.listen
+    );
+    signals.planned.cancelled().await;
+    let cut = drain(&node, &signals).await;
+    callers.stop().await;
+    admin.stop().await;
+    drop(tasks);
+    log::info!("counters: {}", node.metrics.line());
+    if cut > 0 {
+        return Err(RunError::Cut { cut }.into());
+    }
+    log::info!("node {} stopped, nothing was cut", node.settings.name);
+    Ok(())
+}
+
+type Task = AbortOnDropHandle<()>;
+
+fn start_tasks(node: &Arc<Node>, counters_pause: Duration) -> Vec<Task> {
+    let watch = WatchShell {
+        api: node.api.clone(),
+        configuration: node.configuration.clone(),
+        fleet: node.fleet.clone(),
+        groups: node.groups.clone(),
+        metrics: node.metrics.clone(),
+        settings: node.settings.clone(),
+        incarnation: node.incarnation,
+    };
+    let pause = Duration::from_millis(node.settings.report_poll_ms);
+    let probes = ProbeShell::new(node.fleet.clone(), pause);
+    vec![
+        spawn(watch.run()),
+        spawn(probes.run()),
+        spawn(node.execution.dispatcher.clone().run()),
+        spawn(node.disconnects.clone().run()),
+        spawn(log_counters(node.clone(), counters_pause)),
+    ]
+}
+
+fn spawn(work: impl std::future::Future<Output = ()> + Send + 'static) -> Task {
+    AbortOnDropHandle::new(tokio::spawn(work))
+}
+
+async fn log_counters(node: Arc<Node>, pause: Duration) {
+    loop {
+        tokio::time::sleep(pause).await;
+        log::info!("counters: {}", node.metrics.line());
+    }
+}
+
+/// Lets what is in flight finish. Returns how many requests were cut.
+async fn drain(node: &Arc<Node>, signals: &StopSignals) -> usize {
+    log::info!("stop begins, {} requests in flight", node.drain.in_flight());
+    node.drain.start();
+    node.fleet.start_draining();
+    let limit = Duration::from_millis(node.settings.drain_ms);
+    let finished = async {
+        tokio::time::sleep(READINESS_LEAD).await;
+        node.drain.emptied().await;
+    };
+    tokio::select! {
+        () = finished => 0,
+        () = tokio::time::sleep(limit) => node.drain.in_flight(),
+        () = signals.forced.cancelled() => node.drain.in_flight(),
+    }
+}
+
+/// A rocket server that runs in a task of its own.
+struct Server {
+    shutdown: Shutdown,
+    task: JoinHandle<Result<Rocket<Ignite>, rocket::Error>>,
+}
+
+impl Server {
+    /// Starts to listen.
+    async fn start(address: SocketAddr, rocket: Rocket<Build>) -> Result<Self, RunError> {
+        let (ready, listening) = tokio::sync::oneshot::channel();
+        let ready = parking_lot::Mutex::new(Some(ready));
+        let rocket = rocket.attach(AdHoc::on_liftoff("listening", move |_| {
+            if let Some(ready) = ready.lock().take() {
+                let _ = ready.send(());
+            }
+            Box::pin(async {})
+        }));
+        let rocket = rocket.ignite().await.map_err(|error| RunError::Server {
+            address,
+            message: error.to_string(),
+        })?;
+        let shutdown = rocket.shutdown();
+        let task = tokio::spawn(rocket.launch());
+        if listening.await.is_ok() {
+            return Ok(Self { shutdown, task });
+        }
+        let message = match task.await {
+            Ok(Ok(_)) => "it ended at once".to_owned(),
+            Ok(Err(error)) => error.to_string(),
+            Err(error) => error.to_string(),
+        };
+        Err(RunError::Server { address, message })
+    }
+
+    /// Closes the listener and waits until the connections have ended.
+    async fn stop(self) {
+        self.shutdown.notify();
+        let _ = tokio::time::timeout(SERVER_STOP_LIMIT, self.task).await;
+    }
+}
