Rehearsal kit: presets, launcher, load schedules and a direct target

Change: presets of both users, launcher with a warden that ends children when the kit dies, readiness, stand-ins of a preset; seeded arrivals and heaps, contents with known answers, SSE reading, the kit's own dispatcher and targets; engines report the work done and their own times of arrival and first token.

--- a/crates/pinerill-rehearse/src/engine/messages.rs
+++ b/crates/pinerill-rehearse/src/engine/messages.rs
@@ -156,3 +156,33 @@
     /// Preemptions since start.
     pub preemptions: u64,
 }
+
+/// Work done for one priority since the engine's start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkDone {
+    /// Prompt (and lost) tokens prefilled.
+    pub prefill_tokens: u64,
+    /// Answer tokens generated.
+    pub generated_tokens: u64,
+}
+
+/// Work done since the engine's start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineUsage {
+    /// Time in steps, in microseconds.
+    pub busy_us: u64,
+    /// For online requests.
+    pub online: WorkDone,
+    /// For batch requests.
+    pub batch: WorkDone,
+}
+
+impl EngineUsage {
+    /// The work done for one priority.
+    pub fn work(&mut self, priority: Priority) -> &mut WorkDone {
+        match priority {
+            Priority::Online => &mut self.online,
+            Priority::Batch => &mut self.batch,
+        }
+    }
+}
--- a/crates/pinerill-rehearse/src/engine/model.rs
+++ b/crates/pinerill-rehearse/src/engine/model.rs
@@ -4,11 +4,11 @@
 use std::collections::{HashMap, VecDeque};
 
 use super::messages::{
-    CancelState, EngineEvent, EngineLoad, Micros, Priority, Refusal, RequestId, RequestState,
-    Submission,
+    CancelState, EngineEvent, EngineLoad, EngineUsage, Micros, Priority, Refusal, RequestId,
+    RequestState, Submission,
 };
 use super::parameters::EngineParameters;
-use super::prefix_cache::{EvictedBlock, PrefixCache};
+use super::prefix_cache::PrefixCache;
 use super::sequence::Sequence;
 
 /// How far a late caller may start the next step in the past, in microseconds:
@@ -17,8 +17,9 @@
 
 /// The step that runs.
 #[derive(Debug)]
-struct Step {
+pub(super) struct Step {
     ends_at: Micros,
+    time: Micros,
     prefills: Vec<(RequestId, u32)>,
     decodes: Vec<RequestId>,
 }
@@ -26,17 +27,18 @@
 /// One engine.
 #[derive(Debug)]
 pub struct EngineModel {
-    parameters: EngineParameters,
-    cache: PrefixCache,
-    sequences: HashMap<RequestId, Sequence>,
-    ended: HashMap<RequestId, CancelState>,
-    remembered_cancels: HashMap<RequestId, Micros>,
-    online_queue: VecDeque<RequestId>,
-    batch_queue: VecDeque<RequestId>,
-    running: Vec<RequestId>,
-    step: Option<Step>,
-    preemptions: u64,
-    events: Vec<EngineEvent>,
+    pub(super) parameters: EngineParameters,
+    pub(super) cache: PrefixCache,
+    pub(super) sequences: HashMap<RequestId, Sequence>,
+    pub(super) ended: HashMap<RequestId, CancelState>,
+    pub(super) remembered_cancels: HashMap<RequestId, Micros>,
+    pub(super) online_queue: VecDeque<RequestId>,
+    pub(super) batch_queue: VecDeque<RequestId>,
+    pub(super) running: Vec<RequestId>,
+    pub(super) step: Option<Step>,
+    pub(super) preemptions: u64,
+    pub(super) usage: EngineUsage,
+    pub(super) events: Vec<EngineEvent>,
 }
 
 impl EngineModel {
@@ -54,6 +56,7 @@
             running: Vec::new(),
             step: None,
             preemptions: 0,
+            usage: EngineUsage::default(),
             events: Vec::new(),
         }
     }
@@ -203,13 +206,22 @@
         load
     }
 
+    /// Work done since the start.
+    pub fn usage(&self) -> EngineUsage {
+        self.usage
+    }
+
     fn end_step(&mut self, step: Step) {
+        self.usage.busy_us += step.time;
         for (id, tokens) in step.prefills {
             let Some(sequence) = self.running_sequence(&id) else {
                 continue;
             };
             sequence.prefilled += tokens;
-            if sequence.decodes() {
+            let decodes = sequence.decodes();
+            let priority = sequence.submission.priority;
+            self.usage.work(priority).prefill_tokens += u64::from(tokens);
+            if decodes {
                 self.share_prompt_blocks(&id);
                 self.generate_token(&id);
             }
@@ -240,6 +252,8 @@
                 generated: sequence.generated,
             };
             self.events.push(token);
+            let priority = sequence.submission.priority;
+            self.usage.work(priority).generated_tokens += 1;
         }
         if sequence.is_whole() {
             self.finish(id);
@@ -270,6 +284,7 @@
         let time = self.parameters.step_time(decodes.len(), prefill_tokens);
         self.step = Some(Step {
             ends_at: now + time,
+            time,
             prefills,
             decodes,
         });
@@ -321,151 +336,6 @@
             .any(|id| self.sequences[id].submission.priority == Priority::Online)
     }
 
-    fn admit(&mut self) {
-        while let Some(id) = self.online_queue.front().cloned() {
-            if self.place(&id) {
-                self.online_queue.pop_front();
-            } else if !self.make_room() {
-                return;
-            }
-        }
-        while let Some(id) = self.batch_queue.front().cloned() {
-            if !self.place(&id) {
-                return;
-            }
-            self.batch_queue.pop_front();
-        }
-    }
-
-    /// Gives a request a slot and memory; false when either is missing.
-    fn place(&mut self, id: &RequestId) -> bool {
-        if self.running.len() >= self.parameters.slots as usize {
-            return false;
-        }
-        if !self.sequences[id].holds_kv && !self.reserve_memory(id) {
-            return false;
-        }
-        let Some(sequence) = self.sequences.get_mut(id) else {
-            return false;
-        };
-        let event = match sequence.started {
-            true => EngineEvent::Resumed {
-                request_id: id.clone(),
-            },
-            false => EngineEvent::Started {
-                request_id: id.clone(),
-                cached_tokens: sequence.cached_tokens,
-            },
-        };
-        sequence.started = true;
-        sequence.state = RequestState::Running;
-        self.running.push(id.clone());
-        self.events.push(event);
-        true
-    }
-
-    /// Reserves memory for the whole prompt and answer of a request.
-    fn reserve_memory(&mut self, id: &RequestId) -> bool {
-        let Some(sequence) = self.sequences.get_mut(id) else {
-            return false;
-        };
-        let cached = self.cache.cached_prefix(&sequence.submission.blocks);
-        let all_blocks = self.parameters.blocks_of(sequence.full_tokens());
-        let needed = all_blocks.saturating_sub(cached as u32);
-        self.cache.acquire(&sequence.submission.blocks[..cached]);
-        let Some(evicted) = self.cache.allocate(needed) else {
-            self.cache.release(&sequence.submission.blocks[..cached]);
-            return false;
-        };
-        sequence.shared_blocks = cached;
-        sequence.private_blocks = needed;
-        sequence.holds_kv = true;
-        let cached_tokens = cached as u32 * self.parameters.block_tokens;
-        let ready_tokens = cached_tokens.max(sequence.submission.imported_tokens);
-        sequence.prefilled = ready_tokens.min(sequence.prefill_target.saturating_sub(1));
-        if sequence.started {
-            sequence.recomputed_tokens += sequence.prefill_target - sequence.prefilled;
-        } else {
-            sequence.cached_tokens = cached_tokens.min(sequence.prefilled);
-        }
-        self.record_evictions(evicted);
-        true
-    }
-
-    fn record_evictions(&mut self, evicted: Vec<EvictedBlock>) {
-        for EvictedBlock { block, tokens } in evicted {
-            self.events.push(EngineEvent::Evicted { block, tokens });
-        }
-    }
-
-    /// Makes room for an online request: frees the memory of a batch request
-    /// that does not run, or preempts the one that was admitted last.
-    fn make_room(&mut self) -> bool {
-        let slots_full = self.running.len() >= self.parameters.slots as usize;
-        if !slots_full && self.drop_idle_kv() {
-            return true;
-        }
-        let youngest = self
-            .running
-            .iter()
-            .rev()
-            .find(|id| self.sequences[*id].submission.priority == Priority::Batch)
-            .cloned();
-        let Some(id) = youngest else {
-            return false;
-        };
-        self.preempt(&id, slots_full);
-        true
-    }
-
-    fn preempt(&mut self, id: &RequestId, memory_suffices: bool) {
-        let keeps_kv = memory_suffices && !self.parameters.preemption_drops_kv;
-        self.running.retain(|running| running != id);
-        if let Some(sequence) = self.sequences.get_mut(id) {
-            sequence.state = RequestState::Preempted;
-        }
-        if !keeps_kv {
-            self.drop_kv(id);
-        }
-        self.batch_queue.push_front(id.clone());
-        self.preemptions += 1;
-        self.events.push(EngineEvent::Preempted {
-            request_id: id.clone(),
-            keeps_kv,
-        });
-    }
-
-    /// Drops the KV cache of one paused or preempted batch request.
-    fn drop_idle_kv(&mut self) -> bool {
-        let holder = self
-            .sequences
-            .iter()
-            .filter(|(_, sequence)| sequence.submission.priority == Priority::Batch)
-            .filter(|(_, sequence)| sequence.holds_kv && sequence.state != RequestState::Running)
-            .map(|(id, _)| id.clone())
-            .min();
-        match holder {
-            Some(id) => {
-                self.drop_kv(&id);
-                true
-            }
-            None => false,
-        }
-    }
-
-    fn drop_kv(&mut self, id: &RequestId) {
-        if let Some(sequence) = self.sequences.get_mut(id) {
-            self.cache.release(sequence.shared_names());
-            self.cache.free_private(sequence.private_blocks);
-            sequence.lose_kv();
-        }
-    }
-
-    fn free_memory(&mut self, sequence: &Sequence) {
-        self.cache.release(sequence.shared_names());
-        self.cache.free_private(sequence.private_blocks);
-    }
-
     /// Moves the prompt's whole blocks into the prefix cache.
     fn share_prompt_blocks(&mut self, id: &RequestId) {
         let Some(sequence) = self.sequences.get_mut(id) else {
--- a/crates/pinerill-rehearse/src/engine/parameters.rs
+++ b/crates/pinerill-rehearse/src/engine/parameters.rs
@@ -24,7 +24,7 @@
     #[arg(long, default_value_t = 16_000)]
     pub prefill_tokens_per_second: u32,
     /// Prefill tokens in one step.
-    #[arg(long, default_value_t = 512)]
+    #[arg(long, default_value_t = 256)]
     pub prefill_chunk_tokens: u32,
     /// Prefill tokens of batch requests in a step that online requests share.
     #[arg(long, default_value_t = 32)]
@@ -51,7 +51,7 @@
             kv_tokens: 131_072,
             block_tokens: 64,
             prefill_tokens_per_second: 16_000,
-            prefill_chunk_tokens: 512,
+            prefill_chunk_tokens: 256,
             shared_batch_chunk_tokens: 32,
             decode_step_us: 24_000,
             decode_request_us: 125,
--- a/crates/pinerill-rehearse/src/fleet/process.rs
+++ b/crates/pinerill-rehearse/src/fleet/process.rs
@@ -5,10 +5,13 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use anyhow::{bail, ensure, Context};
 
+use super::warden::Warden;
+
 /// How often a waiting caller looks whether the process ended.
 const EXIT_POLL: Duration = Duration::from_millis(10);
 
@@ -55,6 +58,7 @@
     name: String,
     log: PathBuf,
     child: Child,
+    warden: Option<Arc<Warden>>,
 }
 
 impl ChildProcess {
@@ -76,9 +80,17 @@
             name: spec.name.clone(),
             log,
             child,
+            warden: None,
         })
     }
 
+    /// The same process, which the warden ends should the kit die.
+    pub fn watched_by(mut self, warden: Arc<Warden>) -> Self {
+        warden.watch(self.id());
+        self.warden = Some(warden);
+        self
+    }
+
     /// Name in messages.
     pub fn name(&self) -> &str {
         &self.name
@@ -97,7 +109,11 @@
     /// Exit status, `None` while it runs.
     pub fn exit_status(&mut self) -> anyhow::Result<Option<ExitStatus>> {
         let status = self.child.try_wait();
-        status.with_context(|| format!("looking after {}", self.name))
+        let status = status.with_context(|| format!("looking after {}", self.name))?;
+        if status.is_some() {
+            self.forget();
+        }
+        Ok(status)
     }
 
     /// Fails when it has ended, with the end of its log.
@@ -134,6 +150,12 @@
         }
     }
 
+    fn forget(&mut self) {
+        if let Some(warden) = self.warden.take() {
+            warden.forget(self.id());
+        }
+    }
+
     /// Planned stop: SIGTERM, then its end with exit code 0 in `timeout`.
     pub async fn stop(&mut self, timeout: Duration) -> anyhow::Result<()> {
         self.signal(Signal::Terminate)?;
@@ -154,6 +176,7 @@
             let _ = self.child.kill();
             let _ = self.child.wait();
         }
+        self.forget();
     }
 }
 
--- a/crates/pinerill-rehearse/src/ledger.rs
+++ b/crates/pinerill-rehearse/src/ledger.rs
@@ -31,8 +31,13 @@
 /// One line of the ledger.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LedgerLine {
-    /// Unix time in milliseconds.
-    pub time_ms: u64,
+    /// When it happened, Unix time in microseconds.
+    pub time_us: u64,
+    /// When the request arrived, Unix time in microseconds.
+    pub arrived_us: u64,
+    /// When its first token here was generated, Unix time in microseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub first_token_us: Option<u64>,
     /// Full name of the engine, `{worker}/{engine}`.
     pub engine: String,
     /// Incarnation of the worker.
@@ -128,10 +133,15 @@
         .collect()
 }
 
+/// Unix time in microseconds.
+pub fn unix_us() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |time| time.as_micros() as u64)
+}
+
 /// Unix time in milliseconds.
 pub fn unix_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    now.map_or(0, |time| time.as_millis() as u64)
+    unix_us() / 1_000
 }
 
 fn open_file(path: &Path) -> anyhow::Result<File> {
--- a/crates/pinerill-rehearse/src/lib.rs
+++ b/crates/pinerill-rehearse/src/lib.rs
@@ -6,4 +6,6 @@
 pub mod engine;
 pub mod fleet;
 pub mod ledger;
+pub mod load;
+pub mod preset;
 pub mod standin;
--- a/crates/pinerill-rehearse/src/standin/mod.rs
+++ b/crates/pinerill-rehearse/src/standin/mod.rs
@@ -9,6 +9,8 @@
 
 use clap::Subcommand;
 
+use crate::fleet::warden;
+
 /// The stand-ins, as hidden subcommands.
 #[derive(Subcommand, Debug)]
 pub enum StandIn {
@@ -22,6 +24,8 @@
     Script(script::ScriptArguments),
     /// Relays of the links between zones.
     Relay(relay::RelayArguments),
+    /// Ends the kit's children when the kit dies.
+    Warden,
 }
 
 /// Runs a stand-in until SIGTERM or SIGINT. Fails when its address is taken.
@@ -32,5 +36,6 @@
         StandIn::Weights(arguments) => weights::run(arguments).await,
         StandIn::Script(arguments) => script::run(arguments).await,
         StandIn::Relay(arguments) => relay::run(arguments).await,
+        StandIn::Warden => warden::run(),
     }
 }
--- a/crates/pinerill-rehearse/src/standin/worker/host.rs
+++ b/crates/pinerill-rehearse/src/standin/worker/host.rs
@@ -16,11 +16,11 @@
 use super::kv_handles::KvHandles;
 use super::request::{EngineRequest, FinishReason, Progress, RequestRecord};
 use crate::engine::messages::{
-    CancelState, EngineEvent, EngineLoad, Micros, Refusal, RequestId, RequestState,
+    CancelState, EngineEvent, EngineLoad, EngineUsage, Micros, Refusal, RequestId, RequestState,
 };
 use crate::engine::model::EngineModel;
 use crate::engine::parameters::EngineParameters;
-use crate::ledger::{unix_ms, Ledger, LedgerEvent, LedgerLine};
+use crate::ledger::{unix_us, Ledger, LedgerEvent, LedgerLine};
 use crate::standin::http::Failure;
 
 /// Whose engine it is.
@@ -189,6 +189,11 @@
         self.inner.lock().model.load()
     }
 
+    /// Work done since the start.
+    pub fn usage(&self) -> EngineUsage {
+        self.inner.lock().model.usage()
+    }
+
     /// The catalog at this moment.
     pub fn catalog(&self) -> Catalog {
         self.inner.lock().catalog.clone()
@@ -289,6 +294,7 @@
             }
             EngineEvent::Token { generated, .. } => {
                 progress.generated = *generated;
+                progress.first_token_us.get_or_insert_with(unix_us);
                 return;
             }
             EngineEvent::Finished {
@@ -323,7 +329,9 @@
     ) -> LedgerLine {
         let finished = event == LedgerEvent::Finished;
         LedgerLine {
-            time_ms: unix_ms(),
+            time_us: unix_us(),
+            arrived_us: record.arrived_us,
+            first_token_us: progress.first_token_us,
             engine: self.identity.full_name(),
             incarnation: self.identity.incarnation,
             event,
--- a/crates/pinerill-rehearse/src/standin/worker/request.rs
+++ b/crates/pinerill-rehearse/src/standin/worker/request.rs
@@ -7,6 +7,7 @@
     block_names, content_name, prompt_tokens, without_version, Answer, DEFAULT_MAX_TOKENS,
 };
 use crate::engine::messages::{Priority, RequestId, Submission};
+use crate::ledger::unix_us;
 use crate::standin::http::{Failure, RequestHeaders};
 
 /// Body of a completion or chat completion request.
@@ -166,6 +167,8 @@
     pub recomputed_tokens: u32,
     /// Whether it ever had a slot.
     pub started: bool,
+    /// When its first token here was generated, Unix time in microseconds.
+    pub first_token_us: Option<u64>,
     /// How it ended.
     pub finish: Option<FinishReason>,
 }
@@ -187,6 +190,8 @@
     pub prompt_tokens: u32,
     /// Tokens delivered elsewhere.
     pub continue_from: u32,
+    /// When it arrived, Unix time in microseconds.
+    pub arrived_us: u64,
     /// How far it is.
     pub progress: watch::Sender<Progress>,
 }
@@ -210,6 +215,7 @@
             priority: request.priority,
             prompt_tokens: prompt_tokens(&request.prompt),
             continue_from: request.continue_from,
+            arrived_us: unix_us(),
             progress: watch::Sender::new(progress),
         }
     }
--- a/crates/pinerill-rehearse/src/standin/worker/routes.rs
+++ b/crates/pinerill-rehearse/src/standin/worker/routes.rs
@@ -18,6 +18,7 @@
 use super::request::EngineRequest;
 use super::stream::AnswerReader;
 use super::Worker;
+use crate::engine::messages::EngineUsage;
 use crate::standin::http::{read_body, Failure, RequestHeaders};
 
 type AnswerStream = std::pin::Pin<Box<dyn futures::Stream<Item = String> + Send>>;
@@ -38,7 +39,8 @@
         export_kv,
         import_kv,
         kv_handle,
-        ledger
+        ledger,
+        usage
     ]
 }
 
@@ -270,6 +272,12 @@
     worker.ledger.text()
 }
 
+#[get("/usage")]
+fn usage(worker: &State<Arc<Worker>>) -> Json<Vec<EngineUsage>> {
+    let usages = worker.engines.iter().map(|engine| engine.usage());
+    Json(usages.collect())
+}
+
 fn find_engine(worker: &Worker, engine: usize) -> Result<&Arc<EngineHost>, Failure> {
     let found = worker.engines.get(engine);
     found.ok_or_else(|| unknown("unknown_engine", &engine.to_string()))
