--- a/crates/pinerill-rehearse/src/lib.rs
+++ b/crates/pinerill-rehearse/src/lib.rs
@@ -6,5 +6,7 @@
 pub mod engine;
 pub mod fleet;
 pub mod ledger;
+pub mod load;
+pub mod preset;
 pub mod scale;
 pub mod standin;
--- a/crates/pinerill-rehearse/src/standin/mod.rs
+++ b/crates/pinerill-rehearse/src/standin/mod.rs
@@ -9,6 +9,8 @@
 
 use clap::Subcommand;
 
+use crate::fleet::warden;
+
 /// The stand-ins, as hidden subcommands.
 #[derive(Subcommand, Debug)]
 pub enum StandIn {
@@ -26,6 +28,8 @@
     HollowWorkers(crate::scale::hollow::HollowWorkerArguments),
     /// Relays of the links between zones.
     Relay(relay::RelayArguments),
+    /// Ends the kit's children when the kit dies.
+    Warden,
 }
 
 /// Runs a stand-in until SIGTERM or SIGINT. Fails when its address is taken.
@@ -38,5 +42,6 @@
         StandIn::HollowNodes(arguments) => crate::scale::hollow::run_nodes(arguments).await,
         StandIn::HollowWorkers(arguments) => crate::scale::hollow::run_workers(arguments).await,
         StandIn::Relay(arguments) => relay::run(arguments).await,
+        StandIn::Warden => warden::run(),
     }
 }
