Scale: processes under the kit's launcher

Cause: a kit that dies must leave no process behind; the launcher's warden sees to that and the scale run had its own starting. Change: ScaleFleet starts through the launcher.

--- a/crates/pinerill-rehearse/src/scale/fleet.rs
+++ b/crates/pinerill-rehearse/src/scale/fleet.rs
@@ -2,11 +2,11 @@
 //! hollow processes.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use anyhow::{bail, ensure, Context};
+use anyhow::{bail, Context};
 use ed25519_dalek::SigningKey;
 use pinerill_types::bundle::{Bundle, Operator, Policy};
 use pinerill_types::settings::{
@@ -23,8 +23,9 @@
 use super::hollow::HollowResults;
 use super::load::Signer;
 use super::size::{Size, CONTROLS, NODES_PER_PROCESS};
+use crate::fleet::launcher::Launcher;
 use crate::fleet::ports::free_addresses;
-use crate::fleet::process::{ChildProcess, ProcessSpec, Signal};
+use crate::fleet::process::{ChildProcess, Signal};
 
 /// Zones of the letter's size.
 const ZONES: u64 = 13;
@@ -42,7 +43,8 @@
 const OPERATOR: &str = "scale";
 
 /// The running processes.
-pub struct ScaleFleet {
+pub struct ScaleFleet<'a> {
+    launcher: &'a Launcher,
     folder: PathBuf,
     cluster: ClusterSettings,
     /// Control machines.
@@ -69,19 +71,13 @@
     }
 }
 
-fn sibling(name: &str) -> anyhow::Result<PathBuf> {
-    let own = std::env::current_exe().context("finding the own program")?;
-    let path = own.with_file_name(name);
-    ensure!(path.is_file(), "{} is missing; build it", path.display());
-    Ok(path)
-}
-
-impl ScaleFleet {
+impl<'a> ScaleFleet<'a> {
     /// Starts control machines and hollow workers, and founds the cluster.
     ///
     /// # Errors
     /// When a process does not start or the cluster is not founded.
-    pub async fn start(folder: &Path, size: &Size) -> anyhow::Result<Self> {
+    pub async fn start(launcher: &'a Launcher, size: &Size) -> anyhow::Result<Self> {
+        let folder = launcher.folder();
         let addresses = free_addresses(2 * CONTROLS as usize + 3)?;
         let (control_addresses, rest) = addresses.split_at(CONTROLS as usize);
         let (admin_addresses, rest) = rest.split_at(CONTROLS as usize);
@@ -89,6 +85,7 @@
         let key_text: String = KEY.iter().map(|byte| format!("{byte:02x}")).collect();
         std::fs::write(&key_file, key_text).context("writing the cluster key")?;
         let mut fleet = Self {
+            launcher,
             folder: folder.to_owned(),
             cluster: ClusterSettings {
                 name: "scale".to_owned(),
@@ -113,14 +110,13 @@
 
     fn start_workers(&mut self, size: &Size) -> anyhow::Result<()> {
         let arguments = vec![
-            "standin".to_owned(),
             "hollow-workers".to_owned(),
             format!("--listen={}", self.worker_address),
             format!("--workers={}", size.workers),
             format!("--zones={}", zones().join(",")),
         ];
-        let program = std::env::current_exe().context("finding the own program")?;
-        self.hollow_workers = Some(self.start_process("hollow-workers", program, arguments)?);
+        let process = self.launcher.start_standin("hollow-workers", arguments)?;
+        self.hollow_workers = Some(process);
         Ok(())
     }
 
@@ -188,7 +184,8 @@
             "--settings".to_owned(),
             path.display().to_string(),
         ];
-        self.start_process(name, sibling("pinerill")?, arguments)
+        let program = self.launcher.pinerill()?;
+        self.launcher.start(name, &program, arguments)
     }
 
     fn write_settings(&self, name: &str, settings: &Settings) -> anyhow::Result<PathBuf> {
@@ -198,20 +195,6 @@
         Ok(path)
     }
 
-    fn start_process(
-        &self,
-        name: &str,
-        program: PathBuf,
-        arguments: Vec<String>,
-    ) -> anyhow::Result<ChildProcess> {
-        ChildProcess::start(&ProcessSpec {
-            name: name.to_owned(),
-            program,
-            arguments,
-            log_folder: self.folder.clone(),
-        })
-    }
-
     /// A client of the control machines.
     pub fn client(&self) -> Arc<ControlClient> {
         let key = ClusterKey::from_bytes(KEY);
@@ -290,14 +273,12 @@
             log: LogSettings::default(),
         };
         let settings_path = self.write_settings("hollow", &settings)?;
-        let program = std::env::current_exe().context("finding the own program")?;
         let mut first = 0;
         while first < size.nodes {
             let count = NODES_PER_PROCESS.min(size.nodes - first);
             let name = format!("hollow-nodes-{first}");
             let out = self.folder.join(format!("{name}.json"));
             let arguments = vec![
-                "standin".to_owned(),
                 "hollow-nodes".to_owned(),
                 format!("--settings={}", settings_path.display()),
                 format!("--first={first}"),
@@ -306,7 +287,7 @@
                 format!("--lease-limit={lease_limit}"),
                 format!("--out={}", out.display()),
             ];
-            let process = self.start_process(&name, program.clone(), arguments)?;
+            let process = self.launcher.start_standin(&name, arguments)?;
             self.hollow_nodes.push((process, out));
             first += count;
         }
--- a/crates/pinerill-rehearse/src/scale/mod.rs
+++ b/crates/pinerill-rehearse/src/scale/mod.rs
@@ -15,6 +15,8 @@
 use anyhow::Context;
 use clap::Args;
 
+use crate::fleet::launcher::Launcher;
+
 pub use run::{ProcessFigures, RunFigures};
 pub use series::{Series, SeriesFit};
 pub use size::{Dimension, Size};
@@ -104,12 +106,13 @@
     for (index, size) in sizes.iter().enumerate() {
         println!("run {} of {}: {size:?}", index + 1, sizes.len());
         let kill_control = arguments.storm && index + 1 == sizes.len();
-        let folder = tempfile::tempdir().context("making a folder")?;
-        match run::run(folder.path(), size, kill_control).await {
+        let mut launcher = Launcher::new("scale")?;
+        match run::run(&launcher, size, kill_control).await {
             Ok(figures) => series.push(figures),
             Err(error) => {
-                let kept = folder.keep();
-                return Err(error.context(format!("scale run, logs in {}", kept.display())));
+                launcher.keep_folder();
+                let folder = launcher.folder().display();
+                return Err(error.context(format!("scale run, logs and data in {folder}")));
             }
         }
     }
--- a/crates/pinerill-rehearse/src/scale/run.rs
+++ b/crates/pinerill-rehearse/src/scale/run.rs
@@ -1,6 +1,5 @@
 //! One scale run at one size, measured.
 
-use std::path::Path;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -13,6 +12,7 @@
 use super::load::{ChangeDriver, JobDriver};
 use super::size::Size;
 use super::usage::Usage;
+use crate::fleet::launcher::Launcher;
 use crate::fleet::process::Signal;
 
 /// Hollow nodes connect and settle in this time.
@@ -72,8 +72,12 @@
 ///
 /// # Errors
 /// When a process fails or the load is refused.
-pub async fn run(folder: &Path, size: &Size, kill_control: bool) -> anyhow::Result<RunFigures> {
-    let mut fleet = ScaleFleet::start(folder, size).await?;
+pub async fn run(
+    launcher: &Launcher,
+    size: &Size,
+    kill_control: bool,
+) -> anyhow::Result<RunFigures> {
+    let mut fleet = ScaleFleet::start(launcher, size).await?;
     let mut driver = ChangeDriver::start(fleet.client(), signer()).await?;
     driver
         .roll_out_base(size.tenants as u32)
@@ -139,7 +143,7 @@
 }
 
 /// Usage of each control machine and, last, of the real node.
-fn usages(fleet: &ScaleFleet) -> anyhow::Result<Vec<(String, Usage)>> {
+fn usages(fleet: &ScaleFleet<'_>) -> anyhow::Result<Vec<(String, Usage)>> {
     fleet
         .controls
         .iter()
