State command: throughput, failover and repair on real control machines

Change: pinerill-rehearse state. Result: compiles and lints clean; not run, control does not start yet.

--- a/crates/pinerill-rehearse/src/lib.rs
+++ b/crates/pinerill-rehearse/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod preset;
 pub mod scale;
 pub mod standin;
+pub mod state;
--- a/crates/pinerill-rehearse/src/main.rs
+++ b/crates/pinerill-rehearse/src/main.rs
@@ -18,6 +18,8 @@
     /// Runs one stand-in; the kit starts these itself.
     #[command(subcommand, hide = true)]
     Standin(StandIn),
+    /// Measures the durable state: throughput, failover, repair.
+    State(pinerill_rehearse::state::StateArguments),
     /// Runs real and hollow processes at several sizes and fits lines.
     Scale(pinerill_rehearse::scale::ScaleArguments),
 }
@@ -35,6 +37,9 @@
 
 fn run(command: Command) -> anyhow::Result<()> {
     match command {
+        Command::State(arguments) => {
+            runtime(KIT_THREADS)?.block_on(pinerill_rehearse::state::run(arguments))
+        }
         Command::Scale(arguments) => {
             runtime(KIT_THREADS)?.block_on(pinerill_rehearse::scale::run(arguments))
         }
--- a/crates/pinerill-rehearse/src/scale/fleet.rs
+++ b/crates/pinerill-rehearse/src/scale/fleet.rs
@@ -53,6 +53,7 @@
     pub node: Option<ChildProcess>,
     /// Where the real node serves its metrics.
     pub node_admin: SocketAddr,
+    control_settings: Vec<ControlSettings>,
     hollow_workers: Option<ChildProcess>,
     hollow_nodes: Vec<(ChildProcess, PathBuf)>,
     worker_address: SocketAddr,
@@ -93,6 +94,7 @@
                 controls: control_addresses.to_vec(),
             },
             controls: Vec::new(),
+            control_settings: Vec::new(),
             node: None,
             node_admin: rest[1],
             hollow_workers: None,
@@ -127,28 +129,68 @@
         admin: SocketAddr,
     ) -> anyhow::Result<()> {
         let zone = zones()[index % ZONES as usize].clone();
+        self.control_settings.push(ControlSettings {
+            name: NodeName(format!("control-{index}")),
+            zone: ZoneName(zone),
+            listen,
+            admin,
+            data_folder: self.folder.join(format!("control-{index}")),
+            platform: Some(self.worker_address),
+            heartbeat_ms: 100,
+            election_ms: 600,
+            snapshot_entries: 10_000,
+            concurrent_loads: 4,
+        });
+        let process = self.start_control_process(index)?;
+        self.controls.push(process);
+        Ok(())
+    }
+
+    fn start_control_process(&self, index: usize) -> anyhow::Result<ChildProcess> {
         let settings = Settings {
             cluster: self.cluster.clone(),
-            control: Some(ControlSettings {
-                name: NodeName(format!("control-{index}")),
-                zone: ZoneName(zone),
-                listen,
-                admin,
-                data_folder: self.folder.join(format!("control-{index}")),
-                platform: Some(self.worker_address),
-                heartbeat_ms: 100,
-                election_ms: 1_000,
-                snapshot_entries: 10_000,
-                concurrent_loads: 4,
-            }),
+            control: Some(self.control_settings[index].clone()),
             node: None,
             log: LogSettings::default(),
         };
-        let process = self.start_pinerill(&format!("control-{index}"), "control", &settings)?;
-        self.controls.push(process);
+        self.start_pinerill(&format!("control-{index}"), "control", &settings)
+    }
+
+    /// Starts a control machine that has ended again, with the same settings.
+    ///
+    /// # Errors
+    /// When it does not start.
+    pub fn restart_control(&mut self, index: usize) -> anyhow::Result<()> {
+        self.controls[index] = self.start_control_process(index)?;
         Ok(())
     }
 
+    /// The data folder of a control machine.
+    pub fn data_folder(&self, index: usize) -> PathBuf {
+        self.control_settings[index].data_folder.clone()
+    }
+
+    /// Sum of a metric over all control machines that answer.
+    ///
+    /// # Errors
+    /// When an answer can't be read.
+    pub async fn sum_metric(&self, name: &str) -> anyhow::Result<f64> {
+        let client = reqwest::Client::builder().no_proxy().build()?;
+        let mut sum = 0.0;
+        for control in &self.control_settings {
+            let url = format!("http://{}/metrics", control.admin);
+            let Ok(response) = client.get(&url).send().await else {
+                continue;
+            };
+            let text = response
+                .text()
+                .await
+                .with_context(|| format!("reading metrics with {}", control.admin))?;
+            sum += metric(&text, name);
+        }
+        Ok(sum)
+    }
+
     fn start_node(&mut self, listen: SocketAddr) -> anyhow::Result<()> {
         let zones = zones();
         let settings = Settings {
@@ -338,3 +380,12 @@
         other => bail!("reading the cluster's status: unexpected {other:?}"),
     }
 }
+
+/// The value of a metric without labels, or the sum over its labels.
+fn metric(text: &str, name: &str) -> f64 {
+    text.lines()
+        .filter_map(|line| line.strip_prefix(name))
+        .filter(|rest| rest.starts_with(' ') || rest.starts_with('{'))
+        .filter_map(|rest| rest.rsplit(' ').next()?.parse::<f64>().ok())
+        .sum()
+}
--- a/crates/pinerill-rehearse/src/scale/hollow/results.rs
+++ b/crates/pinerill-rehearse/src/scale/hollow/results.rs
@@ -106,6 +106,22 @@
     }
 }
 
+impl HollowResults {
+    /// When `version` or a later one was in force on the last node, Unix
+    /// microseconds; none when some node never got so far. A node that got
+    /// two versions at once has only the later one in its list.
+    pub fn in_force_us(&self, version: u64) -> Option<u64> {
+        let mut nodes = 0;
+        for (_, seen) in self.versions.range(version..) {
+            nodes += seen.nodes;
+            if nodes >= self.nodes {
+                return Some(seen.last_us);
+            }
+        }
+        None
+    }
+}
+
 /// Quantiles can't be added up; the worse of two is an upper bound.
 fn worst(one: Quantiles, other: Quantiles) -> Quantiles {
     Quantiles {
--- a/crates/pinerill-rehearse/src/scale/load.rs
+++ b/crates/pinerill-rehearse/src/scale/load.rs
@@ -19,7 +19,7 @@
 };
 use tokio::time::{interval, MissedTickBehavior};
 
-use super::hollow::unix_microseconds;
+use super::hollow::{unix_microseconds, Quantiles};
 
 /// Time until a proposal or a part of a job counts as failed.
 const CALL_TIME: Duration = Duration::from_secs(10);
@@ -44,6 +44,8 @@
     signer: Signer,
     bundle: IndexedBundle,
     tenants: u32,
+    /// The last proposal, until its answer arrives.
+    unanswered: Option<SignedChange>,
     /// When each version was proposed, Unix microseconds.
     pub proposed: BTreeMap<u64, u64>,
     /// When each version was known to be committed, Unix microseconds.
@@ -67,6 +69,7 @@
             signer,
             bundle: IndexedBundle::new(shown.bundle),
             tenants: 0,
+            unanswered: None,
             proposed: BTreeMap::new(),
             committed: BTreeMap::new(),
         })
@@ -96,34 +99,61 @@
         let end = Instant::now() + time;
         let mut ticks = interval(Duration::from_secs_f64(1.0 / per_second));
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut turn = 0;
         while Instant::now() < end {
             ticks.tick().await;
-            let name = tenant_name(turn % self.tenants);
-            let tenant = tenant(turn % self.tenants, 100.0 + f64::from(turn + 1));
-            let entry = Entry {
-                key: EntryKey {
-                    kind: EntryKind::Tenant,
-                    name: name.0,
-                },
-                value: serde_json::to_string(&tenant)?,
-            };
-            self.propose(vec![entry]).await?;
-            turn += 1;
+            self.change_once().await?;
         }
         Ok(())
     }
 
+    /// Changes one tenant's limits. After an error, the next call proposes
+    /// the same change again.
+    ///
+    /// # Errors
+    /// When the proposal is not accepted.
+    pub async fn change_once(&mut self) -> anyhow::Result<()> {
+        if let Some(signed) = self.unanswered.take() {
+            return self.send(signed).await;
+        }
+        let turn = self.bundle.version() as u32;
+        let tenant = tenant(turn % self.tenants, 100.0 + f64::from(turn));
+        let entry = Entry {
+            key: EntryKey {
+                kind: EntryKind::Tenant,
+                name: tenant_name(turn % self.tenants).0,
+            },
+            value: serde_json::to_string(&tenant)?,
+        };
+        self.propose(vec![entry]).await
+    }
+
+    /// From proposal to known commit, without the first `skip` versions.
+    pub fn commit_times(&self, skip: usize) -> Quantiles {
+        let times = self
+            .committed
+            .iter()
+            .skip(skip)
+            .filter_map(|(version, at)| Some(at.saturating_sub(*self.proposed.get(version)?)));
+        Quantiles::of_microseconds(times)
+    }
+
     async fn propose(&mut self, entries: Vec<Entry>) -> anyhow::Result<()> {
         let mut signed = SignedChange {
             change: self.bundle.compose(entries)?,
             sign_offs: Vec::new(),
         };
         signed.sign(self.signer.operator.clone(), &self.signer.key);
+        self.proposed
+            .insert(signed.change.version, unix_microseconds());
+        self.send(signed).await
+    }
+
+    async fn send(&mut self, signed: SignedChange) -> anyhow::Result<()> {
         let version = signed.change.version;
-        self.proposed.insert(version, unix_microseconds());
+        self.unanswered = Some(signed.clone());
         let request = Request::ProposeBundle(ProposeBundle { signed });
         let answer = self.client.call_any(request, CALL_TIME).await?;
+        self.unanswered = None;
         self.committed.insert(version, unix_microseconds());
         match answer {
             Response::ProposeBundle(done) if done.answer == ProposalAnswer::Accepted => Ok(()),
@@ -224,6 +254,34 @@
         Ok(())
     }
 
+    /// Submits as fast as jobs are accepted, `submitters` at a time.
+    ///
+    /// # Errors
+    /// When a job is refused.
+    pub async fn run_closed(
+        self: &Arc<Self>,
+        submitters: u32,
+        time: Duration,
+    ) -> anyhow::Result<()> {
+        let end = Instant::now() + time;
+        let mut tasks = tokio::task::JoinSet::new();
+        for submitter in 0..submitters {
+            let driver = self.clone();
+            tasks.spawn(async move {
+                let mut number = submitter;
+                while Instant::now() < end {
+                    driver.submit(number).await?;
+                    number += submitters;
+                }
+                anyhow::Ok(())
+            });
+        }
+        while let Some(done) = tasks.join_next().await {
+            done.context("submitting a job")??;
+        }
+        Ok(())
+    }
+
     async fn submit(&self, number: u32) -> anyhow::Result<()> {
         let mut received = 0;
         while received < self.items_per_job {
--- a/crates/pinerill-rehearse/src/scale/mod.rs
+++ b/crates/pinerill-rehearse/src/scale/mod.rs
@@ -2,13 +2,13 @@
 //! several sizes, with a line fitted through each figure.
 
 pub mod fit;
-mod fleet;
+pub(crate) mod fleet;
 pub mod hollow;
-mod load;
+pub(crate) mod load;
 mod run;
 mod series;
 mod size;
-mod usage;
+pub(crate) mod usage;
 
 use std::path::PathBuf;
 
--- a/crates/pinerill-rehearse/src/scale/run.rs
+++ b/crates/pinerill-rehearse/src/scale/run.rs
@@ -125,7 +125,7 @@
         node: node[0].clone(),
         node_bytes_per_second: bytes / per_node,
         node_messages_per_second: messages / per_node,
-        commit: commit_times(&driver, base_version),
+        commit: driver.commit_times(base_version),
         in_force,
         skipped_versions,
         accepted_per_second: accepted / seconds,
@@ -172,33 +172,15 @@
         .collect()
 }
 
-fn commit_times(driver: &ChangeDriver, skip: usize) -> Quantiles {
-    let times = driver
-        .committed
-        .iter()
-        .skip(skip)
-        .filter_map(|(version, at)| Some(at.saturating_sub(*driver.proposed.get(version)?)));
-    Quantiles::of_microseconds(times)
-}
-
-/// A node that gets two versions at once has only the later one in force; the
-/// earlier one is then in force there with it.
+/// From proposal to in force on the last node, and how many versions some
+/// node jumped over.
 fn in_force(driver: &ChangeDriver, hollow: &HollowResults, skip: usize) -> (Quantiles, u64) {
     let mut times = Vec::new();
     let mut skipped = 0;
     for (version, proposed) in driver.proposed.iter().skip(skip) {
-        let seen = hollow.versions.get(version);
-        let nodes = seen.map_or(0, |seen| seen.nodes);
+        let nodes = hollow.versions.get(version).map_or(0, |seen| seen.nodes);
         skipped += u64::from(nodes < hollow.nodes);
-        let last = hollow
-            .versions
-            .range(version..)
-            .scan(0, |sum, (_, seen)| {
-                let before = *sum;
-                *sum += seen.nodes;
-                (before < hollow.nodes).then_some(seen.last_us)
-            })
-            .max();
+        let last = hollow.in_force_us(*version);
         times.extend(last.map(|last| last.saturating_sub(*proposed)));
     }
     (Quantiles::of_microseconds(times), skipped)
