Placement: fenced orders for models, adapters, versions and roles

Cause: operators name models and versions; engines must follow within the weight store's rate and without a gap. Change: a pure planner from bundle and observed engines to orders, and a runner that observes and posts while this machine leads the meta group, confirming its right again after observing. Quiet rounds are passed over, since asking 45,000 engines each second would cost a core.

--- a/crates/pinerill-control/src/lib.rs
+++ b/crates/pinerill-control/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod host;
 pub mod machine;
 pub mod meta;
+pub mod placement;
 
 /// Runs a control machine until it is told to stop.
 ///
--- /dev/null
+++ b/crates/pinerill-control/src/placement/runner.rs
@@ -0,0 +1,212 @@
+//! Observes engines and posts orders while this machine leads the meta group.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use futures::stream::{self, StreamExt};
+use pinerill_types::{EngineId, Fence};
+use pinerill_wire::message::{WorkerRecord, WorkerState};
+use tokio_util::sync::CancellationToken;
+
+use super::assignment::{Models, ObservedEngines};
+use super::engine_state::{EngineState, FencedOrder};
+use super::planner::{plan, PlannedOrder};
+
+/// Pause between two rounds while orders are given or the bundle changes.
+const ROUND_PAUSE: Duration = Duration::from_secs(1);
+/// Rounds without news that are passed over before all engines are asked
+/// again: at 45,000 engines a question each second would cost a core.
+const QUIET_ROUNDS: u32 = 10;
+/// Longest time for one question to an engine.
+const ENGINE_TIME: Duration = Duration::from_secs(2);
+/// Questions in flight.
+const CONCURRENT_QUESTIONS: usize = 64;
+
+/// The right to give orders, confirmed by a quorum.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlacementTerm {
+    /// Term of the meta group in which this machine leads.
+    pub term: u64,
+}
+
+/// What placement needs to know.
+#[async_trait]
+pub trait PlacementSource: Send + Sync + 'static {
+    /// The term in which this machine leads the meta group, confirmed by a
+    /// read barrier; none when it does not lead.
+    async fn confirmed_term(&self) -> Option<PlacementTerm>;
+    /// Version of the bundle in force.
+    fn bundle_version(&self) -> u64;
+    /// Its models.
+    fn models(&self) -> Models;
+    /// All workers.
+    fn workers(&self) -> Vec<WorkerRecord>;
+}
+
+/// What placement counts.
+#[derive(Debug, Default)]
+pub struct PlacementCounters {
+    /// Rounds in which this machine led.
+    pub rounds: AtomicU64,
+    /// Engines that answered in the last round.
+    pub engines: AtomicU64,
+    /// Orders that were accepted.
+    pub accepted: AtomicU64,
+    /// Orders that were refused or lost.
+    pub refused: AtomicU64,
+}
+
+/// Places models until `stop`.
+pub async fn run(
+    source: Arc<dyn PlacementSource>,
+    concurrent_loads: u32,
+    counters: Arc<PlacementCounters>,
+    stop: CancellationToken,
+) {
+    let client = match reqwest::Client::builder().no_proxy().build() {
+        Ok(client) => client,
+        Err(error) => {
+            log::error!(step = "build HTTP client", error:%; "no placement");
+            return;
+        }
+    };
+    let mut runner = Runner {
+        source,
+        client,
+        concurrent_loads,
+        counters,
+        last: Fence::default(),
+        seen_version: None,
+        quiet_rounds: 0,
+    };
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = runner.round() => {}
+        }
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = tokio::time::sleep(ROUND_PAUSE) => {}
+        }
+    }
+}
+
+struct Runner {
+    source: Arc<dyn PlacementSource>,
+    client: reqwest::Client,
+    concurrent_loads: u32,
+    counters: Arc<PlacementCounters>,
+    last: Fence,
+    /// Bundle version of the last full round.
+    seen_version: Option<u64>,
+    /// Rounds passed over since then.
+    quiet_rounds: u32,
+}
+
+impl Runner {
+    async fn round(&mut self) {
+        if self.is_quiet() || self.source.confirmed_term().await.is_none() {
+            return;
+        }
+        let version = self.source.bundle_version();
+        let engines = self.observe().await;
+        let models = self.source.models();
+        let orders = plan(&models, &engines, self.concurrent_loads);
+        // The right is confirmed again after the slow observation: orders of
+        // a machine that was frozen meanwhile carry an older term, and the
+        // engines' fences refuse them.
+        let Some(term) = self.source.confirmed_term().await else {
+            return;
+        };
+        let count = |counter: &AtomicU64, value: u64| counter.store(value, Ordering::Relaxed);
+        self.seen_version = orders.is_empty().then_some(version);
+        self.quiet_rounds = 0;
+        self.counters.rounds.fetch_add(1, Ordering::Relaxed);
+        count(&self.counters.engines, engines.len() as u64);
+        for order in orders {
+            let fence = self.next_fence(term);
+            self.post(&order, fence).await;
+        }
+    }
+
+    /// Whether the last full round gave no orders, and neither bundle nor
+    /// time asks for another.
+    fn is_quiet(&mut self) -> bool {
+        self.quiet_rounds += 1;
+        self.seen_version == Some(self.source.bundle_version()) && self.quiet_rounds < QUIET_ROUNDS
+    }
+
+    fn next_fence(&mut self, term: PlacementTerm) -> Fence {
+        let sequence = if self.last.term == term.term {
+            self.last.sequence + 1
+        } else {
+            1
+        };
+        self.last = Fence {
+            term: term.term,
+            sequence,
+        };
+        self.last
+    }
+
+    /// Asks every engine of every live worker for its state; those that don't
+    /// answer count as lost.
+    async fn observe(&self) -> ObservedEngines {
+        let workers = self.source.workers();
+        let questions = workers
+            .iter()
+            .filter(|worker| worker.state == WorkerState::Live)
+            .flat_map(|worker| (0..worker.engines).map(move |engine| (worker, engine)))
+            .map(|(worker, engine)| self.ask(worker, engine));
+        stream::iter(questions)
+            .buffer_unordered(CONCURRENT_QUESTIONS)
+            .filter_map(|answer| async { answer })
+            .filter(|(_, state)| std::future::ready(!state.leaving))
+            .collect()
+            .await
+    }
+
+    async fn ask(&self, worker: &WorkerRecord, engine: u16) -> Option<(EngineId, EngineState)> {
+        let url = format!("http://{}/engines/{engine}/v1/state", worker.address);
+        let response = self.client.get(url).timeout(ENGINE_TIME).send().await;
+        let state = response.ok()?.json::<EngineState>().await.ok()?;
+        let id = EngineId {
+            worker: worker.name.clone(),
+            engine,
+        };
+        Some((id, state))
+    }
+
+    async fn post(&self, planned: &PlannedOrder, fence: Fence) {
+        let workers = self.source.workers();
+        let worker = workers
+            .iter()
+            .find(|worker| worker.name == planned.engine.worker);
+        let Some(worker) = worker else { return };
+        let url = format!(
+            "http://{}/engines/{}/v1/orders",
+            worker.address, planned.engine.engine
+        );
+        let body = FencedOrder {
+            fence,
+            order: planned.order.clone(),
+        };
+        let answer = self
+            .client
+            .post(url)
+            .timeout(ENGINE_TIME)
+            .json(&body)
+            .send()
+            .await;
+        let accepted = answer.is_ok_and(|response| response.status().is_success());
+        let counter = if accepted {
+            &self.counters.accepted
+        } else {
+            &self.counters.refused
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+        log::debug!(engine:% = planned.engine, accepted; "order posted");
+    }
+}
