Wire: groups travel as changes; founding message; signs name an incarnation

A worker marked as leaving by a node's sign stayed so after its restart, since the directory named no incarnation. Bootstrap had no message by which voters start a group alike.

Change: groups are records of the directory (sent when they change); WorkerRecord.leaving_incarnation, compared by the node with the incarnation of the worker's reports; CreateGroups from the founding control machine to the others; GroupReport says whether the membership is committed.

--- a/crates/pinerill-control/src/host/handle.rs
+++ b/crates/pinerill-control/src/host/handle.rs
@@ -128,6 +128,9 @@
 
 impl TableReader {
     /// The value of a key.
+    ///
+    /// # Errors
+    /// When the store can't be read.
     pub fn get(&self, key: &[u8]) -> Result<Option<Vec<u8>>, StorageError> {
         self.reader.get(key)
     }
@@ -142,3 +145,9 @@
         self.reader.scan(from, to, limit)
     }
 }
+
+impl crate::machine::TableReader for TableReader {
+    fn get(&self, key: &[u8]) -> anyhow::Result<Option<Vec<u8>>> {
+        Ok(self.reader.get(key)?)
+    }
+}
--- a/crates/pinerill-control/src/machine.rs
+++ b/crates/pinerill-control/src/machine.rs
@@ -1,6 +1,6 @@
 //! What a replicated group asks of its state machine.
 
-/// Writes of one command to the group's state table.
+/// Collects writes to a group's state table.
 pub trait TableWriter {
     /// Sets a key.
     fn put(&mut self, key: &[u8], value: &[u8]);
@@ -8,7 +8,7 @@
     fn delete(&mut self, key: &[u8]);
 }
 
-/// Reads of the group's state table.
+/// Reads a group's state table.
 pub trait TableReader {
     /// Value of a key.
     ///
@@ -19,8 +19,10 @@
 
 /// A deterministic state machine.
 ///
-/// `apply` may write to the table but never reads it, so that replaying
-/// entries after a restart is idempotent.
+/// Its state has two parts: the machine itself, kept in memory and saved in
+/// snapshots, and the group's state table on disk. `apply` may write to the
+/// table but never reads it. Replaying entries after a restart, over a table
+/// that already holds their writes, is therefore idempotent.
 pub trait StateMachine: Send + Sync + 'static {
     /// Applies the committed command at `index` and returns its reply.
     fn apply(&mut self, index: u64, command: &[u8], table: &mut dyn TableWriter) -> Vec<u8>;
--- a/crates/pinerill-node/src/configuration/watch.rs
+++ b/crates/pinerill-node/src/configuration/watch.rs
@@ -131,9 +131,9 @@
         self.take_bundle(sent_ms, &watch)?;
         if let Some(update) = &watch.directory {
             self.fleet.take_directory(update);
+            self.api.learn_groups(&update.groups);
+            self.groups.take(update);
         }
-        self.api.learn_groups(&watch.groups);
-        self.groups.take(watch.groups);
         Ok(())
     }
 
--- a/crates/pinerill-node/src/groups.rs
+++ b/crates/pinerill-node/src/groups.rs
@@ -1,11 +1,10 @@
 //! The replicated groups as the last watch told them.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 use parking_lot::RwLock;
 use pinerill_types::{ServiceName, TenantName};
-use pinerill_wire::message::{GroupRecord, META_GROUP};
+use pinerill_wire::message::{DirectoryUpdate, GroupRecord, META_GROUP};
 use tokio::sync::Notify;
 
 use crate::routing::rendezvous_weight;
@@ -13,23 +12,30 @@
 /// All groups with their backlogs.
 #[derive(Debug, Default)]
 pub struct Groups {
-    records: RwLock<Arc<Vec<GroupRecord>>>,
+    records: RwLock<BTreeMap<u32, GroupRecord>>,
     /// Another set of records is there.
     pub changed: Notify,
 }
 
 impl Groups {
-    /// Takes the records of a watch in.
-    pub fn take(&self, records: Vec<GroupRecord>) {
-        *self.records.write() = Arc::new(records);
+    /// Takes the changed groups of a watch in.
+    pub fn take(&self, update: &DirectoryUpdate) {
+        let mut records = self.records.write();
+        if update.full {
+            records.clear();
+        }
+        for record in &update.groups {
+            records.insert(record.group, record.clone());
+        }
+        drop(records);
         self.changed.notify_waiters();
     }
 
     /// Numbers of the job groups.
     pub fn job_groups(&self) -> Vec<u32> {
         let records = self.records.read();
-        let jobs = records.iter().filter(|one| one.group != META_GROUP);
-        jobs.map(|one| one.group).collect()
+        let numbers = records.keys().copied();
+        numbers.filter(|group| *group != META_GROUP).collect()
     }
 
     /// The group of a job. Job groups are numbered from 1 without a gap.
@@ -45,7 +51,7 @@
     /// Items that wait, by service and group.
     pub fn backlog(&self) -> BTreeMap<ServiceName, BTreeMap<u32, u64>> {
         let mut backlog: BTreeMap<ServiceName, BTreeMap<u32, u64>> = BTreeMap::new();
-        for record in self.records.read().iter() {
+        for record in self.records.read().values() {
             for service in record.backlog.iter().filter(|one| one.pending > 0) {
                 let groups = backlog.entry(service.service.clone()).or_default();
                 groups.insert(record.group, service.pending);
--- a/crates/pinerill-node/src/membership/fleet.rs
+++ b/crates/pinerill-node/src/membership/fleet.rs
@@ -306,7 +306,7 @@
                 && entry.engines.len() == usize::from(record.engines)
         });
         if let Some(entry) = same {
-            entry.worker.health.lock().list(record.state);
+            entry.worker.health.lock().list(record);
             return Some(entry.clone());
         }
         new_entry(zone_rank, record)
@@ -388,7 +388,10 @@
     fn note_leaving(&self, worker: &Worker) {
         log::info!("worker {} is leaving", worker.name);
         self.metrics.leaving_signs.inc();
-        let incarnation = worker.health.lock().incarnation().unwrap_or(0);
+        // Without a report yet, the first one brings the sign.
+        let Some(incarnation) = worker.health.lock().incarnation() else {
+            return;
+        };
         self.leaving.lock().insert(LeavingSign {
             worker: worker.name.clone(),
             incarnation,
@@ -429,7 +432,7 @@
         zone: record.zone.clone(),
         zone_rank,
         http: worker_client()?,
-        health: Mutex::new(Health::new(record.state)),
+        health: Mutex::new(Health::new(record)),
         driven: AtomicBool::new(false),
     });
     let engines = (0..record.engines)
--- a/crates/pinerill-node/src/membership/health.rs
+++ b/crates/pinerill-node/src/membership/health.rs
@@ -4,7 +4,7 @@
 //! it. A failed connection makes the worker suspected for a time that doubles
 //! with each failure.
 
-use pinerill_wire::message::WorkerState;
+use pinerill_wire::message::{WorkerRecord, WorkerState};
 
 /// First time of suspicion after a failure, milliseconds.
 const SUSPICION_FIRST_MS: u64 = 100;
@@ -15,6 +15,8 @@
 #[derive(Debug, Clone)]
 pub struct Health {
     listed: WorkerState,
+    /// The newest incarnation that control knows as leaving; 0 for none.
+    listed_leaving: u64,
     incarnation: Option<u64>,
     leaving: bool,
     failures: u32,
@@ -22,10 +24,11 @@
 }
 
 impl Health {
-    /// A worker that the directory lists as `listed`.
-    pub fn new(listed: WorkerState) -> Self {
+    /// A worker as the directory lists it.
+    pub fn new(record: &WorkerRecord) -> Self {
         Self {
-            listed,
+            listed: record.state,
+            listed_leaving: record.leaving_incarnation,
             incarnation: None,
             leaving: false,
             failures: 0,
@@ -34,8 +37,9 @@
     }
 
     /// The directory says something else now.
-    pub fn list(&mut self, listed: WorkerState) {
-        self.listed = listed;
+    pub fn list(&mut self, record: &WorkerRecord) {
+        self.listed = record.state;
+        self.listed_leaving = record.leaving_incarnation;
     }
 
     /// The incarnation of the last report.
@@ -71,7 +75,9 @@
 
     /// Whether it says it is leaving, or the directory does.
     pub fn is_leaving(&self) -> bool {
-        self.leaving || self.listed != WorkerState::Live
+        let incarnation = self.incarnation.unwrap_or(0);
+        let sign_concerns_it = self.listed_leaving > 0 && incarnation <= self.listed_leaving;
+        self.leaving || sign_concerns_it || self.listed != WorkerState::Live
     }
 
     /// Whether it is suspected to be gone.
--- a/crates/pinerill-rehearse/src/scale/hollow/node.rs
+++ b/crates/pinerill-rehearse/src/scale/hollow/node.rs
@@ -1,18 +1,19 @@
 //! One hollow node: holds a watch, acknowledges bundles, leases and ends
 //! batch items.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use parking_lot::Mutex;
 use pinerill_types::job::{AttemptEnd, LeasedItem};
-use pinerill_types::{Digest, NodeName, ServiceName, ZoneName};
+use pinerill_types::{Digest, NodeName, ServiceName, WorkerName, ZoneName};
 use pinerill_wire::api::ControlApi;
 use pinerill_wire::client::ControlClient;
 use pinerill_wire::message::{
-    AttemptRef, AttemptReport, AttemptVerdict, BundleUpdate, EndAttempts, GroupRecord, LeaseItems,
-    LeaseWant, NodeRecord, Request, Response, WatchRequest, WatchResponse,
+    AttemptRef, AttemptReport, AttemptVerdict, BundleUpdate, DirectoryUpdate, EndAttempts,
+    GroupRecord, LeaseItems, LeaseWant, NodeRecord, Request, Response, WatchRequest, WatchResponse,
 };
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -59,8 +60,24 @@
     /// Longest time without a confirmed watch while measuring.
     pub longest_unconfirmed: Duration,
     /// Workers it knows.
-    pub workers: u64,
-    groups: Vec<GroupRecord>,
+    pub workers: BTreeSet<WorkerName>,
+    groups: BTreeMap<u32, GroupRecord>,
+}
+
+impl Seen {
+    fn take_directory(&mut self, update: DirectoryUpdate) {
+        if update.full {
+            self.workers.clear();
+            self.groups.clear();
+        }
+        let workers = update.workers.into_iter().map(|worker| worker.name);
+        self.workers.extend(workers);
+        for name in &update.removed_workers {
+            self.workers.remove(name);
+        }
+        let groups = update.groups.into_iter().map(|one| (one.group, one));
+        self.groups.extend(groups);
+    }
 }
 
 /// One hollow node.
@@ -145,12 +162,9 @@
         if let Some(update) = response.directory {
             held.epoch = update.epoch;
             held.revision = update.revision;
-            let before = if update.full { 0 } else { seen.workers };
-            let now = before + update.workers.len() as u64;
-            seen.workers = now.saturating_sub(update.removed_workers.len() as u64);
+            self.client.learn_groups(&update.groups);
+            seen.take_directory(update);
         }
-        self.client.learn_groups(&response.groups);
-        seen.groups = response.groups;
     }
 
     fn note_confirmed(&self, held: &mut Held, sent: Instant) {
@@ -200,7 +214,7 @@
         let seen = self.seen.lock();
         let waiting: Vec<(u32, &ServiceName)> = seen
             .groups
-            .iter()
+            .values()
             .flat_map(|group| group.backlog.iter().map(|one| (group.group, one)))
             .filter(|(_, backlog)| backlog.pending > 0)
             .map(|(group, backlog)| (group, &backlog.service))
--- a/crates/pinerill-rehearse/src/scale/hollow/process.rs
+++ b/crates/pinerill-rehearse/src/scale/hollow/process.rs
@@ -183,7 +183,7 @@
     let mut unconfirmed = Vec::new();
     for node in nodes {
         let seen = node.seen.lock();
-        results.workers_known += seen.workers;
+        results.workers_known += seen.workers.len() as u64;
         unconfirmed.push(seen.longest_unconfirmed.as_micros() as u64);
         for (version, at_us) in &seen.versions {
             let total = results.versions.entry(*version).or_default();
--- a/crates/pinerill-wire/schema/wire.capnp
+++ b/crates/pinerill-wire/schema/wire.capnp
@@ -48,6 +48,7 @@
     clusterStatus @14 :Void;
     replaceReplica @15 :ReplaceReplica;
     transferLeadership @16 :TransferLeadership;
+    createGroups @17 :CreateGroups;
   }
 }
 
@@ -143,6 +144,7 @@
   zone @2 :Text;
   engines @3 :UInt16;
   state @4 :WorkerState;
+  leavingIncarnation @5 :UInt64;
 }
 
 struct NodeRecord {
@@ -172,7 +174,6 @@
   version @1 :UInt64;
   bundle @2 :BundleUpdate;
   directory @3 :DirectoryUpdate;
-  groups @4 :List(GroupRecord);
 }
 
 struct DirectoryUpdate {
@@ -183,6 +184,7 @@
   removedWorkers @4 :List(Text);
   nodes @5 :List(NodeRecord);
   removedNodes @6 :List(Text);
+  groups @7 :List(GroupRecord);
 }
 
 struct PeerDirectoryRequest { epoch @0 :UInt64; revision @1 :UInt64; waitMs @2 :UInt64; }
@@ -317,6 +319,7 @@
   applied @5 :UInt64;
   voters @6 :List(UInt64);
   learners @7 :List(UInt64);
+  membersCommitted @8 :Bool;
 }
 
 struct ClusterStatusResponse {
@@ -325,6 +328,15 @@
   groups @2 :List(GroupReport);
 }
 
+struct GroupVoters { group @0 :UInt32; voters @1 :List(UInt64); }
+
+struct CreateGroups {
+  clusterId @0 :UInt64;
+  founding @1 :Bundle;
+  machines @2 :List(ReplicaRecord);
+  groups @3 :List(GroupVoters);
+}
+
 struct ReplaceReplica { lost @0 :UInt64; new @1 :UInt64; }
 struct ReplaceReplicaResponse { done @0 :UInt32; remaining @1 :UInt32; }
 struct TransferLeadership { group @0 :UInt32; to @1 :UInt64; }
--- a/crates/pinerill-wire/src/codec/cluster.rs
+++ b/crates/pinerill-wire/src/codec/cluster.rs
@@ -6,7 +6,8 @@
 use super::text::{address, name, string};
 use super::CodecError;
 use crate::message::{
-    ClusterInit, ClusterInitResponse, ClusterStatusResponse, GroupReport, ReplicaRecord,
+    ClusterInit, ClusterInitResponse, ClusterStatusResponse, CreateGroups, GroupReport,
+    GroupVoters, ReplicaRecord,
 };
 use crate::wire_capnp as wire;
 
@@ -26,6 +27,55 @@
     })
 }
 
+pub(super) fn encode_create(create: &CreateGroups, mut builder: wire::create_groups::Builder<'_>) {
+    builder.set_cluster_id(create.cluster_id);
+    encode_bundle(&create.founding, builder.reborrow().init_founding());
+    let mut machines = builder
+        .reborrow()
+        .init_machines(create.machines.len() as u32);
+    for (index, machine) in create.machines.iter().enumerate() {
+        encode_replica(machine, machines.reborrow().get(index as u32));
+    }
+    let mut groups = builder.init_groups(create.groups.len() as u32);
+    for (index, group) in create.groups.iter().enumerate() {
+        encode_voters(group, groups.reborrow().get(index as u32));
+    }
+}
+
+fn encode_voters(group: &GroupVoters, mut builder: wire::group_voters::Builder<'_>) {
+    builder.set_group(group.group);
+    let mut voters = builder.init_voters(group.voters.len() as u32);
+    for (index, voter) in group.voters.iter().enumerate() {
+        voters.set(index as u32, *voter);
+    }
+}
+
+pub(super) fn decode_create(
+    reader: wire::create_groups::Reader<'_>,
+) -> Result<CreateGroups, CodecError> {
+    Ok(CreateGroups {
+        cluster_id: reader.get_cluster_id(),
+        founding: decode_bundle(reader.get_founding()?)?,
+        machines: reader
+            .get_machines()?
+            .iter()
+            .map(decode_replica)
+            .collect::<Result<_, _>>()?,
+        groups: reader
+            .get_groups()?
+            .iter()
+            .map(decode_voters)
+            .collect::<Result<_, _>>()?,
+    })
+}
+
+fn decode_voters(reader: wire::group_voters::Reader<'_>) -> Result<GroupVoters, CodecError> {
+    Ok(GroupVoters {
+        group: reader.get_group(),
+        voters: reader.get_voters()?.iter().collect(),
+    })
+}
+
 fn encode_replica(replica: &ReplicaRecord, mut builder: wire::replica_record::Builder<'_>) {
     builder.set_replica(replica.replica);
     builder.set_name(&replica.name);
@@ -79,6 +129,7 @@
     for (index, voter) in group.voters.iter().enumerate() {
         voters.set(index as u32, *voter);
     }
+    builder.set_members_committed(group.members_committed);
     let mut learners = builder.init_learners(group.learners.len() as u32);
     for (index, learner) in group.learners.iter().enumerate() {
         learners.set(index as u32, *learner);
@@ -94,6 +145,7 @@
         applied: reader.get_applied(),
         voters: reader.get_voters()?.iter().collect(),
         learners: reader.get_learners()?.iter().collect(),
+        members_committed: reader.get_members_committed(),
     })
 }
 
--- a/crates/pinerill-wire/src/codec/directory.rs
+++ b/crates/pinerill-wire/src/codec/directory.rs
@@ -41,6 +41,7 @@
         WorkerState::Leaving => wire::WorkerState::Leaving,
         WorkerState::Gone => wire::WorkerState::Gone,
     });
+    builder.set_leaving_incarnation(worker.leaving_incarnation);
 }
 
 fn decode_worker(reader: wire::worker_record::Reader<'_>) -> Result<WorkerRecord, CodecError> {
@@ -54,6 +55,7 @@
             wire::WorkerState::Leaving => WorkerState::Leaving,
             wire::WorkerState::Gone => WorkerState::Gone,
         },
+        leaving_incarnation: reader.get_leaving_incarnation(),
     })
 }
 
@@ -150,13 +152,8 @@
     builder.set_version(response.version);
     encode_update(response.bundle.as_ref(), builder.reborrow().init_bundle());
     if let Some(update) = &response.directory {
-        encode_directory(update, builder.reborrow().init_directory());
+        encode_directory(update, builder.init_directory());
     }
-    fill!(
-        builder.init_groups(response.groups.len() as u32),
-        response.groups,
-        encode_group
-    );
 }
 
 pub(super) fn decode_watch_response(
@@ -172,11 +169,6 @@
         version: reader.get_version(),
         bundle: decode_update(reader.get_bundle()?)?,
         directory,
-        groups: reader
-            .get_groups()?
-            .iter()
-            .map(decode_group)
-            .collect::<Result<_, _>>()?,
     })
 }
 
@@ -199,10 +191,16 @@
         update.nodes,
         encode_node
     );
-    let mut names = builder.init_removed_nodes(update.removed_nodes.len() as u32);
+    let removed_nodes = update.removed_nodes.len() as u32;
+    let mut names = builder.reborrow().init_removed_nodes(removed_nodes);
     for (index, node) in update.removed_nodes.iter().enumerate() {
         names.set(index as u32, node.as_str());
     }
+    fill!(
+        builder.init_groups(update.groups.len() as u32),
+        update.groups,
+        encode_group
+    );
 }
 
 fn decode_directory(
@@ -230,6 +228,11 @@
             .into_iter()
             .map(NodeName)
             .collect(),
+        groups: reader
+            .get_groups()?
+            .iter()
+            .map(decode_group)
+            .collect::<Result<_, _>>()?,
     })
 }
 
--- a/crates/pinerill-wire/src/codec/request.rs
+++ b/crates/pinerill-wire/src/codec/request.rs
@@ -44,6 +44,9 @@
             builder.set_group(transfer.group);
             builder.set_to(transfer.to);
         }
+        Request::CreateGroups(create) => {
+            cluster::encode_create(create, builder.init_create_groups());
+        }
     }
 }
 
@@ -87,5 +90,8 @@
                 to: reader.get_to(),
             })
         }
+        Which::CreateGroups(create) => {
+            Request::CreateGroups(Box::new(cluster::decode_create(create?)?))
+        }
     })
 }
--- a/crates/pinerill-wire/src/message/cluster.rs
+++ b/crates/pinerill-wire/src/message/cluster.rs
@@ -61,6 +61,8 @@
     pub voters: Vec<u64>,
     /// Learners' identities.
     pub learners: Vec<u64>,
+    /// Whether the last change of membership is committed.
+    pub members_committed: bool,
 }
 
 /// How the control machines are.
@@ -74,6 +76,31 @@
     pub groups: Vec<GroupReport>,
 }
 
+/// First voters of a new group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GroupVoters {
+    /// The group.
+    pub group: u32,
+    /// Identities of its voters.
+    pub voters: Vec<u64>,
+}
+
+/// One control machine tells another what a new cluster consists of.
+///
+/// Every voter of a group starts it with the same voters; a machine that
+/// belongs to a founded cluster refuses. May be sent again.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CreateGroups {
+    /// Random identity of the new cluster.
+    pub cluster_id: u64,
+    /// The founding bundle.
+    pub founding: Bundle,
+    /// All control machines.
+    pub machines: Vec<ReplicaRecord>,
+    /// All groups, the meta group among them.
+    pub groups: Vec<GroupVoters>,
+}
+
 /// Puts a control machine with an empty folder in the place of a lost one,
 /// in every group of the lost one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/pinerill-wire/src/message/directory.rs
+++ b/crates/pinerill-wire/src/message/directory.rs
@@ -29,8 +29,12 @@
     pub zone: ZoneName,
     /// How many engines it holds.
     pub engines: u16,
-    /// Whether it may get new work.
+    /// Whether it may get new work, by the platform's list.
     pub state: WorkerState,
+    /// The newest incarnation that said it is leaving, whatever the list
+    /// says; 0 for none. Incarnations of one worker grow, so a newer one is
+    /// not concerned.
+    pub leaving_incarnation: u64,
 }
 
 /// One live node.
@@ -62,7 +66,8 @@
 pub struct ServiceBacklog {
     /// The service.
     pub service: ServiceName,
-    /// Items that wait for a lease.
+    /// Items that wait for a lease. A hint: in a directory it is rounded, so
+    /// that watches are not answered for each item.
     pub pending: u64,
 }
 
@@ -110,13 +115,11 @@
     pub version: u64,
     /// What turns the node's bundle into it; none when it has it already.
     pub bundle: Option<BundleUpdate>,
-    /// Workers and nodes that changed; none when nothing did.
+    /// What changed in the directory; none when nothing did.
     pub directory: Option<DirectoryUpdate>,
-    /// All groups, with leaders and backlogs.
-    pub groups: Vec<GroupRecord>,
 }
 
-/// Workers and nodes that changed since a revision.
+/// Workers, nodes and groups that changed since a revision.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DirectoryUpdate {
     /// Random number of the process that counts revisions.
@@ -133,6 +136,8 @@
     pub nodes: Vec<NodeRecord>,
     /// Nodes that are gone.
     pub removed_nodes: Vec<NodeName>,
+    /// Groups that are new, led elsewhere or have another backlog.
+    pub groups: Vec<GroupRecord>,
 }
 
 /// A control machine asks another for what that one learnt at first hand.
--- a/crates/pinerill-wire/src/message/mod.rs
+++ b/crates/pinerill-wire/src/message/mod.rs
@@ -13,8 +13,9 @@
     ProposalAnswer, ProposeBundle, ProposeBundleResponse,
 };
 pub use cluster::{
-    ClusterInit, ClusterInitResponse, ClusterStatusRequest, ClusterStatusResponse, GroupReport,
-    ReplaceReplica, ReplaceReplicaResponse, ReplicaRecord, TransferLeadership,
+    ClusterInit, ClusterInitResponse, ClusterStatusRequest, ClusterStatusResponse, CreateGroups,
+    GroupReport, GroupVoters, ReplaceReplica, ReplaceReplicaResponse, ReplicaRecord,
+    TransferLeadership,
 };
 pub use directory::{
     DirectoryUpdate, GroupRecord, LeavingSign, NodeRecord, PeerDirectoryRequest,
@@ -74,6 +75,8 @@
     ReplaceReplica(ReplaceReplica),
     /// Operator or a stopping control machine → leader of a group.
     TransferLeadership(TransferLeadership),
+    /// Control machine that founds a cluster → every other one.
+    CreateGroups(Box<CreateGroups>),
 }
 
 /// What is answered.
@@ -109,7 +112,7 @@
     ClusterStatus(ClusterStatusResponse),
     /// To [`Request::ReplaceReplica`].
     ReplaceReplica(ReplaceReplicaResponse),
-    /// To [`Request::TransferLeadership`].
+    /// To [`Request::TransferLeadership`] and [`Request::CreateGroups`].
     Done,
     /// To any request that was not carried out.
     Refused(Refusal),
--- a/crates/pinerill-wire/tests/codec.rs
+++ b/crates/pinerill-wire/tests/codec.rs
@@ -11,9 +11,10 @@
 use pinerill_types::{Digest, JobId, NodeName, OperatorName, ServiceName, TenantName, ZoneName};
 use pinerill_wire::codec::{decode_frame, encode_frame, Frame};
 use pinerill_wire::message::{
-    AttemptRef, AttemptReport, BundleUpdate, DirectoryUpdate, EndAttempts, GroupRecord,
-    LeaseItemsResponse, LeavingSign, NodeRecord, Notification, Refusal, RefusalCode, Request,
-    Response, ServiceBacklog, SubmitJob, WatchRequest, WatchResponse, WorkerRecord, WorkerState,
+    AttemptRef, AttemptReport, BundleUpdate, CreateGroups, DirectoryUpdate, EndAttempts,
+    GroupRecord, GroupVoters, LeaseItemsResponse, LeavingSign, NodeRecord, Notification, Refusal,
+    RefusalCode, ReplicaRecord, Request, Response, ServiceBacklog, SubmitJob, WatchRequest,
+    WatchResponse, WorkerRecord, WorkerState,
 };
 use proptest::prelude::*;
 
@@ -104,19 +105,20 @@
                     zone: ZoneName::from("akl-a"),
                     engines: 5,
                     state: WorkerState::Leaving,
+                    leaving_incarnation: 17,
                 }],
                 removed_workers: vec!["worker-2".into()],
                 nodes: vec![node()],
                 removed_nodes: vec![NodeName::from("node-2")],
-            }),
-            groups: vec![GroupRecord {
-                group: 4,
-                leader: Some(address()),
-                backlog: vec![ServiceBacklog {
-                    service: ServiceName::from("quizmaster"),
-                    pending: 63_000,
+                groups: vec![GroupRecord {
+                    group: 4,
+                    leader: Some(address()),
+                    backlog: vec![ServiceBacklog {
+                        service: ServiceName::from("quizmaster"),
+                        pending: 63_000,
+                    }],
                 }],
-            }],
+            }),
         })));
     }
 }
@@ -268,3 +270,24 @@
     let error = decode_frame(&encode_frame(&Frame::Request(request))).expect_err("no key");
     assert_eq!(error.to_string(), "field idempotencyKey: is empty");
 }
+
+#[test]
+fn create_groups_survives() {
+    let machine = ReplicaRecord {
+        replica: 17,
+        name: "control-1".to_owned(),
+        zone: ZoneName::from("akl-a"),
+        address: address(),
+        reachable: true,
+    };
+    let create = CreateGroups {
+        cluster_id: u64::MAX,
+        founding: bundle(),
+        machines: vec![machine],
+        groups: vec![GroupVoters {
+            group: 3,
+            voters: vec![17, 19],
+        }],
+    };
+    assert_survives(Frame::Request(Request::CreateGroups(Box::new(create))));
+}
