Control server: watches, directory, founding, repair, placement

Cause: the control machine was a stub; nothing could be run as processes.

Change: src/server, a thin shell over the group host. Watches are answered once there is news and the version is confirmed by a read barrier that began after the watch arrived; one barrier serves all watches and runs at most each 100 ms, so its cost does not grow with nodes. The directory is soft state, pure, with changes since a revision; control machines exchange what they know at first hand. Founding sends one plan to all voters. Membership goes from learner to voter to removal, one step at a time. Placement runs on the meta leader under a confirmed term.

Tested: compiles, not yet run in this commit.

--- a/crates/pinerill-control/src/host/group_host.rs
+++ b/crates/pinerill-control/src/host/group_host.rs
@@ -155,7 +155,9 @@
         }
     }
 
-    async fn hand_over(&self) {
+    /// Hands every leadership over to another voter, as far as one takes it
+    /// within an election's time.
+    pub async fn hand_over(&self) {
         let own = self.replica_id();
         let mut led = Vec::new();
         for group in self.inner.groups.read().values() {
--- a/crates/pinerill-control/src/lib.rs
+++ b/crates/pinerill-control/src/lib.rs
@@ -8,11 +8,6 @@
 pub mod machine;
 pub mod meta;
 pub mod placement;
+pub mod server;
 
-/// Runs a control machine until it is told to stop.
-///
-/// # Errors
-/// When it cannot start.
-pub async fn run(_settings: pinerill_types::settings::Settings) -> anyhow::Result<()> {
-    anyhow::bail!("not there yet")
-}
+pub use server::run;
--- /dev/null
+++ b/crates/pinerill-control/src/server/run.rs
@@ -0,0 +1,276 @@
+//! Starts the parts of a control machine, and stops them in a planned way.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use parking_lot::Mutex;
+use pinerill_storage::{GroupStore, Store};
+use pinerill_types::settings::{ControlSettings, Settings};
+use pinerill_wire::api::Role;
+use pinerill_wire::connection::{self, ClusterKey, Identity, PeerPool};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
+
+use super::admin::admin_server;
+use super::confirmation::Confirmations;
+use super::control::{Control, ControlCounters};
+use super::directory::Directory;
+use super::groups::Groups;
+use super::placement_source::ServerSource;
+use super::service::ControlService;
+use super::transport::PeerTransport;
+use crate::host::{GroupHost, HostSettings};
+use crate::placement;
+
+/// Longest wait for answers in flight at a planned stop.
+const ANSWER_LIMIT: Duration = Duration::from_secs(5);
+
+/// Why a control machine did not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// The settings have no section `control`.
+    #[error("start control with settings: the section [control] is missing")]
+    NoSettings,
+    /// It can't listen.
+    #[error("listen at {address}: {message}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The system's message.
+        message: String,
+    },
+}
+
+/// Says when to stop; the first signal begins a planned stop, the second ends
+/// it at once.
+#[derive(Debug, Clone, Default)]
+pub struct StopSignal {
+    /// Stop, and hand over what is led here.
+    pub planned: CancellationToken,
+    /// Stop now.
+    pub forced: CancellationToken,
+}
+
+impl StopSignal {
+    /// Follows SIGTERM and SIGINT.
+    ///
+    /// # Errors
+    /// When the system refuses handlers.
+    pub fn from_system() -> std::io::Result<Self> {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let signals = Self::default();
+        let tokens = signals.clone();
+        tokio::spawn(async move {
+            for token in [&tokens.planned, &tokens.forced] {
+                tokio::select! {
+                    _ = terminate.recv() => {}
+                    _ = interrupt.recv() => {}
+                }
+                token.cancel();
+            }
+        });
+        Ok(signals)
+    }
+}
+
+/// Runs a control machine until SIGTERM or SIGINT.
+///
+/// # Errors
+/// When it can't start.
+pub async fn run(settings: Settings) -> anyhow::Result<()> {
+    let signals = StopSignal::from_system()?;
+    run_with(settings, signals).await
+}
+
+/// Runs a control machine until it is told to stop.
+///
+/// # Errors
+/// When it can't start.
+pub async fn run_with(settings: Settings, signals: StopSignal) -> anyhow::Result<()> {
+    let counters_pause = Duration::from_secs(settings.log.counters_seconds);
+    let listener = listen(&settings).await?;
+    let control = build(settings)?;
+    control.groups.open_stored()?;
+    let admin = admin_server(control.clone()).ignite().await?;
+    let admin_shutdown = admin.shutdown();
+    let admin = AbortOnDropHandle::new(tokio::spawn(admin.launch()));
+    let closing = CancellationToken::new();
+    let service = Arc::new(ControlService {
+        control: control.clone(),
+    });
+    let server = tokio::spawn(connection::serve(
+        listener,
+        control.identity.clone(),
+        service,
+        control.server_counters.clone(),
+        closing.clone(),
+    ));
+    let tasks = start_tasks(&control, counters_pause);
+    log::info!(
+        "control machine {} listens at {}, replica {:016x}",
+        control.name(),
+        control.settings.listen,
+        control.groups.replica().0
+    );
+    signals.planned.cancelled().await;
+    tokio::select! {
+        () = stop(&control, &closing, server) => {}
+        () = signals.forced.cancelled() => log::warn!("stopped at once"),
+    }
+    drop(tasks);
+    admin_shutdown.notify();
+    drop(admin);
+    log::info!("counters: {}", control.counters_line());
+    log::info!("control machine {} stopped", control.name());
+    Ok(())
+}
+
+async fn listen(settings: &Settings) -> Result<TcpListener, StartError> {
+    let control = settings.control.as_ref().ok_or(StartError::NoSettings)?;
+    let address = control.listen;
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| StartError::Listen {
+            address,
+            message: error.to_string(),
+        })
+}
+
+fn build(settings: Settings) -> anyhow::Result<Arc<Control>> {
+    let own = settings.control.ok_or(StartError::NoSettings)?;
+    let key = ClusterKey::load(&settings.cluster.key_file)?;
+    let store = Store::open(&own.data_folder)
+        .with_context(|| format!("open data folder {}", own.data_folder.display()))?;
+    let store: Arc<dyn GroupStore> = Arc::new(store);
+    let identity = identity(&settings.cluster.name, key, &own, store.as_ref());
+    let stopping = CancellationToken::new();
+    let others: Vec<SocketAddr> = settings
+        .cluster
+        .controls
+        .iter()
+        .copied()
+        .filter(|address| *address != own.listen)
+        .collect();
+    let pool = PeerPool::start(&others, &identity, &CancellationToken::new());
+    let transport = Arc::new(PeerTransport::new(pool.clone()));
+    let host = GroupHost::start(store.clone(), transport.clone(), host_settings(&own));
+    let groups = Arc::new(Groups::new(host, store, identity.clone()));
+    Ok(Arc::new(Control {
+        settings: own,
+        identity,
+        pool,
+        addresses: settings.cluster.controls,
+        transport,
+        groups,
+        directory: Mutex::new(Directory::new(rand::random::<u64>().max(1))),
+        confirmations: Confirmations::default(),
+        news: watch::Sender::new(0),
+        founding: Mutex::default(),
+        counters: ControlCounters::default(),
+        server_counters: Arc::default(),
+        placement_counters: Arc::default(),
+        stopping,
+    }))
+}
+
+fn identity(
+    cluster: &str,
+    key: ClusterKey,
+    own: &ControlSettings,
+    store: &dyn GroupStore,
+) -> Identity {
+    let folder = store.identity();
+    let cluster_id = folder.cluster.map_or(0, |cluster| cluster.0);
+    Identity::new(
+        cluster,
+        key,
+        Role::Control,
+        own.name.as_str(),
+        own.zone.as_str(),
+    )
+    .with_replica(folder.replica.0, cluster_id)
+    .with_listen(own.listen)
+}
+
+fn host_settings(own: &ControlSettings) -> HostSettings {
+    HostSettings {
+        heartbeat: Duration::from_millis(own.heartbeat_ms),
+        election_min: Duration::from_millis(own.election_ms),
+        election_max: Duration::from_millis(own.election_ms * 2),
+        snapshot_entries: own.snapshot_entries,
+        ..HostSettings::default()
+    }
+}
+
+type Task = AbortOnDropHandle<()>;
+
+fn spawn(work: impl std::future::Future<Output = ()> + Send + 'static) -> Task {
+    AbortOnDropHandle::new(tokio::spawn(work))
+}
+
+fn start_tasks(control: &Arc<Control>, counters_pause: Duration) -> Vec<Task> {
+    let source = Arc::new(ServerSource {
+        control: control.clone(),
+    });
+    let place = placement::run(
+        source,
+        control.settings.concurrent_loads,
+        control.placement_counters.clone(),
+        control.stopping.clone(),
+    );
+    let mut tasks = vec![
+        spawn(control.clone().reconcile()),
+        spawn(control.clone().refresh_directory()),
+        spawn(control.clone().follow_platform()),
+        spawn(confirm(control.clone())),
+        spawn(log_counters(control.clone(), counters_pause)),
+        spawn(place),
+    ];
+    let others = control.addresses.iter();
+    let others = others.filter(|address| **address != control.settings.listen);
+    tasks.extend(others.map(|address| spawn(control.clone().ask_peer(*address))));
+    tasks
+}
+
+async fn confirm(control: Arc<Control>) {
+    let barrier = || async {
+        match control.groups.meta() {
+            Some(meta) => meta.read_barrier().await.is_ok(),
+            None => false,
+        }
+    };
+    control.confirmations.run(barrier).await;
+}
+
+async fn log_counters(control: Arc<Control>, pause: Duration) {
+    loop {
+        sleep(pause).await;
+        log::info!("counters: {}", control.counters_line());
+    }
+}
+
+/// The planned stop. Watches are answered at once, so that nodes move on;
+/// leadership is handed over while this machine still answers, so that
+/// requests in flight end here and new ones are told who leads; only then do
+/// connections close and groups stop.
+async fn stop(
+    control: &Arc<Control>,
+    closing: &CancellationToken,
+    server: tokio::task::JoinHandle<()>,
+) {
+    log::info!("stop begins");
+    control.stopping.cancel();
+    control.groups.host().hand_over().await;
+    closing.cancel();
+    if tokio::time::timeout(ANSWER_LIMIT, server).await.is_err() {
+        log::warn!("answers in flight were cut");
+    }
+    control.groups.host().halt().await;
+}
