Job group: state machine, batched proposals and service

Cause: control had no jobs. The trait of state machines also stood twice (machine.rs, host/machine.rs), so that the meta machine could not run in the group host.

The new code has no tests yet; they are the next step.

--- a/crates/pinerill-control/src/host/handle.rs
+++ b/crates/pinerill-control/src/host/handle.rs
@@ -142,3 +142,9 @@
         self.reader.scan(from, to, limit)
     }
 }
+
+impl crate::machine::TableReader for TableReader {
+    fn get(&self, key: &[u8]) -> anyhow::Result<Option<Vec<u8>>> {
+        Ok(self.reader.get(key)?)
+    }
+}
--- /dev/null
+++ b/crates/pinerill-control/src/job/proposer.rs
@@ -0,0 +1,161 @@
+//! Proposes gathered commands and hands the replies back.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use super::batcher::{CommandBatch, CommandBatcher};
+use super::clock::StampSource;
+use super::command::{JobCommand, JobEntry, JobReplies, JobReply};
+use super::machine::JobMachine;
+use crate::codec::{decode, encode};
+use crate::host::{GroupHandle, ProposeError};
+
+/// Commands taken in at once.
+const INTAKE_LIMIT: usize = 1024;
+
+type Waiter = oneshot::Sender<Result<JobReply, ProposeError>>;
+
+struct Submission {
+    command: JobCommand,
+    waiter: Waiter,
+}
+
+/// A handle on the task that proposes a group's commands. The task ends with
+/// the last clone.
+#[derive(Clone)]
+pub struct JobProposer {
+    submissions: mpsc::Sender<Submission>,
+}
+
+impl JobProposer {
+    /// Starts the task. Must be called within a tokio runtime.
+    pub fn start(group: GroupHandle<JobMachine>) -> Self {
+        let (submissions, inbox) = mpsc::channel(INTAKE_LIMIT);
+        let task = ProposerTask {
+            group,
+            batcher: CommandBatcher::default(),
+            stamps: StampSource::default(),
+            started: Instant::now(),
+            under_way: JoinSet::new(),
+        };
+        tokio::spawn(task.run(inbox));
+        Self { submissions }
+    }
+
+    /// Resolves with the command's reply once it is committed and applied
+    /// here.
+    ///
+    /// # Errors
+    /// As [`GroupHandle::propose`].
+    pub async fn propose(&self, command: JobCommand) -> Result<JobReply, ProposeError> {
+        let (waiter, reply) = oneshot::channel();
+        let submission = Submission { command, waiter };
+        let sent = self.submissions.send(submission).await;
+        sent.map_err(|_| ProposeError::Stopped)?;
+        reply.await.unwrap_or(Err(ProposeError::Unknown))
+    }
+
+    pub(super) fn downgrade(&self) -> WeakProposer {
+        let submissions = self.submissions.downgrade();
+        WeakProposer { submissions }
+    }
+}
+
+/// A proposer that doesn't keep its task alive.
+pub(super) struct WeakProposer {
+    submissions: mpsc::WeakSender<Submission>,
+}
+
+impl WeakProposer {
+    /// The proposer, unless every other handle is gone.
+    pub(super) fn upgrade(&self) -> Option<JobProposer> {
+        let submissions = self.submissions.upgrade()?;
+        Some(JobProposer { submissions })
+    }
+}
+
+struct ProposerTask {
+    group: GroupHandle<JobMachine>,
+    batcher: CommandBatcher<Waiter>,
+    stamps: StampSource,
+    started: Instant,
+    under_way: JoinSet<()>,
+}
+
+impl ProposerTask {
+    async fn run(mut self, mut inbox: mpsc::Receiver<Submission>) {
+        let mut taken = Vec::new();
+        loop {
+            tokio::select! {
+                count = inbox.recv_many(&mut taken, INTAKE_LIMIT) => {
+                    if count == 0 {
+                        break;
+                    }
+                }
+                Some(_) = self.under_way.join_next() => self.batcher.finished(),
+            }
+            for submission in taken.drain(..) {
+                self.take_in(submission);
+            }
+            while let Some(batch) = self.batcher.next_batch() {
+                self.propose(batch);
+            }
+        }
+        // Every caller is gone, and with it whoever waits for a reply.
+        self.under_way.detach_all();
+    }
+
+    fn take_in(&mut self, submission: Submission) {
+        let Submission { command, waiter } = submission;
+        if let Err(waiter) = self.batcher.push(command, waiter) {
+            let _ = waiter.send(Err(ProposeError::Busy));
+        }
+    }
+
+    fn propose(&mut self, batch: CommandBatch<Waiter>) {
+        let entry = JobEntry {
+            now_ms: self.stamp(),
+            commands: batch.commands,
+        };
+        let group = self.group.clone();
+        let waiters = batch.waiters;
+        self.under_way.spawn(async move {
+            let answer = group.propose(encode(&entry)).await;
+            hand_back(waiters, answer);
+        });
+    }
+
+    fn stamp(&mut self) -> u64 {
+        let elapsed_ms = self.started.elapsed().as_millis() as u64;
+        let group_ms = self.group.with_machine(JobMachine::now_ms);
+        self.stamps.stamp(wall_ms(), elapsed_ms, group_ms)
+    }
+}
+
+/// Wall time, Unix milliseconds.
+pub(super) fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
+fn hand_back(waiters: Vec<Waiter>, answer: Result<Vec<u8>, ProposeError>) {
+    let replies = answer.map(|bytes| decode::<JobReplies>(&bytes));
+    match replies {
+        Ok(Ok(replies)) if replies.len() == waiters.len() => {
+            for (waiter, reply) in waiters.into_iter().zip(replies) {
+                let _ = waiter.send(Ok(reply));
+            }
+        }
+        Ok(_) => refuse(waiters, &ProposeError::Unknown),
+        Err(error) => refuse(waiters, &error),
+    }
+}
+
+fn refuse(waiters: Vec<Waiter>, error: &ProposeError) {
+    for waiter in waiters {
+        let _ = waiter.send(Err(error.clone()));
+    }
+}
--- a/crates/pinerill-control/src/machine.rs
+++ b/crates/pinerill-control/src/machine.rs
@@ -19,8 +19,10 @@
 
 /// A deterministic state machine.
 ///
-/// `apply` may write to the table but never reads it, so that replaying
-/// entries after a restart is idempotent.
+/// Its state has two parts: the machine itself, kept in memory and saved in
+/// snapshots, and the group's state table on disk. `apply` may write to the
+/// table but never reads it. Replaying entries after a restart, over a table
+/// that already holds their writes, is therefore idempotent.
 pub trait StateMachine: Send + Sync + 'static {
     /// Applies the committed command at `index` and returns its reply.
     fn apply(&mut self, index: u64, command: &[u8], table: &mut dyn TableWriter) -> Vec<u8>;
