--- a/crates/pinerill-control/src/placement/mod.rs
+++ b/crates/pinerill-control/src/placement/mod.rs
@@ -10,4 +10,5 @@
 pub mod planner;
 mod runner;
 
+pub use assignment::Models;
 pub use runner::{run, PlacementCounters, PlacementSource, PlacementTerm};
--- a/crates/pinerill-control/src/placement/runner.rs
+++ b/crates/pinerill-control/src/placement/runner.rs
@@ -154,29 +154,22 @@
     /// Asks every engine of every live worker for its state; those that don't
     /// answer count as lost.
     async fn observe(&self) -> ObservedEngines {
-        let workers = self.source.workers();
-        let questions = workers
-            .iter()
-            .filter(|worker| worker.state == WorkerState::Live)
-            .flat_map(|worker| (0..worker.engines).map(move |engine| (worker, engine)))
-            .map(|(worker, engine)| self.ask(worker, engine));
-        stream::iter(questions)
-            .buffer_unordered(CONCURRENT_QUESTIONS)
-            .filter_map(|answer| async { answer })
-            .filter(|(_, state)| std::future::ready(!state.leaving))
-            .collect()
-            .await
-    }
-
-    async fn ask(&self, worker: &WorkerRecord, engine: u16) -> Option<(EngineId, EngineState)> {
-        let url = format!("http://{}/engines/{engine}/v1/state", worker.address);
-        let response = self.client.get(url).timeout(ENGINE_TIME).send().await;
-        let state = response.ok()?.json::<EngineState>().await.ok()?;
-        let id = EngineId {
-            worker: worker.name.clone(),
-            engine,
-        };
-        Some((id, state))
+        let mut questions = Vec::new();
+        for worker in self.source.workers() {
+            if worker.state != WorkerState::Live {
+                continue;
+            }
+            for engine in 0..worker.engines {
+                questions.push(ask(self.client.clone(), worker.clone(), engine));
+            }
+        }
+        let mut answers = stream::iter(questions).buffer_unordered(CONCURRENT_QUESTIONS);
+        let mut engines = ObservedEngines::new();
+        while let Some(answer) = answers.next().await {
+            let present = answer.filter(|(_, state)| !state.leaving);
+            engines.extend(present);
+        }
+        engines
     }
 
     async fn post(&self, planned: &PlannedOrder, fence: Fence) {
@@ -210,3 +203,18 @@
         log::debug!(engine:% = planned.engine, accepted; "order posted");
     }
 }
+
+async fn ask(
+    client: reqwest::Client,
+    worker: WorkerRecord,
+    engine: u16,
+) -> Option<(EngineId, EngineState)> {
+    let url = format!("http://{}/engines/{engine}/v1/state", worker.address);
+    let response = client.get(url).timeout(ENGINE_TIME).send().await;
+    let state = response.ok()?.json::<EngineState>().await.ok()?;
+    let id = EngineId {
+        worker: worker.name,
+        engine,
+    };
+    Some((id, state))
+}
--- a/crates/pinerill-control/src/server/control.rs
+++ b/crates/pinerill-control/src/server/control.rs
@@ -96,9 +96,7 @@
 
     /// Whether this machine leads the meta group.
     pub(super) fn leads_meta(&self) -> bool {
-        self.groups
-            .meta()
-            .is_some_and(|meta| meta.status().leads())
+        self.groups.meta().is_some_and(|meta| meta.status().leads())
     }
 
     /// Who leads a group: by its own log where it runs here, else by hearsay.
--- a/crates/pinerill-control/src/server/directory/sources.rs
+++ b/crates/pinerill-control/src/server/directory/sources.rs
@@ -184,7 +184,11 @@
         PeerDirectoryResponse {
             epoch: 0,
             revision: 0,
-            nodes: self.watchers.values().map(|one| one.record.clone()).collect(),
+            nodes: self
+                .watchers
+                .values()
+                .map(|one| one.record.clone())
+                .collect(),
             leaving: leaving.collect(),
             groups: self.led.values().cloned().collect(),
         }
--- a/crates/pinerill-control/src/server/exchange.rs
+++ b/crates/pinerill-control/src/server/exchange.rs
@@ -46,7 +46,10 @@
         // The same again: it shows that this machine is alive.
         let again = PeerDirectoryRequest { epoch: 0, ..ask };
         let told = self.first_hand_since(&again);
-        told.map_or_else(|| self.not_initialised("tell directory"), Response::PeerDirectory)
+        told.map_or_else(
+            || self.not_initialised("tell directory"),
+            Response::PeerDirectory,
+        )
     }
 
     fn first_hand_since(&self, ask: &PeerDirectoryRequest) -> Option<PeerDirectoryResponse> {
--- a/crates/pinerill-control/src/server/founding.rs
+++ b/crates/pinerill-control/src/server/founding.rs
@@ -48,7 +48,10 @@
         let create = CreateGroups {
             cluster_id: self.cluster_id_for_founding()?,
             founding: init.founding,
-            machines: machines.iter().map(|one| replica_record(one, true)).collect(),
+            machines: machines
+                .iter()
+                .map(|one| replica_record(one, true))
+                .collect(),
             groups: spread_replicas(&machines, init.job_groups, init.voters)
                 .into_iter()
                 .map(|plan| GroupVoters {
@@ -179,12 +182,7 @@
     }
 
     fn wrong_state(&self, message: &str) -> Box<Response> {
-        Box::new(refused(
-            RefusalCode::WrongState,
-            INIT,
-            self.name(),
-            message,
-        ))
+        Box::new(refused(RefusalCode::WrongState, INIT, self.name(), message))
     }
 }
 
--- a/crates/pinerill-control/src/server/reconcile.rs
+++ b/crates/pinerill-control/src/server/reconcile.rs
@@ -85,7 +85,11 @@
     }
 
     async fn record_machine(&self, machine: ControlMachine) {
-        log::info!("control machine {} is now at {}", machine.name, machine.address);
+        log::info!(
+            "control machine {} is now at {}",
+            machine.name,
+            machine.address
+        );
         let command = MetaCommand::SetMachine(machine);
         // Tried again at the next look.
         let _ = self.propose_meta(&command, "record control machine").await;
--- a/crates/pinerill-control/src/server/watch.rs
+++ b/crates/pinerill-control/src/server/watch.rs
@@ -7,9 +7,7 @@
 
 use std::time::Duration;
 
-use pinerill_wire::message::{
-    BundleUpdate, RefusalCode, Response, WatchRequest, WatchResponse,
-};
+use pinerill_wire::message::{BundleUpdate, RefusalCode, Response, WatchRequest, WatchResponse};
 use tokio::time::{timeout_at, Instant};
 
 use super::clock;
--- a/crates/pinerill/src/command/bundle.rs
+++ b/crates/pinerill/src/command/bundle.rs
@@ -12,7 +12,7 @@
 use pinerill_wire::client::ControlClient;
 use pinerill_wire::message::{
     BundleShow, BundleShown, BundleStatusRequest, ProposalAnswer, ProposeBundle, Refusal,
-    RefusalCode, Request, Response,
+    RefusalCode, Request, Response, META_GROUP,
 };
 use serde_json::json;
 
@@ -199,7 +199,9 @@
     let signed = load_signed(&file)?;
     let client = cluster.client()?;
     let request = Request::ProposeBundle(ProposeBundle { signed });
-    let response = client.call_any(request, cluster.timeout()).await?;
+    let response = client
+        .call_leader(META_GROUP, request, cluster.timeout())
+        .await?;
     let Response::ProposeBundle(answer) = response else {
         bail!("propose a bundle: unexpected answer");
     };
--- a/crates/pinerill/src/command/cluster.rs
+++ b/crates/pinerill/src/command/cluster.rs
@@ -10,6 +10,7 @@
 use pinerill_wire::api::ControlApi;
 use pinerill_wire::message::{
     ClusterInit, ClusterStatusRequest, ClusterStatusResponse, ReplaceReplica, Request, Response,
+    META_GROUP,
 };
 use serde_json::json;
 
@@ -249,7 +250,7 @@
             new: arguments.new,
         });
         let response = client
-            .call_any(request, arguments.cluster.timeout())
+            .call_leader(META_GROUP, request, arguments.cluster.timeout())
             .await
             .context("replace a replica")?;
         let Response::ReplaceReplica(progress) = response else {
