Batch API: submit, list, read and cancel jobs at a node

Why: callers had no way to hand in batch work; the messages and the idempotency fields of the head were there without a reader.

Change: the body is read in pieces, each line is checked as it arrives and a wrong one is named by its number; the job goes to its group in parts of 1 MiB, each of which may be sent again; results are streamed page by page. Bodies that arrive share one memory budget. Which group a key leads to now depends only on a confirmed list of groups without a gap: a shorter list would lead a resent job to another group, where it would run twice. The node's control client is wired to the settings.

--- a/crates/pinerill-node/src/configuration/watch.rs
+++ b/crates/pinerill-node/src/configuration/watch.rs
@@ -133,7 +133,7 @@
             self.fleet.take_directory(update);
         }
         self.api.learn_groups(&watch.groups);
-        self.groups.take(watch.groups);
+        self.groups.take(watch.groups, watch.confirmed);
         Ok(())
     }
 
--- a/crates/pinerill-node/src/gateway/mod.rs
+++ b/crates/pinerill-node/src/gateway/mod.rs
@@ -2,6 +2,8 @@
 
 mod admission;
 mod answer;
+mod batch_body;
+mod batches;
 mod caller;
 mod disconnect;
 mod online;
--- a/crates/pinerill-node/src/gateway/server.rs
+++ b/crates/pinerill-node/src/gateway/server.rs
@@ -9,6 +9,7 @@
 use rocket::{catch, catchers, get, routes, Build, Request, Rocket, State};
 
 use super::answer::Answer;
+use super::batches;
 use super::online;
 use crate::failure::{FailureCode, RequestFailure};
 use crate::node::Node;
@@ -44,7 +45,12 @@
             routes![
                 online::completions,
                 online::chat_completions,
-                online::models
+                online::models,
+                batches::submit,
+                batches::list,
+                batches::status,
+                batches::output,
+                batches::cancel
             ],
         )
         .register("/", catchers![unknown_path, other_failure])
--- a/crates/pinerill-node/src/groups.rs
+++ b/crates/pinerill-node/src/groups.rs
@@ -1,6 +1,8 @@
 //! The replicated groups as the last watch told them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 
 use parking_lot::RwLock;
@@ -14,27 +16,43 @@
 #[derive(Debug, Default)]
 pub struct Groups {
     records: RwLock<Arc<Vec<GroupRecord>>>,
+    /// How many job groups there are. It never shrinks, since a key must
+    /// always lead to the same group.
+    job_groups: AtomicU32,
     /// Another set of records is there.
     pub changed: Notify,
 }
 
 impl Groups {
-    /// Takes the records of a watch in.
-    pub fn take(&self, records: Vec<GroupRecord>) {
+    /// Takes the records of a watch in; `confirmed` as the watch says. Only a
+    /// confirmed list without a gap tells how many groups there are: a list
+    /// with some missing would send a job to another group than its first
+    /// self, and it would run twice.
+    pub fn take(&self, records: Vec<GroupRecord>, confirmed: bool) {
+        if confirmed {
+            self.learn_count(&records);
+        }
         *self.records.write() = Arc::new(records);
         self.changed.notify_waiters();
     }
 
+    fn learn_count(&self, records: &[GroupRecord]) {
+        let numbers: BTreeSet<u32> = records.iter().map(|one| one.group).collect();
+        let highest = numbers.last().copied().unwrap_or(META_GROUP);
+        let gapless = (META_GROUP + 1..=highest).all(|group| numbers.contains(&group));
+        if gapless {
+            self.job_groups.fetch_max(highest, Ordering::Relaxed);
+        }
+    }
+
     /// Numbers of the job groups.
-    pub fn job_groups(&self) -> Vec<u32> {
-        let records = self.records.read();
-        let jobs = records.iter().filter(|one| one.group != META_GROUP);
-        jobs.map(|one| one.group).collect()
+    pub fn job_groups(&self) -> RangeInclusive<u32> {
+        META_GROUP + 1..=self.job_groups.load(Ordering::Relaxed)
     }
 
     /// The group of a job. Job groups are numbered from 1 without a gap.
     pub fn group_of(&self, tenant: &TenantName, idempotency_key: &str) -> Option<u32> {
-        let count = self.job_groups().len() as u64;
+        let count = u64::from(self.job_groups.load(Ordering::Relaxed));
         if count == 0 {
             return None;
         }
--- /dev/null
+++ b/crates/pinerill-node/src/jobs/mod.rs
@@ -0,0 +1,14 @@
+//! Batch jobs as callers submit and read them: the lines of a body, and the
+//! calls to the job groups.
+
+mod client;
+mod lines;
+mod memory;
+mod submit;
+mod view;
+
+pub use client::JobsClient;
+pub use lines::{BatchLines, LineProblem, LineReader};
+pub use memory::{IntakeMemory, Reserved};
+pub use submit::{next_part, NewJob, PART_BYTES_LIMIT, PART_ITEMS_LIMIT};
+pub use view::{job_json, result_line};
--- a/crates/pinerill-node/src/lib.rs
+++ b/crates/pinerill-node/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod failure;
 pub mod gateway;
 pub mod groups;
+pub mod jobs;
 pub mod membership;
 pub mod metrics;
 pub mod node;
--- a/crates/pinerill-node/src/metrics.rs
+++ b/crates/pinerill-node/src/metrics.rs
@@ -32,6 +32,8 @@
     pub queued: IntGauge,
     /// Time to the first token as the node sees it.
     pub first_token: HistogramVec,
+    /// Submitted jobs: `accepted` or a failure's code.
+    pub jobs: IntCounterVec,
     /// Batch items by how the attempt ended.
     pub batch_items: IntCounterVec,
     pub batch_running: IntGauge,
@@ -105,6 +107,7 @@
             in_flight: build.gauge("requests_in_flight", "Online requests in flight")?,
             queued: build.gauge("requests_queued", "Online requests that wait for a place")?,
             first_token: build.latency("first_token_seconds", "Time to first token", "service")?,
+            jobs: build.counters("jobs_total", "Submitted batch jobs by end", "end")?,
             batch_items: build.counters("batch_items_total", "Batch attempts by end", "end")?,
             batch_running: build.gauge("batch_running", "Batch items that run")?,
             batch_paused: build.gauge("batch_paused", "Batch items that are paused")?,
--- a/crates/pinerill-node/src/node.rs
+++ b/crates/pinerill-node/src/node.rs
@@ -14,6 +14,7 @@
 use crate::engine::worker_client;
 use crate::gateway::Disconnects;
 use crate::groups::Groups;
+use crate::jobs::{IntakeMemory, JobsClient};
 use crate::membership::Fleet;
 use crate::metrics::Metrics;
 use crate::online::ExecutionContext;
@@ -34,6 +35,10 @@
     pub groups: Arc<Groups>,
     /// What online requests share.
     pub execution: Arc<ExecutionContext>,
+    /// Callers' batch jobs.
+    pub jobs: JobsClient,
+    /// Memory of batch bodies that arrive.
+    pub intake: IntakeMemory,
     /// Limits of tenants.
     pub limits: Arc<Mutex<TenantLimits>>,
     /// Requests in flight and the planned stop.
@@ -60,14 +65,17 @@
             scripts: worker_client()?,
             budgets: Mutex::default(),
         });
+        let groups = Arc::<Groups>::default();
         Ok(Self {
+            jobs: JobsClient::new(api.clone(), groups.clone()),
+            intake: IntakeMemory::new(settings.batch_limit_kib),
             incarnation: rand::random(),
             disconnects: Arc::new(Disconnects::new(settings.listen)),
             settings,
             api,
             configuration: Arc::default(),
             fleet,
-            groups: Arc::default(),
+            groups,
             execution,
             limits: Arc::default(),
             drain: Arc::default(),
--- a/crates/pinerill-node/src/run.rs
+++ b/crates/pinerill-node/src/run.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use pinerill_types::settings::Settings;
-use pinerill_wire::api::ControlApi;
+use pinerill_wire::api::{ControlApi, Role};
+use pinerill_wire::client::ControlClient;
+use pinerill_wire::connection::{ClusterKey, Identity};
 use rocket::fairing::AdHoc;
 use rocket::{Build, Ignite, Rocket, Shutdown};
 use tokio::signal::unix::{signal, SignalKind};
@@ -88,8 +90,18 @@
     run_with(settings, api, signals).await
 }
 
-fn control_api(_settings: &Settings) -> anyhow::Result<Arc<dyn ControlApi>> {
-    anyhow::bail!("no client of control machines yet")
+fn control_api(settings: &Settings) -> anyhow::Result<Arc<dyn ControlApi>> {
+    let node = settings.node.as_ref().ok_or(RunError::NoSettings)?;
+    let key = ClusterKey::load(&settings.cluster.key_file)?;
+    let identity = Identity::new(
+        &settings.cluster.name,
+        key,
+        Role::Node,
+        node.name.as_str(),
+        node.zone.as_str(),
+    );
+    let client = ControlClient::new(identity, &settings.cluster.controls);
+    Ok(Arc::new(client))
 }
 
 /// Runs a node until it is told to stop.
--- /dev/null
+++ b/crates/pinerill-node/tests/support/control.rs
@@ -0,0 +1,172 @@
+//! Stands in for the control machines: one bundle, one directory, job groups.
+
+use std::collections::VecDeque;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use parking_lot::Mutex;
+use pinerill_types::bundle::Bundle;
+use pinerill_wire::api::{CallError, CallErrorKind, ControlApi};
+use pinerill_wire::message::{
+    BundleUpdate, DirectoryUpdate, GroupRecord, LeavingSign, Request, Response, WatchRequest,
+    WatchResponse, WorkerRecord,
+};
+
+use super::jobs::FakeJobs;
+
+/// Job groups of the stand-in.
+pub const JOB_GROUPS: u32 = 4;
+/// How long a watch without news stays open.
+const WATCH_WAIT: Duration = Duration::from_millis(20);
+
+/// What happens to a call to a job group instead of the usual.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// It is carried out, and the answer is lost.
+    AnswerLost,
+    /// It does not arrive.
+    NotSent,
+}
+
+type ChosenFault = (fn(&Request) -> bool, Fault);
+
+/// The stand-in.
+pub struct FakeControl {
+    /// The bundle in force.
+    pub bundle: Mutex<Bundle>,
+    /// Workers of the directory, with its revision.
+    directory: Mutex<(u64, Vec<WorkerRecord>)>,
+    /// Jobs of all groups.
+    pub jobs: Mutex<FakeJobs>,
+    /// Faults of the next calls to job groups that `fault_at` chooses.
+    faults: Mutex<VecDeque<ChosenFault>>,
+    /// No call is answered.
+    pub cut_off: AtomicBool,
+    /// Signs of leaving that nodes sent.
+    pub leaving: Mutex<Vec<LeavingSign>>,
+    /// Every call to a job group.
+    pub calls: Mutex<Vec<Request>>,
+}
+
+impl FakeControl {
+    pub fn new(bundle: Bundle) -> Self {
+        Self {
+            bundle: Mutex::new(bundle),
+            directory: Mutex::default(),
+            jobs: Mutex::new(FakeJobs::default()),
+            faults: Mutex::default(),
+            cut_off: AtomicBool::new(false),
+            leaving: Mutex::default(),
+            calls: Mutex::default(),
+        }
+    }
+
+    /// The directory now lists these workers.
+    pub fn list_workers(&self, workers: Vec<WorkerRecord>) {
+        let mut directory = self.directory.lock();
+        *directory = (directory.0 + 1, workers);
+    }
+
+    /// The next call that `chosen` picks meets this fault.
+    pub fn fault(&self, chosen: fn(&Request) -> bool, fault: Fault) {
+        self.faults.lock().push_back((chosen, fault));
+    }
+
+    fn take_fault(&self, request: &Request) -> Option<Fault> {
+        let mut faults = self.faults.lock();
+        let at = faults.iter().position(|(chosen, _)| chosen(request))?;
+        faults.remove(at).map(|(_, fault)| fault)
+    }
+
+    /// How many calls to job groups `chosen` picks.
+    pub fn count(&self, chosen: impl Fn(&Request) -> bool) -> usize {
+        self.calls.lock().iter().filter(|call| chosen(call)).count()
+    }
+
+    fn watch(&self, watch: &WatchRequest) -> WatchResponse {
+        self.leaving.lock().extend(watch.leaving.iter().cloned());
+        let bundle = self.bundle.lock().clone();
+        let known = watch.bundle_digest == bundle.digest();
+        let (revision, workers) = self.directory.lock().clone();
+        let directory = (watch.directory_revision < revision).then(|| DirectoryUpdate {
+            epoch: 1,
+            revision,
+            full: true,
+            workers,
+            removed_workers: Vec::new(),
+            nodes: vec![watch.node.clone()],
+            removed_nodes: Vec::new(),
+        });
+        WatchResponse {
+            confirmed: true,
+            version: bundle.version,
+            bundle: (!known).then(|| BundleUpdate::Snapshot(Box::new(bundle))),
+            directory,
+            groups: self.groups(),
+        }
+    }
+
+    fn groups(&self) -> Vec<GroupRecord> {
+        let jobs = self.jobs.lock();
+        (0..=JOB_GROUPS)
+            .map(|group| GroupRecord {
+                group,
+                leader: None,
+                backlog: jobs.backlog(group),
+            })
+            .collect()
+    }
+}
+
+fn failed(kind: CallErrorKind) -> CallError {
+    CallError {
+        kind,
+        step: "await answer".to_owned(),
+        peer: "control-1".to_owned(),
+        message: "a fault of the test".to_owned(),
+    }
+}
+
+#[async_trait]
+impl ControlApi for FakeControl {
+    async fn call_any(&self, request: Request, timeout: Duration) -> Result<Response, CallError> {
+        let Request::Watch(watch) = request else {
+            panic!("only watches go to any machine");
+        };
+        if self.cut_off.load(Ordering::Relaxed) {
+            tokio::time::sleep(timeout).await;
+            return Err(failed(CallErrorKind::Unknown));
+        }
+        let answer = self.watch(&watch);
+        if answer.bundle.is_none() && answer.directory.is_none() {
+            tokio::time::sleep(WATCH_WAIT).await;
+        }
+        Ok(Response::Watch(answer))
+    }
+
+    async fn call_leader(
+        &self,
+        group: u32,
+        request: Request,
+        timeout: Duration,
+    ) -> Result<Response, CallError> {
+        if self.cut_off.load(Ordering::Relaxed) {
+            tokio::time::sleep(timeout).await;
+            return Err(failed(CallErrorKind::Unknown));
+        }
+        self.calls.lock().push(request.clone());
+        let fault = self.take_fault(&request);
+        if fault == Some(Fault::NotSent) {
+            return Err(failed(CallErrorKind::NotSent));
+        }
+        let answer = self.jobs.lock().call(group, request);
+        match (fault, answer) {
+            (Some(_), _) => Err(failed(CallErrorKind::Unknown)),
+            (None, Response::Refused(refusal)) => Err(refusal.into()),
+            (None, answer) => Ok(answer),
+        }
+    }
+
+    fn learn_groups(&self, _groups: &[GroupRecord]) {}
+}
--- /dev/null
+++ b/crates/pinerill-node/tests/support/mod.rs
@@ -0,0 +1,214 @@
+//! A node in this process, with stand-ins for control machines and workers.
+
+#![allow(dead_code)]
+
+pub mod control;
+pub mod jobs;
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use pinerill_node::{run_with, StopSignals};
+use pinerill_types::bundle::Bundle;
+use pinerill_types::settings::{ClusterSettings, LogSettings, NodeSettings, Settings};
+use pinerill_types::Digest;
+use serde_json::Value;
+use tokio::task::JoinHandle;
+
+pub use control::FakeControl;
+
+/// Bearer key of the tenant `crew`.
+pub const KEY: &str = "crew-key";
+/// Longest wait for a condition; reaching it fails the test.
+const PATIENCE: Duration = Duration::from_secs(20);
+const LOOK_PAUSE: Duration = Duration::from_millis(5);
+
+/// Waits until `condition` holds.
+pub async fn until(what: &str, mut condition: impl FnMut() -> bool) {
+    let waited = tokio::time::timeout(PATIENCE, async {
+        while !condition() {
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+    });
+    assert!(waited.await.is_ok(), "not within the test's time: {what}");
+}
+
+/// A bundle with the services `fanar` and `other`, and the tenants `crew`
+/// (may call `fanar`) and `rival` (may call both).
+pub fn bundle() -> Bundle {
+    let crew = hex::encode(Digest::of(KEY.as_bytes()).0);
+    let rival = hex::encode(Digest::of(b"rival-key").0);
+    let text = format!(
+        r#"
+        version = 1
+        [models.fanar-8b]
+        version = "1"
+        weights = "fanar-8b/1"
+        [services.fanar]
+        model = "fanar-8b"
+        [services.other]
+        model = "fanar-8b"
+        [tenants.crew]
+        key_hashes = ["{crew}"]
+        services = ["fanar"]
+        [tenants.rival]
+        key_hashes = ["{rival}"]
+        services = ["fanar", "other"]
+        "#
+    );
+    Bundle::from_toml(&text).expect("a bundle")
+}
+
+/// An address of loopback that was free just now.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("bound")
+}
+
+/// A running node.
+pub struct TestNode {
+    pub address: SocketAddr,
+    pub admin: SocketAddr,
+    pub control: Arc<FakeControl>,
+    pub signals: StopSignals,
+    pub http: reqwest::Client,
+    pub task: JoinHandle<anyhow::Result<()>>,
+}
+
+impl Drop for TestNode {
+    fn drop(&mut self) {
+        self.signals.planned.cancel();
+        self.signals.forced.cancel();
+    }
+}
+
+impl TestNode {
+    /// A node that has taken the bundle of `control` in.
+    pub async fn start(control: Arc<FakeControl>) -> Self {
+        Self::start_with(control, |_| ()).await
+    }
+
+    /// The same, with other settings.
+    pub async fn start_with(
+        control: Arc<FakeControl>,
+        change: impl FnOnce(&mut NodeSettings),
+    ) -> Self {
+        let mut node = node_settings();
+        change(&mut node);
+        let (address, admin) = (node.listen, node.admin);
+        let settings = Settings {
+            cluster: ClusterSettings {
+                name: "test".to_owned(),
+                key_file: "unused".into(),
+                controls: Vec::new(),
+            },
+            control: None,
+            node: Some(node),
+            log: LogSettings::default(),
+        };
+        let signals = StopSignals::default();
+        let task = tokio::spawn(run_with(settings, control.clone(), signals.clone()));
+        let node = Self {
+            address,
+            admin,
+            control,
+            signals,
+            http: reqwest::Client::builder()
+                .no_proxy()
+                .build()
+                .expect("client"),
+            task,
+        };
+        node.await_bundle().await;
+        node
+    }
+
+    async fn await_bundle(&self) {
+        let waited = tokio::time::timeout(PATIENCE, async {
+            while !self
+                .metrics()
+                .await
+                .contains("pinerill_node_bundle_version 1")
+            {
+                tokio::time::sleep(LOOK_PAUSE).await;
+            }
+        });
+        assert!(waited.await.is_ok(), "the node takes the bundle in");
+    }
+
+    /// The text of `/metrics`; empty while the node does not listen.
+    pub async fn metrics(&self) -> String {
+        let url = format!("http://{}/metrics", self.admin);
+        match self.http.get(url).send().await {
+            Ok(response) => response.text().await.unwrap_or_default(),
+            Err(_) => String::new(),
+        }
+    }
+
+    /// Status and text of `/readyz`.
+    pub async fn readiness(&self) -> (u16, String) {
+        let url = format!("http://{}/readyz", self.admin);
+        let response = self.http.get(url).send().await.expect("an answer");
+        let status = response.status().as_u16();
+        (status, response.text().await.expect("a text"))
+    }
+
+    /// The value of one metric's line, such as `requests_total{end="completed"}`.
+    pub async fn metric(&self, line: &str) -> f64 {
+        let start = format!("pinerill_node_{line} ");
+        let text = self.metrics().await;
+        let value = text.lines().find_map(|one| one.strip_prefix(&start));
+        value.map_or(0.0, |value| value.parse().expect("a number"))
+    }
+
+    pub fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address)
+    }
+
+    /// `POST /v1/batches` as `crew`.
+    pub async fn submit(&self, key: &str, body: String) -> (u16, Value) {
+        let request = self.http.post(self.url("/v1/batches"));
+        let request = request.header("Idempotency-Key", key).body(body);
+        answer(request.bearer_auth(KEY)).await
+    }
+
+    pub async fn get(&self, path: &str) -> (u16, Value) {
+        answer(self.http.get(self.url(path)).bearer_auth(KEY)).await
+    }
+
+    pub async fn post(&self, path: &str) -> (u16, Value) {
+        answer(self.http.post(self.url(path)).bearer_auth(KEY)).await
+    }
+}
+
+/// Status and JSON body.
+pub async fn answer(request: reqwest::RequestBuilder) -> (u16, Value) {
+    let response = request.send().await.expect("an answer");
+    let status = response.status().as_u16();
+    (status, response.json().await.expect("JSON"))
+}
+
+fn node_settings() -> NodeSettings {
+    NodeSettings {
+        name: "node-1".into(),
+        zone: "zone-1".into(),
+        neighbours: Vec::new(),
+        listen: free_address(),
+        admin: free_address(),
+        body_limit_kib: 1_024,
+        batch_limit_kib: 1_024,
+        worker_subset: 8,
+        report_poll_ms: 20,
+        drain_ms: 20_000,
+    }
+}
+
+/// One line of a batch for the service `fanar`.
+pub fn line(custom_id: &str, prompt: &str) -> String {
+    let body = serde_json::json!({"model": "fanar", "prompt": prompt, "max_tokens": 4});
+    let line = serde_json::json!({
+        "custom_id": custom_id, "method": "POST", "url": "/v1/completions", "body": body,
+    });
+    format!("{line}\n")
+}
