--- a/crates/pinerill-node/src/groups.rs
+++ b/crates/pinerill-node/src/groups.rs
@@ -1,13 +1,12 @@
 //! The replicated groups as the last watch told them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::Arc;
 
 use parking_lot::RwLock;
 use pinerill_types::{ServiceName, TenantName};
-use pinerill_wire::message::{GroupRecord, META_GROUP};
+use pinerill_wire::message::{DirectoryUpdate, GroupRecord, META_GROUP};
 use tokio::sync::Notify;
 
 use crate::routing::rendezvous_weight;
@@ -15,7 +14,7 @@
 /// All groups with their backlogs.
 #[derive(Debug, Default)]
 pub struct Groups {
-    records: RwLock<Arc<Vec<GroupRecord>>>,
+    records: RwLock<BTreeMap<u32, GroupRecord>>,
     /// How many job groups there are. It never shrinks, since a key must
     /// always lead to the same group.
     job_groups: AtomicU32,
@@ -24,22 +23,26 @@
 }
 
 impl Groups {
-    /// Takes the records of a watch in; `confirmed` as the watch says. Only a
-    /// confirmed list without a gap tells how many groups there are: a list
-    /// with some missing would send a job to another group than its first
-    /// self, and it would run twice.
-    pub fn take(&self, records: Vec<GroupRecord>, confirmed: bool) {
-        if confirmed {
-            self.learn_count(&records);
+    /// Takes the changed groups of a watch in.
+    pub fn take(&self, update: &DirectoryUpdate) {
+        let mut records = self.records.write();
+        if update.full {
+            records.clear();
         }
-        *self.records.write() = Arc::new(records);
+        for record in &update.groups {
+            records.insert(record.group, record.clone());
+        }
+        drop(records);
         self.changed.notify_waiters();
     }
 
-    fn learn_count(&self, records: &[GroupRecord]) {
-        let numbers: BTreeSet<u32> = records.iter().map(|one| one.group).collect();
-        let highest = numbers.last().copied().unwrap_or(META_GROUP);
-        let gapless = (META_GROUP + 1..=highest).all(|group| numbers.contains(&group));
+    /// The watch was confirmed: what it told so far says how many job groups
+    /// there are, if it has no gap. A list with some missing would send a job
+    /// to another group than its first self, and it would run twice.
+    pub fn confirm(&self) {
+        let records = self.records.read();
+        let highest = records.keys().last().copied().unwrap_or(META_GROUP);
+        let gapless = (META_GROUP + 1..=highest).all(|group| records.contains_key(&group));
         if gapless {
             self.job_groups.fetch_max(highest, Ordering::Relaxed);
         }
@@ -63,7 +66,7 @@
     /// Items that wait, by service and group.
     pub fn backlog(&self) -> BTreeMap<ServiceName, BTreeMap<u32, u64>> {
         let mut backlog: BTreeMap<ServiceName, BTreeMap<u32, u64>> = BTreeMap::new();
-        for record in self.records.read().iter() {
+        for record in self.records.read().values() {
             for service in record.backlog.iter().filter(|one| one.pending > 0) {
                 let groups = backlog.entry(service.service.clone()).or_default();
                 groups.insert(record.group, service.pending);
--- a/crates/pinerill-node/tests/support/control.rs
+++ b/crates/pinerill-node/tests/support/control.rs
@@ -29,14 +29,20 @@
     NotSent,
 }
 
+#[derive(Debug, Default)]
+struct FakeDirectory {
+    revision: u64,
+    workers: Vec<WorkerRecord>,
+    groups: Vec<GroupRecord>,
+}
+
 type ChosenFault = (fn(&Request) -> bool, Fault);
 
 /// The stand-in.
 pub struct FakeControl {
     /// The bundle in force.
     pub bundle: Mutex<Bundle>,
-    /// Workers of the directory, with its revision.
-    directory: Mutex<(u64, Vec<WorkerRecord>)>,
+    directory: Mutex<FakeDirectory>,
     /// Jobs of all groups.
     pub jobs: Mutex<FakeJobs>,
     /// Faults of the next calls to job groups that `fault_at` chooses.
@@ -65,7 +71,8 @@
     /// The directory now lists these workers.
     pub fn list_workers(&self, workers: Vec<WorkerRecord>) {
         let mut directory = self.directory.lock();
-        *directory = (directory.0 + 1, workers);
+        directory.workers = workers;
+        directory.revision += 1;
     }
 
     /// The next call that `chosen` picks meets this fault.
@@ -88,25 +95,35 @@
         self.leaving.lock().extend(watch.leaving.iter().cloned());
         let bundle = self.bundle.lock().clone();
         let known = watch.bundle_digest == bundle.digest();
-        let (revision, workers) = self.directory.lock().clone();
-        let directory = (watch.directory_revision < revision).then(|| DirectoryUpdate {
-            epoch: 1,
-            revision,
-            full: true,
-            workers,
-            removed_workers: Vec::new(),
-            nodes: vec![watch.node.clone()],
-            removed_nodes: Vec::new(),
-        });
+        let directory = self.directory_since(watch);
         WatchResponse {
             confirmed: true,
             version: bundle.version,
             bundle: (!known).then(|| BundleUpdate::Snapshot(Box::new(bundle))),
             directory,
-            groups: self.groups(),
         }
     }
 
+    /// The whole directory when workers or backlogs changed.
+    fn directory_since(&self, watch: &WatchRequest) -> Option<DirectoryUpdate> {
+        let groups = self.groups();
+        let mut directory = self.directory.lock();
+        if directory.groups != groups {
+            directory.groups.clone_from(&groups);
+            directory.revision += 1;
+        }
+        (watch.directory_revision < directory.revision).then(|| DirectoryUpdate {
+            epoch: 1,
+            revision: directory.revision,
+            full: true,
+            workers: directory.workers.clone(),
+            removed_workers: Vec::new(),
+            nodes: vec![watch.node.clone()],
+            removed_nodes: Vec::new(),
+            groups,
+        })
+    }
+
     fn groups(&self) -> Vec<GroupRecord> {
         let jobs = self.jobs.lock();
         (0..=JOB_GROUPS)
