--- a/crates/pinerill-node/src/configuration/watch.rs
+++ b/crates/pinerill-node/src/configuration/watch.rs
@@ -134,6 +134,9 @@
             self.api.learn_groups(&update.groups);
             self.groups.take(update);
         }
+        if watch.confirmed {
+            self.groups.confirm();
+        }
         Ok(())
     }
 
--- a/crates/pinerill-node/src/groups.rs
+++ b/crates/pinerill-node/src/groups.rs
@@ -1,6 +1,8 @@
 //! The replicated groups as the last watch told them.
 
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use parking_lot::RwLock;
 use pinerill_types::{ServiceName, TenantName};
@@ -13,6 +15,9 @@
 #[derive(Debug, Default)]
 pub struct Groups {
     records: RwLock<BTreeMap<u32, GroupRecord>>,
+    /// How many job groups there are. It never shrinks, since a key must
+    /// always lead to the same group.
+    job_groups: AtomicU32,
     /// Another set of records is there.
     pub changed: Notify,
 }
@@ -31,16 +36,26 @@
         self.changed.notify_waiters();
     }
 
-    /// Numbers of the job groups.
-    pub fn job_groups(&self) -> Vec<u32> {
+    /// The watch was confirmed: what it told so far says how many job groups
+    /// there are, if it has no gap. A list with some missing would send a job
+    /// to another group than its first self, and it would run twice.
+    pub fn confirm(&self) {
         let records = self.records.read();
-        let numbers = records.keys().copied();
-        numbers.filter(|group| *group != META_GROUP).collect()
+        let highest = records.keys().last().copied().unwrap_or(META_GROUP);
+        let gapless = (META_GROUP + 1..=highest).all(|group| records.contains_key(&group));
+        if gapless {
+            self.job_groups.fetch_max(highest, Ordering::Relaxed);
+        }
+    }
+
+    /// Numbers of the job groups.
+    pub fn job_groups(&self) -> RangeInclusive<u32> {
+        META_GROUP + 1..=self.job_groups.load(Ordering::Relaxed)
     }
 
     /// The group of a job. Job groups are numbered from 1 without a gap.
     pub fn group_of(&self, tenant: &TenantName, idempotency_key: &str) -> Option<u32> {
-        let count = self.job_groups().len() as u64;
+        let count = u64::from(self.job_groups.load(Ordering::Relaxed));
         if count == 0 {
             return None;
         }
