Group host: the group's decisions as a pure driver

Change: host::driver::GroupDriver takes inputs and a time and yields effects; the task only carries them out. Replica::term_at shows a log's terms to checks.

--- a/crates/pinerill-control/src/host/task_output.rs
+++ b/crates/pinerill-control/src/host/driver/output.rs
@@ -1,13 +1,11 @@
 //! Carrying out what the replica wants done.
 
-use pinerill_replica::{Committed, Dropped, EntryKind, Envelope, Output, Persist, RoleChange};
+use pinerill_replica::{Committed, DropReason, Dropped, EntryKind, Output, Persist};
 use pinerill_storage::{decode_snapshot, Operation, StorageError, WriteBatch};
 
-use super::counters::count;
-use super::error::{change_error, propose_error, read_error};
-use super::event::{PendingRequest, StoredWrite};
-use super::task::GroupTask;
-use super::{StateMachine, TableWriter};
+use super::{Answer, Effect, GroupDriver, PendingRequest, StoredWrite};
+use crate::host::error::{change_error, propose_error, read_error};
+use crate::host::{StateMachine, TableWriter};
 
 /// Collects table writes as operations for the store.
 struct BatchTableWriter {
@@ -28,7 +26,7 @@
     }
 }
 
-impl<M: StateMachine> GroupTask<M> {
+impl<M: StateMachine, R> GroupDriver<M, R> {
     /// Carries out outputs until none asks for another step at once.
     pub(super) fn carry_out_all(&mut self) {
         loop {
@@ -44,23 +42,23 @@
     /// The order matters for the store: the log before the table writes of
     /// its entries, table writes before the snapshot that covers them.
     fn carry_out(&mut self, output: Output) {
-        if let Some(change) = output.role {
-            self.role_changed(change);
-        }
+        let role = output.role.map(Effect::RoleChanged);
+        self.effects.extend(role);
         if let Some(persist) = output.persist {
             self.persist(persist);
         }
-        self.send(output.messages);
+        self.effects
+            .extend(output.messages.into_iter().map(Effect::Send));
         self.apply(output.committed);
         for read in output.reads {
-            if let Some(PendingRequest::Reads { replies }) = self.requests.remove(&read.token) {
-                self.visibility.wait(read.index, replies);
+            if let Some(PendingRequest::Reads(reads)) = self.requests.remove(&read.token) {
+                self.visibility.wait(read.index, reads);
             }
         }
         for dropped in output.dropped {
             self.refuse(dropped);
         }
-        count(&self.shared.counters.reads, self.visibility.answer());
+        self.answer_reads();
         for request in output.snapshot_requests {
             self.read_snapshot_chunk(request);
         }
@@ -70,18 +68,6 @@
         self.save_snapshot_if_due();
     }
 
-    fn role_changed(&mut self, change: RoleChange) {
-        count(&self.shared.counters.role_changes, 1);
-        let leader = change.leader.map(|leader| leader.to_string());
-        log::info!(
-            "group {}: {:?} in term {}, leader {}",
-            self.group,
-            change.role,
-            change.term,
-            leader.as_deref().unwrap_or("unknown"),
-        );
-    }
-
     fn persist(&mut self, persist: Persist) {
         let installed = persist.snapshot.is_some();
         let prepared = self
@@ -91,11 +77,11 @@
             sequence: persist.sequence,
             installed,
         };
-        let completion = self.completion(write);
-        match prepared {
-            Ok(batch) => self.shared.store.write(batch, completion),
-            Err(error) => completion(Err(error)),
-        }
+        let effect = match prepared {
+            Ok(batch) => Effect::Write { batch, write },
+            Err(error) => Effect::Failed(error),
+        };
+        self.effects.push(effect);
     }
 
     /// Puts a received snapshot in place of the machine's state.
@@ -105,27 +91,21 @@
         };
         let decoded = decode_snapshot(&snapshot.data)?;
         let restored = self.machine.write().restore(&decoded.memory);
-        restored.map_err(super::task_snapshot::refused_snapshot)?;
-        count(&self.shared.counters.snapshots_installed, 1);
+        restored.map_err(super::snapshot::refused_snapshot)?;
+        self.effects.push(Effect::SnapshotInstalled);
         self.visibility.applied_up_to(snapshot.meta.index, true);
         self.snapshot_index = snapshot.meta.index;
         self.bytes_since_snapshot = 0;
         Ok(())
     }
 
-    fn send(&self, messages: Vec<Envelope>) {
-        count(&self.shared.counters.messages_sent, messages.len());
-        for envelope in messages {
-            self.shared.transport.send(envelope.to, envelope);
-        }
-    }
-
     fn apply(&mut self, committed: Vec<Committed>) {
         let Some(last) = committed.last() else {
             return;
         };
         let last_index = last.entry.index;
-        count(&self.shared.counters.entries_applied, committed.len());
+        let entries = committed.len();
+        self.effects.push(Effect::Applied { entries });
         let mut table = BatchTableWriter {
             operations: Vec::new(),
         };
@@ -138,7 +118,7 @@
                 EntryKind::Empty | EntryKind::Membership(_) => Vec::new(),
             };
             if let Some(token) = token {
-                self.answer(token, answer);
+                self.answer_applied(token, answer);
             }
         }
         drop(machine);
@@ -153,31 +133,45 @@
                 group: self.group,
                 operations,
             };
-            let completion = self.completion(StoredWrite::Table);
-            self.shared.store.write(batch, completion);
+            let write = StoredWrite::Table;
+            self.effects.push(Effect::Write { batch, write });
         }
     }
 
-    fn answer(&mut self, token: u64, answer: Vec<u8>) {
+    fn answer(&mut self, request: R, answer: Answer) {
+        self.effects.push(Effect::Answer { request, answer });
+    }
+
+    fn answer_applied(&mut self, token: u64, answer: Vec<u8>) {
         match self.requests.remove(&token) {
-            Some(PendingRequest::Propose { reply, .. }) => drop(reply.send(Ok(answer))),
-            Some(PendingRequest::Change { reply }) => drop(reply.send(Ok(()))),
-            Some(PendingRequest::Reads { .. }) | None => {}
+            Some(PendingRequest::Propose(request)) => {
+                self.answer(request, Answer::Proposed(Ok(answer)));
+            }
+            Some(PendingRequest::Change(request)) => {
+                self.answer(request, Answer::Changed(Ok(())));
+            }
+            Some(PendingRequest::Reads(_)) | None => {}
+        }
+    }
+
+    fn answer_reads(&mut self) {
+        for (index, request) in self.visibility.take_visible() {
+            self.answer(request, Answer::Read(Ok(index)));
         }
     }
 
     fn refuse(&mut self, dropped: Dropped) {
-        let reason = dropped.reason;
+        let reason: DropReason = dropped.reason;
         match self.requests.remove(&dropped.token) {
-            Some(PendingRequest::Propose { reply, .. }) => {
-                let _ = reply.send(Err(propose_error(reason)));
+            Some(PendingRequest::Propose(request)) => {
+                self.answer(request, Answer::Proposed(Err(propose_error(reason))));
             }
-            Some(PendingRequest::Change { reply }) => {
-                let _ = reply.send(Err(change_error(reason)));
+            Some(PendingRequest::Change(request)) => {
+                self.answer(request, Answer::Changed(Err(change_error(reason))));
             }
-            Some(PendingRequest::Reads { replies }) => {
-                for reply in replies {
-                    let _ = reply.send(Err(read_error(reason)));
+            Some(PendingRequest::Reads(reads)) => {
+                for request in reads {
+                    self.answer(request, Answer::Read(Err(read_error(reason))));
                 }
             }
             None => {}
--- a/crates/pinerill-control/src/host/task_snapshot.rs
+++ b/crates/pinerill-control/src/host/driver/snapshot.rs
@@ -5,24 +5,22 @@
 use pinerill_replica::{Input, SnapshotRequest};
 use pinerill_storage::{Operation, SnapshotStream, StorageCause, StorageError, WriteBatch};
 
-use super::event::StoredWrite;
-use super::task::GroupTask;
-use super::StateMachine;
+use super::{Effect, GroupDriver, StoredWrite};
+use crate::host::StateMachine;
 
 pub(super) fn refused_snapshot(error: anyhow::Error) -> StorageError {
     let cause = StorageCause::Corrupted(format!("{error:#}"));
     StorageError::new("restore", Path::new("(received snapshot)"), cause)
 }
 
-impl<M: StateMachine> GroupTask<M> {
+impl<M: StateMachine, R> GroupDriver<M, R> {
     /// Saves a snapshot after enough entries or bytes. It is queued at the
     /// store behind the table writes of every entry that it covers.
     pub(super) fn save_snapshot_if_due(&mut self) {
-        let settings = &self.shared.settings;
         let applied = self.visibility.applied();
         let entries = applied - self.snapshot_index;
-        let due = entries >= settings.snapshot_entries
-            || (entries > 0 && self.bytes_since_snapshot >= settings.snapshot_bytes);
+        let due = entries >= self.settings.snapshot_entries
+            || (entries > 0 && self.bytes_since_snapshot >= self.settings.snapshot_bytes);
         if !due || self.saving_snapshot {
             return;
         }
@@ -33,22 +31,20 @@
         self.snapshot_index = applied;
         self.bytes_since_snapshot = 0;
         let memory = self.machine.read().snapshot();
-        let completion = self.completion(StoredWrite::Snapshot(meta.clone()));
-        let operation = Operation::SaveSnapshot { meta, memory };
-        self.write_one(operation, completion);
+        let write = StoredWrite::Snapshot(meta.clone());
+        self.write_one(Operation::SaveSnapshot { meta, memory }, write);
     }
 
-    pub(super) fn compact_log(&self, up_to: u64) {
-        let completion = self.completion(StoredWrite::Compaction);
-        self.write_one(Operation::CompactLog { up_to }, completion);
+    pub(super) fn compact_log(&mut self, up_to: u64) {
+        self.write_one(Operation::CompactLog { up_to }, StoredWrite::Compaction);
     }
 
-    fn write_one(&self, operation: Operation, completion: pinerill_storage::Completion) {
+    fn write_one(&mut self, operation: Operation, write: StoredWrite) {
         let batch = WriteBatch {
             group: self.group,
             operations: vec![operation],
         };
-        self.shared.store.write(batch, completion);
+        self.effects.push(Effect::Write { batch, write });
     }
 
     /// Reads the part of the stored snapshot that a follower needs next.
@@ -66,13 +62,13 @@
             known.filter(|stream| request.offset > 0 && stream.offset() == request.offset);
         let opened = match continued {
             Some(stream) => Some(stream),
-            None => SnapshotStream::open(self.shared.store.reader(self.group)?)?,
+            None => SnapshotStream::open(self.store.reader(self.group)?)?,
         };
         let Some(mut stream) = opened else {
             return Ok(None);
         };
         let offset = stream.offset();
-        let (bytes, done) = stream.next_chunk(self.shared.settings.snapshot_chunk_bytes)?;
+        let (bytes, done) = stream.next_chunk(self.settings.snapshot_chunk_bytes)?;
         let meta = stream.meta().clone();
         if !done {
             self.outgoing_snapshots.insert(request.to, stream);
--- a/crates/pinerill-control/src/host/table_visibility.rs
+++ b/crates/pinerill-control/src/host/driver/table_visibility.rs
@@ -2,22 +2,21 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use super::event::ReadReply;
-
-/// Tracks table writes on their way to the store and the reads that wait.
-#[derive(Default)]
-pub(super) struct TableVisibility {
+/// Tracks table writes on their way to the store and the reads that wait,
+/// each named by its `R`.
+pub(super) struct TableVisibility<R> {
     applied: u64,
     /// First index of each write under way, in the order of the writes.
     writes: VecDeque<u64>,
-    waiting: BTreeMap<u64, Vec<ReadReply>>,
+    waiting: BTreeMap<u64, Vec<R>>,
 }
 
-impl TableVisibility {
+impl<R> TableVisibility<R> {
     pub(super) fn new(applied: u64) -> Self {
         TableVisibility {
             applied,
-            ..TableVisibility::default()
+            writes: VecDeque::new(),
+            waiting: BTreeMap::new(),
         }
     }
 
@@ -47,24 +46,21 @@
     }
 
     /// Makes reads wait until everything up to `index` is visible.
-    pub(super) fn wait(&mut self, index: u64, replies: Vec<ReadReply>) {
-        self.waiting.entry(index).or_default().extend(replies);
+    pub(super) fn wait(&mut self, index: u64, reads: Vec<R>) {
+        self.waiting.entry(index).or_default().extend(reads);
     }
 
-    /// Answers the reads whose index is visible; returns how many.
-    pub(super) fn answer(&mut self) -> usize {
+    /// Takes the reads whose index is visible, with that index.
+    pub(super) fn take_visible(&mut self) -> Vec<(u64, R)> {
         let visible = self.visible();
-        let mut answered = 0;
+        let mut ready = Vec::new();
         while let Some(first) = self.waiting.first_entry() {
             if *first.key() > visible {
                 break;
             }
-            let (index, replies) = first.remove_entry();
-            answered += replies.len();
-            for reply in replies {
-                let _ = reply.send(Ok(index));
-            }
+            let (index, reads) = first.remove_entry();
+            ready.extend(reads.into_iter().map(|read| (index, read)));
         }
-        answered
+        ready
     }
 }
--- a/crates/pinerill-control/src/host/event.rs
+++ b/crates/pinerill-control/src/host/event.rs
@@ -1,9 +1,10 @@
 //! What a group's task is told.
 
-use pinerill_replica::{Envelope, MembershipChange, ReplicaId, SnapshotMeta};
+use pinerill_replica::{Envelope, MembershipChange, ReplicaId};
 use pinerill_storage::StorageError;
 use tokio::sync::{oneshot, OwnedSemaphorePermit};
 
+use super::driver::{Answer, StoredWrite};
 use super::{ChangeError, ProposeError, ReadError};
 
 /// Where the answer to a proposal goes.
@@ -35,30 +36,25 @@
     Stop,
 }
 
-/// A write that became durable.
-pub(super) enum StoredWrite {
-    /// A replica's write; `installed` if it replaced the state table.
-    Persist { sequence: u64, installed: bool },
-    /// Table writes of applied entries.
-    Table,
-    /// A snapshot of applied entries.
-    Snapshot(SnapshotMeta),
-    /// A compaction of the log.
-    Compaction,
-}
-
-/// A request that the replica holds under a token.
-pub(super) enum PendingRequest {
+/// Where an answer goes.
+pub(super) enum Reply {
     Propose {
         reply: ProposeReply,
         /// Frees the place in the bounded queue when dropped.
         _permit: OwnedSemaphorePermit,
     },
-    Change {
-        reply: ChangeReply,
-    },
-    /// All reads that arrived together.
-    Reads {
-        replies: Vec<ReadReply>,
-    },
+    Read(ReadReply),
+    Change(ChangeReply),
+}
+
+impl Reply {
+    /// Passes the answer on; a caller that is gone does not matter.
+    pub(super) fn send(self, answer: Answer) {
+        match (self, answer) {
+            (Reply::Propose { reply, .. }, Answer::Proposed(result)) => drop(reply.send(result)),
+            (Reply::Read(reply), Answer::Read(result)) => drop(reply.send(result)),
+            (Reply::Change(reply), Answer::Changed(result)) => drop(reply.send(result)),
+            _ => debug_assert!(false, "an answer of another kind than its request"),
+        }
+    }
 }
--- a/crates/pinerill-control/src/host/group_host.rs
+++ b/crates/pinerill-control/src/host/group_host.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use parking_lot::{Mutex, RwLock};
-use pinerill_replica::{Envelope, GroupId, Replica, ReplicaId, SnapshotMeta};
-use pinerill_storage::{GroupStore, Operation, RestoredGroup, WriteBatch};
+use pinerill_replica::{Envelope, GroupId, ReplicaId};
+use pinerill_storage::GroupStore;
 use tokio::sync::{mpsc, watch, Semaphore};
 use tokio::task::JoinHandle;
 
 use super::counters::{count, CounterCells};
+use super::driver::GroupDriver;
 use super::event::Event;
 use super::task::GroupTask;
 use super::{
@@ -85,31 +86,22 @@
             return Err(HostError::GroupRuns(group));
         }
         let shared = self.inner.shared.clone();
-        let mut machine = machine;
-        let restored = restore(&shared, group, members, &mut machine)?;
         let config = shared.settings.replica_config(self.replica_id(), group);
-        let replica = Replica::new(config, restored.state);
+        let bounds = shared.settings.driver_settings();
+        let driver = GroupDriver::start(config, members, machine, shared.store.clone(), bounds)?;
         let (events, inbox) = mpsc::unbounded_channel();
-        let status = GroupStatus::new(group, replica.status());
+        let status = GroupStatus::new(group, driver.status());
         let (status_sender, status) = watch::channel(status);
-        let machine = Arc::new(RwLock::new(machine));
         let handle = GroupHandle {
             group,
-            machine: machine.clone(),
+            machine: driver.machine().clone(),
             store: shared.store.clone(),
             events: events.clone(),
             places: Arc::new(Semaphore::new(shared.settings.max_pending_proposals)),
             status: status.clone(),
             read_timeout: shared.settings.read_timeout,
         };
-        let task = GroupTask::new(
-            group,
-            replica,
-            machine,
-            shared,
-            events.downgrade(),
-            status_sender,
-        );
+        let task = GroupTask::new(group, driver, shared, events.downgrade(), status_sender);
         self.inner.tasks.lock().push(tokio::spawn(task.run(inbox)));
         groups.insert(group, RunningGroup { events, status });
         Ok(handle)
@@ -175,53 +167,3 @@
         let _ = tokio::time::timeout(limit, all_handed_over).await;
     }
 }
-
-fn restore<M: StateMachine>(
-    shared: &Shared,
-    group: GroupId,
-    members: &[ReplicaId],
-    machine: &mut M,
-) -> Result<RestoredGroup, HostError> {
-    let storage = |error| HostError::Storage { group, error };
-    let stored = shared.store.restore(group).map_err(storage)?;
-    let Some(stored) = stored else {
-        return Ok(bootstrap(shared, group, members, machine));
-    };
-    if stored.state.snapshot.index > 0 {
-        machine
-            .restore(&stored.memory)
-            .map_err(|error| HostError::Restore { group, error })?;
-    }
-    Ok(stored)
-}
-
-/// Writes the first snapshot of a new group. Nothing waits for its sync: any
-/// vote or acknowledgement of the replica is written, and so synced, after it.
-fn bootstrap<M: StateMachine>(
-    shared: &Shared,
-    group: GroupId,
-    members: &[ReplicaId],
-    machine: &M,
-) -> RestoredGroup {
-    let mut restored = RestoredGroup {
-        state: Default::default(),
-        memory: Vec::new(),
-    };
-    if members.is_empty() {
-        return restored;
-    }
-    restored.memory = machine.snapshot();
-    restored.state.snapshot = SnapshotMeta::bootstrap(members.iter().copied());
-    let mut batch = WriteBatch::new(group);
-    batch.operations.push(Operation::SaveSnapshot {
-        meta: restored.state.snapshot.clone(),
-        memory: restored.memory.clone(),
-    });
-    let log_failure = move |result: Result<(), _>| {
-        if let Err(error) = result {
-            log::error!("group {group}: bootstrap: {error}");
-        }
-    };
-    shared.store.write(batch, Box::new(log_failure));
-    restored
-}
--- a/crates/pinerill-control/src/host/mod.rs
+++ b/crates/pinerill-control/src/host/mod.rs
@@ -1,6 +1,7 @@
 //! Runs many replicated groups in one process.
 //!
-//! Each group is one tokio task around a [`pinerill_replica::Replica`]. The
+//! Each group is one tokio task around a [`driver::GroupDriver`], which holds
+//! the [`pinerill_replica::Replica`]. The
 //! task feeds the replica whatever has arrived, all at once, so that
 //! proposals, reads and messages that wait together share writes, appends and
 //! heartbeat rounds. Writes of all groups go to one store, which syncs them
@@ -8,6 +9,7 @@
 //! until the replica's next deadline.
 
 mod counters;
+pub mod driver;
 mod error;
 mod event;
 mod group_host;
@@ -15,10 +17,7 @@
 mod machine;
 mod settings;
 mod status;
-mod table_visibility;
 mod task;
-mod task_output;
-mod task_snapshot;
 
 pub use counters::HostCounters;
 pub use error::{ChangeError, HostError, ProposeError, ReadError};
--- a/crates/pinerill-control/src/host/settings.rs
+++ b/crates/pinerill-control/src/host/settings.rs
@@ -4,6 +4,8 @@
 
 use pinerill_replica::{GroupId, ReplicaConfig, ReplicaId};
 
+use super::driver::DriverSettings;
+
 /// Settings shared by all groups of a host.
 #[derive(Clone, Debug)]
 pub struct HostSettings {
@@ -56,4 +58,12 @@
         config.max_uncommitted_bytes = self.max_uncommitted_bytes;
         config
     }
+
+    pub(super) fn driver_settings(&self) -> DriverSettings {
+        DriverSettings {
+            snapshot_entries: self.snapshot_entries,
+            snapshot_bytes: self.snapshot_bytes,
+            snapshot_chunk_bytes: self.snapshot_chunk_bytes,
+        }
+    }
 }
--- a/crates/pinerill-control/src/host/task.rs
+++ b/crates/pinerill-control/src/host/task.rs
@@ -1,83 +1,59 @@
-//! The task of one group: feeds the replica and wakes at its deadlines.
+//! The task of one group: feeds the driver, wakes at its deadlines and
+//! carries out its effects.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use parking_lot::RwLock;
-use pinerill_replica::{GroupId, Input, MembershipChange, Replica, ReplicaId};
-use pinerill_storage::SnapshotStream;
+use pinerill_replica::{GroupId, RoleChange};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 use super::counters::count;
-use super::event::{ChangeReply, Event, PendingRequest, ReadReply, StoredWrite};
+use super::driver::{Answer, DriverInput, Effect, GroupDriver, StoredWrite};
+use super::event::{Event, Reply};
 use super::group_host::Shared;
-use super::table_visibility::TableVisibility;
 use super::{ChangeError, GroupStatus, ProposeError, StateMachine};
 
-/// Events taken into one round of steps.
+/// Events taken into one round.
 const MAX_EVENTS: usize = 1024;
 
 /// The task of one group.
 pub(super) struct GroupTask<M> {
-    pub(super) group: GroupId,
-    pub(super) replica: Replica,
-    pub(super) machine: Arc<RwLock<M>>,
-    pub(super) shared: Arc<Shared>,
-    pub(super) requests: HashMap<u64, PendingRequest>,
-    pub(super) visibility: TableVisibility,
-    pub(super) outgoing_snapshots: HashMap<ReplicaId, SnapshotStream>,
-    /// Index of the last snapshot that was saved or is being saved.
-    pub(super) snapshot_index: u64,
-    pub(super) saving_snapshot: bool,
-    /// Bytes applied since that snapshot.
-    pub(super) bytes_since_snapshot: u64,
+    group: GroupId,
+    driver: GroupDriver<M, Reply>,
+    shared: Arc<Shared>,
     /// Weak, so that a stopped host's store completions end nowhere.
     events: mpsc::WeakUnboundedSender<Event>,
     status: watch::Sender<GroupStatus>,
     started: Instant,
-    next_token: u64,
-    reads: Vec<ReadReply>,
     stopping: bool,
 }
 
 impl<M: StateMachine> GroupTask<M> {
     pub(super) fn new(
         group: GroupId,
-        replica: Replica,
-        machine: Arc<RwLock<M>>,
+        driver: GroupDriver<M, Reply>,
         shared: Arc<Shared>,
         events: mpsc::WeakUnboundedSender<Event>,
         status: watch::Sender<GroupStatus>,
     ) -> Self {
-        let applied = replica.status().applied;
         GroupTask {
             group,
-            replica,
-            machine,
+            driver,
             shared,
-            requests: HashMap::new(),
-            visibility: TableVisibility::new(applied),
-            outgoing_snapshots: HashMap::new(),
-            snapshot_index: applied,
-            saving_snapshot: false,
-            bytes_since_snapshot: 0,
             events,
             status,
             started: Instant::now(),
-            next_token: 0,
-            reads: Vec::new(),
             stopping: false,
         }
     }
 
     /// Runs until the host stops or the store fails.
     pub(super) async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Event>) {
-        self.step(Input::Tick);
+        self.finish_round();
         let mut events = Vec::new();
         while !self.stopping {
-            let deadline = self.started + Duration::from_millis(self.replica.next_deadline_ms());
+            let deadline = self.started + Duration::from_millis(self.driver.next_deadline_ms());
             tokio::select! {
                 count = inbox.recv_many(&mut events, MAX_EVENTS) => {
                     if count == 0 {
@@ -86,98 +62,108 @@
                 }
                 () = tokio::time::sleep_until(deadline) => {}
             }
-            self.handle_all(&mut events);
+            for event in events.drain(..) {
+                self.handle(event);
+            }
+            self.finish_round();
         }
         refuse_queued(inbox);
     }
 
-    fn handle_all(&mut self, events: &mut Vec<Event>) {
-        for event in events.drain(..) {
-            self.handle(event);
+    fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    fn finish_round(&mut self) {
+        for effect in self.driver.finish_round(self.now_ms()) {
+            self.carry_out(effect);
         }
-        self.start_reads();
-        self.step(Input::Tick);
-        self.carry_out_all();
         self.publish_status();
     }
 
     fn handle(&mut self, event: Event) {
-        match event {
-            Event::Message(envelope) => self.step(Input::Message(envelope)),
+        let input = match event {
+            Event::Message(envelope) => DriverInput::Message(envelope),
             Event::Propose {
                 command,
                 reply,
                 permit,
             } => {
                 count(&self.shared.counters.proposals, 1);
-                let token = self.hold(PendingRequest::Propose {
+                let request = Reply::Propose {
                     reply,
                     _permit: permit,
-                });
-                let data = command.into();
-                self.step(Input::Propose { token, data });
+                };
+                DriverInput::Propose { command, request }
+            }
+            Event::Read { reply } => DriverInput::Read {
+                request: Reply::Read(reply),
+            },
+            Event::ChangeMembership { change, reply } => DriverInput::ChangeMembership {
+                change,
+                request: Reply::Change(reply),
+            },
+            Event::TransferLeadership { to } => DriverInput::TransferLeadership { to },
+            Event::Stored(Ok(write)) => {
+                if matches!(write, StoredWrite::Snapshot(_)) {
+                    count(&self.shared.counters.snapshots_saved, 1);
+                }
+                DriverInput::Stored(write)
             }
-            Event::Read { reply } => self.reads.push(reply),
-            Event::ChangeMembership { change, reply } => self.change_membership(change, reply),
-            Event::TransferLeadership { to } => self.step(Input::TransferLeadership { to }),
-            Event::Stored(Ok(write)) => self.stored(write),
             Event::Stored(Err(error)) => {
                 log::error!("group {}: stopped: {error}", self.group);
                 self.stopping = true;
+                return;
             }
-            Event::Stop => self.stopping = true,
-        }
-    }
-
-    fn change_membership(&mut self, change: MembershipChange, reply: ChangeReply) {
-        let token = self.hold(PendingRequest::Change { reply });
-        self.step(Input::ChangeMembership { token, change });
+            Event::Stop => {
+                self.stopping = true;
+                return;
+            }
+        };
+        self.driver.handle(self.now_ms(), input);
     }
 
-    fn stored(&mut self, write: StoredWrite) {
-        match write {
-            StoredWrite::Persist {
-                sequence,
-                installed,
-            } => {
-                if installed {
-                    self.visibility.written();
+    fn carry_out(&mut self, effect: Effect<Reply>) {
+        let counters = &self.shared.counters;
+        match effect {
+            Effect::Write { batch, write } => {
+                let completion = self.completion(write);
+                self.shared.store.write(batch, completion);
+            }
+            Effect::Send(envelope) => {
+                count(&counters.messages_sent, 1);
+                self.shared.transport.send(envelope.to, envelope);
+            }
+            Effect::Answer { request, answer } => {
+                if matches!(answer, Answer::Read(Ok(_))) {
+                    count(&counters.reads, 1);
                 }
-                self.step(Input::Persisted { sequence });
+                request.send(answer);
             }
-            StoredWrite::Table => self.visibility.written(),
-            StoredWrite::Snapshot(meta) => {
-                self.saving_snapshot = false;
-                count(&self.shared.counters.snapshots_saved, 1);
-                self.step(Input::SnapshotSaved { meta });
+            Effect::RoleChanged(change) => self.role_changed(change),
+            Effect::Applied { entries } => count(&counters.entries_applied, entries),
+            Effect::SnapshotInstalled => count(&counters.snapshots_installed, 1),
+            Effect::Failed(error) => {
+                log::error!("group {}: stopped: {error}", self.group);
+                self.stopping = true;
             }
-            StoredWrite::Compaction => {}
         }
     }
 
-    /// Reads that arrived together are one read to the replica.
-    fn start_reads(&mut self) {
-        if self.reads.is_empty() {
-            return;
-        }
-        let replies = std::mem::take(&mut self.reads);
-        let token = self.hold(PendingRequest::Reads { replies });
-        self.step(Input::ReadIndex { token });
-    }
-
-    fn hold(&mut self, request: PendingRequest) -> u64 {
-        self.next_token += 1;
-        self.requests.insert(self.next_token, request);
-        self.next_token
-    }
-
-    pub(super) fn step(&mut self, input: Input) {
-        let now_ms = self.started.elapsed().as_millis() as u64;
-        self.replica.step(now_ms, input);
+    fn role_changed(&self, change: RoleChange) {
+        count(&self.shared.counters.role_changes, 1);
+        let leader = change.leader.map(|leader| leader.to_string());
+        log::info!(
+            "group {}: {:?} in term {}, leader {}",
+            self.group,
+            change.role,
+            change.term,
+            leader.as_deref().unwrap_or("unknown"),
+        );
     }
 
     /// A completion for the store that reports to this task.
-    pub(super) fn completion(&self, write: StoredWrite) -> pinerill_storage::Completion {
+    fn completion(&self, write: StoredWrite) -> pinerill_storage::Completion {
         let events = self.events.clone();
         Box::new(move |result| {
             if let Some(events) = events.upgrade() {
@@ -187,7 +173,7 @@
     }
 
     fn publish_status(&self) {
-        let status = GroupStatus::new(self.group, self.replica.status());
+        let status = GroupStatus::new(self.group, self.driver.status());
         self.status.send_if_modified(|current| {
             let modified = current.differs_from(&status);
             *current = status;
--- a/crates/pinerill-replica/src/replica.rs
+++ b/crates/pinerill-replica/src/replica.rs
@@ -174,6 +174,12 @@
         }
     }
 
+    /// Term of the log's entry at `index`; none if it is compacted away or
+    /// not there.
+    pub fn term_at(&self, index: u64) -> Option<u64> {
+        self.log.term_at(index)
+    }
+
     /// What a snapshot taken at `index` covers; `index` must be applied and
     /// not compacted away.
     pub fn snapshot_meta(&self, index: u64) -> Option<SnapshotMeta> {
