Simulation: scenario interface, cluster on a virtual clock, bundles

Cause: what must hold under faults was tested by hand-written cases only. Change: pinerill-sim runs the host's own driver over the store's twin on a virtual clock, with seeded faults, clients, rules checked at each step and histories checked for linearizability (todc-utils). Scenario, GroupService and Workload are the interfaces for further families.

--- /dev/null
+++ b/crates/pinerill-sim/src/defect.rs
@@ -0,0 +1,57 @@
+//! Deliberate defects by the part that has them.
+//!
+//! Defects inside the product's own code exist only under the feature
+//! `mutants`; those below under [`ShellDefect`] are in the simulated shells
+//! and clients around it.
+
+use pinerill_replica::Defects;
+
+/// One deliberate defect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Defect {
+    /// In the replica.
+    #[cfg(feature = "mutants")]
+    Replica(pinerill_replica::Defect),
+    /// In a simulated shell.
+    Shell(ShellDefect),
+}
+
+/// A defect of the code around the pure parts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ShellDefect {
+    /// A watch is answered as confirmed without asking a quorum.
+    ConfirmWithoutBarrier,
+    /// A node counts its lease from when the answer arrived.
+    LeaseFromArrival,
+    /// A node takes on an older version.
+    TakeOlderVersion,
+    /// A proposal whose version was taken counts as accepted, whoever won.
+    DecidedCountsAsAccepted,
+    /// A proposal sent again is refused although it was the one that won.
+    ResentCountsAsConflict,
+    /// Table writes are queued behind the snapshot that covers them.
+    SnapshotBeforeTable,
+}
+
+/// The defects for a replica's settings.
+pub(crate) fn replica_defects(defect: Option<Defect>) -> Defects {
+    match defect {
+        #[cfg(feature = "mutants")]
+        Some(Defect::Replica(defect)) => Defects::only(defect),
+        _ => Defects::default(),
+    }
+}
+
+/// Whether a lost disk comes back under its old identity.
+pub(crate) fn keeps_identity(defect: Option<Defect>) -> bool {
+    match defect {
+        #[cfg(feature = "mutants")]
+        Some(Defect::Replica(pinerill_replica::Defect::KeepIdentityOfEmptyFolder)) => true,
+        _ => false,
+    }
+}
+
+/// Whether the shells have the given defect.
+pub(crate) fn has_shell_defect(defect: Option<Defect>, wanted: ShellDefect) -> bool {
+    defect == Some(Defect::Shell(wanted))
+}
--- /dev/null
+++ b/crates/pinerill-sim/src/scenarios/mod.rs
@@ -0,0 +1,4 @@
+//! The scenarios, one file for each family.
+
+mod bundle_faults;
+pub mod bundles;
