Rehearsal kit: shared fleet of pinerill processes, checks against ledgers, roll-out by commands

Cause: demo, faults and bench need the control machines and nodes that only the scale run could start, and a judge that does not believe what pinerill says.

Change: - fleet/pinerill starts control machines and nodes with settings of their own and relays between zones; scale and state use it. - check/ compares what callers saw with what the engines' ledgers say: whole answers, not_run, at most once, exactly one result that stays, cancel, leaving workers; yield times. - load/job_client speaks the batch API; rehearsal/ rolls bundles out by the operators' command line. - The platform list's long poll wakes by a notify instead of copying the list each 20 ms for every reader. Its test waits with a reader whose own time is far beyond the test's, which is stricter: before, a reader that only looked at its own deadline would have passed.

Tests: all of pinerill-rehearse pass. Seen to fail with the code broken by hand: two runs allowed by at-most-once (2 tests), not_run believed with one run, cancel limit off (1 test each), platform reader that does not wake (1 test). Scale and state compile; not run, since there is no control server yet.

--- a/crates/pinerill-rehearse/src/fleet/launcher.rs
+++ b/crates/pinerill-rehearse/src/fleet/launcher.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use anyhow::{ensure, Context};
+use parking_lot::Mutex;
 use tempfile::TempDir;
 
 use super::process::{ChildProcess, ProcessSpec};
@@ -15,7 +16,9 @@
 /// Starts processes and keeps their logs and data in one folder.
 #[derive(Debug)]
 pub struct Launcher {
-    folder: TempDir,
+    path: PathBuf,
+    /// Removes the folder when dropped, unless it is kept.
+    folder: Mutex<TempDir>,
     warden: Arc<Warden>,
     kit: PathBuf,
 }
@@ -36,7 +39,8 @@
         std::fs::create_dir(folder.path().join(LOG_FOLDER)).context("making the log folder")?;
         let warden = Arc::new(Warden::start(&kit)?);
         Ok(Self {
-            folder,
+            path: folder.path().to_path_buf(),
+            folder: Mutex::new(folder),
             warden,
             kit,
         })
@@ -44,12 +48,12 @@
 
     /// The folder of logs and data; removed at the end unless kept.
     pub fn folder(&self) -> &Path {
-        self.folder.path()
+        &self.path
     }
 
     /// Keeps the folder, for whoever looks into a failure.
-    pub fn keep_folder(&mut self) {
-        self.folder.disable_cleanup(true);
+    pub fn keep_folder(&self) {
+        self.folder.lock().disable_cleanup(true);
     }
 
     /// Starts a stand-in.
@@ -73,7 +77,7 @@
             name: name.to_string(),
             program: program.to_path_buf(),
             arguments,
-            log_folder: self.folder.path().join(LOG_FOLDER),
+            log_folder: self.path.join(LOG_FOLDER),
         };
         Ok(ChildProcess::start(&spec)?.watched_by(self.warden.clone()))
     }
--- a/crates/pinerill-rehearse/src/fleet/standins.rs
+++ b/crates/pinerill-rehearse/src/fleet/standins.rs
@@ -1,7 +1,6 @@
 //! The stand-ins of a preset as running processes.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::time::Duration;
 
 use anyhow::{ensure, Context};
@@ -11,27 +10,27 @@
 use super::ports::{free_address, free_addresses};
 use super::process::ChildProcess;
 use super::ready::wait_http;
+use super::relay::RelayProcess;
+use super::worker::{RunningWorker, WorkerFlags, WorkerSpec};
 use crate::engine::messages::EngineUsage;
 use crate::ledger::{read_file, LedgerLine};
 use crate::preset::{Preset, WorkerPlace};
 use crate::standin::platform::{Machine, MachineState};
+use crate::standin::relay::LinkArguments;
 
 /// Longest time until a stand-in is ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Longest time for a stand-in's planned stop.
 const STOP_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// A worker that runs.
-#[derive(Debug)]
-pub struct RunningWorker {
-    /// Where it stands.
-    pub place: WorkerPlace,
-    /// Its address.
-    pub address: SocketAddr,
-    /// File of its ledger.
-    pub ledger: PathBuf,
-    /// Its process.
-    pub process: ChildProcess,
+/// How the stand-ins are started.
+#[derive(Clone, Debug, Default)]
+pub struct StandInOptions {
+    /// Flags of all workers.
+    pub worker_flags: WorkerFlags,
+    /// Every worker is reached through a relay named after it, so that its
+    /// connections can be cut.
+    pub worker_relays: bool,
 }
 
 /// All stand-ins of a preset.
@@ -47,64 +46,92 @@
     pub weights: SocketAddr,
     /// Address of the old script.
     pub script: SocketAddr,
+    /// Relays towards the workers, if there are any.
+    pub worker_relays: Option<RelayProcess>,
     others: Vec<ChildProcess>,
 }
 
-/// Flags that all workers of a fleet get besides their own.
-#[derive(Clone, Debug, Default)]
-pub struct WorkerFlags(pub Vec<String>);
-
 impl StandIns {
     /// Starts all stand-ins, waits until they are ready and puts the workers
     /// on the platform list.
+    ///
+    /// # Errors
+    /// When a process does not get ready.
     pub async fn start(
         launcher: &Launcher,
         preset: &Preset,
-        flags: &WorkerFlags,
+        options: &StandInOptions,
     ) -> anyhow::Result<Self> {
-        let client = Client::new();
         let (platform, weights, script) = (free_address()?, free_address()?, free_address()?);
-        let mut others = vec![
+        let others = vec![
             start_other(launcher, "platform", platform)?,
             start_other(launcher, "weights", weights)?,
             start_other(launcher, "script", script)?,
         ];
         let addresses = free_addresses(preset.workers.len())?;
+        let (worker_relays, listed) = match options.worker_relays {
+            true => start_relays(launcher, preset, &addresses).await?,
+            false => (None, addresses.clone()),
+        };
         let mut workers = Vec::new();
-        for (place, address) in preset.workers.iter().zip(addresses) {
-            let worker = start_worker(launcher, preset, place, address, weights, flags)?;
-            workers.push(worker);
-        }
-        for worker in &mut workers {
-            let process = &mut worker.process;
-            wait_http(&client, process, worker.address, "/worker", READY_TIMEOUT).await?;
+        for (index, place) in preset.workers.iter().enumerate() {
+            let spec = WorkerSpec {
+                preset,
+                place,
+                address: addresses[index],
+                listed: listed[index],
+                weights,
+                flags: &options.worker_flags,
+            };
+            workers.push(RunningWorker::start(launcher, &spec)?);
         }
-        wait_http(
-            &client,
-            &mut others[0],
-            platform,
-            "/machines",
-            READY_TIMEOUT,
-        )
-        .await?;
-        let standins = Self {
-            client,
+        let mut standins = Self {
+            client: Client::builder().no_proxy().build()?,
             workers,
             platform,
             weights,
             script,
+            worker_relays,
             others,
         };
+        standins.await_ready().await?;
         for worker in &standins.workers {
-            standins
-                .put_machine(&worker.place, worker.address, MachineState::Live)
-                .await?;
+            standins.list_worker(worker, MachineState::Live).await?;
         }
         Ok(standins)
     }
 
+    async fn await_ready(&mut self) -> anyhow::Result<()> {
+        for index in 0..self.workers.len() {
+            self.await_worker(index).await?;
+        }
+        let (platform, process) = (self.platform, &mut self.others[0]);
+        wait_http(&self.client, process, platform, "/machines", READY_TIMEOUT).await
+    }
+
+    /// Waits until a worker answers.
+    ///
+    /// # Errors
+    /// When it ends or does not answer in time.
+    pub async fn await_worker(&mut self, index: usize) -> anyhow::Result<()> {
+        let worker = &mut self.workers[index];
+        let (process, address) = (&mut worker.process, worker.address);
+        wait_http(&self.client, process, address, "/worker", READY_TIMEOUT).await
+    }
+
     /// Sets a worker's state on the platform list.
-    pub async fn put_machine(
+    ///
+    /// # Errors
+    /// When the list does not take it.
+    pub async fn list_worker(
+        &self,
+        worker: &RunningWorker,
+        state: MachineState,
+    ) -> anyhow::Result<()> {
+        self.put_machine(&worker.place, worker.listed, state).await
+    }
+
+    async fn put_machine(
         &self,
         place: &WorkerPlace,
         address: SocketAddr,
@@ -161,12 +188,15 @@
         for process in workers.chain(self.others.iter_mut()) {
             process.stop(STOP_TIMEOUT).await?;
         }
+        if let Some(relays) = &mut self.worker_relays {
+            relays.stop().await?;
+        }
         Ok(())
     }
 
     /// Number of stand-in processes.
     pub fn process_count(&self) -> usize {
-        self.workers.len() + self.others.len()
+        self.workers.len() + self.others.len() + usize::from(self.worker_relays.is_some())
     }
 }
 
@@ -179,36 +209,25 @@
     launcher.start_standin(kind, arguments.into())
 }
 
-fn start_worker(
+/// Starts one relay for each worker; returns their addresses too.
+async fn start_relays(
     launcher: &Launcher,
     preset: &Preset,
-    place: &WorkerPlace,
-    address: SocketAddr,
-    weights: SocketAddr,
-    flags: &WorkerFlags,
-) -> anyhow::Result<RunningWorker> {
-    let ledger = launcher.folder().join(format!("{}.ledger", place.name));
-    let own_flags = [
-        ("--name", place.name.clone()),
-        ("--zone", place.zone.to_string()),
-        ("--listen", address.to_string()),
-        ("--engines", place.engines.to_string()),
-        ("--model", preset.versioned_model()),
-        ("--adapter", preset.versioned_adapter()),
-        ("--weights", weights.to_string()),
-        ("--ledger", ledger.display().to_string()),
-    ];
-    let mut arguments = vec!["worker".to_string()];
-    for (flag, value) in own_flags {
-        arguments.extend([flag.to_string(), value]);
-    }
-    arguments.extend(flags.0.iter().cloned());
-    Ok(RunningWorker {
-        place: place.clone(),
-        address,
-        ledger,
-        process: launcher.start_standin(&place.name, arguments)?,
-    })
+    targets: &[SocketAddr],
+) -> anyhow::Result<(Option<RelayProcess>, Vec<SocketAddr>)> {
+    let listen = free_addresses(targets.len())?;
+    let links: Vec<LinkArguments> = preset
+        .workers
+        .iter()
+        .zip(listen.iter().zip(targets))
+        .map(|(place, (listen, target))| LinkArguments {
+            name: place.name.clone(),
+            listen: *listen,
+            target: *target,
+        })
+        .collect();
+    let relays = RelayProcess::start(launcher, "worker-relays", &links, Duration::ZERO).await?;
+    Ok((Some(relays), listen))
 }
 
 fn add_usage(total: &mut EngineUsage, usage: &EngineUsage) {
--- a/crates/pinerill-rehearse/src/lib.rs
+++ b/crates/pinerill-rehearse/src/lib.rs
@@ -3,11 +3,13 @@
 //! The kit is not part of the fleet; it may start processes.
 
 pub mod answer;
+pub mod check;
 pub mod engine;
 pub mod fleet;
 pub mod ledger;
 pub mod load;
 pub mod preset;
+pub mod rehearsal;
 pub mod scale;
 pub mod standin;
 pub mod state;
--- a/crates/pinerill-rehearse/src/load/mod.rs
+++ b/crates/pinerill-rehearse/src/load/mod.rs
@@ -3,6 +3,7 @@
 pub mod content;
 pub mod dispatcher;
 pub mod engine_target;
+pub mod job_client;
 pub mod jobs;
 pub mod node_target;
 pub mod online;
--- a/crates/pinerill-rehearse/src/load/online.rs
+++ b/crates/pinerill-rehearse/src/load/online.rs
@@ -172,6 +172,7 @@
         let arrival = &self.request.arrival;
         OnlineRecord {
             number: arrival.number,
+            request_id: self.request.request_id.clone(),
             kind: arrival.kind,
             in_burst: arrival.in_burst,
             at_most_once: arrival.at_most_once,
--- a/crates/pinerill-rehearse/src/load/record.rs
+++ b/crates/pinerill-rehearse/src/load/record.rs
@@ -23,6 +23,8 @@
 pub struct OnlineRecord {
     /// Number in the schedule.
     pub number: u64,
+    /// Identifier, unique in the run.
+    pub request_id: String,
     /// Kind.
     pub kind: OnlineKind,
     /// Whether it arrived in a burst.
--- a/crates/pinerill-rehearse/src/scale/mod.rs
+++ b/crates/pinerill-rehearse/src/scale/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod usage;
 
 use std::path::PathBuf;
+use std::sync::Arc;
 
 use anyhow::Context;
 use clap::Args;
@@ -106,8 +107,8 @@
     for (index, size) in sizes.iter().enumerate() {
         println!("run {} of {}: {size:?}", index + 1, sizes.len());
         let kill_control = arguments.storm && index + 1 == sizes.len();
-        let mut launcher = Launcher::new("scale")?;
-        match run::run(&launcher, size, kill_control).await {
+        let launcher = Arc::new(Launcher::new("scale")?);
+        match run::run(launcher.clone(), size, kill_control).await {
             Ok(figures) => series.push(figures),
             Err(error) => {
                 launcher.keep_folder();
--- a/crates/pinerill-rehearse/src/scale/run.rs
+++ b/crates/pinerill-rehearse/src/scale/run.rs
@@ -73,12 +73,12 @@
 /// # Errors
 /// When a process fails or the load is refused.
 pub async fn run(
-    launcher: &Launcher,
+    launcher: Arc<Launcher>,
     size: &Size,
     kill_control: bool,
 ) -> anyhow::Result<RunFigures> {
     let mut fleet = ScaleFleet::start(launcher, size).await?;
-    let mut driver = ChangeDriver::start(fleet.client(), signer()).await?;
+    let mut driver = ChangeDriver::start(fleet.client()?, signer()).await?;
     driver
         .roll_out_base(size.tenants as u32)
         .await
@@ -91,7 +91,7 @@
     let before = usages(&fleet)?;
     let time = Duration::from_secs(size.seconds);
     let jobs = Arc::new(JobDriver::new(
-        fleet.client(),
+        fleet.client()?,
         size.job_groups as u32,
         size.items_per_job as u32,
     ));
@@ -105,8 +105,9 @@
     let after = usages(&fleet)?;
     tokio::time::sleep(FINISH_TIME).await;
     if kill_control {
-        fleet.controls[0].signal(Signal::Kill)?;
-        fleet.controls.remove(0);
+        let killed = &mut fleet.pinerill.controls[0];
+        killed.process.signal(Signal::Kill)?;
+        fleet.pinerill.controls.remove(0);
         tokio::time::sleep(STORM_TIME).await;
     }
     let hollow = fleet.stop_hollow_nodes().await?;
@@ -143,11 +144,11 @@
 }
 
 /// Usage of each control machine and, last, of the real node.
-fn usages(fleet: &ScaleFleet<'_>) -> anyhow::Result<Vec<(String, Usage)>> {
-    fleet
-        .controls
-        .iter()
-        .chain(&fleet.node)
+fn usages(fleet: &ScaleFleet) -> anyhow::Result<Vec<(String, Usage)>> {
+    let controls = fleet.pinerill.controls.iter().map(|one| &one.process);
+    let nodes = fleet.pinerill.nodes.iter().map(|one| &one.process);
+    controls
+        .chain(nodes)
         .map(|process| {
             let usage = Usage::of_process(process.id())?;
             Ok((process.name().to_owned(), usage))
--- a/crates/pinerill-rehearse/src/standin/platform.rs
+++ b/crates/pinerill-rehearse/src/standin/platform.rs
@@ -11,12 +11,11 @@
 use rocket::serde::json::Json;
 use rocket::{get, put, routes, State};
 use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+use tokio::time::sleep_until;
 
 use super::http;
 
-/// How often a waiting reader looks for a change.
-const POLL: Duration = Duration::from_millis(20);
-
 /// Flags of the platform list.
 #[derive(Args, Debug, Clone)]
 pub struct PlatformArguments {
@@ -80,8 +79,24 @@
         self.pending.push((visible_at, machine));
     }
 
-    /// The list as it is visible at `now`.
-    pub fn list(&mut self, now: Instant) -> MachineList {
+    /// The list as it is visible at `now`, unless its revision is `known`.
+    pub fn list_unless(&mut self, known: Option<u64>, now: Instant) -> Option<MachineList> {
+        self.make_visible(now);
+        if known == Some(self.revision) {
+            return None;
+        }
+        Some(MachineList {
+            revision: self.revision,
+            machines: self.machines.values().cloned().collect(),
+        })
+    }
+
+    /// When the next change becomes visible.
+    pub fn next_change(&self) -> Option<Instant> {
+        self.pending.iter().map(|(visible_at, _)| *visible_at).min()
+    }
+
+    fn make_visible(&mut self, now: Instant) {
         let changes = std::mem::take(&mut self.pending).into_iter();
         let (due, pending): (Vec<_>, Vec<_>) =
             changes.partition(|(visible_at, _)| *visible_at <= now);
@@ -90,23 +105,32 @@
             self.revision += 1;
             self.machines.insert(machine.name.clone(), machine);
         }
-        MachineList {
-            revision: self.revision,
-            machines: self.machines.values().cloned().collect(),
-        }
     }
 }
 
 #[derive(Debug)]
 struct Platform {
     table: Mutex<MachineTable>,
+    /// A change was noted; readers look again when it becomes visible.
+    noted: Notify,
     lag: Duration,
 }
 
+impl Platform {
+    /// The list unless its revision is `known`, and when the next change
+    /// becomes visible.
+    fn look(&self, known: Option<u64>, now: Instant) -> (Option<MachineList>, Option<Instant>) {
+        let mut table = self.table.lock();
+        let list = table.list_unless(known, now);
+        (list, table.next_change())
+    }
+}
+
 /// Serves the list until SIGTERM or SIGINT.
 pub async fn run(arguments: PlatformArguments) -> anyhow::Result<()> {
     let platform = Arc::new(Platform {
         table: Mutex::default(),
+        noted: Notify::new(),
         lag: Duration::from_millis(arguments.lag_ms),
     });
     let server = http::server(arguments.listen).manage(platform);
@@ -121,15 +145,21 @@
 ) -> Result<Json<MachineList>, (Status, ())> {
     let deadline = Instant::now() + Duration::from_millis(wait_ms.unwrap_or(0));
     loop {
+        // Made before the look, so that a change between look and wait wakes.
+        let noted = platform.noted.notified();
         let now = Instant::now();
-        let list = platform.table.lock().list(now);
-        if after != Some(list.revision) {
+        let (list, next_change) = platform.look(after, now);
+        if let Some(list) = list {
             return Ok(Json(list));
         }
         if now >= deadline {
             return Err((Status::NotModified, ()));
         }
-        tokio::time::sleep(POLL).await;
+        let wake = next_change.map_or(deadline, |change| change.min(deadline));
+        tokio::select! {
+            () = noted => {}
+            () = sleep_until(wake.into()) => {}
+        }
     }
 }
 
@@ -145,5 +175,6 @@
     }
     let visible_at = Instant::now() + platform.lag;
     platform.table.lock().put(visible_at, machine.into_inner());
+    platform.noted.notify_waiters();
     Ok(Status::NoContent)
 }
--- a/crates/pinerill-rehearse/src/state/failover.rs
+++ b/crates/pinerill-rehearse/src/state/failover.rs
@@ -3,11 +3,11 @@
 
 use std::time::{Duration, Instant};
 
-use anyhow::{bail, Context};
+use anyhow::bail;
 
 use super::figures::FailoverFigures;
 use crate::fleet::process::Signal;
-use crate::scale::fleet::{cluster_status, ScaleFleet};
+use crate::scale::fleet::ScaleFleet;
 use crate::scale::load::ChangeDriver;
 
 /// Longest time until a bundle must be accepted again.
@@ -20,26 +20,15 @@
 /// # Errors
 /// When no bundle is accepted in time.
 pub async fn measure(
-    fleet: &mut ScaleFleet<'_>,
+    fleet: &mut ScaleFleet,
     changes: &mut ChangeDriver,
 ) -> anyhow::Result<FailoverFigures> {
-    let status = cluster_status(&fleet.client()).await?;
-    let meta = status.groups.iter().find(|group| group.group == 0);
-    let leader = meta
-        .and_then(|group| group.leader)
-        .context("the meta group has no leader")?;
-    let record = status
-        .replicas
-        .iter()
-        .find(|replica| replica.replica == leader)
-        .context("the leader is not among the control machines")?;
-    let killed = fleet
-        .controls
-        .iter()
-        .position(|process| process.name() == record.name)
-        .context("the leader is not among the processes")?;
+    let leader = fleet.pinerill.meta_leader().await?;
+    let killed = fleet.pinerill.control_named(&leader.name)?;
     let started = Instant::now();
-    fleet.controls[killed].signal(Signal::Kill)?;
+    fleet.pinerill.controls[killed]
+        .process
+        .signal(Signal::Kill)?;
     loop {
         match changes.change_once().await {
             Ok(()) => break,
@@ -52,6 +41,6 @@
     Ok(FailoverFigures {
         next_accepted_ms: started.elapsed().as_secs_f64() * 1_000.0,
         killed,
-        killed_replica: leader,
+        killed_replica: leader.replica,
     })
 }
--- a/crates/pinerill-rehearse/src/state/mod.rs
+++ b/crates/pinerill-rehearse/src/state/mod.rs
@@ -8,6 +8,7 @@
 mod throughput;
 
 use std::path::PathBuf;
+use std::sync::Arc;
 
 use anyhow::Context;
 use clap::Args;
@@ -64,7 +65,7 @@
 /// # Errors
 /// When a step fails; logs and data are then kept and named.
 pub async fn run(arguments: StateArguments) -> anyhow::Result<()> {
-    let mut launcher = Launcher::new("state")?;
+    let launcher = Arc::new(Launcher::new("state")?);
     let measured = measure(&launcher, &arguments).await;
     let figures = match measured {
         Ok(figures) => figures,
@@ -82,14 +83,17 @@
     Ok(())
 }
 
-async fn measure(launcher: &Launcher, arguments: &StateArguments) -> anyhow::Result<StateFigures> {
+async fn measure(
+    launcher: &Arc<Launcher>,
+    arguments: &StateArguments,
+) -> anyhow::Result<StateFigures> {
     let size = arguments.size();
     size.check()?;
     println!("the disk alone");
     let disk = disk::measure(launcher.folder())?;
     println!("starting control machines");
-    let mut fleet = ScaleFleet::start(launcher, &size).await?;
-    let mut changes = ChangeDriver::start(fleet.client(), signer()).await?;
+    let mut fleet = ScaleFleet::start(launcher.clone(), &size).await?;
+    let mut changes = ChangeDriver::start(fleet.client()?, signer()).await?;
     changes.roll_out_base(size.tenants as u32).await?;
     println!("items through accept, lease and completion");
     let throughput = throughput::measure(&mut fleet, &mut changes, arguments, &size).await?;
--- a/crates/pinerill-rehearse/src/state/repair.rs
+++ b/crates/pinerill-rehearse/src/state/repair.rs
@@ -8,7 +8,8 @@
 
 use super::disk::folder_bytes;
 use super::figures::{FailoverFigures, RepairFigures};
-use crate::scale::fleet::{cluster_status, ScaleFleet};
+use crate::fleet::pinerill::cluster_status;
+use crate::scale::fleet::ScaleFleet;
 
 /// Longest time of the repair.
 const LONGEST: Duration = Duration::from_secs(120);
@@ -24,21 +25,21 @@
 /// # Errors
 /// When the repair is not done in time.
 pub async fn measure(
-    fleet: &mut ScaleFleet<'_>,
+    fleet: &mut ScaleFleet,
     failover: &FailoverFigures,
 ) -> anyhow::Result<RepairFigures> {
     let folder = fleet.data_folder(failover.killed);
     let lost_bytes = folder_bytes(&folder);
     std::fs::remove_dir_all(&folder)
         .with_context(|| format!("losing the disk {}", folder.display()))?;
-    fleet.restart_control(failover.killed)?;
+    fleet.pinerill.restart_control(failover.killed)?;
     let new = await_stranger(fleet, failover).await?;
     let started = Instant::now();
     let request = Request::ReplaceReplica(ReplaceReplica {
         lost: failover.killed_replica,
         new,
     });
-    let client = fleet.client();
+    let client = fleet.client()?;
     let mut last = String::new();
     while started.elapsed() < LONGEST {
         match client.call_any(request.clone(), CALL_TIME).await {
@@ -58,9 +59,12 @@
 }
 
 /// Waits until the new identity is among the control machines.
-async fn await_stranger(fleet: &ScaleFleet<'_>, failover: &FailoverFigures) -> anyhow::Result<u64> {
-    let name = fleet.controls[failover.killed].name().to_owned();
-    let client = fleet.client();
+async fn await_stranger(fleet: &ScaleFleet, failover: &FailoverFigures) -> anyhow::Result<u64> {
+    let name = fleet.pinerill.controls[failover.killed]
+        .process
+        .name()
+        .to_owned();
+    let client = fleet.client()?;
     let started = Instant::now();
     while started.elapsed() < SEEN_TIME {
         let status = cluster_status(&client).await?;
--- a/crates/pinerill-rehearse/src/state/throughput.rs
+++ b/crates/pinerill-rehearse/src/state/throughput.rs
@@ -10,7 +10,8 @@
 use super::disk::folder_bytes;
 use super::figures::ThroughputFigures;
 use super::StateArguments;
-use crate::scale::fleet::{cluster_status, ScaleFleet};
+use crate::fleet::pinerill::cluster_status;
+use crate::scale::fleet::ScaleFleet;
 use crate::scale::hollow::{HollowResults, Quantiles};
 use crate::scale::load::{ChangeDriver, JobDriver};
 use crate::scale::usage::Usage;
@@ -35,7 +36,7 @@
 /// # Errors
 /// When the load is refused or a process dies.
 pub async fn measure(
-    fleet: &mut ScaleFleet<'_>,
+    fleet: &mut ScaleFleet,
     changes: &mut ChangeDriver,
     arguments: &StateArguments,
     size: &Size,
@@ -44,7 +45,7 @@
     tokio::time::sleep(SETTLE_TIME).await;
     let skip = changes.proposed.len();
     let jobs = Arc::new(JobDriver::new(
-        fleet.client(),
+        fleet.client()?,
         size.job_groups as u32,
         size.items_per_job as u32,
     ));
@@ -63,7 +64,7 @@
     let hollow = fleet.stop_hollow_nodes().await?;
     let accepted = jobs.accepted.load(Ordering::Relaxed) as f64;
     let completed = hollow.counted as f64;
-    let machines = fleet.controls.len() as f64;
+    let machines = fleet.pinerill.controls.len() as f64;
     Ok(ThroughputFigures {
         seconds,
         accepted_per_second: accepted / seconds,
@@ -82,17 +83,20 @@
     })
 }
 
-async fn read(fleet: &ScaleFleet<'_>) -> anyhow::Result<Reading> {
-    let status = cluster_status(&fleet.client()).await?;
+async fn read(fleet: &ScaleFleet) -> anyhow::Result<Reading> {
+    let status = cluster_status(&*fleet.client()?).await?;
     let mut reading = Reading {
-        syncs: fleet.sum_metric("pinerill_store_syncs_total").await?,
+        syncs: fleet
+            .pinerill
+            .sum_metric("pinerill_store_syncs_total")
+            .await?,
         entries: status.groups.iter().map(|group| group.commit).sum(),
         disk_bytes: 0,
         memory_bytes: 0,
     };
-    for (index, process) in fleet.controls.iter().enumerate() {
+    for (index, control) in fleet.pinerill.controls.iter().enumerate() {
         reading.disk_bytes += folder_bytes(&fleet.data_folder(index));
-        reading.memory_bytes += Usage::of_process(process.id())?.resident_bytes;
+        reading.memory_bytes += Usage::of_process(control.process.id())?.resident_bytes;
     }
     Ok(reading)
 }
--- a/crates/pinerill-rehearse/tests/standin_others.rs
+++ b/crates/pinerill-rehearse/tests/standin_others.rs
@@ -28,7 +28,9 @@
     assert_eq!(put.send().await.expect("answers").status(), 204);
     let early = client.get(format!("http://{address}/machines?after=0&wait_ms=50"));
     assert_eq!(early.send().await.expect("answers").status(), 304);
-    let late = client.get(format!("http://{address}/machines?after=0&wait_ms=5000"));
+    // Far longer than the timeout: the change itself must wake the reader.
+    let late = client.get(format!("http://{address}/machines?after=0&wait_ms=600000"));
+    let late = late.timeout(Duration::from_secs(60));
     let late: Value = late
         .send()
         .await
