Rehearsal kit: demo command

Cause: nothing showed a whole fleet from roll-out to planned stop.

Change: demo starts stand-ins, control machines and nodes, rolls a bundle out by the operators' commands, serves online requests in all four shapes beside a batch job, moves a service off the old script by two further bundles, reads results twice, stops all and checks against the ledgers. Answers that are not streamed are read and judged too. SIGINT and SIGTERM end it and its processes.

--- a/crates/pinerill-rehearse/src/lib.rs
+++ b/crates/pinerill-rehearse/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod answer;
 pub mod check;
+pub mod demo;
 pub mod engine;
 pub mod fleet;
 pub mod ledger;
--- a/crates/pinerill-rehearse/src/load/online.rs
+++ b/crates/pinerill-rehearse/src/load/online.rs
@@ -5,6 +5,7 @@
 
 use async_trait::async_trait;
 use futures::StreamExt;
+use reqwest::header::CONTENT_TYPE;
 use reqwest::Response;
 use tokio::time::Instant;
 
@@ -16,6 +17,9 @@
 use crate::answer::TOKEN_TEXT_BYTES;
 use crate::ledger::unix_us;
 
+/// Content type of a streamed answer.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Where online requests go.
 #[async_trait]
 pub trait OnlineTarget: Send + Sync {
@@ -108,7 +112,11 @@
         if !response.status().is_success() {
             return refusal(response).await;
         }
-        match self.read(response).await {
+        let read = match is_stream(&response) {
+            true => self.read(response).await,
+            false => self.read_whole(response).await,
+        };
+        match read {
             Ok(()) => self.judge(),
             Err(end) => end,
         }
@@ -133,6 +141,15 @@
         Err(OnlineEnd::Failed("the stream ended early".to_string()))
     }
 
+    /// Reads an answer in one piece.
+    async fn read_whole(&mut self, response: Response) -> Result<(), OnlineEnd> {
+        let body = response.bytes().await;
+        let body = body.map_err(|error| OnlineEnd::Failed(error.to_string()))?;
+        let answer: StreamEvent = serde_json::from_slice(&body)
+            .map_err(|error| OnlineEnd::WrongAnswer(error.to_string()))?;
+        self.take(&answer)
+    }
+
     fn take(&mut self, event: &StreamEvent) -> Result<(), OnlineEnd> {
         if let Some(error) = &event.error {
             return Err(OnlineEnd::Failed(error.code.clone()));
@@ -186,6 +203,12 @@
     }
 }
 
+fn is_stream(response: &Response) -> bool {
+    let kind = response.headers().get(CONTENT_TYPE);
+    let kind = kind.and_then(|kind| kind.to_str().ok());
+    kind.is_some_and(|kind| kind.starts_with(EVENT_STREAM))
+}
+
 async fn refusal(response: Response) -> OnlineEnd {
     let status = response.status();
     match response.json::<FailureBody>().await {
--- a/crates/pinerill-rehearse/src/main.rs
+++ b/crates/pinerill-rehearse/src/main.rs
@@ -18,6 +18,8 @@
     /// Runs one stand-in; the kit starts these itself.
     #[command(subcommand, hide = true)]
     Standin(StandIn),
+    /// Starts a fleet with stand-ins, serves, moves a service, checks, stops.
+    Demo(pinerill_rehearse::demo::DemoArguments),
     /// Measures the durable state: throughput, failover, repair.
     State(pinerill_rehearse::state::StateArguments),
     /// Runs real and hollow processes at several sizes and fits lines.
@@ -37,6 +39,9 @@
 
 fn run(command: Command) -> anyhow::Result<()> {
     match command {
+        Command::Demo(arguments) => {
+            runtime(KIT_THREADS)?.block_on(pinerill_rehearse::demo::run(arguments))
+        }
         Command::State(arguments) => {
             runtime(KIT_THREADS)?.block_on(pinerill_rehearse::state::run(arguments))
         }
--- a/crates/pinerill-rehearse/src/rehearsal/mod.rs
+++ b/crates/pinerill-rehearse/src/rehearsal/mod.rs
@@ -2,6 +2,7 @@
 //! first bundle in force. Demo, faults and bench all begin with it.
 
 pub mod bundles;
+mod interrupt;
 mod progress;
 mod roll_out;
 
@@ -20,6 +21,7 @@
 use crate::load::node_target::NodeTarget;
 use crate::preset::Preset;
 
+pub use interrupt::until_interrupted;
 pub use progress::Progress;
 pub use roll_out::{make_cluster_key, BundleInForce, Operators, JOB_GROUPS};
 
@@ -107,13 +109,13 @@
     }
 
     /// Online requests to `service` at all nodes in turn.
-    pub fn online_target(&self, service: &str) -> Arc<NodeTarget> {
-        Arc::new(NodeTarget::new(
+    pub fn online_target(&self, service: &str) -> NodeTarget {
+        NodeTarget::new(
             self.client.clone(),
             self.fleet.node_addresses(),
             CALLER_KEY.to_owned(),
             service.to_owned(),
-        ))
+        )
     }
 
     /// The tenant's batch jobs at all nodes in turn.
@@ -142,6 +144,17 @@
         }
     }
 
+    /// What requests to the service that moves off the old script have in
+    /// common.
+    pub fn moving_content(&self, tag: &str) -> ContentContext {
+        ContentContext {
+            tag: tag.to_owned(),
+            service: self.preset.script_service.to_owned(),
+            model: self.preset.model.to_owned(),
+            adapter: self.preset.adapter.to_owned(),
+        }
+    }
+
     /// Planned stop of everything: nodes, control machines, stand-ins.
     ///
     /// # Errors
