Rehearsal kit: faults command with sixteen scenarios

Cause: the promises are about failures, and nothing brought them about in a fleet of real processes.

Change: faults plays workers killed, leaving and with lost answers; nodes killed and stopped; callers gone; control machines stopped, killed and frozen; disks lost one right after the other; hundreds of bundles while a machine is away; racing operators; a zone cut off; jobs resent, in conflict and cancelled; a stranger with another key. Each has a fleet of its own and is judged by the checks of histories and by its own. A failed run prints folder last.

--- /dev/null
+++ b/crates/pinerill-rehearse/src/faults/scenarios/disks.rs
@@ -0,0 +1,122 @@
+//! Disks that are lost after writes were acknowledged.
+
+use std::time::Duration;
+
+use anyhow::{bail, Context};
+use async_trait::async_trait;
+use pinerill_wire::message::ReplicaRecord;
+use tokio::time::{sleep, Instant};
+
+use super::control::await_all_reachable;
+use crate::faults::scenario::Scenario;
+use crate::faults::stage::Stage;
+use crate::fleet::pinerill::cluster_status;
+use crate::fleet::process::Signal;
+use crate::rehearsal::bundles::next_version;
+
+/// Items of each job.
+const ITEMS: usize = 120;
+/// Longest time until a new identity is seen.
+const SEEN_TIME: Duration = Duration::from_secs(20);
+/// Pause between two looks.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+
+/// A disk is lost and replaced; right after the repair a second machine is
+/// lost with its disk.
+pub struct DisksLost;
+
+#[async_trait]
+impl Scenario for DisksLost {
+    fn name(&self) -> &'static str {
+        "disks-lost"
+    }
+
+    fn what(&self) -> &'static str {
+        "a leader's disk deleted, cluster replace, a second machine and disk lost at once"
+    }
+
+    async fn play(&self, stage: &mut Stage) -> anyhow::Result<()> {
+        stage.submit("before", ITEMS).await?;
+        let leader = stage.rehearsal.fleet.meta_leader().await?;
+        let first = stage.rehearsal.fleet.control_named(&leader.name)?;
+        stage.step(format!("{} and its disk are lost", leader.name));
+        lose(stage, first)?;
+        stage.submit("while-lost", ITEMS).await?;
+        replace(stage, first, &leader).await?;
+        let second = (first + 1) % stage.rehearsal.fleet.controls.len();
+        let record = record_of(stage, second).await?;
+        stage.step(format!("{} and its disk are lost right after", record.name));
+        lose(stage, second)?;
+        check_nothing_forgotten(stage).await?;
+        replace(stage, second, &record).await?;
+        check_nothing_forgotten(stage).await?;
+        await_all_reachable(stage).await
+    }
+}
+
+/// Kills a control machine and deletes its folder.
+fn lose(stage: &mut Stage, index: usize) -> anyhow::Result<()> {
+    let control = &mut stage.rehearsal.fleet.controls[index];
+    control.process.signal(Signal::Kill)?;
+    let folder = &control.settings.data_folder;
+    // Its files may still be open for a moment; the folder is gone at once.
+    std::fs::remove_dir_all(folder).with_context(|| format!("deleting {}", folder.display()))
+}
+
+/// Starts the machine with an empty folder and puts it in the lost one's place.
+async fn replace(stage: &mut Stage, index: usize, lost: &ReplicaRecord) -> anyhow::Result<()> {
+    let fleet = &mut stage.rehearsal.fleet;
+    fleet.restart_control(index)?;
+    fleet.await_control(index).await?;
+    let new = await_stranger(stage, lost).await?;
+    let (lost, new) = (format!("{:016x}", lost.replica), format!("{new:016x}"));
+    stage.step(format!("cluster replace --lost {lost} --new {new}"));
+    let arguments = ["cluster", "replace", "--lost", &lost, "--new", &new];
+    let output = stage.rehearsal.operators.succeed(&arguments).await?;
+    stage.operations += 1;
+    let last = output.lines().last().unwrap_or_default();
+    stage.step(format!("it says: {last}"));
+    Ok(())
+}
+
+async fn await_stranger(stage: &Stage, lost: &ReplicaRecord) -> anyhow::Result<u64> {
+    let client = stage.rehearsal.fleet.client()?;
+    let end = Instant::now() + SEEN_TIME;
+    while Instant::now() < end {
+        let status = cluster_status(&client).await?;
+        let stranger = status.replicas.iter().find(|replica| {
+            replica.name == lost.name && replica.replica != lost.replica && replica.reachable
+        });
+        if let Some(stranger) = stranger {
+            return Ok(stranger.replica);
+        }
+        sleep(LOOK_PAUSE).await;
+    }
+    bail!("{} was not seen with a new identity", lost.name)
+}
+
+async fn record_of(stage: &Stage, index: usize) -> anyhow::Result<ReplicaRecord> {
+    let fleet = &stage.rehearsal.fleet;
+    let name = fleet.controls[index].process.name();
+    let status = cluster_status(&*fleet.client()?).await?;
+    let records = status.replicas.into_iter();
+    let mut found = records.filter(|record| record.name == name && record.reachable);
+    found
+        .next()
+        .with_context(|| format!("{name} is not in the cluster's status"))
+}
+
+/// All that was acknowledged is there, and the cluster takes more.
+async fn check_nothing_forgotten(stage: &mut Stage) -> anyhow::Result<()> {
+    stage.read_jobs().await?;
+    let in_force = stage.rehearsal.operators.show().await?;
+    let wanted = stage.rehearsal.bundle.version;
+    let detail = format!("version {} instead of {wanted}", in_force.version);
+    let same = in_force == stage.rehearsal.bundle;
+    stage.expect("bundle is not forgotten", same, "bundle show", detail);
+    let bundle = next_version(&stage.rehearsal.bundle);
+    stage.rehearsal.roll_out(bundle).await?;
+    stage.operations += 2;
+    stage.submit(&format!("after-{wanted}"), ITEMS).await?;
+    Ok(())
+}
--- a/crates/pinerill-rehearse/src/lib.rs
+++ b/crates/pinerill-rehearse/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod check;
 pub mod demo;
 pub mod engine;
+pub mod faults;
 pub mod fleet;
 pub mod ledger;
 pub mod load;
--- a/crates/pinerill-rehearse/src/load/online.rs
+++ b/crates/pinerill-rehearse/src/load/online.rs
@@ -13,13 +13,16 @@
 use super::profile::OnlineProfile;
 use super::record::{OnlineEnd, OnlineRecord};
 use super::schedule::Arrival;
-use super::sse::{Event, EventReader, FailureBody, StreamEvent};
+use super::sse::{ErrorBody, Event, EventReader, FailureBody, StreamEvent};
 use crate::answer::TOKEN_TEXT_BYTES;
 use crate::ledger::unix_us;
 
 /// Content type of a streamed answer.
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// Code of a request for which no connection could be had.
+pub const NOT_CONNECTED: &str = "not_connected";
+
 /// Where online requests go.
 #[async_trait]
 pub trait OnlineTarget: Send + Sync {
@@ -105,7 +108,7 @@
     async fn run(&mut self, target: &dyn OnlineTarget) -> OnlineEnd {
         let sent = match target.send(self.request).await {
             Ok(sent) => sent,
-            Err(error) => return OnlineEnd::Failed(error.to_string()),
+            Err(error) => return no_answer(&error),
         };
         let Sent { response, guard } = sent;
         let _counted_until_read = guard;
@@ -209,6 +212,18 @@
     kind.is_some_and(|kind| kind.starts_with(EVENT_STREAM))
 }
 
+/// A request without a connection was not sent, so it did not run.
+fn no_answer(error: &reqwest::Error) -> OnlineEnd {
+    if !error.is_connect() {
+        return OnlineEnd::Failed(error.to_string());
+    }
+    OnlineEnd::NotRun(Box::new(ErrorBody {
+        code: NOT_CONNECTED.to_owned(),
+        message: error.to_string(),
+        ..ErrorBody::default()
+    }))
+}
+
 async fn refusal(response: Response) -> OnlineEnd {
     let status = response.status();
     match response.json::<FailureBody>().await {
--- a/crates/pinerill-rehearse/src/main.rs
+++ b/crates/pinerill-rehearse/src/main.rs
@@ -20,6 +20,8 @@
     Standin(StandIn),
     /// Starts a fleet with stand-ins, serves, moves a service, checks, stops.
     Demo(pinerill_rehearse::demo::DemoArguments),
+    /// Brings about failures, one scenario after the other, and checks.
+    Faults(pinerill_rehearse::faults::FaultsArguments),
     /// Measures the durable state: throughput, failover, repair.
     State(pinerill_rehearse::state::StateArguments),
     /// Runs real and hollow processes at several sizes and fits lines.
@@ -42,6 +44,9 @@
         Command::Demo(arguments) => {
             runtime(KIT_THREADS)?.block_on(pinerill_rehearse::demo::run(arguments))
         }
+        Command::Faults(arguments) => {
+            runtime(KIT_THREADS)?.block_on(pinerill_rehearse::faults::run(arguments))
+        }
         Command::State(arguments) => {
             runtime(KIT_THREADS)?.block_on(pinerill_rehearse::state::run(arguments))
         }
--- a/crates/pinerill-rehearse/src/preset.rs
+++ b/crates/pinerill-rehearse/src/preset.rs
@@ -83,6 +83,12 @@
         format!("{}/{}@{VERSION}", self.model, self.adapter)
     }
 
+    /// The same place with other workers: one for each number of engines.
+    pub fn with_workers(self, engines: &[usize]) -> Self {
+        let workers = workers(self.zones, engines);
+        Self { workers, ..self }
+    }
+
     /// The other zones, seen from `zone`.
     pub fn neighbours(&self, zone: &str) -> Vec<&'static str> {
         let zones = self.zones.iter().copied();
