--- a/crates/pinerill-rehearse/src/load/online.rs
+++ b/crates/pinerill-rehearse/src/load/online.rs
@@ -5,6 +5,7 @@
 
 use async_trait::async_trait;
 use futures::StreamExt;
+use reqwest::header::CONTENT_TYPE;
 use reqwest::Response;
 use tokio::time::Instant;
 
@@ -12,10 +13,16 @@
 use super::profile::OnlineProfile;
 use super::record::{OnlineEnd, OnlineRecord};
 use super::schedule::Arrival;
-use super::sse::{Event, EventReader, FailureBody, StreamEvent};
+use super::sse::{ErrorBody, Event, EventReader, FailureBody, StreamEvent};
 use crate::answer::TOKEN_TEXT_BYTES;
 use crate::ledger::unix_us;
 
+/// Content type of a streamed answer.
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Code of a request for which no connection could be had.
+pub const NOT_CONNECTED: &str = "not_connected";
+
 /// Where online requests go.
 #[async_trait]
 pub trait OnlineTarget: Send + Sync {
@@ -101,14 +108,18 @@
     async fn run(&mut self, target: &dyn OnlineTarget) -> OnlineEnd {
         let sent = match target.send(self.request).await {
             Ok(sent) => sent,
-            Err(error) => return OnlineEnd::Failed(error.to_string()),
+            Err(error) => return no_answer(&error),
         };
         let Sent { response, guard } = sent;
         let _counted_until_read = guard;
         if !response.status().is_success() {
             return refusal(response).await;
         }
-        match self.read(response).await {
+        let read = match is_stream(&response) {
+            true => self.read(response).await,
+            false => self.read_whole(response).await,
+        };
+        match read {
             Ok(()) => self.judge(),
             Err(end) => end,
         }
@@ -133,6 +144,15 @@
         Err(OnlineEnd::Failed("the stream ended early".to_string()))
     }
 
+    /// Reads an answer in one piece.
+    async fn read_whole(&mut self, response: Response) -> Result<(), OnlineEnd> {
+        let body = response.bytes().await;
+        let body = body.map_err(|error| OnlineEnd::Failed(error.to_string()))?;
+        let answer: StreamEvent = serde_json::from_slice(&body)
+            .map_err(|error| OnlineEnd::WrongAnswer(error.to_string()))?;
+        self.take(&answer)
+    }
+
     fn take(&mut self, event: &StreamEvent) -> Result<(), OnlineEnd> {
         if let Some(error) = &event.error {
             return Err(OnlineEnd::Failed(error.code.clone()));
@@ -172,6 +192,7 @@
         let arrival = &self.request.arrival;
         OnlineRecord {
             number: arrival.number,
+            request_id: self.request.request_id.clone(),
             kind: arrival.kind,
             in_burst: arrival.in_burst,
             at_most_once: arrival.at_most_once,
@@ -185,6 +206,24 @@
     }
 }
 
+fn is_stream(response: &Response) -> bool {
+    let kind = response.headers().get(CONTENT_TYPE);
+    let kind = kind.and_then(|kind| kind.to_str().ok());
+    kind.is_some_and(|kind| kind.starts_with(EVENT_STREAM))
+}
+
+/// A request without a connection was not sent, so it did not run.
+fn no_answer(error: &reqwest::Error) -> OnlineEnd {
+    if !error.is_connect() {
+        return OnlineEnd::Failed(error.to_string());
+    }
+    OnlineEnd::NotRun(Box::new(ErrorBody {
+        code: NOT_CONNECTED.to_owned(),
+        message: error.to_string(),
+        ..ErrorBody::default()
+    }))
+}
+
 async fn refusal(response: Response) -> OnlineEnd {
     let status = response.status();
     match response.json::<FailureBody>().await {
