Clients and peers reach control machines only by addresses of their settings

Cause: with something between the zones (the demo's relays), a machine is reached at another address than the one where it says it listens. Founding compared the two and refused; clients would have followed a leader's own address past the settings.

Change: the client keeps which machine answers at which address of the settings and follows hints by that; it connects nowhere else. Founding counts the addresses of the settings that are connected.

--- a/crates/pinerill-control/src/server/control.rs
+++ b/crates/pinerill-control/src/server/control.rs
@@ -61,6 +61,15 @@
 }
 
 impl Control {
+    /// Where the other control machines are reached.
+    pub(super) fn other_addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        let own = self.settings.listen;
+        self.addresses
+            .iter()
+            .copied()
+            .filter(move |one| *one != own)
+    }
+
     /// Name of this machine, as the peer in errors.
     pub(super) fn name(&self) -> &str {
         self.settings.name.as_str()
--- a/crates/pinerill-control/src/server/founding.rs
+++ b/crates/pinerill-control/src/server/founding.rs
@@ -80,10 +80,9 @@
         let mut machines = self.connected_machines();
         machines.sort_by_key(|machine| machine.address);
         machines.dedup_by_key(|machine| machine.replica);
-        let missing = self
-            .addresses
-            .iter()
-            .find(|address| !machines.iter().any(|one| one.address == **address));
+        let connected = self.pool.connected();
+        let mut others = self.other_addresses();
+        let missing = others.find(|address| !connected.contains(address));
         if let Some(address) = missing {
             return Err(self.wrong_state(&format!("control machine {address} is not connected")));
         }
--- a/crates/pinerill-control/src/server/run.rs
+++ b/crates/pinerill-control/src/server/run.rs
@@ -233,9 +233,8 @@
         spawn(log_counters(control.clone(), counters_pause)),
         spawn(place),
     ];
-    let others = control.addresses.iter();
-    let others = others.filter(|address| **address != control.settings.listen);
-    tasks.extend(others.map(|address| spawn(control.clone().ask_peer(*address))));
+    let others = control.other_addresses();
+    tasks.extend(others.map(|address| spawn(control.clone().ask_peer(address))));
     tasks
 }
 
--- a/crates/pinerill-wire/src/client.rs
+++ b/crates/pinerill-wire/src/client.rs
@@ -20,6 +20,8 @@
 /// Longest wait for one machine before the next is asked: a leader that is
 /// cut off in silence must not use up the whole time.
 const LEADER_TRY: Duration = Duration::from_secs(2);
+/// Longest time to connect to machines that have not named themselves yet.
+const INTRODUCTION_TIME: Duration = Duration::from_millis(500);
 /// A call is not started with less time than this left.
 const SHORTEST_CALL: Duration = Duration::from_millis(1);
 
@@ -33,6 +35,9 @@
     /// Index in `addresses` of the machine in use.
     preferred: Mutex<usize>,
     leaders: Mutex<HashMap<u32, SocketAddr>>,
+    /// Where a machine is reached, by the address at which it says it
+    /// listens: the two differ where something stands in between.
+    reached_at: Mutex<HashMap<SocketAddr, SocketAddr>>,
     slots: Mutex<HashMap<SocketAddr, Slot>>,
     counters: Arc<LinkCounters>,
 }
@@ -47,6 +52,7 @@
             addresses,
             preferred: Mutex::new(0),
             leaders: Mutex::new(HashMap::new()),
+            reached_at: Mutex::new(HashMap::new()),
             slots: Mutex::new(HashMap::new()),
             counters: Arc::new(LinkCounters::default()),
         }
@@ -78,10 +84,34 @@
             return Ok(connection.clone());
         }
         let opened = Connection::open(address, &self.identity, self.counters.clone()).await?;
+        let listens_at = opened.peer().address;
+        self.reached_at.lock().insert(listens_at, address);
         *held = Some(opened.clone());
         Ok(opened)
     }
 
+    /// The address of the settings under which the machine that listens at
+    /// `hint` is reached. Where none is known, those that were never
+    /// connected are, so that they name themselves. No other address is ever
+    /// connected to.
+    async fn address_of(&self, hint: SocketAddr) -> Option<SocketAddr> {
+        if let Some(known) = self.known_address(hint) {
+            return Some(known);
+        }
+        let known: Vec<SocketAddr> = self.reached_at.lock().values().copied().collect();
+        let unknown = self.addresses.iter().filter(|one| !known.contains(one));
+        let attempts = unknown.map(|address| self.connection(*address));
+        let all = futures::future::join_all(attempts);
+        // One that does not answer must not hold the others up.
+        let _ = tokio::time::timeout(INTRODUCTION_TIME, all).await;
+        self.known_address(hint)
+    }
+
+    fn known_address(&self, hint: SocketAddr) -> Option<SocketAddr> {
+        let reached_at = self.reached_at.lock().get(&hint).copied();
+        reached_at.or_else(|| self.addresses.contains(&hint).then_some(hint))
+    }
+
     fn preferred(&self) -> SocketAddr {
         self.addresses[*self.preferred.lock()]
     }
@@ -165,7 +195,11 @@
         timeout: Duration,
     ) -> Result<Response, CallError> {
         let end = Instant::now() + timeout;
-        let mut guess = self.leader(group).unwrap_or_else(|| self.preferred());
+        let mut guess = match self.leader(group) {
+            Some(leader) => self.address_of(leader).await,
+            None => None,
+        }
+        .unwrap_or_else(|| self.preferred());
         loop {
             let left = time_left(end).unwrap_or(SHORTEST_CALL);
             let share = left.min(LEADER_TRY);
@@ -183,8 +217,12 @@
             if time_left(end).is_none() {
                 return Err(error);
             }
-            guess = match leader_hint(&error).filter(|hint| *hint != guess) {
-                Some(hint) => hint,
+            let hinted = match leader_hint(&error) {
+                Some(hint) => self.address_of(hint).await,
+                None => None,
+            };
+            guess = match hinted.filter(|hinted| *hinted != guess) {
+                Some(hinted) => hinted,
                 None => {
                     sleep(RETRY_PAUSE).await;
                     self.next_after(guess)
--- a/crates/pinerill-wire/src/connection/pool.rs
+++ b/crates/pinerill-wire/src/connection/pool.rs
@@ -59,6 +59,15 @@
             .collect()
     }
 
+    /// Addresses of the settings that are connected now.
+    pub fn connected(&self) -> Vec<SocketAddr> {
+        let connections = self.connections.lock();
+        let open = connections
+            .iter()
+            .filter(|(_, connection)| !connection.is_closed());
+        open.map(|(address, _)| *address).collect()
+    }
+
     /// Sends a notification to the peer with this data folder; it is dropped
     /// when that one is not connected.
     pub fn notify_replica(&self, replica: u64, notification: Notification) {
@@ -67,7 +76,7 @@
         }
     }
 
-    /// Asks the peer at `address`.
+    /// Asks the peer that listens at `address`, or that is reached there.
     ///
     /// # Errors
     /// As [`Connection::call`]; `NotSent` when it is not connected.
@@ -77,7 +86,8 @@
         request: Request,
         time: Duration,
     ) -> Result<Response, CallError> {
-        let connection = self.connections.lock().get(&address).cloned();
+        let reached = self.connections.lock().get(&address).cloned();
+        let connection = reached.or_else(|| self.find(|peer| peer.address == address));
         match connection {
             Some(connection) => connection.call(request, time).await,
             None => Err(CallError {
