--- a/crates/pinerill-control/src/server/control.rs
+++ b/crates/pinerill-control/src/server/control.rs
@@ -58,6 +58,8 @@
     pub(super) placement_counters: Arc<PlacementCounters>,
     /// Set when the planned stop begins.
     pub(super) stopping: CancellationToken,
+    /// Set when this machine takes part no more.
+    pub(super) closed: CancellationToken,
 }
 
 impl Control {
--- a/crates/pinerill-control/src/server/run.rs
+++ b/crates/pinerill-control/src/server/run.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -121,12 +121,18 @@
     );
     signals.planned.cancelled().await;
     tokio::select! {
-        () = stop(&control, &closing, server) => {}
+        () = hand_over(&control) => {}
         () = signals.forced.cancelled() => log::warn!("stopped at once"),
     }
+    closing.cancel();
+    if timeout(ANSWER_LIMIT, server).await.is_err() {
+        log::warn!("answers in flight were cut");
+    }
+    control.groups.host().halt().await;
+    control.closed.cancel();
     drop(tasks);
     admin_shutdown.notify();
-    drop(admin);
+    let _ = timeout(ANSWER_LIMIT, admin).await;
     log::info!("counters: {}", control.counters_line());
     log::info!("control machine {} stopped", control.name());
     Ok(())
@@ -150,7 +156,6 @@
         .with_context(|| format!("open data folder {}", own.data_folder.display()))?;
     let store: Arc<dyn GroupStore> = Arc::new(store);
     let identity = identity(&settings.cluster.name, key, &own, store.as_ref());
-    let stopping = CancellationToken::new();
     let others: Vec<SocketAddr> = settings
         .cluster
         .controls
@@ -158,7 +163,8 @@
         .copied()
         .filter(|address| *address != own.listen)
         .collect();
-    let pool = PeerPool::start(&others, &identity, &CancellationToken::new());
+    let closed = CancellationToken::new();
+    let pool = PeerPool::start(&others, &identity, &closed);
     let transport = Arc::new(PeerTransport::new(pool.clone()));
     let host = GroupHost::start(store.clone(), transport.clone(), host_settings(&own));
     let groups = Arc::new(Groups::new(host, store, identity.clone()));
@@ -176,7 +182,8 @@
         counters: ControlCounters::default(),
         server_counters: Arc::default(),
         placement_counters: Arc::default(),
-        stopping,
+        stopping: CancellationToken::new(),
+        closed,
     }))
 }
 
@@ -255,21 +262,12 @@
     }
 }
 
-/// The planned stop. Watches are answered at once, so that nodes move on;
-/// leadership is handed over while this machine still answers, so that
-/// requests in flight end here and new ones are told who leads; only then do
-/// connections close and groups stop.
-async fn stop(
-    control: &Arc<Control>,
-    closing: &CancellationToken,
-    server: tokio::task::JoinHandle<()>,
-) {
+/// The first part of a planned stop. Watches are answered at once, so that
+/// nodes move on; leadership is handed over while this machine still answers,
+/// so that requests in flight end here and new ones are told who leads. Only
+/// then may connections close and groups stop.
+async fn hand_over(control: &Arc<Control>) {
     log::info!("stop begins");
     control.stopping.cancel();
     control.groups.host().hand_over().await;
-    closing.cancel();
-    if tokio::time::timeout(ANSWER_LIMIT, server).await.is_err() {
-        log::warn!("answers in flight were cut");
-    }
-    control.groups.host().halt().await;
 }
