Ports below the outgoing range; a machine without a cluster is passed over

Cause: two faults that the server's tests showed. A control machine whose disk was lost answered 'wrong state', which ends a call, so a client that asked it first never tried the others; nodes would have stayed without configuration.

Ruled out: a lost election (the machines that could not bind were the cause).

Change: kit and tests take ports from 10,240 up; 'no cluster is initialised here' is an unavailable machine, so clients go on to the next one.

--- a/crates/pinerill-control/src/server/bundles.rs
+++ b/crates/pinerill-control/src/server/bundles.rs
@@ -108,9 +108,11 @@
         }
     }
 
+    /// This machine knows of no cluster. Another one may: a machine whose disk
+    /// was lost must not hold up nodes that happen to ask it first.
     pub(super) fn not_initialised(&self, step: &str) -> Response {
-        let message = "the cluster is not initialised";
-        refused(RefusalCode::WrongState, step, self.name(), message)
+        let message = "no cluster is initialised here";
+        refused(RefusalCode::Unavailable, step, self.name(), message)
     }
 
     pub(super) fn unexpected(&self, step: &str, reply: &MetaReply) -> Response {
--- a/crates/pinerill-control/tests/server_support/mod.rs
+++ b/crates/pinerill-control/tests/server_support/mod.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use pinerill_control::server::{run_with, StopSignal};
@@ -39,12 +40,20 @@
     machines: BTreeMap<usize, Machine>,
 }
 
+/// Ports below those of outgoing connections, so that a machine that is
+/// started again finds its own free.
 fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
-        .collect();
-    let address = |listener: &TcpListener| listener.local_addr().expect("an address");
-    listeners.iter().map(address).collect()
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let begin = 10_240 + (std::process::id() % 200) as u16 * 100;
+    let mut addresses = Vec::new();
+    while addresses.len() < count {
+        let port = begin + NEXT.fetch_add(1, Ordering::Relaxed) % 10_000;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            addresses.push(address);
+        }
+    }
+    addresses
 }
 
 impl Fleet {
--- a/crates/pinerill-rehearse/src/fleet/ports.rs
+++ b/crates/pinerill-rehearse/src/fleet/ports.rs
@@ -1,24 +1,46 @@
 //! Free loopback ports for the processes of a rehearsal.
+//!
+//! Ports come from below the range that the system gives to outgoing
+//! connections: a process that is started again on its port must not find it
+//! taken by such a connection meanwhile.
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::ops::Range;
+use std::sync::atomic::{AtomicU16, Ordering};
 
-use anyhow::Context;
+use anyhow::bail;
+
+/// Ports that are tried.
+const PORTS: Range<u16> = 10_240..32_000;
+
+/// Ports taken by this process so far, from where it began.
+static TAKEN: AtomicU16 = AtomicU16::new(0);
 
 /// Picks `count` loopback addresses with different ports that were free a
-/// moment ago. Fails when the system has none left.
+/// moment ago. Fails when none are left.
 pub fn free_addresses(count: usize) -> anyhow::Result<Vec<SocketAddr>> {
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)))
-        .collect::<Result<_, _>>()
-        .context("picking a free port")?;
-    listeners
-        .iter()
-        .map(|listener| listener.local_addr().context("reading a free port"))
-        .collect()
+    (0..count).map(|_| free_address()).collect()
 }
 
 /// Picks one loopback address; see `free_addresses`.
 pub fn free_address() -> anyhow::Result<SocketAddr> {
-    let address = free_addresses(1)?.pop();
-    address.context("picking a free port")
+    for _ in PORTS {
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, next_port()));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    bail!("picking a free port: all of {PORTS:?} are taken")
 }
+
+/// The next port in turn. Processes begin at different ones, so that two
+/// rehearsals at once rarely try the same.
+fn next_port() -> u16 {
+    let begin = std::process::id().wrapping_mul(PROCESS_STEP) % u32::from(PORTS.end - PORTS.start);
+    let taken = TAKEN.fetch_add(1, Ordering::Relaxed);
+    let offset = (begin + u32::from(taken)) % u32::from(PORTS.end - PORTS.start);
+    PORTS.start + offset as u16
+}
+
+/// Distance between the first ports of consecutive process numbers; a prime.
+const PROCESS_STEP: u32 = 1_009;
--- a/crates/pinerill-wire/src/message/mod.rs
+++ b/crates/pinerill-wire/src/message/mod.rs
@@ -144,7 +144,7 @@
     Conflict,
     /// Over a limit of the tenant.
     OverLimit,
-    /// The cluster was not initialised, or was already.
+    /// The cluster is initialised already, or its machines do not fit together.
     WrongState,
 }
 
