Batch planner: what runs where, when it steps aside, leases and reports

Why: nothing ran the items of accepted jobs.

Change: a pure planner. Each driven engine has a window that falls at once at an arrival, a preemption or a request that waits, as far as the service's tail weight says, and doubles again after a quiet time. The newest items are paused first; what stays paused goes elsewhere, except items not to be repeated. Questions for items keep their number until answered, renewals and ends of attempts are batched by group, a lease's end counts from before it was asked for. An item that breaks off at every engine uses up an attempt.

--- /dev/null
+++ b/crates/pinerill-node/src/batch/planner/answers.rs
@@ -0,0 +1,100 @@
+//! Answers of the groups.
+
+use std::sync::Arc;
+
+use pinerill_types::job::{AttemptEnd, LeasedItem};
+use pinerill_wire::message::{AttemptRef, AttemptVerdict};
+
+use super::{Item, Planner, Stage};
+use crate::batch::message::{Event, NotAnswered, Output};
+
+impl Planner {
+    pub(super) fn leased(
+        &mut self,
+        now_ms: u64,
+        group: u32,
+        result: Result<Vec<LeasedItem>, NotAnswered>,
+        out: &mut Vec<Output>,
+    ) {
+        let Ok(items) = result else {
+            self.leases.question_failed(now_ms, group);
+            return;
+        };
+        let attempts: Vec<AttemptRef> = items.iter().map(reference).collect();
+        for want in self.leases.answered(group, &attempts) {
+            let got = items.iter().filter(|item| item.service == want.service);
+            let got = got.count() as u32;
+            self.hints.answered(now_ms, group, &want, got);
+        }
+        if !items.is_empty() {
+            out.push(Output::Count(Event::Leased(items.len() as u64)));
+        }
+        for (attempt, lease) in attempts.into_iter().zip(items) {
+            self.ready.insert((lease.deadline_ms, attempt));
+            let item = Item {
+                lease: Arc::new(lease),
+                stage: Stage::Ready { since_ms: now_ms },
+                tried: Vec::new(),
+                may_have_run: false,
+                broke_off: None,
+            };
+            self.items.insert(attempt, item);
+        }
+    }
+
+    pub(super) fn renewed(
+        &mut self,
+        now_ms: u64,
+        group: u32,
+        result: Result<Vec<AttemptRef>, NotAnswered>,
+        out: &mut Vec<Output>,
+    ) {
+        match result {
+            Err(NotAnswered) => self.leases.renewal_failed(now_ms, group),
+            Ok(lost) => {
+                self.leases.renewed(group, &lost);
+                lost.into_iter().for_each(|attempt| self.lose(attempt, out));
+            }
+        }
+    }
+
+    pub(super) fn reported(
+        &mut self,
+        now_ms: u64,
+        group: u32,
+        result: Result<Vec<AttemptVerdict>, NotAnswered>,
+        out: &mut Vec<Output>,
+    ) {
+        let Ok(verdicts) = result else {
+            self.outbox.failed(now_ms, group);
+            return;
+        };
+        let reports = self.outbox.answered(group);
+        for (report, verdict) in reports.into_iter().zip(verdicts) {
+            self.leases.drop(report.attempt);
+            let word = match verdict {
+                AttemptVerdict::Counted => end_word(&report.end),
+                AttemptVerdict::Late => "late",
+                AttemptVerdict::Unknown => "unknown",
+            };
+            out.push(Output::Count(Event::Verdict(word)));
+        }
+    }
+}
+
+fn reference(item: &LeasedItem) -> AttemptRef {
+    AttemptRef {
+        job: item.job,
+        index: item.index,
+        attempt: item.attempt,
+    }
+}
+
+fn end_word(end: &AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::Completed(_) => "completed",
+        AttemptEnd::Failed(_) => "failed",
+        AttemptEnd::Released => "released",
+        AttemptEnd::Indeterminate(_) => "indeterminate",
+    }
+}
--- a/crates/pinerill-node/src/engine/client.rs
+++ b/crates/pinerill-node/src/engine/client.rs
@@ -116,6 +116,8 @@
 pub enum PauseAnswer {
     /// Carried out, or no longer needed.
     Done,
+    /// The engine does not know the request, or not yet.
+    UnknownRequest,
     /// The engine did not answer.
     Unreachable,
 }
@@ -247,6 +249,7 @@
 
     async fn pause_call(&self, request_id: &str, verb: &str) -> PauseAnswer {
         match self.post_state(request_id, verb, PAUSE_TIMEOUT).await {
+            Some(state) if state == "unknown" => PauseAnswer::UnknownRequest,
             Some(_) => PauseAnswer::Done,
             None => PauseAnswer::Unreachable,
         }
--- a/crates/pinerill-node/src/engine/mod.rs
+++ b/crates/pinerill-node/src/engine/mod.rs
@@ -1,10 +1,12 @@
 //! Towards engines: frames, their assembly into an answer, and the client.
 
+mod answer_reader;
 mod assembly;
 mod client;
 mod frame;
 mod sse;
 
+pub use answer_reader::{AnswerReader, DroppedFrames, Progress};
 pub use assembly::{Accepted, Assembly, Finish};
 pub use client::{
     error_chain, worker_client, AttachError, CancelAnswer, EngineCall, EngineClient, PauseAnswer,
--- a/crates/pinerill-node/src/lib.rs
+++ b/crates/pinerill-node/src/lib.rs
@@ -8,6 +8,7 @@
 //! clocks and random numbers.
 
 pub mod admission;
+pub mod batch;
 pub mod clock;
 pub mod configuration;
 pub mod dispatcher;
--- a/crates/pinerill-node/src/metrics.rs
+++ b/crates/pinerill-node/src/metrics.rs
@@ -5,6 +5,8 @@
     TextEncoder,
 };
 
+use crate::engine::{AnswerReader, Progress};
+
 /// Bounds of latency histograms, seconds.
 const LATENCY_BOUNDS: [f64; 12] = [
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.6, 1.0, 2.5, 5.0, 10.0, 30.0,
@@ -127,6 +129,16 @@
         })
     }
 
+    /// Counts what reading an answer dropped or found wrong.
+    pub fn count_reading(&self, reader: &mut AnswerReader, progress: &Progress) {
+        let dropped = reader.take_dropped();
+        self.frames_foreign.inc_by(dropped.foreign);
+        self.frames_late.inc_by(dropped.late);
+        if *progress == Progress::WrongDigest {
+            self.digest_mismatches.inc();
+        }
+    }
+
     /// The usual text format.
     ///
     /// # Errors
--- a/crates/pinerill-node/src/online/execution.rs
+++ b/crates/pinerill-node/src/online/execution.rs
@@ -12,7 +12,7 @@
 use reqwest::Response;
 use tokio::sync::mpsc;
 
-use super::delivery::{Delivery, Event, Progress};
+use super::delivery::{Delivery, Event};
 use super::prefill::prepare_prefill;
 use super::request::{ParsedRequest, RequestKind};
 use super::retry::{decide, AttemptEnd, Decision, RetryBudget, Situation};
@@ -22,7 +22,7 @@
 use crate::dispatcher::{Demand, Dispatcher, NoPlace, Place};
 use crate::engine::{
     parse_load_header, AttachError, CancelAnswer, EngineCall, EngineClient, Finish, Priority,
-    Refusal, SendError, SendOutcome,
+    Progress, Refusal, SendError, SendOutcome,
 };
 use crate::failure::{FailureCode, RequestFailure};
 use crate::membership::{Engine, Fleet};
--- /dev/null
+++ b/crates/pinerill-node/tests/batch_planner.rs
@@ -0,0 +1,348 @@
+//! The planner of batch items, step by step.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use pinerill_node::batch::{
+    EngineLoad, EngineView, Input, NodeIdentity, NotAnswered, Output, Planner, RunCommand, RunEnd,
+    WindowPolicy, LEASE_MS,
+};
+use pinerill_types::job::{AttemptEnd, ItemInput, LeasedItem};
+use pinerill_types::{EngineId, JobId};
+use pinerill_wire::message::{AttemptRef, AttemptReport, AttemptVerdict};
+
+const GROUP: u32 = 1;
+
+fn engine(number: u16) -> EngineId {
+    EngineId {
+        worker: "worker-1".into(),
+        engine: number,
+    }
+}
+
+fn view(number: u16, online: u32, arrivals: u64) -> EngineView {
+    EngineView {
+        id: engine(number),
+        services: vec!["fanar".into()].into(),
+        load: EngineLoad { slots: 4, online },
+        open: true,
+        arrivals,
+        preemptions: 0,
+        waiting: false,
+    }
+}
+
+fn reference(index: u32) -> AttemptRef {
+    let job = JobId {
+        group: GROUP,
+        sequence: 1,
+    };
+    AttemptRef {
+        job,
+        index,
+        attempt: 1,
+    }
+}
+
+fn item(index: u32, at_most_once: bool) -> LeasedItem {
+    LeasedItem {
+        job: reference(index).job,
+        index,
+        attempt: 1,
+        tenant: "crew".into(),
+        service: "fanar".into(),
+        deadline_ms: 1_000_000,
+        input: ItemInput {
+            custom_id: index.to_string(),
+            url: "/v1/completions".to_owned(),
+            body: "{}".to_owned(),
+            at_most_once,
+        },
+    }
+}
+
+/// A planner with its clock and all that it has said.
+struct Fixture {
+    planner: Planner,
+    now_ms: u64,
+    said: Vec<Output>,
+}
+
+impl Fixture {
+    /// Engines of four slots whose windows are open, and items that wait.
+    fn new(engines: u16, tail_weight: f64) -> Self {
+        let node = NodeIdentity {
+            name: "node-1".into(),
+            incarnation: 7,
+        };
+        let mut fixture = Self {
+            planner: Planner::new(node),
+            now_ms: 0,
+            said: Vec::new(),
+        };
+        let policy = WindowPolicy {
+            tail_weight,
+            limit: 4,
+        };
+        fixture.step(Input::Policies(BTreeMap::from([("fanar".into(), policy)])));
+        fixture.step(Input::Engines(
+            (0..engines).map(|one| view(one, 0, 0)).collect(),
+        ));
+        fixture.pass(3_000);
+        let backlog = BTreeMap::from([("fanar".into(), BTreeMap::from([(GROUP, 100)]))]);
+        fixture.step(Input::Backlog(backlog));
+        fixture
+    }
+
+    fn step(&mut self, input: Input) {
+        self.said.extend(self.planner.step(self.now_ms, input));
+    }
+
+    /// Lets time pass in small steps.
+    fn pass(&mut self, milliseconds: u64) {
+        for _ in 0..milliseconds.div_ceil(50) {
+            self.now_ms += 50;
+            self.step(Input::Tick);
+        }
+    }
+
+    /// The open question is answered by these items.
+    fn lease(&mut self, items: Vec<LeasedItem>) {
+        let result = Ok(items);
+        self.step(Input::Leased {
+            group: GROUP,
+            result,
+        });
+    }
+
+    fn ended(&mut self, index: u32, end: RunEnd) {
+        let attempt = reference(index);
+        self.step(Input::Ended { attempt, end });
+    }
+
+    fn starts(&self) -> Vec<(u32, u16)> {
+        let starts = self.said.iter().filter_map(|one| match one {
+            Output::Start {
+                attempt, engine, ..
+            } => Some((attempt.index, engine.engine)),
+            _ => None,
+        });
+        starts.collect()
+    }
+
+    fn commands(&self, wanted: RunCommand) -> Vec<u32> {
+        let commands = self.said.iter().filter_map(|one| match one {
+            Output::Command { attempt, command } if *command == wanted => Some(attempt.index),
+            _ => None,
+        });
+        commands.collect()
+    }
+
+    fn reports(&self) -> Vec<AttemptReport> {
+        let reports = self.said.iter().filter_map(|one| match one {
+            Output::Report(message) => Some(message.reports.clone()),
+            _ => None,
+        });
+        reports.flatten().collect()
+    }
+
+    fn ends(&self) -> Vec<AttemptEnd> {
+        self.reports().into_iter().map(|one| one.end).collect()
+    }
+
+    fn questions(&self) -> Vec<(u64, u32)> {
+        let questions = self.said.iter().filter_map(|one| match one {
+            Output::Lease(ask) => Some((ask.sequence, ask.wants[0].limit)),
+            _ => None,
+        });
+        questions.collect()
+    }
+}
+
+#[test]
+fn it_asks_for_what_fits_and_starts_it_on_the_engine_with_most_room() {
+    let mut fixture = Fixture::new(2, 0.5);
+    assert_eq!(fixture.questions(), [(1, 8)]);
+    fixture.lease((0..8).map(|index| item(index, false)).collect());
+    let mut per_engine = [0, 0];
+    for (_, engine) in fixture.starts() {
+        per_engine[usize::from(engine)] += 1;
+    }
+    assert_eq!(per_engine, [4, 4]);
+}
+
+#[test]
+fn a_question_without_an_answer_is_sent_again_under_its_number() {
+    let mut fixture = Fixture::new(1, 0.5);
+    fixture.step(Input::Leased {
+        group: GROUP,
+        result: Err(NotAnswered),
+    });
+    fixture.pass(1_000);
+    assert_eq!(fixture.questions(), [(1, 4), (1, 4)]);
+}
+
+#[test]
+fn a_lease_that_ends_soon_starts_nothing_before_it_was_renewed() {
+    let mut fixture = Fixture::new(1, 0.5);
+    fixture.now_ms += LEASE_MS - 1_000;
+    fixture.lease(vec![item(0, true)]);
+    assert!(fixture.starts().is_empty());
+    let group = GROUP;
+    let result = Ok(Vec::new());
+    fixture.step(Input::Renewed { group, result });
+    assert_eq!(fixture.starts(), [(0, 0)]);
+}
+
+#[test]
+fn an_arrival_pauses_the_newest_and_they_go_on_when_it_is_idle() {
+    let mut fixture = Fixture::new(1, 0.5);
+    fixture.lease((0..4).map(|index| item(index, false)).collect());
+    fixture.step(Input::Engines(vec![view(0, 2, 1)]));
+    assert_eq!(fixture.commands(RunCommand::Pause), [3, 2, 1]);
+    fixture.step(Input::Engines(vec![view(0, 0, 1)]));
+    assert!(fixture.commands(RunCommand::Run).is_empty(), "held");
+    fixture.pass(2_000);
+    assert_eq!(fixture.commands(RunCommand::Run), [3, 2, 1]);
+    assert_eq!(fixture.starts().len(), 4, "none was started again");
+}
+
+#[test]
+fn what_stays_paused_goes_elsewhere_unless_it_must_not_be_repeated() {
+    let mut fixture = Fixture::new(2, 1.0);
+    fixture.lease((0..8).map(|index| item(index, index < 4)).collect());
+    let moved: Vec<u32> = (0..8)
+        .filter(|index| engine_of(&fixture, *index) == 0)
+        .collect();
+    fixture.step(Input::Engines(vec![view(0, 1, 1), view(1, 0, 0)]));
+    fixture.pass(5_500);
+    let repeatable: Vec<u32> = moved.into_iter().filter(|index| *index >= 4).collect();
+    let mut stopped = fixture.commands(RunCommand::Stop);
+    stopped.sort_unstable();
+    assert_eq!(stopped, repeatable);
+    assert!(!stopped.is_empty());
+    let first = stopped[0];
+    fixture.ended(first, RunEnd::Stopped);
+    let other = (0..8).find(|index| engine_of(&fixture, *index) == 1);
+    fixture.ended(other.expect("one"), RunEnd::Completed("{}".to_owned()));
+    assert_eq!(fixture.starts().last(), Some(&(first, 1)));
+}
+
+fn engine_of(fixture: &Fixture, index: u32) -> u16 {
+    let starts = fixture.starts();
+    starts.iter().find(|one| one.0 == index).expect("started").1
+}
+
+#[test]
+fn an_item_not_to_be_repeated_is_never_started_again_once_it_may_have_run() {
+    let mut fixture = Fixture::new(2, 0.5);
+    fixture.lease(vec![item(0, true), item(1, true), item(2, false)]);
+    fixture.ended(0, RunEnd::Lost("cut".to_owned()));
+    fixture.ended(1, RunEnd::NotRun("leaving".to_owned()));
+    fixture.ended(2, RunEnd::Lost("cut".to_owned()));
+    fixture.pass(1_000);
+    let started = |index| fixture.starts().iter().filter(|one| one.0 == index).count();
+    assert_eq!([started(0), started(1), started(2)], [1, 2, 2]);
+    assert_eq!(
+        fixture.ends(),
+        [AttemptEnd::Indeterminate("cut".to_owned())]
+    );
+}
+
+#[test]
+fn an_item_that_breaks_every_engine_uses_up_an_attempt() {
+    let mut fixture = Fixture::new(2, 0.5);
+    fixture.lease(vec![item(0, false), item(1, false)]);
+    for _ in 0..2 {
+        fixture.ended(0, RunEnd::Lost("broke".to_owned()));
+        fixture.ended(1, RunEnd::NotRun("loading".to_owned()));
+        fixture.pass(1_000);
+    }
+    let ends = fixture.ends();
+    assert!(ends.contains(&AttemptEnd::Indeterminate("broke".to_owned())));
+    assert!(ends.contains(&AttemptEnd::Released));
+}
+
+#[test]
+fn a_cancelled_item_is_stopped_and_nothing_is_said_of_it() {
+    let mut fixture = Fixture::new(1, 0.5);
+    fixture.lease(vec![item(0, false), item(1, false)]);
+    fixture.pass(10_000);
+    fixture.step(Input::Renewed {
+        group: GROUP,
+        result: Ok(vec![reference(1)]),
+    });
+    assert_eq!(fixture.commands(RunCommand::Stop), [1]);
+    fixture.ended(1, RunEnd::Stopped);
+    fixture.pass(1_000);
+    assert!(fixture.ends().is_empty());
+}
+
+#[test]
+fn a_node_frozen_past_its_leases_stops_all_and_starts_nothing() {
+    let mut fixture = Fixture::new(1, 0.5);
+    fixture.lease((0..6).map(|index| item(index, true)).collect());
+    assert_eq!(fixture.starts().len(), 4);
+    fixture.now_ms += LEASE_MS;
+    fixture.step(Input::Tick);
+    let mut stopped = fixture.commands(RunCommand::Stop);
+    stopped.sort_unstable();
+    assert_eq!(stopped, [0, 1, 2, 3]);
+    for index in 0..4 {
+        fixture.ended(index, RunEnd::Stopped);
+    }
+    fixture.pass(100);
+    assert_eq!(fixture.starts().len(), 4);
+    assert_eq!(fixture.ends(), [AttemptEnd::Released, AttemptEnd::Released]);
+}
+
+#[test]
+fn a_report_is_sent_until_it_is_answered() {
+    let mut fixture = Fixture::new(1, 0.5);
+    fixture.lease(vec![item(0, false)]);
+    fixture.ended(0, RunEnd::Completed("{}".to_owned()));
+    fixture.pass(100);
+    for result in [Err(NotAnswered), Ok(vec![AttemptVerdict::Counted])] {
+        let group = GROUP;
+        fixture.step(Input::Reported { group, result });
+        fixture.pass(1_000);
+    }
+    assert_eq!(fixture.ends().len(), 2);
+}
+
+#[test]
+fn a_stopping_node_finishes_what_must_and_gives_the_rest_back() {
+    let mut fixture = Fixture::new(1, 1.0);
+    fixture.lease((0..6).map(|index| item(index, index == 3)).collect());
+    fixture.step(Input::Engines(vec![view(0, 1, 1)]));
+    assert_eq!(fixture.commands(RunCommand::Pause).len(), 4);
+    let questions = fixture.questions().len();
+    fixture.step(Input::Drain { grace_ms: 1_000 });
+    assert_eq!(fixture.commands(RunCommand::Run), [3]);
+    let mut stopped = fixture.commands(RunCommand::Stop);
+    stopped.sort_unstable();
+    assert_eq!(stopped, [0, 1, 2]);
+    (0..3).for_each(|index| fixture.ended(index, RunEnd::Stopped));
+    fixture.ended(3, RunEnd::Completed("{}".to_owned()));
+    fixture.pass(1_000);
+    let ends = fixture.ends();
+    let released = ends.iter().filter(|end| **end == AttemptEnd::Released);
+    assert_eq!((released.count(), ends.len()), (5, 6));
+    assert!(!fixture.planner.is_idle(), "reports wait for an answer");
+    let result = Ok(vec![AttemptVerdict::Counted; 6]);
+    for _ in 0..3 {
+        let result = result.clone();
+        fixture.step(Input::Reported {
+            group: GROUP,
+            result,
+        });
+        fixture.pass(1_000);
+    }
+    assert!(fixture.planner.is_idle());
+    assert_eq!(
+        fixture.questions().len(),
+        questions,
+        "nothing more is leased"
+    );
+}
--- a/crates/pinerill-node/tests/support/jobs.rs
+++ b/crates/pinerill-node/tests/support/jobs.rs
@@ -20,6 +20,8 @@
     pub input: ItemInput,
     pub state: ItemState,
     pub attempt: u32,
+    /// When its lease ends, by [`FakeJobs::now_ms`].
+    pub lease_end_ms: u64,
     /// The answer or the reason.
     pub body: String,
     /// Every end that a node reported, counted or not.
@@ -38,6 +40,8 @@
 #[derive(Debug, Default)]
 pub struct FakeJobs {
     pub jobs: BTreeMap<JobId, Job>,
+    /// The groups' clock.
+    pub now_ms: u64,
     /// Answers to lease questions by sequence.
     leased: BTreeMap<(u32, u64), Vec<LeasedItem>>,
 }
@@ -63,7 +67,8 @@
             }
             Request::RenewLeases(ask) => {
                 let attempts = ask.attempts.into_iter();
-                let lost = attempts.filter(|one| !self.holds(*one)).collect();
+                let end = self.now_ms + ask.lease_ms;
+                let lost = attempts.filter(|one| !self.renew(*one, end)).collect();
                 Response::RenewLeases(RenewLeasesResponse { lost })
             }
             other => panic!("not for a job group: {other:?}"),
@@ -110,6 +115,7 @@
                     input,
                     state: ItemState::Pending,
                     attempt: 0,
+                    lease_end_ms: 0,
                     body: String::new(),
                     reports: Vec::new(),
                 });
@@ -189,6 +195,7 @@
             return Response::LeaseItems(LeaseItemsResponse { items });
         }
         let mut items = Vec::new();
+        let end_ms = self.now_ms + ask.lease_ms;
         for want in &ask.wants {
             let before = items.len();
             let jobs = self.jobs.values_mut().filter(|job| {
@@ -197,7 +204,7 @@
                     && job.status.state == JobState::InProgress
             });
             for job in jobs {
-                lease_of_job(job, before + want.limit as usize, &mut items);
+                lease_of_job(job, end_ms, before + want.limit as usize, &mut items);
             }
         }
         self.leased.insert((group, ask.sequence), items.clone());
@@ -209,6 +216,29 @@
             .is_some_and(|item| item.state == ItemState::Leased && item.attempt == attempt.attempt)
     }
 
+    fn renew(&mut self, attempt: AttemptRef, end_ms: u64) -> bool {
+        let holds = self.holds(attempt);
+        let job = self.jobs.get_mut(&attempt.job);
+        let item = job.and_then(|job| job.items.get_mut(attempt.index as usize));
+        if let Some(item) = item.filter(|_| holds) {
+            item.lease_end_ms = end_ms;
+        }
+        holds
+    }
+
+    /// Ends the leases that have run out.
+    pub fn expire(&mut self) {
+        let now_ms = self.now_ms;
+        let items = self.jobs.values_mut().flat_map(|job| &mut job.items);
+        let held = items.filter(|item| item.state == ItemState::Leased);
+        for item in held.filter(|item| item.lease_end_ms <= now_ms) {
+            item.state = match item.input.at_most_once {
+                true => ItemState::Indeterminate,
+                false => ItemState::Pending,
+            };
+        }
+    }
+
     pub fn item(&self, attempt: AttemptRef) -> Option<&Item> {
         self.jobs
             .get(&attempt.job)?
@@ -231,7 +261,10 @@
             AttemptEnd::Completed(body) => (ItemState::Completed, body),
             AttemptEnd::Failed(body) => (ItemState::Failed, body),
             AttemptEnd::Released => (ItemState::Pending, String::new()),
-            AttemptEnd::Indeterminate(body) => (ItemState::Indeterminate, body),
+            AttemptEnd::Indeterminate(body) if item.input.at_most_once => {
+                (ItemState::Indeterminate, body)
+            }
+            AttemptEnd::Indeterminate(_) => (ItemState::Pending, String::new()),
         };
         AttemptVerdict::Counted
     }
@@ -243,7 +276,7 @@
     }
 }
 
-fn lease_of_job(job: &mut Job, limit: usize, leased: &mut Vec<LeasedItem>) {
+fn lease_of_job(job: &mut Job, end_ms: u64, limit: usize, leased: &mut Vec<LeasedItem>) {
     let status = &job.status;
     for (index, item) in job.items.iter_mut().enumerate() {
         if item.state != ItemState::Pending || leased.len() >= limit {
@@ -251,6 +284,7 @@
         }
         item.state = ItemState::Leased;
         item.attempt += 1;
+        item.lease_end_ms = end_ms;
         leased.push(LeasedItem {
             job: status.id,
             index: index as u32,
