Batch runner: items at engines, stepping aside, resuming and moving

Why: the planner had no one to carry out what it decides.

Change: a shell feeds the planner with the fleet's loads and signs, calls the groups, and runs one task for each item at an engine. A paused item keeps its stream; a command that met a request the engine did not know yet is given again. A cut stream is resumed at the same engine; if that is gone, an item that may be repeated goes on elsewhere from the tokens it has, one that may not ends as indeterminate unless the engine says it never began. The arrival of an online request and a request that waits wake the batch side at once. Leases are renewed every 3 s, which also bounds how long cancelled items go on. Identifier at engines: JOB.INDEX.ATTEMPT.

--- a/crates/pinerill-node/src/batch/engines.rs
+++ b/crates/pinerill-node/src/batch/engines.rs
@@ -87,7 +87,8 @@
             }
         }
         self.engines.retain(|_, engine| {
-            engine.view.open || !engine.running.is_empty() || !engine.paused.is_empty()
+            let occupied = !engine.running.is_empty() || !engine.paused.is_empty();
+            engine.view.open || occupied || now_ms < engine.faulty_until_ms
         });
     }
 
--- a/crates/pinerill-node/src/batch/leases.rs
+++ b/crates/pinerill-node/src/batch/leases.rs
@@ -15,8 +15,9 @@
 /// How long a lease lasts without renewal, milliseconds. Longer than an
 /// election of a group takes, so that none is lost to one.
 pub const LEASE_MS: u64 = 30_000;
-/// Age at which leases are renewed, milliseconds.
-const RENEWAL_AGE_MS: u64 = 8_000;
+/// Age at which leases are renewed, milliseconds. The answer also tells which
+/// items were cancelled, so this bounds how long they go on.
+const RENEWAL_AGE_MS: u64 = 3_000;
 /// A lease that ends within this time starts nothing, milliseconds.
 const START_MARGIN_MS: u64 = 3_000;
 /// Pause after a call that failed, milliseconds.
@@ -135,19 +136,11 @@
         }
     }
 
-    /// When a lease ends; none when it is not held.
-    pub fn end_of(&self, attempt: AttemptRef) -> Option<u64> {
-        self.groups
-            .get(&attempt.job.group)?
-            .ends
-            .get(&attempt)
-            .copied()
-    }
-
-    /// Whether a lease lasts long enough to start something under it.
-    pub fn allows_start(&self, now_ms: u64, attempt: AttemptRef) -> bool {
-        let end = self.end_of(attempt);
-        end.is_some_and(|end| now_ms + START_MARGIN_MS < end)
+    /// The end of a lease that lasts long enough to start something under it.
+    pub fn end_for_start(&self, now_ms: u64, attempt: AttemptRef) -> Option<u64> {
+        let leases = self.groups.get(&attempt.job.group)?;
+        let end = leases.ends.get(&attempt).copied();
+        end.filter(|end| now_ms + START_MARGIN_MS < *end)
     }
 
     /// A lease is of no use any more.
--- a/crates/pinerill-node/src/batch/message.rs
+++ b/crates/pinerill-node/src/batch/message.rs
@@ -135,6 +135,8 @@
         item: Arc<LeasedItem>,
         /// Where.
         engine: EngineId,
+        /// When its lease ends; nothing is sent after it.
+        lease_end_ms: u64,
     },
     /// Tell a run something.
     Command {
--- a/crates/pinerill-node/src/batch/planner/placing.rs
+++ b/crates/pinerill-node/src/batch/planner/placing.rs
@@ -11,7 +11,7 @@
 
 /// Longest wait of a leased item for an engine, milliseconds; then another
 /// node may have it.
-const READY_LIMIT_MS: u64 = 2_000;
+const READY_LIMIT_MS: u64 = 5_000;
 /// Most reports that wait while more items are leased.
 const REPORTS_LIMIT: usize = 4_096;
 
@@ -22,9 +22,9 @@
             let Some(item) = self.items.get_mut(&attempt) else {
                 continue;
             };
-            if !self.leases.allows_start(now_ms, attempt) {
+            let Some(lease_end_ms) = self.leases.end_for_start(now_ms, attempt) else {
                 continue;
-            }
+            };
             let service = &item.lease.service;
             let Some(engine) = self.board.choose(now_ms, service, &item.tried) else {
                 continue;
@@ -36,6 +36,7 @@
                 attempt,
                 item: item.lease.clone(),
                 engine,
+                lease_end_ms,
             });
         }
     }
--- /dev/null
+++ b/crates/pinerill-node/src/batch/shell.rs
@@ -0,0 +1,249 @@
+//! Feeds the planner and carries out what it says.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use pinerill_types::job::LeasedItem;
+use pinerill_types::EngineId;
+use pinerill_wire::message::{AttemptRef, Request};
+use tokio::sync::{mpsc, watch};
+
+use super::calls::{GroupCall, GroupCalls};
+use super::control::BatchControl;
+use super::message::{Event, Input, NodeIdentity, Output, RunCommand, RunEnd};
+use super::observer::EngineObserver;
+use super::planner::Planner;
+use super::run::{EngineRun, Partial, Told};
+use crate::clock;
+use crate::configuration::Configuration;
+use crate::dispatcher::Dispatcher;
+use crate::engine::AnswerReader;
+use crate::groups::Groups;
+use crate::membership::Fleet;
+use crate::metrics::Metrics;
+use crate::node::Node;
+
+/// Pause between two looks while there is batch work.
+const BUSY_PAUSE: Duration = Duration::from_millis(20);
+/// Pause between two looks while there is none.
+const IDLE_PAUSE: Duration = Duration::from_millis(200);
+
+/// The batch side of one node.
+pub struct BatchShell {
+    planner: Planner,
+    observer: EngineObserver,
+    calls: GroupCalls,
+    fleet: Arc<Fleet>,
+    groups: Arc<Groups>,
+    configuration: Arc<Configuration>,
+    metrics: Arc<Metrics>,
+    control: Arc<BatchControl>,
+    runs: HashMap<AttemptRef, watch::Sender<Told>>,
+    partials: HashMap<AttemptRef, Partial>,
+    inputs: mpsc::UnboundedSender<ShellInput>,
+    received: mpsc::UnboundedReceiver<ShellInput>,
+}
+
+/// What the shell's tasks hand back.
+pub(super) enum ShellInput {
+    /// For the planner as it is.
+    Planner(Input),
+    /// A run ended, with what it read.
+    Ended(AttemptRef, RunEnd, Box<Partial>),
+}
+
+impl BatchShell {
+    /// For this node, before it runs.
+    pub fn new(node: &Node, dispatcher: Arc<Dispatcher>) -> Self {
+        let identity = NodeIdentity {
+            name: node.settings.name.clone(),
+            incarnation: node.incarnation,
+        };
+        // Unbounded, because what comes is: one answer for each open call and
+        // one end for each run, both of which the planner bounds.
+        let (inputs, received) = mpsc::unbounded_channel();
+        Self {
+            planner: Planner::new(identity),
+            observer: EngineObserver::new(node.fleet.clone(), dispatcher),
+            calls: GroupCalls::new(node.api.clone(), inputs.clone()),
+            fleet: node.fleet.clone(),
+            groups: node.groups.clone(),
+            configuration: node.configuration.clone(),
+            metrics: node.metrics.clone(),
+            control: node.batch.clone(),
+            runs: HashMap::new(),
+            partials: HashMap::new(),
+            inputs,
+            received,
+        }
+    }
+
+    /// Runs until a planned stop has come to its end.
+    pub async fn run(mut self) {
+        let control = self.control.clone();
+        let mut draining = false;
+        while !(draining && self.planner.is_idle()) {
+            let pause = if self.planner.is_idle() {
+                IDLE_PAUSE
+            } else {
+                BUSY_PAUSE
+            };
+            tokio::select! {
+                biased;
+                () = self.fleet.online_arrived.notified() => {}
+                Some(input) = self.received.recv() => self.take(input),
+                () = control.planned_stop(), if !draining => {
+                    draining = true;
+                    let grace_ms = control.grace_ms();
+                    self.step(Input::Drain { grace_ms });
+                }
+                () = self.groups.changed.notified() => {
+                    let backlog = self.groups.backlog();
+                    self.step(Input::Backlog(backlog));
+                }
+                () = tokio::time::sleep(pause) => {}
+            }
+            self.look();
+        }
+        self.control.finish();
+    }
+
+    /// Takes in what has changed since the last look.
+    fn look(&mut self) {
+        if let Some(policies) = self.observer.policies(&self.configuration) {
+            self.step(Input::Policies(policies));
+        }
+        let views = self.observer.views();
+        self.step(Input::Engines(views));
+        while let Ok(input) = self.received.try_recv() {
+            self.take(input);
+        }
+        let totals = self.planner.totals();
+        self.metrics.batch_running.set(totals.running as i64);
+        self.metrics.batch_paused.set(totals.paused as i64);
+        self.metrics.batch_window.set(totals.window as i64);
+        self.control.set_running_once(self.planner.running_once());
+    }
+
+    fn take(&mut self, input: ShellInput) {
+        match input {
+            ShellInput::Planner(input) => self.step(input),
+            ShellInput::Ended(attempt, end, partial) => {
+                self.runs.remove(&attempt);
+                self.partials.insert(attempt, *partial);
+                self.step(Input::Ended { attempt, end });
+            }
+        }
+    }
+
+    fn step(&mut self, input: Input) {
+        let outputs = self.planner.step(clock::now_ms(), input);
+        for output in outputs {
+            self.carry_out(output);
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Lease(message) => self.call(GroupCall::Lease, Request::LeaseItems(message)),
+            Output::Renew(message) => self.call(GroupCall::Renew, Request::RenewLeases(message)),
+            Output::Report(message) => {
+                let count = message.reports.len();
+                self.call(GroupCall::Report(count), Request::EndAttempts(message));
+            }
+            Output::Start {
+                attempt,
+                item,
+                engine,
+                lease_end_ms,
+            } => self.start(attempt, item, &engine, lease_end_ms),
+            Output::Command { attempt, command } => self.tell(attempt, command),
+            Output::Forget(attempt) => {
+                self.partials.remove(&attempt);
+            }
+            Output::Count(event) => self.count(event),
+        }
+    }
+
+    fn call(&self, call: GroupCall, request: Request) {
+        self.calls.start(call, request);
+    }
+
+    fn tell(&self, attempt: AttemptRef, command: RunCommand) {
+        let since = Instant::now();
+        if let Some(told) = self.runs.get(&attempt) {
+            told.send_replace(Told { command, since });
+        }
+    }
+
+    fn start(
+        &mut self,
+        attempt: AttemptRef,
+        item: Arc<LeasedItem>,
+        engine: &EngineId,
+        lease_end_ms: u64,
+    ) {
+        let request_id = request_id(attempt);
+        let kept = self.partials.remove(&attempt);
+        let catalog = self.configuration.catalog();
+        let plan = catalog.and_then(|catalog| catalog.service(&item.service).cloned());
+        let found = self.fleet.engine(engine);
+        let (Some(plan), Some(engine)) = (plan, found) else {
+            let partial = fresh(&request_id, "");
+            let end = RunEnd::NotRun("the service or the engine has gone".to_owned());
+            let _ = self
+                .inputs
+                .send(ShellInput::Ended(attempt, end, Box::new(partial)));
+            return;
+        };
+        // Another version of the model would go on with another answer.
+        let kept = kept.filter(|partial| partial.model == plan.model);
+        let partial = kept.unwrap_or_else(|| fresh(&request_id, &plan.model));
+        let now = Instant::now();
+        let (teller, told) = watch::channel(Told {
+            command: RunCommand::Run,
+            since: now,
+        });
+        self.runs.insert(attempt, teller);
+        let run = EngineRun {
+            engine,
+            fleet: self.fleet.clone(),
+            metrics: self.metrics.clone(),
+            plan,
+            item,
+            request_id,
+            lease_end_ms,
+            told,
+            partial,
+        };
+        let inputs = self.inputs.clone();
+        tokio::spawn(async move {
+            let (end, partial) = run.run().await;
+            let _ = inputs.send(ShellInput::Ended(attempt, end, Box::new(partial)));
+        });
+    }
+
+    fn count(&self, event: Event) {
+        let metrics = &self.metrics;
+        match event {
+            Event::Leased(count) => metrics.batch_leased.inc_by(count),
+            Event::Yielded => metrics.batch_yields.inc(),
+            Event::Moved => metrics.batch_moves.inc(),
+            Event::LeaseLost => metrics.leases_lost.inc(),
+            Event::Verdict(word) => metrics.batch_items.with_label_values(&[word]).inc(),
+        }
+    }
+}
+
+fn fresh(request_id: &str, model: &str) -> Partial {
+    Partial {
+        model: model.to_owned(),
+        reader: AnswerReader::new(request_id),
+    }
+}
+
+/// The identifier of an attempt at engines: no other attempt has it.
+pub fn request_id(attempt: AttemptRef) -> String {
+    format!("{}.{}.{}", attempt.job, attempt.index, attempt.attempt)
+}
--- a/crates/pinerill-node/src/dispatcher.rs
+++ b/crates/pinerill-node/src/dispatcher.rs
@@ -1,7 +1,7 @@
 //! Gives each online request a place at an engine, or lets it wait in the
 //! bounded queue of its service.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -151,6 +151,7 @@
         service.waiters.insert(ticket, Waiter { demand, reply });
         drop(queues);
         self.metrics.queued.inc();
+        self.fleet.online_arrived.notify_one();
         if let Some(waiter) = displaced {
             self.metrics.queued.dec();
             let _ = waiter.reply.send(Err(NoPlace::Overloaded(patience_ms)));
@@ -258,6 +259,15 @@
         }
     }
 
+    /// Services for which requests wait.
+    pub fn waiting_services(&self) -> BTreeSet<ServiceName> {
+        let queues = self.queues.lock();
+        let waiting = queues
+            .iter()
+            .filter(|(_, service)| !service.queue.is_empty());
+        waiting.map(|(name, _)| name.clone()).collect()
+    }
+
     /// How many requests wait.
     pub fn waiting(&self) -> usize {
         let queues = self.queues.lock();
--- a/crates/pinerill-node/src/groups.rs
+++ b/crates/pinerill-node/src/groups.rs
@@ -18,7 +18,7 @@
     /// How many job groups there are. It never shrinks, since a key must
     /// always lead to the same group.
     job_groups: AtomicU32,
-    /// Another set of records is there.
+    /// Other records are there; one task waits for them.
     pub changed: Notify,
 }
 
@@ -33,7 +33,7 @@
             records.insert(record.group, record.clone());
         }
         drop(records);
-        self.changed.notify_waiters();
+        self.changed.notify_one();
     }
 
     /// The watch was confirmed: what it told so far says how many job groups
--- a/crates/pinerill-node/src/membership/fleet.rs
+++ b/crates/pinerill-node/src/membership/fleet.rs
@@ -16,7 +16,7 @@
 use super::report::{EngineReport, Role, WorkerReport};
 use crate::clock;
 use crate::configuration::{Catalog, ServicePlan};
-use crate::engine::{worker_client, EngineClient, LoadHeader};
+use crate::engine::{parse_load_header, worker_client, EngineClient, LoadHeader};
 use crate::metrics::Metrics;
 use crate::routing::{rendezvous_owner, select_workers, Candidate, LoadEstimate, PrefixHints};
 
@@ -78,9 +78,10 @@
     pub load: Mutex<LoadEstimate>,
     /// Online requests of this node there.
     pub online: AtomicU32,
-    /// Signs of online work there so far.
+    /// Signs that online work arrived there so far.
     pub online_signs: AtomicU64,
-    /// Batch items of this node that are paused or preempted there.
+    /// Preemptions that it reported so far.
+    pub preemptions: AtomicU64,
     holding: Mutex<Holding>,
 }
 
@@ -117,10 +118,15 @@
         }
     }
 
-    /// The head of an answer carried the load.
-    pub fn take_load_header(&self, now_ms: u64, header: &LoadHeader) {
+    /// The head of an answer carried the load. Returns whether it is a sign of
+    /// online work.
+    fn take_load_header(&self, now_ms: u64, header: &LoadHeader) -> bool {
         let own = self.online.load(Ordering::Relaxed);
-        self.load.lock().header(now_ms, header, own);
+        let more = self.load.lock().header(now_ms, header, own);
+        if more {
+            self.sign_online();
+        }
+        more
     }
 
     /// Online work was seen here.
@@ -131,10 +137,11 @@
     /// Takes a report in. Returns whether it holds something else now.
     fn take_report(&self, now_ms: u64, report: &EngineReport, metrics: &Metrics) -> bool {
         let own = self.online.load(Ordering::Relaxed);
-        let preemptions = self.load.lock().report(now_ms, report, own);
-        metrics.preemptions.inc_by(preemptions);
-        let online = report.running.saturating_sub(report.batch_running);
-        if preemptions > 0 || online > 0 {
+        let news = self.load.lock().report(now_ms, report, own);
+        metrics.preemptions.inc_by(news.preemptions);
+        self.preemptions
+            .fetch_add(news.preemptions, Ordering::Relaxed);
+        if news.more_online {
             self.sign_online();
         }
         let holding = Holding {
@@ -207,7 +214,7 @@
     pub leaving_seen: Notify,
     /// Engines or their load changed.
     pub changed: Notify,
-    /// Online work arrived at an engine whose batch this node drives.
+    /// There may be a sign of online work; the batch side waits for it.
     pub online_arrived: Notify,
 }
 
@@ -375,6 +382,21 @@
             self.rebuild();
         }
         self.changed.notify_waiters();
+        self.online_arrived.notify_one();
+    }
+
+    /// The head of an answer of an engine carried its load.
+    pub fn take_load_header(&self, engine: &Engine, header: &LoadHeader) {
+        if engine.take_load_header(clock::now_ms(), header) {
+            self.online_arrived.notify_one();
+        }
+    }
+
+    /// An engine of the current view.
+    pub fn engine(&self, id: &EngineId) -> Option<Arc<Engine>> {
+        let view = self.view();
+        let entry = view.workers.get(&id.worker)?;
+        entry.engines.get(usize::from(id.engine)).cloned()
     }
 
     /// A worker refused as leaving.
@@ -453,6 +475,16 @@
         load: Mutex::default(),
         online: AtomicU32::new(0),
         online_signs: AtomicU64::new(0),
+        preemptions: AtomicU64::new(0),
         holding: Mutex::default(),
     }
 }
+
+/// Takes in the load that the head of an engine's answer carries.
+pub fn note_load(fleet: &Fleet, engine: &Engine, response: &reqwest::Response) {
+    let header = response.headers().get("X-Load");
+    let text = header.and_then(|value| value.to_str().ok());
+    if let Some(load) = text.and_then(parse_load_header) {
+        fleet.take_load_header(engine, &load);
+    }
+}
--- a/crates/pinerill-node/src/membership/mod.rs
+++ b/crates/pinerill-node/src/membership/mod.rs
@@ -8,7 +8,7 @@
 mod report;
 
 pub use directory::Directory;
-pub use fleet::{Engine, Fleet, FleetView, ServiceEngines, Worker, WorkerEntry};
+pub use fleet::{note_load, Engine, Fleet, FleetView, ServiceEngines, Worker, WorkerEntry};
 pub use health::Health;
 pub use probe::ProbeShell;
 pub use report::{EngineReport, Role, WorkerReport};
--- a/crates/pinerill-node/src/metrics.rs
+++ b/crates/pinerill-node/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters of the node, in the usual text format.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 use crate::engine::{AnswerReader, Progress};
@@ -36,7 +36,10 @@
     pub first_token: HistogramVec,
     /// Submitted jobs: `accepted` or a failure's code.
     pub jobs: IntCounterVec,
-    /// Batch items by how the attempt ended.
+    pub batch_leased: IntCounter,
+    /// From the sign of online work to the engine's word that an item paused.
+    pub batch_yield_seconds: Histogram,
+    /// Batch items by the verdict on their report.
     pub batch_items: IntCounterVec,
     pub batch_running: IntGauge,
     pub batch_paused: IntGauge,
@@ -83,6 +86,17 @@
     }
 }
 
+impl Builder {
+    fn yield_time(&self) -> prometheus::Result<Histogram> {
+        let name = "pinerill_node_batch_yield_seconds";
+        let options = HistogramOpts::new(name, "From a sign of online work to a paused item")
+            .buckets(LATENCY_BOUNDS.to_vec());
+        let histogram = Histogram::with_opts(options)?;
+        self.0.register(Box::new(histogram.clone()))?;
+        Ok(histogram)
+    }
+}
+
 impl Metrics {
     /// Registers every counter.
     ///
@@ -110,7 +124,13 @@
             queued: build.gauge("requests_queued", "Online requests that wait for a place")?,
             first_token: build.latency("first_token_seconds", "Time to first token", "service")?,
             jobs: build.counters("jobs_total", "Submitted batch jobs by end", "end")?,
-            batch_items: build.counters("batch_items_total", "Batch attempts by end", "end")?,
+            batch_leased: build.counter("batch_leased_total", "Batch items leased")?,
+            batch_yield_seconds: build.yield_time()?,
+            batch_items: build.counters(
+                "batch_items_total",
+                "Batch attempts by the verdict on their report",
+                "end",
+            )?,
             batch_running: build.gauge("batch_running", "Batch items that run")?,
             batch_paused: build.gauge("batch_paused", "Batch items that are paused")?,
             batch_window: build.gauge("batch_window", "Batch items allowed at driven engines")?,
--- a/crates/pinerill-node/src/node.rs
+++ b/crates/pinerill-node/src/node.rs
@@ -7,6 +7,7 @@
 use pinerill_wire::api::ControlApi;
 
 use crate::admission::TenantLimits;
+use crate::batch::BatchControl;
 use crate::clock;
 use crate::configuration::Configuration;
 use crate::dispatcher::Dispatcher;
@@ -35,6 +36,8 @@
     pub groups: Arc<Groups>,
     /// What online requests share.
     pub execution: Arc<ExecutionContext>,
+    /// Stop of its batch side.
+    pub batch: Arc<BatchControl>,
     /// Callers' batch jobs.
     pub jobs: JobsClient,
     /// Memory of batch bodies that arrive.
@@ -67,6 +70,7 @@
         });
         let groups = Arc::<Groups>::default();
         Ok(Self {
+            batch: Arc::new(BatchControl::new(settings.drain_ms)),
             jobs: JobsClient::new(api.clone(), groups.clone()),
             intake: IntakeMemory::new(settings.batch_limit_kib),
             incarnation: rand::random(),
--- a/crates/pinerill-node/src/online/execution.rs
+++ b/crates/pinerill-node/src/online/execution.rs
@@ -17,15 +17,14 @@
 use super::request::{ParsedRequest, RequestKind};
 use super::retry::{decide, AttemptEnd, Decision, RetryBudget, Situation};
 use super::script;
-use crate::clock;
 use crate::configuration::ServicePlan;
 use crate::dispatcher::{Demand, Dispatcher, NoPlace, Place};
 use crate::engine::{
-    parse_load_header, AttachError, CancelAnswer, EngineCall, EngineClient, Finish, Priority,
-    Progress, Refusal, SendError, SendOutcome,
+    AttachError, CancelAnswer, EngineCall, EngineClient, Finish, Priority, Progress, Refusal,
+    SendError, SendOutcome,
 };
 use crate::failure::{FailureCode, RequestFailure};
-use crate::membership::{Engine, Fleet};
+use crate::membership::{note_load, Engine, Fleet};
 use crate::metrics::Metrics;
 use crate::routing::block_names;
 
@@ -429,7 +428,7 @@
         response: &mut Response,
     ) -> Result<Result<Finish, String>, AttemptStop> {
         self.delivery.start_connection();
-        note_load(engine, response);
+        note_load(&self.context.fleet, engine, response);
         loop {
             let chunk = self
                 .guarded(tokio::time::timeout(STALL, response.chunk()))
@@ -579,16 +578,6 @@
     tokio::spawn(async move { client.cancel(&request_id, CANCEL_DETACHED).await });
 }
 
-fn note_load(engine: &Engine, response: &Response) {
-    let header = response.headers().get("X-Load");
-    let load = header
-        .and_then(|value| value.to_str().ok())
-        .and_then(parse_load_header);
-    if let Some(load) = load {
-        engine.take_load_header(clock::now_ms(), &load);
-    }
-}
-
 fn refusal_code(refusal: &Refusal) -> FailureCode {
     match refusal.code.as_str() {
         "queue_full" => FailureCode::Overloaded,
--- a/crates/pinerill-node/src/routing/load.rs
+++ b/crates/pinerill-node/src/routing/load.rs
@@ -19,6 +19,15 @@
     preemptions: Option<u64>,
 }
 
+/// What a report told anew.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadNews {
+    /// Other nodes have more online requests there than before.
+    pub more_online: bool,
+    /// Preemptions since the report before.
+    pub preemptions: u64,
+}
+
 impl Default for LoadEstimate {
     fn default() -> Self {
         Self {
@@ -33,25 +42,35 @@
 
 impl LoadEstimate {
     /// A load report came while `own_online` requests of this node ran there.
-    /// Returns how many preemptions are new.
-    pub fn report(&mut self, now_ms: u64, report: &EngineReport, own_online: u32) -> u64 {
+    pub fn report(&mut self, now_ms: u64, report: &EngineReport, own_online: u32) -> LoadNews {
         let header = LoadHeader {
             running: report.running,
             waiting: report.waiting,
             batch_running: report.batch_running,
         };
-        self.header(now_ms, &header, own_online);
+        let more_online = self.header(now_ms, &header, own_online);
         self.slots = report.slots.max(1);
         let known = self.preemptions.replace(report.preemptions);
-        known.map_or(0, |known| report.preemptions.saturating_sub(known))
+        LoadNews {
+            more_online,
+            preemptions: known.map_or(0, |known| report.preemptions.saturating_sub(known)),
+        }
     }
 
-    /// The head of an answer carried the load.
-    pub fn header(&mut self, now_ms: u64, header: &LoadHeader, own_online: u32) {
+    /// The head of an answer carried the load. Returns whether other nodes
+    /// have more online requests there than before.
+    pub fn header(&mut self, now_ms: u64, header: &LoadHeader, own_online: u32) -> bool {
         let online = header.running.saturating_sub(header.batch_running);
+        let before = self.online_elsewhere;
         self.reported_ms = Some(now_ms);
         self.online_elsewhere = online.saturating_sub(own_online);
         self.batch_running = header.batch_running;
+        self.online_elsewhere > before
+    }
+
+    /// Whether anything is known of it.
+    pub fn has_reported(&self) -> bool {
+        self.reported_ms.is_some()
     }
 
     /// Online requests of other nodes, aged.
--- a/crates/pinerill-node/src/run.rs
+++ b/crates/pinerill-node/src/run.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::batch::BatchShell;
 use crate::configuration::WatchShell;
 use crate::gateway::{admin_server, caller_server};
 use crate::membership::ProbeShell;
@@ -155,6 +156,7 @@
         spawn(watch.run()),
         spawn(probes.run()),
         spawn(node.execution.dispatcher.clone().run()),
+        spawn(BatchShell::new(node, node.execution.dispatcher.clone()).run()),
         spawn(node.disconnects.clone().run()),
         spawn(log_counters(node.clone(), counters_pause)),
     ]
@@ -176,16 +178,19 @@
     log::info!("stop begins, {} requests in flight", node.drain.in_flight());
     node.drain.start();
     node.fleet.start_draining();
+    node.batch.stop();
     let limit = Duration::from_millis(node.settings.drain_ms);
     let finished = async {
         tokio::time::sleep(READINESS_LEAD).await;
         node.drain.emptied().await;
+        node.batch.finished().await;
     };
     tokio::select! {
-        () = finished => 0,
-        () = tokio::time::sleep(limit) => node.drain.in_flight(),
-        () = signals.forced.cancelled() => node.drain.in_flight(),
+        () = finished => return 0,
+        () = tokio::time::sleep(limit) => {}
+        () = signals.forced.cancelled() => {}
     }
+    node.drain.in_flight() + node.batch.running_once()
 }
 
 /// A rocket server that runs in a task of its own.
--- /dev/null
+++ b/crates/pinerill-node/tests/batch_runner.rs
@@ -0,0 +1,269 @@
+//! Batch items at stand-in workers, leased from a plain model of the groups.
+
+mod support;
+
+use std::sync::Arc;
+
+use pinerill_types::bundle::Bundle;
+use pinerill_types::job::{AttemptEnd, ItemState};
+use pinerill_wire::message::Request;
+use serde_json::{json, Value};
+use support::control::Fault;
+use support::proxy::Proxy;
+use support::worker::{text, FakeWorker, Stage};
+use support::{bundle, line, once, until, FakeControl, TestNode, KEY};
+
+/// A node with one worker of one engine.
+async fn start(bundle: Bundle) -> (TestNode, FakeWorker) {
+    let worker = FakeWorker::start("worker-1", 1).await;
+    let control = Arc::new(FakeControl::new(bundle));
+    control.list_workers(vec![worker.record()]);
+    (TestNode::start(control).await, worker)
+}
+
+fn weighted(tail_weight: f64) -> Bundle {
+    let mut bundle = bundle();
+    let service = bundle.services.get_mut(&"fanar".into()).expect("a service");
+    service.sharing.tail_weight = tail_weight;
+    bundle
+}
+
+fn lines(count: usize) -> String {
+    (0..count)
+        .map(|at| line(&format!("item-{at}"), &format!("p{at}")))
+        .collect()
+}
+
+fn ended(node: &TestNode, state: ItemState) -> usize {
+    node.control.jobs.lock().count(state)
+}
+
+/// All ends that were reported, counted or not.
+fn reports(node: &TestNode) -> Vec<AttemptEnd> {
+    let jobs = node.control.jobs.lock();
+    let items = jobs.jobs.values().flat_map(|job| &job.items);
+    items.flat_map(|item| item.reports.clone()).collect()
+}
+
+/// Sends an online request that stays in flight until the answer is awaited.
+fn online(node: &TestNode) -> tokio::task::JoinHandle<(u16, Value)> {
+    let body = json!({"model": "fanar", "prompt": "crew", "max_tokens": 4});
+    let request = node.http.post(node.url("/v1/completions"));
+    let request = request.bearer_auth(KEY).json(&body);
+    tokio::spawn(support::answer(request))
+}
+
+#[tokio::test]
+async fn every_item_of_a_job_completes_once_with_its_own_answer() {
+    let (node, worker) = start(bundle()).await;
+    node.submit("k", lines(40)).await;
+    until("all complete", || ended(&node, ItemState::Completed) == 40).await;
+    let jobs = node.control.jobs.lock();
+    for item in jobs.jobs.values().flat_map(|job| &job.items) {
+        let answer: Value = serde_json::from_str(&item.body).expect("JSON");
+        let prompt = item.input.custom_id.replace("item-", "p");
+        assert_eq!(answer["choices"][0]["text"], text(&prompt, 4));
+        assert_eq!(
+            (answer["model"].as_str(), item.reports.len()),
+            (Some("fanar"), 1)
+        );
+    }
+    assert_eq!(worker.model.lock().arrivals.len(), 40);
+}
+
+#[tokio::test]
+async fn an_online_request_makes_batch_step_aside_and_it_goes_on_afterwards() {
+    let (node, worker) = start(weighted(1.0)).await;
+    worker.change(|model| model.hold_after = Some(1));
+    node.submit("k", lines(4)).await;
+    until("four run", || worker.count(true, Stage::Running) == 4).await;
+    let answer = online(&node);
+    until("all step aside", || worker.count(true, Stage::Paused) == 4).await;
+    assert_eq!(worker.count(true, Stage::Cancelled), 0);
+    worker.change(|model| model.hold_after = None);
+    assert_eq!(answer.await.expect("ends").0, 200);
+    until("all complete", || ended(&node, ItemState::Completed) == 4).await;
+    assert_eq!(worker.model.lock().arrivals.len(), 5, "none was sent twice");
+    assert!(node.metric("batch_yields_total").await >= 4.0);
+    assert!(node.metric("batch_yield_seconds_count").await >= 4.0);
+}
+
+#[tokio::test]
+async fn reported_online_work_and_preemptions_of_others_close_the_window() {
+    let (node, worker) = start(weighted(0.5)).await;
+    worker.change(|model| model.hold_after = Some(1));
+    node.submit("k", lines(4)).await;
+    until("four run", || worker.count(true, Stage::Running) == 4).await;
+    worker.change(|model| model.online_elsewhere = 1);
+    until("half of what is free runs", || {
+        worker.count(true, Stage::Running) == 1
+    })
+    .await;
+    worker.change(|model| model.preemptions = 1);
+    until("none runs", || worker.count(true, Stage::Paused) == 4).await;
+}
+
+#[tokio::test]
+async fn a_pause_that_overtakes_its_request_holds_once_the_engine_knows_it() {
+    let (node, worker) = start(weighted(1.0)).await;
+    worker.change(|model| (model.hold_after, model.hold_heads) = (Some(1), true));
+    node.submit("k", lines(1)).await;
+    until("it is sent", || worker.model.lock().arrivals.len() == 1).await;
+    // The engine forgets it, as if it had not arrived yet.
+    let (id, came) = worker.model.lock().came.pop_first().expect("it came");
+    let answer = online(&node);
+    until("the window closes", || {
+        worker.model.lock().arrivals.len() == 2
+    })
+    .await;
+    while node.metric("batch_yields_total").await < 1.0 {}
+    worker.change(|model| {
+        model.came.insert(id.clone(), came);
+        model.hold_heads = false;
+    });
+    until("it is paused", || {
+        worker.model.lock().came[&id].stage == Stage::Paused
+    })
+    .await;
+    worker.change(|model| model.hold_after = None);
+    assert_eq!(answer.await.expect("ends").0, 200);
+    until("it completes", || ended(&node, ItemState::Completed) == 1).await;
+}
+
+#[tokio::test]
+async fn a_cut_stream_is_resumed_and_not_sent_again() {
+    let (node, worker) = start(bundle()).await;
+    worker.change(|model| model.hold_after = Some(2));
+    node.submit("k", lines(2) + &once("once", "p")).await;
+    until("three run", || worker.count(true, Stage::Running) == 3).await;
+    worker.change(|model| (model.cuts, model.hold_after) = (1, None));
+    until("all complete", || ended(&node, ItemState::Completed) == 3).await;
+    assert_eq!(worker.model.lock().arrivals.len(), 3);
+}
+
+#[tokio::test]
+async fn when_an_engine_dies_repeatable_items_go_on_elsewhere_and_others_are_indeterminate() {
+    let control = Arc::new(FakeControl::new(bundle()));
+    let (dying, other) = (
+        FakeWorker::start("dying", 1).await,
+        FakeWorker::start("other", 1).await,
+    );
+    let proxy = Proxy::start(dying.address).await;
+    control.list_workers(vec![dying.record_at(proxy.address)]);
+    let node = TestNode::start(control).await;
+    dying.change(|model| model.hold_after = Some(2));
+    node.submit("k", line("item-1", "p1") + &once("once", "p2"))
+        .await;
+    until("both run", || dying.count(true, Stage::Running) == 2).await;
+    until("tokens came", || {
+        dying.model.lock().came.values().all(|one| one.sent == 2)
+    })
+    .await;
+    node.control
+        .list_workers(vec![dying.record_at(proxy.address), other.record()]);
+    proxy.gone();
+    until("one is indeterminate", || {
+        ended(&node, ItemState::Indeterminate) == 1
+    })
+    .await;
+    until("one completes", || ended(&node, ItemState::Completed) == 1).await;
+    let model = other.model.lock();
+    assert_eq!(model.came.len(), 1, "only the repeatable one went on");
+    let went_on = model.came.values().next().expect("one");
+    assert_eq!((went_on.prompt.as_str(), went_on.continued_from), ("p1", 2));
+}
+
+#[tokio::test]
+async fn an_item_whose_engine_never_began_it_is_not_lost_when_it_must_not_be_repeated() {
+    let control = Arc::new(FakeControl::new(bundle()));
+    let worker = FakeWorker::start("worker-1", 2).await;
+    control.list_workers(vec![worker.record()]);
+    let node = TestNode::start(control).await;
+    worker.change(|model| model.refusal = Some((429, "queue_full")));
+    node.submit("k", once("once", "p")).await;
+    until("it is refused", || worker.model.lock().arrivals.len() >= 2).await;
+    worker.change(|model| model.refusal = None);
+    until("it completes", || ended(&node, ItemState::Completed) == 1).await;
+    assert_eq!(worker.model.lock().came.len(), 1, "it ran once");
+}
+
+#[tokio::test]
+async fn an_item_cut_off_before_its_start_is_cancelled_and_runs_once_elsewhere() {
+    let control = Arc::new(FakeControl::new(bundle()));
+    let worker = FakeWorker::start("worker-1", 2).await;
+    let proxy = Proxy::start(worker.address).await;
+    control.list_workers(vec![worker.record_at(proxy.address)]);
+    let node = TestNode::start(control).await;
+    worker.change(|model| (model.hold_heads, model.hold_after) = (true, Some(0)));
+    node.submit("k", once("once", "p")).await;
+    until("it is sent", || worker.model.lock().arrivals.len() == 1).await;
+    proxy.cut();
+    for resumed in 1..=4 {
+        while node.metric("resumes_total").await < f64::from(resumed) {}
+        worker.change(|model| model.cuts += 1);
+    }
+    until("it is cancelled", || {
+        worker.count(true, Stage::Cancelled) == 1
+    })
+    .await;
+    worker.change(|model| (model.hold_heads, model.hold_after) = (false, None));
+    until("it completes", || ended(&node, ItemState::Completed) == 1).await;
+    assert_eq!(worker.count(true, Stage::Finished), 1);
+}
+
+#[tokio::test]
+async fn a_request_that_no_engine_can_take_ends_as_failed() {
+    let (node, worker) = start(bundle()).await;
+    worker.change(|model| model.refusal = Some((400, "bad_request")));
+    node.submit("k", lines(1)).await;
+    until("it fails", || ended(&node, ItemState::Failed) == 1).await;
+    let ends = reports(&node);
+    let AttemptEnd::Failed(error) = &ends[0] else {
+        panic!("{ends:?}");
+    };
+    let error: Value = serde_json::from_str(error).expect("JSON");
+    assert_eq!(
+        (error["step"].as_str(), error["peer"].as_str()),
+        (Some("start"), Some("worker-1/0"))
+    );
+}
+
+#[tokio::test]
+async fn lost_answers_of_groups_lose_no_item_and_double_none() {
+    let (node, worker) = start(bundle()).await;
+    let is_lease = |request: &Request| matches!(request, Request::LeaseItems(_));
+    let is_end = |request: &Request| matches!(request, Request::EndAttempts(_));
+    for fault in [Fault::AnswerLost, Fault::NotSent, Fault::AnswerLost] {
+        node.control.fault(is_lease, fault);
+        node.control.fault(is_end, fault);
+    }
+    node.submit("k", lines(6) + &once("once", "p")).await;
+    until("all complete", || ended(&node, ItemState::Completed) == 7).await;
+    assert_eq!(worker.model.lock().arrivals.len(), 7);
+    let jobs = node.control.jobs.lock();
+    let mut items = jobs.jobs.values().flat_map(|job| &job.items);
+    assert!(items.all(|item| item.attempt == 1));
+}
+
+#[tokio::test]
+async fn cancelled_items_are_ended_at_their_engine_and_no_more_are_sent() {
+    let (node, worker) = start(bundle()).await;
+    worker.change(|model| model.hold_after = Some(1));
+    let job = node.submit("k", lines(30)).await.1;
+    // Four slots, and two items that wait at the engine.
+    until("the engine is full", || {
+        worker.count(true, Stage::Running) == 6
+    })
+    .await;
+    let path = format!("/v1/batches/{}/cancel", job["id"].as_str().expect("an id"));
+    assert_eq!(node.post(&path).await.1["state"], "cancelled");
+    let sent = worker.model.lock().arrivals.len();
+    until("all are ended there", || {
+        worker.count(true, Stage::Running) == 0
+    })
+    .await;
+    assert_eq!(worker.model.lock().arrivals.len(), sent);
+    assert_eq!(worker.count(true, Stage::Cancelled), sent);
+    let completed = |end: &AttemptEnd| matches!(end, AttemptEnd::Completed(_));
+    assert!(!reports(&node).iter().any(completed));
+}
--- a/crates/pinerill-node/tests/support/mod.rs
+++ b/crates/pinerill-node/tests/support/mod.rs
@@ -4,6 +4,8 @@
 
 pub mod control;
 pub mod jobs;
+pub mod proxy;
+pub mod worker;
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -212,3 +214,8 @@
     });
     format!("{line}\n")
 }
+
+/// The same, never to be repeated.
+pub fn once(custom_id: &str, prompt: &str) -> String {
+    line(custom_id, prompt).replacen('{', "{\"at_most_once\":true,", 1)
+}
