--- a/crates/pinerill-control/src/lib.rs
+++ b/crates/pinerill-control/src/lib.rs
@@ -1,18 +1,14 @@
 //! The control machine: replicated state machines and what serves them.
 //!
-//! [`meta`] and `job` are pure state machines: no clock, no I/O, no
+//! [`meta`] and [`job`] are pure state machines: no clock, no I/O, no
 //! randomness. Replicated groups of the [`host`] feed them committed commands.
 
 pub mod codec;
 pub mod host;
+pub mod job;
 pub mod machine;
 pub mod meta;
 pub mod placement;
+pub mod server;
 
-/// Runs a control machine until it is told to stop.
-///
-/// # Errors
-/// When it cannot start.
-pub async fn run(_settings: pinerill_types::settings::Settings) -> anyhow::Result<()> {
-    anyhow::bail!("not there yet")
-}
+pub use server::run;
