Routing: no gap while a model goes from one version to the next

Why: a service's engines were those with the bundle's very version, so a new bundle left none until the first load had ended, and then sent all traffic to the few that were ahead.

Change: while fewer than half of the holders that take new work have the version ready, those with another version serve too, under the names that they hold. A refusal for want of a model takes effect at once and not with the next report. An answer goes on elsewhere only with the version that began it, and an engine that failed is asked again when no other one can. Leaving engines are no holders. The fleet's file is split: engine, view, serving.

--- a/crates/pinerill-node/src/batch/run.rs
+++ b/crates/pinerill-node/src/batch/run.rs
@@ -17,7 +17,7 @@
     PauseAnswer, Priority, Progress, Refusal, SendError, SendOutcome,
 };
 use crate::failure::{FailureCode, RequestFailure};
-use crate::membership::{note_load, Engine, Fleet};
+use crate::membership::{note_load, Engine, Fleet, Served};
 use crate::metrics::Metrics;
 use crate::online::{parse_request, Encoder, ParsedRequest, RequestKind};
 
@@ -47,11 +47,11 @@
     pub since: Instant,
 }
 
-/// What was read of an answer so far, and from which `model@version`.
+/// What was read of an answer so far.
 #[derive(Debug)]
 pub struct Partial {
-    /// The model that it came from.
-    pub model: String,
+    /// The version that it came from.
+    pub served: Option<Served>,
     /// The answer.
     pub reader: AnswerReader,
 }
@@ -66,6 +66,8 @@
     pub metrics: Arc<Metrics>,
     /// The item's service.
     pub plan: Arc<ServicePlan>,
+    /// The names under which the engine serves it.
+    pub served: Served,
     /// The item.
     pub item: Arc<LeasedItem>,
     /// Its identifier at engines.
@@ -113,7 +115,7 @@
 
 impl Session {
     async fn run_parsed(&mut self, parsed: &ParsedRequest) -> Ended<Finish> {
-        let body = parsed.body(&self.run.plan.model, true);
+        let body = parsed.body(&self.run.served.model, true);
         let response = self.send(body).await?;
         self.read(response).await
     }
@@ -136,12 +138,12 @@
         }
         let client = self.client.clone();
         let id = self.run.request_id.clone();
-        let plan = self.run.plan.clone();
+        let adapter = self.run.served.adapter.clone();
         let call = EngineCall {
             path: self.kind.path(),
             request_id: &id,
             priority: Priority::Batch,
-            adapter: plan.adapter.as_deref(),
+            adapter: adapter.as_deref(),
             kv_handle: None,
             continue_from: self.run.partial.reader.next_offset(),
             body,
@@ -199,6 +201,10 @@
         if refusal.is_leaving() {
             self.run.fleet.refused_leaving(&self.run.engine.worker);
         }
+        if refusal.lacks_model() {
+            let model = &self.run.served.model;
+            self.run.fleet.refused_model(&self.run.engine, model);
+        }
         let message = format!("{}: {}", refusal.code, refusal.message);
         if refusal.status == 400 && refusal.not_started {
             let peer = self.run.engine.id.to_string();
--- a/crates/pinerill-node/src/batch/shell.rs
+++ b/crates/pinerill-node/src/batch/shell.rs
@@ -20,7 +20,7 @@
 use crate::dispatcher::Dispatcher;
 use crate::engine::AnswerReader;
 use crate::groups::Groups;
-use crate::membership::Fleet;
+use crate::membership::{Fleet, Served};
 use crate::metrics::Metrics;
 use crate::node::Node;
 
@@ -189,17 +189,19 @@
         let catalog = self.configuration.catalog();
         let plan = catalog.and_then(|catalog| catalog.service(&item.service).cloned());
         let found = self.fleet.engine(engine);
-        let (Some(plan), Some(engine)) = (plan, found) else {
-            let partial = fresh(&request_id, "");
-            let end = RunEnd::NotRun("the service or the engine has gone".to_owned());
+        let served = plan.as_ref().zip(found.as_ref());
+        let served = served.and_then(|(plan, engine)| engine.serves(plan));
+        let (Some(plan), Some(engine), Some(served)) = (plan, found, served) else {
+            let partial = fresh(&request_id, None);
+            let end = RunEnd::NotRun("the service, the engine or its model has gone".to_owned());
             let _ = self
                 .inputs
                 .send(ShellInput::Ended(attempt, end, Box::new(partial)));
             return;
         };
         // Another version of the model would go on with another answer.
-        let kept = kept.filter(|partial| partial.model == plan.model);
-        let partial = kept.unwrap_or_else(|| fresh(&request_id, &plan.model));
+        let kept = kept.filter(|partial| partial.served.as_ref() == Some(&served));
+        let partial = kept.unwrap_or_else(|| fresh(&request_id, Some(served.clone())));
         let now = Instant::now();
         let (teller, told) = watch::channel(Told {
             command: RunCommand::Run,
@@ -211,6 +213,7 @@
             fleet: self.fleet.clone(),
             metrics: self.metrics.clone(),
             plan,
+            served,
             item,
             request_id,
             lease_end_ms,
@@ -236,9 +239,9 @@
     }
 }
 
-fn fresh(request_id: &str, model: &str) -> Partial {
+fn fresh(request_id: &str, served: Option<Served>) -> Partial {
     Partial {
-        model: model.to_owned(),
+        served,
         reader: AnswerReader::new(request_id),
     }
 }
--- a/crates/pinerill-node/src/dispatcher.rs
+++ b/crates/pinerill-node/src/dispatcher.rs
@@ -12,7 +12,7 @@
 
 use crate::clock;
 use crate::configuration::ServicePlan;
-use crate::membership::{Engine, Fleet, FleetView};
+use crate::membership::{Engine, Fleet, FleetView, Served};
 use crate::metrics::Metrics;
 use crate::queue::{Enqueued, FairQueue, Ticket};
 use crate::routing::choose;
@@ -33,6 +33,8 @@
     pub blocks: Arc<Vec<u64>>,
     /// Engines that failed it before.
     pub excluded: Vec<EngineId>,
+    /// The version that began its answer, which no other one can go on with.
+    pub begun_with: Option<Served>,
 }
 
 /// Why there is no place.
@@ -175,7 +177,8 @@
         let engines = view.services.get(&demand.plan.name)?;
         let now_ms = clock::now_ms();
         let (cached_tokens, hinted) = self.hinted(engines, demand);
-        let all_excluded = demand.excluded.len() >= engines.decode.len();
+        let mut able = engines.decode.iter().filter(|one| can_go_on(one, demand));
+        let all_excluded = able.all(|engine| demand.excluded.contains(&engine.id));
         let chosen = choose(
             engines.decode.len(),
             &hinted,
@@ -190,6 +193,7 @@
                 };
                 let mut candidate = engine.candidate(now_ms, cached);
                 candidate.suspected |= !all_excluded && demand.excluded.contains(&engine.id);
+                candidate.suspected |= !can_go_on(engine, demand);
                 candidate
             },
         )?;
@@ -279,10 +283,16 @@
     let engines = view.services.get(&demand.plan.name);
     engines.is_some_and(|engines| {
         let mut decode = engines.decode.iter();
-        decode.any(|engine| !engine.worker.is_leaving())
+        decode.any(|engine| !engine.worker.is_leaving() && can_go_on(engine, demand))
     })
 }
 
+/// Whether an engine has the version that began an answer, if one did.
+fn can_go_on(engine: &Engine, demand: &Demand) -> bool {
+    let begun = demand.begun_with.as_ref();
+    begun.is_none_or(|begun| engine.serves(&demand.plan).as_ref() == Some(begun))
+}
+
 /// Takes a request out of the queue when it no longer waits.
 struct WaitGuard<'a> {
     dispatcher: &'a Dispatcher,
--- a/crates/pinerill-node/src/engine/client.rs
+++ b/crates/pinerill-node/src/engine/client.rs
@@ -74,6 +74,11 @@
         self.code == DUPLICATE_REQUEST
     }
 
+    /// Whether the engine does not hold the model or adapter.
+    pub fn lacks_model(&self) -> bool {
+        matches!(self.code.as_str(), "model_not_loaded" | "loading")
+    }
+
     /// Whether the worker is leaving.
     pub fn is_leaving(&self) -> bool {
         self.code == "leaving"
--- a/crates/pinerill-node/src/membership/fleet.rs
+++ b/crates/pinerill-node/src/membership/fleet.rs
@@ -1,200 +1,24 @@
 //! The workers and engines that this node uses, shared by all its parts.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
 use parking_lot::{Mutex, RwLock};
 use pinerill_types::settings::NodeSettings;
-use pinerill_types::{EngineId, NodeName, ServiceName, WorkerName, ZoneName};
+use pinerill_types::{EngineId, NodeName, ZoneName};
 use pinerill_wire::message::{DirectoryUpdate, LeavingSign, WorkerRecord, WorkerState};
 use tokio::sync::Notify;
 
 use super::directory::Directory;
-use super::health::Health;
-use super::report::{EngineReport, Role, WorkerReport};
+use super::engine::{Engine, Worker, WorkerEntry};
+use super::report::WorkerReport;
+use super::view::{engines_by_service, FleetView};
 use crate::clock;
-use crate::configuration::{Catalog, ServicePlan};
-use crate::engine::{parse_load_header, worker_client, EngineClient, LoadHeader};
+use crate::configuration::Catalog;
+use crate::engine::{parse_load_header, LoadHeader};
 use crate::metrics::Metrics;
-use crate::routing::{rendezvous_owner, select_workers, Candidate, LoadEstimate, PrefixHints};
-
-/// One worker that this node uses.
-#[derive(Debug)]
-pub struct Worker {
-    /// Its name.
-    pub name: WorkerName,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Its zone.
-    pub zone: ZoneName,
-    /// 0 for the node's own zone, 1 for the nearest neighbour, ….
-    pub zone_rank: u32,
-    /// Its pooled connections.
-    pub http: reqwest::Client,
-    /// Whether it may get new work.
-    pub health: Mutex<Health>,
-    /// This node drives its batch.
-    pub driven: AtomicBool,
-}
-
-impl Worker {
-    /// Whether it may get new work now.
-    pub fn accepts_work(&self, now_ms: u64) -> bool {
-        let health = self.health.lock();
-        !health.is_leaving() && !health.is_suspected(now_ms)
-    }
-
-    /// Whether it is leaving.
-    pub fn is_leaving(&self) -> bool {
-        self.health.lock().is_leaving()
-    }
-
-    /// Whether this node drives its batch.
-    pub fn is_driven(&self) -> bool {
-        self.driven.load(Ordering::Relaxed)
-    }
-}
-
-/// What an engine holds.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-struct Holding {
-    role: Role,
-    models: Vec<String>,
-    adapters: Vec<String>,
-}
-
-/// One engine that this node uses.
-#[derive(Debug)]
-pub struct Engine {
-    /// Its full name.
-    pub id: EngineId,
-    /// Its worker.
-    pub worker: Arc<Worker>,
-    /// Calls to it.
-    pub client: EngineClient,
-    /// What is known of its load.
-    pub load: Mutex<LoadEstimate>,
-    /// Online requests of this node there.
-    pub online: AtomicU32,
-    /// Signs that online work arrived there so far.
-    pub online_signs: AtomicU64,
-    /// Preemptions that it reported so far.
-    pub preemptions: AtomicU64,
-    holding: Mutex<Holding>,
-}
-
-impl Engine {
-    /// Address and path, as other engines import from it.
-    pub fn source(&self) -> String {
-        format!("{}/engines/{}", self.worker.address, self.id.engine)
-    }
-
-    /// Whether it holds what a service needs.
-    pub fn serves(&self, plan: &ServicePlan) -> bool {
-        let holding = self.holding.lock();
-        let adapter = plan.adapter.as_ref();
-        holding.models.contains(&plan.model)
-            && adapter.is_none_or(|adapter| holding.adapters.contains(adapter))
-    }
-
-    /// Its role.
-    pub fn role(&self) -> Role {
-        self.holding.lock().role
-    }
-
-    /// The engine as the routing choice sees it.
-    pub fn candidate(&self, now_ms: u64, cached_tokens: u32) -> Candidate {
-        let load = self.load.lock();
-        let own = self.online.load(Ordering::Relaxed);
-        Candidate {
-            online: own as f32 + load.online_elsewhere(now_ms),
-            slots: load.slots(),
-            suspected: !self.worker.accepts_work(now_ms),
-            zone_rank: self.worker.zone_rank,
-            driven: self.worker.is_driven(),
-            cached_tokens,
-        }
-    }
-
-    /// The head of an answer carried the load. Returns whether it is a sign of
-    /// online work.
-    fn take_load_header(&self, now_ms: u64, header: &LoadHeader) -> bool {
-        let own = self.online.load(Ordering::Relaxed);
-        let more = self.load.lock().header(now_ms, header, own);
-        if more {
-            self.sign_online();
-        }
-        more
-    }
-
-    /// Online work was seen here.
-    pub fn sign_online(&self) {
-        self.online_signs.fetch_add(1, Ordering::Relaxed);
-    }
-
-    /// Takes a report in. Returns whether it holds something else now.
-    fn take_report(&self, now_ms: u64, report: &EngineReport, metrics: &Metrics) -> bool {
-        let own = self.online.load(Ordering::Relaxed);
-        let news = self.load.lock().report(now_ms, report, own);
-        metrics.preemptions.inc_by(news.preemptions);
-        self.preemptions
-            .fetch_add(news.preemptions, Ordering::Relaxed);
-        if news.more_online {
-            self.sign_online();
-        }
-        let holding = Holding {
-            role: report.role,
-            models: report.models.clone(),
-            adapters: report.adapters.clone(),
-        };
-        let mut current = self.holding.lock();
-        let changed = *current != holding;
-        *current = holding;
-        changed
-    }
-}
-
-/// A worker with its engines.
-#[derive(Debug, Clone)]
-pub struct WorkerEntry {
-    /// The worker.
-    pub worker: Arc<Worker>,
-    /// Its engines by number.
-    pub engines: Vec<Arc<Engine>>,
-}
-
-/// Engines that serve one service.
-#[derive(Debug, Default)]
-pub struct ServiceEngines {
-    /// Those that answer requests.
-    pub decode: Vec<Arc<Engine>>,
-    /// Those that only do prefill.
-    pub prefill: Vec<Arc<Engine>>,
-    /// Place of an engine in `decode`.
-    pub index: HashMap<EngineId, usize>,
-}
-
-impl ServiceEngines {
-    fn insert(&mut self, engine: &Arc<Engine>) {
-        if engine.role() == Role::Prefill {
-            self.prefill.push(engine.clone());
-            return;
-        }
-        self.index.insert(engine.id.clone(), self.decode.len());
-        self.decode.push(engine.clone());
-    }
-}
-
-/// All that requests look up, replaced as a whole.
-#[derive(Debug, Default)]
-pub struct FleetView {
-    /// Workers by name.
-    pub workers: BTreeMap<WorkerName, WorkerEntry>,
-    /// Engines by service.
-    pub services: HashMap<ServiceName, ServiceEngines>,
-}
+use crate::routing::{rendezvous_owner, select_workers, PrefixHints};
 
 /// The workers that this node uses.
 #[derive(Debug)]
@@ -295,7 +119,9 @@
                 workers.insert(record.name.clone(), entry);
             }
         }
-        let services = self.services_of(&workers);
+        let catalog = self.catalog.lock().clone();
+        let services = catalog.map(|catalog| engines_by_service(&workers, &catalog));
+        let services = services.unwrap_or_default();
         *view_slot = Arc::new(FleetView { workers, services });
         drop(view_slot);
         self.changed.notify_waiters();
@@ -316,7 +142,7 @@
             entry.worker.health.lock().list(record);
             return Some(entry.clone());
         }
-        new_entry(zone_rank, record)
+        WorkerEntry::new(zone_rank, record)
             .map_err(|error| log::error!("client of worker {}: {error}", record.name))
             .ok()
     }
@@ -345,24 +171,10 @@
         rendezvous_owner(&worker.name, eligible.map(|(name, _)| *name)) == Some(&self.node)
     }
 
-    fn services_of(
-        &self,
-        workers: &BTreeMap<WorkerName, WorkerEntry>,
-    ) -> HashMap<ServiceName, ServiceEngines> {
-        let catalog = self.catalog.lock().clone();
-        let mut services: HashMap<ServiceName, ServiceEngines> = HashMap::new();
-        for plan in catalog.iter().flat_map(|catalog| catalog.services()) {
-            let engines = services.entry(plan.name.clone()).or_default();
-            let all = workers.values().flat_map(|entry| &entry.engines);
-            all.filter(|engine| engine.serves(plan))
-                .for_each(|engine| engines.insert(engine));
-        }
-        services
-    }
-
     /// A load report of a worker came.
     pub fn take_report(&self, entry: &WorkerEntry, report: &WorkerReport) {
         let now_ms = clock::now_ms();
+        let was_leaving = entry.worker.is_leaving();
         let first_sign = entry
             .worker
             .health
@@ -371,7 +183,7 @@
         if first_sign {
             self.note_leaving(&entry.worker);
         }
-        let mut changed = false;
+        let mut changed = was_leaving != entry.worker.is_leaving();
         for engine_report in &report.engines {
             let number = usize::from(engine_report.engine);
             if let Some(engine) = entry.engines.get(number) {
@@ -404,9 +216,16 @@
         let first = worker.health.lock().sign_leaving();
         if first {
             self.note_leaving(worker);
+            self.rebuild();
         }
     }
 
+    /// An engine refused for want of a model that it was thought to hold.
+    pub fn refused_model(&self, engine: &Engine, model: &str) {
+        engine.forget_model(model);
+        self.rebuild();
+    }
+
     fn note_leaving(&self, worker: &Worker) {
         log::info!("worker {} is leaving", worker.name);
         self.metrics.leaving_signs.inc();
@@ -447,39 +266,6 @@
     }
 }
 
-fn new_entry(zone_rank: u32, record: &WorkerRecord) -> reqwest::Result<WorkerEntry> {
-    let worker = Arc::new(Worker {
-        name: record.name.clone(),
-        address: record.address,
-        zone: record.zone.clone(),
-        zone_rank,
-        http: worker_client()?,
-        health: Mutex::new(Health::new(record)),
-        driven: AtomicBool::new(false),
-    });
-    let engines = (0..record.engines)
-        .map(|number| Arc::new(new_engine(&worker, number)))
-        .collect();
-    Ok(WorkerEntry { worker, engines })
-}
-
-fn new_engine(worker: &Arc<Worker>, number: u16) -> Engine {
-    let base = format!("http://{}/engines/{number}", worker.address);
-    Engine {
-        id: EngineId {
-            worker: worker.name.clone(),
-            engine: number,
-        },
-        client: EngineClient::new(worker.http.clone(), base),
-        worker: worker.clone(),
-        load: Mutex::default(),
-        online: AtomicU32::new(0),
-        online_signs: AtomicU64::new(0),
-        preemptions: AtomicU64::new(0),
-        holding: Mutex::default(),
-    }
-}
-
 /// Takes in the load that the head of an engine's answer carries.
 pub fn note_load(fleet: &Fleet, engine: &Engine, response: &reqwest::Response) {
     let header = response.headers().get("X-Load");
--- a/crates/pinerill-node/src/membership/mod.rs
+++ b/crates/pinerill-node/src/membership/mod.rs
@@ -2,13 +2,19 @@
 //! reports, refusals and failed connections.
 
 mod directory;
+mod engine;
 mod fleet;
 mod health;
 mod probe;
 mod report;
+mod serving;
+mod view;
 
 pub use directory::Directory;
-pub use fleet::{note_load, Engine, Fleet, FleetView, ServiceEngines, Worker, WorkerEntry};
+pub use engine::{Engine, Worker, WorkerEntry};
+pub use fleet::{note_load, Fleet};
 pub use health::Health;
 pub use probe::ProbeShell;
 pub use report::{EngineReport, Role, WorkerReport};
+pub use serving::{select_serving, Holding, Served};
+pub use view::{FleetView, ServiceEngines};
--- a/crates/pinerill-node/src/membership/probe.rs
+++ b/crates/pinerill-node/src/membership/probe.rs
@@ -8,7 +8,8 @@
 use serde::Deserialize;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
-use super::fleet::{Fleet, WorkerEntry};
+use super::engine::WorkerEntry;
+use super::fleet::Fleet;
 use super::report::WorkerReport;
 
 /// Longest wait for a load report.
--- a/crates/pinerill-node/src/online/execution.rs
+++ b/crates/pinerill-node/src/online/execution.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use parking_lot::Mutex;
 use pinerill_types::outcome::Outcome;
 use pinerill_types::{EngineId, ServiceName, TenantName};
@@ -24,7 +23,7 @@
     SendError, SendOutcome,
 };
 use crate::failure::{FailureCode, RequestFailure};
-use crate::membership::{note_load, Engine, Fleet};
+use crate::membership::{note_load, Engine, Fleet, Served};
 use crate::metrics::Metrics;
 use crate::routing::block_names;
 
@@ -164,6 +163,8 @@
     attempts: u32,
     maybe_run: bool,
     first_token_seen: bool,
+    /// The version that gave the first text.
+    begun_with: Option<Served>,
 }
 
 impl Execution {
@@ -180,6 +181,7 @@
             attempts: 0,
             maybe_run: false,
             first_token_seen: false,
+            begun_with: None,
         }
     }
 
@@ -265,6 +267,7 @@
             prompt_tokens: (self.request.parsed.prompt.len() / PROMPT_BYTES_PER_TOKEN) as u32,
             blocks: self.blocks.clone(),
             excluded: self.tried.clone(),
+            begun_with: self.begun_with.clone(),
         };
         let left = self
             .request
@@ -306,9 +309,14 @@
 
     async fn attempt(&mut self, place: &Place) -> Result<Finish, AttemptStop> {
         let engine = place.engine.clone();
-        let kv_handle = self.prefill(&engine).await;
-        let body = self.request.parsed.body(&self.request.plan.model, true);
-        let sent = match self.send(&engine, body, kv_handle).await {
+        let Some(served) = engine.serves(&self.request.plan) else {
+            let message = "it no longer holds the model".to_owned();
+            let mut failure = self.failure(&engine, AttemptEnd::NotRun, "choose", message);
+            failure.code = FailureCode::NoBackend;
+            return Err(AttemptStop::Failure(failure));
+        };
+        let kv_handle = self.prefill(&engine, &served).await;
+        let sent = match self.send(&engine, &served, kv_handle).await {
             Ok(sent) => sent,
             Err(interrupt) => return Err(self.interrupted(&engine, interrupt).await),
         };
@@ -317,7 +325,7 @@
                 self.heard.push(engine.id.clone());
                 response
             }
-            Ok(SendOutcome::Refused(refusal)) => self.refused(&engine, refusal).await?,
+            Ok(SendOutcome::Refused(refusal)) => self.refused(&engine, &served, refusal).await?,
             Err(SendError::NotSent(message)) => {
                 self.context.fleet.connection_failed(&engine.worker);
                 let failure = self.failure(&engine, AttemptEnd::NotRun, "connect", message);
@@ -328,20 +336,24 @@
                 self.resume(&engine, "send", message).await?
             }
         };
-        self.read(&engine, response).await
+        let ended = self.read(&engine, response).await;
+        if self.delivery.next_offset() > 0 {
+            self.begun_with = Some(served);
+        }
+        ended
     }
 
-    async fn prefill(&self, engine: &Arc<Engine>) -> Option<String> {
+    async fn prefill(&self, engine: &Arc<Engine>, served: &Served) -> Option<String> {
         if self.request.at_most_once || self.delivery.next_offset() > 0 {
             return None;
         }
-        prepare_prefill(&self.context.fleet, &self.request, engine).await
+        prepare_prefill(&self.context.fleet, &self.request, engine, served).await
     }
 
     async fn send(
         &mut self,
         engine: &Engine,
-        body: Bytes,
+        served: &Served,
         kv_handle: Option<String>,
     ) -> Result<Result<SendOutcome, SendError>, Interrupt> {
         let continue_from = self.delivery.next_offset();
@@ -352,10 +364,10 @@
             path: self.request.kind.path(),
             request_id: &self.request.id,
             priority: Priority::Online,
-            adapter: self.request.plan.adapter.as_deref(),
+            adapter: served.adapter.as_deref(),
             kv_handle: kv_handle.as_deref(),
             continue_from,
-            body,
+            body: self.request.parsed.body(&served.model, true),
         };
         self.guarded(engine.client.send(call)).await
     }
@@ -377,6 +389,7 @@
     async fn refused(
         &mut self,
         engine: &Arc<Engine>,
+        served: &Served,
         refusal: Refusal,
     ) -> Result<Response, AttemptStop> {
         if refusal.is_duplicate() && self.heard.contains(&engine.id) {
@@ -385,6 +398,9 @@
         if refusal.is_leaving() {
             self.context.fleet.refused_leaving(&engine.worker);
         }
+        if refusal.lacks_model() {
+            self.context.fleet.refused_model(engine, &served.model);
+        }
         let end = if refusal.not_started {
             AttemptEnd::NotRun
         } else {
--- a/crates/pinerill-node/src/online/prefill.rs
+++ b/crates/pinerill-node/src/online/prefill.rs
@@ -7,7 +7,7 @@
 use super::execution::OnlineRequest;
 use crate::clock;
 use crate::engine::{EngineCall, Priority, SendOutcome};
-use crate::membership::{Engine, Fleet, Role};
+use crate::membership::{Engine, Fleet, Role, Served};
 
 /// Prompts below this many bytes are not worth the transfer.
 const PROMPT_BYTES_MINIMUM: usize = 1_024;
@@ -21,21 +21,22 @@
     fleet: &Fleet,
     request: &OnlineRequest,
     decoder: &Arc<Engine>,
+    served: &Served,
 ) -> Option<String> {
     let long = request.parsed.prompt.len() >= PROMPT_BYTES_MINIMUM;
     if decoder.role() != Role::Decode || !long {
         return None;
     }
-    let engine = least_loaded(fleet, request)?;
+    let engine = least_loaded(fleet, request, served)?;
     let id = format!("{}.prefill", request.id);
     let call = EngineCall {
         path: request.kind.path(),
         request_id: &id,
         priority: Priority::Online,
-        adapter: request.plan.adapter.as_deref(),
+        adapter: served.adapter.as_deref(),
         kv_handle: None,
         continue_from: 0,
-        body: request.parsed.prefill_body(&request.plan.model),
+        body: request.parsed.prefill_body(&served.model),
     };
     let sent = tokio::time::timeout(PREFILL_TIMEOUT, run_prefill(&engine, call)).await;
     if !sent.unwrap_or(false) {
@@ -57,14 +58,16 @@
     }
 }
 
-fn least_loaded(fleet: &Fleet, request: &OnlineRequest) -> Option<Arc<Engine>> {
+/// Another version's KV cache would be of no use to the decoder.
+fn least_loaded(fleet: &Fleet, request: &OnlineRequest, served: &Served) -> Option<Arc<Engine>> {
     let view = fleet.view();
     let now_ms = clock::now_ms();
     let engines = view.services.get(&request.plan.name)?;
     let usable = engines
         .prefill
         .iter()
-        .filter(|engine| engine.worker.accepts_work(now_ms));
+        .filter(|engine| engine.worker.accepts_work(now_ms))
+        .filter(|engine| engine.serves(&request.plan).as_ref() == Some(served));
     usable
         .min_by(|left, right| {
             let load = |engine: &Engine| engine.candidate(now_ms, 0).online;
--- a/crates/pinerill-node/tests/support/worker.rs
+++ b/crates/pinerill-node/tests/support/worker.rs
@@ -56,6 +56,13 @@
     pub online_elsewhere: u32,
     /// Requests give this many tokens and then wait.
     pub hold_after: Option<u32>,
+    /// Load reports stay as they were.
+    pub frozen_report: bool,
+    last_report: Value,
+    /// Reports so far.
+    pub reports: u32,
+    /// Attaches are refused as unknown.
+    pub forgetful: bool,
     /// No answer begins.
     pub hold_heads: bool,
     /// All requests are refused so.
@@ -99,6 +106,10 @@
             preemptions: 0,
             online_elsewhere: 0,
             hold_after: None,
+            frozen_report: false,
+            last_report: Value::Null,
+            reports: 0,
+            forgetful: false,
             hold_heads: false,
             refusal: None,
             cuts: 0,
@@ -174,7 +185,11 @@
 
 #[get("/worker")]
 fn report(model: &State<Shared>, engines: &State<Engines>) -> Json<Value> {
-    let model = model.lock();
+    let mut model = model.lock();
+    model.reports += 1;
+    if model.frozen_report {
+        return Json(model.last_report.clone());
+    }
     let engine = |number: u16| {
         let running = model
             .came
@@ -190,7 +205,9 @@
     };
     let list: Vec<Value> = (0..engines.0).map(engine).collect();
     let incarnation = model.incarnation;
-    Json(json!({"incarnation": incarnation, "leaving": model.leaving, "engines": list}))
+    let report = json!({"incarnation": incarnation, "leaving": model.leaving, "engines": list});
+    model.last_report = report.clone();
+    Json(report)
 }
 
 struct Head {
@@ -284,7 +301,8 @@
 #[get("/engines/<engine>/v1/requests/<id>/stream?<offset>")]
 fn attach(model: &State<Shared>, engine: u16, id: String, offset: u32) -> Result<Answer, Refused> {
     let id = key(engine, &id);
-    if !model.lock().came.contains_key(&id) {
+    let knows = model.lock().came.contains_key(&id);
+    if !knows || model.lock().forgetful {
         return Err(refused(404, "unknown_request"));
     }
     Ok(answer(model.inner().clone(), id, offset))
