Simulation: tests, and scenarios that catch every mutant

A node's own guard against an older version could not be reached, since control machines refuse a node they are behind. Change: faults can wait for a candidacy or an election; contested_elections and leader_churn use that; take_older_version breaks both guards.

--- a/crates/pinerill-sim/src/bundle/mod.rs
+++ b/crates/pinerill-sim/src/bundle/mod.rs
@@ -11,5 +11,5 @@
 pub use founding::{founding_bundle, signed_next, FOUNDING_DIGEST};
 pub use history::{BundleHistory, BundleOperation, BundleRegister, BundleState, ProposalEnd};
 pub use operator::OperatorStyle;
-pub use service::{BundleQuery, BundleService, BundleView};
+pub use service::{BundleQuery, BundleService, BundleView, WatchView};
 pub use workload::{BundleWorkload, WorkloadSettings};
--- a/crates/pinerill-sim/src/bundle/service.rs
+++ b/crates/pinerill-sim/src/bundle/service.rs
@@ -38,9 +38,19 @@
     InForce(Option<Box<Bundle>>),
     /// Which bundle took the version; none if the history can't be read.
     Past(Option<PastVersion>),
-    /// The answer to a watch, not marked as confirmed; none if this machine
-    /// is behind the watcher or knows no bundle.
-    Watch(Option<WatchResponse>),
+    /// The answer to a watch, not marked as confirmed.
+    Watch(WatchView),
+}
+
+/// What a control machine has for a watcher.
+#[derive(Clone, Debug)]
+pub enum WatchView {
+    /// An answer.
+    Answer(WatchResponse),
+    /// The watcher has a newer bundle than this one, so it is refused.
+    Behind(WatchResponse),
+    /// There is no bundle yet.
+    NotFounded,
 }
 
 /// The group's table as the meta machine's functions read it.
@@ -67,24 +77,32 @@
                 BundleView::Past(read_history(&StoredTable(table), *version).ok())
             }
             BundleQuery::Watch { version, digest } => {
-                BundleView::Watch(watch(machine, *version, *digest))
+                let view = watch(machine, *version, *digest);
+                BundleView::Watch(view.unwrap_or(WatchView::NotFounded))
             }
         }
     }
 }
 
-fn watch(machine: &MetaMachine, version: u64, digest: Digest) -> Option<WatchResponse> {
+fn watch(machine: &MetaMachine, version: u64, digest: Digest) -> Option<WatchView> {
     let bundle = machine.bundle()?;
-    let update = match machine.update_since(version, digest)? {
+    let whole = || BundleUpdate::Snapshot(Box::new(bundle.bundle().clone()));
+    let since = machine.update_since(version, digest)?;
+    let behind = since == UpdateSince::Ahead;
+    let update = match since {
         UpdateSince::Same => None,
         UpdateSince::Changes(changes) => Some(BundleUpdate::Changes(changes)),
-        UpdateSince::Snapshot => Some(BundleUpdate::Snapshot(Box::new(bundle.bundle().clone()))),
-        UpdateSince::Ahead => return None,
+        UpdateSince::Snapshot | UpdateSince::Ahead => Some(whole()),
     };
-    Some(WatchResponse {
+    let response = WatchResponse {
         confirmed: false,
         version: bundle.version(),
         bundle: update,
         directory: None,
+    };
+    Some(if behind {
+        WatchView::Behind(response)
+    } else {
+        WatchView::Answer(response)
     })
 }
--- a/crates/pinerill-sim/src/bundle/watcher.rs
+++ b/crates/pinerill-sim/src/bundle/watcher.rs
@@ -4,7 +4,7 @@
 use pinerill_node::configuration::{ConfigurationState, Taken};
 use pinerill_wire::message::WatchResponse;
 
-use super::service::{BundleQuery, BundleService, BundleView};
+use super::service::{BundleQuery, BundleService, BundleView, WatchView};
 use crate::cluster::{
     CallAnswer, CallId, CallKind, CallResult, ClientId, Cluster, LocalClock, Timer, MAX_SKEW_PPM,
 };
@@ -36,7 +36,7 @@
     /// The open watch, and when it was sent by the node's clock.
     open: Option<(CallId, u64)>,
     machine: usize,
-    /// Number of this start; timers of an earlier one still come.
+    /// Highest version that was ever in force here.
     highest_version: u64,
 }
 
@@ -81,7 +81,7 @@
         self.open = Some((call, sent_ms));
     }
 
-    /// Takes an answer in; a broken rule is returned.
+    /// Takes an answer in.
     pub(super) fn answered(
         &mut self,
         cluster: &mut Cluster<BundleService>,
@@ -90,22 +90,29 @@
         let Some((_, sent_ms)) = self.open.take_if(|(call, _)| *call == answer.call) else {
             return;
         };
-        let response = match answer.result {
-            CallResult::Read(Ok(BundleView::Watch(Some(response)))) => Some((response, true)),
-            CallResult::Unconfirmed(BundleView::Watch(Some(response))) => {
-                let claims = has_shell_defect(cluster.defect(), ShellDefect::ConfirmWithoutBarrier);
-                Some((response, claims))
+        let (view, confirmed) = match answer.result {
+            CallResult::Read(Ok(BundleView::Watch(view))) => (view, true),
+            CallResult::Unconfirmed(BundleView::Watch(view)) => (view, false),
+            _ => {
+                self.watch_elsewhere(cluster);
+                return;
             }
-            _ => None,
         };
-        let Some((mut response, confirmed)) = response else {
-            self.watch_elsewhere(cluster);
-            return;
+        let defect = |wanted| has_shell_defect(cluster.defect(), wanted);
+        let mut response = match view {
+            WatchView::Answer(response) => response,
+            WatchView::Behind(response) if defect(ShellDefect::TakeOlderVersion) => response,
+            WatchView::Behind(_) | WatchView::NotFounded => {
+                self.watch_elsewhere(cluster);
+                return;
+            }
         };
-        response.confirmed = confirmed;
+        let first = self.state.catalog().is_none();
+        response.confirmed = confirmed
+            || defect(ShellDefect::ConfirmWithoutBarrier)
+            || (first && defect(ShellDefect::TakeUnconfirmedFirst));
         self.take(cluster, sent_ms, &response);
-        let pause_ms = WATCH_PAUSE_MS;
-        cluster.wake(self.client, pause_ms, Timer::Next);
+        cluster.wake(self.client, WATCH_PAUSE_MS, Timer::Next);
     }
 
     fn watch_elsewhere(&mut self, cluster: &mut Cluster<BundleService>) {
--- a/crates/pinerill-sim/src/cluster/checks.rs
+++ b/crates/pinerill-sim/src/cluster/checks.rs
@@ -28,7 +28,8 @@
     entries: BTreeMap<(u64, u64), u64>,
     /// Term of each committed entry.
     committed: BTreeMap<u64, u64>,
-    /// Index of each membership entry that was ever appended, by leader's log.
+    /// Elections won.
+    elections: usize,
     violations: Vec<Violation>,
 }
 
@@ -76,6 +77,11 @@
             .map_or(0, |(index, _)| *index)
     }
 
+    /// Elections won so far.
+    pub fn elections(&self) -> usize {
+        self.elections
+    }
+
     /// Checks a write that a replica wants made durable.
     pub fn on_write(&mut self, now_ms: u64, batch: &WriteBatch) {
         for operation in &batch.operations {
@@ -110,6 +116,7 @@
         if status.role != Role::Leader {
             return;
         }
+        self.elections += 1;
         let first = *self.leaders.entry(status.term).or_insert(status.id);
         if first != status.id {
             let detail = format!("{first} and {} lead term {}", status.id, status.term);
--- a/crates/pinerill-sim/src/cluster/core.rs
+++ b/crates/pinerill-sim/src/cluster/core.rs
@@ -38,6 +38,8 @@
     /// Lost identities that no repair has replaced yet, and their successors.
     pub(super) lost: Vec<(ReplicaId, ReplicaId)>,
     pub(super) frozen_clients: BTreeMap<ClientId, u64>,
+    /// Candidacies begun so far.
+    pub(super) candidacies: usize,
     pub(super) starts: u64,
     pub(super) next_request: u64,
     open_calls: BTreeMap<CallId, ClientId>,
@@ -66,6 +68,7 @@
             faults: BTreeMap::new(),
             lost: Vec::new(),
             frozen_clients: BTreeMap::new(),
+            candidacies: 0,
             starts: 0,
             next_request: 0,
             open_calls: BTreeMap::new(),
--- a/crates/pinerill-sim/src/cluster/fault.rs
+++ b/crates/pinerill-sim/src/cluster/fault.rs
@@ -129,6 +129,20 @@
         /// How long after it, milliseconds.
         delay_ms: u64,
     },
+    /// Some time after the given candidacy (from 1) begins.
+    AfterCandidacy {
+        /// Which candidacy.
+        number: usize,
+        /// How long after it, milliseconds.
+        delay_ms: u64,
+    },
+    /// Some time after the given election (from 1) is won.
+    AfterElection {
+        /// Which election.
+        number: usize,
+        /// How long after it, milliseconds.
+        delay_ms: u64,
+    },
 }
 
 /// A fault and when it happens.
--- a/crates/pinerill-sim/src/cluster/process.rs
+++ b/crates/pinerill-sim/src/cluster/process.rs
@@ -176,6 +176,9 @@
                     let (role, term, leader) = (change.role, change.term, change.leader);
                     format!("machine {place} {role:?} in term {term}, leader {leader:?}")
                 });
+                if change.role == Role::Candidate {
+                    self.candidacies += 1;
+                }
                 let process = self.machines[place].process.as_ref();
                 if let (Role::Leader, Some(process)) = (change.role, process) {
                     self.checks.on_leader(self.now_ms, &process.driver);
--- a/crates/pinerill-sim/src/cluster/settings.rs
+++ b/crates/pinerill-sim/src/cluster/settings.rs
@@ -29,6 +29,10 @@
     pub compaction_margin: u64,
     /// Bounds of the driver.
     pub driver: DriverSettings,
+    /// Shortest election timeout, milliseconds.
+    pub election_min_ms: u64,
+    /// Longest election timeout, milliseconds.
+    pub election_max_ms: u64,
     /// Largest deviation of clocks, parts per million.
     pub skew_ppm: i64,
 }
@@ -48,6 +52,8 @@
                 snapshot_bytes: 1 << 20,
                 snapshot_chunk_bytes: 700,
             },
+            election_min_ms: 500,
+            election_max_ms: 1_000,
             skew_ppm: MAX_SKEW_PPM,
         }
     }
@@ -56,6 +62,8 @@
 impl ClusterSettings {
     pub(super) fn replica_config(&self, id: ReplicaId, seed: u64) -> ReplicaConfig {
         let mut config = ReplicaConfig::new(id, GROUP, seed);
+        config.election_min_ms = self.election_min_ms;
+        config.election_max_ms = self.election_max_ms;
         config.max_append_bytes = self.max_append_bytes;
         config.compaction_margin = self.compaction_margin;
         config
--- a/crates/pinerill-sim/src/cluster/simulation.rs
+++ b/crates/pinerill-sim/src/cluster/simulation.rs
@@ -54,7 +54,10 @@
     cluster: Cluster<S>,
     workload: W,
     repairs: Repairs,
-    after_repair: Vec<PlannedFault>,
+    /// Faults that wait for a repair or an election.
+    waiting: Vec<PlannedFault>,
+    candidacies: usize,
+    elections: usize,
     events: u64,
 }
 
@@ -65,7 +68,9 @@
             cluster,
             workload,
             repairs: Repairs::default(),
-            after_repair: Vec::new(),
+            waiting: Vec::new(),
+            candidacies: 0,
+            elections: 0,
             events: 0,
         };
         simulation.begin(plan);
@@ -82,7 +87,7 @@
                 Trigger::At(at_ms) => {
                     self.cluster.queue.add(at_ms, Event::Inject(planned.fault));
                 }
-                Trigger::AfterRepair { .. } => self.after_repair.push(*planned),
+                _ => self.waiting.push(*planned),
             }
         }
         self.repairs.start(&mut self.cluster);
@@ -99,6 +104,7 @@
             self.events += 1;
             self.handle(event);
             self.pass_on_applied();
+            self.plan_after_elections();
             if self.events > MAX_EVENTS {
                 self.cluster
                     .violate("a run ends", "too many events".to_owned());
@@ -195,13 +201,38 @@
 
     fn plan_after_repair(&mut self) {
         let done = self.repairs.done();
+        self.plan_waiting(|trigger| match trigger {
+            Trigger::AfterRepair { number, delay_ms } if number == done => Some(delay_ms),
+            _ => None,
+        });
+    }
+
+    fn plan_after_elections(&mut self) {
+        while self.candidacies < self.cluster.candidacies {
+            self.candidacies += 1;
+            let begun = self.candidacies;
+            self.plan_waiting(|trigger| match trigger {
+                Trigger::AfterCandidacy { number, delay_ms } if number == begun => Some(delay_ms),
+                _ => None,
+            });
+        }
+        while self.elections < self.cluster.checks.elections() {
+            self.elections += 1;
+            let won = self.elections;
+            self.plan_waiting(|trigger| match trigger {
+                Trigger::AfterElection { number, delay_ms } if number == won => Some(delay_ms),
+                _ => None,
+            });
+        }
+    }
+
+    /// Plans the waiting faults for which `due` gives a delay.
+    fn plan_waiting(&mut self, due: impl Fn(Trigger) -> Option<u64>) {
         let now_ms = self.cluster.now_ms;
-        for planned in &self.after_repair {
-            if let Trigger::AfterRepair { number, delay_ms } = planned.trigger {
-                if number == done {
-                    let event = Event::Inject(planned.fault);
-                    self.cluster.queue.add(now_ms + delay_ms, event);
-                }
+        for planned in &self.waiting {
+            if let Some(delay_ms) = due(planned.trigger) {
+                let event = Event::Inject(planned.fault);
+                self.cluster.queue.add(now_ms + delay_ms, event);
             }
         }
     }
@@ -215,7 +246,7 @@
     /// Ends all faults and waits until everything rests.
     fn come_to_rest(&mut self) {
         self.cluster.note(|| "all faults end".to_owned());
-        self.after_repair.clear();
+        self.waiting.clear();
         self.cluster.heal_everything();
         self.workload.wind_down(&mut self.cluster);
         let limit_ms = self.cluster.now_ms + REST_LIMIT_MS;
--- a/crates/pinerill-sim/src/defect.rs
+++ b/crates/pinerill-sim/src/defect.rs
@@ -23,8 +23,11 @@
     ConfirmWithoutBarrier,
     /// A node counts its lease from when the answer arrived.
     LeaseFromArrival,
-    /// A node takes on an older version.
+    /// A control machine that is behind a node answers its watch, and the
+    /// node takes on the older version.
     TakeOlderVersion,
+    /// A node that has just started takes on a bundle that is not confirmed.
+    TakeUnconfirmedFirst,
     /// A proposal whose version was taken counts as accepted, whoever won.
     DecidedCountsAsAccepted,
     /// A proposal sent again is refused although it was the one that won.
--- a/crates/pinerill-sim/src/registry.rs
+++ b/crates/pinerill-sim/src/registry.rs
@@ -41,7 +41,7 @@
         replica(
             "vote_before_sync",
             ReplicaDefect::VoteBeforeSync,
-            "crash_unsynced",
+            "contested_elections",
         ),
         replica(
             "acknowledge_before_sync",
@@ -93,6 +93,11 @@
             ShellDefect::TakeOlderVersion,
             "silent_cut_leader",
         ),
+        shell(
+            "take_unconfirmed_first",
+            ShellDefect::TakeUnconfirmedFirst,
+            "cut_off_nodes",
+        ),
         shell(
             "decided_counts_as_accepted",
             ShellDefect::DecidedCountsAsAccepted,
--- a/crates/pinerill-sim/src/scenarios/bundle_faults.rs
+++ b/crates/pinerill-sim/src/scenarios/bundle_faults.rs
@@ -1,7 +1,7 @@
 //! What the scenarios of bundles bring about.
 
 use super::bundles::Setup;
-use crate::cluster::{ClientFault, Direction, Fault, LinkQuality, PlannedFault, Target, Trigger};
+use crate::cluster::{ClientFault, Direction, Fault, PlannedFault, Target, Trigger};
 use crate::random::SimRng;
 
 /// When the first fault may happen: a leader is there and the cluster is
@@ -48,33 +48,74 @@
     }
 }
 
+/// Timeouts that lie close together make many candidates at once; voters
+/// crash while their votes wait for slow disks, and are back at once.
+pub(super) fn contested_elections(rng: &mut SimRng, setup: &mut Setup) {
+    setup.cluster.election_min_ms = 300;
+    setup.cluster.election_max_ms = 310;
+    setup.cluster.min_sync_ms = 10;
+    setup.cluster.max_sync_ms = 60;
+    setup.cluster.quality.max_delay_ms = 40;
+    setup.workload.nodes = 1;
+    setup.workload.operators = 2;
+    for number in 1..=30 {
+        let trigger = Trigger::AfterElection {
+            number,
+            delay_ms: rng.between(50, 500),
+        };
+        let fault = Fault::Freeze {
+            target: Target::Leader,
+            duration_ms: rng.between(310, 450),
+        };
+        setup.plan.faults.push(PlannedFault { trigger, fault });
+    }
+    for number in 1..=80 {
+        let trigger = Trigger::AfterCandidacy {
+            number,
+            delay_ms: rng.between(2, 60),
+        };
+        let fault = Fault::Crash {
+            target: Target::Any,
+            down_ms: rng.between(1, 3),
+        };
+        setup.plan.faults.push(PlannedFault { trigger, fault });
+    }
+}
+
+/// Leaders that are cut off right after they won leave entries behind that
+/// no majority has, of which several terms then compete.
 pub(super) fn leader_churn(rng: &mut SimRng, setup: &mut Setup) {
+    setup.cluster.machines = any(rng, &[3, 5]);
     setup.cluster.max_append_bytes = 1;
-    setup.cluster.quality = LinkQuality {
-        max_delay_ms: 25,
-        loss: 0.1,
-        ..LinkQuality::GOOD
-    };
+    setup.cluster.election_min_ms = 250;
+    setup.cluster.election_max_ms = 450;
+    setup.cluster.quality.max_delay_ms = 15;
     setup.workload.nodes = 1;
     setup.workload.style.min_pause_ms = 1;
-    setup.workload.style.max_pause_ms = 80;
-    for at_ms in moments(rng, setup, 14) {
-        let down_ms = rng.between(1, 1_500);
+    setup.workload.style.max_pause_ms = 60;
+    setup.plan.duration_ms = 30_000;
+    for number in 1..=60 {
+        let trigger = Trigger::AfterElection {
+            number,
+            delay_ms: rng.between(0, 80),
+        };
         let target = Target::Leader;
-        let fault = match rng.below(3) {
-            0 => Fault::Crash { target, down_ms },
-            1 => Fault::Cut {
+        let duration_ms = rng.between(250, 1_200);
+        let cut = |direction| Fault::Cut {
+            target,
+            direction,
+            clients: false,
+            duration_ms,
+        };
+        let fault = match rng.below(5) {
+            0 => Fault::Crash {
                 target,
-                direction: any(rng, &DIRECTIONS),
-                clients: false,
-                duration_ms: down_ms,
-            },
-            _ => Fault::Split {
-                smaller: 2,
-                duration_ms: down_ms,
+                down_ms: duration_ms,
             },
+            1 => cut(any(rng, &DIRECTIONS)),
+            _ => cut(Direction::Outbound),
         };
-        plan(setup, at_ms, fault);
+        setup.plan.faults.push(PlannedFault { trigger, fault });
     }
 }
 
--- a/crates/pinerill-sim/src/scenarios/bundles.rs
+++ b/crates/pinerill-sim/src/scenarios/bundles.rs
@@ -74,9 +74,14 @@
             summary: "control machines crash and lose what was not synced, on slow disks",
             prepare: faults::crash_unsynced,
         },
+        BundleScenario {
+            name: "contested_elections",
+            summary: "voters crash while several candidates ask for their votes",
+            prepare: faults::contested_elections,
+        },
         BundleScenario {
             name: "leader_churn",
-            summary: "leaders crash or are cut off one after the other, appends are small",
+            summary: "leaders crash or are cut off right after they won, appends are small",
             prepare: faults::leader_churn,
         },
         BundleScenario {
