Simulation: the server's own membership steps, counts of what was seen

What a run saw (reads, conflicts, repairs) was not counted, so an idle run looked like a good one. Change: repairs ask server::next_step; runs count what they saw; a decided version whose winner can't be read is a violation, with the mutant table_reported_before_sync.

--- a/crates/pinerill-sim/src/bundle/operator.rs
+++ b/crates/pinerill-sim/src/bundle/operator.rs
@@ -261,6 +261,10 @@
             CallResult::Read(Ok(BundleView::Past(Some(PastVersion::Taken(digest))))) => {
                 self.learnt_winner(cluster, history, digest);
             }
+            CallResult::Read(Ok(BundleView::Past(other))) => {
+                let detail = format!("a decided version is read as {other:?}");
+                cluster.violate("who took a version stays known", detail);
+            }
             CallResult::Proposed(Ok(reply)) => self.decided(cluster, history, &reply),
             CallResult::Proposed(Err(ProposeError::NotLeader { leader })) => {
                 let place = leader.and_then(|leader| cluster.place_of(leader));
@@ -291,6 +295,7 @@
         let Some(running) = self.running.take() else {
             return;
         };
+        cluster.observe("confirmed read");
         history.read(running.id, state(bundle.version(), bundle.digest()));
         self.known = bundle;
         self.outdated = false;
@@ -373,6 +378,11 @@
         };
         let client = self.client.0;
         cluster.note(|| format!("operator {client} hears {end:?}"));
+        cluster.observe(match end {
+            ProposalEnd::Accepted => "proposal accepted",
+            ProposalEnd::Conflict(_) => "proposal in conflict",
+            ProposalEnd::Wrong => "proposal without its signatures",
+        });
         history.proposed(running.id, end);
         self.outdated |= matches!(end, ProposalEnd::Conflict(_));
         if let Work::Propose(proposal) = running.work {
--- a/crates/pinerill-sim/src/bundle/watcher.rs
+++ b/crates/pinerill-sim/src/bundle/watcher.rs
@@ -103,6 +103,7 @@
             WatchView::Answer(response) => response,
             WatchView::Behind(response) if defect(ShellDefect::TakeOlderVersion) => response,
             WatchView::Behind(_) | WatchView::NotFounded => {
+                cluster.observe("watch refused by a machine behind");
                 self.watch_elsewhere(cluster);
                 return;
             }
@@ -111,6 +112,11 @@
         response.confirmed = confirmed
             || defect(ShellDefect::ConfirmWithoutBarrier)
             || (first && defect(ShellDefect::TakeUnconfirmedFirst));
+        cluster.observe(if confirmed {
+            "watch confirmed"
+        } else {
+            "watch not confirmed"
+        });
         self.take(cluster, sent_ms, &response);
         cluster.wake(self.client, WATCH_PAUSE_MS, Timer::Next);
     }
--- a/crates/pinerill-sim/src/cluster/core.rs
+++ b/crates/pinerill-sim/src/cluster/core.rs
@@ -35,6 +35,7 @@
     pub(super) applied: Arc<Mutex<AppliedLog>>,
     pub(super) trace: Trace,
     pub(super) faults: BTreeMap<&'static str, u64>,
+    pub(super) observed: BTreeMap<&'static str, u64>,
     /// Lost identities that no repair has replaced yet, and their successors.
     pub(super) lost: Vec<(ReplicaId, ReplicaId)>,
     pub(super) frozen_clients: BTreeMap<ClientId, u64>,
@@ -66,6 +67,7 @@
             applied: Arc::default(),
             trace,
             faults: BTreeMap::new(),
+            observed: BTreeMap::new(),
             lost: Vec::new(),
             frozen_clients: BTreeMap::new(),
             candidacies: 0,
@@ -143,6 +145,11 @@
         self.checks.violate(self.now_ms, rule, detail);
     }
 
+    /// Counts something that the checks saw happen.
+    pub fn observe(&mut self, kind: &'static str) {
+        *self.observed.entry(kind).or_default() += 1;
+    }
+
     /// Adds a line to the trace.
     pub fn note(&mut self, text: impl FnOnce() -> String) {
         self.trace.note(self.now_ms, text);
--- a/crates/pinerill-sim/src/cluster/process.rs
+++ b/crates/pinerill-sim/src/cluster/process.rs
@@ -182,13 +182,14 @@
                 let process = self.machines[place].process.as_ref();
                 if let (Role::Leader, Some(process)) = (change.role, process) {
                     self.checks.on_leader(self.now_ms, &process.driver);
+                    self.observe("election won");
                 }
             }
             Effect::Applied { entries } => {
                 self.note(|| format!("machine {place} applies {entries}"));
             }
             Effect::SnapshotInstalled => {
-                *self.faults.entry("snapshot installed").or_default() += 1;
+                self.observe("snapshot installed");
                 self.note(|| format!("machine {place} installs a snapshot"));
             }
             Effect::Failed(error) => {
@@ -204,8 +205,13 @@
             return;
         };
         let stored = process.stored.clone();
+        let early = write == StoredWrite::Table
+            && has_shell_defect(self.defect, ShellDefect::TableReportedBeforeSync);
+        if early {
+            stored.lock().push(write.clone());
+        }
         let completion = Box::new(move |result: Result<(), _>| {
-            if result.is_ok() {
+            if result.is_ok() && !early {
                 stored.lock().push(write);
             }
         });
--- a/crates/pinerill-sim/src/cluster/repair.rs
+++ b/crates/pinerill-sim/src/cluster/repair.rs
@@ -1,9 +1,11 @@
 //! The replacement of lost machines, as `cluster replace` does it: learner,
 //! voter, then the lost one out.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use pinerill_control::host::ChangeError;
+use pinerill_control::meta::GroupMembers;
+use pinerill_control::server::{next_step, MembershipStep};
 use pinerill_replica::{MembershipChange, ReplicaId, Role, Status};
 use pinerill_storage::GroupStore;
 
@@ -162,21 +164,29 @@
         self.open.remove(&lost);
         self.done += 1;
         cluster.repaired(lost);
+        cluster.observe("repair done");
         cluster.note(|| format!("repair of {lost} is done"));
     }
 }
 
-/// What brings the group nearer to having `new` in the place of `lost`.
+/// The server's own next step towards `new` in the place of `lost`. Members
+/// that other repairs are about stay as they are.
 fn next_change(status: &Status, lost: ReplicaId, new: ReplicaId) -> Option<MembershipChange> {
     let members = &status.membership;
-    if !members.contains(new) {
-        Some(MembershipChange::AddLearner(new))
-    } else if !members.is_voter(new) {
-        Some(MembershipChange::Promote(new))
-    } else if members.contains(lost) {
-        Some(MembershipChange::Remove(lost))
-    } else {
-        None
+    let others = |set: &BTreeSet<ReplicaId>| {
+        let others = set.iter().filter(|one| **one != lost && **one != new);
+        others.map(|one| one.0).collect::<Vec<u64>>()
+    };
+    let mut voters = others(&members.voters);
+    voters.push(new.0);
+    let wanted = GroupMembers {
+        voters,
+        learners: others(&members.learners),
+    };
+    match next_step(status.id, members, &wanted)? {
+        MembershipStep::Change(change) => Some(change),
+        // The lost one is no process any more, so it can't be the leader.
+        MembershipStep::HandOver => None,
     }
 }
 
--- a/crates/pinerill-sim/src/cluster/simulation.rs
+++ b/crates/pinerill-sim/src/cluster/simulation.rs
@@ -321,6 +321,7 @@
             operations,
             unknown_outcomes,
             faults: self.cluster.faults,
+            observed: self.cluster.observed,
             violations: self.cluster.checks.into_violations(),
             trace: self.cluster.trace.into_lines(),
         }
--- a/crates/pinerill-sim/src/main.rs
+++ b/crates/pinerill-sim/src/main.rs
@@ -1,5 +1,6 @@
 //! The simulation's command line.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::ops::Range;
 use std::path::{Path, PathBuf};
@@ -145,19 +146,16 @@
 }
 
 fn print_summary(summary: &ScenarioSummary) {
-    let faults: Vec<String> = summary
-        .faults
-        .iter()
-        .map(|(kind, count)| format!("{kind} {count}"))
-        .collect();
     println!(
-        "{}: {} seeds, {} operations ({} of unknown outcome), {} violating seeds; {}",
+        "{}: {} seeds, {} operations ({} of unknown outcome), {} violating seeds\n  \
+         faults: {}\n  seen: {}",
         summary.scenario,
         summary.seeds,
         summary.operations,
         summary.unknown_outcomes,
         summary.failed.len(),
-        faults.join(", "),
+        list_counts(&summary.faults),
+        list_counts(&summary.observed),
     );
     for failed in summary.failed.iter().take(SHOWN_FAILURES) {
         print_violations(&failed.violations);
@@ -165,6 +163,14 @@
     }
 }
 
+fn list_counts(counts: &BTreeMap<&'static str, u64>) -> String {
+    let parts: Vec<String> = counts
+        .iter()
+        .map(|(kind, count)| format!("{kind} {count}"))
+        .collect();
+    parts.join(", ")
+}
+
 fn print_violations(violations: &[Violation]) {
     for violation in violations.iter().take(SHOWN_VIOLATIONS) {
         println!(
--- a/crates/pinerill-sim/src/registry.rs
+++ b/crates/pinerill-sim/src/registry.rs
@@ -78,6 +78,11 @@
             ShellDefect::SnapshotBeforeTable,
             "crash_unsynced",
         ),
+        shell(
+            "table_reported_before_sync",
+            ShellDefect::TableReportedBeforeSync,
+            "racing_operators",
+        ),
         shell(
             "confirm_without_barrier",
             ShellDefect::ConfirmWithoutBarrier,
--- a/crates/pinerill-sim/src/scenario.rs
+++ b/crates/pinerill-sim/src/scenario.rs
@@ -33,6 +33,8 @@
     pub unknown_outcomes: u64,
     /// Faults brought about, by kind.
     pub faults: BTreeMap<&'static str, u64>,
+    /// What the checks saw happen, by kind: without these, a run proves little.
+    pub observed: BTreeMap<&'static str, u64>,
     /// Rules that were broken.
     pub violations: Vec<Violation>,
     /// The trace, if it was to be kept.
--- a/crates/pinerill-sim/src/sweep.rs
+++ b/crates/pinerill-sim/src/sweep.rs
@@ -40,6 +40,8 @@
     pub unknown_outcomes: u64,
     /// Faults brought about, by kind.
     pub faults: BTreeMap<&'static str, u64>,
+    /// What the checks saw happen, by kind.
+    pub observed: BTreeMap<&'static str, u64>,
     /// Seeds that broke a rule, in order.
     pub failed: Vec<FailedSeed>,
 }
@@ -99,6 +101,9 @@
         for (kind, count) in report.faults {
             *self.faults.entry(kind).or_default() += count;
         }
+        for (kind, count) in report.observed {
+            *self.observed.entry(kind).or_default() += count;
+        }
         if !report.violations.is_empty() {
             let replay = replay_command(&self.scenario, seed);
             self.failed.push(FailedSeed {
