--- a/crates/pinerill-sim/src/bundle/operator.rs
+++ b/crates/pinerill-sim/src/bundle/operator.rs
@@ -3,7 +3,7 @@
 use pinerill_control::codec::{decode, encode};
 use pinerill_control::host::ProposeError;
 use pinerill_control::meta::{MetaCommand, MetaReply, PastVersion, ProposalOutcome};
-use pinerill_types::bundle::{Bundle, SignedChange};
+use pinerill_types::bundle::{IndexedBundle, SignedChange};
 use pinerill_types::Digest;
 
 use super::founding::{short_digest, signed_next};
@@ -79,7 +79,7 @@
 pub(super) struct BundleOperator {
     client: ClientId,
     style: OperatorStyle,
-    known: Bundle,
+    known: IndexedBundle,
     running: Option<Running>,
     past: Vec<Proposal>,
     machine: usize,
@@ -93,7 +93,7 @@
 }
 
 impl BundleOperator {
-    pub(super) fn new(client: ClientId, style: OperatorStyle, known: Bundle) -> Self {
+    pub(super) fn new(client: ClientId, style: OperatorStyle, known: IndexedBundle) -> Self {
         BundleOperator {
             client,
             style,
@@ -261,6 +261,10 @@
             CallResult::Read(Ok(BundleView::Past(Some(PastVersion::Taken(digest))))) => {
                 self.learnt_winner(cluster, history, digest);
             }
+            CallResult::Read(Ok(BundleView::Past(other))) => {
+                let detail = format!("a decided version is read as {other:?}");
+                cluster.violate("who took a version stays known", detail);
+            }
             CallResult::Proposed(Ok(reply)) => self.decided(cluster, history, &reply),
             CallResult::Proposed(Err(ProposeError::NotLeader { leader })) => {
                 let place = leader.and_then(|leader| cluster.place_of(leader));
@@ -286,12 +290,13 @@
         &mut self,
         cluster: &mut Cluster<BundleService>,
         history: &mut BundleHistory,
-        bundle: Bundle,
+        bundle: IndexedBundle,
     ) {
         let Some(running) = self.running.take() else {
             return;
         };
-        history.read(running.id, state(bundle.version, bundle.digest()));
+        cluster.observe("confirmed read");
+        history.read(running.id, state(bundle.version(), bundle.digest()));
         self.known = bundle;
         self.outdated = false;
         self.last_read = self.stopping;
@@ -373,14 +378,18 @@
         };
         let client = self.client.0;
         cluster.note(|| format!("operator {client} hears {end:?}"));
+        cluster.observe(match end {
+            ProposalEnd::Accepted => "proposal accepted",
+            ProposalEnd::Conflict(_) => "proposal in conflict",
+            ProposalEnd::Wrong => "proposal without its signatures",
+        });
         history.proposed(running.id, end);
         self.outdated |= matches!(end, ProposalEnd::Conflict(_));
         if let Work::Propose(proposal) = running.work {
             if end == ProposalEnd::Accepted {
                 let change = &proposal.signed.change;
-                if let Ok(next) = self.known.with_change(change) {
-                    self.known = next;
-                }
+                // One that was sent again may be older than what is known.
+                let _ = self.known.apply(change);
             }
             self.past.push(*proposal);
         }
--- a/crates/pinerill-sim/src/registry.rs
+++ b/crates/pinerill-sim/src/registry.rs
@@ -41,7 +41,7 @@
         replica(
             "vote_before_sync",
             ReplicaDefect::VoteBeforeSync,
-            "crash_unsynced",
+            "contested_elections",
         ),
         replica(
             "acknowledge_before_sync",
@@ -78,6 +78,11 @@
             ShellDefect::SnapshotBeforeTable,
             "crash_unsynced",
         ),
+        shell(
+            "table_reported_before_sync",
+            ShellDefect::TableReportedBeforeSync,
+            "racing_operators",
+        ),
         shell(
             "confirm_without_barrier",
             ShellDefect::ConfirmWithoutBarrier,
@@ -93,6 +98,11 @@
             ShellDefect::TakeOlderVersion,
             "silent_cut_leader",
         ),
+        shell(
+            "take_unconfirmed_first",
+            ShellDefect::TakeUnconfirmedFirst,
+            "cut_off_nodes",
+        ),
         shell(
             "decided_counts_as_accepted",
             ShellDefect::DecidedCountsAsAccepted,
