--- /dev/null
+++ b/crates/pinerill-rehearse/src/bench/batch_load.rs
@@ -0,0 +1,104 @@
+//! Batch load through pinerill: heaps of jobs, submitted at their times.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use tokio::task::JoinSet;
+use tokio::time::{sleep_until, Instant};
+
+use crate::check::JobHistory;
+use crate::ledger::unix_us;
+use crate::load::content::{BatchItem, ContentContext};
+use crate::load::job_client::{job_lines, JobClient};
+use crate::load::profile::BatchProfile;
+use crate::load::schedule::Heap;
+
+/// Longest time until a job is acknowledged.
+const SUBMIT_TIME: Duration = Duration::from_secs(30);
+/// Longest time until a cancelled job has ended, and for reading it.
+const END_TIME: Duration = Duration::from_secs(60);
+
+/// What the jobs of a phase have in common.
+#[derive(Debug)]
+pub struct BatchLoad {
+    /// The tenant's client.
+    pub client: JobClient,
+    /// What the items have in common.
+    pub content: ContentContext,
+    /// Their shape.
+    pub profile: BatchProfile,
+}
+
+impl BatchLoad {
+    /// Submits all heaps at their times, and returns the jobs at `end`.
+    ///
+    /// # Errors
+    /// When a job is not acknowledged in time.
+    pub async fn run(
+        self: &Arc<Self>,
+        heaps: Vec<Heap>,
+        start: Instant,
+        end: Instant,
+    ) -> anyhow::Result<Vec<JobHistory>> {
+        let mut submissions = JoinSet::new();
+        for (heap_number, heap) in heaps.into_iter().enumerate() {
+            sleep_until(start + heap.at).await;
+            for (job_number, size) in heap.jobs.into_iter().enumerate() {
+                let name = format!("job-{heap_number}-{job_number}");
+                let load = self.clone();
+                submissions.spawn(async move { load.submit(&name, size).await });
+            }
+        }
+        sleep_until(end).await;
+        let mut jobs = Vec::new();
+        while let Some(job) = submissions.join_next().await {
+            jobs.push(job.context("submitting a job")??);
+        }
+        Ok(jobs)
+    }
+
+    /// Cancels what is left of the jobs and reads all results.
+    ///
+    /// # Errors
+    /// When a job does not end in time.
+    pub async fn finish(&self, jobs: &mut [JobHistory]) -> anyhow::Result<()> {
+        for job in jobs.iter_mut() {
+            let Some(id) = job.id.clone() else {
+                continue;
+            };
+            let view = self.client.status(&id).await?;
+            if view.counts.pending + view.counts.leased > 0 {
+                self.client.cancel_until_acknowledged(&id, END_TIME).await?;
+                job.cancelled_us = Some(unix_us());
+            }
+        }
+        for job in jobs {
+            let Some(id) = &job.id else {
+                continue;
+            };
+            job.state = Some(self.client.await_end(id, END_TIME).await?.state);
+            job.readings.push(self.client.output(id, END_TIME).await?);
+        }
+        Ok(())
+    }
+
+    async fn submit(&self, name: &str, size: usize) -> anyhow::Result<JobHistory> {
+        let items = self.items(name, size);
+        let key = format!("{}-{name}", self.content.tag);
+        let lines = job_lines(&self.content.service, &items);
+        let view = self
+            .client
+            .submit_until_acknowledged(&key, &lines, SUBMIT_TIME)
+            .await?;
+        let mut job = JobHistory::new(key, &items);
+        job.id = Some(view.id);
+        Ok(job)
+    }
+
+    fn items(&self, name: &str, size: usize) -> Vec<BatchItem> {
+        (0..size)
+            .map(|number| self.content.batch_item(&self.profile, name, number))
+            .collect()
+    }
+}
--- a/crates/pinerill-rehearse/src/fleet/standins.rs
+++ b/crates/pinerill-rehearse/src/fleet/standins.rs
@@ -230,7 +230,8 @@
     Ok((Some(relays), listen))
 }
 
-fn add_usage(total: &mut EngineUsage, usage: &EngineUsage) {
+/// Adds what one engine has done to a total.
+pub fn add_usage(total: &mut EngineUsage, usage: &EngineUsage) {
     total.busy_us += usage.busy_us;
     total.online.prefill_tokens += usage.online.prefill_tokens;
     total.online.generated_tokens += usage.online.generated_tokens;
--- a/crates/pinerill-rehearse/src/lib.rs
+++ b/crates/pinerill-rehearse/src/lib.rs
@@ -3,6 +3,7 @@
 //! The kit is not part of the fleet; it may start processes.
 
 pub mod answer;
+pub mod bench;
 pub mod check;
 pub mod demo;
 pub mod engine;
--- a/crates/pinerill-rehearse/src/main.rs
+++ b/crates/pinerill-rehearse/src/main.rs
@@ -20,6 +20,8 @@
     Standin(StandIn),
     /// Starts a fleet with stand-ins, serves, moves a service, checks, stops.
     Demo(pinerill_rehearse::demo::DemoArguments),
+    /// Measures batch throughput and the harm it does to the online tail.
+    Bench(pinerill_rehearse::bench::BenchArguments),
     /// Brings about failures, one scenario after the other, and checks.
     Faults(pinerill_rehearse::faults::FaultsArguments),
     /// Measures the durable state: throughput, failover, repair.
@@ -44,6 +46,9 @@
         Command::Demo(arguments) => {
             runtime(KIT_THREADS)?.block_on(pinerill_rehearse::demo::run(arguments))
         }
+        Command::Bench(arguments) => {
+            runtime(KIT_THREADS)?.block_on(pinerill_rehearse::bench::run(arguments))
+        }
         Command::Faults(arguments) => {
             runtime(KIT_THREADS)?.block_on(pinerill_rehearse::faults::run(arguments))
         }
--- a/crates/pinerill-rehearse/src/scale/usage.rs
+++ b/crates/pinerill-rehearse/src/scale/usage.rs
@@ -45,6 +45,13 @@
         })
     }
 
+    /// Adds what another process has used.
+    pub fn add(&mut self, other: &Self) {
+        self.cpu_seconds += other.cpu_seconds;
+        self.resident_bytes += other.resident_bytes;
+        self.written_bytes += other.written_bytes;
+    }
+
     /// Share of one core used since `earlier`, over `seconds`.
     pub fn cores_since(&self, earlier: &Self, seconds: f64) -> f64 {
         (self.cpu_seconds - earlier.cpu_seconds) / seconds
