Control server: a job group's machine knows its group

Cause: the server made every job group's machine by default(), as group 0. A job was accepted under the identifier job-0-N, and reading it back went to the meta group: 'find group with control-1: group 0 does not run here', after 10 s.

Change: the machine is made for its group.

Also: the relays' page comment, since control machines are no longer reached past them.

--- a/crates/pinerill-control/src/server/groups.rs
+++ b/crates/pinerill-control/src/server/groups.rs
@@ -135,7 +135,9 @@
     }
 
     fn open_job(self: &Arc<Self>, group: GroupId, voters: &[ReplicaId]) -> Result<(), HostError> {
-        let handle = self.host.add_group(group, voters, JobMachine::default())?;
+        let handle = self
+            .host
+            .add_group(group, voters, JobMachine::new(group.0))?;
         let groups = Arc::downgrade(self);
         let address = move |replica| groups.upgrade()?.address(replica);
         let service = JobService::start(handle.clone(), address);
--- a/crates/pinerill-rehearse/src/fleet/pinerill/relays.rs
+++ b/crates/pinerill-rehearse/src/fleet/pinerill/relays.rs
@@ -1,8 +1,8 @@
 //! Relays of the links between zones, towards control machines.
 //!
 //! A process is told the address of a control machine in another zone as the
-//! relay's, so that the link can be delayed and cut. An address that a process
-//! learns from another process (a leader's, a worker's) goes past the relays.
+//! relay's, so that the link can be delayed and cut. Workers are reached
+//! directly, since all nodes learn the same address from the platform list.
 
 use std::net::SocketAddr;
 use std::time::Duration;
