--- a/crates/pinerill-control/tests/job_batcher.rs
+++ b/crates/pinerill-control/tests/job_batcher.rs
@@ -55,4 +55,5 @@
     assert_eq!(stamps.stamp(1_100, 100, 5_000), 5_100);
     assert_eq!(stamps.stamp(9_000, 150, 5_100), 9_000);
     assert_eq!(stamps.stamp(8_000, 250, 9_000), 9_100);
+    assert_eq!(stamps.stamp(8_000, 260, 20_000), 20_000);
 }
--- a/crates/pinerill-control/tests/job_service.rs
+++ b/crates/pinerill-control/tests/job_service.rs
@@ -7,8 +7,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use host_support::{eventually, Cluster};
+use host_support::{eventually, Cluster, WAIT};
 use job_support::{ask, completed, job, part};
 use pinerill_control::job::{JobMachine, JobService};
 use pinerill_replica::ReplicaId;
@@ -50,17 +51,19 @@
 impl Services {
     /// Asks the leader until it answers, as a node would.
     async fn call(&self, request: Request) -> Response {
+        let answer = tokio::time::timeout(WAIT, self.call_again_and_again(request));
+        answer.await.expect("an answer in time")
+    }
+
+    async fn call_again_and_again(&self, request: Request) -> Response {
         loop {
             let leader = self.cluster.leader().await;
-            match self.services[&leader].call(request.clone()).await {
-                Response::Refused(refusal) => match refusal.code {
-                    RefusalCode::NotLeader
-                    | RefusalCode::Unavailable
-                    | RefusalCode::OutcomeUnknown => tokio::task::yield_now().await,
-                    _ => return Response::Refused(refusal),
-                },
-                response => return response,
+            let response = self.services[&leader].call(request.clone()).await;
+            match &response {
+                Response::Refused(refusal) if is_passing(refusal.code) => {}
+                _ => return response,
             }
+            tokio::time::sleep(Duration::from_millis(5)).await;
         }
     }
 
@@ -117,6 +120,12 @@
     }
 }
 
+/// Whether asking again may help.
+fn is_passing(code: RefusalCode) -> bool {
+    use RefusalCode::{NotLeader, OutcomeUnknown, Unavailable};
+    matches!(code, NotLeader | Unavailable | OutcomeUnknown)
+}
+
 fn refusal_code(response: Response) -> RefusalCode {
     match response {
         Response::Refused(refusal) => refusal.code,
