--- a/crates/pinerill-node/src/engine/client.rs
+++ b/crates/pinerill-node/src/engine/client.rs
@@ -74,6 +74,11 @@
         self.code == DUPLICATE_REQUEST
     }
 
+    /// Whether the engine does not hold the model or adapter.
+    pub fn lacks_model(&self) -> bool {
+        matches!(self.code.as_str(), "model_not_loaded" | "loading")
+    }
+
     /// Whether the worker is leaving.
     pub fn is_leaving(&self) -> bool {
         self.code == "leaving"
@@ -116,6 +121,8 @@
 pub enum PauseAnswer {
     /// Carried out, or no longer needed.
     Done,
+    /// The engine does not know the request, or not yet.
+    UnknownRequest,
     /// The engine did not answer.
     Unreachable,
 }
@@ -247,6 +254,7 @@
 
     async fn pause_call(&self, request_id: &str, verb: &str) -> PauseAnswer {
         match self.post_state(request_id, verb, PAUSE_TIMEOUT).await {
+            Some(state) if state == "unknown" => PauseAnswer::UnknownRequest,
             Some(_) => PauseAnswer::Done,
             None => PauseAnswer::Unreachable,
         }
