--- a/crates/pinerill-node/src/gateway/answer.rs
+++ b/crates/pinerill-node/src/gateway/answer.rs
@@ -8,7 +8,7 @@
 use rocket::response::stream::ReaderStream;
 use rocket::response::{self, Responder, Response};
 
-use crate::failure::RequestFailure;
+use crate::failure::{FailureCode, RequestFailure};
 
 /// Milliseconds in a second, for `Retry-After`.
 const SECOND_MS: u64 = 1_000;
@@ -82,6 +82,10 @@
     let body = failure.json();
     builder.status(Status::new(failure.code.status()));
     builder.header(ContentType::JSON);
+    if failure.code == FailureCode::Draining {
+        // The next request of this caller must not meet a closing connection.
+        builder.raw_header("Connection", "close");
+    }
     if let Some(milliseconds) = failure.retry_after_ms {
         let seconds = milliseconds.div_ceil(SECOND_MS);
         builder.raw_header("Retry-After", seconds.to_string());
--- a/crates/pinerill-node/tests/support/control.rs
+++ b/crates/pinerill-node/tests/support/control.rs
@@ -1,7 +1,7 @@
 //! Stands in for the control machines: one bundle, one directory, job groups.
 
 use std::collections::VecDeque;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -51,6 +51,8 @@
     pub cut_off: AtomicBool,
     /// Signs of leaving that nodes sent.
     pub leaving: Mutex<Vec<LeavingSign>>,
+    /// Watches so far.
+    pub watches: AtomicU64,
     /// Every call to a job group.
     pub calls: Mutex<Vec<Request>>,
 }
@@ -64,6 +66,7 @@
             faults: Mutex::default(),
             cut_off: AtomicBool::new(false),
             leaving: Mutex::default(),
+            watches: AtomicU64::new(0),
             calls: Mutex::default(),
         }
     }
@@ -155,6 +158,7 @@
             tokio::time::sleep(timeout).await;
             return Err(failed(CallErrorKind::Unknown));
         }
+        self.watches.fetch_add(1, Ordering::Relaxed);
         let answer = self.watch(&watch);
         if answer.bundle.is_none() && answer.directory.is_none() {
             tokio::time::sleep(WATCH_WAIT).await;
--- a/crates/pinerill-node/tests/support/mod.rs
+++ b/crates/pinerill-node/tests/support/mod.rs
@@ -184,6 +184,19 @@
     }
 }
 
+/// An online request as `crew`, of four tokens.
+pub fn online(node: &TestNode, prompt: &str) -> reqwest::RequestBuilder {
+    let body = serde_json::json!({"model": "fanar", "prompt": prompt, "max_tokens": 4});
+    let request = node.http.post(node.url("/v1/completions"));
+    request.bearer_auth(KEY).json(&body)
+}
+
+/// Code and outcome of a failure, or why there is none.
+pub fn error_of(body: &Value) -> (&str, &str) {
+    let text = |field: &str| body["error"][field].as_str().unwrap_or("no error");
+    (text("code"), text("outcome"))
+}
+
 /// Status and JSON body.
 pub async fn answer(request: reqwest::RequestBuilder) -> (u16, Value) {
     let response = request.send().await.expect("an answer");
