--- a/crates/pinerill-control/tests/host_support/mod.rs
+++ b/crates/pinerill-control/tests/host_support/mod.rs
@@ -77,15 +77,16 @@
     }
 }
 
-pub struct Member {
+pub struct Member<M = CountingMachine> {
     pub host: GroupHost,
-    pub group: GroupHandle<CountingMachine>,
+    pub group: GroupHandle<M>,
 }
 
-pub struct Cluster {
+pub struct Cluster<M = CountingMachine> {
     pub network: Arc<Network>,
-    pub members: BTreeMap<ReplicaId, Member>,
+    pub members: BTreeMap<ReplicaId, Member<M>>,
     pub settings: HostSettings,
+    new_machine: fn() -> M,
 }
 
 pub fn settings() -> HostSettings {
@@ -100,19 +101,20 @@
     }
 }
 
-impl Cluster {
-    pub fn new() -> Self {
+impl<M: StateMachine> Cluster<M> {
+    pub fn of(new_machine: fn() -> M) -> Self {
         Cluster {
             network: Arc::default(),
             members: BTreeMap::new(),
             settings: settings(),
+            new_machine,
         }
     }
 
     pub fn start(&mut self, store: Arc<dyn GroupStore>, voters: &[ReplicaId]) -> ReplicaId {
         let replica = store.identity().replica;
         let host = GroupHost::start(store, self.network.clone(), self.settings.clone());
-        let machine = CountingMachine::default();
+        let machine = (self.new_machine)();
         let group = host.add_group(GROUP, voters, machine).expect("starts");
         self.network.hosts.write().insert(replica, host.clone());
         self.members.insert(replica, Member { host, group });
@@ -135,10 +137,16 @@
         .await
     }
 
-    pub async fn leader_group(&self) -> GroupHandle<CountingMachine> {
+    pub async fn leader_group(&self) -> GroupHandle<M> {
         let leader = self.leader().await;
         self.members[&leader].group.clone()
     }
+}
+
+impl Cluster {
+    pub fn new() -> Self {
+        Cluster::of(CountingMachine::default)
+    }
 
     /// Proposes until a leader has taken and committed the command.
     pub async fn propose(&self, command: &str) {
@@ -173,7 +181,7 @@
 }
 
 /// Repeats a read barrier while there is no leader.
-pub async fn confirmed_read(group: &GroupHandle<CountingMachine>) -> u64 {
+pub async fn confirmed_read<M: StateMachine>(group: &GroupHandle<M>) -> u64 {
     let start = tokio::time::Instant::now();
     loop {
         match group.read_barrier().await {
