--- a/crates/pinerill-control/src/machine.rs
+++ b/crates/pinerill-control/src/machine.rs
@@ -1,6 +1,6 @@
 //! What a replicated group asks of its state machine.
 
-/// Writes of one command to the group's state table.
+/// Collects writes to a group's state table.
 pub trait TableWriter {
     /// Sets a key.
     fn put(&mut self, key: &[u8], value: &[u8]);
@@ -8,7 +8,7 @@
     fn delete(&mut self, key: &[u8]);
 }
 
-/// Reads of the group's state table.
+/// Reads a group's state table.
 pub trait TableReader {
     /// Value of a key.
     ///
--- a/crates/pinerill-rehearse/src/main.rs
+++ b/crates/pinerill-rehearse/src/main.rs
@@ -18,6 +18,10 @@
     /// Runs one stand-in; the kit starts these itself.
     #[command(subcommand, hide = true)]
     Standin(StandIn),
+    /// Starts a fleet with stand-ins, serves, moves a service, checks, stops.
+    Demo(pinerill_rehearse::demo::DemoArguments),
+    /// Brings about failures, one scenario after the other, and checks.
+    Faults(pinerill_rehearse::faults::FaultsArguments),
     /// Measures the durable state: throughput, failover, repair.
     State(pinerill_rehearse::state::StateArguments),
     /// Runs real and hollow processes at several sizes and fits lines.
@@ -37,6 +41,12 @@
 
 fn run(command: Command) -> anyhow::Result<()> {
     match command {
+        Command::Demo(arguments) => {
+            runtime(KIT_THREADS)?.block_on(pinerill_rehearse::demo::run(arguments))
+        }
+        Command::Faults(arguments) => {
+            runtime(KIT_THREADS)?.block_on(pinerill_rehearse::faults::run(arguments))
+        }
         Command::State(arguments) => {
             runtime(KIT_THREADS)?.block_on(pinerill_rehearse::state::run(arguments))
         }
