--- a/crates/pinerill-sim/src/cluster/core.rs
+++ b/crates/pinerill-sim/src/cluster/core.rs
@@ -35,9 +35,12 @@
     pub(super) applied: Arc<Mutex<AppliedLog>>,
     pub(super) trace: Trace,
     pub(super) faults: BTreeMap<&'static str, u64>,
+    pub(super) observed: BTreeMap<&'static str, u64>,
     /// Lost identities that no repair has replaced yet, and their successors.
     pub(super) lost: Vec<(ReplicaId, ReplicaId)>,
     pub(super) frozen_clients: BTreeMap<ClientId, u64>,
+    /// Candidacies begun so far.
+    pub(super) candidacies: usize,
     pub(super) starts: u64,
     pub(super) next_request: u64,
     open_calls: BTreeMap<CallId, ClientId>,
@@ -64,8 +67,10 @@
             applied: Arc::default(),
             trace,
             faults: BTreeMap::new(),
+            observed: BTreeMap::new(),
             lost: Vec::new(),
             frozen_clients: BTreeMap::new(),
+            candidacies: 0,
             starts: 0,
             next_request: 0,
             open_calls: BTreeMap::new(),
@@ -140,6 +145,11 @@
         self.checks.violate(self.now_ms, rule, detail);
     }
 
+    /// Counts something that the checks saw happen.
+    pub fn observe(&mut self, kind: &'static str) {
+        *self.observed.entry(kind).or_default() += 1;
+    }
+
     /// Adds a line to the trace.
     pub fn note(&mut self, text: impl FnOnce() -> String) {
         self.trace.note(self.now_ms, text);
