Job machine: deliberate defects behind a feature

Cause: the simulation has to prove that its checks of jobs see.

Change: seven defects of the job machine under the feature `defects`, as the replica has them; without it every question about them is constant false.

Tested: tests of the job machine pass without the feature, clippy clean with and without it.

--- a/crates/pinerill-control/src/job/clock.rs
+++ b/crates/pinerill-control/src/job/clock.rs
@@ -18,11 +18,12 @@
 }
 
 impl GroupClock {
-    /// Takes in the stamp of an entry, Unix milliseconds.
-    pub(super) fn advance(&mut self, stamp_ms: u64) {
+    /// Takes in the stamp of an entry, Unix milliseconds; leases age by at
+    /// most `lease_step_ms`.
+    pub(super) fn advance(&mut self, stamp_ms: u64, lease_step_ms: u64) {
         let elapsed = stamp_ms.saturating_sub(self.now_ms);
         self.now_ms += elapsed;
-        self.lease_ms += elapsed.min(LEASE_STEP_LIMIT_MS);
+        self.lease_ms += elapsed.min(lease_step_ms);
     }
 
     /// The latest stamp, Unix milliseconds.
--- a/crates/pinerill-control/src/job/ending.rs
+++ b/crates/pinerill-control/src/job/ending.rs
@@ -4,6 +4,7 @@
 use pinerill_wire::message::{AttemptReport, AttemptVerdict, EndAttempts};
 
 use super::command::JobReply;
+use super::defects::JobDefect;
 use super::item::end_text;
 use super::lease::ItemKey;
 use super::leasing::item_key;
@@ -47,19 +48,33 @@
             };
         };
         // The attempt number is the fence: only the newest one may end it.
-        if cell.attempt != report.attempt.attempt || cell.attempt == 0 {
+        let is_old = cell.attempt != report.attempt.attempt || cell.attempt == 0;
+        if is_old && !self.has(JobDefect::OldAttemptCounts) {
             return AttemptVerdict::Late;
         }
         if cell.came_from(&report.end) {
             return AttemptVerdict::Counted;
         }
         if !cell.awaits_report() {
+            if self.has(JobDefect::LaterEndCounts) {
+                self.replace_result(key, &report.end, table);
+                return AttemptVerdict::Counted;
+            }
             return AttemptVerdict::Late;
         }
         self.take_report(key, cell.at_most_once, &report.end, table);
         AttemptVerdict::Counted
     }
 
+    /// Only a deliberate defect comes here.
+    fn replace_result(&mut self, key: ItemKey, end: &AttemptEnd, table: &mut dyn TableWriter) {
+        let record = ResultRecord {
+            state: ItemState::Completed,
+            body: end_text(end).to_owned(),
+        };
+        table::write_result(table, key, &record);
+    }
+
     fn take_report(
         &mut self,
         key: ItemKey,
@@ -87,6 +102,7 @@
         reason: &str,
         table: &mut dyn TableWriter,
     ) {
+        let forgets = self.has(JobDefect::LapsedAtMostOnceLeases);
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
@@ -99,7 +115,7 @@
             return;
         }
         let reason = report.map_or(reason, end_text);
-        if cell.at_most_once {
+        if cell.at_most_once && !forgets {
             return self.end_item(key, ItemState::Indeterminate, report, reason, table);
         }
         cell.lapses = cell.lapses.saturating_add(1);
@@ -171,6 +187,9 @@
 
     /// Ends every item of a job that has not ended.
     pub(super) fn cancel_open_items(&mut self, sequence: u64, table: &mut dyn TableWriter) {
+        if self.has(JobDefect::CancelledJobLeases) {
+            return self.end_job(sequence, JobState::Cancelled);
+        }
         let Some(job) = self.jobs.get_mut(&sequence) else {
             return;
         };
--- a/crates/pinerill-control/src/job/leasing.rs
+++ b/crates/pinerill-control/src/job/leasing.rs
@@ -5,6 +5,7 @@
 use pinerill_wire::message::{AttemptRef, LeaseItems, LeaseWant, RenewLeases};
 
 use super::command::{JobReply, Rejection};
+use super::defects::JobDefect;
 use super::lease::{ItemKey, Question};
 use super::machine::JobMachine;
 use super::queue::{Place, Turn};
@@ -32,9 +33,11 @@
     ) -> Result<JobReply, Rejection> {
         check_duration(ask.lease_ms)?;
         let now_ms = self.clock.now_ms();
+        let anew = self.has(JobDefect::RepeatedQuestionLeasesAnew);
+        let sequence = if anew { now_ms } else { ask.sequence };
         let question = self
             .leases
-            .ask(&ask.node, ask.incarnation, ask.sequence, now_ms);
+            .ask(&ask.node, ask.incarnation, sequence, now_ms);
         let expires_ms = self.clock.lease_ms() + ask.lease_ms;
         let items = match question {
             Question::New { holder, lapsed } => {
--- a/crates/pinerill-control/src/job/machine.rs
+++ b/crates/pinerill-control/src/job/machine.rs
@@ -8,7 +8,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::clock::GroupClock;
+use super::clock::LEASE_STEP_LIMIT_MS;
 use super::command::{JobCommand, JobEntry, JobReplies, JobReply, Rejection};
+use super::defects::{JobDefect, JobDefects};
 use super::lease::Leases;
 use super::maintain::Deletion;
 use super::queue::LeaseQueues;
@@ -34,6 +36,9 @@
     /// When something is to be done about a job, by time and sequence.
     pub(super) timers: BTreeSet<(u64, u64)>,
     pub(super) deletions: VecDeque<Deletion>,
+    /// Deliberate defects; none except in the simulation's mutants.
+    #[serde(skip)]
+    pub(super) defects: JobDefects,
 }
 
 impl JobMachine {
@@ -45,9 +50,35 @@
         }
     }
 
+    /// An empty machine with a deliberate defect.
+    #[cfg(feature = "defects")]
+    pub fn with_defect(group: u32, defect: JobDefect) -> Self {
+        Self {
+            defects: JobDefects::only(defect),
+            ..Self::new(group)
+        }
+    }
+
+    pub(super) fn has(&self, defect: JobDefect) -> bool {
+        self.defects.contains(defect)
+    }
+
+    /// The clocks once an entry with this stamp is applied.
+    pub(super) fn clock_at(&self, stamp_ms: u64) -> GroupClock {
+        let unbounded = self.has(JobDefect::LeasesAgeWithoutLeader);
+        let limit_ms = if unbounded {
+            u64::MAX
+        } else {
+            LEASE_STEP_LIMIT_MS
+        };
+        let mut clock = self.clock;
+        clock.advance(stamp_ms, limit_ms);
+        clock
+    }
+
     /// Applies the commands of one entry in order.
     pub fn apply_entry(&mut self, entry: JobEntry, table: &mut dyn TableWriter) -> JobReplies {
-        self.clock.advance(entry.now_ms);
+        self.clock = self.clock_at(entry.now_ms);
         let commands = entry.commands.into_iter();
         commands
             .map(|command| self.apply_command(command, table))
@@ -128,7 +159,9 @@
     }
 
     fn restore(&mut self, bytes: &[u8]) -> anyhow::Result<()> {
+        let defects = std::mem::take(&mut self.defects);
         *self = decode(bytes)?;
+        self.defects = defects;
         Ok(())
     }
 }
--- a/crates/pinerill-control/src/job/maintain.rs
+++ b/crates/pinerill-control/src/job/maintain.rs
@@ -30,8 +30,7 @@
     /// Whether [`super::JobCommand::Maintain`] with this stamp has something
     /// to do.
     pub fn is_maintenance_due(&self, stamp_ms: u64) -> bool {
-        let mut clock = self.clock;
-        clock.advance(stamp_ms);
+        let clock = self.clock_at(stamp_ms);
         let leases = &self.leases;
         let lapses = leases
             .next_due_ms()
--- a/crates/pinerill-control/src/job/mod.rs
+++ b/crates/pinerill-control/src/job/mod.rs
@@ -13,6 +13,7 @@
 mod batcher;
 mod clock;
 mod command;
+mod defects;
 mod ending;
 mod item;
 mod lease;
@@ -35,6 +36,8 @@
 };
 pub use clock::{StampSource, LEASE_STEP_LIMIT_MS};
 pub use command::{JobCommand, JobEntry, JobReplies, JobReply, Rejection};
+#[cfg(feature = "defects")]
+pub use defects::JobDefect;
 pub use ending::ENDED_CELLS_MS;
 pub use leasing::{LEASE_BYTES_LIMIT, LEASE_ITEMS_LIMIT, LEASE_LIMIT_MS};
 pub use machine::JobMachine;
--- a/crates/pinerill-control/src/job/submit.rs
+++ b/crates/pinerill-control/src/job/submit.rs
@@ -6,6 +6,7 @@
 use pinerill_wire::message::{SubmitJob, SubmitJobResponse};
 
 use super::command::{JobReply, Rejection};
+use super::defects::JobDefect;
 use super::lease::ItemKey;
 use super::machine::JobMachine;
 use super::queue::Place;
@@ -24,7 +25,9 @@
         table: &mut dyn TableWriter,
     ) -> Result<JobReply, Rejection> {
         check(part)?;
-        let sequence = match self.tenants.job(&part.tenant, &part.idempotency_key) {
+        let known = self.tenants.job(&part.tenant, &part.idempotency_key);
+        let forgets = part.first_index == 0 && self.has(JobDefect::ResentJobIsNew);
+        let sequence = match known.filter(|_| !forgets) {
             Some(known) => known,
             None => self.open(part)?,
         };
