Simulation: every violation is in the trace

Cause: a replay showed only the violations that workloads report, not those of the group's own rules. Change: all are traced after the event that broke them.

--- a/crates/pinerill-sim/src/cluster/core.rs
+++ b/crates/pinerill-sim/src/cluster/core.rs
@@ -43,6 +43,7 @@
     /// Candidacies begun so far.
     pub(super) candidacies: usize,
     pub(super) starts: u64,
+    traced_violations: usize,
     pub(super) next_request: u64,
     open_calls: BTreeMap<CallId, ClientId>,
     next_call: u64,
@@ -73,6 +74,7 @@
             frozen_clients: BTreeMap::new(),
             candidacies: 0,
             starts: 0,
+            traced_violations: 0,
             next_request: 0,
             open_calls: BTreeMap::new(),
             next_call: 0,
@@ -144,8 +146,6 @@
 
     /// Records a broken rule.
     pub fn violate(&mut self, rule: &'static str, detail: String) {
-        self.trace
-            .note(self.now_ms, || format!("VIOLATION {rule}: {detail}"));
         self.checks.violate(self.now_ms, rule, detail);
     }
 
@@ -159,6 +159,16 @@
         self.trace.note(self.now_ms, text);
     }
 
+    /// Adds the violations of the last event to the trace.
+    pub(super) fn trace_violations(&mut self) {
+        for violation in self.checks.violations().iter().skip(self.traced_violations) {
+            self.trace.note(violation.at_ms, || {
+                format!("VIOLATION {}: {}", violation.rule, violation.detail)
+            });
+        }
+        self.traced_violations = self.checks.violations().len();
+    }
+
     /// Commands that were applied for the first time since the last call.
     pub(super) fn take_applied(&mut self) -> Vec<Applied> {
         let mut log = self.applied.lock();
--- a/crates/pinerill-sim/src/cluster/simulation.rs
+++ b/crates/pinerill-sim/src/cluster/simulation.rs
@@ -78,6 +78,7 @@
         simulation.come_to_rest();
         simulation.check_replicas_agree();
         simulation.workload.finish(&mut simulation.cluster);
+        simulation.cluster.trace_violations();
         simulation.report()
     }
 
@@ -105,6 +106,7 @@
             self.handle(event);
             self.pass_on_applied();
             self.plan_after_elections();
+            self.cluster.trace_violations();
             if self.events > MAX_EVENTS {
                 self.cluster
                     .violate("a run ends", "too many events".to_owned());
