Rehearsal kit: answers of the old script, stops at once

Its planned stop took 26 s, since 18 workers wait 1 s each for idle connections, one after the other.

Change: a request says who may answer it, engines, script or either, and only those answers are right; while the script has no share, its text is wrong. Nodes stop at once, and stand-ins do.

--- a/crates/pinerill-rehearse/src/demo/moving.rs
+++ b/crates/pinerill-rehearse/src/demo/moving.rs
@@ -7,6 +7,7 @@
 
 use super::DemoArguments;
 use crate::check::{Finding, History, LedgerIndex, Verdict};
+use crate::load::content::AnsweredBy;
 use crate::load::online;
 use crate::load::profile::{load_profile, OnlineProfile};
 use crate::load::record::OnlineRecord;
@@ -46,11 +47,11 @@
 ) -> anyhow::Result<MovedService> {
     let service = rehearsal.preset.script_service;
     progress.step(format!("{service}: all traffic at the old script"));
-    let at_script = send(rehearsal, arguments, "script").await;
+    let at_script = send(rehearsal, arguments, "script", AnsweredBy::Script).await;
     set_share(rehearsal, HALF_PERCENT, progress).await?;
-    let at_half = send(rehearsal, arguments, "half").await;
+    let at_half = send(rehearsal, arguments, "half", AnsweredBy::Either).await;
     set_share(rehearsal, 0, progress).await?;
-    let at_engines = send(rehearsal, arguments, "engines").await;
+    let at_engines = send(rehearsal, arguments, "engines", AnsweredBy::Engines).await;
     history.scripted.extend(at_script.iter().cloned());
     history.scripted.extend(at_half.iter().cloned());
     history.online.extend(at_engines.iter().cloned());
@@ -105,7 +106,12 @@
     Ok(())
 }
 
-async fn send(rehearsal: &Rehearsal, arguments: &DemoArguments, tag: &str) -> Vec<OnlineRecord> {
+async fn send(
+    rehearsal: &Rehearsal,
+    arguments: &DemoArguments,
+    tag: &str,
+    answered_by: AnsweredBy,
+) -> Vec<OnlineRecord> {
     let profile = OnlineProfile {
         shared_prompt_tokens: SHARED_PROMPT_TOKENS,
         answer_tokens: ANSWER_TOKENS,
@@ -119,7 +125,7 @@
         at_most_once: false,
     });
     let target = Arc::new(rehearsal.online_target(rehearsal.preset.script_service));
-    let content = Arc::new(rehearsal.moving_content(tag));
+    let content = Arc::new(rehearsal.moving_content(tag, answered_by));
     let start = Instant::now();
     let arrivals = arrivals.collect();
     online::run(
--- a/crates/pinerill-rehearse/src/fleet/pinerill/mod.rs
+++ b/crates/pinerill-rehearse/src/fleet/pinerill/mod.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use futures::future::try_join_all;
 use pinerill_types::settings::{
     ClusterSettings, ControlSettings, LogSettings, NodeSettings, Settings,
 };
@@ -222,14 +223,15 @@
         self.controls[index].process.stop(CONTROL_STOP_TIME).await
     }
 
-    /// Planned stop of all that runs: nodes, control machines, relays.
+    /// Planned stop of all: nodes at once, then one control machine after the
+    /// other, so that each can hand its leaderships over, then the relays.
     ///
     /// # Errors
     /// When a process does not end with exit code 0 in time.
     pub async fn stop(&mut self) -> anyhow::Result<()> {
-        for index in 0..self.nodes.len() {
-            self.stop_node(index).await?;
-        }
+        let limit = self.plan.drain + NODE_STOP_MARGIN;
+        let nodes = self.nodes.iter_mut();
+        try_join_all(nodes.map(|node| node.process.stop(limit))).await?;
         for index in 0..self.controls.len() {
             self.stop_control(index).await?;
         }
--- a/crates/pinerill-rehearse/src/fleet/standins.rs
+++ b/crates/pinerill-rehearse/src/fleet/standins.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use anyhow::{ensure, Context};
+use futures::future::try_join_all;
 use reqwest::Client;
 
 use super::launcher::Launcher;
@@ -182,12 +183,11 @@
         self.client.get(url).send().await?.json().await
     }
 
-    /// Planned stop of all; each must end with exit code 0.
+    /// Planned stop of all at once; each must end with exit code 0.
     pub async fn stop(&mut self) -> anyhow::Result<()> {
         let workers = self.workers.iter_mut().map(|worker| &mut worker.process);
-        for process in workers.chain(self.others.iter_mut()) {
-            process.stop(STOP_TIMEOUT).await?;
-        }
+        let processes = workers.chain(self.others.iter_mut());
+        try_join_all(processes.map(|process| process.stop(STOP_TIMEOUT))).await?;
         if let Some(relays) = &mut self.worker_relays {
             relays.stop().await?;
         }
--- a/crates/pinerill-rehearse/src/load/content.rs
+++ b/crates/pinerill-rehearse/src/load/content.rs
@@ -8,6 +8,22 @@
 use super::schedule::{Arrival, OnlineKind};
 use crate::answer::{content_name, Answer, PROMPT_BYTES_PER_TOKEN};
 
+/// Adapter of a request without one.
+const NO_ADAPTER: &str = "";
+
+/// Who may answer the requests of a load. An old script knows no adapters, so
+/// its answers are those of the model alone.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum AnsweredBy {
+    /// Engines only.
+    #[default]
+    Engines,
+    /// The old script only.
+    Script,
+    /// Either: the bundle gives each a share.
+    Either,
+}
+
 /// What all contents of a load have in common.
 #[derive(Clone, Debug)]
 pub struct ContentContext {
@@ -19,6 +35,8 @@
     pub model: String,
     /// The adapter that answers, empty for none.
     pub adapter: String,
+    /// Who may answer.
+    pub answered_by: AnsweredBy,
 }
 
 /// One online request.
@@ -34,8 +52,9 @@
     pub max_tokens: u32,
     /// Name of its content, as ledgers have it.
     pub content: String,
-    /// Its answer.
-    pub answer: Answer,
+    /// Its right answers: more than one when either engines or the old script
+    /// may answer.
+    pub answers: Vec<Answer>,
 }
 
 /// One item of a batch job.
@@ -73,13 +92,23 @@
         OnlineRequest {
             arrival: arrival.clone(),
             content: content_name(&self.model, &self.adapter, &prompt),
-            answer: Answer::new(&self.model, &self.adapter, &prompt),
+            answers: self.right_answers(&prompt),
             request_id: identifier,
             prompt,
             max_tokens,
         }
     }
 
+    fn right_answers(&self, prompt: &str) -> Vec<Answer> {
+        let at_engines = Answer::new(&self.model, &self.adapter, prompt);
+        let at_script = Answer::new(&self.model, NO_ADAPTER, prompt);
+        match self.answered_by {
+            AnsweredBy::Engines => vec![at_engines],
+            AnsweredBy::Script => vec![at_script],
+            AnsweredBy::Either => vec![at_engines, at_script],
+        }
+    }
+
     /// Item `number` of job `job`.
     pub fn batch_item(&self, profile: &BatchProfile, job: &str, number: usize) -> BatchItem {
         let identifier = format!("{}-{job}-{number}", self.tag);
--- a/crates/pinerill-rehearse/src/load/online.rs
+++ b/crates/pinerill-rehearse/src/load/online.rs
@@ -175,15 +175,16 @@
     }
 
     fn judge(&self) -> OnlineEnd {
-        let right = self.request.answer.text(0, self.request.max_tokens);
-        if self.text == right && self.finished {
+        let tokens = self.request.max_tokens;
+        let mut answers = self.request.answers.iter();
+        let right = answers.any(|answer| answer.text(0, tokens) == self.text);
+        if right && self.finished {
             return OnlineEnd::Completed;
         }
         OnlineEnd::WrongAnswer(format!(
-            "{}: {} bytes of {}, finished: {}",
-            self.request.request_id,
+            "{} bytes of {}, the right text: {right}, finished: {}",
             self.text.len(),
-            right.len(),
+            tokens as usize * TOKEN_TEXT_BYTES,
             self.finished
         ))
     }
--- a/crates/pinerill-rehearse/src/rehearsal/mod.rs
+++ b/crates/pinerill-rehearse/src/rehearsal/mod.rs
@@ -19,7 +19,7 @@
 use crate::fleet::operator::OperatorCommands;
 use crate::fleet::pinerill::{PinerillFleet, PinerillPlan};
 use crate::fleet::standins::{StandInOptions, StandIns};
-use crate::load::content::ContentContext;
+use crate::load::content::{AnsweredBy, ContentContext};
 use crate::load::job_client::JobClient;
 use crate::load::node_target::NodeTarget;
 use crate::preset::Preset;
@@ -149,17 +149,19 @@
             service: self.preset.service.to_owned(),
             model: self.preset.model.to_owned(),
             adapter: String::new(),
+            answered_by: AnsweredBy::Engines,
         }
     }
 
     /// What requests to the service that moves off the old script have in
     /// common.
-    pub fn moving_content(&self, tag: &str) -> ContentContext {
+    pub fn moving_content(&self, tag: &str, answered_by: AnsweredBy) -> ContentContext {
         ContentContext {
             tag: tag.to_owned(),
             service: self.preset.script_service.to_owned(),
             model: self.preset.model.to_owned(),
             adapter: self.preset.adapter.to_owned(),
+            answered_by,
         }
     }
 
--- a/crates/pinerill-rehearse/tests/history_checks.rs
+++ b/crates/pinerill-rehearse/tests/history_checks.rs
@@ -7,7 +7,7 @@
 };
 use pinerill_rehearse::engine::messages::Priority;
 use pinerill_rehearse::ledger::{LedgerEvent, LedgerLine};
-use pinerill_rehearse::load::content::{BatchItem, ContentContext};
+use pinerill_rehearse::load::content::{AnsweredBy, BatchItem, ContentContext};
 use pinerill_rehearse::load::profile::load_profile;
 use pinerill_rehearse::load::record::{OnlineEnd, OnlineRecord};
 use pinerill_rehearse::load::schedule::OnlineKind;
@@ -71,6 +71,7 @@
         service: "fanar".to_owned(),
         model: "fanar-8b".to_owned(),
         adapter: String::new(),
+        answered_by: AnsweredBy::Engines,
     };
     let profile = load_profile(PresetName::Lumadar).batch;
     (0..2)
