--- a/crates/pinerill-node/src/configuration/watch.rs
+++ b/crates/pinerill-node/src/configuration/watch.rs
@@ -42,6 +42,12 @@
         let state = self.state.read();
         state.catalog().is_some() && now_ms < state.lease_until_ms()
     }
+
+    /// Milliseconds that the configuration lease still lasts.
+    pub fn lease_left_ms(&self, now_ms: u64) -> u64 {
+        let until_ms = self.state.read().lease_until_ms();
+        until_ms.saturating_sub(now_ms)
+    }
 }
 
 /// Holds the watch.
--- a/crates/pinerill-node/src/gateway/server.rs
+++ b/crates/pinerill-node/src/gateway/server.rs
@@ -12,6 +12,7 @@
 use super::batches;
 use super::online;
 use crate::failure::{FailureCode, RequestFailure};
+use crate::gauges;
 use crate::node::Node;
 
 /// Seconds that open connections get to end by themselves at shutdown.
@@ -87,6 +88,7 @@
 
 #[get("/metrics")]
 fn metrics(node: &State<Arc<Node>>) -> Custom<String> {
+    gauges::refresh(node);
     match node.metrics.text() {
         Ok(text) => Custom(Status::Ok, text),
         Err(error) => Custom(Status::InternalServerError, error.to_string()),
--- a/crates/pinerill-node/src/lib.rs
+++ b/crates/pinerill-node/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod engine;
 pub mod failure;
 pub mod gateway;
+mod gauges;
 pub mod groups;
 pub mod jobs;
 pub mod membership;
--- a/crates/pinerill-node/src/metrics.rs
+++ b/crates/pinerill-node/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters of the node, in the usual text format.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 use crate::engine::{AnswerReader, Progress};
@@ -52,6 +52,12 @@
     pub bundle_version: IntGauge,
     pub leaving_signs: IntCounter,
     pub connect_failures: IntCounter,
+    /// Bytes to and from control machines: `out` or `in`.
+    pub control_bytes: IntCounterVec,
+    /// Workers that the node uses, by state: `reporting`, `silent` or `leaving`.
+    pub workers: IntGaugeVec,
+    /// Milliseconds that the configuration lease still lasts.
+    pub lease_left_ms: IntGauge,
     pub prefix_hints: IntCounter,
 }
 
@@ -77,6 +83,13 @@
         Ok(counters)
     }
 
+    fn gauges(&self, name: &str, help: &str, label: &str) -> prometheus::Result<IntGaugeVec> {
+        let options = Opts::new(format!("pinerill_node_{name}"), help);
+        let gauges = IntGaugeVec::new(options, &[label])?;
+        self.0.register(Box::new(gauges.clone()))?;
+        Ok(gauges)
+    }
+
     fn latency(&self, name: &str, help: &str, label: &str) -> prometheus::Result<HistogramVec> {
         let options = HistogramOpts::new(format!("pinerill_node_{name}"), help)
             .buckets(LATENCY_BOUNDS.to_vec());
@@ -143,6 +156,16 @@
             leaving_signs: build.counter("leaving_signs_total", "First signs of leaving")?,
             connect_failures: build
                 .counter("connect_failures_total", "Engine connections that failed")?,
+            control_bytes: build.counters(
+                "control_bytes_total",
+                "Bytes to and from control machines",
+                "direction",
+            )?,
+            workers: build.gauges("workers", "Workers in use by state", "state")?,
+            lease_left_ms: build.gauge(
+                "configuration_lease_left_milliseconds",
+                "Time that the configuration lease still lasts",
+            )?,
             prefix_hints: build
                 .counter("prefix_hints_total", "Requests placed by a cached prefix")?,
             registry: build.0,
--- a/crates/pinerill-node/src/node.rs
+++ b/crates/pinerill-node/src/node.rs
@@ -5,6 +5,7 @@
 use parking_lot::Mutex;
 use pinerill_types::settings::NodeSettings;
 use pinerill_wire::api::ControlApi;
+use pinerill_wire::connection::LinkCounters;
 
 use crate::admission::TenantLimits;
 use crate::batch::BatchControl;
@@ -50,6 +51,8 @@
     pub disconnects: Arc<Disconnects>,
     /// Counters.
     pub metrics: Arc<Metrics>,
+    /// Bytes to and from control machines, when the connections are its own.
+    pub link: Option<Arc<LinkCounters>>,
 }
 
 impl Node {
@@ -57,7 +60,11 @@
     ///
     /// # Errors
     /// When counters or connections can't be set up.
-    pub fn new(settings: NodeSettings, api: Arc<dyn ControlApi>) -> anyhow::Result<Self> {
+    pub fn new(
+        settings: NodeSettings,
+        api: Arc<dyn ControlApi>,
+        link: Option<Arc<LinkCounters>>,
+    ) -> anyhow::Result<Self> {
         let metrics = Arc::new(Metrics::new()?);
         let fleet = Arc::new(Fleet::new(&settings, metrics.clone()));
         let dispatcher = Arc::new(Dispatcher::new(fleet.clone(), metrics.clone()));
@@ -84,6 +91,7 @@
             limits: Arc::default(),
             drain: Arc::default(),
             metrics,
+            link,
         })
     }
 
--- a/crates/pinerill-node/src/run.rs
+++ b/crates/pinerill-node/src/run.rs
@@ -7,7 +7,7 @@
 use pinerill_types::settings::Settings;
 use pinerill_wire::api::{ControlApi, Role};
 use pinerill_wire::client::ControlClient;
-use pinerill_wire::connection::{ClusterKey, Identity};
+use pinerill_wire::connection::{ClusterKey, Identity, LinkCounters};
 use rocket::fairing::AdHoc;
 use rocket::{Build, Ignite, Rocket, Shutdown};
 use tokio::signal::unix::{signal, SignalKind};
@@ -18,6 +18,7 @@
 use crate::batch::BatchShell;
 use crate::configuration::WatchShell;
 use crate::gateway::{admin_server, caller_server};
+use crate::gauges;
 use crate::membership::ProbeShell;
 use crate::node::Node;
 
@@ -86,12 +87,13 @@
 /// # Errors
 /// When it can't start, or when the stop cut requests.
 pub async fn run(settings: Settings) -> anyhow::Result<()> {
-    let api = control_api(&settings)?;
+    let client = Arc::new(control_client(&settings)?);
+    let link = client.counters().clone();
     let signals = StopSignals::from_system()?;
-    run_with(settings, api, signals).await
+    start(settings, client, Some(link), signals).await
 }
 
-fn control_api(settings: &Settings) -> anyhow::Result<Arc<dyn ControlApi>> {
+fn control_client(settings: &Settings) -> anyhow::Result<ControlClient> {
     let node = settings.node.as_ref().ok_or(RunError::NoSettings)?;
     let key = ClusterKey::load(&settings.cluster.key_file)?;
     let identity = Identity::new(
@@ -101,8 +103,7 @@
         node.name.as_str(),
         node.zone.as_str(),
     );
-    let client = ControlClient::new(identity, &settings.cluster.controls);
-    Ok(Arc::new(client))
+    Ok(ControlClient::new(identity, &settings.cluster.controls))
 }
 
 /// Runs a node until it is told to stop.
@@ -113,10 +114,19 @@
     settings: Settings,
     api: Arc<dyn ControlApi>,
     signals: StopSignals,
+) -> anyhow::Result<()> {
+    start(settings, api, None, signals).await
+}
+
+async fn start(
+    settings: Settings,
+    api: Arc<dyn ControlApi>,
+    link: Option<Arc<LinkCounters>>,
+    signals: StopSignals,
 ) -> anyhow::Result<()> {
     let counters_pause = Duration::from_secs(settings.log.counters_seconds);
     let node_settings = settings.node.ok_or(RunError::NoSettings)?;
-    let node = Arc::new(Node::new(node_settings, api)?);
+    let node = Arc::new(Node::new(node_settings, api, link)?);
     let callers = Server::start(node.settings.listen, caller_server(node.clone())).await?;
     let admin = Server::start(node.settings.admin, admin_server(node.clone())).await?;
     let tasks = start_tasks(&node, counters_pause);
@@ -130,7 +140,7 @@
     callers.stop().await;
     admin.stop().await;
     drop(tasks);
-    log::info!("counters: {}", node.metrics.line());
+    log_line(&node);
     if cut > 0 {
         return Err(RunError::Cut { cut }.into());
     }
@@ -169,10 +179,15 @@
 async fn log_counters(node: Arc<Node>, pause: Duration) {
     loop {
         tokio::time::sleep(pause).await;
-        log::info!("counters: {}", node.metrics.line());
+        log_line(&node);
     }
 }
 
+fn log_line(node: &Node) {
+    gauges::refresh(node);
+    log::info!("counters: {}", node.metrics.line());
+}
+
 /// Lets what is in flight finish. Returns how many requests were cut.
 async fn drain(node: &Arc<Node>, signals: &StopSignals) -> usize {
     log::info!("stop begins, {} requests in flight", node.drain.in_flight());
--- a/crates/pinerill-node/tests/batch_runner.rs
+++ b/crates/pinerill-node/tests/batch_runner.rs
@@ -116,7 +116,8 @@
         worker.model.lock().arrivals.len() == 2
     })
     .await;
-    while node.metric("batch_yields_total").await < 1.0 {}
+    node.until_metric("batch_yields_total", |value| value >= 1.0)
+        .await;
     worker.change(|model| {
         model.came.insert(id.clone(), came);
         model.hold_heads = false;
@@ -199,7 +200,8 @@
     until("it is sent", || worker.model.lock().arrivals.len() == 1).await;
     proxy.cut();
     for resumed in 1..=4 {
-        while node.metric("resumes_total").await < f64::from(resumed) {}
+        node.until_metric("resumes_total", |value| value >= f64::from(resumed))
+            .await;
         worker.change(|model| model.cuts += 1);
     }
     until("it is cancelled", || {
--- a/crates/pinerill-node/tests/drain.rs
+++ b/crates/pinerill-node/tests/drain.rs
@@ -35,7 +35,7 @@
     let begun = tokio::spawn(answer(online(&node, "p")));
     until("it runs", || worker.count(false, Stage::Running) == 1).await;
     node.signals.planned.cancel();
-    while node.readiness().await.0 != 503 {}
+    node.until_ready(503).await;
     let refused = online(&node, "q").send().await.expect("an answer");
     let headers = refused.headers();
     assert_eq!(headers["Retry-After"], "1");
@@ -115,7 +115,7 @@
     let cut = tokio::spawn(online(&node, "p").send());
     until("both run", || worker.count(false, Stage::Running) == 1).await;
     node.signals.planned.cancel();
-    while node.readiness().await.0 != 503 {}
+    node.until_ready(503).await;
     node.signals.forced.cancel();
     let ended = end_of(node).await;
     assert!(matches!(ended, Err(RunError::Cut { cut: 2 })), "{ended:?}");
--- a/crates/pinerill-node/tests/support/mod.rs
+++ b/crates/pinerill-node/tests/support/mod.rs
@@ -164,6 +164,29 @@
         value.map_or(0.0, |value| value.parse().expect("a number"))
     }
 
+    /// Waits until a metric's value fits.
+    pub async fn until_metric(&self, line: &str, fits: impl Fn(f64) -> bool) {
+        let waited = tokio::time::timeout(PATIENCE, async {
+            while !fits(self.metric(line).await) {
+                tokio::time::sleep(LOOK_PAUSE).await;
+            }
+        });
+        assert!(waited.await.is_ok(), "not within the test's time: {line}");
+    }
+
+    /// Waits until `/readyz` answers with this status.
+    pub async fn until_ready(&self, status: u16) {
+        let waited = tokio::time::timeout(PATIENCE, async {
+            while self.readiness().await.0 != status {
+                tokio::time::sleep(LOOK_PAUSE).await;
+            }
+        });
+        assert!(
+            waited.await.is_ok(),
+            "not within the test's time: /readyz {status}"
+        );
+    }
+
     pub fn url(&self, path: &str) -> String {
         format!("http://{}{path}", self.address)
     }
--- a/crates/pinerill-node/tests/version_change.rs
+++ b/crates/pinerill-node/tests/version_change.rs
@@ -34,7 +34,8 @@
         let model = next.models.get_mut(&"fanar-8b".into()).expect("a model");
         model.version = "2".to_owned();
         *node.control.bundle.lock() = next;
-        while node.metric("bundle_version").await < 2.0 {}
+        node.until_metric("bundle_version", |value| value >= 2.0)
+            .await;
         let fixture = Self { node, workers };
         fixture.await_reports().await;
         fixture
