--- a/crates/pinerill-node/src/online/prefill.rs
+++ b/crates/pinerill-node/src/online/prefill.rs
@@ -16,18 +16,28 @@
 /// Longest wait for an export or import.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The handle of a prefill that `decoder` has imported, if there is one.
-pub async fn prepare_prefill(
+/// The engine that does the prefill of a request for `decoder`, if it pays.
+pub fn choose_prefill(
     fleet: &Fleet,
     request: &OnlineRequest,
-    decoder: &Arc<Engine>,
+    decoder: &Engine,
     served: &Served,
-) -> Option<String> {
+) -> Option<Arc<Engine>> {
     let long = request.parsed.prompt.len() >= PROMPT_BYTES_MINIMUM;
     if decoder.role() != Role::Decode || !long {
         return None;
     }
-    let engine = least_loaded(fleet, request, served)?;
+    least_loaded(fleet, request, served)
+}
+
+/// The handle of a prefill by `engine` that `decoder` has imported, if it came
+/// to one.
+pub async fn prepare_prefill(
+    request: &OnlineRequest,
+    engine: &Engine,
+    decoder: &Engine,
+    served: &Served,
+) -> Option<String> {
     let id = format!("{}.prefill", request.id);
     let call = EngineCall {
         path: request.kind.path(),
@@ -38,7 +48,7 @@
         continue_from: 0,
         body: request.parsed.prefill_body(&served.model),
     };
-    let sent = tokio::time::timeout(PREFILL_TIMEOUT, run_prefill(&engine, call)).await;
+    let sent = tokio::time::timeout(PREFILL_TIMEOUT, run_prefill(engine, call)).await;
     if !sent.unwrap_or(false) {
         return None;
     }
--- a/crates/pinerill-node/tests/online_limits.rs
+++ b/crates/pinerill-node/tests/online_limits.rs
@@ -139,6 +139,26 @@
     assert_eq!(worker.model.lock().arrivals.len(), 30 + retries as usize);
 }
 
+#[tokio::test]
+async fn a_refusal_after_a_prefill_elsewhere_is_not_called_not_run() {
+    let control = Arc::new(FakeControl::new(changed(|service| {
+        service.retry_budget_percent = 0
+    })));
+    let prefiller = FakeWorker::start("prefiller", 1).await;
+    let decoder = FakeWorker::start("decoder", 1).await;
+    prefiller.change(|model| model.role = "prefill");
+    decoder.change(|model| (model.role, model.refusal) = ("decode", Some((429, "queue_full"))));
+    control.list_workers(vec![prefiller.record(), decoder.record()]);
+    let node = TestNode::start(control).await;
+    node.until_metric("workers{state=\"reporting\"}", |value| value >= 2.0)
+        .await;
+    let (_, body) = answer(online(&node, "short")).await;
+    assert_eq!(error_of(&body), ("overloaded", "not_run"));
+    let (_, body) = answer(online(&node, &"long".repeat(1_000))).await;
+    assert_eq!(prefiller.model.lock().arrivals.len(), 1);
+    assert_eq!(error_of(&body), ("overloaded", "unknown"));
+}
+
 #[tokio::test]
 async fn a_stream_goes_on_elsewhere_when_its_engine_dies_unless_it_must_not() {
     let control = Arc::new(FakeControl::new(bundle()));
--- a/crates/pinerill-node/tests/support/worker.rs
+++ b/crates/pinerill-node/tests/support/worker.rs
@@ -51,6 +51,8 @@
     pub leaving: bool,
     pub slots: u32,
     pub models: Vec<String>,
+    /// Role in the load report.
+    pub role: &'static str,
     pub preemptions: u64,
     /// Online requests of others in the load report.
     pub online_elsewhere: u32,
@@ -103,6 +105,7 @@
             leaving: false,
             slots: 4,
             models: vec!["fanar-8b@1".to_owned()],
+            role: "both",
             preemptions: 0,
             online_elsewhere: 0,
             hold_after: None,
@@ -197,7 +200,7 @@
             .filter(|one| one.engine == number && one.stage == Stage::Running && !model.hold_heads);
         let batch = running.clone().filter(|one| one.batch).count() as u32;
         json!({
-            "engine": number, "role": "both", "waiting": 0, "slots": model.slots,
+            "engine": number, "role": model.role, "waiting": 0, "slots": model.slots,
             "running": running.count() as u32 + model.online_elsewhere,
             "batch_running": batch, "preemptions": model.preemptions,
             "models": model.models, "adapters": [],
