--- a/crates/pinerill-sim/src/cluster/process.rs
+++ b/crates/pinerill-sim/src/cluster/process.rs
@@ -32,7 +32,7 @@
         machine.frozen_until_ms = 0;
         let mut config = self.settings.replica_config(machine.replica, seed);
         config.defects = replica_defects(self.defect);
-        let observed = Observed::new(S::Machine::default(), self.applied.clone());
+        let observed = Observed::new(S::machine(self.defect), self.applied.clone());
         let store = Arc::new(machine.store.clone());
         let driver = GroupDriver::start(config, founders, observed, store, self.settings.driver);
         let driver = match driver {
--- a/crates/pinerill-sim/src/cluster/service.rs
+++ b/crates/pinerill-sim/src/cluster/service.rs
@@ -5,6 +5,8 @@
 use pinerill_replica::{MembershipChange, Status};
 use pinerill_storage::GroupReader;
 
+use crate::defect::Defect;
+
 /// A client of the cluster.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ClientId(pub u32);
@@ -27,6 +29,11 @@
     /// What it is answered.
     type View;
 
+    /// A new machine, with the deliberate defect if it is one of this machine.
+    fn machine(_defect: Option<Defect>) -> Self::Machine {
+        Self::Machine::default()
+    }
+
     /// Answers a query from the state at hand.
     fn read(query: &Self::Query, machine: &Self::Machine, table: &dyn GroupReader) -> Self::View;
 }
--- a/crates/pinerill-sim/src/defect.rs
+++ b/crates/pinerill-sim/src/defect.rs
@@ -12,6 +12,9 @@
     /// In the replica.
     #[cfg(feature = "mutants")]
     Replica(pinerill_replica::Defect),
+    /// In the job machine.
+    #[cfg(feature = "mutants")]
+    Job(pinerill_control::job::JobDefect),
     /// In a simulated shell.
     Shell(ShellDefect),
 }
@@ -36,6 +39,12 @@
     TableReportedBeforeSync,
     /// Table writes are queued behind the snapshot that covers them.
     SnapshotBeforeTable,
+    /// Items are handed to a node before their lease is committed.
+    RunBeforeLeaseCommits,
+    /// A cancellation counts as done before it is committed.
+    CancelBeforeCommit,
+    /// A job counts as accepted with its first part.
+    AcceptEarly,
 }
 
 /// The defects for a replica's settings.
--- a/crates/pinerill-sim/src/lib.rs
+++ b/crates/pinerill-sim/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod bundle;
 pub mod cluster;
 pub mod defect;
+pub mod job;
 pub mod random;
 pub mod registry;
 pub mod scenario;
--- a/crates/pinerill-sim/src/registry.rs
+++ b/crates/pinerill-sim/src/registry.rs
@@ -1,11 +1,13 @@
 //! All scenarios and all mutants.
 
 use crate::scenario::{Mutant, Scenario};
-use crate::scenarios::bundles;
+use crate::scenarios::{bundles, jobs};
 
 /// All scenarios.
 pub fn scenarios() -> Vec<Box<dyn Scenario>> {
-    bundles::all()
+    let mut scenarios = bundles::all();
+    scenarios.extend(jobs::all());
+    scenarios
 }
 
 /// The scenario with this name.
@@ -23,6 +25,7 @@
 #[cfg(feature = "mutants")]
 pub fn mutants() -> Vec<Mutant> {
     use crate::defect::{Defect, ShellDefect};
+    use pinerill_control::job::JobDefect;
     use pinerill_replica::Defect as ReplicaDefect;
 
     let replica = |name, defect, scenario| Mutant {
@@ -37,7 +40,60 @@
         scenario,
         seeds: MUTANT_SEEDS,
     };
+    let job = |name, defect, scenario| Mutant {
+        name,
+        defect: Defect::Job(defect),
+        scenario,
+        seeds: MUTANT_SEEDS,
+    };
     vec![
+        job(
+            "old_attempt_counts",
+            JobDefect::OldAttemptCounts,
+            "job_frozen_nodes",
+        ),
+        job(
+            "later_end_counts",
+            JobDefect::LaterEndCounts,
+            "job_frozen_nodes",
+        ),
+        job(
+            "cancelled_job_leases",
+            JobDefect::CancelledJobLeases,
+            "job_cancel",
+        ),
+        job(
+            "lapsed_at_most_once_leases",
+            JobDefect::LapsedAtMostOnceLeases,
+            "job_at_most_once",
+        ),
+        job(
+            "repeated_question_leases_anew",
+            JobDefect::RepeatedQuestionLeasesAnew,
+            "job_at_most_once",
+        ),
+        job("resent_job_is_new", JobDefect::ResentJobIsNew, "job_resent"),
+        job(
+            "leases_age_without_leader",
+            JobDefect::LeasesAgeWithoutLeader,
+            "job_without_leader",
+        ),
+        shell(
+            "run_before_lease_commits",
+            ShellDefect::RunBeforeLeaseCommits,
+            "job_control_crash",
+        ),
+        shell(
+            "cancel_before_commit",
+            ShellDefect::CancelBeforeCommit,
+            "job_cancel",
+        ),
+        shell("accept_early", ShellDefect::AcceptEarly, "job_resent"),
+        replica(
+            "job_read_without_confirming",
+            ReplicaDefect::ReadWithoutConfirming,
+            "job_silent_cut",
+        ),
         replica(
             "vote_before_sync",
             ReplicaDefect::VoteBeforeSync,
--- a/crates/pinerill-sim/src/scenarios/mod.rs
+++ b/crates/pinerill-sim/src/scenarios/mod.rs
@@ -2,3 +2,6 @@
 
 mod bundle_faults;
 pub mod bundles;
+mod job_faults;
+pub mod jobs;
+mod planning;
--- /dev/null
+++ b/crates/pinerill-sim/src/scenarios/planning.rs
@@ -0,0 +1,70 @@
+//! Puts faults into a run's plan.
+
+use crate::cluster::{ClientFault, Direction, Fault, Plan, PlannedFault, Target};
+use crate::random::SimRng;
+
+/// When the first fault may happen: a leader is there, virtual milliseconds.
+pub(super) const FIRST_MS: u64 = 1_500;
+/// No fault begins so shortly before the end, milliseconds.
+const LAST_MARGIN_MS: u64 = 500;
+
+const DIRECTIONS: [Direction; 3] = [Direction::Both, Direction::Inbound, Direction::Outbound];
+const TARGETS: [Target; 3] = [Target::Leader, Target::Follower, Target::Any];
+
+/// Draws faults into a plan.
+pub(super) struct Planner<'a> {
+    pub(super) rng: &'a mut SimRng,
+    pub(super) plan: &'a mut Plan,
+}
+
+impl Planner<'_> {
+    /// A moment at which a fault may happen, virtual milliseconds.
+    pub(super) fn moment(&mut self) -> u64 {
+        let last_ms = self.plan.duration_ms - LAST_MARGIN_MS;
+        self.rng.between(FIRST_MS, last_ms)
+    }
+
+    /// Draws `count` faults, each at a moment of its own.
+    pub(super) fn faults(&mut self, count: u64, draw: impl Fn(&mut SimRng) -> Fault) {
+        for _ in 0..count {
+            let at_ms = self.moment();
+            let fault = draw(self.rng);
+            self.plan.faults.push(PlannedFault::at(at_ms, fault));
+        }
+    }
+}
+
+pub(super) fn direction(rng: &mut SimRng) -> Direction {
+    DIRECTIONS[rng.below(DIRECTIONS.len())]
+}
+
+pub(super) fn target(rng: &mut SimRng) -> Target {
+    TARGETS[rng.below(TARGETS.len())]
+}
+
+/// A crash of some machine.
+pub(super) fn crash(rng: &mut SimRng) -> Fault {
+    Fault::Crash {
+        target: target(rng),
+        down_ms: rng.between(1, 900),
+    }
+}
+
+/// Links that lose and delay for a while.
+pub(super) fn bad_links(rng: &mut SimRng) -> Fault {
+    let duration_ms = rng.between(300, 3_000);
+    Fault::BadLinks { duration_ms }
+}
+
+/// A restart, a freeze or a cut of some client, for at most `longest_ms`.
+pub(super) fn client_fault(rng: &mut SimRng, longest_ms: u64) -> Fault {
+    let duration_ms = rng.between(500, longest_ms);
+    Fault::Client(match rng.below(3) {
+        0 => ClientFault::Restart,
+        1 => ClientFault::Freeze { duration_ms },
+        _ => ClientFault::Cut {
+            duration_ms,
+            direction: direction(rng),
+        },
+    })
+}
