Placement: planning off the groups' threads, rounds by news of workers

Cause: with 5,500 hollow workers (27,500 engines) commits of changes took up to 2.4 s and 41 watches failed; with 1,000 none did. Planning ran on a thread of the runtime, and a replicated group's task that waits in that thread's own slot waits with it. It also ranked all engines for roles that nobody asked for, and asked all engines every 10 s without news.

Change: planning on a blocking thread; roles with count 0 are passed over; rounds come from a new bundle or a change of the list of workers, and every 30 s without either.

--- a/crates/pinerill-control/src/placement/assignment.rs
+++ b/crates/pinerill-control/src/placement/assignment.rs
@@ -60,6 +60,9 @@
     role: EngineRole,
     count: u32,
 ) {
+    if count == 0 {
+        return;
+    }
     let mut candidates: Vec<&EngineId> = engines
         .keys()
         .filter(|engine| may_take(assignment, engine, model, role))
--- a/crates/pinerill-control/src/placement/runner.rs
+++ b/crates/pinerill-control/src/placement/runner.rs
@@ -17,8 +17,10 @@
 /// Pause between two rounds while orders are given or the bundle changes.
 const ROUND_PAUSE: Duration = Duration::from_secs(1);
 /// Rounds without news that are passed over before all engines are asked
-/// again: at 45,000 engines a question each second would cost a core.
-const QUIET_ROUNDS: u32 = 10;
+/// again. An engine that is lost with its worker is news at once; this is for
+/// one that lost a model by itself. At 45,000 engines asking each second
+/// would cost some ten cores.
+const QUIET_ROUNDS: u32 = 30;
 /// Longest time for one question to an engine.
 const ENGINE_TIME: Duration = Duration::from_secs(2);
 /// Questions in flight.
@@ -37,6 +39,8 @@
     /// The term in which this machine leads the meta group, confirmed by a
     /// read barrier; none when it does not lead.
     async fn confirmed_term(&self) -> Option<PlacementTerm>;
+    /// Grows with each change of the list of workers.
+    fn workers_revision(&self) -> u64;
     /// Version of the bundle in force.
     fn bundle_version(&self) -> u64;
     /// Its models.
@@ -78,7 +82,7 @@
         concurrent_loads,
         counters,
         last: Fence::default(),
-        seen_version: None,
+        settled: None,
         quiet_rounds: 0,
     };
     loop {
@@ -93,14 +97,21 @@
     }
 }
 
+/// What decides whether another round can find something to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Situation {
+    bundle_version: u64,
+    workers_revision: u64,
+}
+
 struct Runner {
     source: Arc<dyn PlacementSource>,
     client: reqwest::Client,
     concurrent_loads: u32,
     counters: Arc<PlacementCounters>,
     last: Fence,
-    /// Bundle version of the last full round.
-    seen_version: Option<u64>,
+    /// What the last full round was about, if it left nothing to do.
+    settled: Option<Situation>,
     /// Rounds passed over since then.
     quiet_rounds: u32,
 }
@@ -110,10 +121,10 @@
         if self.is_quiet() || self.source.confirmed_term().await.is_none() {
             return;
         }
-        let version = self.source.bundle_version();
+        let situation = self.situation();
         let engines = self.observe().await;
-        let models = self.source.models();
-        let orders = plan(&models, &engines, self.concurrent_loads);
+        let engine_count = engines.len() as u64;
+        let orders = self.plan(engines).await;
         // The right is confirmed again after the slow observation: orders of
         // a machine that was frozen meanwhile carry an older term, and the
         // engines' fences refuse them.
@@ -121,21 +132,41 @@
             return;
         };
         let count = |counter: &AtomicU64, value: u64| counter.store(value, Ordering::Relaxed);
-        self.seen_version = orders.is_empty().then_some(version);
+        self.settled = orders.is_empty().then_some(situation);
         self.quiet_rounds = 0;
         self.counters.rounds.fetch_add(1, Ordering::Relaxed);
-        count(&self.counters.engines, engines.len() as u64);
+        count(&self.counters.engines, engine_count);
         for order in orders {
             let fence = self.next_fence(term);
             self.post(&order, fence).await;
         }
     }
 
-    /// Whether the last full round gave no orders, and neither bundle nor
-    /// time asks for another.
+    /// Whether the last full round gave no orders, and neither bundle, workers
+    /// nor time ask for another.
     fn is_quiet(&mut self) -> bool {
         self.quiet_rounds += 1;
-        self.seen_version == Some(self.source.bundle_version()) && self.quiet_rounds < QUIET_ROUNDS
+        self.settled == Some(self.situation()) && self.quiet_rounds < QUIET_ROUNDS
+    }
+
+    fn situation(&self) -> Situation {
+        Situation {
+            bundle_version: self.source.bundle_version(),
+            workers_revision: self.source.workers_revision(),
+        }
+    }
+
+    /// Plans on a thread of its own: over many engines it takes long enough
+    /// to hold up the replicated groups' tasks.
+    async fn plan(&self, engines: ObservedEngines) -> Vec<PlannedOrder> {
+        let models = self.source.models();
+        let concurrent_loads = self.concurrent_loads;
+        let planned =
+            tokio::task::spawn_blocking(move || plan(&models, &engines, concurrent_loads));
+        planned.await.unwrap_or_else(|error| {
+            log::error!(step = "plan placement", error:%; "no orders in this round");
+            Vec::new()
+        })
     }
 
     fn next_fence(&mut self, term: PlacementTerm) -> Fence {
--- a/crates/pinerill-control/src/server/directory/listing.rs
+++ b/crates/pinerill-control/src/server/directory/listing.rs
@@ -34,6 +34,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Listing {
     revision: u64,
+    /// Revision of the last change of a worker.
+    workers_revision: u64,
     /// Removals up to this revision are forgotten.
     forgotten: u64,
     order: BTreeMap<u64, Key>,
@@ -50,6 +52,10 @@
         self.revision
     }
 
+    pub(super) fn workers_revision(&self) -> u64 {
+        self.workers_revision
+    }
+
     pub(super) fn workers(&self) -> impl Iterator<Item = &WorkerRecord> {
         self.workers.values()
     }
@@ -94,6 +100,9 @@
             return;
         }
         self.revision += 1;
+        if matches!(key, Key::Worker(_)) {
+            self.workers_revision = self.revision;
+        }
         if let Some(before) = self.changed_at.insert(key.clone(), self.revision) {
             self.order.remove(&before);
             self.removals.remove(&before);
--- a/crates/pinerill-control/src/server/directory/mod.rs
+++ b/crates/pinerill-control/src/server/directory/mod.rs
@@ -48,6 +48,11 @@
         self.listing.revision()
     }
 
+    /// Grows with each change of a worker's record.
+    pub fn workers_revision(&self) -> u64 {
+        self.listing.workers_revision()
+    }
+
     /// Replaces the platform's list.
     pub fn take_platform_list(&mut self, workers: Vec<WorkerRecord>) {
         let touched = self.sources.take_platform_list(workers);
--- a/crates/pinerill-control/src/server/placement_source.rs
+++ b/crates/pinerill-control/src/server/placement_source.rs
@@ -28,6 +28,10 @@
         same.then_some(PlacementTerm { term: after.term })
     }
 
+    fn workers_revision(&self) -> u64 {
+        self.control.directory.lock().workers_revision()
+    }
+
     fn bundle_version(&self) -> u64 {
         let version = self
             .control
