Figures of scale and state were clamped at 0.002 ms; tests wait for an answer

Cause 1: quantiles of scale, state, demo and bench came from a histogram without bounds, which starts at 2 us, and saturating_record clamps to the bounds instead of widening them. So p50, p99 and max of any times read at most 0.002 ms: commit, in force, unconfirmed. Found by a demo whose first token took '0 ms'.

Cause 2: tests of stand-ins failed now and then, refused or reset at a port that had just been connected to. The worker's log was empty, so it had not failed to bind. The listener that picks a port lives on in a child that another thread has forked and not executed yet; the readiness check connected to that one.

Change 2: ready means an answer over HTTP, not an open port, which is stricter. A request without an answer prints the worker's log.

Ruled out for 2: ports that another process took (the log would say so).

--- a/crates/pinerill-rehearse/src/bench/quantiles.rs
+++ b/crates/pinerill-rehearse/src/bench/quantiles.rs
@@ -1,12 +1,8 @@
 //! Quantiles of times.
 
-use hdrhistogram::Histogram;
 use serde::Serialize;
 
-/// Significant digits of recorded times.
-const DIGITS: u8 = 3;
-/// Microseconds in a millisecond.
-const MICROSECONDS: f64 = 1_000.0;
+use crate::times::Times;
 
 /// Quantiles of a set of times, milliseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
@@ -26,19 +22,13 @@
 impl TailQuantiles {
     /// Quantiles of times in microseconds; all 0 when there are none.
     pub fn of_microseconds(times: impl IntoIterator<Item = u64>) -> Self {
-        let Ok(mut histogram) = Histogram::<u64>::new(DIGITS) else {
-            return Self::default();
-        };
-        for time in times {
-            histogram.saturating_record(time.max(1));
-        }
-        let at = |quantile| histogram.value_at_quantile(quantile) as f64 / MICROSECONDS;
+        let times = Times::of_microseconds(times);
         Self {
-            count: histogram.len(),
-            p50: at(0.5),
-            p95: at(0.95),
-            p99: at(0.99),
-            max: histogram.max() as f64 / MICROSECONDS,
+            count: times.count(),
+            p50: times.at(0.5),
+            p95: times.at(0.95),
+            p99: times.at(0.99),
+            max: times.max(),
         }
     }
 }
--- a/crates/pinerill-rehearse/src/lib.rs
+++ b/crates/pinerill-rehearse/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod scale;
 pub mod standin;
 pub mod state;
+pub mod times;
--- a/crates/pinerill-rehearse/src/scale/hollow/results.rs
+++ b/crates/pinerill-rehearse/src/scale/hollow/results.rs
@@ -2,13 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 
-/// Significant digits of recorded times.
-const DIGITS: u8 = 3;
-/// Microseconds in a millisecond.
-const MICROSECONDS: f64 = 1_000.0;
+use crate::times::Times;
 
 /// Quantiles of a set of times, milliseconds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
@@ -26,15 +22,12 @@
 impl Quantiles {
     /// Quantiles of times in microseconds.
     pub fn of_microseconds(times: impl IntoIterator<Item = u64>) -> Self {
-        let mut histogram = Histogram::<u64>::new(DIGITS).expect("three digits are allowed");
-        for time in times {
-            histogram.saturating_record(time.max(1));
-        }
+        let times = Times::of_microseconds(times);
         Self {
-            count: histogram.len(),
-            p50: histogram.value_at_quantile(0.5) as f64 / MICROSECONDS,
-            p99: histogram.value_at_quantile(0.99) as f64 / MICROSECONDS,
-            max: histogram.max() as f64 / MICROSECONDS,
+            count: times.count(),
+            p50: times.at(0.5),
+            p99: times.at(0.99),
+            max: times.max(),
         }
     }
 }
--- a/crates/pinerill-rehearse/tests/common/mod.rs
+++ b/crates/pinerill-rehearse/tests/common/mod.rs
@@ -9,7 +9,10 @@
 use pinerill_rehearse::fleet::process::{ChildProcess, ProcessSpec};
 use serde_json::Value;
 
-/// Starts a stand-in and waits until its port is open.
+/// Starts a stand-in and waits until it answers HTTP at `ready`, whatever the
+/// status. An open port is not enough: the listener that picked the port lives
+/// on in a child that another test's thread has forked but not yet executed,
+/// so a connection to it succeeds and is reset a moment later.
 pub async fn start_standin(folder: &Path, ready: SocketAddr, arguments: &[&str]) -> ChildProcess {
     let spec = ProcessSpec {
         name: format!("{}-{}", arguments[0], ready.port()),
@@ -21,9 +24,10 @@
         log_folder: folder.to_path_buf(),
     };
     let mut process = ChildProcess::start(&spec).expect("starts");
+    let client = reqwest::Client::new();
     for _ in 0..500 {
         process.ensure_running().expect("runs");
-        if tokio::net::TcpStream::connect(ready).await.is_ok() {
+        if client.get(format!("http://{ready}/")).send().await.is_ok() {
             return process;
         }
         tokio::time::sleep(Duration::from_millis(10)).await;
--- a/crates/pinerill-rehearse/tests/standin_worker.rs
+++ b/crates/pinerill-rehearse/tests/standin_worker.rs
@@ -9,9 +9,9 @@
 use common::{events, start_standin, text_of};
 use pinerill_rehearse::answer::{content_name, Answer};
 use pinerill_rehearse::fleet::ports::free_address;
-use pinerill_rehearse::fleet::process::{ChildProcess, Signal};
+use pinerill_rehearse::fleet::process::{log_tail, ChildProcess, Signal};
 use pinerill_rehearse::ledger::{read_file, LedgerEvent, LedgerLine};
-use reqwest::{Client, Response};
+use reqwest::{Client, RequestBuilder, Response};
 use serde_json::{json, Value};
 
 struct Fixture {
@@ -45,27 +45,30 @@
     }
 
     async fn post(&self, path: &str, body: Value) -> Response {
-        let request = self.client.post(self.url(path)).json(&body);
-        request.send().await.expect("answers")
+        self.answered(self.client.post(self.url(path)).json(&body))
+            .await
     }
 
     async fn get(&self, path: &str) -> Response {
-        self.client
-            .get(self.url(path))
-            .send()
-            .await
-            .expect("answers")
+        self.answered(self.client.get(self.url(path))).await
     }
 
     async fn complete(&self, id: &str, priority: &str, body: Value) -> Response {
-        self.client
+        let call = self
+            .client
             .post(self.url("/engines/0/v1/completions"))
             .header("X-Request-Id", id)
             .header("X-Priority", priority)
-            .json(&body)
-            .send()
-            .await
-            .expect("answers")
+            .json(&body);
+        self.answered(call).await
+    }
+
+    /// The answer, or what the worker's log says when there is none.
+    async fn answered(&self, call: RequestBuilder) -> Response {
+        match call.send().await {
+            Ok(response) => response,
+            Err(error) => panic!("{error:?}; {}", log_tail(self.process.log())),
+        }
     }
 
     fn ledger(&self) -> Vec<LedgerLine> {
