--- a/crates/pinerill-sim/src/bundle/mod.rs
+++ b/crates/pinerill-sim/src/bundle/mod.rs
@@ -4,6 +4,7 @@
 mod founding;
 mod history;
 mod operator;
+mod operator_answers;
 mod service;
 mod watcher;
 mod workload;
--- a/crates/pinerill-sim/src/bundle/operator.rs
+++ b/crates/pinerill-sim/src/bundle/operator.rs
@@ -1,21 +1,17 @@
 //! An operator: reads the bundle in force and proposes the next one.
 
-use pinerill_control::codec::{decode, encode};
-use pinerill_control::host::ProposeError;
-use pinerill_control::meta::{MetaCommand, MetaReply, PastVersion, ProposalOutcome};
+use pinerill_control::codec::encode;
+use pinerill_control::meta::MetaCommand;
 use pinerill_types::bundle::{IndexedBundle, SignedChange};
 use pinerill_types::Digest;
 
 use super::founding::{short_digest, signed_next};
-use super::history::{BundleHistory, BundleOperation, BundleState, OperationId, ProposalEnd};
-use super::service::{BundleQuery, BundleService, BundleView};
-use crate::cluster::{CallAnswer, CallId, CallKind, CallResult, ClientId, Cluster, Timer};
-use crate::defect::{has_shell_defect, ShellDefect};
+use super::history::{BundleHistory, BundleOperation, BundleState, OperationId};
+use super::service::{BundleQuery, BundleService};
+use crate::cluster::{CallId, CallKind, ClientId, Cluster, Timer};
 
 /// How long an operator waits for one answer, milliseconds.
 const CALL_TIMEOUT_MS: u64 = 700;
-/// Pause before an operation is tried elsewhere, milliseconds.
-const RETRY_PAUSE_MS: u64 = 60;
 /// Calls after which an operation is given up.
 const MAX_ATTEMPTS: u32 = 12;
 
@@ -51,43 +47,43 @@
 }
 
 /// What is being done.
-enum Work {
+pub(super) enum Work {
     Read,
     Propose(Box<Proposal>),
 }
 
 /// A proposal with what it asked for so far.
 #[derive(Clone)]
-struct Proposal {
-    signed: SignedChange,
-    enough: bool,
+pub(super) struct Proposal {
+    pub(super) signed: SignedChange,
+    pub(super) enough: bool,
     /// The version was decided; who took it is being asked.
-    decided: bool,
+    pub(super) decided: bool,
 }
 
 /// An operation under way.
-struct Running {
-    id: OperationId,
-    work: Work,
-    call: Option<CallId>,
-    attempts: u32,
+pub(super) struct Running {
+    pub(super) id: OperationId,
+    pub(super) work: Work,
+    pub(super) call: Option<CallId>,
+    pub(super) attempts: u32,
     /// Whether a machine may have taken an attempt whose answer is unknown.
-    unsure: bool,
+    pub(super) unsure: bool,
 }
 
 /// One operator.
 pub(super) struct BundleOperator {
-    client: ClientId,
-    style: OperatorStyle,
-    known: IndexedBundle,
-    running: Option<Running>,
-    past: Vec<Proposal>,
-    machine: usize,
+    pub(super) client: ClientId,
+    pub(super) style: OperatorStyle,
+    pub(super) known: IndexedBundle,
+    pub(super) running: Option<Running>,
+    pub(super) past: Vec<Proposal>,
+    pub(super) machine: usize,
     /// Another bundle won: what is known is not in force any more.
-    outdated: bool,
+    pub(super) outdated: bool,
     /// Reads once more before it rests.
-    last_read: bool,
-    stopping: bool,
+    pub(super) last_read: bool,
+    pub(super) stopping: bool,
     pub(super) begun: u64,
     pub(super) unknown: u64,
 }
@@ -118,7 +114,7 @@
         self.last_read
     }
 
-    fn pause(&self, cluster: &mut Cluster<BundleService>) {
+    pub(super) fn pause(&self, cluster: &mut Cluster<BundleService>) {
         let style = self.style;
         let pause_ms = cluster
             .rng()
@@ -197,7 +193,11 @@
         });
     }
 
-    fn attempt(&mut self, cluster: &mut Cluster<BundleService>, history: &mut BundleHistory) {
+    pub(super) fn attempt(
+        &mut self,
+        cluster: &mut Cluster<BundleService>,
+        history: &mut BundleHistory,
+    ) {
         let Some(running) = &mut self.running else {
             return;
         };
@@ -240,164 +240,9 @@
         }
         self.pause(cluster);
     }
-
-    pub(super) fn answered(
-        &mut self,
-        cluster: &mut Cluster<BundleService>,
-        history: &mut BundleHistory,
-        answer: CallAnswer<BundleService>,
-    ) {
-        let Some(running) = &mut self.running else {
-            return;
-        };
-        if running.call != Some(answer.call) {
-            return;
-        }
-        running.call = None;
-        match answer.result {
-            CallResult::Read(Ok(BundleView::InForce(Some(bundle)))) => {
-                self.read(cluster, history, *bundle);
-            }
-            CallResult::Read(Ok(BundleView::Past(Some(PastVersion::Taken(digest))))) => {
-                self.learnt_winner(cluster, history, digest);
-            }
-            CallResult::Read(Ok(BundleView::Past(other))) => {
-                let detail = format!("a decided version is read as {other:?}");
-                cluster.violate("who took a version stays known", detail);
-            }
-            CallResult::Proposed(Ok(reply)) => self.decided(cluster, history, &reply),
-            CallResult::Proposed(Err(ProposeError::NotLeader { leader })) => {
-                let place = leader.and_then(|leader| cluster.place_of(leader));
-                self.retry(cluster, place);
-            }
-            CallResult::Proposed(Err(ProposeError::Unknown)) | CallResult::TimedOut => {
-                running.unsure = true;
-                self.retry(cluster, None);
-            }
-            // Nothing was done, or nothing can have been.
-            _ => self.retry(cluster, None),
-        }
-    }
-
-    /// Tries again at the given machine, or at any.
-    fn retry(&mut self, cluster: &mut Cluster<BundleService>, place: Option<usize>) {
-        let count = cluster.machine_count();
-        self.machine = place.unwrap_or_else(|| cluster.rng().below(count));
-        cluster.wake(self.client, RETRY_PAUSE_MS, Timer::Next);
-    }
-
-    fn read(
-        &mut self,
-        cluster: &mut Cluster<BundleService>,
-        history: &mut BundleHistory,
-        bundle: IndexedBundle,
-    ) {
-        let Some(running) = self.running.take() else {
-            return;
-        };
-        cluster.observe("confirmed read");
-        history.read(running.id, state(bundle.version(), bundle.digest()));
-        self.known = bundle;
-        self.outdated = false;
-        self.last_read = self.stopping;
-        self.pause(cluster);
-    }
-
-    fn decided(
-        &mut self,
-        cluster: &mut Cluster<BundleService>,
-        history: &mut BundleHistory,
-        reply: &[u8],
-    ) {
-        let outcome = match decode(reply) {
-            Ok(MetaReply::Bundle(outcome)) => outcome,
-            other => {
-                cluster.violate("replies fit", format!("{other:?}"));
-                return;
-            }
-        };
-        match outcome {
-            ProposalOutcome::Accepted { .. } => {
-                self.proposed(cluster, history, ProposalEnd::Accepted);
-            }
-            ProposalOutcome::OtherBase { version, digest } => {
-                let winner = state(version, digest);
-                self.proposed(cluster, history, ProposalEnd::Conflict(winner));
-            }
-            ProposalOutcome::Wrong { .. } => self.proposed(cluster, history, ProposalEnd::Wrong),
-            ProposalOutcome::Decided => {
-                if let Some(running) = &mut self.running {
-                    if let Work::Propose(proposal) = &mut running.work {
-                        proposal.decided = true;
-                    }
-                }
-                self.attempt(cluster, history);
-            }
-        }
-    }
-
-    /// The version was taken before; by whom tells what this proposal became.
-    fn learnt_winner(
-        &mut self,
-        cluster: &mut Cluster<BundleService>,
-        history: &mut BundleHistory,
-        winner: Digest,
-    ) {
-        let Some(Running {
-            work: Work::Propose(proposal),
-            ..
-        }) = &self.running
-        else {
-            return;
-        };
-        let change = &proposal.signed.change;
-        let defect = cluster.defect();
-        let mut won = winner == change.digest;
-        if has_shell_defect(defect, ShellDefect::DecidedCountsAsAccepted) {
-            won = true;
-        }
-        if has_shell_defect(defect, ShellDefect::ResentCountsAsConflict) {
-            won = false;
-        }
-        let end = if won {
-            ProposalEnd::Accepted
-        } else {
-            ProposalEnd::Conflict(state(change.version, winner))
-        };
-        self.proposed(cluster, history, end);
-    }
-
-    fn proposed(
-        &mut self,
-        cluster: &mut Cluster<BundleService>,
-        history: &mut BundleHistory,
-        end: ProposalEnd,
-    ) {
-        let Some(running) = self.running.take() else {
-            return;
-        };
-        let client = self.client.0;
-        cluster.note(|| format!("operator {client} hears {end:?}"));
-        cluster.observe(match end {
-            ProposalEnd::Accepted => "proposal accepted",
-            ProposalEnd::Conflict(_) => "proposal in conflict",
-            ProposalEnd::Wrong => "proposal without its signatures",
-        });
-        history.proposed(running.id, end);
-        self.outdated |= matches!(end, ProposalEnd::Conflict(_));
-        if let Work::Propose(proposal) = running.work {
-            if end == ProposalEnd::Accepted {
-                let change = &proposal.signed.change;
-                // One that was sent again may be older than what is known.
-                let _ = self.known.apply(change);
-            }
-            self.past.push(*proposal);
-        }
-        self.pause(cluster);
-    }
 }
 
-fn state(version: u64, digest: Digest) -> BundleState {
+pub(super) fn state(version: u64, digest: Digest) -> BundleState {
     BundleState {
         version,
         digest: short_digest(digest),
