--- a/crates/pinerill-node/tests/batch_planner.rs
+++ b/crates/pinerill-node/tests/batch_planner.rs
@@ -229,6 +229,16 @@
     assert_eq!(fixture.starts().last(), Some(&(first, 1)));
 }
 
+#[test]
+fn an_item_that_ends_while_paused_leaves_its_place() {
+    let mut fixture = Fixture::new(1, 1.0);
+    fixture.lease((0..4).map(|index| item(index, false)).collect());
+    fixture.step(Input::Engines(vec![view(0, 1, 1)]));
+    (0..4).for_each(|index| fixture.ended(index, RunEnd::Completed("{}".to_owned())));
+    let totals = fixture.planner.totals();
+    assert_eq!((totals.running, totals.paused), (0, 0));
+}
+
 fn engine_of(fixture: &Fixture, index: u32) -> u16 {
     let starts = fixture.starts();
     starts.iter().find(|one| one.0 == index).expect("started").1
--- a/crates/pinerill-node/tests/support/jobs.rs
+++ b/crates/pinerill-node/tests/support/jobs.rs
@@ -5,7 +5,7 @@
 use pinerill_types::job::{
     AttemptEnd, ItemCounts, ItemInput, ItemState, JobState, JobStatus, LeasedItem,
 };
-use pinerill_types::{Digest, JobId, ServiceName};
+use pinerill_types::{Digest, JobId, NodeName, ServiceName};
 use pinerill_wire::message::{
     AttemptRef, AttemptReport, AttemptVerdict, EndAttemptsResponse, ItemResult, JobOutputResponse,
     LeaseItems, LeaseItemsResponse, ListJobsResponse, Refusal, RefusalCode, RenewLeasesResponse,
@@ -42,8 +42,8 @@
     pub jobs: BTreeMap<JobId, Job>,
     /// The groups' clock.
     pub now_ms: u64,
-    /// Answers to lease questions by sequence.
-    leased: BTreeMap<(u32, u64), Vec<LeasedItem>>,
+    /// Answers to lease questions by group, node, incarnation and sequence.
+    leased: BTreeMap<(u32, NodeName, u64, u64), Vec<LeasedItem>>,
 }
 
 impl FakeJobs {
@@ -190,7 +190,8 @@
     }
 
     fn lease(&mut self, group: u32, ask: &LeaseItems) -> Response {
-        if let Some(items) = self.leased.get(&(group, ask.sequence)) {
+        let question = (group, ask.node.clone(), ask.incarnation, ask.sequence);
+        if let Some(items) = self.leased.get(&question) {
             let items = items.clone();
             return Response::LeaseItems(LeaseItemsResponse { items });
         }
@@ -207,7 +208,7 @@
                 lease_of_job(job, end_ms, before + want.limit as usize, &mut items);
             }
         }
-        self.leased.insert((group, ask.sequence), items.clone());
+        self.leased.insert(question, items.clone());
         Response::LeaseItems(LeaseItemsResponse { items })
     }
 
