Simulation of jobs: stale reads of leaders that froze while cut off

Change: callers mostly read their latest jobs, and leaders freeze while they are cut off, so that they answer once after their successor.

--- a/crates/pinerill-sim/src/job/caller.rs
+++ b/crates/pinerill-sim/src/job/caller.rs
@@ -24,6 +24,8 @@
 const LOOK_PAUSE_MS: u64 = 20;
 /// Calls after which an operation is given up.
 const MAX_ATTEMPTS: u32 = 12;
+/// How many jobs are the latest.
+const RECENT_JOBS: usize = 3;
 /// Items of the largest job.
 const MAX_ITEMS: u64 = 12;
 /// Items of the largest part.
@@ -48,6 +50,8 @@
     pub cancel_share: f64,
     /// Share of items that are not to be repeated.
     pub once_share: f64,
+    /// Share of operations on earlier jobs that concern one of the latest.
+    pub recent_share: f64,
     /// Whether answers that take long are waited for in vain.
     pub impatient: bool,
 }
@@ -61,6 +65,7 @@
             resend_share: 0.15,
             cancel_share: 0.07,
             once_share: 0.3,
+            recent_share: 0.5,
             impatient: false,
         }
     }
@@ -170,7 +175,12 @@
             self.add_job(cluster);
             return Some((Work::Submit { from: 0 }, self.jobs.len() - 1));
         }
-        let job = rng.below(self.jobs.len());
+        let count = self.jobs.len();
+        let job = if rng.chance(style.recent_share) {
+            count - 1 - rng.below(count.min(RECENT_JOBS))
+        } else {
+            rng.below(count)
+        };
         let known = self.jobs[job].id.is_some();
         let work = if !known || rng.chance(style.resend_share) {
             Work::Submit { from: 0 }
--- a/crates/pinerill-sim/src/scenarios/job_faults.rs
+++ b/crates/pinerill-sim/src/scenarios/job_faults.rs
@@ -4,7 +4,7 @@
 
 use super::jobs::Setup;
 use super::planning::{bad_links, client_fault, crash, direction, target, Planner, FIRST_MS};
-use crate::cluster::{ClientFault, Fault, PlannedFault, Target};
+use crate::cluster::{ClientFault, Direction, Fault, PlannedFault, Target};
 use crate::random::SimRng;
 
 fn planner<'a>(rng: &'a mut SimRng, setup: &'a mut Setup) -> Planner<'a> {
@@ -145,11 +145,16 @@
     });
 }
 
+/// Some leaders freeze besides, and go on while they are cut off: the group
+/// has another leader by then, and nobody has told them.
 pub(super) fn silent_cut(rng: &mut SimRng, setup: &mut Setup) {
-    setup.workload.style.new_share = 0.2;
-    setup.workload.style.cancel_share = 0.15;
-    setup.workload.style.min_pause_ms = 5;
-    setup.workload.style.max_pause_ms = 120;
+    setup.workload.callers = 5;
+    setup.workload.style.new_share = 0.06;
+    setup.workload.style.resend_share = 0.05;
+    setup.workload.style.cancel_share = 0.1;
+    setup.workload.style.recent_share = 0.95;
+    setup.workload.style.min_pause_ms = 1;
+    setup.workload.style.max_pause_ms = 60;
     let mut planner = planner(rng, setup);
     planner.faults(5, |rng| Fault::Cut {
         target: Target::Leader,
@@ -157,7 +162,23 @@
         clients: rng.chance(0.2),
         duration_ms: rng.between(1_000, 6_000),
     });
-    planner.faults(3, freeze);
+    for _ in 0..5 {
+        let at_ms = planner.moment();
+        let duration_ms = planner.rng.between(1_200, 3_000);
+        let target = Target::Leader;
+        let cut = Fault::Cut {
+            target,
+            direction: Direction::Both,
+            clients: false,
+            duration_ms: duration_ms + 1_000,
+        };
+        let freeze = Fault::Freeze {
+            target,
+            duration_ms,
+        };
+        let faults = [cut, freeze].map(|fault| PlannedFault::at(at_ms, fault));
+        planner.plan.faults.extend(faults);
+    }
 }
 
 pub(super) fn everything(rng: &mut SimRng, setup: &mut Setup) {
