Rehearsal kit: faults tell how requests and items ended

Cause: a verdict over nothing but refusals is clean as well.

Change: each row counts completed, refused and failed requests, and completed, cancelled and indeterminate items. The demo's first token is that of streams only: a whole answer has one delivery.

--- a/crates/pinerill-rehearse/src/demo/summary.rs
+++ b/crates/pinerill-rehearse/src/demo/summary.rs
@@ -34,7 +34,9 @@
         progress: Progress,
     ) -> Self {
         let tokens = all_online(history).map(|record| u64::from(record.tokens));
-        let first_tokens = history.online.iter().filter_map(|one| one.first_token_us);
+        // A whole answer has one delivery, so its first token says nothing.
+        let streamed = history.online.iter().filter(|one| !one.gaps_us.is_empty());
+        let first_tokens = streamed.filter_map(|one| one.first_token_us);
         let items = history.jobs.iter().map(|job| job.items.len());
         Self {
             online: EndCounts::of(all_online(history), u64::MAX),
@@ -79,7 +81,7 @@
         writeln!(formatter, "\nsummary")?;
         writeln!(
             formatter,
-            "  online: {} requests, {} completed, {} tokens; first token p50 {:.0} ms, p99 {:.0} ms",
+            "  online: {} requests, {} completed, {} tokens; first token of streams p50 {:.0} ms, p99 {:.0} ms",
             online.sent, online.completed, self.online_tokens, first.p50, first.p99
         )?;
         writeln!(
--- a/crates/pinerill-rehearse/src/faults/mod.rs
+++ b/crates/pinerill-rehearse/src/faults/mod.rs
@@ -13,10 +13,9 @@
 use anyhow::{ensure, Context};
 use clap::Args;
 
-use crate::check::Verdict;
 use crate::fleet::launcher::Launcher;
 use crate::rehearsal::{until_interrupted, Progress};
-use report::{Report, Row};
+use report::{Played, Report, Row};
 use scenario::Scenario;
 use stage::Stage;
 
@@ -83,7 +82,7 @@
     let result = until_interrupted(work).await?;
     let mut row = Row::new(scenario.name(), scenario.what());
     match result {
-        Ok((operations, verdict)) => row.take(operations, verdict),
+        Ok(played) => row.take(played),
         Err(error) => row.error = Some(format!("{error:#}")),
     }
     if row.is_failed() {
@@ -97,7 +96,7 @@
     scenario: &dyn Scenario,
     launcher: Arc<Launcher>,
     seed: u64,
-) -> anyhow::Result<(u64, Verdict)> {
+) -> anyhow::Result<Played> {
     let progress = Progress::start();
     let mut stage = Stage::start(launcher, &scenario.options(), seed, progress).await?;
     scenario.play(&mut stage).await?;
--- a/crates/pinerill-rehearse/src/faults/report.rs
+++ b/crates/pinerill-rehearse/src/faults/report.rs
@@ -3,9 +3,72 @@
 use std::fmt;
 use std::path::PathBuf;
 
+use pinerill_types::job::ItemState;
 use serde::Serialize;
 
-use crate::check::Verdict;
+use crate::check::{History, Verdict};
+use crate::load::record::EndCounts;
+
+/// How requests and items ended, so that a clean verdict can be told from one
+/// over nothing but refusals.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Outcomes {
+    /// Online requests.
+    pub online: EndCounts,
+    /// Items completed.
+    pub items_completed: u64,
+    /// Items cancelled.
+    pub items_cancelled: u64,
+    /// Items that nobody can tell of.
+    pub items_indeterminate: u64,
+}
+
+impl Outcomes {
+    /// Counts the ends in a history.
+    pub fn of(history: &History) -> Self {
+        let mut outcomes = Self {
+            online: EndCounts::of(history.online.iter(), u64::MAX),
+            ..Self::default()
+        };
+        let lines = history.jobs.iter().flat_map(|job| job.last_reading());
+        for line in lines {
+            match line.state {
+                ItemState::Completed => outcomes.items_completed += 1,
+                ItemState::Cancelled => outcomes.items_cancelled += 1,
+                ItemState::Indeterminate => outcomes.items_indeterminate += 1,
+                ItemState::Pending | ItemState::Leased | ItemState::Failed => {}
+            }
+        }
+        outcomes
+    }
+}
+
+impl fmt::Display for Outcomes {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let online = &self.online;
+        write!(
+            formatter,
+            "online {} completed, {} refused, {} failed; items {} completed, {} cancelled, {} indeterminate",
+            online.completed,
+            online.refused,
+            online.failed + online.wrong,
+            self.items_completed,
+            self.items_cancelled,
+            self.items_indeterminate
+        )
+    }
+}
+
+/// What a scenario that was played to its end came to.
+#[derive(Clone, Debug)]
+pub struct Played {
+    /// Requests, items and operators' commands.
+    pub operations: u64,
+    /// How they ended.
+    pub outcomes: Outcomes,
+    /// What was checked and found.
+    pub verdict: Verdict,
+}
 
 /// What came of one scenario.
 #[derive(Clone, Debug, Serialize)]
@@ -16,6 +79,8 @@
     pub what: &'static str,
     /// Requests, items and operators' commands.
     pub operations: u64,
+    /// How requests and items ended.
+    pub outcomes: Outcomes,
     /// What was checked and found.
     pub verdict: Verdict,
     /// Why it could not be played to its end.
@@ -40,6 +105,7 @@
             scenario,
             what,
             operations: 0,
+            outcomes: Outcomes::default(),
             verdict: Verdict::default(),
             error: None,
             folder: None,
@@ -47,9 +113,10 @@
     }
 
     /// Takes in what came of it.
-    pub fn take(&mut self, operations: u64, verdict: Verdict) {
-        self.operations = operations;
-        self.verdict = verdict;
+    pub fn take(&mut self, played: Played) {
+        self.operations = played.operations;
+        self.outcomes = played.outcomes;
+        self.verdict = played.verdict;
     }
 
     /// Whether a promise was broken or it was not played to its end.
@@ -84,8 +151,9 @@
 impl fmt::Display for Row {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{}", self.verdict)?;
-        if let Some(error) = &self.error {
-            writeln!(formatter, "  {error}")?;
+        match &self.error {
+            Some(error) => writeln!(formatter, "  {error}")?,
+            None => writeln!(formatter, "  {}", self.outcomes)?,
         }
         if let Some(folder) = &self.folder {
             writeln!(
--- a/crates/pinerill-rehearse/src/faults/stage.rs
+++ b/crates/pinerill-rehearse/src/faults/stage.rs
@@ -10,6 +10,7 @@
 use tokio::time::{sleep, Instant};
 
 use super::load::{batch_profile, online_profile, preset};
+use super::report::{Outcomes, Played};
 use crate::check::{
     check_history, Finding, History, JobHistory, LedgerIndex, Run, Verdict, CANCEL_GRACE,
 };
@@ -232,11 +233,10 @@
     }
 
     /// Waits for all load, stops everything in a planned way and checks.
-    /// Returns the number of operations and the verdict.
     ///
     /// # Errors
     /// When something does not end in time.
-    pub async fn end(mut self) -> anyhow::Result<(u64, Verdict)> {
+    pub async fn end(mut self) -> anyhow::Result<Played> {
         self.finish_online().await?;
         self.finish_jobs().await?;
         self.await_cancel_grace().await;
@@ -246,7 +246,11 @@
         verdict.add(Verdict::new(self.findings));
         let items = self.history.jobs.iter().map(|job| job.items.len() as u64);
         let requests = self.history.online.len() as u64;
-        Ok((self.operations + requests + items.sum::<u64>(), verdict))
+        Ok(Played {
+            operations: self.operations + requests + items.sum::<u64>(),
+            outcomes: Outcomes::of(&self.history),
+            verdict,
+        })
     }
 
     /// What starts after a cancel would show only after the grace time.
