--- a/crates/pinerill-sim/src/cluster/core.rs
+++ b/crates/pinerill-sim/src/cluster/core.rs
@@ -37,11 +37,13 @@
     pub(super) faults: BTreeMap<&'static str, u64>,
     pub(super) observed: BTreeMap<&'static str, u64>,
     /// Lost identities that no repair has replaced yet, and their successors.
+    /// A learner that is to be added stands twice.
     pub(super) lost: Vec<(ReplicaId, ReplicaId)>,
     pub(super) frozen_clients: BTreeMap<ClientId, u64>,
     /// Candidacies begun so far.
     pub(super) candidacies: usize,
     pub(super) starts: u64,
+    traced_violations: usize,
     pub(super) next_request: u64,
     open_calls: BTreeMap<CallId, ClientId>,
     next_call: u64,
@@ -72,6 +74,7 @@
             frozen_clients: BTreeMap::new(),
             candidacies: 0,
             starts: 0,
+            traced_violations: 0,
             next_request: 0,
             open_calls: BTreeMap::new(),
             next_call: 0,
@@ -84,7 +87,7 @@
     }
 
     fn found(&mut self) {
-        for _ in 0..self.settings.machines {
+        for _ in 0..self.settings.machines + self.settings.learners {
             let replica = self.new_replica();
             let clock = LocalClock::new(0, self.settings.skew_ppm, &mut self.rng);
             self.machines.push(Machine {
@@ -95,11 +98,14 @@
                 frozen_until_ms: 0,
             });
         }
-        let founders: Vec<ReplicaId> = self.machines.iter().map(|one| one.replica).collect();
-        for place in 0..founders.len() {
-            self.start_process(place, &founders);
+        let replicas: Vec<ReplicaId> = self.machines.iter().map(|one| one.replica).collect();
+        let (founders, learners) = replicas.split_at(self.settings.machines);
+        for place in 0..replicas.len() {
+            let is_founder = place < founders.len();
+            self.start_process(place, if is_founder { founders } else { &[] });
             self.machines[place].store.sync();
         }
+        self.lost.extend(learners.iter().map(|one| (*one, *one)));
     }
 
     pub(super) fn new_replica(&mut self) -> ReplicaId {
@@ -140,8 +146,6 @@
 
     /// Records a broken rule.
     pub fn violate(&mut self, rule: &'static str, detail: String) {
-        self.trace
-            .note(self.now_ms, || format!("VIOLATION {rule}: {detail}"));
         self.checks.violate(self.now_ms, rule, detail);
     }
 
@@ -155,6 +159,16 @@
         self.trace.note(self.now_ms, text);
     }
 
+    /// Adds the violations of the last event to the trace.
+    pub(super) fn trace_violations(&mut self) {
+        for violation in self.checks.violations().iter().skip(self.traced_violations) {
+            self.trace.note(violation.at_ms, || {
+                format!("VIOLATION {}: {}", violation.rule, violation.detail)
+            });
+        }
+        self.traced_violations = self.checks.violations().len();
+    }
+
     /// Commands that were applied for the first time since the last call.
     pub(super) fn take_applied(&mut self) -> Vec<Applied> {
         let mut log = self.applied.lock();
