Placement gives no order before the first signed bundle

Cause: between founding and the first bundle the plan was that of an empty bundle, so engines that held models already were told to unload them, and loaded them again at the weight store's rate: 4 at a time, some 12 s for 50 engines. A fleet that serves already would lose its models to a bootstrap.

Change: a round ends before any question to an engine while the bundle in force is the founding one, which names operators only.

--- a/crates/pinerill-control/src/placement/runner.rs
+++ b/crates/pinerill-control/src/placement/runner.rs
@@ -21,6 +21,8 @@
 const QUIET_ROUNDS: u32 = 10;
 /// Longest time for one question to an engine.
 const ENGINE_TIME: Duration = Duration::from_secs(2);
+/// Version of the founding bundle, which names operators only.
+const FOUNDING_VERSION: u64 = 0;
 /// Questions in flight.
 const CONCURRENT_QUESTIONS: usize = 64;
 
@@ -37,7 +39,8 @@
     /// The term in which this machine leads the meta group, confirmed by a
     /// read barrier; none when it does not lead.
     async fn confirmed_term(&self) -> Option<PlacementTerm>;
-    /// Version of the bundle in force.
+    /// Version of the bundle in force; 0 until the first one after the
+    /// founding, and no order is given before that.
     fn bundle_version(&self) -> u64;
     /// Its models.
     fn models(&self) -> Models;
@@ -111,6 +114,11 @@
             return;
         }
         let version = self.source.bundle_version();
+        if version == FOUNDING_VERSION {
+            // Nobody has signed yet what engines should hold. Engines that
+            // serve already must not lose their models to a bootstrap.
+            return;
+        }
         let engines = self.observe().await;
         let models = self.source.models();
         let orders = plan(&models, &engines, self.concurrent_loads);
