--- a/crates/pinerill-control/src/placement/runner.rs
+++ b/crates/pinerill-control/src/placement/runner.rs
@@ -23,6 +23,8 @@
 const QUIET_ROUNDS: u32 = 30;
 /// Longest time for one question to an engine.
 const ENGINE_TIME: Duration = Duration::from_secs(2);
+/// Version of the founding bundle, which names operators only.
+const FOUNDING_VERSION: u64 = 0;
 /// Questions in flight.
 const CONCURRENT_QUESTIONS: usize = 64;
 
@@ -41,7 +43,8 @@
     async fn confirmed_term(&self) -> Option<PlacementTerm>;
     /// Grows with each change of the list of workers.
     fn workers_revision(&self) -> u64;
-    /// Version of the bundle in force.
+    /// Version of the bundle in force; 0 until the first one after the
+    /// founding, and no order is given before that.
     fn bundle_version(&self) -> u64;
     /// Its models.
     fn models(&self) -> Models;
@@ -128,6 +131,11 @@
             return;
         }
         let situation = self.situation();
+        if situation.bundle_version == FOUNDING_VERSION {
+            // Nobody has signed yet what engines should hold. Engines that
+            // serve already must not lose their models to a bootstrap.
+            return;
+        }
         let engines = self.observe().await;
         let engine_count = engines.len() as u64;
         let Some(planned) = self.plan(engines).await else {
