--- a/crates/pinerill-sim/src/bundle/operator_answers.rs
+++ b/crates/pinerill-sim/src/bundle/operator_answers.rs
@@ -46,7 +46,8 @@
                 self.retry(cluster, place);
             }
             CallResult::Proposed(Err(ProposeError::Unknown)) | CallResult::TimedOut => {
-                running.unsure = true;
+                let wrong = ShellDefect::UnknownCountsAsNotDone;
+                running.unsure |= !has_shell_defect(cluster.defect(), wrong);
                 self.retry(cluster, None);
             }
             // Nothing was done, or nothing can have been.
--- a/crates/pinerill-sim/src/defect.rs
+++ b/crates/pinerill-sim/src/defect.rs
@@ -32,6 +32,8 @@
     DecidedCountsAsAccepted,
     /// A proposal sent again is refused although it was the one that won.
     ResentCountsAsConflict,
+    /// A proposal without an answer counts as not done.
+    UnknownCountsAsNotDone,
     /// Table writes count as visible before they are.
     TableReportedBeforeSync,
     /// Table writes are queued behind the snapshot that covers them.
--- a/crates/pinerill-sim/src/registry.rs
+++ b/crates/pinerill-sim/src/registry.rs
@@ -108,6 +108,11 @@
             ShellDefect::DecidedCountsAsAccepted,
             "racing_operators",
         ),
+        shell(
+            "unknown_counts_as_not_done",
+            ShellDefect::UnknownCountsAsNotDone,
+            "everything_at_once",
+        ),
         shell(
             "resent_counts_as_conflict",
             ShellDefect::ResentCountsAsConflict,
