Tests: ports of nodes and stand-ins lie below those of outgoing connections

An address taken by binding port 0 and letting it go can be given to an outgoing connection of another test before the node binds it.

Change: ports come from 12000 to 29999, in turn, starting at a place that depends on the process.

--- a/crates/pinerill-node/tests/support/mod.rs
+++ b/crates/pinerill-node/tests/support/mod.rs
@@ -8,6 +8,7 @@
 pub mod worker;
 
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,6 +25,9 @@
 pub const KEY: &str = "crew-key";
 /// Longest wait for a condition; reaching it fails the test.
 const PATIENCE: Duration = Duration::from_secs(20);
+const FIRST_PORT: u16 = 12_000;
+const PORTS: u32 = 18_000;
+const PORTS_PER_PROCESS: u32 = 128;
 const LOOK_PAUSE: Duration = Duration::from_millis(5);
 
 /// Waits until `condition` holds.
@@ -62,10 +66,18 @@
     Bundle::from_toml(&text).expect("a bundle")
 }
 
-/// An address of loopback that was free just now.
+/// An address of loopback that is free, and that no outgoing connection takes:
+/// it lies below the range from which the system gives those their ports.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("bound")
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = std::process::id().wrapping_mul(PORTS_PER_PROCESS) % PORTS;
+    loop {
+        let turn = u32::from(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = FIRST_PORT + ((first + turn) % PORTS) as u16;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("bound");
+        }
+    }
 }
 
 /// A running node.
