--- a/crates/pinerill-sim/src/cluster/settings.rs
+++ b/crates/pinerill-sim/src/cluster/settings.rs
@@ -13,8 +13,10 @@
 /// Settings of a simulated cluster.
 #[derive(Clone, Debug)]
 pub struct ClusterSettings {
-    /// Control machines; all vote at first.
+    /// Control machines that vote at first.
     pub machines: usize,
+    /// Further control machines that only learn.
+    pub learners: usize,
     /// Links when no fault is on them.
     pub quality: LinkQuality,
     /// Shortest time of a sync, milliseconds.
@@ -29,6 +31,10 @@
     pub compaction_margin: u64,
     /// Bounds of the driver.
     pub driver: DriverSettings,
+    /// Shortest election timeout, milliseconds.
+    pub election_min_ms: u64,
+    /// Longest election timeout, milliseconds.
+    pub election_max_ms: u64,
     /// Largest deviation of clocks, parts per million.
     pub skew_ppm: i64,
 }
@@ -37,6 +43,7 @@
     fn default() -> Self {
         ClusterSettings {
             machines: 5,
+            learners: 0,
             quality: LinkQuality::GOOD,
             min_sync_ms: 1,
             max_sync_ms: 8,
@@ -48,6 +55,8 @@
                 snapshot_bytes: 1 << 20,
                 snapshot_chunk_bytes: 700,
             },
+            election_min_ms: 500,
+            election_max_ms: 1_000,
             skew_ppm: MAX_SKEW_PPM,
         }
     }
@@ -56,6 +65,8 @@
 impl ClusterSettings {
     pub(super) fn replica_config(&self, id: ReplicaId, seed: u64) -> ReplicaConfig {
         let mut config = ReplicaConfig::new(id, GROUP, seed);
+        config.election_min_ms = self.election_min_ms;
+        config.election_max_ms = self.election_max_ms;
         config.max_append_bytes = self.max_append_bytes;
         config.compaction_margin = self.compaction_margin;
         config
