--- a/crates/pinerill-sim/src/cluster/settings.rs
+++ b/crates/pinerill-sim/src/cluster/settings.rs
@@ -80,4 +80,7 @@
     pub duration_ms: u64,
     /// Faults, and when they happen.
     pub faults: Vec<PlannedFault>,
+    /// Longest time until everything has come to rest after the last fault,
+    /// virtual milliseconds.
+    pub rest_limit_ms: u64,
 }
--- a/crates/pinerill-sim/src/scenarios/bundles.rs
+++ b/crates/pinerill-sim/src/scenarios/bundles.rs
@@ -13,6 +13,10 @@
 /// virtual milliseconds.
 const DURATION_MS: u64 = 15_000;
 
+/// Longest time until everything rests after the last fault, virtual
+/// milliseconds.
+const REST_LIMIT_MS: u64 = 10_000;
+
 /// What a scenario starts from.
 #[derive(Clone, Debug)]
 pub(super) struct Setup {
@@ -33,6 +37,7 @@
             plan: Plan {
                 duration_ms: DURATION_MS,
                 faults: Vec::new(),
+                rest_limit_ms: REST_LIMIT_MS,
             },
         }
     }
--- a/crates/pinerill-sim/src/scenarios/jobs.rs
+++ b/crates/pinerill-sim/src/scenarios/jobs.rs
@@ -1,6 +1,8 @@
 //! Jobs under faults: one scenario for each line of what fails and for each
 //! promise about items.
 
+use pinerill_node::batch::LEASE_MS;
+
 use super::job_faults as faults;
 use crate::cluster::{Cluster, ClusterSettings, Plan, Simulation};
 use crate::defect::Defect;
@@ -13,6 +15,10 @@
 /// virtual milliseconds.
 const DURATION_MS: u64 = 30_000;
 
+/// Longest time until everything rests after the last fault, virtual
+/// milliseconds: a lease that nobody holds any more runs out first.
+const REST_LIMIT_MS: u64 = LEASE_MS + 10_000;
+
 /// What a scenario starts from.
 pub(super) struct Setup {
     pub(super) cluster: ClusterSettings,
@@ -35,6 +41,7 @@
             plan: Plan {
                 duration_ms: DURATION_MS,
                 faults: Vec::new(),
+                rest_limit_ms: REST_LIMIT_MS,
             },
         }
     }
