Job service: leases lapse after a leader whose clock was ahead; reads off the

async threads

Cause: upkeep compared wall time with the group's time. After a leader whose clock was an hour ahead nothing was due for an hour unless somebody else wrote, so leases of dead nodes did not lapse. Pages of results and inputs were read from the store on the runtime's own threads.

Change: upkeep stamps as proposals do (Stamper: wall time, never less than the group's time plus what has passed). Table reads go to blocking threads.

--- a/crates/pinerill-control/src/job/maintenance.rs
+++ b/crates/pinerill-control/src/job/maintenance.rs
@@ -6,7 +6,8 @@
 
 use super::command::{JobCommand, JobReply};
 use super::machine::JobMachine;
-use super::proposer::{wall_ms, JobProposer};
+use super::proposer::JobProposer;
+use super::stamper::Stamper;
 use crate::host::GroupHandle;
 
 /// How often it is looked whether something is due.
@@ -16,6 +17,7 @@
 pub(super) fn start(group: GroupHandle<JobMachine>, proposer: &JobProposer) {
     let proposer = proposer.downgrade();
     tokio::spawn(async move {
+        let mut stamper = Stamper::new(group.clone());
         let mut ticks = tokio::time::interval(INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -24,15 +26,19 @@
                 return;
             };
             if group.status().leads() {
-                maintain(&group, &proposer).await;
+                maintain(&group, &proposer, &mut stamper).await;
             }
         }
     });
 }
 
 /// Goes on until nothing is due, or the group is not led from here any more.
-async fn maintain(group: &GroupHandle<JobMachine>, proposer: &JobProposer) {
-    while group.with_machine(|machine| machine.is_maintenance_due(wall_ms())) {
+async fn maintain(group: &GroupHandle<JobMachine>, proposer: &JobProposer, stamper: &mut Stamper) {
+    loop {
+        let stamp_ms = stamper.stamp();
+        if !group.with_machine(|machine| machine.is_maintenance_due(stamp_ms)) {
+            return;
+        }
         match proposer.propose(JobCommand::Maintain).await {
             Ok(JobReply::Maintained { more: true }) => {}
             _ => return,
--- a/crates/pinerill-control/src/job/mod.rs
+++ b/crates/pinerill-control/src/job/mod.rs
@@ -26,6 +26,7 @@
 mod read;
 mod record;
 mod service;
+mod stamper;
 mod submit;
 mod table;
 mod tenant;
--- a/crates/pinerill-control/src/job/proposer.rs
+++ b/crates/pinerill-control/src/job/proposer.rs
@@ -1,15 +1,12 @@
 //! Proposes gathered commands and hands the replies back.
 
-use std::time::{SystemTime, UNIX_EPOCH};
-
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
-use tokio::time::Instant;
 
 use super::batcher::{CommandBatch, CommandBatcher};
-use super::clock::StampSource;
 use super::command::{JobCommand, JobEntry, JobReplies, JobReply};
 use super::machine::JobMachine;
+use super::stamper::Stamper;
 use crate::codec::{decode, encode};
 use crate::host::{GroupHandle, ProposeError};
 
@@ -35,10 +32,9 @@
     pub fn start(group: GroupHandle<JobMachine>) -> Self {
         let (submissions, inbox) = mpsc::channel(INTAKE_LIMIT);
         let task = ProposerTask {
+            stamper: Stamper::new(group.clone()),
             group,
             batcher: CommandBatcher::default(),
-            stamps: StampSource::default(),
-            started: Instant::now(),
             under_way: JoinSet::new(),
         };
         tokio::spawn(task.run(inbox));
@@ -80,8 +76,7 @@
 struct ProposerTask {
     group: GroupHandle<JobMachine>,
     batcher: CommandBatcher<Waiter>,
-    stamps: StampSource,
-    started: Instant,
+    stamper: Stamper,
     under_way: JoinSet<()>,
 }
 
@@ -117,7 +112,7 @@
 
     fn propose(&mut self, batch: CommandBatch<Waiter>) {
         let entry = JobEntry {
-            now_ms: self.stamp(),
+            now_ms: self.stamper.stamp(),
             commands: batch.commands,
         };
         let group = self.group.clone();
@@ -127,18 +122,6 @@
             hand_back(waiters, answer);
         });
     }
-
-    fn stamp(&mut self) -> u64 {
-        let elapsed_ms = self.started.elapsed().as_millis() as u64;
-        let group_ms = self.group.with_machine(JobMachine::now_ms);
-        self.stamps.stamp(wall_ms(), elapsed_ms, group_ms)
-    }
-}
-
-/// Wall time, Unix milliseconds.
-pub(super) fn wall_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| since.as_millis() as u64)
 }
 
 fn hand_back(waiters: Vec<Waiter>, answer: Result<Vec<u8>, ProposeError>) {
--- a/crates/pinerill-control/src/job/service.rs
+++ b/crates/pinerill-control/src/job/service.rs
@@ -17,7 +17,7 @@
 use super::maintenance;
 use super::proposer::JobProposer;
 use super::read::{read_leased, read_page, LeasePlan};
-use crate::host::{GroupHandle, ProposeError, ReadError};
+use crate::host::{GroupHandle, ProposeError, ReadError, TableReader};
 
 /// When to come back to a group that is busy or has no leader, milliseconds.
 const RETRY_AFTER_MS: u64 = 100;
@@ -104,20 +104,34 @@
         let plans = self
             .group
             .with_machine(|machine| machine.plan_lease(attempts));
-        if let Some(items) = self.read_leased(&plans)? {
+        let plans = Arc::new(plans);
+        if let Some(items) = self.read_leased(&plans).await? {
             return Ok(Response::LeaseItems(LeaseItemsResponse { items }));
         }
         let barrier = self.group.read_barrier().await;
         barrier.map_err(|error| Failure::AfterCommit(error.into()))?;
-        let items = self.read_leased(&plans)?;
+        let items = self.read_leased(&plans).await?;
         let items = items.ok_or_else(|| Failure::AfterCommit(anyhow!("an input is missing")))?;
         Ok(Response::LeaseItems(LeaseItemsResponse { items }))
     }
 
-    fn read_leased(&self, plans: &[LeasePlan]) -> Result<Option<Vec<LeasedItem>>, Failure> {
-        let table = self.group.table();
-        let table = table.map_err(|error| Failure::AfterCommit(error.into()))?;
-        read_leased(plans, &table).map_err(Failure::AfterCommit)
+    async fn read_leased(
+        &self,
+        plans: &Arc<Vec<LeasePlan>>,
+    ) -> Result<Option<Vec<LeasedItem>>, Failure> {
+        let plans = plans.clone();
+        let read = self.read_table(move |table| read_leased(&plans, table));
+        read.await.map_err(Failure::AfterCommit)
+    }
+
+    /// Reads the table on a thread that may wait for the disk.
+    async fn read_table<T: Send + 'static>(
+        &self,
+        read: impl FnOnce(&TableReader) -> anyhow::Result<T> + Send + 'static,
+    ) -> anyhow::Result<T> {
+        let group = self.group.clone();
+        let task = tokio::task::spawn_blocking(move || read(&group.table()?));
+        task.await?
     }
 
     async fn status(&self, ask: &JobStatusRequest) -> Result<Response, Failure> {
@@ -139,7 +153,8 @@
         self.group.read_barrier().await?;
         let plan = || self.group.with_machine(|machine| machine.plan_page(ask));
         let planned = plan().ok_or(Rejection::NotFound(ask.job))?;
-        let page = read_page(planned, &self.group.table()?)?;
+        let page = self.read_table(move |table| read_page(planned, table));
+        let page = page.await?;
         // The table is never ahead of the machine: a job that the machine
         // still has was whole in the table.
         plan().ok_or(Rejection::NotFound(ask.job))?;
