Checks: what a cancel may leave indeterminate

The check was wrong: an item not to be repeated that is leased when the cancel commits may have run, and the job machine says so by design ('cancelled while leased').

Change: replaced by one as strict. The answer to the cancel counts the indeterminate items; the output must have exactly as many, so none may become so later, nor be forgotten. Without a cancel or a loss, one is a violation as before.

Tests: a new one for more and fewer than counted; with the comparison broken it fails.

--- a/crates/pinerill-rehearse/src/bench/batch_load.rs
+++ b/crates/pinerill-rehearse/src/bench/batch_load.rs
@@ -7,7 +7,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep_until, Instant};
 
-use crate::check::JobHistory;
+use crate::check::{Cancel, JobHistory};
 use crate::ledger::unix_us;
 use crate::load::content::{BatchItem, ContentContext};
 use crate::load::job_client::{job_lines, JobClient};
@@ -69,8 +69,11 @@
             };
             let view = self.client.status(&id).await?;
             if view.counts.pending + view.counts.leased > 0 {
-                self.client.cancel_until_acknowledged(&id, END_TIME).await?;
-                job.cancelled_us = Some(unix_us());
+                let view = self.client.cancel_until_acknowledged(&id, END_TIME).await?;
+                job.cancel = Some(Cancel {
+                    answered_us: unix_us(),
+                    indeterminate: view.counts.indeterminate,
+                });
             }
         }
         for job in jobs {
--- a/crates/pinerill-rehearse/src/check/cancel.rs
+++ b/crates/pinerill-rehearse/src/check/cancel.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use pinerill_types::job::JobState;
+use pinerill_types::job::{ItemState, JobState};
 
-use super::history::{History, JobHistory};
+use super::history::{Cancel, History, Indeterminate, JobHistory};
 use super::ledger_index::LedgerIndex;
 use super::verdict::Finding;
 
@@ -17,9 +17,10 @@
 pub fn check_cancelled(history: &History, ledger: &LedgerIndex) -> Finding {
     let mut finding = Finding::new("cancelled jobs stop");
     for job in &history.jobs {
-        if let Some(cancelled_us) = job.cancelled_us {
+        if let Some(cancel) = &job.cancel {
             check_state(job, &mut finding);
-            check_items(job, cancelled_us, ledger, &mut finding);
+            check_indeterminate(job, cancel, history.indeterminate, &mut finding);
+            check_items(job, cancel.answered_us, ledger, &mut finding);
         }
     }
     finding
@@ -37,6 +38,24 @@
     }
 }
 
+/// Only items that were leased when the cancel was committed may be
+/// indeterminate because of it, so none becomes so after its answer.
+fn check_indeterminate(
+    job: &JobHistory,
+    cancel: &Cancel,
+    allowed: Indeterminate,
+    finding: &mut Finding,
+) {
+    let lines = job.last_reading().iter();
+    let found = lines.filter(|line| line.state == ItemState::Indeterminate);
+    let found = found.count();
+    if allowed == Indeterminate::Never && found != cancel.indeterminate as usize {
+        let answered = cancel.indeterminate;
+        let detail = format!("{found} indeterminate items, {answered} when it was cancelled");
+        finding.violate(&job.key, detail);
+    }
+}
+
 fn check_items(job: &JobHistory, cancelled_us: u64, ledger: &LedgerIndex, finding: &mut Finding) {
     let limit = cancelled_us + CANCEL_GRACE.as_micros() as u64;
     for item in &job.items {
--- a/crates/pinerill-rehearse/src/check/history.rs
+++ b/crates/pinerill-rehearse/src/check/history.rs
@@ -40,14 +40,24 @@
     pub id: Option<String>,
     /// What was submitted.
     pub items: Vec<ItemExpectation>,
-    /// When the cancel was answered, Unix time in microseconds.
-    pub cancelled_us: Option<u64>,
+    /// Its cancel, once that was answered.
+    pub cancel: Option<Cancel>,
     /// Its state when it was read last.
     pub state: Option<JobState>,
     /// The output as it was read, oldest reading first.
     pub readings: Vec<Vec<ItemObservation>>,
 }
 
+/// The cancel of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cancel {
+    /// When it was answered, Unix time in microseconds.
+    pub answered_us: u64,
+    /// Items that the answer counted as indeterminate: not to be repeated, and
+    /// leased at that moment or before.
+    pub indeterminate: u32,
+}
+
 /// One submitted item and its right answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ItemExpectation {
@@ -93,7 +103,7 @@
             key: key.into(),
             id: None,
             items: items.iter().map(ItemExpectation::of).collect(),
-            cancelled_us: None,
+            cancel: None,
             state: None,
             readings: Vec::new(),
         }
--- a/crates/pinerill-rehearse/src/check/jobs.rs
+++ b/crates/pinerill-rehearse/src/check/jobs.rs
@@ -102,15 +102,17 @@
         match line.state {
             ItemState::Completed => self.wrong_answer(item, line),
             ItemState::Cancelled => {
-                let never_cancelled = self.job.cancelled_us.is_none();
+                let never_cancelled = self.job.cancel.is_none();
                 never_cancelled.then(|| "cancelled, but its job was not".to_owned())
             }
             ItemState::Indeterminate if !item.at_most_once => {
                 Some("indeterminate, but it may be repeated".to_owned())
             }
             ItemState::Indeterminate => {
-                let never = self.indeterminate == Indeterminate::Never;
-                never.then(|| "indeterminate, but nothing was lost".to_owned())
+                // How many a cancel may leave is checked with the cancel.
+                let explained =
+                    self.job.cancel.is_some() || self.indeterminate == Indeterminate::Allowed;
+                (!explained).then(|| "indeterminate, but nothing was lost".to_owned())
             }
             ItemState::Failed => Some("failed".to_owned()),
             ItemState::Pending | ItemState::Leased => Some("has not ended".to_owned()),
--- a/crates/pinerill-rehearse/src/check/mod.rs
+++ b/crates/pinerill-rehearse/src/check/mod.rs
@@ -17,7 +17,7 @@
 pub use at_most_once::check_at_most_once;
 pub use cancel::{check_cancelled, CANCEL_GRACE};
 pub use history::{
-    History, Indeterminate, ItemExpectation, ItemObservation, JobHistory, LeavingWorker,
+    Cancel, History, Indeterminate, ItemExpectation, ItemObservation, JobHistory, LeavingWorker,
 };
 pub use jobs::check_jobs;
 pub use leaving::{check_leaving, LEAVING_LIMIT};
--- a/crates/pinerill-rehearse/src/faults/scenarios/jobs.rs
+++ b/crates/pinerill-rehearse/src/faults/scenarios/jobs.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use futures::future::join_all;
 
-use crate::check::JobHistory;
+use crate::check::{Cancel, JobHistory};
 use crate::faults::scenario::Scenario;
 use crate::faults::stage::Stage;
 use crate::ledger::unix_us;
@@ -110,9 +110,12 @@
         stage.pause(EARLIEST, LATEST).await;
         stage.read_jobs().await?;
         let client = stage.jobs();
-        client.cancel_until_acknowledged(&id, CALL_TIME).await?;
+        let view = client.cancel_until_acknowledged(&id, CALL_TIME).await?;
         stage.step("the cancel is acknowledged");
-        stage.history.jobs[0].cancelled_us = Some(unix_us());
+        stage.history.jobs[0].cancel = Some(Cancel {
+            answered_us: unix_us(),
+            indeterminate: view.counts.indeterminate,
+        });
         stage.operations += 1;
         stage.finish_jobs().await?;
         let ended = stage.history.jobs[0].last_reading();
--- a/crates/pinerill-rehearse/src/faults/stage.rs
+++ b/crates/pinerill-rehearse/src/faults/stage.rs
@@ -255,8 +255,8 @@
 
     /// What starts after a cancel would show only after the grace time.
     async fn await_cancel_grace(&self) {
-        let cancels = self.history.jobs.iter().filter_map(|job| job.cancelled_us);
-        let Some(last) = cancels.max() else {
+        let cancels = self.history.jobs.iter().filter_map(|job| job.cancel);
+        let Some(last) = cancels.map(|cancel| cancel.answered_us).max() else {
             return;
         };
         let due = last + 2 * CANCEL_GRACE.as_micros() as u64;
--- a/crates/pinerill-rehearse/tests/history_checks.rs
+++ b/crates/pinerill-rehearse/tests/history_checks.rs
@@ -2,8 +2,8 @@
 //! history that keeps them all.
 
 use pinerill_rehearse::check::{
-    check_history, yield_times, History, ItemObservation, JobHistory, LeavingWorker, LedgerIndex,
-    Verdict, CANCEL_GRACE, LEAVING_LIMIT,
+    check_history, yield_times, Cancel, History, ItemObservation, JobHistory, LeavingWorker,
+    LedgerIndex, Verdict, CANCEL_GRACE, LEAVING_LIMIT,
 };
 use pinerill_rehearse::engine::messages::Priority;
 use pinerill_rehearse::ledger::{LedgerEvent, LedgerLine};
@@ -122,6 +122,14 @@
     (history, lines)
 }
 
+/// A cancel that left no item indeterminate.
+fn cancel(answered_us: u64) -> Option<Cancel> {
+    Some(Cancel {
+        answered_us,
+        indeterminate: 0,
+    })
+}
+
 /// The verdict over the good history after a change.
 fn verdict(change: impl FnOnce(&mut History, &mut Vec<LedgerLine>)) -> Verdict {
     let (mut history, mut lines) = good();
@@ -255,12 +263,12 @@
     let late = CANCEL_GRACE.as_micros() as u64 + 1;
     let found = verdict(|history, _| {
         let job = &mut history.jobs[0];
-        job.cancelled_us = Some(5);
+        job.cancel = cancel(5);
         job.state = Some(JobState::InProgress);
     });
     assert_found(&found, "cancelled jobs stop", "its state is");
     let found = verdict(|history, lines| {
-        history.jobs[0].cancelled_us = Some(5);
+        history.jobs[0].cancel = cancel(5);
         for line in lines {
             line.time_us += late;
             line.arrived_us = 0;
@@ -271,7 +279,7 @@
     });
     assert_found(&found, "cancelled jobs stop", "after the cancel");
     let found = verdict(|history, lines| {
-        history.jobs[0].cancelled_us = Some(20);
+        history.jobs[0].cancel = cancel(20);
         let content = history.jobs[0].items[0].content.clone();
         history.jobs[0].readings.iter_mut().for_each(|reading| {
             reading[0].state = ItemState::Cancelled;
@@ -281,6 +289,36 @@
     assert_found(&found, "cancelled jobs stop", "still runs");
 }
 
+#[test]
+fn an_item_that_becomes_indeterminate_after_the_cancel_is_found() {
+    let with_counted = |counted| {
+        verdict(move |history, _| {
+            let job = &mut history.jobs[0];
+            job.cancel = cancel(20);
+            job.cancel
+                .iter_mut()
+                .for_each(|one| one.indeterminate = counted);
+            for reading in &mut job.readings {
+                reading[0].state = ItemState::Indeterminate;
+            }
+        })
+    };
+    let late = with_counted(0);
+    assert_found(
+        &late,
+        "cancelled jobs stop",
+        "1 indeterminate items, 0 when",
+    );
+    let forgotten = with_counted(2);
+    assert_found(
+        &forgotten,
+        "cancelled jobs stop",
+        "1 indeterminate items, 2 when",
+    );
+    let right = with_counted(1);
+    assert!(right.is_clean(), "{right}");
+}
+
 #[test]
 fn new_work_at_a_leaving_worker_is_found() {
     let late = 200 + LEAVING_LIMIT.as_micros() as u64 + 1;
