Faults: versions in force are asked of the nodes themselves

The check believed the list of nodes in 'bundle status', which is soft state of the machine that answers, against the rule of these checks.

Change: each of 20 looks asks 'bundle status' for the version and every node's own metrics for what it has in force, twice as many checks as before. That 'bundle status' lists old versions of nodes for a moment at a machine that was frozen stays as a finding for operators.

--- a/crates/pinerill-rehearse/src/faults/scenarios/control.rs
+++ b/crates/pinerill-rehearse/src/faults/scenarios/control.rs
@@ -164,17 +164,22 @@
     bail!("not all {wanted} control machines are reachable after {ELECTION_TIME:?}")
 }
 
-/// No node ever goes back, and what is in force stays so.
+/// No node ever goes back, and what is in force stays so. Nodes are asked
+/// themselves: what `bundle status` says of them is a control machine's soft
+/// state, which lags at one that was frozen.
 async fn check_no_revert(stage: &mut Stage) -> anyhow::Result<()> {
     const LOOKS: usize = 20;
     let version = stage.rehearsal.bundle.version;
     for _ in 0..LOOKS {
         let status = stage.rehearsal.operators.status().await?;
         stage.operations += 1;
-        let lowest = status.nodes.iter().map(|node| node.version).min();
-        let lowest = lowest.unwrap_or(0).min(status.version);
-        let detail = format!("version {lowest} after {version} was in force");
-        stage.expect("no bundle reverts", lowest >= version, "status", detail);
+        let detail = format!("version {} after {version} was in force", status.version);
+        let kept = status.version >= version;
+        stage.expect("no bundle reverts", kept, "bundle status", detail);
+        let nodes = stage.rehearsal.fleet.node_versions().await?;
+        let kept = nodes.iter().all(|node| *node >= version);
+        let detail = format!("versions {nodes:?} after {version} was in force");
+        stage.expect("no bundle reverts", kept, "nodes", detail);
         sleep(LOOK_PAUSE).await;
     }
     Ok(())
--- a/crates/pinerill-rehearse/src/fleet/pinerill/status.rs
+++ b/crates/pinerill-rehearse/src/fleet/pinerill/status.rs
@@ -15,6 +15,8 @@
 const LEADERS_TIME: Duration = Duration::from_secs(30);
 /// Pause between two looks.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
+/// A node's metric of the bundle version that it has in force.
+const NODE_VERSION_METRIC: &str = "pinerill_node_bundle_version";
 /// Longest time for one question.
 const CALL_TIME: Duration = Duration::from_secs(10);
 
@@ -69,6 +71,23 @@
         found.with_context(|| format!("{name} is not among the processes"))
     }
 
+    /// The bundle version that each node says it has in force.
+    ///
+    /// # Errors
+    /// When a node does not answer.
+    pub async fn node_versions(&self) -> anyhow::Result<Vec<u64>> {
+        let client = reqwest::Client::builder().no_proxy().build()?;
+        let mut versions = Vec::new();
+        for node in &self.nodes {
+            let url = format!("http://{}/metrics", node.settings.admin);
+            let response = client.get(&url).send().await;
+            let response = response.with_context(|| format!("reading metrics with {url}"))?;
+            let text = response.text().await?;
+            versions.push(metric(&text, NODE_VERSION_METRIC) as u64);
+        }
+        Ok(versions)
+    }
+
     /// Sum of a metric over all control machines that answer.
     ///
     /// # Errors
