Bench: rates over the time in which load is sent; smaller modules

Change: items, batch tokens and online tokens are counted and divided over the same window for all senders.

Tested: pinerill-rehearse passes, clippy clean.

--- a/crates/pinerill-rehearse/src/bench/figures.rs
+++ b/crates/pinerill-rehearse/src/bench/figures.rs
@@ -6,13 +6,13 @@
 use serde::Serialize;
 
 use super::compare::Comparison;
-use super::meter::{ProcessUsage, ThroughputSample};
+use super::meter::ThroughputSample;
+use super::notes::PhaseNotes;
 use super::phase::Phase;
 use super::quantiles::TailQuantiles;
 use crate::check::{yield_times, LedgerIndex, Run, RunEnd, Verdict};
-use crate::engine::messages::{EngineUsage, Priority};
 use crate::ledger::LedgerLine;
-use crate::load::record::{EndCounts, OnlineEnd, OnlineRecord};
+use crate::load::record::{EndCounts, OnlineRecord};
 use crate::load::schedule::OnlineKind;
 
 /// The letter's bound of the first token's time, microseconds.
@@ -74,7 +74,9 @@
 pub struct PhaseFigures {
     /// The phase.
     pub phase: Phase,
-    /// Its length until the last online answer, seconds.
+    /// Its length until the last online answer, seconds: engines and processes
+    /// are measured over it. Rates of requests and items are over the time in
+    /// which load was sent.
     pub seconds: f64,
     /// How online requests ended.
     pub online: EndCounts,
@@ -144,44 +146,11 @@
     pub worker_cores: f64,
 }
 
-/// What was noted of a phase.
-pub struct PhaseNotes<'a> {
-    /// The phase.
-    pub phase: Phase,
-    /// Online requests.
-    pub online: &'a [OnlineRecord],
-    /// Items that the kit's dispatcher completed.
-    pub batch_completed_by_kit: u64,
-    /// Items that the kit's dispatcher sent again.
-    pub retries_by_kit: u64,
-    /// Length of a batch answer.
-    pub batch_answer_tokens: u32,
-    /// Start, Unix microseconds.
-    pub started_us: u64,
-    /// End, Unix microseconds.
-    pub ended_us: u64,
-    /// Engines at the start.
-    pub usage_before: EngineUsage,
-    /// Engines at the end.
-    pub usage_after: EngineUsage,
-    /// Processes at the start.
-    pub processes_before: ProcessUsage,
-    /// Processes at the end.
-    pub processes_after: ProcessUsage,
-    /// Throughput over time.
-    pub samples: Vec<ThroughputSample>,
-    /// All ledger lines of the run so far.
-    pub ledger: Vec<LedgerLine>,
-    /// Number of engines.
-    pub engines: usize,
-    /// What all engines generate with full slots.
-    pub nominal_tokens_per_second: f64,
-}
-
 impl PhaseFigures {
     /// Works the figures of a phase out.
     pub fn of(notes: &PhaseNotes<'_>) -> Self {
         let seconds = notes.seconds();
+        let window = notes.window.as_secs_f64();
         let short = || {
             notes
                 .online
@@ -215,11 +184,10 @@
             first_token_in_bound: share(first_tokens().map(|one| one <= LATE_FIRST_TOKEN_US)),
             gaps_in_bound: share(gaps().map(|gap| gap <= LATE_GAP_US)),
             first_token_p99_over_time: tail_over_time(short(), notes.started_us),
-            online_tokens_per_second: delivered as f64 / seconds,
-            batch_items_per_second: items as f64 / seconds,
-            batch_tokens_per_second: (items * u64::from(notes.batch_answer_tokens)) as f64
-                / seconds,
-            online_prefill_tokens_per_second: notes.online_prefill() / seconds,
+            online_tokens_per_second: delivered as f64 / window,
+            batch_items_per_second: items as f64 / window,
+            batch_tokens_per_second: (items * u64::from(notes.batch_answer_tokens)) as f64 / window,
+            online_prefill_tokens_per_second: notes.online_prefill() / window,
             busy_share: notes.busy_share(),
             capacity_share: notes.generated() / seconds / notes.nominal_tokens_per_second,
             yield_ms: TailQuantiles::of_microseconds(yield_times(&lines)),
@@ -231,67 +199,6 @@
     }
 }
 
-impl PhaseNotes<'_> {
-    fn seconds(&self) -> f64 {
-        (self.ended_us - self.started_us) as f64 / 1e6
-    }
-
-    /// Ledger lines of the phase.
-    fn lines(&self) -> Vec<LedgerLine> {
-        let inside = |line: &&LedgerLine| {
-            line.arrived_us >= self.started_us && line.time_us <= self.ended_us
-        };
-        self.ledger.iter().filter(inside).cloned().collect()
-    }
-
-    /// Batch items that completed within the phase.
-    fn completed_items(&self) -> u64 {
-        if self.batch_completed_by_kit > 0 {
-            return self.batch_completed_by_kit;
-        }
-        let lines = self.ledger.iter().filter(|line| {
-            line.priority == Priority::Batch
-                && line.event == crate::ledger::LedgerEvent::Finished
-                && (self.started_us..=self.ended_us).contains(&line.time_us)
-        });
-        lines.count() as u64
-    }
-
-    fn generated(&self) -> f64 {
-        let generated =
-            |usage: &EngineUsage| usage.online.generated_tokens + usage.batch.generated_tokens;
-        (generated(&self.usage_after) - generated(&self.usage_before)) as f64
-    }
-
-    fn online_prefill(&self) -> f64 {
-        let (after, before) = (&self.usage_after.online, &self.usage_before.online);
-        (after.prefill_tokens - before.prefill_tokens) as f64
-    }
-
-    fn busy_share(&self) -> f64 {
-        let busy = (self.usage_after.busy_us - self.usage_before.busy_us) as f64 / 1e6;
-        busy / self.seconds() / self.engines as f64
-    }
-
-    fn process_figures(&self) -> ProcessFigures {
-        let (before, after) = (&self.processes_before, &self.processes_after);
-        let seconds = self.seconds();
-        let node_us = (after.nodes.cpu_seconds - before.nodes.cpu_seconds) * 1e6;
-        let completed = self
-            .online
-            .iter()
-            .filter(|one| one.end == OnlineEnd::Completed);
-        ProcessFigures {
-            node_cores: after.nodes.cores_since(&before.nodes, seconds),
-            node_us_per_request: per(node_us, completed.count() as f64),
-            node_us_per_token: per(node_us, self.generated()),
-            largest_node_bytes: after.largest_node_bytes,
-            control_cores: after.controls.cores_since(&before.controls, seconds),
-            worker_cores: after.workers.cores_since(&before.workers, seconds),
-        }
-    }
-}
-
 /// What the runs of a phase say about waste.
 struct PhaseRuns {
     wasted_tokens: u64,
@@ -323,13 +230,6 @@
     }
 }
 
-fn per(amount: f64, count: f64) -> f64 {
-    match count > 0.0 {
-        true => amount / count,
-        false => 0.0,
-    }
-}
-
 /// Share of those that hold; 1 when there are none.
 fn share(holds: impl Iterator<Item = bool>) -> f64 {
     let (mut all, mut good) = (0_u64, 0_u64);
--- a/crates/pinerill-rehearse/src/bench/mod.rs
+++ b/crates/pinerill-rehearse/src/bench/mod.rs
@@ -5,6 +5,7 @@
 mod compare;
 mod figures;
 mod meter;
+mod notes;
 mod phase;
 mod plots;
 mod quantiles;
--- a/crates/pinerill-rehearse/src/bench/run.rs
+++ b/crates/pinerill-rehearse/src/bench/run.rs
@@ -8,8 +8,9 @@
 
 use super::batch_load::BatchLoad;
 use super::compare::Comparison;
-use super::figures::{BenchFigures, MachineFigures, PhaseFigures, PhaseNotes};
+use super::figures::{BenchFigures, MachineFigures, PhaseFigures};
 use super::meter::{await_idle, Meter, ProcessUsage};
+use super::notes::PhaseNotes;
 use super::phase::{Phase, Sender};
 use super::BenchArguments;
 use crate::check::{check_history, History, JobHistory, LedgerIndex};
@@ -138,6 +139,7 @@
             batch_completed_by_kit: batch.kit.completed,
             retries_by_kit: batch.kit.retries,
             batch_answer_tokens: self.profile.batch.answer_tokens,
+            window: self.length,
             started_us,
             ended_us,
             usage_before,
