--- a/crates/pinerill-control/src/job/proposer.rs
+++ b/crates/pinerill-control/src/job/proposer.rs
@@ -32,7 +32,7 @@
     pub fn start(group: GroupHandle<JobMachine>) -> Self {
         let (submissions, inbox) = mpsc::channel(INTAKE_LIMIT);
         let task = ProposerTask {
-            stamper: Stamper::new(group.clone()),
+            stamper: Stamper::new(),
             group,
             batcher: CommandBatcher::default(),
             under_way: JoinSet::new(),
@@ -53,24 +53,6 @@
         sent.map_err(|_| ProposeError::Stopped)?;
         reply.await.unwrap_or(Err(ProposeError::Unknown))
     }
-
-    pub(super) fn downgrade(&self) -> WeakProposer {
-        let submissions = self.submissions.downgrade();
-        WeakProposer { submissions }
-    }
-}
-
-/// A proposer that doesn't keep its task alive.
-pub(super) struct WeakProposer {
-    submissions: mpsc::WeakSender<Submission>,
-}
-
-impl WeakProposer {
-    /// The proposer, unless every other handle is gone.
-    pub(super) fn upgrade(&self) -> Option<JobProposer> {
-        let submissions = self.submissions.upgrade()?;
-        Some(JobProposer { submissions })
-    }
 }
 
 struct ProposerTask {
@@ -112,7 +94,7 @@
 
     fn propose(&mut self, batch: CommandBatch<Waiter>) {
         let entry = JobEntry {
-            now_ms: self.stamper.stamp(),
+            now_ms: self.stamper.stamp(&self.group),
             commands: batch.commands,
         };
         let group = self.group.clone();
--- a/crates/pinerill-control/src/job/service.rs
+++ b/crates/pinerill-control/src/job/service.rs
@@ -41,22 +41,27 @@
 /// last clone.
 #[derive(Clone)]
 pub struct JobService {
-    group: GroupHandle<JobMachine>,
-    proposer: JobProposer,
-    addresses: Arc<dyn ReplicaAddresses>,
+    parts: Arc<ServiceParts>,
+}
+
+/// What the clones of a service share.
+pub(super) struct ServiceParts {
+    pub(super) group: GroupHandle<JobMachine>,
+    pub(super) proposer: JobProposer,
+    addresses: Box<dyn ReplicaAddresses>,
 }
 
 impl JobService {
     /// Starts proposing and upkeep for a group. Must be called within a tokio
     /// runtime.
     pub fn start(group: GroupHandle<JobMachine>, addresses: impl ReplicaAddresses) -> Self {
-        let proposer = JobProposer::start(group.clone());
-        maintenance::start(group.clone(), &proposer);
-        Self {
+        let parts = Arc::new(ServiceParts {
+            proposer: JobProposer::start(group.clone()),
             group,
-            proposer,
-            addresses: Arc::new(addresses),
-        }
+            addresses: Box::new(addresses),
+        });
+        maintenance::start(Arc::downgrade(&parts));
+        Self { parts }
     }
 
     /// Answers a request about jobs.
@@ -79,11 +84,11 @@
     /// Items that wait for a lease, by service, as known here now. Only the
     /// leader's are up to date.
     pub fn backlog(&self) -> Vec<ServiceBacklog> {
-        self.group.with_machine(JobMachine::backlog)
+        self.parts.group.with_machine(JobMachine::backlog)
     }
 
     async fn propose(&self, command: JobCommand) -> Result<Response, Failure> {
-        let reply = self.proposer.propose(command).await?;
+        let reply = self.parts.proposer.propose(command).await?;
         match reply {
             JobReply::Submitted(response) => Ok(Response::SubmitJob(response)),
             JobReply::Leased(attempts) => self.leased(&attempts).await,
@@ -102,13 +107,14 @@
     /// a barrier.
     async fn leased(&self, attempts: &[AttemptRef]) -> Result<Response, Failure> {
         let plans = self
+            .parts
             .group
             .with_machine(|machine| machine.plan_lease(attempts));
         let plans = Arc::new(plans);
         if let Some(items) = self.read_leased(&plans).await? {
             return Ok(Response::LeaseItems(LeaseItemsResponse { items }));
         }
-        let barrier = self.group.read_barrier().await;
+        let barrier = self.parts.group.read_barrier().await;
         barrier.map_err(|error| Failure::AfterCommit(error.into()))?;
         let items = self.read_leased(&plans).await?;
         let items = items.ok_or_else(|| Failure::AfterCommit(anyhow!("an input is missing")))?;
@@ -129,14 +135,15 @@
         &self,
         read: impl FnOnce(&TableReader) -> anyhow::Result<T> + Send + 'static,
     ) -> anyhow::Result<T> {
-        let group = self.group.clone();
+        let group = self.parts.group.clone();
         let task = tokio::task::spawn_blocking(move || read(&group.table()?));
         task.await?
     }
 
     async fn status(&self, ask: &JobStatusRequest) -> Result<Response, Failure> {
-        self.group.read_barrier().await?;
+        self.parts.group.read_barrier().await?;
         let status: Option<JobStatus> = self
+            .parts
             .group
             .with_machine(|machine| machine.status(&ask.tenant, ask.job));
         let status = status.ok_or(Rejection::NotFound(ask.job))?;
@@ -144,14 +151,18 @@
     }
 
     async fn list(&self, ask: &ListJobs) -> Result<Response, Failure> {
-        self.group.read_barrier().await?;
-        let jobs = self.group.with_machine(|machine| machine.list(ask));
+        self.parts.group.read_barrier().await?;
+        let jobs = self.parts.group.with_machine(|machine| machine.list(ask));
         Ok(Response::ListJobs(ListJobsResponse { jobs }))
     }
 
     async fn output(&self, ask: &JobOutputRequest) -> Result<Response, Failure> {
-        self.group.read_barrier().await?;
-        let plan = || self.group.with_machine(|machine| machine.plan_page(ask));
+        self.parts.group.read_barrier().await?;
+        let plan = || {
+            self.parts
+                .group
+                .with_machine(|machine| machine.plan_page(ask))
+        };
         let planned = plan().ok_or(Rejection::NotFound(ask.job))?;
         let page = self.read_table(move |table| read_page(planned, table));
         let page = page.await?;
@@ -162,11 +173,11 @@
     }
 
     fn refusal(&self, step: &str, failure: Failure) -> Refusal {
-        let status = self.group.status();
+        let status = self.parts.group.status();
         let peer = format!("group {} at replica {}", status.group, status.replica);
         let mut refusal = Refusal::new(failure.code(), step, peer, &failure);
         let leader = failure.leader();
-        refusal.leader = leader.and_then(|leader| self.addresses.address(leader));
+        refusal.leader = leader.and_then(|leader| self.parts.addresses.address(leader));
         if refusal.code == RefusalCode::Unavailable {
             refusal.retry_after_ms = Some(RETRY_AFTER_MS);
         }
--- a/crates/pinerill-control/src/job/stamper.rs
+++ b/crates/pinerill-control/src/job/stamper.rs
@@ -10,24 +10,22 @@
 
 /// Makes the stamps of one task.
 pub(super) struct Stamper {
-    group: GroupHandle<JobMachine>,
     source: StampSource,
     started: Instant,
 }
 
 impl Stamper {
-    pub(super) fn new(group: GroupHandle<JobMachine>) -> Self {
+    pub(super) fn new() -> Self {
         Self {
-            group,
             source: StampSource::default(),
             started: Instant::now(),
         }
     }
 
     /// The stamp of an entry that is proposed now, Unix milliseconds.
-    pub(super) fn stamp(&mut self) -> u64 {
+    pub(super) fn stamp(&mut self, group: &GroupHandle<JobMachine>) -> u64 {
         let elapsed_ms = self.started.elapsed().as_millis() as u64;
-        let group_ms = self.group.with_machine(JobMachine::now_ms);
+        let group_ms = group.with_machine(JobMachine::now_ms);
         self.source.stamp(wall_ms(), elapsed_ms, group_ms)
     }
 }
--- a/crates/pinerill-control/tests/job_service.rs
+++ b/crates/pinerill-control/tests/job_service.rs
@@ -12,9 +12,10 @@
 use host_support::{eventually, Cluster, WAIT};
 use job_support::{ask, completed, job, part};
 use pinerill_control::codec::encode;
+use pinerill_control::host::GroupHost;
 use pinerill_control::job::{JobEntry, JobMachine, JobService};
 use pinerill_replica::ReplicaId;
-use pinerill_storage::MemoryStore;
+use pinerill_storage::{GroupStore, MemoryStore};
 use pinerill_types::job::{JobState, JobStatus, LeasedItem};
 use pinerill_types::JobId;
 use pinerill_wire::message::{
@@ -307,3 +308,26 @@
         assert_eq!(services.status(id).await.counts.total, number);
     }
 }
+
+/// With the clock paused no time passes while the test only yields.
+#[tokio::test(start_paused = true)]
+async fn service_that_is_gone_holds_nothing_of_the_store() {
+    let voter = ReplicaId(1);
+    let store: Arc<dyn GroupStore> = Arc::new(MemoryStore::synced(voter));
+    let remaining = Arc::downgrade(&store);
+    let network = Arc::<host_support::Network>::default();
+    let host = GroupHost::start(store, network, host_support::settings());
+    let group = host
+        .add_group(host_support::GROUP, &[voter], JobMachine::new(GROUP))
+        .expect("starts");
+    let service = JobService::start(group.clone(), address);
+    eventually("it leads", || group.status().leads().then_some(())).await;
+    let submitted = service.call(Request::SubmitJob(job("anna", "k", 1))).await;
+    assert!(matches!(submitted, Response::SubmitJob(_)));
+    host.halt().await;
+    drop((host, group, service));
+    for _ in 0..100 {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(remaining.strong_count(), 0);
+}
