--- a/crates/pinerill-control/tests/placement_runner.rs
+++ b/crates/pinerill-control/tests/placement_runner.rs
@@ -27,6 +27,10 @@
         Some(PlacementTerm { term: 1 })
     }
 
+    fn workers_revision(&self) -> u64 {
+        0
+    }
+
     fn bundle_version(&self) -> u64 {
         self.asked.notify_one();
         self.version.load(Ordering::Relaxed)
