Settings: every wrong field is named at once

Cause: the reader stopped at the first field of a wrong name or type, so a file with ten mistakes took ten tries; PINERILL_SETTINGS, PINERILL_NODE and PINERILL_KEY_FILE, which the commands' own flags read, were taken for settings and refused; heartbeat_ms near the largest number ended in a panic (multiply with overflow, exit code 101); 0.0.0.0 beside an address with the same port passed.

Change: reading goes on past a wrong field with the example's value in its place, which is never used, and comparisons with it say nothing; times, bodies and ports have bounds; a variable without __ is no setting.

Ruled out: reading each section by hand (a second list of all fields), and a lenient copy of each struct (the same, and it would drift).

--- a/crates/pinerill-types/src/bundle/mod.rs
+++ b/crates/pinerill-types/src/bundle/mod.rs
@@ -20,6 +20,7 @@
 pub use document::{
     Adapter, Bundle, Model, Operator, Policy, Script, Service, Sharing, Tenant, WorkPlacement,
 };
+pub use ed25519_dalek::SigningKey;
 pub use entry::{Entry, EntryKey, EntryKind};
 pub use entry_index::EntryIndex;
 pub use indexed::IndexedBundle;
--- a/crates/pinerill-types/src/settings/check.rs
+++ b/crates/pinerill-types/src/settings/check.rs
@@ -1,6 +1,6 @@
 //! Checks that need more than a field's type.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use super::{ClusterSettings, ControlSettings, LogSettings, NodeSettings, Problem, Settings};
@@ -8,6 +8,12 @@
 
 /// An election must outlast several heartbeats, or a late one starts it.
 const ELECTION_HEARTBEATS: u64 = 3;
+/// Longest time of any setting, milliseconds: a day.
+const LONGEST_MS: u64 = 24 * 60 * 60 * 1_000;
+/// Longest time of any setting, seconds.
+const LONGEST_SECONDS: u64 = LONGEST_MS / 1_000;
+/// Longest body of any setting, KiB: a GiB.
+const LARGEST_KIB: u64 = 1_024 * 1_024;
 /// Levels that the log knows.
 const LOG_LEVELS: [&str; 4] = ["error", "warn", "info", "debug"];
 
@@ -38,6 +44,14 @@
         let expected = "at least one IP:PORT of a control machine";
         problems.push(Problem::new("cluster.controls", "[]", expected));
     }
+    let mut seen = BTreeSet::new();
+    for address in &cluster.controls {
+        check_port("cluster.controls", *address, problems);
+        if !seen.insert(address) {
+            let expected = "each address once";
+            problems.push(Problem::new("cluster.controls", address, expected));
+        }
+    }
 }
 
 fn check_log(log: &LogSettings, problems: &mut Vec<Problem>) {
@@ -45,9 +59,8 @@
         let expected = "error, warn, info or debug";
         problems.push(Problem::new("log.level", &log.level, expected));
     }
-    if log.counters_seconds == 0 {
-        problems.push(Problem::new("log.counters_seconds", 0, "at least 1"));
-    }
+    let (field, value) = ("log.counters_seconds", log.counters_seconds);
+    check_range(field, value, 1, LONGEST_SECONDS, problems);
 }
 
 fn check_control(
@@ -61,21 +74,26 @@
         let expected = "one of cluster.controls";
         problems.push(Problem::new("control.listen", control.listen, expected));
     }
-    if control.heartbeat_ms == 0 {
-        problems.push(Problem::new("control.heartbeat_ms", 0, "at least 1"));
-    }
-    let shortest = control.heartbeat_ms * ELECTION_HEARTBEATS;
-    if control.election_ms < shortest {
-        let expected = format!("at least {shortest}, which is 3 heartbeats");
-        let value = control.election_ms;
-        problems.push(Problem::new("control.election_ms", value, expected));
-    }
-    if control.snapshot_entries == 0 {
-        problems.push(Problem::new("control.snapshot_entries", 0, "at least 1"));
-    }
-    if control.concurrent_loads == 0 {
-        problems.push(Problem::new("control.concurrent_loads", 0, "at least 1"));
+    if let Some(platform) = control.platform {
+        check_port("control.platform", platform, problems);
     }
+    check_election(control, problems);
+    let (field, value) = ("control.snapshot_entries", control.snapshot_entries);
+    check_at_least_one(field, value, problems);
+    let loads = u64::from(control.concurrent_loads);
+    check_at_least_one("control.concurrent_loads", loads, problems);
+}
+
+fn check_election(control: &ControlSettings, problems: &mut Vec<Problem>) {
+    let (heartbeat, election) = (control.heartbeat_ms, control.election_ms);
+    let (field, most) = ("control.heartbeat_ms", LONGEST_MS / ELECTION_HEARTBEATS);
+    check_range(field, heartbeat, 1, most, problems);
+    let shortest = heartbeat.min(most) * ELECTION_HEARTBEATS;
+    if heartbeat <= most && election < shortest {
+        let expected = format!("at least {shortest}, which is 3 times control.heartbeat_ms");
+        problems.push(Problem::new("control.election_ms", election, expected));
+    }
+    check_range("control.election_ms", election, 0, LONGEST_MS, problems);
 }
 
 fn check_node(node: &NodeSettings, problems: &mut Vec<Problem>) {
@@ -85,16 +103,38 @@
         let expected = "zones other than node.zone";
         problems.push(Problem::new("node.neighbours", &node.zone, expected));
     }
-    let at_least_one = [
+    let kib = [
         ("node.body_limit_kib", node.body_limit_kib),
         ("node.batch_limit_kib", node.batch_limit_kib),
-        ("node.worker_subset", u64::from(node.worker_subset)),
-        ("node.report_poll_ms", node.report_poll_ms),
     ];
-    for (field, value) in at_least_one {
-        if value == 0 {
-            problems.push(Problem::new(field, value, "at least 1"));
-        }
+    for (field, value) in kib {
+        check_range(field, value, 1, LARGEST_KIB, problems);
+    }
+    let subset = u64::from(node.worker_subset);
+    check_at_least_one("node.worker_subset", subset, problems);
+    let (field, value) = ("node.report_poll_ms", node.report_poll_ms);
+    check_range(field, value, 1, LONGEST_MS, problems);
+    check_range("node.drain_ms", node.drain_ms, 0, LONGEST_MS, problems);
+}
+
+fn check_at_least_one(field: &str, value: u64, problems: &mut Vec<Problem>) {
+    if value == 0 {
+        problems.push(Problem::new(field, value, "at least 1"));
+    }
+}
+
+fn check_range(field: &str, value: u64, least: u64, most: u64, problems: &mut Vec<Problem>) {
+    if value < least {
+        problems.push(Problem::new(field, value, format!("at least {least}")));
+    }
+    if value > most {
+        problems.push(Problem::new(field, value, format!("at most {most}")));
+    }
+}
+
+fn check_port(field: &str, address: SocketAddr, problems: &mut Vec<Problem>) {
+    if address.port() == 0 {
+        problems.push(Problem::new(field, address, "a port above 0"));
     }
 }
 
@@ -114,14 +154,19 @@
         addresses.push(("node.listen", node.listen));
         addresses.push(("node.admin", node.admin));
     }
-    let mut taken: BTreeMap<SocketAddr, &str> = BTreeMap::new();
-    for (field, address) in addresses {
-        if address.port() == 0 {
-            problems.push(Problem::new(field, address, "a port above 0"));
-        }
-        if let Some(other) = taken.insert(address, field) {
+    for (index, (field, address)) in addresses.iter().enumerate() {
+        check_port(field, *address, problems);
+        let earlier = addresses[..index].iter();
+        for (other, _) in earlier.filter(|(_, other)| clash(*address, *other)) {
             let expected = format!("an address other than {other}'s");
-            problems.push(Problem::new(field, address, expected));
+            problems.push(Problem::new(*field, address, expected));
         }
     }
 }
+
+/// Whether one process can't listen at both: the unspecified address takes
+/// the port of all.
+fn clash(one: SocketAddr, other: SocketAddr) -> bool {
+    let either_takes_all = one.ip().is_unspecified() || other.ip().is_unspecified();
+    one.port() == other.port() && (one.ip() == other.ip() || either_takes_all)
+}
--- a/crates/pinerill-types/src/settings/mod.rs
+++ b/crates/pinerill-types/src/settings/mod.rs
@@ -3,6 +3,7 @@
 
 mod check;
 mod example;
+mod reading;
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -19,6 +20,9 @@
 
 /// Prefix of environment variables; `PINERILL_NODE__ZONE` sets `node.zone`.
 pub const ENVIRONMENT_PREFIX: &str = "PINERILL_";
+/// Stands between section and field. A variable without it is no setting:
+/// `PINERILL_SETTINGS` and others are read by flags of the commands.
+const ENVIRONMENT_SEPARATOR: &str = "__";
 
 /// All settings of a process.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -170,7 +174,7 @@
 /// Why settings were refused.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
-    /// The file is missing, not TOML, or has a field of a wrong type or name.
+    /// The file is missing or not TOML.
     #[error("settings {path}: {message}")]
     Unreadable {
         /// The file.
@@ -178,7 +182,7 @@
         /// The reader's message.
         message: String,
     },
-    /// Values that can't work, all of them.
+    /// Fields of a wrong name or type and values that can't work, all of them.
     #[error("settings {path}:\n{}", list(.problems))]
     Wrong {
         /// The file.
@@ -216,16 +220,17 @@
     }
     let mut figment = Figment::new()
         .merge(Toml::file_exact(path))
-        .merge(Env::prefixed(ENVIRONMENT_PREFIX).split("__"));
+        .merge(environment());
     for one in overrides {
         figment = figment.merge(Serialized::default(&one.field, parse_value(&one.value)));
     }
-    let settings: Settings = figment
-        .extract()
-        .map_err(|errors| unreadable(join_errors(errors)))?;
-    let problems = check_settings(&settings);
+    let reading = reading::read(&figment).map_err(unreadable)?;
+    let mut checked = check_settings(&reading.settings);
+    checked.retain(|problem| reading.is_of_given_values(problem));
+    let mut problems = reading.problems;
+    problems.append(&mut checked);
     if problems.is_empty() {
-        return Ok(settings);
+        return Ok(reading.settings);
     }
     Err(SettingsError::Wrong {
         path: path.to_owned(),
@@ -233,6 +238,12 @@
     })
 }
 
+fn environment() -> Env {
+    Env::prefixed(ENVIRONMENT_PREFIX)
+        .filter(|name| name.as_str().contains(ENVIRONMENT_SEPARATOR))
+        .split(ENVIRONMENT_SEPARATOR)
+}
+
 /// A flag's value as a number, a list, … or else as text.
 fn parse_value(text: &str) -> Value {
     match text.parse::<Value>() {
@@ -240,8 +251,3 @@
         Err(never) => match never {},
     }
 }
-
-fn join_errors(errors: figment::Error) -> String {
-    let messages: Vec<String> = errors.into_iter().map(|one| one.to_string()).collect();
-    messages.join("; ")
-}
--- a/crates/pinerill-types/tests/settings.rs
+++ b/crates/pinerill-types/tests/settings.rs
@@ -59,7 +59,7 @@
     expect![[r#"
         settings FILE:
           log.level: `loud` is wrong: error, warn, info or debug
-          control.election_ms: `50` is wrong: at least 300, which is 3 heartbeats
+          control.election_ms: `50` is wrong: at least 300, which is 3 times control.heartbeat_ms
           node.neighbours: `berrechid` is wrong: zones other than node.zone
           node.worker_subset: `0` is wrong: at least 1
           control.admin: `10.0.1.1:7400` is wrong: an address other than control.listen's"#]]
