Commands: tested from outside, with exit codes that scripts can use

Cause: nothing ran the built binary.

Change: files.rs and output.rs carry step and peer for files and standard output; exit.rs maps typed errors; OPERATING.md has the tables of exit codes and fields.

--- a/crates/pinerill-control/src/server/founding.rs
+++ b/crates/pinerill-control/src/server/founding.rs
@@ -84,7 +84,9 @@
         let mut others = self.other_addresses();
         let missing = others.find(|address| !connected.contains(address));
         if let Some(address) = missing {
-            return Err(self.wrong_state(&format!("control machine {address} is not connected")));
+            let message = format!("control machine {address} is not connected");
+            let refusal = refused(RefusalCode::Unavailable, INIT, self.name(), message);
+            return Err(Box::new(refusal));
         }
         Ok(machines)
     }
--- a/crates/pinerill-control/src/server/status.rs
+++ b/crates/pinerill-control/src/server/status.rs
@@ -53,8 +53,9 @@
             .into_iter()
             .find(|machine| machine.replica == replace.new);
         let Some(new) = known.or(connected) else {
+            // One that was just started connects in a moment.
             let message = format!("replica {:016x} is not connected", replace.new);
-            return refused(RefusalCode::NotFound, REPLACE, self.name(), message);
+            return refused(RefusalCode::Unavailable, REPLACE, self.name(), message);
         };
         let command = MetaCommand::ReplaceMachine {
             lost: replace.lost,
--- a/crates/pinerill/src/command/bundle.rs
+++ b/crates/pinerill/src/command/bundle.rs
@@ -1,12 +1,12 @@
 //! `pinerill bundle`: make, sign, propose and show bundles.
 
-use std::fs;
-use std::io::Write;
 use std::path::{Path, PathBuf};
 
-use anyhow::{bail, Context};
+use anyhow::bail;
 use clap::{Args, Subcommand};
-use pinerill_types::bundle::{check_bundle, signing_key_from_hex, Bundle, SignedChange};
+use pinerill_types::bundle::{
+    check_bundle, signing_key_from_hex, Bundle, SignedChange, SigningKey,
+};
 use pinerill_types::OperatorName;
 use pinerill_wire::api::ControlApi;
 use pinerill_wire::client::ControlClient;
@@ -17,7 +17,13 @@
 use serde_json::json;
 
 use crate::exit::WrongInput;
+use crate::files::{read_text, write_secret, write_text};
 use crate::operator::{block_on, ClusterArguments};
+use crate::output;
+
+const READ_BUNDLE: &str = "read bundle";
+const READ_CHANGE: &str = "read signed change";
+const READ_KEY: &str = "read operator's key";
 
 /// Commands about bundles.
 #[derive(Subcommand)]
@@ -32,6 +38,9 @@
     Check {
         /// The bundle, TOML.
         file: PathBuf,
+        /// Prints JSON.
+        #[arg(long)]
+        json: bool,
     },
     /// Signs a bundle as a change of the one in force, or adds a signature.
     Sign(SignArguments),
@@ -82,13 +91,16 @@
     /// Where the signed change goes.
     #[arg(long)]
     out: PathBuf,
+    /// Prints JSON.
+    #[arg(long)]
+    json: bool,
 }
 
 /// Runs the command.
 pub fn run(command: BundleCommand) -> anyhow::Result<()> {
     match command {
         BundleCommand::Keygen { out } => keygen(&out),
-        BundleCommand::Check { file } => check(&file),
+        BundleCommand::Check { file, json } => check(&file, json),
         BundleCommand::Sign(arguments) => block_on(sign(arguments)),
         BundleCommand::Propose {
             cluster,
@@ -100,37 +112,15 @@
     }
 }
 
-/// Writes a secret to a new file that only its owner can read.
-///
-/// # Errors
-/// When the file exists or can't be written.
-pub fn write_secret(path: &Path, secret: &str) -> anyhow::Result<()> {
-    use std::os::unix::fs::OpenOptionsExt;
-    let mut file = fs::OpenOptions::new()
-        .write(true)
-        .create_new(true)
-        .mode(0o600)
-        .open(path)
-        .with_context(|| format!("write secret with {}", path.display()))?;
-    writeln!(file, "{secret}")?;
-    file.sync_all()?;
-    Ok(())
-}
-
 fn keygen(out: &Path) -> anyhow::Result<()> {
     let secret: [u8; 32] = rand::random();
     let key = signing_key_from_hex(&hex::encode(secret))?;
     write_secret(out, &hex::encode(secret))?;
-    println!("{}", hex::encode(key.verifying_key().to_bytes()));
-    Ok(())
-}
-
-fn read(path: &Path) -> anyhow::Result<String> {
-    fs::read_to_string(path).with_context(|| format!("read file with {}", path.display()))
+    output::line(hex::encode(key.verifying_key().to_bytes()))
 }
 
 fn load_bundle(path: &Path) -> anyhow::Result<Bundle> {
-    let text = read(path)?;
+    let text = read_text(READ_BUNDLE, path)?;
     let bundle = Bundle::from_toml(&text)
         .map_err(|error| WrongInput(format!("{}: {error}", path.display())))?;
     let problems = check_bundle(&bundle);
@@ -141,10 +131,13 @@
     Err(WrongInput(format!("{}:\n{}", path.display(), lines.join("\n"))).into())
 }
 
-fn check(path: &Path) -> anyhow::Result<()> {
+fn check(path: &Path, as_json: bool) -> anyhow::Result<()> {
     let bundle = load_bundle(path)?;
-    println!("version {} digest {}", bundle.version, bundle.digest());
-    Ok(())
+    let (version, digest) = (bundle.version, bundle.digest());
+    if as_json {
+        return output::line(json!({"version": version, "digest": digest}));
+    }
+    output::line(format!("version {version} digest {digest}"))
 }
 
 async fn in_force(
@@ -158,8 +151,14 @@
     }
 }
 
+fn load_key(path: &Path) -> anyhow::Result<SigningKey> {
+    let text = read_text(READ_KEY, path)?;
+    signing_key_from_hex(&text)
+        .map_err(|error| WrongInput(format!("{READ_KEY} with {}: {error}", path.display())).into())
+}
+
 fn load_signed(path: &Path) -> anyhow::Result<SignedChange> {
-    serde_json::from_str(&read(path)?)
+    serde_json::from_str(&read_text(READ_CHANGE, path)?)
         .map_err(|error| WrongInput(format!("{}: {error}", path.display())).into())
 }
 
@@ -168,7 +167,7 @@
         .operator
         .parse()
         .map_err(|error| WrongInput(format!("--operator: {error}")))?;
-    let key = signing_key_from_hex(&read(&arguments.key)?)?;
+    let key = load_key(&arguments.key)?;
     let mut signed = if arguments.add {
         load_signed(&arguments.file)?
     } else {
@@ -182,17 +181,27 @@
     };
     signed.sign(operator, &key);
     let text = serde_json::to_string_pretty(&signed)?;
-    fs::write(&arguments.out, text)
-        .with_context(|| format!("write file with {}", arguments.out.display()))?;
-    println!(
-        "version {} digest {}: {} entries set, {} removed, {} signatures",
-        signed.change.version,
-        signed.change.digest,
-        signed.change.set.len(),
-        signed.change.removed.len(),
-        signed.sign_offs.len()
-    );
-    Ok(())
+    write_text("write signed change", &arguments.out, &text)?;
+    print_signed(&signed, arguments.json)
+}
+
+fn print_signed(signed: &SignedChange, as_json: bool) -> anyhow::Result<()> {
+    let change = &signed.change;
+    let (set, removed) = (change.set.len(), change.removed.len());
+    let signatures = signed.sign_offs.len();
+    if as_json {
+        return output::line(json!({
+            "version": change.version,
+            "digest": change.digest,
+            "set": set,
+            "removed": removed,
+            "signatures": signatures,
+        }));
+    }
+    output::line(format!(
+        "version {} digest {}: {set} entries set, {removed} removed, {signatures} signatures",
+        change.version, change.digest
+    ))
 }
 
 async fn propose(cluster: ClusterArguments, file: PathBuf, as_json: bool) -> anyhow::Result<()> {
@@ -207,17 +216,14 @@
     };
     let accepted = answer.answer == ProposalAnswer::Accepted;
     if as_json {
-        println!(
-            "{}",
-            json!({"accepted": accepted, "version": answer.version, "digest": answer.digest})
-        );
+        output::line(
+            json!({"accepted": accepted, "version": answer.version, "digest": answer.digest}),
+        )?;
     }
     if accepted {
         if !as_json {
-            println!(
-                "accepted: version {} digest {}",
-                answer.version, answer.digest
-            );
+            let (version, digest) = (answer.version, answer.digest);
+            output::line(format!("accepted: version {version} digest {digest}"))?;
         }
         return Ok(());
     }
@@ -235,13 +241,10 @@
     let client = cluster.client()?;
     let shown = in_force(&client, &cluster).await?;
     if as_json {
-        println!(
-            "{}",
-            json!({"digest": shown.digest, "bundle": shown.bundle})
-        );
+        output::line(json!({"digest": shown.digest, "bundle": shown.bundle}))?;
     } else {
-        println!("# digest {}", shown.digest);
-        print!("{}", shown.bundle.to_toml()?);
+        output::line(format!("# digest {}", shown.digest))?;
+        output::bytes(shown.bundle.to_toml()?.as_bytes())?;
     }
     Ok(())
 }
@@ -259,15 +262,14 @@
             .iter()
             .map(|node| json!({"node": node.node, "zone": node.zone, "version": node.version}))
             .collect();
-        println!(
-            "{}",
-            json!({"version": status.version, "digest": status.digest, "nodes": nodes})
-        );
+        output::line(json!({"version": status.version, "digest": status.digest, "nodes": nodes}))?;
         return Ok(());
     }
-    println!("version {} digest {}", status.version, status.digest);
+    let (version, digest) = (status.version, status.digest);
+    output::line(format!("version {version} digest {digest}"))?;
     for node in &status.nodes {
-        println!("  {} {} version {}", node.node, node.zone, node.version);
+        let (name, zone, version) = (&node.node, &node.zone, node.version);
+        output::line(format!("  {name} {zone} version {version}"))?;
     }
     Ok(())
 }
--- a/crates/pinerill/src/command/cluster.rs
+++ b/crates/pinerill/src/command/cluster.rs
@@ -3,20 +3,21 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
-use anyhow::{bail, Context};
+use anyhow::bail;
 use clap::{Args, Subcommand};
 use pinerill_types::bundle::{check_bundle, Bundle, Operator, Policy};
 use pinerill_types::OperatorName;
-use pinerill_wire::api::ControlApi;
+use pinerill_wire::api::{CallError, CallErrorKind, ControlApi};
 use pinerill_wire::message::{
-    ClusterInit, ClusterStatusRequest, ClusterStatusResponse, ReplaceReplica, Request, Response,
-    META_GROUP,
+    ClusterInit, ClusterStatusRequest, ClusterStatusResponse, ReplaceReplica, ReplicaRecord,
+    Request, Response, META_GROUP,
 };
 use serde_json::json;
 
-use super::bundle::write_secret;
 use crate::exit::WrongInput;
+use crate::files::write_secret;
 use crate::operator::{block_on, ClusterArguments};
+use crate::output;
 
 /// Pause between two looks at a repair.
 const REPAIR_PAUSE: Duration = Duration::from_millis(500);
@@ -80,6 +81,9 @@
     /// Waits until the repair is done, at most that many seconds.
     #[arg(long, default_value_t = 120)]
     wait_seconds: u64,
+    /// Prints JSON, once the repair is done.
+    #[arg(long)]
+    json: bool,
 }
 
 fn parse_replica(text: &str) -> Result<u64, String> {
@@ -99,8 +103,7 @@
 fn keygen(out: &std::path::Path) -> anyhow::Result<()> {
     let bytes: [u8; 32] = rand::random();
     write_secret(out, &hex::encode(bytes))?;
-    println!("{}", out.display());
-    Ok(())
+    output::line(out.display())
 }
 
 fn founding_bundle(arguments: &InitArguments) -> anyhow::Result<Bundle> {
@@ -144,18 +147,14 @@
         bail!("found the cluster: unexpected answer");
     };
     if arguments.json {
-        println!(
-            "{}",
-            json!({"cluster_id": format!("{:016x}", done.cluster_id)})
-        );
-    } else {
-        println!("cluster {:016x} founded", done.cluster_id);
-        for replica in &done.replicas {
-            println!(
-                "  {:016x} {} {}",
-                replica.replica, replica.name, replica.zone
-            );
-        }
+        let replicas: Vec<_> = done.replicas.iter().map(replica_json).collect();
+        let cluster_id = hexadecimal(&done.cluster_id);
+        return output::line(json!({"cluster_id": cluster_id, "replicas": replicas}));
+    }
+    output::line(format!("cluster {:016x} founded", done.cluster_id))?;
+    for replica in &done.replicas {
+        let (identity, name, zone) = (replica.replica, &replica.name, &replica.zone);
+        output::line(format!("  {identity:016x} {name} {zone}"))?;
     }
     Ok(())
 }
@@ -168,28 +167,27 @@
         bail!("read the cluster's status: unexpected answer");
     };
     if as_json {
-        println!("{}", status_json(&status));
-    } else {
-        print_status(&status);
+        return output::line(status_json(&status));
     }
-    Ok(())
+    print_status(&status)
+}
+
+fn hexadecimal(identity: &u64) -> String {
+    format!("{identity:016x}")
+}
+
+fn replica_json(replica: &ReplicaRecord) -> serde_json::Value {
+    json!({
+        "replica": hexadecimal(&replica.replica),
+        "name": replica.name,
+        "zone": replica.zone,
+        "address": replica.address,
+        "reachable": replica.reachable,
+    })
 }
 
 fn status_json(status: &ClusterStatusResponse) -> serde_json::Value {
-    let hexadecimal = |identity: &u64| format!("{identity:016x}");
-    let replicas: Vec<_> = status
-        .replicas
-        .iter()
-        .map(|replica| {
-            json!({
-                "replica": hexadecimal(&replica.replica),
-                "name": replica.name,
-                "zone": replica.zone,
-                "address": replica.address,
-                "reachable": replica.reachable,
-            })
-        })
-        .collect();
+    let replicas: Vec<_> = status.replicas.iter().map(replica_json).collect();
     let groups: Vec<_> = status
         .groups
         .iter()
@@ -212,24 +210,24 @@
     })
 }
 
-fn print_status(status: &ClusterStatusResponse) {
-    println!("cluster {:016x}", status.cluster_id);
+fn print_status(status: &ClusterStatusResponse) -> anyhow::Result<()> {
+    output::line(format!("cluster {:016x}", status.cluster_id))?;
     for replica in &status.replicas {
         let reachable = if replica.reachable {
             "reachable"
         } else {
             "UNREACHABLE"
         };
-        println!(
+        output::line(format!(
             "  {:016x} {} {} {} {reachable}",
             replica.replica, replica.name, replica.zone, replica.address
-        );
+        ))?;
     }
     for group in &status.groups {
         let leader = group
             .leader
             .map_or("none".to_owned(), |leader| format!("{leader:016x}"));
-        println!(
+        output::line(format!(
             "group {} leader {leader} term {} commit {} applied {} voters {} learners {}",
             group.group,
             group.term,
@@ -237,8 +235,9 @@
             group.applied,
             group.voters.len(),
             group.learners.len()
-        );
+        ))?;
     }
+    Ok(())
 }
 
 async fn replace(arguments: ReplaceArguments) -> anyhow::Result<()> {
@@ -251,21 +250,33 @@
         });
         let response = client
             .call_leader(META_GROUP, request, arguments.cluster.timeout())
-            .await
-            .context("replace a replica")?;
+            .await?;
         let Response::ReplaceReplica(progress) = response else {
             bail!("replace a replica: unexpected answer");
         };
-        println!(
-            "{} groups done, {} remaining",
-            progress.done, progress.remaining
-        );
-        if progress.remaining == 0 {
+        let (done, remaining) = (progress.done, progress.remaining);
+        if !arguments.json {
+            output::line(format!("{done} groups done, {remaining} remaining"))?;
+        } else if remaining == 0 {
+            output::line(json!({"done": done, "remaining": remaining}))?;
+        }
+        if remaining == 0 {
             return Ok(());
         }
         if Instant::now() >= end {
-            bail!("replace a replica: not done in time; run the same command again");
+            return Err(not_done_in_time(remaining).into());
         }
         tokio::time::sleep(REPAIR_PAUSE).await;
     }
 }
+
+/// The repair goes on in the cluster; whether it has been done shows when the
+/// command is run again.
+fn not_done_in_time(remaining: u32) -> CallError {
+    CallError {
+        kind: CallErrorKind::Unknown,
+        step: "replace a replica".to_owned(),
+        peer: "control machines".to_owned(),
+        message: format!("{remaining} groups remain; run the same command again"),
+    }
+}
--- a/crates/pinerill/src/command/job.rs
+++ b/crates/pinerill/src/command/job.rs
@@ -1,15 +1,16 @@
 //! `pinerill job`: batch jobs over the callers' API of a node.
 
-use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use anyhow::Context;
 use clap::{Args, Subcommand};
 use reqwest::{Client, RequestBuilder, Response};
+use serde_json::Value;
 
-use crate::exit::HttpRefusal;
+use crate::exit::{HttpFailure, HttpRefusal, WrongInput};
+use crate::files::{read_bytes, read_text};
 use crate::operator::block_on;
+use crate::output;
 
 /// Where and as whom to call.
 #[derive(Args)]
@@ -74,8 +75,7 @@
             deadline_seconds,
             file,
         } => {
-            let body =
-                fs::read(&file).with_context(|| format!("read file with {}", file.display()))?;
+            let body = read_bytes("read items", &file)?;
             let mut request = caller
                 .post("/v1/batches")?
                 .header("Idempotency-Key", idempotency_key)
@@ -106,8 +106,7 @@
     }
 
     fn key(&self) -> anyhow::Result<String> {
-        let text = fs::read_to_string(&self.key_file)
-            .with_context(|| format!("read key with {}", self.key_file.display()))?;
+        let text = read_text("read bearer key", &self.key_file)?;
         Ok(text.trim().to_owned())
     }
 
@@ -122,15 +121,45 @@
     }
 
     async fn print(&self, step: &str, request: RequestBuilder) -> anyhow::Result<()> {
-        let failed = || format!("{step} with {}", self.node);
-        let response = request.send().await.with_context(failed)?;
+        let sent = request.send().await;
+        let response = sent.map_err(|error| self.failure(step, &error))?;
         let mut response = self.accepted(step, response).await?;
-        while let Some(bytes) = response.chunk().await.with_context(failed)? {
-            use std::io::Write;
-            std::io::stdout().write_all(&bytes)?;
+        let mut last_line = LastLine::default();
+        loop {
+            let chunk = response.chunk().await;
+            let Some(bytes) = chunk.map_err(|error| self.failure(step, &error))? else {
+                break;
+            };
+            output::bytes(&bytes)?;
+            last_line.add(&bytes);
+        }
+        if !last_line.is_ended() {
+            output::bytes(b"\n")?;
+        }
+        match last_line.error() {
+            Some(message) => Err(self.not_whole(step, message).into()),
+            None => Ok(()),
+        }
+    }
+
+    fn failure(&self, step: &str, error: &reqwest::Error) -> anyhow::Error {
+        if error.is_builder() {
+            // A key or a header that HTTP can't carry; never shown.
+            let message = format!("{step} with {}: the key has wrong characters", self.node);
+            return WrongInput(message).into();
+        }
+        let mut failure = self.not_whole(step, last_cause(error));
+        failure.not_sent = error.is_connect();
+        failure.into()
+    }
+
+    fn not_whole(&self, step: &str, message: String) -> HttpFailure {
+        HttpFailure {
+            step: step.to_owned(),
+            peer: self.node.to_string(),
+            message,
+            not_sent: false,
         }
-        println!();
-        Ok(())
     }
 
     async fn accepted(&self, step: &str, response: Response) -> anyhow::Result<Response> {
@@ -146,3 +175,46 @@
         .into())
     }
 }
+
+/// The cause that all others are wrapped around: the system's own words.
+fn last_cause(error: &dyn std::error::Error) -> String {
+    let mut last = error;
+    while let Some(source) = last.source() {
+        last = source;
+    }
+    last.to_string()
+}
+
+/// The last line of what was printed.
+#[derive(Default)]
+struct LastLine {
+    /// Without the line's end.
+    bytes: Vec<u8>,
+    ended: bool,
+}
+
+impl LastLine {
+    fn add(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            if std::mem::take(&mut self.ended) {
+                self.bytes.clear();
+            }
+            match byte {
+                b'\n' => self.ended = true,
+                byte => self.bytes.push(*byte),
+            }
+        }
+    }
+
+    fn is_ended(&self) -> bool {
+        self.ended || self.bytes.is_empty()
+    }
+
+    /// The error that takes the place of the lines that are missing.
+    fn error(&self) -> Option<String> {
+        let line: Value = serde_json::from_slice(&self.bytes).ok()?;
+        let fields = line.as_object()?;
+        let error = fields.get("error").filter(|_| fields.len() == 1)?;
+        Some(format!("the results are not whole: {error}"))
+    }
+}
--- a/crates/pinerill/src/command/mod.rs
+++ b/crates/pinerill/src/command/mod.rs
@@ -3,5 +3,6 @@
 pub mod bundle;
 pub mod cluster;
 pub mod job;
+mod overrides;
 pub mod process;
 pub mod settings;
--- a/crates/pinerill/src/command/process.rs
+++ b/crates/pinerill/src/command/process.rs
@@ -4,8 +4,9 @@
 
 use anyhow::Context;
 use clap::Args;
-use pinerill_types::settings::{self, Override, Settings};
+use pinerill_types::settings::{self, Settings};
 
+use super::overrides::OverrideArguments;
 use crate::exit::WrongInput;
 use crate::logging;
 
@@ -19,33 +20,13 @@
         default_value = "/etc/pinerill/pinerill.toml"
     )]
     settings: PathBuf,
-    /// Overrides one setting, such as `node.zone=ain-sebaa`; may be repeated.
-    #[arg(long = "set", value_name = "FIELD=VALUE")]
-    overrides: Vec<String>,
-    /// Overrides log.level.
-    #[arg(long)]
-    log_level: Option<String>,
+    #[command(flatten)]
+    overrides: OverrideArguments,
 }
 
 impl ProcessArguments {
     fn load(&self) -> anyhow::Result<Settings> {
-        let mut overrides = Vec::new();
-        for text in &self.overrides {
-            let (field, value) = text
-                .split_once('=')
-                .ok_or_else(|| WrongInput(format!("--set {text}: use FIELD=VALUE")))?;
-            overrides.push(Override {
-                field: field.to_owned(),
-                value: value.to_owned(),
-            });
-        }
-        if let Some(level) = &self.log_level {
-            overrides.push(Override {
-                field: "log.level".to_owned(),
-                value: level.clone(),
-            });
-        }
-        Ok(settings::load(&self.settings, &overrides)?)
+        Ok(settings::load(&self.settings, &self.overrides.parse()?)?)
     }
 }
 
--- a/crates/pinerill/src/command/settings.rs
+++ b/crates/pinerill/src/command/settings.rs
@@ -5,13 +5,18 @@
 use clap::Subcommand;
 use pinerill_types::settings::{self, EXAMPLE};
 
+use super::overrides::OverrideArguments;
+use crate::output;
+
 /// Commands about settings.
 #[derive(Subcommand)]
 pub enum SettingsCommand {
-    /// Checks a settings file and names every problem.
+    /// Checks settings as a process would read them now; names every problem.
     Check {
         /// The file.
         file: PathBuf,
+        #[command(flatten)]
+        overrides: OverrideArguments,
     },
     /// Prints a commented file that passes the check.
     Example,
@@ -20,11 +25,10 @@
 /// Runs the command.
 pub fn run(command: SettingsCommand) -> anyhow::Result<()> {
     match command {
-        SettingsCommand::Check { file } => {
-            settings::load(&file, &[])?;
-            println!("{}: no problems", file.display());
+        SettingsCommand::Check { file, overrides } => {
+            settings::load(&file, &overrides.parse()?)?;
+            output::line(format!("{}: no problems", file.display()))
         }
-        SettingsCommand::Example => print!("{EXAMPLE}"),
+        SettingsCommand::Example => output::bytes(EXAMPLE.as_bytes()),
     }
-    Ok(())
 }
--- a/crates/pinerill/src/exit.rs
+++ b/crates/pinerill/src/exit.rs
@@ -4,7 +4,9 @@
 
 use pinerill_types::settings::SettingsError;
 use pinerill_wire::api::{CallError, CallErrorKind};
+use pinerill_wire::connection::KeyError;
 use pinerill_wire::message::RefusalCode;
+use serde_json::Value;
 
 /// Shown below `--help`.
 pub const HELP: &str = "Exit codes: 0 done; 1 failed; 2 wrong usage, settings or document; \
@@ -36,6 +38,28 @@
     pub message: String,
 }
 
+impl HttpRefusal {
+    /// Whether the answer promises that nothing was done.
+    fn is_not_run(&self) -> bool {
+        let body: Value = serde_json::from_str(&self.message).unwrap_or_default();
+        body["error"]["outcome"] == "not_run"
+    }
+}
+
+/// A call of the callers' API without a whole answer.
+#[derive(Debug, thiserror::Error)]
+#[error("{step} with {peer}: {message}")]
+pub struct HttpFailure {
+    /// What was asked.
+    pub step: String,
+    /// The node.
+    pub peer: String,
+    /// What went wrong.
+    pub message: String,
+    /// Whether the node certainly did not get the call.
+    pub not_sent: bool,
+}
+
 /// Prints the error and gives its exit code.
 pub fn report(error: &anyhow::Error) -> ExitCode {
     eprintln!("pinerill: {error:#}");
@@ -43,14 +67,21 @@
 }
 
 fn code(error: &anyhow::Error) -> u8 {
-    if error.is::<WrongInput>() || error.is::<SettingsError>() {
+    if error.is::<WrongInput>() || error.is::<SettingsError>() || error.is::<KeyError>() {
         return WRONG_INPUT;
     }
     if let Some(call) = error.downcast_ref::<CallError>() {
         return call_code(call);
     }
     if let Some(refusal) = error.downcast_ref::<HttpRefusal>() {
-        return http_code(refusal.status);
+        return http_code(refusal);
+    }
+    if let Some(failure) = error.downcast_ref::<HttpFailure>() {
+        return if failure.not_sent {
+            UNAVAILABLE
+        } else {
+            UNKNOWN
+        };
     }
     FAILED
 }
@@ -73,11 +104,11 @@
     }
 }
 
-fn http_code(status: u16) -> u8 {
-    match status {
+fn http_code(refusal: &HttpRefusal) -> u8 {
+    match refusal.status {
         400 | 413 => WRONG_INPUT,
         401 | 403 | 404 | 409 | 429 => REFUSED,
-        503 => UNAVAILABLE,
+        503 if refusal.is_not_run() => UNAVAILABLE,
         _ => UNKNOWN,
     }
 }
--- a/crates/pinerill/src/main.rs
+++ b/crates/pinerill/src/main.rs
@@ -3,18 +3,20 @@
 
 mod command;
 mod exit;
+mod files;
 mod logging;
 mod operator;
+mod output;
 
 use std::process::ExitCode;
 
-use clap::{Parser, Subcommand};
+use clap::{Command as ClapCommand, CommandFactory, FromArgMatches, Parser, Subcommand};
 
 use command::{bundle, cluster, job, process, settings};
 
 /// Serves online and batch inference on one fleet.
 #[derive(Parser)]
-#[command(name = "pinerill", version, about, after_help = exit::HELP)]
+#[command(name = "pinerill", version, about, propagate_version = true)]
 struct Arguments {
     #[command(subcommand)]
     command: Command,
@@ -41,8 +43,7 @@
 }
 
 fn main() -> ExitCode {
-    let arguments = Arguments::parse();
-    let result = match arguments.command {
+    let result = match parse().command {
         Command::Control(arguments) => process::run_control(arguments),
         Command::Node(arguments) => process::run_node(arguments),
         Command::Bundle(command) => bundle::run(command),
@@ -55,3 +56,15 @@
         Err(error) => exit::report(&error),
     }
 }
+
+fn parse() -> Arguments {
+    let matches = with_exit_codes(Arguments::command()).get_matches();
+    Arguments::from_arg_matches(&matches).unwrap_or_else(|error| error.exit())
+}
+
+/// Every command's help ends with the exit codes.
+fn with_exit_codes(command: ClapCommand) -> ClapCommand {
+    command
+        .after_help(exit::HELP)
+        .mut_subcommands(with_exit_codes)
+}
