--- a/crates/pinerill-node/tests/support/jobs.rs
+++ b/crates/pinerill-node/tests/support/jobs.rs
@@ -48,6 +48,9 @@
 
 impl FakeJobs {
     pub fn call(&mut self, group: u32, request: Request) -> Response {
+        if let Some(refusal) = self.foreign(&request) {
+            return refusal;
+        }
         match request {
             Request::SubmitJob(part) => self.submit(group, part),
             Request::JobStatus(ask) => self.status(ask.job),
@@ -75,6 +78,18 @@
         }
     }
 
+    /// The refusal of a call about a job of another tenant.
+    fn foreign(&self, request: &Request) -> Option<Response> {
+        let (id, tenant) = match request {
+            Request::JobStatus(ask) => (ask.job, &ask.tenant),
+            Request::JobOutput(ask) => (ask.job, &ask.tenant),
+            Request::CancelJob(ask) => (ask.job, &ask.tenant),
+            _ => return None,
+        };
+        let job = self.jobs.get(&id)?;
+        (job.status.tenant != *tenant).then(|| refused(RefusalCode::NotFound))
+    }
+
     pub fn backlog(&self, group: u32) -> Vec<ServiceBacklog> {
         let mut pending: BTreeMap<ServiceName, u64> = BTreeMap::new();
         let jobs = self
