Stop signals and monitoring stand once, in pinerill-process

With control.admin taken it ran on without metrics or readiness; seen failing: a_port_that_is_taken_ends_the_process_and_is_named (never ended in 60 s), and an unknown path on control.admin gave a page of HTML (both_processes_show_metrics_liveness_and_readiness_and_stop_with_0).

Change: a small crate below both, with StopSignals, Server, server_settings and monitoring_server over the trait Monitored.

Ruled out: pinerill-wire (no HTTP there) and pinerill-types (no tokio there).

--- a/crates/pinerill-control/src/server/metrics.rs
+++ b/crates/pinerill-control/src/server/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use pinerill_process::Monitored;
 use pinerill_wire::connection::LinkCounters;
 use prometheus::{Encoder, IntCounter, IntGauge, Registry, TextEncoder};
 
@@ -37,9 +38,31 @@
     counter.load(Ordering::Relaxed)
 }
 
+impl Monitored for Control {
+    fn metrics_text(&self) -> Result<String, String> {
+        self.page_text().map_err(|error| error.to_string())
+    }
+
+    fn unready_reasons(&self) -> Vec<String> {
+        let mut reasons = Vec::new();
+        if self.stopping.is_cancelled() {
+            reasons.push("stopping".to_owned());
+        }
+        if !self.is_founded() {
+            reasons.push("the cluster is not initialised".to_owned());
+        }
+        for status in self.groups.statuses() {
+            if status.leader.is_none() {
+                reasons.push(format!("group {} knows no leader", status.group));
+            }
+        }
+        reasons
+    }
+}
+
 impl Control {
     /// All counters as text.
-    pub(super) fn metrics_text(&self) -> prometheus::Result<String> {
+    fn page_text(&self) -> prometheus::Result<String> {
         let page = Page::default();
         self.add_groups(&page)?;
         self.add_links(&page)?;
@@ -261,21 +284,4 @@
             self.pool.peers().len(),
         )
     }
-
-    /// Why this machine is not ready; empty when it is.
-    pub(super) fn unready_reasons(&self) -> Vec<String> {
-        let mut reasons = Vec::new();
-        if self.stopping.is_cancelled() {
-            reasons.push("stopping".to_owned());
-        }
-        if !self.is_founded() {
-            reasons.push("the cluster is not initialised".to_owned());
-        }
-        for status in self.groups.statuses() {
-            if status.leader.is_none() {
-                reasons.push(format!("group {} knows no leader", status.group));
-            }
-        }
-        reasons
-    }
 }
--- a/crates/pinerill-control/src/server/mod.rs
+++ b/crates/pinerill-control/src/server/mod.rs
@@ -10,9 +10,8 @@
 //! | `bundles` | proposals, the bundle in force, who has it |
 //! | `watch`, `confirmation`, `snapshots` | the nodes' long polls |
 //! | `directory`, `platform`, `exchange` | workers, nodes and leaders, as soft state |
-//! | `admin`, `metrics` | what operators look at |
+//! | `metrics` | what operators look at |
 
-mod admin;
 mod bundles;
 mod clock;
 mod confirmation;
@@ -38,4 +37,5 @@
 pub use confirmation::{Confirmations, Ticket};
 pub use directory::{Directory, Listed, NODE_LIFE_MS, PEER_LIFE_MS};
 pub use membership::{next_step, MembershipStep};
-pub use run::{run, run_with, StartError, StopSignal};
+pub use pinerill_process::StopSignals;
+pub use run::{run, run_with, StartError};
--- a/crates/pinerill-control/src/server/run.rs
+++ b/crates/pinerill-control/src/server/run.rs
@@ -6,18 +6,17 @@
 
 use anyhow::Context;
 use parking_lot::Mutex;
+use pinerill_process::{monitoring_server, Server, StopSignals};
 use pinerill_storage::{GroupStore, Store};
 use pinerill_types::settings::{ControlSettings, Settings};
 use pinerill_wire::api::Role;
 use pinerill_wire::connection::{self, ClusterKey, Identity, PeerPool};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
-use super::admin::admin_server;
 use super::confirmation::Confirmations;
 use super::control::{Control, ControlCounters};
 use super::directory::Directory;
@@ -49,45 +48,12 @@
     },
 }
 
-/// Says when to stop; the first signal begins a planned stop, the second ends
-/// it at once.
-#[derive(Debug, Clone, Default)]
-pub struct StopSignal {
-    /// Stop, and hand over what is led here.
-    pub planned: CancellationToken,
-    /// Stop now.
-    pub forced: CancellationToken,
-}
-
-impl StopSignal {
-    /// Follows SIGTERM and SIGINT.
-    ///
-    /// # Errors
-    /// When the system refuses handlers.
-    pub fn from_system() -> std::io::Result<Self> {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
-        let signals = Self::default();
-        let tokens = signals.clone();
-        tokio::spawn(async move {
-            for token in [&tokens.planned, &tokens.forced] {
-                tokio::select! {
-                    _ = terminate.recv() => {}
-                    _ = interrupt.recv() => {}
-                }
-                token.cancel();
-            }
-        });
-        Ok(signals)
-    }
-}
-
 /// Runs a control machine until SIGTERM or SIGINT.
 ///
 /// # Errors
 /// When it can't start.
 pub async fn run(settings: Settings) -> anyhow::Result<()> {
-    let signals = StopSignal::from_system()?;
+    let signals = StopSignals::from_system()?;
     run_with(settings, signals).await
 }
 
@@ -95,14 +61,13 @@
 ///
 /// # Errors
 /// When it can't start.
-pub async fn run_with(settings: Settings, signals: StopSignal) -> anyhow::Result<()> {
+pub async fn run_with(settings: Settings, signals: StopSignals) -> anyhow::Result<()> {
     let counters_pause = Duration::from_secs(settings.log.counters_seconds);
     let listener = listen(&settings).await?;
     let control = build(settings)?;
     control.groups.open_stored()?;
-    let admin = admin_server(control.clone()).ignite().await?;
-    let admin_shutdown = admin.shutdown();
-    let admin = AbortOnDropHandle::new(tokio::spawn(admin.launch()));
+    let monitoring = monitoring_server(control.settings.admin, control.clone());
+    let admin = Server::start(control.settings.admin, monitoring).await?;
     let closing = CancellationToken::new();
     let service = Arc::new(ControlService {
         control: control.clone(),
@@ -133,8 +98,7 @@
     control.groups.host().halt().await;
     control.closed.cancel();
     drop(tasks);
-    admin_shutdown.notify();
-    let _ = timeout(ANSWER_LIMIT, admin).await;
+    admin.stop().await;
     log::info!("counters: {}", control.counters_line());
     log::info!("control machine {} stopped", control.name());
     Ok(())
--- a/crates/pinerill-control/tests/server_support/mod.rs
+++ b/crates/pinerill-control/tests/server_support/mod.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
-use pinerill_control::server::{run_with, StopSignal};
+use pinerill_control::server::{run_with, StopSignals};
 use pinerill_types::bundle::Bundle;
 use pinerill_types::settings::{ClusterSettings, ControlSettings, LogSettings, Settings};
 use pinerill_types::{NodeName, ZoneName};
@@ -28,7 +28,7 @@
 const KEY: [u8; 32] = [7; 32];
 
 struct Machine {
-    signal: StopSignal,
+    signal: StopSignals,
     task: JoinHandle<anyhow::Result<()>>,
 }
 
@@ -81,7 +81,7 @@
 
     /// Starts a machine on whatever its folder holds.
     pub fn start_machine(&mut self, number: usize) {
-        let signal = StopSignal::default();
+        let signal = StopSignals::default();
         let settings = self.settings(number);
         let task = tokio::spawn(run_with(settings, signal.clone()));
         self.machines.insert(number, Machine { signal, task });
--- a/crates/pinerill-node/src/gateway/mod.rs
+++ b/crates/pinerill-node/src/gateway/mod.rs
@@ -10,4 +10,4 @@
 mod server;
 
 pub use disconnect::Disconnects;
-pub use server::{admin_server, caller_server};
+pub use server::caller_server;
--- a/crates/pinerill-node/src/lib.rs
+++ b/crates/pinerill-node/src/lib.rs
@@ -21,10 +21,12 @@
 pub mod jobs;
 pub mod membership;
 pub mod metrics;
+mod monitoring;
 pub mod node;
 pub mod online;
 pub mod queue;
 pub mod routing;
 mod run;
 
-pub use run::{run, run_with, RunError, StopSignals};
+pub use pinerill_process::StopSignals;
+pub use run::{run, run_with, RunError};
--- a/crates/pinerill-node/src/node.rs
+++ b/crates/pinerill-node/src/node.rs
@@ -9,7 +9,6 @@
 
 use crate::admission::TenantLimits;
 use crate::batch::BatchControl;
-use crate::clock;
 use crate::configuration::Configuration;
 use crate::dispatcher::Dispatcher;
 use crate::drain::Drain;
@@ -94,21 +93,4 @@
             link,
         })
     }
-
-    /// Why it takes no requests; empty when it does.
-    pub fn unready_reasons(&self) -> Vec<&'static str> {
-        let mut reasons = Vec::new();
-        if self.drain.has_started() {
-            reasons.push("draining");
-        }
-        if self.configuration.catalog().is_none() {
-            reasons.push("no bundle was confirmed yet");
-        } else if !self.configuration.is_confirmed(clock::now_ms()) {
-            reasons.push("the bundle is not confirmed");
-        }
-        if self.fleet.view().workers.is_empty() {
-            reasons.push("no worker is known");
-        }
-        reasons
-    }
 }
--- a/crates/pinerill-node/src/run.rs
+++ b/crates/pinerill-node/src/run.rs
@@ -1,29 +1,22 @@
 //! Starts the parts of a node, and stops them in a planned way.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use pinerill_process::{monitoring_server, Server, StopSignals};
 use pinerill_types::settings::Settings;
 use pinerill_wire::api::{ControlApi, Role};
 use pinerill_wire::client::ControlClient;
 use pinerill_wire::connection::{ClusterKey, Identity, LinkCounters};
-use rocket::fairing::AdHoc;
-use rocket::{Build, Ignite, Rocket, Shutdown};
-use tokio::signal::unix::{signal, SignalKind};
-use tokio::task::JoinHandle;
-use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::batch::BatchShell;
 use crate::configuration::WatchShell;
-use crate::gateway::{admin_server, caller_server};
+use crate::gateway::caller_server;
 use crate::gauges;
 use crate::membership::ProbeShell;
 use crate::node::Node;
 
-/// Longest wait until the servers have closed their connections.
-const SERVER_STOP_LIMIT: Duration = Duration::from_secs(4);
 /// How long readiness is off before the listener closes, so that callers who
 /// are on their way get an answer.
 const READINESS_LEAD: Duration = Duration::from_millis(200);
@@ -34,14 +27,6 @@
     /// The settings have no section `node`.
     #[error("start node with settings: the section [node] is missing")]
     NoSettings,
-    /// A server could not listen, or failed.
-    #[error("serve at {address}: {message}")]
-    Server {
-        /// Where it listens.
-        address: SocketAddr,
-        /// What went wrong.
-        message: String,
-    },
     /// The planned stop ended before all requests did.
     #[error("stop node: {cut} requests in flight were cut")]
     Cut {
@@ -50,38 +35,6 @@
     },
 }
 
-/// Says when to stop.
-#[derive(Debug, Clone, Default)]
-pub struct StopSignals {
-    /// Stop, and let what is in flight finish.
-    pub planned: CancellationToken,
-    /// Stop now.
-    pub forced: CancellationToken,
-}
-
-impl StopSignals {
-    /// The first SIGTERM or SIGINT stops in a planned way, the second at once.
-    ///
-    /// # Errors
-    /// When the system refuses handlers.
-    pub fn from_system() -> std::io::Result<Self> {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
-        let signals = Self::default();
-        let tokens = signals.clone();
-        tokio::spawn(async move {
-            for token in [&tokens.planned, &tokens.forced] {
-                tokio::select! {
-                    _ = terminate.recv() => {}
-                    _ = interrupt.recv() => {}
-                }
-                token.cancel();
-            }
-        });
-        Ok(signals)
-    }
-}
-
 /// Runs a node until SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -128,7 +81,8 @@
     let node_settings = settings.node.ok_or(RunError::NoSettings)?;
     let node = Arc::new(Node::new(node_settings, api, link)?);
     let callers = Server::start(node.settings.listen, caller_server(node.clone())).await?;
-    let admin = Server::start(node.settings.admin, admin_server(node.clone())).await?;
+    let monitoring = monitoring_server(node.settings.admin, node.clone());
+    let admin = Server::start(node.settings.admin, monitoring).await?;
     let tasks = start_tasks(&node, counters_pause);
     log::info!(
         "node {} serves at {}",
@@ -207,44 +161,3 @@
     }
     node.drain.in_flight() + node.batch.running_once()
 }
-
-/// A rocket server that runs in a task of its own.
-struct Server {
-    shutdown: Shutdown,
-    task: JoinHandle<Result<Rocket<Ignite>, rocket::Error>>,
-}
-
-impl Server {
-    /// Starts to listen.
-    async fn start(address: SocketAddr, rocket: Rocket<Build>) -> Result<Self, RunError> {
-        let (ready, listening) = tokio::sync::oneshot::channel();
-        let ready = parking_lot::Mutex::new(Some(ready));
-        let rocket = rocket.attach(AdHoc::on_liftoff("listening", move |_| {
-            if let Some(ready) = ready.lock().take() {
-                let _ = ready.send(());
-            }
-            Box::pin(async {})
-        }));
-        let rocket = rocket.ignite().await.map_err(|error| RunError::Server {
-            address,
-            message: error.to_string(),
-        })?;
-        let shutdown = rocket.shutdown();
-        let task = tokio::spawn(rocket.launch());
-        if listening.await.is_ok() {
-            return Ok(Self { shutdown, task });
-        }
-        let message = match task.await {
-            Ok(Ok(_)) => "it ended at once".to_owned(),
-            Ok(Err(error)) => error.to_string(),
-            Err(error) => error.to_string(),
-        };
-        Err(RunError::Server { address, message })
-    }
-
-    /// Closes the listener and waits until the connections have ended.
-    async fn stop(self) {
-        self.shutdown.notify();
-        let _ = tokio::time::timeout(SERVER_STOP_LIMIT, self.task).await;
-    }
-}
--- a/crates/pinerill/tests/support/cluster.rs
+++ b/crates/pinerill/tests/support/cluster.rs
@@ -122,15 +122,62 @@
     /// Starts the control machine with `index`, also again.
     pub fn start_control(&self, index: usize) -> Process {
         let name = format!("control-{index}");
-        let listen = self.addresses[index];
         let admin = free_address().expect("a free port");
-        let data = self.folder.argument(&name);
         let section = self.cluster_section("fanar", "cluster.key");
+        let addresses = (self.addresses[index], admin);
+        self.start_control_with(&name, &section, addresses, &name)
+    }
+
+    /// Starts one more control machine, with the data folder of another.
+    pub fn start_control_on(&self, name: &str, data_folder: &str) -> Process {
+        let addresses = (
+            free_address().expect("a free port"),
+            free_address().expect("a free port"),
+        );
+        let section = self.section_with_control(addresses.0);
+        self.start_control_with(name, &section, addresses, data_folder)
+    }
+
+    /// Starts one more process with `address` in the place of `field`.
+    pub fn start_with_address(
+        &self,
+        command: &str,
+        name: &str,
+        field: &str,
+        address: SocketAddr,
+    ) -> Process {
+        let other = free_address().expect("a free port");
+        let addresses = match field {
+            "listen" => (address, other),
+            _ => (other, address),
+        };
+        let section = self.section_with_control(addresses.0);
+        match command {
+            "control" => self.start_control_with(name, &section, addresses, name),
+            _ => self.start_node_at(name, &section, addresses),
+        }
+    }
+
+    /// The section [cluster] with one more control machine.
+    fn section_with_control(&self, listen: SocketAddr) -> String {
+        let section = self.cluster_section("fanar", "cluster.key");
+        section.replace("controls = [", &format!("controls = [\"{listen}\", "))
+    }
+
+    fn start_control_with(
+        &self,
+        name: &str,
+        section: &str,
+        addresses: (SocketAddr, SocketAddr),
+        data_folder: &str,
+    ) -> Process {
+        let (listen, admin) = addresses;
+        let data = self.folder.argument(data_folder);
         let text = format!(
-            "{section}[control]\nname = \"{name}\"\nzone = \"zone-{index}\"\n\
+            "{section}[control]\nname = \"{name}\"\nzone = \"zone-of-{name}\"\n\
              listen = \"{listen}\"\nadmin = \"{admin}\"\ndata_folder = \"{data}\"\n"
         );
-        self.start("control", &name, &text, listen, admin)
+        self.start("control", name, &text, listen, admin)
     }
 
     /// Starts a node that logs all it can.
@@ -141,8 +188,20 @@
 
     /// Starts a node with another section [cluster].
     pub fn start_node_with(&self, name: &str, section: &str) -> Process {
-        let listen = free_address().expect("a free port");
-        let admin = free_address().expect("a free port");
+        let addresses = (
+            free_address().expect("a free port"),
+            free_address().expect("a free port"),
+        );
+        self.start_node_at(name, section, addresses)
+    }
+
+    fn start_node_at(
+        &self,
+        name: &str,
+        section: &str,
+        addresses: (SocketAddr, SocketAddr),
+    ) -> Process {
+        let (listen, admin) = addresses;
         let text = format!(
             "{section}[node]\nname = \"{name}\"\nzone = \"zone-0\"\nlisten = \"{listen}\"\n\
              admin = \"{admin}\"\nbody_limit_kib = 64\nbatch_limit_kib = 64\n\
--- a/crates/pinerill/tests/with_cluster.rs
+++ b/crates/pinerill/tests/with_cluster.rs
@@ -57,7 +57,7 @@
     let text = cluster.run(&["cluster", "status"]).done();
     let id = founded["cluster_id"].as_str().expect("text");
     assert!(text.starts_with(&format!("cluster {id}\n")), "{text}");
-    assert!(text.contains("control-0 zone-0"), "{text}");
+    assert!(text.contains("control-0 zone-of-control-0"), "{text}");
     assert!(text.contains("group 0 leader "), "{text}");
 
     let message = cluster.run(&init).refused(exit::REFUSED);
