--- a/crates/pinerill/tests/settings.rs
+++ b/crates/pinerill/tests/settings.rs
@@ -120,6 +120,9 @@
     assert!(message.contains("line 2"), "{message}");
 }
 
+/// Environment, arguments, and the value that counts.
+type Case<'a> = (&'a [(&'a str, &'a str)], &'a [&'a str], &'a str);
+
 /// Which value counted shows in a refusal of it.
 #[test]
 fn flags_go_before_the_environment_and_that_before_the_file() {
@@ -131,7 +134,7 @@
     let plain = ["node", "--settings", &settings];
     let flagged = [&plain[..], &flag[..]].concat();
     let shorthand = [&flagged[..], &["--log-level", "shorthand"]].concat();
-    let cases: &[(&[(&str, &str)], &[&str], &str)] = &[
+    let cases: &[Case] = &[
         (&[], &plain, "file"),
         (&environment, &plain, "environment"),
         (&environment, &flagged, "flag"),
