A node shows that it stops or is cut off before it refuses

Change: after SIGTERM the node is not ready but takes requests for node.drain_lead_ms (2 s by default) more; batch is given up at once as before. Readiness ends when a quarter of the lease is left. An engine that refuses with wrong_role is not asked again before its next report: it was asked by 12 of 24 requests, each of which cost a retry of the budget.

Tests, each seen to fail before: a_stopping_node_serves_on_until_load_ balancers_had_time_to_see_it, a_node_cut_off_is_not_ready_before_it_refuses, an_engine_that_refuses_for_its_new_role_is_not_asked_again (12 instead of 1). Changed: a_node_cut_off_answers_not_run_at_once waits for the reason "the bundle is not confirmed" instead of any 503, because 503 now comes earlier; what it asks of the answers is the same. Other tests of the node have drain_lead_ms = 0 and so stop as before.

--- a/crates/pinerill-node/src/drain.rs
+++ b/crates/pinerill-node/src/drain.rs
@@ -8,6 +8,7 @@
 /// Requests in flight and whether new ones are taken.
 #[derive(Debug, Default)]
 pub struct Drain {
+    announced: AtomicBool,
     started: AtomicBool,
     in_flight: AtomicUsize,
     emptied: Notify,
@@ -33,6 +34,16 @@
         (!self.has_started()).then_some(guard)
     }
 
+    /// Says that the stop will begin; requests are still taken.
+    pub fn announce(&self) {
+        self.announced.store(true, Ordering::Release);
+    }
+
+    /// Whether the stop was announced or has begun.
+    pub fn is_announced(&self) -> bool {
+        self.announced.load(Ordering::Acquire) || self.has_started()
+    }
+
     /// Begins the stop.
     pub fn start(&self) {
         self.started.store(true, Ordering::Release);
--- a/crates/pinerill-node/src/engine/client.rs
+++ b/crates/pinerill-node/src/engine/client.rs
@@ -79,6 +79,11 @@
         matches!(self.code.as_str(), "model_not_loaded" | "loading")
     }
 
+    /// Whether the engine only prefills now.
+    pub fn is_wrong_role(&self) -> bool {
+        self.code == "wrong_role"
+    }
+
     /// Whether the worker is leaving.
     pub fn is_leaving(&self) -> bool {
         self.code == "leaving"
--- a/crates/pinerill-node/src/membership/engine.rs
+++ b/crates/pinerill-node/src/membership/engine.rs
@@ -90,6 +90,11 @@
         self.holding.lock().models.retain(|held| held != model);
     }
 
+    /// It refused to decode; the next report says which role it has.
+    pub(super) fn only_prefills(&self) {
+        self.holding.lock().role = Role::Prefill;
+    }
+
     /// Its role.
     pub fn role(&self) -> Role {
         self.holding.lock().role
--- a/crates/pinerill-node/src/membership/fleet.rs
+++ b/crates/pinerill-node/src/membership/fleet.rs
@@ -226,6 +226,12 @@
         self.rebuild();
     }
 
+    /// An engine refused because it only prefills now.
+    pub fn refused_role(&self, engine: &Engine) {
+        engine.only_prefills();
+        self.rebuild();
+    }
+
     fn note_leaving(&self, worker: &Worker) {
         log::info!("worker {} is leaving", worker.name);
         self.metrics.leaving_signs.inc();
--- a/crates/pinerill-node/src/node.rs
+++ b/crates/pinerill-node/src/node.rs
@@ -21,6 +21,11 @@
 use crate::metrics::Metrics;
 use crate::online::ExecutionContext;
 
+/// Readiness ends when this part of the configuration lease is left: at the
+/// default of 5 s, 1.25 s before requests are refused. Watches renew the lease
+/// each second, and one that fails still leaves more than that.
+const READINESS_LEAD_PART: u64 = 4;
+
 /// The shared parts of one node.
 pub struct Node {
     /// Its settings.
@@ -95,17 +100,28 @@
         })
     }
 
-    /// Why it takes no requests; empty when it does.
+    /// Readiness ends before the lease does, so that load balancers have
+    /// turned away by the time requests are refused.
+    fn unconfirmed_reason(&self) -> Option<&'static str> {
+        let Some(catalog) = self.configuration.catalog() else {
+            return Some("no bundle was confirmed yet");
+        };
+        let now_ms = clock::now_ms();
+        let lead_ms = catalog.policy().configuration_lease_ms / READINESS_LEAD_PART;
+        if !self.configuration.is_confirmed(now_ms) {
+            return Some("the bundle is not confirmed");
+        }
+        let runs_out = !self.configuration.is_confirmed(now_ms + lead_ms);
+        runs_out.then_some("the bundle's confirmation runs out")
+    }
+
+    /// Why it should get no new requests; empty when it should.
     pub fn unready_reasons(&self) -> Vec<&'static str> {
         let mut reasons = Vec::new();
-        if self.drain.has_started() {
+        if self.drain.is_announced() {
             reasons.push("draining");
         }
-        if self.configuration.catalog().is_none() {
-            reasons.push("no bundle was confirmed yet");
-        } else if !self.configuration.is_confirmed(clock::now_ms()) {
-            reasons.push("the bundle is not confirmed");
-        }
+        reasons.extend(self.unconfirmed_reason());
         if self.fleet.view().workers.is_empty() {
             reasons.push("no worker is known");
         }
--- a/crates/pinerill-node/src/online/execution/attempt.rs
+++ b/crates/pinerill-node/src/online/execution/attempt.rs
@@ -132,6 +132,9 @@
         if refusal.lacks_model() {
             self.context.fleet.refused_model(engine, &served.model);
         }
+        if refusal.is_wrong_role() {
+            self.context.fleet.refused_role(engine);
+        }
         let end = if refusal.not_started {
             AttemptEnd::NotRun
         } else {
--- a/crates/pinerill-node/src/run.rs
+++ b/crates/pinerill-node/src/run.rs
@@ -24,9 +24,9 @@
 
 /// Longest wait until the servers have closed their connections.
 const SERVER_STOP_LIMIT: Duration = Duration::from_secs(4);
-/// How long readiness is off before the listener closes, so that callers who
-/// are on their way get an answer.
-const READINESS_LEAD: Duration = Duration::from_millis(200);
+/// How long requests are refused before the listener closes, so that callers
+/// who are on their way get an answer.
+const REFUSAL_LEAD: Duration = Duration::from_millis(200);
 
 /// Why a node ended with an error.
 #[derive(Debug, thiserror::Error)]
@@ -188,15 +188,22 @@
     log::info!("counters: {}", node.metrics.line());
 }
 
-/// Lets what is in flight finish. Returns how many requests were cut.
+/// Shows that the node stops while it still takes requests, then lets what is
+/// in flight finish. Returns how many requests were cut.
 async fn drain(node: &Arc<Node>, signals: &StopSignals) -> usize {
     log::info!("stop begins, {} requests in flight", node.drain.in_flight());
-    node.drain.start();
+    node.drain.announce();
     node.fleet.start_draining();
     node.batch.stop();
+    let lead = Duration::from_millis(node.settings.drain_lead_ms);
+    tokio::select! {
+        () = tokio::time::sleep(lead) => {}
+        () = signals.forced.cancelled() => {}
+    }
+    node.drain.start();
     let limit = Duration::from_millis(node.settings.drain_ms);
     let finished = async {
-        tokio::time::sleep(READINESS_LEAD).await;
+        tokio::time::sleep(REFUSAL_LEAD).await;
         node.drain.emptied().await;
         node.batch.finished().await;
     };
--- a/crates/pinerill-node/tests/drain.rs
+++ b/crates/pinerill-node/tests/drain.rs
@@ -50,6 +50,24 @@
     assert!(end_of(node).await.is_ok());
 }
 
+#[tokio::test]
+async fn a_stopping_node_serves_on_until_load_balancers_had_time_to_see_it() {
+    let worker = FakeWorker::start("worker-1", 1).await;
+    let control = Arc::new(FakeControl::new(bundle()));
+    control.list_workers(vec![worker.record()]);
+    // Longer than the test: only the second signal ends the lead.
+    let node = TestNode::start_with(control, |settings| settings.drain_lead_ms = 600_000).await;
+    until("reported", || worker.model.lock().reports >= 2).await;
+    node.signals.planned.cancel();
+    node.until_ready(503).await;
+    assert_eq!(node.readiness().await.1, "draining\n");
+    assert_eq!(answer(online(&node, "p")).await.0, 200);
+    let batch = node.submit("k", line("a", "p")).await;
+    assert_eq!(batch.0, 200);
+    node.signals.forced.cancel();
+    assert!(end_of(node).await.is_ok());
+}
+
 #[tokio::test]
 async fn a_planned_stop_gives_leases_back_and_ends_what_must_not_be_repeated() {
     let (node, worker) = start().await;
--- a/crates/pinerill-node/tests/online_limits.rs
+++ b/crates/pinerill-node/tests/online_limits.rs
@@ -210,7 +210,7 @@
     };
     assert_eq!(answer(strict()).await.0, 200);
     node.control.cut_off.store(true, Ordering::Relaxed);
-    node.until_ready(503).await;
+    node.until_reason("the bundle is not confirmed").await;
     let refused = strict().send().await.expect("an answer");
     assert!(refused.headers().contains_key("Retry-After"));
     let body = refused.json().await.expect("JSON");
@@ -234,6 +234,25 @@
     assert_eq!(answer(strict()).await.0, 200);
 }
 
+#[tokio::test]
+async fn a_node_cut_off_is_not_ready_before_it_refuses() {
+    let mut bundle = bundle();
+    // Longer than the test: what is seen is the end of readiness only.
+    bundle.policy.configuration_lease_ms = 8_000;
+    let worker = FakeWorker::start("worker-1", 1).await;
+    let control = Arc::new(FakeControl::new(bundle));
+    control.list_workers(vec![worker.record()]);
+    let node = TestNode::start(control).await;
+    until("reported", || worker.model.lock().reports >= 2).await;
+    node.until_ready(200).await;
+    node.control.cut_off.store(true, Ordering::Relaxed);
+    node.until_reason("the bundle's confirmation runs out")
+        .await;
+    assert_eq!(answer(online(&node, "p")).await.0, 200);
+    node.control.cut_off.store(false, Ordering::Relaxed);
+    node.until_ready(200).await;
+}
+
 #[tokio::test]
 async fn one_tenant_in_excess_is_refused_and_another_is_not() {
     let mut bundle = bundle();
--- a/crates/pinerill-node/tests/support/mod.rs
+++ b/crates/pinerill-node/tests/support/mod.rs
@@ -199,6 +199,20 @@
         );
     }
 
+    /// Waits until `/readyz` answers 503 with this reason alone.
+    pub async fn until_reason(&self, reason: &str) {
+        let wanted = (503, format!("{reason}\n"));
+        let waited = tokio::time::timeout(PATIENCE, async {
+            while self.readiness().await != wanted {
+                tokio::time::sleep(LOOK_PAUSE).await;
+            }
+        });
+        assert!(
+            waited.await.is_ok(),
+            "not within the test's time: /readyz says {reason}"
+        );
+    }
+
     pub fn url(&self, path: &str) -> String {
         format!("http://{}{path}", self.address)
     }
@@ -250,6 +264,7 @@
         batch_limit_kib: 1_024,
         worker_subset: 8,
         report_poll_ms: 20,
+        drain_lead_ms: 0,
         drain_ms: 20_000,
     }
 }
--- a/crates/pinerill-node/tests/version_change.rs
+++ b/crates/pinerill-node/tests/version_change.rs
@@ -129,6 +129,40 @@
     assert_eq!(fixture.load().await, [0, REQUESTS]);
 }
 
+#[tokio::test]
+async fn an_engine_that_refuses_for_its_new_role_is_not_asked_again() {
+    let (changed, other) = (
+        FakeWorker::start("changed", 1).await,
+        FakeWorker::start("other", 1).await,
+    );
+    let control = Arc::new(FakeControl::new(bundle()));
+    control.list_workers(vec![changed.record(), other.record()]);
+    // Only the first report comes within the test.
+    let node = TestNode::start_with(control, |settings| settings.report_poll_ms = 600_000).await;
+    let workers = [changed, other];
+    let fixture = Fixture {
+        node,
+        workers: workers.into(),
+    };
+    until_both_are_asked(&fixture).await;
+    let changed = &fixture.workers[0];
+    changed.change(|model| model.refusal = Some((503, "wrong_role")));
+    let before = changed.model.lock().arrivals.len();
+    for _ in 0..REQUESTS {
+        assert_eq!(fixture.complete().await.0, 200);
+    }
+    let met = changed.model.lock().arrivals.len() - before;
+    assert_eq!(met, 1, "only the first one met it");
+}
+
+/// The node knows what both hold.
+async fn until_both_are_asked(fixture: &Fixture) {
+    let asked = |worker: &FakeWorker| !worker.model.lock().arrivals.is_empty();
+    while !fixture.workers.iter().all(asked) {
+        fixture.complete().await;
+    }
+}
+
 #[tokio::test]
 async fn an_answer_begun_by_one_version_does_not_go_on_with_another() {
     let fixture = Fixture::start().await;
--- a/crates/pinerill-rehearse/src/fleet/pinerill/settings.rs
+++ b/crates/pinerill-rehearse/src/fleet/pinerill/settings.rs
@@ -15,7 +15,10 @@
 use super::PinerillFleet;
 
 /// Loads of weights that may run at once in the fleet.
-const CONCURRENT_LOADS: u32 = 4;
+pub const CONCURRENT_LOADS: u32 = 4;
+/// Time for load balancers to see that a node stops, as in the settings'
+/// default.
+const DRAIN_LEAD_MS: u64 = 2_000;
 
 impl PinerillFleet {
     /// What every process in `zone` knows; none is outside the relays.
@@ -89,6 +92,7 @@
             batch_limit_kib: 65_536,
             worker_subset: 48,
             report_poll_ms: 500,
+            drain_lead_ms: DRAIN_LEAD_MS,
             drain_ms: self.plan.drain.as_millis() as u64,
         }
     }
--- a/crates/pinerill-types/src/settings/example.rs
+++ b/crates/pinerill-types/src/settings/example.rs
@@ -47,7 +47,9 @@
 worker_subset = 48
 # Pause between two polls of a worker's load report, milliseconds.
 report_poll_ms = 500
-# Longest planned stop, milliseconds.
+# Time for load balancers to see that a node stops, before it refuses requests.
+drain_lead_ms = 2000
+# Longest planned stop after that, milliseconds.
 drain_ms = 60000
 
 [log]
--- a/crates/pinerill-types/src/settings/mod.rs
+++ b/crates/pinerill-types/src/settings/mod.rs
@@ -123,6 +123,10 @@
     /// Pause between two polls of a worker's load report, milliseconds.
     #[serde(default = "default_report_poll_ms")]
     pub report_poll_ms: u64,
+    /// How long a planned stop shows the node as not ready before it refuses
+    /// new requests, milliseconds: what load balancers need to see it.
+    #[serde(default = "default_drain_lead_ms")]
+    pub drain_lead_ms: u64,
     /// Longest planned stop, milliseconds; what is in flight then is cut.
     #[serde(default = "default_drain_ms")]
     pub drain_ms: u64,
@@ -144,6 +148,10 @@
     500
 }
 
+fn default_drain_lead_ms() -> u64 {
+    2_000
+}
+
 fn default_drain_ms() -> u64 {
     60_000
 }
