Rehearsal kit: failures during the bench, roles, versions and lost models

bench: mixed_failures (a worker killed, one leaving by the list, a node stopped, a zone cut, by the seed, behind a load balancer that sees readiness) with figures of the completed share beyond what the ledgers show in flight at the killed worker, tails during and outside, and the leaving worker's last request; long_both and long_split compare roles under long prompts.

faults: version-replaced, model-lost, roles-changed, old-orders.

Checks: requests cut beyond the killed worker; answers of one version (ledger lines name the model's version).

The engine stand-in counts imports and stale orders, its import fails when the source is lost on the way, the weight store counts fetches.

--- a/crates/pinerill-rehearse/src/bench/compare.rs
+++ b/crates/pinerill-rehearse/src/bench/compare.rs
@@ -25,6 +25,16 @@
     pub static_split_efficiency: Option<f64>,
     /// Batch tokens of `mixed` over those of `batch_only`.
     pub mixed_over_batch_only: Option<f64>,
+    /// Share of online requests lost in `mixed_failures`, those in flight at
+    /// the killed worker left out, less the share lost in `mixed`.
+    pub failures_lost_share: Option<f64>,
+    /// First token's p99 of `mixed_failures` over that of `mixed`.
+    pub failures_first_token_p99: Option<f64>,
+    /// Batch tokens of `mixed_failures` over nominal capacity less online's
+    /// use; capacity that failed is not taken off.
+    pub failures_batch_efficiency: Option<f64>,
+    /// Batch tokens of `mixed_failures` over those of `mixed`.
+    pub failures_over_mixed_batch: Option<f64>,
     /// First token's p50 of `online_only` less that of `direct`, milliseconds.
     pub added_first_token_p50_ms: Option<f64>,
     /// First token's p95 of `online_only` less that of `direct`, milliseconds.
@@ -39,6 +49,7 @@
         let find = |phase| phases.iter().find(|one| one.phase == phase);
         let (direct, online) = (find(Phase::Direct), find(Phase::OnlineOnly));
         let (batch, mixed) = (find(Phase::BatchOnly), find(Phase::Mixed));
+        let failures = find(Phase::MixedFailures);
         let (no_priority, split) = (find(Phase::NoPriority), find(Phase::StaticSplit));
         let first_p99 = |one: &PhaseFigures| one.first_token_ms.p99;
         let gap_p99 = |one: &PhaseFigures| one.between_tokens_ms.p99;
@@ -55,6 +66,10 @@
             no_priority_efficiency: efficiency(no_priority),
             static_split_efficiency: efficiency(split),
             mixed_over_batch_only: ratio(mixed, batch, batch_rate),
+            failures_lost_share: lost_share(failures, mixed),
+            failures_first_token_p99: ratio(failures, mixed, first_p99),
+            failures_batch_efficiency: efficiency(failures),
+            failures_over_mixed_batch: ratio(failures, mixed, batch_rate),
             added_first_token_p50_ms: added(|one| one.first_token_ms.p50),
             added_first_token_p95_ms: added(|one| one.first_token_ms.p95),
             added_first_token_p99_ms: added(|one| one.first_token_ms.p99),
@@ -73,6 +88,15 @@
     phase.batch_tokens_per_second / left
 }
 
+/// Lost beyond what was in flight at the killed worker, less what the same
+/// arrivals lose without failures.
+fn lost_share(failures: Option<&PhaseFigures>, mixed: Option<&PhaseFigures>) -> Option<f64> {
+    let with_failures = failures?.failures.as_ref()?.lost_share_elsewhere();
+    let without = &mixed?.online;
+    let lost = without.sent - without.completed;
+    Some(with_failures - lost as f64 / without.sent.max(1) as f64)
+}
+
 fn ratio(
     one: Option<&PhaseFigures>,
     other: Option<&PhaseFigures>,
--- a/crates/pinerill-rehearse/src/bench/figures.rs
+++ b/crates/pinerill-rehearse/src/bench/figures.rs
@@ -6,10 +6,12 @@
 use serde::Serialize;
 
 use super::compare::Comparison;
+use super::failures::FailureFigures;
 use super::meter::ThroughputSample;
 use super::notes::PhaseNotes;
 use super::phase::Phase;
 use super::quantiles::TailQuantiles;
+use super::roles::RoleFigures;
 use crate::check::{yield_times, LedgerIndex, Run, RunEnd, Verdict};
 use crate::ledger::LedgerLine;
 use crate::load::record::{EndCounts, OnlineRecord};
@@ -116,6 +118,12 @@
     pub processes: ProcessFigures,
     /// Throughput over time.
     pub samples: Vec<ThroughputSample>,
+    /// What failures cost, when things failed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub failures: Option<FailureFigures>,
+    /// What roles did, in the comparison of roles.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub roles: Option<RoleFigures>,
 }
 
 /// A tail at one time.
@@ -195,6 +203,8 @@
             retries: runs.retries + notes.retries_by_kit,
             processes: notes.process_figures(),
             samples: notes.samples.clone(),
+            failures: None,
+            roles: None,
         }
     }
 }
--- a/crates/pinerill-rehearse/src/bench/meter.rs
+++ b/crates/pinerill-rehearse/src/bench/meter.rs
@@ -47,6 +47,13 @@
 }
 
 impl ProcessUsage {
+    /// Adds what processes used that have ended since.
+    pub fn add_ended(&mut self, ended: &Self) {
+        self.nodes.add(&ended.nodes);
+        self.controls.add(&ended.controls);
+        self.workers.add(&ended.workers);
+    }
+
     /// Reads what the processes of a rehearsal have used so far.
     ///
     /// # Errors
--- a/crates/pinerill-rehearse/src/bench/mod.rs
+++ b/crates/pinerill-rehearse/src/bench/mod.rs
@@ -3,13 +3,18 @@
 
 mod batch_load;
 mod compare;
+mod failure_page;
+pub mod failures;
 mod figures;
+mod loading;
 mod meter;
 mod notes;
 mod phase;
 mod plots;
 mod quantiles;
 mod report;
+mod role_page;
+pub mod roles;
 mod run;
 
 use std::path::PathBuf;
@@ -39,9 +44,16 @@
     /// Seed of arrivals and heaps.
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
-    /// Only this phase; may be given again. Without it, all of them.
+    /// Only this phase; may be given again. Without it, all but those that
+    /// compare roles.
     #[arg(long = "phase", value_enum)]
     pub phases: Vec<Phase>,
+    /// Long prompts a second in the phases `long_both` and `long_split`.
+    #[arg(long, default_value_t = 10.0)]
+    pub long_per_second: f64,
+    /// Share of the engines that only prefill in `long_split`, per cent.
+    #[arg(long, default_value_t = 20)]
+    pub prefill_percent: usize,
     /// Where all figures go, as JSON.
     #[arg(long)]
     pub json: Option<PathBuf>,
--- a/crates/pinerill-rehearse/src/bench/report.rs
+++ b/crates/pinerill-rehearse/src/bench/report.rs
@@ -8,6 +8,7 @@
 use super::figures::{BenchFigures, PhaseFigures};
 use super::plots;
 use super::quantiles::TailQuantiles;
+use super::{failure_page, role_page};
 
 /// Name of the page.
 const PAGE: &str = "REPORT.md";
@@ -54,6 +55,8 @@
     write_batch(page, figures)?;
     write_processes(page, figures)?;
     write_comparison(page, figures)?;
+    failure_page::write_failures(page, figures)?;
+    role_page::write_roles(page, figures)?;
     let verdict = &figures.verdict;
     writeln!(page, "\n## Promises\n\n```\n{verdict}```")
 }
@@ -180,6 +183,18 @@
             "batch tokens, mixed over batch_only",
             comparison.mixed_over_batch_only,
         ),
+        (
+            "failures: first token p99, mixed_failures over mixed",
+            comparison.failures_first_token_p99,
+        ),
+        (
+            "failures: batch efficiency, mixed_failures",
+            comparison.failures_batch_efficiency,
+        ),
+        (
+            "failures: batch tokens, mixed_failures over mixed",
+            comparison.failures_over_mixed_batch,
+        ),
         (
             "added by pinerill to the first token, p50, ms",
             comparison.added_first_token_p50_ms,
@@ -202,7 +217,8 @@
     Ok(())
 }
 
-fn tail(quantiles: &TailQuantiles) -> String {
+/// Quantiles in one cell.
+pub(super) fn tail(quantiles: &TailQuantiles) -> String {
     match quantiles.count {
         0 => "–".to_owned(),
         _ => format!(
--- a/crates/pinerill-rehearse/src/check/history.rs
+++ b/crates/pinerill-rehearse/src/check/history.rs
@@ -2,6 +2,7 @@
 
 use pinerill_types::job::{ItemState, JobState};
 
+use super::ledger_index::Run;
 use crate::load::content::BatchItem;
 use crate::load::record::OnlineRecord;
 
@@ -17,10 +18,30 @@
     pub jobs: Vec<JobHistory>,
     /// Workers that were said to be leaving.
     pub leaving: Vec<LeavingWorker>,
+    /// Workers that were killed.
+    pub killed: Vec<KilledWorker>,
     /// Whether items may end as indeterminate.
     pub indeterminate: Indeterminate,
 }
 
+/// A worker that was killed: what ran there ended with it, without a line in
+/// its ledger.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KilledWorker {
+    /// Its name.
+    pub worker: String,
+    /// When, Unix time in microseconds.
+    pub at_us: u64,
+}
+
+impl History {
+    /// Whether a run without an end ended with its worker.
+    pub fn ended_by_kill(&self, run: &Run) -> bool {
+        let mut killed = self.killed.iter();
+        killed.any(|one| run.worker() == one.worker && run.started_us <= one.at_us)
+    }
+}
+
 /// Whether an item that must not be repeated may end as indeterminate.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Indeterminate {
--- a/crates/pinerill-rehearse/src/check/ledger_index.rs
+++ b/crates/pinerill-rehearse/src/check/ledger_index.rs
@@ -23,6 +23,8 @@
     pub incarnation: u64,
     /// Identifier at the engine.
     pub request_id: String,
+    /// Model as the request named it, with its version if that was given.
+    pub model: String,
     /// Its priority.
     pub priority: Priority,
     /// When it arrived, Unix time in microseconds.
@@ -101,6 +103,7 @@
             engine: line.engine.clone(),
             incarnation: line.incarnation,
             request_id: line.request_id.clone(),
+            model: line.model.clone(),
             priority: line.priority,
             arrived_us: line.arrived_us,
             started_us: line.time_us,
--- a/crates/pinerill-rehearse/src/check/mod.rs
+++ b/crates/pinerill-rehearse/src/check/mod.rs
@@ -11,18 +11,21 @@
 mod leaving;
 mod ledger_index;
 mod verdict;
+mod versions;
 mod yielding;
 
 pub use answers::check_answers;
 pub use at_most_once::check_at_most_once;
 pub use cancel::{check_cancelled, CANCEL_GRACE};
 pub use history::{
-    Cancel, History, Indeterminate, ItemExpectation, ItemObservation, JobHistory, LeavingWorker,
+    Cancel, History, Indeterminate, ItemExpectation, ItemObservation, JobHistory, KilledWorker,
+    LeavingWorker,
 };
 pub use jobs::check_jobs;
 pub use leaving::{check_leaving, LEAVING_LIMIT};
 pub use ledger_index::{LedgerIndex, Run, RunEnd};
 pub use verdict::{Finding, Verdict, Violation};
+pub use versions::check_versions;
 pub use yielding::yield_times;
 
 /// Runs all checks of a history against the engines' ledgers.
--- a/crates/pinerill-rehearse/src/engine/messages.rs
+++ b/crates/pinerill-rehearse/src/engine/messages.rs
@@ -175,6 +175,15 @@
     pub online: WorkDone,
     /// For batch requests.
     pub batch: WorkDone,
+    /// Tokens whose KV cache was imported from other engines.
+    #[serde(default)]
+    pub imported_tokens: u64,
+    /// KV caches imported from other engines.
+    #[serde(default)]
+    pub imports: u64,
+    /// Orders refused because a newer one had been seen.
+    #[serde(default)]
+    pub stale_orders: u64,
 }
 
 impl EngineUsage {
--- a/crates/pinerill-rehearse/src/faults/mod.rs
+++ b/crates/pinerill-rehearse/src/faults/mod.rs
@@ -1,6 +1,7 @@
 //! Brings about failures in a fleet of real processes, one scenario after the
 //! other, each with a fleet of its own, and checks what came of it.
 
+pub mod engines;
 mod load;
 mod report;
 mod scenario;
--- a/crates/pinerill-rehearse/src/faults/scenarios/mod.rs
+++ b/crates/pinerill-rehearse/src/faults/scenarios/mod.rs
@@ -5,7 +5,9 @@
 mod disks;
 mod jobs;
 mod nodes;
+mod roles;
 mod strangers;
+mod versions;
 mod workers;
 mod zones;
 
@@ -30,5 +32,9 @@
         Box::new(jobs::JobResent),
         Box::new(jobs::JobCancelled),
         Box::new(strangers::OtherClusterKey),
+        Box::new(versions::VersionReplaced),
+        Box::new(versions::ModelLost),
+        Box::new(roles::RolesChanged),
+        Box::new(roles::OldOrders),
     ]
 }
--- a/crates/pinerill-rehearse/src/faults/stage.rs
+++ b/crates/pinerill-rehearse/src/faults/stage.rs
@@ -20,6 +20,7 @@
 use crate::load::content::BatchItem;
 use crate::load::job_client::{job_lines, JobClient};
 use crate::load::online;
+use crate::load::profile::OnlineProfile;
 use crate::load::record::OnlineRecord;
 use crate::load::schedule::online_arrivals;
 use crate::rehearsal::{Progress, Rehearsal, RehearsalOptions};
@@ -49,6 +50,8 @@
     pub progress: Progress,
     random: Pcg64,
     seed: u64,
+    /// Contents of each load differ from those of all others.
+    loads_started: usize,
     loads: Vec<JoinHandle<Vec<OnlineRecord>>>,
 }
 
@@ -72,6 +75,7 @@
             progress,
             random: Pcg64::seed_from_u64(seed),
             seed,
+            loads_started: 0,
             loads: Vec::new(),
         })
     }
@@ -83,9 +87,14 @@
 
     /// Sends online load at all nodes for `length`, in the background.
     pub fn start_online(&mut self, length: Duration) {
-        let number = self.loads.len();
+        self.start_online_of(online_profile(), length);
+    }
+
+    /// The same with a load of another shape.
+    pub fn start_online_of(&mut self, profile: OnlineProfile, length: Duration) {
+        let number = self.loads_started;
+        self.loads_started += 1;
         let seed = self.seed + number as u64;
-        let profile = online_profile();
         let arrivals = online_arrivals(&profile, length, seed);
         let service = self.rehearsal.preset.service;
         let target = Arc::new(self.rehearsal.online_target(service));
--- a/crates/pinerill-rehearse/src/fleet/pinerill/mod.rs
+++ b/crates/pinerill-rehearse/src/fleet/pinerill/mod.rs
@@ -24,7 +24,8 @@
 use super::ready::wait_http;
 
 pub use place::{PinerillPlan, ProcessPlace};
-pub use relays::{RelayTarget, ZoneRelays};
+pub use relays::{RelayTarget, ZoneCut, ZoneRelays};
+pub use settings::CONCURRENT_LOADS;
 pub use status::cluster_status;
 
 /// Longest time until a process is ready.
--- a/crates/pinerill-rehearse/src/fleet/relay.rs
+++ b/crates/pinerill-rehearse/src/fleet/relay.rs
@@ -21,10 +21,16 @@
 /// A process that relays links, all with the same latency.
 #[derive(Debug)]
 pub struct RelayProcess {
+    control: RelayControl,
+    process: ChildProcess,
+}
+
+/// Changes the links of a relay process.
+#[derive(Clone, Debug)]
+pub struct RelayControl {
     admin: SocketAddr,
     client: Client,
     latency: Duration,
-    process: ChildProcess,
 }
 
 impl RelayProcess {
@@ -51,12 +57,17 @@
         let client = Client::builder().no_proxy().build()?;
         let mut process = launcher.start_standin(name, arguments)?;
         wait_http(&client, &mut process, admin, "/links", READY_TIME).await?;
-        Ok(Self {
+        let control = RelayControl {
             admin,
             client,
             latency,
-            process,
-        })
+        };
+        Ok(Self { control, process })
+    }
+
+    /// Changes its links.
+    pub fn control(&self) -> RelayControl {
+        self.control.clone()
     }
 
     /// Lets bytes pass both ways, or not.
@@ -64,9 +75,35 @@
     /// # Errors
     /// When the relay does not answer.
     pub async fn set_both(&self, link: &str, passage: Passage) -> anyhow::Result<()> {
-        self.set(link, passage, passage).await
+        self.control.set(link, passage, passage).await
+    }
+
+    /// Lets bytes pass towards the target and back, or not.
+    ///
+    /// # Errors
+    /// When the relay does not answer.
+    pub async fn set(&self, link: &str, forward: Passage, backward: Passage) -> anyhow::Result<()> {
+        self.control.set(link, forward, backward).await
+    }
+
+    /// Closes all connections of a link.
+    ///
+    /// # Errors
+    /// When the relay does not answer.
+    pub async fn reset(&self, link: &str) -> anyhow::Result<()> {
+        self.control.reset(link).await
     }
 
+    /// Planned stop.
+    ///
+    /// # Errors
+    /// When it does not end with exit code 0.
+    pub async fn stop(&mut self) -> anyhow::Result<()> {
+        self.process.stop(STOP_TIME).await
+    }
+}
+
+impl RelayControl {
     /// Lets bytes pass towards the target and back, or not.
     ///
     /// # Errors
@@ -90,14 +127,6 @@
         self.order(link, self.client.post(url)).await
     }
 
-    /// Planned stop.
-    ///
-    /// # Errors
-    /// When it does not end with exit code 0.
-    pub async fn stop(&mut self) -> anyhow::Result<()> {
-        self.process.stop(STOP_TIME).await
-    }
-
     async fn order(&self, link: &str, call: RequestBuilder) -> anyhow::Result<()> {
         let sent = call.send().await;
         let response = sent.with_context(|| format!("changing link {link}"))?;
--- a/crates/pinerill-rehearse/src/ledger.rs
+++ b/crates/pinerill-rehearse/src/ledger.rs
@@ -48,6 +48,9 @@
     pub request_id: String,
     /// Name of its model, adapter and prompt (`answer::content_name`).
     pub content: String,
+    /// Model as the request named it, with its version if that was given.
+    #[serde(default)]
+    pub model: String,
     /// Its priority.
     pub priority: Priority,
     /// Length of its prompt, in tokens.
--- a/crates/pinerill-rehearse/src/load/mod.rs
+++ b/crates/pinerill-rehearse/src/load/mod.rs
@@ -8,6 +8,7 @@
 pub mod node_target;
 pub mod online;
 pub mod profile;
+pub mod readiness;
 pub mod record;
 pub mod schedule;
 pub mod sse;
--- a/crates/pinerill-rehearse/src/load/node_target.rs
+++ b/crates/pinerill-rehearse/src/load/node_target.rs
@@ -8,6 +8,7 @@
 
 use super::content::OnlineRequest;
 use super::online::{OnlineTarget, Sent};
+use super::readiness::NodeReadiness;
 
 /// In which of the usual shapes a request is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,6 +71,9 @@
     pub service: String,
     /// Shapes of the requests, in turn by their numbers.
     pub shapes: Vec<RequestShape>,
+    /// What a load balancer knows of the nodes; without it, each has its turn
+    /// whatever its state.
+    pub readiness: Option<NodeReadiness>,
     next: AtomicUsize,
 }
 
@@ -87,6 +91,7 @@
             key,
             service,
             shapes: vec![RequestShape::StreamedCompletion],
+            readiness: None,
             next: AtomicUsize::new(0),
         }
     }
@@ -99,10 +104,21 @@
         }
     }
 
+    /// The same target behind a load balancer that knows which nodes are ready.
+    pub fn behind(self, readiness: NodeReadiness) -> Self {
+        Self {
+            readiness: Some(readiness),
+            ..self
+        }
+    }
+
     /// The next node.
     pub fn next_node(&self) -> SocketAddr {
         let turn = self.next.fetch_add(1, Ordering::Relaxed);
-        self.nodes[turn % self.nodes.len()]
+        match &self.readiness {
+            Some(readiness) => readiness.choose(turn),
+            None => self.nodes[turn % self.nodes.len()],
+        }
     }
 }
 
--- a/crates/pinerill-rehearse/src/load/record.rs
+++ b/crates/pinerill-rehearse/src/load/record.rs
@@ -45,6 +45,13 @@
     pub end: OnlineEnd,
 }
 
+impl OnlineRecord {
+    /// Whether its whole and right answer came.
+    pub fn is_completed(&self) -> bool {
+        self.end == OnlineEnd::Completed
+    }
+}
+
 /// Counts of ends.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct EndCounts {
--- a/crates/pinerill-rehearse/src/rehearsal/bundles.rs
+++ b/crates/pinerill-rehearse/src/rehearsal/bundles.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use pinerill_types::bundle::{Adapter, Bundle, Model, Script, Service, Sharing, Tenant};
+use pinerill_types::bundle::{
+    Adapter, Bundle, Model, Script, Service, Sharing, Tenant, WorkPlacement,
+};
 use pinerill_types::{AdapterName, Digest, ModelName, ServiceName, TenantName};
 
 use crate::preset::{Preset, VERSION};
@@ -64,6 +66,25 @@
     bundle
 }
 
+/// The next bundle after `base`, with another version of the preset's model.
+pub fn with_model_version(base: &Bundle, preset: &Preset, version: &str) -> Bundle {
+    let mut bundle = next_version(base);
+    if let Some(model) = bundle.models.get_mut(&ModelName::from(preset.model)) {
+        model.version = version.to_owned();
+        model.weights = format!("{}/{version}", preset.model);
+    }
+    bundle
+}
+
+/// The next bundle after `base`, with the preset's model placed so.
+pub fn with_placement(base: &Bundle, preset: &Preset, placement: WorkPlacement) -> Bundle {
+    let mut bundle = next_version(base);
+    if let Some(model) = bundle.models.get_mut(&ModelName::from(preset.model)) {
+        model.placement = placement;
+    }
+    bundle
+}
+
 /// A copy of `base` under the next version.
 pub fn next_version(base: &Bundle) -> Bundle {
     Bundle {
--- a/crates/pinerill-rehearse/src/rehearsal/mod.rs
+++ b/crates/pinerill-rehearse/src/rehearsal/mod.rs
@@ -22,6 +22,7 @@
 use crate::load::content::{AnsweredBy, ContentContext};
 use crate::load::job_client::JobClient;
 use crate::load::node_target::NodeTarget;
+use crate::load::readiness::{NodeAddresses, NodeReadiness};
 use crate::preset::Preset;
 
 pub use failure::keep_folder_of_failure;
@@ -126,6 +127,18 @@
         )
     }
 
+    /// The same behind a load balancer, which leaves out nodes that are not
+    /// ready.
+    pub fn balanced_target(&self, service: &str) -> NodeTarget {
+        let nodes = self.fleet.nodes.iter().map(|node| NodeAddresses {
+            listen: node.settings.listen,
+            admin: node.settings.admin,
+        });
+        let nodes: Vec<NodeAddresses> = nodes.collect();
+        let readiness = NodeReadiness::start(&self.client, &nodes);
+        self.online_target(service).behind(readiness)
+    }
+
     /// The tenant's batch jobs at all nodes in turn.
     pub fn job_client(&self) -> JobClient {
         let nodes = self.fleet.node_addresses();
--- a/crates/pinerill-rehearse/src/standin/worker/request.rs
+++ b/crates/pinerill-rehearse/src/standin/worker/request.rs
@@ -184,6 +184,8 @@
     pub answer: Answer,
     /// Name of its content.
     pub content: String,
+    /// Model as the request named it, with its version if that was given.
+    pub model: String,
     /// Priority.
     pub priority: Priority,
     /// Length of the prompt, in tokens.
@@ -212,6 +214,7 @@
                 &request.prompt,
             ),
             content: request.content(),
+            model: request.model.clone(),
             priority: request.priority,
             prompt_tokens: prompt_tokens(&request.prompt),
             continue_from: request.continue_from,
--- a/crates/pinerill-rehearse/src/standin/worker/routes.rs
+++ b/crates/pinerill-rehearse/src/standin/worker/routes.rs
@@ -161,6 +161,7 @@
     let answer = match orders::apply(worker, host, order.into_inner()) {
         FenceVerdict::New | FenceVerdict::Repeated => (Status::Ok, json!({"accepted": true})),
         FenceVerdict::Stale(newest) => {
+            host.note_stale_order();
             let error = json!({"code": "stale_fence", "message": "a newer order was seen"});
             (Status::Conflict, json!({"error": error, "fence": newest}))
         }
@@ -247,6 +248,10 @@
     let speed = worker.arguments.kv_transfer_tokens_per_second.max(1);
     let transfer_us = u64::from(handle.tokens) * 1_000_000 / speed;
     tokio::time::sleep(Duration::from_micros(transfer_us)).await;
+    // A source that was lost on the way has sent only a part.
+    fetch_handle(&worker.client, &url)
+        .await
+        .map_err(|_| unknown("unknown_handle", &body.handle))?;
     host.import_kv(body.handle.clone(), handle.content, handle.tokens);
     Ok(Json(json!({"tokens": handle.tokens})))
 }
--- a/crates/pinerill-rehearse/tests/standin_others.rs
+++ b/crates/pinerill-rehearse/tests/standin_others.rs
@@ -58,6 +58,12 @@
     assert!(second.headers().contains_key("Retry-After"));
     assert_eq!(first.bytes().await.expect("body").len(), 200_000);
     assert!(begin.elapsed() >= Duration::from_millis(450));
+    let usage = client.get(format!("http://{address}/usage")).send().await;
+    let usage: Value = usage.expect("answers").json().await.expect("JSON");
+    assert_eq!(
+        usage,
+        json!({"fetches": 1, "refused": 1, "most_at_once": 1})
+    );
 }
 
 #[tokio::test]
