Prompts of a few prefill steps are prefilled where they decode

Change: from 3,072 bytes (768 tokens, some three steps).

Test, seen to fail before (1 prefill elsewhere instead of 0): a_prompt_of_a_few_prefill_steps_is_prefilled_where_it_decodes.

--- a/crates/pinerill-node/src/online/prefill.rs
+++ b/crates/pinerill-node/src/online/prefill.rs
@@ -9,8 +9,10 @@
 use crate::engine::{EngineCall, Priority, SendOutcome};
 use crate::membership::{Engine, Fleet, Role, Served};
 
-/// Prompts below this many bytes are not worth the transfer.
-const PROMPT_BYTES_MINIMUM: usize = 1_024;
+/// Prompts below this many bytes (768 tokens, some three prefill steps) are not
+/// worth the transfer: they would wait behind long ones at the few engines that
+/// prefill, and their shared prefix is often cached where they decode.
+const PROMPT_BYTES_MINIMUM: usize = 3_072;
 /// Longest wait for the prefill.
 const PREFILL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest wait for an export or import.
--- a/crates/pinerill-node/tests/online_limits.rs
+++ b/crates/pinerill-node/tests/online_limits.rs
@@ -159,6 +159,24 @@
     assert_eq!(error_of(&body), ("overloaded", "unknown"));
 }
 
+#[tokio::test]
+async fn a_prompt_of_a_few_prefill_steps_is_prefilled_where_it_decodes() {
+    let control = Arc::new(FakeControl::new(bundle()));
+    let prefiller = FakeWorker::start("prefiller", 1).await;
+    let decoder = FakeWorker::start("decoder", 1).await;
+    prefiller.change(|model| model.role = "prefill");
+    decoder.change(|model| model.role = "decode");
+    control.list_workers(vec![prefiller.record(), decoder.record()]);
+    let node = TestNode::start(control).await;
+    node.until_metric("workers{state=\"reporting\"}", |value| value >= 2.0)
+        .await;
+    let arrived = || prefiller.model.lock().arrivals.len();
+    assert_eq!(answer(online(&node, &"tap ".repeat(600))).await.0, 200);
+    assert_eq!(arrived(), 0, "600 tokens");
+    assert_eq!(answer(online(&node, &"tap ".repeat(6_000))).await.0, 200);
+    assert_eq!(arrived(), 1, "6,000 tokens");
+}
+
 #[tokio::test]
 async fn a_stream_goes_on_elsewhere_when_its_engine_dies_unless_it_must_not() {
     let control = Arc::new(FakeControl::new(bundle()));
