--- a/crates/pinerill-node/src/monitoring.rs
+++ b/crates/pinerill-node/src/monitoring.rs
@@ -5,6 +5,11 @@
 use crate::node::Node;
 use crate::{clock, gauges};
 
+/// Readiness ends when this part of the configuration lease is left: at the
+/// default of 5 s, 1.25 s before requests are refused. Watches renew the lease
+/// each second, and one that fails still leaves more than that.
+const READINESS_LEAD_PART: u64 = 4;
+
 impl Monitored for Node {
     fn metrics_text(&self) -> Result<String, String> {
         gauges::refresh(self);
@@ -13,17 +18,28 @@
 
     fn unready_reasons(&self) -> Vec<String> {
         let mut reasons = Vec::new();
-        if self.drain.has_started() {
+        if self.drain.is_announced() {
             reasons.push("draining");
         }
-        if self.configuration.catalog().is_none() {
-            reasons.push("no bundle was confirmed yet");
-        } else if !self.configuration.is_confirmed(clock::now_ms()) {
-            reasons.push("the bundle is not confirmed");
-        }
+        reasons.extend(unconfirmed_reason(self));
         if self.fleet.view().workers.is_empty() {
             reasons.push("no worker is known");
         }
         reasons.into_iter().map(str::to_owned).collect()
     }
 }
+
+/// Readiness ends before the lease does, so that load balancers have turned
+/// away by the time requests are refused.
+fn unconfirmed_reason(node: &Node) -> Option<&'static str> {
+    let Some(catalog) = node.configuration.catalog() else {
+        return Some("no bundle was confirmed yet");
+    };
+    let now_ms = clock::now_ms();
+    let lead_ms = catalog.policy().configuration_lease_ms / READINESS_LEAD_PART;
+    if !node.configuration.is_confirmed(now_ms) {
+        return Some("the bundle is not confirmed");
+    }
+    let runs_out = !node.configuration.is_confirmed(now_ms + lead_ms);
+    runs_out.then_some("the bundle's confirmation runs out")
+}
--- a/crates/pinerill-node/tests/online_limits.rs
+++ b/crates/pinerill-node/tests/online_limits.rs
@@ -159,6 +159,24 @@
     assert_eq!(error_of(&body), ("overloaded", "unknown"));
 }
 
+#[tokio::test]
+async fn a_prompt_of_a_few_prefill_steps_is_prefilled_where_it_decodes() {
+    let control = Arc::new(FakeControl::new(bundle()));
+    let prefiller = FakeWorker::start("prefiller", 1).await;
+    let decoder = FakeWorker::start("decoder", 1).await;
+    prefiller.change(|model| model.role = "prefill");
+    decoder.change(|model| model.role = "decode");
+    control.list_workers(vec![prefiller.record(), decoder.record()]);
+    let node = TestNode::start(control).await;
+    node.until_metric("workers{state=\"reporting\"}", |value| value >= 2.0)
+        .await;
+    let arrived = || prefiller.model.lock().arrivals.len();
+    assert_eq!(answer(online(&node, &"tap ".repeat(600))).await.0, 200);
+    assert_eq!(arrived(), 0, "600 tokens");
+    assert_eq!(answer(online(&node, &"tap ".repeat(6_000))).await.0, 200);
+    assert_eq!(arrived(), 1, "6,000 tokens");
+}
+
 #[tokio::test]
 async fn a_stream_goes_on_elsewhere_when_its_engine_dies_unless_it_must_not() {
     let control = Arc::new(FakeControl::new(bundle()));
@@ -210,7 +228,7 @@
     };
     assert_eq!(answer(strict()).await.0, 200);
     node.control.cut_off.store(true, Ordering::Relaxed);
-    node.until_ready(503).await;
+    node.until_reason("the bundle is not confirmed").await;
     let refused = strict().send().await.expect("an answer");
     assert!(refused.headers().contains_key("Retry-After"));
     let body = refused.json().await.expect("JSON");
@@ -234,6 +252,25 @@
     assert_eq!(answer(strict()).await.0, 200);
 }
 
+#[tokio::test]
+async fn a_node_cut_off_is_not_ready_before_it_refuses() {
+    let mut bundle = bundle();
+    // Longer than the test: what is seen is the end of readiness only.
+    bundle.policy.configuration_lease_ms = 8_000;
+    let worker = FakeWorker::start("worker-1", 1).await;
+    let control = Arc::new(FakeControl::new(bundle));
+    control.list_workers(vec![worker.record()]);
+    let node = TestNode::start(control).await;
+    until("reported", || worker.model.lock().reports >= 2).await;
+    node.until_ready(200).await;
+    node.control.cut_off.store(true, Ordering::Relaxed);
+    node.until_reason("the bundle's confirmation runs out")
+        .await;
+    assert_eq!(answer(online(&node, "p")).await.0, 200);
+    node.control.cut_off.store(false, Ordering::Relaxed);
+    node.until_ready(200).await;
+}
+
 #[tokio::test]
 async fn one_tenant_in_excess_is_refused_and_another_is_not() {
     let mut bundle = bundle();
