--- a/crates/pinerill-rehearse/src/faults/scenarios/bundles.rs
+++ b/crates/pinerill-rehearse/src/faults/scenarios/bundles.rs
@@ -38,7 +38,7 @@
 /// Pause between two looks.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 
-/// A control machine and a node are away while hundreds of bundles go by.
+/// The meta leader and a node are away while hundreds of bundles go by.
 pub struct RestartAfterChanges;
 
 #[async_trait]
@@ -48,7 +48,7 @@
     }
 
     fn what(&self) -> &'static str {
-        "a control machine and a node away for 300 bundles; then two others lost"
+        "the meta leader and a node away for 300 bundles; then two others lost"
     }
 
     fn options(&self) -> RehearsalOptions {
@@ -60,29 +60,38 @@
 
     async fn play(&self, stage: &mut Stage) -> anyhow::Result<()> {
         stage.submit("before", ITEMS).await?;
+        stage.await_batch_run(|_| true).await?;
+        let leader = stage.rehearsal.fleet.meta_leader().await?;
+        let fleet = &mut stage.rehearsal.fleet;
+        let away = fleet.control_named(&leader.name)?;
+        let others: Vec<usize> = (0..fleet.controls.len())
+            .filter(|index| *index != away)
+            .collect();
+        fleet.controls[away].process.signal(Signal::Kill)?;
+        // A node that dies with leases makes items indeterminate, as
+        // `node-killed` has it; here every item must complete.
+        stage.finish_jobs().await?;
         let fleet = &mut stage.rehearsal.fleet;
-        let last = fleet.controls.len() - 1;
-        fleet.controls[last].process.signal(Signal::Kill)?;
         fleet.nodes[0].process.signal(Signal::Kill)?;
-        stage.step(format!("control-{} and node-1 are away", last + 1));
+        stage.step(format!("{} and node-1 are away", leader.name));
         change_often(stage).await?;
         stage.step(format!("{CHANGES} bundles went by"));
         let fleet = &mut stage.rehearsal.fleet;
-        fleet.restart_control(last)?;
+        fleet.restart_control(away)?;
         fleet.restart_node(0)?;
-        fleet.await_control(last).await?;
-        await_caught_up(stage, last).await?;
+        fleet.await_control(away).await?;
+        await_caught_up(stage, away, others[0]).await?;
         let (version, nodes) = (stage.rehearsal.bundle.version, 3);
         let operators = &stage.rehearsal.operators;
         operators.await_in_force(version, nodes).await?;
         stage.step("both have caught up; two other control machines are lost");
-        for index in 0..2 {
+        for index in &others[..2] {
             let fleet = &mut stage.rehearsal.fleet;
-            fleet.controls[index].process.signal(Signal::Kill)?;
+            fleet.controls[*index].process.signal(Signal::Kill)?;
         }
         roll_out_with_new_leader(stage).await?;
-        for index in 0..2 {
-            stage.rehearsal.fleet.restart_control(index)?;
+        for index in &others[..2] {
+            stage.rehearsal.fleet.restart_control(*index)?;
         }
         await_all_reachable(stage).await
     }
@@ -97,7 +106,7 @@
         let change = bundle.change_from(&base);
         let signed = stage.rehearsal.operators.sign_directly(change)?;
         let request = Request::ProposeBundle(ProposeBundle { signed });
-        let answer = client.call_any(request, CALL_TIME).await?;
+        let answer = client.call_leader(META_GROUP, request, CALL_TIME).await?;
         match answer {
             Response::ProposeBundle(done) if done.answer == ProposalAnswer::Accepted => {}
             other => bail!("proposing version {}: {other:?}", bundle.version),
@@ -109,7 +118,7 @@
 }
 
 /// The next bundle, with another limit of the tenant.
-fn changed(base: &Bundle, requests_per_second: f64) -> Bundle {
+pub(super) fn changed(base: &Bundle, requests_per_second: f64) -> Bundle {
     let mut bundle = next_version(base);
     for tenant in bundle.tenants.values_mut() {
         tenant.requests_per_second = requests_per_second;
@@ -118,12 +127,12 @@
 }
 
 /// Waits until the machine itself has applied what is committed.
-async fn await_caught_up(stage: &mut Stage, index: usize) -> anyhow::Result<()> {
+async fn await_caught_up(stage: &mut Stage, index: usize, other: usize) -> anyhow::Result<()> {
     let client = stage.rehearsal.fleet.client()?;
     let fleet = &stage.rehearsal.fleet;
     let (behind, ahead) = (
         fleet.controls[index].settings.listen,
-        fleet.controls[0].settings.listen,
+        fleet.controls[other].settings.listen,
     );
     let end = Instant::now() + CATCH_UP_TIME;
     let request = || Request::ClusterStatus(ClusterStatusRequest);
