--- a/crates/pinerill-control/src/host/settings.rs
+++ b/crates/pinerill-control/src/host/settings.rs
@@ -21,6 +21,8 @@
     pub snapshot_bytes: u64,
     /// Entries kept behind a snapshot for followers that lag a little.
     pub compaction_margin: u64,
+    /// Bytes of these entries at most.
+    pub compaction_margin_bytes: usize,
     /// Bytes of a snapshot in one message.
     pub snapshot_chunk_bytes: usize,
     /// Proposals of one group that may be unanswered.
@@ -38,8 +40,9 @@
             election_min: Duration::from_millis(500),
             election_max: Duration::from_millis(1000),
             snapshot_entries: 10_000,
-            snapshot_bytes: 64 << 20,
+            snapshot_bytes: 16 << 20,
             compaction_margin: 1000,
+            compaction_margin_bytes: 16 << 20,
             snapshot_chunk_bytes: 256 << 10,
             max_pending_proposals: 4096,
             max_uncommitted_bytes: 64 << 20,
@@ -55,6 +58,7 @@
         config.election_min_ms = self.election_min.as_millis() as u64;
         config.election_max_ms = self.election_max.as_millis() as u64;
         config.compaction_margin = self.compaction_margin;
+        config.compaction_margin_bytes = self.compaction_margin_bytes;
         config.max_uncommitted_bytes = self.max_uncommitted_bytes;
         config
     }
--- a/crates/pinerill-replica/src/config.rs
+++ b/crates/pinerill-replica/src/config.rs
@@ -27,6 +27,8 @@
     pub max_uncommitted_bytes: usize,
     /// Entries kept behind a snapshot for followers that lag a little.
     pub compaction_margin: u64,
+    /// Bytes of these entries at most: they stay in memory and on disk.
+    pub compaction_margin_bytes: usize,
     /// Deliberate defects; empty except in the simulation's mutants.
     pub defects: Defects,
 }
@@ -45,6 +47,7 @@
             max_inflight_appends: 64,
             max_uncommitted_bytes: 64 << 20,
             compaction_margin: 1000,
+            compaction_margin_bytes: 16 << 20,
             defects: Defects::default(),
         }
     }
--- a/crates/pinerill-replica/src/log.rs
+++ b/crates/pinerill-replica/src/log.rs
@@ -91,6 +91,22 @@
         slice
     }
 
+    /// The index before the entries that are kept behind a snapshot at
+    /// `index`: at most `entries` of them and at most `bytes`.
+    pub(crate) fn start_of_margin(&self, index: u64, entries: u64, bytes: usize) -> u64 {
+        let mut start = index;
+        let mut left = bytes;
+        while index - start < entries {
+            let size = self.entry(start).map_or(usize::MAX, Entry::size);
+            if size > left {
+                break;
+            }
+            left -= size;
+            start -= 1;
+        }
+        start
+    }
+
     /// Forgets entries up to `index`, which must be in the log.
     pub(crate) fn compact(&mut self, index: u64) {
         let Some(term) = self.term_at(index) else {
--- a/crates/pinerill-replica/src/snapshot.rs
+++ b/crates/pinerill-replica/src/snapshot.rs
@@ -20,8 +20,11 @@
 impl Replica {
     /// A snapshot of this replica's own state is durable.
     pub(crate) fn snapshot_saved(&mut self, meta: SnapshotMeta) {
-        let margin = self.config.compaction_margin;
-        let wanted = meta.index.saturating_sub(margin);
+        let wanted = self.log.start_of_margin(
+            meta.index,
+            self.config.compaction_margin,
+            self.config.compaction_margin_bytes,
+        );
         let target = wanted.min(self.lowest_snapshot_in_transfer());
         if target > self.log.base_index() {
             self.log.compact(target);
--- a/crates/pinerill-replica/tests/replication.rs
+++ b/crates/pinerill-replica/tests/replication.rs
@@ -209,3 +209,28 @@
     assert_eq!(cluster.sent["heartbeat"], 200, "10 a second to 2 followers");
     assert_eq!(cluster.sent.get("append_request"), None);
 }
+
+#[test]
+fn a_log_of_large_entries_keeps_few_of_them_behind_a_snapshot() {
+    const ENTRY_BYTES: usize = 8 + 32;
+    const KEPT: u64 = 10;
+    let mut cluster = Cluster::new(1);
+    let leader = id(1);
+    let mut settings = config(leader);
+    settings.compaction_margin = 1000;
+    settings.compaction_margin_bytes = KEPT as usize * ENTRY_BYTES;
+    let disk = cluster.node(leader).disk.clone();
+    cluster.node(leader).replica = Replica::new(settings, disk);
+    cluster.elect();
+    for token in 0..50 {
+        cluster.propose(leader, token);
+    }
+    let (now_ms, applied) = (
+        cluster.now_ms,
+        cluster.node(leader).replica.status().applied,
+    );
+    let node = cluster.node(leader);
+    let saved = node.save_snapshot();
+    node.replica.step(now_ms, saved);
+    assert_eq!(node.replica.take_output().compact_to, Some(applied - KEPT));
+}
