Faults: seven scenarios for failures that come together or twice

- worker-killed-leader-frozen: a worker dies while the meta leader is frozen, twice in a row
- leader-killed-twice: the successor dies as soon as it leads
- loss-after-replace: two machines die right after `cluster replace`, during a job, so that the new one is needed for a majority
- racing-answers-lost: operators race through relays that lose each answer, and send again
- job-resent-node-killed: a job goes to a node that dies meanwhile, and at once to two others
- leader-cut-long: the meta leader is cut off in silence for 15 s; a client that still reaches it asks; healed
- all-controls-killed: all control machines die right after a bundle, and right after a job, was acknowledged

Each checks the engines' ledgers, results that are read again, and what was acknowledged. A check that has never failed proves little: six of them have a deliberate defect, a fail point (library `fail`, declared before but not used) under the feature `failpoints` of `pinerill`; no default build has it. `leader-killed-twice` has none on processes; the simulation's mutant `commit_older_term_by_count` in `leader_churn` stands for it.

Weighed for `leader-cut-long`: a zone with one control machine in it, as `zone-cut` has; the meta leader is seldom that one. So a fleet can now have each control machine in a zone of its own.

--- a/crates/pinerill-control/src/host/handle.rs
+++ b/crates/pinerill-control/src/host/handle.rs
@@ -63,6 +63,7 @@
     /// everything that was committed anywhere when the call began. Works on
     /// followers and learners too. Returns the confirmed index.
     pub async fn read_barrier(&self) -> Result<u64, ReadError> {
+        fail::fail_point!("host-read-without-barrier", |_| Ok(0));
         let (reply, answer) = oneshot::channel();
         self.events
             .send(Event::Read { reply })
--- a/crates/pinerill-control/src/server/bundles.rs
+++ b/crates/pinerill-control/src/server/bundles.rs
@@ -47,6 +47,9 @@
                 refused(RefusalCode::Invalid, PROPOSE, self.name(), message)
             }
             ProposalOutcome::Decided => match self.winner(proposed.0).await {
+                Ok(PastVersion::Taken(digest)) if resent_is_refused() => {
+                    answer(ProposalAnswer::Conflict, proposed.0, digest)
+                }
                 Ok(PastVersion::Taken(digest)) if digest == proposed.1 => {
                     answer(ProposalAnswer::Accepted, proposed.0, digest)
                 }
@@ -167,3 +170,10 @@
         })
     }
 }
+
+/// Whether a winner that is sent again is refused: a deliberate defect, never
+/// without a fail point.
+fn resent_is_refused() -> bool {
+    fail::fail_point!("bundle-resent-is-refused", |_| true);
+    false
+}
--- a/crates/pinerill-control/src/server/groups.rs
+++ b/crates/pinerill-control/src/server/groups.rs
@@ -144,9 +144,7 @@
     }
 
     fn open_job(self: &Arc<Self>, group: GroupId, voters: &[ReplicaId]) -> Result<(), HostError> {
-        let handle = self
-            .host
-            .add_group(group, voters, JobMachine::new(group.0))?;
+        let handle = self.host.add_group(group, voters, job_machine(group.0))?;
         let groups = Arc::downgrade(self);
         let address = move |replica| groups.upgrade()?.address(replica);
         let service = JobService::start(handle.clone(), address);
@@ -183,6 +181,15 @@
     }
 }
 
+/// The state machine of a new job group.
+fn job_machine(group: u32) -> JobMachine {
+    fail::fail_point!("job-resent-is-new", |_| JobMachine::with_defect(
+        group,
+        crate::job::JobDefect::ResentJobIsNew
+    ));
+    JobMachine::new(group)
+}
+
 fn comes_from_leader(message: &Message) -> bool {
     matches!(
         message,
--- a/crates/pinerill-control/src/server/status.rs
+++ b/crates/pinerill-control/src/server/status.rs
@@ -64,7 +64,7 @@
             Ok(MetaReply::Replacement(progress)) => {
                 Response::ReplaceReplica(ReplaceReplicaResponse {
                     done: progress.done,
-                    remaining: progress.remaining,
+                    remaining: remaining(progress.remaining),
                 })
             }
             Ok(other) => self.unexpected(REPLACE, &other),
@@ -73,6 +73,12 @@
     }
 }
 
+/// Groups that a repair has still to do.
+fn remaining(groups: u32) -> u32 {
+    fail::fail_point!("replace-counts-as-done", |_| 0);
+    groups
+}
+
 fn group_report(status: &GroupStatus) -> GroupReport {
     let identities = |replicas: &BTreeSet<ReplicaId>| replicas.iter().map(|one| one.0).collect();
     GroupReport {
--- a/crates/pinerill-node/src/batch/planner/ending.rs
+++ b/crates/pinerill-node/src/batch/planner/ending.rs
@@ -97,7 +97,7 @@
             Stage::Stopping(engine, reason) => (engine.clone(), Some(*reason)),
         };
         item.tried.push(engine.clone());
-        item.may_have_run |= matches!(end, RunEnd::Lost(_) | RunEnd::Stopped);
+        item.may_have_run |= may_have_run(&end);
         if let RunEnd::Lost(message) = &end {
             item.broke_off = Some(message.clone());
         }
@@ -151,3 +151,9 @@
         self.ready.insert((item.lease.deadline_ms, attempt));
     }
 }
+
+/// Whether nobody can tell after this end if the item ran.
+fn may_have_run(end: &RunEnd) -> bool {
+    fail::fail_point!("batch-lost-run-counts-as-not-run", |_| false);
+    matches!(end, RunEnd::Lost(_) | RunEnd::Stopped)
+}
--- a/crates/pinerill-rehearse/src/faults/mod.rs
+++ b/crates/pinerill-rehearse/src/faults/mod.rs
@@ -28,6 +28,10 @@
     /// Seed of the load and of the moments at which things fail.
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
+    /// Plays the scenarios that have a deliberate defect, with it: each must
+    /// find it. Needs `pinerill` built with its feature `failpoints`.
+    #[arg(long)]
+    pub with_defects: bool,
     /// Where the rows go, as JSON.
     #[arg(long)]
     pub json: Option<PathBuf>,
@@ -37,13 +41,18 @@
 ///
 /// # Errors
 /// When a promise was broken or a scenario could not be played to its end;
-/// logs and data of that scenario are then kept and named.
+/// logs and data of that scenario are then kept and named. With deliberate
+/// defects: when one was not found.
 pub async fn run(arguments: FaultsArguments) -> anyhow::Result<()> {
     let chosen = choose(&arguments.scenarios)?;
     let mut report = Report::new(arguments.seed);
     for scenario in chosen {
+        let defect = scenario.defect().filter(|_| arguments.with_defects);
+        if arguments.with_defects && defect.is_none() {
+            continue;
+        }
         println!("\n== {}: {}", scenario.name(), scenario.what());
-        let row = play(scenario.as_ref(), arguments.seed).await?;
+        let row = play(scenario.as_ref(), arguments.seed, defect).await?;
         println!("{row}");
         report.rows.push(row);
     }
@@ -76,11 +85,20 @@
 
 /// Plays one scenario. Only an interruption is an error: what fails in the
 /// scenario is in its row.
-async fn play(scenario: &dyn Scenario, seed: u64) -> anyhow::Result<Row> {
-    let launcher = Arc::new(Launcher::new(&format!("faults-{}", scenario.name()))?);
+async fn play(
+    scenario: &dyn Scenario,
+    seed: u64,
+    defect: Option<&'static str>,
+) -> anyhow::Result<Row> {
+    let mut launcher = Launcher::new(&format!("faults-{}", scenario.name()))?;
+    if let Some(fail_points) = defect {
+        launcher = launcher.with_defect(fail_points);
+    }
+    let launcher = Arc::new(launcher);
     let work = async { Ok(play_to_end(scenario, launcher.clone(), seed).await) };
     let result = until_interrupted(work).await?;
     let mut row = Row::new(scenario.name(), scenario.what());
+    row.defect = defect;
     match result {
         Ok(played) => row.take(played),
         Err(error) => row.error = Some(format!("{error:#}")),
--- a/crates/pinerill-rehearse/src/faults/report.rs
+++ b/crates/pinerill-rehearse/src/faults/report.rs
@@ -77,6 +77,8 @@
     pub scenario: &'static str,
     /// What was done.
     pub what: &'static str,
+    /// The deliberate defect that it must find.
+    pub defect: Option<&'static str>,
     /// Requests, items and operators' commands.
     pub operations: u64,
     /// How requests and items ended.
@@ -104,6 +106,7 @@
         Self {
             scenario,
             what,
+            defect: None,
             operations: 0,
             outcomes: Outcomes::default(),
             verdict: Verdict::default(),
@@ -119,15 +122,22 @@
         self.verdict = played.verdict;
     }
 
-    /// Whether a promise was broken or it was not played to its end.
+    /// Whether a promise was broken or it was not played to its end; with a
+    /// deliberate defect, whether that was not found.
     pub fn is_failed(&self) -> bool {
-        self.error.is_some() || !self.verdict.is_clean()
+        let found = self.error.is_some() || !self.verdict.is_clean();
+        found != self.defect.is_some()
     }
 
     fn result(&self) -> String {
-        match &self.error {
+        let result = match &self.error {
             Some(_) => "not played to its end".to_owned(),
             None => format!("{} violations", self.verdict.violations()),
+        };
+        match (self.defect, self.is_failed()) {
+            (None, _) => result,
+            (Some(defect), true) => format!("{defect} MISSED"),
+            (Some(defect), false) => format!("{defect} found: {result}"),
         }
     }
 }
--- a/crates/pinerill-rehearse/src/faults/scenario.rs
+++ b/crates/pinerill-rehearse/src/faults/scenario.rs
@@ -19,6 +19,12 @@
         RehearsalOptions::default()
     }
 
+    /// Fail points with which its checks must find something, if there are
+    /// any; compiled only under the feature `failpoints` of `pinerill`.
+    fn defect(&self) -> Option<&'static str> {
+        None
+    }
+
     /// Brings the failure about. Processes that were killed or stopped are
     /// started again before the end, since the stage stops all in a planned
     /// way.
--- a/crates/pinerill-rehearse/src/faults/scenarios/control.rs
+++ b/crates/pinerill-rehearse/src/faults/scenarios/control.rs
@@ -113,7 +113,7 @@
 }
 
 /// Rolls out a bundle and submits a job while a machine is away.
-async fn change_without(stage: &mut Stage, name: &str) -> anyhow::Result<()> {
+pub(super) async fn change_without(stage: &mut Stage, name: &str) -> anyhow::Result<()> {
     let bundle = next_version(&stage.rehearsal.bundle);
     let started = Instant::now();
     roll_out_patiently(stage, &bundle).await?;
@@ -141,7 +141,7 @@
     }
 }
 
-async fn restart(stage: &mut Stage, index: usize) -> anyhow::Result<()> {
+pub(super) async fn restart(stage: &mut Stage, index: usize) -> anyhow::Result<()> {
     let fleet = &mut stage.rehearsal.fleet;
     fleet.restart_control(index)?;
     fleet.await_control(index).await?;
@@ -167,7 +167,7 @@
 /// No node ever goes back, and what is in force stays so. Nodes are asked
 /// themselves: what `bundle status` says of them is a control machine's soft
 /// state, which lags at one that was frozen.
-async fn check_no_revert(stage: &mut Stage) -> anyhow::Result<()> {
+pub(super) async fn check_no_revert(stage: &mut Stage) -> anyhow::Result<()> {
     const LOOKS: usize = 20;
     let version = stage.rehearsal.bundle.version;
     for _ in 0..LOOKS {
@@ -186,7 +186,7 @@
 }
 
 /// No online request goes through a control machine.
-async fn check_online_served(stage: &mut Stage) -> anyhow::Result<()> {
+pub(super) async fn check_online_served(stage: &mut Stage) -> anyhow::Result<()> {
     stage.finish_online().await?;
     for record in stage.history.online.clone() {
         let served = record.end == OnlineEnd::Completed;
--- a/crates/pinerill-rehearse/src/faults/scenarios/disks.rs
+++ b/crates/pinerill-rehearse/src/faults/scenarios/disks.rs
@@ -7,7 +7,7 @@
 use pinerill_wire::message::ReplicaRecord;
 use tokio::time::{sleep, Instant};
 
-use super::control::await_all_reachable;
+use super::control::{await_all_reachable, change_without};
 use crate::faults::scenario::Scenario;
 use crate::faults::stage::Stage;
 use crate::fleet::pinerill::cluster_status;
@@ -16,6 +16,10 @@
 
 /// Items of each job.
 const ITEMS: usize = 120;
+/// Items of a job that runs during a whole repair.
+const MANY_ITEMS: usize = 300;
+/// Length of the online load.
+const LOAD_TIME: Duration = Duration::from_secs(8);
 /// Longest time until a new identity is seen.
 const SEEN_TIME: Duration = Duration::from_secs(20);
 /// Pause between two looks.
@@ -54,6 +58,52 @@
     }
 }
 
+/// A disk is lost and replaced during a job; right after the repair two other
+/// machines are killed, so that the new one is needed for a majority.
+pub struct LossAfterReplace;
+
+#[async_trait]
+impl Scenario for LossAfterReplace {
+    fn name(&self) -> &'static str {
+        "loss-after-replace"
+    }
+
+    fn what(&self) -> &'static str {
+        "a disk lost and replaced during a job, two other machines killed at once after it"
+    }
+
+    fn defect(&self) -> Option<&'static str> {
+        Some("replace-counts-as-done=return")
+    }
+
+    async fn play(&self, stage: &mut Stage) -> anyhow::Result<()> {
+        stage.start_online(LOAD_TIME);
+        stage.submit("during", MANY_ITEMS).await?;
+        stage.await_batch_run(|_| true).await?;
+        let leader = stage.rehearsal.fleet.meta_leader().await?;
+        let lost = stage.rehearsal.fleet.control_named(&leader.name)?;
+        stage.step(format!("{} and its disk are lost", leader.name));
+        lose(stage, lost)?;
+        replace(stage, lost, &leader).await?;
+        let count = stage.rehearsal.fleet.controls.len();
+        let start = stage.pick(count - 1);
+        let others: Vec<usize> = (0..2)
+            .map(|turn| (lost + 1 + (start + turn) % (count - 1)) % count)
+            .collect();
+        for index in &others {
+            stage.step(format!("killing control-{}", index + 1));
+            let controls = &mut stage.rehearsal.fleet.controls;
+            controls[*index].process.signal(Signal::Kill)?;
+        }
+        change_without(stage, "right-after").await?;
+        for index in others {
+            stage.rehearsal.fleet.restart_control(index)?;
+        }
+        await_all_reachable(stage).await?;
+        check_nothing_forgotten(stage).await
+    }
+}
+
 /// Kills a control machine and deletes its folder.
 fn lose(stage: &mut Stage, index: usize) -> anyhow::Result<()> {
     let control = &mut stage.rehearsal.fleet.controls[index];
--- a/crates/pinerill-rehearse/src/faults/scenarios/jobs.rs
+++ b/crates/pinerill-rehearse/src/faults/scenarios/jobs.rs
@@ -5,10 +5,12 @@
 use async_trait::async_trait;
 use futures::future::join_all;
 
-use crate::check::{Cancel, JobHistory};
+use crate::check::{Cancel, Indeterminate, JobHistory};
 use crate::faults::scenario::Scenario;
 use crate::faults::stage::Stage;
+use crate::fleet::process::Signal;
 use crate::ledger::unix_us;
+use crate::load::job_client::JobClient;
 
 /// Items of the resent job.
 const ITEMS: usize = 160;
@@ -23,6 +25,9 @@
 /// Bounds of the moment of the cancel after the first item runs.
 const EARLIEST: Duration = Duration::from_millis(500);
 const LATEST: Duration = Duration::from_millis(2_000);
+/// Bounds of the moment at which a node is killed after a job was sent to it.
+const SUBMIT_EARLIEST: Duration = Duration::ZERO;
+const SUBMIT_LATEST: Duration = Duration::from_millis(25);
 
 /// The same job is submitted many times at once and again later; the same key
 /// with another body is a conflict.
@@ -69,6 +74,79 @@
     }
 }
 
+/// A job is sent to one node, which is killed meanwhile, and at once to
+/// another; twice with each node.
+pub struct JobResentNodeKilled;
+
+#[async_trait]
+impl Scenario for JobResentNodeKilled {
+    fn name(&self) -> &'static str {
+        "job-resent-node-killed"
+    }
+
+    fn what(&self) -> &'static str {
+        "6 jobs, each sent to a node that is killed meanwhile and resent to two others"
+    }
+
+    fn defect(&self) -> Option<&'static str> {
+        Some("job-resent-is-new=return")
+    }
+
+    async fn play(&self, stage: &mut Stage) -> anyhow::Result<()> {
+        stage.history.indeterminate = Indeterminate::Allowed;
+        let nodes = stage.rehearsal.fleet.nodes.len();
+        for round in 0..2 * nodes {
+            send_while_killed(stage, round % nodes, round).await?;
+        }
+        Ok(())
+    }
+}
+
+/// Sends a job to a node, kills the node and sends it to the others.
+async fn send_while_killed(stage: &mut Stage, node: usize, round: usize) -> anyhow::Result<()> {
+    let name = format!("node-killed-{round}");
+    let items = stage.items(&name, ITEMS);
+    let lines = stage.lines(&items);
+    let clients: Vec<JobClient> = (0..stage.rehearsal.fleet.nodes.len())
+        .map(|index| stage.rehearsal.job_client_of(index))
+        .collect();
+    let first = clients[node].submit(&name, &lines);
+    let kill = async {
+        stage.pause(SUBMIT_EARLIEST, SUBMIT_LATEST).await;
+        let nodes = &mut stage.rehearsal.fleet.nodes;
+        nodes[node].process.signal(Signal::Kill)
+    };
+    let (answer, killed) = tokio::join!(first, kill);
+    killed?;
+    let acknowledged = answer.is_ok();
+    stage.step(format!(
+        "job {round}: node-{} killed, it had acknowledged: {acknowledged}",
+        node + 1
+    ));
+    let others = clients
+        .iter()
+        .enumerate()
+        .filter(|(index, _)| *index != node);
+    let resent =
+        others.map(|(_, client)| client.submit_until_acknowledged(&name, &lines, CALL_TIME));
+    let mut views = answer.into_iter().collect::<Vec<_>>();
+    for view in join_all(resent).await {
+        views.push(view?);
+    }
+    let id = views[0].id.clone();
+    for view in &views {
+        let detail = format!("{} instead of {id}", view.id);
+        stage.expect("one job for one key", view.id == id, &name, detail);
+    }
+    let mut job = JobHistory::new(&name, &items);
+    job.id = Some(id);
+    stage.history.jobs.push(job);
+    stage.operations += views.len() as u64;
+    let fleet = &mut stage.rehearsal.fleet;
+    fleet.restart_node(node)?;
+    fleet.await_nodes().await
+}
+
 /// The same key with other items is refused, and these items never run.
 async fn check_conflict(stage: &mut Stage) {
     let others = stage.items("other-body", 3);
--- a/crates/pinerill-rehearse/src/faults/scenarios/mod.rs
+++ b/crates/pinerill-rehearse/src/faults/scenarios/mod.rs
@@ -5,7 +5,11 @@
 mod disks;
 mod jobs;
 mod nodes;
+mod races;
+mod restarts;
+mod stale;
 mod strangers;
+mod together;
 mod workers;
 mod zones;
 
@@ -30,5 +34,12 @@
         Box::new(jobs::JobResent),
         Box::new(jobs::JobCancelled),
         Box::new(strangers::OtherClusterKey),
+        Box::new(together::WorkerKilledLeaderFrozen),
+        Box::new(together::LeaderKilledTwice),
+        Box::new(disks::LossAfterReplace),
+        Box::new(races::RacingAnswersLost),
+        Box::new(jobs::JobResentNodeKilled),
+        Box::new(stale::LeaderCutLong),
+        Box::new(restarts::AllControlsKilled),
     ]
 }
--- a/crates/pinerill-rehearse/src/faults/scenarios/workers.rs
+++ b/crates/pinerill-rehearse/src/faults/scenarios/workers.rs
@@ -159,7 +159,7 @@
     relays.set_both(name, Passage::Open).await
 }
 
-fn worker_named(stage: &Stage, name: &str) -> usize {
+pub(super) fn worker_named(stage: &Stage, name: &str) -> usize {
     let mut workers = stage.rehearsal.standins.workers.iter();
     workers
         .position(|worker| worker.place.name == name)
--- a/crates/pinerill-rehearse/src/fleet/launcher.rs
+++ b/crates/pinerill-rehearse/src/fleet/launcher.rs
@@ -10,6 +10,8 @@
 use super::process::{ChildProcess, ProcessSpec};
 use super::warden::Warden;
 
+/// Variable of the environment with the fail points of a process.
+const FAIL_POINTS: &str = "FAILPOINTS";
 /// Folder of the logs in a rehearsal's folder.
 const LOG_FOLDER: &str = "logs";
 
@@ -21,6 +23,7 @@
     folder: Mutex<TempDir>,
     warden: Arc<Warden>,
     kit: PathBuf,
+    environment: Vec<(String, String)>,
 }
 
 impl Launcher {
@@ -43,9 +46,18 @@
             folder: Mutex::new(folder),
             warden,
             kit,
+            environment: Vec::new(),
         })
     }
 
+    /// The same, with deliberate defects in the processes that it starts; a
+    /// program that was built without fail points has none.
+    pub fn with_defect(mut self, fail_points: &str) -> Self {
+        let variable = (FAIL_POINTS.to_owned(), fail_points.to_owned());
+        self.environment.push(variable);
+        self
+    }
+
     /// The folder of logs and data; removed at the end unless kept.
     pub fn folder(&self) -> &Path {
         &self.path
@@ -77,6 +89,7 @@
             name: name.to_string(),
             program: program.to_path_buf(),
             arguments,
+            environment: self.environment.clone(),
             log_folder: self.path.join(LOG_FOLDER),
         };
         Ok(ChildProcess::start(&spec)?.watched_by(self.warden.clone()))
--- a/crates/pinerill-rehearse/src/fleet/pinerill/place.rs
+++ b/crates/pinerill-rehearse/src/fleet/pinerill/place.rs
@@ -78,6 +78,14 @@
         plan
     }
 
+    /// Puts every control machine in a zone of its own.
+    pub fn separate_controls(&mut self) {
+        for control in &mut self.controls {
+            control.zone = format!("zone-of-{}", control.name);
+            self.zones.push(control.zone.clone());
+        }
+    }
+
     /// The other zones, seen from `zone`.
     pub fn neighbours(&self, zone: &str) -> Vec<String> {
         let others = self.zones.iter().filter(|other| *other != zone);
--- a/crates/pinerill-rehearse/src/fleet/process.rs
+++ b/crates/pinerill-rehearse/src/fleet/process.rs
@@ -24,6 +24,8 @@
     pub program: PathBuf,
     /// Its arguments.
     pub arguments: Vec<String>,
+    /// Variables of its environment besides the kit's own.
+    pub environment: Vec<(String, String)>,
     /// Folder of the log file.
     pub log_folder: PathBuf,
 }
@@ -70,6 +72,7 @@
         let errors = output.try_clone().context("sharing the log file")?;
         let child = Command::new(&spec.program)
             .args(&spec.arguments)
+            .envs(spec.environment.iter().cloned())
             .stdin(Stdio::null())
             .stdout(output)
             .stderr(errors)
--- a/crates/pinerill-rehearse/src/rehearsal/mod.rs
+++ b/crates/pinerill-rehearse/src/rehearsal/mod.rs
@@ -43,6 +43,9 @@
     pub standins: StandInOptions,
     /// Log entries after which a group takes a snapshot; none for the default.
     pub snapshot_entries: Option<u64>,
+    /// Every control machine is in a zone of its own, so that any one can be
+    /// cut off alone.
+    pub control_zones: bool,
 }
 
 /// A running fleet with its first bundle in force.
@@ -132,6 +135,12 @@
         JobClient::new(self.client.clone(), nodes, CALLER_KEY.to_owned())
     }
 
+    /// The tenant's batch jobs at one node.
+    pub fn job_client_of(&self, node: usize) -> JobClient {
+        let nodes = vec![self.fleet.nodes[node].settings.listen];
+        JobClient::new(self.client.clone(), nodes, CALLER_KEY.to_owned())
+    }
+
     /// The caller's bearer key.
     pub fn caller_key(&self) -> &'static str {
         CALLER_KEY
@@ -195,6 +204,9 @@
     if let Some(entries) = options.snapshot_entries {
         plan.snapshot_entries = entries;
     }
+    if options.control_zones {
+        plan.separate_controls();
+    }
     let count = plan.controls.len();
     progress.step(format!("starting {count} control machines"));
     PinerillFleet::start(launcher.clone(), plan, key_file)
--- a/crates/pinerill-rehearse/tests/common/mod.rs
+++ b/crates/pinerill-rehearse/tests/common/mod.rs
@@ -21,6 +21,7 @@
             .chain(arguments.iter().copied())
             .map(str::to_string)
             .collect(),
+        environment: Vec::new(),
         log_folder: folder.to_path_buf(),
     };
     let mut process = ChildProcess::start(&spec).expect("starts");
--- a/crates/pinerill-storage/src/writer.rs
+++ b/crates/pinerill-storage/src/writer.rs
@@ -4,7 +4,7 @@
 use std::sync::mpsc::Receiver;
 use std::sync::Arc;
 
-use redb::Database;
+use redb::{Database, Durability};
 
 use crate::tables::{apply_batch, TableFailure};
 use crate::{Completion, StorageCause, StorageError, StoreCounters, WriteBatch};
@@ -20,6 +20,12 @@
     pub(crate) completion: Completion,
 }
 
+/// What a commit waits for.
+fn durability() -> Durability {
+    fail::fail_point!("store-commit-without-sync", |_| Durability::None);
+    Durability::Immediate
+}
+
 /// Owns the write side of the database.
 pub(crate) struct Writer {
     pub(crate) database: Arc<Database>,
@@ -68,9 +74,10 @@
         Ok(())
     }
 
-    /// The commit syncs: immediate durability is the database's default.
+    /// The commit syncs.
     fn try_commit(&self, writes: &[QueuedWrite]) -> Result<(), TableFailure> {
-        let transaction = self.database.begin_write()?;
+        let mut transaction = self.database.begin_write()?;
+        transaction.set_durability(durability())?;
         for write in writes {
             apply_batch(&transaction, &write.batch)?;
         }
--- a/crates/pinerill/src/main.rs
+++ b/crates/pinerill/src/main.rs
@@ -41,6 +41,9 @@
 }
 
 fn main() -> ExitCode {
+    // Fail points of the environment, for the fault scenarios' own proof.
+    #[cfg(feature = "failpoints")]
+    let _defects = fail::FailScenario::setup();
     let arguments = Arguments::parse();
     let result = match arguments.command {
         Command::Control(arguments) => process::run_control(arguments),
