--- a/crates/pinerill-rehearse/src/faults/scenarios/bundles.rs
+++ b/crates/pinerill-rehearse/src/faults/scenarios/bundles.rs
@@ -77,8 +77,8 @@
         change_often(stage).await?;
         stage.step(format!("{CHANGES} bundles went by"));
         let fleet = &mut stage.rehearsal.fleet;
-        fleet.restart_control(away)?;
-        fleet.restart_node(0)?;
+        fleet.restart_control(away).await?;
+        fleet.restart_node(0).await?;
         fleet.await_control(away).await?;
         await_caught_up(stage, away, others[0]).await?;
         let (version, nodes) = (stage.rehearsal.bundle.version, 3);
@@ -91,7 +91,7 @@
         }
         roll_out_with_new_leader(stage).await?;
         for index in &others[..2] {
-            stage.rehearsal.fleet.restart_control(*index)?;
+            stage.rehearsal.fleet.restart_control(*index).await?;
         }
         await_all_reachable(stage).await
     }
--- a/crates/pinerill-rehearse/src/faults/scenarios/control.rs
+++ b/crates/pinerill-rehearse/src/faults/scenarios/control.rs
@@ -143,7 +143,7 @@
 
 pub(super) async fn restart(stage: &mut Stage, index: usize) -> anyhow::Result<()> {
     let fleet = &mut stage.rehearsal.fleet;
-    fleet.restart_control(index)?;
+    fleet.restart_control(index).await?;
     fleet.await_control(index).await?;
     await_all_reachable(stage).await
 }
--- a/crates/pinerill-rehearse/src/faults/scenarios/disks.rs
+++ b/crates/pinerill-rehearse/src/faults/scenarios/disks.rs
@@ -97,7 +97,7 @@
         }
         change_without(stage, "right-after").await?;
         for index in others {
-            stage.rehearsal.fleet.restart_control(index)?;
+            stage.rehearsal.fleet.restart_control(index).await?;
         }
         await_all_reachable(stage).await?;
         check_nothing_forgotten(stage).await
@@ -116,7 +116,7 @@
 /// Starts the machine with an empty folder and puts it in the lost one's place.
 async fn replace(stage: &mut Stage, index: usize, lost: &ReplicaRecord) -> anyhow::Result<()> {
     let fleet = &mut stage.rehearsal.fleet;
-    fleet.restart_control(index)?;
+    fleet.restart_control(index).await?;
     fleet.await_control(index).await?;
     let new = await_stranger(stage, lost).await?;
     let (lost, new) = (format!("{:016x}", lost.replica), format!("{new:016x}"));
--- a/crates/pinerill-rehearse/src/faults/scenarios/jobs.rs
+++ b/crates/pinerill-rehearse/src/faults/scenarios/jobs.rs
@@ -143,7 +143,7 @@
     stage.history.jobs.push(job);
     stage.operations += views.len() as u64;
     let fleet = &mut stage.rehearsal.fleet;
-    fleet.restart_node(node)?;
+    fleet.restart_node(node).await?;
     fleet.await_nodes().await
 }
 
--- a/crates/pinerill-rehearse/src/faults/scenarios/nodes.rs
+++ b/crates/pinerill-rehearse/src/faults/scenarios/nodes.rs
@@ -63,7 +63,7 @@
         stage.progress.step(format!("killing node-{}", index + 1));
         fleet.nodes[index].process.signal(Signal::Kill)?;
         tokio::time::sleep(AWAY).await;
-        fleet.restart_node(index)?;
+        fleet.restart_node(index).await?;
         fleet.await_nodes().await
     }
 }
@@ -90,7 +90,7 @@
             stage.step(format!("stopping node-{}", index + 1));
             let fleet = &mut stage.rehearsal.fleet;
             fleet.stop_node(index).await?;
-            fleet.restart_node(index)?;
+            fleet.restart_node(index).await?;
             fleet.await_nodes().await?;
         }
         stage.finish_online().await?;
--- a/crates/pinerill-rehearse/src/faults/scenarios/restarts.rs
+++ b/crates/pinerill-rehearse/src/faults/scenarios/restarts.rs
@@ -78,7 +78,7 @@
         control.process.signal(Signal::Kill)?;
     }
     for index in 0..fleet.controls.len() {
-        fleet.restart_control(index)?;
+        fleet.restart_control(index).await?;
     }
     for index in 0..fleet.controls.len() {
         fleet.await_control(index).await?;
--- a/crates/pinerill-rehearse/src/faults/scenarios/together.rs
+++ b/crates/pinerill-rehearse/src/faults/scenarios/together.rs
@@ -128,7 +128,7 @@
         let second = await_successor(stage, &first).await?;
         let second_index = kill(stage, &second)?;
         change_without(stage, "two-are-away").await?;
-        stage.rehearsal.fleet.restart_control(first_index)?;
+        stage.rehearsal.fleet.restart_control(first_index).await?;
         restart(stage, second_index).await?;
         await_all_reachable(stage).await?;
         check_no_revert(stage).await?;
--- a/crates/pinerill-rehearse/src/fleet/pinerill/mod.rs
+++ b/crates/pinerill-rehearse/src/fleet/pinerill/mod.rs
@@ -29,6 +29,8 @@
 
 /// Longest time until a process is ready.
 const READY_TIME: Duration = Duration::from_secs(30);
+/// Longest time until a process that was killed has ended.
+const END_TIME: Duration = Duration::from_secs(10);
 /// Longest planned stop of a control machine.
 const CONTROL_STOP_TIME: Duration = Duration::from_secs(30);
 /// Time that a node's planned stop may take beyond its drain limit.
@@ -144,21 +146,24 @@
         wait_http(&client, &mut control.process, admin, "/livez", READY_TIME).await
     }
 
-    /// Starts a control machine that has ended again, with the same settings.
+    /// Starts a control machine again, with the same settings, once it has
+    /// ended: one that was killed keeps its address for a moment.
     ///
     /// # Errors
-    /// When it does not start.
-    pub fn restart_control(&mut self, index: usize) -> anyhow::Result<()> {
+    /// When it does not end or does not start.
+    pub async fn restart_control(&mut self, index: usize) -> anyhow::Result<()> {
+        self.controls[index].process.wait(END_TIME).await?;
         let process = self.start_control(&self.controls[index].settings)?;
         self.controls[index].process = process;
         Ok(())
     }
 
-    /// Starts a node that has ended again, with the same settings.
+    /// Starts a node again, with the same settings, once it has ended.
     ///
     /// # Errors
-    /// When it does not start.
-    pub fn restart_node(&mut self, index: usize) -> anyhow::Result<()> {
+    /// When it does not end or does not start.
+    pub async fn restart_node(&mut self, index: usize) -> anyhow::Result<()> {
+        self.nodes[index].process.wait(END_TIME).await?;
         let process = self.start_node(&self.nodes[index].settings)?;
         self.nodes[index].process = process;
         Ok(())
--- a/crates/pinerill-rehearse/src/state/repair.rs
+++ b/crates/pinerill-rehearse/src/state/repair.rs
@@ -32,7 +32,7 @@
     let lost_bytes = folder_bytes(&folder);
     std::fs::remove_dir_all(&folder)
         .with_context(|| format!("losing the disk {}", folder.display()))?;
-    fleet.pinerill.restart_control(failover.killed)?;
+    fleet.pinerill.restart_control(failover.killed).await?;
     let new = await_stranger(fleet, failover).await?;
     let started = Instant::now();
     let request = Request::ReplaceReplica(ReplaceReplica {
