--- a/crates/pinerill-rehearse/src/faults/scenarios/mod.rs
+++ b/crates/pinerill-rehearse/src/faults/scenarios/mod.rs
@@ -5,8 +5,12 @@
 mod disks;
 mod jobs;
 mod nodes;
+mod races;
+mod restarts;
 mod roles;
+mod stale;
 mod strangers;
+mod together;
 mod versions;
 mod workers;
 mod zones;
@@ -36,5 +40,12 @@
         Box::new(versions::ModelLost),
         Box::new(roles::RolesChanged),
         Box::new(roles::OldOrders),
+        Box::new(together::WorkerKilledLeaderFrozen),
+        Box::new(together::LeaderKilledTwice),
+        Box::new(disks::LossAfterReplace),
+        Box::new(races::RacingAnswersLost),
+        Box::new(jobs::JobResentNodeKilled),
+        Box::new(stale::LeaderCutLong),
+        Box::new(restarts::AllControlsKilled),
     ]
 }
--- a/crates/pinerill/src/main.rs
+++ b/crates/pinerill/src/main.rs
@@ -43,6 +43,9 @@
 }
 
 fn main() -> ExitCode {
+    // Fail points of the environment, for the fault scenarios' own proof.
+    #[cfg(feature = "failpoints")]
+    let _defects = fail::FailScenario::setup();
     let result = match parse().command {
         Command::Control(arguments) => process::run_control(arguments),
         Command::Node(arguments) => process::run_node(arguments),
