Client awaits a leader within its own deadline

Cause: asking any control machine went round them once and gave up, however much time was left. While a group elected a leader all of them refused at once, so a proposal, a read of the bundle in force or a status ended within milliseconds although the caller had given ten seconds.

Ruled out: retries in the kit alone (operators' commands and nodes' watches share the client); retries after every failure (where no machine answers, or none is founded, the answer is known after one round).

Change: when a machine refused and said when to come back, the client waits that long and goes round again, until the caller's time is up. All requests are safe to send again. The scale run proposes to the meta group's leader.

--- a/crates/pinerill-rehearse/src/scale/load.rs
+++ b/crates/pinerill-rehearse/src/scale/load.rs
@@ -15,7 +15,7 @@
 use pinerill_wire::api::ControlApi;
 use pinerill_wire::client::ControlClient;
 use pinerill_wire::message::{
-    BundleShow, ProposalAnswer, ProposeBundle, Request, Response, SubmitJob,
+    BundleShow, ProposalAnswer, ProposeBundle, Request, Response, SubmitJob, META_GROUP,
 };
 use tokio::time::{interval, MissedTickBehavior};
 
@@ -152,7 +152,10 @@
         let version = signed.change.version;
         self.unanswered = Some(signed.clone());
         let request = Request::ProposeBundle(ProposeBundle { signed });
-        let answer = self.client.call_any(request, CALL_TIME).await?;
+        let answer = self
+            .client
+            .call_leader(META_GROUP, request, CALL_TIME)
+            .await?;
         self.unanswered = None;
         self.committed.insert(version, unix_microseconds());
         match answer {
--- a/crates/pinerill-wire/src/client.rs
+++ b/crates/pinerill-wire/src/client.rs
@@ -157,6 +157,14 @@
     }
 }
 
+/// After which time the machine that refused says to come back.
+fn retry_pause(error: &CallError) -> Option<Duration> {
+    match &error.kind {
+        CallErrorKind::Refused(refusal) => refusal.retry_after_ms.map(Duration::from_millis),
+        _ => None,
+    }
+}
+
 /// Time left until `end`, or none when it is as good as up.
 fn time_left(end: Instant) -> Option<Duration> {
     end.checked_duration_since(Instant::now())
@@ -167,23 +175,18 @@
 impl ControlApi for ControlClient {
     async fn call_any(&self, request: Request, timeout: Duration) -> Result<Response, CallError> {
         let end = Instant::now() + timeout;
-        let mut left = Some(timeout);
-        let mut tries = 0;
         loop {
-            let address = self.preferred();
-            let share = left.unwrap_or(SHORTEST_CALL);
-            let error = match self.call_at(address, request.clone(), share).await {
+            let failed = match self.ask_each_once(&request, end).await {
                 Ok(response) => return Ok(response),
-                Err(error) => error,
+                Err(failed) => failed,
             };
-            if !worth_elsewhere(&error) {
-                return Err(error);
-            }
-            self.move_on_from(address);
-            tries += 1;
-            left = time_left(end);
-            if left.is_none() || tries >= self.addresses.len() {
-                return Err(error);
+            let pause = failed.come_back_after.filter(|pause| {
+                // Without time for another round, the answer is known now.
+                time_left(end).is_some_and(|left| left > *pause)
+            });
+            match pause {
+                Some(pause) => sleep(pause).await,
+                None => return Err(failed.error),
             }
         }
     }
@@ -241,7 +244,50 @@
     }
 }
 
+/// A round in which no machine did what was asked.
+struct FailedRound {
+    /// What the last machine said.
+    error: CallError,
+    /// The shortest time after which a machine said to come back; none when
+    /// none did.
+    come_back_after: Option<Duration>,
+}
+
 impl ControlClient {
+    /// Asks machine after machine, each once, until one does it.
+    async fn ask_each_once(
+        &self,
+        request: &Request,
+        end: Instant,
+    ) -> Result<Response, FailedRound> {
+        let mut come_back_after: Option<Duration> = None;
+        let mut tries = 0;
+        loop {
+            let address = self.preferred();
+            let share = time_left(end).unwrap_or(SHORTEST_CALL);
+            let error = match self.call_at(address, request.clone(), share).await {
+                Ok(response) => return Ok(response),
+                Err(error) => error,
+            };
+            if !worth_elsewhere(&error) {
+                return Err(FailedRound {
+                    error,
+                    come_back_after: None,
+                });
+            }
+            let pauses = come_back_after.into_iter().chain(retry_pause(&error));
+            come_back_after = pauses.min();
+            self.move_on_from(address);
+            tries += 1;
+            if time_left(end).is_none() || tries >= self.addresses.len() {
+                return Err(FailedRound {
+                    error,
+                    come_back_after,
+                });
+            }
+        }
+    }
+
     fn next_after(&self, address: SocketAddr) -> SocketAddr {
         let found = self.addresses.iter().position(|one| *one == address);
         let next = found.map_or(0, |index| (index + 1) % self.addresses.len());
--- a/crates/pinerill-wire/tests/connections.rs
+++ b/crates/pinerill-wire/tests/connections.rs
@@ -1,6 +1,7 @@
 //! Connections: who is let in, what ends them, and calls in flight.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,6 +23,26 @@
 const LONG: Duration = Duration::from_secs(20);
 const SHORT: Duration = Duration::from_millis(100);
 
+/// Refuses as a machine without a leader does, so many times; then answers.
+struct Electing {
+    refusals_left: AtomicU64,
+}
+
+#[async_trait]
+impl Service for Electing {
+    async fn call(&self, peer: &Peer, _request: Request) -> Response {
+        let left = self.refusals_left.load(Ordering::SeqCst);
+        if left == 0 {
+            return Response::Done;
+        }
+        self.refusals_left.store(left - 1, Ordering::SeqCst);
+        let name = peer.name.clone();
+        let mut refusal = Refusal::new(RefusalCode::NotLeader, "test", name, "no leader");
+        refusal.retry_after_ms = Some(1);
+        Response::Refused(refusal)
+    }
+}
+
 /// Leads or names a leader; delays `ReplaceReplica` by its number.
 struct Control {
     leader: Option<SocketAddr>,
@@ -76,12 +97,21 @@
 }
 
 async fn start_as(leader: Option<SocketAddr>, identity: Identity) -> Server {
+    start_service(Control { leader }, identity).await
+}
+
+async fn start_service(service: impl Service, identity: Identity) -> Server {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
     let address = listener.local_addr().expect("bound");
     let counters = Arc::new(ServerCounters::default());
     let stop = CancellationToken::new();
-    let service = Arc::new(Control { leader });
-    let server = serve(listener, identity, service, counters.clone(), stop.clone());
+    let server = serve(
+        listener,
+        identity,
+        Arc::new(service),
+        counters.clone(),
+        stop.clone(),
+    );
     tokio::spawn(server);
     Server {
         address,
@@ -303,6 +333,25 @@
     }
 }
 
+#[tokio::test]
+async fn client_awaits_a_leader_within_its_own_deadline() {
+    let refusals_left = AtomicU64::new(7);
+    let electing = start_service(Electing { refusals_left }, identity("home", 1)).await;
+    let client = ControlClient::new(identity("home", 1), &[electing.address]);
+    assert_eq!(client.call_any(status(), LONG).await, Ok(Response::Done));
+    assert_eq!(requests(&electing), 8);
+}
+
+#[tokio::test]
+async fn client_gives_up_at_its_deadline_with_the_refusal() {
+    let refusals_left = AtomicU64::new(u64::MAX);
+    let electing = start_service(Electing { refusals_left }, identity("home", 1)).await;
+    let client = ControlClient::new(identity("home", 1), &[electing.address]);
+    let answer = client.call_any(status(), SHORT).await;
+    let error = answer.expect_err("there is never a leader");
+    assert!(matches!(error.kind, CallErrorKind::Refused(_)), "{error}");
+}
+
 #[tokio::test]
 async fn call_in_flight_ends_as_unknown_when_the_connection_breaks() {
     let server = start(None).await;
