A whole bundle is encoded once, and a node keeps its tenants compactly

Cause: each node's whole bundle was written as 29,000 JSON texts and read back into a tree of documents, and the control machine did so under the meta group's lock for each new version. At the node the document, the index and two hash tries stood side by side; over tens of thousands of entries the tries' nodes are mostly empty.

Ruled out: another field in the protocol (copying a Cap'n Proto struct from one message into another needs none, so both versions understand each other); hand-made tables (imbl's trees are compact enough).

Change: EncodedBundle is encoded once on a thread of its own and copied into each answer. A node reads it entry after entry into tenants of names, key hashes of 32 bytes, limits and shared sets of services, in persistent trees. The answer's directory is looked up only when it is sent.

--- a/crates/pinerill-control/src/meta/changes.rs
+++ b/crates/pinerill-control/src/meta/changes.rs
@@ -47,14 +47,23 @@
     /// Changes that follow the bundle with `version` and `digest`; none when
     /// they are gone or the bundle was never in force.
     pub(super) fn since(&self, version: u64, digest: Digest) -> Option<Vec<BundleChange>> {
-        let first = self.changes.front()?.version;
-        let skip = usize::try_from((version + 1).checked_sub(first)?).ok()?;
-        let next = self.changes.get(skip)?;
-        if next.base != digest {
-            return None;
-        }
+        let skip = self.position_after(version, digest)?;
         Some(self.changes.iter().skip(skip).cloned().collect())
     }
+
+    /// How many changes follow the bundle with `version` and `digest`; none
+    /// when they are gone or the bundle was never in force.
+    pub(super) fn count_since(&self, version: u64, digest: Digest) -> Option<usize> {
+        let skip = self.position_after(version, digest)?;
+        Some(self.changes.len() - skip)
+    }
+
+    fn position_after(&self, version: u64, digest: Digest) -> Option<usize> {
+        let first = self.changes.front()?.version;
+        let position = usize::try_from((version + 1).checked_sub(first)?).ok()?;
+        let next = self.changes.get(position)?;
+        (next.base == digest).then_some(position)
+    }
 }
 
 fn size_of_change(change: &BundleChange) -> usize {
--- a/crates/pinerill-control/src/meta/machine.rs
+++ b/crates/pinerill-control/src/meta/machine.rs
@@ -74,6 +74,16 @@
         Some(update)
     }
 
+    /// How many changes lead from this bundle to the one in force; none when
+    /// only the whole bundle does.
+    pub fn changes_since(&self, version: u64, digest: Digest) -> Option<usize> {
+        let founded = self.founded.as_ref()?;
+        if digest == founded.bundle.digest() {
+            return Some(0);
+        }
+        founded.changes.count_since(version, digest)
+    }
+
     /// All control machines by identity.
     pub fn machines(&self) -> impl Iterator<Item = &ControlMachine> {
         let founded = self.founded.iter();
--- a/crates/pinerill-control/src/server/control.rs
+++ b/crates/pinerill-control/src/server/control.rs
@@ -31,6 +31,8 @@
     pub(super) watches_unconfirmed: AtomicU64,
     /// Bundles sent whole.
     pub(super) bundle_snapshots: AtomicU64,
+    /// Times that the whole bundle was encoded.
+    pub(super) snapshots_encoded: AtomicU64,
     /// Watches told to come back because too many nodes needed the whole
     /// bundle at once.
     pub(super) snapshots_delayed: AtomicU64,
--- a/crates/pinerill-control/src/server/watch.rs
+++ b/crates/pinerill-control/src/server/watch.rs
@@ -27,6 +27,11 @@
     Same(WatchResponse),
     /// There is something new.
     News(WatchResponse),
+    /// Only the whole bundle helps the node.
+    Whole {
+        /// The version in force.
+        version: u64,
+    },
     /// The node has a newer bundle than this machine.
     Behind,
 }
@@ -67,7 +72,7 @@
             }
             if confirmed || is_over {
                 match self.state_for(request) {
-                    State::News(response) if carries_snapshot(&response) => {
+                    State::Whole { .. } => {
                         return self.answer_with_snapshot(request, confirmed, end).await;
                     }
                     State::News(response) => return self.answer_watch(response, confirmed),
@@ -108,47 +113,58 @@
         Snapshots::sent(place);
         match self.state_for(request) {
             State::News(response) | State::Same(response) => self.answer_watch(response, confirmed),
+            State::Whole { version } => {
+                let Some(whole) = self.encoded_bundle(request.node.bundle_version).await else {
+                    return self.not_initialised(WATCH);
+                };
+                let whole = Some(BundleUpdate::Snapshot(whole));
+                self.answer_watch(self.watch_response(request, version, whole), confirmed)
+            }
             State::Behind => self.behind(request),
         }
     }
 
     fn state_for(&self, request: &WatchRequest) -> State {
-        let directory = self.directory.lock().update_since(
-            request.directory_epoch,
-            request.directory_revision,
-            &request.zones,
-        );
         let update = self.with_meta(|machine| {
             let since = machine.update_since(request.node.bundle_version, request.bundle_digest)?;
-            let bundle = machine.bundle()?;
-            let update = match since {
-                UpdateSince::Same => Some(None),
-                UpdateSince::Changes(changes) => Some(Some(BundleUpdate::Changes(changes))),
-                UpdateSince::Snapshot => {
-                    let whole = self.snapshots.shared(bundle);
-                    Some(Some(BundleUpdate::Snapshot(whole)))
-                }
-                UpdateSince::Ahead => None,
-            };
-            Some((bundle.version(), update))
+            Some((machine.bundle()?.version(), since))
         });
-        let Some((version, Some(bundle))) = update else {
+        let Some((version, since)) = update else {
             return State::Behind;
         };
-        let has_news = bundle.is_some() || directory.is_some();
-        let response = WatchResponse {
-            confirmed: false,
-            version,
-            bundle,
-            directory,
+        let changes = match since {
+            UpdateSince::Ahead => return State::Behind,
+            UpdateSince::Snapshot => return State::Whole { version },
+            UpdateSince::Changes(changes) => Some(BundleUpdate::Changes(changes)),
+            UpdateSince::Same => None,
         };
-        if has_news {
+        let response = self.watch_response(request, version, changes);
+        if response.bundle.is_some() || response.directory.is_some() {
             State::News(response)
         } else {
             State::Same(response)
         }
     }
 
+    fn watch_response(
+        &self,
+        request: &WatchRequest,
+        version: u64,
+        bundle: Option<BundleUpdate>,
+    ) -> WatchResponse {
+        let directory = self.directory.lock().update_since(
+            request.directory_epoch,
+            request.directory_revision,
+            &request.zones,
+        );
+        WatchResponse {
+            confirmed: false,
+            version,
+            bundle,
+            directory,
+        }
+    }
+
     fn answer_watch(&self, mut response: WatchResponse, confirmed: bool) -> Response {
         response.confirmed = confirmed;
         self.count(if confirmed {
@@ -178,7 +194,3 @@
         response
     }
 }
-
-fn carries_snapshot(response: &WatchResponse) -> bool {
-    matches!(response.bundle, Some(BundleUpdate::Snapshot(_)))
-}
--- a/crates/pinerill-control/tests/server_cluster.rs
+++ b/crates/pinerill-control/tests/server_cluster.rs
@@ -131,6 +131,7 @@
     let Some(BundleUpdate::Snapshot(bundle)) = first.bundle else {
         panic!("not a snapshot: {:?}", first.bundle);
     };
+    let bundle = bundle.decode().expect("a whole bundle");
     let directory = first.directory.expect("all groups");
     assert!(directory.full);
     assert_eq!(directory.groups.len(), 3);
@@ -152,6 +153,42 @@
     assert_eq!(changes.len(), 2);
 }
 
+/// The whole bundle is encoded once: a node that starts some changes later
+/// gets the same copy and follows from there.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_starts_later_gets_the_same_copy_and_then_the_changes() {
+    let fleet = Fleet::start(1);
+    fleet.found(&founding(), 1).await;
+    let client = fleet.client(Role::Node, "node-1");
+    let operator = fleet.client(Role::Operator, "operator");
+    let whole = |name: &'static str| {
+        let client = &client;
+        until(move || async move {
+            match watch(client, &first_watch(name)).await.ok()?.bundle {
+                Some(BundleUpdate::Snapshot(bundle)) => Some(bundle),
+                _ => None,
+            }
+        })
+    };
+    let early = whole("node-1").await;
+    roll_out(&operator, founding(), 2).await;
+    let late = whole("node-2").await;
+    assert_eq!(late, early);
+
+    let bundle = late.decode().expect("a whole bundle");
+    let mut next = first_watch("node-2");
+    next.node.bundle_version = bundle.version;
+    next.bundle_digest = bundle.digest();
+    let answer = until(|| async {
+        let answer = watch(&client, &next).await.ok()?;
+        (answer.version == 2).then_some(answer)
+    });
+    let Some(BundleUpdate::Changes(changes)) = answer.await.bundle else {
+        panic!("not changes");
+    };
+    assert_eq!(changes.last().map(|change| change.version), Some(2));
+}
+
 /// A watch of a node that has the founding bundle.
 fn founded_watch(node: &str) -> WatchRequest {
     let mut request = first_watch(node);
--- a/crates/pinerill-node/src/admission.rs
+++ b/crates/pinerill-node/src/admission.rs
@@ -3,9 +3,10 @@
 
 use std::collections::HashMap;
 
-use pinerill_types::bundle::Tenant;
 use pinerill_types::TenantName;
 
+use crate::configuration::TenantPlan;
+
 /// Idle tenants are forgotten when more than this many are known.
 const TENANTS_KEPT: usize = 4_096;
 
@@ -82,17 +83,12 @@
     ///
     /// # Errors
     /// The limit that it would break.
-    pub fn admit(
-        &mut self,
-        now_ms: u64,
-        name: &TenantName,
-        limits: &Tenant,
-    ) -> Result<(), LimitReached> {
+    pub fn admit(&mut self, now_ms: u64, limits: &TenantPlan) -> Result<(), LimitReached> {
         let burst = f64::from(limits.burst.max(1));
         self.forget_idle();
         let state = self
             .tenants
-            .entry(name.clone())
+            .entry(limits.name.clone())
             .or_insert_with(|| TenantState {
                 bucket: TokenBucket::full(now_ms, burst),
                 in_flight: 0,
--- a/crates/pinerill-node/src/configuration/catalog.rs
+++ b/crates/pinerill-node/src/configuration/catalog.rs
@@ -3,12 +3,13 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use pinerill_types::bundle::{Bundle, BundleChange, EntryKey, EntryKind, Policy, Service, Tenant};
+use pinerill_types::bundle::{
+    Bundle, BundleChange, Entry, EntryIndex, EntryKey, EntryKind, Policy, Service,
+};
 use pinerill_types::{Digest, ServiceName, TenantName};
-use sha2::{Digest as _, Sha256};
+use pinerill_wire::codec::{CodecError, EncodedBundle};
 
-/// SHA-256 of a bearer key.
-type KeyHash = [u8; 32];
+use super::tenants::{TenantPlan, TenantTable};
 
 /// A service with the names that engines use.
 #[derive(Debug)]
@@ -25,9 +26,8 @@
 
 /// A bundle as requests need it.
 ///
-/// Tenants are kept in persistent maps: the next bundle shares all but what
-/// changed with the one before, so that a change among tens of thousands of
-/// tenants costs time and memory in proportion to the change.
+/// The next bundle shares all tenants but those that changed with the one
+/// before.
 #[derive(Debug, Clone)]
 pub struct Catalog {
     /// Version of the bundle.
@@ -37,26 +37,35 @@
     /// Everything but the tenants.
     core: Arc<Bundle>,
     services: Arc<HashMap<ServiceName, Arc<ServicePlan>>>,
-    tenants: imbl::HashMap<TenantName, Arc<Tenant>>,
-    tenants_by_key: imbl::HashMap<KeyHash, TenantName>,
+    tenants: TenantTable,
 }
 
 impl Catalog {
-    /// Derives the lookups of a bundle whose digest is known.
-    pub fn new(mut bundle: Bundle, digest: Digest) -> Self {
-        let tenants = std::mem::take(&mut bundle.tenants);
-        let mut catalog = Self {
-            version: bundle.version,
-            digest,
-            services: Arc::new(plans(&bundle)),
-            core: Arc::new(bundle),
-            tenants: imbl::HashMap::new(),
-            tenants_by_key: imbl::HashMap::new(),
+    /// Reads a whole bundle entry after entry, and computes the index that
+    /// verifies the changes to come.
+    ///
+    /// # Errors
+    /// When an entry is malformed or not of its section's type.
+    pub fn read(encoded: &EncodedBundle) -> Result<(Self, EntryIndex), CodecError> {
+        let mut core = Bundle {
+            version: encoded.version(),
+            ..Bundle::default()
         };
-        for (name, tenant) in tenants {
-            catalog.set_tenant(name, tenant);
-        }
-        catalog
+        let mut tenants = TenantTable::default();
+        let mut index = EntryIndex::build(encoded.version());
+        encoded.for_each_entry(|entry| {
+            index.add(&entry)?;
+            take_entry(&mut core, &mut tenants, &entry).map_err(anyhow::Error::from)
+        })?;
+        let index = index.finish();
+        let catalog = Self {
+            version: encoded.version(),
+            digest: index.digest(),
+            services: Arc::new(plans(&core)),
+            core: Arc::new(core),
+            tenants,
+        };
+        Ok((catalog, index))
     }
 
     /// The catalog after a change whose result was verified.
@@ -71,18 +80,12 @@
         core.version = change.version;
         for key in &change.removed {
             match key.kind {
-                EntryKind::Tenant => next.remove_tenant(&tenant_name(key)),
+                EntryKind::Tenant => next.tenants.remove(&tenant_name(key)),
                 _ => core.remove_entry(key),
             }
         }
         for entry in &change.set {
-            match entry.key.kind {
-                EntryKind::Tenant => {
-                    let tenant = serde_json::from_str(&entry.value)?;
-                    next.set_tenant(tenant_name(&entry.key), tenant);
-                }
-                _ => core.set_entry(entry)?,
-            }
+            take_entry(&mut core, &mut next.tenants, entry)?;
         }
         let keys = change.removed.iter();
         let mut keys = keys.chain(change.set.iter().map(|entry| &entry.key));
@@ -99,15 +102,13 @@
     }
 
     /// A tenant by its name.
-    pub fn tenant(&self, name: &TenantName) -> Option<&Tenant> {
-        self.tenants.get(name).map(Arc::as_ref)
+    pub fn tenant(&self, name: &TenantName) -> Option<&TenantPlan> {
+        self.tenants.get(name)
     }
 
     /// The tenant that a bearer key belongs to.
-    pub fn tenant_of_key(&self, key: &str) -> Option<(&TenantName, &Tenant)> {
-        let hash: KeyHash = Sha256::digest(key.as_bytes()).into();
-        let name = self.tenants_by_key.get(&hash)?;
-        Some((name, self.tenant(name)?))
+    pub fn tenant_of_key(&self, key: &str) -> Option<&TenantPlan> {
+        self.tenants.of_key(key)
     }
 
     /// A service by its name.
@@ -119,40 +120,25 @@
     pub fn services(&self) -> impl Iterator<Item = &Arc<ServicePlan>> {
         self.services.values()
     }
+}
 
-    fn set_tenant(&mut self, name: TenantName, tenant: Tenant) {
-        self.remove_tenant(&name);
-        for hash in key_hashes(&tenant) {
-            self.tenants_by_key.insert(hash, name.clone());
-        }
-        self.tenants.insert(name, Arc::new(tenant));
-    }
-
-    fn remove_tenant(&mut self, name: &TenantName) {
-        let Some(tenant) = self.tenants.remove(name) else {
-            return;
-        };
-        for hash in key_hashes(&tenant) {
-            // Another tenant may have taken the key over in the same change.
-            if self.tenants_by_key.get(&hash) == Some(name) {
-                self.tenants_by_key.remove(&hash);
-            }
-        }
+fn take_entry(
+    core: &mut Bundle,
+    tenants: &mut TenantTable,
+    entry: &Entry,
+) -> Result<(), serde_json::Error> {
+    if entry.key.kind != EntryKind::Tenant {
+        return core.set_entry(entry);
     }
+    let tenant = serde_json::from_str(&entry.value)?;
+    tenants.set(tenant_name(&entry.key), tenant);
+    Ok(())
 }
 
 fn tenant_name(key: &EntryKey) -> TenantName {
     TenantName::from(key.name.as_str())
 }
 
-fn key_hashes(tenant: &Tenant) -> impl Iterator<Item = KeyHash> + '_ {
-    tenant.key_hashes.iter().filter_map(|text| {
-        let mut hash = KeyHash::default();
-        hex::decode_to_slice(text, &mut hash).ok()?;
-        Some(hash)
-    })
-}
-
 fn plans(bundle: &Bundle) -> HashMap<ServiceName, Arc<ServicePlan>> {
     let services = bundle.services.iter();
     services
--- a/crates/pinerill-node/src/configuration/mod.rs
+++ b/crates/pinerill-node/src/configuration/mod.rs
@@ -3,8 +3,10 @@
 
 mod catalog;
 mod state;
+mod tenants;
 mod watch;
 
 pub use catalog::{Catalog, ServicePlan};
 pub use state::{ConfigurationState, Taken};
+pub use tenants::TenantPlan;
 pub use watch::{Configuration, WatchShell};
--- a/crates/pinerill-node/src/configuration/state.rs
+++ b/crates/pinerill-node/src/configuration/state.rs
@@ -4,8 +4,9 @@
 
 use std::sync::Arc;
 
-use pinerill_types::bundle::{Bundle, BundleChange, EntryIndex};
+use pinerill_types::bundle::{BundleChange, EntryIndex};
 use pinerill_types::Digest;
+use pinerill_wire::codec::EncodedBundle;
 use pinerill_wire::message::{BundleUpdate, WatchResponse};
 
 use super::catalog::Catalog;
@@ -84,15 +85,17 @@
         }
     }
 
-    fn take_snapshot(&mut self, current: Option<u64>, bundle: &Bundle) -> Taken {
-        let to = bundle.version;
+    fn take_snapshot(&mut self, current: Option<u64>, bundle: &EncodedBundle) -> Taken {
+        let to = bundle.version();
         if current.is_some_and(|version| to < version) {
             return Taken::Older(to);
         }
-        let index = EntryIndex::new(bundle);
-        let digest = index.digest();
+        let (catalog, index) = match Catalog::read(bundle) {
+            Ok(read) => read,
+            Err(error) => return Taken::Unfit(error.to_string()),
+        };
         let held = self.catalog.as_ref();
-        if current == Some(to) && held.is_some_and(|held| held.digest != digest) {
+        if current == Some(to) && held.is_some_and(|held| held.digest != catalog.digest) {
             // One version has one content: another content under it is a
             // fault of the sender and changes nothing here.
             return Taken::Unfit("another bundle under the version in force".to_owned());
@@ -101,7 +104,7 @@
         if current == Some(to) {
             return Taken::Unchanged;
         }
-        self.catalog = Some(Arc::new(Catalog::new(bundle.clone(), digest)));
+        self.catalog = Some(Arc::new(catalog));
         Taken::Changed { from: current, to }
     }
 
--- /dev/null
+++ b/crates/pinerill-node/src/configuration/tenants.rs
@@ -0,0 +1,147 @@
+//! Tenants as requests look them up, kept small: a node knows tens of
+//! thousands of them and serves few at a time.
+
+use std::borrow::Borrow;
+use std::cmp::Ordering;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use pinerill_types::bundle::Tenant;
+use pinerill_types::{ServiceName, TenantName};
+use sha2::{Digest as _, Sha256};
+
+/// SHA-256 of a bearer key.
+type KeyHash = [u8; 32];
+
+/// A tenant with its limits.
+#[derive(Debug, PartialEq)]
+pub struct TenantPlan {
+    /// Its name.
+    pub name: TenantName,
+    /// The services it may call; tenants with the same ones share the set.
+    pub services: Arc<BTreeSet<ServiceName>>,
+    /// Online requests a second at one node.
+    pub requests_per_second: f64,
+    /// Online requests at once above that rate.
+    pub burst: u32,
+    /// Online requests in flight at one node.
+    pub concurrent_requests: u32,
+    /// Batch items that may be open in one job group.
+    pub open_batch_items: u32,
+    key_hashes: Box<[KeyHash]>,
+}
+
+/// A tenant, ordered and found by its name.
+#[derive(Debug, Clone)]
+struct ByName(Arc<TenantPlan>);
+
+impl Borrow<str> for ByName {
+    fn borrow(&self) -> &str {
+        self.0.name.as_str()
+    }
+}
+
+impl PartialEq for ByName {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.name == other.0.name
+    }
+}
+
+impl Eq for ByName {}
+
+impl PartialOrd for ByName {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for ByName {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.0.name.cmp(&other.0.name)
+    }
+}
+
+/// All tenants in persistent trees: a copy shares all but what was changed
+/// since, so that a change costs time and memory in proportion to itself.
+///
+/// Trees and not hash tries: over tens of thousands of entries the nodes of a
+/// trie are mostly empty.
+#[derive(Debug, Clone, Default)]
+pub(super) struct TenantTable {
+    by_name: imbl::OrdSet<ByName>,
+    by_key: imbl::OrdMap<KeyHash, Arc<TenantPlan>>,
+    service_sets: imbl::OrdSet<Arc<BTreeSet<ServiceName>>>,
+}
+
+impl TenantTable {
+    /// A tenant by its name.
+    pub(super) fn get(&self, name: &TenantName) -> Option<&TenantPlan> {
+        let found = self.by_name.get(name.as_str())?;
+        Some(found.0.as_ref())
+    }
+
+    /// The tenant that a bearer key belongs to.
+    pub(super) fn of_key(&self, key: &str) -> Option<&TenantPlan> {
+        let hash: KeyHash = Sha256::digest(key.as_bytes()).into();
+        self.by_key.get(&hash).map(Arc::as_ref)
+    }
+
+    /// Adds or replaces a tenant.
+    pub(super) fn set(&mut self, name: TenantName, tenant: Tenant) {
+        self.remove(&name);
+        let plan = Arc::new(TenantPlan {
+            name,
+            key_hashes: key_hashes(&tenant.key_hashes),
+            services: self.shared_services(tenant.services),
+            requests_per_second: tenant.requests_per_second,
+            burst: tenant.burst,
+            concurrent_requests: tenant.concurrent_requests,
+            open_batch_items: tenant.open_batch_items,
+        });
+        for hash in &plan.key_hashes {
+            self.by_key.insert(*hash, plan.clone());
+        }
+        self.by_name.insert(ByName(plan));
+    }
+
+    /// Removes a tenant, if there is one.
+    pub(super) fn remove(&mut self, name: &TenantName) {
+        let Some(ByName(plan)) = self.by_name.remove(name.as_str()) else {
+            return;
+        };
+        for hash in &plan.key_hashes {
+            // Another tenant may have taken the key over in the same change.
+            let owner = self.by_key.get(hash);
+            if owner.is_some_and(|owner| owner.name == *name) {
+                self.by_key.remove(hash);
+            }
+        }
+    }
+
+    fn shared_services(&mut self, services: BTreeSet<ServiceName>) -> Arc<BTreeSet<ServiceName>> {
+        let services = Arc::new(services);
+        if let Some(same) = self.service_sets.get(&services) {
+            return same.clone();
+        }
+        if self.service_sets.len() > self.by_name.len() {
+            self.forget_unused_services();
+        }
+        self.service_sets.insert(services.clone());
+        services
+    }
+
+    /// Sets that no tenant has any more would otherwise stay for ever.
+    fn forget_unused_services(&mut self) {
+        let used = self.by_name.iter().map(|tenant| tenant.0.services.clone());
+        self.service_sets = used.collect();
+    }
+}
+
+fn key_hashes(texts: &[String]) -> Box<[KeyHash]> {
+    let hashes = texts.iter().filter_map(|text| {
+        let mut hash = KeyHash::default();
+        hex::decode_to_slice(text, &mut hash).ok()?;
+        Some(hash)
+    });
+    hashes.collect()
+}
--- a/crates/pinerill-node/src/gateway/admission.rs
+++ b/crates/pinerill-node/src/gateway/admission.rs
@@ -68,7 +68,7 @@
     let tenant = caller
         .key()
         .and_then(|key| catalog.tenant_of_key(key))
-        .map(|(name, _)| name.clone());
+        .map(|tenant| tenant.name.clone());
     match tenant {
         Some(tenant) => Ok(Authenticated {
             catalog,
@@ -183,10 +183,7 @@
         return Err(unconfirmed());
     };
     let now_ms = clock::now_ms();
-    let admitted = node
-        .limits
-        .lock()
-        .admit(now_ms, &authenticated.tenant, limits);
+    let admitted = node.limits.lock().admit(now_ms, limits);
     admitted.map_err(limit_failure)?;
     node.metrics.in_flight.inc();
     Ok(Admitted {
--- a/crates/pinerill-node/src/gateway/online.rs
+++ b/crates/pinerill-node/src/gateway/online.rs
@@ -38,7 +38,7 @@
     let services = authenticated.catalog.tenant(&authenticated.tenant);
     let data: Vec<serde_json::Value> = services
         .iter()
-        .flat_map(|tenant| &tenant.services)
+        .flat_map(|tenant| tenant.services.iter())
         .map(|name| serde_json::json!({"id": name, "object": "model", "owned_by": "pinerill"}))
         .collect();
     let body = serde_json::json!({"object": "list", "data": data});
--- a/crates/pinerill-node/tests/catalog.rs
+++ b/crates/pinerill-node/tests/catalog.rs
@@ -6,6 +6,7 @@
 use pinerill_node::configuration::{Catalog, ConfigurationState, Taken};
 use pinerill_types::bundle::{Bundle, Model, Service, Tenant};
 use pinerill_types::{ServiceName, TenantName};
+use pinerill_wire::codec::EncodedBundle;
 use pinerill_wire::message::{BundleUpdate, WatchResponse};
 use sha2::{Digest, Sha256};
 
@@ -42,7 +43,7 @@
     WatchResponse {
         confirmed: true,
         version: bundle.version,
-        bundle: Some(BundleUpdate::Snapshot(Arc::new(bundle.clone()))),
+        bundle: Some(BundleUpdate::Snapshot(EncodedBundle::from(bundle))),
         directory: None,
     }
 }
@@ -58,8 +59,8 @@
 
 fn owner(state: &ConfigurationState, key: &str) -> Option<TenantName> {
     let catalog = state.catalog().expect("a bundle is in force");
-    let (name, _) = catalog.tenant_of_key(key)?;
-    Some(name.clone())
+    let tenant = catalog.tenant_of_key(key)?;
+    Some(tenant.name.clone())
 }
 
 fn engine_model(catalog: &Catalog) -> &str {
@@ -98,6 +99,25 @@
     assert_eq!(owner(&state, "k1"), None);
 }
 
+#[test]
+fn tenants_with_the_same_services_share_them() {
+    let mut bundle = first();
+    bundle.tenants.insert("crew".into(), tenant(&["k3"]));
+    let mut state = ConfigurationState::default();
+    state.take(0, &snapshot(&bundle));
+    let mut next = bundle.clone();
+    next.version = 2;
+    next.tenants.insert("van".into(), tenant(&["k4"]));
+    state.take(0, &change(&bundle, &next));
+    let catalog = state.catalog().expect("a bundle is in force");
+    let services = |key: &str| {
+        let tenant = catalog.tenant_of_key(key).expect("a tenant");
+        tenant.services.clone()
+    };
+    assert!(Arc::ptr_eq(&services("k1"), &services("k3")));
+    assert!(Arc::ptr_eq(&services("k1"), &services("k4")));
+}
+
 #[test]
 fn a_new_model_version_reaches_its_services() {
     let mut state = ConfigurationState::default();
--- a/crates/pinerill-node/tests/support/control.rs
+++ b/crates/pinerill-node/tests/support/control.rs
@@ -2,13 +2,13 @@
 
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use parking_lot::Mutex;
 use pinerill_types::bundle::Bundle;
 use pinerill_wire::api::{CallError, CallErrorKind, ControlApi};
+use pinerill_wire::codec::EncodedBundle;
 use pinerill_wire::message::{
     BundleUpdate, DirectoryUpdate, GroupRecord, LeavingSign, Request, Response, WatchRequest,
     WatchResponse, WorkerRecord,
@@ -103,7 +103,7 @@
         WatchResponse {
             confirmed: true,
             version: bundle.version,
-            bundle: (!known).then(|| BundleUpdate::Snapshot(Arc::new(bundle))),
+            bundle: (!known).then(|| BundleUpdate::Snapshot(EncodedBundle::from(&bundle))),
             directory,
         }
     }
--- a/crates/pinerill-rehearse/src/scale/hollow/node.rs
+++ b/crates/pinerill-rehearse/src/scale/hollow/node.rs
@@ -7,11 +7,11 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use parking_lot::Mutex;
-use pinerill_types::bundle::Bundle;
 use pinerill_types::job::{AttemptEnd, LeasedItem};
 use pinerill_types::{Digest, NodeName, ServiceName, WorkerName, ZoneName};
 use pinerill_wire::api::ControlApi;
 use pinerill_wire::client::ControlClient;
+use pinerill_wire::codec::EncodedBundle;
 use pinerill_wire::message::{
     AttemptRef, AttemptReport, AttemptVerdict, BundleUpdate, DirectoryUpdate, EndAttempts,
     GroupRecord, LeaseItems, LeaseWant, NodeRecord, Request, Response, WatchRequest, WatchResponse,
@@ -57,11 +57,14 @@
 }
 
 impl Tally {
-    fn digest_of(&self, bundle: &Bundle) -> Digest {
+    fn digest_of(&self, bundle: &EncodedBundle) -> Option<Digest> {
         let mut digests = self.digests.lock();
-        *digests
-            .entry(bundle.version)
-            .or_insert_with(|| bundle.digest())
+        if let Some(digest) = digests.get(&bundle.version()) {
+            return Some(*digest);
+        }
+        let digest = bundle.decode().ok()?.digest();
+        digests.insert(bundle.version(), digest);
+        Some(digest)
     }
 }
 
@@ -196,7 +199,10 @@
                 Some(change) => (change.version, change.digest),
                 None => return,
             },
-            BundleUpdate::Snapshot(bundle) => (bundle.version, self.tally.digest_of(&bundle)),
+            BundleUpdate::Snapshot(bundle) => match self.tally.digest_of(&bundle) {
+                Some(digest) => (bundle.version(), digest),
+                None => return,
+            },
         };
         held.version = version;
         held.digest = digest;
--- a/crates/pinerill-sim/src/bundle/service.rs
+++ b/crates/pinerill-sim/src/bundle/service.rs
@@ -1,12 +1,11 @@
 //! The meta group as its clients see it.
 
-use std::sync::Arc;
-
 use pinerill_control::machine::TableReader;
 use pinerill_control::meta::{read_history, MetaMachine, PastVersion, UpdateSince};
 use pinerill_storage::GroupReader;
 use pinerill_types::bundle::IndexedBundle;
 use pinerill_types::Digest;
+use pinerill_wire::codec::EncodedBundle;
 use pinerill_wire::message::{BundleUpdate, WatchResponse};
 
 use crate::cluster::GroupService;
@@ -88,7 +87,7 @@
 
 fn watch(machine: &MetaMachine, version: u64, digest: Digest) -> Option<WatchView> {
     let bundle = machine.bundle()?;
-    let whole = || BundleUpdate::Snapshot(Arc::new(bundle.bundle().clone()));
+    let whole = || BundleUpdate::Snapshot(EncodedBundle::from(bundle.bundle()));
     let since = machine.update_since(version, digest)?;
     let behind = since == UpdateSince::Ahead;
     let update = match since {
--- a/crates/pinerill-types/src/bundle/entry_index.rs
+++ b/crates/pinerill-types/src/bundle/entry_index.rs
@@ -8,6 +8,36 @@
 use super::tree::EntryTree;
 use crate::id::Digest;
 
+/// An index that takes in a whole bundle entry after entry.
+#[derive(Debug)]
+pub struct EntryIndexBuilder {
+    version: u64,
+    tree: EntryTree,
+}
+
+impl EntryIndexBuilder {
+    /// Adds an entry.
+    ///
+    /// # Errors
+    /// When its value is not of its section's type.
+    pub fn add(&mut self, entry: &Entry) -> Result<(), ChangeError> {
+        check_key(&entry.key)?;
+        let value = canonical_value(entry)?;
+        self.tree.set(&entry.key, &value);
+        Ok(())
+    }
+
+    /// The index over all entries.
+    pub fn finish(mut self) -> EntryIndex {
+        let digest = self.tree.root(self.version);
+        EntryIndex {
+            version: self.version,
+            tree: self.tree,
+            digest,
+        }
+    }
+}
+
 /// Version, digest and hash tree of a bundle.
 #[derive(Debug, Clone)]
 pub struct EntryIndex {
@@ -17,6 +47,14 @@
 }
 
 impl EntryIndex {
+    /// Begins the index of a bundle that comes entry after entry.
+    pub fn build(version: u64) -> EntryIndexBuilder {
+        EntryIndexBuilder {
+            version,
+            tree: EntryTree::new(std::iter::empty()),
+        }
+    }
+
     /// The index of a bundle.
     pub fn new(bundle: &Bundle) -> Self {
         let mut tree = EntryTree::new(bundle.iter_entries());
--- a/crates/pinerill-types/src/bundle/mod.rs
+++ b/crates/pinerill-types/src/bundle/mod.rs
@@ -21,7 +21,7 @@
     Adapter, Bundle, Model, Operator, Policy, Script, Service, Sharing, Tenant, WorkPlacement,
 };
 pub use entry::{Entry, EntryKey, EntryKind};
-pub use entry_index::EntryIndex;
+pub use entry_index::{EntryIndex, EntryIndexBuilder};
 pub use indexed::IndexedBundle;
 pub use signing::{
     count_sign_offs, signing_key_from_hex, signing_message, SignError, SignOff, SignedChange,
--- a/crates/pinerill-wire/src/codec/bundle.rs
+++ b/crates/pinerill-wire/src/codec/bundle.rs
@@ -1,14 +1,12 @@
 //! Bundles, changes and proposals.
 
-use std::sync::Arc;
-
 use pinerill_types::bundle::{
     Bundle, BundleChange, Entry, EntryKey, EntryKind, SignOff, SignedChange,
 };
 use pinerill_types::{NodeName, OperatorName, ZoneName};
 
 use super::text::{digest, name, string};
-use super::CodecError;
+use super::{CodecError, EncodedBundle};
 use crate::message::{
     BundleShown, BundleStatusResponse, BundleUpdate, NodeBundle, ProposalAnswer,
     ProposeBundleResponse,
@@ -47,7 +45,7 @@
     })
 }
 
-fn decode_entry(reader: wire::entry::Reader<'_>) -> Result<Entry, CodecError> {
+pub(super) fn decode_entry(reader: wire::entry::Reader<'_>) -> Result<Entry, CodecError> {
     Ok(Entry {
         key: decode_key(reader.get_key()?)?,
         value: string(reader.get_value()?)?,
@@ -155,7 +153,7 @@
                 encode_change(change, list.reborrow().get(index as u32));
             }
         }
-        Some(BundleUpdate::Snapshot(bundle)) => encode_bundle(bundle, builder.init_snapshot()),
+        Some(BundleUpdate::Snapshot(bundle)) => bundle.copy_into(builder),
     }
 }
 
@@ -170,8 +168,8 @@
             Some(BundleUpdate::Changes(changes.collect::<Result<_, _>>()?))
         }
         Which::Snapshot(bundle) => {
-            let bundle = decode_bundle(bundle?)?;
-            Some(BundleUpdate::Snapshot(Arc::new(bundle)))
+            let bundle = EncodedBundle::copy_of(bundle?)?;
+            Some(BundleUpdate::Snapshot(bundle))
         }
     })
 }
--- a/crates/pinerill-wire/src/codec/mod.rs
+++ b/crates/pinerill-wire/src/codec/mod.rs
@@ -6,6 +6,7 @@
 mod bundle;
 mod cluster;
 mod directory;
+mod encoded_bundle;
 mod envelope;
 mod frame;
 mod job;
@@ -13,6 +14,7 @@
 mod response;
 mod text;
 
+pub use encoded_bundle::EncodedBundle;
 pub use frame::{decode_frame, encode_frame, Frame, Hello};
 
 /// Why bytes are not a message.
--- a/crates/pinerill-wire/src/message/bundle.rs
+++ b/crates/pinerill-wire/src/message/bundle.rs
@@ -1,17 +1,17 @@
 //! Bundles: propose, show and status.
 
-use std::sync::Arc;
-
 use pinerill_types::bundle::{Bundle, BundleChange, SignedChange};
 use pinerill_types::{Digest, NodeName, ZoneName};
 
+use crate::codec::EncodedBundle;
+
 /// How a node gets from its bundle to the one in force.
 #[derive(Debug, Clone, PartialEq)]
 pub enum BundleUpdate {
     /// These changes, in order.
     Changes(Vec<BundleChange>),
     /// The whole bundle, shared by all answers that carry it.
-    Snapshot(Arc<Bundle>),
+    Snapshot(EncodedBundle),
 }
 
 /// An operator proposes the next bundle.
--- a/crates/pinerill-wire/tests/codec.rs
+++ b/crates/pinerill-wire/tests/codec.rs
@@ -1,7 +1,6 @@
 //! Codec: messages survive the way there and back; bad bytes give errors.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use pinerill_replica::{
     AppendOutcome, AppendRequest, AppendResponse, Entry, EntryKind, Envelope, GroupId, Membership,
@@ -10,7 +9,7 @@
 use pinerill_types::bundle::{Bundle, Operator};
 use pinerill_types::job::{AttemptEnd, ItemInput, LeasedItem};
 use pinerill_types::{Digest, JobId, NodeName, OperatorName, ServiceName, TenantName, ZoneName};
-use pinerill_wire::codec::{decode_frame, encode_frame, Frame};
+use pinerill_wire::codec::{decode_frame, encode_frame, EncodedBundle, Frame};
 use pinerill_wire::message::{
     AttemptRef, AttemptReport, BundleUpdate, CreateGroups, DirectoryUpdate, EndAttempts,
     GroupRecord, GroupVoters, LeaseItemsResponse, LeavingSign, NodeRecord, Notification, Refusal,
@@ -90,7 +89,7 @@
     for update in [
         None,
         Some(BundleUpdate::Changes(vec![change])),
-        Some(BundleUpdate::Snapshot(Arc::new(bundle()))),
+        Some(BundleUpdate::Snapshot(EncodedBundle::from(&bundle()))),
     ] {
         assert_survives(Frame::Response(Response::Watch(WatchResponse {
             confirmed: true,
