Load reports: less often where nothing of this node runs

Cause: a node asked each of its 48 workers twice a second whether or not anything depended on it, and each report woke the batch side and the follower of the fleet's view, and copied the names of all models that the engines hold.

Change: a worker with requests or driven batch of this node, or one whose engines answered since the last round, or whose report changed or failed, is asked in every round; one that reports the same again and again in every fourth (2 s at most). Use is looked for in every round, so the first round after it asks. A report wakes the batch side only with a sign of online work or other holdings; the prober follows a notice of its own; names are copied only when they differ.

Freshness: unchanged where in use.

--- a/crates/pinerill-node/src/membership/engine.rs
+++ b/crates/pinerill-node/src/membership/engine.rs
@@ -33,6 +33,8 @@
     pub health: Mutex<Health>,
     /// This node drives its batch.
     pub driven: AtomicBool,
+    /// Answers of its engines that began so far.
+    pub answers: AtomicU64,
 }
 
 impl Worker {
@@ -53,6 +55,15 @@
     }
 }
 
+/// What a report told anew of an engine.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct ReportNews {
+    /// Other nodes have more online requests there than before.
+    pub(super) more_online: bool,
+    /// It holds other models or adapters, or has another role.
+    pub(super) holds_other: bool,
+}
+
 /// One engine that this node uses.
 #[derive(Debug)]
 pub struct Engine {
@@ -112,6 +123,7 @@
     /// The head of an answer carried the load. Returns whether it is a sign of
     /// online work.
     pub(super) fn take_load_header(&self, now_ms: u64, header: &LoadHeader) -> bool {
+        self.worker.answers.fetch_add(1, Ordering::Relaxed);
         let own = self.online.load(Ordering::Relaxed);
         let more = self.load.lock().header(now_ms, header, own);
         if more {
@@ -125,13 +137,13 @@
         self.online_signs.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Takes a report in. Returns whether it holds something else now.
+    /// Takes a report in.
     pub(super) fn take_report(
         &self,
         now_ms: u64,
         report: &EngineReport,
         metrics: &Metrics,
-    ) -> bool {
+    ) -> ReportNews {
         let own = self.online.load(Ordering::Relaxed);
         let news = self.load.lock().report(now_ms, report, own);
         metrics.preemptions.inc_by(news.preemptions);
@@ -140,15 +152,10 @@
         if news.more_online {
             self.sign_online();
         }
-        let holding = Holding {
-            role: report.role,
-            models: report.models.clone(),
-            adapters: report.adapters.clone(),
-        };
-        let mut current = self.holding.lock();
-        let changed = *current != holding;
-        *current = holding;
-        changed
+        ReportNews {
+            more_online: news.more_online,
+            holds_other: self.holding.lock().take(report),
+        }
     }
 }
 
@@ -172,6 +179,7 @@
             http: worker_client()?,
             health: Mutex::new(Health::new(record)),
             driven: AtomicBool::new(false),
+            answers: AtomicU64::new(0),
         });
         let engines = (0..record.engines)
             .map(|number| Arc::new(new_engine(&worker, number)))
--- a/crates/pinerill-node/src/membership/fleet.rs
+++ b/crates/pinerill-node/src/membership/fleet.rs
@@ -38,6 +38,8 @@
     pub leaving_seen: Notify,
     /// Engines or their load changed.
     pub changed: Notify,
+    /// Other workers are used now.
+    pub members_changed: Notify,
     /// There may be a sign of online work; the batch side waits for it.
     pub online_arrived: Notify,
 }
@@ -60,6 +62,7 @@
             hints: Mutex::default(),
             leaving_seen: Notify::new(),
             changed: Notify::new(),
+            members_changed: Notify::new(),
             online_arrived: Notify::new(),
         }
     }
@@ -124,6 +127,7 @@
         let services = services.unwrap_or_default();
         *view_slot = Arc::new(FleetView { workers, services });
         drop(view_slot);
+        self.members_changed.notify_one();
         self.changed.notify_waiters();
     }
 
@@ -184,17 +188,22 @@
             self.note_leaving(&entry.worker);
         }
         let mut changed = was_leaving != entry.worker.is_leaving();
+        let mut more_online = false;
         for engine_report in &report.engines {
             let number = usize::from(engine_report.engine);
             if let Some(engine) = entry.engines.get(number) {
-                changed |= engine.take_report(now_ms, engine_report, &self.metrics);
+                let news = engine.take_report(now_ms, engine_report, &self.metrics);
+                changed |= news.holds_other;
+                more_online |= news.more_online;
             }
         }
         if changed {
             self.rebuild();
         }
         self.changed.notify_waiters();
-        self.online_arrived.notify_one();
+        if changed || more_online {
+            self.online_arrived.notify_one();
+        }
     }
 
     /// The head of an answer of an engine carried its load.
--- a/crates/pinerill-node/src/membership/probe.rs
+++ b/crates/pinerill-node/src/membership/probe.rs
@@ -1,6 +1,7 @@
 //! Polls each worker's load report and cache events.
 
 use std::collections::HashMap;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 
 use super::engine::WorkerEntry;
 use super::fleet::Fleet;
+use super::poll_pace::PollPace;
 use super::report::WorkerReport;
 
 /// Longest wait for a load report.
@@ -66,7 +68,7 @@
         loop {
             self.follow();
             tokio::select! {
-                () = self.fleet.changed.notified() => {}
+                () = self.fleet.members_changed.notified() => {}
                 () = tokio::time::sleep(self.pause) => {}
             }
         }
@@ -103,15 +105,40 @@
 }
 
 async fn poll_reports(fleet: Arc<Fleet>, entry: WorkerEntry, pause: Duration) {
+    let mut pace = PollPace::default();
+    let mut last = None;
+    let mut answers = 0;
     loop {
-        match fetch_report(&entry).await {
-            Ok(report) => fleet.take_report(&entry, &report),
-            Err(_) => fleet.connection_failed(&entry.worker),
+        let answers_now = entry.worker.answers.load(Ordering::Relaxed);
+        let in_use = answers_now != answers || is_in_use(&entry);
+        answers = answers_now;
+        if pace.is_due(in_use) {
+            match fetch_report(&entry).await {
+                Ok(report) => {
+                    fleet.take_report(&entry, &report);
+                    pace.reported(last.as_ref() != Some(&report));
+                    last = Some(report);
+                }
+                Err(_) => {
+                    fleet.connection_failed(&entry.worker);
+                    pace.failed();
+                }
+            }
         }
         tokio::time::sleep(pause).await;
     }
 }
 
+/// Whether anything of this node runs there: requests, or batch that must
+/// step aside for other nodes' requests.
+fn is_in_use(entry: &WorkerEntry) -> bool {
+    let is_driven = entry.worker.is_driven();
+    entry.engines.iter().any(|engine| {
+        let has_batch = is_driven && engine.load.lock().batch_running() > 0;
+        has_batch || engine.online.load(Ordering::Relaxed) > 0
+    })
+}
+
 async fn fetch_report(entry: &WorkerEntry) -> reqwest::Result<WorkerReport> {
     let url = format!("http://{}/worker", entry.worker.address);
     let request = entry.worker.http.get(url).timeout(REPORT_TIMEOUT);
--- a/crates/pinerill-node/src/membership/serving.rs
+++ b/crates/pinerill-node/src/membership/serving.rs
@@ -5,7 +5,7 @@
 //! that a change of version leaves no gap and does not crowd the few engines
 //! that are ahead.
 
-use super::report::Role;
+use super::report::{EngineReport, Role};
 use crate::configuration::ServicePlan;
 
 /// What an engine holds.
@@ -31,6 +31,21 @@
 }
 
 impl Holding {
+    /// Takes over what a report says. Returns whether it differs.
+    pub(super) fn take(&mut self, report: &EngineReport) -> bool {
+        let same = self.role == report.role
+            && self.models == report.models
+            && self.adapters == report.adapters;
+        if !same {
+            *self = Self {
+                role: report.role,
+                models: report.models.clone(),
+                adapters: report.adapters.clone(),
+            };
+        }
+        !same
+    }
+
     /// What it holds of a service's model and adapter, if it has both in some
     /// version.
     pub fn serves(&self, plan: &ServicePlan) -> Option<Served> {
