Scale run: hollow nodes measure from the mark, not from their start

Cause: a hollow node counted from its fifth second on, while at 29,000 tenants 1,600 nodes wait up to twenty seconds for their first whole bundle.

Change: nothing is counted before the settling time is over, and at the kill the gaps begin anew (SIGUSR1 to hollow processes).

--- a/crates/pinerill-rehearse/src/fleet/process.rs
+++ b/crates/pinerill-rehearse/src/fleet/process.rs
@@ -39,6 +39,8 @@
     Stop,
     /// End of a freeze.
     Continue,
+    /// What is measured begins anew; only hollow processes understand it.
+    Mark,
 }
 
 impl Signal {
@@ -48,6 +50,7 @@
             Self::Kill => "KILL",
             Self::Stop => "STOP",
             Self::Continue => "CONT",
+            Self::Mark => "USR1",
         }
     }
 }
--- a/crates/pinerill-rehearse/src/scale/fleet.rs
+++ b/crates/pinerill-rehearse/src/scale/fleet.rs
@@ -131,11 +131,16 @@
         self.pinerill.await_leaders(groups).await
     }
 
-    /// Starts the hollow nodes.
+    /// Starts the hollow nodes, which count nothing for the time of `warm_up`.
     ///
     /// # Errors
     /// When a process does not start.
-    pub fn start_hollow_nodes(&mut self, size: &Size, lease_limit: u32) -> anyhow::Result<()> {
+    pub fn start_hollow_nodes(
+        &mut self,
+        size: &Size,
+        lease_limit: u32,
+        warm_up: Duration,
+    ) -> anyhow::Result<()> {
         let settings = self.pinerill.settings(self.pinerill.cluster_settings(None));
         let settings_path = self.pinerill.write_settings("hollow", &settings)?;
         let mut first = 0;
@@ -150,6 +155,7 @@
                 format!("--count={count}"),
                 format!("--zones={}", zones().join(",")),
                 format!("--lease-limit={lease_limit}"),
+                format!("--warm-up-seconds={}", warm_up.as_secs()),
                 format!("--out={}", out.display()),
             ];
             let process = self.launcher.start_standin(&name, arguments)?;
@@ -159,6 +165,17 @@
         Ok(())
     }
 
+    /// What hollow nodes tell of times without a confirmed watch begins now.
+    ///
+    /// # Errors
+    /// When one died.
+    pub fn mark_hollow_nodes(&mut self) -> anyhow::Result<()> {
+        for (process, _) in &mut self.hollow_nodes {
+            process.signal(Signal::Mark)?;
+        }
+        Ok(())
+    }
+
     /// Stops the hollow nodes and adds up what they saw.
     ///
     /// # Errors
--- a/crates/pinerill-rehearse/src/scale/hollow/process.rs
+++ b/crates/pinerill-rehearse/src/scale/hollow/process.rs
@@ -15,7 +15,7 @@
 use pinerill_wire::client::ControlClient;
 use pinerill_wire::connection::{ClusterKey, Identity, LinkCounters};
 use pinerill_wire::message::NodeRecord;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::time::sleep;
 
 use super::node::{HollowNode, Seen, Tally};
@@ -73,6 +73,8 @@
         let delay = START_SPREAD.mul_f64(index as f64 / nodes.len() as f64);
         spawn_node(node, delay, arguments.first + index as u64);
     }
+    let mark = signal(SignalKind::user_defined1()).context("listening for SIGUSR1")?;
+    tokio::spawn(forget_gaps_at(mark, nodes.clone()));
     let mut terminate = signal(SignalKind::terminate()).context("listening for SIGTERM")?;
     let start = tokio::select! {
         start = begin(&arguments, &nodes, &tally) => start,
@@ -124,6 +126,16 @@
     }
 }
 
+/// At each mark, the longest time without a confirmed watch begins anew: what
+/// a failure costs must not be mixed with what the start did.
+async fn forget_gaps_at(mut mark: Signal, nodes: Vec<Arc<HollowNode>>) {
+    while mark.recv().await.is_some() {
+        for node in &nodes {
+            node.seen.lock().longest_unconfirmed = Duration::ZERO;
+        }
+    }
+}
+
 async fn begin(arguments: &HollowArguments, nodes: &[Arc<HollowNode>], tally: &Tally) -> Start {
     sleep(Duration::from_secs(arguments.warm_up_seconds)).await;
     begin_now(nodes, tally)
--- a/crates/pinerill-rehearse/src/scale/run.rs
+++ b/crates/pinerill-rehearse/src/scale/run.rs
@@ -88,8 +88,9 @@
         .roll_out_base(size.tenants as u32)
         .await
         .context("rolling out the base bundle")?;
-    fleet.start_hollow_nodes(size, LEASE_LIMIT)?;
-    tokio::time::sleep(settle_time(size)).await;
+    let settle = settle_time(size);
+    fleet.start_hollow_nodes(size, LEASE_LIMIT, settle)?;
+    tokio::time::sleep(settle).await;
     let base_version = driver.proposed.len();
 
     let started = Instant::now();
@@ -110,6 +111,7 @@
     let after = usages(&fleet)?;
     tokio::time::sleep(FINISH_TIME).await;
     if kill_control {
+        fleet.mark_hollow_nodes()?;
         let killed = &mut fleet.pinerill.controls[0];
         killed.process.signal(Signal::Kill)?;
         fleet.pinerill.controls.remove(0);
--- a/crates/pinerill-rehearse/src/state/throughput.rs
+++ b/crates/pinerill-rehearse/src/state/throughput.rs
@@ -41,7 +41,7 @@
     arguments: &StateArguments,
     size: &Size,
 ) -> anyhow::Result<ThroughputFigures> {
-    fleet.start_hollow_nodes(size, LEASE_LIMIT)?;
+    fleet.start_hollow_nodes(size, LEASE_LIMIT, SETTLE_TIME)?;
     tokio::time::sleep(SETTLE_TIME).await;
     let skip = changes.proposed.len();
     let jobs = Arc::new(JobDriver::new(
