--- a/crates/pinerill-rehearse/src/fleet/process.rs
+++ b/crates/pinerill-rehearse/src/fleet/process.rs
@@ -41,6 +41,8 @@
     Stop,
     /// End of a freeze.
     Continue,
+    /// What is measured begins anew; only hollow processes understand it.
+    Mark,
 }
 
 impl Signal {
@@ -50,6 +52,7 @@
             Self::Kill => "KILL",
             Self::Stop => "STOP",
             Self::Continue => "CONT",
+            Self::Mark => "USR1",
         }
     }
 }
--- a/crates/pinerill-types/src/bundle/mod.rs
+++ b/crates/pinerill-types/src/bundle/mod.rs
@@ -22,7 +22,7 @@
 };
 pub use ed25519_dalek::SigningKey;
 pub use entry::{Entry, EntryKey, EntryKind};
-pub use entry_index::EntryIndex;
+pub use entry_index::{EntryIndex, EntryIndexBuilder};
 pub use indexed::IndexedBundle;
 pub use signing::{
     count_sign_offs, signing_key_from_hex, signing_message, SignError, SignOff, SignedChange,
