Batch keeps the slots that online work leaves free

Cause: the window of batch items fell to (1 - w) of the free slots at any sign of online work and held for up to a second. With 26 short requests a second and an engine each, nearly every engine saw a sign within the time its window needed to grow, so batch held a fifth of the fleet.

Ruled out: the machine's load.

Change: an engine admits online before batch and preempts between two steps, so a slot that batch holds delays nobody; what batch costs are longer steps. Batch takes all free slots but a headroom that rises steeply with the weight. Two bounds: started up to the lower one, paused above the upper one, so that a request that comes and goes moves no item.

Conclusion: next, where prefills of batch meet online work.

--- a/crates/pinerill-node/src/batch/engines.rs
+++ b/crates/pinerill-node/src/batch/engines.rs
@@ -45,7 +45,7 @@
             return 0;
         }
         let running = self.running.len() as u32;
-        self.window.allowed().saturating_sub(running)
+        self.window.open().saturating_sub(running)
     }
 
     fn count(&self, service: &ServiceName) -> u32 {
@@ -119,7 +119,7 @@
     pub fn take_resumes(&mut self, now_ms: u64) -> Vec<AttemptRef> {
         let mut resumes = Vec::new();
         for engine in self.engines.values_mut() {
-            let room = (engine.window.allowed() as usize).saturating_sub(engine.running.len());
+            let room = (engine.window.open() as usize).saturating_sub(engine.running.len());
             let count = room.min(engine.paused.len());
             for mut occupant in engine.paused.drain(..count) {
                 occupant.since_ms = now_ms;
--- a/crates/pinerill-node/src/batch/window.rs
+++ b/crates/pinerill-node/src/batch/window.rs
@@ -1,20 +1,29 @@
 //! How many batch items may run at one engine. Pure.
 //!
-//! The window falls at once at any sign of online work and grows again, by
-//! doubling, after a time without one. How far it falls and how long it waits
-//! follows the service's `tail_weight`: at 1.0 nothing runs beside online
-//! work, at 0.0 batch keeps every slot that online work leaves free.
-
-/// Items beyond the slots of an idle engine, so that a slot that comes free
-/// is filled before the next item can arrive from here.
-const SPARE_ITEMS: u32 = 2;
-/// Time without a sign before the window grows, at weights 0.0 and 1.0,
-/// milliseconds.
+//! Batch uses the slots that online requests leave free. An engine admits
+//! online requests before batch and preempts batch for them between two steps,
+//! so a slot that batch holds delays nobody; what batch costs the online tail
+//! are longer steps. The service's `tail_weight` says how many free slots it
+//! gives up for shorter ones: these are also the places that the next arrivals
+//! take without anything having to be paused.
+//!
+//! There are two bounds. Items are started and resumed up to [`Window::open`];
+//! they are paused above [`Window::allowed`]. Between them lie the places of
+//! the next arrivals, so that a request that comes and goes moves no item.
+
+/// Slots of an engine for each item that waits there beyond them, so that a
+/// slot that comes free is filled before the next item can arrive from here.
+const SLOTS_PER_SPARE_ITEM: u32 = 8;
+/// How steeply the share of slots that batch leaves to the next arrivals rises
+/// with the weight: 13 % at 0.8, all at 1.0, and nothing below 0.6.
+const HEADROOM_EXPONENT: i32 = 9;
+/// Most of that share at an engine without online work.
+const IDLE_HEADROOM_SHARE: f64 = 0.25;
+/// Time after a preemption or a wait before the window grows, at weights 0.0
+/// and 1.0, milliseconds.
 const HOLD_MS: (f64, f64) = (100.0, 1_000.0);
 /// Time between two doublings, at weights 0.0 and 1.0, milliseconds.
 const GROWTH_PAUSE_MS: (f64, f64) = (50.0, 200.0);
-/// The part of the window that is left when the engine had to preempt.
-const PREEMPTION_DIVISOR: u32 = 2;
 
 /// What a bundle says about the sharing of engines.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -41,6 +50,26 @@
     pub online: u32,
 }
 
+impl EngineLoad {
+    fn free(&self) -> u32 {
+        self.slots.saturating_sub(self.online)
+    }
+
+    fn spare(&self) -> u32 {
+        self.slots.div_ceil(SLOTS_PER_SPARE_ITEM)
+    }
+
+    /// Slots left to the next arrivals.
+    fn headroom(&self, policy: WindowPolicy) -> u32 {
+        let share = policy.tail_weight.powi(HEADROOM_EXPONENT);
+        let share = match self.online {
+            0 => share.min(IDLE_HEADROOM_SHARE),
+            _ => share,
+        };
+        (share * f64::from(self.slots)).round() as u32
+    }
+}
+
 /// A sign of online work at an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OnlineSign {
@@ -56,53 +85,75 @@
 #[derive(Debug, Clone, Default)]
 pub struct Window {
     allowed: u32,
+    open: u32,
     held_until_ms: u64,
     grows_at_ms: u64,
 }
 
 impl Window {
-    /// Items that may run now.
+    /// Items that may go on running now; those beyond are paused.
     pub fn allowed(&self) -> u32 {
         self.allowed
     }
 
+    /// Items up to which more are started or resumed now; never above
+    /// `allowed`.
+    pub fn open(&self) -> u32 {
+        self.open
+    }
+
     /// A sign of online work: falls at once.
     pub fn sign(&mut self, now_ms: u64, sign: OnlineSign, load: EngineLoad, policy: WindowPolicy) {
-        let busy = EngineLoad {
-            online: load.online.max(1),
-            ..load
-        };
         let kept = match sign {
-            OnlineSign::Arrival => target(busy, policy),
-            OnlineSign::Preemption => target(busy, policy) / PREEMPTION_DIVISOR,
+            OnlineSign::Arrival => most(load, policy),
+            OnlineSign::Preemption => most(load, policy).min(load.free()),
             OnlineSign::Waiting => 0,
         };
-        self.allowed = self.allowed.min(kept);
-        self.held_until_ms = now_ms + policy.between(HOLD_MS);
+        if sign != OnlineSign::Arrival {
+            self.held_until_ms = now_ms + policy.between(HOLD_MS);
+        }
+        self.shrink(kept, load, policy);
     }
 
     /// Time has passed, or the load is known anew.
     pub fn tick(&mut self, now_ms: u64, load: EngineLoad, policy: WindowPolicy) {
+        self.shrink(most(load, policy), load, policy);
         let target = target(load, policy);
-        if self.allowed >= target {
-            self.allowed = target;
+        let is_held = now_ms < self.held_until_ms || now_ms < self.grows_at_ms;
+        if self.open >= target || is_held {
             return;
         }
-        if now_ms < self.held_until_ms || now_ms < self.grows_at_ms {
-            return;
-        }
-        self.allowed = (self.allowed * 2).clamp(1, target);
+        self.open = (self.open * 2).clamp(1, target);
+        // A window that has grown to its target keeps the arrivals' places.
+        self.allowed = match self.open == target {
+            true => most(load, policy),
+            false => self.allowed.max(self.open),
+        };
         self.grows_at_ms = now_ms + policy.between(GROWTH_PAUSE_MS);
     }
+
+    fn shrink(&mut self, most: u32, load: EngineLoad, policy: WindowPolicy) {
+        self.allowed = self.allowed.min(most);
+        self.open = self.open.min(self.allowed).min(target(load, policy));
+    }
+}
+
+/// Items that may stay beside what is online: its free slots, and some that
+/// wait at the engine.
+fn most(load: EngineLoad, policy: WindowPolicy) -> u32 {
+    let nothing_beside_online = load.headroom(policy) == load.slots;
+    match load.free() {
+        0 => 0,
+        _ if nothing_beside_online => 0,
+        free => policy.limit.min(free + load.spare()),
+    }
 }
 
-/// How far the window grows: all slots of an idle engine, or the share of the
-/// free slots that the weight leaves to batch.
+/// How far the window opens.
 fn target(load: EngineLoad, policy: WindowPolicy) -> u32 {
-    if load.online == 0 {
-        return policy.limit.min(load.slots + SPARE_ITEMS);
+    let most = most(load, policy);
+    match load.headroom(policy) {
+        0 => most,
+        headroom => most.min(load.free().saturating_sub(headroom)),
     }
-    let free = f64::from(load.slots.saturating_sub(load.online));
-    let share = (free * (1.0 - policy.tail_weight)).floor() as u32;
-    policy.limit.min(share)
 }
