Online requests keep to few engines beside batch; no prefill of batch beside them

Ruled out: preemption (none needed within the headroom), processor time (1.3 cores of 12 at the nodes), delivery (gaps follow the step time).

Change: beside batch, requests go to an engine in use up to 3/4 of its slots before another is opened; an engine's pending prefills count, 64 tokens as much as a request; a hot prefix may have 32 holders; no item is started within 200 ms (at weight 0.8) of an arrival or beside more online requests than (1 - w) of the slots. What was paused goes on without a prefill, so that is not held.

--- a/crates/pinerill-node/src/batch/engines.rs
+++ b/crates/pinerill-node/src/batch/engines.rs
@@ -40,7 +40,12 @@
 
 impl EngineState {
     fn room(&self, now_ms: u64) -> u32 {
-        let usable = self.view.open && self.paused.is_empty() && self.faulty_until_ms <= now_ms;
+        let usable = self.view.open
+            && self.paused.is_empty()
+            && self.faulty_until_ms <= now_ms
+            && self
+                .window
+                .takes_starts(now_ms, self.view.load, self.policy);
         if !usable {
             return 0;
         }
--- a/crates/pinerill-node/src/batch/observer.rs
+++ b/crates/pinerill-node/src/batch/observer.rs
@@ -1,6 +1,6 @@
 //! The engines of the fleet as the planner sees them.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
@@ -58,8 +58,9 @@
         Some(policies)
     }
 
-    /// All engines as they are now.
-    pub fn views(&mut self) -> Vec<EngineView> {
+    /// All engines as they are now. Routing is told which of them batch work
+    /// of the services in `backlogged` waits for.
+    pub fn views(&mut self, backlogged: &BTreeSet<ServiceName>) -> Vec<EngineView> {
         let view = self.fleet.view();
         if !Arc::ptr_eq(&view, &self.view) {
             self.services = services_by_engine(&view);
@@ -72,6 +73,8 @@
             .filter_map(|engine| {
                 let services = self.services.get(&engine.id)?;
                 let waits = services.iter().any(|service| waiting.contains(service));
+                let backlog = services.iter().any(|service| backlogged.contains(service));
+                engine.note_backlog(backlog);
                 Some(engine_view(engine, services, waits, now_ms))
             })
             .collect()
--- a/crates/pinerill-node/src/batch/shell.rs
+++ b/crates/pinerill-node/src/batch/shell.rs
@@ -1,17 +1,17 @@
 //! Feeds the planner and carries out what it says.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use pinerill_types::job::LeasedItem;
-use pinerill_types::EngineId;
+use pinerill_types::{EngineId, ServiceName};
 use pinerill_wire::message::{AttemptRef, Request};
 use tokio::sync::{mpsc, watch};
 
 use super::calls::{GroupCall, GroupCalls};
 use super::control::BatchControl;
-use super::message::{Event, Input, NodeIdentity, Output, RunCommand, RunEnd};
+use super::message::{Backlog, Event, Input, NodeIdentity, Output, RunCommand, RunEnd};
 use super::observer::EngineObserver;
 use super::planner::Planner;
 use super::run::{EngineRun, Partial, Told};
@@ -39,6 +39,8 @@
     configuration: Arc<Configuration>,
     metrics: Arc<Metrics>,
     control: Arc<BatchControl>,
+    /// Services with items that wait for a lease.
+    backlogged: BTreeSet<ServiceName>,
     runs: HashMap<AttemptRef, watch::Sender<Told>>,
     partials: HashMap<AttemptRef, Partial>,
     inputs: mpsc::UnboundedSender<ShellInput>,
@@ -72,6 +74,7 @@
             configuration: node.configuration.clone(),
             metrics: node.metrics.clone(),
             control: node.batch.clone(),
+            backlogged: BTreeSet::new(),
             runs: HashMap::new(),
             partials: HashMap::new(),
             inputs,
@@ -100,6 +103,7 @@
                 }
                 () = self.groups.changed.notified() => {
                     let backlog = self.groups.backlog();
+                    self.backlogged = backlogged(&backlog);
                     self.step(Input::Backlog(backlog));
                 }
                 () = tokio::time::sleep(pause) => {}
@@ -114,7 +118,7 @@
         if let Some(policies) = self.observer.policies(&self.configuration) {
             self.step(Input::Policies(policies));
         }
-        let views = self.observer.views();
+        let views = self.observer.views(&self.backlogged);
         self.step(Input::Engines(views));
         while let Ok(input) = self.received.try_recv() {
             self.take(input);
@@ -246,6 +250,13 @@
     }
 }
 
+fn backlogged(backlog: &Backlog) -> BTreeSet<ServiceName> {
+    let waiting = backlog
+        .iter()
+        .filter(|(_, groups)| groups.values().any(|pending| *pending > 0));
+    waiting.map(|(service, _)| service.clone()).collect()
+}
+
 /// The identifier of an attempt at engines: no other attempt has it.
 pub fn request_id(attempt: AttemptRef) -> String {
     format!("{}.{}.{}", attempt.job, attempt.index, attempt.attempt)
--- a/crates/pinerill-node/src/batch/window.rs
+++ b/crates/pinerill-node/src/batch/window.rs
@@ -22,6 +22,10 @@
 /// Time after a preemption or a wait before the window grows, at weights 0.0
 /// and 1.0, milliseconds.
 const HOLD_MS: (f64, f64) = (100.0, 1_000.0);
+/// Time after an arrival before an item is started at its engine, at weights
+/// 0.0 and 1.0, milliseconds: its prefill would lengthen the steps that the
+/// arrival waits for. What was paused goes on without a prefill.
+const START_HOLD_MS: (f64, f64) = (0.0, 250.0);
 /// Time between two doublings, at weights 0.0 and 1.0, milliseconds.
 const GROWTH_PAUSE_MS: (f64, f64) = (50.0, 200.0);
 
@@ -87,6 +91,7 @@
     allowed: u32,
     open: u32,
     held_until_ms: u64,
+    starts_at_ms: u64,
     grows_at_ms: u64,
 }
 
@@ -102,6 +107,13 @@
         self.open
     }
 
+    /// Whether an item may begin its prefill now: not just after an arrival,
+    /// nor beside more online requests than the weight's share of the slots.
+    pub fn takes_starts(&self, now_ms: u64, load: EngineLoad, policy: WindowPolicy) -> bool {
+        let beside = f64::from(load.slots) * (1.0 - policy.tail_weight);
+        self.starts_at_ms <= now_ms && f64::from(load.online) <= beside.round()
+    }
+
     /// A sign of online work: falls at once.
     pub fn sign(&mut self, now_ms: u64, sign: OnlineSign, load: EngineLoad, policy: WindowPolicy) {
         let kept = match sign {
@@ -109,8 +121,9 @@
             OnlineSign::Preemption => most(load, policy).min(load.free()),
             OnlineSign::Waiting => 0,
         };
-        if sign != OnlineSign::Arrival {
-            self.held_until_ms = now_ms + policy.between(HOLD_MS);
+        match sign {
+            OnlineSign::Arrival => self.starts_at_ms = now_ms + policy.between(START_HOLD_MS),
+            _ => self.held_until_ms = now_ms + policy.between(HOLD_MS),
         }
         self.shrink(kept, load, policy);
     }
--- a/crates/pinerill-node/src/dispatcher.rs
+++ b/crates/pinerill-node/src/dispatcher.rs
@@ -1,6 +1,9 @@
 //! Gives each online request a place at an engine, or lets it wait in the
 //! bounded queue of its service.
 
+mod choosing;
+mod place;
+
 use std::collections::{BTreeSet, HashMap};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -10,15 +13,13 @@
 use pinerill_types::{EngineId, ServiceName, TenantName};
 use tokio::sync::oneshot;
 
+use self::choosing::{can_go_on, Choice};
+pub use self::place::{PendingPrefill, Place};
 use crate::clock;
 use crate::configuration::ServicePlan;
-use crate::membership::{Engine, Fleet, FleetView, Served};
+use crate::membership::{Fleet, FleetView, Served};
 use crate::metrics::Metrics;
 use crate::queue::{Enqueued, FairQueue, Ticket};
-use crate::routing::choose;
-
-/// Tokens in one cached block.
-const BLOCK_TOKENS: u32 = 64;
 
 /// What a request needs of an engine.
 #[derive(Debug)]
@@ -66,20 +67,6 @@
     next_ticket: AtomicU64,
 }
 
-/// A place of one request at an engine; given back when dropped.
-pub struct Place {
-    /// The engine.
-    pub engine: Arc<Engine>,
-    dispatcher: Arc<Dispatcher>,
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.engine.online.fetch_sub(1, Ordering::Relaxed);
-        self.dispatcher.pump();
-    }
-}
-
 impl Dispatcher {
     /// No request waits.
     pub fn new(fleet: Arc<Fleet>, metrics: Arc<Metrics>) -> Self {
@@ -135,8 +122,8 @@
         let mut queues = self.queues.lock();
         let service = queues.entry(demand.plan.name.clone()).or_default();
         if service.queue.is_empty() {
-            if let Some(engine) = self.choose_engine(&view, &demand) {
-                return Ok(Ok(self.take_place(engine)));
+            if let Some(choice) = self.choose_engine(&view, &demand) {
+                return Ok(Ok(self.take_place(choice)));
             }
         }
         let limit = demand.plan.settings.queue_limit as usize;
@@ -161,67 +148,6 @@
         Ok(Err(receiver))
     }
 
-    fn take_place(self: &Arc<Self>, engine: Arc<Engine>) -> Place {
-        engine.online.fetch_add(1, Ordering::Relaxed);
-        engine.sign_online();
-        if engine.worker.is_driven() {
-            self.fleet.online_arrived.notify_one();
-        }
-        Place {
-            engine,
-            dispatcher: self.clone(),
-        }
-    }
-
-    fn choose_engine(&self, view: &FleetView, demand: &Demand) -> Option<Arc<Engine>> {
-        let engines = view.services.get(&demand.plan.name)?;
-        let now_ms = clock::now_ms();
-        let (cached_tokens, hinted) = self.hinted(engines, demand);
-        let mut able = engines.decode.iter().filter(|one| can_go_on(one, demand));
-        let all_excluded = able.all(|engine| demand.excluded.contains(&engine.id));
-        let chosen = choose(
-            engines.decode.len(),
-            &hinted,
-            demand.prompt_tokens,
-            [rand::random(), rand::random()],
-            |index| {
-                let engine = &engines.decode[index];
-                let cached = if hinted.contains(&index) {
-                    cached_tokens
-                } else {
-                    0
-                };
-                let mut candidate = engine.candidate(now_ms, cached);
-                candidate.suspected |= !all_excluded && demand.excluded.contains(&engine.id);
-                candidate.suspected |= !can_go_on(engine, demand);
-                candidate
-            },
-        )?;
-        if hinted.contains(&chosen) {
-            self.metrics.prefix_hints.inc();
-        }
-        Some(engines.decode[chosen].clone())
-    }
-
-    fn hinted(
-        &self,
-        engines: &crate::membership::ServiceEngines,
-        demand: &Demand,
-    ) -> (u32, Vec<usize>) {
-        if demand.blocks.is_empty() {
-            return (0, Vec::new());
-        }
-        let hints = self.fleet.hints.lock();
-        let Some((blocks, holders)) = hints.longest(&demand.blocks) else {
-            return (0, Vec::new());
-        };
-        let indices = holders
-            .iter()
-            .filter_map(|holder| engines.index.get(holder).copied())
-            .collect();
-        (blocks as u32 * BLOCK_TOKENS, indices)
-    }
-
     /// Gives free places to requests that wait.
     pub fn pump(self: &Arc<Self>) {
         let mut placed = Vec::new();
@@ -231,8 +157,8 @@
         }
         let view = self.fleet.view();
         for service in queues.values_mut() {
-            while let Some((waiter, engine)) = self.next_placement(service, &view) {
-                placed.push((waiter, self.take_place(engine)));
+            while let Some((waiter, choice)) = self.next_placement(service, &view) {
+                placed.push((waiter, self.take_place(choice)));
             }
         }
         drop(queues);
@@ -246,13 +172,13 @@
         &self,
         service: &mut ServiceQueue,
         view: &FleetView,
-    ) -> Option<(Waiter, Arc<Engine>)> {
+    ) -> Option<(Waiter, Choice)> {
         let ticket = service.queue.peek()?;
         let demand = &service.waiters.get(&ticket)?.demand;
-        let engine = self.choose_engine(view, demand)?;
+        let choice = self.choose_engine(view, demand)?;
         service.queue.pop(clock::now_ms());
         let waiter = service.waiters.remove(&ticket)?;
-        Some((waiter, engine))
+        Some((waiter, choice))
     }
 
     /// Looks for free places whenever the fleet changes.
@@ -287,12 +213,6 @@
     })
 }
 
-/// Whether an engine has the version that began an answer, if one did.
-fn can_go_on(engine: &Engine, demand: &Demand) -> bool {
-    let begun = demand.begun_with.as_ref();
-    begun.is_none_or(|begun| engine.serves(&demand.plan).as_ref() == Some(begun))
-}
-
 /// Takes a request out of the queue when it no longer waits.
 struct WaitGuard<'a> {
     dispatcher: &'a Dispatcher,
--- a/crates/pinerill-node/src/membership/engine.rs
+++ b/crates/pinerill-node/src/membership/engine.rs
@@ -66,6 +66,11 @@
     pub load: Mutex<LoadEstimate>,
     /// Online requests of this node there.
     pub online: AtomicU32,
+    /// Prompt tokens of this node's online requests that it has still to
+    /// prefill, as far as known.
+    pub pending_tokens: AtomicU32,
+    /// Batch work of a service that it serves waits or runs.
+    pub shared_with_batch: AtomicBool,
     /// Signs that online work arrived there so far.
     pub online_signs: AtomicU64,
     /// Preemptions that it reported so far.
@@ -105,7 +110,9 @@
             suspected: !self.worker.accepts_work(now_ms),
             zone_rank: self.worker.zone_rank,
             driven: self.worker.is_driven(),
+            shared_with_batch: self.shared_with_batch.load(Ordering::Relaxed),
             cached_tokens,
+            pending_tokens: self.pending_tokens.load(Ordering::Relaxed),
         }
     }
 
@@ -120,6 +127,13 @@
         more
     }
 
+    /// Whether batch work of its services waits. It shares its slots with batch
+    /// then, and as long as the last report says that some runs.
+    pub(crate) fn note_backlog(&self, waits: bool) {
+        let shared = waits || self.load.lock().batch_running() > 0;
+        self.shared_with_batch.store(shared, Ordering::Relaxed);
+    }
+
     /// Online work was seen here.
     pub fn sign_online(&self) {
         self.online_signs.fetch_add(1, Ordering::Relaxed);
@@ -191,6 +205,8 @@
         worker: worker.clone(),
         load: Mutex::default(),
         online: AtomicU32::new(0),
+        pending_tokens: AtomicU32::new(0),
+        shared_with_batch: AtomicBool::new(false),
         online_signs: AtomicU64::new(0),
         preemptions: AtomicU64::new(0),
         holding: Mutex::default(),
--- a/crates/pinerill-node/src/online/execution.rs
+++ b/crates/pinerill-node/src/online/execution.rs
@@ -19,7 +19,7 @@
 use super::retry::{decide, AttemptEnd, Decision, RetryBudget, Situation};
 use super::script;
 use crate::configuration::ServicePlan;
-use crate::dispatcher::Dispatcher;
+use crate::dispatcher::{Dispatcher, PendingPrefill};
 use crate::engine::Finish;
 use crate::membership::{Fleet, Served};
 use crate::metrics::Metrics;
@@ -110,6 +110,8 @@
     attempts: u32,
     maybe_run: bool,
     first_token_seen: bool,
+    /// Until the engine has given the first token of an attempt.
+    pending_prefill: Option<PendingPrefill>,
     /// The version that gave the first text.
     begun_with: Option<Served>,
 }
@@ -128,6 +130,7 @@
             attempts: 0,
             maybe_run: false,
             first_token_seen: false,
+            pending_prefill: None,
             begun_with: None,
         }
     }
@@ -140,7 +143,8 @@
             }
         }
         loop {
-            let place = self.acquire().await?;
+            let mut place = self.acquire().await?;
+            self.pending_prefill = place.pending_prefill.take();
             self.attempts += 1;
             let target = self.context.metrics.targets.with_label_values(&["engine"]);
             target.inc();
@@ -150,6 +154,7 @@
                 Err(AttemptStop::Failure(failure)) => failure,
             };
             self.tried.push(place.engine.id.clone());
+            self.pending_prefill = None;
             drop(place);
             self.after_failure(failure)?;
         }
--- a/crates/pinerill-node/src/online/execution/reading.rs
+++ b/crates/pinerill-node/src/online/execution/reading.rs
@@ -84,6 +84,9 @@
         let Ok(text) = flushed else {
             return Err(Interrupt::Deadline);
         };
+        if text {
+            self.pending_prefill = None;
+        }
         if text && !self.first_token_seen {
             self.first_token_seen = true;
             let waited = self.request.received.elapsed().as_secs_f64();
--- a/crates/pinerill-node/src/routing/mod.rs
+++ b/crates/pinerill-node/src/routing/mod.rs
@@ -5,7 +5,7 @@
 mod prefix;
 mod rendezvous;
 
-pub use choice::{choose, Candidate};
+pub use choice::{choose, Candidate, Choices, RANDOM_NUMBERS};
 pub use load::{LoadEstimate, LoadNews};
 pub use prefix::{block_names, PrefixHints};
 pub use rendezvous::{rendezvous_owner, rendezvous_weight, select_workers};
--- a/crates/pinerill-node/src/routing/prefix.rs
+++ b/crates/pinerill-node/src/routing/prefix.rs
@@ -12,8 +12,9 @@
 const BLOCK_BYTES: usize = 256;
 /// Blocks of a prompt that are named, so that a long one costs a bounded time.
 const BLOCKS_LIMIT: usize = 64;
-/// Engines kept for one prefix.
-const HOLDERS_LIMIT: usize = 4;
+/// Engines kept for one prefix: enough that a prompt all callers share does
+/// not lead them to a few engines.
+const HOLDERS_LIMIT: usize = 32;
 /// Prefixes kept; the oldest go first.
 const PREFIXES_LIMIT: usize = 65_536;
 
--- a/crates/pinerill-node/tests/batch_window.rs
+++ b/crates/pinerill-node/tests/batch_window.rs
@@ -153,3 +153,18 @@
         assert!(window.open() <= window.allowed(), "at {now}");
     }
 }
+
+#[test]
+fn no_prefill_begins_just_after_an_arrival_or_beside_much_online_work() {
+    let (mut window, now) = open(0.8);
+    let online = |online| EngineLoad { slots: 16, online };
+    assert!(window.takes_starts(now, online(3), policy(0.8)));
+    assert!(!window.takes_starts(now, online(4), policy(0.8)));
+    assert!(window.takes_starts(now, online(12), policy(0.2)));
+    assert!(!window.takes_starts(now, online(1), policy(1.0)));
+    window.sign(now, OnlineSign::Arrival, online(1), policy(0.8));
+    assert!(!window.takes_starts(now + 199, online(1), policy(0.8)));
+    assert!(window.takes_starts(now + 200, online(1), policy(0.8)));
+    window.sign(now, OnlineSign::Arrival, online(1), policy(0.0));
+    assert!(window.takes_starts(now, online(1), policy(0.0)));
+}
