Window and routing: a slot of headroom, no hold after preemptions, no engine filled up

Change: headroom of 7 % at weight 0.8; a preemption trims what waits at the engine and holds nothing; each request beyond 3/4 of the slots costs 8; a hot prefix may have 64 holders. The rule against starts beside online work is out again: the time since the last arrival does the same without the loss.

Tests: an engine without the prefix is opened before one with it runs full.

--- a/crates/pinerill-node/src/batch/engines.rs
+++ b/crates/pinerill-node/src/batch/engines.rs
@@ -43,9 +43,7 @@
         let usable = self.view.open
             && self.paused.is_empty()
             && self.faulty_until_ms <= now_ms
-            && self
-                .window
-                .takes_starts(now_ms, self.view.load, self.policy);
+            && self.window.takes_starts(now_ms);
         if !usable {
             return 0;
         }
--- a/crates/pinerill-node/src/batch/window.rs
+++ b/crates/pinerill-node/src/batch/window.rs
@@ -15,17 +15,17 @@
 /// slot that comes free is filled before the next item can arrive from here.
 const SLOTS_PER_SPARE_ITEM: u32 = 8;
 /// How steeply the share of slots that batch leaves to the next arrivals rises
-/// with the weight: 13 % at 0.8, all at 1.0, and nothing below 0.6.
-const HEADROOM_EXPONENT: i32 = 9;
+/// with the weight: 7 % at 0.8, all at 1.0, and nothing below 0.7.
+const HEADROOM_EXPONENT: i32 = 12;
 /// Most of that share at an engine without online work.
 const IDLE_HEADROOM_SHARE: f64 = 0.25;
-/// Time after a preemption or a wait before the window grows, at weights 0.0
-/// and 1.0, milliseconds.
+/// Time after a request waited before the window grows, at weights 0.0 and
+/// 1.0, milliseconds.
 const HOLD_MS: (f64, f64) = (100.0, 1_000.0);
 /// Time after an arrival before an item is started at its engine, at weights
 /// 0.0 and 1.0, milliseconds: its prefill would lengthen the steps that the
 /// arrival waits for. What was paused goes on without a prefill.
-const START_HOLD_MS: (f64, f64) = (0.0, 250.0);
+const START_HOLD_MS: (f64, f64) = (0.0, 400.0);
 /// Time between two doublings, at weights 0.0 and 1.0, milliseconds.
 const GROWTH_PAUSE_MS: (f64, f64) = (50.0, 200.0);
 
@@ -107,11 +107,9 @@
         self.open
     }
 
-    /// Whether an item may begin its prefill now: not just after an arrival,
-    /// nor beside more online requests than the weight's share of the slots.
-    pub fn takes_starts(&self, now_ms: u64, load: EngineLoad, policy: WindowPolicy) -> bool {
-        let beside = f64::from(load.slots) * (1.0 - policy.tail_weight);
-        self.starts_at_ms <= now_ms && f64::from(load.online) <= beside.round()
+    /// Whether an item may begin its prefill now.
+    pub fn takes_starts(&self, now_ms: u64) -> bool {
+        self.starts_at_ms <= now_ms
     }
 
     /// A sign of online work: falls at once.
@@ -123,7 +121,9 @@
         };
         match sign {
             OnlineSign::Arrival => self.starts_at_ms = now_ms + policy.between(START_HOLD_MS),
-            _ => self.held_until_ms = now_ms + policy.between(HOLD_MS),
+            // Nobody waited for it, and online work falls again soon.
+            OnlineSign::Preemption => {}
+            OnlineSign::Waiting => self.held_until_ms = now_ms + policy.between(HOLD_MS),
         }
         self.shrink(kept, load, policy);
     }
--- a/crates/pinerill-node/src/routing/choice.rs
+++ b/crates/pinerill-node/src/routing/choice.rs
@@ -15,6 +15,10 @@
 const LONG_PREFILL_TOKENS: u32 = 1_024;
 /// Share of the slots up to which online requests are packed beside batch.
 const PACKED_SHARE: f32 = 0.75;
+/// What each request beyond that share costs: more than a shared prompt that
+/// another engine would have to prefill, since an engine that runs full makes
+/// requests wait for a slot.
+const CROWDED_COST: f32 = 8.0;
 /// Cost of the fullest and of the emptiest engine that requests are packed
 /// to, and of one that batch has for itself, in requests that run.
 const PACKED_COST: (f32, f32) = (0.0, 0.5);
@@ -77,7 +81,7 @@
                 let (fullest, emptiest) = PACKED_COST;
                 emptiest + (fullest - emptiest) * online / packed
             }
-            online => 1.0 + online - packed,
+            online => 1.0 + CROWDED_COST * (online - packed),
         }
     }
 }
--- a/crates/pinerill-node/src/routing/prefix.rs
+++ b/crates/pinerill-node/src/routing/prefix.rs
@@ -14,7 +14,7 @@
 const BLOCKS_LIMIT: usize = 64;
 /// Engines kept for one prefix: enough that a prompt all callers share does
 /// not lead them to a few engines.
-const HOLDERS_LIMIT: usize = 32;
+const HOLDERS_LIMIT: usize = 64;
 /// Prefixes kept; the oldest go first.
 const PREFIXES_LIMIT: usize = 65_536;
 
--- a/crates/pinerill-node/tests/routing_choice.rs
+++ b/crates/pinerill-node/tests/routing_choice.rs
@@ -78,6 +78,18 @@
     assert_eq!(engines.choose(&[], PROMPT_TOKENS), None);
 }
 
+#[test]
+fn an_engine_without_the_prefix_is_opened_before_one_with_it_runs_full() {
+    let mut engines = Engines::new(vec![candidate(0, true); 4]);
+    engines.candidates[0].cached_tokens = 512;
+    for _ in 0..20 {
+        let index = engines.choose(&[0], 576).expect("room");
+        engines.candidates[index].online += 1.0;
+    }
+    let first = engines.candidates[0].online;
+    assert!((12.0..=14.0).contains(&first), "{first} of 16 slots");
+}
+
 #[test]
 fn a_long_prompt_goes_where_it_holds_up_nobody() {
     let mut engines = Engines::new(vec![candidate(4, true); 8]);
