--- a/crates/pinerill-rehearse/src/bench/failures/inject.rs
+++ b/crates/pinerill-rehearse/src/bench/failures/inject.rs
@@ -174,7 +174,7 @@
     let usage = Usage::of_process(fleet.nodes[index].process.id())?;
     let at_us = unix_us();
     fleet.stop_node(index).await?;
-    fleet.restart_node(index)?;
+    fleet.restart_node(index).await?;
     fleet.await_nodes().await?;
     let injected = Injected {
         kind: failure.kind,
--- a/crates/pinerill/tests/support/cluster.rs
+++ b/crates/pinerill/tests/support/cluster.rs
@@ -220,6 +220,7 @@
     ) -> Process {
         let settings = self.folder.write(&format!("{name}.toml"), settings);
         let spec = ProcessSpec {
+            environment: Vec::new(),
             name: name.to_owned(),
             program: PROGRAM.into(),
             arguments: vec![command.to_owned(), "--settings".to_owned(), settings],
