--- /dev/null
+++ b/crates/pinerill-calls/src/job.rs
@@ -0,0 +1,124 @@
+//! Jobs whose items are whole calls.
+//!
+//! A job is submitted at once and run later. Results form a list that only
+//! grows: an item's place and text never change once they were told.
+
+use serde::{Deserialize, Serialize};
+
+/// The caller's name for a job; the same name again is the same job.
+pub type CallJobId = String;
+
+/// A job as it is submitted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NewCallJob {
+    /// The caller's name for it.
+    pub id: CallJobId,
+    /// Host of the route under which it came.
+    pub host: String,
+    /// Path at which it came; names the route together with the host.
+    pub path: String,
+    /// Its items, in order.
+    pub items: Vec<NewCallItem>,
+    /// Time within which results are due, milliseconds; from the route.
+    pub result_target_ms: u64,
+    /// Time after which items may be given up, milliseconds; from the route.
+    pub give_up_ms: u64,
+    /// Failed runs after which an item is given up; from the route.
+    pub attempts: u32,
+    /// Tokens of all jobs of the route that may wait; 0 for no limit.
+    pub max_waiting_tokens: u64,
+    /// Name of the route, under which tokens are counted.
+    pub route: String,
+}
+
+/// An item as it is submitted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NewCallItem {
+    /// The caller's name for it.
+    pub id: String,
+    /// Tokens of its prompt and the most that may come out.
+    pub tokens: u64,
+    /// The call, an encoded and compressed [`ItemCall`]: control machines
+    /// keep it and never look inside.
+    pub call: Vec<u8>,
+}
+
+/// What is sent to a worker for an item.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemCall {
+    /// Path with query.
+    pub path: String,
+    /// Headers in order.
+    pub headers: Vec<Header>,
+    /// The decoded body.
+    pub body: Vec<u8>,
+}
+
+/// One header of an item.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Header {
+    /// Its name.
+    pub name: String,
+    /// Its value.
+    pub value: String,
+}
+
+/// Names an item across processes.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ItemRef {
+    /// Its job.
+    pub job: CallJobId,
+    /// Its position in the job as submitted, from 0.
+    pub index: u32,
+}
+
+/// What became of one run of an item.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ItemEnd {
+    /// It is done; the data of all events joined by line feeds, compressed.
+    Completed(Vec<u8>),
+    /// A worker said that it can never be done.
+    Impossible,
+    /// A worker ran it and failed.
+    Failed,
+}
+
+/// A node's report on an item.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemReport {
+    /// The item.
+    pub item: ItemRef,
+    /// What became of it.
+    pub end: ItemEnd,
+}
+
+/// State of a listed item.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ListedState {
+    /// Its text is whole.
+    Completed,
+    /// It was given up.
+    Dead,
+}
+
+/// One entry of a job's list of results.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedItem {
+    /// The caller's name for the item.
+    pub id: String,
+    /// Its state.
+    pub state: ListedState,
+    /// Its text, compressed; empty if it was given up.
+    pub text: Vec<u8>,
+}
+
+/// A part of a job's list of results.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ResultPage {
+    /// Items of the job.
+    pub total: u32,
+    /// Position of the first entry.
+    pub from: u32,
+    /// Entries in order.
+    pub entries: Vec<ListedItem>,
+}
--- /dev/null
+++ b/crates/pinerill-calls/src/lib.rs
@@ -0,0 +1,17 @@
+//! Forwarded calls: what nodes and control machines share.
+//!
+//! A *call* is an HTTP request that a node passes on unchanged to a worker of
+//! the service that its route names. This crate has the [`table`] of routes,
+//! the [`job`]s whose items are whole calls, the [`directory`] of workers, the
+//! [`protocol`] ports through which a foreign manner of speaking is met, and
+//! the typed [`message`]s between nodes and control machines.
+//!
+//! Nothing here reads a clock or a socket.
+
+pub mod compression;
+pub mod directory;
+pub mod job;
+pub mod message;
+pub mod protocol;
+pub mod settings;
+pub mod table;
--- /dev/null
+++ b/crates/pinerill-calls/src/message.rs
@@ -0,0 +1,274 @@
+//! Messages between processes that forward calls, and their encoding.
+//!
+//! They travel inside the internal protocol's frames as [`Request::Calls`] and
+//! [`Response::Calls`]: a version byte, then postcard, like commands of
+//! replicated logs. Refusals use the internal protocol's own.
+
+use std::net::SocketAddr;
+
+use pinerill_wire::message::{Request, Response};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::directory::WorkerDirectory;
+use crate::job::{CallJobId, ItemRef, ItemReport, NewCallJob, ResultPage};
+use crate::table::RouteTable;
+
+/// First byte of each message; another one is refused.
+const VERSION: u8 = 1;
+
+/// What one process asks of another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum CallsRequest {
+    /// Node → leader, again and again: a long poll.
+    Watch(WatchRequest),
+    /// Node → leader.
+    SubmitJob(Box<NewCallJob>),
+    /// Node → leader: results from a position on.
+    ReadResults(ReadResults),
+    /// Node → leader: the call of an item that has no result yet.
+    ReadItem(ReadItem),
+    /// Node → leader: no more of the job is to run.
+    EndJob(CallJobId),
+    /// Node → leader, again and again: renews what runs and takes more.
+    LeaseItems(LeaseRequest),
+    /// Node → leader: what became of items.
+    ReportItems(Vec<ItemReport>),
+    /// Control machine → control machine, again and again.
+    Join(JoinRequest),
+    /// Control machine → leader: a new route table with its document.
+    PutTable(Box<PutTable>),
+    /// Control machine → leader: a control machine is to be emptied.
+    StartRetirement(String),
+    /// Control machine → leader: how far that is.
+    RetirementState(String),
+}
+
+/// What is answered.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum CallsResponse {
+    /// To [`CallsRequest::Watch`].
+    Watch(Box<WatchResponse>),
+    /// To [`CallsRequest::SubmitJob`].
+    SubmitJob(SubmitOutcome),
+    /// To [`CallsRequest::ReadResults`]; none if there is no such job.
+    Results(Option<ResultPage>),
+    /// To [`CallsRequest::ReadItem`]: an encoded and compressed
+    /// [`crate::job::ItemCall`]; none if there is no such item.
+    Item(Option<Vec<u8>>),
+    /// To [`CallsRequest::LeaseItems`].
+    Leases(LeaseResponse),
+    /// To [`CallsRequest::Join`].
+    Joined(JoinResponse),
+    /// To [`CallsRequest::StartRetirement`] and
+    /// [`CallsRequest::RetirementState`].
+    Retirement(RetirementState),
+    /// Carried out, durably.
+    Done,
+}
+
+/// Asks for what is newer than the asker knows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WatchRequest {
+    /// The asking node.
+    pub node: String,
+    /// Version of its route table; none if it has none.
+    pub table_version: Option<u64>,
+    /// Which control machine's directory it holds, and at which revision.
+    pub directory: Option<DirectoryPosition>,
+    /// How long the answer may be held, milliseconds.
+    pub wait_ms: u64,
+}
+
+/// A position in one control machine's changes of the directory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DirectoryPosition {
+    /// One leadership of one control machine.
+    pub epoch: u64,
+    /// Revision within it.
+    pub revision: u64,
+}
+
+/// What is newer than the asker knew.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WatchResponse {
+    /// A newer route table.
+    pub table: Option<RouteTable>,
+    /// The directory, if it is another one.
+    pub directory: Option<DirectoryUpdate>,
+    /// Internal addresses of all control machines.
+    pub controls: Vec<SocketAddr>,
+    /// Nodes that watch.
+    pub nodes: u32,
+}
+
+/// The directory at a position.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DirectoryUpdate {
+    /// The leadership that tells it.
+    pub epoch: u64,
+    /// All workers.
+    pub directory: WorkerDirectory,
+}
+
+/// What became of a submission.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SubmitOutcome {
+    /// The job is kept, now or since an earlier submission.
+    Accepted,
+    /// It doesn't fit; nothing of it runs.
+    OverLimit,
+}
+
+/// Asks for results.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadResults {
+    /// The job.
+    pub job: CallJobId,
+    /// Position of the first entry.
+    pub from: u32,
+    /// How long to wait for one, milliseconds.
+    pub wait_ms: u64,
+}
+
+/// Asks for an item's call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadItem {
+    /// The job.
+    pub job: CallJobId,
+    /// The caller's name for the item.
+    pub item: String,
+}
+
+/// Renews leases and takes more items.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRequest {
+    /// The node, in this start of its process.
+    pub node: String,
+    /// Items that it holds.
+    pub held: Vec<ItemRef>,
+    /// Items that it would take besides.
+    pub want: u32,
+    /// How long the answer may be held, milliseconds.
+    pub wait_ms: u64,
+}
+
+/// Items to run and items to stop.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseResponse {
+    /// Items that the node is to run.
+    pub leased: Vec<LeasedItem>,
+    /// Items that it must stop: ended, or another node's by now.
+    pub stop: Vec<ItemRef>,
+}
+
+/// An item to run.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeasedItem {
+    /// The item.
+    pub item: ItemRef,
+    /// The caller's name for it.
+    pub id: String,
+    /// Host of its route.
+    pub host: String,
+    /// Its call: an encoded and compressed [`crate::job::ItemCall`].
+    pub call: Vec<u8>,
+    /// Time until its result is due, milliseconds; negative once it is late.
+    pub due_in_ms: i64,
+}
+
+/// A control machine says that it is there.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JoinRequest {
+    /// The asking machine.
+    pub machine: MachineRecord,
+    /// Control machines that it knows, by internal address.
+    pub known: Vec<SocketAddr>,
+}
+
+/// A control machine and its data folder.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    /// Identity of the data folder.
+    pub replica: u64,
+    /// The machine's name.
+    pub name: String,
+    /// Its internal address.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+}
+
+/// What the asked machine knows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JoinResponse {
+    /// Control machines, by internal address.
+    pub known: Vec<SocketAddr>,
+}
+
+/// A route table and the document that it was read from.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PutTable {
+    /// The table.
+    pub table: RouteTable,
+    /// The operator's document, byte for byte.
+    pub document: Vec<u8>,
+}
+
+/// How far the emptying of a control machine is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RetirementState {
+    /// It still holds what is needed.
+    Serving,
+    /// It may be taken away.
+    Completed,
+    /// No machine has that name.
+    Unknown,
+    /// Too few machines would be left.
+    TooFew,
+}
+
+/// Why bytes are not a message.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum MessageError {
+    /// Another version of the encoding.
+    #[error("message of version {0:?}; is the peer of another version?")]
+    Version(Option<u8>),
+    /// Not a message.
+    #[error("malformed message: {0}")]
+    Malformed(String),
+}
+
+/// Encodes a message or a part of one.
+pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
+    let bytes = vec![VERSION];
+    postcard::to_extend(message, bytes).expect("messages hold nothing that can't be encoded")
+}
+
+/// Decodes what [`encode`] made.
+///
+/// # Errors
+/// [`MessageError`] when the bytes are of another version or malformed.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, MessageError> {
+    match bytes.split_first() {
+        Some((&VERSION, rest)) => {
+            postcard::from_bytes(rest).map_err(|error| MessageError::Malformed(error.to_string()))
+        }
+        other => Err(MessageError::Version(other.map(|(version, _)| *version))),
+    }
+}
+
+impl CallsRequest {
+    /// As a request of the internal protocol.
+    pub fn into_wire(self) -> Request {
+        Request::Calls(encode(&self))
+    }
+}
+
+impl CallsResponse {
+    /// As a response of the internal protocol.
+    pub fn into_wire(self) -> Response {
+        Response::Calls(encode(&self))
+    }
+}
--- /dev/null
+++ b/crates/pinerill-calls/src/settings/control.rs
@@ -0,0 +1,102 @@
+//! Settings of a control machine.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use serde::Deserialize;
+
+use super::{require, SettingsError};
+
+/// Settings of a control machine; the section `[control]`.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlSettings {
+    /// The machine's name, unique in the cluster.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Address for the cluster's own processes.
+    pub listen: SocketAddr,
+    /// Address for operators.
+    pub operator_listen: SocketAddr,
+    /// Address for metrics, liveness and readiness.
+    pub admin: SocketAddr,
+    /// Folder for all durable state.
+    pub data_folder: PathBuf,
+    /// Addresses of some control machines; at the founding, of all voters, the
+    /// same on every machine.
+    pub seeds: Vec<SocketAddr>,
+    /// Port at which seeds listen for the cluster's own processes, where the
+    /// addresses in `seeds` name another one.
+    pub seed_port: Option<u16>,
+    /// The cluster is being founded: those of `seeds` form it. True only at
+    /// the first start, on empty data folders.
+    #[serde(default)]
+    pub found: bool,
+    /// Machines whose loss at once must be borne; the group has twice as many
+    /// voters and one.
+    pub tolerated_losses: usize,
+    /// The platform list of workers.
+    pub worker_list: WorkerListSettings,
+    /// How long a finished job can be read, seconds.
+    #[serde(default = "default_retention_s")]
+    pub retention_s: f64,
+}
+
+/// Where workers are listed, and how often it is asked.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkerListSettings {
+    /// Address of the list.
+    pub address: SocketAddr,
+    /// Pause between two readings of the whole list, milliseconds.
+    #[serde(default = "default_poll_ms")]
+    pub poll_ms: u64,
+}
+
+fn default_retention_s() -> f64 {
+    150.0
+}
+
+fn default_poll_ms() -> u64 {
+    1_000
+}
+
+impl ControlSettings {
+    /// Voters that the replicated group shall have.
+    pub fn voters(&self) -> usize {
+        2 * self.tolerated_losses + 1
+    }
+
+    /// Internal addresses of the seeds.
+    pub fn seed_addresses(&self) -> Vec<SocketAddr> {
+        with_port(&self.seeds, self.seed_port)
+    }
+
+    pub(super) fn check(&self) -> Result<(), SettingsError> {
+        require(!self.name.is_empty(), "control.name", "must not be empty")?;
+        require(!self.seeds.is_empty(), "control.seeds", "must not be empty")?;
+        let differ = self.listen != self.operator_listen
+            && self.listen != self.admin
+            && self.operator_listen != self.admin;
+        require(
+            differ,
+            "control.listen",
+            "listen, operator_listen and admin must differ",
+        )?;
+        require(
+            self.worker_list.poll_ms > 0,
+            "control.worker_list.poll_ms",
+            "must be above 0",
+        )
+    }
+}
+
+/// The addresses, with another port if one is given.
+pub(super) fn with_port(addresses: &[SocketAddr], port: Option<u16>) -> Vec<SocketAddr> {
+    let port_of = |address: &SocketAddr| port.unwrap_or(address.port());
+    addresses
+        .iter()
+        .map(|address| SocketAddr::new(address.ip(), port_of(address)))
+        .collect()
+}
--- /dev/null
+++ b/crates/pinerill-cluster/src/server/control.rs
@@ -0,0 +1,137 @@
+//! What the parts of a control machine share.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use parking_lot::Mutex;
+use pinerill_calls::message::{decode, encode, MachineRecord};
+use pinerill_calls::protocol::{OperatorProtocol, WorkerListProtocol};
+use pinerill_control::host::{GroupHandle, GroupHost, ProposeError};
+use pinerill_replica::ReplicaId;
+use pinerill_wire::connection::PeerPool;
+use pinerill_wire::message::Refusal;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use super::leadership::Leadership;
+use super::refusal;
+use crate::machine::{Applied, ClusterMachine, Command, StampedCommand};
+use pinerill_calls::settings::ControlSettings;
+
+/// A control machine.
+pub(super) struct Control {
+    pub(super) settings: ControlSettings,
+    pub(super) record: MachineRecord,
+    pub(super) pool: PeerPool,
+    pub(super) host: GroupHost,
+    pub(super) group: GroupHandle<ClusterMachine>,
+    pub(super) leadership: Mutex<Option<Leadership>>,
+    pub(super) operators: Arc<dyn OperatorProtocol>,
+    pub(super) worker_list: Arc<dyn WorkerListProtocol>,
+    /// Counts changes that watches and long polls wait for.
+    pub(super) news: watch::Sender<u64>,
+    pub(super) started: Instant,
+    pub(super) stopping: CancellationToken,
+}
+
+impl Control {
+    /// Milliseconds of a steady clock.
+    pub(super) fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// Whether this machine leads and knows everything that is committed.
+    pub(super) fn leads(&self) -> bool {
+        self.group.status().leads()
+    }
+
+    /// Internal address of the leader, if it is another machine that is known.
+    pub(super) fn leader_address(&self) -> Option<SocketAddr> {
+        let leader = self.group.status().leader?;
+        self.address_of(leader)
+    }
+
+    fn address_of(&self, replica: ReplicaId) -> Option<SocketAddr> {
+        if replica.0 == self.record.replica {
+            return Some(self.record.address);
+        }
+        if let Some(connection) = self.pool.to_replica(replica.0) {
+            return Some(connection.peer().address);
+        }
+        self.group
+            .with_machine(|machine| Some(machine.machines().get(&replica.0)?.address))
+    }
+
+    /// Looks at this leadership's soft state.
+    ///
+    /// # Errors
+    /// A refusal that names the leader when it is another machine.
+    pub(super) fn with_leadership<R>(
+        &self,
+        step: &'static str,
+        look: impl FnOnce(&mut Leadership) -> R,
+    ) -> Result<R, Refusal> {
+        let term = self.group.status().term;
+        if !self.leads() {
+            return Err(refusal::not_leader(self, step));
+        }
+        let mut held = self.leadership.lock();
+        let current = held.as_ref().is_some_and(|one| one.term() == term);
+        if !current {
+            log::info!(event = "leadership_begins", machine = self.record.name.as_str(), term; "");
+            *held = Some(Leadership::begin(term, self.now_ms()));
+        }
+        match held.as_mut() {
+            Some(leadership) => Ok(look(leadership)),
+            None => Err(refusal::not_leader(self, step)),
+        }
+    }
+
+    /// Proposes a command and awaits what applying it answers.
+    ///
+    /// # Errors
+    /// A refusal; [`pinerill_wire::message::RefusalCode::OutcomeUnknown`] if it
+    /// may yet be applied.
+    pub(super) async fn propose(
+        &self,
+        step: &'static str,
+        command: Command,
+    ) -> Result<Applied, Refusal> {
+        let now_ms = self.now_ms();
+        let elapsed_ms = self.with_leadership(step, |leadership| leadership.elapsed_ms(now_ms))?;
+        let stamped = StampedCommand {
+            elapsed_ms,
+            command,
+        };
+        let proposed = self.group.propose(encode(&stamped)).await;
+        let answer = proposed.map_err(|error| self.refuse_proposal(step, &error))?;
+        self.tell_news();
+        decode(&answer).map_err(|error| refusal::unknown(self, step, error))
+    }
+
+    fn refuse_proposal(&self, step: &'static str, error: &ProposeError) -> Refusal {
+        match error {
+            ProposeError::NotLeader { .. } => refusal::not_leader(self, step),
+            ProposeError::Busy | ProposeError::Stopped => refusal::unavailable(self, step, error),
+            ProposeError::Unknown => refusal::unknown(self, step, error),
+        }
+    }
+
+    /// Waits until this machine has applied everything that was committed
+    /// when the call began.
+    ///
+    /// # Errors
+    /// A refusal when that can't be confirmed now.
+    pub(super) async fn barrier(&self, step: &'static str) -> Result<(), Refusal> {
+        match self.group.read_barrier().await {
+            Ok(_) => Ok(()),
+            Err(error) => Err(refusal::unavailable(self, step, error)),
+        }
+    }
+
+    /// Wakes watches and long polls.
+    pub(super) fn tell_news(&self) {
+        self.news.send_modify(|count| *count += 1);
+    }
+}
--- /dev/null
+++ b/crates/pinerill-cluster/src/server/jobs.rs
@@ -0,0 +1,274 @@
+//! Jobs: submissions, results, leases and reports.
+
+use std::time::Duration;
+
+use pinerill_calls::job::{CallJobId, ItemReport, ListedItem, ListedState, NewCallJob, ResultPage};
+use pinerill_calls::message::{
+    CallsResponse, LeaseRequest, LeaseResponse, LeasedItem, ReadItem, ReadResults, SubmitOutcome,
+};
+use pinerill_wire::message::Refusal;
+use tokio::time::{sleep, timeout_at, Instant};
+
+use super::control::Control;
+use super::refusal;
+use crate::leases::LeaseDecision;
+use crate::machine::{
+    call_key, text_key, Applied, Command, ItemPhase, ListedRecord, QueuePosition,
+};
+
+/// Longest time that an answer is held.
+const LONGEST_WAIT: Duration = Duration::from_secs(1);
+/// Bytes of texts in one answer, compressed; one text is always told.
+const PAGE_BYTES: usize = 256 << 10;
+/// What is added to the retention: the caller's clock began before the group's.
+const RETENTION_MARGIN: Duration = Duration::from_secs(10);
+/// Pause between two commands that let time pass.
+const UPKEEP_PAUSE: Duration = Duration::from_secs(1);
+
+/// A part of a job's results as it is in memory.
+struct ListedPart {
+    number: u64,
+    total: u32,
+    entries: Vec<(String, ListedRecord)>,
+}
+
+impl Control {
+    pub(super) async fn submit_job(&self, job: NewCallJob) -> Result<CallsResponse, Refusal> {
+        let step = "submit job";
+        let id = job.id.clone();
+        let items = job.items.len();
+        let applied = self
+            .propose(step, Command::SubmitJob(Box::new(job)))
+            .await?;
+        match applied {
+            Applied::Submitted(outcome) => {
+                let accepted = outcome == SubmitOutcome::Accepted;
+                log::info!(event = "job_submitted", job = id.as_str(), items, accepted; "");
+                Ok(CallsResponse::SubmitJob(outcome))
+            }
+            other => Err(refusal::unknown(self, step, format!("answered {other:?}"))),
+        }
+    }
+
+    pub(super) async fn end_job(&self, job: CallJobId) -> Result<CallsResponse, Refusal> {
+        let applied = self
+            .propose("end job", Command::EndJob(job.clone()))
+            .await?;
+        log::info!(event = "job_ended", job = job.as_str(), outcome:? = applied; "");
+        Ok(CallsResponse::Done)
+    }
+
+    pub(super) async fn report_items(
+        &self,
+        reports: Vec<ItemReport>,
+    ) -> Result<CallsResponse, Refusal> {
+        self.propose("report items", Command::ReportItems(reports))
+            .await?;
+        Ok(CallsResponse::Done)
+    }
+
+    /// Results from a position on; waits for one if there is none yet.
+    pub(super) async fn read_results(&self, read: ReadResults) -> Result<CallsResponse, Refusal> {
+        let step = "read results";
+        let wait = Duration::from_millis(read.wait_ms).min(LONGEST_WAIT);
+        let deadline = Instant::now() + wait;
+        let mut news = self.news.subscribe();
+        self.with_leadership(step, |_| ())?;
+        self.barrier(step).await?;
+        loop {
+            let Some(part) = self.listed_part(&read) else {
+                return Ok(CallsResponse::Results(None));
+            };
+            let waited = Instant::now() >= deadline;
+            if !part.entries.is_empty() || waited || self.stopping.is_cancelled() {
+                return self.with_texts(read.from, part).await;
+            }
+            // Either there is news or the time is up; both are looked at above.
+            let _ = timeout_at(deadline, news.changed()).await;
+        }
+    }
+
+    fn listed_part(&self, read: &ReadResults) -> Option<ListedPart> {
+        self.group.with_machine(|machine| {
+            let (number, record) = machine.jobs().find(&read.job)?;
+            let listed = record.listed.iter().skip(read.from as usize);
+            let entries = listed.map(|one| {
+                let item = &record.items[one.index as usize];
+                (item.id.clone(), *one)
+            });
+            Some(ListedPart {
+                number,
+                total: record.items.len() as u32,
+                entries: entries.collect(),
+            })
+        })
+    }
+
+    /// Reads the texts. The table may lag behind what was applied, so a read
+    /// that meets a missing text waits for the table and looks again.
+    async fn with_texts(&self, from: u32, part: ListedPart) -> Result<CallsResponse, Refusal> {
+        let step = "read texts";
+        if let Some(entries) = self.read_texts(from, &part)? {
+            return Ok(results(from, part.total, entries));
+        }
+        self.barrier(step).await?;
+        match self.read_texts(from, &part)? {
+            Some(entries) => Ok(results(from, part.total, entries)),
+            None => Err(refusal::unavailable(self, step, "a text is missing")),
+        }
+    }
+
+    /// None if a text is not there yet.
+    fn read_texts(&self, from: u32, part: &ListedPart) -> Result<Option<Vec<ListedItem>>, Refusal> {
+        let failed =
+            |error: &dyn std::fmt::Display| refusal::unavailable(self, "read texts", error);
+        if part.entries.is_empty() {
+            return Ok(Some(Vec::new()));
+        }
+        let table = self.group.table().map_err(|error| failed(&error))?;
+        let mut entries = Vec::new();
+        let mut bytes = 0;
+        for (offset, (id, listed)) in part.entries.iter().enumerate() {
+            let position = from + offset as u32;
+            let text = match listed.state {
+                ListedState::Dead => Vec::new(),
+                ListedState::Completed => {
+                    let key = text_key(part.number, position);
+                    match table.get(&key).map_err(|error| failed(&error))? {
+                        Some(text) => text,
+                        None => return Ok(None),
+                    }
+                }
+            };
+            bytes += text.len();
+            if bytes > PAGE_BYTES && !entries.is_empty() {
+                break;
+            }
+            entries.push(ListedItem {
+                id: id.clone(),
+                state: listed.state,
+                text,
+            });
+        }
+        Ok(Some(entries))
+    }
+
+    /// The call of an item that is not listed yet.
+    pub(super) async fn read_item(&self, read: ReadItem) -> Result<CallsResponse, Refusal> {
+        let step = "read item";
+        self.with_leadership(step, |_| ())?;
+        self.barrier(step).await?;
+        let place = self.group.with_machine(|machine| {
+            let (number, record) = machine.jobs().find(&read.job)?;
+            let index = record.items.iter().position(|item| item.id == read.item)?;
+            let waits = record.items[index].phase == ItemPhase::Waiting;
+            waits.then_some((number, index as u32))
+        });
+        let Some((number, index)) = place else {
+            return Ok(CallsResponse::Item(None));
+        };
+        Ok(CallsResponse::Item(self.read_call(number, index)?))
+    }
+
+    fn read_call(&self, number: u64, index: u32) -> Result<Option<Vec<u8>>, Refusal> {
+        let step = "read call of item";
+        let table = self.group.table();
+        let table = table.map_err(|error| refusal::unavailable(self, step, error))?;
+        let call = table.get(&call_key(number, index));
+        call.map_err(|error| refusal::unavailable(self, step, error))
+    }
+
+    /// Renews and hands out leases; waits for an item if none is free and the
+    /// node wants some.
+    pub(super) async fn lease_items(
+        &self,
+        request: LeaseRequest,
+    ) -> Result<CallsResponse, Refusal> {
+        let wait = Duration::from_millis(request.wait_ms).min(LONGEST_WAIT);
+        let deadline = Instant::now() + wait;
+        let mut news = self.news.subscribe();
+        loop {
+            let decision = self.decide_leases(&request)?;
+            let has_news = !decision.leased.is_empty() || !decision.stop.is_empty();
+            if has_news || Instant::now() >= deadline || self.stopping.is_cancelled() {
+                return self.with_calls(decision);
+            }
+            let _ = timeout_at(deadline, news.changed()).await;
+        }
+    }
+
+    fn decide_leases(&self, request: &LeaseRequest) -> Result<LeaseDecision, Refusal> {
+        let now_ms = self.now_ms();
+        self.with_leadership("lease items", |leadership| {
+            self.group.with_machine(|machine| {
+                leadership.leases.lease(
+                    now_ms,
+                    machine.jobs(),
+                    machine.clock_ms(),
+                    &request.node,
+                    &request.held,
+                    request.want as usize,
+                )
+            })
+        })
+    }
+
+    /// Adds the items' calls. One whose call can't be read now is left out:
+    /// the node doesn't name it next time, which frees it.
+    fn with_calls(&self, decision: LeaseDecision) -> Result<CallsResponse, Refusal> {
+        let mut leased = Vec::with_capacity(decision.leased.len());
+        for place in decision.leased {
+            if let Some(call) = self.read_call(place.job, place.index)? {
+                leased.extend(self.leased_item(place, call));
+            }
+        }
+        Ok(CallsResponse::Leases(LeaseResponse {
+            leased,
+            stop: decision.stop,
+        }))
+    }
+
+    fn leased_item(&self, place: QueuePosition, call: Vec<u8>) -> Option<LeasedItem> {
+        self.group.with_machine(|machine| {
+            let record = machine.jobs().record(place.job)?;
+            let item = record.items.get(place.index as usize)?;
+            Some(LeasedItem {
+                item: pinerill_calls::job::ItemRef {
+                    job: record.id.clone(),
+                    index: place.index,
+                },
+                id: item.id.clone(),
+                host: record.host.clone(),
+                call,
+                due_in_ms: place.due_ms as i64 - machine.clock_ms() as i64,
+            })
+        })
+    }
+
+    /// Lets the group's time pass while there are jobs.
+    pub(super) async fn keep_up(&self) {
+        loop {
+            sleep(UPKEEP_PAUSE).await;
+            let idle = self.group.with_machine(|machine| machine.jobs().is_empty());
+            if idle || !self.leads() {
+                continue;
+            }
+            let retention = Duration::from_secs_f64(self.settings.retention_s) + RETENTION_MARGIN;
+            let retention_ms = retention.as_millis() as u64;
+            if let Err(error) = self
+                .propose("upkeep", Command::Upkeep { retention_ms })
+                .await
+            {
+                log::warn!(event = "upkeep_failed", error:%; "");
+            }
+        }
+    }
+}
+
+fn results(from: u32, total: u32, entries: Vec<ListedItem>) -> CallsResponse {
+    CallsResponse::Results(Some(ResultPage {
+        total,
+        from,
+        entries,
+    }))
+}
--- /dev/null
+++ b/crates/pinerill-cluster/src/server/leadership.rs
@@ -0,0 +1,107 @@
+//! Soft state of the leader: what it can ask again and never writes down.
+
+use std::collections::{BTreeMap, HashMap};
+
+use pinerill_calls::directory::{WorkerDirectory, WorkerEntry};
+use pinerill_calls::message::DirectoryPosition;
+
+use crate::leases::{LeaseBook, LeaseSettings};
+
+/// A node that was not heard for this long is not counted.
+const NODE_LIFE_MS: u64 = 2_500;
+
+/// One leadership of this machine.
+pub(super) struct Leadership {
+    term: u64,
+    began_ms: u64,
+    last_command_ms: u64,
+    epoch: u64,
+    directory: Option<WorkerDirectory>,
+    /// When each node was last heard.
+    nodes: HashMap<String, u64>,
+    /// When each control machine was last heard, by data folder.
+    machines: BTreeMap<u64, u64>,
+    /// Which node runs which item.
+    pub(super) leases: LeaseBook,
+}
+
+impl Leadership {
+    pub(super) fn begin(term: u64, now_ms: u64) -> Self {
+        Leadership {
+            term,
+            began_ms: now_ms,
+            last_command_ms: now_ms,
+            epoch: rand::random(),
+            directory: None,
+            nodes: HashMap::new(),
+            machines: BTreeMap::new(),
+            leases: LeaseBook::new(LeaseSettings::default(), now_ms),
+        }
+    }
+
+    pub(super) fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// How long it has lasted.
+    pub(super) fn lasted_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.began_ms)
+    }
+
+    /// Time since the last command of this leadership.
+    pub(super) fn elapsed_ms(&mut self, now_ms: u64) -> u64 {
+        let elapsed = now_ms.saturating_sub(self.last_command_ms);
+        self.last_command_ms = now_ms;
+        elapsed
+    }
+
+    /// Notes that a node was heard; returns how many there are.
+    pub(super) fn hear_node(&mut self, node: &str, now_ms: u64) -> u32 {
+        self.nodes.insert(node.to_owned(), now_ms);
+        self.nodes
+            .retain(|_, heard| now_ms.saturating_sub(*heard) <= NODE_LIFE_MS);
+        self.nodes.len() as u32
+    }
+
+    /// Notes that a control machine was heard.
+    pub(super) fn hear_machine(&mut self, replica: u64, now_ms: u64) {
+        self.machines.insert(replica, now_ms);
+    }
+
+    /// Time since each control machine was heard.
+    pub(super) fn silence(&self, now_ms: u64) -> BTreeMap<u64, u64> {
+        let heard = self.machines.iter();
+        heard
+            .map(|(replica, at)| (*replica, now_ms.saturating_sub(*at)))
+            .collect()
+    }
+
+    /// Takes in a whole reading of the platform list; true if it is news.
+    pub(super) fn take_workers(&mut self, workers: Vec<WorkerEntry>) -> bool {
+        let revision = match &self.directory {
+            Some(held) if held.workers == workers => return false,
+            Some(held) => held.revision + 1,
+            None => 1,
+        };
+        self.directory = Some(WorkerDirectory { revision, workers });
+        true
+    }
+
+    /// The directory with its epoch, unless it is the one at `known`.
+    pub(super) fn directory_newer_than(
+        &self,
+        known: Option<DirectoryPosition>,
+    ) -> Option<(u64, &WorkerDirectory)> {
+        let directory = self.directory.as_ref()?;
+        let position = DirectoryPosition {
+            epoch: self.epoch,
+            revision: directory.revision,
+        };
+        (known != Some(position)).then_some((self.epoch, directory))
+    }
+
+    /// Workers listed; none before the first reading.
+    pub(super) fn worker_count(&self) -> Option<usize> {
+        Some(self.directory.as_ref()?.workers.len())
+    }
+}
--- /dev/null
+++ b/crates/pinerill-cluster/src/server/mod.rs
@@ -0,0 +1,31 @@
+//! The process of a control machine.
+//!
+//! | module | job |
+//! |---|---|
+//! | `run` | starts and stops the parts |
+//! | `control` | what the parts share |
+//! | `leadership` | soft state of the leader |
+//! | `service` | hands each internal request to its part |
+//! | `watch` | the nodes' long polls |
+//! | `jobs` | submissions, results, leases |
+//! | `peers` | other control machines: joining, addresses |
+//! | `members` | carries out changes of the group's membership |
+//! | `workers` | reads the platform list |
+//! | `operators` | operators' requests |
+//! | `monitoring` | metrics and readiness |
+
+mod control;
+mod jobs;
+mod leadership;
+mod members;
+mod monitoring;
+mod operators;
+mod peers;
+mod refusal;
+mod run;
+mod service;
+mod transport;
+mod watch;
+mod workers;
+
+pub use run::{run, ControlProtocols};
--- /dev/null
+++ b/crates/pinerill-cluster/src/server/monitoring.rs
@@ -0,0 +1,51 @@
+//! What operators and their monitoring look at.
+
+use std::fmt::Write;
+
+use pinerill_process::Monitored;
+
+use super::control::Control;
+
+impl Monitored for Control {
+    fn metrics_text(&self) -> Result<String, String> {
+        let status = self.group.status();
+        let counters = self.host.counters();
+        let (jobs, waiting, table) = self.group.with_machine(|machine| {
+            let queue = machine.jobs().queue().len();
+            (machine.jobs().is_empty(), queue, machine.table_version())
+        });
+        let workers = self
+            .leadership
+            .lock()
+            .as_ref()
+            .and_then(|one| one.worker_count());
+        let mut text = String::new();
+        let mut line = |name: &str, value: u64| {
+            let _ = writeln!(text, "pinerill_control_{name} {value}");
+        };
+        line("leads", u64::from(status.leads()));
+        line("term", status.term);
+        line("commit_index", status.commit);
+        line("applied_index", status.applied);
+        line("voters", status.members.voters.len() as u64);
+        line("learners", status.members.learners.len() as u64);
+        line("peers_connected", self.pool.connected().len() as u64);
+        line("messages_received_total", counters.messages_received);
+        line("table_version", table.unwrap_or_default());
+        line("items_waiting", waiting as u64);
+        line("has_jobs", u64::from(!jobs));
+        line("workers", workers.unwrap_or_default() as u64);
+        Ok(text)
+    }
+
+    fn unready_reasons(&self) -> Vec<String> {
+        let mut reasons = Vec::new();
+        if self.group.status().leader.is_none() {
+            reasons.push("no leader is known".to_owned());
+        }
+        if self.stopping.is_cancelled() {
+            reasons.push("stopping".to_owned());
+        }
+        reasons
+    }
+}
--- /dev/null
+++ b/crates/pinerill-cluster/src/server/operators.rs
@@ -0,0 +1,165 @@
+//! Operators' requests, in whatever manner their protocol has.
+
+use std::sync::Arc;
+
+use pinerill_calls::message::{CallsRequest, CallsResponse, PutTable};
+use pinerill_calls::protocol::{HttpAnswer, OperatorAnswer, OperatorRequest};
+use pinerill_process::server_settings;
+use pinerill_wire::message::{Refusal, RefusalCode};
+use rocket::data::ToByteUnit;
+use rocket::http::{Header, Method, Status};
+use rocket::route::{Handler, Outcome};
+use rocket::{Build, Data, Request, Response, Rocket, Route};
+
+use super::control::Control;
+use super::refusal;
+use crate::machine::{Applied, Command};
+
+/// Longest document.
+const DOCUMENT_LIMIT_MIB: u64 = 16;
+
+/// The server for operators.
+pub(super) fn server(control: Arc<Control>) -> Rocket<Build> {
+    let address = control.settings.operator_listen;
+    let handler = OperatorHandler { control };
+    let methods = [Method::Get, Method::Post, Method::Put, Method::Delete];
+    let routes: Vec<Route> = methods
+        .into_iter()
+        .map(|method| Route::new(method, "/<path..>", handler.clone()))
+        .collect();
+    rocket::custom(server_settings(address)).mount("/", routes)
+}
+
+#[derive(Clone)]
+struct OperatorHandler {
+    control: Arc<Control>,
+}
+
+#[rocket::async_trait]
+impl Handler for OperatorHandler {
+    async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        let answer = self.control.operate(request, data).await;
+        Outcome::Success(response(answer))
+    }
+}
+
+fn response<'r>(answer: HttpAnswer) -> Response<'r> {
+    let mut response = Response::build();
+    response.status(Status::new(answer.status.as_u16()));
+    for (name, value) in &answer.headers {
+        let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+        response.header(Header::new(name.to_string(), value));
+    }
+    let length = answer.body.len();
+    response.sized_body(length, std::io::Cursor::new(answer.body));
+    response.finalize()
+}
+
+impl Control {
+    async fn operate(&self, request: &Request<'_>, data: Data<'_>) -> HttpAnswer {
+        let answer = match self.read_operation(request, data).await {
+            Ok(operation) => self.carry_out(operation).await,
+            Err(answer) => answer,
+        };
+        self.operators.answer(&answer)
+    }
+
+    async fn read_operation(
+        &self,
+        request: &Request<'_>,
+        data: Data<'_>,
+    ) -> Result<OperatorRequest, OperatorAnswer> {
+        let invalid = |message: String| OperatorAnswer::Invalid(message);
+        let read = data.open(DOCUMENT_LIMIT_MIB.mebibytes()).into_bytes().await;
+        let body = read.map_err(|error| OperatorAnswer::Unavailable(error.to_string()))?;
+        if !body.is_complete() {
+            return Err(invalid("the document is too long".to_owned()));
+        }
+        let head = http::Request::builder()
+            .method(request.method().as_str())
+            .uri(request.uri().to_string())
+            .body(());
+        let (head, ()) = head
+            .map_err(|error| invalid(error.to_string()))?
+            .into_parts();
+        self.operators
+            .read_request(&head, &body)
+            .map_err(|error| invalid(error.to_string()))
+    }
+
+    async fn carry_out(&self, operation: OperatorRequest) -> OperatorAnswer {
+        match operation {
+            OperatorRequest::PutTable(put) => self.operate_put(*put).await,
+            OperatorRequest::GetDocument => self.operate_get().await,
+            OperatorRequest::StartRetirement(name) => {
+                self.operate_retirement(CallsRequest::StartRetirement(name))
+                    .await
+            }
+            OperatorRequest::RetirementState(name) => {
+                self.operate_retirement(CallsRequest::RetirementState(name))
+                    .await
+            }
+        }
+    }
+
+    async fn operate_put(&self, put: PutTable) -> OperatorAnswer {
+        if let Err(error) = put.table.check() {
+            log::info!(event = "table_invalid", version = put.table.version, error:%; "");
+            return OperatorAnswer::Invalid(error.to_string());
+        }
+        let version = put.table.version;
+        let answer = self.at_leader(CallsRequest::PutTable(Box::new(put))).await;
+        match answer {
+            Ok(CallsResponse::Done) => {
+                log::info!(event = "table_acknowledged", version; "");
+                OperatorAnswer::TableKept
+            }
+            other => unavailable(other),
+        }
+    }
+
+    async fn operate_get(&self) -> OperatorAnswer {
+        if let Err(error) = self.barrier("read document").await {
+            return OperatorAnswer::Unavailable(error.to_string());
+        }
+        let document = self
+            .group
+            .with_machine(|machine| machine.table().map(|held| held.document.clone()));
+        match document {
+            Some(document) => OperatorAnswer::Document(document),
+            None => OperatorAnswer::NoDocument,
+        }
+    }
+
+    async fn operate_retirement(&self, request: CallsRequest) -> OperatorAnswer {
+        match self.at_leader(request).await {
+            Ok(CallsResponse::Retirement(state)) => OperatorAnswer::Retirement(state),
+            other => unavailable(other),
+        }
+    }
+
+    /// Accepts a route table; the one with the highest version is in force.
+    pub(super) async fn put_table(&self, put: PutTable) -> Result<CallsResponse, Refusal> {
+        let step = "put table";
+        if let Err(error) = put.table.check() {
+            return Err(refusal::invalid(self, step, error));
+        }
+        let version = put.table.version;
+        let applied = self.propose(step, Command::PutTable(Box::new(put))).await?;
+        log::info!(event = "table_kept", version; "");
+        match applied {
+            Applied::Done => Ok(CallsResponse::Done),
+            other => Err(refusal::unknown(self, step, format!("answered {other:?}"))),
+        }
+    }
+}
+
+fn unavailable(answer: Result<CallsResponse, Refusal>) -> OperatorAnswer {
+    match answer {
+        Err(refusal) if refusal.code == RefusalCode::Invalid => {
+            OperatorAnswer::Invalid(refusal.message)
+        }
+        Err(refusal) => OperatorAnswer::Unavailable(refusal.to_string()),
+        Ok(_) => OperatorAnswer::Unavailable("an answer of another kind".to_owned()),
+    }
+}
--- /dev/null
+++ b/crates/pinerill-cluster/src/server/peers.rs
@@ -0,0 +1,164 @@
+//! Other control machines: who there are, where they listen, joining.
+//!
+//! A machine is told some addresses at its start and learns the others from
+//! the machines that it reaches. Each tells the leader again and again that it
+//! is there; the leader records it and the group's membership follows.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use pinerill_calls::message::{
+    decode, CallsRequest, CallsResponse, JoinRequest, JoinResponse, MachineRecord,
+};
+use pinerill_wire::message::{Refusal, Response};
+use tokio::time::sleep;
+
+use super::control::Control;
+use crate::machine::Command;
+
+/// Pause between two rounds of telling others.
+const ROUND_PAUSE: Duration = Duration::from_millis(400);
+/// Rounds after which all known machines are told, not the leader alone.
+const ROUNDS_PER_GOSSIP: u32 = 5;
+/// Longest wait for an answer.
+const ANSWER_TIME: Duration = Duration::from_millis(800);
+
+impl Control {
+    /// Internal addresses of all control machines that are known here.
+    pub(super) fn known_addresses(&self) -> Vec<SocketAddr> {
+        let mut known = self.pool.addresses();
+        known.push(self.record.address);
+        let recorded = self.group.with_machine(|machine| {
+            let records = machine.machines().values();
+            records.map(|record| record.address).collect::<Vec<_>>()
+        });
+        known.extend(recorded);
+        known.sort_unstable();
+        known.dedup();
+        known
+    }
+
+    /// Takes in that a machine is there; the leader records a new one.
+    pub(super) async fn joined(&self, join: JoinRequest) -> Result<CallsResponse, Refusal> {
+        self.learn(&join.known);
+        self.learn(&[join.machine.address]);
+        if self.leads() {
+            let now_ms = self.now_ms();
+            let replica = join.machine.replica;
+            self.with_leadership("join", |one| one.hear_machine(replica, now_ms))?;
+            self.record_if_new(&join.machine).await?;
+        }
+        let known = self.known_addresses();
+        Ok(CallsResponse::Joined(JoinResponse { known }))
+    }
+
+    /// Connects to machines that were not known.
+    pub(super) fn learn(&self, addresses: &[SocketAddr]) {
+        for address in addresses {
+            if *address != self.record.address {
+                self.pool.add(*address);
+            }
+        }
+    }
+
+    async fn record_if_new(&self, machine: &MachineRecord) -> Result<(), Refusal> {
+        let recorded = self.group.with_machine(|state| {
+            state.machines().get(&machine.replica) == Some(machine)
+                || state.replaced().contains(&machine.replica)
+        });
+        if recorded {
+            return Ok(());
+        }
+        let command = Command::RecordMachine(machine.clone());
+        self.propose("record machine", command).await?;
+        log::info!(
+            event = "machine_recorded", machine = machine.name.as_str(),
+            address:% = machine.address, replica = machine.replica; ""
+        );
+        Ok(())
+    }
+
+    /// Tells the others again and again that this machine is there.
+    pub(super) async fn keep_joined(&self) {
+        let mut round: u32 = 0;
+        loop {
+            self.tell_others(round).await;
+            round = round.wrapping_add(1);
+            sleep(ROUND_PAUSE).await;
+        }
+    }
+
+    async fn tell_others(&self, round: u32) {
+        if self.leads() {
+            let own = self.record.clone();
+            let joining = JoinRequest {
+                machine: own,
+                known: Vec::new(),
+            };
+            // Whatever is refused here is tried in the next round.
+            let _ = self.joined(joining).await;
+        }
+        let leader = self.leader_address();
+        let gossip = round % ROUNDS_PER_GOSSIP == 0;
+        let addresses = match leader {
+            Some(address) if !gossip => vec![address],
+            _ => self.pool.addresses(),
+        };
+        let others = addresses
+            .into_iter()
+            .filter(|one| *one != self.record.address);
+        let told = others.map(|address| self.tell(address));
+        futures::future::join_all(told).await;
+    }
+
+    async fn tell(&self, address: SocketAddr) {
+        let request = CallsRequest::Join(JoinRequest {
+            machine: self.record.clone(),
+            known: self.known_addresses(),
+        });
+        let answer = self
+            .pool
+            .call(address, request.into_wire(), ANSWER_TIME)
+            .await;
+        let Ok(Response::Calls(bytes)) = answer else {
+            return;
+        };
+        if let Ok(CallsResponse::Joined(joined)) = decode(&bytes) {
+            self.learn(&joined.known);
+        }
+    }
+
+    /// Passes a request on to the leader, or carries it out if this machine
+    /// leads.
+    ///
+    /// # Errors
+    /// A refusal, with an unknown outcome if the leader may have done it.
+    pub(super) async fn at_leader(&self, request: CallsRequest) -> Result<CallsResponse, Refusal> {
+        if self.leads() {
+            return Box::pin(self.answer(request)).await;
+        }
+        let step = "pass on to the leader";
+        let Some(leader) = self.leader_address() else {
+            return Err(super::refusal::unavailable(
+                self,
+                step,
+                "no leader is known",
+            ));
+        };
+        let answer = self
+            .pool
+            .call(leader, request.into_wire(), ANSWER_TIME)
+            .await;
+        match answer {
+            Ok(Response::Calls(bytes)) => {
+                decode(&bytes).map_err(|error| super::refusal::unknown(self, step, error))
+            }
+            Ok(_) => Err(super::refusal::unknown(
+                self,
+                step,
+                "an answer of another kind",
+            )),
+            Err(error) => Err(super::refusal::unknown(self, step, error)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pinerill-cluster/src/server/run.rs
@@ -0,0 +1,240 @@
+//! Starts the parts of a control machine, and stops them in a planned way.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use parking_lot::Mutex;
+use pinerill_calls::message::MachineRecord;
+use pinerill_calls::protocol::{OperatorProtocol, WorkerListProtocol};
+use pinerill_control::host::{GroupHost, HostSettings};
+use pinerill_process::{monitoring_server, Server, SettingsFile, StopSignals};
+use pinerill_replica::{GroupId, ReplicaId};
+use pinerill_storage::{GroupStore, Store};
+use pinerill_wire::api::Role;
+use pinerill_wire::connection::{self, ClusterKey, Identity, PeerPool};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
+
+use super::control::Control;
+use super::operators;
+use super::service::ControlService;
+use super::transport::PeerTransport;
+use crate::machine::ClusterMachine;
+use pinerill_calls::settings::{cluster_key, ControlSettings, ForwardingSettings, SettingsError};
+
+/// The one replicated group.
+const GROUP: GroupId = GroupId(0);
+/// Longest wait for answers in flight at a planned stop.
+const ANSWER_LIMIT: Duration = Duration::from_secs(2);
+/// Applied bytes after which a snapshot is saved.
+const SNAPSHOT_BYTES: u64 = 4 << 20;
+/// Bytes of entries kept behind a snapshot.
+const MARGIN_BYTES: usize = 2 << 20;
+/// How long a read waits to be confirmed.
+const READ_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// How operators and the platform list are spoken to.
+pub struct ControlProtocols {
+    /// Operators.
+    pub operators: Arc<dyn OperatorProtocol>,
+    /// The platform list.
+    pub worker_list: Arc<dyn WorkerListProtocol>,
+}
+
+/// Runs a control machine until SIGTERM or SIGINT.
+///
+/// # Errors
+/// When the settings can't be used or it can't start.
+pub async fn run(file: SettingsFile, protocols: ControlProtocols) -> anyhow::Result<()> {
+    let settings = ForwardingSettings::read(file.text())?;
+    let cluster = settings.cluster;
+    let missing = SettingsError::MissingSection("control");
+    let settings = settings.control.ok_or(missing)?;
+    let key = cluster_key(&cluster)?;
+    let signals = StopSignals::from_system()?;
+    let stopping = signals.planned.clone();
+    let listener = TcpListener::bind(settings.listen)
+        .await
+        .with_context(|| format!("listen at {}", settings.listen))?;
+    let closed = CancellationToken::new();
+    let (control, identity) = build(settings, &cluster.name, key, protocols, &closed, stopping)?;
+    let monitoring = monitoring_server(control.settings.admin, control.clone());
+    let admin = Server::start(control.settings.admin, monitoring).await?;
+    let operators = operators::server(control.clone());
+    let operators = Server::start(control.settings.operator_listen, operators).await?;
+    let closing = CancellationToken::new();
+    let service = Arc::new(ControlService {
+        control: control.clone(),
+    });
+    let server = tokio::spawn(connection::serve(
+        listener,
+        identity,
+        service,
+        Arc::default(),
+        closing.clone(),
+    ));
+    let tasks = start_tasks(&control, file);
+    log::info!(
+        event = "started", machine = control.record.name.as_str(),
+        address:% = control.record.address, replica = control.record.replica; ""
+    );
+    signals.planned.cancelled().await;
+    log::info!(event = "stopping", machine = control.record.name.as_str(); "");
+    control.tell_news();
+    control.host.hand_over().await;
+    operators.stop().await;
+    closing.cancel();
+    if timeout(ANSWER_LIMIT, server).await.is_err() {
+        log::warn!(event = "answers_cut"; "");
+    }
+    control.host.halt().await;
+    closed.cancel();
+    drop(tasks);
+    admin.stop().await;
+    log::info!(event = "stopped", machine = control.record.name.as_str(); "");
+    Ok(())
+}
+
+/// Identity of the data folder that founds the cluster at an address. All
+/// founding machines know each other's by it, without having met.
+fn founding_replica(address: SocketAddr) -> ReplicaId {
+    let mut hasher = DefaultHasher::new();
+    address.hash(&mut hasher);
+    ReplicaId(hasher.finish())
+}
+
+fn build(
+    settings: ControlSettings,
+    cluster: &str,
+    key: ClusterKey,
+    protocols: ControlProtocols,
+    closed: &CancellationToken,
+    stopping: CancellationToken,
+) -> anyhow::Result<(Arc<Control>, Identity)> {
+    let seeds = settings.seed_addresses();
+    let founds = settings.found && seeds.contains(&settings.listen);
+    let newcomer = match founds {
+        true => founding_replica(settings.listen),
+        false => ReplicaId(rand::random()),
+    };
+    let folder = &settings.data_folder;
+    let store = Store::open_as(folder, newcomer)
+        .with_context(|| format!("open data folder {}", folder.display()))?;
+    let store: Arc<dyn GroupStore> = Arc::new(store);
+    let replica = store.identity().replica;
+    let name = settings.name.as_str();
+    let identity = Identity::new(cluster, key, Role::Control, name, &settings.zone)
+        .with_replica(replica.0, 0)
+        .with_listen(settings.listen);
+    let others: Vec<SocketAddr> = seeds
+        .iter()
+        .copied()
+        .filter(|address| *address != settings.listen)
+        .collect();
+    let pool = PeerPool::start(&others, &identity, closed);
+    let transport = Arc::new(PeerTransport::new(pool.clone()));
+    let host = GroupHost::start(store, transport, host_settings());
+    let voters: Vec<ReplicaId> = match founds {
+        true => seeds.iter().copied().map(founding_replica).collect(),
+        false => Vec::new(),
+    };
+    let group = host.add_group(GROUP, &voters, ClusterMachine::default())?;
+    let record = MachineRecord {
+        replica: replica.0,
+        name: settings.name.clone(),
+        address: settings.listen,
+        zone: settings.zone.clone(),
+    };
+    let control = Arc::new(Control {
+        settings,
+        record,
+        pool,
+        host,
+        group,
+        leadership: Mutex::new(None),
+        operators: protocols.operators,
+        worker_list: protocols.worker_list,
+        news: watch::Sender::new(0),
+        started: Instant::now(),
+        stopping,
+    });
+    Ok((control, identity))
+}
+
+fn host_settings() -> HostSettings {
+    HostSettings {
+        snapshot_bytes: SNAPSHOT_BYTES,
+        compaction_margin_bytes: MARGIN_BYTES,
+        read_timeout: READ_TIMEOUT,
+        ..HostSettings::default()
+    }
+}
+
+type Task = AbortOnDropHandle<()>;
+
+fn start_tasks(control: &Arc<Control>, file: SettingsFile) -> Vec<Task> {
+    let spawn =
+        |work: futures::future::BoxFuture<'static, ()>| AbortOnDropHandle::new(tokio::spawn(work));
+    let own = |control: &Arc<Control>| control.clone();
+    let (joining, members, upkeep, workers, roles, reloading) = (
+        own(control),
+        own(control),
+        own(control),
+        own(control),
+        own(control),
+        own(control),
+    );
+    vec![
+        spawn(Box::pin(async move { joining.keep_joined().await })),
+        spawn(Box::pin(async move { members.keep_members().await })),
+        spawn(Box::pin(async move { upkeep.keep_up().await })),
+        spawn(Box::pin(async move { workers.follow_workers().await })),
+        spawn(Box::pin(async move { roles.tell_changes_of_role().await })),
+        spawn(Box::pin(
+            async move { reloading.follow_settings(file).await },
+        )),
+    ]
+}
+
+impl Control {
+    /// Takes over other seeds of a settings file that changes. What else
+    /// differs counts from the next start on.
+    async fn follow_settings(&self, mut file: SettingsFile) {
+        loop {
+            match ForwardingSettings::read(file.changed().await) {
+                Ok(settings) => {
+                    let seeds = settings.control.map(|control| control.seed_addresses());
+                    let seeds = seeds.unwrap_or_default();
+                    log::info!(event = "settings_reloaded", seeds:? = seeds; "");
+                    self.learn(&seeds);
+                }
+                Err(error) => log::warn!(event = "settings_refused", error:%; ""),
+            }
+        }
+    }
+
+    /// Wakes long polls when leadership changes, so that nodes move on, and
+    /// logs it.
+    async fn tell_changes_of_role(&self) {
+        let mut status = self.group.watch_status();
+        let mut last = None;
+        while status.changed().await.is_ok() {
+            let (term, leader, role) = {
+                let now = status.borrow_and_update();
+                (now.term, now.leader, now.role)
+            };
+            if last != Some((term, leader, role)) {
+                last = Some((term, leader, role));
+                let leader = leader.map(|one| one.0);
+                log::info!(event = "role_changed", term, leader:?, role:?; "");
+                self.tell_news();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/pinerill-cluster/src/server/service.rs
@@ -0,0 +1,66 @@
+//! Hands each internal request to its part.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use pinerill_calls::message::{decode, CallsRequest, CallsResponse};
+use pinerill_wire::api::{Peer, Role, Service};
+use pinerill_wire::message::{Notification, Refusal, Request, Response};
+
+use super::control::Control;
+use super::refusal;
+
+/// Answers nodes and other control machines.
+pub(super) struct ControlService {
+    pub(super) control: Arc<Control>,
+}
+
+#[async_trait]
+impl Service for ControlService {
+    async fn call(&self, _peer: &Peer, request: Request) -> Response {
+        let Request::Calls(bytes) = request else {
+            let refused = refusal::invalid(&self.control, "read request", "not served here");
+            return Response::Refused(refused);
+        };
+        let answered = match decode(&bytes) {
+            Ok(request) => self.control.answer(request).await,
+            Err(error) => Err(refusal::invalid(&self.control, "read request", error)),
+        };
+        match answered {
+            Ok(response) => response.into_wire(),
+            Err(refused) => Response::Refused(refused),
+        }
+    }
+
+    fn notified(&self, peer: &Peer, notification: Notification) {
+        let Notification::Replica(envelopes) = notification;
+        if peer.role != Role::Control {
+            return;
+        }
+        for envelope in envelopes {
+            self.control.host.on_message(envelope);
+        }
+    }
+}
+
+impl Control {
+    /// Carries out one internal request.
+    ///
+    /// # Errors
+    /// A refusal, with the leader where another machine can answer.
+    pub(super) async fn answer(&self, request: CallsRequest) -> Result<CallsResponse, Refusal> {
+        match request {
+            CallsRequest::Watch(watch) => self.watch(watch).await,
+            CallsRequest::SubmitJob(job) => self.submit_job(*job).await,
+            CallsRequest::ReadResults(read) => self.read_results(read).await,
+            CallsRequest::ReadItem(read) => self.read_item(read).await,
+            CallsRequest::EndJob(job) => self.end_job(job).await,
+            CallsRequest::LeaseItems(lease) => self.lease_items(lease).await,
+            CallsRequest::ReportItems(reports) => self.report_items(reports).await,
+            CallsRequest::Join(join) => self.joined(join).await,
+            CallsRequest::PutTable(put) => self.put_table(*put).await,
+            CallsRequest::StartRetirement(name) => self.start_retirement(&name).await,
+            CallsRequest::RetirementState(name) => self.retirement_state(&name),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pinerill-cluster/src/server/watch.rs
@@ -0,0 +1,56 @@
+//! The nodes' long polls: route table, directory, control machines.
+
+use std::time::Duration;
+
+use pinerill_calls::message::{CallsResponse, DirectoryUpdate, WatchRequest, WatchResponse};
+use pinerill_wire::message::Refusal;
+use tokio::time::{timeout_at, Instant};
+
+use super::control::Control;
+
+/// Longest time that an answer is held.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+
+impl Control {
+    /// Answers once there is something newer, or when the time is up. Only the
+    /// leader answers, so that nobody follows a machine that is cut off for
+    /// longer than it takes to be deposed.
+    pub(super) async fn watch(&self, request: WatchRequest) -> Result<CallsResponse, Refusal> {
+        let wait = Duration::from_millis(request.wait_ms).min(LONGEST_WAIT);
+        let deadline = Instant::now() + wait;
+        let mut news = self.news.subscribe();
+        loop {
+            let response = self.news_for(&request)?;
+            let has_news = response.table.is_some() || response.directory.is_some();
+            if has_news || self.stopping.is_cancelled() {
+                return Ok(CallsResponse::Watch(Box::new(response)));
+            }
+            if timeout_at(deadline, news.changed()).await.is_err() {
+                let response = self.news_for(&request)?;
+                return Ok(CallsResponse::Watch(Box::new(response)));
+            }
+        }
+    }
+
+    fn news_for(&self, request: &WatchRequest) -> Result<WatchResponse, Refusal> {
+        let now_ms = self.now_ms();
+        let (nodes, directory) = self.with_leadership("watch", |leadership| {
+            let nodes = leadership.hear_node(&request.node, now_ms);
+            let newer = leadership.directory_newer_than(request.directory);
+            let update = newer.map(|(epoch, directory)| DirectoryUpdate {
+                epoch,
+                directory: directory.clone(),
+            });
+            (nodes, update)
+        })?;
+        let table = self
+            .group
+            .with_machine(|machine| machine.table_newer_than(request.table_version).cloned());
+        Ok(WatchResponse {
+            table,
+            directory,
+            controls: self.known_addresses(),
+            nodes,
+        })
+    }
+}
--- /dev/null
+++ b/crates/pinerill-cluster/src/server/workers.rs
@@ -0,0 +1,103 @@
+//! Reads the platform list of workers while this machine leads.
+
+use std::time::Duration;
+
+use anyhow::{bail, Context};
+use pinerill_calls::directory::WorkerEntry;
+use tokio::time::{sleep, Instant};
+
+use super::control::Control;
+
+/// Longest wait for one page.
+const PAGE_TIME: Duration = Duration::from_millis(1_000);
+/// Pages of one reading; more can't be right.
+const PAGE_LIMIT: usize = 1_000;
+/// Pause after a machine looked and did not lead.
+const FOLLOWER_PAUSE: Duration = Duration::from_millis(100);
+/// Pause after a reading that failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+
+impl Control {
+    /// Reads the list again and again.
+    pub(super) async fn follow_workers(&self) {
+        let client = match list_client() {
+            Ok(client) => client,
+            Err(error) => {
+                log::error!(event = "worker_list_client_failed", error:% = format!("{error:#}"); "");
+                return;
+            }
+        };
+        let mut reachable = true;
+        loop {
+            if !self.leads() {
+                sleep(FOLLOWER_PAUSE).await;
+                continue;
+            }
+            let started = Instant::now();
+            let read = self.read_workers(&client).await;
+            if read.is_ok() != reachable {
+                reachable = read.is_ok();
+                log::info!(event = "worker_list_reachable", reachable; "");
+            }
+            match read {
+                Ok(workers) => {
+                    self.take_workers(workers);
+                    let pause = Duration::from_millis(self.settings.worker_list.poll_ms);
+                    sleep(pause.saturating_sub(started.elapsed())).await;
+                }
+                Err(error) => {
+                    log::warn!(event = "worker_list_failed", error:% = format!("{error:#}"); "");
+                    sleep(FAILURE_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn take_workers(&self, workers: Vec<WorkerEntry>) {
+        let count = workers.len();
+        let changed = self.with_leadership("take workers", |one| one.take_workers(workers));
+        if changed == Ok(true) {
+            log::info!(event = "workers_changed", count; "");
+            self.tell_news();
+        }
+    }
+
+    async fn read_workers(&self, client: &reqwest::Client) -> anyhow::Result<Vec<WorkerEntry>> {
+        let mut workers = Vec::new();
+        let mut token: Option<String> = None;
+        for _ in 0..PAGE_LIMIT {
+            let page = self.read_page(client, token.as_deref()).await?;
+            workers.extend(page.workers);
+            token = page.next;
+            if token.is_none() {
+                return Ok(workers);
+            }
+        }
+        bail!("more than {PAGE_LIMIT} pages")
+    }
+
+    async fn read_page(
+        &self,
+        client: &reqwest::Client,
+        token: Option<&str>,
+    ) -> anyhow::Result<pinerill_calls::directory::WorkerPage> {
+        let path = self.worker_list.page_path(token);
+        let url = format!("http://{}{path}", self.settings.worker_list.address);
+        let response = client.get(url).send().await.context("ask for a page")?;
+        let status = response.status();
+        if !status.is_success() {
+            bail!("ask for a page: status {status}");
+        }
+        let body = response.bytes().await.context("read a page")?;
+        Ok(self.worker_list.read_page(&body)?)
+    }
+}
+
+fn list_client() -> anyhow::Result<reqwest::Client> {
+    reqwest::Client::builder()
+        .timeout(PAGE_TIME)
+        .connect_timeout(PAGE_TIME)
+        .no_proxy()
+        .build()
+        .context("make a client for the platform list")
+}
--- /dev/null
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -0,0 +1,243 @@
+//! Runs one item until it has an end.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Method, StatusCode, Uri};
+use pinerill_calls::compression::{compress, decompress};
+use pinerill_calls::job::{Header, ItemCall, ItemEnd, ItemReport};
+use pinerill_calls::message::{decode, LeasedItem};
+use pinerill_calls::protocol::{AttemptFacts, NotRunReason, Verdict};
+use tokio::time::{sleep, timeout};
+
+use super::leases::Held;
+use super::reports::Reporter;
+use crate::exchange::{BreakReason, EventScanner, EventText, Exchange, Sent, WorkerRequest};
+use crate::fleet::{Prompt, Wanted};
+use crate::node::{Node, Occupied};
+
+/// Pause before a place is looked for again.
+const PLACE_PAUSE: Duration = Duration::from_millis(50);
+/// Silence after which an item is continued at another worker.
+const PATIENCE: Duration = Duration::from_millis(2_500);
+/// Bytes of an answer's body that is no series of events.
+const SHORT_ANSWER_LIMIT: usize = 64 << 10;
+
+/// An item with what has arrived of it.
+struct Running {
+    leased: LeasedItem,
+    service: String,
+    headers: Vec<Header>,
+    request: WorkerRequest,
+    prompt: Prompt,
+    text: EventText,
+    last: Option<u64>,
+    /// The worker that broke it off last.
+    avoid: Vec<String>,
+}
+
+/// Runs an item and reports its end. Dropping the future closes the connection
+/// to the worker, which then stops working on it.
+pub(super) async fn run(node: Arc<Node>, held: Arc<Held>, leased: LeasedItem, reporter: Reporter) {
+    let item = leased.item.clone();
+    let started = Instant::now();
+    let Some(mut running) = begin(&node, leased) else {
+        // Neither is it told that it failed: the route may be back, or newer
+        // here than at the leader. Its lease runs out.
+        log::warn!(event = "item_unroutable", job = item.job.as_str(), index = item.index; "");
+        sleep(PATIENCE).await;
+        held.release(&item);
+        return;
+    };
+    let end = loop {
+        if let Some(end) = attempt(&node, &held, &mut running).await {
+            break end;
+        }
+    };
+    let outcome = match &end {
+        ItemEnd::Completed(_) => "completed",
+        ItemEnd::Impossible => "impossible",
+        ItemEnd::Failed => "failed",
+    };
+    match end {
+        ItemEnd::Completed(_) => node.counters.items_completed.add(1),
+        _ => node.counters.items_failed.add(1),
+    }
+    log::debug!(
+        event = "item_ended", id = running.leased.id.as_str(), job = item.job.as_str(),
+        outcome, ms = started.elapsed().as_millis() as u64; ""
+    );
+    // The receiver lives as long as the node.
+    let _ = reporter.send(ItemReport { item, end });
+}
+
+fn begin(node: &Node, leased: LeasedItem) -> Option<Running> {
+    let bytes = decompress(&leased.call).ok()?;
+    let call: ItemCall = decode(&bytes).ok()?;
+    let uri: Uri = call.path.parse().ok()?;
+    let table = node.table()?;
+    let route = table.route(&leased.host, uri.path())?;
+    let service = route.target_at(rand::random())?.service.clone();
+    Some(Running {
+        service,
+        prompt: Prompt::default(),
+        request: WorkerRequest {
+            method: Method::POST,
+            uri,
+            body: Bytes::from(call.body),
+            id: leased.id.clone(),
+        },
+        headers: call.headers,
+        leased,
+        text: EventText::default(),
+        last: None,
+        avoid: Vec::new(),
+    })
+}
+
+/// One attempt at one worker; none if the item must go on elsewhere.
+async fn attempt(node: &Arc<Node>, held: &Held, running: &mut Running) -> Option<ItemEnd> {
+    let place = find_place(node, held, running).await;
+    let chosen = place.worker().to_owned();
+    let (sent, place) = match send(node, running, place).await {
+        Ok(begun) => begun,
+        Err(reason) => {
+            broke(node, running, &chosen, &reason);
+            return None;
+        }
+    };
+    match sent.answer.verdict {
+        Verdict::NotRun(reason) => {
+            match reason {
+                NotRunReason::Full => node.worker_full(&chosen),
+                NotRunReason::OtherWorker => node.worker_replaced(&chosen),
+            }
+            drain(node, sent).await;
+            sleep(PLACE_PAUSE).await;
+            None
+        }
+        Verdict::Impossible => {
+            drain(node, sent).await;
+            Some(ItemEnd::Impossible)
+        }
+        Verdict::Taken if sent.head.status == StatusCode::OK => {
+            let read = read_events(running, sent.exchange, place, node).await;
+            match read {
+                Ok(()) => {
+                    let text = std::mem::take(&mut running.text).into_bytes();
+                    Some(ItemEnd::Completed(compress(&text)))
+                }
+                Err(reason) => {
+                    broke(node, running, &chosen, &reason);
+                    None
+                }
+            }
+        }
+        Verdict::Failed | Verdict::Taken | Verdict::Other => {
+            drain(node, sent).await;
+            Some(ItemEnd::Failed)
+        }
+    }
+}
+
+/// Waits for a worker with room, and for the leader's word that the item is
+/// still this node's.
+async fn find_place(node: &Arc<Node>, held: &Held, running: &mut Running) -> Occupied {
+    loop {
+        if held.is_renewed() {
+            let wanted = Wanted {
+                service: &running.service,
+                prompt: &running.prompt,
+                except: &running.avoid,
+            };
+            if let Some(chosen) = node.choose_for_item(&wanted) {
+                return node.occupy(&chosen, &running.prompt);
+            }
+        }
+        running.avoid.clear();
+        sleep(PLACE_PAUSE).await;
+    }
+}
+
+async fn send(
+    node: &Arc<Node>,
+    running: &Running,
+    place: Occupied,
+) -> Result<(Sent, Occupied), BreakReason> {
+    let Some(worker) = node.with_fleet(|fleet, _| {
+        let worker = fleet.worker(place.worker())?;
+        Some(worker.entry().clone())
+    }) else {
+        return Err(BreakReason::Connect("the worker is gone".to_owned()));
+    };
+    let facts = AttemptFacts {
+        remaining: None,
+        worker: &worker.id,
+        resume_after: running.last,
+    };
+    let protocol = node.worker_protocol();
+    let leased = &running.leased;
+    let headers = protocol.item_headers(&leased.id, &leased.host, &running.headers, &facts);
+    let begun = Exchange::begin(
+        node.connections(),
+        protocol,
+        &worker,
+        &running.request,
+        headers,
+    );
+    let sent = match timeout(PATIENCE, begun).await {
+        Ok(Ok(sent)) => sent,
+        Ok(Err(failure)) => return Err(failure.reason),
+        Err(_) => return Err(BreakReason::Silent),
+    };
+    if let Some(load) = sent.answer.load {
+        node.take_load(&worker.id, load);
+    }
+    Ok((sent, place))
+}
+
+async fn read_events(
+    running: &mut Running,
+    mut exchange: Exchange,
+    mut place: Occupied,
+    node: &Node,
+) -> Result<(), BreakReason> {
+    let mut scanner = EventScanner::after(running.last);
+    loop {
+        let piece = timeout(PATIENCE, exchange.next_piece()).await;
+        let Some(piece) = piece.unwrap_or(Err(BreakReason::Silent))? else {
+            break;
+        };
+        let batch = scanner.push(&piece).map_err(|_| BreakReason::EventOrder)?;
+        if batch.count > 0 {
+            place.prefilled();
+            running.text.append(&batch.bytes);
+            running.last = scanner.last();
+        }
+    }
+    if scanner.has_part() {
+        return Err(BreakReason::Cut);
+    }
+    place.succeeded();
+    exchange.finish(node.connections());
+    Ok(())
+}
+
+fn broke(node: &Node, running: &mut Running, worker: &str, reason: &BreakReason) {
+    node.worker_failed(worker);
+    running.avoid = vec![worker.to_owned()];
+    log::info!(
+        event = "item_attempt_broke", id = running.leased.id.as_str(), worker,
+        last:? = running.last, reason:% = reason; ""
+    );
+}
+
+/// Keeps the connection if the answer can be read to its end.
+async fn drain(node: &Node, sent: Sent) {
+    let reading = sent
+        .exchange
+        .read_whole(node.connections(), SHORT_ANSWER_LIMIT);
+    // Whatever is left unread closes the connection.
+    let _ = timeout(PATIENCE, reading).await;
+}
--- /dev/null
+++ b/crates/pinerill-forward/src/call/decision.rs
@@ -0,0 +1,93 @@
+//! What follows an attempt. Pure: the one place that decides whether a call
+//! may be sent again.
+
+use std::time::Duration;
+
+use pinerill_calls::protocol::Refusal;
+use pinerill_calls::table::RouteKind;
+
+/// When a caller shall come back after a refusal for want of room.
+const RETRY_AFTER: Duration = Duration::from_millis(150);
+
+/// How an attempt ended without an answer for the caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// Nothing was sent, or the worker promised that it did not run.
+    NotRun,
+    /// The worker may have run it; it broke off, was silent or answered
+    /// nonsense.
+    MayHaveRun,
+}
+
+/// What follows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Next {
+    /// Another attempt, at another worker if there is one.
+    Again,
+    /// No other attempt.
+    Refuse(Refusal),
+}
+
+/// What happened to a call so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallProgress {
+    kind: RouteKind,
+    /// Workers on which it may still run.
+    runs_left: u32,
+    may_have_run: bool,
+}
+
+impl CallProgress {
+    /// A call that was not sent yet.
+    pub fn new(kind: RouteKind, attempts: u32) -> Self {
+        CallProgress {
+            kind,
+            runs_left: attempts.max(1),
+            may_have_run: false,
+        }
+    }
+
+    /// Whether a worker may have run it.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
+    /// Takes in the end of an attempt. `has_time` tells whether another one
+    /// could still end in time.
+    pub fn after(&mut self, end: AttemptEnd, has_time: bool) -> Next {
+        if end == AttemptEnd::MayHaveRun {
+            self.may_have_run = true;
+            self.runs_left = self.runs_left.saturating_sub(1);
+        }
+        if self.may_be_sent() && has_time {
+            return Next::Again;
+        }
+        Next::Refuse(self.refusal())
+    }
+
+    /// Whether it may be sent to a worker: it never ran, or it may run again
+    /// and on one more worker.
+    pub fn may_be_sent(&self) -> bool {
+        !self.may_have_run || (self.kind.may_repeat() && self.runs_left > 0)
+    }
+
+    /// What the caller is told if nothing else follows. Only a call that no
+    /// worker can have begun is called not run.
+    pub fn refusal(&self) -> Refusal {
+        if self.may_have_run {
+            return Refusal::WorkerFailed("it broke off or was silent");
+        }
+        Refusal::NotRun {
+            reason: "no worker took it",
+            retry_after: Some(RETRY_AFTER),
+        }
+    }
+
+    /// What the caller is told when the time is up.
+    pub fn out_of_time(&self) -> Refusal {
+        if self.may_have_run {
+            return Refusal::TimedOut;
+        }
+        self.refusal()
+    }
+}
--- /dev/null
+++ b/crates/pinerill-forward/src/call/request.rs
@@ -0,0 +1,77 @@
+//! What a call is, for all its attempts.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::HeaderMap;
+use pinerill_calls::protocol::CallHead;
+use pinerill_calls::table::Route;
+
+use crate::exchange::WorkerRequest;
+use crate::fleet::Prompt;
+
+/// Shortest time in which an attempt can be expected to end.
+const SHORTEST_ATTEMPT: Duration = Duration::from_millis(20);
+/// Shortest silence after which a worker is given up.
+const SHORTEST_PATIENCE: Duration = Duration::from_millis(500);
+/// Objectives that may pass without an event before a worker is given up.
+const OBJECTIVES_OF_PATIENCE: f64 = 2.5;
+
+/// A call that was admitted.
+#[derive(Debug)]
+pub struct Call {
+    /// What the head says.
+    pub head: CallHead,
+    /// The caller's headers.
+    pub headers: HeaderMap,
+    /// What is sent to workers.
+    pub request: WorkerRequest,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Service of the route that was drawn for it.
+    pub service: String,
+    /// Version of the route table that was in force.
+    pub table_version: u64,
+    /// Its prompt.
+    pub prompt: Prompt,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When it must have its final answer.
+    pub deadline: Instant,
+}
+
+impl Call {
+    /// The time until which it may be held: the caller's and the route's.
+    pub fn deadline_of(head: &CallHead, route: &Route, arrived: Instant) -> Instant {
+        let allowed = Duration::from_millis(route.timeout_ms);
+        arrived + head.deadline.map_or(allowed, |told| told.min(allowed))
+    }
+
+    /// Time that is left.
+    pub fn remaining(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Whether another attempt could still end in time.
+    pub fn has_time(&self) -> bool {
+        self.remaining() > SHORTEST_ATTEMPT
+    }
+
+    /// Silence before the first event after which a call that may run again is
+    /// tried elsewhere.
+    pub fn first_patience(&self) -> Duration {
+        let objective = Duration::from_millis(self.route.objective_ms);
+        objective
+            .mul_f64(OBJECTIVES_OF_PATIENCE)
+            .max(SHORTEST_PATIENCE)
+    }
+
+    /// Silence between two events after which it is continued elsewhere.
+    pub fn gap_patience(&self) -> Duration {
+        let gap = self
+            .route
+            .gap_ms
+            .map_or(Duration::ZERO, Duration::from_millis);
+        gap.mul_f64(OBJECTIVES_OF_PATIENCE).max(SHORTEST_PATIENCE)
+    }
+}
--- /dev/null
+++ b/crates/pinerill-forward/src/cluster/client.rs
@@ -0,0 +1,216 @@
+//! Asks the control machines; follows the leader.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use pinerill_calls::message::{decode, CallsRequest, CallsResponse};
+use pinerill_wire::api::{CallError, CallErrorKind};
+use pinerill_wire::connection::{Connection, Identity, LinkCounters};
+use pinerill_wire::message::{RefusalCode, Request, Response};
+use thiserror::Error;
+use tokio::sync::Mutex as AsyncMutex;
+use tokio::time::{sleep, Instant};
+
+/// Pause before the next machine is asked.
+const RETRY_PAUSE: Duration = Duration::from_millis(40);
+/// Longest wait for one machine beyond the time that it may hold the answer.
+const TRY_TIME: Duration = Duration::from_millis(900);
+/// Longest time to connect.
+const CONNECT_TIME: Duration = Duration::from_millis(400);
+
+type Slot = Arc<AsyncMutex<Option<Connection>>>;
+
+/// A request without an answer.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{message}")]
+pub struct CallFailure {
+    /// Whether it may have been carried out.
+    pub maybe_done: bool,
+    /// It can't be right.
+    pub invalid: bool,
+    /// The last error, with its step and peer.
+    pub message: String,
+}
+
+/// An answer, and whether an earlier try may have been carried out too.
+#[derive(Debug)]
+pub struct Answered {
+    /// The answer.
+    pub response: CallsResponse,
+    /// Another try may have been carried out.
+    pub maybe_done_before: bool,
+}
+
+/// Connections to control machines, opened when first needed.
+pub struct ClusterClient {
+    identity: Identity,
+    addresses: Mutex<Addresses>,
+    connections: Mutex<HashMap<SocketAddr, Slot>>,
+    counters: Arc<LinkCounters>,
+}
+
+#[derive(Debug)]
+struct Addresses {
+    known: Vec<SocketAddr>,
+    next: usize,
+    leader: Option<SocketAddr>,
+}
+
+impl ClusterClient {
+    /// A client that knows some control machines.
+    pub fn new(identity: Identity, seeds: &[SocketAddr]) -> Self {
+        let next = rand::random::<u32>() as usize;
+        ClusterClient {
+            identity,
+            addresses: Mutex::new(Addresses {
+                known: seeds.to_vec(),
+                next,
+                leader: None,
+            }),
+            connections: Mutex::default(),
+            counters: Arc::default(),
+        }
+    }
+
+    /// Takes in which control machines there are.
+    pub fn learn(&self, known: Vec<SocketAddr>) {
+        if known.is_empty() {
+            return;
+        }
+        let mut addresses = self.addresses.lock();
+        if addresses.known != known {
+            self.connections.lock().retain(|one, _| known.contains(one));
+            addresses.known = known;
+        }
+    }
+
+    /// Asks the leader, following hints and trying others, until `time` is up.
+    /// `hold` is how long the machine may hold its answer.
+    ///
+    /// # Errors
+    /// [`CallFailure`] with the last error.
+    pub async fn call(
+        &self,
+        request: &CallsRequest,
+        time: Duration,
+        hold: Duration,
+    ) -> Result<Answered, CallFailure> {
+        let encoded = request.clone().into_wire();
+        let deadline = Instant::now() + time;
+        let mut failure = CallFailure {
+            maybe_done: false,
+            invalid: false,
+            message: "no control machine was asked".to_owned(),
+        };
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(failure);
+            }
+            let address = self.next_address();
+            let limit = left.min(TRY_TIME + hold);
+            match self.call_at(address, encoded.clone(), limit).await {
+                Ok(response) => {
+                    self.addresses.lock().leader = Some(address);
+                    return Ok(Answered {
+                        response,
+                        maybe_done_before: failure.maybe_done,
+                    });
+                }
+                Err(error) => {
+                    let hinted = self.take_in(address, &error);
+                    failure.maybe_done |= may_be_done(&error);
+                    failure.invalid = is_invalid(&error);
+                    failure.message = error.to_string();
+                    if failure.invalid {
+                        return Err(failure);
+                    }
+                    if !hinted {
+                        sleep(RETRY_PAUSE).await;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn call_at(
+        &self,
+        address: SocketAddr,
+        request: Request,
+        time: Duration,
+    ) -> Result<CallsResponse, CallError> {
+        let connection = self.connection(address).await?;
+        let unreadable = |message: String| CallError {
+            kind: CallErrorKind::Unknown,
+            step: "read answer".to_owned(),
+            peer: address.to_string(),
+            message,
+        };
+        match connection.call(request, time).await? {
+            Response::Calls(bytes) => decode(&bytes).map_err(|error| unreadable(error.to_string())),
+            _ => Err(unreadable("an answer of another kind".to_owned())),
+        }
+    }
+
+    async fn connection(&self, address: SocketAddr) -> Result<Connection, CallError> {
+        let slot = self.connections.lock().entry(address).or_default().clone();
+        let mut held = slot.lock().await;
+        if let Some(connection) = held.as_ref().filter(|one| !one.is_closed()) {
+            return Ok(connection.clone());
+        }
+        let opening = Connection::open(address, &self.identity, self.counters.clone());
+        let opened = tokio::time::timeout(CONNECT_TIME, opening).await;
+        let opened = opened.unwrap_or_else(|_| {
+            Err(CallError {
+                kind: CallErrorKind::NotSent,
+                step: "connect".to_owned(),
+                peer: address.to_string(),
+                message: "no answer in time".to_owned(),
+            })
+        })?;
+        *held = Some(opened.clone());
+        Ok(opened)
+    }
+
+    fn next_address(&self) -> SocketAddr {
+        let mut addresses = self.addresses.lock();
+        if let Some(leader) = addresses.leader {
+            return leader;
+        }
+        addresses.next = addresses.next.wrapping_add(1);
+        addresses.known[addresses.next % addresses.known.len()]
+    }
+
+    /// Notes what a failure says of the leader; true if it named another one.
+    fn take_in(&self, address: SocketAddr, error: &CallError) -> bool {
+        let mut addresses = self.addresses.lock();
+        let hint = match &error.kind {
+            CallErrorKind::Refused(refusal) if refusal.code == RefusalCode::NotLeader => {
+                refusal.leader
+            }
+            _ => None,
+        };
+        let hint = hint.filter(|leader| *leader != address);
+        if hint.is_some() {
+            addresses.leader = hint;
+        } else if addresses.leader == Some(address) {
+            addresses.leader = None;
+        }
+        hint.is_some()
+    }
+}
+
+fn may_be_done(error: &CallError) -> bool {
+    match &error.kind {
+        CallErrorKind::NotSent => false,
+        CallErrorKind::Unknown => true,
+        CallErrorKind::Refused(refusal) => refusal.code == RefusalCode::OutcomeUnknown,
+    }
+}
+
+fn is_invalid(error: &CallError) -> bool {
+    matches!(&error.kind, CallErrorKind::Refused(refusal) if refusal.code == RefusalCode::Invalid)
+}
--- /dev/null
+++ b/crates/pinerill-forward/src/cluster/mod.rs
@@ -0,0 +1,8 @@
+//! The node's side towards control machines: calls, the route table and the
+//! directory.
+
+mod client;
+mod watch;
+
+pub use client::{Answered, CallFailure, ClusterClient};
+pub(crate) use watch::follow;
--- /dev/null
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -0,0 +1,163 @@
+//! Follows the leader: route table, directory, control machines. While no
+//! control machine answers, the node reads the platform list itself, slowly.
+
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{bail, Context};
+use pinerill_calls::directory::WorkerEntry;
+use pinerill_calls::message::{
+    CallsRequest, CallsResponse, DirectoryPosition, WatchRequest, WatchResponse,
+};
+use pinerill_calls::protocol::WorkerListProtocol;
+use pinerill_calls::table::RouteIndex;
+use tokio::time::{sleep, Instant};
+
+use crate::node::Node;
+
+/// How long the leader may hold an answer.
+const HOLD: Duration = Duration::from_millis(1_000);
+/// How long the node asks around before it counts the control machines as
+/// lost.
+const ASK_TIME: Duration = Duration::from_millis(2_500);
+/// Pause after no control machine answered.
+const LOST_PAUSE: Duration = Duration::from_millis(100);
+/// Time without an answer after which the platform list is read here.
+const LIST_AFTER: Duration = Duration::from_millis(3_000);
+/// Pause between two own readings of the list; as many nodes may read it at
+/// once, each adds a random part of the same length.
+const LIST_PAUSE: Duration = Duration::from_millis(2_000);
+/// Longest wait for one page.
+const PAGE_TIME: Duration = Duration::from_millis(1_000);
+/// Pages of one reading; more can't be right.
+const PAGE_LIMIT: usize = 1_000;
+
+/// Follows the leader until the node stops.
+pub(crate) async fn follow(node: Arc<Node>, list: Arc<dyn WorkerListProtocol>) {
+    let watching = watch(node.clone());
+    let reading = read_list_while_lost(node, list);
+    tokio::join!(watching, reading);
+}
+
+async fn watch(node: Arc<Node>) {
+    let mut position: Option<DirectoryPosition> = None;
+    let mut connected = false;
+    loop {
+        let request = CallsRequest::Watch(WatchRequest {
+            node: node.settings.name.clone(),
+            table_version: node.table().map(|index| index.table().version),
+            directory: position,
+            wait_ms: HOLD.as_millis() as u64,
+        });
+        let answer = node.cluster.call(&request, ASK_TIME, HOLD).await;
+        let failure = match answer {
+            Ok(answered) => {
+                if let CallsResponse::Watch(response) = answered.response {
+                    note_connected(&node, &mut connected, true, "");
+                    take_in(&node, *response, &mut position);
+                }
+                continue;
+            }
+            Err(failure) => failure,
+        };
+        note_connected(&node, &mut connected, false, &failure.message);
+        sleep(LOST_PAUSE).await;
+    }
+}
+
+fn note_connected(node: &Node, connected: &mut bool, now: bool, message: &str) {
+    if now {
+        node.counters
+            .control_heard_ms
+            .store(node.now_ms(), Ordering::Relaxed);
+    }
+    if *connected != now {
+        *connected = now;
+        log::info!(event = "control_reachable", reachable = now, message; "");
+    }
+}
+
+fn take_in(node: &Node, response: WatchResponse, position: &mut Option<DirectoryPosition>) {
+    node.cluster.learn(response.controls);
+    node.counters.nodes.store(response.nodes, Ordering::Relaxed);
+    if let Some(table) = response.table {
+        let version = table.version;
+        if node.take_table(RouteIndex::new(table)) {
+            log::info!(event = "table_in_force", version; "");
+        }
+    }
+    if let Some(update) = response.directory {
+        *position = Some(DirectoryPosition {
+            epoch: update.epoch,
+            revision: update.directory.revision,
+        });
+        take_workers(node, &update.directory.workers, "control");
+    }
+}
+
+fn take_workers(node: &Node, workers: &[WorkerEntry], source: &str) {
+    let gone = node.with_fleet(|fleet, _| fleet.take_directory(workers));
+    for worker in &gone {
+        node.connections().forget(worker);
+    }
+    log::info!(
+        event = "directory_taken", source, workers = workers.len(), gone = gone.len(); ""
+    );
+}
+
+async fn read_list_while_lost(node: Arc<Node>, list: Arc<dyn WorkerListProtocol>) {
+    let client = match reqwest::Client::builder()
+        .timeout(PAGE_TIME)
+        .no_proxy()
+        .build()
+    {
+        Ok(client) => client,
+        Err(error) => {
+            log::error!(event = "worker_list_client_failed", error:%; "");
+            return;
+        }
+    };
+    loop {
+        let jitter = LIST_PAUSE.mul_f64(rand::random());
+        sleep(LIST_PAUSE + jitter).await;
+        let heard_ms = node.counters.control_heard_ms.load(Ordering::Relaxed);
+        let silent_ms = node.now_ms().saturating_sub(heard_ms);
+        if Duration::from_millis(silent_ms) < LIST_AFTER {
+            continue;
+        }
+        let started = Instant::now();
+        match read_list(&node, &client, list.as_ref()).await {
+            Ok(workers) => take_workers(&node, &workers, "list"),
+            Err(error) => log::warn!(
+                event = "worker_list_failed", error:% = format!("{error:#}"),
+                ms = started.elapsed().as_millis() as u64; ""
+            ),
+        }
+    }
+}
+
+async fn read_list(
+    node: &Node,
+    client: &reqwest::Client,
+    list: &dyn WorkerListProtocol,
+) -> anyhow::Result<Vec<WorkerEntry>> {
+    let mut workers = Vec::new();
+    let mut token: Option<String> = None;
+    for _ in 0..PAGE_LIMIT {
+        let path = list.page_path(token.as_deref());
+        let url = format!("http://{}{path}", node.settings.worker_list);
+        let response = client.get(url).send().await.context("ask for a page")?;
+        if !response.status().is_success() {
+            bail!("ask for a page: status {}", response.status());
+        }
+        let body = response.bytes().await.context("read a page")?;
+        let page = list.read_page(&body)?;
+        workers.extend(page.workers);
+        token = page.next;
+        if token.is_none() {
+            return Ok(workers);
+        }
+    }
+    bail!("more than {PAGE_LIMIT} pages")
+}
--- /dev/null
+++ b/crates/pinerill-forward/src/fleet/choice.rs
@@ -0,0 +1,165 @@
+//! The choice of a worker: the one at which the first event is expected
+//! soonest, with a price on distance.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use super::prefixes::Prompt;
+use super::worker::Worker;
+use super::{Chosen, Fleet};
+
+/// What one more request beside others costs while there are free slots,
+/// milliseconds: a step takes a little longer.
+const BESIDE_MS: f64 = 0.3;
+/// What each request beyond the slots costs, milliseconds: it waits for one.
+const WAITING_MS: f64 = 30.0;
+/// What a worker that is still slow after its start costs, milliseconds.
+const COLD_MS: f64 = 50.0;
+/// What a worker that had no room a moment ago costs, milliseconds.
+const FULL_COST_MS: f64 = 200.0;
+/// What a worker that failed costs: it is chosen when there is no other.
+const AVOIDED_COST_MS: f64 = 10_000.0;
+/// Part of a prefix's reading time that is counted at the worker to which all
+/// nodes of a zone send that prefix, where this node doesn't know it yet.
+const MEETING_POINT: f64 = 0.5;
+
+/// What a worker is wanted for.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The prompt.
+    pub prompt: &'a Prompt,
+    /// Workers that are not to be chosen, by identifier.
+    pub except: &'a [String],
+}
+
+/// Room for items of jobs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BatchCapacity {
+    /// Items that this node may begin.
+    pub items: u32,
+}
+
+impl Fleet {
+    /// The worker for a caller's call; none if the service has no other one.
+    pub fn choose(&self, now_ms: u64, wanted: &Wanted<'_>) -> Option<Chosen> {
+        let meeting_point = self.meeting_point(wanted);
+        let candidates = self
+            .candidates(wanted.service)
+            .filter(|worker| !wanted.except.contains(&worker.entry().id));
+        let scored = candidates.map(|worker| {
+            let meets = meeting_point == Some(worker.entry().id.as_str());
+            let prefill_ms = self.prefill_ms(worker, wanted.prompt, meets);
+            (self.cost_ms(now_ms, worker, prefill_ms), worker)
+        });
+        let (_, best) = scored.min_by(|left, right| left.0.total_cmp(&right.0))?;
+        Some(self.chosen(best, wanted.prompt))
+    }
+
+    /// The worker for an item of a job: the emptiest in reach that has room
+    /// beside callers' calls.
+    pub fn choose_for_item(&self, now_ms: u64, wanted: &Wanted<'_>) -> Option<Chosen> {
+        let share = self.settings.batch_share;
+        let candidates = self.candidates(wanted.service).filter(|worker| {
+            let room = worker.occupied(now_ms) + 1.0 <= worker.slots() * share;
+            let sound = !worker.is_avoided(now_ms) && !worker.is_full(now_ms);
+            room && sound && !wanted.except.contains(&worker.entry().id)
+        });
+        let scored = candidates.map(|worker| {
+            let filled = worker.occupied(now_ms) / worker.slots();
+            let away = if self.is_near(worker) { 0.0 } else { 1.0 };
+            (filled + away, worker)
+        });
+        let (_, best) = scored.min_by(|left, right| left.0.total_cmp(&right.0))?;
+        Some(self.chosen(best, wanted.prompt))
+    }
+
+    /// Items that this node may begin, if `nodes` nodes share the fleet. The
+    /// workers of its zone are shared by the nodes of its zone; where there
+    /// are none, all are shared by all.
+    pub fn batch_capacity(&self, now_ms: u64, nodes: u32) -> BatchCapacity {
+        let share = self.settings.batch_share;
+        let free = |worker: &Worker| {
+            let sound = !worker.is_avoided(now_ms);
+            let room = worker.slots() * share - worker.occupied(now_ms);
+            if sound {
+                room.max(0.0)
+            } else {
+                0.0
+            }
+        };
+        let ready = || {
+            let services = self.by_service.keys();
+            services.flat_map(|service| self.candidates(service))
+        };
+        let mut zones: Vec<&str> = ready().map(|worker| worker.entry().zone.as_str()).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        let near: f64 = ready().filter(|one| self.is_near(one)).map(free).sum();
+        let here = zones.contains(&self.zone.as_str());
+        let (room, sharers) = if here {
+            (near, f64::from(nodes) / zones.len() as f64)
+        } else {
+            (ready().map(free).sum(), f64::from(nodes))
+        };
+        BatchCapacity {
+            items: (room / sharers.max(1.0)) as u32,
+        }
+    }
+
+    fn chosen(&self, worker: &Worker, prompt: &Prompt) -> Chosen {
+        Chosen {
+            entry: worker.entry().clone(),
+            prefill_ms: self.prefill_ms(worker, prompt, false),
+        }
+    }
+
+    fn is_near(&self, worker: &Worker) -> bool {
+        worker.entry().zone == self.zone
+    }
+
+    fn prefill_ms(&self, worker: &Worker, prompt: &Prompt, meets: bool) -> f64 {
+        let unread = prompt.tokens - worker.prefixes.known_tokens(prompt).min(prompt.tokens);
+        let whole = unread as f64 / self.settings.prefill_tokens_per_ms;
+        if meets {
+            whole * MEETING_POINT
+        } else {
+            whole
+        }
+    }
+
+    fn cost_ms(&self, now_ms: u64, worker: &Worker, prefill_ms: f64) -> f64 {
+        let occupied = worker.occupied(now_ms);
+        let beyond = (occupied + 1.0 - worker.slots()).max(0.0);
+        let mut cost = prefill_ms + worker.pending_prefill_ms;
+        cost += occupied * BESIDE_MS + beyond * WAITING_MS;
+        if !self.is_near(worker) {
+            cost += self.settings.other_zone_ms;
+        }
+        if worker.entry().cold_left_ms > 0 {
+            cost += COLD_MS;
+        }
+        if worker.is_full(now_ms) {
+            cost += FULL_COST_MS;
+        }
+        if worker.is_avoided(now_ms) {
+            cost += AVOIDED_COST_MS;
+        }
+        cost
+    }
+
+    /// The worker of this zone to which all its nodes send calls with the same
+    /// shared prefix, if nothing else counts (rendezvous hashing).
+    fn meeting_point(&self, wanted: &Wanted<'_>) -> Option<&str> {
+        let shared = wanted.prompt.shared()?;
+        let near = self
+            .candidates(wanted.service)
+            .filter(|one| self.is_near(one));
+        let first = near.max_by_key(|worker| {
+            let mut hasher = DefaultHasher::new();
+            (shared, worker.entry().id.as_str()).hash(&mut hasher);
+            hasher.finish()
+        })?;
+        Some(first.entry().id.as_str())
+    }
+}
--- /dev/null
+++ b/crates/pinerill-forward/src/fleet/mod.rs
@@ -0,0 +1,171 @@
+//! Workers as this node sees them, and the choice of one.
+//!
+//! [`Fleet`] is pure: it is told of directories, load samples and failures and
+//! is asked for a worker. Its beliefs carry the time at which they were learnt
+//! and fade with it.
+
+mod choice;
+mod prefixes;
+mod worker;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use pinerill_calls::directory::{WorkerEntry, WorkerId, WorkerState};
+use pinerill_calls::protocol::LoadSample;
+
+pub use choice::{BatchCapacity, Wanted};
+pub use prefixes::{PrefixMemory, Prompt};
+pub use worker::Worker;
+
+/// Weights of the choice.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ChoiceSettings {
+    /// Prompt tokens that a worker reads in a millisecond.
+    pub prefill_tokens_per_ms: f64,
+    /// What a worker in another zone costs, milliseconds.
+    pub other_zone_ms: f64,
+    /// Part of a worker's slots that items of jobs may fill.
+    pub batch_share: f64,
+}
+
+impl Default for ChoiceSettings {
+    fn default() -> Self {
+        ChoiceSettings {
+            prefill_tokens_per_ms: 50.0,
+            other_zone_ms: 40.0,
+            batch_share: 0.65,
+        }
+    }
+}
+
+/// All workers, by service.
+#[derive(Debug)]
+pub struct Fleet {
+    zone: String,
+    settings: ChoiceSettings,
+    workers: HashMap<WorkerId, Worker>,
+    by_service: HashMap<String, Vec<WorkerId>>,
+}
+
+impl Fleet {
+    /// A fleet without workers, seen from a zone.
+    pub fn new(zone: &str, settings: ChoiceSettings) -> Self {
+        Fleet {
+            zone: zone.to_owned(),
+            settings,
+            workers: HashMap::new(),
+            by_service: HashMap::new(),
+        }
+    }
+
+    /// Takes in a whole directory. What is known of workers that stay is kept;
+    /// one that was seen leaving stays so. Returns the workers that are gone.
+    pub fn take_directory(&mut self, entries: &[WorkerEntry]) -> Vec<WorkerId> {
+        let mut earlier = std::mem::take(&mut self.workers);
+        self.by_service.clear();
+        for entry in entries {
+            let worker = match earlier.remove(&entry.id) {
+                Some(mut known) => {
+                    known.take_entry(entry);
+                    known
+                }
+                None => Worker::new(entry.clone()),
+            };
+            self.workers.insert(entry.id.clone(), worker);
+            let service = self.by_service.entry(entry.service.clone());
+            service.or_default().push(entry.id.clone());
+        }
+        earlier.into_keys().collect()
+    }
+
+    /// Whether the directory has any worker.
+    pub fn is_empty(&self) -> bool {
+        self.workers.is_empty()
+    }
+
+    /// The worker, if it is still listed.
+    pub fn worker(&self, id: &str) -> Option<&Worker> {
+        self.workers.get(id)
+    }
+
+    /// Notes that a request is sent there.
+    pub fn begin(&mut self, id: &str, prefill_ms: f64) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.in_flight += 1;
+            worker.pending_prefill_ms += prefill_ms;
+        }
+    }
+
+    /// Notes that the prompt of a request there was read.
+    pub fn prefilled(&mut self, id: &str, prefill_ms: f64) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.pending_prefill_ms = (worker.pending_prefill_ms - prefill_ms).max(0.0);
+        }
+    }
+
+    /// Notes that a request there has ended.
+    pub fn end(&mut self, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.in_flight = worker.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Takes in a load sample of an answer.
+    pub fn take_load(&mut self, now_ms: u64, id: &str, sample: LoadSample) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.take_load(now_ms, sample);
+        }
+    }
+
+    /// Notes that a worker answered as it should.
+    pub fn succeeded(&mut self, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.succeeded();
+        }
+    }
+
+    /// Notes that a worker could not be reached, broke off or was silent.
+    pub fn failed(&mut self, now_ms: u64, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.failed(now_ms);
+        }
+    }
+
+    /// Notes that a worker had no room.
+    pub fn was_full(&mut self, now_ms: u64, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.was_full(now_ms);
+        }
+    }
+
+    /// Notes that another worker answers at this one's address.
+    pub fn was_replaced(&mut self, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.leave();
+        }
+    }
+
+    /// Remembers that a worker has read a prompt.
+    pub fn remember_prompt(&mut self, now_ms: u64, id: &str, prompt: &Prompt) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.prefixes.remember(now_ms, prompt);
+        }
+    }
+
+    fn candidates(&self, service: &str) -> impl Iterator<Item = &Worker> {
+        let ids = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        ids.iter()
+            .filter_map(|id| self.workers.get(id))
+            .filter(|worker| worker.entry().state == WorkerState::Ready)
+    }
+}
+
+/// A chosen worker.
+#[derive(Debug, Clone)]
+pub struct Chosen {
+    /// The worker.
+    pub entry: Arc<WorkerEntry>,
+    /// Time that reading the prompt is expected to take there, milliseconds.
+    pub prefill_ms: f64,
+}
--- /dev/null
+++ b/crates/pinerill-forward/src/fleet/worker.rs
@@ -0,0 +1,134 @@
+//! One worker as this node sees it.
+
+use std::sync::Arc;
+
+use pinerill_calls::directory::{WorkerEntry, WorkerState};
+use pinerill_calls::protocol::LoadSample;
+
+use super::prefixes::PrefixMemory;
+
+/// A load sample counts in full up to this age, milliseconds.
+const SAMPLE_FRESH_MS: u64 = 700;
+/// And not at all from this age on.
+const SAMPLE_OLD_MS: u64 = 3_000;
+/// First time for which a worker that failed is avoided, milliseconds.
+const AVOID_FIRST_MS: u64 = 400;
+/// Longest time for which it is avoided.
+const AVOID_LONGEST_MS: u64 = 4_000;
+/// Time for which a worker that had no room is avoided.
+const FULL_MS: u64 = 40;
+
+/// A worker.
+#[derive(Debug)]
+pub struct Worker {
+    entry: Arc<WorkerEntry>,
+    /// Requests of this node there.
+    pub(super) in_flight: u32,
+    /// Time that prompts sent there by this node still take, milliseconds.
+    pub(super) pending_prefill_ms: f64,
+    /// Prompts that it has read.
+    pub(super) prefixes: PrefixMemory,
+    /// Requests of others there, when that was learnt.
+    others: Option<OthersSample>,
+    failures: u32,
+    avoid_until_ms: u64,
+    full_until_ms: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct OthersSample {
+    requests: u32,
+    at_ms: u64,
+}
+
+impl Worker {
+    pub(super) fn new(entry: WorkerEntry) -> Self {
+        Worker {
+            entry: Arc::new(entry),
+            in_flight: 0,
+            pending_prefill_ms: 0.0,
+            prefixes: PrefixMemory::default(),
+            others: None,
+            failures: 0,
+            avoid_until_ms: 0,
+            full_until_ms: 0,
+        }
+    }
+
+    /// Its entry in the directory.
+    pub fn entry(&self) -> &Arc<WorkerEntry> {
+        &self.entry
+    }
+
+    /// A worker that was seen leaving never comes back under its identifier.
+    pub(super) fn take_entry(&mut self, entry: &WorkerEntry) {
+        let leaving = self.entry.state == WorkerState::Draining;
+        if *self.entry != *entry {
+            self.entry = Arc::new(entry.clone());
+        }
+        if leaving {
+            self.leave();
+        }
+    }
+
+    pub(super) fn leave(&mut self) {
+        if self.entry.state != WorkerState::Draining {
+            let mut entry = WorkerEntry::clone(&self.entry);
+            entry.state = WorkerState::Draining;
+            self.entry = Arc::new(entry);
+        }
+    }
+
+    pub(super) fn take_load(&mut self, now_ms: u64, sample: LoadSample) {
+        let all = sample.running + sample.waiting;
+        self.others = Some(OthersSample {
+            requests: all.saturating_sub(self.in_flight),
+            at_ms: now_ms,
+        });
+    }
+
+    pub(super) fn succeeded(&mut self) {
+        self.failures = 0;
+        self.avoid_until_ms = 0;
+    }
+
+    /// Each failure in a row doubles the time for which it is avoided.
+    pub(super) fn failed(&mut self, now_ms: u64) {
+        let pause = AVOID_FIRST_MS << self.failures.min(8);
+        self.failures += 1;
+        self.avoid_until_ms = now_ms + pause.min(AVOID_LONGEST_MS);
+    }
+
+    pub(super) fn was_full(&mut self, now_ms: u64) {
+        self.full_until_ms = now_ms + FULL_MS;
+    }
+
+    /// Requests there, its own and those of others as far as still believed.
+    pub(super) fn occupied(&self, now_ms: u64) -> f64 {
+        f64::from(self.in_flight) + self.others_believed(now_ms)
+    }
+
+    fn others_believed(&self, now_ms: u64) -> f64 {
+        let Some(sample) = self.others else {
+            return 0.0;
+        };
+        let age = now_ms.saturating_sub(sample.at_ms);
+        let fading = SAMPLE_OLD_MS - SAMPLE_FRESH_MS;
+        let left = SAMPLE_OLD_MS.saturating_sub(age).min(fading);
+        f64::from(sample.requests) * left as f64 / fading as f64
+    }
+
+    /// Whether it failed a short while ago.
+    pub(super) fn is_avoided(&self, now_ms: u64) -> bool {
+        now_ms < self.avoid_until_ms
+    }
+
+    /// Whether it had no room a moment ago.
+    pub(super) fn is_full(&self, now_ms: u64) -> bool {
+        now_ms < self.full_until_ms
+    }
+
+    pub(super) fn slots(&self) -> f64 {
+        f64::from(self.entry.slots.max(1))
+    }
+}
--- /dev/null
+++ b/crates/pinerill-forward/src/gateway/jobs.rs
@@ -0,0 +1,146 @@
+//! Submissions, results, bodies and ends of jobs.
+
+use std::time::{Duration, Instant};
+
+use pinerill_calls::compression::decompress;
+use pinerill_calls::job::{ItemCall, NewCallJob, ResultPage};
+use pinerill_calls::message::{
+    decode, CallsRequest, CallsResponse, ReadItem, ReadResults, SubmitOutcome,
+};
+use pinerill_calls::protocol::{CallerAnswer, CallerRequest, HttpAnswer, Refusal};
+
+use crate::cluster::{Answered, CallFailure};
+use crate::node::Node;
+
+/// Longest wait for the control machines beyond the time that a caller asks
+/// them to wait.
+const ASK_TIME: Duration = Duration::from_millis(2_500);
+/// When to come back while the control machines don't answer.
+const LOST_RETRY: Duration = Duration::from_millis(300);
+
+/// Hands a job in. It is kept once the answer says so; an answer that never
+/// came leaves open whether it was.
+pub(super) async fn submit(
+    node: &Node,
+    job: NewCallJob,
+    deadline: Instant,
+) -> Result<HttpAnswer, Refusal> {
+    let id = job.id.clone();
+    let time = deadline
+        .saturating_duration_since(Instant::now())
+        .min(ASK_TIME);
+    let request = CallsRequest::SubmitJob(Box::new(job));
+    let answer = node.cluster.call(&request, time, Duration::ZERO).await;
+    let result = match answer {
+        Ok(Answered {
+            response: CallsResponse::SubmitJob(SubmitOutcome::Accepted),
+            ..
+        }) => Ok(node.caller_protocol.answer(CallerAnswer::JobAccepted)),
+        Ok(Answered {
+            response: CallsResponse::SubmitJob(SubmitOutcome::OverLimit),
+            maybe_done_before: false,
+        }) => Err(Refusal::OverLimit),
+        Ok(_) => Err(Refusal::TimedOut),
+        Err(failure) => Err(refusal_of(&failure)),
+    };
+    if let Err(refusal) = &result {
+        log::info!(event = "job_refused", job = id.as_str(), reason:% = refusal; "");
+    }
+    result
+}
+
+/// Serves what else callers ask of jobs.
+pub(super) async fn serve(node: &Node, request: CallerRequest) -> Result<HttpAnswer, Refusal> {
+    match request {
+        CallerRequest::ReadResults { job, from, wait } => results(node, job, from, wait).await,
+        CallerRequest::ReadItem { job, item } => item_body(node, job, item).await,
+        CallerRequest::EndJob(job) => end(node, job).await,
+        CallerRequest::Call(_) => Err(Refusal::NoRoute),
+    }
+}
+
+async fn results(
+    node: &Node,
+    job: String,
+    from: u32,
+    wait: Duration,
+) -> Result<HttpAnswer, Refusal> {
+    let request = CallsRequest::ReadResults(ReadResults {
+        job,
+        from,
+        wait_ms: wait.as_millis() as u64,
+    });
+    match ask(node, &request, wait).await? {
+        CallsResponse::Results(Some(page)) => {
+            let texts = texts(&page)?;
+            let answer = CallerAnswer::Results {
+                page: &page,
+                texts: &texts,
+            };
+            Ok(node.caller_protocol.answer(answer))
+        }
+        CallsResponse::Results(None) => Err(Refusal::NotFound),
+        _ => Err(Refusal::TimedOut),
+    }
+}
+
+fn texts(page: &ResultPage) -> Result<Vec<Vec<u8>>, Refusal> {
+    let unreadable = |_| Refusal::WorkerFailed("a stored text can't be read");
+    let entries = page.entries.iter();
+    entries
+        .map(|entry| match entry.text.is_empty() {
+            true => Ok(Vec::new()),
+            false => decompress(&entry.text).map_err(unreadable),
+        })
+        .collect()
+}
+
+async fn item_body(node: &Node, job: String, item: String) -> Result<HttpAnswer, Refusal> {
+    let request = CallsRequest::ReadItem(ReadItem { job, item });
+    match ask(node, &request, Duration::ZERO).await? {
+        CallsResponse::Item(Some(call)) => {
+            let unreadable = Refusal::WorkerFailed("a stored call can't be read");
+            let bytes = decompress(&call).map_err(|_| unreadable.clone())?;
+            let call: ItemCall = decode(&bytes).map_err(|_| unreadable)?;
+            Ok(node
+                .caller_protocol
+                .answer(CallerAnswer::ItemBody(&call.body)))
+        }
+        CallsResponse::Item(None) => Err(Refusal::NotFound),
+        _ => Err(Refusal::TimedOut),
+    }
+}
+
+async fn end(node: &Node, job: String) -> Result<HttpAnswer, Refusal> {
+    ask(node, &CallsRequest::EndJob(job), Duration::ZERO).await?;
+    Ok(node.caller_protocol.answer(CallerAnswer::JobEnded))
+}
+
+async fn ask(
+    node: &Node,
+    request: &CallsRequest,
+    hold: Duration,
+) -> Result<CallsResponse, Refusal> {
+    let answer = node.cluster.call(request, ASK_TIME + hold, hold).await;
+    match answer {
+        Ok(answered) => Ok(answered.response),
+        // Asking again does no harm, whatever became of this request.
+        Err(failure) => Err(refusal_of(&CallFailure {
+            maybe_done: false,
+            ..failure
+        })),
+    }
+}
+
+fn refusal_of(failure: &CallFailure) -> Refusal {
+    if failure.invalid {
+        return Refusal::Malformed(failure.message.clone());
+    }
+    if failure.maybe_done {
+        return Refusal::TimedOut;
+    }
+    Refusal::NotRun {
+        reason: "no control machine answers",
+        retry_after: Some(LOST_RETRY),
+    }
+}
--- /dev/null
+++ b/crates/pinerill-forward/src/gateway/request.rs
@@ -0,0 +1,126 @@
+//! One request: head, route, admission, body, and what serves it.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{Method, Request, Response};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use pinerill_calls::protocol::{CallHead, CallerAnswer, CallerRequest, HttpAnswer, Refusal};
+use pinerill_calls::table::{Route, RouteIndex, RouteKind};
+use tokio::time::timeout_at;
+
+use super::jobs;
+use crate::call::{run_call, AnswerBody, Call};
+use crate::exchange::WorkerRequest;
+use crate::fleet::Prompt;
+use crate::node::Node;
+
+/// When to come back to a node that has no route table yet.
+const STARTING_RETRY: Duration = Duration::from_millis(300);
+
+/// Answers one request.
+pub(super) async fn serve(node: Arc<Node>, request: Request<Incoming>) -> Response<AnswerBody> {
+    node.counters.requests.add(1);
+    let arrived = Instant::now();
+    let (head, body) = request.into_parts();
+    let answered = match node.caller_protocol.read_request(&head) {
+        Ok(CallerRequest::Call(call)) => serve_call(node.clone(), head, call, body, arrived).await,
+        Ok(other) => jobs::serve(&node, other).await.map(own_answer),
+        Err(error) => Err(Refusal::Malformed(error.to_string())),
+    };
+    answered.unwrap_or_else(|refusal| refused(&node, &refusal))
+}
+
+fn refused(node: &Node, refusal: &Refusal) -> Response<AnswerBody> {
+    node.counters.refusals.add(1);
+    own_answer(node.caller_protocol.answer(CallerAnswer::Refused(refusal)))
+}
+
+fn own_answer(answer: HttpAnswer) -> Response<AnswerBody> {
+    let body = Full::new(answer.body).map_err(|never| match never {});
+    let mut response = Response::new(body.boxed_unsync());
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    response
+}
+
+async fn serve_call(
+    node: Arc<Node>,
+    head: Parts,
+    call: CallHead,
+    body: Incoming,
+    arrived: Instant,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let table = admit(&node)?;
+    let path = head.uri.path();
+    let route = table
+        .route(&call.host, path)
+        .ok_or(Refusal::NoRoute)?
+        .clone();
+    let deadline = Call::deadline_of(&call, &route, arrived);
+    let limit = table.table().limits.max_body_bytes;
+    let body = read_body(body, limit, deadline).await?;
+    if route.kind == RouteKind::Batch && head.method == Method::POST {
+        let job = node
+            .caller_protocol
+            .read_job(&call, path, &route, &body)
+            .map_err(|error| Refusal::Malformed(error.to_string()))?;
+        return jobs::submit(&node, job, deadline).await.map(own_answer);
+    }
+    let call = admitted(&table, head, call, route, body, arrived, deadline)?;
+    run_call(node, call).await
+}
+
+/// A node without a route table can't say that a route does not exist.
+fn admit(node: &Node) -> Result<Arc<RouteIndex>, Refusal> {
+    node.table().ok_or(Refusal::NotRun {
+        reason: "no route table yet",
+        retry_after: Some(STARTING_RETRY),
+    })
+}
+
+fn admitted(
+    table: &RouteIndex,
+    head: Parts,
+    call: CallHead,
+    route: Arc<Route>,
+    body: Bytes,
+    arrived: Instant,
+    deadline: Instant,
+) -> Result<Call, Refusal> {
+    let target = route.target_at(rand::random()).ok_or(Refusal::NoRoute)?;
+    let service = target.service.clone();
+    Ok(Call {
+        prompt: Prompt::of_call(&call),
+        request: WorkerRequest {
+            method: head.method,
+            uri: head.uri,
+            body,
+            id: call.id.clone(),
+        },
+        head: call,
+        headers: head.headers,
+        route,
+        service,
+        table_version: table.table().version,
+        arrived,
+        deadline,
+    })
+}
+
+async fn read_body(body: Incoming, limit: u64, deadline: Instant) -> Result<Bytes, Refusal> {
+    let limited = Limited::new(body, limit as usize);
+    let read = timeout_at(deadline.into(), limited.collect()).await;
+    match read {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::TooLong),
+        Ok(Err(error)) => Err(Refusal::Malformed(format!("read body: {error}"))),
+        Err(_) => Err(Refusal::NotRun {
+            reason: "the body did not arrive in time",
+            retry_after: None,
+        }),
+    }
+}
--- /dev/null
+++ b/crates/pinerill-forward/src/lib.rs
@@ -0,0 +1,25 @@
+//! Nodes that forward calls.
+//!
+//! A call's way, top to bottom: [`gateway`] reads its head, finds its route
+//! and admits it; [`call`] runs it: [`fleet`] chooses a worker, [`exchange`]
+//! sends it there and reads the answer, [`call::decision`] says what follows,
+//! and the answer or its events go back to the caller. [`batch`] runs leased
+//! items of jobs over the same fleet and exchange. [`cluster`] keeps the route
+//! table and the directory of workers up to date.
+//!
+//! Decisions (choice of worker, what follows an attempt, the order of events,
+//! how many items to take) are pure; the rest feeds them.
+
+pub mod batch;
+pub mod call;
+pub mod cluster;
+pub mod exchange;
+pub mod fleet;
+pub mod gateway;
+
+mod monitoring;
+mod node;
+mod run;
+
+pub use node::Node;
+pub use run::{run, NodeProtocols};
--- /dev/null
+++ b/crates/pinerill-forward/src/node.rs
@@ -0,0 +1,190 @@
+//! What the parts of a node share.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use parking_lot::{Mutex, RwLock};
+use pinerill_calls::directory::WorkerId;
+use pinerill_calls::protocol::{CallerProtocol, LoadSample, WorkerProtocol};
+use pinerill_calls::table::RouteIndex;
+use tokio_util::sync::CancellationToken;
+
+use crate::cluster::ClusterClient;
+use crate::exchange::ConnectionPool;
+use crate::fleet::{BatchCapacity, Chosen, Fleet, Prompt, Wanted};
+use crate::monitoring::Counters;
+use pinerill_calls::settings::NodeSettings;
+
+/// A node.
+pub struct Node {
+    pub(crate) settings: NodeSettings,
+    /// The node in this start of its process.
+    pub(crate) start: String,
+    pub(crate) caller_protocol: Arc<dyn CallerProtocol>,
+    worker_protocol: Arc<dyn WorkerProtocol>,
+    pub(crate) cluster: ClusterClient,
+    table: RwLock<Option<Arc<RouteIndex>>>,
+    fleet: Mutex<Fleet>,
+    connections: ConnectionPool,
+    pub(crate) counters: Counters,
+    started: Instant,
+    pub(crate) stopping: CancellationToken,
+}
+
+/// What a node is made of.
+pub(crate) struct NodeParts {
+    pub(crate) settings: NodeSettings,
+    pub(crate) start: String,
+    pub(crate) caller_protocol: Arc<dyn CallerProtocol>,
+    pub(crate) worker_protocol: Arc<dyn WorkerProtocol>,
+    pub(crate) cluster: ClusterClient,
+    pub(crate) fleet: Fleet,
+    pub(crate) stopping: CancellationToken,
+}
+
+impl Node {
+    pub(crate) fn new(parts: NodeParts) -> Self {
+        Node {
+            settings: parts.settings,
+            start: parts.start,
+            caller_protocol: parts.caller_protocol,
+            worker_protocol: parts.worker_protocol,
+            cluster: parts.cluster,
+            table: RwLock::new(None),
+            fleet: Mutex::new(parts.fleet),
+            connections: ConnectionPool::default(),
+            counters: Counters::default(),
+            started: Instant::now(),
+            stopping: parts.stopping,
+        }
+    }
+
+    /// Milliseconds of a steady clock.
+    pub fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// How workers are spoken to.
+    pub fn worker_protocol(&self) -> &dyn WorkerProtocol {
+        self.worker_protocol.as_ref()
+    }
+
+    /// Idle connections to workers.
+    pub fn connections(&self) -> &ConnectionPool {
+        &self.connections
+    }
+
+    /// The route table in force here; none before the first.
+    pub fn table(&self) -> Option<Arc<RouteIndex>> {
+        self.table.read().clone()
+    }
+
+    /// Takes in a route table unless one as new is in force.
+    pub(crate) fn take_table(&self, index: RouteIndex) -> bool {
+        let mut held = self.table.write();
+        let version = index.table().version;
+        let newer = held
+            .as_ref()
+            .is_none_or(|known| known.table().version < version);
+        if newer {
+            *held = Some(Arc::new(index));
+        }
+        newer
+    }
+
+    /// Looks at the workers.
+    pub(crate) fn with_fleet<R>(&self, look: impl FnOnce(&mut Fleet, u64) -> R) -> R {
+        let now_ms = self.now_ms();
+        look(&mut self.fleet.lock(), now_ms)
+    }
+
+    /// The worker for a caller's call.
+    pub fn choose(&self, wanted: &Wanted<'_>) -> Option<Chosen> {
+        self.with_fleet(|fleet, now_ms| fleet.choose(now_ms, wanted))
+    }
+
+    /// The worker for an item of a job.
+    pub fn choose_for_item(&self, wanted: &Wanted<'_>) -> Option<Chosen> {
+        self.with_fleet(|fleet, now_ms| fleet.choose_for_item(now_ms, wanted))
+    }
+
+    /// Items of jobs that may begin here.
+    pub fn batch_capacity(&self, nodes: u32) -> BatchCapacity {
+        self.with_fleet(|fleet, now_ms| fleet.batch_capacity(now_ms, nodes))
+    }
+
+    /// Takes a place at a worker.
+    pub fn occupy(self: &Arc<Self>, chosen: &Chosen, prompt: &Prompt) -> Occupied {
+        let worker = chosen.entry.id.clone();
+        self.with_fleet(|fleet, now_ms| {
+            fleet.begin(&worker, chosen.prefill_ms);
+            fleet.remember_prompt(now_ms, &worker, prompt);
+        });
+        Occupied {
+            node: self.clone(),
+            worker,
+            prefill_ms: chosen.prefill_ms,
+            prefilled: false,
+        }
+    }
+
+    /// Takes in a load sample of an answer.
+    pub fn take_load(&self, worker: &str, load: LoadSample) {
+        self.with_fleet(|fleet, now_ms| fleet.take_load(now_ms, worker, load));
+    }
+
+    /// Notes that a worker could not be reached, broke off or was silent.
+    pub fn worker_failed(&self, worker: &str) {
+        self.counters.worker_failures.add(1);
+        self.with_fleet(|fleet, now_ms| fleet.failed(now_ms, worker));
+    }
+
+    /// Notes that a worker had no room.
+    pub fn worker_full(&self, worker: &str) {
+        self.counters.worker_refusals.add(1);
+        self.with_fleet(|fleet, now_ms| fleet.was_full(now_ms, worker));
+    }
+
+    /// Notes that another worker answers at this one's address.
+    pub fn worker_replaced(&self, worker: &str) {
+        log::info!(event = "worker_replaced", worker; "");
+        self.with_fleet(|fleet, _| fleet.was_replaced(worker));
+    }
+}
+
+/// A place at a worker, given up when dropped.
+pub struct Occupied {
+    node: Arc<Node>,
+    worker: WorkerId,
+    prefill_ms: f64,
+    prefilled: bool,
+}
+
+impl Occupied {
+    /// The worker.
+    pub fn worker(&self) -> &str {
+        &self.worker
+    }
+
+    /// The prompt was read: the first event is there.
+    pub fn prefilled(&mut self) {
+        if !self.prefilled {
+            self.prefilled = true;
+            self.node
+                .with_fleet(|fleet, _| fleet.prefilled(&self.worker, self.prefill_ms));
+        }
+    }
+
+    /// The worker answered as it should.
+    pub fn succeeded(&self) {
+        self.node
+            .with_fleet(|fleet, _| fleet.succeeded(&self.worker));
+    }
+}
+
+impl Drop for Occupied {
+    fn drop(&mut self) {
+        self.prefilled();
+        self.node.with_fleet(|fleet, _| fleet.end(&self.worker));
+    }
+}
--- /dev/null
+++ b/crates/pinerill-forward/src/run.rs
@@ -0,0 +1,134 @@
+//! Starts the parts of a node, and stops them in a planned way.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use pinerill_calls::protocol::{CallerProtocol, WorkerListProtocol, WorkerProtocol};
+use pinerill_process::{monitoring_server, Server, SettingsFile, StopSignals};
+use pinerill_wire::api::Role;
+use pinerill_wire::connection::{ClusterKey, Identity};
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::cluster::{self, ClusterClient};
+use crate::exchange::ConnectionPool;
+use crate::fleet::{ChoiceSettings, Fleet};
+use crate::node::{Node, NodeParts};
+use crate::{batch, gateway};
+use pinerill_calls::settings::{cluster_key, ForwardingSettings, NodeSettings, SettingsError};
+
+/// Part of the time for a planned stop that requests in flight get.
+const SERVING_PART: f64 = 0.85;
+/// Pause between two looks at idle connections.
+const SWEEP_PAUSE: Duration = Duration::from_millis(500);
+
+/// How callers, workers and the platform list are spoken to.
+pub struct NodeProtocols {
+    /// Callers.
+    pub callers: Arc<dyn CallerProtocol>,
+    /// Workers.
+    pub workers: Arc<dyn WorkerProtocol>,
+    /// The platform list.
+    pub worker_list: Arc<dyn WorkerListProtocol>,
+}
+
+/// Runs a node until SIGTERM or SIGINT.
+///
+/// # Errors
+/// When the settings can't be used or it can't start.
+pub async fn run(file: SettingsFile, protocols: NodeProtocols) -> anyhow::Result<()> {
+    let settings = ForwardingSettings::read(file.text())?;
+    let cluster = settings.cluster;
+    let settings = settings.node.ok_or(SettingsError::MissingSection("node"))?;
+    let key = cluster_key(&cluster)?;
+    let signals = StopSignals::from_system()?;
+    let listener = TcpListener::bind(settings.listen)
+        .await
+        .with_context(|| format!("listen at {}", settings.listen))?;
+    let grace = Duration::from_secs_f64(settings.stop_s).mul_f64(SERVING_PART);
+    let (ready_listen, admin) = (settings.ready_listen, settings.admin);
+    let node = Arc::new(build(
+        settings,
+        &cluster.name,
+        key,
+        &protocols,
+        &signals.planned,
+    ));
+    let probes = Server::start(ready_listen, monitoring_server(ready_listen, node.clone())).await?;
+    let metrics = Server::start(admin, monitoring_server(admin, node.clone())).await?;
+    log::info!(
+        event = "started", node = node.settings.name.as_str(),
+        address:% = node.settings.listen; ""
+    );
+    let spawn = |work| AbortOnDropHandle::<()>::new(tokio::spawn(work));
+    let following = spawn(boxed(cluster::follow(node.clone(), protocols.worker_list)));
+    let items = spawn(boxed(batch::run(node.clone())));
+    let reloading = spawn(boxed(follow_settings(node.clone(), file)));
+    let sweeping = spawn(boxed(sweep(node.clone())));
+    let serving = gateway::serve(node.clone(), listener, grace);
+    tokio::select! {
+        () = serving => {}
+        () = signals.forced.cancelled() => log::warn!(event = "stopped_at_once"; ""),
+    }
+    log::info!(event = "stopping", node = node.settings.name.as_str(); "");
+    drop((following, items, reloading, sweeping));
+    probes.stop().await;
+    metrics.stop().await;
+    log::info!(event = "stopped", node = node.settings.name.as_str(); "");
+    Ok(())
+}
+
+type BoxedWork = std::pin::Pin<Box<dyn std::future::Future<Output = ()> + Send>>;
+
+fn boxed(work: impl std::future::Future<Output = ()> + Send + 'static) -> BoxedWork {
+    Box::pin(work)
+}
+
+fn build(
+    settings: NodeSettings,
+    cluster: &str,
+    key: ClusterKey,
+    protocols: &NodeProtocols,
+    stopping: &CancellationToken,
+) -> Node {
+    let identity = Identity::new(cluster, key, Role::Node, &settings.name, &settings.zone);
+    let choice = ChoiceSettings {
+        batch_share: settings.batch_share,
+        ..ChoiceSettings::default()
+    };
+    Node::new(NodeParts {
+        start: format!("{}/{:016x}", settings.name, rand::random::<u64>()),
+        cluster: ClusterClient::new(identity, &settings.seed_addresses()),
+        fleet: Fleet::new(&settings.zone, choice),
+        caller_protocol: protocols.callers.clone(),
+        worker_protocol: protocols.workers.clone(),
+        stopping: stopping.clone(),
+        settings,
+    })
+}
+
+/// Takes over other seeds of a settings file that changes. What else differs
+/// counts from the next start on.
+async fn follow_settings(node: Arc<Node>, mut file: SettingsFile) {
+    loop {
+        match ForwardingSettings::read(file.changed().await) {
+            Ok(settings) => {
+                let seeds = settings.node.map(|node| node.seed_addresses());
+                let seeds = seeds.unwrap_or_default();
+                log::info!(event = "settings_reloaded", seeds:? = seeds; "");
+                node.cluster.learn(seeds);
+            }
+            Err(error) => log::warn!(event = "settings_refused", error:%; ""),
+        }
+    }
+}
+
+async fn sweep(node: Arc<Node>) {
+    loop {
+        sleep(SWEEP_PAUSE).await;
+        ConnectionPool::sweep(node.connections());
+    }
+}
--- a/crates/pinerill-storage/src/store.rs
+++ b/crates/pinerill-storage/src/store.rs
@@ -38,11 +38,17 @@
     /// Opens the data folder. An empty or missing folder becomes a stranger:
     /// it gets a new random identifier and belongs to no cluster.
     pub fn open(folder: impl AsRef<Path>) -> Result<Store, StorageError> {
+        Self::open_as(folder, ReplicaId(rand::random()))
+    }
+
+    /// Opens the data folder. An empty or missing folder becomes a stranger
+    /// with the identifier `newcomer`, which must be unique.
+    pub fn open_as(folder: impl AsRef<Path>, newcomer: ReplicaId) -> Result<Store, StorageError> {
         let folder = folder.as_ref();
         let path = folder.join(DATABASE_FILE);
         create_folder(folder)?;
         let database = open_database(&path)?;
-        let identity = load_or_create_identity(&database, &path)?;
+        let identity = load_or_create_identity(&database, &path, newcomer)?;
         sync_folder(folder)?;
         Self::start(database, path, identity)
     }
@@ -227,7 +233,11 @@
     read.is_ok() && !start.is_empty() && start != MAGIC
 }
 
-fn load_or_create_identity(database: &Database, path: &Path) -> Result<Identity, StorageError> {
+fn load_or_create_identity(
+    database: &Database,
+    path: &Path,
+    newcomer: ReplicaId,
+) -> Result<Identity, StorageError> {
     let step = "reading of the identity";
     if let Some(identity) = explain(step, path, read_identity(database))? {
         return Ok(identity);
@@ -236,7 +246,7 @@
         return Err(StorageError::new(step, path, StorageCause::Foreign));
     }
     let identity = Identity {
-        replica: ReplicaId(rand::random()),
+        replica: newcomer,
         cluster: None,
     };
     let written = write_identity(database, &identity);
--- a/crates/pinerill-wire/schema/wire.capnp
+++ b/crates/pinerill-wire/schema/wire.capnp
@@ -49,6 +49,8 @@
     replaceReplica @15 :ReplaceReplica;
     transferLeadership @16 :TransferLeadership;
     createGroups @17 :CreateGroups;
+    # A message of pinerill-calls, encoded there; opaque to this crate.
+    calls @18 :Data;
   }
 }
 
@@ -71,6 +73,8 @@
     replaceReplica @14 :ReplaceReplicaResponse;
     done @15 :Void;
     refused @16 :Refusal;
+    # A message of pinerill-calls, encoded there; opaque to this crate.
+    calls @17 :Data;
   }
 }
 
--- a/crates/pinerill-wire/src/codec/request.rs
+++ b/crates/pinerill-wire/src/codec/request.rs
@@ -47,6 +47,7 @@
         Request::CreateGroups(create) => {
             cluster::encode_create(create, builder.init_create_groups());
         }
+        Request::Calls(bytes) => builder.set_calls(bytes),
     }
 }
 
@@ -93,5 +94,6 @@
         Which::CreateGroups(create) => {
             Request::CreateGroups(Box::new(cluster::decode_create(create?)?))
         }
+        Which::Calls(bytes) => Request::Calls(bytes?.to_vec()),
     })
 }
--- a/crates/pinerill-wire/src/codec/response.rs
+++ b/crates/pinerill-wire/src/codec/response.rs
@@ -62,6 +62,7 @@
             builder.set_remaining(replace.remaining);
         }
         Response::Done => builder.set_done(()),
+        Response::Calls(bytes) => builder.set_calls(bytes),
         Response::Refused(refusal) => encode_refusal(refusal, builder.init_refused()),
     }
 }
@@ -115,6 +116,7 @@
             })
         }
         Which::Done(()) => Response::Done,
+        Which::Calls(bytes) => Response::Calls(bytes?.to_vec()),
         Which::Refused(refusal) => Response::Refused(decode_refusal(refusal?)?),
     })
 }
--- a/crates/pinerill-wire/src/connection/identity.rs
+++ b/crates/pinerill-wire/src/connection/identity.rs
@@ -46,6 +46,11 @@
         Self(bytes)
     }
 
+    /// No secret: connections are open to everybody who reaches them.
+    pub fn none() -> Self {
+        Self([0; KEY_BYTES])
+    }
+
     /// Reads a key of 64 hexadecimal digits from a file.
     ///
     /// # Errors
--- a/crates/pinerill-wire/src/connection/link.rs
+++ b/crates/pinerill-wire/src/connection/link.rs
@@ -22,7 +22,7 @@
 use crate::message::{Notification, Request, Response};
 
 /// Longest time to connect.
-const CONNECT_TIME: Duration = Duration::from_secs(2);
+const CONNECT_TIME: Duration = Duration::from_secs(1);
 /// Frames that may wait to be written; calls wait for room, notifications
 /// are dropped.
 const WRITE_QUEUE: usize = 1024;
@@ -199,7 +199,7 @@
     let stream = timeout(CONNECT_TIME, TcpStream::connect(address))
         .await
         .map_err(|_| ConnectionError::TimedOut(CONNECT_TIME.as_millis()))??;
-    stream.set_nodelay(true)?;
+    super::socket::set_options(&stream)?;
     Ok(stream)
 }
 
--- a/crates/pinerill-wire/src/connection/mod.rs
+++ b/crates/pinerill-wire/src/connection/mod.rs
@@ -11,6 +11,7 @@
 mod link;
 mod pool;
 mod server;
+mod socket;
 
 pub use framing::{ConnectionError, FRAME_LIMIT, HANDSHAKE_FRAME_LIMIT};
 pub use identity::{ClusterKey, Identity, KeyError};
--- a/crates/pinerill-wire/src/connection/pool.rs
+++ b/crates/pinerill-wire/src/connection/pool.rs
@@ -21,10 +21,15 @@
 
 type Connections = Mutex<BTreeMap<SocketAddr, Connection>>;
 
-/// Keeps one connection to each of a fixed set of addresses.
+/// Keeps one connection to each of a set of addresses, which may grow and
+/// shrink.
 #[derive(Clone)]
 pub struct PeerPool {
     connections: Arc<Connections>,
+    /// Ends the task of each address.
+    tasks: Arc<Mutex<BTreeMap<SocketAddr, CancellationToken>>>,
+    identity: Arc<Identity>,
+    stop: CancellationToken,
     counters: Arc<LinkCounters>,
 }
 
@@ -34,21 +39,55 @@
     pub fn start(addresses: &[SocketAddr], identity: &Identity, stop: &CancellationToken) -> Self {
         let pool = Self {
             connections: Arc::new(Mutex::new(BTreeMap::new())),
+            tasks: Arc::default(),
+            identity: Arc::new(identity.clone()),
+            stop: stop.clone(),
             counters: Arc::new(LinkCounters::default()),
         };
         for address in addresses {
-            let task = keep_connected(pool.clone(), *address, identity.clone());
-            let stop = stop.clone();
-            tokio::spawn(async move {
-                tokio::select! {
-                    () = stop.cancelled() => {}
-                    () = task => {}
-                }
-            });
+            pool.add(*address);
         }
         pool
     }
 
+    /// Keeps a connection to this address too. Must be called within a tokio
+    /// runtime.
+    pub fn add(&self, address: SocketAddr) {
+        let mut tasks = self.tasks.lock();
+        if tasks.contains_key(&address) {
+            return;
+        }
+        let ended = self.stop.child_token();
+        tasks.insert(address, ended.clone());
+        let task = keep_connected(self.clone(), address);
+        tokio::spawn(async move {
+            tokio::select! {
+                () = ended.cancelled() => {}
+                () = task => {}
+            }
+        });
+    }
+
+    /// Ends the connection to this address and connects no more.
+    pub fn remove(&self, address: SocketAddr) {
+        if let Some(ended) = self.tasks.lock().remove(&address) {
+            ended.cancel();
+        }
+        if let Some(connection) = self.connections.lock().remove(&address) {
+            connection.close();
+        }
+    }
+
+    /// Addresses that are kept connected.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.tasks.lock().keys().copied().collect()
+    }
+
+    /// The connection to the peer with this data folder.
+    pub fn to_replica(&self, replica: u64) -> Option<Connection> {
+        self.find(|peer| peer.replica == replica)
+    }
+
     /// Peers that are connected now.
     pub fn peers(&self) -> Vec<Peer> {
         let connections = self.connections.lock();
@@ -113,9 +152,9 @@
     }
 }
 
-async fn keep_connected(pool: PeerPool, address: SocketAddr, identity: Identity) {
+async fn keep_connected(pool: PeerPool, address: SocketAddr) {
     loop {
-        match Connection::open(address, &identity, pool.counters.clone()).await {
+        match Connection::open(address, &pool.identity, pool.counters.clone()).await {
             Ok(connection) => hold(&pool, address, connection).await,
             Err(error) => log::debug!(error:%; "peer is not connected"),
         }
--- a/crates/pinerill-wire/src/connection/server.rs
+++ b/crates/pinerill-wire/src/connection/server.rs
@@ -81,8 +81,9 @@
     counters: Arc<ServerCounters>,
     stop: CancellationToken,
 ) {
-    // Without this, small answers wait for the peer's delayed acknowledgement.
-    let _ = stream.set_nodelay(true);
+    if let Err(error) = super::socket::set_options(&stream) {
+        log::debug!(step = "set socket options", peer:% = address, error:%; "connection lost");
+    }
     let peer = match handshake::accept(&mut stream, &identity, address).await {
         Ok(peer) => peer,
         Err(error) => {
--- a/crates/pinerill-wire/src/message/mod.rs
+++ b/crates/pinerill-wire/src/message/mod.rs
@@ -77,6 +77,9 @@
     TransferLeadership(TransferLeadership),
     /// Control machine that founds a cluster → every other one.
     CreateGroups(Box<CreateGroups>),
+    /// Between processes that forward calls: an encoded request of
+    /// `pinerill-calls`, opaque to this crate.
+    Calls(Vec<u8>),
 }
 
 /// What is answered.
@@ -114,6 +117,8 @@
     ReplaceReplica(ReplaceReplicaResponse),
     /// To [`Request::TransferLeadership`] and [`Request::CreateGroups`].
     Done,
+    /// To [`Request::Calls`]: an encoded response of `pinerill-calls`.
+    Calls(Vec<u8>),
     /// To any request that was not carried out.
     Refused(Refusal),
 }
