--- /dev/null
+++ b/crates/pinerill-calls/tests/messages.rs
@@ -0,0 +1,96 @@
+//! Encoding of messages, and settings files.
+
+use pinerill_calls::compression::{compress, decompress};
+use pinerill_calls::job::ItemRef;
+use pinerill_calls::message::{decode, encode, CallsRequest, LeaseRequest, MessageError};
+use pinerill_calls::settings::{ForwardingSettings, SettingsError, EXAMPLE};
+use proptest::prelude::*;
+
+fn request() -> CallsRequest {
+    CallsRequest::LeaseItems(LeaseRequest {
+        node: "n".to_owned(),
+        held: vec![ItemRef {
+            job: "j".to_owned(),
+            index: 3,
+        }],
+        want: 2,
+        wait_ms: 500,
+    })
+}
+
+#[test]
+fn a_message_comes_back_as_it_was() {
+    let decoded: Result<CallsRequest, MessageError> = decode(&encode(&request()));
+    assert_eq!(decoded, Ok(request()));
+}
+
+#[test]
+fn another_version_is_refused_by_its_number() {
+    let mut bytes = encode(&request());
+    bytes[0] = 9;
+    let decoded: Result<CallsRequest, MessageError> = decode(&bytes);
+    assert_eq!(decoded, Err(MessageError::Version(Some(9))));
+    let empty: Result<CallsRequest, MessageError> = decode(&[]);
+    assert_eq!(empty, Err(MessageError::Version(None)));
+}
+
+proptest! {
+    #[test]
+    fn bytes_of_a_stranger_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = decode::<CallsRequest>(&bytes);
+        let _ = decompress(&bytes);
+    }
+
+    #[test]
+    fn compression_loses_nothing(bytes in proptest::collection::vec(any::<u8>(), 0..2_000)) {
+        prop_assert_eq!(decompress(&compress(&bytes)).ok(), Some(bytes));
+    }
+}
+
+#[test]
+fn the_example_is_a_settings_file() {
+    let settings = ForwardingSettings::read(EXAMPLE).expect("the example is sound");
+    assert_eq!(settings.control.map(|control| control.voters()), Some(3));
+    assert!(settings.node.is_some());
+}
+
+#[test]
+fn a_seed_port_takes_the_place_of_the_seeds_own() {
+    let text = EXAMPLE.replace("stop_s", "seed_port = 99\nstop_s");
+    let node = ForwardingSettings::read(&text).expect("sound").node;
+    let seeds = node.expect("the example has a node").seed_addresses();
+    assert!(seeds.iter().all(|seed| seed.port() == 99));
+}
+
+#[test]
+fn a_wrong_field_is_named() {
+    let cases = [
+        ("name = \"node-1\"", "name = \"\"", "node.name"),
+        (
+            "batch_share = 0.65",
+            "batch_share = 1.5",
+            "node.batch_share",
+        ),
+        ("stop_s = 8.0", "stop_s = 0.0", "node.stop_s"),
+        (
+            "poll_ms = 1000",
+            "poll_ms = 0",
+            "control.worker_list.poll_ms",
+        ),
+        ("10.0.0.1:7721", "10.0.0.1:7720", "control.listen"),
+    ];
+    for (right, wrong, expected) in cases {
+        let text = EXAMPLE.replace(right, wrong);
+        match ForwardingSettings::read(&text) {
+            Err(SettingsError::Field { field, .. }) => assert_eq!(field, expected),
+            other => panic!("{wrong}: {other:?}"),
+        }
+    }
+}
+
+#[test]
+fn an_unknown_field_is_refused() {
+    let text = EXAMPLE.replace("found = false", "fuond = false");
+    let read = ForwardingSettings::read(&text);
+    assert!(matches!(read, Err(SettingsError::Malformed(message)) if message.contains("fuond")));
+}
--- /dev/null
+++ b/crates/pinerill-calls/tests/route_table.rs
@@ -0,0 +1,118 @@
+//! Route tables: what is invalid, and which route a call gets.
+
+use pinerill_calls::table::{
+    RequestLimits, Route, RouteIndex, RouteKind, RouteTable, Service, TableError, Target,
+};
+
+fn service(name: &str) -> Service {
+    Service {
+        name: name.to_owned(),
+        max_connections: 10,
+        slots: Some(4),
+        cache_tokens: None,
+    }
+}
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RouteKind::Repeatable,
+        timeout_ms: 1_000,
+        objective_ms: 100,
+        rank: 0,
+        targets: vec![Target {
+            service: "s".to_owned(),
+            weight: 1,
+        }],
+        attempts: 1,
+        gap_ms: None,
+        batch: None,
+    }
+}
+
+fn table(routes: Vec<Route>) -> RouteTable {
+    RouteTable {
+        version: 1,
+        routes,
+        services: vec![service("s")],
+        limits: RequestLimits::default(),
+    }
+}
+
+#[test]
+fn a_sound_table_passes() {
+    let sound = table(vec![route("a", "h", "/a/"), route("b", "h", "/b/")]);
+    assert_eq!(sound.check(), Ok(()));
+}
+
+#[test]
+fn each_fault_is_named_with_its_route() {
+    let name = || "a".to_owned();
+    let mut unknown = route("a", "h", "/a/");
+    unknown.targets[0].service = "other".to_owned();
+    let mut weightless = route("a", "h", "/a/");
+    weightless.targets[0].weight = 0;
+    let mut timeless = route("a", "h", "/a/");
+    timeless.timeout_ms = 0;
+    let unknown_service = TableError::UnknownService {
+        route: name(),
+        service: "other".to_owned(),
+    };
+    let doubled = vec![route("b", "h", "/a/"), route("a", "h", "/a/")];
+    let cases = [
+        (vec![unknown], unknown_service),
+        (vec![weightless], TableError::NoWeight { route: name() }),
+        (vec![timeless], TableError::NoTimeout { route: name() }),
+        (
+            vec![route("a", "h", "/a")],
+            TableError::MalformedPrefix { route: name() },
+        ),
+        (doubled, TableError::SamePlace { route: name() }),
+    ];
+    for (invalid, expected) in cases {
+        assert_eq!(table(invalid).check(), Err(expected));
+    }
+}
+
+#[test]
+fn two_services_of_one_name_are_refused() {
+    let mut doubled = table(vec![]);
+    doubled.services.push(service("s"));
+    let expected = TableError::SameService {
+        service: "s".to_owned(),
+    };
+    assert_eq!(doubled.check(), Err(expected));
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_counts() {
+    let index = RouteIndex::new(table(vec![
+        route("short", "h", "/a/"),
+        route("long", "h", "/a/b/"),
+        route("other", "g", "/a/b/c/"),
+    ]));
+    let found = |host: &str, path: &str| index.route(host, path).map(|one| one.name.clone());
+    assert_eq!(found("h", "/a/b/c/d"), Some("long".to_owned()));
+    assert_eq!(found("h", "/a/x"), Some("short".to_owned()));
+    assert_eq!(found("H:8080", "/a/x"), Some("short".to_owned()));
+    assert_eq!(found("h", "/x"), None);
+    assert_eq!(found("unknown", "/a/x"), None);
+}
+
+#[test]
+fn weights_share_out_all_points() {
+    let mut split = route("a", "h", "/a/");
+    split.targets = [("x", 3), ("y", 0), ("z", 1)]
+        .map(|(service, weight)| Target {
+            service: service.to_owned(),
+            weight,
+        })
+        .to_vec();
+    let drawn: Vec<&str> = (0..8)
+        .filter_map(|point| split.target_at(point))
+        .map(|target| target.service.as_str())
+        .collect();
+    assert_eq!(drawn, ["x", "x", "x", "z", "x", "x", "x", "z"]);
+}
--- /dev/null
+++ b/crates/pinerill-cluster/tests/leases.rs
@@ -0,0 +1,150 @@
+//! Which node runs which item.
+
+use pinerill_calls::job::{ItemRef, NewCallItem, NewCallJob};
+use pinerill_calls::message::encode;
+use pinerill_cluster::leases::{LeaseBook, LeaseSettings};
+use pinerill_cluster::machine::{ClusterMachine, Command, QueuePosition, StampedCommand};
+use pinerill_control::host::{StateMachine, TableWriter};
+
+const SETTINGS: LeaseSettings = LeaseSettings {
+    duration_ms: 3_000,
+    reclaim_ms: 1_500,
+};
+/// A time at which a leadership that began at 0 hands items out.
+const READY: u64 = 1_500;
+
+struct NoTable;
+
+impl TableWriter for NoTable {
+    fn put(&mut self, _key: &[u8], _value: &[u8]) {}
+    fn delete(&mut self, _key: &[u8]) {}
+}
+
+fn apply(machine: &mut ClusterMachine, elapsed_ms: u64, command: Command) {
+    let bytes = encode(&StampedCommand {
+        elapsed_ms,
+        command,
+    });
+    machine.apply(1, &bytes, &mut NoTable);
+}
+
+fn submit(machine: &mut ClusterMachine, id: &str, items: usize, target_ms: u64) {
+    let item = |number: usize| NewCallItem {
+        id: format!("{id}-{number}"),
+        tokens: 1,
+        call: vec![],
+    };
+    let job = NewCallJob {
+        id: id.to_owned(),
+        host: "h".to_owned(),
+        path: "/b/".to_owned(),
+        items: (0..items).map(item).collect(),
+        result_target_ms: target_ms,
+        give_up_ms: 600_000,
+        attempts: 3,
+        max_waiting_tokens: 0,
+        route: "r".to_owned(),
+    };
+    apply(machine, 0, Command::SubmitJob(Box::new(job)));
+}
+
+fn reference(id: &str, index: u32) -> ItemRef {
+    ItemRef {
+        job: id.to_owned(),
+        index,
+    }
+}
+
+struct Leader {
+    machine: ClusterMachine,
+    book: LeaseBook,
+}
+
+impl Leader {
+    fn with_job(items: usize) -> Self {
+        let mut machine = ClusterMachine::default();
+        submit(&mut machine, "a", items, 20_000);
+        Leader {
+            machine,
+            book: LeaseBook::new(SETTINGS, 0),
+        }
+    }
+
+    fn lease(&mut self, now: u64, node: &str, held: &[ItemRef], want: usize) -> (Vec<u32>, usize) {
+        let clock = self.machine.clock_ms();
+        let decision = self
+            .book
+            .lease(now, self.machine.jobs(), clock, node, held, want);
+        let leased = decision.leased.iter().map(|place| place.index);
+        (leased.collect(), decision.stop.len())
+    }
+}
+
+#[test]
+fn an_item_is_at_one_node_at_a_time() {
+    let mut leader = Leader::with_job(3);
+    assert_eq!(leader.lease(READY, "x", &[], 2).0, [0, 1]);
+    assert_eq!(leader.lease(READY, "y", &[], 2).0, [2]);
+    assert!(!leader.book.has_free(READY, leader.machine.jobs()));
+}
+
+#[test]
+fn a_lease_that_is_not_renewed_runs_out() {
+    let mut leader = Leader::with_job(1);
+    leader.lease(READY, "x", &[], 1);
+    let almost = READY + SETTINGS.duration_ms - 1;
+    assert_eq!(leader.lease(almost, "y", &[], 1).0, [0u32; 0]);
+    assert_eq!(leader.lease(almost + 1, "y", &[], 1).0, [0]);
+    // The first node is told to stop when it comes back.
+    assert_eq!(leader.lease(almost + 2, "x", &[reference("a", 0)], 0).1, 1);
+}
+
+#[test]
+fn a_renewed_lease_goes_on() {
+    let mut leader = Leader::with_job(1);
+    leader.lease(READY, "x", &[], 1);
+    let held = [reference("a", 0)];
+    for now in (READY..READY + 20_000).step_by(1_000) {
+        assert_eq!(leader.lease(now, "x", &held, 0).1, 0);
+        assert_eq!(leader.lease(now, "y", &[], 1).0, [0u32; 0]);
+    }
+}
+
+#[test]
+fn an_answer_that_was_lost_frees_its_items() {
+    let mut leader = Leader::with_job(1);
+    leader.lease(READY, "x", &[], 1);
+    assert_eq!(leader.lease(READY + 100, "x", &[], 1).0, [0]);
+}
+
+#[test]
+fn a_new_leader_hands_nothing_out_before_nodes_named_what_they_hold() {
+    let mut leader = Leader::with_job(2);
+    assert_eq!(leader.lease(0, "y", &[], 2).0, [0u32; 0]);
+    assert_eq!(leader.lease(1_000, "x", &[reference("a", 0)], 0).1, 0);
+    assert_eq!(leader.lease(READY, "y", &[], 2).0, [1]);
+}
+
+#[test]
+fn an_item_that_ended_is_to_be_stopped() {
+    let mut leader = Leader::with_job(1);
+    leader.lease(READY, "x", &[], 1);
+    apply(&mut leader.machine, 0, Command::EndJob("a".to_owned()));
+    assert_eq!(leader.lease(READY, "x", &[reference("a", 0)], 0).1, 1);
+}
+
+#[test]
+fn the_most_urgent_item_goes_first_and_late_ones_last() {
+    let mut machine = ClusterMachine::default();
+    submit(&mut machine, "late", 1, 1_000);
+    submit(&mut machine, "soon", 1, 5_000);
+    submit(&mut machine, "later", 1, 9_000);
+    let retention_ms = 600_000;
+    apply(&mut machine, 2_000, Command::Upkeep { retention_ms });
+    let mut book = LeaseBook::new(SETTINGS, 0);
+    let clock = machine.clock_ms();
+    let decision = book.lease(READY, machine.jobs(), clock, "x", &[], 3);
+    let jobs = |place: &QueuePosition| machine.jobs().record(place.job).map(|job| job.id.clone());
+    let order: Vec<String> = decision.leased.iter().filter_map(jobs).collect();
+    assert_eq!(order, ["soon", "later", "late"]);
+}
--- /dev/null
+++ b/crates/pinerill-cluster/tests/machine.rs
@@ -0,0 +1,272 @@
+//! The replicated state machine: configuration, jobs, control machines.
+
+use std::collections::BTreeMap;
+
+use pinerill_calls::job::{ItemEnd, ItemRef, ItemReport, ListedState, NewCallItem, NewCallJob};
+use pinerill_calls::message::{decode, encode, MachineRecord, PutTable, SubmitOutcome};
+use pinerill_calls::table::{RequestLimits, RouteTable};
+use pinerill_cluster::machine::{
+    call_key, text_key, Applied, ClusterMachine, Command, StampedCommand,
+};
+use pinerill_control::host::{StateMachine, TableWriter};
+
+const GIVE_UP_MS: u64 = 60_000;
+
+#[derive(Default)]
+struct Table(BTreeMap<Vec<u8>, Vec<u8>>);
+
+impl TableWriter for Table {
+    fn put(&mut self, key: &[u8], value: &[u8]) {
+        self.0.insert(key.to_vec(), value.to_vec());
+    }
+
+    fn delete(&mut self, key: &[u8]) {
+        self.0.remove(key);
+    }
+}
+
+#[derive(Default)]
+struct Group {
+    machine: ClusterMachine,
+    table: Table,
+    index: u64,
+}
+
+impl Group {
+    fn apply_after(&mut self, elapsed_ms: u64, command: Command) -> Applied {
+        self.index += 1;
+        let bytes = encode(&StampedCommand {
+            elapsed_ms,
+            command,
+        });
+        let answer = self.machine.apply(self.index, &bytes, &mut self.table);
+        decode(&answer).expect("an answer")
+    }
+
+    fn apply(&mut self, command: Command) -> Applied {
+        self.apply_after(0, command)
+    }
+
+    fn pass(&mut self, ms: u64) {
+        for _ in 0..ms / 1_000 {
+            let retention_ms = 120_000;
+            self.apply_after(1_000, Command::Upkeep { retention_ms });
+        }
+    }
+
+    fn submit(&mut self, id: &str, items: usize) -> Applied {
+        self.apply(Command::SubmitJob(Box::new(job(id, items))))
+    }
+
+    fn report(&mut self, id: &str, index: u32, end: ItemEnd) {
+        let item = ItemRef {
+            job: id.to_owned(),
+            index,
+        };
+        self.apply(Command::ReportItems(vec![ItemReport { item, end }]));
+    }
+
+    fn listed(&self, id: &str) -> Vec<(u32, ListedState)> {
+        let found = self.machine.jobs().find(id);
+        let (_, record) = found.expect("the job is there");
+        record
+            .listed
+            .iter()
+            .map(|one| (one.index, one.state))
+            .collect()
+    }
+}
+
+fn job(id: &str, items: usize) -> NewCallJob {
+    NewCallJob {
+        id: id.to_owned(),
+        host: "h".to_owned(),
+        path: "/b/".to_owned(),
+        items: (0..items)
+            .map(|number| NewCallItem {
+                id: format!("{id}-{number}"),
+                tokens: 100,
+                call: vec![number as u8],
+            })
+            .collect(),
+        result_target_ms: 20_000,
+        give_up_ms: GIVE_UP_MS,
+        attempts: 3,
+        max_waiting_tokens: 1_000,
+        route: "r".to_owned(),
+    }
+}
+
+fn completed(text: &[u8]) -> ItemEnd {
+    ItemEnd::Completed(text.to_vec())
+}
+
+fn table_of(version: u64, document: &str) -> Command {
+    Command::PutTable(Box::new(PutTable {
+        table: RouteTable {
+            version,
+            routes: vec![],
+            services: vec![],
+            limits: RequestLimits::default(),
+        },
+        document: document.as_bytes().to_vec(),
+    }))
+}
+
+#[test]
+fn a_job_sent_again_is_the_same_job() {
+    let mut group = Group::default();
+    let accepted = Applied::Submitted(SubmitOutcome::Accepted);
+    assert_eq!(group.submit("a", 8), accepted);
+    assert_eq!(group.submit("a", 8), accepted);
+    assert_eq!(group.machine.jobs().queue().len(), 8);
+    assert_eq!(group.machine.jobs().waiting_tokens("r"), 800);
+}
+
+#[test]
+fn a_job_that_does_not_fit_leaves_nothing_behind() {
+    let mut group = Group::default();
+    group.submit("a", 8);
+    let refused = Applied::Submitted(SubmitOutcome::OverLimit);
+    assert_eq!(group.submit("b", 3), refused);
+    assert!(group.machine.jobs().find("b").is_none());
+    assert_eq!(group.machine.jobs().queue().len(), 8);
+}
+
+#[test]
+fn finished_items_make_room() {
+    let mut group = Group::default();
+    group.submit("a", 8);
+    group.report("a", 0, completed(b"x"));
+    assert_eq!(
+        group.submit("b", 3),
+        Applied::Submitted(SubmitOutcome::Accepted)
+    );
+}
+
+#[test]
+fn the_first_end_of_an_item_counts_and_keeps_its_place() {
+    let mut group = Group::default();
+    group.submit("a", 2);
+    group.report("a", 1, completed(b"first"));
+    group.report("a", 1, completed(b"second"));
+    group.report("a", 1, ItemEnd::Impossible);
+    group.report("a", 0, ItemEnd::Impossible);
+    let expected = [(1, ListedState::Completed), (0, ListedState::Dead)];
+    assert_eq!(group.listed("a"), expected);
+    assert_eq!(group.table.0.get(&text_key(0, 0)), Some(&b"first".to_vec()));
+    assert!(!group.table.0.contains_key(&call_key(0, 0)));
+}
+
+#[test]
+fn an_item_is_given_up_after_as_many_failures_as_its_route_allows() {
+    let mut group = Group::default();
+    group.submit("a", 1);
+    group.report("a", 0, ItemEnd::Failed);
+    group.report("a", 0, ItemEnd::Failed);
+    assert_eq!(group.listed("a"), []);
+    group.report("a", 0, ItemEnd::Failed);
+    assert_eq!(group.listed("a"), [(0, ListedState::Dead)]);
+}
+
+#[test]
+fn an_item_is_given_up_after_its_time_and_not_before() {
+    let mut group = Group::default();
+    group.submit("a", 1);
+    group.pass(GIVE_UP_MS);
+    assert_eq!(group.listed("a"), []);
+    group.pass(1_000);
+    assert_eq!(group.listed("a"), [(0, ListedState::Dead)]);
+}
+
+#[test]
+fn a_leader_that_was_frozen_makes_nothing_late_at_once() {
+    let mut group = Group::default();
+    group.submit("a", 1);
+    let retention_ms = 120_000;
+    group.apply_after(10 * GIVE_UP_MS, Command::Upkeep { retention_ms });
+    assert_eq!(group.listed("a"), []);
+}
+
+#[test]
+fn an_ended_job_keeps_its_results_and_runs_no_more() {
+    let mut group = Group::default();
+    group.submit("a", 3);
+    group.report("a", 2, completed(b"x"));
+    let ended = group.apply(Command::EndJob("a".to_owned()));
+    assert_eq!(ended, Applied::Ended { known: true });
+    assert!(group.machine.jobs().queue().is_empty());
+    assert_eq!(group.machine.jobs().waiting_tokens("r"), 0);
+    group.report("a", 0, completed(b"late"));
+    assert_eq!(group.listed("a"), [(2, ListedState::Completed)]);
+    let again = group.apply(Command::EndJob("a".to_owned()));
+    assert_eq!(again, Applied::Ended { known: true });
+}
+
+#[test]
+fn a_finished_job_is_forgotten_after_its_time_and_an_open_one_is_not() {
+    let mut group = Group::default();
+    group.submit("open", 1);
+    group.machine.jobs();
+    group.submit("done", 1);
+    group.report("done", 0, completed(b"x"));
+    group.pass(GIVE_UP_MS);
+    assert!(group.machine.jobs().find("done").is_some());
+    group.pass(61_000);
+    assert!(group.machine.jobs().find("done").is_none());
+    assert!(!group.table.0.contains_key(&text_key(1, 0)));
+}
+
+#[test]
+fn the_highest_version_is_in_force_whatever_comes_later() {
+    let mut group = Group::default();
+    for (version, document) in [(5, "five"), (3, "three"), (5, "other five"), (7, "seven")] {
+        assert_eq!(group.apply(table_of(version, document)), Applied::Done);
+        let held = group.machine.table().expect("a table");
+        let expected: &[u8] = if version == 7 { b"seven" } else { b"five" };
+        assert_eq!(held.document, expected);
+    }
+}
+
+#[test]
+fn a_machine_with_another_folder_takes_the_place_of_its_former_self() {
+    let record = |replica: u64, name: &str, port: u16| MachineRecord {
+        replica,
+        name: name.to_owned(),
+        address: ([10, 0, 0, 1], port).into(),
+        zone: "z".to_owned(),
+    };
+    let mut group = Group::default();
+    group.apply(Command::RecordMachine(record(1, "a", 1)));
+    group.apply(Command::RecordMachine(record(2, "b", 2)));
+    group.apply(Command::RecordMachine(record(3, "a", 1)));
+    let known: Vec<u64> = group.machine.machines().keys().copied().collect();
+    assert_eq!(known, [2, 3]);
+    assert!(group.machine.replaced().contains(&1));
+    // What its former self still says on its way changes nothing.
+    group.apply(Command::RecordMachine(record(1, "a", 1)));
+    let known: Vec<u64> = group.machine.machines().keys().copied().collect();
+    assert_eq!(known, [2, 3]);
+}
+
+#[test]
+fn a_snapshot_brings_everything_back() {
+    let mut group = Group::default();
+    group.apply(table_of(5, "five"));
+    group.submit("a", 3);
+    group.report("a", 1, completed(b"x"));
+    let mut restored = ClusterMachine::default();
+    restored
+        .restore(&group.machine.snapshot())
+        .expect("a snapshot");
+    assert_eq!(restored.snapshot(), group.machine.snapshot());
+    assert_eq!(restored.jobs().queue(), group.machine.jobs().queue());
+}
+
+#[test]
+fn a_command_of_another_version_is_skipped() {
+    let mut group = Group::default();
+    let answer = group.machine.apply(1, &[200, 1, 2], &mut group.table);
+    let applied: Applied = decode(&answer).expect("an answer");
+    assert_eq!(applied, Applied::NotUnderstood);
+}
