Reads near the asker, shorter elections, a stop that lets items end, a full disk

Heartbeat 80 ms, elections after 300 to 600 ms. - a node's stop: connections end with their next answer before those that rest are closed, a new one carries one request, items end within the grace, the rest is given back. - found by a test that failed once in two runs: an answer that breaks off at once lost the events that were handed on (hyper discards what it has not written when the body fails); the relay now waits one turn before the error.

--- a/crates/pinerill-calls/src/message.rs
+++ b/crates/pinerill-calls/src/message.rs
@@ -25,9 +25,9 @@
     Watch(WatchRequest),
     /// Node → leader.
     SubmitJob(Box<NewCallJob>),
-    /// Node → leader: results from a position on.
+    /// Node → any control machine: results from a position on.
     ReadResults(ReadResults),
-    /// Node → leader: the call of an item that has no result yet.
+    /// Node → any control machine: the call of an item that has no result yet.
     ReadItem(ReadItem),
     /// Node → leader: no more of the job is to run.
     EndJob(CallJobId),
@@ -97,12 +97,21 @@
     pub table: Option<RouteTable>,
     /// The directory, if it is another one.
     pub directory: Option<DirectoryUpdate>,
-    /// Internal addresses of all control machines.
-    pub controls: Vec<SocketAddr>,
+    /// All control machines.
+    pub controls: Vec<ControlAddress>,
     /// Nodes that watch.
     pub nodes: u32,
 }
 
+/// Where a control machine listens.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlAddress {
+    /// Its internal address.
+    pub address: SocketAddr,
+    /// Its zone; empty while unknown.
+    pub zone: String,
+}
+
 /// The directory at a position.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DirectoryUpdate {
@@ -172,8 +181,6 @@
     pub id: String,
     /// Host of its route.
     pub host: String,
-    /// Its call: an encoded and compressed [`crate::job::ItemCall`].
-    pub call: Vec<u8>,
     /// Time until its result is due, milliseconds; negative once it is late.
     pub due_in_ms: i64,
 }
--- a/crates/pinerill-cluster/src/server/jobs.rs
+++ b/crates/pinerill-cluster/src/server/jobs.rs
@@ -73,7 +73,6 @@
         let wait = Duration::from_millis(read.wait_ms).min(LONGEST_WAIT);
         let deadline = Instant::now() + wait;
         let mut news = self.news.subscribe();
-        self.with_leadership(step, |_| ())?;
         self.barrier(step).await?;
         loop {
             let Some(part) = self.listed_part(&read) else {
@@ -156,7 +155,6 @@
     /// The call of an item that is not listed yet.
     pub(super) async fn read_item(&self, read: ReadItem) -> Result<CallsResponse, Refusal> {
         let step = "read item";
-        self.with_leadership(step, |_| ())?;
         self.barrier(step).await?;
         let place = self.group.with_machine(|machine| {
             let (number, record) = machine.jobs().find(&read.job)?;
@@ -191,7 +189,7 @@
             let decision = self.decide_leases(&request)?;
             let has_news = !decision.leased.is_empty() || !decision.stop.is_empty();
             if has_news || Instant::now() >= deadline || self.stopping.is_cancelled() {
-                return self.with_calls(decision);
+                return Ok(self.described(decision));
             }
             let _ = timeout_at(deadline, news.changed()).await;
         }
@@ -213,22 +211,15 @@
         })
     }
 
-    /// Adds the items' calls. One whose call can't be read now is left out:
-    /// the node doesn't name it next time, which frees it.
-    fn with_calls(&self, decision: LeaseDecision) -> Result<CallsResponse, Refusal> {
-        let mut leased = Vec::with_capacity(decision.leased.len());
-        for place in decision.leased {
-            if let Some(call) = self.read_call(place.job, place.index)? {
-                leased.extend(self.leased_item(place, call));
-            }
-        }
-        Ok(CallsResponse::Leases(LeaseResponse {
-            leased,
+    fn described(&self, decision: LeaseDecision) -> CallsResponse {
+        let places = decision.leased.into_iter();
+        CallsResponse::Leases(LeaseResponse {
+            leased: places.filter_map(|place| self.leased_item(place)).collect(),
             stop: decision.stop,
-        }))
+        })
     }
 
-    fn leased_item(&self, place: QueuePosition, call: Vec<u8>) -> Option<LeasedItem> {
+    fn leased_item(&self, place: QueuePosition) -> Option<LeasedItem> {
         self.group.with_machine(|machine| {
             let record = machine.jobs().record(place.job)?;
             let item = record.items.get(place.index as usize)?;
@@ -239,7 +230,6 @@
                 },
                 id: item.id.clone(),
                 host: record.host.clone(),
-                call,
                 due_in_ms: place.due_ms as i64 - machine.clock_ms() as i64,
             })
         })
--- a/crates/pinerill-cluster/src/server/peers.rs
+++ b/crates/pinerill-cluster/src/server/peers.rs
@@ -4,11 +4,12 @@
 //! the machines that it reaches. Each tells the leader again and again that it
 //! is there; the leader records it and the group's membership follows.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use pinerill_calls::message::{
-    decode, CallsRequest, CallsResponse, JoinRequest, JoinResponse, MachineRecord,
+    decode, CallsRequest, CallsResponse, ControlAddress, JoinRequest, JoinResponse, MachineRecord,
 };
 use pinerill_wire::message::{Refusal, Response};
 use tokio::time::sleep;
@@ -38,6 +39,24 @@
         known
     }
 
+    /// All control machines that are known here, with their zones as far as
+    /// they are recorded.
+    pub(super) fn known_controls(&self) -> Vec<ControlAddress> {
+        let zones: HashMap<SocketAddr, String> = self.group.with_machine(|machine| {
+            let records = machine.machines().values();
+            records
+                .map(|record| (record.address, record.zone.clone()))
+                .collect()
+        });
+        let known = self.known_addresses().into_iter();
+        known
+            .map(|address| ControlAddress {
+                zone: zones.get(&address).cloned().unwrap_or_default(),
+                address,
+            })
+            .collect()
+    }
+
     /// Takes in that a machine is there; the leader records a new one.
     pub(super) async fn joined(&self, join: JoinRequest) -> Result<CallsResponse, Refusal> {
         self.learn(&join.known);
--- a/crates/pinerill-cluster/src/server/run.rs
+++ b/crates/pinerill-cluster/src/server/run.rs
@@ -17,7 +17,7 @@
 use pinerill_wire::connection::{self, ClusterKey, Identity, PeerPool};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -32,6 +32,15 @@
 const GROUP: GroupId = GroupId(0);
 /// Longest wait for answers in flight at a planned stop.
 const ANSWER_LIMIT: Duration = Duration::from_secs(2);
+/// Pause before the process ends after its store failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(500);
+/// Time between heartbeats of the leader.
+const HEARTBEAT: Duration = Duration::from_millis(80);
+/// Shortest election timeout: a few heartbeats, so that a lost leader costs
+/// submissions less than the callers' patience.
+const ELECTION_MIN: Duration = Duration::from_millis(300);
+/// Longest election timeout.
+const ELECTION_MAX: Duration = Duration::from_millis(600);
 /// Applied bytes after which a snapshot is saved.
 const SNAPSHOT_BYTES: u64 = 4 << 20;
 /// Bytes of entries kept behind a snapshot.
@@ -84,7 +93,16 @@
         event = "started", machine = control.record.name.as_str(),
         address:% = control.record.address, replica = control.record.replica; ""
     );
-    signals.planned.cancelled().await;
+    tokio::select! {
+        () = signals.planned.cancelled() => {}
+        () = control.tell_changes() => {
+            // What a failed write left behind only a new start can tell; the
+            // pause keeps starts apart while the disk stays as it is.
+            log::error!(event = "group_ended", machine = control.record.name.as_str(); "");
+            sleep(FAILURE_PAUSE).await;
+            anyhow::bail!("the replicated group ended: its store failed");
+        }
+    }
     log::info!(event = "stopping", machine = control.record.name.as_str(); "");
     control.tell_news();
     control.host.hand_over().await;
@@ -169,6 +187,9 @@
 
 fn host_settings() -> HostSettings {
     HostSettings {
+        heartbeat: HEARTBEAT,
+        election_min: ELECTION_MIN,
+        election_max: ELECTION_MAX,
         snapshot_bytes: SNAPSHOT_BYTES,
         compaction_margin_bytes: MARGIN_BYTES,
         read_timeout: READ_TIMEOUT,
@@ -182,8 +203,7 @@
     let spawn =
         |work: futures::future::BoxFuture<'static, ()>| AbortOnDropHandle::new(tokio::spawn(work));
     let own = |control: &Arc<Control>| control.clone();
-    let (joining, members, upkeep, workers, roles, reloading) = (
-        own(control),
+    let (joining, members, upkeep, workers, reloading) = (
         own(control),
         own(control),
         own(control),
@@ -195,7 +215,6 @@
         spawn(Box::pin(async move { members.keep_members().await })),
         spawn(Box::pin(async move { upkeep.keep_up().await })),
         spawn(Box::pin(async move { workers.follow_workers().await })),
-        spawn(Box::pin(async move { roles.tell_changes_of_role().await })),
         spawn(Box::pin(
             async move { reloading.follow_settings(file).await },
         )),
@@ -219,20 +238,23 @@
         }
     }
 
-    /// Wakes long polls when leadership changes, so that nodes move on, and
-    /// logs it.
-    async fn tell_changes_of_role(&self) {
+    /// Wakes long polls when something was applied or leadership changed, and
+    /// logs the latter. Ends with the group, which ends when its store fails.
+    async fn tell_changes(&self) {
         let mut status = self.group.watch_status();
         let mut last = None;
+        let mut applied = 0;
         while status.changed().await.is_ok() {
-            let (term, leader, role) = {
-                let now = status.borrow_and_update();
-                (now.term, now.leader, now.role)
-            };
-            if last != Some((term, leader, role)) {
-                last = Some((term, leader, role));
-                let leader = leader.map(|one| one.0);
-                log::info!(event = "role_changed", term, leader:?, role:?; "");
+            let now = status.borrow_and_update().clone();
+            let role = (now.term, now.leader, now.role);
+            if last != Some(role) {
+                last = Some(role);
+                let leader = now.leader.map(|one| one.0);
+                log::info!(event = "role_changed", term = now.term, leader:?, role:? = now.role; "");
+                self.tell_news();
+            }
+            if applied != now.applied {
+                applied = now.applied;
                 self.tell_news();
             }
         }
--- a/crates/pinerill-cluster/src/server/watch.rs
+++ b/crates/pinerill-cluster/src/server/watch.rs
@@ -49,7 +49,7 @@
         Ok(WatchResponse {
             table,
             directory,
-            controls: self.known_addresses(),
+            controls: self.known_controls(),
             nodes,
         })
     }
--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -7,7 +7,7 @@
 use http::{Method, StatusCode, Uri};
 use pinerill_calls::compression::{compress, decompress};
 use pinerill_calls::job::{Header, ItemCall, ItemEnd, ItemReport};
-use pinerill_calls::message::{decode, LeasedItem};
+use pinerill_calls::message::{decode, CallsRequest, CallsResponse, LeasedItem, ReadItem};
 use pinerill_calls::protocol::{AttemptFacts, NotRunReason, Verdict};
 use tokio::time::{sleep, timeout};
 
@@ -17,8 +17,12 @@
 use crate::fleet::{Prompt, Wanted};
 use crate::node::{Node, Occupied};
 
+/// Pause before an item that could not begin is given back.
+const NOT_BEGUN_PAUSE: Duration = Duration::from_millis(500);
 /// Pause before a place is looked for again.
 const PLACE_PAUSE: Duration = Duration::from_millis(50);
+/// Longest wait for an item's call.
+const FETCH_TIME: Duration = Duration::from_secs(2);
 /// Silence after which an item is continued at another worker.
 const PATIENCE: Duration = Duration::from_millis(2_500);
 /// Bytes of an answer's body that is no series of events.
@@ -42,11 +46,11 @@
 pub(super) async fn run(node: Arc<Node>, held: Arc<Held>, leased: LeasedItem, reporter: Reporter) {
     let item = leased.item.clone();
     let started = Instant::now();
-    let Some(mut running) = begin(&node, leased) else {
-        // Neither is it told that it failed: the route may be back, or newer
-        // here than at the leader. Its lease runs out.
-        log::warn!(event = "item_unroutable", job = item.job.as_str(), index = item.index; "");
-        sleep(PATIENCE).await;
+    let Some(mut running) = begin(&node, leased).await else {
+        // It did not run, so that no failure is told: it may have ended
+        // meanwhile, or its route be gone or newer here than at the leader.
+        log::warn!(event = "item_not_begun", job = item.job.as_str(), index = item.index; "");
+        sleep(NOT_BEGUN_PAUSE).await;
         held.release(&item);
         return;
     };
@@ -72,9 +76,8 @@
     let _ = reporter.send(ItemReport { item, end });
 }
 
-fn begin(node: &Node, leased: LeasedItem) -> Option<Running> {
-    let bytes = decompress(&leased.call).ok()?;
-    let call: ItemCall = decode(&bytes).ok()?;
+async fn begin(node: &Node, leased: LeasedItem) -> Option<Running> {
+    let call = fetch(node, &leased).await?;
     let uri: Uri = call.path.parse().ok()?;
     let table = node.table()?;
     let route = table.route(&leased.host, uri.path())?;
@@ -96,6 +99,24 @@
     })
 }
 
+/// The item's call, from a control machine of this zone if there is one: they
+/// all hold it, and bytes between zones are dear.
+async fn fetch(node: &Node, leased: &LeasedItem) -> Option<ItemCall> {
+    let request = CallsRequest::ReadItem(ReadItem {
+        job: leased.item.job.clone(),
+        item: leased.id.clone(),
+    });
+    let answer = node
+        .cluster
+        .call_near(&request, FETCH_TIME, Duration::ZERO)
+        .await;
+    let CallsResponse::Item(Some(call)) = answer.ok()?.response else {
+        return None;
+    };
+    let bytes = decompress(&call).ok()?;
+    decode(&bytes).ok()
+}
+
 /// One attempt at one worker; none if the item must go on elsewhere.
 async fn attempt(node: &Arc<Node>, held: &Held, running: &mut Running) -> Option<ItemEnd> {
     let place = find_place(node, held, running).await;
--- a/crates/pinerill-forward/src/batch/leases.rs
+++ b/crates/pinerill-forward/src/batch/leases.rs
@@ -19,6 +19,8 @@
 const HOLD: Duration = Duration::from_millis(500);
 /// How long the node asks around.
 const ASK_TIME: Duration = Duration::from_millis(1_500);
+/// How long the node asks around as it stops.
+const GIVE_BACK_TIME: Duration = Duration::from_millis(400);
 /// Pause after no control machine answered.
 const LOST_PAUSE: Duration = Duration::from_millis(100);
 /// Shortest pause between two requests: items that end together are renewed
@@ -52,12 +54,16 @@
         self.changed.notify_one();
     }
 
+    fn is_empty(&self) -> bool {
+        self.tasks.lock().is_empty()
+    }
+
     fn items(&self) -> Vec<ItemRef> {
         self.tasks.lock().keys().cloned().collect()
     }
 }
 
-/// Runs items until the node stops.
+/// Runs items; ends once the node stops and nothing is held any more.
 pub(crate) async fn run(node: Arc<Node>) {
     let (reporter, reported) = mpsc::unbounded_channel();
     let held = Arc::new(Held {
@@ -70,8 +76,26 @@
     tokio::join!(reporting, leasing);
 }
 
+/// Tells the leader that nothing is held here any more, so that others need not
+/// wait for the leases to run out.
+pub(crate) async fn give_back(node: &Node) {
+    let request = CallsRequest::LeaseItems(LeaseRequest {
+        node: node.start.clone(),
+        held: Vec::new(),
+        want: 0,
+        wait_ms: 0,
+    });
+    if let Err(failure) = node
+        .cluster
+        .call(&request, GIVE_BACK_TIME, Duration::ZERO)
+        .await
+    {
+        log::warn!(event = "items_not_given_back", reason = failure.message.as_str(); "");
+    }
+}
+
 async fn lease(node: Arc<Node>, held: Arc<Held>, reporter: reports::Reporter) {
-    loop {
+    while !(node.stopping.is_cancelled() && held.is_empty()) {
         let started = Instant::now();
         let request = CallsRequest::LeaseItems(LeaseRequest {
             node: node.start.clone(),
--- a/crates/pinerill-forward/src/batch/mod.rs
+++ b/crates/pinerill-forward/src/batch/mod.rs
@@ -8,4 +8,4 @@
 mod leases;
 mod reports;
 
-pub(crate) use leases::run;
+pub(crate) use leases::{give_back, run};
--- a/crates/pinerill-forward/src/call/relay.rs
+++ b/crates/pinerill-forward/src/call/relay.rs
@@ -15,6 +15,7 @@
 use hyper::body::Frame;
 use pinerill_calls::protocol::Verdict;
 use thiserror::Error;
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout_at};
 
 use super::attempt::{Attempted, Attempts};
@@ -100,6 +101,9 @@
             if let Err(outcome) = self.continue_elsewhere(&broken).await {
                 self.ended = true;
                 self.record.end(outcome);
+                // The server writes out what it has been handed when it has
+                // to wait; an error that comes at once would discard it.
+                yield_now().await;
                 return Some(Err(RelayError));
             }
         }
--- a/crates/pinerill-forward/src/cluster/client.rs
+++ b/crates/pinerill-forward/src/cluster/client.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use pinerill_calls::message::{decode, CallsRequest, CallsResponse};
+use pinerill_calls::message::{decode, CallsRequest, CallsResponse, ControlAddress};
 use pinerill_wire::api::{CallError, CallErrorKind};
 use pinerill_wire::connection::{Connection, Identity, LinkCounters};
 use pinerill_wire::message::{RefusalCode, Request, Response};
@@ -57,6 +57,8 @@
     known: Vec<SocketAddr>,
     next: usize,
     leader: Option<SocketAddr>,
+    /// Those of this node's zone.
+    near: Vec<SocketAddr>,
 }
 
 impl ClusterClient {
@@ -69,12 +71,21 @@
                 known: seeds.to_vec(),
                 next,
                 leader: None,
+                near: Vec::new(),
             }),
             connections: Mutex::default(),
             counters: Arc::default(),
         }
     }
 
+    /// Takes in which control machines there are, and where.
+    pub fn learn_zones(&self, controls: Vec<ControlAddress>) {
+        let near = controls.iter().filter(|one| one.zone == self.identity.zone);
+        let near = near.map(|one| one.address).collect();
+        self.learn(controls.into_iter().map(|one| one.address).collect());
+        self.addresses.lock().near = near;
+    }
+
     /// Takes in which control machines there are.
     pub fn learn(&self, known: Vec<SocketAddr>) {
         if known.is_empty() {
@@ -136,6 +147,33 @@
         }
     }
 
+    /// Asks a control machine of this node's zone something that any one can
+    /// answer; the leader if there is none or it doesn't answer.
+    ///
+    /// # Errors
+    /// [`CallFailure`] with the last error.
+    pub async fn call_near(
+        &self,
+        request: &CallsRequest,
+        time: Duration,
+        hold: Duration,
+    ) -> Result<Answered, CallFailure> {
+        let near = self.addresses.lock().near.first().copied();
+        if let Some(address) = near {
+            let limit = time.min(TRY_TIME + hold);
+            let asked = self
+                .call_at(address, request.clone().into_wire(), limit)
+                .await;
+            if let Ok(response) = asked {
+                return Ok(Answered {
+                    response,
+                    maybe_done_before: false,
+                });
+            }
+        }
+        self.call(request, time, hold).await
+    }
+
     async fn call_at(
         &self,
         address: SocketAddr,
--- a/crates/pinerill-forward/src/cluster/watch.rs
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -79,7 +79,7 @@
 }
 
 fn take_in(node: &Node, response: WatchResponse, position: &mut Option<DirectoryPosition>) {
-    node.cluster.learn(response.controls);
+    node.cluster.learn_zones(response.controls);
     node.counters.nodes.store(response.nodes, Ordering::Relaxed);
     if let Some(table) = response.table {
         let version = table.version;
--- a/crates/pinerill-forward/src/gateway/jobs.rs
+++ b/crates/pinerill-forward/src/gateway/jobs.rs
@@ -70,7 +70,7 @@
         from,
         wait_ms: wait.as_millis() as u64,
     });
-    match ask(node, &request, wait).await? {
+    match ask_near(node, &request, wait).await? {
         CallsResponse::Results(Some(page)) => {
             let texts = texts(&page)?;
             let answer = CallerAnswer::Results {
@@ -97,7 +97,7 @@
 
 async fn item_body(node: &Node, job: String, item: String) -> Result<HttpAnswer, Refusal> {
     let request = CallsRequest::ReadItem(ReadItem { job, item });
-    match ask(node, &request, Duration::ZERO).await? {
+    match ask_near(node, &request, Duration::ZERO).await? {
         CallsResponse::Item(Some(call)) => {
             let unreadable = Refusal::WorkerFailed("a stored call can't be read");
             let bytes = decompress(&call).map_err(|_| unreadable.clone())?;
@@ -112,16 +112,20 @@
 }
 
 async fn end(node: &Node, job: String) -> Result<HttpAnswer, Refusal> {
-    ask(node, &CallsRequest::EndJob(job), Duration::ZERO).await?;
+    let request = CallsRequest::EndJob(job);
+    answered(node.cluster.call(&request, ASK_TIME, Duration::ZERO).await)?;
     Ok(node.caller_protocol.answer(CallerAnswer::JobEnded))
 }
 
-async fn ask(
+async fn ask_near(
     node: &Node,
     request: &CallsRequest,
     hold: Duration,
 ) -> Result<CallsResponse, Refusal> {
-    let answer = node.cluster.call(request, ASK_TIME + hold, hold).await;
+    answered(node.cluster.call_near(request, ASK_TIME + hold, hold).await)
+}
+
+fn answered(answer: Result<Answered, CallFailure>) -> Result<CallsResponse, Refusal> {
     match answer {
         Ok(answered) => Ok(answered.response),
         // Asking again does no harm, whatever became of this request.
--- a/crates/pinerill-forward/src/gateway/listener.rs
+++ b/crates/pinerill-forward/src/gateway/listener.rs
@@ -11,6 +11,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::header::CONNECTION;
+use http::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -25,6 +27,9 @@
 
 /// Unacknowledged bytes end a caller's connection after this time.
 const SILENCE_LIMIT: Duration = Duration::from_secs(5);
+/// Time at a stop in which connections end with their next answer, before those
+/// that rest are closed: callers hear of it before they send.
+const CLOSING_LEAD: Duration = Duration::from_millis(2_500);
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -74,6 +79,8 @@
     if set_options(&stream).is_err() {
         return;
     }
+    // While the node stops, a new connection carries one request.
+    let keep_alive = !node.stopping.is_cancelled();
     let limits = node
         .table()
         .map_or_else(RequestLimits::default, |index| index.table().limits);
@@ -81,16 +88,29 @@
     let stopping = node.stopping.clone();
     let service = service_fn(move |received| {
         let node = node.clone();
-        async move { Ok::<_, Infallible>(request::serve(node, received).await) }
+        async move {
+            let stopping = node.stopping.clone();
+            let mut answer = request::serve(node, received).await;
+            if stopping.is_cancelled() {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(answer)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
+        .keep_alive(keep_alive)
         .header_read_timeout(resting)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
+    let lead = async {
+        stopping.cancelled().await;
+        sleep(CLOSING_LEAD).await;
+    };
     let ended = tokio::select! {
         ended = connection.as_mut() => Some(ended),
-        () = stopping.cancelled() => None,
+        () = lead => None,
     };
     if ended.is_none() {
         connection.as_mut().graceful_shutdown();
--- a/crates/pinerill-forward/src/run.rs
+++ b/crates/pinerill-forward/src/run.rs
@@ -65,16 +65,27 @@
     );
     let spawn = |work| AbortOnDropHandle::<()>::new(tokio::spawn(work));
     let following = spawn(boxed(cluster::follow(node.clone(), protocols.worker_list)));
-    let items = spawn(boxed(batch::run(node.clone())));
+    let mut items = spawn(boxed(batch::run(node.clone())));
     let reloading = spawn(boxed(follow_settings(node.clone(), file)));
     let sweeping = spawn(boxed(sweep(node.clone())));
-    let serving = gateway::serve(node.clone(), listener, grace);
+    let ending = async {
+        gateway::serve(node.clone(), listener, grace).await;
+        // Items end as callers' calls do, within the same time.
+        let _ = (&mut items).await;
+    };
+    let stop = async {
+        signals.planned.cancelled().await;
+        log::info!(event = "stopping", node = node.settings.name.as_str(); "");
+        sleep(grace).await;
+    };
     tokio::select! {
-        () = serving => {}
+        () = ending => {}
+        () = stop => log::warn!(event = "work_cut"; ""),
         () = signals.forced.cancelled() => log::warn!(event = "stopped_at_once"; ""),
     }
-    log::info!(event = "stopping", node = node.settings.name.as_str(); "");
-    drop((following, items, reloading, sweeping));
+    drop(items);
+    batch::give_back(&node).await;
+    drop((following, reloading, sweeping));
     probes.stop().await;
     metrics.stop().await;
     log::info!(event = "stopped", node = node.settings.name.as_str(); "");
