--- a/crates/pinerill-cluster/src/server/control.rs
+++ b/crates/pinerill-cluster/src/server/control.rs
@@ -71,7 +71,7 @@
         &self,
         step: &'static str,
         look: impl FnOnce(&mut Leadership) -> R,
-    ) -> Result<R, Refusal> {
+    ) -> Result<R, Box<Refusal>> {
         let term = self.group.status().term;
         if !self.leads() {
             return Err(refusal::not_leader(self, step));
@@ -97,7 +97,7 @@
         &self,
         step: &'static str,
         command: Command,
-    ) -> Result<Applied, Refusal> {
+    ) -> Result<Applied, Box<Refusal>> {
         let now_ms = self.now_ms();
         let elapsed_ms = self.with_leadership(step, |leadership| leadership.elapsed_ms(now_ms))?;
         let stamped = StampedCommand {
@@ -110,7 +110,7 @@
         decode(&answer).map_err(|error| refusal::unknown(self, step, error))
     }
 
-    fn refuse_proposal(&self, step: &'static str, error: &ProposeError) -> Refusal {
+    fn refuse_proposal(&self, step: &'static str, error: &ProposeError) -> Box<Refusal> {
         match error {
             ProposeError::NotLeader { .. } => refusal::not_leader(self, step),
             ProposeError::Busy | ProposeError::Stopped => refusal::unavailable(self, step, error),
@@ -123,7 +123,7 @@
     ///
     /// # Errors
     /// A refusal when that can't be confirmed now.
-    pub(super) async fn barrier(&self, step: &'static str) -> Result<(), Refusal> {
+    pub(super) async fn barrier(&self, step: &'static str) -> Result<(), Box<Refusal>> {
         match self.group.read_barrier().await {
             Ok(_) => Ok(()),
             Err(error) => Err(refusal::unavailable(self, step, error)),
--- a/crates/pinerill-cluster/src/server/jobs.rs
+++ b/crates/pinerill-cluster/src/server/jobs.rs
@@ -33,7 +33,7 @@
 }
 
 impl Control {
-    pub(super) async fn submit_job(&self, job: NewCallJob) -> Result<CallsResponse, Refusal> {
+    pub(super) async fn submit_job(&self, job: NewCallJob) -> Result<CallsResponse, Box<Refusal>> {
         let step = "submit job";
         let id = job.id.clone();
         let items = job.items.len();
@@ -50,7 +50,7 @@
         }
     }
 
-    pub(super) async fn end_job(&self, job: CallJobId) -> Result<CallsResponse, Refusal> {
+    pub(super) async fn end_job(&self, job: CallJobId) -> Result<CallsResponse, Box<Refusal>> {
         let applied = self
             .propose("end job", Command::EndJob(job.clone()))
             .await?;
@@ -61,14 +61,17 @@
     pub(super) async fn report_items(
         &self,
         reports: Vec<ItemReport>,
-    ) -> Result<CallsResponse, Refusal> {
+    ) -> Result<CallsResponse, Box<Refusal>> {
         self.propose("report items", Command::ReportItems(reports))
             .await?;
         Ok(CallsResponse::Done)
     }
 
     /// Results from a position on; waits for one if there is none yet.
-    pub(super) async fn read_results(&self, read: ReadResults) -> Result<CallsResponse, Refusal> {
+    pub(super) async fn read_results(
+        &self,
+        read: ReadResults,
+    ) -> Result<CallsResponse, Box<Refusal>> {
         let step = "read results";
         let wait = Duration::from_millis(read.wait_ms).min(LONGEST_WAIT);
         let deadline = Instant::now() + wait;
@@ -105,7 +108,7 @@
 
     /// Reads the texts. The table may lag behind what was applied, so a read
     /// that meets a missing text waits for the table and looks again.
-    async fn with_texts(&self, from: u32, part: ListedPart) -> Result<CallsResponse, Refusal> {
+    async fn with_texts(&self, from: u32, part: ListedPart) -> Result<CallsResponse, Box<Refusal>> {
         let step = "read texts";
         if let Some(entries) = self.read_texts(from, &part)? {
             return Ok(results(from, part.total, entries));
@@ -118,7 +121,11 @@
     }
 
     /// None if a text is not there yet.
-    fn read_texts(&self, from: u32, part: &ListedPart) -> Result<Option<Vec<ListedItem>>, Refusal> {
+    fn read_texts(
+        &self,
+        from: u32,
+        part: &ListedPart,
+    ) -> Result<Option<Vec<ListedItem>>, Box<Refusal>> {
         let failed =
             |error: &dyn std::fmt::Display| refusal::unavailable(self, "read texts", error);
         if part.entries.is_empty() {
@@ -153,7 +160,7 @@
     }
 
     /// The call of an item that is not listed yet.
-    pub(super) async fn read_item(&self, read: ReadItem) -> Result<CallsResponse, Refusal> {
+    pub(super) async fn read_item(&self, read: ReadItem) -> Result<CallsResponse, Box<Refusal>> {
         let step = "read item";
         self.barrier(step).await?;
         let place = self.group.with_machine(|machine| {
@@ -168,7 +175,7 @@
         Ok(CallsResponse::Item(self.read_call(number, index)?))
     }
 
-    fn read_call(&self, number: u64, index: u32) -> Result<Option<Vec<u8>>, Refusal> {
+    fn read_call(&self, number: u64, index: u32) -> Result<Option<Vec<u8>>, Box<Refusal>> {
         let step = "read call of item";
         let table = self.group.table();
         let table = table.map_err(|error| refusal::unavailable(self, step, error))?;
@@ -181,7 +188,7 @@
     pub(super) async fn lease_items(
         &self,
         request: LeaseRequest,
-    ) -> Result<CallsResponse, Refusal> {
+    ) -> Result<CallsResponse, Box<Refusal>> {
         let wait = Duration::from_millis(request.wait_ms).min(LONGEST_WAIT);
         let deadline = Instant::now() + wait;
         let mut news = self.news.subscribe();
@@ -195,7 +202,7 @@
         }
     }
 
-    fn decide_leases(&self, request: &LeaseRequest) -> Result<LeaseDecision, Refusal> {
+    fn decide_leases(&self, request: &LeaseRequest) -> Result<LeaseDecision, Box<Refusal>> {
         let now_ms = self.now_ms();
         self.with_leadership("lease items", |leadership| {
             self.group.with_machine(|machine| {
--- a/crates/pinerill-cluster/src/server/members.rs
+++ b/crates/pinerill-cluster/src/server/members.rs
@@ -59,7 +59,7 @@
         &self,
         step: &'static str,
         look: impl FnOnce(&MembershipView<'_>) -> R,
-    ) -> Result<R, Refusal> {
+    ) -> Result<R, Box<Refusal>> {
         let now_ms = self.now_ms();
         let (silent_ms, leading_ms) =
             self.with_leadership(step, |one| (one.silence(now_ms), one.lasted_ms(now_ms)))?;
@@ -93,7 +93,7 @@
     }
 
     /// Takes an order to empty the machine of this name.
-    pub(super) async fn start_retirement(&self, name: &str) -> Result<CallsResponse, Refusal> {
+    pub(super) async fn start_retirement(&self, name: &str) -> Result<CallsResponse, Box<Refusal>> {
         let step = "start retirement";
         self.with_leadership(step, |_| ())?;
         self.barrier(step).await?;
@@ -114,7 +114,7 @@
     }
 
     /// How far the emptying of a machine is.
-    pub(super) fn retirement_state(&self, name: &str) -> Result<CallsResponse, Refusal> {
+    pub(super) fn retirement_state(&self, name: &str) -> Result<CallsResponse, Box<Refusal>> {
         let step = "look at retirement";
         let Some(replica) = self.replica_of(name) else {
             self.with_leadership(step, |_| ())?;
--- a/crates/pinerill-cluster/src/server/operators.rs
+++ b/crates/pinerill-cluster/src/server/operators.rs
@@ -139,7 +139,7 @@
     }
 
     /// Accepts a route table; the one with the highest version is in force.
-    pub(super) async fn put_table(&self, put: PutTable) -> Result<CallsResponse, Refusal> {
+    pub(super) async fn put_table(&self, put: PutTable) -> Result<CallsResponse, Box<Refusal>> {
         let step = "put table";
         if let Err(error) = put.table.check() {
             return Err(refusal::invalid(self, step, error));
@@ -154,7 +154,7 @@
     }
 }
 
-fn unavailable(answer: Result<CallsResponse, Refusal>) -> OperatorAnswer {
+fn unavailable(answer: Result<CallsResponse, Box<Refusal>>) -> OperatorAnswer {
     match answer {
         Err(refusal) if refusal.code == RefusalCode::Invalid => {
             OperatorAnswer::Invalid(refusal.message)
--- a/crates/pinerill-cluster/src/server/peers.rs
+++ b/crates/pinerill-cluster/src/server/peers.rs
@@ -58,7 +58,7 @@
     }
 
     /// Takes in that a machine is there; the leader records a new one.
-    pub(super) async fn joined(&self, join: JoinRequest) -> Result<CallsResponse, Refusal> {
+    pub(super) async fn joined(&self, join: JoinRequest) -> Result<CallsResponse, Box<Refusal>> {
         self.learn(&join.known);
         self.learn(&[join.machine.address]);
         if self.leads() {
@@ -80,7 +80,7 @@
         }
     }
 
-    async fn record_if_new(&self, machine: &MachineRecord) -> Result<(), Refusal> {
+    async fn record_if_new(&self, machine: &MachineRecord) -> Result<(), Box<Refusal>> {
         let recorded = self.group.with_machine(|state| {
             state.machines().get(&machine.replica) == Some(machine)
                 || state.replaced().contains(&machine.replica)
@@ -118,7 +118,7 @@
             let _ = self.joined(joining).await;
         }
         let leader = self.leader_address();
-        let gossip = round % ROUNDS_PER_GOSSIP == 0;
+        let gossip = round.is_multiple_of(ROUNDS_PER_GOSSIP);
         let addresses = match leader {
             Some(address) if !gossip => vec![address],
             _ => self.pool.addresses(),
@@ -152,7 +152,10 @@
     ///
     /// # Errors
     /// A refusal, with an unknown outcome if the leader may have done it.
-    pub(super) async fn at_leader(&self, request: CallsRequest) -> Result<CallsResponse, Refusal> {
+    pub(super) async fn at_leader(
+        &self,
+        request: CallsRequest,
+    ) -> Result<CallsResponse, Box<Refusal>> {
         if self.leads() {
             return Box::pin(self.answer(request)).await;
         }
--- a/crates/pinerill-cluster/src/server/service.rs
+++ b/crates/pinerill-cluster/src/server/service.rs
@@ -20,7 +20,7 @@
     async fn call(&self, _peer: &Peer, request: Request) -> Response {
         let Request::Calls(bytes) = request else {
             let refused = refusal::invalid(&self.control, "read request", "not served here");
-            return Response::Refused(refused);
+            return Response::Refused(*refused);
         };
         let answered = match decode(&bytes) {
             Ok(request) => self.control.answer(request).await,
@@ -28,7 +28,7 @@
         };
         match answered {
             Ok(response) => response.into_wire(),
-            Err(refused) => Response::Refused(refused),
+            Err(refused) => Response::Refused(*refused),
         }
     }
 
@@ -48,7 +48,10 @@
     ///
     /// # Errors
     /// A refusal, with the leader where another machine can answer.
-    pub(super) async fn answer(&self, request: CallsRequest) -> Result<CallsResponse, Refusal> {
+    pub(super) async fn answer(
+        &self,
+        request: CallsRequest,
+    ) -> Result<CallsResponse, Box<Refusal>> {
         match request {
             CallsRequest::Watch(watch) => self.watch(watch).await,
             CallsRequest::SubmitJob(job) => self.submit_job(*job).await,
--- a/crates/pinerill-cluster/src/server/watch.rs
+++ b/crates/pinerill-cluster/src/server/watch.rs
@@ -15,7 +15,7 @@
     /// Answers once there is something newer, or when the time is up. Only the
     /// leader answers, so that nobody follows a machine that is cut off for
     /// longer than it takes to be deposed.
-    pub(super) async fn watch(&self, request: WatchRequest) -> Result<CallsResponse, Refusal> {
+    pub(super) async fn watch(&self, request: WatchRequest) -> Result<CallsResponse, Box<Refusal>> {
         let wait = Duration::from_millis(request.wait_ms).min(LONGEST_WAIT);
         let deadline = Instant::now() + wait;
         let mut news = self.news.subscribe();
@@ -32,7 +32,7 @@
         }
     }
 
-    fn news_for(&self, request: &WatchRequest) -> Result<WatchResponse, Refusal> {
+    fn news_for(&self, request: &WatchRequest) -> Result<WatchResponse, Box<Refusal>> {
         let now_ms = self.now_ms();
         let (nodes, directory) = self.with_leadership("watch", |leadership| {
             let nodes = leadership.hear_node(&request.node, now_ms);
