Nodes don't wait for control machines that are gone, and a stopping node refuses what comes late

Log: reads of results went to the near control machine, which had been replaced; each waited 400 ms for the connection in turn under one lock, and the watch stood in that queue. Now an address that didn't answer is avoided for 0.7 s, those that wait for the same connection share its failure, and nodes are told of machines that were heard lately alone. Now calls are taken for 2.8 s of the 8 s grace, later ones get 503 with a time to come back, and work is cut at 7.4 s.

--- a/crates/pinerill-cluster/src/server/leadership.rs
+++ b/crates/pinerill-cluster/src/server/leadership.rs
@@ -10,6 +10,9 @@
 /// A node that was not heard for this long is not counted.
 const NODE_LIFE_MS: u64 = 2_500;
 
+/// Nodes are not sent to a control machine that was silent for this long.
+const MACHINE_LIFE_MS: u64 = 4_000;
+
 /// One leadership of this machine.
 pub(super) struct Leadership {
     term: u64,
@@ -76,6 +79,16 @@
             .collect()
     }
 
+    /// Control machines that were heard in this leadership and are silent
+    /// for long.
+    pub(super) fn lost_machines(&self, now_ms: u64) -> Vec<u64> {
+        let silence = self.silence(now_ms).into_iter();
+        silence
+            .filter(|(_, silent_ms)| *silent_ms > MACHINE_LIFE_MS)
+            .map(|(replica, _)| replica)
+            .collect()
+    }
+
     /// Takes in a whole reading of the platform list; true if it is news.
     pub(super) fn take_workers(&mut self, workers: Vec<WorkerEntry>) -> bool {
         let revision = match &self.directory {
--- a/crates/pinerill-cluster/src/server/peers.rs
+++ b/crates/pinerill-cluster/src/server/peers.rs
@@ -4,7 +4,6 @@
 //! the machines that it reaches. Each tells the leader again and again that it
 //! is there; the leader records it and the group's membership follows.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -39,20 +38,27 @@
         known
     }
 
-    /// All control machines that are known here, with their zones as far as
-    /// they are recorded.
-    pub(super) fn known_controls(&self) -> Vec<ControlAddress> {
-        let zones: HashMap<SocketAddr, String> = self.group.with_machine(|machine| {
+    /// Where nodes find control machines: all that are recorded but for those
+    /// in `lost`. Before any is recorded, all that are known.
+    pub(super) fn known_controls(&self, lost: &[u64]) -> Vec<ControlAddress> {
+        let recorded: Vec<ControlAddress> = self.group.with_machine(|machine| {
             let records = machine.machines().values();
             records
-                .map(|record| (record.address, record.zone.clone()))
+                .filter(|record| !lost.contains(&record.replica))
+                .map(|record| ControlAddress {
+                    address: record.address,
+                    zone: record.zone.clone(),
+                })
                 .collect()
         });
+        if !recorded.is_empty() {
+            return recorded;
+        }
         let known = self.known_addresses().into_iter();
         known
             .map(|address| ControlAddress {
-                zone: zones.get(&address).cloned().unwrap_or_default(),
                 address,
+                zone: String::new(),
             })
             .collect()
     }
--- a/crates/pinerill-cluster/src/server/watch.rs
+++ b/crates/pinerill-cluster/src/server/watch.rs
@@ -34,14 +34,15 @@
 
     fn news_for(&self, request: &WatchRequest) -> Result<WatchResponse, Box<Refusal>> {
         let now_ms = self.now_ms();
-        let (nodes, directory) = self.with_leadership("watch", |leadership| {
+        let (nodes, directory, silent) = self.with_leadership("watch", |leadership| {
             let nodes = leadership.hear_node(&request.node, now_ms);
+            let silent = leadership.lost_machines(now_ms);
             let newer = leadership.directory_newer_than(request.directory);
             let update = newer.map(|(epoch, directory)| DirectoryUpdate {
                 epoch,
                 directory: directory.clone(),
             });
-            (nodes, update)
+            (nodes, update, silent)
         })?;
         let table = self
             .group
@@ -49,7 +50,7 @@
         Ok(WatchResponse {
             table,
             directory,
-            controls: self.known_controls(),
+            controls: self.known_controls(&silent),
             nodes,
         })
     }
--- a/crates/pinerill-forward/src/cluster/client.rs
+++ b/crates/pinerill-forward/src/cluster/client.rs
@@ -21,6 +21,11 @@
 /// Longest time to connect.
 const CONNECT_TIME: Duration = Duration::from_millis(400);
 
+/// After a failure an address is not asked again for this time, unless there is
+/// no other: whoever needs an answer must not wait for a machine that others
+/// have just waited for.
+const AVOID_TIME: Duration = Duration::from_millis(700);
+
 type Slot = Arc<AsyncMutex<Option<Connection>>>;
 
 /// A request without an answer.
@@ -59,6 +64,35 @@
     leader: Option<SocketAddr>,
     /// Those of this node's zone.
     near: Vec<SocketAddr>,
+    /// Until when those that failed are avoided.
+    avoided: HashMap<SocketAddr, Instant>,
+}
+
+impl Addresses {
+    fn is_avoided(&self, address: &SocketAddr) -> bool {
+        let until = self.avoided.get(address);
+        until.is_some_and(|until| *until > Instant::now())
+    }
+
+    /// The leader if it answers, otherwise each in turn; those that failed a
+    /// moment ago only if there is no other.
+    fn next(&mut self) -> SocketAddr {
+        if let Some(leader) = self.leader.filter(|leader| !self.is_avoided(leader)) {
+            return leader;
+        }
+        for _ in 0..self.known.len() {
+            let address = self.turn();
+            if !self.is_avoided(&address) {
+                return address;
+            }
+        }
+        self.turn()
+    }
+
+    fn turn(&mut self) -> SocketAddr {
+        self.next = self.next.wrapping_add(1);
+        self.known[self.next % self.known.len()]
+    }
 }
 
 impl ClusterClient {
@@ -72,6 +106,7 @@
                 next,
                 leader: None,
                 near: Vec::new(),
+                avoided: HashMap::new(),
             }),
             connections: Mutex::default(),
             counters: Arc::default(),
@@ -121,7 +156,7 @@
             if left.is_zero() {
                 return Err(failure);
             }
-            let address = self.next_address();
+            let address = self.addresses.lock().next();
             let limit = left.min(TRY_TIME + hold);
             match self.call_at(address, encoded.clone(), limit).await {
                 Ok(response) => {
@@ -158,17 +193,24 @@
         time: Duration,
         hold: Duration,
     ) -> Result<Answered, CallFailure> {
-        let near = self.addresses.lock().near.first().copied();
+        let near = {
+            let addresses = self.addresses.lock();
+            let mut near = addresses.near.iter();
+            near.find(|one| !addresses.is_avoided(one)).copied()
+        };
         if let Some(address) = near {
             let limit = time.min(TRY_TIME + hold);
             let asked = self
                 .call_at(address, request.clone().into_wire(), limit)
                 .await;
-            if let Ok(response) = asked {
-                return Ok(Answered {
-                    response,
-                    maybe_done_before: false,
-                });
+            match asked {
+                Ok(response) => {
+                    return Ok(Answered {
+                        response,
+                        maybe_done_before: false,
+                    });
+                }
+                Err(error) => self.avoid_if_lost(address, &error),
             }
         }
         self.call(request, time, hold).await
@@ -195,35 +237,47 @@
 
     async fn connection(&self, address: SocketAddr) -> Result<Connection, CallError> {
         let slot = self.connections.lock().entry(address).or_default().clone();
+        let waited = Instant::now();
         let mut held = slot.lock().await;
         if let Some(connection) = held.as_ref().filter(|one| !one.is_closed()) {
             return Ok(connection.clone());
         }
+        let failed_meanwhile = {
+            let addresses = self.addresses.lock();
+            let until = addresses.avoided.get(&address);
+            until.is_some_and(|until| *until > waited + AVOID_TIME)
+        };
+        if failed_meanwhile {
+            return Err(not_connected(address));
+        }
         let opening = Connection::open(address, &self.identity, self.counters.clone());
         let opened = tokio::time::timeout(CONNECT_TIME, opening).await;
-        let opened = opened.unwrap_or_else(|_| {
-            Err(CallError {
-                kind: CallErrorKind::NotSent,
-                step: "connect".to_owned(),
-                peer: address.to_string(),
-                message: "no answer in time".to_owned(),
-            })
-        })?;
-        *held = Some(opened.clone());
-        Ok(opened)
+        let opened = opened.unwrap_or_else(|_| Err(not_connected(address)));
+        match opened {
+            Ok(opened) => {
+                *held = Some(opened.clone());
+                Ok(opened)
+            }
+            Err(error) => {
+                // Noted while the slot is held, for those that wait for it.
+                self.avoid_if_lost(address, &error);
+                Err(error)
+            }
+        }
     }
 
-    fn next_address(&self) -> SocketAddr {
-        let mut addresses = self.addresses.lock();
-        if let Some(leader) = addresses.leader {
-            return leader;
+    /// A machine that refuses is there; one that doesn't answer is avoided.
+    fn avoid_if_lost(&self, address: SocketAddr, error: &CallError) {
+        if matches!(error.kind, CallErrorKind::Refused(_)) {
+            return;
         }
-        addresses.next = addresses.next.wrapping_add(1);
-        addresses.known[addresses.next % addresses.known.len()]
+        let until = Instant::now() + AVOID_TIME;
+        self.addresses.lock().avoided.insert(address, until);
     }
 
     /// Notes what a failure says of the leader; true if it named another one.
     fn take_in(&self, address: SocketAddr, error: &CallError) -> bool {
+        self.avoid_if_lost(address, error);
         let mut addresses = self.addresses.lock();
         let hint = match &error.kind {
             CallErrorKind::Refused(refusal) if refusal.code == RefusalCode::NotLeader => {
@@ -231,7 +285,7 @@
             }
             _ => None,
         };
-        let hint = hint.filter(|leader| *leader != address);
+        let hint = hint.filter(|leader| *leader != address && !addresses.is_avoided(leader));
         if hint.is_some() {
             addresses.leader = hint;
         } else if addresses.leader == Some(address) {
@@ -241,6 +295,15 @@
     }
 }
 
+fn not_connected(address: SocketAddr) -> CallError {
+    CallError {
+        kind: CallErrorKind::NotSent,
+        step: "connect".to_owned(),
+        peer: address.to_string(),
+        message: "no answer in time".to_owned(),
+    }
+}
+
 fn may_be_done(error: &CallError) -> bool {
     match &error.kind {
         CallErrorKind::NotSent => false,
--- a/crates/pinerill-forward/src/cluster/watch.rs
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -17,7 +17,7 @@
 use crate::node::Node;
 
 /// How long the leader may hold an answer.
-const HOLD: Duration = Duration::from_millis(1_000);
+const HOLD: Duration = Duration::from_millis(500);
 /// How long the node asks around before it counts the control machines as
 /// lost.
 const ASK_TIME: Duration = Duration::from_millis(2_500);
--- a/crates/pinerill-forward/src/gateway/request.rs
+++ b/crates/pinerill-forward/src/gateway/request.rs
@@ -21,6 +21,9 @@
 /// When to come back to a node that has no route table yet.
 const STARTING_RETRY: Duration = Duration::from_millis(300);
 
+/// When to come back, to another node, while this one stops.
+const STOPPING_RETRY: Duration = Duration::from_millis(50);
+
 /// Answers one request.
 pub(super) async fn serve(node: Arc<Node>, request: Request<Incoming>) -> Response<AnswerBody> {
     node.counters.requests.add(1);
@@ -74,8 +77,15 @@
     run_call(node, call).await
 }
 
-/// A node without a route table can't say that a route does not exist.
+/// A call that comes late in a stop would be cut at its end. A node without a
+/// route table can't say that a route does not exist.
 fn admit(node: &Node) -> Result<Arc<RouteIndex>, Refusal> {
+    if node.takes_no_more() {
+        return Err(Refusal::NotRun {
+            reason: "the node stops",
+            retry_after: Some(STOPPING_RETRY),
+        });
+    }
     node.table().ok_or(Refusal::NotRun {
         reason: "no route table yet",
         retry_after: Some(STARTING_RETRY),
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -1,5 +1,6 @@
 //! What the parts of a node share.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -15,6 +16,10 @@
 use crate::monitoring::Counters;
 use pinerill_calls::settings::NodeSettings;
 
+/// Part of the time for a planned stop in which calls are still taken: callers
+/// need some seconds to learn of it.
+const TAKING_PART: f64 = 0.35;
+
 /// A node.
 pub struct Node {
     pub(crate) settings: NodeSettings,
@@ -29,6 +34,8 @@
     pub(crate) counters: Counters,
     started: Instant,
     pub(crate) stopping: CancellationToken,
+    /// When it began to stop, on its clock; 0 before.
+    stop_began_ms: AtomicU64,
 }
 
 /// What a node is made of.
@@ -56,9 +63,23 @@
             counters: Counters::default(),
             started: Instant::now(),
             stopping: parts.stopping,
+            stop_began_ms: AtomicU64::new(0),
         }
     }
 
+    /// Notes that the node begins to stop.
+    pub(crate) fn begin_stop(&self) {
+        let now_ms = self.now_ms().max(1);
+        self.stop_began_ms.store(now_ms, Ordering::Relaxed);
+    }
+
+    /// Whether it stops and a call that came now could not end in time.
+    pub(crate) fn takes_no_more(&self) -> bool {
+        let began_ms = self.stop_began_ms.load(Ordering::Relaxed);
+        let taking_ms = self.settings.stop_s * TAKING_PART * 1_000.0;
+        began_ms > 0 && (self.now_ms() - began_ms) as f64 > taking_ms
+    }
+
     /// Milliseconds of a steady clock.
     pub fn now_ms(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
--- a/crates/pinerill-forward/src/run.rs
+++ b/crates/pinerill-forward/src/run.rs
@@ -21,7 +21,7 @@
 use pinerill_calls::settings::{cluster_key, ForwardingSettings, NodeSettings, SettingsError};
 
 /// Part of the time for a planned stop that requests in flight get.
-const SERVING_PART: f64 = 0.85;
+const SERVING_PART: f64 = 0.93;
 /// Pause between two looks at idle connections.
 const SWEEP_PAUSE: Duration = Duration::from_millis(500);
 
@@ -75,6 +75,7 @@
     };
     let stop = async {
         signals.planned.cancelled().await;
+        node.begin_stop();
         log::info!(event = "stopping", node = node.settings.name.as_str(); "");
         sleep(grace).await;
     };
