Logs that are bounded and never block, metrics of calls, pinerill explain

Lines go to standard output through one writer with a bounded queue; each kind has a budget a second and tells what was left out. Values are quoted, so that a line can be read back. One line ends each call with every attempt: worker, what was believed of it and how old that was, and what became of it. Counters and histograms of calls (first event, gaps, whole) through the prometheus library. 'pinerill explain ID' puts the lines of several processes together.

--- a/crates/pinerill-calls/src/protocol/worker.rs
+++ b/crates/pinerill-calls/src/protocol/worker.rs
@@ -80,6 +80,15 @@
     OtherWorker,
 }
 
+impl std::fmt::Display for NotRunReason {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(match self {
+            NotRunReason::Full => "no room",
+            NotRunReason::OtherWorker => "another worker is there",
+        })
+    }
+}
+
 /// A worker's load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LoadSample {
--- a/crates/pinerill-calls/src/table.rs
+++ b/crates/pinerill-calls/src/table.rs
@@ -76,6 +76,17 @@
         )
     }
 
+    /// A name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            RouteKind::Repeatable => "repeatable",
+            RouteKind::AtMostOnce => "at_most_once",
+            RouteKind::Stream => "stream",
+            RouteKind::ResumableStream => "resumable_stream",
+            RouteKind::Batch => "batch",
+        }
+    }
+
     /// Whether the answer is a series of events.
     pub fn is_stream(self) -> bool {
         matches!(self, RouteKind::Stream | RouteKind::ResumableStream)
--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -39,6 +39,7 @@
     last: Option<u64>,
     /// The worker that broke it off last.
     avoid: Vec<String>,
+    attempts: u32,
 }
 
 /// Runs an item and reports its end. Dropping the future closes the connection
@@ -64,12 +65,10 @@
         ItemEnd::Impossible => "impossible",
         ItemEnd::Failed => "failed",
     };
-    match end {
-        ItemEnd::Completed(_) => node.counters.items_completed.add(1),
-        _ => node.counters.items_failed.add(1),
-    }
-    log::debug!(
+    node.metrics.item_ended(outcome);
+    log::info!(
         event = "item_ended", id = running.leased.id.as_str(), job = item.job.as_str(),
+        index = item.index, attempts = running.attempts,
         outcome, ms = started.elapsed().as_millis() as u64; ""
     );
     // The receiver lives as long as the node.
@@ -96,6 +95,7 @@
         text: EventText::default(),
         last: None,
         avoid: Vec::new(),
+        attempts: 0,
     })
 }
 
@@ -121,6 +121,7 @@
 async fn attempt(node: &Arc<Node>, held: &Held, running: &mut Running) -> Option<ItemEnd> {
     let place = find_place(node, held, running).await;
     let chosen = place.worker().to_owned();
+    running.attempts += 1;
     let (sent, place) = match send(node, running, place).await {
         Ok(begun) => begun,
         Err(reason) => {
--- a/crates/pinerill-forward/src/batch/leases.rs
+++ b/crates/pinerill-forward/src/batch/leases.rs
@@ -122,7 +122,7 @@
     if node.stopping.is_cancelled() || node.table().is_none() {
         return 0;
     }
-    let nodes = node.counters.nodes.load(Ordering::Relaxed).max(1);
+    let nodes = node.beliefs.nodes.load(Ordering::Relaxed).max(1);
     node.batch_capacity(nodes).items.min(TAKEN_AT_ONCE)
 }
 
@@ -141,6 +141,10 @@
     }
     for leased in leases.leased {
         let reference = leased.item.clone();
+        log::info!(
+            event = "item_taken", id = leased.id.as_str(), job = reference.job.as_str(),
+            index = reference.index, due_in_ms = leased.due_in_ms; ""
+        );
         let running = item::run(node.clone(), held.clone(), leased, reporter.clone());
         tasks.insert(reference, AbortOnDropHandle::new(tokio::spawn(running)));
     }
--- a/crates/pinerill-forward/src/call/attempt.rs
+++ b/crates/pinerill-forward/src/call/attempt.rs
@@ -57,7 +57,7 @@
             let end = AttemptEnd::NotRun;
             return Err(AttemptFailure { end, round_over });
         };
-        record.attempt(&chosen.entry.id);
+        record.attempt(&chosen);
         let worker = chosen.entry.clone();
         let place = node.occupy(&chosen, &call.prompt);
         let facts = AttemptFacts {
@@ -79,9 +79,13 @@
         let answered = timeout_at(limit.into(), begun).await;
         let sent = match answered {
             Ok(Ok(sent)) => sent,
-            Ok(Err(failure)) => return Err(self.lost(node, &worker.id, call, failure)),
+            Ok(Err(failure)) => {
+                record.attempt_failed(&failure.reason);
+                return Err(self.lost(node, &worker.id, call, failure));
+            }
             Err(_) => {
                 let reason = BreakReason::Silent;
+                record.attempt_failed(&reason);
                 let failure = SendFailure { sent: true, reason };
                 return Err(self.lost(node, &worker.id, call, failure));
             }
@@ -90,6 +94,7 @@
             node.take_load(&worker.id, load);
         }
         if let Verdict::NotRun(reason) = sent.answer.verdict {
+            record.attempt_failed(&reason);
             self.refused(node, &worker.id, reason, sent).await;
             let end = AttemptEnd::NotRun;
             let round_over = false;
--- a/crates/pinerill-forward/src/call/mod.rs
+++ b/crates/pinerill-forward/src/call/mod.rs
@@ -18,6 +18,6 @@
 
 pub use attempt::{AttemptFailure, Attempted, Attempts};
 pub use online::run_call;
-pub use record::CallRecord;
+pub use record::{CallOutcome, CallRecord};
 pub use relay::{AnswerBody, RelayError};
 pub use request::Call;
--- a/crates/pinerill-forward/src/call/online.rs
+++ b/crates/pinerill-forward/src/call/online.rs
@@ -10,9 +10,8 @@
 
 use super::attempt::{Attempted, Attempts};
 use super::decision::{AttemptEnd, CallProgress, Next};
-use super::record::ANSWERED;
 use super::relay::{AnswerBody, Relay};
-use super::{Call, CallRecord};
+use super::{Call, CallOutcome, CallRecord};
 use crate::exchange::BreakReason;
 use crate::node::Node;
 
@@ -26,7 +25,7 @@
 /// # Errors
 /// A refusal for the caller.
 pub async fn run_call(node: Arc<Node>, call: Call) -> Result<Response<AnswerBody>, Refusal> {
-    let mut record = CallRecord::begin(&call);
+    let mut record = CallRecord::begin(&node, &call);
     let mut progress = CallProgress::new(call.route.kind, call.route.attempts);
     let mut attempts = Attempts::default();
     loop {
@@ -41,10 +40,13 @@
             }
             Ok(attempted) => match whole(&node, &call, attempted, &mut attempts).await {
                 Ok(response) => {
-                    record.end(ANSWERED);
+                    record.end(CallOutcome::Answered);
                     return Ok(response);
                 }
-                Err(_) => AttemptEnd::MayHaveRun,
+                Err(reason) => {
+                    record.attempt_failed(&reason);
+                    AttemptEnd::MayHaveRun
+                }
             },
             Err(failure) => {
                 if failure.round_over {
@@ -58,7 +60,7 @@
                 true => refusal,
                 false => progress.out_of_time(),
             };
-            record.end(refusal.to_string());
+            record.end(CallOutcome::Refused(refusal.clone()));
             return Err(refusal);
         }
     }
--- a/crates/pinerill-forward/src/call/record.rs
+++ b/crates/pinerill-forward/src/call/record.rs
@@ -1,58 +1,130 @@
-//! The log line of a call.
+//! What is told of a call: one log line when it ends, and its metrics.
 
+use std::fmt::Write;
+use std::sync::Arc;
 use std::time::Instant;
 
+use pinerill_calls::protocol::Refusal;
+
 use super::Call;
+use crate::fleet::Chosen;
+use crate::node::Node;
+
+/// How a call ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallOutcome {
+    /// Its answer was whole.
+    Answered,
+    /// It was refused.
+    Refused(Refusal),
+    /// Its answer was cut; why.
+    Cut(String),
+    /// Its caller went away.
+    Left,
+}
+
+impl CallOutcome {
+    /// The kind of the log line.
+    fn event(&self) -> &'static str {
+        match self {
+            CallOutcome::Answered => "call_answered",
+            CallOutcome::Refused(_) => "call_refused",
+            CallOutcome::Cut(_) => "call_cut",
+            CallOutcome::Left => "call_left",
+        }
+    }
+
+    /// The label in metrics.
+    pub(crate) fn label(&self) -> &'static str {
+        match self {
+            CallOutcome::Answered => "answered",
+            CallOutcome::Refused(Refusal::NotRun { .. }) => "not_run",
+            CallOutcome::Refused(_) => "failed",
+            CallOutcome::Cut(_) => "cut",
+            CallOutcome::Left => "left",
+        }
+    }
 
-/// What is told of a call when it ends, however it ends.
-#[derive(Debug)]
+    fn reason(&self) -> String {
+        match self {
+            CallOutcome::Answered | CallOutcome::Left => String::new(),
+            CallOutcome::Refused(refusal) => refusal.to_string(),
+            CallOutcome::Cut(reason) => reason.clone(),
+        }
+    }
+}
+
+/// The record of a call while it goes on. A record that is dropped without an
+/// outcome was left by its caller.
 pub struct CallRecord {
+    node: Arc<Node>,
     id: String,
     route: String,
+    kind: &'static str,
     table_version: u64,
     arrived: Instant,
-    attempts: u32,
-    worker: String,
-    first_ms: Option<u64>,
+    /// Each attempt with what decided it and what became of it.
+    attempts: String,
+    first_event: Option<Instant>,
+    last_event: Option<Instant>,
     events: usize,
-    /// None while it goes on: a record that is dropped so was left by its
-    /// caller.
-    outcome: Option<String>,
+    outcome: CallOutcome,
 }
 
 impl CallRecord {
     /// The record of a call that begins.
-    pub fn begin(call: &Call) -> Self {
+    pub fn begin(node: &Arc<Node>, call: &Call) -> Self {
         CallRecord {
+            node: node.clone(),
             id: call.head.id.clone(),
             route: call.route.name.clone(),
+            kind: call.route.kind.name(),
             table_version: call.table_version,
             arrived: call.arrived,
-            attempts: 0,
-            worker: String::new(),
-            first_ms: None,
+            attempts: String::new(),
+            first_event: None,
+            last_event: None,
             events: 0,
-            outcome: None,
+            outcome: CallOutcome::Left,
         }
     }
 
     /// An attempt begins.
-    pub fn attempt(&mut self, worker: &str) {
-        self.attempts += 1;
-        self.worker = worker.to_owned();
+    pub fn attempt(&mut self, chosen: &Chosen) {
+        if !self.attempts.is_empty() {
+            self.attempts.push_str("; ");
+        }
+        let at = self.elapsed_ms();
+        // Writing to a text can't fail.
+        let _ = write!(
+            self.attempts,
+            "{at} ms {} ({})",
+            chosen.entry.id, chosen.basis
+        );
+    }
+
+    /// The last attempt gave no answer.
+    pub fn attempt_failed(&mut self, reason: &dyn std::fmt::Display) {
+        let at = self.elapsed_ms();
+        let _ = write!(self.attempts, " > {reason} at {at} ms");
     }
 
-    /// Events were passed on.
+    /// Events are passed on.
     pub fn events(&mut self, count: usize) {
-        if count > 0 && self.first_ms.is_none() {
-            self.first_ms = Some(self.elapsed_ms());
+        let now = Instant::now();
+        let metrics = &self.node.metrics;
+        match self.last_event {
+            None => metrics.first_event(self.kind, now.duration_since(self.arrived)),
+            Some(last) => metrics.gap(self.kind, now.duration_since(last)),
         }
+        self.first_event.get_or_insert(now);
+        self.last_event = Some(now);
         self.events += count;
     }
 
     /// It ended.
-    pub fn end(&mut self, outcome: impl Into<String>) {
-        self.outcome = Some(outcome.into());
+    pub fn end(&mut self, outcome: CallOutcome) {
+        self.outcome = outcome;
     }
 
     fn elapsed_ms(&self) -> u64 {
@@ -60,21 +132,20 @@
     }
 }
 
-/// Outcome of a call whose answer was whole.
-pub(super) const ANSWERED: &str = "answered";
-
 impl Drop for CallRecord {
     fn drop(&mut self) {
-        let outcome = self.outcome.as_deref().unwrap_or("left by the caller");
-        let level = if outcome == ANSWERED {
-            log::Level::Debug
-        } else {
-            log::Level::Info
-        };
-        log::log!(
-            level, event = "call_ended", id = self.id.as_str(), route = self.route.as_str(),
-            table = self.table_version, worker = self.worker.as_str(), attempts = self.attempts,
-            first_ms:? = self.first_ms, events = self.events, ms = self.elapsed_ms(), outcome; ""
+        let taken = self.arrived.elapsed();
+        self.node
+            .metrics
+            .call_ended(self.kind, self.outcome.label(), taken);
+        let first_ms = self
+            .first_event
+            .map(|at| at.duration_since(self.arrived).as_millis() as u64);
+        log::info!(
+            event = self.outcome.event(), id = self.id.as_str(), route = self.route.as_str(),
+            table = self.table_version, directory_age_ms = self.node.directory_age_ms(),
+            attempts = self.attempts.as_str(), first_ms:? = first_ms, events = self.events,
+            ms = taken.as_millis() as u64, reason = self.outcome.reason().as_str(); ""
         );
     }
 }
--- a/crates/pinerill-forward/src/call/relay.rs
+++ b/crates/pinerill-forward/src/call/relay.rs
@@ -20,8 +20,7 @@
 
 use super::attempt::{Attempted, Attempts};
 use super::decision::{AttemptEnd, CallProgress, Next};
-use super::record::ANSWERED;
-use super::{Call, CallRecord};
+use super::{Call, CallOutcome, CallRecord};
 use crate::exchange::{BreakReason, EventScanner, Exchange};
 use crate::node::{Node, Occupied};
 
@@ -100,7 +99,7 @@
             };
             if let Err(outcome) = self.continue_elsewhere(&broken).await {
                 self.ended = true;
-                self.record.end(outcome);
+                self.record.end(CallOutcome::Cut(outcome));
                 // The server writes out what it has been handed when it has
                 // to wait; an error that comes at once would discard it.
                 yield_now().await;
@@ -148,7 +147,7 @@
 
     fn finish(&mut self) {
         self.ended = true;
-        self.record.end(ANSWERED);
+        self.record.end(CallOutcome::Answered);
         if let Some(Running { exchange, place }) = self.running.take() {
             place.succeeded();
             exchange.finish(self.node.connections());
@@ -161,6 +160,7 @@
     /// The outcome when there is none.
     async fn continue_elsewhere(&mut self, broken: &BreakReason) -> Result<(), String> {
         if let Some(Running { place, .. }) = self.running.take() {
+            self.record.attempt_failed(broken);
             let worker = place.worker().to_owned();
             self.attempts.broke(&self.node, &worker, &self.call, broken);
         }
@@ -169,7 +169,7 @@
         loop {
             let next = self.progress.after(end, self.call.has_time());
             if let Next::Refuse(_) = next {
-                return Err(format!("cut: {broken}"));
+                return Err(broken.to_string());
             }
             match self.attempt().await {
                 Ok(()) => return Ok(()),
--- a/crates/pinerill-forward/src/cluster/watch.rs
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -68,7 +68,7 @@
 
 fn note_connected(node: &Node, connected: &mut bool, now: bool, message: &str) {
     if now {
-        node.counters
+        node.beliefs
             .control_heard_ms
             .store(node.now_ms(), Ordering::Relaxed);
     }
@@ -80,7 +80,10 @@
 
 fn take_in(node: &Node, response: WatchResponse, position: &mut Option<DirectoryPosition>) {
     node.cluster.learn_zones(response.controls);
-    node.counters.nodes.store(response.nodes, Ordering::Relaxed);
+    if position.is_some() {
+        note_directory(node);
+    }
+    node.beliefs.nodes.store(response.nodes, Ordering::Relaxed);
     if let Some(table) = response.table {
         let version = table.version;
         if node.take_table(RouteIndex::new(table)) {
@@ -96,7 +99,14 @@
     }
 }
 
+fn note_directory(node: &Node) {
+    node.beliefs
+        .directory_heard_ms
+        .store(node.now_ms(), Ordering::Relaxed);
+}
+
 fn take_workers(node: &Node, workers: &[WorkerEntry], source: &str) {
+    note_directory(node);
     let gone = node.with_fleet(|fleet, _| fleet.take_directory(workers));
     for worker in &gone {
         node.connections().forget(worker);
@@ -121,7 +131,7 @@
     loop {
         let jitter = LIST_PAUSE.mul_f64(rand::random());
         sleep(LIST_PAUSE + jitter).await;
-        let heard_ms = node.counters.control_heard_ms.load(Ordering::Relaxed);
+        let heard_ms = node.beliefs.control_heard_ms.load(Ordering::Relaxed);
         let silent_ms = node.now_ms().saturating_sub(heard_ms);
         if Duration::from_millis(silent_ms) < LIST_AFTER {
             continue;
--- a/crates/pinerill-forward/src/exchange/pool.rs
+++ b/crates/pinerill-forward/src/exchange/pool.rs
@@ -60,6 +60,16 @@
         }
     }
 
+    /// Idle connections to all workers.
+    pub fn len(&self) -> usize {
+        self.idle.lock().values().map(Vec::len).sum()
+    }
+
+    /// Whether no connection is idle.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Closes what has been idle for too long.
     pub fn sweep(&self) {
         let now = Instant::now();
--- a/crates/pinerill-forward/src/fleet/choice.rs
+++ b/crates/pinerill-forward/src/fleet/choice.rs
@@ -5,7 +5,7 @@
 
 use super::prefixes::Prompt;
 use super::worker::Worker;
-use super::{Chosen, Fleet};
+use super::{ChoiceBasis, Chosen, Fleet};
 
 /// What one more request beside others costs while there are free slots,
 /// milliseconds: a step takes a little longer.
@@ -53,7 +53,7 @@
             (self.cost_ms(now_ms, worker, prefill_ms), worker)
         });
         let (_, best) = scored.min_by(|left, right| left.0.total_cmp(&right.0))?;
-        Some(self.chosen(best, wanted.prompt))
+        Some(self.chosen(now_ms, best, wanted.prompt))
     }
 
     /// The worker for an item of a job: the emptiest in reach that has room
@@ -71,7 +71,7 @@
             (filled + away, worker)
         });
         let (_, best) = scored.min_by(|left, right| left.0.total_cmp(&right.0))?;
-        Some(self.chosen(best, wanted.prompt))
+        Some(self.chosen(now_ms, best, wanted.prompt))
     }
 
     /// Items that this node may begin, if `nodes` nodes share the fleet. The
@@ -107,10 +107,15 @@
         }
     }
 
-    fn chosen(&self, worker: &Worker, prompt: &Prompt) -> Chosen {
+    fn chosen(&self, now_ms: u64, worker: &Worker, prompt: &Prompt) -> Chosen {
         Chosen {
             entry: worker.entry().clone(),
             prefill_ms: self.prefill_ms(worker, prompt, false),
+            basis: ChoiceBasis {
+                occupied: worker.occupied(now_ms),
+                load_age_ms: worker.load_age_ms(now_ms),
+                near: self.is_near(worker),
+            },
         }
     }
 
--- a/crates/pinerill-forward/src/fleet/mod.rs
+++ b/crates/pinerill-forward/src/fleet/mod.rs
@@ -168,4 +168,29 @@
     pub entry: Arc<WorkerEntry>,
     /// Time that reading the prompt is expected to take there, milliseconds.
     pub prefill_ms: f64,
+    /// What decided.
+    pub basis: ChoiceBasis,
+}
+
+/// What was believed of a worker as it was chosen.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ChoiceBasis {
+    /// Requests there.
+    pub occupied: f64,
+    /// Age of what others are believed to do there, milliseconds; none if
+    /// nothing is known of it.
+    pub load_age_ms: Option<u64>,
+    /// It is in this node's zone.
+    pub near: bool,
+}
+
+impl std::fmt::Display for ChoiceBasis {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "occupied {:.1}, load ", self.occupied)?;
+        match self.load_age_ms {
+            Some(age) => write!(formatter, "{age} ms old")?,
+            None => formatter.write_str("unknown")?,
+        }
+        formatter.write_str(if self.near { ", near" } else { ", far" })
+    }
 }
--- a/crates/pinerill-forward/src/fleet/worker.rs
+++ b/crates/pinerill-forward/src/fleet/worker.rs
@@ -108,6 +108,12 @@
         f64::from(self.in_flight) + self.others_believed(now_ms)
     }
 
+    /// Age of the newest load sample, milliseconds.
+    pub(super) fn load_age_ms(&self, now_ms: u64) -> Option<u64> {
+        let sample = self.others?;
+        Some(now_ms.saturating_sub(sample.at_ms))
+    }
+
     fn others_believed(&self, now_ms: u64) -> f64 {
         let Some(sample) = self.others else {
             return 0.0;
--- a/crates/pinerill-forward/src/gateway/request.rs
+++ b/crates/pinerill-forward/src/gateway/request.rs
@@ -26,7 +26,7 @@
 
 /// Answers one request.
 pub(super) async fn serve(node: Arc<Node>, request: Request<Incoming>) -> Response<AnswerBody> {
-    node.counters.requests.add(1);
+    node.metrics.requests.inc();
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
     let answered = match node.caller_protocol.read_request(&head) {
@@ -38,8 +38,9 @@
 }
 
 fn refused(node: &Node, refusal: &Refusal) -> Response<AnswerBody> {
-    node.counters.refusals.add(1);
-    own_answer(node.caller_protocol.answer(CallerAnswer::Refused(refusal)))
+    let answer = node.caller_protocol.answer(CallerAnswer::Refused(refusal));
+    node.metrics.refused(answer.status.as_u16());
+    own_answer(answer)
 }
 
 fn own_answer(answer: HttpAnswer) -> Response<AnswerBody> {
--- a/crates/pinerill-forward/src/monitoring.rs
+++ b/crates/pinerill-forward/src/monitoring.rs
@@ -1,60 +1,185 @@
-//! Counters, metrics and readiness of a node.
+//! Metrics and readiness of a node.
 
-use std::fmt::Write;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
 
 use pinerill_process::Monitored;
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
 
 use crate::node::Node;
 
-/// A count that only grows.
-#[derive(Debug, Default)]
-pub(crate) struct Counter(AtomicU64);
-
-impl Counter {
-    pub(crate) fn add(&self, count: u64) {
-        self.0.fetch_add(count, Ordering::Relaxed);
-    }
+/// Bounds of latency histograms, seconds: from a fast first event to the
+/// longest that callers wait.
+const LATENCY_BUCKETS: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 2.5, 5.0,
+];
 
-    fn value(&self) -> u64 {
-        self.0.load(Ordering::Relaxed)
-    }
+/// What a node counts and measures.
+pub(crate) struct Metrics {
+    registry: Registry,
+    pub(crate) requests: IntCounter,
+    refusals: IntCounterVec,
+    calls: IntCounterVec,
+    first_event: HistogramVec,
+    gap: HistogramVec,
+    whole: HistogramVec,
+    pub(crate) worker_failures: IntCounter,
+    pub(crate) worker_refusals: IntCounter,
+    items: IntCounterVec,
+    table_version: IntGauge,
+    control_silent_ms: IntGauge,
+    directory_age_ms: IntGauge,
+    idle_connections: IntGauge,
 }
 
-/// What a node counts.
+/// Beliefs of a node that are single numbers.
 #[derive(Debug, Default)]
-pub(crate) struct Counters {
-    pub(crate) requests: Counter,
-    pub(crate) refusals: Counter,
-    pub(crate) worker_failures: Counter,
-    pub(crate) worker_refusals: Counter,
-    pub(crate) items_completed: Counter,
-    pub(crate) items_failed: Counter,
+pub(crate) struct Beliefs {
     /// Nodes that watch, as the leader tells.
     pub(crate) nodes: AtomicU32,
     /// When a control machine last answered, on the node's clock.
     pub(crate) control_heard_ms: AtomicU64,
+    /// When the directory was last confirmed or replaced, on the node's clock.
+    pub(crate) directory_heard_ms: AtomicU64,
+}
+
+impl Metrics {
+    /// Metrics in a registry of their own.
+    ///
+    /// # Errors
+    /// When two have the same name.
+    pub(crate) fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok::<_, prometheus::Error>(counters)
+        };
+        let histogram = |name: &str, help: &str, labels: &[&str]| {
+            let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+            let histogram = HistogramVec::new(options, labels)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok::<_, prometheus::Error>(histogram)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        Ok(Metrics {
+            requests: counter("pinerill_node_requests_total", "Callers' requests")?,
+            refusals: counters(
+                "pinerill_node_refusals_total",
+                "Answers of this node's own that refuse, by status",
+                &["status"],
+            )?,
+            calls: counters(
+                "pinerill_node_calls_total",
+                "Forwarded calls that ended, by kind of route and outcome",
+                &["kind", "outcome"],
+            )?,
+            first_event: histogram(
+                "pinerill_node_first_event_seconds",
+                "Time from a call's arrival to its first event",
+                &["kind"],
+            )?,
+            gap: histogram(
+                "pinerill_node_event_gap_seconds",
+                "Time between two events of a call",
+                &["kind"],
+            )?,
+            whole: histogram(
+                "pinerill_node_call_seconds",
+                "Time from a call's arrival to its end, by outcome",
+                &["kind", "outcome"],
+            )?,
+            worker_failures: counter(
+                "pinerill_node_worker_failures_total",
+                "Attempts at workers that were not reached, broke off or were silent",
+            )?,
+            worker_refusals: counter(
+                "pinerill_node_worker_refusals_total",
+                "Attempts at workers that had no room",
+            )?,
+            items: counters(
+                "pinerill_node_items_total",
+                "Items of jobs that ended here, by end",
+                &["end"],
+            )?,
+            table_version: gauge("pinerill_node_table_version", "Route table in force")?,
+            control_silent_ms: gauge(
+                "pinerill_node_control_silent_ms",
+                "Time since a control machine answered",
+            )?,
+            directory_age_ms: gauge(
+                "pinerill_node_directory_age_ms",
+                "Time since the directory of workers was confirmed",
+            )?,
+            idle_connections: gauge(
+                "pinerill_node_idle_connections",
+                "Connections to workers that wait for a request",
+            )?,
+            registry,
+        })
+    }
+
+    pub(crate) fn refused(&self, status: u16) {
+        self.refusals
+            .with_label_values(&[&status.to_string()])
+            .inc();
+    }
+
+    pub(crate) fn first_event(&self, kind: &str, time: Duration) {
+        let histogram = self.first_event.with_label_values(&[kind]);
+        histogram.observe(time.as_secs_f64());
+    }
+
+    pub(crate) fn gap(&self, kind: &str, time: Duration) {
+        self.gap
+            .with_label_values(&[kind])
+            .observe(time.as_secs_f64());
+    }
+
+    pub(crate) fn call_ended(&self, kind: &str, outcome: &str, time: Duration) {
+        self.calls.with_label_values(&[kind, outcome]).inc();
+        let histogram = self.whole.with_label_values(&[kind, outcome]);
+        histogram.observe(time.as_secs_f64());
+    }
+
+    pub(crate) fn item_ended(&self, end: &str) {
+        self.items.with_label_values(&[end]).inc();
+    }
 }
 
 impl Monitored for Node {
     fn metrics_text(&self) -> Result<String, String> {
-        let counters = &self.counters;
-        let heard_ms = counters.control_heard_ms.load(Ordering::Relaxed);
+        let metrics = &self.metrics;
+        let number = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        let heard_ms = self.beliefs.control_heard_ms.load(Ordering::Relaxed);
         let version = self.table().map_or(0, |index| index.table().version);
-        let mut text = String::new();
-        let mut line = |name: &str, value: u64| {
-            let _ = writeln!(text, "pinerill_node_{name} {value}");
-        };
-        line("requests_total", counters.requests.value());
-        line("refusals_total", counters.refusals.value());
-        line("worker_failures_total", counters.worker_failures.value());
-        line("worker_refusals_total", counters.worker_refusals.value());
-        line("items_completed_total", counters.items_completed.value());
-        line("items_failed_total", counters.items_failed.value());
-        line("nodes", u64::from(counters.nodes.load(Ordering::Relaxed)));
-        line("control_silent_ms", self.now_ms().saturating_sub(heard_ms));
-        line("table_version", version);
-        Ok(text)
+        metrics.table_version.set(number(version));
+        metrics
+            .control_silent_ms
+            .set(number(self.now_ms().saturating_sub(heard_ms)));
+        metrics
+            .directory_age_ms
+            .set(number(self.directory_age_ms()));
+        metrics
+            .idle_connections
+            .set(number(self.connections().len() as u64));
+        let mut text = Vec::new();
+        TextEncoder::new()
+            .encode(&metrics.registry.gather(), &mut text)
+            .map_err(|error| error.to_string())?;
+        String::from_utf8(text).map_err(|error| error.to_string())
     }
 
     fn unready_reasons(&self) -> Vec<String> {
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -13,7 +13,7 @@
 use crate::cluster::ClusterClient;
 use crate::exchange::ConnectionPool;
 use crate::fleet::{BatchCapacity, Chosen, Fleet, Prompt, Wanted};
-use crate::monitoring::Counters;
+use crate::monitoring::{Beliefs, Metrics};
 use pinerill_calls::settings::NodeSettings;
 
 /// Part of the time for a planned stop in which calls are still taken: callers
@@ -31,7 +31,8 @@
     table: RwLock<Option<Arc<RouteIndex>>>,
     fleet: Mutex<Fleet>,
     connections: ConnectionPool,
-    pub(crate) counters: Counters,
+    pub(crate) metrics: Metrics,
+    pub(crate) beliefs: Beliefs,
     started: Instant,
     pub(crate) stopping: CancellationToken,
     /// When it began to stop, on its clock; 0 before.
@@ -46,6 +47,7 @@
     pub(crate) worker_protocol: Arc<dyn WorkerProtocol>,
     pub(crate) cluster: ClusterClient,
     pub(crate) fleet: Fleet,
+    pub(crate) metrics: Metrics,
     pub(crate) stopping: CancellationToken,
 }
 
@@ -60,7 +62,8 @@
             table: RwLock::new(None),
             fleet: Mutex::new(parts.fleet),
             connections: ConnectionPool::default(),
-            counters: Counters::default(),
+            metrics: parts.metrics,
+            beliefs: Beliefs::default(),
             started: Instant::now(),
             stopping: parts.stopping,
             stop_began_ms: AtomicU64::new(0),
@@ -85,6 +88,13 @@
         self.started.elapsed().as_millis() as u64
     }
 
+    /// Time since the directory of workers was confirmed or replaced,
+    /// milliseconds.
+    pub fn directory_age_ms(&self) -> u64 {
+        let heard_ms = self.beliefs.directory_heard_ms.load(Ordering::Relaxed);
+        self.now_ms().saturating_sub(heard_ms)
+    }
+
     /// How workers are spoken to.
     pub fn worker_protocol(&self) -> &dyn WorkerProtocol {
         self.worker_protocol.as_ref()
@@ -156,13 +166,13 @@
 
     /// Notes that a worker could not be reached, broke off or was silent.
     pub fn worker_failed(&self, worker: &str) {
-        self.counters.worker_failures.add(1);
+        self.metrics.worker_failures.inc();
         self.with_fleet(|fleet, now_ms| fleet.failed(now_ms, worker));
     }
 
     /// Notes that a worker had no room.
     pub fn worker_full(&self, worker: &str) {
-        self.counters.worker_refusals.add(1);
+        self.metrics.worker_refusals.inc();
         self.with_fleet(|fleet, now_ms| fleet.was_full(now_ms, worker));
     }
 
--- a/crates/pinerill-forward/src/run.rs
+++ b/crates/pinerill-forward/src/run.rs
@@ -16,6 +16,7 @@
 use crate::cluster::{self, ClusterClient};
 use crate::exchange::ConnectionPool;
 use crate::fleet::{ChoiceSettings, Fleet};
+use crate::monitoring::Metrics;
 use crate::node::{Node, NodeParts};
 use crate::{batch, gateway};
 use pinerill_calls::settings::{cluster_key, ForwardingSettings, NodeSettings, SettingsError};
@@ -50,13 +51,8 @@
         .with_context(|| format!("listen at {}", settings.listen))?;
     let grace = Duration::from_secs_f64(settings.stop_s).mul_f64(SERVING_PART);
     let (ready_listen, admin) = (settings.ready_listen, settings.admin);
-    let node = Arc::new(build(
-        settings,
-        &cluster.name,
-        key,
-        &protocols,
-        &signals.planned,
-    ));
+    let node = build(settings, &cluster.name, key, &protocols, &signals.planned)?;
+    let node = Arc::new(node);
     let probes = Server::start(ready_listen, monitoring_server(ready_listen, node.clone())).await?;
     let metrics = Server::start(admin, monitoring_server(admin, node.clone())).await?;
     log::info!(
@@ -105,13 +101,14 @@
     key: ClusterKey,
     protocols: &NodeProtocols,
     stopping: &CancellationToken,
-) -> Node {
+) -> anyhow::Result<Node> {
     let identity = Identity::new(cluster, key, Role::Node, &settings.name, &settings.zone);
     let choice = ChoiceSettings {
         batch_share: settings.batch_share,
         ..ChoiceSettings::default()
     };
-    Node::new(NodeParts {
+    Ok(Node::new(NodeParts {
+        metrics: Metrics::new().context("register metrics")?,
         start: format!("{}/{:016x}", settings.name, rand::random::<u64>()),
         cluster: ClusterClient::new(identity, &settings.seed_addresses()),
         fleet: Fleet::new(&settings.zone, choice),
@@ -119,7 +116,7 @@
         worker_protocol: protocols.workers.clone(),
         stopping: stopping.clone(),
         settings,
-    })
+    }))
 }
 
 /// Takes over other seeds of a settings file that changes. What else differs
--- a/crates/pinerill/src/command/mod.rs
+++ b/crates/pinerill/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod bundle;
 pub mod cluster;
+pub mod explain;
 pub mod job;
 mod overrides;
 pub mod process;
--- a/crates/pinerill/src/command/process.rs
+++ b/crates/pinerill/src/command/process.rs
@@ -8,7 +8,7 @@
 
 use super::overrides::OverrideArguments;
 use crate::exit::WrongInput;
-use crate::logging;
+use pinerill_process::logging;
 
 /// Arguments of a long-running process.
 #[derive(Args)]
--- a/crates/pinerill/src/main.rs
+++ b/crates/pinerill/src/main.rs
@@ -4,7 +4,6 @@
 mod command;
 mod exit;
 mod files;
-mod logging;
 mod operator;
 mod output;
 
@@ -12,7 +11,7 @@
 
 use clap::{Command as ClapCommand, CommandFactory, FromArgMatches, Parser, Subcommand};
 
-use command::{bundle, cluster, job, process, settings};
+use command::{bundle, cluster, explain, job, process, settings};
 
 /// Serves online and batch inference on one fleet.
 #[derive(Parser)]
@@ -37,6 +36,8 @@
     /// Founds, inspects and repairs the control machines.
     #[command(subcommand)]
     Cluster(cluster::ClusterCommand),
+    /// Tells from logs what became of a request.
+    Explain(explain::ExplainArguments),
     /// Checks settings and prints an example.
     #[command(subcommand)]
     Settings(settings::SettingsCommand),
@@ -52,6 +53,7 @@
         Command::Bundle(command) => bundle::run(command),
         Command::Job(command) => job::run(command),
         Command::Cluster(command) => cluster::run(command),
+        Command::Explain(arguments) => explain::run(arguments),
         Command::Settings(command) => settings::run(command),
     };
     match result {
