--- a/crates/pinerill-calls/src/message.rs
+++ b/crates/pinerill-calls/src/message.rs
@@ -73,6 +73,10 @@
 pub struct WatchRequest {
     /// The asking node.
     pub node: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where it hears the other nodes of its zone.
+    pub peer: SocketAddr,
     /// Version of its route table; none if it has none.
     pub table_version: Option<u64>,
     /// Which control machine's directory it holds, and at which revision.
@@ -101,6 +105,8 @@
     pub controls: Vec<ControlAddress>,
     /// Nodes that watch.
     pub nodes: u32,
+    /// Where the nodes of the asker's zone hear each other, its own included.
+    pub peers: Vec<SocketAddr>,
 }
 
 /// Where a control machine listens.
--- a/crates/pinerill-calls/src/protocol/caller.rs
+++ b/crates/pinerill-calls/src/protocol/caller.rs
@@ -6,7 +6,7 @@
 use thiserror::Error;
 
 use super::HttpAnswer;
-use crate::job::{CallJobId, NewCallJob, ResultPage};
+use crate::job::{CallJobId, Header, NewCallJob, ResultPage};
 use crate::table::Route;
 
 /// Reads callers' requests and writes the answers that are not a worker's.
@@ -17,6 +17,9 @@
     /// When the head can't be understood.
     fn read_request(&self, head: &Parts) -> Result<CallerRequest, MalformedRequest>;
 
+    /// What the headers of an item of a job say of its prompt.
+    fn item_head(&self, headers: &[Header]) -> CallHead;
+
     /// The job that a request under a batch route hands in.
     ///
     /// # Errors
--- a/crates/pinerill-calls/src/settings/node.rs
+++ b/crates/pinerill-calls/src/settings/node.rs
@@ -17,6 +17,8 @@
     pub zone: String,
     /// Address for callers.
     pub listen: SocketAddr,
+    /// Address (UDP) at which the nodes of a zone hear each other.
+    pub peer_listen: SocketAddr,
     /// Address of the readiness probe.
     pub ready_listen: SocketAddr,
     /// Address for metrics, liveness and readiness.
--- a/crates/pinerill-cluster/src/server/leadership.rs
+++ b/crates/pinerill-cluster/src/server/leadership.rs
@@ -1,9 +1,10 @@
 //! Soft state of the leader: what it can ask again and never writes down.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 
 use pinerill_calls::directory::{WorkerDirectory, WorkerEntry};
-use pinerill_calls::message::DirectoryPosition;
+use pinerill_calls::message::{DirectoryPosition, WatchRequest};
 
 use crate::leases::{LeaseBook, LeaseSettings};
 
@@ -13,6 +14,15 @@
 /// Nodes are not sent to a control machine that was silent for this long.
 const MACHINE_LIFE_MS: u64 = 4_000;
 
+/// A node that watches.
+struct Node {
+    /// When it was last heard.
+    heard_ms: u64,
+    zone: String,
+    /// Where it hears the other nodes of its zone.
+    peer: SocketAddr,
+}
+
 /// One leadership of this machine.
 pub(super) struct Leadership {
     term: u64,
@@ -20,8 +30,8 @@
     last_command_ms: u64,
     epoch: u64,
     directory: Option<WorkerDirectory>,
-    /// When each node was last heard.
-    nodes: HashMap<String, u64>,
+    /// Nodes that watch, by name.
+    nodes: HashMap<String, Node>,
     /// When each control machine was last heard, by data folder.
     machines: BTreeMap<u64, u64>,
     /// Which node runs which item.
@@ -59,13 +69,24 @@
     }
 
     /// Notes that a node was heard; returns how many there are.
-    pub(super) fn hear_node(&mut self, node: &str, now_ms: u64) -> u32 {
-        self.nodes.insert(node.to_owned(), now_ms);
+    pub(super) fn hear_node(&mut self, request: &WatchRequest, now_ms: u64) -> u32 {
+        let node = Node {
+            heard_ms: now_ms,
+            zone: request.zone.clone(),
+            peer: request.peer,
+        };
+        self.nodes.insert(request.node.clone(), node);
         self.nodes
-            .retain(|_, heard| now_ms.saturating_sub(*heard) <= NODE_LIFE_MS);
+            .retain(|_, node| now_ms.saturating_sub(node.heard_ms) <= NODE_LIFE_MS);
         self.nodes.len() as u32
     }
 
+    /// Where the nodes of a zone hear each other.
+    pub(super) fn peers(&self, zone: &str) -> Vec<SocketAddr> {
+        let in_zone = self.nodes.values().filter(|node| node.zone == zone);
+        in_zone.map(|node| node.peer).collect()
+    }
+
     /// Notes that a control machine was heard.
     pub(super) fn hear_machine(&mut self, replica: u64, now_ms: u64) {
         self.machines.insert(replica, now_ms);
--- a/crates/pinerill-cluster/src/server/watch.rs
+++ b/crates/pinerill-cluster/src/server/watch.rs
@@ -34,15 +34,16 @@
 
     fn news_for(&self, request: &WatchRequest) -> Result<WatchResponse, Box<Refusal>> {
         let now_ms = self.now_ms();
-        let (nodes, directory, silent) = self.with_leadership("watch", |leadership| {
-            let nodes = leadership.hear_node(&request.node, now_ms);
+        let (nodes, directory, silent, peers) = self.with_leadership("watch", |leadership| {
+            let nodes = leadership.hear_node(request, now_ms);
+            let peers = leadership.peers(&request.zone);
             let silent = leadership.lost_machines(now_ms);
             let newer = leadership.directory_newer_than(request.directory);
             let update = newer.map(|(epoch, directory)| DirectoryUpdate {
                 epoch,
                 directory: directory.clone(),
             });
-            (nodes, update, silent)
+            (nodes, update, silent, peers)
         })?;
         let table = self
             .group
@@ -52,6 +53,7 @@
             directory,
             controls: self.known_controls(&silent),
             nodes,
+            peers,
         })
     }
 }
--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -83,7 +83,7 @@
     let service = route.target_at(rand::random())?.service.clone();
     Some(Running {
         service,
-        prompt: Prompt::default(),
+        prompt: Prompt::of_call(&node.caller_protocol.item_head(&call.headers)),
         request: WorkerRequest {
             method: Method::POST,
             uri,
@@ -222,7 +222,7 @@
 async fn read_events(
     running: &mut Running,
     mut exchange: Exchange,
-    mut place: Occupied,
+    place: Occupied,
     node: &Node,
 ) -> Result<(), BreakReason> {
     let mut scanner = EventScanner::after(running.last);
@@ -233,7 +233,6 @@
         };
         let batch = scanner.push(&piece).map_err(|_| BreakReason::EventOrder)?;
         if batch.count > 0 {
-            place.prefilled();
             running.text.append(&batch.bytes);
             running.last = scanner.last();
         }
--- a/crates/pinerill-forward/src/call/relay.rs
+++ b/crates/pinerill-forward/src/call/relay.rs
@@ -124,7 +124,6 @@
             let batch = self.scanner.push(&piece);
             let batch = batch.map_err(|_| BreakReason::EventOrder)?;
             if batch.count > 0 {
-                running.place.prefilled();
                 self.record.events(batch.count);
                 return Ok(Some(batch.bytes));
             }
--- a/crates/pinerill-forward/src/cluster/watch.rs
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -46,6 +46,8 @@
     loop {
         let request = CallsRequest::Watch(WatchRequest {
             node: node.settings.name.clone(),
+            zone: node.settings.zone.clone(),
+            peer: node.settings.peer_listen,
             table_version: node.table().map(|index| index.table().version),
             directory: position,
             wait_ms: HOLD.as_millis() as u64,
@@ -80,6 +82,7 @@
 
 fn take_in(node: &Node, response: WatchResponse, position: &mut Option<DirectoryPosition>) {
     node.cluster.learn_zones(response.controls);
+    node.peers.learn(response.peers);
     if position.is_some() {
         note_directory(node);
     }
--- a/crates/pinerill-forward/src/fleet/choice.rs
+++ b/crates/pinerill-forward/src/fleet/choice.rs
@@ -16,6 +16,9 @@
 const COLD_MS: f64 = 50.0;
 /// What a worker that had no room a moment ago costs, milliseconds.
 const FULL_COST_MS: f64 = 200.0;
+/// Prompts still to be read that weigh as much at the choice for an item as all
+/// slots being taken, milliseconds.
+const READING_SCALE_MS: f64 = 200.0;
 /// What a worker that failed costs: it is chosen when there is no other.
 const AVOIDED_COST_MS: f64 = 10_000.0;
 /// Part of a prefix's reading time that is counted at the worker to which all
@@ -67,8 +70,9 @@
         });
         let scored = candidates.map(|worker| {
             let filled = worker.occupied(now_ms) / worker.slots();
+            let reading = worker.reading_left_ms(now_ms) / READING_SCALE_MS;
             let away = if self.is_near(worker) { 0.0 } else { 1.0 };
-            (filled + away, worker)
+            (filled + away + reading, worker)
         });
         let (_, best) = scored.min_by(|left, right| left.0.total_cmp(&right.0))?;
         Some(self.chosen(now_ms, best, wanted.prompt))
@@ -136,7 +140,7 @@
     fn cost_ms(&self, now_ms: u64, worker: &Worker, prefill_ms: f64) -> f64 {
         let occupied = worker.occupied(now_ms);
         let beyond = (occupied + 1.0 - worker.slots()).max(0.0);
-        let mut cost = prefill_ms + worker.pending_prefill_ms;
+        let mut cost = prefill_ms + worker.reading_left_ms(now_ms);
         cost += occupied * BESIDE_MS + beyond * WAITING_MS;
         if !self.is_near(worker) {
             cost += self.settings.other_zone_ms;
--- a/crates/pinerill-forward/src/fleet/mod.rs
+++ b/crates/pinerill-forward/src/fleet/mod.rs
@@ -89,18 +89,19 @@
         self.workers.get(id)
     }
 
-    /// Notes that a request is sent there.
-    pub fn begin(&mut self, id: &str, prefill_ms: f64) {
+    /// Notes that a request of this node is sent there, whose prompt takes
+    /// some time to read.
+    pub fn begin(&mut self, now_ms: u64, id: &str, prefill_ms: f64) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.in_flight += 1;
-            worker.pending_prefill_ms += prefill_ms;
+            worker.expect_prefill(now_ms, prefill_ms);
         }
     }
 
-    /// Notes that the prompt of a request there was read.
-    pub fn prefilled(&mut self, id: &str, prefill_ms: f64) {
+    /// Notes that another node sent a prompt there.
+    pub fn expect_prefill(&mut self, now_ms: u64, id: &str, prefill_ms: f64) {
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.pending_prefill_ms = (worker.pending_prefill_ms - prefill_ms).max(0.0);
+            worker.expect_prefill(now_ms, prefill_ms);
         }
     }
 
--- a/crates/pinerill-forward/src/fleet/worker.rs
+++ b/crates/pinerill-forward/src/fleet/worker.rs
@@ -11,6 +11,8 @@
 const SAMPLE_FRESH_MS: u64 = 700;
 /// And not at all from this age on.
 const SAMPLE_OLD_MS: u64 = 3_000;
+/// Longest time that reading one prompt is believed to take, milliseconds.
+const LONGEST_PREFILL_MS: f64 = 5_000.0;
 /// First time for which a worker that failed is avoided, milliseconds.
 const AVOID_FIRST_MS: u64 = 400;
 /// Longest time for which it is avoided.
@@ -24,8 +26,9 @@
     entry: Arc<WorkerEntry>,
     /// Requests of this node there.
     pub(super) in_flight: u32,
-    /// Time that prompts sent there by this node still take, milliseconds.
-    pub(super) pending_prefill_ms: f64,
+    /// When it will have read all prompts that are known to be sent there, on
+    /// the node's clock, milliseconds.
+    reading_until_ms: f64,
     /// Prompts that it has read.
     pub(super) prefixes: PrefixMemory,
     /// Requests of others there, when that was learnt.
@@ -46,7 +49,7 @@
         Worker {
             entry: Arc::new(entry),
             in_flight: 0,
-            pending_prefill_ms: 0.0,
+            reading_until_ms: 0.0,
             prefixes: PrefixMemory::default(),
             others: None,
             failures: 0,
@@ -79,6 +82,17 @@
         }
     }
 
+    /// A prompt was sent there; it is read after those sent before.
+    pub(super) fn expect_prefill(&mut self, now_ms: u64, prefill_ms: f64) {
+        let begins_ms = self.reading_until_ms.max(now_ms as f64);
+        self.reading_until_ms = begins_ms + prefill_ms.clamp(0.0, LONGEST_PREFILL_MS);
+    }
+
+    /// Time until it has read what is known to be sent there.
+    pub(super) fn reading_left_ms(&self, now_ms: u64) -> f64 {
+        (self.reading_until_ms - now_ms as f64).max(0.0)
+    }
+
     pub(super) fn take_load(&mut self, now_ms: u64, sample: LoadSample) {
         let all = sample.running + sample.waiting;
         self.others = Some(OthersSample {
--- a/crates/pinerill-forward/src/lib.rs
+++ b/crates/pinerill-forward/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod monitoring;
 mod node;
+mod peers;
 mod run;
 
 pub use node::Node;
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -14,6 +14,7 @@
 use crate::exchange::ConnectionPool;
 use crate::fleet::{BatchCapacity, Chosen, Fleet, Prompt, Wanted};
 use crate::monitoring::{Beliefs, Metrics};
+use crate::peers::Peers;
 use pinerill_calls::settings::NodeSettings;
 
 /// Part of the time for a planned stop in which calls are still taken: callers
@@ -28,6 +29,7 @@
     pub(crate) caller_protocol: Arc<dyn CallerProtocol>,
     worker_protocol: Arc<dyn WorkerProtocol>,
     pub(crate) cluster: ClusterClient,
+    pub(crate) peers: Peers,
     table: RwLock<Option<Arc<RouteIndex>>>,
     fleet: Mutex<Fleet>,
     connections: ConnectionPool,
@@ -46,6 +48,7 @@
     pub(crate) caller_protocol: Arc<dyn CallerProtocol>,
     pub(crate) worker_protocol: Arc<dyn WorkerProtocol>,
     pub(crate) cluster: ClusterClient,
+    pub(crate) peers: Peers,
     pub(crate) fleet: Fleet,
     pub(crate) metrics: Metrics,
     pub(crate) stopping: CancellationToken,
@@ -59,6 +62,7 @@
             caller_protocol: parts.caller_protocol,
             worker_protocol: parts.worker_protocol,
             cluster: parts.cluster,
+            peers: parts.peers,
             table: RwLock::new(None),
             fleet: Mutex::new(parts.fleet),
             connections: ConnectionPool::default(),
@@ -148,14 +152,13 @@
     pub fn occupy(self: &Arc<Self>, chosen: &Chosen, prompt: &Prompt) -> Occupied {
         let worker = chosen.entry.id.clone();
         self.with_fleet(|fleet, now_ms| {
-            fleet.begin(&worker, chosen.prefill_ms);
+            fleet.begin(now_ms, &worker, chosen.prefill_ms);
             fleet.remember_prompt(now_ms, &worker, prompt);
         });
+        self.peers.tell(&worker, chosen.prefill_ms);
         Occupied {
             node: self.clone(),
             worker,
-            prefill_ms: chosen.prefill_ms,
-            prefilled: false,
         }
     }
 
@@ -187,8 +190,6 @@
 pub struct Occupied {
     node: Arc<Node>,
     worker: WorkerId,
-    prefill_ms: f64,
-    prefilled: bool,
 }
 
 impl Occupied {
@@ -197,15 +198,6 @@
         &self.worker
     }
 
-    /// The prompt was read: the first event is there.
-    pub fn prefilled(&mut self) {
-        if !self.prefilled {
-            self.prefilled = true;
-            self.node
-                .with_fleet(|fleet, _| fleet.prefilled(&self.worker, self.prefill_ms));
-        }
-    }
-
     /// The worker answered as it should.
     pub fn succeeded(&self) {
         self.node
@@ -215,7 +207,6 @@
 
 impl Drop for Occupied {
     fn drop(&mut self) {
-        self.prefilled();
         self.node.with_fleet(|fleet, _| fleet.end(&self.worker));
     }
 }
--- a/crates/pinerill-forward/src/run.rs
+++ b/crates/pinerill-forward/src/run.rs
@@ -18,6 +18,7 @@
 use crate::fleet::{ChoiceSettings, Fleet};
 use crate::monitoring::Metrics;
 use crate::node::{Node, NodeParts};
+use crate::peers::{self, Peers};
 use crate::{batch, gateway};
 use pinerill_calls::settings::{cluster_key, ForwardingSettings, NodeSettings, SettingsError};
 
@@ -51,7 +52,17 @@
         .with_context(|| format!("listen at {}", settings.listen))?;
     let grace = Duration::from_secs_f64(settings.stop_s).mul_f64(SERVING_PART);
     let (ready_listen, admin) = (settings.ready_listen, settings.admin);
-    let node = build(settings, &cluster.name, key, &protocols, &signals.planned)?;
+    let peers = Peers::listen(settings.peer_listen)
+        .await
+        .with_context(|| format!("listen at {}", settings.peer_listen))?;
+    let node = build(
+        settings,
+        &cluster.name,
+        key,
+        &protocols,
+        peers,
+        &signals.planned,
+    )?;
     let node = Arc::new(node);
     let probes = Server::start(ready_listen, monitoring_server(ready_listen, node.clone())).await?;
     let metrics = Server::start(admin, monitoring_server(admin, node.clone())).await?;
@@ -63,6 +74,7 @@
     let following = spawn(boxed(cluster::follow(node.clone(), protocols.worker_list)));
     let mut items = spawn(boxed(batch::run(node.clone())));
     let reloading = spawn(boxed(follow_settings(node.clone(), file)));
+    let hearing = spawn(boxed(peers::hear(node.clone())));
     let sweeping = spawn(boxed(sweep(node.clone())));
     let ending = async {
         gateway::serve(node.clone(), listener, grace).await;
@@ -82,7 +94,7 @@
     }
     drop(items);
     batch::give_back(&node).await;
-    drop((following, reloading, sweeping));
+    drop((following, hearing, reloading, sweeping));
     probes.stop().await;
     metrics.stop().await;
     log::info!(event = "stopped", node = node.settings.name.as_str(); "");
@@ -100,6 +112,7 @@
     cluster: &str,
     key: ClusterKey,
     protocols: &NodeProtocols,
+    peers: Peers,
     stopping: &CancellationToken,
 ) -> anyhow::Result<Node> {
     let identity = Identity::new(cluster, key, Role::Node, &settings.name, &settings.zone);
@@ -112,6 +125,7 @@
         start: format!("{}/{:016x}", settings.name, rand::random::<u64>()),
         cluster: ClusterClient::new(identity, &settings.seed_addresses()),
         fleet: Fleet::new(&settings.zone, choice),
+        peers,
         caller_protocol: protocols.callers.clone(),
         worker_protocol: protocols.workers.clone(),
         stopping: stopping.clone(),
--- a/crates/pinerill-forward/tests/fleet.rs
+++ b/crates/pinerill-forward/tests/fleet.rs
@@ -49,7 +49,7 @@
     let none = Prompt::default();
     assert_eq!(choose(&fleet, 0, &none, &[]), Some("near".to_owned()));
     for _ in 0..6 {
-        fleet.begin("near", 0.0);
+        fleet.begin(0, "near", 0.0);
     }
     assert_eq!(choose(&fleet, 0, &none, &[]), Some("far".to_owned()));
 }
@@ -127,7 +127,7 @@
     // 0.65 of 4 slots: two items fit.
     for _ in 0..2 {
         assert!(fleet.choose_for_item(0, &wanted).is_some());
-        fleet.begin("a", 0.0);
+        fleet.begin(0, "a", 0.0);
     }
     assert!(fleet.choose_for_item(0, &wanted).is_none());
     assert!(fleet.choose(0, &wanted).is_some());
@@ -154,3 +154,23 @@
         ["a".to_owned()]
     );
 }
+
+#[test]
+fn a_worker_that_reads_a_long_prompt_of_another_node_is_avoided_until_it_has() {
+    let mut fleet = fleet(&[entry("a", "near"), entry("b", "other")]);
+    fleet.expect_prefill(0, "a", 600.0);
+    let none = Prompt::default();
+    assert_eq!(choose(&fleet, 100, &none, &[]), Some("b".to_owned()));
+    assert_eq!(choose(&fleet, 590, &none, &[]), Some("a".to_owned()));
+}
+
+#[test]
+fn prompts_are_read_one_after_the_other() {
+    let mut fleet = fleet(&[entry("a", "near"), entry("b", "other")]);
+    for _ in 0..3 {
+        fleet.expect_prefill(0, "a", 200.0);
+    }
+    let none = Prompt::default();
+    assert_eq!(choose(&fleet, 500, &none, &[]), Some("b".to_owned()));
+    assert_eq!(choose(&fleet, 600, &none, &[]), Some("a".to_owned()));
+}
