A silent worker is left only if another one may go on; refusals are logged

Change: one question to the call's progress, 'may it go on elsewhere', decides whether silence ends an attempt; patience is 1 s and four objectives or gaps.

--- a/crates/pinerill-forward/src/call/decision.rs
+++ b/crates/pinerill-forward/src/call/decision.rs
@@ -71,6 +71,12 @@
         !self.may_have_run || (self.kind.may_repeat() && self.runs_left > 0)
     }
 
+    /// Whether the call may go on at another worker if the one that has it now
+    /// is left. Silence is no reason to leave one that nobody can follow.
+    pub fn may_go_on_elsewhere(&self) -> bool {
+        self.kind.may_repeat() && self.runs_left > 1
+    }
+
     /// What the caller is told if nothing else follows. Only a call that no
     /// worker can have begun is called not run.
     pub fn refusal(&self) -> Refusal {
--- a/crates/pinerill-forward/src/call/online.rs
+++ b/crates/pinerill-forward/src/call/online.rs
@@ -29,7 +29,8 @@
     let mut progress = CallProgress::new(call.route.kind, call.route.attempts);
     let mut attempts = Attempts::default();
     loop {
-        let patience = call.route.kind.may_repeat().then(|| call.first_patience());
+        let may_leave = progress.may_go_on_elsewhere();
+        let patience = may_leave.then(|| call.first_patience());
         let resume_after = call.head.resume_after;
         let attempted = attempts
             .attempt(&node, &call, resume_after, patience, &mut record)
--- a/crates/pinerill-forward/src/call/relay.rs
+++ b/crates/pinerill-forward/src/call/relay.rs
@@ -134,7 +134,7 @@
     /// an answer that can't go on elsewhere.
     fn patience_until(&self) -> Instant {
         let deadline = self.call.deadline;
-        if !self.call.route.kind.may_repeat() {
+        if !self.progress.may_go_on_elsewhere() {
             return deadline;
         }
         let patience = match self.scanner.last() == self.call.head.resume_after {
@@ -178,7 +178,8 @@
     }
 
     async fn attempt(&mut self) -> Result<(), AttemptEnd> {
-        let patience = Some(self.call.first_patience());
+        let may_leave = self.progress.may_go_on_elsewhere();
+        let patience = may_leave.then(|| self.call.first_patience());
         let resume_after = self.scanner.last();
         let attempted = self
             .attempts
--- a/crates/pinerill-forward/src/call/request.rs
+++ b/crates/pinerill-forward/src/call/request.rs
@@ -13,9 +13,10 @@
 /// Shortest time in which an attempt can be expected to end.
 const SHORTEST_ATTEMPT: Duration = Duration::from_millis(20);
 /// Shortest silence after which a worker is given up.
-const SHORTEST_PATIENCE: Duration = Duration::from_millis(500);
-/// Objectives that may pass without an event before a worker is given up.
-const OBJECTIVES_OF_PATIENCE: f64 = 2.5;
+const SHORTEST_PATIENCE: Duration = Duration::from_millis(1_000);
+/// Objectives that may pass without an event before a worker is given up: by
+/// then the answer is late, and a worker that is merely busy should have begun.
+const OBJECTIVES_OF_PATIENCE: f64 = 4.0;
 
 /// A call that was admitted.
 #[derive(Debug)]
--- a/crates/pinerill-forward/src/gateway/request.rs
+++ b/crates/pinerill-forward/src/gateway/request.rs
@@ -29,17 +29,30 @@
     node.metrics.requests.inc();
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
+    let path = head.uri.path().to_owned();
+    let mut id = String::new();
     let answered = match node.caller_protocol.read_request(&head) {
-        Ok(CallerRequest::Call(call)) => serve_call(node.clone(), head, call, body, arrived).await,
+        Ok(CallerRequest::Call(call)) => {
+            id.clone_from(&call.id);
+            serve_call(node.clone(), head, call, body, arrived).await
+        }
         Ok(other) => jobs::serve(&node, other).await.map(own_answer),
         Err(error) => Err(Refusal::Malformed(error.to_string())),
     };
-    answered.unwrap_or_else(|refusal| refused(&node, &refusal))
+    answered.unwrap_or_else(|refusal| refused(&node, &id, &path, &refusal))
 }
 
-fn refused(node: &Node, refusal: &Refusal) -> Response<AnswerBody> {
+/// Refuses a request. A path names the job or item where there is no
+/// identifier.
+fn refused(node: &Node, id: &str, path: &str, refusal: &Refusal) -> Response<AnswerBody> {
     let answer = node.caller_protocol.answer(CallerAnswer::Refused(refusal));
-    node.metrics.refused(answer.status.as_u16());
+    let status = answer.status.as_u16();
+    node.metrics.refused(status);
+    let table = node.table().map(|index| index.table().version);
+    log::info!(
+        event = "request_refused", id, path, status, table:? = table,
+        directory_age_ms = node.directory_age_ms(), reason:% = refusal; ""
+    );
     own_answer(answer)
 }
 
--- a/crates/pinerill-forward/tests/decision.rs
+++ b/crates/pinerill-forward/tests/decision.rs
@@ -41,6 +41,16 @@
     assert!(matches!(next, Next::Refuse(Refusal::WorkerFailed(_))));
 }
 
+#[test]
+fn a_silent_worker_is_left_only_if_another_one_may_go_on() {
+    let mut progress = CallProgress::new(RouteKind::ResumableStream, 2);
+    assert!(progress.may_go_on_elsewhere());
+    progress.after(AttemptEnd::MayHaveRun, true);
+    assert!(!progress.may_go_on_elsewhere(), "this is the last run");
+    assert!(!CallProgress::new(RouteKind::ResumableStream, 1).may_go_on_elsewhere());
+    assert!(!CallProgress::new(RouteKind::Stream, 5).may_go_on_elsewhere());
+}
+
 proptest! {
     /// `not run` is a promise: it is never given after an attempt that may
     /// have run, and always with a time to come back.
--- a/crates/pinerill-process/src/logging/explain.rs
+++ b/crates/pinerill-process/src/logging/explain.rs
@@ -17,7 +17,8 @@
     "membership_step",
 ];
 /// Kinds of lines that end a request, the last word on it.
-const ENDS: [&str; 9] = [
+const ENDS: [&str; 10] = [
+    "request_refused",
     "call_answered",
     "call_refused",
     "call_cut",
