--- a/crates/pinerill/tests/support/mod.rs
+++ b/crates/pinerill/tests/support/mod.rs
@@ -10,7 +10,7 @@
 
 use serde_json::Value;
 
-/// Exit codes of the commands, as docs/OPERATING.md lists them.
+/// Exit codes of the commands, as docs/OPERATIONS.md lists them.
 pub mod exit {
     pub const DONE: i32 = 0;
     pub const FAILED: i32 = 1;
