--- a/crates/pinerill-calls/src/settings/control.rs
+++ b/crates/pinerill-calls/src/settings/control.rs
@@ -23,6 +23,9 @@
     pub admin: SocketAddr,
     /// Folder for all durable state.
     pub data_folder: PathBuf,
+    /// Megabytes that the data folder may take; 0 for no bound.
+    #[serde(default)]
+    pub disk_mb: u64,
     /// Addresses of some control machines; at the founding, of all voters, the
     /// same on every machine.
     pub seeds: Vec<SocketAddr>,
--- a/crates/pinerill-cluster/src/server/jobs.rs
+++ b/crates/pinerill-cluster/src/server/jobs.rs
@@ -6,6 +6,7 @@
 use pinerill_calls::message::{
     CallsResponse, LeaseRequest, LeaseResponse, LeasedItem, ReadItem, ReadResults, SubmitOutcome,
 };
+use pinerill_storage::DATABASE_FILE;
 use pinerill_wire::message::Refusal;
 use tokio::time::{sleep, timeout_at, Instant};
 
@@ -242,10 +243,25 @@
         })
     }
 
+    /// Logs the size of the store whenever it changed by a megabyte.
+    fn tell_store_size(&self, told_mb: &mut u64) {
+        let path = self.settings.data_folder.join(DATABASE_FILE);
+        let Ok(metadata) = std::fs::metadata(path) else {
+            return;
+        };
+        let size_mb = metadata.len() >> 20;
+        if size_mb != *told_mb {
+            *told_mb = size_mb;
+            log::info!(event = "store_size", size_mb, disk_mb = self.settings.disk_mb; "");
+        }
+    }
+
     /// Lets the group's time pass while there are jobs.
     pub(super) async fn keep_up(&self) {
+        let mut told_mb = 0;
         loop {
             sleep(UPKEEP_PAUSE).await;
+            self.tell_store_size(&mut told_mb);
             let idle = self.group.with_machine(|machine| machine.jobs().is_empty());
             if idle || !self.leads() {
                 continue;
--- a/crates/pinerill-cluster/src/server/run.rs
+++ b/crates/pinerill-cluster/src/server/run.rs
@@ -43,8 +43,10 @@
 const ELECTION_MAX: Duration = Duration::from_millis(600);
 /// Applied bytes after which a snapshot is saved.
 const SNAPSHOT_BYTES: u64 = 4 << 20;
-/// Bytes of entries kept behind a snapshot.
-const MARGIN_BYTES: usize = 2 << 20;
+/// The same on a small disk.
+const LEAST_SNAPSHOT_BYTES: u64 = 512 << 10;
+/// Part of the disk that log entries of one snapshot may take.
+const LOG_PART: u64 = 48;
 /// How long a read waits to be confirmed.
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -157,7 +159,7 @@
         .collect();
     let pool = PeerPool::start(&others, &identity, closed);
     let transport = Arc::new(PeerTransport::new(pool.clone()));
-    let host = GroupHost::start(store, transport, host_settings());
+    let host = GroupHost::start(store, transport, host_settings(settings.disk_mb));
     let voters: Vec<ReplicaId> = match founds {
         true => seeds.iter().copied().map(founding_replica).collect(),
         false => Vec::new(),
@@ -185,13 +187,20 @@
     Ok((control, identity))
 }
 
-fn host_settings() -> HostSettings {
+/// Log entries are on the disk beside the table that they were applied to, so
+/// a small disk keeps fewer of them.
+fn host_settings(disk_mb: u64) -> HostSettings {
+    let part = (disk_mb << 20) / LOG_PART;
+    let snapshot_bytes = match disk_mb {
+        0 => SNAPSHOT_BYTES,
+        _ => part.clamp(LEAST_SNAPSHOT_BYTES, SNAPSHOT_BYTES),
+    };
     HostSettings {
         heartbeat: HEARTBEAT,
         election_min: ELECTION_MIN,
         election_max: ELECTION_MAX,
-        snapshot_bytes: SNAPSHOT_BYTES,
-        compaction_margin_bytes: MARGIN_BYTES,
+        snapshot_bytes,
+        compaction_margin_bytes: (snapshot_bytes / 2) as usize,
         read_timeout: READ_TIMEOUT,
         ..HostSettings::default()
     }
--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -40,6 +40,8 @@
     /// The worker that broke it off last.
     avoid: Vec<String>,
     attempts: u32,
+    /// Length of the text, and of what is kept of it.
+    bytes: (usize, usize),
 }
 
 /// Runs an item and reports its end. Dropping the future closes the connection
@@ -68,7 +70,8 @@
     node.metrics.item_ended(outcome);
     log::info!(
         event = "item_ended", id = running.leased.id.as_str(), job = item.job.as_str(),
-        index = item.index, attempts = running.attempts,
+        index = item.index, attempts = running.attempts, bytes = running.bytes.0,
+        kept_bytes = running.bytes.1,
         outcome, ms = started.elapsed().as_millis() as u64; ""
     );
     // The receiver lives as long as the node.
@@ -96,6 +99,7 @@
         last: None,
         avoid: Vec::new(),
         attempts: 0,
+        bytes: (0, 0),
     })
 }
 
@@ -148,7 +152,9 @@
             match read {
                 Ok(()) => {
                     let text = std::mem::take(&mut running.text).into_bytes();
-                    Some(ItemEnd::Completed(compress(&text)))
+                    let kept = compress(&text);
+                    running.bytes = (text.len(), kept.len());
+                    Some(ItemEnd::Completed(kept))
                 }
                 Err(reason) => {
                     broke(node, running, &chosen, &reason);
