--- a/crates/pinerill/tests/command_line.rs
+++ b/crates/pinerill/tests/command_line.rs
@@ -27,6 +27,7 @@
     &["cluster", "init"],
     &["cluster", "status"],
     &["cluster", "replace"],
+    &["explain"],
     &["settings"],
     &["settings", "check"],
     &["settings", "example"],
