One transport of replicated groups, one pause between rounds

The transport of pinerill-control serves pinerill-cluster too (it stood there twice), and the pause after all workers were asked in vain stands with the attempt. No change of behaviour: whole_path passes.

--- a/crates/pinerill-cluster/src/server/mod.rs
+++ b/crates/pinerill-cluster/src/server/mod.rs
@@ -24,7 +24,6 @@
 mod refusal;
 mod run;
 mod service;
-mod transport;
 mod watch;
 mod workers;
 
--- a/crates/pinerill-cluster/src/server/run.rs
+++ b/crates/pinerill-cluster/src/server/run.rs
@@ -10,6 +10,7 @@
 use pinerill_calls::message::MachineRecord;
 use pinerill_calls::protocol::{OperatorProtocol, WorkerListProtocol};
 use pinerill_control::host::{GroupHost, HostSettings};
+use pinerill_control::server::PeerTransport;
 use pinerill_process::{monitoring_server, Server, SettingsFile, StopSignals};
 use pinerill_replica::{GroupId, ReplicaId};
 use pinerill_storage::{GroupStore, Store};
@@ -24,7 +25,6 @@
 use super::control::Control;
 use super::operators;
 use super::service::ControlService;
-use super::transport::PeerTransport;
 use crate::machine::ClusterMachine;
 use pinerill_calls::settings::{cluster_key, ControlSettings, ForwardingSettings, SettingsError};
 
--- a/crates/pinerill-control/src/server/mod.rs
+++ b/crates/pinerill-control/src/server/mod.rs
@@ -39,3 +39,4 @@
 pub use membership::{next_step, MembershipStep};
 pub use pinerill_process::StopSignals;
 pub use run::{run, run_with, StartError};
+pub use transport::PeerTransport;
--- a/crates/pinerill-control/src/server/transport.rs
+++ b/crates/pinerill-control/src/server/transport.rs
@@ -23,7 +23,7 @@
 const BATCH_BYTES: usize = 2 << 20;
 
 /// Queues messages by destination; one task each sends what has gathered.
-pub(super) struct PeerTransport {
+pub struct PeerTransport {
     pool: PeerPool,
     queues: Mutex<HashMap<ReplicaId, mpsc::Sender<Envelope>>>,
     dropped: Arc<AtomicU64>,
@@ -31,7 +31,7 @@
 
 impl PeerTransport {
     /// A transport over `pool`. Must be used within a tokio runtime.
-    pub(super) fn new(pool: PeerPool) -> Self {
+    pub fn new(pool: PeerPool) -> Self {
         Self {
             pool,
             queues: Mutex::default(),
--- a/crates/pinerill-forward/src/call/attempt.rs
+++ b/crates/pinerill-forward/src/call/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use pinerill_calls::protocol::{AttemptFacts, NotRunReason, Verdict};
-use tokio::time::timeout_at;
+use tokio::time::{sleep, timeout_at};
 
 use super::decision::AttemptEnd;
 use super::{Call, CallRecord};
@@ -12,6 +12,9 @@
 use crate::fleet::{Chosen, Wanted};
 use crate::node::{Node, Occupied};
 
+/// Pause before all workers are asked once more.
+const ROUND_PAUSE: Duration = Duration::from_millis(25);
+
 /// Attempts of a call so far: which workers are not to be asked again.
 #[derive(Debug, Default)]
 pub struct Attempts {
@@ -34,8 +37,17 @@
 pub struct AttemptFailure {
     /// Whether it may have run.
     pub end: AttemptEnd,
-    /// Whether every worker was asked in vain: the next round may wait.
-    pub round_over: bool,
+    /// Whether every worker was asked in vain.
+    round_over: bool,
+}
+
+impl AttemptFailure {
+    /// Waits before all workers are asked once more, if they all were.
+    pub async fn pause(&self, call: &Call) {
+        if self.round_over {
+            sleep(ROUND_PAUSE.min(call.remaining())).await;
+        }
+    }
 }
 
 impl Attempts {
--- a/crates/pinerill-forward/src/call/online.rs
+++ b/crates/pinerill-forward/src/call/online.rs
@@ -1,12 +1,10 @@
 //! Attempts until there is an answer.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use pinerill_calls::protocol::{Refusal, Verdict};
-use tokio::time::sleep;
 
 use super::attempt::{Attempted, Attempts};
 use super::decision::{AttemptEnd, CallProgress, Next};
@@ -15,8 +13,6 @@
 use crate::exchange::BreakReason;
 use crate::node::Node;
 
-/// Pause before all workers are asked once more.
-const ROUND_PAUSE: Duration = Duration::from_millis(25);
 /// Longest answer that is read whole before it is passed on.
 const WHOLE_ANSWER_LIMIT: usize = 16 << 20;
 
@@ -50,9 +46,7 @@
                 }
             },
             Err(failure) => {
-                if failure.round_over {
-                    sleep(ROUND_PAUSE.min(call.remaining())).await;
-                }
+                failure.pause(&call).await;
                 failure.end
             }
         };
--- a/crates/pinerill-forward/src/call/relay.rs
+++ b/crates/pinerill-forward/src/call/relay.rs
@@ -5,7 +5,7 @@
 //! one that was wholly passed on; the connection to the first is closed before.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -16,7 +16,7 @@
 use pinerill_calls::protocol::Verdict;
 use thiserror::Error;
 use tokio::task::yield_now;
-use tokio::time::{sleep, timeout_at};
+use tokio::time::timeout_at;
 
 use super::attempt::{Attempted, Attempts};
 use super::decision::{AttemptEnd, CallProgress, Next};
@@ -24,9 +24,6 @@
 use crate::exchange::{BreakReason, EventScanner, Exchange};
 use crate::node::{Node, Occupied};
 
-/// Pause before all workers are asked once more.
-const ROUND_PAUSE: Duration = Duration::from_millis(25);
-
 /// Body of an answer to a caller.
 pub type AnswerBody = UnsyncBoxBody<Bytes, RelayError>;
 
@@ -194,9 +191,7 @@
         let Attempted { sent, place } = match attempted {
             Ok(attempted) => attempted,
             Err(failure) => {
-                if failure.round_over {
-                    sleep(ROUND_PAUSE.min(self.call.remaining())).await;
-                }
+                failure.pause(&self.call).await;
                 return Err(failure.end);
             }
         };
