Founding takes all control machines from one view of the connections

A machine that connected between the two looks passed the check and was missing in the plan: the cluster was founded with one or two voters instead of three, and job groups that the third should lead never had a leader. Logs of a failing run show it: "groups=1" and "groups=0" at two of the three.

Change: PeerPool::connected_peers is one view of addresses and peers; founders() is pure and names the machine that is missing.

--- a/crates/pinerill-cluster/src/server/monitoring.rs
+++ b/crates/pinerill-cluster/src/server/monitoring.rs
@@ -29,7 +29,7 @@
         line("applied_index", status.applied);
         line("voters", status.members.voters.len() as u64);
         line("learners", status.members.learners.len() as u64);
-        line("peers_connected", self.pool.connected().len() as u64);
+        line("peers_connected", self.pool.peers().len() as u64);
         line("messages_received_total", counters.messages_received);
         line("table_version", table.unwrap_or_default());
         line("items_waiting", waiting as u64);
--- a/crates/pinerill-control/src/server/control.rs
+++ b/crates/pinerill-control/src/server/control.rs
@@ -148,7 +148,8 @@
     }
 }
 
-fn machine_of(peer: Peer) -> ControlMachine {
+/// A peer as the meta group records it.
+pub(super) fn machine_of(peer: Peer) -> ControlMachine {
     ControlMachine {
         replica: peer.replica,
         name: peer.name,
--- a/crates/pinerill-control/src/server/founding.rs
+++ b/crates/pinerill-control/src/server/founding.rs
@@ -19,6 +19,7 @@
 use tokio::time::sleep;
 
 use super::control::{replica_record, Control};
+use super::founders::founders;
 use super::refusal::refused;
 use crate::meta::{spread_replicas, ControlMachine, Founding, GroupPlan, MetaCommand};
 
@@ -77,18 +78,11 @@
 
     /// Every control machine of the settings, in a fixed order.
     fn all_machines(&self) -> Result<Vec<ControlMachine>, Box<Response>> {
-        let mut machines = self.connected_machines();
-        machines.sort_by_key(|machine| machine.address);
-        machines.dedup_by_key(|machine| machine.replica);
-        let connected = self.pool.connected();
-        let mut others = self.other_addresses();
-        let missing = others.find(|address| !connected.contains(address));
-        if let Some(address) = missing {
-            let message = format!("control machine {address} is not connected");
-            let refusal = refused(RefusalCode::Unavailable, INIT, self.name(), message);
-            return Err(Box::new(refusal));
-        }
-        Ok(machines)
+        let connected = self.pool.connected_peers();
+        founders(self.own_record(), self.other_addresses(), &connected).map_err(|missing| {
+            let refusal = refused(RefusalCode::Unavailable, INIT, self.name(), missing);
+            Box::new(refusal)
+        })
     }
 
     /// The identity that an earlier try handed out, or a new one.
--- a/crates/pinerill-control/src/server/mod.rs
+++ b/crates/pinerill-control/src/server/mod.rs
@@ -5,7 +5,7 @@
 //! | `run` | starts and stops the parts |
 //! | `service` | hands each request to its part |
 //! | `groups`, `groups_runtime` | the replicated groups that run here |
-//! | `founding` | a new cluster |
+//! | `founding`, `founders` | a new cluster, and who founds it |
 //! | `membership`, `reconcile` | members of groups, as the meta group plans them |
 //! | `bundles` | proposals, the bundle in force, who has it |
 //! | `watch`, `confirmation`, `snapshots` | the nodes' long polls |
@@ -18,6 +18,7 @@
 mod control;
 mod directory;
 mod exchange;
+mod founders;
 mod founding;
 mod groups;
 mod groups_runtime;
@@ -36,6 +37,7 @@
 
 pub use confirmation::{Confirmations, Ticket};
 pub use directory::{Directory, Listed, NODE_LIFE_MS, PEER_LIFE_MS};
+pub use founders::{founders, FounderMissing};
 pub use membership::{next_step, MembershipStep};
 pub use pinerill_process::StopSignals;
 pub use run::{run, run_with, StartError};
--- a/crates/pinerill-wire/src/connection/mod.rs
+++ b/crates/pinerill-wire/src/connection/mod.rs
@@ -16,5 +16,5 @@
 pub use framing::{ConnectionError, FRAME_LIMIT, HANDSHAKE_FRAME_LIMIT};
 pub use identity::{ClusterKey, Identity, KeyError};
 pub use link::{Connection, LinkCounters};
-pub use pool::PeerPool;
+pub use pool::{ConnectedPeer, PeerPool};
 pub use server::{serve, ServerCounters};
--- a/crates/pinerill-wire/src/connection/pool.rs
+++ b/crates/pinerill-wire/src/connection/pool.rs
@@ -21,6 +21,15 @@
 
 type Connections = Mutex<BTreeMap<SocketAddr, Connection>>;
 
+/// A peer to which a connection is open.
+#[derive(Debug, Clone)]
+pub struct ConnectedPeer {
+    /// The address it was connected to.
+    pub reached_at: SocketAddr,
+    /// What it says of itself.
+    pub peer: Peer,
+}
+
 /// Keeps one connection to each of a set of addresses, which may grow and
 /// shrink.
 #[derive(Clone)]
@@ -90,21 +99,22 @@
 
     /// Peers that are connected now.
     pub fn peers(&self) -> Vec<Peer> {
-        let connections = self.connections.lock();
-        connections
-            .values()
-            .filter(|connection| !connection.is_closed())
-            .map(|connection| connection.peer().clone())
-            .collect()
+        let connected = self.connected_peers().into_iter();
+        connected.map(|one| one.peer).collect()
     }
 
-    /// Addresses of the settings that are connected now.
-    pub fn connected(&self) -> Vec<SocketAddr> {
+    /// Peers that are connected now, each with the address it is reached at:
+    /// one view, so that who is connected and who they are can't disagree.
+    pub fn connected_peers(&self) -> Vec<ConnectedPeer> {
         let connections = self.connections.lock();
         let open = connections
             .iter()
             .filter(|(_, connection)| !connection.is_closed());
-        open.map(|(address, _)| *address).collect()
+        open.map(|(address, connection)| ConnectedPeer {
+            reached_at: *address,
+            peer: connection.peer().clone(),
+        })
+        .collect()
     }
 
     /// Sends a notification to the peer with this data folder; it is dropped
