The store's file takes only what was written

Ruled out: another growth by the library's settings (the size of a region can't be set outside its tests); a file that is only lengthened late (blocks at the file's far end are handed out early, so that its length jumps).

A file of an earlier version is taken as it lies.

--- a/crates/pinerill-storage/src/lib.rs
+++ b/crates/pinerill-storage/src/lib.rs
@@ -14,6 +14,7 @@
 mod store;
 mod store_trait;
 mod tables;
+mod thin_file;
 mod writer;
 
 pub use batch::{Operation, StateEntry, WriteBatch};
@@ -25,3 +26,4 @@
     ClusterId, Completion, CountersSnapshot, GroupReader, GroupStore, Identity, RestoredGroup,
     StoreCounters,
 };
+pub use thin_file::{ThinFile, BLOCK_BYTES};
--- a/crates/pinerill-storage/src/store.rs
+++ b/crates/pinerill-storage/src/store.rs
@@ -13,6 +13,7 @@
 
 use crate::reader::{open_table, TransactionReader};
 use crate::tables::{decode, encode, TableFailure, HARD_STATES, IDENTITY, IDENTITY_KEY, SNAPSHOTS};
+use crate::thin_file::ThinFile;
 use crate::writer::{QueuedWrite, Writer};
 use crate::{
     ClusterId, Completion, CountersSnapshot, GroupReader, GroupStore, Identity, RestoredGroup,
@@ -49,7 +50,6 @@
         create_folder(folder)?;
         let database = open_database(&path)?;
         let identity = load_or_create_identity(&database, &path, newcomer)?;
-        sync_folder(folder)?;
         Self::start(database, path, identity)
     }
 
@@ -200,7 +200,7 @@
     fs::create_dir_all(folder).map_err(|error| io_error("creation of the folder", folder, error))
 }
 
-/// Makes the name of a new database file durable.
+/// Makes the names of new files durable.
 fn sync_folder(folder: &Path) -> Result<(), StorageError> {
     File::open(folder)
         .and_then(|opened| opened.sync_all())
@@ -209,10 +209,14 @@
 
 fn open_database(path: &Path) -> Result<Database, StorageError> {
     let step = "opening";
+    let file = ThinFile::open(path).map_err(|error| io_error(step, path, error))?;
+    // The names of both files last before anything is kept in them: one that
+    // is lost without the other would leave data that can't be read.
+    sync_folder(path.parent().unwrap_or(path))?;
     let opened = Builder::new()
         .set_cache_size(CACHE_BYTES)
         .set_check_integrity_on_open(true)
-        .create(path);
+        .create_with_backend(file);
     opened.map_err(|error| {
         let cause = match crate::error::cause_of(error.into()) {
             StorageCause::AlreadyOpen => StorageCause::AlreadyOpen,
