--- a/crates/pinerill-control/src/host/driver/mod.rs
+++ b/crates/pinerill-control/src/host/driver/mod.rs
@@ -6,6 +6,7 @@
 //! [`Effect`]s that the caller carries out in their order. The host's task
 //! and the simulation run this same code.
 
+mod outgoing;
 mod output;
 mod snapshot;
 mod start;
@@ -19,8 +20,9 @@
     Envelope, GroupId, Input, MembershipChange, Replica, ReplicaId, RoleChange, SnapshotMeta,
     Status,
 };
-use pinerill_storage::{GroupStore, SnapshotStream, StorageError, WriteBatch};
+use pinerill_storage::{GroupStore, StorageError, WriteBatch};
 
+use self::outgoing::OutgoingSnapshots;
 use self::table_visibility::TableVisibility;
 use super::{ChangeError, ProposeError, ReadError, StateMachine};
 
@@ -148,7 +150,7 @@
     requests: HashMap<u64, PendingRequest<R>>,
     reads: Vec<R>,
     visibility: TableVisibility<R>,
-    outgoing_snapshots: HashMap<ReplicaId, SnapshotStream>,
+    outgoing_snapshots: OutgoingSnapshots,
     /// Index of the last snapshot that was saved or is being saved.
     snapshot_index: u64,
     saving_snapshot: bool,
@@ -177,7 +179,7 @@
             requests: HashMap::new(),
             reads: Vec::new(),
             visibility: TableVisibility::new(applied),
-            outgoing_snapshots: HashMap::new(),
+            outgoing_snapshots: OutgoingSnapshots::default(),
             snapshot_index: applied,
             saving_snapshot: false,
             bytes_since_snapshot: 0,
@@ -234,6 +236,7 @@
         self.now_ms = now_ms;
         self.start_reads();
         self.step(Input::Tick);
+        self.outgoing_snapshots.drop_idle(now_ms);
         self.carry_out_all();
         std::mem::take(&mut self.effects)
     }
--- a/crates/pinerill-control/src/host/driver/snapshot.rs
+++ b/crates/pinerill-control/src/host/driver/snapshot.rs
@@ -57,9 +57,7 @@
     }
 
     fn next_chunk(&mut self, request: SnapshotRequest) -> Result<Option<Input>, StorageError> {
-        let known = self.outgoing_snapshots.remove(&request.to);
-        let continued =
-            known.filter(|stream| request.offset > 0 && stream.offset() == request.offset);
+        let continued = self.outgoing_snapshots.take(request.to, request.offset);
         let opened = match continued {
             Some(stream) => Some(stream),
             None => SnapshotStream::open(self.store.reader(self.group)?)?,
@@ -71,7 +69,8 @@
         let (bytes, done) = stream.next_chunk(self.settings.snapshot_chunk_bytes)?;
         let meta = stream.meta().clone();
         if !done {
-            self.outgoing_snapshots.insert(request.to, stream);
+            let now_ms = self.now_ms;
+            self.outgoing_snapshots.keep(request.to, stream, now_ms);
         }
         Ok(Some(Input::SnapshotChunkRead {
             to: request.to,
--- a/crates/pinerill-control/tests/host_support/mod.rs
+++ b/crates/pinerill-control/tests/host_support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use pinerill_control::host::{
     GroupHandle, GroupHost, HostSettings, ProposeError, StateMachine, TableWriter, Transport,
 };
-use pinerill_replica::{Envelope, GroupId, ReplicaId};
+use pinerill_replica::{Envelope, GroupId, Message, ReplicaId};
 use pinerill_storage::GroupStore;
 
 pub const GROUP: GroupId = GroupId(1);
@@ -48,6 +49,8 @@
 pub struct Network {
     hosts: RwLock<HashMap<ReplicaId, GroupHost>>,
     cut: RwLock<HashSet<ReplicaId>>,
+    /// Answers to parts of snapshots are lost.
+    pub snapshot_answers_lost: AtomicBool,
 }
 
 impl Transport for Network {
@@ -56,6 +59,10 @@
         if cut.contains(&to) || cut.contains(&envelope.from) {
             return;
         }
+        let is_answer = matches!(envelope.message, Message::SnapshotChunkResponse(_));
+        if is_answer && self.snapshot_answers_lost.load(Ordering::SeqCst) {
+            return;
+        }
         let host = self.hosts.read().get(&to).cloned();
         if let Some(host) = host {
             host.on_message(envelope);
