A failed run of an item counts once, however often it is reported

Ruled out: cut runs counted as failures (they are continued and never reported); answers other than 500 counted (the trace shows 500).

Change: ItemEnd::Failed carries a number drawn for the run; an item keeps the numbers of its failed runs. a_failure_that_is_reported_again_counts_once fails when repeated numbers are counted, and passes now.

--- a/crates/pinerill-calls/src/job.rs
+++ b/crates/pinerill-calls/src/job.rs
@@ -80,7 +80,11 @@
     /// A worker said that it can never be done.
     Impossible,
     /// A worker ran it and failed.
-    Failed,
+    Failed {
+        /// Number drawn for this run: a report that is sent again, since its
+        /// answer was lost, is known by it and counts once.
+        run: u64,
+    },
 }
 
 /// A node's report on an item.
--- a/crates/pinerill-cluster/src/machine/job.rs
+++ b/crates/pinerill-cluster/src/machine/job.rs
@@ -35,8 +35,8 @@
     pub id: String,
     /// Its tokens.
     pub tokens: u64,
-    /// Runs that failed.
-    pub failures: u32,
+    /// Runs that failed, by the numbers of their reports.
+    pub failed_runs: Vec<u64>,
     /// How far it is.
     pub phase: ItemPhase,
 }
--- a/crates/pinerill-cluster/src/machine/jobs.rs
+++ b/crates/pinerill-cluster/src/machine/jobs.rs
@@ -109,7 +109,7 @@
             items.push(ItemRecord {
                 id: item.id,
                 tokens: item.tokens,
-                failures: 0,
+                failed_runs: Vec::new(),
                 phase: ItemPhase::Waiting,
             });
         }
@@ -156,8 +156,8 @@
                 self.list(position, ListedState::Completed, &text, table);
             }
             ItemEnd::Impossible => self.list(position, ListedState::Dead, &[], table),
-            ItemEnd::Failed => {
-                if self.count_failure(position) {
+            ItemEnd::Failed { run } => {
+                if self.count_failure(position, run) {
                     self.list(position, ListedState::Dead, &[], table);
                 }
             }
@@ -194,8 +194,9 @@
         record.is_some_and(|record| now_ms > record.give_up_at_ms)
     }
 
-    /// True once the item has failed too often.
-    fn count_failure(&mut self, position: QueuePosition) -> bool {
+    /// True once the item has failed too often. A run counts once, however often
+    /// it is reported: a node reports again when no answer reached it.
+    fn count_failure(&mut self, position: QueuePosition, run: u64) -> bool {
         let Some(record) = self.records.get_mut(&position.job) else {
             return false;
         };
@@ -203,8 +204,10 @@
         let Some(item) = record.items.get_mut(position.index as usize) else {
             return false;
         };
-        item.failures += 1;
-        item.failures >= attempts
+        if !item.failed_runs.contains(&run) {
+            item.failed_runs.push(run);
+        }
+        item.failed_runs.len() >= attempts as usize
     }
 
     fn list(
--- a/crates/pinerill-cluster/tests/machine.rs
+++ b/crates/pinerill-cluster/tests/machine.rs
@@ -162,10 +162,24 @@
 fn an_item_is_given_up_after_as_many_failures_as_its_route_allows() {
     let mut group = Group::default();
     group.submit("a", 1);
-    group.report("a", 0, ItemEnd::Failed);
-    group.report("a", 0, ItemEnd::Failed);
+    group.report("a", 0, ItemEnd::Failed { run: 1 });
+    group.report("a", 0, ItemEnd::Failed { run: 2 });
     assert_eq!(group.listed("a"), []);
-    group.report("a", 0, ItemEnd::Failed);
+    group.report("a", 0, ItemEnd::Failed { run: 3 });
+    assert_eq!(group.listed("a"), [(0, ListedState::Dead)]);
+}
+
+/// A node that hears no answer sends its report again, and both may be taken.
+#[test]
+fn a_failure_that_is_reported_again_counts_once() {
+    let mut group = Group::default();
+    group.submit("a", 1);
+    for _ in 0..4 {
+        group.report("a", 0, ItemEnd::Failed { run: 1 });
+        group.report("a", 0, ItemEnd::Failed { run: 2 });
+    }
+    assert_eq!(group.listed("a"), []);
+    group.report("a", 0, ItemEnd::Failed { run: 3 });
     assert_eq!(group.listed("a"), [(0, ListedState::Dead)]);
 }
 
--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -65,7 +65,7 @@
     let outcome = match &end {
         ItemEnd::Completed(_) => "completed",
         ItemEnd::Impossible => "impossible",
-        ItemEnd::Failed => "failed",
+        ItemEnd::Failed { .. } => "failed",
     };
     node.metrics.item_ended(outcome);
     log::info!(
@@ -164,7 +164,9 @@
         }
         Verdict::Failed | Verdict::Taken | Verdict::Other => {
             drain(node, sent).await;
-            Some(ItemEnd::Failed)
+            Some(ItemEnd::Failed {
+                run: rand::random(),
+            })
         }
     }
 }
