Calls wait at the node until a worker has room

A node knew of a worker's load only by the answers it got there itself (52 nodes, 57 workers: each knows little), and a call that a worker refused went to the next one at once, round after round, with its body, often into another zone. Those that were taken waited in the workers' queues, which are first come, first served, so that in a burst all get late.

Change: a node sends a call only where a slot is free (`Fleet::place`). Otherwise the call waits in the node's line (`dispatch::line`): by rank, those in time before those that are late, and the newest late one first. One that would begin too late is refused at once with a time to come back, unless its caller has little time left (`dispatch::admission`). Nodes of a zone tell each other by datagrams what they have in flight, whole counts, at a pace that falls with their number; items of jobs begin only while no call waits.

--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -175,7 +175,7 @@
 /// still this node's.
 async fn find_place(node: &Arc<Node>, held: &Held, running: &mut Running) -> Occupied {
     loop {
-        if held.is_renewed() {
+        if held.is_renewed() && node.dispatcher.waiting() == 0 {
             let wanted = Wanted {
                 service: &running.service,
                 prompt: &running.prompt,
--- a/crates/pinerill-forward/src/batch/leases.rs
+++ b/crates/pinerill-forward/src/batch/leases.rs
@@ -119,7 +119,8 @@
 
 /// Items that the node would take now; none while it stops.
 fn wanted(node: &Node) -> u32 {
-    if node.stopping.is_cancelled() || node.table().is_none() {
+    let calls_wait = node.dispatcher.waiting() > 0;
+    if node.stopping.is_cancelled() || node.table().is_none() || calls_wait {
         return 0;
     }
     let nodes = node.beliefs.nodes.load(Ordering::Relaxed).max(1);
--- a/crates/pinerill-forward/src/call/attempt.rs
+++ b/crates/pinerill-forward/src/call/attempt.rs
@@ -8,20 +8,20 @@
 
 use super::decision::AttemptEnd;
 use super::{Call, CallRecord};
+use crate::dispatch::{Placed, Unplaced};
 use crate::exchange::{BreakReason, Exchange, SendFailure, Sent};
-use crate::fleet::{Chosen, Wanted};
 use crate::node::{Node, Occupied};
 
-/// Pause before all workers are asked once more.
-const ROUND_PAUSE: Duration = Duration::from_millis(25);
+/// Pause before workers are looked for once more when there is none.
+const NO_WORKER_PAUSE: Duration = Duration::from_millis(25);
 
 /// Attempts of a call so far: which workers are not to be asked again.
 #[derive(Debug, Default)]
 pub struct Attempts {
     /// Workers that failed it.
     failed: Vec<String>,
-    /// Workers that had no room in this round.
-    full: Vec<String>,
+    /// Whether anything was sent to a worker.
+    sent: bool,
 }
 
 /// An attempt whose answer has begun.
@@ -32,29 +32,11 @@
     pub place: Occupied,
 }
 
-/// An attempt without an answer.
-#[derive(Debug)]
-pub struct AttemptFailure {
-    /// Whether it may have run.
-    pub end: AttemptEnd,
-    /// Whether every worker was asked in vain.
-    round_over: bool,
-}
-
-impl AttemptFailure {
-    /// Waits before all workers are asked once more, if they all were.
-    pub async fn pause(&self, call: &Call) {
-        if self.round_over {
-            sleep(ROUND_PAUSE.min(call.remaining())).await;
-        }
-    }
-}
-
 impl Attempts {
-    /// Tries one worker.
+    /// Tries one worker, once there is a place at one.
     ///
     /// # Errors
-    /// [`AttemptFailure`].
+    /// How the attempt ended without an answer.
     pub async fn attempt(
         &mut self,
         node: &Arc<Node>,
@@ -62,16 +44,11 @@
         resume_after: Option<u64>,
         patience: Option<Duration>,
         record: &mut CallRecord,
-    ) -> Result<Attempted, AttemptFailure> {
-        let Some(chosen) = self.choose(node, call) else {
-            let round_over = true;
-            self.full.clear();
-            let end = AttemptEnd::NotRun;
-            return Err(AttemptFailure { end, round_over });
-        };
+    ) -> Result<Attempted, AttemptEnd> {
+        let Placed { chosen, place } = self.place(node, call, record).await?;
         record.attempt(&chosen);
+        self.sent = true;
         let worker = chosen.entry.clone();
-        let place = node.occupy(&chosen, &call.prompt);
         let facts = AttemptFacts {
             remaining: Some(call.remaining()),
             worker: &worker.id,
@@ -108,9 +85,7 @@
         if let Verdict::NotRun(reason) = sent.answer.verdict {
             record.attempt_failed(&reason);
             self.refused(node, &worker.id, reason, sent).await;
-            let end = AttemptEnd::NotRun;
-            let round_over = false;
-            return Err(AttemptFailure { end, round_over });
+            return Err(AttemptEnd::NotRun);
         }
         Ok(Attempted { sent, place })
     }
@@ -124,38 +99,41 @@
         self.failed.push(worker.to_owned());
     }
 
-    fn choose(&self, node: &Node, call: &Call) -> Option<Chosen> {
-        let mut except = self.failed.clone();
-        except.extend(self.full.iter().cloned());
-        node.choose(&Wanted {
-            service: &call.service,
-            prompt: &call.prompt,
-            except: &except,
-        })
+    /// Waits for a place at a worker.
+    async fn place(
+        &self,
+        node: &Arc<Node>,
+        call: &Call,
+        record: &mut CallRecord,
+    ) -> Result<Placed, AttemptEnd> {
+        let began = Instant::now();
+        let fresh = !self.sent;
+        let placed = node.dispatcher.place(node, call, &self.failed, fresh).await;
+        record.waited(began.elapsed());
+        match placed {
+            Ok(placed) => Ok(placed),
+            Err(Unplaced::SentAway { retry_after }) => Err(AttemptEnd::SentAway { retry_after }),
+            Err(Unplaced::OutOfTime) => Err(AttemptEnd::NotRun),
+            Err(Unplaced::NoWorker) => {
+                sleep(NO_WORKER_PAUSE.min(call.remaining())).await;
+                Err(AttemptEnd::NotRun)
+            }
+        }
     }
 
-    fn lost(
-        &mut self,
-        node: &Node,
-        worker: &str,
-        call: &Call,
-        failure: SendFailure,
-    ) -> AttemptFailure {
+    fn lost(&mut self, node: &Node, worker: &str, call: &Call, failure: SendFailure) -> AttemptEnd {
         self.broke(node, worker, call, &failure.reason);
-        let end = match failure.sent {
+        match failure.sent {
             true => AttemptEnd::MayHaveRun,
             false => AttemptEnd::NotRun,
-        };
-        let round_over = false;
-        AttemptFailure { end, round_over }
+        }
     }
 
-    async fn refused(&mut self, node: &Node, worker: &str, reason: NotRunReason, sent: Sent) {
+    async fn refused(&self, node: &Node, worker: &str, reason: NotRunReason, sent: Sent) {
         match reason {
             NotRunReason::Full => node.worker_full(worker),
             NotRunReason::OtherWorker => node.worker_replaced(worker),
         }
-        self.full.push(worker.to_owned());
         // The connection is kept if the refusal could be read to its end.
         let limit = REFUSAL_LIMIT;
         let _ = sent.exchange.read_whole(node.connections(), limit).await;
--- a/crates/pinerill-forward/src/call/decision.rs
+++ b/crates/pinerill-forward/src/call/decision.rs
@@ -14,6 +14,11 @@
 pub enum AttemptEnd {
     /// Nothing was sent, or the worker promised that it did not run.
     NotRun,
+    /// It was sent nowhere, since it would begin too late.
+    SentAway {
+        /// When to come back.
+        retry_after: Duration,
+    },
     /// The worker may have run it; it broke off, was silent or answered
     /// nonsense.
     MayHaveRun,
@@ -55,6 +60,9 @@
     /// Takes in the end of an attempt. `has_time` tells whether another one
     /// could still end in time.
     pub fn after(&mut self, end: AttemptEnd, has_time: bool) -> Next {
+        if let AttemptEnd::SentAway { retry_after } = end {
+            return Next::Refuse(self.sent_away(retry_after));
+        }
         if end == AttemptEnd::MayHaveRun {
             self.may_have_run = true;
             self.runs_left = self.runs_left.saturating_sub(1);
@@ -89,6 +97,16 @@
         }
     }
 
+    fn sent_away(self, retry_after: Duration) -> Refusal {
+        if self.may_have_run {
+            return self.refusal();
+        }
+        Refusal::NotRun {
+            reason: "it would begin too late",
+            retry_after: Some(retry_after),
+        }
+    }
+
     /// What the caller is told when the time is up.
     pub fn out_of_time(&self) -> Refusal {
         if self.may_have_run {
--- a/crates/pinerill-forward/src/call/mod.rs
+++ b/crates/pinerill-forward/src/call/mod.rs
@@ -16,7 +16,7 @@
 mod relay;
 mod request;
 
-pub use attempt::{AttemptFailure, Attempted, Attempts};
+pub use attempt::{Attempted, Attempts};
 pub use online::run_call;
 pub use record::{CallOutcome, CallRecord};
 pub use relay::{AnswerBody, RelayError};
--- a/crates/pinerill-forward/src/call/online.rs
+++ b/crates/pinerill-forward/src/call/online.rs
@@ -45,10 +45,7 @@
                     AttemptEnd::MayHaveRun
                 }
             },
-            Err(failure) => {
-                failure.pause(&call).await;
-                failure.end
-            }
+            Err(end) => end,
         };
         if let Next::Refuse(refusal) = progress.after(end, call.has_time()) {
             let refusal = match call.has_time() {
--- a/crates/pinerill-forward/src/call/record.rs
+++ b/crates/pinerill-forward/src/call/record.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use pinerill_calls::protocol::Refusal;
 
@@ -65,6 +65,8 @@
     arrived: Instant,
     /// Each attempt with what decided it and what became of it.
     attempts: String,
+    /// Time that it waited here for places at workers.
+    waited: Duration,
     first_event: Option<Instant>,
     last_event: Option<Instant>,
     events: usize,
@@ -82,6 +84,7 @@
             table_version: call.table_version,
             arrived: call.arrived,
             attempts: String::new(),
+            waited: Duration::ZERO,
             first_event: None,
             last_event: None,
             events: 0,
@@ -103,6 +106,11 @@
         );
     }
 
+    /// It waited for a place at a worker.
+    pub fn waited(&mut self, time: Duration) {
+        self.waited += time;
+    }
+
     /// The last attempt gave no answer.
     pub fn attempt_failed(&mut self, reason: &dyn std::fmt::Display) {
         let at = self.elapsed_ms();
@@ -144,7 +152,8 @@
         log::info!(
             event = self.outcome.event(), id = self.id.as_str(), route = self.route.as_str(),
             table = self.table_version, directory_age_ms = self.node.directory_age_ms(),
-            attempts = self.attempts.as_str(), first_ms:? = first_ms, events = self.events,
+            attempts = self.attempts.as_str(),
+            waited_ms = self.waited.as_millis() as u64, first_ms:? = first_ms, events = self.events,
             ms = taken.as_millis() as u64, reason = self.outcome.reason().as_str(); ""
         );
     }
--- a/crates/pinerill-forward/src/call/relay.rs
+++ b/crates/pinerill-forward/src/call/relay.rs
@@ -188,13 +188,7 @@
                 &mut self.record,
             )
             .await;
-        let Attempted { sent, place } = match attempted {
-            Ok(attempted) => attempted,
-            Err(failure) => {
-                failure.pause(&self.call).await;
-                return Err(failure.end);
-            }
-        };
+        let Attempted { sent, place } = attempted?;
         let goes_on = sent.answer.verdict == Verdict::Taken && sent.head.status == StatusCode::OK;
         if !goes_on {
             return Err(AttemptEnd::MayHaveRun);
--- /dev/null
+++ b/crates/pinerill-forward/src/dispatch/mod.rs
@@ -0,0 +1,262 @@
+//! Places at workers for callers' calls.
+//!
+//! A call gets a place at once if a worker has room. Otherwise it waits here
+//! and not at a worker, whose queue knows no order but that of arrival; it is
+//! sent away at once if it would begin too late (`admission`). `line` keeps the
+//! order of those that wait. Whenever a place is given up, a peer tells of one,
+//! or a moment has passed, the first of the line are placed.
+
+pub mod admission;
+pub mod line;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::sync::{oneshot, Notify};
+use tokio::time::{sleep, timeout, timeout_at};
+
+use self::admission::{admit, Admission, Applicant, Pace};
+use self::line::{Ticket, WaitingCall, WaitingLine};
+use crate::call::Call;
+use crate::fleet::{Chosen, Placement, Prompt, Wanted};
+use crate::node::{Node, Occupied};
+
+/// Pause between two looks at the line while nothing is told: beliefs about
+/// others fade with time.
+const LOOK_PAUSE: Duration = Duration::from_millis(15);
+/// Calls of the line that are looked at when the first finds no place: it may
+/// be the one that must not go where there is room.
+const LOOKED_AT: usize = 6;
+/// Shortest pause after places were handed out, so that what was told by
+/// others is taken in together.
+const GATHER_PAUSE: Duration = Duration::from_millis(1);
+
+/// A place at a worker for a call.
+pub struct Placed {
+    /// The worker and what decided.
+    pub chosen: Chosen,
+    /// The place, given up when dropped.
+    pub place: Occupied,
+}
+
+/// A call without a place.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Unplaced {
+    /// The service has no worker that may be asked.
+    NoWorker,
+    /// The time is up.
+    OutOfTime,
+    /// It would begin too late.
+    SentAway {
+        /// When to come back.
+        retry_after: Duration,
+    },
+}
+
+struct Waiter {
+    service: String,
+    prompt: Prompt,
+    except: Vec<String>,
+    grant: oneshot::Sender<Result<Placed, Unplaced>>,
+}
+
+#[derive(Default)]
+struct State {
+    line: WaitingLine,
+    waiters: HashMap<Ticket, Waiter>,
+    pace: Pace,
+}
+
+/// Calls that wait for places.
+#[derive(Default)]
+pub struct Dispatcher {
+    state: Mutex<State>,
+    /// There may be room now.
+    pub(crate) changed: Notify,
+}
+
+/// Takes a call off the line when its caller goes.
+struct InLine<'a> {
+    dispatcher: &'a Dispatcher,
+    ticket: Ticket,
+}
+
+impl Drop for InLine<'_> {
+    fn drop(&mut self) {
+        let mut state = self.dispatcher.state.lock();
+        state.line.leave(self.ticket);
+        state.waiters.remove(&self.ticket);
+    }
+}
+
+impl Dispatcher {
+    /// Calls that wait.
+    pub fn waiting(&self) -> usize {
+        self.state.lock().line.len()
+    }
+
+    /// A place for a call; it waits for one unless it would begin too late.
+    /// Only a call that was not sent anywhere yet (`fresh`) is sent away.
+    ///
+    /// # Errors
+    /// [`Unplaced`].
+    pub async fn place(
+        &self,
+        node: &Arc<Node>,
+        call: &Call,
+        except: &[String],
+        fresh: bool,
+    ) -> Result<Placed, Unplaced> {
+        if self.waiting() == 0 {
+            match look(node, &call.service, &call.prompt, except) {
+                Placement::Room(chosen) => return Ok(occupied(node, chosen, &call.prompt)),
+                Placement::NoWorker => return Err(Unplaced::NoWorker),
+                Placement::Full => {}
+            }
+        }
+        let waiting = self.waiting_call(node, call);
+        if fresh {
+            self.admit(node, call, &waiting)?;
+        }
+        let (ticket, granted) = self.join(call, except, waiting);
+        let _in_line = InLine {
+            dispatcher: self,
+            ticket,
+        };
+        self.changed.notify_one();
+        let granted = timeout_at(call.deadline.into(), granted).await;
+        match granted {
+            Ok(Ok(result)) => result,
+            Ok(Err(_)) | Err(_) => Err(Unplaced::OutOfTime),
+        }
+    }
+
+    fn waiting_call(&self, node: &Node, call: &Call) -> WaitingCall {
+        let held_ms = call.arrived.elapsed().as_millis() as u64;
+        let arrived_ms = node.now_ms().saturating_sub(held_ms);
+        let bearable_ms = call.route.objective_ms as f64 * admission::WAITING_PART;
+        WaitingCall {
+            rank: call.route.rank,
+            in_time_until_ms: arrived_ms + bearable_ms as u64,
+        }
+    }
+
+    fn admit(&self, node: &Node, call: &Call, waiting: &WaitingCall) -> Result<(), Unplaced> {
+        let now_ms = node.now_ms();
+        let (ahead, interval_ms) = {
+            let state = self.state.lock();
+            let ahead = state.line.ahead_of(now_ms, waiting);
+            (ahead, state.pace.interval_ms(now_ms))
+        };
+        let applicant = Applicant {
+            ahead,
+            interval_ms,
+            objective: Duration::from_millis(call.route.objective_ms),
+            remaining: call.remaining(),
+            allowed: Duration::from_millis(call.route.timeout_ms),
+        };
+        match admit(&applicant, rand::random()) {
+            Admission::Wait => Ok(()),
+            Admission::SendAway {
+                expected,
+                retry_after,
+            } => {
+                log::info!(
+                    event = "call_sent_away", id = call.head.id.as_str(), ahead,
+                    expected_wait_ms = expected.as_millis() as u64,
+                    objective_ms = call.route.objective_ms,
+                    retry_after_ms = retry_after.as_millis() as u64; ""
+                );
+                Err(Unplaced::SentAway { retry_after })
+            }
+        }
+    }
+
+    fn join(
+        &self,
+        call: &Call,
+        except: &[String],
+        waiting: WaitingCall,
+    ) -> (Ticket, oneshot::Receiver<Result<Placed, Unplaced>>) {
+        let (grant, granted) = oneshot::channel();
+        let waiter = Waiter {
+            service: call.service.clone(),
+            prompt: call.prompt.clone(),
+            except: except.to_vec(),
+            grant,
+        };
+        let mut state = self.state.lock();
+        let ticket = state.line.join(waiting);
+        state.waiters.insert(ticket, waiter);
+        (ticket, granted)
+    }
+
+    /// Takes the next call off the line that has a place now.
+    fn next_placed(&self, node: &Node) -> Option<(Waiter, Option<Chosen>)> {
+        let now_ms = node.now_ms();
+        let mut state = self.state.lock();
+        for ticket in state.line.first(now_ms, LOOKED_AT) {
+            let Some(waiter) = state.waiters.get(&ticket) else {
+                state.line.leave(ticket);
+                continue;
+            };
+            let found = look(node, &waiter.service, &waiter.prompt, &waiter.except);
+            let chosen = match found {
+                Placement::Full => continue,
+                Placement::Room(chosen) => Some(chosen),
+                Placement::NoWorker => None,
+            };
+            state.line.leave(ticket);
+            if chosen.is_some() {
+                state.pace.started(now_ms);
+            }
+            let waiter = state.waiters.remove(&ticket)?;
+            return Some((waiter, chosen));
+        }
+        None
+    }
+
+    fn place_waiting(&self, node: &Arc<Node>) {
+        while let Some((waiter, chosen)) = self.next_placed(node) {
+            let result = match chosen {
+                Some(chosen) => Ok(occupied(node, chosen, &waiter.prompt)),
+                None => Err(Unplaced::NoWorker),
+            };
+            // A caller that has just gone gives its place up again.
+            let _ = waiter.grant.send(result);
+        }
+    }
+}
+
+fn look(node: &Node, service: &str, prompt: &Prompt, except: &[String]) -> Placement {
+    let wanted = Wanted {
+        service,
+        prompt,
+        except,
+    };
+    node.with_fleet(|fleet, now_ms| fleet.place(now_ms, &wanted, rand::random()))
+}
+
+fn occupied(node: &Arc<Node>, chosen: Chosen, prompt: &Prompt) -> Placed {
+    Placed {
+        place: node.occupy(&chosen, prompt),
+        chosen,
+    }
+}
+
+/// Places waiting calls whenever there may be room.
+pub(crate) async fn run(node: Arc<Node>) {
+    loop {
+        let dispatcher = &node.dispatcher;
+        if dispatcher.waiting() == 0 {
+            dispatcher.changed.notified().await;
+        } else {
+            // Either there is news or it is time to look again.
+            let _ = timeout(LOOK_PAUSE, dispatcher.changed.notified()).await;
+        }
+        dispatcher.place_waiting(&node);
+        sleep(GATHER_PAUSE).await;
+    }
+}
--- a/crates/pinerill-forward/src/fleet/choice.rs
+++ b/crates/pinerill-forward/src/fleet/choice.rs
@@ -10,21 +10,19 @@
 /// What one more request beside others costs while there are free slots,
 /// milliseconds: a step takes a little longer.
 const BESIDE_MS: f64 = 0.3;
-/// What each request beyond the slots costs, milliseconds: it waits for one.
-const WAITING_MS: f64 = 30.0;
 /// What a worker that is still slow after its start costs, milliseconds.
 const COLD_MS: f64 = 50.0;
-/// What a worker that had no room a moment ago costs, milliseconds.
-const FULL_COST_MS: f64 = 200.0;
 /// Prompts still to be read that weigh as much at the choice for an item as all
 /// slots being taken, milliseconds.
 const READING_SCALE_MS: f64 = 200.0;
-/// What a worker that failed costs: it is chosen when there is no other.
-const AVOIDED_COST_MS: f64 = 10_000.0;
 /// Part of a prefix's reading time that is counted at the worker to which all
 /// nodes of a zone send that prefix, where this node doesn't know it yet.
 const MEETING_POINT: f64 = 0.5;
 
+/// Part of the calls without room in their own zone that try a worker of
+/// another zone of which nothing is known.
+const EXPLORING_PART: f64 = 0.15;
+
 /// What a worker is wanted for.
 #[derive(Debug, Clone, Copy)]
 pub struct Wanted<'a> {
@@ -36,6 +34,17 @@
     pub except: &'a [String],
 }
 
+/// Where a caller's call may go now.
+#[derive(Debug, Clone)]
+pub enum Placement {
+    /// To this worker, which has room.
+    Room(Chosen),
+    /// No worker that may be asked has room.
+    Full,
+    /// The service has no worker that may be asked.
+    NoWorker,
+}
+
 /// Room for items of jobs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BatchCapacity {
@@ -44,19 +53,35 @@
 }
 
 impl Fleet {
-    /// The worker for a caller's call; none if the service has no other one.
-    pub fn choose(&self, now_ms: u64, wanted: &Wanted<'_>) -> Option<Chosen> {
-        let meeting_point = self.meeting_point(wanted);
-        let candidates = self
+    /// The worker for a caller's call among those that have room. Workers that
+    /// failed a short while ago count only if there is no other. What happens at
+    /// workers of other zones is known only from their answers, so one of which
+    /// nothing is known is tried now and then (`draw` lies between 0 and 1).
+    pub fn place(&self, now_ms: u64, wanted: &Wanted<'_>, draw: f64) -> Placement {
+        let asked: Vec<&Worker> = self
             .candidates(wanted.service)
-            .filter(|worker| !wanted.except.contains(&worker.entry().id));
-        let scored = candidates.map(|worker| {
+            .filter(|worker| !wanted.except.contains(&worker.entry().id))
+            .collect();
+        if asked.is_empty() {
+            return Placement::NoWorker;
+        }
+        let any_sound = asked.iter().any(|worker| !worker.is_avoided(now_ms));
+        let explores = draw < EXPLORING_PART;
+        let meeting_point = self.meeting_point(wanted);
+        let open = asked.into_iter().filter(|worker| {
+            let passed_over = any_sound && worker.is_avoided(now_ms);
+            let known = self.is_near(worker) || worker.is_load_known(now_ms) || explores;
+            !passed_over && known && worker.has_room(now_ms)
+        });
+        let scored = open.map(|worker| {
             let meets = meeting_point == Some(worker.entry().id.as_str());
             let prefill_ms = self.prefill_ms(worker, wanted.prompt, meets);
             (self.cost_ms(now_ms, worker, prefill_ms), worker)
         });
-        let (_, best) = scored.min_by(|left, right| left.0.total_cmp(&right.0))?;
-        Some(self.chosen(now_ms, best, wanted.prompt))
+        match scored.min_by(|left, right| left.0.total_cmp(&right.0)) {
+            Some((_, best)) => Placement::Room(self.chosen(now_ms, best, wanted.prompt)),
+            None => Placement::Full,
+        }
     }
 
     /// The worker for an item of a job: the emptiest in reach that has room
@@ -139,21 +164,14 @@
 
     fn cost_ms(&self, now_ms: u64, worker: &Worker, prefill_ms: f64) -> f64 {
         let occupied = worker.occupied(now_ms);
-        let beyond = (occupied + 1.0 - worker.slots()).max(0.0);
         let mut cost = prefill_ms + worker.reading_left_ms(now_ms);
-        cost += occupied * BESIDE_MS + beyond * WAITING_MS;
+        cost += occupied * BESIDE_MS;
         if !self.is_near(worker) {
             cost += self.settings.other_zone_ms;
         }
         if worker.entry().cold_left_ms > 0 {
             cost += COLD_MS;
         }
-        if worker.is_full(now_ms) {
-            cost += FULL_COST_MS;
-        }
-        if worker.is_avoided(now_ms) {
-            cost += AVOIDED_COST_MS;
-        }
         cost
     }
 
--- a/crates/pinerill-forward/src/fleet/mod.rs
+++ b/crates/pinerill-forward/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! and fade with it.
 
 mod choice;
+mod peers;
 mod prefixes;
 mod worker;
 
@@ -14,7 +15,10 @@
 use pinerill_calls::directory::{WorkerEntry, WorkerId, WorkerState};
 use pinerill_calls::protocol::LoadSample;
 
-pub use choice::{BatchCapacity, Wanted};
+use self::peers::PeerBook;
+
+pub use choice::{BatchCapacity, Placement, Wanted};
+pub use peers::{TellingOrder, WorkerCount};
 pub use prefixes::{PrefixMemory, Prompt};
 pub use worker::Worker;
 
@@ -46,6 +50,7 @@
     settings: ChoiceSettings,
     workers: HashMap<WorkerId, Worker>,
     by_service: HashMap<String, Vec<WorkerId>>,
+    peers: PeerBook,
 }
 
 impl Fleet {
@@ -56,6 +61,7 @@
             settings,
             workers: HashMap::new(),
             by_service: HashMap::new(),
+            peers: PeerBook::default(),
         }
     }
 
@@ -76,6 +82,7 @@
             let service = self.by_service.entry(entry.service.clone());
             service.or_default().push(entry.id.clone());
         }
+        self.recount_peers();
         earlier.into_keys().collect()
     }
 
--- a/crates/pinerill-forward/src/fleet/worker.rs
+++ b/crates/pinerill-forward/src/fleet/worker.rs
@@ -18,7 +18,9 @@
 /// Longest time for which it is avoided.
 const AVOID_LONGEST_MS: u64 = 4_000;
 /// Time for which a worker that had no room is avoided.
-const FULL_MS: u64 = 40;
+const FULL_MS: u64 = 100;
+/// Part of a request by which a worker may seem over its slots: samples fade.
+const ROUNDING: f64 = 0.5;
 
 /// A worker.
 #[derive(Debug)]
@@ -26,6 +28,8 @@
     entry: Arc<WorkerEntry>,
     /// Requests of this node there.
     pub(super) in_flight: u32,
+    /// Requests there of the other nodes of this zone, as they tell.
+    pub(super) peers_in_flight: u32,
     /// When it will have read all prompts that are known to be sent there, on
     /// the node's clock, milliseconds.
     reading_until_ms: f64,
@@ -49,6 +53,7 @@
         Worker {
             entry: Arc::new(entry),
             in_flight: 0,
+            peers_in_flight: 0,
             reading_until_ms: 0.0,
             prefixes: PrefixMemory::default(),
             others: None,
@@ -96,7 +101,7 @@
     pub(super) fn take_load(&mut self, now_ms: u64, sample: LoadSample) {
         let all = sample.running + sample.waiting;
         self.others = Some(OthersSample {
-            requests: all.saturating_sub(self.in_flight),
+            requests: all.saturating_sub(self.in_flight + self.peers_in_flight),
             at_ms: now_ms,
         });
     }
@@ -117,9 +122,21 @@
         self.full_until_ms = now_ms + FULL_MS;
     }
 
-    /// Requests there, its own and those of others as far as still believed.
+    /// Requests there: those of this node, those that its peers tell of, and
+    /// those of others as far as still believed.
     pub(super) fn occupied(&self, now_ms: u64) -> f64 {
-        f64::from(self.in_flight) + self.others_believed(now_ms)
+        f64::from(self.in_flight + self.peers_in_flight) + self.others_believed(now_ms)
+    }
+
+    /// Whether one more request would begin at once.
+    pub(super) fn has_room(&self, now_ms: u64) -> bool {
+        !self.is_full(now_ms) && self.occupied(now_ms) + 1.0 <= self.slots() + ROUNDING
+    }
+
+    /// Whether what others do there was learnt a short while ago.
+    pub(super) fn is_load_known(&self, now_ms: u64) -> bool {
+        self.load_age_ms(now_ms)
+            .is_some_and(|age| age <= SAMPLE_FRESH_MS)
     }
 
     /// Age of the newest load sample, milliseconds.
--- a/crates/pinerill-forward/src/lib.rs
+++ b/crates/pinerill-forward/src/lib.rs
@@ -1,8 +1,8 @@
 //! Nodes that forward calls.
 //!
 //! A call's way, top to bottom: [`gateway`] reads its head, finds its route
-//! and admits it; [`call`] runs it: [`fleet`] chooses a worker, [`exchange`]
-//! sends it there and reads the answer, [`call::decision`] says what follows,
+//! and admits it; [`call`] runs it: [`dispatch`] finds a place for it at a
+//! worker that [`fleet`] chooses, [`exchange`] sends it there and reads the answer, [`call::decision`] says what follows,
 //! and the answer or its events go back to the caller. [`batch`] runs leased
 //! items of jobs over the same fleet and exchange. [`cluster`] keeps the route
 //! table and the directory of workers up to date.
@@ -13,6 +13,7 @@
 pub mod batch;
 pub mod call;
 pub mod cluster;
+pub mod dispatch;
 pub mod exchange;
 pub mod fleet;
 pub mod gateway;
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -11,6 +11,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::cluster::ClusterClient;
+use crate::dispatch::Dispatcher;
 use crate::exchange::ConnectionPool;
 use crate::fleet::{BatchCapacity, Chosen, Fleet, Prompt, Wanted};
 use crate::monitoring::{Beliefs, Metrics};
@@ -33,6 +34,7 @@
     table: RwLock<Option<Arc<RouteIndex>>>,
     fleet: Mutex<Fleet>,
     connections: ConnectionPool,
+    pub(crate) dispatcher: Dispatcher,
     pub(crate) metrics: Metrics,
     pub(crate) beliefs: Beliefs,
     started: Instant,
@@ -66,6 +68,7 @@
             table: RwLock::new(None),
             fleet: Mutex::new(parts.fleet),
             connections: ConnectionPool::default(),
+            dispatcher: Dispatcher::default(),
             metrics: parts.metrics,
             beliefs: Beliefs::default(),
             started: Instant::now(),
@@ -133,11 +136,6 @@
         look(&mut self.fleet.lock(), now_ms)
     }
 
-    /// The worker for a caller's call.
-    pub fn choose(&self, wanted: &Wanted<'_>) -> Option<Chosen> {
-        self.with_fleet(|fleet, now_ms| fleet.choose(now_ms, wanted))
-    }
-
     /// The worker for an item of a job.
     pub fn choose_for_item(&self, wanted: &Wanted<'_>) -> Option<Chosen> {
         self.with_fleet(|fleet, now_ms| fleet.choose_for_item(now_ms, wanted))
@@ -155,7 +153,8 @@
             fleet.begin(now_ms, &worker, chosen.prefill_ms);
             fleet.remember_prompt(now_ms, &worker, prompt);
         });
-        self.peers.tell(&worker, chosen.prefill_ms);
+        self.peers.tell_prompt(&worker, chosen.prefill_ms);
+        self.peers.changed.notify_one();
         Occupied {
             node: self.clone(),
             worker,
@@ -208,5 +207,7 @@
 impl Drop for Occupied {
     fn drop(&mut self) {
         self.node.with_fleet(|fleet, _| fleet.end(&self.worker));
+        self.node.dispatcher.changed.notify_one();
+        self.node.peers.changed.notify_one();
     }
 }
--- a/crates/pinerill-forward/src/run.rs
+++ b/crates/pinerill-forward/src/run.rs
@@ -19,7 +19,7 @@
 use crate::monitoring::Metrics;
 use crate::node::{Node, NodeParts};
 use crate::peers::{self, Peers};
-use crate::{batch, gateway};
+use crate::{batch, dispatch, gateway};
 use pinerill_calls::settings::{cluster_key, ForwardingSettings, NodeSettings, SettingsError};
 
 /// Part of the time for a planned stop that requests in flight get.
@@ -75,6 +75,8 @@
     let mut items = spawn(boxed(batch::run(node.clone())));
     let reloading = spawn(boxed(follow_settings(node.clone(), file)));
     let hearing = spawn(boxed(peers::hear(node.clone())));
+    let telling = spawn(boxed(peers::tell(node.clone())));
+    let placing = spawn(boxed(dispatch::run(node.clone())));
     let sweeping = spawn(boxed(sweep(node.clone())));
     let ending = async {
         gateway::serve(node.clone(), listener, grace).await;
@@ -94,7 +96,7 @@
     }
     drop(items);
     batch::give_back(&node).await;
-    drop((following, hearing, reloading, sweeping));
+    drop((following, hearing, telling, placing, reloading, sweeping));
     probes.stop().await;
     metrics.stop().await;
     log::info!(event = "stopped", node = node.settings.name.as_str(); "");
@@ -153,5 +155,6 @@
     loop {
         sleep(SWEEP_PAUSE).await;
         ConnectionPool::sweep(node.connections());
+        node.with_fleet(|fleet, now_ms| fleet.forget_silent_peers(now_ms));
     }
 }
--- a/crates/pinerill-forward/tests/fleet.rs
+++ b/crates/pinerill-forward/tests/fleet.rs
@@ -2,7 +2,9 @@
 
 use pinerill_calls::directory::{WorkerEntry, WorkerState};
 use pinerill_calls::protocol::{CallHead, LoadSample, PromptPart};
-use pinerill_forward::fleet::{ChoiceSettings, Fleet, Prompt, Wanted};
+use pinerill_forward::fleet::{
+    ChoiceSettings, Fleet, Placement, Prompt, TellingOrder, Wanted, WorkerCount,
+};
 
 fn entry(id: &str, zone: &str) -> WorkerEntry {
     WorkerEntry {
@@ -39,8 +41,38 @@
         prompt,
         except,
     };
-    let chosen = fleet.choose(now_ms, &wanted)?;
-    Some(chosen.entry.id.clone())
+    match fleet.place(now_ms, &wanted, EXPLORES) {
+        Placement::Room(chosen) => Some(chosen.entry.id.clone()),
+        Placement::Full | Placement::NoWorker => None,
+    }
+}
+
+/// A draw with which workers of other zones are tried though nothing is known
+/// of them, and one with which they are not.
+const EXPLORES: f64 = 0.0;
+const STAYS: f64 = 1.0;
+
+fn place(fleet: &Fleet, now_ms: u64, draw: f64) -> Placement {
+    let prompt = Prompt::default();
+    let wanted = Wanted {
+        service: "s",
+        prompt: &prompt,
+        except: &[],
+    };
+    fleet.place(now_ms, &wanted, draw)
+}
+
+fn peer(port: u16) -> std::net::SocketAddr {
+    ([127, 0, 0, 2], port).into()
+}
+
+fn order(start: u64, sequence: u64) -> TellingOrder {
+    TellingOrder { start, sequence }
+}
+
+fn count(worker: &str, requests: u32) -> Vec<WorkerCount> {
+    let worker = worker.to_owned();
+    vec![WorkerCount { worker, requests }]
 }
 
 #[test]
@@ -130,7 +162,7 @@
         fleet.begin(0, "a", 0.0);
     }
     assert!(fleet.choose_for_item(0, &wanted).is_none());
-    assert!(fleet.choose(0, &wanted).is_some());
+    assert!(matches!(place(&fleet, 0, STAYS), Placement::Room(_)));
     fleet.end("a");
     assert!(fleet.choose_for_item(0, &wanted).is_some());
 }
@@ -174,3 +206,105 @@
     assert_eq!(choose(&fleet, 500, &none, &[]), Some("b".to_owned()));
     assert_eq!(choose(&fleet, 600, &none, &[]), Some("a".to_owned()));
 }
+
+#[test]
+fn a_call_gets_no_place_where_every_slot_is_taken() {
+    let mut fleet = fleet(&[entry("a", "near")]);
+    for _ in 0..4 {
+        assert!(matches!(place(&fleet, 0, STAYS), Placement::Room(_)));
+        fleet.begin(0, "a", 0.0);
+    }
+    assert!(matches!(place(&fleet, 0, STAYS), Placement::Full));
+    fleet.end("a");
+    assert!(matches!(place(&fleet, 0, STAYS), Placement::Room(_)));
+}
+
+#[test]
+fn a_service_without_workers_is_told_from_one_that_is_full() {
+    let mut fleet = fleet(&[]);
+    assert!(matches!(place(&fleet, 0, STAYS), Placement::NoWorker));
+    fleet.take_directory(&[entry("a", "near")]);
+    fleet.was_full(0, "a");
+    assert!(matches!(place(&fleet, 10, STAYS), Placement::Full));
+    assert!(matches!(place(&fleet, 200, STAYS), Placement::Room(_)));
+}
+
+#[test]
+fn what_peers_have_in_flight_takes_slots() {
+    let mut fleet = fleet(&[entry("a", "near")]);
+    fleet.take_peer(0, peer(1), order(1, 1), count("a", 3));
+    assert!(matches!(place(&fleet, 0, STAYS), Placement::Room(_)));
+    fleet.take_peer(0, peer(2), order(9, 1), count("a", 1));
+    assert!(matches!(place(&fleet, 0, STAYS), Placement::Full));
+    // Whole counts: the newer message takes the place of the older one.
+    fleet.take_peer(5, peer(1), order(1, 2), Vec::new());
+    assert!(matches!(place(&fleet, 5, STAYS), Placement::Room(_)));
+}
+
+#[test]
+fn an_old_message_of_a_peer_changes_nothing() {
+    let mut fleet = fleet(&[entry("a", "near")]);
+    fleet.take_peer(0, peer(1), order(1, 2), Vec::new());
+    fleet.take_peer(1, peer(1), order(1, 1), count("a", 4));
+    assert!(matches!(place(&fleet, 1, STAYS), Placement::Room(_)));
+    // Another start of the peer counts from its first message on.
+    fleet.take_peer(2, peer(1), order(7, 1), count("a", 4));
+    assert!(matches!(place(&fleet, 2, STAYS), Placement::Full));
+}
+
+#[test]
+fn what_a_silent_peer_told_is_forgotten() {
+    let mut fleet = fleet(&[entry("a", "near")]);
+    fleet.take_peer(0, peer(1), order(1, 1), count("a", 4));
+    fleet.forget_silent_peers(1_000);
+    assert!(matches!(place(&fleet, 1_000, STAYS), Placement::Full));
+    fleet.forget_silent_peers(2_000);
+    assert!(matches!(place(&fleet, 2_000, STAYS), Placement::Room(_)));
+}
+
+#[test]
+fn what_peers_told_of_a_worker_counts_once_it_is_listed() {
+    let mut fleet = fleet(&[]);
+    fleet.take_peer(0, peer(1), order(1, 1), count("a", 4));
+    fleet.take_directory(&[entry("a", "near")]);
+    assert!(matches!(place(&fleet, 0, STAYS), Placement::Full));
+    fleet.take_directory(&[entry("a", "near"), entry("b", "near")]);
+    fleet.take_peer(1, peer(1), order(1, 2), Vec::new());
+    fleet.begin(1, "b", 0.0);
+    assert_eq!(
+        choose(&fleet, 1, &Prompt::default(), &[]),
+        Some("a".to_owned())
+    );
+}
+
+#[test]
+fn a_load_sample_does_not_count_twice_what_peers_tell() {
+    let mut fleet = fleet(&[entry("a", "near")]);
+    fleet.take_peer(0, peer(1), order(1, 1), count("a", 2));
+    let sample = LoadSample {
+        running: 2,
+        waiting: 0,
+        slots: 4,
+    };
+    fleet.take_load(0, "a", sample);
+    fleet.begin(0, "a", 0.0);
+    assert!(matches!(place(&fleet, 0, STAYS), Placement::Room(_)));
+}
+
+#[test]
+fn other_zones_are_used_where_their_load_is_known_and_tried_now_and_then() {
+    let mut fleet = fleet(&[entry("near", "near"), entry("far", "other")]);
+    for _ in 0..4 {
+        fleet.begin(0, "near", 0.0);
+    }
+    assert!(matches!(place(&fleet, 0, STAYS), Placement::Full));
+    assert!(matches!(place(&fleet, 0, EXPLORES), Placement::Room(_)));
+    let idle = LoadSample {
+        running: 0,
+        waiting: 0,
+        slots: 4,
+    };
+    fleet.take_load(0, "far", idle);
+    assert!(matches!(place(&fleet, 0, STAYS), Placement::Room(_)));
+    assert!(matches!(place(&fleet, 2_000, STAYS), Placement::Full));
+}
