Items that will be late anyway give way to those that can be on time

Change: nodes tell with each lease request how long an item usually runs (RunTime, a mean of runs at workers, without waiting); items that can't be done by then go behind those that can. VERSION of messages and stored state is raised: layouts have changed since without it, and bytes of another layout must be refused, not misread.

an_item_that_will_be_late_however_soon_it_begins_gives_way fails without the run time (order soon, later, late).

--- a/crates/pinerill-calls/src/message.rs
+++ b/crates/pinerill-calls/src/message.rs
@@ -15,8 +15,15 @@
 use crate::job::{CallJobId, ItemRef, ItemReport, NewCallJob, ResultPage};
 use crate::table::RouteTable;
 
-/// First byte of each message; another one is refused.
-const VERSION: u8 = 1;
+/// First byte of each message, command and snapshot; another one is refused. It is
+/// raised with every change of what they hold, since the encoding names no fields:
+/// bytes of another layout may be read as something else.
+///
+/// | version | what came with it |
+/// |---|---|
+/// | 1 | the first layout |
+/// | 2 | numbers of failed runs, usual run times in lease requests |
+const VERSION: u8 = 2;
 
 /// What one process asks of another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -165,6 +172,8 @@
     pub held: Vec<ItemRef>,
     /// Items that it would take besides.
     pub want: u32,
+    /// Time that an item usually runs there, milliseconds; 0 if not known.
+    pub run_ms: u64,
     /// How long the answer may be held, milliseconds.
     pub wait_ms: u64,
 }
--- a/crates/pinerill-calls/tests/messages.rs
+++ b/crates/pinerill-calls/tests/messages.rs
@@ -14,6 +14,7 @@
             index: 3,
         }],
         want: 2,
+        run_ms: 900,
         wait_ms: 500,
     })
 }
--- a/crates/pinerill-cluster/src/leases.rs
+++ b/crates/pinerill-cluster/src/leases.rs
@@ -44,6 +44,19 @@
     leases: HashMap<QueuePosition, Lease>,
 }
 
+/// What a node asks for.
+#[derive(Debug, Clone, Copy)]
+pub struct LeaseAsk<'a> {
+    /// The node, in this start of its process.
+    pub node: &'a str,
+    /// Items that it holds.
+    pub held: &'a [ItemRef],
+    /// Items that it would take besides.
+    pub want: usize,
+    /// Time that an item usually runs there, milliseconds.
+    pub run_ms: u64,
+}
+
 /// What a node is told.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct LeaseDecision {
@@ -64,27 +77,25 @@
         }
     }
 
-    /// Renews what the node holds and hands out up to `want` more. What was
+    /// Renews what the node holds and hands out up to as many as it wants. What was
     /// handed to it and isn't held never arrived there and is free again.
     pub fn lease(
         &mut self,
         now_ms: u64,
         jobs: &Jobs,
         job_clock_ms: u64,
-        node: &str,
-        held: &[ItemRef],
-        want: usize,
+        ask: &LeaseAsk<'_>,
     ) -> LeaseDecision {
         self.leases
-            .retain(|_, lease| lease.node != node && lease.expires_ms > now_ms);
+            .retain(|_, lease| lease.node != ask.node && lease.expires_ms > now_ms);
         let mut decision = LeaseDecision::default();
-        for item in held {
-            if !self.renew(now_ms, jobs, node, item) {
+        for item in ask.held {
+            if !self.renew(now_ms, jobs, ask.node, item) {
                 decision.stop.push(item.clone());
             }
         }
         if now_ms >= self.started_ms + self.settings.reclaim_ms {
-            decision.leased = self.hand_out(now_ms, jobs, job_clock_ms, node, want);
+            decision.leased = self.hand_out(now_ms, jobs, job_clock_ms, ask);
         }
         decision
     }
@@ -100,18 +111,17 @@
         true
     }
 
-    /// Items that can still be on time go first, the most urgent one first;
-    /// after them those that are late already.
+    /// Items that can still be on time if they begin now go first, the most
+    /// urgent one first; after them those that are late or will be.
     fn hand_out(
         &mut self,
         now_ms: u64,
         jobs: &Jobs,
         job_clock_ms: u64,
-        node: &str,
-        want: usize,
+        ask: &LeaseAsk<'_>,
     ) -> Vec<QueuePosition> {
         let first_on_time = QueuePosition {
-            due_ms: job_clock_ms,
+            due_ms: job_clock_ms + ask.run_ms,
             job: 0,
             index: 0,
         };
@@ -120,11 +130,11 @@
         let free: Vec<QueuePosition> = on_time
             .chain(late)
             .filter(|place| self.is_free(now_ms, place))
-            .take(want)
+            .take(ask.want)
             .copied()
             .collect();
         for place in &free {
-            self.grant(now_ms, *place, node);
+            self.grant(now_ms, *place, ask.node);
         }
         free
     }
--- a/crates/pinerill-cluster/src/server/jobs.rs
+++ b/crates/pinerill-cluster/src/server/jobs.rs
@@ -12,7 +12,7 @@
 
 use super::control::Control;
 use super::refusal;
-use crate::leases::LeaseDecision;
+use crate::leases::{LeaseAsk, LeaseDecision};
 use crate::machine::{
     call_key, text_key, Applied, Command, ItemPhase, ListedRecord, QueuePosition,
 };
@@ -205,16 +205,17 @@
 
     fn decide_leases(&self, request: &LeaseRequest) -> Result<LeaseDecision, Box<Refusal>> {
         let now_ms = self.now_ms();
+        let ask = LeaseAsk {
+            node: &request.node,
+            held: &request.held,
+            want: request.want as usize,
+            run_ms: request.run_ms,
+        };
         self.with_leadership("lease items", |leadership| {
             self.group.with_machine(|machine| {
-                leadership.leases.lease(
-                    now_ms,
-                    machine.jobs(),
-                    machine.clock_ms(),
-                    &request.node,
-                    &request.held,
-                    request.want as usize,
-                )
+                leadership
+                    .leases
+                    .lease(now_ms, machine.jobs(), machine.clock_ms(), &ask)
             })
         })
     }
--- a/crates/pinerill-cluster/tests/leases.rs
+++ b/crates/pinerill-cluster/tests/leases.rs
@@ -2,7 +2,7 @@
 
 use pinerill_calls::job::{ItemRef, NewCallItem, NewCallJob};
 use pinerill_calls::message::encode;
-use pinerill_cluster::leases::{LeaseBook, LeaseSettings};
+use pinerill_cluster::leases::{LeaseAsk, LeaseBook, LeaseSettings};
 use pinerill_cluster::machine::{ClusterMachine, Command, QueuePosition, StampedCommand};
 use pinerill_control::host::{StateMachine, TableWriter};
 
@@ -72,9 +72,13 @@
 
     fn lease(&mut self, now: u64, node: &str, held: &[ItemRef], want: usize) -> (Vec<u32>, usize) {
         let clock = self.machine.clock_ms();
-        let decision = self
-            .book
-            .lease(now, self.machine.jobs(), clock, node, held, want);
+        let ask = LeaseAsk {
+            node,
+            held,
+            want,
+            run_ms: 0,
+        };
+        let decision = self.book.lease(now, self.machine.jobs(), clock, &ask);
         let leased = decision.leased.iter().map(|place| place.index);
         (leased.collect(), decision.stop.len())
     }
@@ -133,18 +137,35 @@
     assert_eq!(leader.lease(READY, "x", &[reference("a", 0)], 0).1, 1);
 }
 
-#[test]
-fn the_most_urgent_item_goes_first_and_late_ones_last() {
+/// Jobs in the order in which their items are handed out at 2,000 ms, if an item
+/// runs for `run_ms`.
+fn order_of_jobs(targets_ms: &[(&str, u64)], run_ms: u64) -> Vec<String> {
     let mut machine = ClusterMachine::default();
-    submit(&mut machine, "late", 1, 1_000);
-    submit(&mut machine, "soon", 1, 5_000);
-    submit(&mut machine, "later", 1, 9_000);
+    for (id, target_ms) in targets_ms {
+        submit(&mut machine, id, 1, *target_ms);
+    }
     let retention_ms = 600_000;
     apply(&mut machine, 2_000, Command::Upkeep { retention_ms });
     let mut book = LeaseBook::new(SETTINGS, 0);
-    let clock = machine.clock_ms();
-    let decision = book.lease(READY, machine.jobs(), clock, "x", &[], 3);
-    let jobs = |place: &QueuePosition| machine.jobs().record(place.job).map(|job| job.id.clone());
-    let order: Vec<String> = decision.leased.iter().filter_map(jobs).collect();
-    assert_eq!(order, ["soon", "later", "late"]);
+    let ask = LeaseAsk {
+        node: "x",
+        held: &[],
+        want: targets_ms.len(),
+        run_ms,
+    };
+    let decision = book.lease(READY, machine.jobs(), machine.clock_ms(), &ask);
+    let job = |place: &QueuePosition| machine.jobs().record(place.job).map(|job| job.id.clone());
+    decision.leased.iter().filter_map(job).collect()
+}
+
+#[test]
+fn the_most_urgent_item_goes_first_and_late_ones_last() {
+    let targets = [("late", 1_000), ("soon", 5_000), ("later", 9_000)];
+    assert_eq!(order_of_jobs(&targets, 0), ["soon", "later", "late"]);
+}
+
+#[test]
+fn an_item_that_will_be_late_however_soon_it_begins_gives_way() {
+    let targets = [("late", 1_000), ("soon", 5_000), ("later", 9_000)];
+    assert_eq!(order_of_jobs(&targets, 4_000), ["later", "late", "soon"]);
 }
--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -40,6 +40,8 @@
     /// The worker that broke it off last.
     avoid: Vec<String>,
     attempts: u32,
+    /// Time that it has run at workers.
+    ran: Duration,
     /// Length of the text, and of what is kept of it.
     bytes: (usize, usize),
 }
@@ -68,6 +70,9 @@
         ItemEnd::Failed { .. } => "failed",
     };
     node.metrics.item_ended(outcome);
+    if let ItemEnd::Completed(_) = &end {
+        held.run_time.lock().ended(running.ran);
+    }
     log::info!(
         event = "item_ended", id = running.leased.id.as_str(), job = item.job.as_str(),
         index = item.index, attempts = running.attempts, bytes = running.bytes.0,
@@ -99,6 +104,7 @@
         last: None,
         avoid: Vec::new(),
         attempts: 0,
+        ran: Duration::ZERO,
         bytes: (0, 0),
     })
 }
@@ -148,7 +154,9 @@
             Some(ItemEnd::Impossible)
         }
         Verdict::Taken if sent.head.status == StatusCode::OK => {
+            let began = Instant::now();
             let read = read_events(running, sent.exchange, place, node).await;
+            running.ran += began.elapsed();
             match read {
                 Ok(()) => {
                     let text = std::mem::take(&mut running.text).into_bytes();
--- a/crates/pinerill-forward/src/batch/mod.rs
+++ b/crates/pinerill-forward/src/batch/mod.rs
@@ -7,5 +7,6 @@
 mod item;
 mod leases;
 mod reports;
+pub mod run_time;
 
 pub(crate) use leases::{give_back, run};
