An encoded answer is passed on to nobody, and a start takes 0.6 s for callers

WorkerAnswer.encoded was read by nobody, so that an answer with Content-Encoding went to the caller, though no caller asks for one and its body is not the worker's. It now counts like an answer that names another request. Not measured by itself.

--- a/crates/pinerill-forward/src/exchange/connection.rs
+++ b/crates/pinerill-forward/src/exchange/connection.rs
@@ -38,6 +38,9 @@
     /// The answer names another request.
     #[error("the answer names another request")]
     OtherRequest,
+    /// The body is encoded, which no caller asked for.
+    #[error("the answer's body is encoded")]
+    Encoded,
     /// Events are missing, doubled or out of order.
     #[error("events out of order")]
     EventOrder,
--- a/crates/pinerill-forward/src/exchange/send.rs
+++ b/crates/pinerill-forward/src/exchange/send.rs
@@ -106,6 +106,10 @@
             let reason = BreakReason::OtherRequest;
             return Err(SendFailure { sent: true, reason });
         }
+        if answer.encoded {
+            let reason = BreakReason::Encoded;
+            return Err(SendFailure { sent: true, reason });
+        }
         let exchange = Exchange {
             worker: worker.clone(),
             connection,
--- a/crates/pinerill-forward/src/gateway/request.rs
+++ b/crates/pinerill-forward/src/gateway/request.rs
@@ -18,8 +18,9 @@
 use crate::fleet::Prompt;
 use crate::node::Node;
 
-/// When to come back to a node that has no route table yet.
-const STARTING_RETRY: Duration = Duration::from_millis(300);
+/// When to come back to a node that has no route table yet: a little later than
+/// a cluster that starts as a whole knows its workers.
+const STARTING_RETRY: Duration = Duration::from_millis(600);
 
 /// When to come back, to another node, while this one stops.
 const STOPPING_RETRY: Duration = Duration::from_millis(50);
--- a/crates/pinerill-forward/src/monitoring.rs
+++ b/crates/pinerill-forward/src/monitoring.rs
@@ -29,6 +29,7 @@
     pub(crate) worker_failures: IntCounter,
     pub(crate) worker_refusals: IntCounter,
     items: IntCounterVec,
+    waiting_calls: IntGauge,
     table_version: IntGauge,
     control_silent_ms: IntGauge,
     directory_age_ms: IntGauge,
@@ -114,6 +115,10 @@
                 "Items of jobs that ended here, by end",
                 &["end"],
             )?,
+            waiting_calls: gauge(
+                "pinerill_node_waiting_calls",
+                "Calls that wait for a place at a worker",
+            )?,
             table_version: gauge("pinerill_node_table_version", "Route table in force")?,
             control_silent_ms: gauge(
                 "pinerill_node_control_silent_ms",
@@ -166,6 +171,9 @@
         let heard_ms = self.beliefs.control_heard_ms.load(Ordering::Relaxed);
         let version = self.table().map_or(0, |index| index.table().version);
         metrics.table_version.set(number(version));
+        metrics
+            .waiting_calls
+            .set(number(self.dispatcher.waiting() as u64));
         metrics
             .control_silent_ms
             .set(number(self.now_ms().saturating_sub(heard_ms)));
