Calls try workers of other zones of which nothing is known once a second, not at will

They filled the workers' queues of the other zones, whose own nodes don't see them.

Change: a node tries such a worker once a second; unknown workers of other zones count at once where the zone has no sound one of its own.

other_zones_serve_where_this_one_has_no_sound_worker; the test of exploring is as strict as before.

--- a/crates/pinerill-forward/src/dispatch/mod.rs
+++ b/crates/pinerill-forward/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 pub mod line;
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -29,6 +30,9 @@
 /// Calls of the line that are looked at when the first finds no place: it may
 /// be the one that must not go where there is room.
 const LOOKED_AT: usize = 6;
+/// Pause between two calls of this node that try a worker of another zone of
+/// which nothing is known, milliseconds: many nodes do so at once.
+const EXPLORING_PAUSE_MS: u64 = 1_000;
 /// Shortest pause after places were handed out, so that what was told by
 /// others is taken in together.
 const GATHER_PAUSE: Duration = Duration::from_millis(1);
@@ -73,6 +77,9 @@
 #[derive(Default)]
 pub struct Dispatcher {
     state: Mutex<State>,
+    /// When a call last went to another zone without knowing the load there, on
+    /// the node's clock.
+    explored_ms: AtomicU64,
     /// There may be room now.
     pub(crate) changed: Notify,
 }
@@ -110,7 +117,7 @@
         fresh: bool,
     ) -> Result<Placed, Unplaced> {
         if self.waiting() == 0 {
-            match look(node, &call.service, &call.prompt, except) {
+            match self.look(node, &call.service, &call.prompt, except) {
                 Placement::Room(chosen) => return Ok(occupied(node, chosen, &call.prompt)),
                 Placement::NoWorker => return Err(Unplaced::NoWorker),
                 Placement::Full => {}
@@ -133,6 +140,26 @@
         }
     }
 
+    /// Where a call may go. Once in a while one that finds no room in its zone
+    /// tries a worker elsewhere of which nothing is known.
+    fn look(&self, node: &Node, service: &str, prompt: &Prompt, except: &[String]) -> Placement {
+        let wanted = Wanted {
+            service,
+            prompt,
+            except,
+        };
+        let now_ms = node.now_ms();
+        let explored_ms = self.explored_ms.load(Ordering::Relaxed);
+        let explores = now_ms.saturating_sub(explored_ms) >= EXPLORING_PAUSE_MS;
+        let found = node.with_fleet(|fleet, _| fleet.place(now_ms, &wanted, explores));
+        if let Placement::Room(chosen) = &found {
+            if explores && !chosen.basis.near {
+                self.explored_ms.store(now_ms, Ordering::Relaxed);
+            }
+        }
+        found
+    }
+
     fn waiting_call(&self, node: &Node, call: &Call) -> WaitingCall {
         let held_ms = call.arrived.elapsed().as_millis() as u64;
         let arrived_ms = node.now_ms().saturating_sub(held_ms);
@@ -202,7 +229,7 @@
                 state.line.leave(ticket);
                 continue;
             };
-            let found = look(node, &waiter.service, &waiter.prompt, &waiter.except);
+            let found = self.look(node, &waiter.service, &waiter.prompt, &waiter.except);
             let chosen = match found {
                 Placement::Full => continue,
                 Placement::Room(chosen) => Some(chosen),
@@ -230,15 +257,6 @@
     }
 }
 
-fn look(node: &Node, service: &str, prompt: &Prompt, except: &[String]) -> Placement {
-    let wanted = Wanted {
-        service,
-        prompt,
-        except,
-    };
-    node.with_fleet(|fleet, now_ms| fleet.place(now_ms, &wanted, rand::random()))
-}
-
 fn occupied(node: &Arc<Node>, chosen: Chosen, prompt: &Prompt) -> Placed {
     Placed {
         place: node.occupy(&chosen, prompt),
--- a/crates/pinerill-forward/src/fleet/choice.rs
+++ b/crates/pinerill-forward/src/fleet/choice.rs
@@ -19,10 +19,6 @@
 /// nodes of a zone send that prefix, where this node doesn't know it yet.
 const MEETING_POINT: f64 = 0.5;
 
-/// Part of the calls without room in their own zone that try a worker of
-/// another zone of which nothing is known.
-const EXPLORING_PART: f64 = 0.15;
-
 /// What a worker is wanted for.
 #[derive(Debug, Clone, Copy)]
 pub struct Wanted<'a> {
@@ -55,9 +51,10 @@
 impl Fleet {
     /// The worker for a caller's call among those that have room. Workers that
     /// failed a short while ago count only if there is no other. What happens at
-    /// workers of other zones is known only from their answers, so one of which
-    /// nothing is known is tried now and then (`draw` lies between 0 and 1).
-    pub fn place(&self, now_ms: u64, wanted: &Wanted<'_>, draw: f64) -> Placement {
+    /// workers of other zones is known only from their answers: one of which
+    /// nothing is known counts if this zone has no sound worker, or if the call
+    /// `explores`.
+    pub fn place(&self, now_ms: u64, wanted: &Wanted<'_>, explores: bool) -> Placement {
         let asked: Vec<&Worker> = self
             .candidates(wanted.service)
             .filter(|worker| !wanted.except.contains(&worker.entry().id))
@@ -65,13 +62,14 @@
         if asked.is_empty() {
             return Placement::NoWorker;
         }
-        let any_sound = asked.iter().any(|worker| !worker.is_avoided(now_ms));
-        let explores = draw < EXPLORING_PART;
+        let is_sound = |worker: &Worker| !worker.is_avoided(now_ms);
+        let any_sound = asked.iter().any(|one| is_sound(one));
+        let zone_serves = asked.iter().any(|one| self.is_near(one) && is_sound(one));
         let meeting_point = self.meeting_point(wanted);
         let open = asked.into_iter().filter(|worker| {
-            let passed_over = any_sound && worker.is_avoided(now_ms);
-            let known = self.is_near(worker) || worker.is_load_known(now_ms) || explores;
-            !passed_over && known && worker.has_room(now_ms)
+            let passed_over = any_sound && !is_sound(worker);
+            let known = self.is_near(worker) || worker.is_load_known(now_ms);
+            !passed_over && (known || explores || !zone_serves) && worker.has_room(now_ms)
         });
         let scored = open.map(|worker| {
             let meets = meeting_point == Some(worker.entry().id.as_str());
--- a/crates/pinerill-forward/tests/fleet.rs
+++ b/crates/pinerill-forward/tests/fleet.rs
@@ -47,19 +47,18 @@
     }
 }
 
-/// A draw with which workers of other zones are tried though nothing is known
-/// of them, and one with which they are not.
-const EXPLORES: f64 = 0.0;
-const STAYS: f64 = 1.0;
+/// Whether workers of other zones are tried though nothing is known of them.
+const EXPLORES: bool = true;
+const STAYS: bool = false;
 
-fn place(fleet: &Fleet, now_ms: u64, draw: f64) -> Placement {
+fn place(fleet: &Fleet, now_ms: u64, explores: bool) -> Placement {
     let prompt = Prompt::default();
     let wanted = Wanted {
         service: "s",
         prompt: &prompt,
         except: &[],
     };
-    fleet.place(now_ms, &wanted, draw)
+    fleet.place(now_ms, &wanted, explores)
 }
 
 fn peer(port: u16) -> std::net::SocketAddr {
@@ -291,6 +290,16 @@
     assert!(matches!(place(&fleet, 0, STAYS), Placement::Room(_)));
 }
 
+#[test]
+fn other_zones_serve_where_this_one_has_no_sound_worker() {
+    let mut fleet = fleet(&[entry("near", "near"), entry("far", "other")]);
+    fleet.failed(0, "near");
+    let Placement::Room(chosen) = place(&fleet, 1, STAYS) else {
+        panic!("no room");
+    };
+    assert_eq!(chosen.entry.id, "far");
+}
+
 #[test]
 fn other_zones_are_used_where_their_load_is_known_and_tried_now_and_then() {
     let mut fleet = fleet(&[entry("near", "near"), entry("far", "other")]);
