Items keep to their zone, and calls are spread over its workers

An item that found no room in its zone went to another one, of whose workers nothing is known, and nodes there did not see it. And a prefix of 155 tokens read (3 ms) outweighed five requests (0.3 ms each), so that nodes filled the same workers to their last slot at once.

Change: items use other zones only while theirs has no sound worker, and go back to the leader if they find no room within 0.3 s and nothing of them is here yet; what is filled counts by its square (30 ms for a full worker). Counts are now true, so that batch_share means what it says, and its default goes from 0.65 to 0.75.

--- a/crates/pinerill-calls/src/settings/node.rs
+++ b/crates/pinerill-calls/src/settings/node.rs
@@ -32,13 +32,13 @@
     pub worker_list: SocketAddr,
     /// Time for a planned stop, seconds.
     pub stop_s: f64,
-    /// Part of the workers' slots that items of jobs may fill.
+    /// Part of a worker's slots up to which items of jobs begin there; calls count.
     #[serde(default = "default_batch_share")]
     pub batch_share: f64,
 }
 
 fn default_batch_share() -> f64 {
-    0.65
+    0.75
 }
 
 impl NodeSettings {
--- a/crates/pinerill-cluster/tests/machine.rs
+++ b/crates/pinerill-cluster/tests/machine.rs
@@ -284,3 +284,11 @@
     let applied: Applied = decode(&answer).expect("an answer");
     assert_eq!(applied, Applied::NotUnderstood);
 }
+
+#[test]
+fn a_snapshot_of_another_layout_is_refused() {
+    let mut bytes = ClusterMachine::default().snapshot();
+    assert!(ClusterMachine::default().restore(&bytes).is_ok());
+    bytes[0] -= 1;
+    assert!(ClusterMachine::default().restore(&bytes).is_err());
+}
--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -19,6 +19,9 @@
 
 /// Pause before an item that could not begin is given back.
 const NOT_BEGUN_PAUSE: Duration = Duration::from_millis(500);
+/// Time after which an item that has not begun and finds no place is given back:
+/// another zone may have room.
+const PLACE_TIME: Duration = Duration::from_millis(300);
 /// Pause before a place is looked for again.
 const PLACE_PAUSE: Duration = Duration::from_millis(50);
 /// Longest wait for an item's call.
@@ -60,8 +63,17 @@
         return;
     };
     let end = loop {
-        if let Some(end) = attempt(&node, &held, &mut running).await {
-            break end;
+        match attempt(&node, &held, &mut running).await {
+            Attempt::Ended(end) => break end,
+            Attempt::GoesOn => {}
+            Attempt::NoPlace => {
+                log::info!(
+                    event = "item_given_back", id = running.leased.id.as_str(),
+                    job = item.job.as_str(), index = item.index; ""
+                );
+                held.release(&item);
+                return;
+            }
         }
     };
     let outcome = match &end {
@@ -127,9 +139,28 @@
     decode(&bytes).ok()
 }
 
+/// How an attempt at one worker ended.
+enum Attempt {
+    /// The item has an end.
+    Ended(ItemEnd),
+    /// It must go on elsewhere.
+    GoesOn,
+    /// No worker has room for it, and nothing of it is here.
+    NoPlace,
+}
+
+async fn attempt(node: &Arc<Node>, held: &Held, running: &mut Running) -> Attempt {
+    match find_place(node, held, running).await {
+        Some(place) => match attempt_at(node, running, place).await {
+            Some(end) => Attempt::Ended(end),
+            None => Attempt::GoesOn,
+        },
+        None => Attempt::NoPlace,
+    }
+}
+
 /// One attempt at one worker; none if the item must go on elsewhere.
-async fn attempt(node: &Arc<Node>, held: &Held, running: &mut Running) -> Option<ItemEnd> {
-    let place = find_place(node, held, running).await;
+async fn attempt_at(node: &Arc<Node>, running: &mut Running, place: Occupied) -> Option<ItemEnd> {
     let chosen = place.worker().to_owned();
     running.attempts += 1;
     let (sent, place) = match send(node, running, place).await {
@@ -180,9 +211,10 @@
 }
 
 /// Waits for a worker with room, and for the leader's word that the item is
-/// still this node's.
-async fn find_place(node: &Arc<Node>, held: &Held, running: &mut Running) -> Occupied {
-    loop {
+/// still this node's. None after a while if nothing of the item is here yet.
+async fn find_place(node: &Arc<Node>, held: &Held, running: &mut Running) -> Option<Occupied> {
+    let began = Instant::now();
+    while running.last.is_some() || began.elapsed() < PLACE_TIME {
         if held.is_renewed() && node.dispatcher.waiting() == 0 {
             let wanted = Wanted {
                 service: &running.service,
@@ -190,12 +222,13 @@
                 except: &running.avoid,
             };
             if let Some(chosen) = node.choose_for_item(&wanted) {
-                return node.occupy(&chosen, &running.prompt);
+                return Some(node.occupy(&chosen, &running.prompt));
             }
         }
         running.avoid.clear();
         sleep(PLACE_PAUSE).await;
     }
+    None
 }
 
 async fn send(
--- a/crates/pinerill-forward/src/fleet/choice.rs
+++ b/crates/pinerill-forward/src/fleet/choice.rs
@@ -7,9 +7,11 @@
 use super::worker::Worker;
 use super::{ChoiceBasis, Chosen, Fleet};
 
-/// What one more request beside others costs while there are free slots,
-/// milliseconds: a step takes a little longer.
-const BESIDE_MS: f64 = 0.3;
+/// What a full worker costs more than an idle one, milliseconds; it grows with the
+/// square of what is filled. A step takes hardly longer beside other requests, but
+/// what is known of them is a little old, so that the last free slots are the ones
+/// that several nodes take at once.
+const FILLED_MS: f64 = 30.0;
 /// What a worker that is still slow after its start costs, milliseconds.
 const COLD_MS: f64 = 50.0;
 /// Prompts still to be read that weigh as much at the choice for an item as all
@@ -83,19 +85,25 @@
     }
 
     /// The worker for an item of a job: the emptiest in reach that has room
-    /// beside callers' calls.
+    /// beside callers' calls. Other zones are in reach while this one has no sound
+    /// worker; items can wait, and nothing is known of the load there.
     pub fn choose_for_item(&self, now_ms: u64, wanted: &Wanted<'_>) -> Option<Chosen> {
         let share = self.settings.batch_share;
-        let candidates = self.candidates(wanted.service).filter(|worker| {
+        let sound = |worker: &&Worker| {
+            let asked = !wanted.except.contains(&worker.entry().id);
+            asked && !worker.is_avoided(now_ms)
+        };
+        let candidates = || self.candidates(wanted.service).filter(sound);
+        let zone_serves = candidates().any(|worker| self.is_near(worker));
+        let with_room = candidates().filter(|worker| {
+            let reached = self.is_near(worker) || !zone_serves;
             let room = worker.occupied(now_ms) + 1.0 <= worker.slots() * share;
-            let sound = !worker.is_avoided(now_ms) && !worker.is_full(now_ms);
-            room && sound && !wanted.except.contains(&worker.entry().id)
+            reached && room && !worker.is_full(now_ms)
         });
-        let scored = candidates.map(|worker| {
+        let scored = with_room.map(|worker| {
             let filled = worker.occupied(now_ms) / worker.slots();
             let reading = worker.reading_left_ms(now_ms) / READING_SCALE_MS;
-            let away = if self.is_near(worker) { 0.0 } else { 1.0 };
-            (filled + away + reading, worker)
+            (filled + reading, worker)
         });
         let (_, best) = scored.min_by(|left, right| left.0.total_cmp(&right.0))?;
         Some(self.chosen(now_ms, best, wanted.prompt))
@@ -162,8 +170,9 @@
 
     fn cost_ms(&self, now_ms: u64, worker: &Worker, prefill_ms: f64) -> f64 {
         let occupied = worker.occupied(now_ms);
+        let filled = occupied / worker.slots();
         let mut cost = prefill_ms + worker.reading_left_ms(now_ms);
-        cost += occupied * BESIDE_MS;
+        cost += filled * filled * FILLED_MS;
         if !self.is_near(worker) {
             cost += self.settings.other_zone_ms;
         }
--- a/crates/pinerill-forward/src/fleet/mod.rs
+++ b/crates/pinerill-forward/src/fleet/mod.rs
@@ -29,7 +29,7 @@
     pub prefill_tokens_per_ms: f64,
     /// What a worker in another zone costs, milliseconds.
     pub other_zone_ms: f64,
-    /// Part of a worker's slots that items of jobs may fill.
+    /// Part of a worker's slots up to which items of jobs begin there; calls count.
     pub batch_share: f64,
 }
 
@@ -38,7 +38,7 @@
         ChoiceSettings {
             prefill_tokens_per_ms: 50.0,
             other_zone_ms: 40.0,
-            batch_share: 0.65,
+            batch_share: 0.75,
         }
     }
 }
--- a/crates/pinerill-forward/tests/fleet.rs
+++ b/crates/pinerill-forward/tests/fleet.rs
@@ -19,7 +19,11 @@
 }
 
 fn fleet(entries: &[WorkerEntry]) -> Fleet {
-    let mut fleet = Fleet::new("near", ChoiceSettings::default());
+    let settings = ChoiceSettings {
+        batch_share: 0.65,
+        ..ChoiceSettings::default()
+    };
+    let mut fleet = Fleet::new("near", settings);
     fleet.take_directory(entries);
     fleet
 }
@@ -166,6 +170,24 @@
     assert!(fleet.choose_for_item(0, &wanted).is_some());
 }
 
+#[test]
+fn items_keep_to_their_zone_while_it_has_a_sound_worker() {
+    let mut fleet = fleet(&[entry("near", "near"), entry("far", "other")]);
+    let none = Prompt::default();
+    let wanted = Wanted {
+        service: "s",
+        prompt: &none,
+        except: &[],
+    };
+    for _ in 0..3 {
+        fleet.begin(0, "near", 0.0);
+    }
+    assert!(fleet.choose_for_item(0, &wanted).is_none());
+    fleet.failed(0, "near");
+    let chosen = fleet.choose_for_item(1, &wanted).expect("a worker");
+    assert_eq!(chosen.entry.id, "far");
+}
+
 #[test]
 fn the_nodes_of_a_zone_share_its_room() {
     let entries = ["a", "b", "c", "d"].map(|id| entry(id, "near"));
