--- a/crates/pinerill-cluster/src/server/jobs.rs
+++ b/crates/pinerill-cluster/src/server/jobs.rs
@@ -244,13 +244,18 @@
         })
     }
 
+    /// Bytes of the store's file; none if the file can't be looked at.
+    pub(super) fn store_bytes(&self) -> Option<u64> {
+        let path = self.settings.data_folder.join(DATABASE_FILE);
+        Some(std::fs::metadata(path).ok()?.len())
+    }
+
     /// Logs the size of the store whenever it changed by a megabyte.
     fn tell_store_size(&self, told_mb: &mut u64) {
-        let path = self.settings.data_folder.join(DATABASE_FILE);
-        let Ok(metadata) = std::fs::metadata(path) else {
+        let Some(bytes) = self.store_bytes() else {
             return;
         };
-        let size_mb = metadata.len() >> 20;
+        let size_mb = bytes >> 20;
         if size_mb != *told_mb {
             *told_mb = size_mb;
             log::info!(event = "store_size", size_mb, disk_mb = self.settings.disk_mb; "");
--- a/crates/pinerill-cluster/src/server/monitoring.rs
+++ b/crates/pinerill-cluster/src/server/monitoring.rs
@@ -27,6 +27,11 @@
         line("term", status.term);
         line("commit_index", status.commit);
         line("applied_index", status.applied);
+        line("votes", u64::from(status.members.is_voter(status.replica)));
+        line("knows_leader", u64::from(status.leader.is_some()));
+        line("store_bytes", self.store_bytes().unwrap_or_default());
+        line("snapshots_saved_total", counters.snapshots_saved);
+        line("snapshots_installed_total", counters.snapshots_installed);
         line("voters", status.members.voters.len() as u64);
         line("learners", status.members.learners.len() as u64);
         line("peers_connected", self.pool.peers().len() as u64);
--- a/crates/pinerill-control/src/host/driver/output.rs
+++ b/crates/pinerill-control/src/host/driver/output.rs
@@ -92,6 +92,10 @@
         let decoded = decode_snapshot(&snapshot.data)?;
         let restored = self.machine.write().restore(&decoded.memory);
         restored.map_err(super::snapshot::refused_snapshot)?;
+        log::info!(
+            event = "snapshot_installing", group:% = self.group, index = snapshot.meta.index,
+            bytes = snapshot.data.len(), replaced_index = self.visibility.applied(); ""
+        );
         self.effects.push(Effect::SnapshotInstalled);
         self.visibility.applied_up_to(snapshot.meta.index, true);
         self.snapshot_index = snapshot.meta.index;
--- a/crates/pinerill-control/src/host/driver/snapshot.rs
+++ b/crates/pinerill-control/src/host/driver/snapshot.rs
@@ -68,6 +68,12 @@
         let offset = stream.offset();
         let (bytes, done) = stream.next_chunk(self.settings.snapshot_chunk_bytes)?;
         let meta = stream.meta().clone();
+        if offset == 0 || done {
+            log::info!(
+                event = "snapshot_chunk_sent", group:% = self.group, to:% = request.to,
+                index = meta.index, offset, bytes = bytes.len(), done; ""
+            );
+        }
         if !done {
             let now_ms = self.now_ms;
             self.outgoing_snapshots.keep(request.to, stream, now_ms);
--- a/crates/pinerill-forward/src/cluster/client.rs
+++ b/crates/pinerill-forward/src/cluster/client.rs
@@ -133,6 +133,11 @@
         }
     }
 
+    /// Addresses of the control machines that are known.
+    pub fn known_addresses(&self) -> Vec<SocketAddr> {
+        self.addresses.lock().known.clone()
+    }
+
     /// Asks the leader, following hints and trying others, until `time` is up.
     /// `hold` is how long the machine may hold its answer.
     ///
--- a/crates/pinerill-forward/src/cluster/watch.rs
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -21,6 +21,9 @@
 /// How long the node asks around before it counts the control machines as
 /// lost.
 const ASK_TIME: Duration = Duration::from_millis(2_500);
+/// Pause between two log lines that say that no control machine answers: a few
+/// lines a minute of each node.
+const FAILURE_LOG_PAUSE: Duration = Duration::from_secs(5);
 /// Pause after no control machine answered.
 const LOST_PAUSE: Duration = Duration::from_millis(100);
 /// Time without an answer after which the platform list is read here.
@@ -42,7 +45,7 @@
 
 async fn watch(node: Arc<Node>) {
     let mut position: Option<DirectoryPosition> = None;
-    let mut connected = false;
+    let mut reachability = Reachability::default();
     loop {
         let request = CallsRequest::Watch(WatchRequest {
             node: node.settings.name.clone(),
@@ -56,27 +59,58 @@
         let failure = match answer {
             Ok(answered) => {
                 if let CallsResponse::Watch(response) = answered.response {
-                    note_connected(&node, &mut connected, true, "");
+                    reachability.heard(&node);
                     take_in(&node, *response, &mut position);
                 }
                 continue;
             }
             Err(failure) => failure,
         };
-        note_connected(&node, &mut connected, false, &failure.message);
+        reachability.failed(&node, &failure.message);
         sleep(LOST_PAUSE).await;
     }
 }
 
-fn note_connected(node: &Node, connected: &mut bool, now: bool, message: &str) {
-    if now {
+/// Whether the leader answers, as far as it was told in the log.
+#[derive(Default)]
+struct Reachability {
+    /// What the log says; none before the first line of this process.
+    told: Option<bool>,
+    /// When the last failure was logged.
+    failure_logged: Option<Instant>,
+}
+
+impl Reachability {
+    fn heard(&mut self, node: &Node) {
         node.beliefs
             .control_heard_ms
             .store(node.now_ms(), Ordering::Relaxed);
+        if self.told != Some(true) {
+            self.told = Some(true);
+            log::info!(event = "control_reachable", reachable = true; "");
+        }
     }
-    if *connected != now {
-        *connected = now;
-        log::info!(event = "control_reachable", reachable = now, message; "");
+
+    /// Logs the first failure and then one each [`FAILURE_LOG_PAUSE`], since
+    /// later ones may have other causes than the first.
+    fn failed(&mut self, node: &Node, message: &str) {
+        let due = self
+            .failure_logged
+            .is_none_or(|at| at.elapsed() >= FAILURE_LOG_PAUSE);
+        if self.told == Some(false) && !due {
+            return;
+        }
+        self.told = Some(false);
+        self.failure_logged = Some(Instant::now());
+        let asked = node.cluster.known_addresses();
+        let silent_ms = node
+            .now_ms()
+            .saturating_sub(node.beliefs.control_heard_ms.load(Ordering::Relaxed));
+        let has_table = node.table().is_some();
+        log::warn!(
+            event = "control_reachable", reachable = false, asked:? = asked, silent_ms, has_table,
+            message; ""
+        );
     }
 }
 
