--- a/crates/pinerill-storage/tests/store.rs
+++ b/crates/pinerill-storage/tests/store.rs
@@ -311,3 +311,48 @@
     assert!(store.restore(GROUP).expect("readable").is_none());
     assert_eq!(store.identity().replica, ReplicaId(2));
 }
+
+/// Bytes of the database's file.
+fn file_bytes(folder: &std::path::Path) -> u64 {
+    let metadata = fs::metadata(folder.join(DATABASE_FILE));
+    metadata.expect("a file").len()
+}
+
+/// Entries of about the size of a stored result, the same keys for every `fill`.
+fn large_entries(fill: u8) -> Vec<(Vec<u8>, Vec<u8>)> {
+    let key = |number: u32| number.to_be_bytes().to_vec();
+    (0..2_000)
+        .map(|number| (key(number), vec![fill; 7_000]))
+        .collect()
+}
+
+/// A follower that lags replaces its state by the leader's. The disk has no room
+/// for both.
+#[test]
+fn an_installed_snapshot_takes_the_room_of_the_state_that_it_replaces() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let store = Store::open(folder.path()).expect("a store");
+    let install = |index: u64, fill: u8| {
+        let operation = Operation::InstallSnapshot {
+            meta: meta(index),
+            memory: Vec::new(),
+            table: large_entries(fill),
+        };
+        write(&store, vec![operation]);
+    };
+    install(10, 1);
+    let first = file_bytes(folder.path());
+    for index in 11..14 {
+        install(index, index as u8);
+        let bytes = file_bytes(folder.path());
+        assert!(
+            bytes < first + first / 4,
+            "{bytes} bytes after {first} for the same amount of state"
+        );
+    }
+    let reader = store.reader(GROUP).expect("readable");
+    let entries = reader.scan(Bound::Unbounded, Bound::Unbounded, 10_000);
+    assert!(entries.expect("entries") == large_entries(13));
+    let (held, _) = reader.snapshot().expect("readable").expect("a snapshot");
+    assert_eq!(held, meta(13));
+}
