Control machines that are no members learn who leads

A node starts with three addresses; when none of them was a member any more it asked these three for ever, had no table and refused everything, while the group had a quorum and acknowledged a table. Ruled out: a quorum that is gone (the acknowledgement in the users' record); the platform list (nodes refused for want of a table, not of workers). Change: the answer to a joining machine names the leader that the asked machine itself follows; what was named is believed for 1.2 s and is not passed on. Operators' orders at such machines reach the leader by it too, and their readiness tells the truth. Messages and stored state have version 3.

--- a/crates/pinerill-calls/src/message.rs
+++ b/crates/pinerill-calls/src/message.rs
@@ -23,7 +23,8 @@
 /// |---|---|
 /// | 1 | the first layout |
 /// | 2 | numbers of failed runs, usual run times in lease requests |
-const VERSION: u8 = 2;
+/// | 3 | the leader in answers to joining machines |
+const VERSION: u8 = 3;
 
 /// What one process asks of another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -139,7 +140,7 @@
 pub enum SubmitOutcome {
     /// The job is kept, now or since an earlier submission.
     Accepted,
-    /// It doesn't fit; nothing of it runs.
+    /// Too many tokens of its route wait; nothing of it runs.
     OverLimit,
 }
 
@@ -227,6 +228,18 @@
 pub struct JoinResponse {
     /// Control machines, by internal address.
     pub known: Vec<SocketAddr>,
+    /// The leader, if the asked machine leads or follows one. Machines that
+    /// are no members of the group get no heartbeats and learn it by this.
+    pub leader: Option<KnownLeader>,
+}
+
+/// The leader of a term.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownLeader {
+    /// The term.
+    pub term: u64,
+    /// Internal address of its leader.
+    pub address: SocketAddr,
 }
 
 /// A route table and the document that it was read from.
--- a/crates/pinerill-cluster/src/server/control.rs
+++ b/crates/pinerill-cluster/src/server/control.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::leadership::Leadership;
+use super::peers::NamedLeader;
 use super::refusal;
 use crate::machine::{Applied, ClusterMachine, Command, StampedCommand};
 use pinerill_calls::settings::ControlSettings;
@@ -27,6 +28,7 @@
     pub(super) host: GroupHost,
     pub(super) group: GroupHandle<ClusterMachine>,
     pub(super) leadership: Mutex<Option<Leadership>>,
+    pub(super) named_leader: Mutex<NamedLeader>,
     pub(super) operators: Arc<dyn OperatorProtocol>,
     pub(super) worker_list: Arc<dyn WorkerListProtocol>,
     /// Counts changes that watches and long polls wait for.
@@ -46,13 +48,16 @@
         self.group.status().leads()
     }
 
-    /// Internal address of the leader, if it is another machine that is known.
+    /// Internal address of the leader, if one is known: the one that this
+    /// machine's replica follows, otherwise the one that others named lately.
     pub(super) fn leader_address(&self) -> Option<SocketAddr> {
-        let leader = self.group.status().leader?;
-        self.address_of(leader)
+        match self.group.status().leader {
+            Some(leader) => self.address_of(leader),
+            None => self.named_leader.lock().address(),
+        }
     }
 
-    fn address_of(&self, replica: ReplicaId) -> Option<SocketAddr> {
+    pub(super) fn address_of(&self, replica: ReplicaId) -> Option<SocketAddr> {
         if replica.0 == self.record.replica {
             return Some(self.record.address);
         }
--- a/crates/pinerill-cluster/src/server/monitoring.rs
+++ b/crates/pinerill-cluster/src/server/monitoring.rs
@@ -28,7 +28,7 @@
         line("commit_index", status.commit);
         line("applied_index", status.applied);
         line("votes", u64::from(status.members.is_voter(status.replica)));
-        line("knows_leader", u64::from(status.leader.is_some()));
+        line("knows_leader", u64::from(self.leader_address().is_some()));
         line("store_bytes", self.store_bytes().unwrap_or_default());
         line("snapshots_saved_total", counters.snapshots_saved);
         line("snapshots_installed_total", counters.snapshots_installed);
@@ -45,7 +45,7 @@
 
     fn unready_reasons(&self) -> Vec<String> {
         let mut reasons = Vec::new();
-        if self.group.status().leader.is_none() {
+        if self.leader_address().is_none() {
             reasons.push("no leader is known".to_owned());
         }
         if self.stopping.is_cancelled() {
--- a/crates/pinerill-cluster/src/server/peers.rs
+++ b/crates/pinerill-cluster/src/server/peers.rs
@@ -5,10 +5,11 @@
 //! is there; the leader records it and the group's membership follows.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use pinerill_calls::message::{
-    decode, CallsRequest, CallsResponse, ControlAddress, JoinRequest, JoinResponse, MachineRecord,
+    decode, CallsRequest, CallsResponse, ControlAddress, JoinRequest, JoinResponse, KnownLeader,
+    MachineRecord,
 };
 use pinerill_wire::message::{Refusal, Response};
 use tokio::time::sleep;
@@ -22,6 +23,36 @@
 const ROUNDS_PER_GOSSIP: u32 = 5;
 /// Longest wait for an answer.
 const ANSWER_TIME: Duration = Duration::from_millis(800);
+/// How long a leader that another machine named is believed without being named
+/// again: three rounds, so that a lost answer does not matter, and no longer than
+/// an election takes.
+const NAMED_LEADER_LIFE: Duration = Duration::from_millis(1_200);
+
+/// The leader as another machine named it; the group itself tells members only.
+#[derive(Debug, Default)]
+pub(super) struct NamedLeader {
+    named: Option<(KnownLeader, Instant)>,
+}
+
+impl NamedLeader {
+    /// Takes in what a machine says; what is known of a later term stays.
+    fn take_in(&mut self, leader: KnownLeader) {
+        let newer = |(known, _): &(KnownLeader, Instant)| known.term > leader.term;
+        if !self.current().as_ref().is_some_and(newer) {
+            self.named = Some((leader, Instant::now()));
+        }
+    }
+
+    fn current(&self) -> Option<(KnownLeader, Instant)> {
+        self.named
+            .filter(|(_, heard)| heard.elapsed() < NAMED_LEADER_LIFE)
+    }
+
+    /// Its address, if it was named lately.
+    pub(super) fn address(&self) -> Option<SocketAddr> {
+        self.current().map(|(leader, _)| leader.address)
+    }
+}
 
 impl Control {
     /// Internal addresses of all control machines that are known here.
@@ -74,7 +105,19 @@
             self.record_if_new(&join.machine).await?;
         }
         let known = self.known_addresses();
-        Ok(CallsResponse::Joined(JoinResponse { known }))
+        let leader = self.followed_leader();
+        Ok(CallsResponse::Joined(JoinResponse { known, leader }))
+    }
+
+    /// The leader as this machine's own replica knows it. What others named is
+    /// not passed on: it would be believed without end.
+    fn followed_leader(&self) -> Option<KnownLeader> {
+        let status = self.group.status();
+        let leader = status.leader?;
+        Some(KnownLeader {
+            term: status.term,
+            address: self.address_of(leader)?,
+        })
     }
 
     /// Connects to machines that were not known.
@@ -150,6 +193,9 @@
         };
         if let Ok(CallsResponse::Joined(joined)) = decode(&bytes) {
             self.learn(&joined.known);
+            if let Some(leader) = joined.leader {
+                self.named_leader.lock().take_in(leader);
+            }
         }
     }
 
--- a/crates/pinerill-cluster/src/server/run.rs
+++ b/crates/pinerill-cluster/src/server/run.rs
@@ -178,6 +178,7 @@
         host,
         group,
         leadership: Mutex::new(None),
+        named_leader: Mutex::default(),
         operators: protocols.operators,
         worker_list: protocols.worker_list,
         news: watch::Sender::new(0),
