--- a/crates/pinerill-control/src/host/driver/outgoing.rs
+++ b/crates/pinerill-control/src/host/driver/outgoing.rs
@@ -1,9 +1,8 @@
 //! Snapshots on their way to followers.
 //!
-//! Each holds a view of the store, and a store can't use pages again that a
-//! view may still read: on a disk of 47 MB the leader's file grew by 4 MB a
-//! second behind the view for a follower that was gone. So a view that nobody
-//! asked a part of for a while is let go; the transfer then begins again.
+//! Each holds the in-memory part of its snapshot and what was read ahead of the
+//! table. One that nobody asked a part of for a while is let go; the transfer then
+//! begins again with a newer snapshot.
 
 use std::collections::HashMap;
 
--- a/crates/pinerill-control/src/host/driver/snapshot.rs
+++ b/crates/pinerill-control/src/host/driver/snapshot.rs
@@ -58,15 +58,17 @@
 
     fn next_chunk(&mut self, request: SnapshotRequest) -> Result<Option<Input>, StorageError> {
         let continued = self.outgoing_snapshots.take(request.to, request.offset);
+        let reader = self.store.reader(self.group)?;
         let opened = match continued {
             Some(stream) => Some(stream),
-            None => SnapshotStream::open(self.store.reader(self.group)?)?,
+            None => SnapshotStream::open(reader.as_ref())?,
         };
         let Some(mut stream) = opened else {
             return Ok(None);
         };
         let offset = stream.offset();
-        let (bytes, done) = stream.next_chunk(self.settings.snapshot_chunk_bytes)?;
+        let (bytes, done) =
+            stream.next_chunk(reader.as_ref(), self.settings.snapshot_chunk_bytes)?;
         let meta = stream.meta().clone();
         if offset == 0 || done {
             log::info!(
--- a/crates/pinerill-control/tests/host_snapshot_views.rs
+++ b/crates/pinerill-control/tests/host_snapshot_views.rs
@@ -1,11 +1,13 @@
-//! The store's views for snapshots in transfer: a follower that stops asking
-//! must not keep the leader's store from using its pages again.
+//! The store's views for snapshots in transfer: a store can't use pages again that
+//! an open view may read, so a view must not stay open while a follower is waited
+//! for, least of all for one that stops asking.
 
 mod host_support;
 
 use std::ops::Bound;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 
 use host_support::{eventually, Cluster, CountingMachine};
 use pinerill_replica::{GroupId, ReplicaId, SnapshotMeta};
@@ -13,6 +15,13 @@
     ClusterId, Completion, CountersSnapshot, GroupReader, GroupStore, Identity, MemoryStore,
     RestoredGroup, StateEntry, StorageError, WriteBatch,
 };
+use tokio::time::{sleep, timeout};
+
+/// Looks at the views, over a time in which a transfer begins anew.
+const LOOKS: usize = 60;
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+/// Far beyond the reading of one part from memory, far below a transfer's time.
+const LONGEST_VIEW: Duration = Duration::from_millis(200);
 
 /// A store that counts the views that are open.
 struct Counted {
@@ -97,14 +106,27 @@
     cluster.propose_many(0, 10).await;
     cluster.halt(ReplicaId(3)).await;
     cluster.propose_many(10, 400).await;
+    let network = cluster.network.clone();
+    let sent = || network.snapshot_parts_sent.load(Ordering::SeqCst);
+    let sent_before = sent();
     cluster
         .network
         .snapshot_answers_lost
         .store(true, Ordering::SeqCst);
     cluster.start(Arc::new(stores[2].clone()), &[]);
-    let open = |wanted: bool| (views.load(Ordering::SeqCst) > 0) == wanted;
-    eventually("a snapshot on its way", || open(true).then_some(())).await;
-    eventually("its view let go", || open(false).then_some(())).await;
+    eventually("a snapshot on its way", || {
+        (sent() > sent_before).then_some(())
+    })
+    .await;
+    // Looked at until well after a transfer is given up; a part is read now and
+    // then, for a moment.
+    for _ in 0..LOOKS {
+        let closed = || (views.load(Ordering::SeqCst) == 0).then_some(());
+        timeout(LONGEST_VIEW, eventually("no open view", closed))
+            .await
+            .expect("a view stays open between two parts");
+        sleep(LOOK_PAUSE).await;
+    }
     cluster
         .network
         .snapshot_answers_lost
--- a/crates/pinerill-control/tests/host_support/mod.rs
+++ b/crates/pinerill-control/tests/host_support/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)]
 
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -51,6 +51,8 @@
     cut: RwLock<HashSet<ReplicaId>>,
     /// Answers to parts of snapshots are lost.
     pub snapshot_answers_lost: AtomicBool,
+    /// Parts of snapshots that were sent and not cut.
+    pub snapshot_parts_sent: AtomicUsize,
 }
 
 impl Transport for Network {
@@ -59,6 +61,9 @@
         if cut.contains(&to) || cut.contains(&envelope.from) {
             return;
         }
+        if matches!(envelope.message, Message::SnapshotChunk(_)) {
+            self.snapshot_parts_sent.fetch_add(1, Ordering::SeqCst);
+        }
         let is_answer = matches!(envelope.message, Message::SnapshotChunkResponse(_));
         if is_answer && self.snapshot_answers_lost.load(Ordering::SeqCst) {
             return;
--- a/crates/pinerill-storage/src/batch.rs
+++ b/crates/pinerill-storage/src/batch.rs
@@ -88,6 +88,12 @@
         Ok(batch)
     }
 
+    /// Whether it replaces log and state of its group.
+    pub(crate) fn replaces_state(&self) -> bool {
+        let installs = |one: &Operation| matches!(one, Operation::InstallSnapshot { .. });
+        self.operations.iter().any(installs)
+    }
+
     /// Approximate size, in bytes.
     pub fn size(&self) -> usize {
         self.operations.iter().map(Operation::size).sum()
--- a/crates/pinerill-storage/src/snapshot_stream.rs
+++ b/crates/pinerill-storage/src/snapshot_stream.rs
@@ -1,8 +1,11 @@
 //! A snapshot as a stream of bytes: the in-memory part of the state machine,
 //! then the state table in key order.
 //!
-//! The state table may be ahead of the in-memory part. That is safe: applying
-//! the entries after the snapshot writes the same values again.
+//! The state table may be ahead of the in-memory part, and later parts of it ahead
+//! of earlier ones: each part is read from a view of its own, since a store can't
+//! use pages again that an open view may read, and a transfer takes seconds. That is
+//! safe: `apply` never reads the table, so applying the entries after the snapshot
+//! writes the same values and removes the same keys again.
 
 use std::ops::Bound;
 use std::path::Path;
@@ -15,10 +18,9 @@
 /// Table entries read at once.
 const SCAN_ENTRIES: usize = 64;
 
-/// Reads a stored snapshot part by part from one consistent view.
+/// Where the reading of a stored snapshot stands.
 pub struct SnapshotStream {
     meta: SnapshotMeta,
-    reader: Box<dyn GroupReader>,
     buffer: Vec<u8>,
     /// How much of `buffer` has been handed out.
     position: usize,
@@ -29,7 +31,7 @@
 
 impl SnapshotStream {
     /// Starts with the newest stored snapshot; `None` if there is none.
-    pub fn open(reader: Box<dyn GroupReader>) -> Result<Option<Self>, StorageError> {
+    pub fn open(reader: &dyn GroupReader) -> Result<Option<Self>, StorageError> {
         let Some((meta, memory)) = reader.snapshot()? else {
             return Ok(None);
         };
@@ -37,7 +39,6 @@
         push_bytes(&mut buffer, &memory);
         Ok(Some(SnapshotStream {
             meta,
-            reader,
             buffer,
             position: 0,
             last_key: None,
@@ -56,10 +57,18 @@
         self.offset
     }
 
-    /// The next part, at most `max_bytes`, and whether it is the last.
-    pub fn next_chunk(&mut self, max_bytes: usize) -> Result<(Vec<u8>, bool), StorageError> {
+    /// The next part, at most `max_bytes`, from a view of the store as it is now,
+    /// and whether it is the last.
+    ///
+    /// # Errors
+    /// When the store can't be read.
+    pub fn next_chunk(
+        &mut self,
+        reader: &dyn GroupReader,
+        max_bytes: usize,
+    ) -> Result<(Vec<u8>, bool), StorageError> {
         while self.buffer.len() - self.position <= max_bytes && !self.exhausted {
-            self.read_on()?;
+            self.read_on(reader)?;
         }
         let end = self.buffer.len().min(self.position + max_bytes);
         let chunk = self.buffer[self.position..end].to_vec();
@@ -69,12 +78,12 @@
         Ok((chunk, done))
     }
 
-    fn read_on(&mut self) -> Result<(), StorageError> {
+    fn read_on(&mut self, reader: &dyn GroupReader) -> Result<(), StorageError> {
         let from = match &self.last_key {
             Some(key) => Bound::Excluded(key.as_slice()),
             None => Bound::Unbounded,
         };
-        let entries = self.reader.scan(from, Bound::Unbounded, SCAN_ENTRIES)?;
+        let entries = reader.scan(from, Bound::Unbounded, SCAN_ENTRIES)?;
         self.exhausted = entries.len() < SCAN_ENTRIES;
         self.buffer.drain(..self.position);
         self.position = 0;
--- a/crates/pinerill-storage/src/tables.rs
+++ b/crates/pinerill-storage/src/tables.rs
@@ -160,14 +160,25 @@
     Ok(())
 }
 
+/// Removes log, snapshot and state table of a group; its term and vote stay.
+pub(crate) fn discard_state(
+    transaction: &WriteTransaction,
+    group: GroupId,
+) -> Result<(), TableFailure> {
+    transaction.delete_table(LogTable::new(&log_name(group)))?;
+    transaction.delete_table(StateTable::new(&state_name(group)))?;
+    transaction.open_table(SNAPSHOTS)?.remove(group.0)?;
+    transaction.open_table(SNAPSHOT_MEMORY)?.remove(group.0)?;
+    Ok(())
+}
+
 fn replace_group(
     transaction: &WriteTransaction,
     group: GroupId,
     entries: &[StateEntry],
 ) -> Result<(), TableFailure> {
-    transaction.delete_table(LogTable::new(&log_name(group)))?;
+    discard_state(transaction, group)?;
     let name = state_name(group);
-    transaction.delete_table(StateTable::new(&name))?;
     let mut table = transaction.open_table(StateTable::new(&name))?;
     for (key, value) in entries {
         table.insert(key.as_slice(), value.as_slice())?;
--- a/crates/pinerill-storage/src/writer.rs
+++ b/crates/pinerill-storage/src/writer.rs
@@ -1,18 +1,29 @@
 //! The writer thread: one transaction and one sync for all waiting batches.
+//!
+//! A received snapshot is written in two steps: first the group's log and state go,
+//! then the new ones come. In one transaction both would be on the disk at once,
+//! which a disk that is more than half full can't hold. Why a crash in between loses
+//! nothing that counts: a replica is sent a snapshot only if its log ends before the
+//! snapshot's index. All up to that index is committed, so a majority without this
+//! replica holds it. What is left is a replica that has its term and vote but no
+//! members: it asks for no votes and waits for the snapshot again.
 
 use std::path::PathBuf;
 use std::sync::mpsc::Receiver;
 use std::sync::Arc;
 
-use redb::{Database, Durability};
+use redb::{Database, Durability, WriteTransaction};
 
-use crate::tables::{apply_batch, TableFailure};
+use crate::tables::{apply_batch, discard_state, TableFailure};
 use crate::{Completion, StorageCause, StorageError, StoreCounters, WriteBatch};
 
 /// Batches in one transaction at most.
 const MAX_BATCHES: usize = 4096;
 /// Bytes after which no further batch joins a transaction.
 const MAX_BYTES: usize = 32 << 20;
+/// Commits after which the database uses pages again that a commit removed; found
+/// by the size of the file in tests/store.rs.
+const COMMITS_UNTIL_FREE: usize = 2;
 
 /// A batch and whom to tell.
 pub(crate) struct QueuedWrite {
@@ -76,11 +87,47 @@
 
     /// The commit syncs.
     fn try_commit(&self, writes: &[QueuedWrite]) -> Result<(), TableFailure> {
+        for (position, write) in writes.iter().enumerate() {
+            if write.batch.replaces_state() {
+                let (earlier, rest) = writes.split_at(position);
+                self.commit_together(earlier)?;
+                self.make_room(&rest[0].batch)?;
+                self.commit_together(&rest[..1])?;
+                return self.try_commit(&rest[1..]);
+            }
+        }
+        self.commit_together(writes)
+    }
+
+    fn commit_together(&self, writes: &[QueuedWrite]) -> Result<(), TableFailure> {
+        if writes.is_empty() {
+            return Ok(());
+        }
+        let batches = writes.iter().map(|write| &write.batch);
+        self.in_transaction(|transaction| {
+            for batch in batches {
+                apply_batch(transaction, batch)?;
+            }
+            Ok(())
+        })
+    }
+
+    /// Removes what a batch is about to replace, so that its pages can be used.
+    fn make_room(&self, batch: &WriteBatch) -> Result<(), TableFailure> {
+        self.in_transaction(|transaction| discard_state(transaction, batch.group))?;
+        for _ in 0..COMMITS_UNTIL_FREE {
+            self.in_transaction(|_| Ok(()))?;
+        }
+        Ok(())
+    }
+
+    fn in_transaction(
+        &self,
+        change: impl FnOnce(&WriteTransaction) -> Result<(), TableFailure>,
+    ) -> Result<(), TableFailure> {
         let mut transaction = self.database.begin_write()?;
         transaction.set_durability(durability())?;
-        for write in writes {
-            apply_batch(&transaction, &write.batch)?;
-        }
+        change(&transaction)?;
         transaction.commit()?;
         Ok(())
     }
--- a/crates/pinerill-storage/tests/store.rs
+++ b/crates/pinerill-storage/tests/store.rs
@@ -123,12 +123,14 @@
     write(to, vec![put("old", "gone")]);
     write(to, vec![Operation::AppendEntries(vec![entry(2, 1)])]);
     let reader = from.reader(GROUP).expect("readable");
-    let mut stream = SnapshotStream::open(reader)
+    let mut stream = SnapshotStream::open(reader.as_ref())
         .expect("readable")
         .expect("saved");
     let mut data = Vec::new();
     loop {
-        let (part, done) = stream.next_chunk(1000).expect("readable");
+        let reader = from.reader(GROUP).expect("readable");
+        let chunk = stream.next_chunk(reader.as_ref(), 1000);
+        let (part, done) = chunk.expect("readable");
         assert!(part.len() <= 1000);
         data.extend(part);
         if done {
