A job is refused while the disks have no room for what it will become

Change: the state machine counts the pages that calls and texts take, and what waiting items will need by the mean of the texts so far; a job that would lead beyond 75% of the disk is answered 503 with a time to come back, and runs nowhere. The limit travels with the command, so that all replicas decide alike.

--- a/crates/pinerill-calls/src/message.rs
+++ b/crates/pinerill-calls/src/message.rs
@@ -23,7 +23,7 @@
 /// |---|---|
 /// | 1 | the first layout |
 /// | 2 | numbers of failed runs, usual run times in lease requests |
-/// | 3 | the leader in answers to joining machines |
+/// | 3 | the leader in answers to joining machines, lengths of calls and texts |
 const VERSION: u8 = 3;
 
 /// What one process asks of another.
@@ -142,6 +142,8 @@
     Accepted,
     /// Too many tokens of its route wait; nothing of it runs.
     OverLimit,
+    /// The control machines' disks have no room for it; nothing of it runs.
+    NoRoom,
 }
 
 /// Asks for results.
--- a/crates/pinerill-cluster/src/machine/command.rs
+++ b/crates/pinerill-cluster/src/machine/command.rs
@@ -19,7 +19,13 @@
     /// A route table; in force if its version is the highest.
     PutTable(Box<PutTable>),
     /// A job.
-    SubmitJob(Box<NewCallJob>),
+    SubmitJob {
+        /// The job.
+        job: Box<NewCallJob>,
+        /// Bytes that jobs may take in the store of each control machine; none
+        /// for no bound.
+        room_bytes: Option<u64>,
+    },
     /// No more of a job is to run.
     EndJob(CallJobId),
     /// What became of items.
--- a/crates/pinerill-cluster/src/machine/job.rs
+++ b/crates/pinerill-cluster/src/machine/job.rs
@@ -35,6 +35,8 @@
     pub id: String,
     /// Its tokens.
     pub tokens: u64,
+    /// Length of its call, bytes.
+    pub call_bytes: u32,
     /// Runs that failed, by the numbers of their reports.
     pub failed_runs: Vec<u64>,
     /// How far it is.
@@ -59,6 +61,8 @@
     pub index: u32,
     /// Its state.
     pub state: ListedState,
+    /// Length of its text, bytes.
+    pub text_bytes: u32,
 }
 
 impl JobRecord {
--- a/crates/pinerill-cluster/src/machine/jobs.rs
+++ b/crates/pinerill-cluster/src/machine/jobs.rs
@@ -2,7 +2,8 @@
 //!
 //! Invariants: an item is in `queue` exactly while it is [`ItemPhase::Waiting`];
 //! `waiting_tokens` sums the tokens of just these by route; `listed` only grows,
-//! and the text of a position is written once, by the report that lists it.
+//! and the text of a position is written once, by the report that lists it; `room`
+//! counts the calls of waiting items and the texts of listed ones, and no others.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -13,6 +14,7 @@
 
 use super::job::{ItemPhase, ItemRecord, JobRecord, ListedRecord};
 use super::keys::{call_key, text_key};
+use super::room::RoomCount;
 
 /// Jobs that one upkeep forgets at most.
 const FORGOTTEN_AT_ONCE: usize = 16;
@@ -36,6 +38,7 @@
     records: BTreeMap<u64, JobRecord>,
     queue: BTreeSet<QueuePosition>,
     waiting_tokens: BTreeMap<String, u64>,
+    room: RoomCount,
 }
 
 impl Jobs {
@@ -66,6 +69,11 @@
         self.waiting_tokens.get(route).copied().unwrap_or_default()
     }
 
+    /// What jobs take in the store.
+    pub fn room(&self) -> &RoomCount {
+        &self.room
+    }
+
     /// Where a waiting item stands in the queue; none once it is listed or
     /// dropped.
     pub fn position(&self, id: &str, index: u32) -> Option<QueuePosition> {
@@ -82,6 +90,7 @@
     pub(super) fn submit(
         &mut self,
         job: NewCallJob,
+        room_bytes: Option<u64>,
         now_ms: u64,
         table: &mut dyn TableWriter,
     ) -> SubmitOutcome {
@@ -93,6 +102,9 @@
         if job.max_waiting_tokens > 0 && waiting + tokens > job.max_waiting_tokens {
             return SubmitOutcome::OverLimit;
         }
+        if room_bytes.is_some_and(|limit| !self.has_room(&job, limit)) {
+            return SubmitOutcome::NoRoom;
+        }
         let number = self.next_number;
         self.next_number += 1;
         *self.waiting_tokens.entry(job.route.clone()).or_default() += tokens;
@@ -101,6 +113,7 @@
         for (index, item) in job.items.into_iter().enumerate() {
             let index = index as u32;
             table.put(&call_key(number, index), &item.call);
+            self.room.call_stored(item.call.len());
             self.queue.insert(QueuePosition {
                 due_ms,
                 job: number,
@@ -109,6 +122,7 @@
             items.push(ItemRecord {
                 id: item.id,
                 tokens: item.tokens,
+                call_bytes: item.call.len() as u32,
                 failed_runs: Vec::new(),
                 phase: ItemPhase::Waiting,
             });
@@ -130,6 +144,11 @@
         SubmitOutcome::Accepted
     }
 
+    fn has_room(&self, job: &NewCallJob, limit: u64) -> bool {
+        let call_lengths = job.items.iter().map(|item| item.call.len());
+        self.room.fits(self.queue.len(), call_lengths, limit)
+    }
+
     /// Ends a job; what is listed stays. False if there is no such job.
     pub(super) fn end(&mut self, id: &str, table: &mut dyn TableWriter) -> bool {
         let Some(number) = self.numbers.get(id).copied() else {
@@ -225,9 +244,11 @@
         record.listed.push(ListedRecord {
             index: place.index,
             state,
+            text_bytes: text.len() as u32,
         });
         if state == ListedState::Completed {
             table.put(&text_key(place.job, position), text);
+            self.room.text_stored(text.len());
         }
     }
 
@@ -254,6 +275,7 @@
             *waiting = waiting.saturating_sub(item.tokens);
         }
         table.delete(&call_key(number, index));
+        self.room.removed(item.call_bytes as usize);
     }
 
     fn waiting_items(&self, number: u64) -> Vec<u32> {
@@ -275,6 +297,7 @@
         for (position, listed) in record.listed.iter().enumerate() {
             if listed.state == ListedState::Completed {
                 table.delete(&text_key(number, position as u32));
+                self.room.removed(listed.text_bytes as usize);
             }
         }
     }
--- a/crates/pinerill-cluster/src/machine/mod.rs
+++ b/crates/pinerill-cluster/src/machine/mod.rs
@@ -10,6 +10,7 @@
 mod job;
 mod jobs;
 mod keys;
+mod room;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -22,6 +23,7 @@
 pub use job::{ItemPhase, ItemRecord, JobRecord, ListedRecord};
 pub use jobs::{Jobs, QueuePosition};
 pub use keys::{call_key, text_key};
+pub use room::RoomCount;
 
 /// Longest step of the group's clock between two commands, milliseconds: a
 /// leader that was frozen does not make everything late at once.
@@ -73,8 +75,9 @@
     fn carry_out(&mut self, command: Command, table: &mut dyn TableWriter) -> Applied {
         match command {
             Command::PutTable(put) => self.put_table(*put),
-            Command::SubmitJob(job) => {
-                Applied::Submitted(self.jobs.submit(*job, self.clock_ms, table))
+            Command::SubmitJob { job, room_bytes } => {
+                let now_ms = self.clock_ms;
+                Applied::Submitted(self.jobs.submit(*job, room_bytes, now_ms, table))
             }
             Command::EndJob(id) => Applied::Ended {
                 known: self.jobs.end(&id, table),
--- a/crates/pinerill-cluster/src/server/jobs.rs
+++ b/crates/pinerill-cluster/src/server/jobs.rs
@@ -4,7 +4,7 @@
 
 use pinerill_calls::job::{CallJobId, ItemReport, ListedItem, ListedState, NewCallJob, ResultPage};
 use pinerill_calls::message::{
-    CallsResponse, LeaseRequest, LeaseResponse, LeasedItem, ReadItem, ReadResults, SubmitOutcome,
+    CallsResponse, LeaseRequest, LeaseResponse, LeasedItem, ReadItem, ReadResults,
 };
 use pinerill_storage::DATABASE_FILE;
 use pinerill_wire::message::Refusal;
@@ -23,6 +23,11 @@
 const PAGE_BYTES: usize = 256 << 10;
 /// What is added to the retention: the caller's clock began before the group's.
 const RETENTION_MARGIN: Duration = Duration::from_secs(10);
+/// Part of the disk that calls and texts of jobs may take, percent. The rest is for
+/// the log (2 to 4 percent of a small disk), the entries kept for a follower that
+/// gets a snapshot, pages that wait for a commit to be used again, and the error of
+/// the count, which takes page sizes in the mean.
+const JOBS_PERCENT_OF_DISK: u64 = 75;
 /// Pause between two commands that let time pass.
 const UPKEEP_PAUSE: Duration = Duration::from_secs(1);
 
@@ -38,19 +43,26 @@
         let step = "submit job";
         let id = job.id.clone();
         let items = job.items.len();
-        let applied = self
-            .propose(step, Command::SubmitJob(Box::new(job)))
-            .await?;
+        let command = Command::SubmitJob {
+            job: Box::new(job),
+            room_bytes: self.job_room_bytes(),
+        };
+        let applied = self.propose(step, command).await?;
         match applied {
             Applied::Submitted(outcome) => {
-                let accepted = outcome == SubmitOutcome::Accepted;
-                log::info!(event = "job_submitted", job = id.as_str(), items, accepted; "");
+                log::info!(event = "job_submitted", job = id.as_str(), items, outcome:? = outcome; "");
                 Ok(CallsResponse::SubmitJob(outcome))
             }
             other => Err(refusal::unknown(self, step, format!("answered {other:?}"))),
         }
     }
 
+    /// Bytes that jobs may take in the store; none for no bound.
+    fn job_room_bytes(&self) -> Option<u64> {
+        let disk_bytes = self.settings.disk_mb << 20;
+        (disk_bytes > 0).then_some(disk_bytes / 100 * JOBS_PERCENT_OF_DISK)
+    }
+
     pub(super) async fn end_job(&self, job: CallJobId) -> Result<CallsResponse, Box<Refusal>> {
         let applied = self
             .propose("end job", Command::EndJob(job.clone()))
@@ -244,6 +256,15 @@
         })
     }
 
+    /// Bytes that jobs take in the store now, and once all items are done.
+    pub(super) fn job_bytes(&self) -> (u64, u64) {
+        self.group.with_machine(|machine| {
+            let jobs = machine.jobs();
+            let expected = jobs.room().expected_bytes(jobs.queue().len());
+            (jobs.room().stored_bytes(), expected)
+        })
+    }
+
     /// Bytes of the store's file; none if the file can't be looked at.
     pub(super) fn store_bytes(&self) -> Option<u64> {
         let path = self.settings.data_folder.join(DATABASE_FILE);
@@ -258,7 +279,11 @@
         let size_mb = bytes >> 20;
         if size_mb != *told_mb {
             *told_mb = size_mb;
-            log::info!(event = "store_size", size_mb, disk_mb = self.settings.disk_mb; "");
+            let (jobs_bytes, expected_bytes) = self.job_bytes();
+            log::info!(
+                event = "store_size", size_mb, disk_mb = self.settings.disk_mb, jobs_bytes,
+                expected_bytes; ""
+            );
         }
     }
 
--- a/crates/pinerill-cluster/src/server/monitoring.rs
+++ b/crates/pinerill-cluster/src/server/monitoring.rs
@@ -29,6 +29,9 @@
         line("applied_index", status.applied);
         line("votes", u64::from(status.members.is_voter(status.replica)));
         line("knows_leader", u64::from(self.leader_address().is_some()));
+        let (jobs_bytes, expected_bytes) = self.job_bytes();
+        line("jobs_bytes", jobs_bytes);
+        line("jobs_expected_bytes", expected_bytes);
         line("store_bytes", self.store_bytes().unwrap_or_default());
         line("snapshots_saved_total", counters.snapshots_saved);
         line("snapshots_installed_total", counters.snapshots_installed);
--- a/crates/pinerill-cluster/tests/leases.rs
+++ b/crates/pinerill-cluster/tests/leases.rs
@@ -45,7 +45,11 @@
         max_waiting_tokens: 0,
         route: "r".to_owned(),
     };
-    apply(machine, 0, Command::SubmitJob(Box::new(job)));
+    let command = Command::SubmitJob {
+        job: Box::new(job),
+        room_bytes: None,
+    };
+    apply(machine, 0, command);
 }
 
 fn reference(id: &str, index: u32) -> ItemRef {
--- a/crates/pinerill-cluster/tests/machine.rs
+++ b/crates/pinerill-cluster/tests/machine.rs
@@ -55,7 +55,12 @@
     }
 
     fn submit(&mut self, id: &str, items: usize) -> Applied {
-        self.apply(Command::SubmitJob(Box::new(job(id, items))))
+        self.submit_into(id, items, None)
+    }
+
+    fn submit_into(&mut self, id: &str, items: usize, room_bytes: Option<u64>) -> Applied {
+        let job = Box::new(job(id, items));
+        self.apply(Command::SubmitJob { job, room_bytes })
     }
 
     fn report(&mut self, id: &str, index: u32, end: ItemEnd) {
@@ -133,6 +138,50 @@
     assert_eq!(group.machine.jobs().queue().len(), 8);
 }
 
+#[test]
+fn a_job_for_which_the_disk_has_no_room_leaves_nothing_behind() {
+    let mut group = Group::default();
+    let room = Some(60_000);
+    let accepted = Applied::Submitted(SubmitOutcome::Accepted);
+    assert_eq!(group.submit_into("a", 5, room), accepted);
+    let taken = group.machine.jobs().room().clone();
+    let refused = Applied::Submitted(SubmitOutcome::NoRoom);
+    assert_eq!(group.submit_into("b", 5, room), refused);
+    assert!(group.machine.jobs().find("b").is_none());
+    assert_eq!(group.machine.jobs().room(), &taken);
+    assert_eq!(group.table.0.len(), 5);
+    assert_eq!(group.submit_into("a", 5, room), accepted);
+}
+
+#[test]
+fn texts_that_are_known_decide_how_much_room_waiting_items_need() {
+    let mut group = Group::default();
+    group.submit("a", 4);
+    let expected = |group: &Group| {
+        let jobs = group.machine.jobs();
+        jobs.room().expected_bytes(jobs.queue().len())
+    };
+    let before = expected(&group);
+    group.report("a", 0, completed(&[7; 100]));
+    assert!(expected(&group) < before / 2);
+    group.report("a", 1, completed(&[7; 100_000]));
+    assert!(expected(&group) > 200_000);
+}
+
+#[test]
+fn all_room_comes_back_once_jobs_are_forgotten() {
+    let mut group = Group::default();
+    group.submit("a", 3);
+    group.report("a", 0, completed(&[7; 5_000]));
+    group.report("a", 1, ItemEnd::Impossible);
+    group.submit("b", 2);
+    group.apply(Command::EndJob("b".to_owned()));
+    assert!(group.machine.jobs().room().stored_bytes() > 5_000);
+    group.pass(GIVE_UP_MS + 200_000);
+    assert!(group.machine.jobs().is_empty());
+    assert_eq!(group.machine.jobs().room().stored_bytes(), 0);
+}
+
 #[test]
 fn finished_items_make_room() {
     let mut group = Group::default();
--- a/crates/pinerill-forward/src/gateway/jobs.rs
+++ b/crates/pinerill-forward/src/gateway/jobs.rs
@@ -17,6 +17,10 @@
 const ASK_TIME: Duration = Duration::from_millis(2_500);
 /// When to come back while the control machines don't answer.
 const LOST_RETRY: Duration = Duration::from_millis(300);
+/// When to come back while the control machines' disks are taken: room comes with
+/// each job whose results need not be kept any more, so not within a moment, and a
+/// job's caller has seconds.
+const NO_ROOM_RETRY: Duration = Duration::from_secs(2);
 
 /// Hands a job in. It is kept once the answer says so; an answer that never
 /// came leaves open whether it was.
@@ -40,6 +44,13 @@
             response: CallsResponse::SubmitJob(SubmitOutcome::OverLimit),
             maybe_done_before: false,
         }) => Err(Refusal::OverLimit),
+        Ok(Answered {
+            response: CallsResponse::SubmitJob(SubmitOutcome::NoRoom),
+            maybe_done_before: false,
+        }) => Err(Refusal::NotRun {
+            reason: "the control machines have no room for the job",
+            retry_after: Some(NO_ROOM_RETRY),
+        }),
         Ok(_) => Err(Refusal::TimedOut),
         Err(failure) => Err(refusal_of(&failure)),
     };
