--- a/crates/pinerill-calls/src/settings/control.rs
+++ b/crates/pinerill-calls/src/settings/control.rs
@@ -36,8 +36,9 @@
     /// the first start, on empty data folders.
     #[serde(default)]
     pub found: bool,
-    /// Machines whose loss at once must be borne; the group has twice as many
-    /// voters and one.
+    /// Machines whose loss at once must be borne. The group has at least twice as
+    /// many voters and one, and up to four times as many and one where there are
+    /// machines for it.
     pub tolerated_losses: usize,
     /// The platform list of workers.
     pub worker_list: WorkerListSettings,
@@ -66,11 +67,17 @@
 }
 
 impl ControlSettings {
-    /// Voters that the replicated group shall have.
-    pub fn voters(&self) -> usize {
+    /// Voters that the replicated group needs to bear the losses at all.
+    pub fn least_voters(&self) -> usize {
         2 * self.tolerated_losses + 1
     }
 
+    /// Voters with which it bears them while as many others, lost before, are
+    /// being replaced: that takes as long as a whole state needs to be sent.
+    pub fn most_voters(&self) -> usize {
+        4 * self.tolerated_losses + 1
+    }
+
     /// Internal addresses of the seeds.
     pub fn seed_addresses(&self) -> Vec<SocketAddr> {
         with_port(&self.seeds, self.seed_port)
--- a/crates/pinerill-calls/tests/messages.rs
+++ b/crates/pinerill-calls/tests/messages.rs
@@ -51,7 +51,10 @@
 #[test]
 fn the_example_is_a_settings_file() {
     let settings = ForwardingSettings::read(EXAMPLE).expect("the example is sound");
-    assert_eq!(settings.control.map(|control| control.voters()), Some(3));
+    assert_eq!(
+        settings.control.map(|control| control.least_voters()),
+        Some(3)
+    );
     assert!(settings.node.is_some());
 }
 
--- a/crates/pinerill-cluster/src/machine/jobs.rs
+++ b/crates/pinerill-cluster/src/machine/jobs.rs
@@ -30,6 +30,17 @@
     pub index: u32,
 }
 
+/// What is to become of a submission.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It is to be kept.
+    New,
+    /// It is kept since an earlier submission.
+    Known,
+    /// It does not fit.
+    Refused(SubmitOutcome),
+}
+
 /// All jobs of the group.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub struct Jobs {
@@ -86,6 +97,22 @@
         })
     }
 
+    /// Whether a job would be taken now.
+    pub fn admit(&self, job: &NewCallJob, room_bytes: Option<u64>) -> Admission {
+        if self.numbers.contains_key(&job.id) {
+            return Admission::Known;
+        }
+        let tokens: u64 = job.items.iter().map(|item| item.tokens).sum();
+        let waiting = self.waiting_tokens(&job.route);
+        if job.max_waiting_tokens > 0 && waiting + tokens > job.max_waiting_tokens {
+            return Admission::Refused(SubmitOutcome::OverLimit);
+        }
+        if room_bytes.is_some_and(|limit| !self.has_room(job, limit)) {
+            return Admission::Refused(SubmitOutcome::NoRoom);
+        }
+        Admission::New
+    }
+
     /// Takes a job; one that is known already stays as it is.
     pub(super) fn submit(
         &mut self,
@@ -94,17 +121,12 @@
         now_ms: u64,
         table: &mut dyn TableWriter,
     ) -> SubmitOutcome {
-        if self.numbers.contains_key(&job.id) {
-            return SubmitOutcome::Accepted;
+        match self.admit(&job, room_bytes) {
+            Admission::New => {}
+            Admission::Known => return SubmitOutcome::Accepted,
+            Admission::Refused(outcome) => return outcome,
         }
         let tokens: u64 = job.items.iter().map(|item| item.tokens).sum();
-        let waiting = self.waiting_tokens(&job.route);
-        if job.max_waiting_tokens > 0 && waiting + tokens > job.max_waiting_tokens {
-            return SubmitOutcome::OverLimit;
-        }
-        if room_bytes.is_some_and(|limit| !self.has_room(&job, limit)) {
-            return SubmitOutcome::NoRoom;
-        }
         let number = self.next_number;
         self.next_number += 1;
         *self.waiting_tokens.entry(job.route.clone()).or_default() += tokens;
@@ -127,6 +149,7 @@
                 phase: ItemPhase::Waiting,
             });
         }
+        self.room.items_recorded(items.len());
         self.numbers.insert(job.id.clone(), number);
         let record = JobRecord {
             id: job.id,
@@ -294,6 +317,7 @@
             return;
         };
         self.numbers.remove(&record.id);
+        self.room.items_forgotten(record.items.len());
         for (position, listed) in record.listed.iter().enumerate() {
             if listed.state == ListedState::Completed {
                 table.delete(&text_key(number, position as u32));
--- a/crates/pinerill-cluster/src/machine/mod.rs
+++ b/crates/pinerill-cluster/src/machine/mod.rs
@@ -21,7 +21,7 @@
 
 pub use command::{Applied, Command, StampedCommand};
 pub use job::{ItemPhase, ItemRecord, JobRecord, ListedRecord};
-pub use jobs::{Jobs, QueuePosition};
+pub use jobs::{Admission, Jobs, QueuePosition};
 pub use keys::{call_key, text_key};
 pub use room::RoomCount;
 
--- a/crates/pinerill-cluster/src/machine/room.rs
+++ b/crates/pinerill-cluster/src/machine/room.rs
@@ -15,13 +15,17 @@
 /// How full pages are that several values share, percent: a page that gets full is
 /// split in halves.
 const SHARED_PAGE_FILL_PERCENT: u64 = 75;
+/// Bytes that an item takes beside its call or text until its job is forgotten: some
+/// 60 in the state machine's memory, which each snapshot writes anew; the one before
+/// and one that is not free yet are on the disk with it.
+const RECORD_BYTES: u64 = 3 * 60;
 /// Bytes of a text as long as none is known. Replaced by the mean of the texts.
 const FIRST_TEXT_BYTES: u64 = 8 << 10;
 
 /// What jobs take in the store.
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RoomCount {
-    /// Bytes of pages of all calls and texts.
+    /// Bytes of pages of all calls and texts, and of records.
     stored_bytes: u64,
     /// Texts that were ever stored.
     texts: u64,
@@ -30,7 +34,7 @@
 }
 
 impl RoomCount {
-    /// Bytes of pages of all calls and texts.
+    /// Bytes of pages of all calls, texts and records.
     pub fn stored_bytes(&self) -> u64 {
         self.stored_bytes
     }
@@ -50,7 +54,17 @@
     ) -> bool {
         let items = waiting_items + call_lengths.len();
         let calls: u64 = call_lengths.map(page_bytes).sum();
-        self.expected_bytes(items) + calls <= limit
+        let records = (items - waiting_items) as u64 * RECORD_BYTES;
+        self.expected_bytes(items) + calls + records <= limit
+    }
+
+    pub(super) fn items_recorded(&mut self, items: usize) {
+        self.stored_bytes += items as u64 * RECORD_BYTES;
+    }
+
+    pub(super) fn items_forgotten(&mut self, items: usize) {
+        let bytes = items as u64 * RECORD_BYTES;
+        self.stored_bytes = self.stored_bytes.saturating_sub(bytes);
     }
 
     pub(super) fn call_stored(&mut self, length: usize) {
--- a/crates/pinerill-cluster/src/membership.rs
+++ b/crates/pinerill-cluster/src/membership.rs
@@ -39,8 +39,10 @@
 /// Bounds of the group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MembershipSettings {
-    /// Voters that the group shall have.
-    pub voters: usize,
+    /// Voters that the group needs.
+    pub least_voters: usize,
+    /// Voters that it has where there are as many machines.
+    pub most_voters: usize,
     /// Silence after which a voter is replaced if another machine is there,
     /// milliseconds.
     pub lost_after_ms: u64,
@@ -66,7 +68,7 @@
     if let Some(change) = join(view, &wanted).or_else(|| promote(view, &wanted)) {
         return Some(MembershipStep::Change(change));
     }
-    let complete = wanted.len() >= view.settings.voters.min(view.members.voters.len())
+    let complete = wanted.len() >= view.target_voters().min(view.members.voters.len())
         && wanted.iter().all(|replica| view.members.is_voter(*replica));
     if let Some(learner) = view
         .members
@@ -94,7 +96,7 @@
 /// Whether a machine holds nothing that is needed: it is no member, and the
 /// group is complete without it.
 pub fn is_emptied(view: &MembershipView<'_>, replica: ReplicaId) -> bool {
-    let others_wanted = view.settings.voters;
+    let others_wanted = view.settings.least_voters;
     view.settled
         && !view.members.contains(replica)
         && view.members.voters.len() >= others_wanted
@@ -112,10 +114,24 @@
         .keys()
         .filter(|one| **one != replica.0 && !view.retiring.contains(one));
     let present = staying.filter(|one| view.is_present(**one)).count();
-    present >= view.settings.voters
+    present >= view.settings.least_voters
 }
 
 impl MembershipView<'_> {
+    /// Voters that the group shall have: an odd number, since one more than that
+    /// bears no further loss.
+    fn target_voters(&self) -> usize {
+        let MembershipSettings {
+            least_voters,
+            most_voters,
+            ..
+        } = self.settings;
+        let available = self.machines.keys().filter(|one| self.may_vote(**one));
+        let possible = available.count().min(most_voters);
+        let odd = possible - usize::from(possible.is_multiple_of(2) && possible > 0);
+        odd.max(least_voters)
+    }
+
     fn is_present(&self, replica: u64) -> bool {
         let silent = self.silent_ms.get(&replica);
         replica == self.own.0 || silent.is_some_and(|ms| *ms <= self.settings.present_ms)
@@ -148,15 +164,16 @@
         .filter(|one| view.may_vote(one.0))
         .copied()
         .partition(|one| view.is_lost(one.0));
-    while wanted.len() < view.settings.voters {
+    let target = view.target_voters();
+    while wanted.len() < target {
         let Some(next) = best_candidate(view, &wanted) else {
             break;
         };
         wanted.push(next);
     }
-    let missing = view.settings.voters.saturating_sub(wanted.len());
+    let missing = target.saturating_sub(wanted.len());
     wanted.extend(lost.into_iter().take(missing));
-    wanted.truncate(view.settings.voters.max(1));
+    wanted.truncate(target.max(1));
     wanted
 }
 
--- a/crates/pinerill-cluster/src/server/control.rs
+++ b/crates/pinerill-cluster/src/server/control.rs
@@ -51,10 +51,9 @@
     /// Internal address of the leader, if one is known: the one that this
     /// machine's replica follows, otherwise the one that others named lately.
     pub(super) fn leader_address(&self) -> Option<SocketAddr> {
-        match self.group.status().leader {
-            Some(leader) => self.address_of(leader),
-            None => self.named_leader.lock().address(),
-        }
+        let followed = self.group.status().leader;
+        let address = followed.and_then(|leader| self.address_of(leader));
+        address.or_else(|| self.named_leader.lock().address())
     }
 
     pub(super) fn address_of(&self, replica: ReplicaId) -> Option<SocketAddr> {
--- a/crates/pinerill-cluster/src/server/jobs.rs
+++ b/crates/pinerill-cluster/src/server/jobs.rs
@@ -4,7 +4,7 @@
 
 use pinerill_calls::job::{CallJobId, ItemReport, ListedItem, ListedState, NewCallJob, ResultPage};
 use pinerill_calls::message::{
-    CallsResponse, LeaseRequest, LeaseResponse, LeasedItem, ReadItem, ReadResults,
+    CallsResponse, LeaseRequest, LeaseResponse, LeasedItem, ReadItem, ReadResults, SubmitOutcome,
 };
 use pinerill_storage::DATABASE_FILE;
 use pinerill_wire::message::Refusal;
@@ -14,9 +14,11 @@
 use super::refusal;
 use crate::leases::{LeaseAsk, LeaseDecision};
 use crate::machine::{
-    call_key, text_key, Applied, Command, ItemPhase, ListedRecord, QueuePosition,
+    call_key, text_key, Admission, Applied, Command, ItemPhase, ListedRecord, QueuePosition,
 };
 
+/// How often a call that is missing in the table is looked for.
+const READ_TRIES: usize = 2;
 /// Longest time that an answer is held.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
 /// Bytes of texts in one answer, compressed; one text is always told.
@@ -24,10 +26,10 @@
 /// What is added to the retention: the caller's clock began before the group's.
 const RETENTION_MARGIN: Duration = Duration::from_secs(10);
 /// Part of the disk that calls and texts of jobs may take, percent. The rest is for
-/// the log (2 to 4 percent of a small disk), the entries kept for a follower that
-/// gets a snapshot, pages that wait for a commit to be used again, and the error of
-/// the count, which takes page sizes in the mean.
-const JOBS_PERCENT_OF_DISK: u64 = 75;
+/// the log with its margin (a twelfth), pages that wait for a commit to be used
+/// again, holes between pages of different sizes, and the error of the count, which
+/// takes sizes in the mean. With 75, disks of 47 MB got full at 37 MB of jobs.
+const JOBS_PERCENT_OF_DISK: u64 = 60;
 /// Pause between two commands that let time pass.
 const UPKEEP_PAUSE: Duration = Duration::from_secs(1);
 
@@ -43,9 +45,24 @@
         let step = "submit job";
         let id = job.id.clone();
         let items = job.items.len();
+        let room_bytes = self.job_room_bytes();
+        // A job that is refused or known is not written to the log: the log is on
+        // the same disk. A refused one may fit by the time it would be applied.
+        self.with_leadership(step, |_| ())?;
+        let admission = self
+            .group
+            .with_machine(|machine| machine.jobs().admit(&job, room_bytes));
+        match admission {
+            Admission::New => {}
+            Admission::Known => return Ok(CallsResponse::SubmitJob(SubmitOutcome::Accepted)),
+            Admission::Refused(outcome) => {
+                log::info!(event = "job_submitted", job = id.as_str(), items, outcome:? = outcome; "");
+                return Ok(CallsResponse::SubmitJob(outcome));
+            }
+        }
         let command = Command::SubmitJob {
             job: Box::new(job),
-            room_bytes: self.job_room_bytes(),
+            room_bytes,
         };
         let applied = self.propose(step, command).await?;
         match applied {
@@ -175,17 +192,28 @@
     /// The call of an item that is not listed yet.
     pub(super) async fn read_item(&self, read: ReadItem) -> Result<CallsResponse, Box<Refusal>> {
         let step = "read item";
-        self.barrier(step).await?;
-        let place = self.group.with_machine(|machine| {
+        // The table is empty for a moment while a received snapshot is installed,
+        // so a call that is missing is looked for again behind the installation.
+        for _ in 0..READ_TRIES {
+            self.barrier(step).await?;
+            let Some((number, index)) = self.waiting_call(&read) else {
+                return Ok(CallsResponse::Item(None));
+            };
+            if let Some(call) = self.read_call(number, index)? {
+                return Ok(CallsResponse::Item(Some(call)));
+            }
+        }
+        Err(refusal::unavailable(self, step, "a call is missing"))
+    }
+
+    /// Number of the job and position of an item that waits.
+    fn waiting_call(&self, read: &ReadItem) -> Option<(u64, u32)> {
+        self.group.with_machine(|machine| {
             let (number, record) = machine.jobs().find(&read.job)?;
             let index = record.items.iter().position(|item| item.id == read.item)?;
             let waits = record.items[index].phase == ItemPhase::Waiting;
             waits.then_some((number, index as u32))
-        });
-        let Some((number, index)) = place else {
-            return Ok(CallsResponse::Item(None));
-        };
-        Ok(CallsResponse::Item(self.read_call(number, index)?))
+        })
     }
 
     fn read_call(&self, number: u64, index: u32) -> Result<Option<Vec<u8>>, Box<Refusal>> {
--- a/crates/pinerill-cluster/src/server/members.rs
+++ b/crates/pinerill-cluster/src/server/members.rs
@@ -84,7 +84,8 @@
                 leading_ms,
                 caught_up: &caught_up,
                 settings: MembershipSettings {
-                    voters: self.settings.voters(),
+                    least_voters: self.settings.least_voters(),
+                    most_voters: self.settings.most_voters(),
                     lost_after_ms: LOST_AFTER_MS,
                     present_ms: PRESENT_MS,
                 },
--- a/crates/pinerill-cluster/src/server/run.rs
+++ b/crates/pinerill-cluster/src/server/run.rs
@@ -47,6 +47,16 @@
 const LEAST_SNAPSHOT_BYTES: u64 = 512 << 10;
 /// Part of the disk that log entries of one snapshot may take.
 const LOG_PART: u64 = 48;
+/// Part of the disk that log entries behind a snapshot may take, kept for followers
+/// that lag: a learner of a 47 MB disk installs 25 MB in 3 s, in which 1 to 2 MB come.
+const LOG_MARGIN_PART: u64 = 16;
+/// Most bytes of these entries, which are in memory too.
+const MOST_LOG_MARGIN_BYTES: u64 = 8 << 20;
+/// Part of the disk that log entries may take while a snapshot is sent, and that
+/// entries without a majority may take.
+const TRANSFER_LOG_PART: u64 = 12;
+/// Most bytes of these entries.
+const MOST_TRANSFER_LOG_BYTES: u64 = 32 << 20;
 /// How long a read waits to be confirmed.
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -191,17 +201,21 @@
 /// Log entries are on the disk beside the table that they were applied to, so
 /// a small disk keeps fewer of them.
 fn host_settings(disk_mb: u64) -> HostSettings {
-    let part = (disk_mb << 20) / LOG_PART;
-    let snapshot_bytes = match disk_mb {
-        0 => SNAPSHOT_BYTES,
-        _ => part.clamp(LEAST_SNAPSHOT_BYTES, SNAPSHOT_BYTES),
+    let disk_bytes = match disk_mb {
+        0 => u64::MAX,
+        megabytes => megabytes << 20,
     };
+    let snapshot_bytes = (disk_bytes / LOG_PART).clamp(LEAST_SNAPSHOT_BYTES, SNAPSHOT_BYTES);
+    let margin_bytes = (disk_bytes / LOG_MARGIN_PART).min(MOST_LOG_MARGIN_BYTES);
+    let transfer_bytes = (disk_bytes / TRANSFER_LOG_PART).min(MOST_TRANSFER_LOG_BYTES);
     HostSettings {
         heartbeat: HEARTBEAT,
         election_min: ELECTION_MIN,
         election_max: ELECTION_MAX,
         snapshot_bytes,
-        compaction_margin_bytes: (snapshot_bytes / 2) as usize,
+        compaction_margin_bytes: margin_bytes as usize,
+        transfer_margin_bytes: transfer_bytes as usize,
+        max_uncommitted_bytes: transfer_bytes as usize,
         read_timeout: READ_TIMEOUT,
         ..HostSettings::default()
     }
--- a/crates/pinerill-cluster/tests/membership.rs
+++ b/crates/pinerill-cluster/tests/membership.rs
@@ -10,7 +10,8 @@
 use proptest::prelude::*;
 
 const SETTINGS: MembershipSettings = MembershipSettings {
-    voters: 3,
+    least_voters: 3,
+    most_voters: 3,
     lost_after_ms: 6_000,
     present_ms: 1_500,
 };
@@ -23,6 +24,7 @@
     replaced: BTreeSet<u64>,
     retiring: BTreeSet<u64>,
     silent_ms: BTreeMap<u64, u64>,
+    settings: MembershipSettings,
 }
 
 impl World {
@@ -33,6 +35,7 @@
             replaced: BTreeSet::new(),
             retiring: BTreeSet::new(),
             silent_ms: BTreeMap::new(),
+            settings: SETTINGS,
         };
         for replica in 1..=machines {
             world.come(replica, &format!("m{replica}"));
@@ -63,7 +66,7 @@
             silent_ms: &self.silent_ms,
             leading_ms: 60_000,
             caught_up: &caught_up,
-            settings: SETTINGS,
+            settings: self.settings,
         })
     }
 
@@ -107,6 +110,34 @@
     assert_eq!(world.voters(), [1, 2, 9]);
 }
 
+/// While a lost disk is replaced, which takes as long as a whole state needs to be
+/// sent, as many losses again must be borne.
+#[test]
+fn a_group_has_voters_for_losses_during_a_replacement_where_there_are_machines() {
+    let voters_among = |machines: u64| {
+        let mut world = World::new(machines);
+        world.settings.most_voters = 5;
+        world.settle();
+        world.voters().len()
+    };
+    assert_eq!(voters_among(3), 3);
+    assert_eq!(voters_among(4), 3, "a fourth one bears no further loss");
+    assert_eq!(voters_among(5), 5);
+    assert_eq!(voters_among(9), 5);
+}
+
+#[test]
+fn a_group_shrinks_to_what_it_needs_as_machines_retire() {
+    let mut world = World::new(5);
+    world.settings.most_voters = 5;
+    world.settle();
+    world.retiring.insert(2);
+    world.settle();
+    assert_eq!(world.voters().len(), 3);
+    assert!(world.look(|view| is_emptied(view, ReplicaId(2))));
+    assert!(world.look(|view| may_retire(view, ReplicaId(3))));
+}
+
 #[test]
 fn a_lost_machine_is_replaced_only_if_another_one_is_there() {
     let mut alone = World::new(3);
--- a/crates/pinerill-control/src/host/settings.rs
+++ b/crates/pinerill-control/src/host/settings.rs
@@ -23,6 +23,8 @@
     pub compaction_margin: u64,
     /// Bytes of these entries at most.
     pub compaction_margin_bytes: usize,
+    /// Bytes of entries kept at most for followers that are sent a snapshot.
+    pub transfer_margin_bytes: usize,
     /// Bytes of a snapshot in one message.
     pub snapshot_chunk_bytes: usize,
     /// Proposals of one group that may be unanswered.
@@ -43,6 +45,7 @@
             snapshot_bytes: 16 << 20,
             compaction_margin: 1000,
             compaction_margin_bytes: 16 << 20,
+            transfer_margin_bytes: 64 << 20,
             snapshot_chunk_bytes: 256 << 10,
             max_pending_proposals: 4096,
             max_uncommitted_bytes: 64 << 20,
@@ -59,6 +62,7 @@
         config.election_max_ms = self.election_max.as_millis() as u64;
         config.compaction_margin = self.compaction_margin;
         config.compaction_margin_bytes = self.compaction_margin_bytes;
+        config.transfer_margin_bytes = self.transfer_margin_bytes;
         config.max_uncommitted_bytes = self.max_uncommitted_bytes;
         config
     }
--- a/crates/pinerill-replica/src/config.rs
+++ b/crates/pinerill-replica/src/config.rs
@@ -29,6 +29,9 @@
     pub compaction_margin: u64,
     /// Bytes of these entries at most: they stay in memory and on disk.
     pub compaction_margin_bytes: usize,
+    /// Bytes of entries kept at most for followers that are being sent a snapshot.
+    /// One that needs older ones by then is sent a newer snapshot.
+    pub transfer_margin_bytes: usize,
     /// Deliberate defects; empty except in the simulation's mutants.
     pub defects: Defects,
 }
@@ -48,6 +51,7 @@
             max_uncommitted_bytes: 64 << 20,
             compaction_margin: 1000,
             compaction_margin_bytes: 16 << 20,
+            transfer_margin_bytes: 64 << 20,
             defects: Defects::default(),
         }
     }
--- a/crates/pinerill-replica/src/election.rs
+++ b/crates/pinerill-replica/src/election.rs
@@ -57,6 +57,9 @@
             return;
         }
         self.reset_election_deadline();
+        // Also one that does not vote, such as a removed learner, no longer names
+        // a leader that it hears nothing of.
+        self.leader = None;
         if self.membership().is_voter(self.id()) {
             self.start_pre_vote();
         }
--- a/crates/pinerill-replica/src/snapshot.rs
+++ b/crates/pinerill-replica/src/snapshot.rs
@@ -25,7 +25,12 @@
             self.config.compaction_margin,
             self.config.compaction_margin_bytes,
         );
-        let target = wanted.min(self.lowest_snapshot_in_transfer());
+        let transfer_bytes = self.config.transfer_margin_bytes;
+        let kept_at_most = self
+            .log
+            .start_of_margin(meta.index, u64::MAX, transfer_bytes);
+        let in_transfer = self.lowest_snapshot_in_transfer().max(kept_at_most);
+        let target = wanted.min(in_transfer);
         if target > self.log.base_index() {
             self.log.compact(target);
             self.output.compact_to = Some(target);
--- a/crates/pinerill-replica/tests/elections.rs
+++ b/crates/pinerill-replica/tests/elections.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use pinerill_replica::{
-    Envelope, HardState, Input, Message, Replica, RestoredState, Role, SnapshotMeta, VoteRequest,
+    Envelope, HardState, Input, MembershipChange, Message, Replica, RestoredState, Role,
+    SnapshotMeta, VoteRequest,
 };
 use support::{config, id, Cluster, GROUP};
 
@@ -171,3 +172,19 @@
     assert!(cluster.node(leader).dropped.is_empty());
     assert_eq!(cluster.commands(leaders[0]), vec![1]);
 }
+
+/// A removed learner hears nothing of later leaders; it must not send anybody to
+/// the one that it last heard.
+#[test]
+fn a_removed_learner_names_no_leader() {
+    let mut cluster = Cluster::new(3);
+    let leader = cluster.elect();
+    cluster.start(id(4), RestoredState::default());
+    cluster.change(leader, 1, MembershipChange::AddLearner(id(4)));
+    cluster.run(1_000);
+    let named = |cluster: &mut Cluster| cluster.node(id(4)).replica.status().leader;
+    assert_eq!(named(&mut cluster), Some(leader));
+    cluster.change(leader, 2, MembershipChange::Remove(id(4)));
+    cluster.run(3_000);
+    assert_eq!(named(&mut cluster), None);
+}
