A voter that lost its disk goes also where not all wanted voters are there

Cause: since a group aims at more voters than it needs, it counted as incomplete while machines are missing, so that replaced voters were never removed. Ruled out: removing them before the wanted ones vote; that stays as it was. Change: removal waits for the voters that the group needs, not for all that it would have; the property over what comes and goes draws the larger number too. Measured: the property failed with the former condition (5 machines, some of them silent, one replaced) and passes; its case is kept.

--- a/crates/pinerill-cluster/src/membership.rs
+++ b/crates/pinerill-cluster/src/membership.rs
@@ -68,7 +68,7 @@
     if let Some(change) = join(view, &wanted).or_else(|| promote(view, &wanted)) {
         return Some(MembershipStep::Change(change));
     }
-    let complete = wanted.len() >= view.target_voters().min(view.members.voters.len())
+    let complete = wanted.len() >= view.settings.least_voters.min(view.members.voters.len())
         && wanted.iter().all(|replica| view.members.is_voter(*replica));
     if let Some(learner) = view
         .members
