A control machine may advertise another address than it listens at

Where a proxy stands in front of a control machine, the other machines and nodes were told the address behind it, so that no link between control machines could pass through one; the soak could not cut them. Ruled out: seeds that name the proxies alone (addresses travel with the handshake and the machines' records, so the second connection goes past the proxy). The optional setting control.advertise is told in place of listen, and takes its place in the identity at the founding and among the seeds; without it nothing changes.

--- a/crates/pinerill-calls/src/settings/control.rs
+++ b/crates/pinerill-calls/src/settings/control.rs
@@ -17,6 +17,9 @@
     pub zone: String,
     /// Address for the cluster's own processes.
     pub listen: SocketAddr,
+    /// Advertised address: where other machines are told to connect, when a
+    /// proxy stands in front of `listen`. Without it they are told `listen`.
+    pub advertise: Option<SocketAddr>,
     /// Address for operators.
     pub operator_listen: SocketAddr,
     /// Address for metrics, liveness and readiness.
@@ -71,6 +74,11 @@
         2 * self.tolerated_losses + 1
     }
 
+    /// Address that other machines are told.
+    pub fn advertised_address(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.listen)
+    }
+
     /// Internal addresses of the seeds.
     pub fn seed_addresses(&self) -> Vec<SocketAddr> {
         with_port(&self.seeds, self.seed_port)
--- a/crates/pinerill-calls/tests/messages.rs
+++ b/crates/pinerill-calls/tests/messages.rs
@@ -63,6 +63,21 @@
     assert!(seeds.iter().all(|seed| seed.port() == 99));
 }
 
+#[test]
+fn other_machines_are_told_the_advertised_address() {
+    let told = |text: &str| {
+        let control = ForwardingSettings::read(text).expect("sound").control;
+        let control = control.expect("the example has a control machine");
+        control.advertised_address().to_string()
+    };
+    assert_eq!(told(EXAMPLE), "10.0.0.1:7720");
+    let text = EXAMPLE.replace(
+        "found = false",
+        "advertise = \"10.0.0.8:99\"\nfound = false",
+    );
+    assert_eq!(told(&text), "10.0.0.8:99");
+}
+
 #[test]
 fn a_wrong_field_is_named() {
     let cases = [
--- a/crates/pinerill-cluster/src/server/run.rs
+++ b/crates/pinerill-cluster/src/server/run.rs
@@ -138,9 +138,10 @@
     stopping: CancellationToken,
 ) -> anyhow::Result<(Arc<Control>, Identity)> {
     let seeds = settings.seed_addresses();
-    let founds = settings.found && seeds.contains(&settings.listen);
+    let address = settings.advertised_address();
+    let founds = settings.found && seeds.contains(&address);
     let newcomer = match founds {
-        true => founding_replica(settings.listen),
+        true => founding_replica(address),
         false => ReplicaId(rand::random()),
     };
     let folder = &settings.data_folder;
@@ -151,11 +152,11 @@
     let name = settings.name.as_str();
     let identity = Identity::new(cluster, key, Role::Control, name, &settings.zone)
         .with_replica(replica.0, 0)
-        .with_listen(settings.listen);
+        .with_listen(address);
     let others: Vec<SocketAddr> = seeds
         .iter()
         .copied()
-        .filter(|address| *address != settings.listen)
+        .filter(|seed| *seed != address)
         .collect();
     let pool = PeerPool::start(&others, &identity, closed);
     let transport = Arc::new(PeerTransport::new(pool.clone()));
@@ -168,7 +169,7 @@
     let record = MachineRecord {
         replica: replica.0,
         name: settings.name.clone(),
-        address: settings.listen,
+        address,
         zone: settings.zone.clone(),
     };
     let control = Arc::new(Control {
