wire: one way to write and read lists

Cause: every list of structs in the codec had its own loop over an index, and its own iter().map().collect(); the directory had a macro for it besides (21 lists of structs written so, 23 read so, 5 lists of numbers and 3 of texts).

Ruled out: capnp's own setters from slices (they take numbers and texts, but no structs, and texts only from types that are AsRef<str>, which the names are not).

Change: codec/list.rs with encode_structs, decode_structs and encode_numbers, and encode_strings beside strings in codec/text.rs; the macro is gone. The order in which fields are written is as before, and so are the bytes.

--- a/crates/pinerill-wire/src/codec/bundle.rs
+++ b/crates/pinerill-wire/src/codec/bundle.rs
@@ -5,6 +5,7 @@
 };
 use pinerill_types::{NodeName, OperatorName, ZoneName};
 
+use super::list::{decode_structs, encode_structs};
 use super::text::{digest, name, string};
 use super::{CodecError, EncodedBundle};
 use crate::message::{
@@ -62,10 +63,8 @@
         one.set_value(&entry.value);
         encode_key(&entry.key, one.init_key());
     }
-    let mut removed = builder.init_removed(change.removed.len() as u32);
-    for (index, key) in change.removed.iter().enumerate() {
-        encode_key(key, removed.reborrow().get(index as u32));
-    }
+    let removed = builder.init_removed(change.removed.len() as u32);
+    encode_structs(removed, &change.removed, encode_key);
 }
 
 pub(super) fn decode_change(
@@ -75,16 +74,8 @@
         version: reader.get_version(),
         base: digest("base", reader.get_base()?)?,
         digest: digest("digest", reader.get_digest()?)?,
-        set: reader
-            .get_set()?
-            .iter()
-            .map(decode_entry)
-            .collect::<Result<_, _>>()?,
-        removed: reader
-            .get_removed()?
-            .iter()
-            .map(decode_key)
-            .collect::<Result<_, _>>()?,
+        set: decode_structs(reader.get_set()?, decode_entry)?,
+        removed: decode_structs(reader.get_removed()?, decode_key)?,
     })
 }
 
@@ -148,10 +139,8 @@
     match update {
         None => builder.set_none(()),
         Some(BundleUpdate::Changes(changes)) => {
-            let mut list = builder.init_changes(changes.len() as u32);
-            for (index, change) in changes.iter().enumerate() {
-                encode_change(change, list.reborrow().get(index as u32));
-            }
+            let list = builder.init_changes(changes.len() as u32);
+            encode_structs(list, changes, encode_change);
         }
         Some(BundleUpdate::Snapshot(bundle)) => bundle.copy_into(builder),
     }
@@ -164,8 +153,8 @@
     Ok(match reader.which()? {
         Which::None(()) => None,
         Which::Changes(list) => {
-            let changes = list?.iter().map(decode_change);
-            Some(BundleUpdate::Changes(changes.collect::<Result<_, _>>()?))
+            let changes = decode_structs(list?, decode_change)?;
+            Some(BundleUpdate::Changes(changes))
         }
         Which::Snapshot(bundle) => {
             let bundle = EncodedBundle::copy_of(bundle?)?;
--- a/crates/pinerill-wire/src/codec/cluster.rs
+++ b/crates/pinerill-wire/src/codec/cluster.rs
@@ -3,6 +3,7 @@
 use pinerill_types::ZoneName;
 
 use super::bundle::{decode_bundle, encode_bundle};
+use super::list::{decode_structs, encode_numbers, encode_structs};
 use super::text::{address, name, string};
 use super::CodecError;
 use crate::message::{
@@ -30,24 +31,18 @@
 pub(super) fn encode_create(create: &CreateGroups, mut builder: wire::create_groups::Builder<'_>) {
     builder.set_cluster_id(create.cluster_id);
     encode_bundle(&create.founding, builder.reborrow().init_founding());
-    let mut machines = builder
+    let machines = builder
         .reborrow()
         .init_machines(create.machines.len() as u32);
-    for (index, machine) in create.machines.iter().enumerate() {
-        encode_replica(machine, machines.reborrow().get(index as u32));
-    }
-    let mut groups = builder.init_groups(create.groups.len() as u32);
-    for (index, group) in create.groups.iter().enumerate() {
-        encode_voters(group, groups.reborrow().get(index as u32));
-    }
+    encode_structs(machines, &create.machines, encode_replica);
+    let groups = builder.init_groups(create.groups.len() as u32);
+    encode_structs(groups, &create.groups, encode_voters);
 }
 
 fn encode_voters(group: &GroupVoters, mut builder: wire::group_voters::Builder<'_>) {
     builder.set_group(group.group);
-    let mut voters = builder.init_voters(group.voters.len() as u32);
-    for (index, voter) in group.voters.iter().enumerate() {
-        voters.set(index as u32, *voter);
-    }
+    let voters = builder.init_voters(group.voters.len() as u32);
+    encode_numbers(voters, group.voters.iter().copied());
 }
 
 pub(super) fn decode_create(
@@ -56,16 +51,8 @@
     Ok(CreateGroups {
         cluster_id: reader.get_cluster_id(),
         founding: decode_bundle(reader.get_founding()?)?,
-        machines: reader
-            .get_machines()?
-            .iter()
-            .map(decode_replica)
-            .collect::<Result<_, _>>()?,
-        groups: reader
-            .get_groups()?
-            .iter()
-            .map(decode_voters)
-            .collect::<Result<_, _>>()?,
+        machines: decode_structs(reader.get_machines()?, decode_replica)?,
+        groups: decode_structs(reader.get_groups()?, decode_voters)?,
     })
 }
 
@@ -99,10 +86,8 @@
     mut builder: wire::cluster_init_response::Builder<'_>,
 ) {
     builder.set_cluster_id(response.cluster_id);
-    let mut replicas = builder.init_replicas(response.replicas.len() as u32);
-    for (index, replica) in response.replicas.iter().enumerate() {
-        encode_replica(replica, replicas.reborrow().get(index as u32));
-    }
+    let replicas = builder.init_replicas(response.replicas.len() as u32);
+    encode_structs(replicas, &response.replicas, encode_replica);
 }
 
 pub(super) fn decode_init_response(
@@ -110,11 +95,7 @@
 ) -> Result<ClusterInitResponse, CodecError> {
     Ok(ClusterInitResponse {
         cluster_id: reader.get_cluster_id(),
-        replicas: reader
-            .get_replicas()?
-            .iter()
-            .map(decode_replica)
-            .collect::<Result<_, _>>()?,
+        replicas: decode_structs(reader.get_replicas()?, decode_replica)?,
     })
 }
 
@@ -125,15 +106,11 @@
     builder.set_term(group.term);
     builder.set_commit(group.commit);
     builder.set_applied(group.applied);
-    let mut voters = builder.reborrow().init_voters(group.voters.len() as u32);
-    for (index, voter) in group.voters.iter().enumerate() {
-        voters.set(index as u32, *voter);
-    }
+    let voters = builder.reborrow().init_voters(group.voters.len() as u32);
+    encode_numbers(voters, group.voters.iter().copied());
     builder.set_members_committed(group.members_committed);
-    let mut learners = builder.init_learners(group.learners.len() as u32);
-    for (index, learner) in group.learners.iter().enumerate() {
-        learners.set(index as u32, *learner);
-    }
+    let learners = builder.init_learners(group.learners.len() as u32);
+    encode_numbers(learners, group.learners.iter().copied());
 }
 
 fn decode_group(reader: wire::group_report::Reader<'_>) -> Result<GroupReport, CodecError> {
@@ -154,16 +131,12 @@
     mut builder: wire::cluster_status_response::Builder<'_>,
 ) {
     builder.set_cluster_id(status.cluster_id);
-    let mut replicas = builder
+    let replicas = builder
         .reborrow()
         .init_replicas(status.replicas.len() as u32);
-    for (index, replica) in status.replicas.iter().enumerate() {
-        encode_replica(replica, replicas.reborrow().get(index as u32));
-    }
-    let mut groups = builder.init_groups(status.groups.len() as u32);
-    for (index, group) in status.groups.iter().enumerate() {
-        encode_group(group, groups.reborrow().get(index as u32));
-    }
+    encode_structs(replicas, &status.replicas, encode_replica);
+    let groups = builder.init_groups(status.groups.len() as u32);
+    encode_structs(groups, &status.groups, encode_group);
 }
 
 pub(super) fn decode_status(
@@ -171,15 +144,7 @@
 ) -> Result<ClusterStatusResponse, CodecError> {
     Ok(ClusterStatusResponse {
         cluster_id: reader.get_cluster_id(),
-        replicas: reader
-            .get_replicas()?
-            .iter()
-            .map(decode_replica)
-            .collect::<Result<_, _>>()?,
-        groups: reader
-            .get_groups()?
-            .iter()
-            .map(decode_group)
-            .collect::<Result<_, _>>()?,
+        replicas: decode_structs(reader.get_replicas()?, decode_replica)?,
+        groups: decode_structs(reader.get_groups()?, decode_group)?,
     })
 }
--- a/crates/pinerill-wire/src/codec/directory.rs
+++ b/crates/pinerill-wire/src/codec/directory.rs
@@ -3,8 +3,9 @@
 use pinerill_types::{NodeName, ServiceName, WorkerName, ZoneName};
 
 use super::bundle::{decode_update, encode_update};
+use super::list::{decode_structs, encode_structs};
 use super::text::{
-    address, digest, name, optional_address, optional_address_text, string, strings,
+    address, digest, encode_strings, name, optional_address, optional_address_text, string, strings,
 };
 use super::CodecError;
 use crate::message::{
@@ -96,30 +97,15 @@
     })
 }
 
-/// Fills a list of structs from a slice.
-macro_rules! fill {
-    ($list:expr, $items:expr, $encode:expr) => {{
-        let mut list = $list;
-        for (index, item) in $items.iter().enumerate() {
-            $encode(item, list.reborrow().get(index as u32));
-        }
-    }};
-}
-
 pub(super) fn encode_watch(watch: &WatchRequest, mut builder: wire::watch_request::Builder<'_>) {
     encode_node(&watch.node, builder.reborrow().init_node());
     builder.set_bundle_digest(&watch.bundle_digest.0);
-    let mut zones = builder.reborrow().init_zones(watch.zones.len() as u32);
-    for (index, zone) in watch.zones.iter().enumerate() {
-        zones.set(index as u32, zone.as_str());
-    }
+    let zones = builder.reborrow().init_zones(watch.zones.len() as u32);
+    encode_strings(zones, watch.zones.iter().map(ZoneName::as_str));
     builder.set_directory_epoch(watch.directory_epoch);
     builder.set_directory_revision(watch.directory_revision);
-    fill!(
-        builder.reborrow().init_leaving(watch.leaving.len() as u32),
-        watch.leaving,
-        encode_sign
-    );
+    let leaving = builder.reborrow().init_leaving(watch.leaving.len() as u32);
+    encode_structs(leaving, &watch.leaving, encode_sign);
     builder.set_wait_ms(watch.wait_ms);
 }
 
@@ -135,11 +121,7 @@
             .collect(),
         directory_epoch: reader.get_directory_epoch(),
         directory_revision: reader.get_directory_revision(),
-        leaving: reader
-            .get_leaving()?
-            .iter()
-            .map(decode_sign)
-            .collect::<Result<_, _>>()?,
+        leaving: decode_structs(reader.get_leaving()?, decode_sign)?,
         wait_ms: reader.get_wait_ms(),
     })
 }
@@ -176,31 +158,18 @@
     builder.set_epoch(update.epoch);
     builder.set_revision(update.revision);
     builder.set_full(update.full);
-    fill!(
-        builder.reborrow().init_workers(update.workers.len() as u32),
-        update.workers,
-        encode_worker
-    );
+    let workers = builder.reborrow().init_workers(update.workers.len() as u32);
+    encode_structs(workers, &update.workers, encode_worker);
     let removed_workers = update.removed_workers.len() as u32;
-    let mut names = builder.reborrow().init_removed_workers(removed_workers);
-    for (index, worker) in update.removed_workers.iter().enumerate() {
-        names.set(index as u32, worker.as_str());
-    }
-    fill!(
-        builder.reborrow().init_nodes(update.nodes.len() as u32),
-        update.nodes,
-        encode_node
-    );
+    let names = builder.reborrow().init_removed_workers(removed_workers);
+    encode_strings(names, update.removed_workers.iter().map(WorkerName::as_str));
+    let nodes = builder.reborrow().init_nodes(update.nodes.len() as u32);
+    encode_structs(nodes, &update.nodes, encode_node);
     let removed_nodes = update.removed_nodes.len() as u32;
-    let mut names = builder.reborrow().init_removed_nodes(removed_nodes);
-    for (index, node) in update.removed_nodes.iter().enumerate() {
-        names.set(index as u32, node.as_str());
-    }
-    fill!(
-        builder.init_groups(update.groups.len() as u32),
-        update.groups,
-        encode_group
-    );
+    let names = builder.reborrow().init_removed_nodes(removed_nodes);
+    encode_strings(names, update.removed_nodes.iter().map(NodeName::as_str));
+    let groups = builder.init_groups(update.groups.len() as u32);
+    encode_structs(groups, &update.groups, encode_group);
 }
 
 fn decode_directory(
@@ -210,29 +179,17 @@
         epoch: reader.get_epoch(),
         revision: reader.get_revision(),
         full: reader.get_full(),
-        workers: reader
-            .get_workers()?
-            .iter()
-            .map(decode_worker)
-            .collect::<Result<_, _>>()?,
+        workers: decode_structs(reader.get_workers()?, decode_worker)?,
         removed_workers: strings(reader.get_removed_workers()?)?
             .into_iter()
             .map(WorkerName)
             .collect(),
-        nodes: reader
-            .get_nodes()?
-            .iter()
-            .map(decode_node)
-            .collect::<Result<_, _>>()?,
+        nodes: decode_structs(reader.get_nodes()?, decode_node)?,
         removed_nodes: strings(reader.get_removed_nodes()?)?
             .into_iter()
             .map(NodeName)
             .collect(),
-        groups: reader
-            .get_groups()?
-            .iter()
-            .map(decode_group)
-            .collect::<Result<_, _>>()?,
+        groups: decode_structs(reader.get_groups()?, decode_group)?,
     })
 }
 
@@ -261,23 +218,14 @@
 ) {
     builder.set_epoch(response.epoch);
     builder.set_revision(response.revision);
-    fill!(
-        builder.reborrow().init_nodes(response.nodes.len() as u32),
-        response.nodes,
-        encode_node
-    );
-    fill!(
-        builder
-            .reborrow()
-            .init_leaving(response.leaving.len() as u32),
-        response.leaving,
-        encode_sign
-    );
-    fill!(
-        builder.init_groups(response.groups.len() as u32),
-        response.groups,
-        encode_group
-    );
+    let nodes = builder.reborrow().init_nodes(response.nodes.len() as u32);
+    encode_structs(nodes, &response.nodes, encode_node);
+    let leaving = builder
+        .reborrow()
+        .init_leaving(response.leaving.len() as u32);
+    encode_structs(leaving, &response.leaving, encode_sign);
+    let groups = builder.init_groups(response.groups.len() as u32);
+    encode_structs(groups, &response.groups, encode_group);
 }
 
 pub(super) fn decode_peer_response(
@@ -286,20 +234,8 @@
     Ok(PeerDirectoryResponse {
         epoch: reader.get_epoch(),
         revision: reader.get_revision(),
-        nodes: reader
-            .get_nodes()?
-            .iter()
-            .map(decode_node)
-            .collect::<Result<_, _>>()?,
-        leaving: reader
-            .get_leaving()?
-            .iter()
-            .map(decode_sign)
-            .collect::<Result<_, _>>()?,
-        groups: reader
-            .get_groups()?
-            .iter()
-            .map(decode_group)
-            .collect::<Result<_, _>>()?,
+        nodes: decode_structs(reader.get_nodes()?, decode_node)?,
+        leaving: decode_structs(reader.get_leaving()?, decode_sign)?,
+        groups: decode_structs(reader.get_groups()?, decode_group)?,
     })
 }
--- a/crates/pinerill-wire/src/codec/envelope.rs
+++ b/crates/pinerill-wire/src/codec/envelope.rs
@@ -7,6 +7,7 @@
     SnapshotMeta, TimeoutNow, VoteRequest, VoteResponse,
 };
 
+use super::list::{decode_structs, encode_numbers};
 use super::CodecError;
 use crate::wire_capnp as wire;
 
@@ -168,16 +169,12 @@
 }
 
 fn encode_membership(membership: &Membership, mut builder: wire::membership::Builder<'_>) {
-    let mut voters = builder
+    let voters = builder
         .reborrow()
         .init_voters(membership.voters.len() as u32);
-    for (index, voter) in membership.voters.iter().enumerate() {
-        voters.set(index as u32, voter.0);
-    }
-    let mut learners = builder.init_learners(membership.learners.len() as u32);
-    for (index, learner) in membership.learners.iter().enumerate() {
-        learners.set(index as u32, learner.0);
-    }
+    encode_numbers(voters, membership.voters.iter().map(|one| one.0));
+    let learners = builder.init_learners(membership.learners.len() as u32);
+    encode_numbers(learners, membership.learners.iter().map(|one| one.0));
 }
 
 fn decode_membership(reader: wire::membership::Reader<'_>) -> Result<Membership, CodecError> {
@@ -214,12 +211,11 @@
     reader: wire::append_request::Reader<'_>,
 ) -> Result<AppendRequest, CodecError> {
     let previous = reader.get_previous()?;
-    let entries = reader.get_entries()?.iter().map(decode_entry);
     Ok(AppendRequest {
         term,
         previous_index: previous.get_index(),
         previous_term: previous.get_term(),
-        entries: entries.collect::<Result<_, _>>()?,
+        entries: decode_structs(reader.get_entries()?, decode_entry)?,
         commit: reader.get_commit(),
     })
 }
--- a/crates/pinerill-wire/src/codec/frame.rs
+++ b/crates/pinerill-wire/src/codec/frame.rs
@@ -3,6 +3,7 @@
 use capnp::message::{Builder, ReaderOptions};
 use capnp::serialize;
 
+use super::list::{decode_structs, encode_structs};
 use super::text::{optional_address, optional_address_text, string};
 use super::{envelope, request, response, CodecError};
 use crate::api::Role;
@@ -66,10 +67,8 @@
         Frame::Response(one) => response::encode(one, root.init_response()),
         Frame::Notification(Notification::Replica(envelopes)) => {
             let notification = root.init_notification();
-            let mut list = notification.init_replica(envelopes.len() as u32);
-            for (index, one) in envelopes.iter().enumerate() {
-                envelope::encode(one, list.reborrow().get(index as u32));
-            }
+            let list = notification.init_replica(envelopes.len() as u32);
+            encode_structs(list, envelopes, envelope::encode);
         }
         Frame::Goodbye(reason) => root.set_goodbye(reason),
     }
@@ -102,8 +101,8 @@
     use wire::notification::Which;
     match reader.which()? {
         Which::Replica(list) => {
-            let envelopes = list?.iter().map(envelope::decode);
-            Ok(Notification::Replica(envelopes.collect::<Result<_, _>>()?))
+            let envelopes = decode_structs(list?, envelope::decode)?;
+            Ok(Notification::Replica(envelopes))
         }
         Which::None(()) => Ok(Notification::Replica(Vec::new())),
     }
--- a/crates/pinerill-wire/src/codec/job.rs
+++ b/crates/pinerill-wire/src/codec/job.rs
@@ -5,6 +5,7 @@
 };
 use pinerill_types::{JobId, NodeName, ServiceName, TenantName};
 
+use super::list::{decode_structs, encode_structs};
 use super::text::{digest, name, string};
 use super::CodecError;
 use crate::message::{
@@ -93,10 +94,8 @@
     builder.set_open_items_limit(submit.open_items_limit);
     builder.set_attempts_limit(submit.attempts_limit);
     builder.set_retention_ms(submit.retention_ms);
-    let mut items = builder.init_items(submit.items.len() as u32);
-    for (index, item) in submit.items.iter().enumerate() {
-        encode_input(item, items.reborrow().get(index as u32));
-    }
+    let items = builder.init_items(submit.items.len() as u32);
+    encode_structs(items, &submit.items, encode_input);
 }
 
 pub(super) fn decode_submit(reader: wire::submit_job::Reader<'_>) -> Result<SubmitJob, CodecError> {
@@ -109,11 +108,7 @@
         total_items: reader.get_total_items(),
         deadline_ms: reader.get_deadline_ms(),
         first_index: reader.get_first_index(),
-        items: reader
-            .get_items()?
-            .iter()
-            .map(decode_input)
-            .collect::<Result<_, _>>()?,
+        items: decode_structs(reader.get_items()?, decode_input)?,
         open_items_limit: reader.get_open_items_limit(),
         attempts_limit: reader.get_attempts_limit(),
         retention_ms: reader.get_retention_ms(),
@@ -362,10 +357,8 @@
 pub(super) fn encode_end(end: &EndAttempts, mut builder: wire::end_attempts::Builder<'_>) {
     builder.set_group(end.group);
     builder.set_node(end.node.as_str());
-    let mut reports = builder.init_reports(end.reports.len() as u32);
-    for (index, report) in end.reports.iter().enumerate() {
-        encode_report(report, reports.reborrow().get(index as u32));
-    }
+    let reports = builder.init_reports(end.reports.len() as u32);
+    encode_structs(reports, &end.reports, encode_report);
 }
 
 pub(super) fn decode_end(
@@ -374,11 +367,7 @@
     Ok(EndAttempts {
         group: reader.get_group(),
         node: NodeName(name("node", reader.get_node()?)?),
-        reports: reader
-            .get_reports()?
-            .iter()
-            .map(decode_report)
-            .collect::<Result<_, _>>()?,
+        reports: decode_structs(reader.get_reports()?, decode_report)?,
     })
 }
 
@@ -402,10 +391,8 @@
     builder.set_group(renew.group);
     builder.set_node(renew.node.as_str());
     builder.set_lease_ms(renew.lease_ms);
-    let mut attempts = builder.init_attempts(renew.attempts.len() as u32);
-    for (index, attempt) in renew.attempts.iter().enumerate() {
-        encode_attempt(*attempt, attempts.reborrow().get(index as u32));
-    }
+    let attempts = builder.init_attempts(renew.attempts.len() as u32);
+    encode_structs(attempts, renew.attempts.iter().copied(), encode_attempt);
 }
 
 pub(super) fn decode_renew(
@@ -415,10 +402,6 @@
         group: reader.get_group(),
         node: NodeName(name("node", reader.get_node()?)?),
         lease_ms: reader.get_lease_ms(),
-        attempts: reader
-            .get_attempts()?
-            .iter()
-            .map(decode_attempt)
-            .collect::<Result<_, _>>()?,
+        attempts: decode_structs(reader.get_attempts()?, decode_attempt)?,
     })
 }
--- a/crates/pinerill-wire/src/codec/mod.rs
+++ b/crates/pinerill-wire/src/codec/mod.rs
@@ -10,6 +10,7 @@
 mod envelope;
 mod frame;
 mod job;
+mod list;
 mod request;
 mod response;
 mod text;
--- a/crates/pinerill-wire/src/codec/response.rs
+++ b/crates/pinerill-wire/src/codec/response.rs
@@ -1,5 +1,6 @@
 //! The union of all responses.
 
+use super::list::{decode_structs, encode_structs};
 use super::text::{optional_address, optional_address_text, string};
 use super::{bundle, cluster, directory, job, CodecError};
 use crate::message::{
@@ -27,16 +28,12 @@
         Response::JobStatus(status) => job::encode_status(status, builder.init_job_status()),
         Response::JobOutput(output) => job::encode_output(output, builder.init_job_output()),
         Response::ListJobs(list) => {
-            let mut jobs = builder.init_list_jobs(list.jobs.len() as u32);
-            for (index, status) in list.jobs.iter().enumerate() {
-                job::encode_status(status, jobs.reborrow().get(index as u32));
-            }
+            let jobs = builder.init_list_jobs(list.jobs.len() as u32);
+            encode_structs(jobs, &list.jobs, job::encode_status);
         }
         Response::LeaseItems(lease) => {
-            let mut items = builder.init_lease_items(lease.items.len() as u32);
-            for (index, item) in lease.items.iter().enumerate() {
-                job::encode_leased(item, items.reborrow().get(index as u32));
-            }
+            let items = builder.init_lease_items(lease.items.len() as u32);
+            encode_structs(items, &lease.items, job::encode_leased);
         }
         Response::EndAttempts(end) => {
             let mut verdicts = builder.init_end_attempts(end.verdicts.len() as u32);
@@ -45,10 +42,8 @@
             }
         }
         Response::RenewLeases(renew) => {
-            let mut lost = builder.init_renew_leases(renew.lost.len() as u32);
-            for (index, attempt) in renew.lost.iter().enumerate() {
-                job::encode_attempt(*attempt, lost.reborrow().get(index as u32));
-            }
+            let lost = builder.init_renew_leases(renew.lost.len() as u32);
+            encode_structs(lost, renew.lost.iter().copied(), job::encode_attempt);
         }
         Response::ClusterInit(init) => {
             cluster::encode_init_response(init, builder.init_cluster_init());
@@ -83,16 +78,10 @@
         Which::JobStatus(status) => Response::JobStatus(job::decode_status(status?)?),
         Which::JobOutput(output) => Response::JobOutput(job::decode_output(output?)?),
         Which::ListJobs(list) => Response::ListJobs(ListJobsResponse {
-            jobs: list?
-                .iter()
-                .map(job::decode_status)
-                .collect::<Result<_, _>>()?,
+            jobs: decode_structs(list?, job::decode_status)?,
         }),
         Which::LeaseItems(items) => Response::LeaseItems(LeaseItemsResponse {
-            items: items?
-                .iter()
-                .map(job::decode_leased)
-                .collect::<Result<_, _>>()?,
+            items: decode_structs(items?, job::decode_leased)?,
         }),
         Which::EndAttempts(verdicts) => Response::EndAttempts(EndAttemptsResponse {
             verdicts: verdicts?
@@ -101,10 +90,7 @@
                 .collect::<Result<_, CodecError>>()?,
         }),
         Which::RenewLeases(lost) => Response::RenewLeases(RenewLeasesResponse {
-            lost: lost?
-                .iter()
-                .map(job::decode_attempt)
-                .collect::<Result<_, _>>()?,
+            lost: decode_structs(lost?, job::decode_attempt)?,
         }),
         Which::ClusterInit(init) => Response::ClusterInit(cluster::decode_init_response(init?)?),
         Which::ClusterStatus(status) => Response::ClusterStatus(cluster::decode_status(status?)?),
--- a/crates/pinerill-wire/src/codec/text.rs
+++ b/crates/pinerill-wire/src/codec/text.rs
@@ -63,3 +63,13 @@
 pub(super) fn strings(reader: text_list::Reader<'_>) -> Result<Vec<String>, CodecError> {
     reader.iter().map(|one| string(one?)).collect()
 }
+
+/// Writes each text at its place; the list has as many as there are.
+pub(super) fn encode_strings<'a>(
+    mut list: text_list::Builder<'_>,
+    texts: impl IntoIterator<Item = &'a str>,
+) {
+    for (index, text) in texts.into_iter().enumerate() {
+        list.set(index as u32, text);
+    }
+}
