wire: tests of connections share what they set up and ask

Cause: five tests opened the same connection, two sent a broken frame and asked the same of it, two asked the same of a leader's hint, and one started a server by hand although start_as does it.

Ruled out: one test over both broken frames, which would tell less when it fails.

--- a/crates/pinerill-wire/tests/connections.rs
+++ b/crates/pinerill-wire/tests/connections.rs
@@ -100,6 +100,11 @@
     start_service(Control { leader }, identity).await
 }
 
+async fn start_electing(refusals: u64) -> Server {
+    let refusals_left = AtomicU64::new(refusals);
+    start_service(Electing { refusals_left }, identity("home", 1)).await
+}
+
 async fn start_service(service: impl Service, identity: Identity) -> Server {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
     let address = listener.local_addr().expect("bound");
@@ -130,6 +135,22 @@
         })
 }
 
+/// A connection of a process of the server's cluster.
+async fn open_home(server: &Server) -> Connection {
+    let opened = open(server.address, identity("home", 1)).await;
+    opened.expect("open")
+}
+
+/// Why the server refuses this process.
+async fn reason_of_refusal(server: &Server, identity: Identity) -> String {
+    let refused = open(server.address, identity).await.err();
+    refused.expect("must be refused")
+}
+
+fn requests(server: &Server) -> u64 {
+    server.counters.requests.load(Ordering::Relaxed)
+}
+
 fn status() -> Request {
     Request::ClusterStatus(ClusterStatusRequest)
 }
@@ -137,8 +158,7 @@
 #[tokio::test]
 async fn stranger_without_the_key_is_refused_by_name_of_the_reason() {
     let server = start(None).await;
-    let refused = open(server.address, identity("home", 2)).await.err();
-    let reason = refused.expect("must be refused");
+    let reason = reason_of_refusal(&server, identity("home", 2)).await;
     assert!(
         reason.contains("handshake") && reason.contains("does not know the cluster key"),
         "{reason}"
@@ -148,8 +168,7 @@
 #[tokio::test]
 async fn process_of_another_cluster_is_refused() {
     let server = start(None).await;
-    let refused = open(server.address, identity("away", 1)).await.err();
-    let reason = refused.expect("must be refused");
+    let reason = reason_of_refusal(&server, identity("away", 1)).await;
     assert!(
         reason.contains("this is cluster `home`, not `away`"),
         "{reason}"
@@ -158,31 +177,19 @@
 
 #[tokio::test]
 async fn data_folder_of_another_cluster_is_refused() {
-    let server_identity = identity("home", 1).with_replica(1, 10);
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
-    let address = listener.local_addr().expect("bound");
-    let stop = CancellationToken::new();
-    tokio::spawn(serve(
-        listener,
-        server_identity,
-        Arc::new(Control { leader: None }),
-        Arc::new(ServerCounters::default()),
-        stop.clone(),
-    ));
+    let server = start_as(None, identity("home", 1).with_replica(1, 10)).await;
     let other = identity("home", 1).with_replica(2, 11);
-    let reason = open(address, other).await.err().expect("must be refused");
+    let reason = reason_of_refusal(&server, other).await;
     assert!(reason.contains("cluster identity"), "{reason}");
     let newcomer = identity("home", 1).with_replica(3, 0);
-    open(address, newcomer).await.expect("a newcomer is let in");
-    stop.cancel();
+    let opened = open(server.address, newcomer).await;
+    opened.expect("a newcomer is let in");
 }
 
 #[tokio::test]
 async fn answers_find_their_calls_out_of_order() {
     let server = start(None).await;
-    let connection = open(server.address, identity("home", 1))
-        .await
-        .expect("open");
+    let connection = open_home(&server).await;
     let call = |lost| {
         let connection = connection.clone();
         async move {
@@ -200,9 +207,7 @@
 #[tokio::test]
 async fn late_answer_ends_as_unknown_and_harms_no_other_call() {
     let server = start(None).await;
-    let connection = open(server.address, identity("home", 1))
-        .await
-        .expect("open");
+    let connection = open_home(&server).await;
     let (late, soon) = tokio::join!(
         connection.call(Request::BundleShow(BundleShow), SHORT),
         connection.call(status(), LONG),
@@ -234,26 +239,25 @@
         .any(|part| part == text.as_bytes())
 }
 
-#[tokio::test]
-async fn too_long_frame_closes_only_its_connection() {
+/// These bytes end their connection for this reason, and no other one.
+async fn assert_closes_only_its_connection(bytes: &[u8], reason: &str) {
     let server = start(None).await;
-    let good = open(server.address, identity("home", 1))
-        .await
-        .expect("open");
-    let answer = raw(server.address, &framed(u32::MAX, &[])).await;
-    assert!(contains(&answer, "a frame of 4294967295 bytes"));
+    let good = open_home(&server).await;
+    let answer = raw(server.address, bytes).await;
+    assert!(contains(&answer, reason));
     assert_eq!(good.call(status(), LONG).await, Ok(Response::Done));
 }
 
+#[tokio::test]
+async fn too_long_frame_closes_only_its_connection() {
+    let frame = framed(u32::MAX, &[]);
+    assert_closes_only_its_connection(&frame, "a frame of 4294967295 bytes").await;
+}
+
 #[tokio::test]
 async fn malformed_frame_closes_only_its_connection() {
-    let server = start(None).await;
-    let good = open(server.address, identity("home", 1))
-        .await
-        .expect("open");
-    let answer = raw(server.address, &framed(16, &[0xff; 16])).await;
-    assert!(contains(&answer, "malformed message"));
-    assert_eq!(good.call(status(), LONG).await, Ok(Response::Done));
+    let frame = framed(16, &[0xff; 16]);
+    assert_closes_only_its_connection(&frame, "malformed message").await;
 }
 
 #[tokio::test]
@@ -262,11 +266,7 @@
     let message = encode_frame(&Frame::Request(status()));
     let answer = raw(server.address, &framed(message.len() as u32, &message)).await;
     assert!(contains(&answer, "unexpected frame instead of a hello"));
-    let served = server
-        .counters
-        .requests
-        .load(std::sync::atomic::Ordering::Relaxed);
-    assert_eq!(served, 0);
+    assert_eq!(requests(&server), 0);
 }
 
 /// Makes the client ask `address` first for group 3.
@@ -278,16 +278,22 @@
     }]);
 }
 
-#[tokio::test]
-async fn client_follows_the_leader_hint() {
-    let leader = start(None).await;
-    let follower = start(Some(leader.address)).await;
+/// A client that believes that the follower leads is served by the leader,
+/// and has asked the follower once.
+async fn assert_finds_leader_by_hint(follower: &Server, leader: &Server) {
     let addresses = [follower.address, leader.address];
     let client = ControlClient::new(identity("home", 1), &addresses);
     believe(&client, follower.address);
     let answer = client.call_leader(3, status(), LONG).await;
     assert_eq!(answer, Ok(Response::Done));
-    assert_eq!(requests(&follower), 1);
+    assert_eq!(requests(follower), 1);
+}
+
+#[tokio::test]
+async fn client_follows_the_leader_hint() {
+    let leader = start(None).await;
+    let follower = start(Some(leader.address)).await;
+    assert_finds_leader_by_hint(&follower, &leader).await;
 }
 
 #[tokio::test]
@@ -296,12 +302,7 @@
     let elsewhere = SocketAddr::from(([127, 0, 0, 1], 9));
     let leader = start_as(None, identity("home", 1).with_listen(elsewhere)).await;
     let follower = start(Some(elsewhere)).await;
-    let addresses = [follower.address, leader.address];
-    let client = ControlClient::new(identity("home", 1), &addresses);
-    believe(&client, follower.address);
-    let answer = client.call_leader(3, status(), LONG).await;
-    assert_eq!(answer, Ok(Response::Done));
-    assert_eq!(requests(&follower), 1);
+    assert_finds_leader_by_hint(&follower, &leader).await;
 }
 
 #[tokio::test]
@@ -313,12 +314,7 @@
     let error = answer.expect_err("the only machine does not lead");
     assert!(matches!(error.kind, CallErrorKind::Refused(_)));
     let accepted = &outside.counters.accepted;
-    assert_eq!(accepted.load(std::sync::atomic::Ordering::Relaxed), 0);
-}
-
-fn requests(server: &Server) -> u64 {
-    let requests = &server.counters.requests;
-    requests.load(std::sync::atomic::Ordering::Relaxed)
+    assert_eq!(accepted.load(Ordering::Relaxed), 0);
 }
 
 #[tokio::test]
@@ -335,8 +331,7 @@
 
 #[tokio::test]
 async fn client_awaits_a_leader_within_its_own_deadline() {
-    let refusals_left = AtomicU64::new(7);
-    let electing = start_service(Electing { refusals_left }, identity("home", 1)).await;
+    let electing = start_electing(7).await;
     let client = ControlClient::new(identity("home", 1), &[electing.address]);
     assert_eq!(client.call_any(status(), LONG).await, Ok(Response::Done));
     assert_eq!(requests(&electing), 8);
@@ -344,8 +339,7 @@
 
 #[tokio::test]
 async fn client_gives_up_at_its_deadline_with_the_refusal() {
-    let refusals_left = AtomicU64::new(u64::MAX);
-    let electing = start_service(Electing { refusals_left }, identity("home", 1)).await;
+    let electing = start_electing(u64::MAX).await;
     let client = ControlClient::new(identity("home", 1), &[electing.address]);
     let answer = client.call_any(status(), SHORT).await;
     let error = answer.expect_err("there is never a leader");
@@ -355,9 +349,7 @@
 #[tokio::test]
 async fn call_in_flight_ends_as_unknown_when_the_connection_breaks() {
     let server = start(None).await;
-    let connection = open(server.address, identity("home", 1))
-        .await
-        .expect("open");
+    let connection = open_home(&server).await;
     let call = connection.call(Request::BundleShow(BundleShow), LONG);
     let close = async {
         tokio::time::sleep(SHORT).await;
