rehearse: tests start from one record and one ledger line

Cause: four test files each built a whole OnlineRecord and a whole LedgerLine, of which most fields are the same in all and of no matter to the test.

Change: common/records.rs with online_record and ledger_line; each test sets the fields that it is about.

Ruled out: a Default of the types themselves, which would let the program leave fields out too.

--- a/crates/pinerill-rehearse/tests/bench_failures.rs
+++ b/crates/pinerill-rehearse/tests/bench_failures.rs
@@ -1,8 +1,11 @@
 //! What fails in the bench's phase with failures, and the arithmetic of what
 //! it cost.
 
+mod common;
+
 use std::time::Duration;
 
+use common::records::{ledger_line, online_record};
 use pinerill_rehearse::bench::failures::{
     cut_requests, plan_failures, FailureFigures, FailureKind, FailureNotes, FleetSize, Injected,
 };
@@ -10,7 +13,6 @@
 use pinerill_rehearse::engine::messages::Priority;
 use pinerill_rehearse::ledger::{LedgerEvent, LedgerLine};
 use pinerill_rehearse::load::record::{OnlineEnd, OnlineRecord};
-use pinerill_rehearse::load::schedule::OnlineKind;
 
 const SECOND_US: u64 = 1_000_000;
 /// The worker is killed at this time.
@@ -20,17 +22,9 @@
 
 fn record(number: u64, due_us: u64, end: OnlineEnd) -> OnlineRecord {
     OnlineRecord {
-        number,
-        request_id: format!("request-{number}"),
-        kind: OnlineKind::Short,
-        in_burst: false,
-        at_most_once: false,
-        content: format!("content-{number}"),
         due_us,
         first_token_us: (end == OnlineEnd::Completed).then_some(number * 1_000),
-        gaps_us: Vec::new(),
-        tokens: 4,
-        end,
+        ..online_record(number, end)
     }
 }
 
@@ -46,20 +40,8 @@
     LedgerLine {
         time_us,
         arrived_us: time_us,
-        first_token_us: None,
         engine: format!("{worker}/0"),
-        incarnation: 1,
-        event,
-        request_id: format!("request-{number}"),
-        content: format!("content-{number}"),
-        model: "m@1".to_owned(),
-        priority: Priority::Online,
-        prompt_tokens: 8,
-        cached_tokens: 0,
-        continue_from: 0,
-        generated: 4,
-        recomputed_tokens: 0,
-        digest: None,
+        ..ledger_line(number, event)
     }
 }
 
--- a/crates/pinerill-rehearse/tests/bench_roles.rs
+++ b/crates/pinerill-rehearse/tests/bench_roles.rs
@@ -1,45 +1,25 @@
 //! The arithmetic of the comparison of roles.
 
+mod common;
+
+use common::records::{ledger_line, online_record};
 use pinerill_rehearse::bench::roles::{split_placement, RoleFigures};
-use pinerill_rehearse::engine::messages::{EngineUsage, Priority};
+use pinerill_rehearse::engine::messages::EngineUsage;
 use pinerill_rehearse::ledger::{LedgerEvent, LedgerLine};
 use pinerill_rehearse::load::record::{OnlineEnd, OnlineRecord};
 use pinerill_rehearse::load::schedule::OnlineKind;
 
 fn record(number: u64, kind: OnlineKind, end: OnlineEnd) -> OnlineRecord {
     OnlineRecord {
-        number,
-        request_id: format!("request-{number}"),
         kind,
-        in_burst: false,
-        at_most_once: false,
-        content: format!("content-{number}"),
-        due_us: 0,
-        first_token_us: None,
-        gaps_us: Vec::new(),
-        tokens: 4,
-        end,
+        ..online_record(number, end)
     }
 }
 
 fn line(number: u64, request_id: &str, event: LedgerEvent) -> LedgerLine {
     LedgerLine {
-        time_us: 1,
-        arrived_us: 1,
-        first_token_us: None,
-        engine: "worker-1/0".to_owned(),
-        incarnation: 1,
-        event,
         request_id: request_id.to_owned(),
-        content: format!("content-{number}"),
-        model: "m@1".to_owned(),
-        priority: Priority::Online,
-        prompt_tokens: 8,
-        cached_tokens: 0,
-        continue_from: 0,
-        generated: 4,
-        recomputed_tokens: 0,
-        digest: None,
+        ..ledger_line(number, event)
     }
 }
 
--- a/crates/pinerill-rehearse/tests/common/mod.rs
+++ b/crates/pinerill-rehearse/tests/common/mod.rs
@@ -1,7 +1,9 @@
-//! What the tests that start stand-ins share.
+//! What several tests share.
 
 #![allow(dead_code)]
 
+pub mod records;
+
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
--- a/crates/pinerill-rehearse/tests/engine_sightings.rs
+++ b/crates/pinerill-rehearse/tests/engine_sightings.rs
@@ -1,15 +1,16 @@
 //! What scenarios see of engines over time, and whether answers come from one
 //! version of a model.
 
+mod common;
+
 use std::collections::BTreeMap;
 
+use common::records::{ledger_line, online_record};
 use pinerill_control::placement::engine_state::{EngineRole, EngineState, HeldModel, LoadState};
 use pinerill_rehearse::check::{check_versions, History, LedgerIndex};
-use pinerill_rehearse::engine::messages::Priority;
 use pinerill_rehearse::faults::engines::{count_role, EngineStates, Sightings};
 use pinerill_rehearse::ledger::{LedgerEvent, LedgerLine};
-use pinerill_rehearse::load::record::{OnlineEnd, OnlineRecord};
-use pinerill_rehearse::load::schedule::OnlineKind;
+use pinerill_rehearse::load::record::OnlineEnd;
 use pinerill_types::Fence;
 
 fn state(models: &[(&str, LoadState)]) -> EngineState {
@@ -87,38 +88,17 @@
     LedgerLine {
         time_us,
         arrived_us: time_us,
-        first_token_us: None,
         engine: engine.to_owned(),
-        incarnation: 1,
-        event: LedgerEvent::Started,
-        request_id: "r".to_owned(),
-        content: "c".to_owned(),
         model: model.to_owned(),
-        priority: Priority::Online,
-        prompt_tokens: 8,
-        cached_tokens: 0,
         continue_from,
         generated: continue_from,
-        recomputed_tokens: 0,
-        digest: None,
+        ..ledger_line(1, LedgerEvent::Started)
     }
 }
 
 fn violations(lines: &[LedgerLine]) -> usize {
     let history = History {
-        online: vec![OnlineRecord {
-            number: 0,
-            request_id: "r".to_owned(),
-            kind: OnlineKind::Short,
-            in_burst: false,
-            at_most_once: false,
-            content: "c".to_owned(),
-            due_us: 0,
-            first_token_us: None,
-            gaps_us: Vec::new(),
-            tokens: 4,
-            end: OnlineEnd::Completed,
-        }],
+        online: vec![online_record(1, OnlineEnd::Completed)],
         ..History::default()
     };
     check_versions(&history, &LedgerIndex::new(lines))
--- a/crates/pinerill-rehearse/tests/history_checks.rs
+++ b/crates/pinerill-rehearse/tests/history_checks.rs
@@ -1,6 +1,9 @@
 //! The checks of histories find each kind of broken promise, and nothing in a
 //! history that keeps them all.
 
+mod common;
+
+use common::records::{ledger_line, online_record};
 use pinerill_rehearse::check::{
     check_history, yield_times, Cancel, History, ItemObservation, JobHistory, KilledWorker,
     LeavingWorker, LedgerIndex, Verdict, CANCEL_GRACE, LEAVING_LIMIT,
@@ -10,7 +13,6 @@
 use pinerill_rehearse::load::content::{AnsweredBy, BatchItem, ContentContext};
 use pinerill_rehearse::load::profile::load_profile;
 use pinerill_rehearse::load::record::{OnlineEnd, OnlineRecord};
-use pinerill_rehearse::load::schedule::OnlineKind;
 use pinerill_rehearse::preset::PresetName;
 use pinerill_types::job::{ItemState, JobState};
 
@@ -21,24 +23,15 @@
     LedgerLine {
         time_us,
         arrived_us: time_us,
-        first_token_us: None,
         engine: engine.to_owned(),
-        incarnation: 1,
-        event,
         request_id: format!("{content}-{engine}"),
         content: content.to_owned(),
-        model: "m@1".to_owned(),
-        priority: Priority::Online,
-        prompt_tokens: 8,
-        cached_tokens: 0,
-        continue_from: 0,
         generated: if event == LedgerEvent::Started {
             0
         } else {
             TOKENS
         },
-        recomputed_tokens: 0,
-        digest: None,
+        ..ledger_line(0, event)
     }
 }
 
@@ -52,17 +45,12 @@
 
 fn record(content: &str, end: OnlineEnd) -> OnlineRecord {
     OnlineRecord {
-        number: 0,
         request_id: format!("request-{content}"),
-        kind: OnlineKind::Short,
-        in_burst: false,
         at_most_once: true,
         content: content.to_owned(),
-        due_us: 0,
         first_token_us: Some(1),
-        gaps_us: Vec::new(),
         tokens: TOKENS,
-        end,
+        ..online_record(0, end)
     }
 }
 
