rehearse: what fails workers in a bench holds what both failures need

Cause: killing a worker and letting one leave took the same five arguments and restarted the worker with the same two calls, each by hand.

Change: FailingWorkers holds the launcher, the stand-ins, the start and the lost usage; kill and let_leave are its methods, over restart, list and note_lost. The order of steps and the times that are noted are as before.

Ruled out: one function with a flag for both; what they do between the waits differs.

No test starts this phase of the bench, and the bench itself was not run.

--- a/crates/pinerill-rehearse/src/bench/failures/inject.rs
+++ b/crates/pinerill-rehearse/src/bench/failures/inject.rs
@@ -90,78 +90,92 @@
     Ok((injected, lost))
 }
 
-async fn fail_workers(
-    launcher: &Launcher,
-    standins: &mut StandIns,
-    plan: FailurePlan,
+/// The stand-ins while their workers fail, and what failing cost them.
+struct FailingWorkers<'a> {
+    launcher: &'a Launcher,
+    standins: &'a mut StandIns,
     start: Instant,
-) -> anyhow::Result<(Vec<Injected>, LostUsage)> {
-    let mut lost = LostUsage::default();
-    let killed = kill_worker(launcher, standins, plan.killed, start, &mut lost).await?;
-    let left = let_worker_leave(launcher, standins, plan.leaving, start, &mut lost).await?;
-    Ok((vec![killed, left], lost))
+    lost: LostUsage,
 }
 
-async fn kill_worker(
-    launcher: &Launcher,
-    standins: &mut StandIns,
-    failure: PlannedFailure,
-    start: Instant,
-    lost: &mut LostUsage,
-) -> anyhow::Result<Injected> {
-    let index = failure.subject;
-    sleep_until(start + failure.at).await;
-    note_lost(standins, index, lost).await?;
-    let at_us = unix_us();
-    standins.workers[index].process.signal(Signal::Kill)?;
-    sleep(failure.lasts).await;
-    standins.workers[index].restart(launcher)?;
-    standins.await_worker(index).await?;
-    Ok(Injected {
-        kind: failure.kind,
-        subject: standins.workers[index].place.name.clone(),
-        at_us,
-        healed_us: unix_us(),
-        sign_us: at_us,
-    })
+impl FailingWorkers<'_> {
+    async fn kill(&mut self, failure: PlannedFailure) -> anyhow::Result<Injected> {
+        let index = failure.subject;
+        sleep_until(self.start + failure.at).await;
+        self.note_lost(index).await?;
+        let at_us = unix_us();
+        self.standins.workers[index].process.signal(Signal::Kill)?;
+        sleep(failure.lasts).await;
+        self.restart(index).await?;
+        Ok(Injected {
+            kind: failure.kind,
+            subject: self.standins.workers[index].place.name.clone(),
+            at_us,
+            healed_us: unix_us(),
+            sign_us: at_us,
+        })
+    }
+
+    /// The list says that it leaves; only its replacement stops the process.
+    async fn let_leave(&mut self, failure: PlannedFailure) -> anyhow::Result<Injected> {
+        let index = failure.subject;
+        sleep_until(self.start + failure.at).await;
+        self.list(index, MachineState::Leaving).await?;
+        let at_us = unix_us();
+        sleep(failure.lasts).await;
+        self.note_lost(index).await?;
+        let worker = &mut self.standins.workers[index];
+        worker.process.stop(WORKER_STOP).await?;
+        let healed_us = unix_us();
+        self.restart(index).await?;
+        self.list(index, MachineState::Live).await?;
+        Ok(Injected {
+            kind: failure.kind,
+            subject: self.standins.workers[index].place.name.clone(),
+            at_us,
+            healed_us,
+            sign_us: at_us + PLATFORM_LAG.as_micros() as u64,
+        })
+    }
+
+    /// Starts the worker's replacement and waits until it is ready.
+    async fn restart(&mut self, index: usize) -> anyhow::Result<()> {
+        self.standins.workers[index].restart(self.launcher)?;
+        self.standins.await_worker(index).await
+    }
+
+    async fn list(&self, index: usize, state: MachineState) -> anyhow::Result<()> {
+        let worker = &self.standins.workers[index];
+        self.standins.list_worker(worker, state).await
+    }
+
+    async fn note_lost(&mut self, index: usize) -> anyhow::Result<()> {
+        let usage = self.standins.usage_of(index).await;
+        crate::fleet::standins::add_usage(&mut self.lost.engines, &usage);
+        let process = self.standins.workers[index].process.id();
+        self.lost
+            .processes
+            .workers
+            .add(&Usage::of_process(process)?);
+        Ok(())
+    }
 }
 
-/// The list says that it leaves; only its replacement stops the process.
-async fn let_worker_leave(
+async fn fail_workers(
     launcher: &Launcher,
     standins: &mut StandIns,
-    failure: PlannedFailure,
+    plan: FailurePlan,
     start: Instant,
-    lost: &mut LostUsage,
-) -> anyhow::Result<Injected> {
-    let index = failure.subject;
-    sleep_until(start + failure.at).await;
-    let worker = &standins.workers[index];
-    standins.list_worker(worker, MachineState::Leaving).await?;
-    let at_us = unix_us();
-    sleep(failure.lasts).await;
-    note_lost(standins, index, lost).await?;
-    standins.workers[index].process.stop(WORKER_STOP).await?;
-    let healed_us = unix_us();
-    standins.workers[index].restart(launcher)?;
-    standins.await_worker(index).await?;
-    let worker = &standins.workers[index];
-    standins.list_worker(worker, MachineState::Live).await?;
-    Ok(Injected {
-        kind: failure.kind,
-        subject: worker.place.name.clone(),
-        at_us,
-        healed_us,
-        sign_us: at_us + PLATFORM_LAG.as_micros() as u64,
-    })
-}
-
-async fn note_lost(standins: &StandIns, index: usize, lost: &mut LostUsage) -> anyhow::Result<()> {
-    let usage = standins.usage_of(index).await;
-    crate::fleet::standins::add_usage(&mut lost.engines, &usage);
-    let process = standins.workers[index].process.id();
-    lost.processes.workers.add(&Usage::of_process(process)?);
-    Ok(())
+) -> anyhow::Result<(Vec<Injected>, LostUsage)> {
+    let mut workers = FailingWorkers {
+        launcher,
+        standins,
+        start,
+        lost: LostUsage::default(),
+    };
+    let killed = workers.kill(plan.killed).await?;
+    let left = workers.let_leave(plan.leaving).await?;
+    Ok((vec![killed, left], workers.lost))
 }
 
 async fn stop_node(
