rehearse: one function draws the lines of a plot on any axis

Cause: the linear and the logarithmic plot were two functions that differed in the vertical axis alone.

Change: draw_lines takes the vertical axis; draw picks it.

Ruled out: always a logarithmic axis, which hides that a rate is zero.

--- a/crates/pinerill-rehearse/src/bench/plots.rs
+++ b/crates/pinerill-rehearse/src/bench/plots.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use anyhow::anyhow;
+use plotters::coord::ranged1d::{AsRangedCoord, ValueFormatter};
 use plotters::coord::Shift;
 use plotters::prelude::*;
 
@@ -102,9 +103,13 @@
 fn draw(folder: &Path, plot: &Plot, lines: &[Line], scale: Scale) -> anyhow::Result<()> {
     let path = folder.join(plot.file);
     let area = SVGBackend::new(&path, SIZE).into_drawing_area();
+    let (right, top) = bounds(lines);
     let drawn = match scale {
-        Scale::Linear => draw_linear(&area, plot, lines),
-        Scale::Logarithmic => draw_logarithmic(&area, plot, lines),
+        Scale::Linear => draw_lines(&area, plot, lines, right, 0.0..top * HEADROOM),
+        Scale::Logarithmic => {
+            let highest = top.max(LOWEST_MS * 10.0) * HEADROOM;
+            draw_lines(&area, plot, lines, right, (LOWEST_MS..highest).log_scale())
+        }
     };
     drawn.map_err(|error| anyhow!("drawing {}: {error}", path.display()))?;
     area.present()
@@ -115,29 +120,19 @@
 type DrawResult<'a> =
     Result<(), DrawingAreaErrorKind<<SVGBackend<'a> as DrawingBackend>::ErrorType>>;
 
-fn draw_linear<'a>(area: &Area<'a>, plot: &Plot, lines: &[Line]) -> DrawResult<'a> {
-    area.fill(&WHITE)?;
-    let (right, top) = bounds(lines);
-    let mut chart = builder(area, plot).build_cartesian_2d(0.0..right, 0.0..top * HEADROOM)?;
-    chart.configure_mesh().x_desc("seconds").draw()?;
-    for (index, line) in lines.iter().enumerate() {
-        let color = Palette99::pick(index).to_rgba();
-        chart
-            .draw_series(LineSeries::new(line.points.iter().copied(), &color))?
-            .label(&line.name)
-            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color));
-    }
-    chart
-        .configure_series_labels()
-        .background_style(WHITE.mix(0.8))
-        .border_style(BLACK)
-        .draw()
-}
-
-fn draw_logarithmic<'a>(area: &Area<'a>, plot: &Plot, lines: &[Line]) -> DrawResult<'a> {
+/// Draws the lines over seconds up to `right`, on any `vertical` axis.
+fn draw_lines<'a, Y>(
+    area: &Area<'a>,
+    plot: &Plot,
+    lines: &[Line],
+    right: f64,
+    vertical: Y,
+) -> DrawResult<'a>
+where
+    Y: AsRangedCoord<Value = f64>,
+    Y::CoordDescType: ValueFormatter<f64>,
+{
     area.fill(&WHITE)?;
-    let (right, top) = bounds(lines);
-    let vertical = (LOWEST_MS..top.max(LOWEST_MS * 10.0) * HEADROOM).log_scale();
     let mut chart = builder(area, plot).build_cartesian_2d(0.0..right, vertical)?;
     chart.configure_mesh().x_desc("seconds").draw()?;
     for (index, line) in lines.iter().enumerate() {
