sim: bundles and jobs share what a scenario over a group is

Cause: both families of scenarios had their own Setup, their own type of scenario and their own run over a cluster, alike but for the clients.

Change: scenarios/group_scenario.rs has Setup, GroupScenario and family, generic over the settings of the clients; each family says by the trait ClientSettings what it starts from and what runs on its group. The planner of jobs is drawn from the setup.

Ruled out: a macro, and a common type of settings for both workloads.

--- a/crates/pinerill-sim/src/scenarios/job_faults.rs
+++ b/crates/pinerill-sim/src/scenarios/job_faults.rs
@@ -3,17 +3,12 @@
 use pinerill_node::batch::LEASE_MS;
 
 use super::jobs::Setup;
-use super::planning::{bad_links, client_fault, crash, direction, target, Planner, FIRST_MS};
+use super::planning::{bad_links, client_fault, crash, direction, target, FIRST_MS};
 use crate::cluster::{ClientFault, Direction, Fault, PlannedFault, Target};
 use crate::random::SimRng;
 
-fn planner<'a>(rng: &'a mut SimRng, setup: &'a mut Setup) -> Planner<'a> {
-    let plan = &mut setup.plan;
-    Planner { rng, plan }
-}
-
 fn plan_engine_deaths(rng: &mut SimRng, setup: &mut Setup, count: u64) {
-    let deaths: Vec<u64> = (0..count).map(|_| planner(rng, setup).moment()).collect();
+    let deaths: Vec<u64> = (0..count).map(|_| setup.planner(rng).moment()).collect();
     setup.workload.engine_deaths_ms = deaths;
 }
 
@@ -55,7 +50,7 @@
     setup.workload.engines.lost_share = 0.1;
     setup.workload.engines.refused_share = 0.1;
     plan_engine_deaths(rng, setup, 12);
-    planner(rng, setup).faults(8, restart_node);
+    setup.planner(rng).faults(8, restart_node);
 }
 
 pub(super) fn resent(rng: &mut SimRng, setup: &mut Setup) {
@@ -63,7 +58,7 @@
     setup.workload.style.resend_share = 0.5;
     setup.workload.style.min_pause_ms = 5;
     setup.workload.style.max_pause_ms = 300;
-    let mut planner = planner(rng, setup);
+    let mut planner = setup.planner(rng);
     planner.faults(6, bad_links);
     planner.faults(4, crash);
 }
@@ -71,7 +66,7 @@
 pub(super) fn cancel(rng: &mut SimRng, setup: &mut Setup) {
     setup.workload.style.cancel_share = 0.5;
     setup.workload.style.max_pause_ms = 300;
-    let mut planner = planner(rng, setup);
+    let mut planner = setup.planner(rng);
     planner.faults(8, |rng| Fault::Crash {
         target: Target::Leader,
         down_ms: rng.between(1, 900),
@@ -84,7 +79,7 @@
     setup.workload.style.once_share = 0.9;
     setup.workload.engines.lost_share = 0.05;
     plan_engine_deaths(rng, setup, 4);
-    let mut planner = planner(rng, setup);
+    let mut planner = setup.planner(rng);
     planner.faults(8, bad_links);
     planner.faults(6, crash);
     planner.faults(6, |rng| client_fault(rng, 8_000));
@@ -94,7 +89,7 @@
     setup.plan.duration_ms = 2 * LEASE_MS;
     setup.workload.style.once_share = 0.5;
     setup.workload.style.max_pause_ms = 1_500;
-    let mut planner = planner(rng, setup);
+    let mut planner = setup.planner(rng);
     planner.faults(6, |rng| {
         let duration_ms = rng.between(LEASE_MS / 2, LEASE_MS + 8_000);
         let direction = direction(rng);
@@ -114,14 +109,14 @@
     setup.cluster.max_sync_ms = 40;
     setup.cluster.slow_sync_share = 0.1;
     // All at once: what was acknowledged must be on the disks.
-    let at_ms = planner(rng, setup).moment();
+    let at_ms = setup.planner(rng).moment();
     for place in 0..setup.cluster.machines {
         let target = Target::Place(place);
         let down_ms = rng.between(1, 200);
         let fault = Fault::Crash { target, down_ms };
         setup.plan.faults.push(PlannedFault::at(at_ms, fault));
     }
-    let mut planner = planner(rng, setup);
+    let mut planner = setup.planner(rng);
     planner.faults(14, crash);
     planner.faults(4, lose_disk);
     planner.faults(4, split);
@@ -140,7 +135,7 @@
         let fault = Fault::Crash { target, down_ms };
         setup.plan.faults.push(PlannedFault::at(at_ms, fault));
     }
-    planner(rng, setup).faults(6, |rng| Fault::PlannedRestart {
+    setup.planner(rng).faults(6, |rng| Fault::PlannedRestart {
         target: target(rng),
     });
 }
@@ -155,7 +150,7 @@
     setup.workload.style.recent_share = 0.95;
     setup.workload.style.min_pause_ms = 1;
     setup.workload.style.max_pause_ms = 60;
-    let mut planner = planner(rng, setup);
+    let mut planner = setup.planner(rng);
     planner.faults(5, |rng| Fault::Cut {
         target: Target::Leader,
         direction: direction(rng),
@@ -189,7 +184,7 @@
     setup.workload.style.cancel_share = 0.15;
     setup.workload.wall_skew_ms = 2_000;
     plan_engine_deaths(rng, setup, 4);
-    let mut planner = planner(rng, setup);
+    let mut planner = setup.planner(rng);
     planner.faults(5, crash);
     planner.faults(3, lose_disk);
     planner.faults(3, cut);
--- a/crates/pinerill-sim/src/scenarios/mod.rs
+++ b/crates/pinerill-sim/src/scenarios/mod.rs
@@ -2,6 +2,7 @@
 
 mod bundle_faults;
 pub mod bundles;
+mod group_scenario;
 mod job_faults;
 pub mod jobs;
 mod planning;
