sim: faults of bundles are planned as those of jobs

Cause: bundle_faults.rs had its own moments, targets, directions and crashes beside those of planning.rs, and a loop of its own for each kind of fault, in pairs that differ in a number.

Change: the planner has faults_after_moments, which draws as the scenarios of bundles do (all moments first), and shares lose_disk and bad_links_for; a plan takes a fault with Plan::add.

Ruled out: one order of draws for both families. It would give every seed another run, and with it the seeds that are recorded and those that catch the mutants.

--- a/crates/pinerill-sim/src/cluster/settings.rs
+++ b/crates/pinerill-sim/src/cluster/settings.rs
@@ -4,7 +4,7 @@
 use pinerill_replica::{GroupId, ReplicaConfig, ReplicaId};
 
 use super::clock::MAX_SKEW_PPM;
-use super::fault::PlannedFault;
+use super::fault::{Fault, PlannedFault};
 use super::network::LinkQuality;
 
 /// The simulated group.
@@ -84,3 +84,10 @@
     /// virtual milliseconds.
     pub rest_limit_ms: u64,
 }
+
+impl Plan {
+    /// Adds a fault at a virtual time.
+    pub fn add(&mut self, at_ms: u64, fault: Fault) {
+        self.faults.push(PlannedFault::at(at_ms, fault));
+    }
+}
--- a/crates/pinerill-sim/src/scenarios/bundle_faults.rs
+++ b/crates/pinerill-sim/src/scenarios/bundle_faults.rs
@@ -1,36 +1,20 @@
 //! What the scenarios of bundles bring about.
 
 use super::bundles::Setup;
+use super::planning::{bad_links_for, crash, direction, lose_disk, one_of, target, FIRST_MS};
 use crate::cluster::{ClientFault, Direction, Fault, PlannedFault, Target, Trigger};
 use crate::random::SimRng;
 
-/// When the first fault may happen: a leader is there and the cluster is
-/// founded, virtual milliseconds.
-const FIRST_MS: u64 = 1_500;
-
-const DIRECTIONS: [Direction; 3] = [Direction::Both, Direction::Inbound, Direction::Outbound];
-const TARGETS: [Target; 3] = [Target::Leader, Target::Follower, Target::Any];
-
-/// Moments at which `count` faults happen.
-fn moments(rng: &mut SimRng, setup: &Setup, count: u64) -> Vec<u64> {
-    let last_ms = setup.plan.duration_ms - 500;
-    (0..count).map(|_| rng.between(FIRST_MS, last_ms)).collect()
-}
-
-fn plan(setup: &mut Setup, at_ms: u64, fault: Fault) {
-    setup.plan.faults.push(PlannedFault::at(at_ms, fault));
-}
-
-fn any<T: Copy>(rng: &mut SimRng, from: &[T]) -> T {
-    from[rng.below(from.len())]
-}
-
-fn plan_crashes(rng: &mut SimRng, setup: &mut Setup, count: u64) {
-    for at_ms in moments(rng, setup, count) {
-        let target = any(rng, &TARGETS);
-        let down_ms = rng.between(1, 900);
-        plan(setup, at_ms, Fault::Crash { target, down_ms });
-    }
+fn client_fault(rng: &mut SimRng) -> Fault {
+    let duration_ms = rng.between(500, 5_000);
+    Fault::Client(match rng.below(4) {
+        0 => ClientFault::Restart,
+        1 => ClientFault::Freeze { duration_ms },
+        _ => ClientFault::Cut {
+            duration_ms,
+            direction: direction(rng),
+        },
+    })
 }
 
 pub(super) fn crash_unsynced(rng: &mut SimRng, setup: &mut Setup) {
@@ -38,13 +22,14 @@
     setup.cluster.max_sync_ms = 40;
     setup.cluster.slow_sync_share = 0.1;
     setup.workload.nodes = 1;
-    plan_crashes(rng, setup, 18);
+    let mut planner = setup.planner(rng);
+    planner.faults_after_moments(18, crash);
     // All at once: what was acknowledged must be on the disks.
-    let at_ms = moments(rng, setup, 1)[0];
+    let at_ms = planner.moment();
     for place in 0..setup.cluster.machines {
         let target = Target::Place(place);
         let down_ms = rng.between(1, 200);
-        plan(setup, at_ms, Fault::Crash { target, down_ms });
+        setup.plan.add(at_ms, Fault::Crash { target, down_ms });
     }
 }
 
@@ -85,7 +70,7 @@
 /// Leaders that are cut off right after they won leave entries behind that
 /// no majority has, of which several terms then compete.
 pub(super) fn leader_churn(rng: &mut SimRng, setup: &mut Setup) {
-    setup.cluster.machines = any(rng, &[3, 5]);
+    setup.cluster.machines = one_of(rng, &[3, 5]);
     setup.cluster.max_append_bytes = 1;
     setup.cluster.election_min_ms = 250;
     setup.cluster.election_max_ms = 450;
@@ -112,51 +97,39 @@
                 target,
                 down_ms: duration_ms,
             },
-            1 => cut(any(rng, &DIRECTIONS)),
+            1 => cut(direction(rng)),
             _ => cut(Direction::Outbound),
         };
         setup.plan.faults.push(PlannedFault { trigger, fault });
     }
 }
 
-fn plan_lost_disks(rng: &mut SimRng, setup: &mut Setup, count: u64) {
-    for at_ms in moments(rng, setup, count) {
-        let target = any(rng, &TARGETS);
-        let down_ms = rng.between(1, 600);
-        plan(setup, at_ms, Fault::LoseDisk { target, down_ms });
-    }
-}
-
 pub(super) fn lost_disk_after_ack(rng: &mut SimRng, setup: &mut Setup) {
     setup.workload.style.min_pause_ms = 1;
     setup.workload.style.max_pause_ms = 60;
     setup.workload.nodes = 1;
-    plan_lost_disks(rng, setup, 6);
-    for at_ms in moments(rng, setup, 6) {
-        let duration_ms = rng.between(100, 1_500);
-        let smaller = rng.between(1, 2) as usize;
-        let fault = Fault::Split {
-            smaller,
-            duration_ms,
-        };
-        plan(setup, at_ms, fault);
-    }
+    let mut planner = setup.planner(rng);
+    planner.faults_after_moments(6, lose_disk);
+    planner.faults_after_moments(6, |rng| Fault::Split {
+        duration_ms: rng.between(100, 1_500),
+        smaller: rng.between(1, 2) as usize,
+    });
 }
 
 pub(super) fn second_loss_after_repair(rng: &mut SimRng, setup: &mut Setup) {
     setup.workload.nodes = 1;
     let fault = |rng: &mut SimRng| Fault::LoseDisk {
-        target: any(rng, &TARGETS),
+        target: target(rng),
         down_ms: rng.between(1, 400),
     };
     let first = fault(rng);
     let first_ms = rng.between(FIRST_MS, FIRST_MS + 1_000);
-    plan(setup, first_ms, first);
+    setup.plan.add(first_ms, first);
     // Sometimes a second one is lost while the first is under repair.
     if rng.chance(0.5) {
         let second = fault(rng);
         let second_ms = first_ms + rng.between(1, 800);
-        plan(setup, second_ms, second);
+        setup.plan.add(second_ms, second);
     }
     for number in 1..=5 {
         let trigger = Trigger::AfterRepair {
@@ -172,24 +145,19 @@
     setup.workload.style.read_share = 0.6;
     setup.workload.style.min_pause_ms = 5;
     setup.workload.style.max_pause_ms = 80;
-    for at_ms in moments(rng, setup, 4) {
-        let fault = Fault::Cut {
-            target: Target::Leader,
-            direction: any(rng, &DIRECTIONS),
-            clients: rng.chance(0.2),
-            duration_ms: rng.between(1_000, 6_000),
-        };
-        plan(setup, at_ms, fault);
-    }
-    for at_ms in moments(rng, setup, 2) {
-        let fault = Fault::Cut {
-            target: Target::Follower,
-            direction: any(rng, &DIRECTIONS),
-            clients: false,
-            duration_ms: rng.between(1_000, 6_000),
-        };
-        plan(setup, at_ms, fault);
-    }
+    let mut planner = setup.planner(rng);
+    planner.faults_after_moments(4, |rng| Fault::Cut {
+        target: Target::Leader,
+        direction: direction(rng),
+        clients: rng.chance(0.2),
+        duration_ms: rng.between(1_000, 6_000),
+    });
+    planner.faults_after_moments(2, |rng| Fault::Cut {
+        target: Target::Follower,
+        direction: direction(rng),
+        clients: false,
+        duration_ms: rng.between(1_000, 6_000),
+    });
 }
 
 pub(super) fn racing_operators(rng: &mut SimRng, setup: &mut Setup) {
@@ -200,10 +168,8 @@
     setup.workload.nodes = 1;
     setup.plan.duration_ms = 6_000;
     setup.cluster.quality.max_delay_ms = 20;
-    for at_ms in moments(rng, setup, 2) {
-        let duration_ms = rng.between(300, 1_500);
-        plan(setup, at_ms, Fault::BadLinks { duration_ms });
-    }
+    let mut planner = setup.planner(rng);
+    planner.faults_after_moments(2, bad_links_for(300, 1_500));
 }
 
 pub(super) fn resent_proposal(rng: &mut SimRng, setup: &mut Setup) {
@@ -211,11 +177,9 @@
     setup.workload.style.resend_share = 0.4;
     setup.workload.nodes = 1;
     setup.plan.duration_ms = 10_000;
-    for at_ms in moments(rng, setup, 3) {
-        let duration_ms = rng.between(300, 1_500);
-        plan(setup, at_ms, Fault::BadLinks { duration_ms });
-    }
-    plan_crashes(rng, setup, 3);
+    let mut planner = setup.planner(rng);
+    planner.faults_after_moments(3, bad_links_for(300, 1_500));
+    planner.faults_after_moments(3, crash);
 }
 
 pub(super) fn restart_after_hundreds(rng: &mut SimRng, setup: &mut Setup) {
@@ -228,7 +192,7 @@
     let longest_ms = setup.plan.duration_ms - FIRST_MS;
     for target in [Target::Follower, Target::Any] {
         let down_ms = rng.between(longest_ms / 2, longest_ms - 1_000);
-        plan(setup, FIRST_MS, Fault::Crash { target, down_ms });
+        setup.plan.add(FIRST_MS, Fault::Crash { target, down_ms });
     }
     let duration_ms = rng.between(longest_ms / 2, longest_ms - 1_000);
     let direction = Direction::Both;
@@ -236,63 +200,40 @@
         duration_ms,
         direction,
     };
-    plan(setup, FIRST_MS, Fault::Client(cut));
-    for at_ms in moments(rng, setup, 2) {
-        plan(setup, at_ms, Fault::Client(ClientFault::Restart));
-    }
+    setup.plan.add(FIRST_MS, Fault::Client(cut));
+    let mut planner = setup.planner(rng);
+    planner.faults_after_moments(2, |_| Fault::Client(ClientFault::Restart));
 }
 
 pub(super) fn frozen_leader(rng: &mut SimRng, setup: &mut Setup) {
     setup.workload.style.read_share = 0.5;
     setup.workload.style.max_pause_ms = 100;
-    for at_ms in moments(rng, setup, 6) {
-        let fault = Fault::Freeze {
-            target: any(rng, &[Target::Leader, Target::Leader, Target::Any]),
-            duration_ms: rng.between(200, 4_000),
-        };
-        plan(setup, at_ms, fault);
-    }
-}
-
-fn plan_client_faults(rng: &mut SimRng, setup: &mut Setup, count: u64) {
-    for at_ms in moments(rng, setup, count) {
-        let duration_ms = rng.between(500, 5_000);
-        let fault = match rng.below(4) {
-            0 => ClientFault::Restart,
-            1 => ClientFault::Freeze { duration_ms },
-            _ => ClientFault::Cut {
-                duration_ms,
-                direction: any(rng, &DIRECTIONS),
-            },
-        };
-        plan(setup, at_ms, Fault::Client(fault));
-    }
+    let mut planner = setup.planner(rng);
+    planner.faults_after_moments(6, |rng| Fault::Freeze {
+        target: one_of(rng, &[Target::Leader, Target::Leader, Target::Any]),
+        duration_ms: rng.between(200, 4_000),
+    });
 }
 
 pub(super) fn cut_off_nodes(rng: &mut SimRng, setup: &mut Setup) {
     setup.cluster.learners = 1;
     setup.workload.nodes = 6;
-    plan_client_faults(rng, setup, 10);
-    for at_ms in moments(rng, setup, 3) {
-        let duration_ms = rng.between(500, 3_000);
-        plan(setup, at_ms, Fault::BadLinks { duration_ms });
-    }
-    for at_ms in moments(rng, setup, 3) {
-        let fault = Fault::Cut {
-            target: Target::Any,
-            direction: any(rng, &DIRECTIONS),
-            clients: false,
-            duration_ms: rng.between(1_000, 5_000),
-        };
-        plan(setup, at_ms, fault);
-    }
+    let mut planner = setup.planner(rng);
+    planner.faults_after_moments(10, client_fault);
+    planner.faults_after_moments(3, bad_links_for(500, 3_000));
+    planner.faults_after_moments(3, |rng| Fault::Cut {
+        target: Target::Any,
+        direction: direction(rng),
+        clients: false,
+        duration_ms: rng.between(1_000, 5_000),
+    });
 }
 
 pub(super) fn planned_restarts(rng: &mut SimRng, setup: &mut Setup) {
     let mut at_ms = FIRST_MS;
     while at_ms < setup.plan.duration_ms - 1_000 {
-        let target = any(rng, &TARGETS);
-        plan(setup, at_ms, Fault::PlannedRestart { target });
+        let target = target(rng);
+        setup.plan.add(at_ms, Fault::PlannedRestart { target });
         at_ms += rng.between(300, 1_500);
     }
 }
@@ -303,33 +244,28 @@
     setup.workload.nodes = 4;
     setup.workload.operators = 4;
     setup.workload.style.impatient = rng.chance(0.3);
-    plan_crashes(rng, setup, 4);
-    plan_lost_disks(rng, setup, 4);
-    plan_client_faults(rng, setup, 4);
-    for at_ms in moments(rng, setup, 3) {
-        let fault = Fault::Cut {
-            target: any(rng, &TARGETS),
-            direction: any(rng, &DIRECTIONS),
-            clients: rng.chance(0.3),
-            duration_ms: rng.between(300, 4_000),
-        };
-        plan(setup, at_ms, fault);
-    }
-    for at_ms in moments(rng, setup, 3) {
-        let fault = Fault::Freeze {
-            target: any(rng, &TARGETS),
-            duration_ms: rng.between(200, 3_000),
-        };
-        plan(setup, at_ms, fault);
-    }
-    for at_ms in moments(rng, setup, 2) {
-        let duration_ms = rng.between(300, 2_000);
-        plan(setup, at_ms, Fault::BadLinks { duration_ms });
-        let smaller = rng.between(1, 2) as usize;
+    let mut planner = setup.planner(rng);
+    planner.faults_after_moments(4, crash);
+    planner.faults_after_moments(4, lose_disk);
+    planner.faults_after_moments(4, client_fault);
+    planner.faults_after_moments(3, |rng| Fault::Cut {
+        target: target(rng),
+        direction: direction(rng),
+        clients: rng.chance(0.3),
+        duration_ms: rng.between(300, 4_000),
+    });
+    planner.faults_after_moments(3, |rng| Fault::Freeze {
+        target: target(rng),
+        duration_ms: rng.between(200, 3_000),
+    });
+    for at_ms in planner.moments(2) {
+        let duration_ms = planner.rng.between(300, 2_000);
+        let smaller = planner.rng.between(1, 2) as usize;
         let split = Fault::Split {
             smaller,
             duration_ms,
         };
-        plan(setup, at_ms, split);
+        planner.plan.add(at_ms, Fault::BadLinks { duration_ms });
+        planner.plan.add(at_ms, split);
     }
 }
--- a/crates/pinerill-sim/src/scenarios/job_faults.rs
+++ b/crates/pinerill-sim/src/scenarios/job_faults.rs
@@ -3,12 +3,12 @@
 use pinerill_node::batch::LEASE_MS;
 
 use super::jobs::Setup;
-use super::planning::{bad_links, client_fault, crash, direction, target, FIRST_MS};
-use crate::cluster::{ClientFault, Direction, Fault, PlannedFault, Target};
+use super::planning::{bad_links, client_fault, crash, direction, lose_disk, target, FIRST_MS};
+use crate::cluster::{ClientFault, Direction, Fault, Target};
 use crate::random::SimRng;
 
 fn plan_engine_deaths(rng: &mut SimRng, setup: &mut Setup, count: u64) {
-    let deaths: Vec<u64> = (0..count).map(|_| setup.planner(rng).moment()).collect();
+    let deaths = setup.planner(rng).moments(count);
     setup.workload.engine_deaths_ms = deaths;
 }
 
@@ -23,13 +23,6 @@
     }
 }
 
-fn lose_disk(rng: &mut SimRng) -> Fault {
-    Fault::LoseDisk {
-        target: target(rng),
-        down_ms: rng.between(1, 600),
-    }
-}
-
 fn freeze(rng: &mut SimRng) -> Fault {
     Fault::Freeze {
         target: target(rng),
@@ -114,7 +107,7 @@
         let target = Target::Place(place);
         let down_ms = rng.between(1, 200);
         let fault = Fault::Crash { target, down_ms };
-        setup.plan.faults.push(PlannedFault::at(at_ms, fault));
+        setup.plan.add(at_ms, fault);
     }
     let mut planner = setup.planner(rng);
     planner.faults(14, crash);
@@ -133,7 +126,7 @@
         let target = Target::Place(place);
         let down_ms = LEASE_MS + rng.between(1_000, 3_000);
         let fault = Fault::Crash { target, down_ms };
-        setup.plan.faults.push(PlannedFault::at(at_ms, fault));
+        setup.plan.add(at_ms, fault);
     }
     setup.planner(rng).faults(6, |rng| Fault::PlannedRestart {
         target: target(rng),
@@ -171,8 +164,8 @@
             target,
             duration_ms,
         };
-        let faults = [cut, freeze].map(|fault| PlannedFault::at(at_ms, fault));
-        planner.plan.faults.extend(faults);
+        planner.plan.add(at_ms, cut);
+        planner.plan.add(at_ms, freeze);
     }
 }
 
--- a/crates/pinerill-sim/src/scenarios/planning.rs
+++ b/crates/pinerill-sim/src/scenarios/planning.rs
@@ -1,6 +1,6 @@
 //! Puts faults into a run's plan.
 
-use crate::cluster::{ClientFault, Direction, Fault, Plan, PlannedFault, Target};
+use crate::cluster::{ClientFault, Direction, Fault, Plan, Target};
 use crate::random::SimRng;
 
 /// When the first fault may happen: a leader is there, virtual milliseconds.
@@ -29,17 +29,36 @@
         for _ in 0..count {
             let at_ms = self.moment();
             let fault = draw(self.rng);
-            self.plan.faults.push(PlannedFault::at(at_ms, fault));
+            self.plan.add(at_ms, fault);
         }
     }
+
+    /// Moments at which `count` faults may happen, virtual milliseconds.
+    pub(super) fn moments(&mut self, count: u64) -> Vec<u64> {
+        (0..count).map(|_| self.moment()).collect()
+    }
+
+    /// Draws `count` moments and then as many faults. Every draw decides the
+    /// run of a seed, so the order of [`Planner::faults`] gives other runs.
+    pub(super) fn faults_after_moments(&mut self, count: u64, draw: impl Fn(&mut SimRng) -> Fault) {
+        for at_ms in self.moments(count) {
+            let fault = draw(self.rng);
+            self.plan.add(at_ms, fault);
+        }
+    }
+}
+
+/// One of the elements, of which there is at least one.
+pub(super) fn one_of<T: Copy>(rng: &mut SimRng, from: &[T]) -> T {
+    from[rng.below(from.len())]
 }
 
 pub(super) fn direction(rng: &mut SimRng) -> Direction {
-    DIRECTIONS[rng.below(DIRECTIONS.len())]
+    one_of(rng, &DIRECTIONS)
 }
 
 pub(super) fn target(rng: &mut SimRng) -> Target {
-    TARGETS[rng.below(TARGETS.len())]
+    one_of(rng, &TARGETS)
 }
 
 /// A crash of some machine.
@@ -50,10 +69,25 @@
     }
 }
 
+/// A machine that loses its disk.
+pub(super) fn lose_disk(rng: &mut SimRng) -> Fault {
+    Fault::LoseDisk {
+        target: target(rng),
+        down_ms: rng.between(1, 600),
+    }
+}
+
+/// Links that lose and delay for at least `shortest_ms` and at most
+/// `longest_ms`.
+pub(super) fn bad_links_for(shortest_ms: u64, longest_ms: u64) -> impl Fn(&mut SimRng) -> Fault {
+    move |rng| Fault::BadLinks {
+        duration_ms: rng.between(shortest_ms, longest_ms),
+    }
+}
+
 /// Links that lose and delay for a while.
 pub(super) fn bad_links(rng: &mut SimRng) -> Fault {
-    let duration_ms = rng.between(300, 3_000);
-    Fault::BadLinks { duration_ms }
+    bad_links_for(300, 3_000)(rng)
 }
 
 /// A restart, a freeze or a cut of some client, for at most `longest_ms`.
