sim: operators and callers call through one stub

Cause: the operator of bundles and the caller of jobs each kept their open call, the machine that is next and the patience for an answer, and tried again elsewhere with the same code. Eight places drew a machine from the count of machines by hand.

Change: ClientStub in cluster/client_stub.rs holds the client's calls (call, close, retry, is_waiting); Cluster has any_place and leader_or_any_place. What an answer means stays with each client.

Ruled out: nodes and repairs on the stub as well; they have several calls open at a time.

--- a/crates/pinerill-sim/src/bundle/operator.rs
+++ b/crates/pinerill-sim/src/bundle/operator.rs
@@ -8,12 +8,7 @@
 use super::founding::{short_digest, signed_next};
 use super::history::{BundleHistory, BundleOperation, BundleState, OperationId};
 use super::service::{BundleQuery, BundleService};
-use crate::cluster::{CallId, CallKind, ClientId, Cluster, Timer};
-
-/// How long an operator waits for one answer, milliseconds.
-const CALL_TIMEOUT_MS: u64 = 700;
-/// Calls after which an operation is given up.
-const MAX_ATTEMPTS: u32 = 12;
+use crate::cluster::{CallKind, ClientId, ClientStub, Cluster, Timer};
 
 /// How operators behave.
 #[derive(Clone, Copy, Debug)]
@@ -65,7 +60,6 @@
 pub(super) struct Running {
     pub(super) id: OperationId,
     pub(super) work: Work,
-    pub(super) call: Option<CallId>,
     pub(super) attempts: u32,
     /// Whether a machine may have taken an attempt whose answer is unknown.
     pub(super) unsure: bool,
@@ -73,12 +67,11 @@
 
 /// One operator.
 pub(super) struct BundleOperator {
-    pub(super) client: ClientId,
+    pub(super) stub: ClientStub,
     pub(super) style: OperatorStyle,
     pub(super) known: IndexedBundle,
     pub(super) running: Option<Running>,
     pub(super) past: Vec<Proposal>,
-    pub(super) machine: usize,
     /// Another bundle won: what is known is not in force any more.
     pub(super) outdated: bool,
     /// Reads once more before it rests.
@@ -91,12 +84,11 @@
 impl BundleOperator {
     pub(super) fn new(client: ClientId, style: OperatorStyle, known: IndexedBundle) -> Self {
         BundleOperator {
-            client,
+            stub: ClientStub::new(client),
             style,
             known,
             running: None,
             past: Vec::new(),
-            machine: 0,
             outdated: false,
             last_read: false,
             stopping: false,
@@ -119,7 +111,7 @@
         let pause_ms = cluster
             .rng()
             .between(style.min_pause_ms, style.max_pause_ms);
-        cluster.wake(self.client, pause_ms, Timer::Next);
+        cluster.wake(self.stub.client(), pause_ms, Timer::Next);
     }
 
     /// Begins or continues an operation.
@@ -129,17 +121,13 @@
         history: &mut BundleHistory,
         numbers: &mut u64,
     ) {
-        if self.last_read {
+        if self.last_read || self.stub.is_waiting() {
             return;
         }
-        match &self.running {
-            Some(running) if running.call.is_some() => {}
-            Some(_) => self.attempt(cluster, history),
-            None => {
-                self.begin(cluster, history, numbers);
-                self.attempt(cluster, history);
-            }
+        if self.running.is_none() {
+            self.begin(cluster, history, numbers);
         }
+        self.attempt(cluster, history);
     }
 
     fn begin(
@@ -181,13 +169,12 @@
                 }
             }
         };
-        let client = self.client.0;
+        let client = self.stub.client().0;
         cluster.note(|| format!("operator {client} begins {operation:?}"));
         let id = history.call(operation);
         self.running = Some(Running {
             id,
             work,
-            call: None,
             attempts: 0,
             unsure: false,
         });
@@ -202,7 +189,7 @@
             return;
         };
         running.attempts += 1;
-        if running.attempts > MAX_ATTEMPTS {
+        if running.attempts > ClientStub::MAX_ATTEMPTS {
             self.give_up(cluster, history);
             return;
         }
@@ -217,12 +204,7 @@
                 CallKind::Propose(encode(&MetaCommand::ProposeBundle(signed)))
             }
         };
-        let timeout_ms = if self.style.impatient {
-            cluster.rng().between(4, CALL_TIMEOUT_MS / 10)
-        } else {
-            CALL_TIMEOUT_MS
-        };
-        running.call = Some(cluster.call(self.client, self.machine, kind, timeout_ms));
+        self.stub.call(cluster, kind, self.style.impatient);
     }
 
     /// An operation that surely did nothing leaves the history; one that may
--- a/crates/pinerill-sim/src/bundle/operator_answers.rs
+++ b/crates/pinerill-sim/src/bundle/operator_answers.rs
@@ -9,12 +9,9 @@
 use super::history::{BundleHistory, ProposalEnd};
 use super::operator::{state, BundleOperator, Running, Work};
 use super::service::{BundleService, BundleView};
-use crate::cluster::{CallAnswer, CallResult, Cluster, Timer};
+use crate::cluster::{CallAnswer, CallResult, Cluster};
 use crate::defect::{has_shell_defect, ShellDefect};
 
-/// Pause before an operation is tried elsewhere, milliseconds.
-const RETRY_PAUSE_MS: u64 = 60;
-
 impl BundleOperator {
     pub(super) fn answered(
         &mut self,
@@ -22,13 +19,12 @@
         history: &mut BundleHistory,
         answer: CallAnswer<BundleService>,
     ) {
+        if !self.stub.close(answer.call) {
+            return;
+        }
         let Some(running) = &mut self.running else {
             return;
         };
-        if running.call != Some(answer.call) {
-            return;
-        }
-        running.call = None;
         match answer.result {
             CallResult::Read(Ok(BundleView::InForce(Some(bundle)))) => {
                 self.read(cluster, history, *bundle);
@@ -42,26 +38,18 @@
             }
             CallResult::Proposed(Ok(reply)) => self.decided(cluster, history, &reply),
             CallResult::Proposed(Err(ProposeError::NotLeader { leader })) => {
-                let place = leader.and_then(|leader| cluster.place_of(leader));
-                self.retry(cluster, place);
+                self.stub.retry(cluster, leader);
             }
             CallResult::Proposed(Err(ProposeError::Unknown)) | CallResult::TimedOut => {
                 let wrong = ShellDefect::UnknownCountsAsNotDone;
                 running.unsure |= !has_shell_defect(cluster.defect(), wrong);
-                self.retry(cluster, None);
+                self.stub.retry(cluster, None);
             }
             // Nothing was done, or nothing can have been.
-            _ => self.retry(cluster, None),
+            _ => self.stub.retry(cluster, None),
         }
     }
 
-    /// Tries again at the given machine, or at any.
-    fn retry(&mut self, cluster: &mut Cluster<BundleService>, place: Option<usize>) {
-        let count = cluster.machine_count();
-        self.machine = place.unwrap_or_else(|| cluster.rng().below(count));
-        cluster.wake(self.client, RETRY_PAUSE_MS, Timer::Next);
-    }
-
     fn read(
         &mut self,
         cluster: &mut Cluster<BundleService>,
@@ -152,7 +140,7 @@
         let Some(running) = self.running.take() else {
             return;
         };
-        let client = self.client.0;
+        let client = self.stub.client().0;
         cluster.note(|| format!("operator {client} hears {end:?}"));
         cluster.observe(match end {
             ProposalEnd::Accepted => "proposal accepted",
--- a/crates/pinerill-sim/src/bundle/watcher.rs
+++ b/crates/pinerill-sim/src/bundle/watcher.rs
@@ -44,14 +44,12 @@
     pub(super) fn new(client: ClientId, cluster: &mut Cluster<BundleService>) -> Self {
         let now_ms = cluster.now_ms();
         let clock = LocalClock::new(now_ms, MAX_SKEW_PPM, cluster.rng());
-        let count = cluster.machine_count();
-        let machine = cluster.rng().below(count);
         Watcher {
             client,
             clock,
             state: ConfigurationState::default(),
             open: None,
-            machine,
+            machine: cluster.any_place(),
             highest_version: 0,
         }
     }
@@ -122,8 +120,7 @@
     }
 
     fn watch_elsewhere(&mut self, cluster: &mut Cluster<BundleService>) {
-        let count = cluster.machine_count();
-        self.machine = cluster.rng().below(count);
+        self.machine = cluster.any_place();
         cluster.wake(self.client, FAILED_PAUSE_MS, Timer::Next);
     }
 
--- a/crates/pinerill-sim/src/bundle/workload.rs
+++ b/crates/pinerill-sim/src/bundle/workload.rs
@@ -78,8 +78,7 @@
         if self.founded || self.founding_call.is_some() {
             return;
         }
-        let count = cluster.machine_count();
-        let place = cluster.rng().below(count);
+        let place = cluster.any_place();
         let kind = CallKind::Propose(encode(&founding_command()));
         let call = cluster.call(FOUNDER, place, kind, FOUNDING_TIMEOUT_MS);
         self.founding_call = Some(call);
--- a/crates/pinerill-sim/src/cluster/core.rs
+++ b/crates/pinerill-sim/src/cluster/core.rs
@@ -139,6 +139,18 @@
         self.machines.iter().position(|one| one.replica == replica)
     }
 
+    /// The place of some machine.
+    pub fn any_place(&mut self) -> usize {
+        let count = self.machine_count();
+        self.rng.below(count)
+    }
+
+    /// The place of the machine that is said to lead, or else of some machine.
+    pub fn leader_or_any_place(&mut self, leader: Option<ReplicaId>) -> usize {
+        let place = leader.and_then(|leader| self.place_of(leader));
+        place.unwrap_or_else(|| self.any_place())
+    }
+
     /// Highest index that is known to be committed anywhere.
     pub fn committed_index(&self) -> u64 {
         self.checks.committed_index()
--- a/crates/pinerill-sim/src/cluster/mod.rs
+++ b/crates/pinerill-sim/src/cluster/mod.rs
@@ -5,6 +5,7 @@
 //! was not synced. Everything random comes from one seed.
 
 mod checks;
+mod client_stub;
 mod clock;
 mod core;
 mod event;
@@ -21,6 +22,7 @@
 
 pub use self::core::Cluster;
 pub use checks::GroupChecks;
+pub use client_stub::ClientStub;
 pub use clock::{LocalClock, MAX_SKEW_PPM};
 pub use fault::{ClientFault, Direction, Fault, PlannedFault, Target, Trigger};
 pub use network::{CutId, Endpoint, LinkQuality, Network};
--- a/crates/pinerill-sim/src/cluster/repair.rs
+++ b/crates/pinerill-sim/src/cluster/repair.rs
@@ -67,10 +67,8 @@
     }
 
     fn somewhere<S: GroupService>(&mut self, cluster: &mut Cluster<S>) -> usize {
-        let count = cluster.machine_count();
-        self.leader
-            .take()
-            .unwrap_or_else(|| cluster.rng().below(count))
+        let leader = self.leader.take();
+        leader.unwrap_or_else(|| cluster.any_place())
     }
 
     fn call<S: GroupService>(
--- a/crates/pinerill-sim/src/job/caller/answers.rs
+++ b/crates/pinerill-sim/src/job/caller/answers.rs
@@ -5,15 +5,12 @@
 use pinerill_types::job::JobState;
 
 use super::{Caller, Work};
-use crate::cluster::{CallAnswer, CallResult, Cluster, Timer};
+use crate::cluster::{CallAnswer, CallResult, Cluster};
 use crate::defect::{has_shell_defect, ShellDefect};
 use crate::job::node::only_reply;
 use crate::job::service::{JobGroup, JobView};
 use crate::job::world::World;
 
-/// Pause before an operation is tried elsewhere, milliseconds.
-const RETRY_PAUSE_MS: u64 = 60;
-
 impl Caller {
     pub(in crate::job) fn answered(
         &mut self,
@@ -21,13 +18,12 @@
         world: &mut World,
         answer: CallAnswer<JobGroup>,
     ) {
+        if !self.stub.close(answer.call) {
+            return;
+        }
         let Some(running) = &mut self.running else {
             return;
         };
-        if running.call != Some(answer.call) {
-            return;
-        }
-        running.call = None;
         match answer.result {
             CallResult::Proposed(Ok(reply)) => match only_reply(&reply) {
                 Some(reply) => self.replied(cluster, world, reply),
@@ -35,8 +31,7 @@
             },
             CallResult::Read(Ok(view)) => self.read(cluster, world, view),
             CallResult::Proposed(Err(ProposeError::NotLeader { leader })) => {
-                let place = leader.and_then(|leader| cluster.place_of(leader));
-                self.retry(cluster, place);
+                self.stub.retry(cluster, leader);
             }
             CallResult::Proposed(Err(ProposeError::Unknown)) | CallResult::TimedOut => {
                 running.unsure = true;
@@ -47,25 +42,18 @@
                     self.was_cancelled(cluster, world, job);
                     return self.end(cluster);
                 }
-                self.retry(cluster, None);
+                self.stub.retry(cluster, None);
             }
-            _ => self.retry(cluster, None),
+            _ => self.stub.retry(cluster, None),
         }
     }
 
-    /// Tries again at the given machine, or at any.
-    fn retry(&mut self, cluster: &mut Cluster<JobGroup>, place: Option<usize>) {
-        let count = cluster.machine_count();
-        self.machine = place.unwrap_or_else(|| cluster.rng().below(count));
-        cluster.wake(self.client, RETRY_PAUSE_MS, Timer::Next);
-    }
-
     fn replied(&mut self, cluster: &mut Cluster<JobGroup>, world: &mut World, reply: JobReply) {
         let Some(running) = &mut self.running else {
             return;
         };
         let own = &mut self.jobs[running.job];
-        let client = self.client.0;
+        let client = self.stub.client().0;
         cluster.note(|| format!("caller {client} hears {reply:?}"));
         match reply {
             JobReply::Submitted(response) => {
--- a/crates/pinerill-sim/src/job/caller/mod.rs
+++ b/crates/pinerill-sim/src/job/caller/mod.rs
@@ -16,15 +16,11 @@
 use super::facts::Floor;
 use super::service::{JobGroup, JobQuery, GROUP};
 use super::world::{World, START_MS};
-use crate::cluster::{CallId, CallKind, ClientId, Cluster, Timer};
+use crate::cluster::{CallKind, ClientId, ClientStub, Cluster, Timer};
 
-/// How long a caller waits for one answer, milliseconds.
-const CALL_TIMEOUT_MS: u64 = 700;
 /// Pause between two looks at jobs once no new ones are submitted,
 /// milliseconds.
 const LOOK_PAUSE_MS: u64 = 20;
-/// Calls after which an operation is given up.
-const MAX_ATTEMPTS: u32 = 12;
 /// How many jobs are the latest.
 const RECENT_JOBS: usize = 3;
 /// Items of the largest part.
@@ -48,20 +44,18 @@
     /// Place of the job among the caller's own.
     job: usize,
     floor: Floor,
-    call: Option<CallId>,
     attempts: u32,
     unsure: bool,
 }
 
 /// One caller, a tenant of its own.
 pub(super) struct Caller {
-    client: ClientId,
+    stub: ClientStub,
     style: CallerStyle,
     tenant: TenantName,
     service: ServiceName,
     jobs: Vec<OwnJob>,
     running: Option<Running>,
-    machine: usize,
     stopping: bool,
     pub(super) begun: u64,
     pub(super) unknown: u64,
@@ -70,13 +64,12 @@
 impl Caller {
     pub(super) fn new(client: ClientId, service: ServiceName, style: CallerStyle) -> Self {
         Caller {
-            client,
+            stub: ClientStub::new(client),
             style,
             tenant: TenantName(format!("tenant-{}", client.0)),
             service,
             jobs: Vec::new(),
             running: None,
-            machine: 0,
             stopping: false,
             begun: 0,
             unknown: 0,
@@ -94,16 +87,16 @@
     }
 
     pub(super) fn woken(&mut self, cluster: &mut Cluster<JobGroup>, world: &mut World) {
-        match &self.running {
-            Some(running) if running.call.is_some() => {}
-            Some(_) => self.attempt(cluster, world),
-            None => {
-                if let Some((work, job)) = self.choose(cluster) {
-                    self.begin(cluster, world, work, job);
-                    self.attempt(cluster, world);
-                }
-            }
+        if self.stub.is_waiting() {
+            return;
+        }
+        if self.running.is_none() {
+            let Some((work, job)) = self.choose(cluster) else {
+                return;
+            };
+            self.begin(cluster, world, work, job);
         }
+        self.attempt(cluster, world);
     }
 
     fn choose(&mut self, cluster: &mut Cluster<JobGroup>) -> Option<(Work, usize)> {
@@ -166,13 +159,12 @@
         self.begun += 1;
         let own = &self.jobs[job];
         let floor = own.id.map(|id| world.facts.floor(id)).unwrap_or_default();
-        let (client, id) = (self.client.0, own.id);
+        let (client, id) = (self.stub.client().0, own.id);
         cluster.note(|| format!("caller {client} begins {work:?} of {job}, {id:?}"));
         self.running = Some(Running {
             work,
             job,
             floor,
-            call: None,
             attempts: 0,
             unsure: false,
         });
@@ -183,7 +175,7 @@
             return;
         };
         running.attempts += 1;
-        if running.attempts > MAX_ATTEMPTS && !self.stopping {
+        if running.attempts > ClientStub::MAX_ATTEMPTS && !self.stopping {
             self.unknown += u64::from(running.unsure);
             self.running = None;
             self.pause(cluster);
@@ -196,30 +188,27 @@
         });
         let now_ms = cluster.now_ms();
         let tenant = self.tenant.clone();
+        let machine = self.stub.machine();
         let kind = match running.work {
             Work::Submit { from } => {
                 let count = cluster.rng().between(1, MAX_PART) as usize;
                 let part = part(&own.whole, from, count);
-                world.propose(now_ms, self.machine, JobCommand::Submit(part))
+                world.propose(now_ms, machine, JobCommand::Submit(part))
             }
             Work::Clash => {
                 let mut other = own.whole.clone();
                 other.body_digest = Digest::of(b"another body");
-                world.propose(now_ms, self.machine, JobCommand::Submit(other))
+                world.propose(now_ms, machine, JobCommand::Submit(other))
             }
             Work::Cancel => {
                 let cancel = CancelJob { tenant, job: id };
-                world.propose(now_ms, self.machine, JobCommand::Cancel(cancel))
+                world.propose(now_ms, machine, JobCommand::Cancel(cancel))
             }
             Work::Status => CallKind::Read(JobQuery::Status(tenant, id)),
             Work::Output => CallKind::Read(JobQuery::Output(tenant, id)),
         };
-        let timeout_ms = if self.style.impatient && !self.stopping {
-            cluster.rng().between(4, CALL_TIMEOUT_MS / 10)
-        } else {
-            CALL_TIMEOUT_MS
-        };
-        running.call = Some(cluster.call(self.client, self.machine, kind, timeout_ms));
+        let impatient = self.style.impatient && !self.stopping;
+        self.stub.call(cluster, kind, impatient);
     }
 
     fn end(&mut self, cluster: &mut Cluster<JobGroup>) {
@@ -236,7 +225,7 @@
                 .rng()
                 .between(style.min_pause_ms, style.max_pause_ms)
         };
-        cluster.wake(self.client, pause_ms, Timer::Next);
+        cluster.wake(self.stub.client(), pause_ms, Timer::Next);
     }
 
     /// Every job with its number of items, by identifier.
--- a/crates/pinerill-sim/src/job/node/answers.rs
+++ b/crates/pinerill-sim/src/job/node/answers.rs
@@ -79,15 +79,12 @@
     }
 
     fn follow_leader(&mut self, cluster: &mut Cluster<JobGroup>, result: &CallResult<JobGroup>) {
-        let elsewhere = match result {
-            CallResult::Proposed(Err(ProposeError::NotLeader { leader })) => {
-                leader.and_then(|leader| cluster.place_of(leader))
-            }
+        let leader = match result {
+            CallResult::Proposed(Err(ProposeError::NotLeader { leader })) => *leader,
             CallResult::Proposed(Err(_)) | CallResult::Refused | CallResult::TimedOut => None,
             _ => return,
         };
-        let count = cluster.machine_count();
-        self.leader = elsewhere.unwrap_or_else(|| cluster.rng().below(count));
+        self.leader = cluster.leader_or_any_place(leader);
     }
 }
 
