sim: cuts of a leader are drawn in one place

Cause: the silent cuts of leaders in the scenarios of bundles and of jobs were the same fault with the same bounds, written twice.

Change: cut_leader in planning.rs.

Ruled out: the cuts of other machines, and the faults after elections and candidacies; they are alike in shape, but each has bounds of its own.

--- a/crates/pinerill-sim/src/scenarios/bundle_faults.rs
+++ b/crates/pinerill-sim/src/scenarios/bundle_faults.rs
@@ -1,7 +1,9 @@
 //! What the scenarios of bundles bring about.
 
 use super::bundles::Setup;
-use super::planning::{bad_links_for, crash, direction, lose_disk, one_of, target, FIRST_MS};
+use super::planning::{
+    bad_links_for, crash, cut_leader, direction, lose_disk, one_of, target, FIRST_MS,
+};
 use crate::cluster::{ClientFault, Direction, Fault, PlannedFault, Target, Trigger};
 use crate::random::SimRng;
 
@@ -146,12 +148,7 @@
     setup.workload.style.min_pause_ms = 5;
     setup.workload.style.max_pause_ms = 80;
     let mut planner = setup.planner(rng);
-    planner.faults_after_moments(4, |rng| Fault::Cut {
-        target: Target::Leader,
-        direction: direction(rng),
-        clients: rng.chance(0.2),
-        duration_ms: rng.between(1_000, 6_000),
-    });
+    planner.faults_after_moments(4, cut_leader);
     planner.faults_after_moments(2, |rng| Fault::Cut {
         target: Target::Follower,
         direction: direction(rng),
--- a/crates/pinerill-sim/src/scenarios/job_faults.rs
+++ b/crates/pinerill-sim/src/scenarios/job_faults.rs
@@ -3,7 +3,9 @@
 use pinerill_node::batch::LEASE_MS;
 
 use super::jobs::Setup;
-use super::planning::{bad_links, client_fault, crash, direction, lose_disk, target, FIRST_MS};
+use super::planning::{
+    bad_links, client_fault, crash, cut_leader, direction, lose_disk, target, FIRST_MS,
+};
 use crate::cluster::{ClientFault, Direction, Fault, Target};
 use crate::random::SimRng;
 
@@ -144,12 +146,7 @@
     setup.workload.style.min_pause_ms = 1;
     setup.workload.style.max_pause_ms = 60;
     let mut planner = setup.planner(rng);
-    planner.faults(5, |rng| Fault::Cut {
-        target: Target::Leader,
-        direction: direction(rng),
-        clients: rng.chance(0.2),
-        duration_ms: rng.between(1_000, 6_000),
-    });
+    planner.faults(5, cut_leader);
     for _ in 0..5 {
         let at_ms = planner.moment();
         let duration_ms = planner.rng.between(1_200, 3_000);
--- a/crates/pinerill-sim/src/scenarios/planning.rs
+++ b/crates/pinerill-sim/src/scenarios/planning.rs
@@ -69,6 +69,16 @@
     }
 }
 
+/// A leader that is cut off in silence, seldom from its clients too.
+pub(super) fn cut_leader(rng: &mut SimRng) -> Fault {
+    Fault::Cut {
+        target: Target::Leader,
+        direction: direction(rng),
+        clients: rng.chance(0.2),
+        duration_ms: rng.between(1_000, 6_000),
+    }
+}
+
 /// A machine that loses its disk.
 pub(super) fn lose_disk(rng: &mut SimRng) -> Fault {
     Fault::LoseDisk {
