rehearse: comments in ordinary terms

Change: site, required size, required bound (with the page that states it), item, pause and resume. Comments and that help text only.

Ruled out: another word for heaps of batch jobs; docs/REHEARSAL.md defines it and the types bear it, so both have to change together.

--- a/crates/pinerill-rehearse/src/bench/figures.rs
+++ b/crates/pinerill-rehearse/src/bench/figures.rs
@@ -17,9 +17,11 @@
 use crate::load::record::{EndCounts, OnlineRecord};
 use crate::load::schedule::OnlineKind;
 
-/// The letter's bound of the first token's time, microseconds.
+/// Required bound of the time to the first token, microseconds
+/// (`docs/REHEARSAL.md`).
 pub const LATE_FIRST_TOKEN_US: u64 = 600_000;
-/// The letter's bound of the time between tokens, microseconds.
+/// Required bound of the time between tokens, microseconds
+/// (`docs/REHEARSAL.md`).
 pub const LATE_GAP_US: u32 = 32_000;
 /// Length of a bin of the tail over time, microseconds.
 const BIN_US: u64 = 1_000_000;
@@ -27,7 +29,7 @@
 /// All figures of a run.
 #[derive(Clone, Debug, Serialize)]
 pub struct BenchFigures {
-    /// Whose place.
+    /// Name of the site's preset.
     pub preset: &'static str,
     /// Seed of arrivals and heaps.
     pub seed: u64,
--- a/crates/pinerill-rehearse/src/bench/mod.rs
+++ b/crates/pinerill-rehearse/src/bench/mod.rs
@@ -35,7 +35,7 @@
 /// Arguments of `bench`.
 #[derive(Args, Debug, Clone)]
 pub struct BenchArguments {
-    /// Whose place.
+    /// Preset of the site.
     #[arg(long, value_enum)]
     pub preset: PresetName,
     /// Length of each phase, seconds.
--- a/crates/pinerill-rehearse/src/demo/mod.rs
+++ b/crates/pinerill-rehearse/src/demo/mod.rs
@@ -21,7 +21,7 @@
 /// Arguments of `demo`.
 #[derive(Args, Debug, Clone)]
 pub struct DemoArguments {
-    /// Whose place.
+    /// Preset of the site.
     #[arg(long, value_enum)]
     pub preset: PresetName,
     /// Seed of the arrivals.
--- a/crates/pinerill-rehearse/src/faults/load.rs
+++ b/crates/pinerill-rehearse/src/faults/load.rs
@@ -11,7 +11,7 @@
 /// Unused here: jobs are submitted by the scenarios.
 const HEAP_PERIOD: Duration = Duration::from_secs(8);
 
-/// A place of the first preset's zones with few workers.
+/// The site of the first preset with few workers.
 pub fn preset() -> Preset {
     PresetName::Lumadar.preset().with_workers(&ENGINES)
 }
--- a/crates/pinerill-rehearse/src/preset.rs
+++ b/crates/pinerill-rehearse/src/preset.rs
@@ -1,11 +1,11 @@
-//! The users' places: zones, services, workers and control machines, in the
-//! sizes of the brief.
+//! The sites that are rehearsed: zones, services, workers and control machines,
+//! in the required sizes.
 
 use std::time::Duration;
 
 use clap::ValueEnum;
 
-/// Which user's place is rehearsed.
+/// Which site is rehearsed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 pub enum PresetName {
     /// Lighting fault desk: the online tail weighs more.
@@ -25,7 +25,7 @@
     pub engines: usize,
 }
 
-/// A user's place.
+/// A site with its fleet and services.
 #[derive(Clone, Debug)]
 pub struct Preset {
     /// Name of the preset and of its cluster.
@@ -83,7 +83,7 @@
         format!("{}/{}@{VERSION}", self.model, self.adapter)
     }
 
-    /// The same place with other workers: one for each number of engines.
+    /// The same site with other workers: one for each number of engines.
     pub fn with_workers(self, engines: &[usize]) -> Self {
         let workers = workers(self.zones, engines);
         Self { workers, ..self }
--- a/crates/pinerill-rehearse/src/rehearsal/mod.rs
+++ b/crates/pinerill-rehearse/src/rehearsal/mod.rs
@@ -54,7 +54,7 @@
 pub struct Rehearsal {
     /// Folder and processes.
     pub launcher: Arc<Launcher>,
-    /// Whose place it is.
+    /// The site that it stands for.
     pub preset: Preset,
     /// Engines and the other outside systems.
     pub standins: StandIns,
--- a/crates/pinerill-rehearse/src/scale/fleet.rs
+++ b/crates/pinerill-rehearse/src/scale/fleet.rs
@@ -22,7 +22,7 @@
 use crate::fleet::ports::free_address;
 use crate::fleet::process::{ChildProcess, Signal};
 
-/// Zones of the letter's size.
+/// Zones of the required size.
 const ZONES: u64 = 13;
 /// Longest time until the control machines answer.
 const START_TIME: Duration = Duration::from_secs(20);
--- a/crates/pinerill-rehearse/src/scale/load.rs
+++ b/crates/pinerill-rehearse/src/scale/load.rs
@@ -23,11 +23,11 @@
 
 /// Time until a proposal or a part of a job counts as failed.
 const CALL_TIME: Duration = Duration::from_secs(10);
-/// Models of the letter in steady use.
+/// Models in steady use at the required size.
 pub const MODELS: u32 = 20;
 /// Items of one part of a job.
 const PART_ITEMS: u32 = 1_000;
-/// Days' worth of deadline, milliseconds.
+/// Deadline and retention of a job: one day, milliseconds.
 const DEADLINE_MS: u64 = 24 * 60 * 60 * 1_000;
 
 /// The operator who signs.
@@ -327,7 +327,7 @@
     }
 }
 
-/// A body of the size of a fault ticket.
+/// An item with a prompt of typical size.
 fn item(index: u32) -> ItemInput {
     const PROMPT_BYTES: usize = 300;
     ItemInput {
--- a/crates/pinerill-rehearse/src/standin/worker/host.rs
+++ b/crates/pinerill-rehearse/src/standin/worker/host.rs
@@ -157,7 +157,7 @@
         state
     }
 
-    /// Lets a request step aside, or lets it run again; answers its state.
+    /// Pauses a request, or resumes it; answers its state.
     pub fn set_paused(&self, id: &RequestId, paused: bool) -> RequestState {
         let state = match paused {
             true => self.inner.lock().model.pause(id),
