rehearse: the new identity of a replaced machine is awaited in one place

Cause: the fault scenarios of disks and the measurement of repairs each asked for the cluster's status until the machine with the empty folder was there, with the same bounds.

Change: PinerillFleet::await_new_identity beside await_leaders; both callers use it. The message at the longest time names that time in both.

Ruled out: putting it into the client of the product, which has no name of a process to look for.

The repair of the scale measurement was not run.

--- a/crates/pinerill-rehearse/src/faults/scenarios/disks.rs
+++ b/crates/pinerill-rehearse/src/faults/scenarios/disks.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use anyhow::{bail, Context};
+use anyhow::Context;
 use async_trait::async_trait;
 use pinerill_wire::message::ReplicaRecord;
-use tokio::time::{sleep, Instant};
 
 use super::control::{await_all_reachable, change_without};
 use crate::faults::scenario::Scenario;
@@ -20,10 +19,6 @@
 const MANY_ITEMS: usize = 300;
 /// Length of the online load.
 const LOAD_TIME: Duration = Duration::from_secs(8);
-/// Longest time until a new identity is seen.
-const SEEN_TIME: Duration = Duration::from_secs(20);
-/// Pause between two looks.
-const LOOK_PAUSE: Duration = Duration::from_millis(100);
 
 /// A disk is lost and replaced; right after the repair a second machine is
 /// lost with its disk.
@@ -118,7 +113,7 @@
     let fleet = &mut stage.rehearsal.fleet;
     fleet.restart_control(index).await?;
     fleet.await_control(index).await?;
-    let new = await_stranger(stage, lost).await?;
+    let new = fleet.await_new_identity(&lost.name, lost.replica).await?;
     let (lost, new) = (format!("{:016x}", lost.replica), format!("{new:016x}"));
     stage.step(format!("cluster replace --lost {lost} --new {new}"));
     let arguments = ["cluster", "replace", "--lost", &lost, "--new", &new];
@@ -129,22 +124,6 @@
     Ok(())
 }
 
-async fn await_stranger(stage: &Stage, lost: &ReplicaRecord) -> anyhow::Result<u64> {
-    let client = stage.rehearsal.fleet.client()?;
-    let end = Instant::now() + SEEN_TIME;
-    while Instant::now() < end {
-        let status = cluster_status(&client).await?;
-        let stranger = status.replicas.iter().find(|replica| {
-            replica.name == lost.name && replica.replica != lost.replica && replica.reachable
-        });
-        if let Some(stranger) = stranger {
-            return Ok(stranger.replica);
-        }
-        sleep(LOOK_PAUSE).await;
-    }
-    bail!("{} was not seen with a new identity", lost.name)
-}
-
 async fn record_of(stage: &Stage, index: usize) -> anyhow::Result<ReplicaRecord> {
     let fleet = &stage.rehearsal.fleet;
     let name = fleet.controls[index].process.name();
--- a/crates/pinerill-rehearse/src/fleet/pinerill/status.rs
+++ b/crates/pinerill-rehearse/src/fleet/pinerill/status.rs
@@ -13,6 +13,8 @@
 
 /// Longest time until all groups have a leader.
 const LEADERS_TIME: Duration = Duration::from_secs(30);
+/// Longest time until a machine with an empty folder is seen.
+const NEW_IDENTITY_TIME: Duration = Duration::from_secs(20);
 /// Pause between two looks.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 /// A node's metric of the bundle version that it has in force.
@@ -21,6 +23,26 @@
 const CALL_TIME: Duration = Duration::from_secs(10);
 
 impl PinerillFleet {
+    /// Waits until the machine whose folder was lost is reachable under a new
+    /// identity, and returns that.
+    ///
+    /// # Errors
+    /// When no control machine answers, or after the longest time.
+    pub async fn await_new_identity(&self, name: &str, lost: u64) -> anyhow::Result<u64> {
+        let client = self.client()?;
+        let end = Instant::now() + NEW_IDENTITY_TIME;
+        while Instant::now() < end {
+            let status = cluster_status(&client).await?;
+            let mut records = status.replicas.iter();
+            let new = records.find(|one| one.name == name && one.replica != lost && one.reachable);
+            if let Some(new) = new {
+                return Ok(new.replica);
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+        bail!("{name} was not seen with a new identity in {NEW_IDENTITY_TIME:?}")
+    }
+
     /// Waits until `groups` groups have a leader.
     ///
     /// # Errors
--- a/crates/pinerill-rehearse/src/state/repair.rs
+++ b/crates/pinerill-rehearse/src/state/repair.rs
@@ -8,13 +8,10 @@
 
 use super::disk::folder_bytes;
 use super::figures::{FailoverFigures, RepairFigures};
-use crate::fleet::pinerill::cluster_status;
 use crate::scale::fleet::ScaleFleet;
 
 /// Longest time of the repair.
 const LONGEST: Duration = Duration::from_secs(120);
-/// Longest time until the new machine is seen.
-const SEEN_TIME: Duration = Duration::from_secs(20);
 /// Longest time for one question.
 const CALL_TIME: Duration = Duration::from_secs(20);
 /// Pause between two looks.
@@ -33,12 +30,11 @@
     std::fs::remove_dir_all(&folder)
         .with_context(|| format!("losing the disk {}", folder.display()))?;
     fleet.pinerill.restart_control(failover.killed).await?;
-    let new = await_stranger(fleet, failover).await?;
+    let name = fleet.pinerill.controls[failover.killed].process.name();
+    let lost = failover.killed_replica;
+    let new = fleet.pinerill.await_new_identity(name, lost).await?;
     let started = Instant::now();
-    let request = Request::ReplaceReplica(ReplaceReplica {
-        lost: failover.killed_replica,
-        new,
-    });
+    let request = Request::ReplaceReplica(ReplaceReplica { lost, new });
     let client = fleet.client()?;
     let mut last = String::new();
     while started.elapsed() < LONGEST {
@@ -57,24 +53,3 @@
     }
     bail!("repair not done after {LONGEST:?}: {last}")
 }
-
-/// Waits until the new identity is among the control machines.
-async fn await_stranger(fleet: &ScaleFleet, failover: &FailoverFigures) -> anyhow::Result<u64> {
-    let name = fleet.pinerill.controls[failover.killed]
-        .process
-        .name()
-        .to_owned();
-    let client = fleet.client()?;
-    let started = Instant::now();
-    while started.elapsed() < SEEN_TIME {
-        let status = cluster_status(&client).await?;
-        let stranger = status.replicas.iter().find(|replica| {
-            replica.name == name && replica.replica != failover.killed_replica && replica.reachable
-        });
-        if let Some(stranger) = stranger {
-            return Ok(stranger.replica);
-        }
-        tokio::time::sleep(LOOK_PAUSE).await;
-    }
-    bail!("{name} was not seen with a new identity in {SEEN_TIME:?}")
-}
