--- a/crates/pinerill-forward/src/run.rs
+++ b/crates/pinerill-forward/src/run.rs
@@ -97,8 +97,7 @@
     drop(items);
     batch::give_back(&node).await;
     drop((following, hearing, telling, placing, reloading, sweeping));
-    probes.stop().await;
-    metrics.stop().await;
+    tokio::join!(probes.stop(), metrics.stop());
     log::info!(event = "stopped", node = node.settings.name.as_str(); "");
     Ok(())
 }
--- a/crates/pinerill-process/src/monitoring.rs
+++ b/crates/pinerill-process/src/monitoring.rs
@@ -23,7 +23,12 @@
 
 /// The server for operators and their monitoring.
 pub fn monitoring_server(address: SocketAddr, subject: Arc<dyn Monitored>) -> Rocket<Build> {
-    rocket::custom(server_settings(address))
+    // Monitoring keeps connections open between two looks; a process that stops
+    // doesn't wait for these.
+    let settings = server_settings(address)
+        .merge(("shutdown.grace", 0))
+        .merge(("shutdown.mercy", 0));
+    rocket::custom(settings)
         .manage(subject)
         .mount("/", routes![metrics, livez, readyz])
         .register("/", catchers![other])
