Machines that are gone neither vote nor make the group larger

Ruled out: room on the disks; no process ended by itself. Change: lost machines don't count for the number of voters, and lost voters stay only where the group needs them. The leader is the last to go. Measured: machines_that_are_gone_do_not_make_a_group_larger and the property, which now also asks that no lost machine votes, failed and pass.

--- a/crates/pinerill-cluster/src/membership.rs
+++ b/crates/pinerill-cluster/src/membership.rs
@@ -119,14 +119,16 @@
 
 impl MembershipView<'_> {
     /// Voters that the group shall have: an odd number, since one more than that
-    /// bears no further loss.
+    /// bears no further loss. Machines that are lost don't count: they stay recorded
+    /// for good.
     fn target_voters(&self) -> usize {
         let MembershipSettings {
             least_voters,
             most_voters,
             ..
         } = self.settings;
-        let available = self.machines.keys().filter(|one| self.may_vote(**one));
+        let available = self.machines.keys().copied();
+        let available = available.filter(|one| self.may_vote(*one) && !self.is_lost(*one));
         let possible = available.count().min(most_voters);
         let odd = possible - usize::from(possible.is_multiple_of(2) && possible > 0);
         odd.max(least_voters)
@@ -155,8 +157,8 @@
 }
 
 /// Voters that stay, filled up with machines that are there. Voters that went
-/// silent stay for as long as nobody can take their place. Those whose folder
-/// was replaced never stay.
+/// silent stay for as long as the group needs them and nobody can take their place.
+/// Those whose folder was replaced never stay.
 fn wanted_voters(view: &MembershipView<'_>) -> Vec<ReplicaId> {
     let members = &view.members.voters;
     let (lost, mut wanted): (Vec<ReplicaId>, Vec<ReplicaId>) = members
@@ -164,6 +166,8 @@
         .filter(|one| view.may_vote(one.0))
         .copied()
         .partition(|one| view.is_lost(one.0));
+    // The leader is the last to go, if there are too many.
+    wanted.sort_by_key(|one| *one != view.own);
     let target = view.target_voters();
     while wanted.len() < target {
         let Some(next) = best_candidate(view, &wanted) else {
@@ -171,7 +175,7 @@
         };
         wanted.push(next);
     }
-    let missing = target.saturating_sub(wanted.len());
+    let missing = view.settings.least_voters.saturating_sub(wanted.len());
     wanted.extend(lost.into_iter().take(missing));
     wanted.truncate(target.max(1));
     wanted
--- a/crates/pinerill-cluster/tests/membership.rs
+++ b/crates/pinerill-cluster/tests/membership.rs
@@ -149,6 +149,18 @@
     assert_eq!(spare.voters(), [1, 2, 4]);
 }
 
+/// Machines that went for good stay recorded. They must neither vote nor count as
+/// machines for which the group grows: a voter that is gone takes part of the quorum.
+#[test]
+fn machines_that_are_gone_do_not_make_a_group_larger() {
+    let mut world = World::new(5);
+    world.settings.most_voters = 5;
+    world.silent_ms.insert(2, 60_000);
+    world.silent_ms.insert(3, 60_000);
+    world.settle();
+    assert_eq!(world.voters(), [1, 4, 5]);
+}
+
 #[test]
 fn a_short_silence_changes_nothing() {
     let mut world = World::new(4);
@@ -215,7 +227,7 @@
             world.silent_ms.get(one).is_some_and(|ms| *ms <= SETTINGS.present_ms)
         });
         if present.count() >= SETTINGS.least_voters {
-            for replica in &replaced {
+            for replica in replaced.iter().chain(&lost) {
                 prop_assert!(!world.voters().contains(replica));
             }
         }
