No view of a store shows a state that is half replaced

Jobs of the completions API would have left results out of a page without a word; forwarded jobs told 404 for a call. Ruled out: reads that begin in between; their barrier waits. Change: the store refuses views of a group while its state is replaced (BeingReplaced), so that such a read is refused like one without a quorum. Measured: no_view_shows_a_part_of_a_state_that_is_being_replaced fails without the check and passes; tests of storage, control and cluster pass.

--- a/crates/pinerill-cluster/src/server/jobs.rs
+++ b/crates/pinerill-cluster/src/server/jobs.rs
@@ -194,8 +194,7 @@
     /// The call of an item that is not listed yet.
     pub(super) async fn read_item(&self, read: ReadItem) -> Result<CallsResponse, Box<Refusal>> {
         let step = "read item";
-        // The table is empty for a moment while a received snapshot is installed,
-        // so a call that is missing is looked for again behind the installation.
+        // The item may end between the look at the machine and the one at the table.
         for _ in 0..READ_TRIES {
             self.barrier(step).await?;
             let Some(stored) = self.waiting_call(&read) else {
--- a/crates/pinerill-storage/src/error.rs
+++ b/crates/pinerill-storage/src/error.rs
@@ -41,6 +41,10 @@
     /// The operating system or the database refused.
     #[error("{0}")]
     Io(String),
+    /// The state is being replaced by a received snapshot; it is there again within a
+    /// moment.
+    #[error("the state is being replaced by a snapshot")]
+    BeingReplaced,
     /// The store was closed or an earlier write failed.
     #[error("the store takes no more writes")]
     Stopped,
--- a/crates/pinerill-storage/src/lib.rs
+++ b/crates/pinerill-storage/src/lib.rs
@@ -10,6 +10,7 @@
 mod memory;
 mod memory_group;
 mod reader;
+mod replacement;
 mod snapshot_stream;
 mod store;
 mod store_trait;
--- a/crates/pinerill-storage/src/store.rs
+++ b/crates/pinerill-storage/src/store.rs
@@ -12,6 +12,7 @@
 use redb::{Builder, Database, ReadableDatabase, ReadableTable};
 
 use crate::reader::{open_table, TransactionReader};
+use crate::replacement::Replacements;
 use crate::tables::{decode, encode, TableFailure, HARD_STATES, IDENTITY, IDENTITY_KEY, SNAPSHOTS};
 use crate::thin_file::ThinFile;
 use crate::writer::{QueuedWrite, Writer};
@@ -33,6 +34,7 @@
     queue: Option<Sender<QueuedWrite>>,
     writer: Option<JoinHandle<()>>,
     counters: Arc<StoreCounters>,
+    replacements: Arc<Replacements>,
 }
 
 impl Store {
@@ -56,12 +58,14 @@
     fn start(database: Database, path: PathBuf, identity: Identity) -> Result<Self, StorageError> {
         let database = Arc::new(database);
         let counters = Arc::new(StoreCounters::default());
+        let replacements = Arc::new(Replacements::default());
         let (queue, receiver) = channel();
         let writer = Writer {
             database: database.clone(),
             path: path.clone(),
             queue: receiver,
             counters: counters.clone(),
+            replacements: replacements.clone(),
         };
         let writer = std::thread::Builder::new()
             .name("store-writer".to_string())
@@ -74,6 +78,7 @@
             queue: Some(queue),
             writer: Some(writer),
             counters,
+            replacements,
         })
     }
 
@@ -163,7 +168,13 @@
     }
 
     fn reader(&self, group: GroupId) -> Result<Box<dyn GroupReader>, StorageError> {
-        Ok(Box::new(self.transaction(group)?))
+        let before = self.replacements.step(group);
+        let view = self.transaction(group)?;
+        if before.is_under_way() || self.replacements.step(group) != before {
+            let cause = StorageCause::BeingReplaced;
+            return Err(StorageError::new("view of a group", &self.path, cause));
+        }
+        Ok(Box::new(view))
     }
 
     fn counters(&self) -> CountersSnapshot {
--- a/crates/pinerill-storage/src/store_trait.rs
+++ b/crates/pinerill-storage/src/store_trait.rs
@@ -79,6 +79,10 @@
     fn write(&self, batch: WriteBatch, completion: Completion);
 
     /// A consistent view of what is durable now.
+    ///
+    /// # Errors
+    /// When the store can't be read, or just now replaces the group's state by a
+    /// received snapshot.
     fn reader(&self, group: GroupId) -> Result<Box<dyn GroupReader>, StorageError>;
 
     /// Counters since the start.
--- a/crates/pinerill-storage/src/writer.rs
+++ b/crates/pinerill-storage/src/writer.rs
@@ -3,17 +3,19 @@
 //! A received snapshot is written in two steps: first the group's log and state go,
 //! then the new ones come. In one transaction both would be on the disk at once,
 //! which a disk that is more than half full can't hold. Why a crash in between loses
-//! nothing that counts: a replica is sent a snapshot only if its log ends before the
-//! snapshot's index. All up to that index is committed, so a majority without this
-//! replica holds it. What is left is a replica that has its term and vote but no
-//! members: it asks for no votes and waits for the snapshot again.
+//! nothing that counts: a replica installs a snapshot only if its log does not hold the
+//! snapshot's last entry. That entry is committed, so a majority without this replica
+//! holds it and all before it. What is left is a replica that has its term and vote but
+//! no members: it asks for no votes and waits for the snapshot again.
 
 use std::path::PathBuf;
 use std::sync::mpsc::Receiver;
 use std::sync::Arc;
 
+use pinerill_replica::GroupId;
 use redb::{Database, Durability, WriteTransaction};
 
+use crate::replacement::Replacements;
 use crate::tables::{apply_batch, discard_state, TableFailure};
 use crate::{Completion, StorageCause, StorageError, StoreCounters, WriteBatch};
 
@@ -43,6 +45,7 @@
     pub(crate) path: PathBuf,
     pub(crate) queue: Receiver<QueuedWrite>,
     pub(crate) counters: Arc<StoreCounters>,
+    pub(crate) replacements: Arc<Replacements>,
 }
 
 impl Writer {
@@ -91,8 +94,7 @@
             if write.batch.replaces_state() {
                 let (earlier, rest) = writes.split_at(position);
                 self.commit_together(earlier)?;
-                self.make_room(&rest[0].batch)?;
-                self.commit_together(&rest[..1])?;
+                self.replace_state(&rest[..1])?;
                 return self.try_commit(&rest[1..]);
             }
         }
@@ -112,9 +114,20 @@
         })
     }
 
-    /// Removes what a batch is about to replace, so that its pages can be used.
-    fn make_room(&self, batch: &WriteBatch) -> Result<(), TableFailure> {
-        self.in_transaction(|transaction| discard_state(transaction, batch.group))?;
+    /// Writes a batch after what it replaces is gone. After a failure views of the
+    /// group stay refused, as nothing more is written.
+    fn replace_state(&self, write: &[QueuedWrite]) -> Result<(), TableFailure> {
+        let group = write[0].batch.group;
+        self.replacements.advance(group);
+        self.make_room(group)?;
+        self.commit_together(write)?;
+        self.replacements.advance(group);
+        Ok(())
+    }
+
+    /// Removes what is about to be replaced, so that its pages can be used.
+    fn make_room(&self, group: GroupId) -> Result<(), TableFailure> {
+        self.in_transaction(|transaction| discard_state(transaction, group))?;
         for _ in 0..COMMITS_UNTIL_FREE {
             self.in_transaction(|_| Ok(()))?;
         }
--- a/crates/pinerill-storage/tests/store.rs
+++ b/crates/pinerill-storage/tests/store.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::ops::Bound;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
 
 use pinerill_replica::{Entry, EntryKind, GroupId, HardState, Membership, ReplicaId, SnapshotMeta};
@@ -358,3 +359,45 @@
     let (held, _) = reader.snapshot().expect("readable").expect("a snapshot");
     assert_eq!(held, meta(13));
 }
+
+/// A view shows the state before or after a replacement, whole; in between there is
+/// none.
+#[test]
+fn no_view_shows_a_part_of_a_state_that_is_being_replaced() {
+    const INSTALLATIONS: u64 = 8;
+    let folder = tempfile::tempdir().expect("a folder");
+    let store = Store::open(folder.path()).expect("a store");
+    let install = |index: u64| {
+        let operation = Operation::InstallSnapshot {
+            meta: meta(index),
+            memory: Vec::new(),
+            table: large_entries(index as u8),
+        };
+        write(&store, vec![operation]);
+    };
+    install(1);
+    let is_done = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            for index in 2..=INSTALLATIONS {
+                install(index);
+            }
+            is_done.store(true, Ordering::SeqCst);
+        });
+        while !is_done.load(Ordering::SeqCst) {
+            let reader = match store.reader(GROUP) {
+                Ok(reader) => reader,
+                Err(error) => {
+                    assert_eq!(error.cause, StorageCause::BeingReplaced);
+                    continue;
+                }
+            };
+            let entries = reader.scan(Bound::Unbounded, Bound::Unbounded, 10_000);
+            let entries = entries.expect("entries");
+            let (held, _) = reader.snapshot().expect("readable").expect("a snapshot");
+            assert!(entries == large_entries(held.index as u8), "{held:?}");
+        }
+    });
+    let reader = store.reader(GROUP).expect("readable");
+    assert!(reader.snapshot().expect("readable").is_some());
+}
