Items give way to calls that wait, by slack

Change: a running item ends its run for a call that waits at its node and goes on later behind its last event. Those with the most slack go first; one whose slack does not cover what giving way usually costs, as observed, keeps its place, as all do while the backlog at the leader has no slack. The leader counts that against the pace at which items end and tells it with leases. Items go first where their prompt was read; on-time order goes by a run time that is seldom exceeded.

--- a/crates/pinerill-calls/src/message.rs
+++ b/crates/pinerill-calls/src/message.rs
@@ -24,7 +24,8 @@
 /// | 1 | the first layout |
 /// | 2 | numbers of failed runs, usual run times in lease requests |
 /// | 3 | the leader in answers to joining machines, lengths of calls and texts |
-const VERSION: u8 = 3;
+/// | 4 | slack of the backlog in answers to lease requests |
+const VERSION: u8 = 4;
 
 /// What one process asks of another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -188,6 +189,10 @@
     pub leased: Vec<LeasedItem>,
     /// Items that it must stop: ended, or another node's by now.
     pub stop: Vec<ItemRef>,
+    /// Slack of the tightest item that no node has, milliseconds: time between the
+    /// end that is expected of it, at the pace at which items end, and the time at
+    /// which it is due. None if no item waits that could still be on time.
+    pub backlog_slack_ms: Option<i64>,
 }
 
 /// An item to run.
--- a/crates/pinerill-cluster/src/leases.rs
+++ b/crates/pinerill-cluster/src/leases.rs
@@ -9,6 +9,7 @@
 
 use pinerill_calls::job::ItemRef;
 
+use crate::backlog::Backlog;
 use crate::machine::{Jobs, QueuePosition};
 
 /// Times of leases.
@@ -42,6 +43,7 @@
     settings: LeaseSettings,
     started_ms: u64,
     leases: HashMap<QueuePosition, Lease>,
+    backlog: Backlog,
 }
 
 /// What a node asks for.
@@ -64,6 +66,9 @@
     pub leased: Vec<QueuePosition>,
     /// Items that it must stop.
     pub stop: Vec<ItemRef>,
+    /// Slack of the tightest item that no node has, milliseconds; none if there
+    /// is no item that could still be on time.
+    pub backlog_slack_ms: Option<i64>,
 }
 
 impl LeaseBook {
@@ -74,6 +79,7 @@
             settings,
             started_ms: now_ms,
             leases: HashMap::new(),
+            backlog: Backlog::new(now_ms),
         }
     }
 
@@ -86,8 +92,14 @@
         job_clock_ms: u64,
         ask: &LeaseAsk<'_>,
     ) -> LeaseDecision {
-        self.leases
-            .retain(|_, lease| lease.node != ask.node && lease.expires_ms > now_ms);
+        let mut ended = 0;
+        self.leases.retain(|place, lease| {
+            if lease.node == ask.node && !jobs.queue().contains(place) {
+                ended += 1;
+            }
+            lease.node != ask.node && lease.expires_ms > now_ms
+        });
+        self.backlog.ended(now_ms, ended);
         let mut decision = LeaseDecision::default();
         for item in ask.held {
             if !self.renew(now_ms, jobs, ask.node, item) {
@@ -97,14 +109,33 @@
         if now_ms >= self.started_ms + self.settings.reclaim_ms {
             decision.leased = self.hand_out(now_ms, jobs, job_clock_ms, ask);
         }
+        decision.backlog_slack_ms = self.backlog_slack_ms(now_ms, jobs, job_clock_ms, ask.run_ms);
         decision
     }
 
+    /// Slack of the items that wait and could still be on time.
+    fn backlog_slack_ms(
+        &mut self,
+        now_ms: u64,
+        jobs: &Jobs,
+        job_clock_ms: u64,
+        run_ms: u64,
+    ) -> Option<i64> {
+        if self.backlog.is_old(now_ms) {
+            let on_time = jobs.queue().range(first_on_time(job_clock_ms, run_ms)..);
+            let leases = &self.leases;
+            let free = on_time.filter(|place| is_free(leases, now_ms, place));
+            let until_due = free.map(|place| place.due_ms.saturating_sub(job_clock_ms));
+            self.backlog.look(now_ms, until_due);
+        }
+        self.backlog.slack_ms(run_ms)
+    }
+
     fn renew(&mut self, now_ms: u64, jobs: &Jobs, node: &str, item: &ItemRef) -> bool {
         let Some(place) = jobs.position(&item.job, item.index) else {
             return false;
         };
-        if !self.is_free(now_ms, &place) {
+        if !is_free(&self.leases, now_ms, &place) {
             return false;
         }
         self.grant(now_ms, place, node);
@@ -120,16 +151,12 @@
         job_clock_ms: u64,
         ask: &LeaseAsk<'_>,
     ) -> Vec<QueuePosition> {
-        let first_on_time = QueuePosition {
-            due_ms: job_clock_ms + ask.run_ms,
-            job: 0,
-            index: 0,
-        };
+        let first_on_time = first_on_time(job_clock_ms, ask.run_ms);
         let on_time = jobs.queue().range(first_on_time..);
         let late = jobs.queue().range(..first_on_time);
         let free: Vec<QueuePosition> = on_time
             .chain(late)
-            .filter(|place| self.is_free(now_ms, place))
+            .filter(|place| is_free(&self.leases, now_ms, place))
             .take(ask.want)
             .copied()
             .collect();
@@ -139,10 +166,6 @@
         free
     }
 
-    fn is_free(&self, now_ms: u64, place: &QueuePosition) -> bool {
-        let lease = self.leases.get(place);
-        lease.is_none_or(|lease| lease.expires_ms <= now_ms)
-    }
 
     fn grant(&mut self, now_ms: u64, place: QueuePosition, node: &str) {
         let lease = Lease {
@@ -152,3 +175,18 @@
         self.leases.insert(place, lease);
     }
 }
+
+/// Whether no node has the item.
+fn is_free(leases: &HashMap<QueuePosition, Lease>, now_ms: u64, place: &QueuePosition) -> bool {
+    let lease = leases.get(place);
+    lease.is_none_or(|lease| lease.expires_ms <= now_ms)
+}
+
+/// The first place of an item that is on time if it begins now.
+fn first_on_time(job_clock_ms: u64, run_ms: u64) -> QueuePosition {
+    QueuePosition {
+        due_ms: job_clock_ms + run_ms,
+        job: 0,
+        index: 0,
+    }
+}
--- a/crates/pinerill-cluster/src/server/jobs.rs
+++ b/crates/pinerill-cluster/src/server/jobs.rs
@@ -276,6 +276,7 @@
         CallsResponse::Leases(LeaseResponse {
             leased: places.filter_map(|place| self.leased_item(place)).collect(),
             stop: decision.stop,
+            backlog_slack_ms: decision.backlog_slack_ms,
         })
     }
 
--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -12,7 +12,9 @@
 use tokio::time::{sleep, timeout};
 
 use super::leases::Held;
+use super::preemption::RunningItem;
 use super::reports::Reporter;
+use super::runs::Run;
 use crate::exchange::{BreakReason, EventScanner, EventText, Exchange, Sent, WorkerRequest};
 use crate::fleet::{Prompt, Wanted};
 use crate::node::{Node, Occupied};
@@ -45,6 +47,12 @@
     attempts: u32,
     /// Time that it has run at workers.
     ran: Duration,
+    /// When its result is due, on the node's clock, milliseconds.
+    due_ms: i64,
+    /// When it gave way, until the next event after that.
+    gave_way: Option<Instant>,
+    /// How often it gave way.
+    times_given_way: u32,
     /// Length of the text, and of what is kept of it.
     bytes: (usize, usize),
 }
@@ -83,12 +91,12 @@
     };
     node.metrics.item_ended(outcome);
     if let ItemEnd::Completed(_) = &end {
-        held.run_time.lock().ended(running.ran);
+        node.runs.item_ended(running.ran);
     }
     log::info!(
         event = "item_ended", id = running.leased.id.as_str(), job = item.job.as_str(),
         index = item.index, attempts = running.attempts, bytes = running.bytes.0,
-        kept_bytes = running.bytes.1,
+        kept_bytes = running.bytes.1, gave_way = running.times_given_way,
         outcome, ms = started.elapsed().as_millis() as u64; ""
     );
     // The receiver lives as long as the node.
@@ -101,6 +109,7 @@
     let table = node.table()?;
     let route = table.route(&leased.host, uri.path())?;
     let service = route.target_at(rand::random())?.service.clone();
+    let due_ms = node.now_ms() as i64 + leased.due_in_ms;
     Some(Running {
         service,
         prompt: Prompt::of_call(&node.caller_protocol.item_head(&call.headers)),
@@ -117,6 +126,9 @@
         avoid: Vec::new(),
         attempts: 0,
         ran: Duration::ZERO,
+        due_ms,
+        gave_way: None,
+        times_given_way: 0,
         bytes: (0, 0),
     })
 }
@@ -189,7 +201,11 @@
             let read = read_events(running, sent.exchange, place, node).await;
             running.ran += began.elapsed();
             match read {
-                Ok(()) => {
+                Ok(ReadEnd::GaveWay) => {
+                    gave_way(node, running, &chosen);
+                    None
+                }
+                Ok(ReadEnd::Whole) => {
                     let text = std::mem::take(&mut running.text).into_bytes();
                     let kept = compress(&text);
                     running.bytes = (text.len(), kept.len());
@@ -268,15 +284,31 @@
     Ok((sent, place))
 }
 
+/// How reading an item's events ended.
+enum ReadEnd {
+    /// All are here.
+    Whole,
+    /// The run ended for a call that waits.
+    GaveWay,
+}
+
 async fn read_events(
     running: &mut Running,
     mut exchange: Exchange,
     place: Occupied,
     node: &Node,
-) -> Result<(), BreakReason> {
+) -> Result<ReadEnd, BreakReason> {
+    let mut run = register(node, running, &place);
     let mut scanner = EventScanner::after(running.last);
     loop {
-        let piece = timeout(PATIENCE, exchange.next_piece()).await;
+        let piece = tokio::select! {
+            piece = timeout(PATIENCE, exchange.next_piece()) => piece,
+            // Dropping the exchange closes its connection, so that the worker stops.
+            Ok(()) = &mut run.gives_way => {
+                place.succeeded();
+                return Ok(ReadEnd::GaveWay);
+            }
+        };
         let Some(piece) = piece.unwrap_or(Err(BreakReason::Silent))? else {
             break;
         };
@@ -284,6 +316,9 @@
         if batch.count > 0 {
             running.text.append(&batch.bytes);
             running.last = scanner.last();
+            if let Some(gave_way) = running.gave_way.take() {
+                node.runs.resumed(gave_way.elapsed());
+            }
         }
     }
     if scanner.has_part() {
@@ -291,7 +326,26 @@
     }
     place.succeeded();
     exchange.finish(node.connections());
-    Ok(())
+    Ok(ReadEnd::Whole)
+}
+
+fn register(node: &Node, running: &Running, place: &Occupied) -> Run {
+    node.runs.begin(RunningItem {
+        worker: place.worker().to_owned(),
+        due_ms: running.due_ms,
+        began_ms: node.now_ms(),
+        ran_ms: running.ran.as_secs_f64() * 1_000.0,
+    })
+}
+
+fn gave_way(node: &Node, running: &mut Running, worker: &str) {
+    running.gave_way.get_or_insert_with(Instant::now);
+    running.times_given_way += 1;
+    node.metrics.items_gave_way.inc();
+    log::info!(
+        event = "item_gave_way", id = running.leased.id.as_str(), worker,
+        last:? = running.last, due_in_ms = running.due_ms - node.now_ms() as i64; ""
+    );
 }
 
 fn broke(node: &Node, running: &mut Running, worker: &str, reason: &BreakReason) {
--- a/crates/pinerill-forward/src/batch/leases.rs
+++ b/crates/pinerill-forward/src/batch/leases.rs
@@ -12,7 +12,6 @@
 use tokio::time::sleep;
 use tokio_util::task::AbortOnDropHandle;
 
-use super::run_time::RunTime;
 use super::{item, reports};
 use crate::node::Node;
 
@@ -38,8 +37,6 @@
 pub(super) struct Held {
     tasks: Mutex<HashMap<ItemRef, AbortOnDropHandle<()>>>,
     renewed: Mutex<Option<Instant>>,
-    /// How long items run.
-    pub(super) run_time: Mutex<RunTime>,
     /// Something ended, so that there may be room.
     pub(super) changed: Notify,
 }
@@ -72,7 +69,6 @@
     let held = Arc::new(Held {
         tasks: Mutex::default(),
         renewed: Mutex::new(None),
-        run_time: Mutex::default(),
         changed: Notify::new(),
     });
     let reporting = reports::run(node.clone(), held.clone(), reported);
@@ -106,7 +102,7 @@
             node: node.start.clone(),
             held: held.items(),
             want: wanted(&node),
-            run_ms: held.run_time.lock().typical_ms(),
+            run_ms: node.runs.typical_ms(),
             wait_ms: HOLD.as_millis() as u64,
         });
         let answer = node.cluster.call(&request, ASK_TIME, HOLD).await;
@@ -114,6 +110,7 @@
             Ok(answered) => {
                 if let CallsResponse::Leases(leases) = answered.response {
                     *held.renewed.lock() = Some(started);
+                    node.runs.take_backlog(leases.backlog_slack_ms);
                     take_in(&node, &held, &reporter, leases);
                 }
                 sleep(REQUEST_PAUSE).await;
--- a/crates/pinerill-forward/src/batch/mod.rs
+++ b/crates/pinerill-forward/src/batch/mod.rs
@@ -2,11 +2,15 @@
 //!
 //! `leases` renews what the node holds and takes more, `item` runs one item
 //! until it has an end, `reports` tells the ends to the leader. An item is held
-//! until its end is recorded.
+//! until its end is recorded. `preemption` says which running items give way to
+//! calls that wait.
 
 mod item;
 mod leases;
+pub mod preemption;
 mod reports;
 pub mod run_time;
+mod runs;
 
 pub(crate) use leases::{give_back, run};
+pub(crate) use runs::Runs;
--- /dev/null
+++ b/crates/pinerill-forward/src/batch/runs.rs
@@ -0,0 +1,88 @@
+//! The runs of items at this node, and how they are told to give way.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+
+use super::preemption::{Preemption, RunId, RunningItem};
+
+#[derive(Default)]
+struct State {
+    preemption: Preemption,
+    /// Tells a run to end.
+    enders: HashMap<RunId, oneshot::Sender<()>>,
+}
+
+/// All runs of a node.
+#[derive(Default)]
+pub(crate) struct Runs {
+    state: Mutex<State>,
+}
+
+/// One run; taken off when dropped.
+pub(super) struct Run {
+    runs: Arc<Runs>,
+    id: RunId,
+    /// Completes once the run is to end.
+    pub(super) gives_way: oneshot::Receiver<()>,
+}
+
+impl Runs {
+    /// An item begins to run or goes on.
+    pub(super) fn begin(self: &Arc<Self>, item: RunningItem) -> Run {
+        let (ender, gives_way) = oneshot::channel();
+        let mut state = self.state.lock();
+        let id = state.preemption.begin(item);
+        state.enders.insert(id, ender);
+        Run {
+            runs: self.clone(),
+            id,
+            gives_way,
+        }
+    }
+
+    /// Ends runs for calls that wait; returns how many.
+    pub(crate) fn give_way(&self, now_ms: u64, calls: usize) -> usize {
+        let mut state = self.state.lock();
+        let ended = state.preemption.give_way(now_ms, calls);
+        for run in &ended {
+            if let Some(ender) = state.enders.remove(run) {
+                // A run that has just ended by itself needs no word.
+                let _ = ender.send(());
+            }
+        }
+        ended.len()
+    }
+
+    /// A whole item took so long at workers.
+    pub(super) fn item_ended(&self, time: Duration) {
+        self.state.lock().preemption.item_ended(time);
+    }
+
+    /// An item that gave way has its next event after this time.
+    pub(super) fn resumed(&self, time: Duration) {
+        self.state.lock().preemption.resumed(time);
+    }
+
+    /// Time that an item seldom exceeds, milliseconds; 0 if not known.
+    pub(super) fn typical_ms(&self) -> u64 {
+        let longest = self.state.lock().preemption.run_time().longest_ms();
+        longest.map_or(0, |ms| ms as u64)
+    }
+
+    /// The leader tells the slack of what waits there.
+    pub(super) fn take_backlog(&self, slack_ms: Option<i64>) {
+        self.state.lock().preemption.take_backlog(slack_ms);
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        let mut state = self.runs.state.lock();
+        state.preemption.end(self.id);
+        state.enders.remove(&self.id);
+    }
+}
--- a/crates/pinerill-forward/src/dispatch/mod.rs
+++ b/crates/pinerill-forward/src/dispatch/mod.rs
@@ -275,6 +275,7 @@
             let _ = timeout(LOOK_PAUSE, dispatcher.changed.notified()).await;
         }
         dispatcher.place_waiting(&node);
+        node.runs.give_way(node.now_ms(), dispatcher.waiting());
         sleep(GATHER_PAUSE).await;
     }
 }
--- a/crates/pinerill-forward/src/fleet/choice.rs
+++ b/crates/pinerill-forward/src/fleet/choice.rs
@@ -102,7 +102,8 @@
         });
         let scored = with_room.map(|worker| {
             let filled = worker.occupied(now_ms) / worker.slots();
-            let reading = worker.reading_left_ms(now_ms) / READING_SCALE_MS;
+            let own = self.prefill_ms(worker, wanted.prompt, false);
+            let reading = (worker.reading_left_ms(now_ms) + own) / READING_SCALE_MS;
             (filled + reading, worker)
         });
         let (_, best) = scored.min_by(|left, right| left.0.total_cmp(&right.0))?;
--- a/crates/pinerill-forward/src/monitoring.rs
+++ b/crates/pinerill-forward/src/monitoring.rs
@@ -29,6 +29,7 @@
     pub(crate) worker_failures: IntCounter,
     pub(crate) worker_refusals: IntCounter,
     items: IntCounterVec,
+    pub(crate) items_gave_way: IntCounter,
     waiting_calls: IntGauge,
     table_version: IntGauge,
     control_silent_ms: IntGauge,
@@ -115,6 +116,10 @@
                 "Items of jobs that ended here, by end",
                 &["end"],
             )?,
+            items_gave_way: counter(
+                "pinerill_node_items_gave_way_total",
+                "Runs of items that ended for a call that waited",
+            )?,
             waiting_calls: gauge(
                 "pinerill_node_waiting_calls",
                 "Calls that wait for a place at a worker",
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -10,6 +10,7 @@
 use pinerill_calls::table::RouteIndex;
 use tokio_util::sync::CancellationToken;
 
+use crate::batch::Runs;
 use crate::cluster::ClusterClient;
 use crate::dispatch::Dispatcher;
 use crate::exchange::ConnectionPool;
@@ -35,6 +36,7 @@
     fleet: Mutex<Fleet>,
     connections: ConnectionPool,
     pub(crate) dispatcher: Dispatcher,
+    pub(crate) runs: Arc<Runs>,
     pub(crate) metrics: Metrics,
     pub(crate) beliefs: Beliefs,
     started: Instant,
@@ -69,6 +71,7 @@
             fleet: Mutex::new(parts.fleet),
             connections: ConnectionPool::default(),
             dispatcher: Dispatcher::default(),
+            runs: Arc::default(),
             metrics: parts.metrics,
             beliefs: Beliefs::default(),
             started: Instant::now(),
