Calls are refused only if they can't be served in time

Change: a call waits while its turn is expected before the latest moment at which it can still be answered: before its caller gives up (a fact of the platform's clients, read in platform/) and before its deadline, less times observed by route. The constants 0.7, 0.85 and 0.18 to 0.3 of objective and deadline are gone. While no item has ended at a node, half of an item's time is taken as its run time. A log line says why items keep their places.

--- a/crates/pinerill-calls/src/table.rs
+++ b/crates/pinerill-calls/src/table.rs
@@ -48,6 +48,9 @@
     pub attempts: u32,
     /// Longest pause between two events that callers want, milliseconds.
     pub gap_ms: Option<u64>,
+    /// Time without an event, also before the first one, after which callers give a
+    /// series of events up, milliseconds; none if they don't.
+    pub caller_patience_ms: Option<u64>,
     /// Bounds of its jobs; only of [`RouteKind::Batch`].
     pub batch: Option<BatchLimits>,
 }
--- a/crates/pinerill-calls/tests/route_table.rs
+++ b/crates/pinerill-calls/tests/route_table.rs
@@ -28,6 +28,7 @@
         }],
         attempts: 1,
         gap_ms: None,
+        caller_patience_ms: None,
         batch: None,
     }
 }
--- a/crates/pinerill-cluster/src/backlog.rs
+++ b/crates/pinerill-cluster/src/backlog.rs
@@ -85,9 +85,9 @@
     /// Looks at the times left of the items that wait, in their order.
     pub(crate) fn look(&mut self, now_ms: u64, until_due_ms: impl Iterator<Item = u64>) {
         self.looked_ms = Some(now_ms);
-        // While no pace is known, what waits may not begin in time at all.
-        let interval_ms = self.pace.interval_ms(now_ms);
-        let begins_ms = |position: usize| interval_ms.map_or(f64::INFINITY, |ms| ms * position as f64);
+        // While no pace is known, the order alone says nothing.
+        let interval_ms = self.pace.interval_ms(now_ms).unwrap_or(0.0);
+        let begins_ms = |position: usize| interval_ms * position as f64;
         self.least_ms = until_due_ms
             .enumerate()
             .map(|(position, until_due_ms)| until_due_ms as f64 - begins_ms(position + 1))
--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -335,6 +335,7 @@
         due_ms: running.due_ms,
         began_ms: node.now_ms(),
         ran_ms: running.ran.as_secs_f64() * 1_000.0,
+        allowed_ms: running.leased.due_in_ms.max(0) as f64,
     })
 }
 
--- a/crates/pinerill-forward/src/batch/mod.rs
+++ b/crates/pinerill-forward/src/batch/mod.rs
@@ -9,7 +9,6 @@
 mod leases;
 pub mod preemption;
 mod reports;
-pub mod run_time;
 mod runs;
 
 pub(crate) use leases::{give_back, run};
--- a/crates/pinerill-forward/src/batch/preemption.rs
+++ b/crates/pinerill-forward/src/batch/preemption.rs
@@ -14,7 +14,11 @@
 
 use pinerill_calls::directory::WorkerId;
 
-use super::run_time::RunTime;
+use crate::run_time::RunTime;
+
+/// Part of the time until it is due that an item is taken to run while no item has
+/// ended here: right after a start nothing better is known.
+const FIRST_GUESS: f64 = 0.5;
 
 /// Names one run of an item at this node.
 pub type RunId = u64;
@@ -30,6 +34,22 @@
     pub began_ms: u64,
     /// Time that earlier runs of it took, milliseconds.
     pub ran_ms: f64,
+    /// Time from when it was leased until it is due, milliseconds.
+    pub allowed_ms: f64,
+}
+
+/// What decides whether items give way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PreemptionBasis {
+    /// Items that run.
+    pub running: usize,
+    /// Slack of the running item that has the most, milliseconds; none if none can
+    /// be on time.
+    pub most_slack_ms: Option<i64>,
+    /// Slack of the tightest item that waits at the leader, milliseconds.
+    pub backlog_slack_ms: Option<i64>,
+    /// What giving way usually costs an item, milliseconds.
+    pub cost_ms: i64,
 }
 
 /// What an item can spare.
@@ -112,18 +132,24 @@
         order.into_iter().map(|(_, run)| run).collect()
     }
 
-    /// Items that would give way now.
-    pub fn able(&self, now_ms: u64) -> usize {
-        let running = self.running.values();
-        running
-            .filter(|item| self.readiness(now_ms, item).is_some())
-            .count()
+    /// What decides whether items give way, for the log.
+    pub fn basis(&self, now_ms: u64) -> PreemptionBasis {
+        let slacks = self.running.values().filter_map(|item| match self.spare(now_ms, item) {
+            Spare::Late => None,
+            Spare::Slack(slack_ms) => Some(slack_ms as i64),
+        });
+        PreemptionBasis {
+            running: self.running.len(),
+            most_slack_ms: slacks.max(),
+            backlog_slack_ms: self.backlog_slack_ms,
+            cost_ms: self.interruption.longest_ms().unwrap_or(0.0) as i64,
+        }
     }
 
     /// How willingly an item gives way: the more, the sooner. None if it keeps
     /// its place.
     fn readiness(&self, now_ms: u64, item: &RunningItem) -> Option<f64> {
-        match self.spare(now_ms, item)? {
+        match self.spare(now_ms, item) {
             Spare::Late => Some(f64::INFINITY),
             Spare::Slack(slack_ms) => {
                 let cost_ms = self.interruption.longest_ms().unwrap_or(0.0);
@@ -133,16 +159,16 @@
         }
     }
 
-    /// None while it is not known how long items run.
-    fn spare(&self, now_ms: u64, item: &RunningItem) -> Option<Spare> {
+    fn spare(&self, now_ms: u64, item: &RunningItem) -> Spare {
         let until_due_ms = item.due_ms as f64 - now_ms as f64;
         let ran_ms = item.ran_ms + now_ms.saturating_sub(item.began_ms) as f64;
-        let left_ms = |whole_ms: f64| (whole_ms - ran_ms).max(0.0);
-        let at_least_ms = left_ms(self.run_time.shortest_ms()?);
-        if at_least_ms > until_due_ms {
-            return Some(Spare::Late);
+        let left_ms = |whole_ms: Option<f64>| {
+            let whole_ms = whole_ms.unwrap_or(item.allowed_ms * FIRST_GUESS);
+            (whole_ms - ran_ms).max(0.0)
+        };
+        if left_ms(self.run_time.shortest_ms()) > until_due_ms {
+            return Spare::Late;
         }
-        let at_most_ms = left_ms(self.run_time.longest_ms()?);
-        Some(Spare::Slack(until_due_ms - at_most_ms))
+        Spare::Slack(until_due_ms - left_ms(self.run_time.longest_ms()))
     }
 }
--- a/crates/pinerill-forward/src/batch/runs.rs
+++ b/crates/pinerill-forward/src/batch/runs.rs
@@ -9,11 +9,32 @@
 
 use super::preemption::{Preemption, RunId, RunningItem};
 
+/// Pause between two log lines on items that keep their places, milliseconds.
+const KEPT_TOLD_PAUSE_MS: u64 = 200;
+
 #[derive(Default)]
 struct State {
     preemption: Preemption,
     /// Tells a run to end.
     enders: HashMap<RunId, oneshot::Sender<()>>,
+    /// When it was last told that items keep their places, on the node's clock.
+    kept_told_ms: u64,
+}
+
+impl State {
+    /// Logs why no item gives way, once in a while.
+    fn tell_kept(&mut self, now_ms: u64, calls: usize) {
+        if now_ms < self.kept_told_ms + KEPT_TOLD_PAUSE_MS {
+            return;
+        }
+        self.kept_told_ms = now_ms;
+        let basis = self.preemption.basis(now_ms);
+        log::info!(
+            event = "items_keep_places", calls, running = basis.running,
+            most_slack_ms:? = basis.most_slack_ms, backlog_slack_ms:? = basis.backlog_slack_ms,
+            cost_ms = basis.cost_ms; ""
+        );
+    }
 }
 
 /// All runs of a node.
@@ -46,6 +67,9 @@
 
     /// Ends runs for calls that wait; returns how many.
     pub(crate) fn give_way(&self, now_ms: u64, calls: usize) -> usize {
+        if calls == 0 {
+            return 0;
+        }
         let mut state = self.state.lock();
         let ended = state.preemption.give_way(now_ms, calls);
         for run in &ended {
@@ -54,6 +78,9 @@
                 let _ = ender.send(());
             }
         }
+        if ended.is_empty() {
+            state.tell_kept(now_ms, calls);
+        }
         ended.len()
     }
 
--- a/crates/pinerill-forward/src/call/record.rs
+++ b/crates/pinerill-forward/src/call/record.rs
@@ -67,6 +67,8 @@
     attempts: String,
     /// Time that it waited here for places at workers.
     waited: Duration,
+    /// When it got its first place.
+    placed: Option<Instant>,
     first_event: Option<Instant>,
     last_event: Option<Instant>,
     events: usize,
@@ -85,6 +87,7 @@
             arrived: call.arrived,
             attempts: String::new(),
             waited: Duration::ZERO,
+            placed: None,
             first_event: None,
             last_event: None,
             events: 0,
@@ -98,6 +101,7 @@
             self.attempts.push_str("; ");
         }
         let at = self.elapsed_ms();
+        self.placed.get_or_insert_with(Instant::now);
         // Writing to a text can't fail.
         let _ = write!(
             self.attempts,
@@ -135,6 +139,17 @@
         self.outcome = outcome;
     }
 
+    /// Tells the dispatcher how long it took from its place on.
+    fn tell_times(&self) {
+        let (Some(placed), Some(first)) = (self.placed, self.first_event) else {
+            return;
+        };
+        if self.outcome == CallOutcome::Answered {
+            let times = &self.node.dispatcher.times;
+            times.answered(&self.route, first - placed, placed.elapsed());
+        }
+    }
+
     fn elapsed_ms(&self) -> u64 {
         self.arrived.elapsed().as_millis() as u64
     }
@@ -143,6 +158,7 @@
 impl Drop for CallRecord {
     fn drop(&mut self) {
         let taken = self.arrived.elapsed();
+        self.tell_times();
         self.node
             .metrics
             .call_ended(self.kind, self.outcome.label(), taken);
--- a/crates/pinerill-forward/src/call/request.rs
+++ b/crates/pinerill-forward/src/call/request.rs
@@ -53,6 +53,13 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// When its first event must have reached the caller, who gives it up then.
+    pub fn first_event_by(&self) -> Instant {
+        let patience = self.route.caller_patience_ms.map(Duration::from_millis);
+        let given_up = patience.map(|patience| self.arrived + patience);
+        given_up.map_or(self.deadline, |at| at.min(self.deadline))
+    }
+
     /// Whether another attempt could still end in time.
     pub fn has_time(&self) -> bool {
         self.remaining() > SHORTEST_ATTEMPT
--- a/crates/pinerill-forward/src/dispatch/admission.rs
+++ b/crates/pinerill-forward/src/dispatch/admission.rs
@@ -1,9 +1,9 @@
 //! Whether a call that must wait is kept or told to come back. Pure.
 //!
-//! A call that would begin too late for its objective is better sent away at
-//! once, with a time to come back, than kept in a line in which it only gets
-//! late: its caller can ask again once the burst is over. A caller with little
-//! time left is never sent away, since it may not get another chance.
+//! A call is kept while it can be expected to be served within its deadline: a
+//! late answer is worth more to its caller than a refusal, after which it would be
+//! later still. One that can't be is refused at once: holding it would only take
+//! the time in which its caller can ask elsewhere.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -14,13 +14,10 @@
 const LEAST_STARTS: usize = 4;
 /// Starts older than this say nothing of the pace, milliseconds.
 const PACE_AGE_MS: u64 = 2_000;
-/// Part of the objective that a call may spend waiting here and still meet it.
-pub const WAITING_PART: f64 = 0.7;
-/// A caller is sent away only with at least this part of the route's time left.
-const TIME_LEFT_PART: f64 = 0.85;
-/// Bounds of the time to come back, as parts of the time that the caller has
-/// left: long enough for a burst to pass, short enough to be served then.
-const RETRY_PARTS: (f64, f64) = (0.18, 0.3);
+/// Bounds of the time to come back, as parts of the wait that was expected: those
+/// that are refused together come back spread over the time in which the line
+/// is served.
+const RETRY_PARTS: (f64, f64) = (0.5, 1.0);
 
 /// How fast waiting calls get places here.
 #[derive(Debug, Default)]
@@ -60,12 +57,8 @@
     pub ahead: usize,
     /// Time from one start to the next, milliseconds; none if not known.
     pub interval_ms: Option<f64>,
-    /// Time within which the caller wants its first event.
-    pub objective: Duration,
-    /// Time that the caller has left.
-    pub remaining: Duration,
-    /// Time that the route allows.
-    pub allowed: Duration,
+    /// Time within which it must have a place to be answered in time.
+    pub patience: Duration,
 }
 
 /// What becomes of it.
@@ -89,15 +82,18 @@
     };
     let expected_ms = interval_ms * (applicant.ahead + 1) as f64;
     let expected = Duration::from_secs_f64(expected_ms / 1_000.0);
-    let bearable = applicant.objective.mul_f64(WAITING_PART);
-    let has_time = applicant.remaining >= applicant.allowed.mul_f64(TIME_LEFT_PART);
-    if expected <= bearable || !has_time {
+    if expected <= applicant.patience {
         return Admission::Wait;
     }
-    let (shortest, longest) = RETRY_PARTS;
-    let part = shortest + (longest - shortest) * draw;
     Admission::SendAway {
         expected,
-        retry_after: applicant.remaining.mul_f64(part),
+        retry_after: retry_after(expected, draw),
     }
 }
+
+/// When a call shall come back that would wait so long.
+pub fn retry_after(expected: Duration, draw: f64) -> Duration {
+    let (shortest, longest) = RETRY_PARTS;
+    let part = shortest + (longest - shortest) * draw;
+    expected.mul_f64(part)
+}
--- a/crates/pinerill-forward/src/dispatch/mod.rs
+++ b/crates/pinerill-forward/src/dispatch/mod.rs
@@ -8,11 +8,12 @@
 
 pub mod admission;
 pub mod line;
+mod times;
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 use tokio::sync::{oneshot, Notify};
@@ -20,6 +21,7 @@
 
 use self::admission::{admit, Admission, Applicant, Pace};
 use self::line::{Ticket, WaitingCall, WaitingLine};
+use self::times::CallTimes;
 use crate::call::Call;
 use crate::fleet::{Chosen, Placement, Prompt, Wanted};
 use crate::node::{Node, Occupied};
@@ -80,6 +82,8 @@
     /// When a call last went to another zone without knowing the load there, on
     /// the node's clock.
     explored_ms: AtomicU64,
+    /// How long calls take once they have places.
+    pub(crate) times: CallTimes,
     /// There may be room now.
     pub(crate) changed: Notify,
 }
@@ -133,13 +137,31 @@
             ticket,
         };
         self.changed.notify_one();
-        let granted = timeout_at(call.deadline.into(), granted).await;
+        let latest = match fresh {
+            true => self.times.latest_place(call),
+            false => call.deadline,
+        };
+        let granted = timeout_at(latest.into(), granted).await;
         match granted {
             Ok(Ok(result)) => result,
+            Ok(Err(_)) | Err(_) if fresh => Err(self.waited_in_vain(node, call)),
             Ok(Err(_)) | Err(_) => Err(Unplaced::OutOfTime),
         }
     }
 
+    /// A call that got no place in time comes back once the line is shorter.
+    fn waited_in_vain(&self, node: &Node, call: &Call) -> Unplaced {
+        let interval_ms = self.state.lock().pace.interval_ms(node.now_ms());
+        let expected_ms = interval_ms.unwrap_or(0.0) * (self.waiting() + 1) as f64;
+        let expected = Duration::from_secs_f64(expected_ms / 1_000.0);
+        let retry_after = admission::retry_after(expected, rand::random());
+        log::info!(
+            event = "call_waited_in_vain", id = call.head.id.as_str(), line = self.waiting(),
+            interval_ms:? = interval_ms, retry_after_ms = retry_after.as_millis() as u64; ""
+        );
+        Unplaced::SentAway { retry_after }
+    }
+
     /// Where a call may go. Once in a while one that finds no room in its zone
     /// tries a worker elsewhere of which nothing is known.
     fn look(&self, node: &Node, service: &str, prompt: &Prompt, except: &[String]) -> Placement {
@@ -163,7 +185,8 @@
     fn waiting_call(&self, node: &Node, call: &Call) -> WaitingCall {
         let held_ms = call.arrived.elapsed().as_millis() as u64;
         let arrived_ms = node.now_ms().saturating_sub(held_ms);
-        let bearable_ms = call.route.objective_ms as f64 * admission::WAITING_PART;
+        let begin_ms = self.times.first_event_ms(&call.route.name);
+        let bearable_ms = (call.route.objective_ms as f64 - begin_ms).max(0.0);
         WaitingCall {
             rank: call.route.rank,
             in_time_until_ms: arrived_ms + bearable_ms as u64,
@@ -180,9 +203,10 @@
         let applicant = Applicant {
             ahead,
             interval_ms,
-            objective: Duration::from_millis(call.route.objective_ms),
-            remaining: call.remaining(),
-            allowed: Duration::from_millis(call.route.timeout_ms),
+            patience: self
+                .times
+                .latest_place(call)
+                .saturating_duration_since(Instant::now()),
         };
         match admit(&applicant, rand::random()) {
             Admission::Wait => Ok(()),
--- a/crates/pinerill-forward/src/lib.rs
+++ b/crates/pinerill-forward/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod exchange;
 pub mod fleet;
 pub mod gateway;
+pub mod run_time;
 
 mod monitoring;
 mod node;
--- a/crates/pinerill-forward/tests/run_time.rs
+++ b/crates/pinerill-forward/tests/run_time.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pinerill_forward::batch::run_time::RunTime;
+use pinerill_forward::run_time::RunTime;
 
 #[test]
 fn the_usual_run_time_follows_the_runs() {
