Nodes of all zones tell each other what they have in flight

Change: counts go to nodes of other zones too, at a slower pace; their workers count as known while they are told of, and keep a slot free. A change is held back for 2 ms.

--- a/crates/pinerill-calls/src/message.rs
+++ b/crates/pinerill-calls/src/message.rs
@@ -24,7 +24,7 @@
 /// | 1 | the first layout |
 /// | 2 | numbers of failed runs, usual run times in lease requests |
 /// | 3 | the leader in answers to joining machines, lengths of calls and texts |
-/// | 4 | slack of the backlog in answers to lease requests |
+/// | 4 | slack of the backlog in answers to lease requests, nodes of other zones in answers to watches, callers' patience in routes |
 const VERSION: u8 = 4;
 
 /// What one process asks of another.
@@ -116,6 +116,8 @@
     pub nodes: u32,
     /// Where the nodes of the asker's zone hear each other, its own included.
     pub peers: Vec<SocketAddr>,
+    /// Where the nodes of other zones hear each other.
+    pub far_peers: Vec<SocketAddr>,
 }
 
 /// Where a control machine listens.
--- a/crates/pinerill-cluster/src/server/leadership.rs
+++ b/crates/pinerill-cluster/src/server/leadership.rs
@@ -81,10 +81,12 @@
         self.nodes.len() as u32
     }
 
-    /// Where the nodes of a zone hear each other.
-    pub(super) fn peers(&self, zone: &str) -> Vec<SocketAddr> {
-        let in_zone = self.nodes.values().filter(|node| node.zone == zone);
-        in_zone.map(|node| node.peer).collect()
+    /// Where the nodes of a zone hear each other, and where those of all others do.
+    pub(super) fn peers(&self, zone: &str) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let (near, far): (Vec<&Node>, Vec<&Node>) =
+            self.nodes.values().partition(|node| node.zone == zone);
+        let addresses = |nodes: Vec<&Node>| nodes.into_iter().map(|node| node.peer).collect();
+        (addresses(near), addresses(far))
     }
 
     /// Notes that a control machine was heard.
--- a/crates/pinerill-cluster/src/server/watch.rs
+++ b/crates/pinerill-cluster/src/server/watch.rs
@@ -53,7 +53,8 @@
             directory,
             controls: self.known_controls(&silent),
             nodes,
-            peers,
+            peers: peers.0,
+            far_peers: peers.1,
         })
     }
 }
--- a/crates/pinerill-forward/src/cluster/watch.rs
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -116,7 +116,7 @@
 
 fn take_in(node: &Node, response: WatchResponse, position: &mut Option<DirectoryPosition>) {
     node.cluster.learn_zones(response.controls);
-    node.peers.learn(response.peers);
+    node.peers.learn(response.peers, response.far_peers);
     if position.is_some() {
         note_directory(node);
     }
--- a/crates/pinerill-forward/src/fleet/choice.rs
+++ b/crates/pinerill-forward/src/fleet/choice.rs
@@ -21,6 +21,10 @@
 /// nodes of a zone send that prefix, where this node doesn't know it yet.
 const MEETING_POINT: f64 = 0.5;
 
+/// Slots that stay free at a worker of another zone: what is known of it is older
+/// than what its own zone knows.
+const FAR_SPARE_SLOTS: f64 = 1.0;
+
 /// What a worker is wanted for.
 #[derive(Debug, Clone, Copy)]
 pub struct Wanted<'a> {
@@ -68,10 +72,14 @@
         let any_sound = asked.iter().any(|one| is_sound(one));
         let zone_serves = asked.iter().any(|one| self.is_near(one) && is_sound(one));
         let meeting_point = self.meeting_point(wanted);
+        let hears_far = self.hears_far(now_ms);
         let open = asked.into_iter().filter(|worker| {
             let passed_over = any_sound && !is_sound(worker);
-            let known = self.is_near(worker) || worker.is_load_known(now_ms);
-            !passed_over && (known || explores || !zone_serves) && worker.has_room(now_ms)
+            let known = self.is_near(worker) || hears_far || worker.is_load_known(now_ms);
+            let spare = if self.is_near(worker) { 0.0 } else { FAR_SPARE_SLOTS };
+            !passed_over
+                && (known || explores || !zone_serves)
+                && worker.has_room(now_ms, spare)
         });
         let scored = open.map(|worker| {
             let meets = meeting_point == Some(worker.entry().id.as_str());
--- a/crates/pinerill-forward/src/fleet/mod.rs
+++ b/crates/pinerill-forward/src/fleet/mod.rs
@@ -51,6 +51,8 @@
     workers: HashMap<WorkerId, Worker>,
     by_service: HashMap<String, Vec<WorkerId>>,
     peers: PeerBook,
+    /// When a node of another zone last told what it has in flight.
+    far_heard_ms: Option<u64>,
 }
 
 impl Fleet {
@@ -62,6 +64,7 @@
             workers: HashMap::new(),
             by_service: HashMap::new(),
             peers: PeerBook::default(),
+            far_heard_ms: None,
         }
     }
 
--- a/crates/pinerill-forward/src/fleet/peers.rs
+++ b/crates/pinerill-forward/src/fleet/peers.rs
@@ -88,6 +88,17 @@
         self.peers.told.insert(peer, told);
     }
 
+    /// A node of another zone told what it has in flight.
+    pub fn heard_far(&mut self, now_ms: u64) {
+        self.far_heard_ms = Some(now_ms);
+    }
+
+    /// Whether nodes of other zones tell what they have in flight.
+    pub(super) fn hears_far(&self, now_ms: u64) -> bool {
+        self.far_heard_ms
+            .is_some_and(|at| now_ms <= at + PEER_LIFE_MS)
+    }
+
     /// Forgets what peers told that have been silent since.
     pub fn forget_silent_peers(&mut self, now_ms: u64) {
         let told = self.peers.told.iter();
--- a/crates/pinerill-forward/src/fleet/worker.rs
+++ b/crates/pinerill-forward/src/fleet/worker.rs
@@ -128,9 +128,10 @@
         f64::from(self.in_flight + self.peers_in_flight) + self.others_believed(now_ms)
     }
 
-    /// Whether one more request would begin at once.
-    pub(super) fn has_room(&self, now_ms: u64) -> bool {
-        !self.is_full(now_ms) && self.occupied(now_ms) + 1.0 <= self.slots() + ROUNDING
+    /// Whether one more request would begin at once and leave so many slots free.
+    pub(super) fn has_room(&self, now_ms: u64, spare: f64) -> bool {
+        let filled = self.occupied(now_ms) + 1.0 + spare;
+        !self.is_full(now_ms) && filled <= self.slots() + ROUNDING
     }
 
     /// Whether what others do there was learnt a short while ago.
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -157,7 +157,7 @@
             fleet.remember_prompt(now_ms, &worker, prompt);
         });
         self.peers.tell_prompt(&worker, chosen.prefill_ms);
-        self.peers.changed.notify_one();
+        self.peers.changed();
         Occupied {
             node: self.clone(),
             worker,
@@ -211,6 +211,6 @@
     fn drop(&mut self) {
         self.node.with_fleet(|fleet, _| fleet.end(&self.worker));
         self.node.dispatcher.changed.notify_one();
-        self.node.peers.changed.notify_one();
+        self.node.peers.changed();
     }
 }
--- a/crates/pinerill-forward/src/peers.rs
+++ b/crates/pinerill-forward/src/peers.rs
@@ -1,10 +1,11 @@
-//! Nodes of a zone tell each other what they send to workers.
+//! Nodes tell each other what they send to workers.
 //!
 //! A worker's load report comes with an answer, so that it is old and many nodes
-//! have none; and it counts requests, not tokens. So each node tells the others of
-//! its zone, by datagrams, how many requests it has at which worker, whenever
-//! that changes, and each prompt that takes a while to read. A datagram that is
-//! lost costs a worse choice and nothing else.
+//! have none; and it counts requests, not tokens. So each node tells the others, by
+//! datagrams, how many requests it has at which worker, whenever that changes, and
+//! those of its zone each prompt that takes a while to read. Nodes of other zones
+//! are told at a slower pace: they seldom send there, and bytes between zones are
+//! dear. A datagram that is lost costs a worse choice and nothing else.
 
 use std::io;
 use std::net::SocketAddr;
@@ -31,6 +32,12 @@
 /// Shortest pause between two tellings of counts, for each node that is told:
 /// the more there are, the more each has to hear.
 const PAUSE_PER_PEER: Duration = Duration::from_micros(1_200);
+/// The same for nodes of other zones.
+const PAUSE_PER_FAR_PEER: Duration = Duration::from_micros(5_000);
+/// How long a change is held back, so that a place that is free here and taken
+/// again at once by a call that waits here is not told as free: a peer with waiting
+/// calls would take it too.
+const GATHER_PAUSE: Duration = Duration::from_millis(2);
 /// Bounds of that pause.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(6);
 const LONGEST_PAUSE: Duration = Duration::from_millis(150);
@@ -57,12 +64,28 @@
     },
 }
 
-/// The other nodes of the zone.
-pub(crate) struct Peers {
-    socket: UdpSocket,
+/// Which other nodes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Reach {
+    /// Those of this zone.
+    Near,
+    /// Those of other zones.
+    Far,
+}
+
+/// Other nodes that are told of the same things.
+#[derive(Default)]
+struct Group {
     addresses: RwLock<Vec<SocketAddr>>,
     /// What is in flight here has changed.
-    pub(crate) changed: Notify,
+    changed: Notify,
+}
+
+/// The other nodes.
+pub(crate) struct Peers {
+    socket: UdpSocket,
+    near: Group,
+    far: Group,
 }
 
 impl Peers {
@@ -73,17 +96,38 @@
     pub(crate) async fn listen(address: SocketAddr) -> io::Result<Self> {
         Ok(Peers {
             socket: UdpSocket::bind(address).await?,
-            addresses: RwLock::default(),
-            changed: Notify::new(),
+            near: Group::default(),
+            far: Group::default(),
         })
     }
 
     /// Takes in where the others are.
-    pub(crate) fn learn(&self, mut addresses: Vec<SocketAddr>) {
+    pub(crate) fn learn(&self, mut near: Vec<SocketAddr>, far: Vec<SocketAddr>) {
         if let Ok(own) = self.socket.local_addr() {
-            addresses.retain(|address| *address != own);
+            near.retain(|address| *address != own);
+        }
+        *self.near.addresses.write() = near;
+        *self.far.addresses.write() = far;
+    }
+
+    /// What is in flight here has changed.
+    pub(crate) fn changed(&self) {
+        self.near.changed.notify_one();
+        self.far.changed.notify_one();
+    }
+
+    fn group(&self, reach: Reach) -> &Group {
+        match reach {
+            Reach::Near => &self.near,
+            Reach::Far => &self.far,
         }
-        *self.addresses.write() = addresses;
+    }
+
+    /// Where a peer is; none if it is no peer.
+    fn reach_of(&self, peer: SocketAddr) -> Option<Reach> {
+        [Reach::Near, Reach::Far]
+            .into_iter()
+            .find(|reach| self.group(*reach).addresses.read().contains(&peer))
     }
 
     /// Tells the others of a prompt.
@@ -91,29 +135,34 @@
         if prefill_ms < TOLD_FROM_MS {
             return;
         }
-        self.send(&PeerMessage::PromptSent {
+        let message = PeerMessage::PromptSent {
             worker: worker.to_owned(),
             prefill_ms,
-        });
+        };
+        self.send(Reach::Near, &message);
     }
 
-    fn send(&self, message: &PeerMessage) {
+    fn send(&self, reach: Reach, message: &PeerMessage) {
         let datagram = encode(message);
-        for address in self.addresses.read().iter() {
+        for address in self.group(reach).addresses.read().iter() {
             // A socket that is full loses this one, as the network may.
             let _ = self.socket.try_send_to(&datagram, *address);
         }
     }
 
     /// Pause between two tellings of counts.
-    fn pause(&self) -> Duration {
-        let peers = self.addresses.read().len() as u32;
-        (PAUSE_PER_PEER * peers).clamp(SHORTEST_PAUSE, LONGEST_PAUSE)
+    fn pause(&self, reach: Reach) -> Duration {
+        let peers = self.group(reach).addresses.read().len() as u32;
+        let per_peer = match reach {
+            Reach::Near => PAUSE_PER_PEER,
+            Reach::Far => PAUSE_PER_FAR_PEER,
+        };
+        (per_peer * peers).clamp(SHORTEST_PAUSE, LONGEST_PAUSE)
     }
 }
 
-/// Tells the others what is in flight here, whenever it changes.
-pub(crate) async fn tell(node: Arc<Node>) {
+/// Tells others what is in flight here, whenever it changes.
+pub(crate) async fn tell(node: Arc<Node>, reach: Reach) {
     let mut idle_told = false;
     let mut order = TellingOrder {
         start: rand::random(),
@@ -126,12 +175,13 @@
         if !(idle && idle_told) {
             order.sequence += 1;
             let message = PeerMessage::InFlight { order, counts };
-            node.peers.send(&message);
+            node.peers.send(reach, &message);
         }
         idle_told = idle;
-        sleep(node.peers.pause()).await;
+        sleep(node.peers.pause(reach)).await;
         // Either something changed or it is time to repeat what was told.
-        let _ = timeout(REPEAT_PAUSE, node.peers.changed.notified()).await;
+        let _ = timeout(REPEAT_PAUSE, node.peers.group(reach).changed.notified()).await;
+        sleep(GATHER_PAUSE).await;
     }
 }
 
@@ -142,22 +192,27 @@
         let Ok((length, from)) = node.peers.socket.recv_from(&mut datagram).await else {
             continue;
         };
-        if !node.peers.addresses.read().contains(&from) {
+        let Some(reach) = node.peers.reach_of(from) else {
             continue;
-        }
+        };
         if let Ok(message) = decode::<PeerMessage>(&datagram[..length]) {
-            take_in(&node, from, message);
+            take_in(&node, from, reach, message);
         }
     }
 }
 
-fn take_in(node: &Node, from: SocketAddr, message: PeerMessage) {
+fn take_in(node: &Node, from: SocketAddr, reach: Reach, message: PeerMessage) {
     match message {
         PeerMessage::PromptSent { worker, prefill_ms } => node.with_fleet(|fleet, now_ms| {
             fleet.expect_prefill(now_ms, &worker, prefill_ms);
         }),
         PeerMessage::InFlight { order, counts } => {
-            node.with_fleet(|fleet, now_ms| fleet.take_peer(now_ms, from, order, counts));
+            node.with_fleet(|fleet, now_ms| {
+                fleet.take_peer(now_ms, from, order, counts);
+                if reach == Reach::Far {
+                    fleet.heard_far(now_ms);
+                }
+            });
             if node.dispatcher.waiting() > 0 {
                 node.dispatcher.changed.notify_one();
             }
--- a/crates/pinerill-forward/src/run.rs
+++ b/crates/pinerill-forward/src/run.rs
@@ -18,7 +18,7 @@
 use crate::fleet::{ChoiceSettings, Fleet};
 use crate::monitoring::Metrics;
 use crate::node::{Node, NodeParts};
-use crate::peers::{self, Peers};
+use crate::peers::{self, Peers, Reach};
 use crate::{batch, dispatch, gateway};
 use pinerill_calls::settings::{cluster_key, ForwardingSettings, NodeSettings, SettingsError};
 
@@ -75,7 +75,8 @@
     let mut items = spawn(boxed(batch::run(node.clone())));
     let reloading = spawn(boxed(follow_settings(node.clone(), file)));
     let hearing = spawn(boxed(peers::hear(node.clone())));
-    let telling = spawn(boxed(peers::tell(node.clone())));
+    let telling = spawn(boxed(peers::tell(node.clone(), Reach::Near)));
+    let telling_far = spawn(boxed(peers::tell(node.clone(), Reach::Far)));
     let placing = spawn(boxed(dispatch::run(node.clone())));
     let sweeping = spawn(boxed(sweep(node.clone())));
     let ending = async {
@@ -96,7 +97,9 @@
     }
     drop(items);
     batch::give_back(&node).await;
-    drop((following, hearing, telling, placing, reloading, sweeping));
+    drop((
+        following, hearing, telling, telling_far, placing, reloading, sweeping,
+    ));
     tokio::join!(probes.stop(), metrics.stop());
     log::info!(event = "stopped", node = node.settings.name.as_str(); "");
     Ok(())
