The backlog keeps half of its slack

Change: items give way only while each waiting item would keep half of the slack with which it was accepted.

--- a/crates/pinerill-cluster/src/leases.rs
+++ b/crates/pinerill-cluster/src/leases.rs
@@ -125,7 +125,12 @@
             let on_time = jobs.queue().range(first_on_time(job_clock_ms, run_ms)..);
             let leases = &self.leases;
             let free = on_time.filter(|place| is_free(leases, now_ms, place));
-            let until_due = free.map(|place| place.due_ms.saturating_sub(job_clock_ms));
+            let until_due = free.map(|place| {
+                let left = place.due_ms.saturating_sub(job_clock_ms);
+                let accepted = jobs.record(place.job).map_or(0, |record| record.accepted_ms);
+                let allowed = place.due_ms.saturating_sub(accepted);
+                left.saturating_sub(allowed.saturating_sub(run_ms) / 2)
+            });
             self.backlog.look(now_ms, until_due);
         }
         self.backlog.slack_ms(run_ms)
--- a/crates/pinerill-forward/src/batch/preemption.rs
+++ b/crates/pinerill-forward/src/batch/preemption.rs
@@ -154,7 +154,7 @@
             Spare::Slack(slack_ms) => {
                 let cost_ms = self.interruption.longest_ms().unwrap_or(0.0);
                 let backlog_ms = self.backlog_slack_ms.map_or(f64::INFINITY, |ms| ms as f64);
-                (slack_ms.min(backlog_ms) > cost_ms).then_some(slack_ms)
+                (slack_ms > cost_ms && backlog_ms > 0.0).then_some(slack_ms)
             }
         }
     }
