Items give way only to calls of their own service

Cause: found by reading: a call that waited for one service ended items of another, whose places it can't take, once a millisecond until none was left.

Change: waiting calls are counted by service; after items gave way the next ones are asked 8 ms later, when the first places are taken. Nobody is told to come back at once.

--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -298,7 +298,7 @@
     place: Occupied,
     node: &Node,
 ) -> Result<ReadEnd, BreakReason> {
-    let mut run = register(node, running, &place);
+    let mut run = register(node, running);
     let mut scanner = EventScanner::after(running.last);
     loop {
         let piece = tokio::select! {
@@ -329,9 +329,9 @@
     Ok(ReadEnd::Whole)
 }
 
-fn register(node: &Node, running: &Running, place: &Occupied) -> Run {
+fn register(node: &Node, running: &Running) -> Run {
     node.runs.begin(RunningItem {
-        worker: place.worker().to_owned(),
+        service: running.service.clone(),
         due_ms: running.due_ms,
         began_ms: node.now_ms(),
         ran_ms: running.ran.as_secs_f64() * 1_000.0,
--- a/crates/pinerill-forward/src/batch/preemption.rs
+++ b/crates/pinerill-forward/src/batch/preemption.rs
@@ -16,22 +16,24 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use pinerill_calls::directory::WorkerId;
-
 use crate::run_time::RunTime;
 
 /// Part of the time until it is due that an item is taken to run while no item has
 /// ended here: right after a start nothing better is known.
 const FIRST_GUESS: f64 = 0.5;
 
+/// Time after items gave way in which no others do, milliseconds: until the calls for
+/// which they did have taken their places and wait no more.
+const SETTLING_MS: u64 = 8;
+
 /// Names one run of an item at this node.
 pub type RunId = u64;
 
 /// An item that runs at a worker.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RunningItem {
-    /// Where it runs.
-    pub worker: WorkerId,
+    /// The service whose place it has.
+    pub service: String,
     /// When its result is due, on the node's clock, milliseconds; may have passed.
     pub due_ms: i64,
     /// When this run began, on the node's clock, milliseconds.
@@ -76,6 +78,8 @@
     /// Slack of the tightest item that waits at the leader, beyond what it is to
     /// keep, milliseconds; none if none waits.
     backlog_slack_ms: Option<i64>,
+    /// When items of each service last gave way, on the node's clock.
+    gave_way_ms: HashMap<String, u64>,
 }
 
 impl Preemption {
@@ -118,15 +122,18 @@
         self.backlog_slack_ms = slack_ms;
     }
 
-    /// The runs that are to end for `calls` calls that wait, at most as many. They
-    /// are taken off.
-    pub fn give_way(&mut self, now_ms: u64, calls: usize) -> Vec<RunId> {
-        if calls == 0 {
+    /// The runs that are to end for `calls` calls that wait for a place of a service,
+    /// at most as many; none for a moment after the last ones. They are taken off.
+    pub fn give_way(&mut self, now_ms: u64, service: &str, calls: usize) -> Vec<RunId> {
+        let last_ms = self.gave_way_ms.get(service);
+        if calls == 0 || last_ms.is_some_and(|at| now_ms < at + SETTLING_MS) {
             return Vec::new();
         }
-        let mut order: Vec<(f64, RunId)> = self
+        let of_service = self
             .running
             .iter()
+            .filter(|(_, item)| item.service == service);
+        let mut order: Vec<(f64, RunId)> = of_service
             .filter_map(|(run, item)| Some((self.readiness(now_ms, item)?, *run)))
             .collect();
         order.sort_unstable_by(|left, right| right.0.total_cmp(&left.0));
@@ -134,6 +141,9 @@
         for (_, run) in &order {
             self.running.remove(run);
         }
+        if !order.is_empty() {
+            self.gave_way_ms.insert(service.to_owned(), now_ms);
+        }
         order.into_iter().map(|(_, run)| run).collect()
     }
 
--- a/crates/pinerill-forward/src/batch/runs.rs
+++ b/crates/pinerill-forward/src/batch/runs.rs
@@ -23,14 +23,14 @@
 
 impl State {
     /// Logs why no item gives way, once in a while.
-    fn tell_kept(&mut self, now_ms: u64, calls: usize) {
+    fn tell_kept(&mut self, now_ms: u64, service: &str, calls: usize) {
         if now_ms < self.kept_told_ms + KEPT_TOLD_PAUSE_MS {
             return;
         }
         self.kept_told_ms = now_ms;
         let basis = self.preemption.basis(now_ms);
         log::info!(
-            event = "items_keep_places", calls, running = basis.running,
+            event = "items_keep_places", service, calls, running = basis.running,
             most_slack_ms:? = basis.most_slack_ms, backlog_slack_ms:? = basis.backlog_slack_ms,
             cost_ms = basis.cost_ms; ""
         );
@@ -65,13 +65,10 @@
         }
     }
 
-    /// Ends runs for calls that wait; returns how many.
-    pub(crate) fn give_way(&self, now_ms: u64, calls: usize) -> usize {
-        if calls == 0 {
-            return 0;
-        }
+    /// Ends runs for calls that wait for places of a service.
+    pub(crate) fn give_way(&self, now_ms: u64, service: &str, calls: usize) {
         let mut state = self.state.lock();
-        let ended = state.preemption.give_way(now_ms, calls);
+        let ended = state.preemption.give_way(now_ms, service, calls);
         for run in &ended {
             if let Some(ender) = state.enders.remove(run) {
                 // A run that has just ended by itself needs no word.
@@ -79,9 +76,8 @@
             }
         }
         if ended.is_empty() {
-            state.tell_kept(now_ms, calls);
+            state.tell_kept(now_ms, service, calls);
         }
-        ended.len()
     }
 
     /// A whole item took so long at workers.
--- a/crates/pinerill-forward/src/call/decision.rs
+++ b/crates/pinerill-forward/src/call/decision.rs
@@ -6,8 +6,9 @@
 use pinerill_calls::protocol::Refusal;
 use pinerill_calls::table::RouteKind;
 
-/// When a caller shall come back after a refusal for want of room.
-const RETRY_AFTER: Duration = Duration::from_millis(150);
+/// When a caller shall come back after a refusal for want of room, if nothing better
+/// is known.
+pub const RETRY_AFTER: Duration = Duration::from_millis(150);
 
 /// How an attempt ended without an answer for the caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/pinerill-forward/src/dispatch/mod.rs
+++ b/crates/pinerill-forward/src/dispatch/mod.rs
@@ -269,6 +269,23 @@
         None
     }
 
+    /// Lets items give way to the calls that wait.
+    fn ask_items(&self, node: &Node) {
+        let now_ms = node.now_ms();
+        for (service, calls) in self.waiting_by_service() {
+            node.runs.give_way(now_ms, &service, calls);
+        }
+    }
+
+    fn waiting_by_service(&self) -> HashMap<String, usize> {
+        let state = self.state.lock();
+        let mut waiting = HashMap::new();
+        for waiter in state.waiters.values() {
+            *waiting.entry(waiter.service.clone()).or_default() += 1;
+        }
+        waiting
+    }
+
     fn place_waiting(&self, node: &Arc<Node>) {
         while let Some((waiter, chosen)) = self.next_placed(node) {
             let result = match chosen {
@@ -299,7 +316,7 @@
             let _ = timeout(LOOK_PAUSE, dispatcher.changed.notified()).await;
         }
         dispatcher.place_waiting(&node);
-        node.runs.give_way(node.now_ms(), dispatcher.waiting());
+        dispatcher.ask_items(&node);
         sleep(GATHER_PAUSE).await;
     }
 }
