--- /dev/null
+++ b/crates/pinerill-cluster/tests/backlog.rs
@@ -0,0 +1,81 @@
+//! How tight the backlog is.
+
+use pinerill_cluster::backlog::{Backlog, WaitingTime};
+use proptest::prelude::*;
+
+/// Items run so long.
+const RUN_MS: u64 = 4_000;
+
+fn waiting(left_ms: u64) -> WaitingTime {
+    WaitingTime {
+        left_ms,
+        allowed_ms: 20_000,
+    }
+}
+
+/// One item has ended each 100 ms for 20 s.
+fn ten_a_second() -> Backlog {
+    let mut backlog = Backlog::new(0);
+    for end in 1..=200 {
+        backlog.ended(end * 100, 1);
+    }
+    backlog
+}
+
+fn slack(backlog: &mut Backlog, left_ms: &[u64]) -> Option<i64> {
+    let items = left_ms.iter().map(|left_ms| waiting(*left_ms));
+    backlog.look(20_000, items, RUN_MS);
+    backlog.slack_ms()
+}
+
+#[test]
+fn nothing_that_waits_has_no_slack_to_lose() {
+    assert_eq!(slack(&mut ten_a_second(), &[]), None);
+}
+
+#[test]
+fn an_item_keeps_half_of_the_slack_with_which_it_came() {
+    // 20 s allowed and 4 s of running leave 16 s of slack, of which 8 s stay.
+    let slack = slack(&mut ten_a_second(), &[20_000]).expect("one waits");
+    assert!((7_800..=7_950).contains(&slack), "{slack}");
+}
+
+#[test]
+fn each_item_waits_for_those_before_it() {
+    let mut backlog = ten_a_second();
+    let one = slack(&mut backlog, &[20_000]).expect("one waits");
+    let many = slack(&mut backlog, &[20_000; 50]).expect("many wait");
+    let longer = one - many;
+    assert!((4_500..=5_500).contains(&longer), "{longer}");
+}
+
+#[test]
+fn while_no_pace_is_known_the_order_says_nothing() {
+    let mut backlog = Backlog::new(0);
+    assert_eq!(slack(&mut backlog, &[20_000; 50]), Some(8_000));
+}
+
+#[test]
+fn the_backlog_is_looked_at_once_in_a_while() {
+    let mut backlog = ten_a_second();
+    assert!(backlog.is_old(20_000));
+    slack(&mut backlog, &[20_000]);
+    assert!(!backlog.is_old(20_050));
+    assert!(backlog.is_old(20_100));
+}
+
+proptest! {
+    /// More items, or less time, never make the backlog looser.
+    #[test]
+    fn slack_falls_with_what_waits(
+        left_ms in proptest::collection::vec(0_u64..20_000, 1..40),
+        sooner_ms in 0_u64..5_000,
+    ) {
+        let mut backlog = ten_a_second();
+        let all = slack(&mut backlog, &left_ms);
+        let fewer = slack(&mut backlog, &left_ms[..left_ms.len() - 1]);
+        prop_assert!(fewer.is_none() || fewer >= all);
+        let sooner: Vec<u64> = left_ms.iter().map(|ms| ms.saturating_sub(sooner_ms)).collect();
+        prop_assert!(slack(&mut backlog, &sooner) <= all);
+    }
+}
--- a/crates/pinerill-forward/tests/fleet.rs
+++ b/crates/pinerill-forward/tests/fleet.rs
@@ -339,3 +339,24 @@
     assert!(matches!(place(&fleet, 0, STAYS), Placement::Room(_)));
     assert!(matches!(place(&fleet, 2_000, STAYS), Placement::Full));
 }
+
+#[test]
+fn a_worker_of_another_zone_is_known_while_its_nodes_tell_what_they_send() {
+    let mut fleet = fleet(&[entry("far", "other"), entry("near", "near")]);
+    for _ in 0..4 {
+        fleet.begin(0, "near", 0.0);
+    }
+    assert!(matches!(place(&fleet, 0, STAYS), Placement::Full));
+    fleet.take_peer(0, peer(1), order(1, 1), count("far", 2));
+    fleet.heard_far(0);
+    let Placement::Room(chosen) = place(&fleet, 0, STAYS) else {
+        panic!("there is room in the other zone");
+    };
+    assert_eq!(chosen.entry.id, "far");
+    // One slot there stays free: what is known of it is older.
+    fleet.take_peer(0, peer(1), order(1, 2), count("far", 3));
+    assert!(matches!(place(&fleet, 0, STAYS), Placement::Full));
+    // Nodes that fell silent are not known any more.
+    fleet.take_peer(0, peer(1), order(1, 3), count("far", 0));
+    assert!(matches!(place(&fleet, 5_000, STAYS), Placement::Full));
+}
--- a/crates/pinerill-forward/tests/run_time.rs
+++ b/crates/pinerill-forward/tests/run_time.rs
@@ -1,4 +1,4 @@
-//! How long items usually run.
+//! How long something usually takes.
 
 use std::time::Duration;
 
@@ -15,3 +15,19 @@
     }
     assert!((7_900..=8_000).contains(&time.typical_ms()));
 }
+
+#[test]
+fn what_varies_more_has_wider_bounds() {
+    let mut steady = RunTime::default();
+    let mut varied = RunTime::default();
+    assert_eq!((steady.shortest_ms(), steady.longest_ms()), (None, None));
+    for turn in 0..60 {
+        steady.ended(Duration::from_secs(4));
+        varied.ended(Duration::from_secs(if turn % 2 == 0 { 3 } else { 5 }));
+    }
+    let width = |time: &RunTime| time.longest_ms().unwrap() - time.shortest_ms().unwrap();
+    assert!(width(&steady) < 100.0, "{}", width(&steady));
+    assert!(width(&varied) > 3_000.0, "{}", width(&varied));
+    assert!(varied.shortest_ms().unwrap() <= 3_000.0);
+    assert!(varied.longest_ms().unwrap() >= 5_000.0);
+}
