--- a/crates/pinerill-cluster/src/server/watch.rs
+++ b/crates/pinerill-cluster/src/server/watch.rs
@@ -34,17 +34,18 @@
 
     fn news_for(&self, request: &WatchRequest) -> Result<WatchResponse, Box<Refusal>> {
         let now_ms = self.now_ms();
-        let (nodes, directory, silent, peers) = self.with_leadership("watch", |leadership| {
-            let nodes = leadership.hear_node(request, now_ms);
-            let peers = leadership.peers(&request.zone);
-            let silent = leadership.lost_machines(now_ms);
-            let newer = leadership.directory_newer_than(request.directory);
-            let update = newer.map(|(epoch, directory)| DirectoryUpdate {
-                epoch,
-                directory: directory.clone(),
-            });
-            (nodes, update, silent, peers)
-        })?;
+        let (nodes, directory, silent, (peers, far_peers)) =
+            self.with_leadership("watch", |leadership| {
+                let nodes = leadership.hear_node(request, now_ms);
+                let peers = leadership.peers(&request.zone);
+                let silent = leadership.lost_machines(now_ms);
+                let newer = leadership.directory_newer_than(request.directory);
+                let update = newer.map(|(epoch, directory)| DirectoryUpdate {
+                    epoch,
+                    directory: directory.clone(),
+                });
+                (nodes, update, silent, peers)
+            })?;
         let table = self
             .group
             .with_machine(|machine| machine.table_newer_than(request.table_version).cloned());
@@ -53,8 +54,8 @@
             directory,
             controls: self.known_controls(&silent),
             nodes,
-            peers: peers.0,
-            far_peers: peers.1,
+            peers,
+            far_peers,
         })
     }
 }
--- a/crates/pinerill-forward/src/call/decision.rs
+++ b/crates/pinerill-forward/src/call/decision.rs
@@ -15,7 +15,7 @@
 pub enum AttemptEnd {
     /// Nothing was sent, or the worker promised that it did not run.
     NotRun,
-    /// It was sent nowhere, since it would begin too late.
+    /// It was sent nowhere, since it can't be served in time.
     SentAway {
         /// When to come back.
         retry_after: Duration,
@@ -103,7 +103,7 @@
             return self.refusal();
         }
         Refusal::NotRun {
-            reason: "it would begin too late",
+            reason: "it can't be served in time",
             retry_after: Some(retry_after),
         }
     }
--- a/crates/pinerill-forward/src/dispatch/mod.rs
+++ b/crates/pinerill-forward/src/dispatch/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A call gets a place at once if a worker has room. Otherwise it waits here
 //! and not at a worker, whose queue knows no order but that of arrival; it is
-//! sent away at once if it would begin too late (`admission`). `line` keeps the
+//! sent away at once if it can't be served in time (`admission`). `line` keeps the
 //! order of those that wait. Whenever a place is given up, a peer tells of one,
 //! or a moment has passed, the first of the line are placed.
 
@@ -54,7 +54,7 @@
     NoWorker,
     /// The time is up.
     OutOfTime,
-    /// It would begin too late.
+    /// It can't be served in time.
     SentAway {
         /// When to come back.
         retry_after: Duration,
@@ -108,7 +108,7 @@
         self.state.lock().line.len()
     }
 
-    /// A place for a call; it waits for one unless it would begin too late.
+    /// A place for a call; it waits for one unless it can't be served in time.
     /// Only a call that was not sent anywhere yet (`fresh`) is sent away.
     ///
     /// # Errors
