Items keep less slack where they end with much of it

Change: the pace of the items that run counts while the leader is young, and the half of the slack that is kept shrinks to none as the tenth of the items that end with the least slack have half of it left.

--- a/crates/pinerill-cluster/src/leases.rs
+++ b/crates/pinerill-cluster/src/leases.rs
@@ -92,14 +92,20 @@
         job_clock_ms: u64,
         ask: &LeaseAsk<'_>,
     ) -> LeaseDecision {
-        let mut ended = 0;
+        let mut ended = Vec::new();
         self.leases.retain(|place, lease| {
             if lease.node == ask.node && !jobs.queue().contains(place) {
-                ended += 1;
+                ended.push(*place);
             }
             lease.node != ask.node && lease.expires_ms > now_ms
         });
-        self.backlog.ended(now_ms, ended);
+        self.backlog.ended(now_ms, ended.len());
+        for place in &ended {
+            let time = waiting_time(jobs, job_clock_ms, place);
+            let slack_ms = time.allowed_slack_ms(ask.run_ms).max(1.0);
+            self.backlog
+                .ended_with(now_ms, time.left_ms as f64 / slack_ms);
+        }
         let mut decision = LeaseDecision::default();
         for item in ask.held {
             if !self.renew(now_ms, jobs, ask.node, item) {
@@ -125,13 +131,8 @@
             let on_time = jobs.queue().range(first_on_time(job_clock_ms, run_ms)..);
             let leases = &self.leases;
             let free = on_time.filter(|place| is_free(leases, now_ms, place));
-            let waiting = free.map(|place| {
-                let accepted_ms = jobs.record(place.job).map(|record| record.accepted_ms);
-                WaitingTime {
-                    left_ms: place.due_ms.saturating_sub(job_clock_ms),
-                    allowed_ms: place.due_ms.saturating_sub(accepted_ms.unwrap_or(0)),
-                }
-            });
+            let waiting = free.map(|place| waiting_time(jobs, job_clock_ms, place));
+            self.backlog.holds(leases.len());
             self.backlog.look(now_ms, waiting, run_ms);
         }
         self.backlog.slack_ms()
@@ -181,6 +182,15 @@
     }
 }
 
+/// Times of an item. That of a job that is gone by now counts from the beginning.
+fn waiting_time(jobs: &Jobs, job_clock_ms: u64, place: &QueuePosition) -> WaitingTime {
+    let accepted_ms = jobs.record(place.job).map(|record| record.accepted_ms);
+    WaitingTime {
+        left_ms: place.due_ms.saturating_sub(job_clock_ms),
+        allowed_ms: place.due_ms.saturating_sub(accepted_ms.unwrap_or(0)),
+    }
+}
+
 /// Whether no node has the item.
 fn is_free(leases: &HashMap<QueuePosition, Lease>, now_ms: u64, place: &QueuePosition) -> bool {
     let lease = leases.get(place);
--- a/crates/pinerill-cluster/tests/backlog.rs
+++ b/crates/pinerill-cluster/tests/backlog.rs
@@ -79,3 +79,70 @@
         prop_assert!(slack(&mut backlog, &sooner) <= all);
     }
 }
+
+#[test]
+fn items_that_run_say_what_the_fleet_can_do_while_few_can_have_ended() {
+    // A leader for six seconds: items of four seconds have only begun to end.
+    let six_seconds = || {
+        let mut backlog = Backlog::new(14_000);
+        for end in 1..=8 {
+            backlog.ended(18_000 + end * 200, 1);
+        }
+        backlog
+    };
+    let mut backlog = six_seconds();
+    let before = slack(&mut backlog, &[20_000; 40]).expect("many wait");
+    assert!(before < 0, "{before}");
+    backlog.holds(40);
+    // 40 items of 4 s each: ten a second.
+    let with = slack(&mut backlog, &[20_000; 40]).expect("many wait");
+    assert!((3_500..=4_500).contains(&with), "{with}");
+    // Few that run don't make the pace worse than it was seen.
+    backlog.holds(1);
+    assert_eq!(slack(&mut backlog, &[20_000; 40]), Some(before));
+}
+
+#[test]
+fn a_pace_that_was_seen_for_long_counts_more_than_what_runs() {
+    let mut backlog = ten_a_second();
+    let before = slack(&mut backlog, &[20_000; 50]);
+    backlog.holds(400);
+    assert_eq!(slack(&mut backlog, &[20_000; 50]), before);
+}
+
+/// Slack of one item that waits, where items end with these parts of their slack left.
+fn slack_after_ends(parts: &[f64]) -> i64 {
+    let mut backlog = ten_a_second();
+    for part in parts {
+        backlog.ended_with(19_000, *part);
+    }
+    slack(&mut backlog, &[20_000]).expect("one waits")
+}
+
+#[test]
+fn items_keep_less_where_they_end_with_much_to_spare() {
+    let strict = slack_after_ends(&[]);
+    // 16 s of slack, of which 8 s stay unless items have ample.
+    assert!((7_800..=7_950).contains(&strict), "{strict}");
+    assert_eq!(slack_after_ends(&[0.0; 20]), strict);
+    assert_eq!(slack_after_ends(&[0.25; 20]), strict + 4_000);
+    assert_eq!(slack_after_ends(&[0.6; 20]), strict + 8_000);
+    // A job that ends late shows among many that don't.
+    let mut mixed = vec![0.6; 40];
+    mixed.extend([-0.2; 8]);
+    assert_eq!(slack_after_ends(&mixed), strict);
+    // A few ends say nothing, nor do old ones.
+    assert_eq!(slack_after_ends(&[0.6; 5]), strict);
+    let mut old = ten_a_second();
+    (0..20).for_each(|_| old.ended_with(1_000, 0.6));
+    assert_eq!(slack(&mut old, &[20_000]), Some(strict));
+}
+
+proptest! {
+    /// Less slack left at the ends never makes items give way more.
+    #[test]
+    fn tighter_ends_keep_more(parts in prop::collection::vec(-1.0_f64..1.0, 10..60), less in 0.0_f64..1.0) {
+        let tighter: Vec<f64> = parts.iter().map(|part| part - less).collect();
+        prop_assert!(slack_after_ends(&tighter) <= slack_after_ends(&parts));
+    }
+}
