--- a/crates/pinerill-calls/src/lib.rs
+++ b/crates/pinerill-calls/src/lib.rs
@@ -9,9 +9,11 @@
 //! Nothing here reads a clock or a socket.
 
 pub mod compression;
+pub mod digest;
 pub mod directory;
 pub mod job;
 pub mod message;
 pub mod protocol;
 pub mod settings;
 pub mod table;
+pub mod traffic;
--- a/crates/pinerill-calls/src/message.rs
+++ b/crates/pinerill-calls/src/message.rs
@@ -11,7 +11,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::directory::WorkerDirectory;
+use crate::digest::Digest;
+use crate::directory::DirectoryUpdate;
 use crate::job::{CallJobId, ItemRef, ItemReport, NewCallJob, ResultPage};
 use crate::table::RouteTable;
 
@@ -25,7 +26,8 @@
 /// | 2 | numbers of failed runs, usual run times in lease requests |
 /// | 3 | the leader in answers to joining machines, lengths of calls and texts |
 /// | 4 | slack of the backlog in answers to lease requests, nodes of other zones in answers to watches, callers' patience in routes |
-const VERSION: u8 = 4;
+/// | 5 | what an asker of a watch or a joining machine knows already is named by its digest and not sent again |
+const VERSION: u8 = 5;
 
 /// What one process asks of another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -48,6 +50,8 @@
     Join(JoinRequest),
     /// Control machine → leader: a new route table with its document.
     PutTable(Box<PutTable>),
+    /// Control machine that holds no state → leader: the operator's document.
+    ReadDocument,
     /// Control machine → leader: a control machine is to be emptied.
     StartRetirement(String),
     /// Control machine → leader: how far that is.
@@ -70,6 +74,8 @@
     Leases(LeaseResponse),
     /// To [`CallsRequest::Join`].
     Joined(JoinResponse),
+    /// To [`CallsRequest::ReadDocument`]; none if there is no route table yet.
+    Document(Option<Vec<u8>>),
     /// To [`CallsRequest::StartRetirement`] and
     /// [`CallsRequest::RetirementState`].
     Retirement(RetirementState),
@@ -88,21 +94,14 @@
     pub peer: SocketAddr,
     /// Version of its route table; none if it has none.
     pub table_version: Option<u64>,
-    /// Which control machine's directory it holds, and at which revision.
-    pub directory: Option<DirectoryPosition>,
+    /// Digest of the directory that it holds.
+    pub directory: Option<Digest>,
+    /// Digest of the processes that it knows.
+    pub processes: Option<Digest>,
     /// How long the answer may be held, milliseconds.
     pub wait_ms: u64,
 }
 
-/// A position in one control machine's changes of the directory.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DirectoryPosition {
-    /// One leadership of one control machine.
-    pub epoch: u64,
-    /// Revision within it.
-    pub revision: u64,
-}
-
 /// What is newer than the asker knew.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct WatchResponse {
@@ -110,14 +109,30 @@
     pub table: Option<RouteTable>,
     /// The directory, if it is another one.
     pub directory: Option<DirectoryUpdate>,
-    /// All control machines.
-    pub controls: Vec<ControlAddress>,
     /// Nodes that watch.
     pub nodes: u32,
+    /// Other processes, if they are others than the asker knows.
+    pub processes: Option<Processes>,
+}
+
+/// The processes that a node deals with.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Processes {
+    /// All control machines.
+    pub controls: Vec<ControlAddress>,
     /// Where the nodes of the asker's zone hear each other, its own included.
     pub peers: Vec<SocketAddr>,
-    /// Where the nodes of other zones hear each other.
-    pub far_peers: Vec<SocketAddr>,
+    /// The relays of all zones.
+    pub relays: Vec<ZoneRelays>,
+}
+
+/// The nodes of a zone that tell other zones what is in flight there, and hear it of them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneRelays {
+    /// The zone.
+    pub zone: String,
+    /// Where they hear other nodes.
+    pub addresses: Vec<SocketAddr>,
 }
 
 /// Where a control machine listens.
@@ -127,15 +142,8 @@
     pub address: SocketAddr,
     /// Its zone; empty while unknown.
     pub zone: String,
-}
-
-/// The directory at a position.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DirectoryUpdate {
-    /// The leadership that tells it.
-    pub epoch: u64,
-    /// All workers.
-    pub directory: WorkerDirectory,
+    /// Whether it holds the group's state and so can answer reads itself.
+    pub is_member: bool,
 }
 
 /// What became of a submission.
@@ -214,7 +222,10 @@
 pub struct JoinRequest {
     /// The asking machine.
     pub machine: MachineRecord,
-    /// Control machines that it knows, by internal address.
+    /// Digest of the control machines that it knows.
+    pub known_digest: Digest,
+    /// These, by internal address; none if the asked machine knew the same when it last
+    /// answered.
     pub known: Vec<SocketAddr>,
 }
 
@@ -234,7 +245,9 @@
 /// What the asked machine knows.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JoinResponse {
-    /// Control machines, by internal address.
+    /// Digest of the control machines that it knows.
+    pub known_digest: Digest,
+    /// These, by internal address; none if the asking machine knows the same.
     pub known: Vec<SocketAddr>,
     /// The leader, if the asked machine leads or follows one. Machines that
     /// are no members of the group get no heartbeats and learn it by this.
@@ -303,6 +316,22 @@
 }
 
 impl CallsRequest {
+    /// What it is for, as a label.
+    pub fn purpose(&self) -> &'static str {
+        match self {
+            CallsRequest::Watch(_) => "watch",
+            CallsRequest::SubmitJob(_) => "submit",
+            CallsRequest::ReadResults(_) => "results",
+            CallsRequest::ReadItem(_) => "item",
+            CallsRequest::EndJob(_) => "end",
+            CallsRequest::LeaseItems(_) => "lease",
+            CallsRequest::ReportItems(_) => "report",
+            CallsRequest::Join(_) => "join",
+            CallsRequest::PutTable(_) | CallsRequest::ReadDocument => "table",
+            CallsRequest::StartRetirement(_) | CallsRequest::RetirementState(_) => "retire",
+        }
+    }
+
     /// As a request of the internal protocol.
     pub fn into_wire(self) -> Request {
         Request::Calls(encode(&self))
--- /dev/null
+++ b/crates/pinerill-calls/tests/directory.rs
@@ -0,0 +1,121 @@
+//! Changes of the directory that lead from what is held to what is in force.
+
+use pinerill_calls::digest::Digest;
+use pinerill_calls::directory::{
+    Directory, DirectoryChange, DirectoryHistory, DirectoryMismatch, WorkerEntry, WorkerState,
+};
+use pinerill_calls::message::encode;
+use proptest::prelude::*;
+
+fn worker(number: u64, slots: u32) -> WorkerEntry {
+    WorkerEntry {
+        id: format!("w-{number}"),
+        service: "s".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "z".to_owned(),
+        slots,
+        state: WorkerState::Ready,
+        cold_left_ms: 0,
+    }
+}
+
+fn workers(numbers: std::ops::Range<u64>) -> Vec<WorkerEntry> {
+    numbers.map(|number| worker(number, 4)).collect()
+}
+
+#[test]
+fn the_order_of_the_list_is_no_change() {
+    let mut history = DirectoryHistory::default();
+    assert!(history.take(workers(0..5)));
+    let mut reversed = workers(0..5);
+    reversed.reverse();
+    assert!(!history.take(reversed));
+}
+
+#[test]
+fn one_worker_that_changes_is_told_alone() {
+    let mut history = DirectoryHistory::default();
+    history.take(workers(0..130));
+    let held = history.present().unwrap().clone();
+    let mut changed = workers(0..130);
+    changed[7].state = WorkerState::Draining;
+    history.take(changed);
+    let update = history.update_from(Some(held.digest())).unwrap();
+    // Some 5 kB if all of them were told.
+    assert!(
+        encode(&update).len() < 100,
+        "{} bytes",
+        encode(&update).len()
+    );
+    let updated = Directory::updated(Some(&held), update).unwrap();
+    assert_eq!(Some(&updated), history.present());
+    assert_eq!(history.update_from(Some(updated.digest())), None);
+}
+
+#[test]
+fn who_holds_nothing_or_something_unknown_gets_the_whole() {
+    let mut history = DirectoryHistory::default();
+    assert_eq!(history.update_from(None), None);
+    history.take(workers(0..3));
+    let stranger = Digest::of(&"another directory");
+    for held in [None, Some(stranger)] {
+        let update = history.update_from(held).unwrap();
+        assert!(matches!(update.change, DirectoryChange::Whole(_)));
+        assert_eq!(
+            Directory::updated(None, update).as_ref().ok(),
+            history.present()
+        );
+    }
+}
+
+#[test]
+fn a_change_that_belongs_to_another_directory_is_refused() {
+    let mut history = DirectoryHistory::default();
+    history.take(workers(0..3));
+    let first = history.present().unwrap().clone();
+    history.take(workers(1..4));
+    let second = history.present().unwrap().clone();
+    history.take(workers(2..6));
+    let from_second = history.update_from(Some(second.digest())).unwrap();
+    // The answer that led from the first to the second was lost.
+    let late = Directory::updated(Some(&first), from_second.clone());
+    assert_eq!(late, Err(DirectoryMismatch));
+    assert_eq!(
+        Directory::updated(None, from_second.clone()),
+        Err(DirectoryMismatch)
+    );
+    // The same answer twice.
+    let third = Directory::updated(Some(&second), from_second.clone()).unwrap();
+    let twice = Directory::updated(Some(&third), from_second).unwrap();
+    assert_eq!(Some(&twice), history.present());
+}
+
+proptest! {
+    /// Whatever a node held and however far it lags, it ends at the present directory or is
+    /// told that the change does not fit.
+    #[test]
+    fn an_update_leads_to_the_present_directory_or_is_refused(
+        readings in prop::collection::vec(prop::collection::btree_map(0_u64..12, 1_u32..4, 0..10), 1..14),
+        held_at in 0_usize..14,
+        asked_at in 0_usize..14,
+    ) {
+        let mut history = DirectoryHistory::default();
+        let mut seen = Vec::new();
+        for reading in &readings {
+            history.take(reading.iter().map(|(number, slots)| worker(*number, *slots)).collect());
+            seen.push(history.present().unwrap().clone());
+        }
+        let held = &seen[held_at % seen.len()];
+        let asked = &seen[asked_at % seen.len()];
+        match history.update_from(Some(asked.digest())) {
+            None => prop_assert_eq!(Some(asked), history.present()),
+            Some(update) => {
+                let right = Directory::updated(Some(asked), update.clone());
+                prop_assert_eq!(right.as_ref().ok(), history.present());
+                if let Ok(updated) = Directory::updated(Some(held), update) {
+                    prop_assert_eq!(Some(&updated), history.present());
+                }
+            }
+        }
+    }
+}
--- a/crates/pinerill-cluster/src/server/control.rs
+++ b/crates/pinerill-cluster/src/server/control.rs
@@ -1,12 +1,15 @@
 //! What the parts of a control machine share.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
 
 use parking_lot::Mutex;
+use pinerill_calls::digest::Digest;
 use pinerill_calls::message::{decode, encode, MachineRecord};
 use pinerill_calls::protocol::{OperatorProtocol, WorkerListProtocol};
+use pinerill_calls::traffic::Traffic;
 use pinerill_control::host::{GroupHandle, GroupHost, ProposeError};
 use pinerill_replica::ReplicaId;
 use pinerill_wire::connection::PeerPool;
@@ -29,8 +32,12 @@
     pub(super) group: GroupHandle<ClusterMachine>,
     pub(super) leadership: Mutex<Option<Leadership>>,
     pub(super) named_leader: Mutex<NamedLeader>,
+    /// Digest of the control machines that each one knew when it last answered.
+    pub(super) told_digests: Mutex<HashMap<SocketAddr, Digest>>,
     pub(super) operators: Arc<dyn OperatorProtocol>,
     pub(super) worker_list: Arc<dyn WorkerListProtocol>,
+    /// Bytes of requests that it answered.
+    pub(super) traffic: Traffic,
     /// Counts changes that watches and long polls wait for.
     pub(super) news: watch::Sender<u64>,
     pub(super) started: Instant,
--- a/crates/pinerill-cluster/src/server/leadership.rs
+++ b/crates/pinerill-cluster/src/server/leadership.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
-use pinerill_calls::directory::{WorkerDirectory, WorkerEntry};
-use pinerill_calls::message::{DirectoryPosition, WatchRequest};
+use pinerill_calls::directory::DirectoryHistory;
+use pinerill_calls::message::{WatchRequest, ZoneRelays};
 
 use crate::leases::{LeaseBook, LeaseSettings};
 
@@ -14,6 +14,10 @@
 /// Nodes are not sent to a control machine that was silent for this long.
 const MACHINE_LIFE_MS: u64 = 4_000;
 
+/// Relays of a zone: with two, one that is lost halves the pace at which the zone hears of
+/// others until it counts no more here.
+const RELAYS: usize = 2;
+
 /// A node that watches.
 struct Node {
     /// When it was last heard.
@@ -28,8 +32,8 @@
     term: u64,
     began_ms: u64,
     last_command_ms: u64,
-    epoch: u64,
-    directory: Option<WorkerDirectory>,
+    /// The platform list as it was read.
+    pub(super) directory: DirectoryHistory,
     /// Nodes that watch, by name.
     nodes: HashMap<String, Node>,
     /// When each control machine was last heard, by data folder.
@@ -44,8 +48,7 @@
             term,
             began_ms: now_ms,
             last_command_ms: now_ms,
-            epoch: rand::random(),
-            directory: None,
+            directory: DirectoryHistory::default(),
             nodes: HashMap::new(),
             machines: BTreeMap::new(),
             leases: LeaseBook::new(LeaseSettings::default(), now_ms),
@@ -81,12 +84,31 @@
         self.nodes.len() as u32
     }
 
-    /// Where the nodes of a zone hear each other, and where those of all others do.
-    pub(super) fn peers(&self, zone: &str) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
-        let (near, far): (Vec<&Node>, Vec<&Node>) =
-            self.nodes.values().partition(|node| node.zone == zone);
-        let addresses = |nodes: Vec<&Node>| nodes.into_iter().map(|node| node.peer).collect();
-        (addresses(near), addresses(far))
+    /// Where the nodes of a zone hear each other, in a steady order.
+    pub(super) fn peers(&self, zone: &str) -> Vec<SocketAddr> {
+        let nodes = self.nodes.values().filter(|node| node.zone == zone);
+        let mut addresses: Vec<SocketAddr> = nodes.map(|node| node.peer).collect();
+        addresses.sort_unstable();
+        addresses
+    }
+
+    /// The relays of all zones: of each the nodes whose names come first, since one that
+    /// restarts or joins then seldom changes who they are.
+    pub(super) fn relays(&self) -> Vec<ZoneRelays> {
+        let mut zones: BTreeMap<&str, Vec<(&str, SocketAddr)>> = BTreeMap::new();
+        for (name, node) in &self.nodes {
+            let zone = zones.entry(node.zone.as_str()).or_default();
+            zone.push((name.as_str(), node.peer));
+        }
+        let relays = zones.into_iter().map(|(zone, mut nodes)| {
+            nodes.sort_unstable();
+            let first = nodes.into_iter().take(RELAYS);
+            ZoneRelays {
+                zone: zone.to_owned(),
+                addresses: first.map(|(_, address)| address).collect(),
+            }
+        });
+        relays.collect()
     }
 
     /// Notes that a control machine was heard.
@@ -112,32 +134,8 @@
             .collect()
     }
 
-    /// Takes in a whole reading of the platform list; true if it is news.
-    pub(super) fn take_workers(&mut self, workers: Vec<WorkerEntry>) -> bool {
-        let revision = match &self.directory {
-            Some(held) if held.workers == workers => return false,
-            Some(held) => held.revision + 1,
-            None => 1,
-        };
-        self.directory = Some(WorkerDirectory { revision, workers });
-        true
-    }
-
-    /// The directory with its epoch, unless it is the one at `known`.
-    pub(super) fn directory_newer_than(
-        &self,
-        known: Option<DirectoryPosition>,
-    ) -> Option<(u64, &WorkerDirectory)> {
-        let directory = self.directory.as_ref()?;
-        let position = DirectoryPosition {
-            epoch: self.epoch,
-            revision: directory.revision,
-        };
-        (known != Some(position)).then_some((self.epoch, directory))
-    }
-
     /// Workers listed; none before the first reading.
     pub(super) fn worker_count(&self) -> Option<usize> {
-        Some(self.directory.as_ref()?.workers.len())
+        Some(self.directory.present()?.workers().len())
     }
 }
--- a/crates/pinerill-cluster/src/server/monitoring.rs
+++ b/crates/pinerill-cluster/src/server/monitoring.rs
@@ -1,6 +1,7 @@
 //! What operators and their monitoring look at.
 
 use std::fmt::Write;
+use std::sync::atomic::Ordering;
 
 use pinerill_process::Monitored;
 
@@ -43,6 +44,16 @@
         line("items_waiting", waiting as u64);
         line("has_jobs", u64::from(!jobs));
         line("workers", workers.unwrap_or_default() as u64);
+        let links = self.pool.counters();
+        line(
+            "links_sent_bytes_total",
+            links.bytes_out.load(Ordering::Relaxed),
+        );
+        line(
+            "links_received_bytes_total",
+            links.bytes_in.load(Ordering::Relaxed),
+        );
+        text.push_str(&self.traffic.metrics_text("pinerill_control"));
         Ok(text)
     }
 
--- a/crates/pinerill-cluster/src/server/operators.rs
+++ b/crates/pinerill-cluster/src/server/operators.rs
@@ -118,17 +118,34 @@
         }
     }
 
+    /// A machine that follows no leader, since it is no member of the group, can't confirm
+    /// a document of its own and asks the leader that others name.
     async fn operate_get(&self) -> OperatorAnswer {
-        if let Err(error) = self.barrier("read document").await {
-            return OperatorAnswer::Unavailable(error.to_string());
+        let read = match self.group.status().leader.is_some() {
+            true => self.read_document().await,
+            false => self.at_leader(CallsRequest::ReadDocument).await,
+        };
+        match read {
+            Ok(CallsResponse::Document(Some(document))) => OperatorAnswer::Document(document),
+            Ok(CallsResponse::Document(None)) => OperatorAnswer::NoDocument,
+            other => {
+                let answer = unavailable(other);
+                log::warn!(
+                    event = "document_not_read", machine = self.record.name.as_str(),
+                    leader:? = self.leader_address(), answer:?; ""
+                );
+                answer
+            }
         }
+    }
+
+    /// The document in force, confirmed by the quorum.
+    pub(super) async fn read_document(&self) -> Result<CallsResponse, Box<Refusal>> {
+        self.barrier("read document").await?;
         let document = self
             .group
             .with_machine(|machine| machine.table().map(|held| held.document.clone()));
-        match document {
-            Some(document) => OperatorAnswer::Document(document),
-            None => OperatorAnswer::NoDocument,
-        }
+        Ok(CallsResponse::Document(document))
     }
 
     async fn operate_retirement(&self, request: CallsRequest) -> OperatorAnswer {
--- a/crates/pinerill-cluster/src/server/peers.rs
+++ b/crates/pinerill-cluster/src/server/peers.rs
@@ -7,11 +7,14 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use pinerill_calls::digest::Digest;
 use pinerill_calls::message::{
     decode, CallsRequest, CallsResponse, ControlAddress, JoinRequest, JoinResponse, KnownLeader,
     MachineRecord,
 };
+use pinerill_replica::ReplicaId;
 use pinerill_wire::message::{Refusal, Response};
+use rand::seq::SliceRandom;
 use tokio::time::sleep;
 
 use super::control::Control;
@@ -19,8 +22,11 @@
 
 /// Pause between two rounds of telling others.
 const ROUND_PAUSE: Duration = Duration::from_millis(400);
-/// Rounds after which all known machines are told, not the leader alone.
+/// Rounds after which other machines are told too, not the leader alone.
 const ROUNDS_PER_GOSSIP: u32 = 5;
+/// Machines that are told in such a round while a leader is known: a new address is at
+/// all of 45 machines after three rounds, and messages grow with their number only.
+const GOSSIP_PEERS: usize = 5;
 /// Longest wait for an answer.
 const ANSWER_TIME: Duration = Duration::from_millis(800);
 /// How long a leader that another machine named is believed without being named
@@ -72,6 +78,7 @@
     /// Where nodes find control machines: all that are recorded but for those
     /// in `lost`. Before any is recorded, all that are known.
     pub(super) fn known_controls(&self, lost: &[u64]) -> Vec<ControlAddress> {
+        let members = self.group.status().members;
         let recorded: Vec<ControlAddress> = self.group.with_machine(|machine| {
             let records = machine.machines().values();
             records
@@ -79,6 +86,7 @@
                 .map(|record| ControlAddress {
                     address: record.address,
                     zone: record.zone.clone(),
+                    is_member: members.contains(ReplicaId(record.replica)),
                 })
                 .collect()
         });
@@ -90,6 +98,7 @@
             .map(|address| ControlAddress {
                 address,
                 zone: String::new(),
+                is_member: false,
             })
             .collect()
     }
@@ -105,8 +114,13 @@
             self.record_if_new(&join.machine).await?;
         }
         let known = self.known_addresses();
-        let leader = self.followed_leader();
-        Ok(CallsResponse::Joined(JoinResponse { known, leader }))
+        let known_digest = Digest::of(&known);
+        let same = join.known_digest == known_digest;
+        Ok(CallsResponse::Joined(JoinResponse {
+            known_digest,
+            known: if same { Vec::new() } else { known },
+            leader: self.followed_leader(),
+        }))
     }
 
     /// The leader as this machine's own replica knows it. What others named is
@@ -161,6 +175,7 @@
             let own = self.record.clone();
             let joining = JoinRequest {
                 machine: own,
+                known_digest: Digest::of(&self.known_addresses()),
                 known: Vec::new(),
             };
             // Whatever is refused here is tried in the next round.
@@ -170,7 +185,8 @@
         let gossip = round.is_multiple_of(ROUNDS_PER_GOSSIP);
         let addresses = match leader {
             Some(address) if !gossip => vec![address],
-            _ => self.pool.addresses(),
+            Some(_) => some_of(self.pool.addresses()),
+            None => self.pool.addresses(),
         };
         let others = addresses
             .into_iter()
@@ -180,9 +196,13 @@
     }
 
     async fn tell(&self, address: SocketAddr) {
+        let known = self.known_addresses();
+        let known_digest = Digest::of(&known);
+        let same = self.told_digests.lock().get(&address) == Some(&known_digest);
         let request = CallsRequest::Join(JoinRequest {
             machine: self.record.clone(),
-            known: self.known_addresses(),
+            known_digest,
+            known: if same { Vec::new() } else { known },
         });
         let answer = self
             .pool
@@ -192,6 +212,9 @@
             return;
         };
         if let Ok(CallsResponse::Joined(joined)) = decode(&bytes) {
+            let mut told = self.told_digests.lock();
+            told.insert(address, joined.known_digest);
+            drop(told);
             self.learn(&joined.known);
             if let Some(leader) = joined.leader {
                 self.named_leader.lock().take_in(leader);
@@ -236,3 +259,9 @@
         }
     }
 }
+
+fn some_of(mut addresses: Vec<SocketAddr>) -> Vec<SocketAddr> {
+    addresses.shuffle(&mut rand::thread_rng());
+    addresses.truncate(GOSSIP_PEERS);
+    addresses
+}
--- a/crates/pinerill-cluster/src/server/run.rs
+++ b/crates/pinerill-cluster/src/server/run.rs
@@ -2,6 +2,7 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -9,6 +10,7 @@
 use parking_lot::Mutex;
 use pinerill_calls::message::MachineRecord;
 use pinerill_calls::protocol::{OperatorProtocol, WorkerListProtocol};
+use pinerill_calls::traffic::Traffic;
 use pinerill_control::host::{GroupHost, HostSettings};
 use pinerill_control::server::PeerTransport;
 use pinerill_process::{monitoring_server, Server, SettingsFile, StopSignals};
@@ -57,6 +59,8 @@
 const TRANSFER_LOG_PART: u64 = 12;
 /// Most bytes of these entries.
 const MOST_TRANSFER_LOG_BYTES: u64 = 32 << 20;
+/// Pause between two log lines on bytes exchanged.
+const TRAFFIC_PAUSE: Duration = Duration::from_secs(10);
 /// How long a read waits to be confirmed.
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -190,8 +194,10 @@
         group,
         leadership: Mutex::new(None),
         named_leader: Mutex::default(),
+        told_digests: Mutex::default(),
         operators: protocols.operators,
         worker_list: protocols.worker_list,
+        traffic: Traffic::default(),
         news: watch::Sender::new(0),
         started: Instant::now(),
         stopping,
@@ -228,7 +234,8 @@
     let spawn =
         |work: futures::future::BoxFuture<'static, ()>| AbortOnDropHandle::new(tokio::spawn(work));
     let own = |control: &Arc<Control>| control.clone();
-    let (joining, members, upkeep, workers, reloading) = (
+    let (joining, members, upkeep, workers, reloading, traffic) = (
+        own(control),
         own(control),
         own(control),
         own(control),
@@ -240,6 +247,7 @@
         spawn(Box::pin(async move { members.keep_members().await })),
         spawn(Box::pin(async move { upkeep.keep_up().await })),
         spawn(Box::pin(async move { workers.follow_workers().await })),
+        spawn(Box::pin(async move { traffic.log_traffic().await })),
         spawn(Box::pin(
             async move { reloading.follow_settings(file).await },
         )),
@@ -247,6 +255,20 @@
 }
 
 impl Control {
+    /// Logs which bytes it exchanged with whom.
+    async fn log_traffic(&self) {
+        loop {
+            sleep(TRAFFIC_PAUSE).await;
+            let counters = self.pool.counters();
+            let sent = counters.bytes_out.load(Ordering::Relaxed);
+            let received = counters.bytes_in.load(Ordering::Relaxed);
+            log::info!(
+                event = "traffic", leads = self.leads(), answered = self.traffic.summary(),
+                peers_sent = sent, peers_received = received; ""
+            );
+        }
+    }
+
     /// Takes over other seeds of a settings file that changes. What else
     /// differs counts from the next start on.
     async fn follow_settings(&self, mut file: SettingsFile) {
--- a/crates/pinerill-cluster/src/server/service.rs
+++ b/crates/pinerill-cluster/src/server/service.rs
@@ -4,6 +4,7 @@
 
 use async_trait::async_trait;
 use pinerill_calls::message::{decode, CallsRequest, CallsResponse};
+use pinerill_calls::traffic::Reach;
 use pinerill_wire::api::{Peer, Role, Service};
 use pinerill_wire::message::{Notification, Refusal, Request, Response};
 
@@ -17,19 +18,30 @@
 
 #[async_trait]
 impl Service for ControlService {
-    async fn call(&self, _peer: &Peer, request: Request) -> Response {
+    async fn call(&self, peer: &Peer, request: Request) -> Response {
         let Request::Calls(bytes) = request else {
             let refused = refusal::invalid(&self.control, "read request", "not served here");
             return Response::Refused(*refused);
         };
-        let answered = match decode(&bytes) {
-            Ok(request) => self.control.answer(request).await,
-            Err(error) => Err(refusal::invalid(&self.control, "read request", error)),
+        let request: CallsRequest = match decode(&bytes) {
+            Ok(request) => request,
+            Err(error) => {
+                let refused = refusal::invalid(&self.control, "read request", error);
+                return Response::Refused(*refused);
+            }
         };
-        match answered {
+        let purpose = request.purpose();
+        let reach = Reach::between(&self.control.record.zone, &peer.zone);
+        let traffic = &self.control.traffic;
+        traffic.received(purpose, reach, bytes.len());
+        let response = match self.control.answer(request).await {
             Ok(response) => response.into_wire(),
-            Err(refused) => Response::Refused(*refused),
+            Err(refused) => return Response::Refused(*refused),
+        };
+        if let Response::Calls(bytes) = &response {
+            traffic.sent(purpose, reach, 1, bytes.len());
         }
+        response
     }
 
     fn notified(&self, peer: &Peer, notification: Notification) {
@@ -62,6 +74,7 @@
             CallsRequest::ReportItems(reports) => self.report_items(reports).await,
             CallsRequest::Join(join) => self.joined(join).await,
             CallsRequest::PutTable(put) => self.put_table(*put).await,
+            CallsRequest::ReadDocument => self.read_document().await,
             CallsRequest::StartRetirement(name) => self.start_retirement(&name).await,
             CallsRequest::RetirementState(name) => self.retirement_state(&name),
         }
--- a/crates/pinerill-cluster/src/server/watch.rs
+++ b/crates/pinerill-cluster/src/server/watch.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use pinerill_calls::message::{CallsResponse, DirectoryUpdate, WatchRequest, WatchResponse};
+use pinerill_calls::digest::Digest;
+use pinerill_calls::message::{CallsResponse, Processes, WatchRequest, WatchResponse};
 use pinerill_wire::message::Refusal;
 use tokio::time::{timeout_at, Instant};
 
@@ -34,28 +35,30 @@
 
     fn news_for(&self, request: &WatchRequest) -> Result<WatchResponse, Box<Refusal>> {
         let now_ms = self.now_ms();
-        let (nodes, directory, silent, (peers, far_peers)) =
+        let (nodes, directory, silent, peers, relays) =
             self.with_leadership("watch", |leadership| {
-                let nodes = leadership.hear_node(request, now_ms);
-                let peers = leadership.peers(&request.zone);
-                let silent = leadership.lost_machines(now_ms);
-                let newer = leadership.directory_newer_than(request.directory);
-                let update = newer.map(|(epoch, directory)| DirectoryUpdate {
-                    epoch,
-                    directory: directory.clone(),
-                });
-                (nodes, update, silent, peers)
+                (
+                    leadership.hear_node(request, now_ms),
+                    leadership.directory.update_from(request.directory),
+                    leadership.lost_machines(now_ms),
+                    leadership.peers(&request.zone),
+                    leadership.relays(),
+                )
             })?;
         let table = self
             .group
             .with_machine(|machine| machine.table_newer_than(request.table_version).cloned());
+        let processes = Processes {
+            controls: self.known_controls(&silent),
+            peers,
+            relays,
+        };
+        let known = request.processes == Some(Digest::of(&processes));
         Ok(WatchResponse {
             table,
             directory,
-            controls: self.known_controls(&silent),
             nodes,
-            peers,
-            far_peers,
+            processes: (!known).then_some(processes),
         })
     }
 }
--- a/crates/pinerill-cluster/src/server/workers.rs
+++ b/crates/pinerill-cluster/src/server/workers.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{bail, Context};
 use pinerill_calls::directory::WorkerEntry;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
 use super::control::Control;
 
@@ -12,7 +12,7 @@
 const PAGE_TIME: Duration = Duration::from_millis(1_000);
 /// Pages of one reading; more can't be right.
 const PAGE_LIMIT: usize = 1_000;
-/// Pause after a machine looked and did not lead.
+/// Pause after a machine looked and did not lead, unless there is news.
 const FOLLOWER_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after a reading that failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
@@ -28,9 +28,11 @@
             }
         };
         let mut reachable = true;
+        let mut news = self.news.subscribe();
         loop {
             if !self.leads() {
-                sleep(FOLLOWER_PAUSE).await;
+                // A change of role is news: nodes that have just started know no worker.
+                let _ = timeout(FOLLOWER_PAUSE, news.changed()).await;
                 continue;
             }
             let started = Instant::now();
@@ -55,7 +57,7 @@
 
     fn take_workers(&self, workers: Vec<WorkerEntry>) {
         let count = workers.len();
-        let changed = self.with_leadership("take workers", |one| one.take_workers(workers));
+        let changed = self.with_leadership("take workers", |one| one.directory.take(workers));
         if changed == Ok(true) {
             log::info!(event = "workers_changed", count; "");
             self.tell_news();
--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -231,7 +231,7 @@
 async fn find_place(node: &Arc<Node>, held: &Held, running: &mut Running) -> Option<Occupied> {
     let began = Instant::now();
     while running.last.is_some() || began.elapsed() < PLACE_TIME {
-        if held.is_renewed() && node.dispatcher.waiting() == 0 {
+        if held.is_renewed() && !node.calls_wait() {
             let wanted = Wanted {
                 service: &running.service,
                 prompt: &running.prompt,
@@ -350,7 +350,7 @@
 }
 
 fn broke(node: &Node, running: &mut Running, worker: &str, reason: &BreakReason) {
-    node.worker_failed(worker);
+    node.worker_failed(worker, reason);
     running.avoid = vec![worker.to_owned()];
     log::info!(
         event = "item_attempt_broke", id = running.leased.id.as_str(), worker,
--- a/crates/pinerill-forward/src/batch/leases.rs
+++ b/crates/pinerill-forward/src/batch/leases.rs
@@ -122,8 +122,7 @@
 
 /// Items that the node would take now; none while it stops.
 fn wanted(node: &Node) -> u32 {
-    let calls_wait = node.dispatcher.waiting() > 0;
-    if node.stopping.is_cancelled() || node.table().is_none() || calls_wait {
+    if node.stopping.is_cancelled() || node.table().is_none() || node.calls_wait() {
         return 0;
     }
     let nodes = node.beliefs.nodes.load(Ordering::Relaxed).max(1);
--- a/crates/pinerill-forward/src/batch/preemption.rs
+++ b/crates/pinerill-forward/src/batch/preemption.rs
@@ -147,6 +147,17 @@
         order.into_iter().map(|(_, run)| run).collect()
     }
 
+    /// Items that could give way now, by service.
+    pub fn yielding(&self, now_ms: u64) -> HashMap<String, usize> {
+        let mut yielding = HashMap::new();
+        for item in self.running.values() {
+            if self.readiness(now_ms, item).is_some() {
+                *yielding.entry(item.service.clone()).or_default() += 1;
+            }
+        }
+        yielding
+    }
+
     /// What decides whether items give way, for the log.
     pub fn basis(&self, now_ms: u64) -> PreemptionBasis {
         let slacks = self
--- a/crates/pinerill-forward/src/batch/runs.rs
+++ b/crates/pinerill-forward/src/batch/runs.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Items that could give way now, by service.
+    pub(crate) fn yielding(&self, now_ms: u64) -> HashMap<String, usize> {
+        self.state.lock().preemption.yielding(now_ms)
+    }
+
     /// A whole item took so long at workers.
     pub(super) fn item_ended(&self, time: Duration) {
         self.state.lock().preemption.item_ended(time);
--- a/crates/pinerill-forward/src/call/attempt.rs
+++ b/crates/pinerill-forward/src/call/attempt.rs
@@ -92,7 +92,7 @@
 
     /// Notes that a worker failed the call after its answer had begun.
     pub fn broke(&mut self, node: &Node, worker: &str, call: &Call, reason: &BreakReason) {
-        node.worker_failed(worker);
+        node.worker_failed(worker, reason);
         log::info!(
             event = "attempt_broke", id = call.head.id.as_str(), worker, reason:% = reason; ""
         );
--- a/crates/pinerill-forward/src/cluster/client.rs
+++ b/crates/pinerill-forward/src/cluster/client.rs
@@ -62,7 +62,7 @@
     known: Vec<SocketAddr>,
     next: usize,
     leader: Option<SocketAddr>,
-    /// Those of this node's zone.
+    /// Those of this node's zone that hold the group's state.
     near: Vec<SocketAddr>,
     /// Until when those that failed are avoided.
     avoided: HashMap<SocketAddr, Instant>,
@@ -115,7 +115,9 @@
 
     /// Takes in which control machines there are, and where.
     pub fn learn_zones(&self, controls: Vec<ControlAddress>) {
-        let near = controls.iter().filter(|one| one.zone == self.identity.zone);
+        let near = controls
+            .iter()
+            .filter(|one| one.is_member && one.zone == self.identity.zone);
         let near = near.map(|one| one.address).collect();
         self.learn(controls.into_iter().map(|one| one.address).collect());
         self.addresses.lock().near = near;
@@ -187,8 +189,9 @@
         }
     }
 
-    /// Asks a control machine of this node's zone something that any one can
-    /// answer; the leader if there is none or it doesn't answer.
+    /// Asks a member of the group in this node's zone something that any one can
+    /// answer; the leader if there is none or it doesn't answer. A machine that is no
+    /// member would only refuse.
     ///
     /// # Errors
     /// [`CallFailure`] with the last error.
--- a/crates/pinerill-forward/src/cluster/watch.rs
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use anyhow::{bail, Context};
-use pinerill_calls::directory::WorkerEntry;
+use pinerill_calls::digest::Digest;
+use pinerill_calls::directory::{Directory, WorkerEntry};
 use pinerill_calls::message::{
-    CallsRequest, CallsResponse, DirectoryPosition, WatchRequest, WatchResponse,
+    CallsRequest, CallsResponse, Processes, WatchRequest, WatchResponse,
 };
 use pinerill_calls::protocol::WorkerListProtocol;
 use pinerill_calls::table::RouteIndex;
@@ -44,7 +45,7 @@
 }
 
 async fn watch(node: Arc<Node>) {
-    let mut position: Option<DirectoryPosition> = None;
+    let mut held = Held::default();
     let mut reachability = Reachability::default();
     loop {
         let request = CallsRequest::Watch(WatchRequest {
@@ -52,7 +53,8 @@
             zone: node.settings.zone.clone(),
             peer: node.settings.peer_listen,
             table_version: node.table().map(|index| index.table().version),
-            directory: position,
+            directory: held.directory.as_ref().map(Directory::digest),
+            processes: held.processes,
             wait_ms: HOLD.as_millis() as u64,
         });
         let answer = node.cluster.call(&request, ASK_TIME, HOLD).await;
@@ -60,7 +62,7 @@
             Ok(answered) => {
                 if let CallsResponse::Watch(response) = answered.response {
                     reachability.heard(&node);
-                    take_in(&node, *response, &mut position);
+                    take_in(&node, *response, &mut held);
                 }
                 continue;
             }
@@ -114,10 +116,19 @@
     }
 }
 
-fn take_in(node: &Node, response: WatchResponse, position: &mut Option<DirectoryPosition>) {
-    node.cluster.learn_zones(response.controls);
-    node.peers.learn(response.peers, response.far_peers);
-    if position.is_some() {
+/// What the leader told and need not tell again.
+#[derive(Default)]
+struct Held {
+    directory: Option<Directory>,
+    processes: Option<Digest>,
+}
+
+fn take_in(node: &Node, response: WatchResponse, held: &mut Held) {
+    if let Some(processes) = response.processes {
+        held.processes = Some(Digest::of(&processes));
+        learn_processes(node, processes);
+    }
+    if held.directory.is_some() {
         note_directory(node);
     }
     node.beliefs.nodes.store(response.nodes, Ordering::Relaxed);
@@ -128,14 +139,30 @@
         }
     }
     if let Some(update) = response.directory {
-        *position = Some(DirectoryPosition {
-            epoch: update.epoch,
-            revision: update.directory.revision,
-        });
-        take_workers(node, &update.directory.workers, "control");
+        // After a change that does not fit, the whole is asked for.
+        held.directory = match Directory::updated(held.directory.as_ref(), update) {
+            Ok(directory) => {
+                take_workers(node, directory.workers(), "control");
+                Some(directory)
+            }
+            Err(error) => {
+                log::warn!(event = "directory_change_refused", error:%; "");
+                None
+            }
+        };
     }
 }
 
+fn learn_processes(node: &Node, processes: Processes) {
+    log::info!(
+        event = "processes_learnt", controls = processes.controls.len(),
+        peers = processes.peers.len(), relays:? = processes.relays; ""
+    );
+    node.peers
+        .learn(&node.settings.zone, processes.peers, &processes.relays);
+    node.cluster.learn_zones(processes.controls);
+}
+
 fn note_directory(node: &Node) {
     node.beliefs
         .directory_heard_ms
--- a/crates/pinerill-forward/src/dispatch/mod.rs
+++ b/crates/pinerill-forward/src/dispatch/mod.rs
@@ -3,12 +3,14 @@
 //! A call gets a place at once if a worker has room. Otherwise it waits here
 //! and not at a worker, whose queue knows no order but that of arrival; it is
 //! sent away at once if it can't be served in time (`admission`). `line` keeps the
-//! order of those that wait. Whenever a place is given up, a peer tells of one,
+//! order of those that wait, `demand` what the other nodes of the zone lack. Whenever a place is given up, a peer tells of one,
 //! or a moment has passed, the first of the line are placed.
 
 pub mod admission;
+pub mod demand;
 pub mod line;
 mod times;
+mod zone;
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -20,6 +22,7 @@
 use tokio::time::{sleep, timeout, timeout_at};
 
 use self::admission::{admit, Admission, Applicant, Pace};
+use self::demand::ZoneDemand;
 use self::line::{Ticket, WaitingCall, WaitingLine};
 use self::times::CallTimes;
 use crate::call::Call;
@@ -79,6 +82,8 @@
 #[derive(Default)]
 pub struct Dispatcher {
     state: Mutex<State>,
+    /// What the other nodes of the zone lack and can spare.
+    zone: Mutex<ZoneDemand>,
     /// When a call last went to another zone without knowing the load there, on
     /// the node's clock.
     explored_ms: AtomicU64,
@@ -132,6 +137,7 @@
             self.admit(node, call, &waiting)?;
         }
         let (ticket, granted) = self.join(call, except, waiting);
+        node.peers.changed();
         let _in_line = InLine {
             dispatcher: self,
             ticket,
@@ -309,7 +315,7 @@
 pub(crate) async fn run(node: Arc<Node>) {
     loop {
         let dispatcher = &node.dispatcher;
-        if dispatcher.waiting() == 0 {
+        if dispatcher.waiting() == 0 && !dispatcher.others_wait(node.now_ms()) {
             dispatcher.changed.notified().await;
         } else {
             // Either there is news or it is time to look again.
@@ -317,6 +323,7 @@
         }
         dispatcher.place_waiting(&node);
         dispatcher.ask_items(&node);
+        dispatcher.help_others(&node);
         sleep(GATHER_PAUSE).await;
     }
 }
--- a/crates/pinerill-forward/src/exchange/connection.rs
+++ b/crates/pinerill-forward/src/exchange/connection.rs
@@ -19,8 +19,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// Longest time to connect: workers are in the same region.
-const CONNECT_TIME: Duration = Duration::from_millis(500);
+use super::connect_times;
+
 /// Unacknowledged bytes end a connection after this time.
 const SILENCE_LIMIT: Duration = Duration::from_millis(2_000);
 /// Bytes of a worker's answer that are buffered.
@@ -52,6 +52,13 @@
     Cut,
 }
 
+impl BreakReason {
+    /// Whether the worker said nothing at all, so that others will hear nothing either.
+    pub fn is_silence(&self) -> bool {
+        matches!(self, BreakReason::Connect(_) | BreakReason::Silent)
+    }
+}
+
 type Driver = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
 
 /// A connection that carries one request at a time.
@@ -76,7 +83,7 @@
     /// [`BreakReason::Connect`].
     pub async fn open(address: SocketAddr) -> Result<Self, BreakReason> {
         let failed = |error: String| BreakReason::Connect(error);
-        let connected = timeout(CONNECT_TIME, TcpStream::connect(address)).await;
+        let connected = timeout(connect_times::LONGEST, TcpStream::connect(address)).await;
         let stream = connected
             .map_err(|_| failed("no answer in time".to_owned()))?
             .map_err(|error| failed(error.to_string()))?;
--- a/crates/pinerill-forward/src/exchange/mod.rs
+++ b/crates/pinerill-forward/src/exchange/mod.rs
@@ -5,6 +5,7 @@
 //! that nobody waits any more. A connection is used again only after an answer
 //! that was read to its end, named the right request and left nothing behind.
 
+pub mod connect_times;
 mod connection;
 mod events;
 mod pool;
--- a/crates/pinerill-forward/src/exchange/pool.rs
+++ b/crates/pinerill-forward/src/exchange/pool.rs
@@ -1,12 +1,16 @@
-//! Idle connections to workers.
+//! Connections to workers: opening them, and those that are idle.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
-use pinerill_calls::directory::WorkerId;
+use pinerill_calls::directory::{WorkerEntry, WorkerId};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
 
-use super::connection::WorkerConnection;
+use super::connect_times::ConnectTimes;
+use super::connection::{BreakReason, WorkerConnection};
 
 /// Idle connections kept to one worker.
 const KEPT_PER_WORKER: usize = 64;
@@ -25,9 +29,46 @@
 #[derive(Default)]
 pub struct ConnectionPool {
     idle: Mutex<HashMap<WorkerId, Vec<Idle>>>,
+    connect_times: Mutex<ConnectTimes>,
 }
 
 impl ConnectionPool {
+    /// Connects to a worker, and waits for it no longer than connecting there usually
+    /// takes. A connection that comes later is kept for the next request.
+    ///
+    /// # Errors
+    /// [`BreakReason::Connect`].
+    pub async fn open(
+        self: &Arc<Self>,
+        worker: &Arc<WorkerEntry>,
+    ) -> Result<WorkerConnection, BreakReason> {
+        let patience = self.connect_times.lock().patience(&worker.zone);
+        let (hand_over, opened) = oneshot::channel();
+        let (pool, worker) = (self.clone(), worker.clone());
+        tokio::spawn(async move {
+            let opened = pool.open_timed(&worker).await;
+            if let Err(Ok(unclaimed)) = hand_over.send(opened) {
+                pool.put(&worker.id, unclaimed, None);
+            }
+        });
+        let in_time = timeout(patience, opened).await;
+        match in_time {
+            Ok(Ok(opened)) => opened,
+            Ok(Err(_)) | Err(_) => Err(BreakReason::Connect(format!(
+                "no answer in {} ms",
+                patience.as_millis()
+            ))),
+        }
+    }
+
+    async fn open_timed(&self, worker: &WorkerEntry) -> Result<WorkerConnection, BreakReason> {
+        let began = Instant::now();
+        let connection = WorkerConnection::open(worker.address).await?;
+        let mut times = self.connect_times.lock();
+        times.took(&worker.zone, began.elapsed());
+        Ok(connection)
+    }
+
     /// Takes a connection to a worker, if one is open.
     pub fn take(&self, worker: &str) -> Option<WorkerConnection> {
         let now = Instant::now();
--- a/crates/pinerill-forward/src/exchange/send.rs
+++ b/crates/pinerill-forward/src/exchange/send.rs
@@ -67,7 +67,7 @@
     /// # Errors
     /// [`SendFailure`], which tells whether the request may have arrived.
     pub async fn begin(
-        pool: &ConnectionPool,
+        pool: &Arc<ConnectionPool>,
         protocol: &dyn WorkerProtocol,
         worker: &Arc<WorkerEntry>,
         request: &WorkerRequest,
@@ -79,7 +79,7 @@
                 other => return other,
             }
         }
-        let opened = WorkerConnection::open(worker.address).await;
+        let opened = pool.open(worker).await;
         let connection = opened.map_err(|reason| SendFailure {
             sent: false,
             reason,
--- a/crates/pinerill-forward/src/fleet/choice.rs
+++ b/crates/pinerill-forward/src/fleet/choice.rs
@@ -4,6 +4,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use super::prefixes::Prompt;
+use super::suspicion;
 use super::worker::Worker;
 use super::{ChoiceBasis, Chosen, Fleet};
 
@@ -54,12 +55,24 @@
     pub items: u32,
 }
 
+/// Whether a worker neither failed this node a short while ago nor, as far as hearsay is
+/// credible, others.
+fn is_sound(now_ms: u64, worker: &Worker, credible: bool) -> bool {
+    let suspected = credible && worker.suspicion.holds(now_ms);
+    !worker.is_avoided(now_ms) && !suspected
+}
+
+/// Whether what other nodes say of these workers counts.
+fn is_hearsay_credible(now_ms: u64, workers: &[&Worker]) -> bool {
+    let suspected = workers.iter().filter(|one| one.suspicion.holds(now_ms));
+    suspicion::is_credible(suspected.count(), workers.len())
+}
+
 impl Fleet {
     /// The worker for a caller's call among those that have room. Workers that
-    /// failed a short while ago count only if there is no other. What happens at
-    /// workers of other zones is known only from their answers: one of which
-    /// nothing is known counts if this zone has no sound worker, or if the call
-    /// `explores`.
+    /// failed a short while ago count only if there is no other. A worker of a zone that
+    /// tells nothing is known only from its answers: one of which nothing is known
+    /// counts if this zone has no sound worker, or if the call `explores`.
     pub fn place(&self, now_ms: u64, wanted: &Wanted<'_>, explores: bool) -> Placement {
         let asked: Vec<&Worker> = self
             .candidates(wanted.service)
@@ -68,14 +81,17 @@
         if asked.is_empty() {
             return Placement::NoWorker;
         }
-        let is_sound = |worker: &Worker| !worker.is_avoided(now_ms);
+        let credible = is_hearsay_credible(now_ms, &asked);
+        let is_sound = |worker: &Worker| is_sound(now_ms, worker, credible);
         let any_sound = asked.iter().any(|one| is_sound(one));
         let zone_serves = asked.iter().any(|one| self.is_near(one) && is_sound(one));
         let meeting_point = self.meeting_point(wanted);
-        let hears_far = self.hears_far(now_ms);
+        let heard = self.heard_zones(now_ms, &asked);
         let open = asked.into_iter().filter(|worker| {
             let passed_over = any_sound && !is_sound(worker);
-            let known = self.is_near(worker) || hears_far || worker.is_load_known(now_ms);
+            let known = self.is_near(worker)
+                || heard.contains(&worker.entry().zone)
+                || worker.is_load_known(now_ms);
             let spare = if self.is_near(worker) {
                 0.0
             } else {
@@ -99,11 +115,13 @@
     /// worker; items can wait, and nothing is known of the load there.
     pub fn choose_for_item(&self, now_ms: u64, wanted: &Wanted<'_>) -> Option<Chosen> {
         let share = self.settings.batch_share;
-        let sound = |worker: &&Worker| {
-            let asked = !wanted.except.contains(&worker.entry().id);
-            asked && !worker.is_avoided(now_ms)
-        };
-        let candidates = || self.candidates(wanted.service).filter(sound);
+        let asked: Vec<&Worker> = self
+            .candidates(wanted.service)
+            .filter(|worker| !wanted.except.contains(&worker.entry().id))
+            .collect();
+        let credible = is_hearsay_credible(now_ms, &asked);
+        let sound = |worker: &&Worker| is_sound(now_ms, worker, credible);
+        let candidates = || asked.iter().copied().filter(sound);
         let zone_serves = candidates().any(|worker| self.is_near(worker));
         let with_room = candidates().filter(|worker| {
             let reached = self.is_near(worker) || !zone_serves;
@@ -153,7 +171,7 @@
         }
     }
 
-    fn chosen(&self, now_ms: u64, worker: &Worker, prompt: &Prompt) -> Chosen {
+    pub(super) fn chosen(&self, now_ms: u64, worker: &Worker, prompt: &Prompt) -> Chosen {
         Chosen {
             entry: worker.entry().clone(),
             prefill_ms: self.prefill_ms(worker, prompt, false),
@@ -165,6 +183,20 @@
         }
     }
 
+    /// Zones of these workers whose nodes tell what they have in flight.
+    fn heard_zones(&self, now_ms: u64, workers: &[&Worker]) -> Vec<String> {
+        let mut zones: Vec<&str> = workers
+            .iter()
+            .map(|one| one.entry().zone.as_str())
+            .collect();
+        zones.sort_unstable();
+        zones.dedup();
+        let heard = zones
+            .into_iter()
+            .filter(|zone| self.hears_zone(now_ms, zone));
+        heard.map(str::to_owned).collect()
+    }
+
     fn is_near(&self, worker: &Worker) -> bool {
         worker.entry().zone == self.zone
     }
--- a/crates/pinerill-forward/src/fleet/mod.rs
+++ b/crates/pinerill-forward/src/fleet/mod.rs
@@ -7,9 +7,11 @@
 mod choice;
 mod peers;
 mod prefixes;
+mod suspicion;
 mod worker;
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use pinerill_calls::directory::{WorkerEntry, WorkerId, WorkerState};
@@ -18,7 +20,7 @@
 use self::peers::PeerBook;
 
 pub use choice::{BatchCapacity, Placement, Wanted};
-pub use peers::{TellingOrder, WorkerCount};
+pub use peers::{TellingOrder, WorkerCount, WorkerKey};
 pub use prefixes::{PrefixMemory, Prompt};
 pub use worker::Worker;
 
@@ -50,9 +52,8 @@
     settings: ChoiceSettings,
     workers: HashMap<WorkerId, Worker>,
     by_service: HashMap<String, Vec<WorkerId>>,
+    by_key: HashMap<WorkerKey, WorkerId>,
     peers: PeerBook,
-    /// When a node of another zone last told what it has in flight.
-    far_heard_ms: Option<u64>,
 }
 
 impl Fleet {
@@ -63,8 +64,8 @@
             settings,
             workers: HashMap::new(),
             by_service: HashMap::new(),
+            by_key: HashMap::new(),
             peers: PeerBook::default(),
-            far_heard_ms: None,
         }
     }
 
@@ -73,6 +74,7 @@
     pub fn take_directory(&mut self, entries: &[WorkerEntry]) -> Vec<WorkerId> {
         let mut earlier = std::mem::take(&mut self.workers);
         self.by_service.clear();
+        self.by_key.clear();
         for entry in entries {
             let worker = match earlier.remove(&entry.id) {
                 Some(mut known) => {
@@ -82,6 +84,8 @@
                 None => Worker::new(entry.clone()),
             };
             self.workers.insert(entry.id.clone(), worker);
+            self.by_key
+                .insert(WorkerKey::of(&entry.id), entry.id.clone());
             let service = self.by_service.entry(entry.service.clone());
             service.or_default().push(entry.id.clone());
         }
@@ -108,6 +112,13 @@
         }
     }
 
+    /// The same by the worker's key.
+    pub fn expect_prefill_at(&mut self, now_ms: u64, key: WorkerKey, prefill_ms: f64) {
+        if let Some(id) = self.by_key.get(&key).cloned() {
+            self.expect_prefill(now_ms, &id, prefill_ms);
+        }
+    }
+
     /// Notes that another node sent a prompt there.
     pub fn expect_prefill(&mut self, now_ms: u64, id: &str, prefill_ms: f64) {
         if let Some(worker) = self.workers.get_mut(id) {
@@ -122,6 +133,33 @@
         }
     }
 
+    /// Promises a place at a worker of this zone to another node, if one is free there
+    /// and the worker is sound. Until `until_ms` it counts as taken.
+    pub fn promise(&mut self, now_ms: u64, id: &str, until_ms: u64) -> Option<WorkerKey> {
+        let zone = &self.zone;
+        let worker = self.workers.get_mut(id)?;
+        let serves = worker.entry().zone == *zone
+            && worker.entry().state == WorkerState::Ready
+            && !worker.is_avoided(now_ms)
+            && worker.has_room(now_ms, 0.0);
+        serves.then(|| {
+            worker.promise(now_ms, until_ms);
+            WorkerKey::of(id)
+        })
+    }
+
+    /// The worker of a place that another node promised, if it may be asked.
+    pub fn promised(&self, now_ms: u64, key: WorkerKey, prompt: &Prompt) -> Option<Chosen> {
+        let worker = self.workers.get(self.by_key.get(&key)?)?;
+        let serves = worker.entry().state == WorkerState::Ready && !worker.is_avoided(now_ms);
+        serves.then(|| self.chosen(now_ms, worker, prompt))
+    }
+
+    /// The service of a worker, if it is listed.
+    pub fn service_of(&self, id: &str) -> Option<&str> {
+        Some(self.workers.get(id)?.entry().service.as_str())
+    }
+
     /// Takes in a load sample of an answer.
     pub fn take_load(&mut self, now_ms: u64, id: &str, sample: LoadSample) {
         if let Some(worker) = self.workers.get_mut(id) {
@@ -143,6 +181,14 @@
         }
     }
 
+    /// Another node got no answer of a worker.
+    pub fn suspect(&mut self, now_ms: u64, node: SocketAddr, key: WorkerKey) {
+        let id = self.by_key.get(&key);
+        if let Some(worker) = id.and_then(|id| self.workers.get_mut(id)) {
+            worker.suspicion.said(now_ms, node);
+        }
+    }
+
     /// Notes that a worker had no room.
     pub fn was_full(&mut self, now_ms: u64, id: &str) {
         if let Some(worker) = self.workers.get_mut(id) {
--- a/crates/pinerill-forward/src/fleet/peers.rs
+++ b/crates/pinerill-forward/src/fleet/peers.rs
@@ -1,32 +1,51 @@
-//! What the other nodes of the zone have in flight, as they tell.
+//! What other nodes have in flight, as they tell.
 //!
-//! A node tells whole counts, never differences, so that a message that is lost
-//! is made good by the next one. What a silent node told fades all at once.
+//! A node of this zone tells its own counts, a relay of another zone those of all
+//! nodes there. Both tell whole counts, never differences, so that a message that is
+//! lost is made good by the next one. What a silent teller told is forgotten.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use pinerill_calls::directory::WorkerId;
 use serde::{Deserialize, Serialize};
 
 use super::Fleet;
 
-/// Time after which what a silent node told counts no more, milliseconds.
-const PEER_LIFE_MS: u64 = 1_500;
+/// Time after which what a silent node or zone told counts no more, milliseconds.
+const TELLER_LIFE_MS: u64 = 1_500;
+
+/// FNV-1a's first value and its multiplier, 32 bits.
+const FNV_OFFSET: u32 = 0x811c_9dc5;
+const FNV_PRIME: u32 = 0x0100_0193;
+
+/// A short name of a worker for messages between nodes: a hash of its identifier.
+/// Two workers of one key would cost a worse choice and nothing else.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct WorkerKey(u32);
+
+impl WorkerKey {
+    /// The key of a worker's identifier, the same at every node.
+    pub fn of(worker: &str) -> Self {
+        let hash = worker.bytes().fold(FNV_OFFSET, |hash, byte| {
+            (hash ^ u32::from(byte)).wrapping_mul(FNV_PRIME)
+        });
+        WorkerKey(hash)
+    }
+}
 
-/// Requests of a node at one worker.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// Requests at one worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerCount {
     /// The worker.
-    pub worker: WorkerId,
-    /// Requests of the node there.
+    pub worker: WorkerKey,
+    /// Requests there.
     pub requests: u32,
 }
 
-/// Which of two messages of a peer is the newer one.
+/// Which of two messages of a teller is the newer one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TellingOrder {
-    /// Number drawn at the peer's start.
+    /// Number drawn at the teller's start.
     pub start: u64,
     /// Grows with each message of that start.
     pub sequence: u64,
@@ -34,16 +53,25 @@
 
 impl TellingOrder {
     /// Whether this one comes after a message that was taken in before. Another
-    /// start of the peer always does.
+    /// start of the teller always does.
     fn follows(self, earlier: TellingOrder) -> bool {
         self.start != earlier.start || self.sequence > earlier.sequence
     }
 }
 
-/// What each peer told last.
+/// Whose counts they are.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum Teller {
+    /// A node of this zone.
+    Node(SocketAddr),
+    /// All nodes of another zone.
+    Zone(String),
+}
+
+/// What each teller told last.
 #[derive(Debug, Default)]
 pub(super) struct PeerBook {
-    told: HashMap<SocketAddr, Told>,
+    told: HashMap<Teller, Told>,
 }
 
 #[derive(Debug)]
@@ -53,62 +81,95 @@
     counts: Vec<WorkerCount>,
 }
 
+impl Told {
+    fn is_old(&self, now_ms: u64) -> bool {
+        now_ms > self.at_ms + TELLER_LIFE_MS
+    }
+}
+
 impl Fleet {
-    /// Requests of this node, by worker.
-    pub fn in_flight(&self) -> Vec<WorkerCount> {
-        let busy = self.workers.iter().filter(|(_, one)| one.in_flight > 0);
-        busy.map(|(id, one)| WorkerCount {
-            worker: id.clone(),
-            requests: one.in_flight,
-        })
-        .collect()
+    /// Requests of this node and places that it promised, by worker.
+    pub fn in_flight(&self, now_ms: u64) -> Vec<WorkerCount> {
+        self.counts(|worker| worker.in_flight + worker.promised(now_ms))
     }
 
-    /// Takes in what a peer has in flight, unless something newer came before.
+    /// The same of all nodes of this zone.
+    pub fn zone_in_flight(&self, now_ms: u64) -> Vec<WorkerCount> {
+        self.counts(|worker| worker.in_flight + worker.promised(now_ms) + worker.peers_in_flight)
+    }
+
+    fn counts(&self, requests: impl Fn(&super::Worker) -> u32) -> Vec<WorkerCount> {
+        let counts = self.workers.iter().map(|(id, worker)| WorkerCount {
+            worker: WorkerKey::of(id),
+            requests: requests(worker),
+        });
+        counts.filter(|count| count.requests > 0).collect()
+    }
+
+    /// Takes in what a node of this zone has in flight; false if something newer came
+    /// before.
     pub fn take_peer(
         &mut self,
         now_ms: u64,
         peer: SocketAddr,
         order: TellingOrder,
         counts: Vec<WorkerCount>,
-    ) {
-        let earlier = self.peers.told.get(&peer);
+    ) -> bool {
+        self.take_counts(now_ms, Teller::Node(peer), order, counts)
+    }
+
+    /// Takes in what all nodes of another zone have in flight; false if something newer
+    /// came before.
+    pub fn take_zone(
+        &mut self,
+        now_ms: u64,
+        zone: &str,
+        order: TellingOrder,
+        counts: Vec<WorkerCount>,
+    ) -> bool {
+        self.take_counts(now_ms, Teller::Zone(zone.to_owned()), order, counts)
+    }
+
+    fn take_counts(
+        &mut self,
+        now_ms: u64,
+        teller: Teller,
+        order: TellingOrder,
+        counts: Vec<WorkerCount>,
+    ) -> bool {
+        let earlier = self.peers.told.get(&teller);
         if earlier.is_some_and(|told| !order.follows(told.order)) {
-            return;
+            return false;
+        }
+        if let Some(earlier) = self.peers.told.remove(&teller) {
+            self.count(&teller, &earlier.counts, false);
         }
+        self.count(&teller, &counts, true);
         let told = Told {
             order,
             at_ms: now_ms,
             counts,
         };
-        if let Some(earlier) = self.peers.told.remove(&peer) {
-            self.count_peer(&earlier.counts, false);
-        }
-        self.count_peer(&told.counts, true);
-        self.peers.told.insert(peer, told);
+        self.peers.told.insert(teller, told);
+        true
     }
 
-    /// A node of another zone told what it has in flight.
-    pub fn heard_far(&mut self, now_ms: u64) {
-        self.far_heard_ms = Some(now_ms);
+    /// Whether the nodes of another zone tell what they have in flight.
+    pub(super) fn hears_zone(&self, now_ms: u64, zone: &str) -> bool {
+        let told = self.peers.told.get(&Teller::Zone(zone.to_owned()));
+        told.is_some_and(|told| !told.is_old(now_ms))
     }
 
-    /// Whether nodes of other zones tell what they have in flight.
-    pub(super) fn hears_far(&self, now_ms: u64) -> bool {
-        self.far_heard_ms
-            .is_some_and(|at| now_ms <= at + PEER_LIFE_MS)
-    }
-
-    /// Forgets what peers told that have been silent since.
+    /// Forgets what was told by those that have been silent since.
     pub fn forget_silent_peers(&mut self, now_ms: u64) {
         let told = self.peers.told.iter();
-        let silent: Vec<SocketAddr> = told
+        let silent: Vec<Teller> = told
             .filter(|(_, told)| told.is_old(now_ms))
-            .map(|(peer, _)| *peer)
+            .map(|(teller, _)| teller.clone())
             .collect();
-        for peer in silent {
-            if let Some(told) = self.peers.told.remove(&peer) {
-                self.count_peer(&told.counts, false);
+        for teller in silent {
+            if let Some(told) = self.peers.told.remove(&teller) {
+                self.count(&teller, &told.counts, false);
             }
         }
     }
@@ -117,32 +178,29 @@
     pub(super) fn recount_peers(&mut self) {
         for worker in self.workers.values_mut() {
             worker.peers_in_flight = 0;
+            worker.zones_in_flight = 0;
         }
-        let counts: Vec<WorkerCount> = self
-            .peers
-            .told
-            .values()
-            .flat_map(|told| told.counts.iter().cloned())
-            .collect();
-        self.count_peer(&counts, true);
+        let told = std::mem::take(&mut self.peers.told);
+        for (teller, told) in &told {
+            self.count(teller, &told.counts, true);
+        }
+        self.peers.told = told;
     }
 
-    fn count_peer(&mut self, counts: &[WorkerCount], added: bool) {
+    fn count(&mut self, teller: &Teller, counts: &[WorkerCount], added: bool) {
         for count in counts {
-            let Some(worker) = self.workers.get_mut(&count.worker) else {
+            let id = self.by_key.get(&count.worker);
+            let Some(worker) = id.and_then(|id| self.workers.get_mut(id)) else {
                 continue;
             };
-            let known = worker.peers_in_flight;
-            worker.peers_in_flight = match added {
+            let known = match teller {
+                Teller::Node(_) => &mut worker.peers_in_flight,
+                Teller::Zone(_) => &mut worker.zones_in_flight,
+            };
+            *known = match added {
                 true => known.saturating_add(count.requests),
                 false => known.saturating_sub(count.requests),
             };
         }
     }
 }
-
-impl Told {
-    fn is_old(&self, now_ms: u64) -> bool {
-        now_ms > self.at_ms + PEER_LIFE_MS
-    }
-}
--- a/crates/pinerill-forward/src/fleet/worker.rs
+++ b/crates/pinerill-forward/src/fleet/worker.rs
@@ -6,6 +6,7 @@
 use pinerill_calls::protocol::LoadSample;
 
 use super::prefixes::PrefixMemory;
+use super::suspicion::Suspicion;
 
 /// A load sample counts in full up to this age, milliseconds.
 const SAMPLE_FRESH_MS: u64 = 700;
@@ -30,6 +31,10 @@
     pub(super) in_flight: u32,
     /// Requests there of the other nodes of this zone, as they tell.
     pub(super) peers_in_flight: u32,
+    /// Requests there of the nodes of other zones, as these tell.
+    pub(super) zones_in_flight: u32,
+    /// Until when places there are promised to other nodes, milliseconds.
+    promised_until_ms: Vec<u64>,
     /// When it will have read all prompts that are known to be sent there, on
     /// the node's clock, milliseconds.
     reading_until_ms: f64,
@@ -39,6 +44,8 @@
     others: Option<OthersSample>,
     failures: u32,
     avoid_until_ms: u64,
+    /// What other nodes say of it.
+    pub(super) suspicion: Suspicion,
     full_until_ms: u64,
 }
 
@@ -54,11 +61,14 @@
             entry: Arc::new(entry),
             in_flight: 0,
             peers_in_flight: 0,
+            zones_in_flight: 0,
+            promised_until_ms: Vec::new(),
             reading_until_ms: 0.0,
             prefixes: PrefixMemory::default(),
             others: None,
             failures: 0,
             avoid_until_ms: 0,
+            suspicion: Suspicion::default(),
             full_until_ms: 0,
         }
     }
@@ -101,7 +111,7 @@
     pub(super) fn take_load(&mut self, now_ms: u64, sample: LoadSample) {
         let all = sample.running + sample.waiting;
         self.others = Some(OthersSample {
-            requests: all.saturating_sub(self.in_flight + self.peers_in_flight),
+            requests: all.saturating_sub(self.told_in_flight()),
             at_ms: now_ms,
         });
     }
@@ -109,6 +119,7 @@
     pub(super) fn succeeded(&mut self) {
         self.failures = 0;
         self.avoid_until_ms = 0;
+        self.suspicion.clear();
     }
 
     /// Each failure in a row doubles the time for which it is avoided.
@@ -122,10 +133,27 @@
         self.full_until_ms = now_ms + FULL_MS;
     }
 
-    /// Requests there: those of this node, those that its peers tell of, and
-    /// those of others as far as still believed.
+    /// Requests there: those of this node, those that other nodes tell of, places that
+    /// are promised, and those of others as far as still believed.
     pub(super) fn occupied(&self, now_ms: u64) -> f64 {
-        f64::from(self.in_flight + self.peers_in_flight) + self.others_believed(now_ms)
+        let known = self.told_in_flight() + self.promised(now_ms);
+        f64::from(known) + self.others_believed(now_ms)
+    }
+
+    fn told_in_flight(&self) -> u32 {
+        self.in_flight + self.peers_in_flight + self.zones_in_flight
+    }
+
+    /// A place there is promised to another node.
+    pub(super) fn promise(&mut self, now_ms: u64, until_ms: u64) {
+        self.promised_until_ms.retain(|until| *until > now_ms);
+        self.promised_until_ms.push(until_ms);
+    }
+
+    /// Places there that are promised to other nodes.
+    pub(super) fn promised(&self, now_ms: u64) -> u32 {
+        let promised = self.promised_until_ms.iter();
+        promised.filter(|until| **until > now_ms).count() as u32
     }
 
     /// Whether one more request would begin at once and leave so many slots free.
--- a/crates/pinerill-forward/src/gateway/request.rs
+++ b/crates/pinerill-forward/src/gateway/request.rs
@@ -72,7 +72,7 @@
     body: Incoming,
     arrived: Instant,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    let table = admit(&node)?;
+    let table = admit(&node).await?;
     let path = head.uri.path();
     let route = table
         .route(&call.host, path)
@@ -94,14 +94,14 @@
 
 /// A call that comes late in a stop would be cut at its end. A node without a
 /// route table can't say that a route does not exist.
-fn admit(node: &Node) -> Result<Arc<RouteIndex>, Refusal> {
+async fn admit(node: &Node) -> Result<Arc<RouteIndex>, Refusal> {
     if node.takes_no_more() {
         return Err(Refusal::NotRun {
             reason: "the node stops",
             retry_after: Some(STOPPING_RETRY),
         });
     }
-    node.table().ok_or(Refusal::NotRun {
+    node.first_table().await.ok_or(Refusal::NotRun {
         reason: "no route table yet",
         retry_after: Some(STARTING_RETRY),
     })
--- a/crates/pinerill-forward/src/monitoring.rs
+++ b/crates/pinerill-forward/src/monitoring.rs
@@ -30,6 +30,7 @@
     pub(crate) worker_refusals: IntCounter,
     items: IntCounterVec,
     pub(crate) items_gave_way: IntCounter,
+    pub(crate) peer_messages_dropped: IntCounter,
     waiting_calls: IntGauge,
     table_version: IntGauge,
     control_silent_ms: IntGauge,
@@ -120,6 +121,10 @@
                 "pinerill_node_items_gave_way_total",
                 "Runs of items that ended for a call that waited",
             )?,
+            peer_messages_dropped: counter(
+                "pinerill_node_peer_messages_dropped_total",
+                "Datagrams of other nodes that could not be read or were not theirs to send",
+            )?,
             waiting_calls: gauge(
                 "pinerill_node_waiting_calls",
                 "Calls that wait for a place at a worker",
@@ -192,6 +197,7 @@
         TextEncoder::new()
             .encode(&metrics.registry.gather(), &mut text)
             .map_err(|error| error.to_string())?;
+        text.extend(self.peers.traffic().metrics_text("pinerill_node").bytes());
         String::from_utf8(text).map_err(|error| error.to_string())
     }
 
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -2,18 +2,20 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use parking_lot::{Mutex, RwLock};
 use pinerill_calls::directory::WorkerId;
 use pinerill_calls::protocol::{CallerProtocol, LoadSample, WorkerProtocol};
 use pinerill_calls::table::RouteIndex;
+use tokio::sync::{Notify, Semaphore};
+use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
 
 use crate::batch::Runs;
 use crate::cluster::ClusterClient;
 use crate::dispatch::Dispatcher;
-use crate::exchange::ConnectionPool;
+use crate::exchange::{BreakReason, ConnectionPool};
 use crate::fleet::{BatchCapacity, Chosen, Fleet, Prompt, Wanted};
 use crate::monitoring::{Beliefs, Metrics};
 use crate::peers::Peers;
@@ -23,6 +25,14 @@
 /// need some seconds to learn of it.
 const TAKING_PART: f64 = 0.35;
 
+/// Time after its start in which a node holds calls until it has a route table: a cluster
+/// whose processes all start at once has a leader and a table after some 0.4 s, and a node
+/// that has none after this time can't say when it will. Their bodies are not read yet.
+const STARTING_TIME: Duration = Duration::from_millis(1_200);
+/// Calls held so at most; the rest is refused at once. A burst brings a node some 10 a
+/// second here.
+const CALLS_HELD_AT_START: usize = 64;
+
 /// A node.
 pub struct Node {
     pub(crate) settings: NodeSettings,
@@ -33,8 +43,11 @@
     pub(crate) cluster: ClusterClient,
     pub(crate) peers: Peers,
     table: RwLock<Option<Arc<RouteIndex>>>,
+    table_taken: Notify,
+    /// Calls that may wait for the first table.
+    starting: Semaphore,
     fleet: Mutex<Fleet>,
-    connections: ConnectionPool,
+    connections: Arc<ConnectionPool>,
     pub(crate) dispatcher: Dispatcher,
     pub(crate) runs: Arc<Runs>,
     pub(crate) metrics: Metrics,
@@ -68,8 +81,10 @@
             cluster: parts.cluster,
             peers: parts.peers,
             table: RwLock::new(None),
+            table_taken: Notify::new(),
+            starting: Semaphore::new(CALLS_HELD_AT_START),
             fleet: Mutex::new(parts.fleet),
-            connections: ConnectionPool::default(),
+            connections: Arc::default(),
             dispatcher: Dispatcher::default(),
             runs: Arc::default(),
             metrics: parts.metrics,
@@ -111,7 +126,7 @@
     }
 
     /// Idle connections to workers.
-    pub fn connections(&self) -> &ConnectionPool {
+    pub fn connections(&self) -> &Arc<ConnectionPool> {
         &self.connections
     }
 
@@ -120,6 +135,23 @@
         self.table.read().clone()
     }
 
+    /// The route table in force here. A node that has just started waits for its first one
+    /// for a moment, unless too many calls do so already.
+    pub(crate) async fn first_table(&self) -> Option<Arc<RouteIndex>> {
+        if let Some(table) = self.table() {
+            return Some(table);
+        }
+        let _held = self.starting.try_acquire().ok()?;
+        let until = self.started + STARTING_TIME;
+        loop {
+            let taken = self.table_taken.notified();
+            if let Some(table) = self.table() {
+                return Some(table);
+            }
+            timeout_at(until.into(), taken).await.ok()?;
+        }
+    }
+
     /// Takes in a route table unless one as new is in force.
     pub(crate) fn take_table(&self, index: RouteIndex) -> bool {
         let mut held = self.table.write();
@@ -129,6 +161,7 @@
             .is_none_or(|known| known.table().version < version);
         if newer {
             *held = Some(Arc::new(index));
+            self.table_taken.notify_waiters();
         }
         newer
     }
@@ -149,6 +182,11 @@
         self.with_fleet(|fleet, now_ms| fleet.batch_capacity(now_ms, nodes))
     }
 
+    /// Whether calls wait for places here or at other nodes of the zone.
+    pub(crate) fn calls_wait(&self) -> bool {
+        self.dispatcher.waiting() > 0 || self.dispatcher.others_wait(self.now_ms())
+    }
+
     /// Takes a place at a worker.
     pub fn occupy(self: &Arc<Self>, chosen: &Chosen, prompt: &Prompt) -> Occupied {
         let worker = chosen.entry.id.clone();
@@ -170,8 +208,11 @@
     }
 
     /// Notes that a worker could not be reached, broke off or was silent.
-    pub fn worker_failed(&self, worker: &str) {
+    pub fn worker_failed(&self, worker: &str, reason: &BreakReason) {
         self.metrics.worker_failures.inc();
+        if reason.is_silence() {
+            self.peers.tell_no_answer(worker);
+        }
         self.with_fleet(|fleet, now_ms| fleet.failed(now_ms, worker));
     }
 
@@ -210,7 +251,9 @@
 impl Drop for Occupied {
     fn drop(&mut self) {
         self.node.with_fleet(|fleet, _| fleet.end(&self.worker));
-        self.node.dispatcher.changed.notify_one();
-        self.node.peers.changed();
+        if !self.node.dispatcher.promise(&self.node, &self.worker) {
+            self.node.dispatcher.changed.notify_one();
+            self.node.peers.changed();
+        }
     }
 }
--- /dev/null
+++ b/crates/pinerill-forward/src/peers/hear.rs
@@ -0,0 +1,80 @@
+//! Takes in what other nodes tell.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use pinerill_calls::message::decode;
+
+use super::message::{PeerMessage, DATAGRAM_BYTES};
+use crate::fleet::{TellingOrder, WorkerCount};
+use crate::node::Node;
+
+/// Takes in what the others tell until the node ends.
+pub(crate) async fn hear(node: Arc<Node>) {
+    let mut datagram = [0; DATAGRAM_BYTES];
+    loop {
+        let Ok((length, from)) = node.peers.socket.recv_from(&mut datagram).await else {
+            continue;
+        };
+        let (near, far) = (node.peers.is_near(from), node.peers.is_far_relay(from));
+        if !near && !far {
+            continue;
+        }
+        match decode::<PeerMessage>(&datagram[..length]) {
+            Ok(message @ PeerMessage::ZoneInFlight { .. }) if far => {
+                node.peers.send_near(&message);
+                take_in(&node, from, message);
+            }
+            Ok(message) if near => take_in(&node, from, message),
+            // A message of another version, or one that only nodes of the zone may send.
+            Ok(_) | Err(_) => node.metrics.peer_messages_dropped.inc(),
+        }
+    }
+}
+
+fn take_in(node: &Arc<Node>, from: SocketAddr, message: PeerMessage) {
+    match message {
+        PeerMessage::PromptSent { worker, prefill_ms } => node.with_fleet(|fleet, now_ms| {
+            fleet.expect_prefill_at(now_ms, worker, prefill_ms);
+        }),
+        PeerMessage::InFlight {
+            order,
+            counts,
+            demand,
+        } => {
+            let taken =
+                node.with_fleet(|fleet, now_ms| fleet.take_peer(now_ms, from, order, counts));
+            if taken {
+                node.dispatcher.take_demand(node.now_ms(), from, demand);
+                look_again(node);
+                node.peers.zone_changed.notify_one();
+            }
+        }
+        PeerMessage::ZoneInFlight {
+            order,
+            zone,
+            counts,
+        } => take_zone(node, &zone, order, counts),
+        PeerMessage::NoAnswer { worker } => {
+            node.with_fleet(|fleet, now_ms| fleet.suspect(now_ms, from, worker));
+        }
+        PeerMessage::PlaceFree { worker } => node.dispatcher.take_promised(node, worker),
+    }
+}
+
+fn take_zone(node: &Arc<Node>, zone: &str, order: TellingOrder, counts: Vec<WorkerCount>) {
+    if zone == node.settings.zone {
+        return;
+    }
+    let taken = node.with_fleet(|fleet, now_ms| fleet.take_zone(now_ms, zone, order, counts));
+    if taken {
+        look_again(node);
+    }
+}
+
+/// There may be room for calls that wait here, or items here that can help others.
+fn look_again(node: &Node) {
+    if node.dispatcher.waiting() > 0 || node.dispatcher.others_wait(node.now_ms()) {
+        node.dispatcher.changed.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/pinerill-forward/src/peers/mod.rs
@@ -0,0 +1,180 @@
+//! Nodes tell each other what they send to workers and what they lack.
+//!
+//! A worker's load report comes with an answer, so that it is old and many nodes
+//! have none; and it counts requests, not tokens. So each node tells the others of its
+//! zone, by datagrams, how many requests it has at which worker and how many calls wait
+//! there, whenever that changes, and each prompt that takes a while to read.
+//!
+//! Nodes of other zones are not told one by one: that would grow with the square of the
+//! fleet, and bytes between zones are dear. [`RELAYS`] nodes of each zone, named by the
+//! leader, sum up what their zone has in flight and tell one relay of each other zone,
+//! which hands it on to its own. The path of each relay is its own, so that one that
+//! dies, freezes or is cut off costs a slower pace until the leader names another.
+//!
+//! | from | to | what | how often |
+//! |---|---|---|---|
+//! | node | nodes of its zone | counts, calls that wait ([`message::PeerMessage::InFlight`]) | at each change, at a pace that falls with their number |
+//! | node | nodes of its zone | long prompts, workers that did not answer | each |
+//! | node | one node of its zone | a place that became free | while calls wait there |
+//! | relay | one relay of each other zone, and from there to all its nodes | counts of the zone | each [`tell::ZONE_PAUSE`] while they change |
+//!
+//! A datagram that is lost costs a worse choice and nothing else.
+
+mod hear;
+mod message;
+mod tell;
+
+use std::io;
+use std::net::SocketAddr;
+
+use parking_lot::RwLock;
+use pinerill_calls::message::{encode, ZoneRelays};
+use pinerill_calls::traffic::{Reach, Traffic};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+
+use self::message::PeerMessage;
+use crate::fleet::WorkerKey;
+
+pub(crate) use hear::hear;
+pub(crate) use tell::{promise_time, tell, tell_zones};
+
+/// Prompts that take less time are not told, milliseconds.
+const TOLD_FROM_MS: f64 = 10.0;
+
+/// Where the other nodes are.
+#[derive(Debug, Default)]
+struct Addresses {
+    /// Those of this zone but for this node.
+    near: Vec<SocketAddr>,
+    /// The relays of other zones, those of each zone in the same order at all nodes.
+    far_relays: Vec<Vec<SocketAddr>>,
+    /// This node's place among the relays of its zone; none if it is none.
+    own_place: Option<usize>,
+}
+
+/// The other nodes.
+pub(crate) struct Peers {
+    socket: UdpSocket,
+    addresses: RwLock<Addresses>,
+    /// What is in flight or waits here has changed.
+    changed: Notify,
+    /// What is in flight in this zone has changed.
+    zone_changed: Notify,
+    /// Bytes of datagrams.
+    traffic: Traffic,
+}
+
+impl Peers {
+    /// Listens for the others.
+    ///
+    /// # Errors
+    /// When the address can't be had.
+    pub(crate) async fn listen(address: SocketAddr) -> io::Result<Self> {
+        Ok(Peers {
+            socket: UdpSocket::bind(address).await?,
+            addresses: RwLock::default(),
+            changed: Notify::new(),
+            zone_changed: Notify::new(),
+            traffic: Traffic::default(),
+        })
+    }
+
+    /// Takes in where the nodes of this zone and the relays of all zones are.
+    pub(crate) fn learn(&self, zone: &str, mut near: Vec<SocketAddr>, relays: &[ZoneRelays]) {
+        let own = self.socket.local_addr().ok();
+        near.retain(|address| Some(*address) != own);
+        let own_relays = relays.iter().find(|one| one.zone == zone);
+        let own_place = own_relays.and_then(|one| {
+            let mut places = one.addresses.iter();
+            places.position(|address| Some(*address) == own)
+        });
+        let far = relays.iter().filter(|one| one.zone != zone);
+        *self.addresses.write() = Addresses {
+            near,
+            far_relays: far.map(|one| one.addresses.clone()).collect(),
+            own_place,
+        };
+    }
+
+    /// What is in flight or waits here has changed.
+    pub(crate) fn changed(&self) {
+        self.changed.notify_one();
+        self.zone_changed.notify_one();
+    }
+
+    /// Tells the others of a prompt.
+    pub(crate) fn tell_prompt(&self, worker: &str, prefill_ms: f64) {
+        if prefill_ms < TOLD_FROM_MS {
+            return;
+        }
+        self.send_near(&PeerMessage::PromptSent {
+            worker: WorkerKey::of(worker),
+            prefill_ms,
+        });
+    }
+
+    /// Tells the others that a worker did not answer.
+    pub(crate) fn tell_no_answer(&self, worker: &str) {
+        self.send_near(&PeerMessage::NoAnswer {
+            worker: WorkerKey::of(worker),
+        });
+    }
+
+    /// Promises a place to a node of this zone.
+    pub(crate) fn promise(&self, to: SocketAddr, worker: WorkerKey) {
+        self.send(&PeerMessage::PlaceFree { worker }, Reach::Near, [to]);
+    }
+
+    fn send_near(&self, message: &PeerMessage) {
+        let near = &self.addresses.read().near;
+        self.send(message, Reach::Near, near.iter().copied());
+    }
+
+    /// Sends to other zones.
+    fn send_far(&self, message: &PeerMessage, to: Vec<SocketAddr>) {
+        self.send(message, Reach::Far, to);
+    }
+
+    fn send(&self, message: &PeerMessage, reach: Reach, to: impl IntoIterator<Item = SocketAddr>) {
+        let datagram = encode(message);
+        let mut sent = 0;
+        for address in to {
+            // A socket that is full loses this one, as the network may.
+            sent += usize::from(self.socket.try_send_to(&datagram, address).is_ok());
+        }
+        self.traffic
+            .sent(message.purpose(), reach, sent, datagram.len());
+    }
+
+    /// Bytes of datagrams by what they are for.
+    pub(crate) fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
+    /// The relays to which this node tells its zone's counts: of each other zone the one
+    /// in its own place, or the last one there. None if it is no relay.
+    fn told_relays(&self) -> Option<Vec<SocketAddr>> {
+        let addresses = self.addresses.read();
+        let place = addresses.own_place?;
+        let far = addresses.far_relays.iter();
+        let told = far.filter_map(|zone| zone.get(place).or(zone.last()).copied());
+        Some(told.collect())
+    }
+
+    fn near_count(&self) -> usize {
+        self.addresses.read().near.len()
+    }
+
+    fn is_near(&self, address: SocketAddr) -> bool {
+        self.addresses.read().near.contains(&address)
+    }
+
+    fn is_far_relay(&self, address: SocketAddr) -> bool {
+        let addresses = self.addresses.read();
+        addresses
+            .far_relays
+            .iter()
+            .any(|zone| zone.contains(&address))
+    }
+}
--- /dev/null
+++ b/crates/pinerill-forward/src/peers/tell.rs
@@ -0,0 +1,116 @@
+//! Tells others what this node, and a relay what its zone, has in flight.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::{sleep, timeout};
+
+use super::message::{PeerMessage, COUNTS_TOLD};
+use super::Peers;
+use crate::fleet::{TellingOrder, WorkerCount};
+use crate::node::Node;
+
+/// Shortest pause between two tellings, for each node of the zone that is told: the more
+/// there are, the more each has to hear. With 20 nodes and 30 workers a zone, the share
+/// of calls in time is 0.88 at 1.2 ms a node and 0.92 at 0.3 ms (means of two days with
+/// faults, two seeds each).
+const PAUSE_PER_PEER: Duration = Duration::from_micros(300);
+/// Bounds of that pause.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(6);
+const LONGEST_PAUSE: Duration = Duration::from_millis(150);
+/// Pause between two tellings of a zone's counts by one relay. With two relays a zone
+/// hears of another one 50 times a second, which is some 25 kB/s for each pair of zones
+/// with 60 workers in use, however many nodes there are.
+pub(super) const ZONE_PAUSE: Duration = Duration::from_millis(40);
+/// How long a change is held back while calls wait here: a place that becomes free is
+/// taken again at once by one of them, and a peer that was told of it in between would
+/// take it too.
+const GATHER_PAUSE: Duration = Duration::from_millis(2);
+/// Counts are told again after this time though nothing changed, since a
+/// datagram may have been lost.
+const REPEAT_PAUSE: Duration = Duration::from_millis(500);
+/// Time beyond the pause between two tellings for which a promised place counts as taken:
+/// until the node that it was promised to has told that it sent a call there.
+const PROMISE_MARGIN: Duration = Duration::from_millis(6);
+
+impl Peers {
+    /// Pause between two tellings of this node's counts.
+    fn pause(&self) -> Duration {
+        let peers = self.near_count() as u32;
+        (PAUSE_PER_PEER * peers).clamp(SHORTEST_PAUSE, LONGEST_PAUSE)
+    }
+}
+
+/// How long a place that is promised to another node counts as taken.
+pub(crate) fn promise_time(peers: &Peers) -> Duration {
+    peers.pause() + PROMISE_MARGIN
+}
+
+/// Names the messages of one task of this node.
+struct Sequence(TellingOrder);
+
+impl Sequence {
+    fn new() -> Self {
+        Sequence(TellingOrder {
+            start: rand::random(),
+            sequence: 0,
+        })
+    }
+
+    fn next(&mut self) -> TellingOrder {
+        self.0.sequence += 1;
+        self.0
+    }
+}
+
+/// Tells the nodes of the zone what is in flight and lacking here, whenever it changes.
+pub(crate) async fn tell(node: Arc<Node>) {
+    let mut idle_told = false;
+    let mut sequence = Sequence::new();
+    loop {
+        let counts = bounded(node.with_fleet(|fleet, now_ms| fleet.in_flight(now_ms)));
+        let demand = node.dispatcher.own_demand(&node);
+        let idle = counts.is_empty() && demand.is_empty();
+        if !(idle && idle_told) {
+            node.peers.send_near(&PeerMessage::InFlight {
+                order: sequence.next(),
+                counts,
+                demand,
+            });
+        }
+        idle_told = idle;
+        sleep(node.peers.pause()).await;
+        // Either something changed or it is time to repeat what was told.
+        let _ = timeout(REPEAT_PAUSE, node.peers.changed.notified()).await;
+        if node.dispatcher.waiting() > 0 {
+            sleep(GATHER_PAUSE).await;
+        }
+    }
+}
+
+/// Tells relays of other zones what is in flight in this one, while this node is a relay.
+pub(crate) async fn tell_zones(node: Arc<Node>) {
+    let mut sequence = Sequence::new();
+    loop {
+        if let Some(relays) = node.peers.told_relays() {
+            let counts = node.with_fleet(|fleet, now_ms| fleet.zone_in_flight(now_ms));
+            let message = PeerMessage::ZoneInFlight {
+                order: sequence.next(),
+                zone: node.settings.zone.clone(),
+                counts: bounded(counts),
+            };
+            node.peers.send_far(&message, relays);
+        }
+        sleep(ZONE_PAUSE).await;
+        let _ = timeout(REPEAT_PAUSE, node.peers.zone_changed.notified()).await;
+    }
+}
+
+/// As many counts as fit into a datagram, the largest ones.
+fn bounded(mut counts: Vec<WorkerCount>) -> Vec<WorkerCount> {
+    if counts.len() > COUNTS_TOLD {
+        counts.sort_unstable_by_key(|count| std::cmp::Reverse(count.requests));
+        counts.truncate(COUNTS_TOLD);
+    }
+    counts
+}
--- a/crates/pinerill-forward/src/run.rs
+++ b/crates/pinerill-forward/src/run.rs
@@ -18,7 +18,7 @@
 use crate::fleet::{ChoiceSettings, Fleet};
 use crate::monitoring::Metrics;
 use crate::node::{Node, NodeParts};
-use crate::peers::{self, Peers, Reach};
+use crate::peers::{self, Peers};
 use crate::{batch, dispatch, gateway};
 use pinerill_calls::settings::{cluster_key, ForwardingSettings, NodeSettings, SettingsError};
 
@@ -75,8 +75,8 @@
     let mut items = spawn(boxed(batch::run(node.clone())));
     let reloading = spawn(boxed(follow_settings(node.clone(), file)));
     let hearing = spawn(boxed(peers::hear(node.clone())));
-    let telling = spawn(boxed(peers::tell(node.clone(), Reach::Near)));
-    let telling_far = spawn(boxed(peers::tell(node.clone(), Reach::Far)));
+    let telling = spawn(boxed(peers::tell(node.clone())));
+    let telling_zones = spawn(boxed(peers::tell_zones(node.clone())));
     let placing = spawn(boxed(dispatch::run(node.clone())));
     let sweeping = spawn(boxed(sweep(node.clone())));
     let ending = async {
@@ -101,7 +101,7 @@
         following,
         hearing,
         telling,
-        telling_far,
+        telling_zones,
         placing,
         reloading,
         sweeping,
--- a/crates/pinerill-forward/tests/cluster_client.rs
+++ b/crates/pinerill-forward/tests/cluster_client.rs
@@ -82,6 +82,7 @@
     ControlAddress {
         address,
         zone: "near".to_owned(),
+        is_member: true,
     }
 }
 
@@ -89,6 +90,7 @@
     ControlAddress {
         address,
         zone: "far".to_owned(),
+        is_member: true,
     }
 }
 
@@ -148,3 +150,22 @@
     assert!(answer.is_ok());
     assert!(connected.load(Ordering::SeqCst) <= 1);
 }
+
+/// Where nine of 45 machines vote, four of five near ones could only refuse.
+#[tokio::test]
+async fn what_any_member_can_answer_is_asked_at_a_near_member() {
+    let (leader, asked) = start(None).await;
+    let (stranger, refused) = start(Some(leader)).await;
+    let (member, answered) = start(None).await;
+    let client = ClusterClient::new(identity(Role::Node), &[leader]);
+    let no_member = ControlAddress {
+        is_member: false,
+        ..near(stranger)
+    };
+    client.learn_zones(vec![no_member, near(member), far(leader)]);
+    let request = CallsRequest::EndJob("j".to_owned());
+    let answer = client.call_near(&request, LONG, Duration::ZERO).await;
+    assert!(answer.is_ok());
+    let counts = [&refused, &answered, &asked].map(|count| count.load(Ordering::SeqCst));
+    assert_eq!(counts, [0, 1, 0]);
+}
--- a/crates/pinerill-forward/tests/preemption.rs
+++ b/crates/pinerill-forward/tests/preemption.rs
@@ -161,3 +161,16 @@
         prop_assert_eq!(preemption.running(), dues.len() - gave.len());
     }
 }
+
+#[test]
+fn the_items_that_could_give_way_are_counted_by_service() {
+    let mut preemption = items_of_four_seconds();
+    begin(&mut preemption, NOW as i64 + 20_000);
+    begin(&mut preemption, NOW as i64 + 20_000);
+    // This one is due as soon as it can be done.
+    begin(&mut preemption, NOW as i64 + 4_000);
+    preemption.begin(item("other", NOW as i64 + 20_000));
+    let yielding = preemption.yielding(NOW);
+    assert_eq!(yielding.get("s"), Some(&2));
+    assert_eq!(yielding.get("other"), Some(&1));
+}
