A leader tells all again to a node that was told by others meanwhile

A node names the digest of what the leader told it last; but new seeds of its settings replace the control machines that it knows, and its own reading of the platform list replaces the workers, so that the digest names what it holds no more. It knew its new seeds only, until any machine came or went.

Change: both make it ask for the whole again.

--- a/crates/pinerill-forward/src/cluster/watch.rs
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -48,6 +48,9 @@
     let mut held = Held::default();
     let mut reachability = Reachability::default();
     loop {
+        if node.beliefs.told_by_others.swap(false, Ordering::Relaxed) {
+            held = Held::default();
+        }
         let request = CallsRequest::Watch(WatchRequest {
             node: node.settings.name.clone(),
             zone: node.settings.zone.clone(),
@@ -202,7 +205,10 @@
         }
         let started = Instant::now();
         match read_list(&node, &client, list.as_ref()).await {
-            Ok(workers) => take_workers(&node, &workers, "list"),
+            Ok(workers) => {
+                take_workers(&node, &workers, "list");
+                node.beliefs.told_by_others.store(true, Ordering::Relaxed);
+            }
             Err(error) => log::warn!(
                 event = "worker_list_failed", error:% = format!("{error:#}"),
                 ms = started.elapsed().as_millis() as u64; ""
--- a/crates/pinerill-forward/src/dispatch/mod.rs
+++ b/crates/pinerill-forward/src/dispatch/mod.rs
@@ -3,7 +3,8 @@
 //! A call gets a place at once if a worker has room. Otherwise it waits here
 //! and not at a worker, whose queue knows no order but that of arrival; it is
 //! sent away at once if it can't be served in time (`admission`). `line` keeps the
-//! order of those that wait, `demand` what the other nodes of the zone lack. Whenever a place is given up, a peer tells of one,
+//! order of those that wait, `demand` what the other nodes of the zone lack, `zone`
+//! does what follows from that. Whenever a place is given up, a peer tells of one,
 //! or a moment has passed, the first of the line are placed.
 
 pub mod admission;
--- a/crates/pinerill-forward/src/monitoring.rs
+++ b/crates/pinerill-forward/src/monitoring.rs
@@ -1,6 +1,6 @@
 //! Metrics and readiness of a node.
 
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use pinerill_process::Monitored;
@@ -47,6 +47,9 @@
     pub(crate) control_heard_ms: AtomicU64,
     /// When the directory was last confirmed or replaced, on the node's clock.
     pub(crate) directory_heard_ms: AtomicU64,
+    /// Something else than the leader has said since which workers or control machines
+    /// there are, so that the leader must tell all of it again.
+    pub(crate) told_by_others: AtomicBool,
 }
 
 impl Metrics {
--- a/crates/pinerill-forward/src/run.rs
+++ b/crates/pinerill-forward/src/run.rs
@@ -1,5 +1,6 @@
 //! Starts the parts of a node, and stops them in a planned way.
 
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -153,6 +154,7 @@
                 let seeds = seeds.unwrap_or_default();
                 log::info!(event = "settings_reloaded", seeds:? = seeds; "");
                 node.cluster.learn(seeds);
+                node.beliefs.told_by_others.store(true, Ordering::Relaxed);
             }
             Err(error) => log::warn!(event = "settings_refused", error:%; ""),
         }
