Sight: logs tell which request a broken run was of, and which runs a crash ended

Change: requests have a fingerprint, computed when first asked for; runs that broke off are told as crashed once their worker refuses connections, is replaced or gone from the list; `attempt_broke`, `item_attempt_broke`, `worker_crashed`, two counters. Nothing is decided by it.

--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Method, StatusCode, Uri};
+use http::header::AUTHORIZATION;
+use http::{HeaderValue, Method, StatusCode, Uri};
 use pinerill_calls::compression::{compress, decompress};
 use pinerill_calls::job::{Header, ItemCall, ItemEnd, ItemReport};
 use pinerill_calls::message::{decode, CallsRequest, CallsResponse, LeasedItem, ReadItem};
@@ -15,6 +16,7 @@
 use super::preemption::RunningItem;
 use super::reports::Reporter;
 use super::runs::Run;
+use crate::crash::{RequestIdentity, Run as WorkerRun};
 use crate::exchange::{BreakReason, EventScanner, EventText, Exchange, Sent, WorkerRequest};
 use crate::fleet::{Prompt, Wanted};
 use crate::node::{Node, Occupied};
@@ -38,6 +40,7 @@
     leased: LeasedItem,
     service: String,
     headers: Vec<Header>,
+    identity: Arc<RequestIdentity>,
     request: WorkerRequest,
     prompt: Prompt,
     text: EventText,
@@ -110,13 +113,22 @@
     let route = table.route(&leased.host, uri.path())?;
     let service = route.target_at(rand::random())?.service.clone();
     let due_ms = node.now_ms() as i64 + leased.due_in_ms;
+    let body = Bytes::from(call.body);
+    let identity = RequestIdentity::new(
+        credentials(&call.headers),
+        Method::POST,
+        leased.host.clone(),
+        uri.clone(),
+        body.clone(),
+    );
     Some(Running {
+        identity: Arc::new(identity),
         service,
         prompt: Prompt::of_call(&node.caller_protocol.item_head(&call.headers)),
         request: WorkerRequest {
             method: Method::POST,
             uri,
-            body: Bytes::from(call.body),
+            body,
             id: leased.id.clone(),
         },
         headers: call.headers,
@@ -133,6 +145,12 @@
     })
 }
 
+fn credentials(headers: &[Header]) -> Option<HeaderValue> {
+    let named = |header: &&Header| header.name.eq_ignore_ascii_case(AUTHORIZATION.as_str());
+    let header = headers.iter().find(named)?;
+    HeaderValue::from_str(&header.value).ok()
+}
+
 /// The item's call, from a control machine of this zone if there is one: they
 /// all hold it, and bytes between zones are dear.
 async fn fetch(node: &Node, leased: &LeasedItem) -> Option<ItemCall> {
@@ -175,7 +193,11 @@
 async fn attempt_at(node: &Arc<Node>, running: &mut Running, place: Occupied) -> Option<ItemEnd> {
     let chosen = place.worker().to_owned();
     running.attempts += 1;
-    let (sent, place) = match send(node, running, place).await {
+    let Begun {
+        sent,
+        place,
+        mut run,
+    } = match send(node, running, place).await {
         Ok(begun) => begun,
         Err(reason) => {
             broke(node, running, &chosen, &reason);
@@ -188,17 +210,19 @@
                 NotRunReason::Full => node.worker_full(&chosen),
                 NotRunReason::OtherWorker => node.worker_replaced(&chosen),
             }
+            run.not_begun();
             drain(node, sent).await;
             sleep(PLACE_PAUSE).await;
             None
         }
         Verdict::Impossible => {
+            run.answered();
             drain(node, sent).await;
             Some(ItemEnd::Impossible)
         }
         Verdict::Taken if sent.head.status == StatusCode::OK => {
             let began = Instant::now();
-            let read = read_events(running, sent.exchange, place, node).await;
+            let read = read_events(running, sent.exchange, place, &mut run, node).await;
             running.ran += began.elapsed();
             match read {
                 Ok(ReadEnd::GaveWay) => {
@@ -206,18 +230,21 @@
                     None
                 }
                 Ok(ReadEnd::Whole) => {
+                    run.answered();
                     let text = std::mem::take(&mut running.text).into_bytes();
                     let kept = compress(&text);
                     running.bytes = (text.len(), kept.len());
                     Some(ItemEnd::Completed(kept))
                 }
                 Err(reason) => {
+                    run.broke(&reason);
                     broke(node, running, &chosen, &reason);
                     None
                 }
             }
         }
         Verdict::Failed | Verdict::Taken | Verdict::Other => {
+            run.answered();
             drain(node, sent).await;
             Some(ItemEnd::Failed {
                 run: rand::random(),
@@ -247,17 +274,21 @@
     None
 }
 
-async fn send(
-    node: &Arc<Node>,
-    running: &Running,
+/// A run whose answer has begun.
+struct Begun {
+    sent: Sent,
     place: Occupied,
-) -> Result<(Sent, Occupied), BreakReason> {
+    run: WorkerRun,
+}
+
+async fn send(node: &Arc<Node>, running: &Running, place: Occupied) -> Result<Begun, BreakReason> {
     let Some(worker) = node.with_fleet(|fleet, _| {
         let worker = fleet.worker(place.worker())?;
         Some(worker.entry().clone())
     }) else {
         return Err(BreakReason::Connect("the worker is gone".to_owned()));
     };
+    let run = WorkerRun::begin(node, &worker, &running.identity, running.last);
     let facts = AttemptFacts {
         remaining: None,
         worker: &worker.id,
@@ -275,13 +306,22 @@
     );
     let sent = match timeout(PATIENCE, begun).await {
         Ok(Ok(sent)) => sent,
-        Ok(Err(failure)) => return Err(failure.reason),
-        Err(_) => return Err(BreakReason::Silent),
+        Ok(Err(failure)) => {
+            match failure.sent {
+                true => run.broke(&failure.reason),
+                false => run.not_begun(),
+            }
+            return Err(failure.reason);
+        }
+        Err(_) => {
+            run.broke(&BreakReason::Silent);
+            return Err(BreakReason::Silent);
+        }
     };
     if let Some(load) = sent.answer.load {
         node.take_load(&worker.id, load);
     }
-    Ok((sent, place))
+    Ok(Begun { sent, place, run })
 }
 
 /// How reading an item's events ended.
@@ -296,6 +336,7 @@
     running: &mut Running,
     mut exchange: Exchange,
     place: Occupied,
+    worker_run: &mut WorkerRun,
     node: &Node,
 ) -> Result<ReadEnd, BreakReason> {
     let mut run = register(node, running);
@@ -316,6 +357,7 @@
         if batch.count > 0 {
             running.text.append(&batch.bytes);
             running.last = scanner.last();
+            worker_run.reached(running.last);
             if let Some(gave_way) = running.gave_way.take() {
                 node.runs.resumed(gave_way.elapsed());
             }
@@ -354,7 +396,7 @@
     running.avoid = vec![worker.to_owned()];
     log::info!(
         event = "item_attempt_broke", id = running.leased.id.as_str(), worker,
-        last:? = running.last, reason:% = reason; ""
+        request:% = running.identity.fingerprint(), last:? = running.last, reason:% = reason; ""
     );
 }
 
--- a/crates/pinerill-forward/src/call/attempt.rs
+++ b/crates/pinerill-forward/src/call/attempt.rs
@@ -8,6 +8,7 @@
 
 use super::decision::AttemptEnd;
 use super::{Call, CallRecord};
+use crate::crash::Run;
 use crate::dispatch::{Placed, Unplaced};
 use crate::exchange::{BreakReason, Exchange, SendFailure, Sent};
 use crate::node::{Node, Occupied};
@@ -30,6 +31,8 @@
     pub sent: Sent,
     /// The place at the worker; free again when dropped.
     pub place: Occupied,
+    /// The run, which is to be told its end.
+    pub run: Run,
 }
 
 impl Attempts {
@@ -49,6 +52,7 @@
         record.attempt(&chosen);
         self.sent = true;
         let worker = chosen.entry.clone();
+        let run = Run::begin(node, &worker, &call.identity, resume_after);
         let facts = AttemptFacts {
             remaining: Some(call.remaining()),
             worker: &worker.id,
@@ -70,13 +74,13 @@
             Ok(Ok(sent)) => sent,
             Ok(Err(failure)) => {
                 record.attempt_failed(&failure.reason);
-                return Err(self.lost(node, &worker.id, call, failure));
+                return Err(self.lost(node, run, call, failure));
             }
             Err(_) => {
                 let reason = BreakReason::Silent;
                 record.attempt_failed(&reason);
                 let failure = SendFailure { sent: true, reason };
-                return Err(self.lost(node, &worker.id, call, failure));
+                return Err(self.lost(node, run, call, failure));
             }
         };
         if let Some(load) = sent.answer.load {
@@ -84,19 +88,27 @@
         }
         if let Verdict::NotRun(reason) = sent.answer.verdict {
             record.attempt_failed(&reason);
+            run.not_begun();
             self.refused(node, &worker.id, reason, sent).await;
             return Err(AttemptEnd::NotRun);
         }
-        Ok(Attempted { sent, place })
+        Ok(Attempted { sent, place, run })
     }
 
-    /// Notes that a worker failed the call after its answer had begun.
-    pub fn broke(&mut self, node: &Node, worker: &str, call: &Call, reason: &BreakReason) {
-        node.worker_failed(worker, reason);
+    /// Notes that a worker failed the call after it was sent there.
+    pub fn broke(&mut self, node: &Node, run: Run, call: &Call, reason: &BreakReason) {
+        let worker = run.worker().to_owned();
         log::info!(
-            event = "attempt_broke", id = call.head.id.as_str(), worker, reason:% = reason; ""
+            event = "attempt_broke", id = call.head.id.as_str(), worker = worker.as_str(),
+            request:% = call.identity.fingerprint(), reach = run.reach(), reason:% = reason; ""
         );
-        self.failed.push(worker.to_owned());
+        run.broke(reason);
+        self.failed_at(node, worker, reason);
+    }
+
+    fn failed_at(&mut self, node: &Node, worker: String, reason: &BreakReason) {
+        node.worker_failed(&worker, reason);
+        self.failed.push(worker);
     }
 
     /// Waits for a place at a worker.
@@ -121,12 +133,19 @@
         }
     }
 
-    fn lost(&mut self, node: &Node, worker: &str, call: &Call, failure: SendFailure) -> AttemptEnd {
-        self.broke(node, worker, call, &failure.reason);
-        match failure.sent {
-            true => AttemptEnd::MayHaveRun,
-            false => AttemptEnd::NotRun,
+    fn lost(&mut self, node: &Node, run: Run, call: &Call, failure: SendFailure) -> AttemptEnd {
+        if failure.sent {
+            self.broke(node, run, call, &failure.reason);
+            return AttemptEnd::MayHaveRun;
         }
+        let worker = run.worker().to_owned();
+        log::info!(
+            event = "attempt_not_sent", id = call.head.id.as_str(), worker = worker.as_str(),
+            reason:% = failure.reason; ""
+        );
+        run.not_begun();
+        self.failed_at(node, worker, &failure.reason);
+        AttemptEnd::NotRun
     }
 
     async fn refused(&self, node: &Node, worker: &str, reason: NotRunReason, sent: Sent) {
--- a/crates/pinerill-forward/src/call/online.rs
+++ b/crates/pinerill-forward/src/call/online.rs
@@ -8,7 +8,7 @@
 
 use super::attempt::{Attempted, Attempts};
 use super::decision::{AttemptEnd, CallProgress, Next};
-use super::relay::{AnswerBody, Relay};
+use super::relay::{AnswerBody, Relay, Running};
 use super::{Call, CallOutcome, CallRecord};
 use crate::exchange::BreakReason;
 use crate::node::Node;
@@ -72,10 +72,15 @@
     attempts: Attempts,
     record: CallRecord,
 ) -> Response<AnswerBody> {
-    let Attempted { sent, place } = attempted;
+    let Attempted { sent, place, run } = attempted;
     let headers = node.worker_protocol().answer_headers(&sent.head.headers);
     let status = sent.head.status;
-    let relay = Relay::new(node, call, sent.exchange, place, progress, attempts, record);
+    let running = Running {
+        exchange: sent.exchange,
+        place,
+        run,
+    };
+    let relay = Relay::new(node, call, running, progress, attempts, record);
     let mut response = Response::new(relay.into_body());
     *response.status_mut() = status;
     *response.headers_mut() = headers;
@@ -90,17 +95,21 @@
     attempted: Attempted,
     attempts: &mut Attempts,
 ) -> Result<Response<AnswerBody>, BreakReason> {
-    let Attempted { sent, place } = attempted;
-    let worker = place.worker().to_owned();
+    let Attempted { sent, place, run } = attempted;
+    // Given up only once the answer is whole.
+    let _place = place;
     let headers = node.worker_protocol().answer_headers(&sent.head.headers);
     let reading = sent
         .exchange
         .read_whole(node.connections(), WHOLE_ANSWER_LIMIT);
     let read = tokio::time::timeout_at(call.deadline.into(), reading).await;
     let body = match read.unwrap_or(Err(BreakReason::Silent)) {
-        Ok(body) => body,
+        Ok(body) => {
+            run.answered();
+            body
+        }
         Err(reason) => {
-            attempts.broke(node, &worker, call, &reason);
+            attempts.broke(node, run, call, &reason);
             return Err(reason);
         }
     };
--- a/crates/pinerill-forward/src/call/relay.rs
+++ b/crates/pinerill-forward/src/call/relay.rs
@@ -21,6 +21,7 @@
 use super::attempt::{Attempted, Attempts};
 use super::decision::{AttemptEnd, CallProgress, Next};
 use super::{Call, CallOutcome, CallRecord};
+use crate::crash::Run;
 use crate::exchange::{BreakReason, EventScanner, Exchange};
 use crate::node::{Node, Occupied};
 
@@ -45,17 +46,18 @@
     ended: bool,
 }
 
-struct Running {
-    exchange: Exchange,
-    place: Occupied,
+/// The run that brings events now.
+pub(super) struct Running {
+    pub(super) exchange: Exchange,
+    pub(super) place: Occupied,
+    pub(super) run: Run,
 }
 
 impl Relay {
     pub(super) fn new(
         node: Arc<Node>,
         call: Call,
-        exchange: Exchange,
-        place: Occupied,
+        running: Running,
         progress: CallProgress,
         attempts: Attempts,
         record: CallRecord,
@@ -64,7 +66,7 @@
             scanner: EventScanner::after(call.head.resume_after),
             node,
             call,
-            running: Some(Running { exchange, place }),
+            running: Some(running),
             progress,
             attempts,
             record,
@@ -121,6 +123,7 @@
             let batch = self.scanner.push(&piece);
             let batch = batch.map_err(|_| BreakReason::EventOrder)?;
             if batch.count > 0 {
+                running.run.reached(self.scanner.last());
                 self.record.events(batch.count);
                 return Ok(Some(batch.bytes));
             }
@@ -144,8 +147,14 @@
     fn finish(&mut self) {
         self.ended = true;
         self.record.end(CallOutcome::Answered);
-        if let Some(Running { exchange, place }) = self.running.take() {
+        if let Some(Running {
+            exchange,
+            place,
+            run,
+        }) = self.running.take()
+        {
             place.succeeded();
+            run.answered();
             exchange.finish(self.node.connections());
         }
     }
@@ -155,10 +164,9 @@
     /// # Errors
     /// The outcome when there is none.
     async fn continue_elsewhere(&mut self, broken: &BreakReason) -> Result<(), String> {
-        if let Some(Running { place, .. }) = self.running.take() {
+        if let Some(Running { run, .. }) = self.running.take() {
             self.record.attempt_failed(broken);
-            let worker = place.worker().to_owned();
-            self.attempts.broke(&self.node, &worker, &self.call, broken);
+            self.attempts.broke(&self.node, run, &self.call, broken);
         }
         self.scanner = EventScanner::after(self.scanner.last());
         let mut end = AttemptEnd::MayHaveRun;
@@ -188,14 +196,16 @@
                 &mut self.record,
             )
             .await;
-        let Attempted { sent, place } = attempted?;
+        let Attempted { sent, place, run } = attempted?;
         let goes_on = sent.answer.verdict == Verdict::Taken && sent.head.status == StatusCode::OK;
         if !goes_on {
+            run.answered();
             return Err(AttemptEnd::MayHaveRun);
         }
         self.running = Some(Running {
             exchange: sent.exchange,
             place,
+            run,
         });
         Ok(())
     }
--- a/crates/pinerill-forward/src/call/request.rs
+++ b/crates/pinerill-forward/src/call/request.rs
@@ -7,6 +7,7 @@
 use pinerill_calls::protocol::CallHead;
 use pinerill_calls::table::Route;
 
+use crate::crash::RequestIdentity;
 use crate::exchange::WorkerRequest;
 use crate::fleet::Prompt;
 
@@ -27,6 +28,8 @@
     pub headers: HeaderMap,
     /// What is sent to workers.
     pub request: WorkerRequest,
+    /// What it is, whichever try brings it.
+    pub identity: Arc<RequestIdentity>,
     /// Its route.
     pub route: Arc<Route>,
     /// Service of the route that was drawn for it.
--- a/crates/pinerill-forward/src/cluster/watch.rs
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -15,6 +15,7 @@
 use pinerill_calls::table::RouteIndex;
 use tokio::time::{sleep, Instant};
 
+use crate::crash::broken_runs::CrashEvidence;
 use crate::node::Node;
 
 /// How long the leader may hold an answer.
@@ -176,7 +177,8 @@
     note_directory(node);
     let gone = node.with_fleet(|fleet, _| fleet.take_directory(workers));
     for worker in &gone {
-        node.connections().forget(worker);
+        node.connections().forget(&worker.id);
+        node.worker_crashed(worker, CrashEvidence::Unlisted);
     }
     log::info!(
         event = "directory_taken", source, workers = workers.len(), gone = gone.len(); ""
--- /dev/null
+++ b/crates/pinerill-forward/src/crash/fingerprint.rs
@@ -0,0 +1,107 @@
+//! What makes two tries the same request.
+//!
+//! A caller names each try anew, so the name says nothing. The same credentials, method,
+//! host, path, query and body do: a worker that fails on one try will fail on the other.
+
+use std::fmt;
+use std::sync::OnceLock;
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Uri};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// Bytes of a fingerprint: with 128 bits of SHA-256 nobody finds a request with the
+/// fingerprint of another one, by chance or on purpose, so it needs no secret seed.
+const FINGERPRINT_BYTES: usize = 16;
+
+/// A short name of a request, the same at all nodes and for all its tries.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RequestFingerprint(pub(super) [u8; FINGERPRINT_BYTES]);
+
+impl RequestFingerprint {
+    /// The fingerprint of these parts; where one ends and the next begins counts.
+    pub fn of_parts(parts: &[&[u8]]) -> Self {
+        let mut hasher = Sha256::new();
+        for part in parts {
+            hasher.update((part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut short = [0; FINGERPRINT_BYTES];
+        short.copy_from_slice(&hasher.finalize()[..FINGERPRINT_BYTES]);
+        RequestFingerprint(short)
+    }
+}
+
+impl fmt::Display for RequestFingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0
+            .iter()
+            .try_for_each(|byte| write!(formatter, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for RequestFingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, formatter)
+    }
+}
+
+/// What a request is, whichever try brings it. Its fingerprint is computed when it is
+/// first asked for: while no worker crashes, no body is hashed.
+#[derive(Debug)]
+pub struct RequestIdentity {
+    /// Credentials that the caller sent, if any: without them one caller could get the
+    /// request of another refused.
+    pub credentials: Option<HeaderValue>,
+    /// Its method.
+    pub method: Method,
+    /// Host that it was sent to.
+    pub host: String,
+    /// Path and query.
+    pub uri: Uri,
+    /// Its body.
+    pub body: Bytes,
+    fingerprint: OnceLock<RequestFingerprint>,
+}
+
+impl RequestIdentity {
+    /// The identity of a request.
+    pub fn new(
+        credentials: Option<HeaderValue>,
+        method: Method,
+        host: String,
+        uri: Uri,
+        body: Bytes,
+    ) -> Self {
+        RequestIdentity {
+            credentials,
+            method,
+            host,
+            uri,
+            body,
+            fingerprint: OnceLock::new(),
+        }
+    }
+
+    /// Its fingerprint.
+    pub fn fingerprint(&self) -> RequestFingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let credentials = self
+                .credentials
+                .as_ref()
+                .map_or(&[][..], |value| value.as_bytes());
+            let target = self
+                .uri
+                .path_and_query()
+                .map_or("", |target| target.as_str());
+            RequestFingerprint::of_parts(&[
+                credentials,
+                self.method.as_str().as_bytes(),
+                self.host.as_bytes(),
+                target.as_bytes(),
+                &self.body,
+            ])
+        })
+    }
+}
--- /dev/null
+++ b/crates/pinerill-forward/src/crash/run.rs
@@ -0,0 +1,90 @@
+//! One run of a request at a worker, from its first byte to its end.
+
+use std::sync::Arc;
+
+use pinerill_calls::directory::WorkerEntry;
+
+use super::broken_runs::{BrokenRun, RunEnd};
+use super::{RequestIdentity, WorkerStart};
+use crate::exchange::BreakReason;
+use crate::node::Node;
+
+/// A run. One that is dropped before it has an end was left by its caller.
+pub struct Run {
+    node: Arc<Node>,
+    worker: Arc<WorkerEntry>,
+    request: Arc<RequestIdentity>,
+    /// Number of the last event that arrived; 0 if none did.
+    reach: u64,
+    is_open: bool,
+}
+
+impl Run {
+    /// A request is about to be sent to a worker, to go on behind an event if one is named.
+    pub fn begin(
+        node: &Arc<Node>,
+        worker: &Arc<WorkerEntry>,
+        request: &Arc<RequestIdentity>,
+        resume_after: Option<u64>,
+    ) -> Self {
+        Run {
+            node: node.clone(),
+            worker: worker.clone(),
+            request: request.clone(),
+            reach: resume_after.unwrap_or(0),
+            is_open: true,
+        }
+    }
+
+    /// The worker.
+    pub fn worker(&self) -> &str {
+        &self.worker.id
+    }
+
+    /// Number of the last event that arrived; 0 if none did.
+    pub fn reach(&self) -> u64 {
+        self.reach
+    }
+
+    /// Events up to this one have arrived.
+    pub fn reached(&mut self, event: Option<u64>) {
+        self.reach = self.reach.max(event.unwrap_or(0));
+    }
+
+    /// The worker can't have begun it.
+    pub fn not_begun(mut self) {
+        self.is_open = false;
+    }
+
+    /// The worker answered whole, so that it outlived the request.
+    pub fn answered(mut self) {
+        self.is_open = false;
+    }
+
+    /// It broke off.
+    pub fn broke(mut self, reason: &BreakReason) {
+        self.is_open = false;
+        if reason.may_be_crash() {
+            self.note(RunEnd::Broke);
+            self.node.look_for_crash(&self.worker, reason);
+        }
+    }
+
+    fn note(&self, end: RunEnd) {
+        let run = BrokenRun {
+            request: self.request.fingerprint(),
+            reach: self.reach,
+            end,
+        };
+        self.node
+            .run_ended_early(WorkerStart::of(&self.worker), run);
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        if self.is_open {
+            self.note(RunEnd::Left);
+        }
+    }
+}
--- a/crates/pinerill-forward/src/exchange/connection.rs
+++ b/crates/pinerill-forward/src/exchange/connection.rs
@@ -32,6 +32,9 @@
     /// The worker could not be connected to.
     #[error("connect: {0}")]
     Connect(String),
+    /// The worker's machine refuses connections: no process listens there.
+    #[error("connect: refused")]
+    Refused,
     /// The connection ended or what came was no answer.
     #[error("connection: {0}")]
     Connection(String),
@@ -55,7 +58,19 @@
 impl BreakReason {
     /// Whether the worker said nothing at all, so that others will hear nothing either.
     pub fn is_silence(&self) -> bool {
-        matches!(self, BreakReason::Connect(_) | BreakReason::Silent)
+        matches!(
+            self,
+            BreakReason::Connect(_) | BreakReason::Refused | BreakReason::Silent
+        )
+    }
+
+    /// Whether a crash of the worker may be behind it: a worker whose answer was merely
+    /// wrong lives.
+    pub fn may_be_crash(&self) -> bool {
+        matches!(
+            self,
+            BreakReason::Connection(_) | BreakReason::Cut | BreakReason::Silent
+        )
     }
 }
 
@@ -80,13 +95,16 @@
     /// Connects to a worker.
     ///
     /// # Errors
-    /// [`BreakReason::Connect`].
+    /// [`BreakReason::Connect`] or [`BreakReason::Refused`].
     pub async fn open(address: SocketAddr) -> Result<Self, BreakReason> {
         let failed = |error: String| BreakReason::Connect(error);
         let connected = timeout(connect_times::LONGEST, TcpStream::connect(address)).await;
         let stream = connected
             .map_err(|_| failed("no answer in time".to_owned()))?
-            .map_err(|error| failed(error.to_string()))?;
+            .map_err(|error| match error.kind() {
+                io::ErrorKind::ConnectionRefused => BreakReason::Refused,
+                _ => failed(error.to_string()),
+            })?;
         set_options(&stream).map_err(|error| failed(error.to_string()))?;
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
--- a/crates/pinerill-forward/src/exchange/pool.rs
+++ b/crates/pinerill-forward/src/exchange/pool.rs
@@ -37,7 +37,7 @@
     /// takes. A connection that comes later is kept for the next request.
     ///
     /// # Errors
-    /// [`BreakReason::Connect`].
+    /// [`BreakReason::Connect`] or [`BreakReason::Refused`].
     pub async fn open(
         self: &Arc<Self>,
         worker: &Arc<WorkerEntry>,
--- a/crates/pinerill-forward/src/fleet/mod.rs
+++ b/crates/pinerill-forward/src/fleet/mod.rs
@@ -71,7 +71,7 @@
 
     /// Takes in a whole directory. What is known of workers that stay is kept;
     /// one that was seen leaving stays so. Returns the workers that are gone.
-    pub fn take_directory(&mut self, entries: &[WorkerEntry]) -> Vec<WorkerId> {
+    pub fn take_directory(&mut self, entries: &[WorkerEntry]) -> Vec<Arc<WorkerEntry>> {
         let mut earlier = std::mem::take(&mut self.workers);
         self.by_service.clear();
         self.by_key.clear();
@@ -90,7 +90,8 @@
             service.or_default().push(entry.id.clone());
         }
         self.recount_peers();
-        earlier.into_keys().collect()
+        let gone = earlier.into_values();
+        gone.map(|worker| worker.entry().clone()).collect()
     }
 
     /// Whether the directory has any worker.
--- a/crates/pinerill-forward/src/gateway/request.rs
+++ b/crates/pinerill-forward/src/gateway/request.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use http::header::AUTHORIZATION;
 use http::request::Parts;
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -14,6 +15,7 @@
 
 use super::jobs;
 use crate::call::{run_call, AnswerBody, Call};
+use crate::crash::RequestIdentity;
 use crate::exchange::WorkerRequest;
 use crate::fleet::Prompt;
 use crate::node::Node;
@@ -118,7 +120,15 @@
 ) -> Result<Call, Refusal> {
     let target = route.target_at(rand::random()).ok_or(Refusal::NoRoute)?;
     let service = target.service.clone();
+    let identity = RequestIdentity::new(
+        head.headers.get(AUTHORIZATION).cloned(),
+        head.method.clone(),
+        call.host.clone(),
+        head.uri.clone(),
+        body.clone(),
+    );
     Ok(Call {
+        identity: Arc::new(identity),
         prompt: Prompt::of_call(&call),
         request: WorkerRequest {
             method: head.method,
--- a/crates/pinerill-forward/src/lib.rs
+++ b/crates/pinerill-forward/src/lib.rs
@@ -5,7 +5,7 @@
 //! worker that [`fleet`] chooses, [`exchange`] sends it there and reads the answer, [`call::decision`] says what follows,
 //! and the answer or its events go back to the caller. [`batch`] runs leased
 //! items of jobs over the same fleet and exchange. [`cluster`] keeps the route
-//! table and the directory of workers up to date.
+//! table and the directory of workers up to date. [`crash`] keeps requests that crash workers from running on.
 //!
 //! Decisions (choice of worker, what follows an attempt, the order of events,
 //! how many items to take) are pure; the rest feeds them.
@@ -13,6 +13,7 @@
 pub mod batch;
 pub mod call;
 pub mod cluster;
+pub mod crash;
 pub mod dispatch;
 pub mod exchange;
 pub mod fleet;
--- a/crates/pinerill-forward/src/monitoring.rs
+++ b/crates/pinerill-forward/src/monitoring.rs
@@ -30,6 +30,8 @@
     pub(crate) worker_refusals: IntCounter,
     items: IntCounterVec,
     pub(crate) items_gave_way: IntCounter,
+    workers_crashed: IntCounterVec,
+    pub(crate) runs_crashed: IntCounter,
     pub(crate) peer_messages_dropped: IntCounter,
     waiting_calls: IntGauge,
     table_version: IntGauge,
@@ -124,6 +126,15 @@
                 "pinerill_node_items_gave_way_total",
                 "Runs of items that ended for a call that waited",
             )?,
+            workers_crashed: counters(
+                "pinerill_node_workers_crashed_total",
+                "Workers that crashed while requests of this node ran there, by what shows it",
+                &["evidence"],
+            )?,
+            runs_crashed: counter(
+                "pinerill_node_runs_crashed_total",
+                "Runs of requests that ended with a crash of their worker",
+            )?,
             peer_messages_dropped: counter(
                 "pinerill_node_peer_messages_dropped_total",
                 "Datagrams of other nodes that could not be read or were not theirs to send",
@@ -172,6 +183,10 @@
         histogram.observe(time.as_secs_f64());
     }
 
+    pub(crate) fn worker_crashed(&self, evidence: &str) {
+        self.workers_crashed.with_label_values(&[evidence]).inc();
+    }
+
     pub(crate) fn item_ended(&self, end: &str) {
         self.items.with_label_values(&[end]).inc();
     }
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -14,6 +14,8 @@
 
 use crate::batch::Runs;
 use crate::cluster::ClusterClient;
+use crate::crash::broken_runs::CrashEvidence;
+use crate::crash::CrashDesk;
 use crate::dispatch::Dispatcher;
 use crate::exchange::{BreakReason, ConnectionPool};
 use crate::fleet::{BatchCapacity, Chosen, Fleet, Prompt, Wanted};
@@ -50,6 +52,7 @@
     connections: Arc<ConnectionPool>,
     pub(crate) dispatcher: Dispatcher,
     pub(crate) runs: Arc<Runs>,
+    pub(crate) crashes: CrashDesk,
     pub(crate) metrics: Metrics,
     pub(crate) beliefs: Beliefs,
     started: Instant,
@@ -87,6 +90,7 @@
             connections: Arc::default(),
             dispatcher: Dispatcher::default(),
             runs: Arc::default(),
+            crashes: CrashDesk::default(),
             metrics: parts.metrics,
             beliefs: Beliefs::default(),
             started: Instant::now(),
@@ -210,6 +214,9 @@
     /// Notes that a worker could not be reached, broke off or was silent.
     pub fn worker_failed(&self, worker: &str, reason: &BreakReason) {
         self.metrics.worker_failures.inc();
+        if *reason == BreakReason::Refused {
+            self.worker_is_gone(worker, CrashEvidence::Refused);
+        }
         if reason.is_silence() {
             self.peers.tell_no_answer(worker);
         }
@@ -222,9 +229,18 @@
         self.with_fleet(|fleet, now_ms| fleet.was_full(now_ms, worker));
     }
 
+    /// A worker's process is gone; whether it crashed depends on what it was doing.
+    fn worker_is_gone(&self, worker: &str, evidence: CrashEvidence) {
+        let entry = self.with_fleet(|fleet, _| Some(fleet.worker(worker)?.entry().clone()));
+        if let Some(entry) = entry {
+            self.worker_crashed(&entry, evidence);
+        }
+    }
+
     /// Notes that another worker answers at this one's address.
     pub fn worker_replaced(&self, worker: &str) {
         log::info!(event = "worker_replaced", worker; "");
+        self.worker_is_gone(worker, CrashEvidence::Replaced);
         self.with_fleet(|fleet, _| fleet.was_replaced(worker));
     }
 }
--- a/crates/pinerill-forward/tests/fleet.rs
+++ b/crates/pinerill-forward/tests/fleet.rs
@@ -202,10 +202,9 @@
 #[test]
 fn workers_that_are_gone_are_told() {
     let mut fleet = fleet(&[entry("a", "near"), entry("b", "near")]);
-    assert_eq!(
-        fleet.take_directory(&[entry("b", "near")]),
-        ["a".to_owned()]
-    );
+    let gone = fleet.take_directory(&[entry("b", "near")]);
+    let gone: Vec<&str> = gone.iter().map(|worker| worker.id.as_str()).collect();
+    assert_eq!(gone, ["a"]);
 }
 
 #[test]
