--- a/crates/pinerill-calls/src/protocol/caller.rs
+++ b/crates/pinerill-calls/src/protocol/caller.rs
@@ -140,6 +140,9 @@
     /// It may have run; the answer did not come in time.
     #[error("no answer in time")]
     TimedOut,
+    /// It ran before, and each worker that ran it crashed; it is not run again.
+    #[error("workers that ran this request crashed")]
+    CrashesWorkers,
     /// It may have run; its worker failed.
     #[error("the worker failed: {0}")]
     WorkerFailed(&'static str),
--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -32,6 +32,9 @@
 const FETCH_TIME: Duration = Duration::from_secs(2);
 /// Silence after which an item is continued at another worker.
 const PATIENCE: Duration = Duration::from_millis(2_500);
+/// Pause before an item that is known to crash workers is looked at again: it may be
+/// cleared, or its crashes be forgotten.
+const WITHHELD_PAUSE: Duration = Duration::from_secs(2);
 /// Bytes of an answer's body that is no series of events.
 const SHORT_ANSWER_LIMIT: usize = 64 << 10;
 
@@ -77,6 +80,7 @@
         match attempt(&node, &held, &mut running).await {
             Attempt::Ended(end) => break end,
             Attempt::GoesOn => {}
+            Attempt::Withheld => withhold(&node, &running).await,
             Attempt::NoPlace => {
                 log::info!(
                     event = "item_given_back", id = running.leased.id.as_str(),
@@ -175,11 +179,16 @@
     Ended(ItemEnd),
     /// It must go on elsewhere.
     GoesOn,
+    /// It is known to crash workers.
+    Withheld,
     /// No worker has room for it, and nothing of it is here.
     NoPlace,
 }
 
 async fn attempt(node: &Arc<Node>, held: &Held, running: &mut Running) -> Attempt {
+    if node.is_blocked(&running.identity) {
+        return Attempt::Withheld;
+    }
     match find_place(node, held, running).await {
         Some(place) => match attempt_at(node, running, place).await {
             Some(end) => Attempt::Ended(end),
@@ -189,6 +198,20 @@
     }
 }
 
+/// Keeps an item from workers that it would crash. It stays leased to this node, so that
+/// no other one begins it, until the leader gives it up: an item may be told as dead only
+/// after its time, since a crash is no answer of failure.
+async fn withhold(node: &Node, running: &Running) {
+    node.metrics.items_withheld.inc();
+    log::warn!(
+        event = "item_withheld", id = running.leased.id.as_str(),
+        request:% = running.identity.fingerprint(), attempts = running.attempts; ""
+    );
+    while node.is_blocked(&running.identity) {
+        sleep(WITHHELD_PAUSE).await;
+    }
+}
+
 /// One attempt at one worker; none if the item must go on elsewhere.
 async fn attempt_at(node: &Arc<Node>, running: &mut Running, place: Occupied) -> Option<ItemEnd> {
     let chosen = place.worker().to_owned();
--- a/crates/pinerill-forward/src/call/attempt.rs
+++ b/crates/pinerill-forward/src/call/attempt.rs
@@ -48,7 +48,12 @@
         patience: Option<Duration>,
         record: &mut CallRecord,
     ) -> Result<Attempted, AttemptEnd> {
-        let Placed { chosen, place } = self.place(node, call, record).await?;
+        let Placed { chosen, place } = tokio::select! {
+            // A request that is known already is not even placed.
+            biased;
+            () = node.until_blocked(&call.identity) => return Err(AttemptEnd::CrashesWorkers),
+            placed = self.place(node, call, record) => placed?,
+        };
         record.attempt(&chosen);
         self.sent = true;
         let worker = chosen.entry.clone();
--- a/crates/pinerill-forward/src/call/decision.rs
+++ b/crates/pinerill-forward/src/call/decision.rs
@@ -20,6 +20,8 @@
         /// When to come back.
         retry_after: Duration,
     },
+    /// It was sent nowhere, since it is known to crash the workers that run it.
+    CrashesWorkers,
     /// The worker may have run it; it broke off, was silent or answered
     /// nonsense.
     MayHaveRun,
@@ -64,6 +66,9 @@
         if let AttemptEnd::SentAway { retry_after } = end {
             return Next::Refuse(self.sent_away(retry_after));
         }
+        if end == AttemptEnd::CrashesWorkers {
+            return Next::Refuse(Refusal::CrashesWorkers);
+        }
         if end == AttemptEnd::MayHaveRun {
             self.may_have_run = true;
             self.runs_left = self.runs_left.saturating_sub(1);
--- a/crates/pinerill-forward/src/call/online.rs
+++ b/crates/pinerill-forward/src/call/online.rs
@@ -48,7 +48,7 @@
             Err(end) => end,
         };
         if let Next::Refuse(refusal) = progress.after(end, call.has_time()) {
-            let refusal = match call.has_time() {
+            let refusal = match call.has_time() || refusal == Refusal::CrashesWorkers {
                 true => refusal,
                 false => progress.out_of_time(),
             };
--- a/crates/pinerill-forward/src/crash/desk.rs
+++ b/crates/pinerill-forward/src/crash/desk.rs
@@ -5,8 +5,10 @@
 
 use parking_lot::Mutex;
 use pinerill_calls::directory::{WorkerEntry, WorkerState};
+use tokio::sync::Notify;
 
 use super::broken_runs::{BrokenRun, BrokenRuns, CrashEvidence};
+use super::ledger::{CrashLedger, CrashReport};
 use super::WorkerStart;
 use crate::exchange::BreakReason;
 use crate::node::Node;
@@ -20,6 +22,10 @@
     broken: Mutex<BrokenRuns>,
     /// Workers that are being connected to, to see whether they live.
     probed: Mutex<HashSet<WorkerStart>>,
+    /// What crashed under which request.
+    pub(super) ledger: Mutex<CrashLedger>,
+    /// A request was blocked.
+    pub(super) blocked: Notify,
 }
 
 impl Node {
@@ -84,7 +90,17 @@
         self.runs_crashed(start, &runs);
     }
 
-    fn runs_crashed(&self, _worker: WorkerStart, runs: &[BrokenRun]) {
+    fn runs_crashed(&self, worker: WorkerStart, runs: &[BrokenRun]) {
         self.metrics.runs_crashed.inc_by(runs.len() as u64);
+        let reports = runs.iter().map(|run| CrashReport {
+            request: run.request,
+            worker,
+            reach: run.reach,
+            is_cleared: false,
+            age_ms: 0,
+        });
+        let reports: Vec<CrashReport> = reports.collect();
+        let news = self.take_crashes(&reports);
+        self.peers.tell_crashes(&news);
     }
 }
--- a/crates/pinerill-forward/src/crash/fingerprint.rs
+++ b/crates/pinerill-forward/src/crash/fingerprint.rs
@@ -4,6 +4,7 @@
 //! host, path, query and body do: a worker that fails on one try will fail on the other.
 
 use std::fmt;
+use std::str::FromStr;
 use std::sync::OnceLock;
 
 use bytes::Bytes;
@@ -35,9 +36,17 @@
 
 impl fmt::Display for RequestFingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0
-            .iter()
-            .try_for_each(|byte| write!(formatter, "{byte:02x}"))
+        formatter.write_str(&hex::encode(self.0))
+    }
+}
+
+impl FromStr for RequestFingerprint {
+    type Err = hex::FromHexError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut bytes = [0; FINGERPRINT_BYTES];
+        hex::decode_to_slice(text, &mut bytes)?;
+        Ok(RequestFingerprint(bytes))
     }
 }
 
--- a/crates/pinerill-forward/src/crash/mod.rs
+++ b/crates/pinerill-forward/src/crash/mod.rs
@@ -2,17 +2,32 @@
 //!
 //! What a call learns of its request ends with the call, and its caller comes again at any
 //! node. So a request has an identity beyond its tries ([`RequestIdentity`]), and runs that
-//! ended with a crash of their worker are told from others ([`broken_runs`]).
+//! ended with a crash of their worker are told from others ([`broken_runs`]). What crashed
+//! under which request is kept in a ledger ([`ledger`]) that all nodes share by telling each
+//! other what they see (`peers::crashes`). A request that is known to crash workers is
+//! refused before it is sent; an item of a job is withheld.
+//!
+//! Told are differences that can be merged in any order: each report at once to the nodes of
+//! the zone and by relays to the others, and again for some seconds, blocked requests for
+//! as long as they are blocked. So a lost, late or doubled datagram changes nothing, a
+//! node that starts anew or was cut off knows what is blocked within a second, and while no
+//! worker crashes nothing is told and no body is hashed.
 
 pub mod broken_runs;
 mod desk;
 mod fingerprint;
+pub mod ledger;
+mod operators;
 mod run;
+mod verdicts;
 
 use pinerill_calls::directory::WorkerEntry;
 use serde::{Deserialize, Serialize};
 
 pub(crate) use desk::CrashDesk;
+pub(crate) use operators::with_crash_pages;
+pub(crate) use verdicts::REPORTS_TOLD;
+
 pub use fingerprint::{RequestFingerprint, RequestIdentity};
 pub use run::Run;
 
--- a/crates/pinerill-forward/src/crash/run.rs
+++ b/crates/pinerill-forward/src/crash/run.rs
@@ -59,11 +59,13 @@
     /// The worker answered whole, so that it outlived the request.
     pub fn answered(mut self) {
         self.is_open = false;
+        self.node.request_answered(&self.request);
     }
 
     /// It broke off.
     pub fn broke(mut self, reason: &BreakReason) {
         self.is_open = false;
+        self.node.request_outlived(&self.request, self.reach);
         if reason.may_be_crash() {
             self.note(RunEnd::Broke);
             self.node.look_for_crash(&self.worker, reason);
@@ -84,6 +86,7 @@
 impl Drop for Run {
     fn drop(&mut self) {
         if self.is_open {
+            self.node.request_outlived(&self.request, self.reach);
             self.note(RunEnd::Left);
         }
     }
--- a/crates/pinerill-forward/src/monitoring.rs
+++ b/crates/pinerill-forward/src/monitoring.rs
@@ -30,9 +30,12 @@
     pub(crate) worker_refusals: IntCounter,
     items: IntCounterVec,
     pub(crate) items_gave_way: IntCounter,
+    pub(crate) items_withheld: IntCounter,
     workers_crashed: IntCounterVec,
     pub(crate) runs_crashed: IntCounter,
     pub(crate) peer_messages_dropped: IntCounter,
+    requests_suspected: IntGauge,
+    requests_blocked: IntGauge,
     waiting_calls: IntGauge,
     table_version: IntGauge,
     control_silent_ms: IntGauge,
@@ -126,6 +129,10 @@
                 "pinerill_node_items_gave_way_total",
                 "Runs of items that ended for a call that waited",
             )?,
+            items_withheld: counter(
+                "pinerill_node_items_withheld_total",
+                "Items of jobs that are kept from workers, since they are known to crash them",
+            )?,
             workers_crashed: counters(
                 "pinerill_node_workers_crashed_total",
                 "Workers that crashed while requests of this node ran there, by what shows it",
@@ -139,6 +146,14 @@
                 "pinerill_node_peer_messages_dropped_total",
                 "Datagrams of other nodes that could not be read or were not theirs to send",
             )?,
+            requests_suspected: gauge(
+                "pinerill_node_requests_suspected",
+                "Requests under which workers crashed a while ago",
+            )?,
+            requests_blocked: gauge(
+                "pinerill_node_requests_blocked",
+                "Requests that are refused, since they are known to crash workers",
+            )?,
             waiting_calls: gauge(
                 "pinerill_node_waiting_calls",
                 "Calls that wait for a place at a worker",
@@ -199,6 +214,12 @@
         let heard_ms = self.beliefs.control_heard_ms.load(Ordering::Relaxed);
         let version = self.table().map_or(0, |index| index.table().version);
         metrics.table_version.set(number(version));
+        metrics
+            .requests_suspected
+            .set(number(self.suspected_requests() as u64));
+        metrics
+            .requests_blocked
+            .set(number(self.blocked_requests().len() as u64));
         metrics
             .waiting_calls
             .set(number(self.dispatcher.waiting() as u64));
--- a/crates/pinerill-forward/src/peers/hear.rs
+++ b/crates/pinerill-forward/src/peers/hear.rs
@@ -25,6 +25,13 @@
                 node.peers.send_near(&message);
                 take_in(&node, from, message);
             }
+            Ok(PeerMessage::Crashes(reports)) => {
+                let news = node.take_crashes(&reports);
+                match near {
+                    true => node.peers.hand_crashes_on(&news),
+                    false => node.peers.tell_crashes_near(&news),
+                }
+            }
             Ok(message) if near => take_in(&node, from, message),
             // A message of another version, or one that only nodes of the zone may send.
             Ok(_) | Err(_) => node.metrics.peer_messages_dropped.inc(),
@@ -58,6 +65,8 @@
         PeerMessage::NoAnswer { worker } => {
             node.with_fleet(|fleet, now_ms| fleet.suspect(now_ms, from, worker));
         }
+        // Taken in before, since it also comes from relays of other zones.
+        PeerMessage::Crashes(_) => {}
         PeerMessage::PlaceFree { worker } => node.dispatcher.take_promised(node, worker),
     }
 }
--- a/crates/pinerill-forward/src/peers/message.rs
+++ b/crates/pinerill-forward/src/peers/message.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::crash::ledger::CrashReport;
 use crate::dispatch::demand::ServiceDemand;
 use crate::fleet::{TellingOrder, WorkerCount, WorkerKey};
 
@@ -50,6 +51,8 @@
         /// The worker.
         worker: WorkerKey,
     },
+    /// To all nodes, by relays: workers crashed under requests.
+    Crashes(Vec<CrashReport>),
 }
 
 impl PeerMessage {
@@ -60,6 +63,7 @@
             PeerMessage::InFlight { .. } => "in_flight",
             PeerMessage::ZoneInFlight { .. } => "zone_in_flight",
             PeerMessage::NoAnswer { .. } => "no_answer",
+            PeerMessage::Crashes(_) => "crashes",
             PeerMessage::PlaceFree { .. } => "place_free",
         }
     }
--- a/crates/pinerill-forward/src/peers/mod.rs
+++ b/crates/pinerill-forward/src/peers/mod.rs
@@ -17,6 +17,7 @@
 //! | node | nodes of its zone | long prompts, workers that did not answer | each |
 //! | node | one node of its zone | a place that became free | while calls wait there |
 //! | relay | one relay of each other zone, and from there to all its nodes | counts of the zone | each [`tell::PAUSE_PER_ZONE`] times the other zones, while they change |
+//! | node | nodes of its zone, by relays all others | crashes of workers under requests ([`crashes`]) | each, and again for a while |
 //!
 //! A datagram that is lost costs a worse choice and nothing else.
 //!
@@ -25,6 +26,7 @@
 //! 0.923 and 0.950 (one run before, two after; with the places that are promised by
 //! [`crate::dispatch::demand`] and the shorter waits for connections).
 
+mod crashes;
 mod hear;
 mod message;
 mod tell;
@@ -41,6 +43,7 @@
 use self::message::PeerMessage;
 use crate::fleet::WorkerKey;
 
+pub(crate) use crashes::tell_crashes;
 pub(crate) use hear::hear;
 pub(crate) use tell::{promise_time, tell, tell_zones};
 
@@ -136,6 +139,10 @@
         self.send(message, Reach::Near, near.iter().copied());
     }
 
+    fn send_to_near(&self, message: &PeerMessage, to: impl IntoIterator<Item = SocketAddr>) {
+        self.send(message, Reach::Near, to);
+    }
+
     /// Sends to other zones.
     fn send_far(&self, message: &PeerMessage, to: Vec<SocketAddr>) {
         self.send(message, Reach::Far, to);
@@ -167,6 +174,18 @@
         Some(told.collect())
     }
 
+    /// All relays of other zones; none if this node is no relay.
+    fn all_far_relays(&self) -> Option<Vec<SocketAddr>> {
+        let addresses = self.addresses.read();
+        addresses.own_place?;
+        Some(addresses.far_relays.concat())
+    }
+
+    /// The other nodes of this zone.
+    fn near(&self) -> Vec<SocketAddr> {
+        self.addresses.read().near.clone()
+    }
+
     fn near_count(&self) -> usize {
         self.addresses.read().near.len()
     }
--- a/crates/pinerill-forward/src/run.rs
+++ b/crates/pinerill-forward/src/run.rs
@@ -15,6 +15,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::cluster::{self, ClusterClient};
+use crate::crash::with_crash_pages;
 use crate::exchange::ConnectionPool;
 use crate::fleet::{ChoiceSettings, Fleet};
 use crate::monitoring::Metrics;
@@ -66,7 +67,8 @@
     )?;
     let node = Arc::new(node);
     let probes = Server::start(ready_listen, monitoring_server(ready_listen, node.clone())).await?;
-    let metrics = Server::start(admin, monitoring_server(admin, node.clone())).await?;
+    let admin_pages = with_crash_pages(monitoring_server(admin, node.clone()), node.clone());
+    let metrics = Server::start(admin, admin_pages).await?;
     log::info!(
         event = "started", node = node.settings.name.as_str(),
         address:% = node.settings.listen; ""
@@ -78,6 +80,7 @@
     let hearing = spawn(boxed(peers::hear(node.clone())));
     let telling = spawn(boxed(peers::tell(node.clone())));
     let telling_zones = spawn(boxed(peers::tell_zones(node.clone())));
+    let telling_crashes = spawn(boxed(peers::tell_crashes(node.clone())));
     let placing = spawn(boxed(dispatch::run(node.clone())));
     let sweeping = spawn(boxed(sweep(node.clone())));
     let ending = async {
@@ -103,6 +106,7 @@
         hearing,
         telling,
         telling_zones,
+        telling_crashes,
         placing,
         reloading,
         sweeping,
@@ -166,5 +170,6 @@
         sleep(SWEEP_PAUSE).await;
         ConnectionPool::sweep(node.connections());
         node.with_fleet(|fleet, now_ms| fleet.forget_silent_peers(now_ms));
+        node.forget_old_crashes();
     }
 }
--- a/crates/pinerill-forward/tests/decision.rs
+++ b/crates/pinerill-forward/tests/decision.rs
@@ -83,3 +83,12 @@
         }
     }
 }
+
+#[test]
+fn a_call_known_to_crash_workers_ends_without_a_promise_or_an_invitation() {
+    for kind in KINDS {
+        let mut progress = CallProgress::new(kind, 3);
+        let next = progress.after(AttemptEnd::CrashesWorkers, true);
+        assert_eq!(next, Next::Refuse(Refusal::CrashesWorkers));
+    }
+}
