A worker is a name and a birth; an entry that can't be read names none

Cause: a worker that starts again kept its identifier, and with it all that was believed of the start before: load, prompts read, failures, leaving, other nodes' counts, pooled connections. One entry of another writer on the list took the whole reading. Without a birth names are taken as used once, as before.

--- a/crates/pinerill-calls/src/directory.rs
+++ b/crates/pinerill-calls/src/directory.rs
@@ -1,6 +1,6 @@
 //! The directory of workers, as the platform list tells it.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -12,8 +12,66 @@
 /// ask twice, so that only one that was cut off lags by more.
 const DIRECTORIES_KEPT: usize = 8;
 
-/// Identifies one start of a worker.
-pub type WorkerId = String;
+/// Between a worker's name and its birth in an identifier.
+const BIRTH_MARK: char = '@';
+
+/// Identifies one start of a worker: the name that the platform gives it and, where the
+/// platform tells it, the Unix millisecond of its start. A worker may start again under the
+/// name that it had; it is then another one, and knows nothing of before. Where no birth is
+/// told, a name is never used twice.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct WorkerId(String);
+
+impl WorkerId {
+    /// The start of a worker of this name with this birth.
+    pub fn new(name: &str, birth_ms: Option<u64>) -> Self {
+        WorkerId(match birth_ms {
+            Some(birth_ms) => format!("{name}{BIRTH_MARK}{birth_ms}"),
+            // A name that looks as if it told a birth is marked as one that doesn't.
+            None if name.contains(BIRTH_MARK) => format!("{name}{BIRTH_MARK}"),
+            None => name.to_owned(),
+        })
+    }
+
+    /// The name that the platform gives the worker.
+    pub fn name(&self) -> &str {
+        self.parts().0
+    }
+
+    /// The Unix millisecond of its start, if it is told.
+    pub fn birth_ms(&self) -> Option<u64> {
+        self.parts().1.parse().ok()
+    }
+
+    /// The whole identifier.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    fn parts(&self) -> (&str, &str) {
+        self.0.rsplit_once(BIRTH_MARK).unwrap_or((&self.0, ""))
+    }
+}
+
+impl std::ops::Deref for WorkerId {
+    type Target = str;
+
+    fn deref(&self) -> &str {
+        &self.0
+    }
+}
+
+impl std::borrow::Borrow<str> for WorkerId {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
+impl std::fmt::Display for WorkerId {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
 
 /// One worker of the platform list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -50,6 +108,62 @@
     pub workers: Vec<WorkerEntry>,
     /// Token of the next page; none on the last.
     pub next: Option<String>,
+    /// Entries that name no worker to use.
+    pub skipped: SkippedEntries,
+}
+
+/// Entries of the platform list that could not be read, as they may come from another
+/// writer. They name no worker; the others hold.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SkippedEntries {
+    /// How many.
+    pub count: usize,
+    /// What is wrong with the first one; none of its content.
+    pub first_reason: Option<String>,
+}
+
+impl SkippedEntries {
+    /// One more could not be read.
+    pub fn add(&mut self, reason: String) {
+        self.count += 1;
+        self.first_reason.get_or_insert(reason);
+    }
+
+    /// Those of another page as well.
+    pub fn extend(&mut self, other: SkippedEntries) {
+        self.count += other.count;
+        self.first_reason = self.first_reason.take().or(other.first_reason);
+    }
+}
+
+/// Pages of the platform list, gathered into one reading.
+#[derive(Debug, Default)]
+pub struct ListReading {
+    /// Workers so far.
+    pub workers: Vec<WorkerEntry>,
+    /// Entries so far that name none.
+    pub skipped: SkippedEntries,
+    tokens: HashSet<String>,
+}
+
+/// A list whose pages lead back to one that was read already.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("a page's token was told before: the list has no end")]
+pub struct EndlessList;
+
+impl ListReading {
+    /// Takes in a page. Returns the token of the next one, if there is one.
+    ///
+    /// # Errors
+    /// [`EndlessList`].
+    pub fn take(&mut self, page: WorkerPage) -> Result<Option<String>, EndlessList> {
+        self.workers.extend(page.workers);
+        self.skipped.extend(page.skipped);
+        match page.next {
+            Some(token) if !self.tokens.insert(token.clone()) => Err(EndlessList),
+            next => Ok(next),
+        }
+    }
 }
 
 /// What leads from a directory that the asker holds to the present one.
@@ -80,7 +194,7 @@
 #[error("the change belongs to another directory")]
 pub struct DirectoryMismatch;
 
-/// A directory in the order of its workers' identifiers.
+/// A directory in the order of its workers' names.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Directory {
     workers: Vec<WorkerEntry>,
@@ -89,8 +203,14 @@
 
 impl Directory {
     /// The directory of these workers, given in any order.
+    /// Of two starts of one worker the later one counts.
     pub fn new(mut workers: Vec<WorkerEntry>) -> Self {
-        workers.sort_unstable_by(|left, right| left.id.cmp(&right.id));
+        workers.sort_by(|left, right| {
+            let (left, right) = (&left.id, &right.id);
+            let by_name = left.name().cmp(right.name());
+            by_name.then(right.birth_ms().cmp(&left.birth_ms()))
+        });
+        workers.dedup_by(|later, kept| later.id.name() == kept.id.name());
         let digest = Digest::of(&workers);
         Directory { workers, digest }
     }
--- a/crates/pinerill-cluster/src/server/workers.rs
+++ b/crates/pinerill-cluster/src/server/workers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use anyhow::{bail, Context};
-use pinerill_calls::directory::WorkerEntry;
+use pinerill_calls::directory::{ListReading, SkippedEntries, WorkerEntry};
 use tokio::time::{sleep, timeout, Instant};
 
 use super::control::Control;
@@ -28,6 +28,7 @@
             }
         };
         let mut reachable = true;
+        let mut skipping = SkippingLog::default();
         let mut news = self.news.subscribe();
         loop {
             if !self.leads() {
@@ -42,8 +43,9 @@
                 log::info!(event = "worker_list_reachable", reachable; "");
             }
             match read {
-                Ok(workers) => {
-                    self.take_workers(workers);
+                Ok(reading) => {
+                    skipping.note(&reading.skipped);
+                    self.take_workers(reading.workers);
                     let pause = Duration::from_millis(self.settings.worker_list.poll_ms);
                     sleep(pause.saturating_sub(started.elapsed())).await;
                 }
@@ -64,15 +66,14 @@
         }
     }
 
-    async fn read_workers(&self, client: &reqwest::Client) -> anyhow::Result<Vec<WorkerEntry>> {
-        let mut workers = Vec::new();
+    async fn read_workers(&self, client: &reqwest::Client) -> anyhow::Result<ListReading> {
+        let mut reading = ListReading::default();
         let mut token: Option<String> = None;
         for _ in 0..PAGE_LIMIT {
             let page = self.read_page(client, token.as_deref()).await?;
-            workers.extend(page.workers);
-            token = page.next;
+            token = reading.take(page)?;
             if token.is_none() {
-                return Ok(workers);
+                return Ok(reading);
             }
         }
         bail!("more than {PAGE_LIMIT} pages")
@@ -95,6 +96,26 @@
     }
 }
 
+/// Says of entries that can't be read when their number changes, so that a list that stays
+/// spoilt is told once.
+#[derive(Default)]
+struct SkippingLog {
+    told: usize,
+}
+
+impl SkippingLog {
+    fn note(&mut self, skipped: &SkippedEntries) {
+        if skipped.count == self.told {
+            return;
+        }
+        self.told = skipped.count;
+        log::warn!(
+            event = "worker_entries_skipped", count = skipped.count,
+            first_reason:? = skipped.first_reason; ""
+        );
+    }
+}
+
 fn list_client() -> anyhow::Result<reqwest::Client> {
     reqwest::Client::builder()
         .timeout(PAGE_TIME)
--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -7,6 +7,7 @@
 use http::header::AUTHORIZATION;
 use http::{HeaderValue, Method, StatusCode, Uri};
 use pinerill_calls::compression::{compress, decompress};
+use pinerill_calls::directory::WorkerId;
 use pinerill_calls::job::{Header, ItemCall, ItemEnd, ItemReport};
 use pinerill_calls::message::{decode, CallsRequest, CallsResponse, LeasedItem, ReadItem};
 use pinerill_calls::protocol::{AttemptFacts, NotRunReason, Verdict};
@@ -49,7 +50,7 @@
     text: EventText,
     last: Option<u64>,
     /// The worker that broke it off last.
-    avoid: Vec<String>,
+    avoid: Vec<WorkerId>,
     attempts: u32,
     /// Time that it has run at workers.
     ran: Duration,
@@ -214,7 +215,7 @@
 
 /// One attempt at one worker; none if the item must go on elsewhere.
 async fn attempt_at(node: &Arc<Node>, running: &mut Running, place: Occupied) -> Option<ItemEnd> {
-    let chosen = place.worker().to_owned();
+    let chosen = place.worker().clone();
     running.attempts += 1;
     let Begun {
         sent,
@@ -314,7 +315,7 @@
     let run = WorkerRun::begin(node, &worker, &running.identity, running.last);
     let facts = AttemptFacts {
         remaining: None,
-        worker: &worker.id,
+        worker: worker.id.name(),
         resume_after: running.last,
     };
     let protocol = node.worker_protocol();
@@ -414,11 +415,11 @@
     );
 }
 
-fn broke(node: &Node, running: &mut Running, worker: &str, reason: &BreakReason) {
+fn broke(node: &Node, running: &mut Running, worker: &WorkerId, reason: &BreakReason) {
     node.worker_failed(worker, reason);
-    running.avoid = vec![worker.to_owned()];
+    running.avoid = vec![worker.clone()];
     log::info!(
-        event = "item_attempt_broke", id = running.leased.id.as_str(), worker,
+        event = "item_attempt_broke", id = running.leased.id.as_str(), worker = worker.as_str(),
         request:% = running.identity.fingerprint(), last:? = running.last, reason:% = reason; ""
     );
 }
--- a/crates/pinerill-forward/src/call/attempt.rs
+++ b/crates/pinerill-forward/src/call/attempt.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use pinerill_calls::directory::WorkerId;
 use pinerill_calls::protocol::{AttemptFacts, NotRunReason, Verdict};
 use tokio::time::{sleep, timeout_at};
 
@@ -20,7 +21,7 @@
 #[derive(Debug, Default)]
 pub struct Attempts {
     /// Workers that failed it.
-    failed: Vec<String>,
+    failed: Vec<WorkerId>,
     /// Whether anything was sent to a worker.
     sent: bool,
 }
@@ -60,7 +61,7 @@
         let run = Run::begin(node, &worker, &call.identity, resume_after);
         let facts = AttemptFacts {
             remaining: Some(call.remaining()),
-            worker: &worker.id,
+            worker: worker.id.name(),
             resume_after,
         };
         let headers = node.worker_protocol().call_headers(&call.headers, &facts);
@@ -102,7 +103,7 @@
 
     /// Notes that a worker failed the call after it was sent there.
     pub fn broke(&mut self, node: &Node, run: Run, call: &Call, reason: &BreakReason) {
-        let worker = run.worker().to_owned();
+        let worker = run.worker().clone();
         log::info!(
             event = "attempt_broke", id = call.head.id.as_str(), worker = worker.as_str(),
             request:% = call.identity.fingerprint(), reach = run.reach(), reason:% = reason; ""
@@ -111,7 +112,7 @@
         self.failed_at(node, worker, reason);
     }
 
-    fn failed_at(&mut self, node: &Node, worker: String, reason: &BreakReason) {
+    fn failed_at(&mut self, node: &Node, worker: WorkerId, reason: &BreakReason) {
         node.worker_failed(&worker, reason);
         self.failed.push(worker);
     }
@@ -143,7 +144,7 @@
             self.broke(node, run, call, &failure.reason);
             return AttemptEnd::MayHaveRun;
         }
-        let worker = run.worker().to_owned();
+        let worker = run.worker().clone();
         log::info!(
             event = "attempt_not_sent", id = call.head.id.as_str(), worker = worker.as_str(),
             reason:% = failure.reason; ""
--- a/crates/pinerill-forward/src/cluster/watch.rs
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -7,7 +7,7 @@
 
 use anyhow::{bail, Context};
 use pinerill_calls::digest::Digest;
-use pinerill_calls::directory::{Directory, WorkerEntry};
+use pinerill_calls::directory::{Directory, ListReading, WorkerEntry};
 use pinerill_calls::message::{
     CallsRequest, CallsResponse, Processes, WatchRequest, WatchResponse,
 };
@@ -175,10 +175,15 @@
 
 fn take_workers(node: &Node, workers: &[WorkerEntry], source: &str) {
     note_directory(node);
-    let gone = node.with_fleet(|fleet, _| fleet.take_directory(workers));
+    let gone = node.with_fleet(|fleet, now_ms| fleet.take_directory(now_ms, workers));
+    node.connections().end_earlier_starts(workers);
     for worker in &gone {
-        node.connections().forget(&worker.id);
-        node.worker_crashed(worker, CrashEvidence::Unlisted);
+        node.connections().forget(&worker.entry.id);
+        let evidence = match worker.is_restarted {
+            true => CrashEvidence::Replaced,
+            false => CrashEvidence::Unlisted,
+        };
+        node.worker_crashed(&worker.entry, evidence);
     }
     log::info!(
         event = "directory_taken", source, workers = workers.len(), gone = gone.len(); ""
@@ -207,9 +212,15 @@
         }
         let started = Instant::now();
         match read_list(&node, &client, list.as_ref()).await {
-            Ok(workers) => {
-                take_workers(&node, &workers, "list");
+            Ok(reading) => {
+                take_workers(&node, Directory::new(reading.workers).workers(), "list");
                 node.beliefs.told_by_others.store(true, Ordering::Relaxed);
+                if reading.skipped.count > 0 {
+                    log::warn!(
+                        event = "worker_entries_skipped", count = reading.skipped.count,
+                        first_reason:? = reading.skipped.first_reason; ""
+                    );
+                }
             }
             Err(error) => log::warn!(
                 event = "worker_list_failed", error:% = format!("{error:#}"),
@@ -223,8 +234,8 @@
     node: &Node,
     client: &reqwest::Client,
     list: &dyn WorkerListProtocol,
-) -> anyhow::Result<Vec<WorkerEntry>> {
-    let mut workers = Vec::new();
+) -> anyhow::Result<ListReading> {
+    let mut reading = ListReading::default();
     let mut token: Option<String> = None;
     for _ in 0..PAGE_LIMIT {
         let path = list.page_path(token.as_deref());
@@ -235,10 +246,9 @@
         }
         let body = response.bytes().await.context("read a page")?;
         let page = list.read_page(&body)?;
-        workers.extend(page.workers);
-        token = page.next;
+        token = reading.take(page)?;
         if token.is_none() {
-            return Ok(workers);
+            return Ok(reading);
         }
     }
     bail!("more than {PAGE_LIMIT} pages")
--- a/crates/pinerill-forward/src/crash/desk.rs
+++ b/crates/pinerill-forward/src/crash/desk.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// A run ended since its worker has started again.
+    pub(super) fn run_crashed(&self, worker: WorkerStart, run: BrokenRun) {
+        self.runs_crashed(worker, &[run]);
+    }
+
     /// Connects to a worker at which a run broke off: a process that has crashed refuses.
     /// A connection that comes about is kept for the next request.
     pub(super) fn look_for_crash(
--- a/crates/pinerill-forward/src/crash/mod.rs
+++ b/crates/pinerill-forward/src/crash/mod.rs
@@ -39,7 +39,8 @@
 impl WorkerStart {
     /// The name of the start that an entry of the directory is of.
     pub fn of(worker: &WorkerEntry) -> Self {
-        let RequestFingerprint(bytes) = RequestFingerprint::of_parts(&[worker.id.as_bytes()]);
+        let RequestFingerprint(bytes) =
+            RequestFingerprint::of_parts(&[worker.id.as_str().as_bytes()]);
         let mut short = [0; 8];
         short.copy_from_slice(&bytes[..8]);
         WorkerStart(u64::from_le_bytes(short))
--- a/crates/pinerill-forward/src/crash/run.rs
+++ b/crates/pinerill-forward/src/crash/run.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use pinerill_calls::directory::WorkerEntry;
+use pinerill_calls::directory::{WorkerEntry, WorkerId};
 
 use super::broken_runs::{BrokenRun, RunEnd};
 use super::{RequestIdentity, WorkerStart};
@@ -37,7 +37,7 @@
     }
 
     /// The worker.
-    pub fn worker(&self) -> &str {
+    pub fn worker(&self) -> &WorkerId {
         &self.worker.id
     }
 
@@ -66,20 +66,26 @@
     pub fn broke(mut self, reason: &BreakReason) {
         self.is_open = false;
         self.node.request_outlived(&self.request, self.reach);
-        if reason.may_be_crash() {
+        if *reason == BreakReason::Restarted {
+            self.node
+                .run_crashed(WorkerStart::of(&self.worker), self.ended(RunEnd::Broke));
+        } else if reason.may_be_crash() {
             self.note(RunEnd::Broke);
             self.node.look_for_crash(&self.worker, reason);
         }
     }
 
     fn note(&self, end: RunEnd) {
-        let run = BrokenRun {
+        self.node
+            .run_ended_early(WorkerStart::of(&self.worker), self.ended(end));
+    }
+
+    fn ended(&self, end: RunEnd) -> BrokenRun {
+        BrokenRun {
             request: self.request.fingerprint(),
             reach: self.reach,
             end,
-        };
-        self.node
-            .run_ended_early(WorkerStart::of(&self.worker), run);
+        }
     }
 }
 
--- a/crates/pinerill-forward/src/dispatch/mod.rs
+++ b/crates/pinerill-forward/src/dispatch/mod.rs
@@ -19,6 +19,7 @@
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
+use pinerill_calls::directory::WorkerId;
 use tokio::sync::{oneshot, Notify};
 use tokio::time::{sleep, timeout, timeout_at};
 
@@ -68,7 +69,7 @@
 struct Waiter {
     service: String,
     prompt: Prompt,
-    except: Vec<String>,
+    except: Vec<WorkerId>,
     grant: oneshot::Sender<Result<Placed, Unplaced>>,
 }
 
@@ -123,7 +124,7 @@
         &self,
         node: &Arc<Node>,
         call: &Call,
-        except: &[String],
+        except: &[WorkerId],
         fresh: bool,
     ) -> Result<Placed, Unplaced> {
         if self.waiting() == 0 {
@@ -171,7 +172,7 @@
 
     /// Where a call may go. Once in a while one that finds no room in its zone
     /// tries a worker elsewhere of which nothing is known.
-    fn look(&self, node: &Node, service: &str, prompt: &Prompt, except: &[String]) -> Placement {
+    fn look(&self, node: &Node, service: &str, prompt: &Prompt, except: &[WorkerId]) -> Placement {
         let wanted = Wanted {
             service,
             prompt,
@@ -235,7 +236,7 @@
     fn join(
         &self,
         call: &Call,
-        except: &[String],
+        except: &[WorkerId],
         waiting: WaitingCall,
     ) -> (Ticket, oneshot::Receiver<Result<Placed, Unplaced>>) {
         let (grant, granted) = oneshot::channel();
--- a/crates/pinerill-forward/src/exchange/connection.rs
+++ b/crates/pinerill-forward/src/exchange/connection.rs
@@ -47,6 +47,9 @@
     /// Events are missing, doubled or out of order.
     #[error("events out of order")]
     EventOrder,
+    /// The worker has started again; what it ran before is gone.
+    #[error("the worker has started again")]
+    Restarted,
     /// Nothing came for too long.
     #[error("silent for too long")]
     Silent,
@@ -69,7 +72,10 @@
     pub fn may_be_crash(&self) -> bool {
         matches!(
             self,
-            BreakReason::Connection(_) | BreakReason::Cut | BreakReason::Silent
+            BreakReason::Connection(_)
+                | BreakReason::Cut
+                | BreakReason::Silent
+                | BreakReason::Restarted
         )
     }
 }
--- a/crates/pinerill-forward/src/exchange/mod.rs
+++ b/crates/pinerill-forward/src/exchange/mod.rs
@@ -8,6 +8,7 @@
 pub mod connect_times;
 mod connection;
 mod events;
+mod lives;
 mod pool;
 mod send;
 
--- a/crates/pinerill-forward/src/exchange/pool.rs
+++ b/crates/pinerill-forward/src/exchange/pool.rs
@@ -11,6 +11,7 @@
 
 use super::connect_times::ConnectTimes;
 use super::connection::{BreakReason, WorkerConnection};
+use super::lives::Lives;
 
 /// Idle connections kept to one worker.
 const KEPT_PER_WORKER: usize = 64;
@@ -30,6 +31,7 @@
 pub struct ConnectionPool {
     idle: Mutex<HashMap<WorkerId, Vec<Idle>>>,
     connect_times: Mutex<ConnectTimes>,
+    pub(super) lives: Lives,
 }
 
 impl ConnectionPool {
@@ -121,6 +123,11 @@
         idle.retain(|_, kept| !kept.is_empty());
     }
 
+    /// Ends exchanges with starts of workers of which a later one is listed.
+    pub fn end_earlier_starts(&self, listed: &[WorkerEntry]) {
+        self.lives.end_earlier(listed);
+    }
+
     /// Closes all connections to a worker that is gone.
     pub fn forget(&self, worker: &str) {
         self.idle.lock().remove(worker);
--- a/crates/pinerill-forward/src/exchange/send.rs
+++ b/crates/pinerill-forward/src/exchange/send.rs
@@ -13,6 +13,7 @@
 use pinerill_calls::protocol::{WorkerAnswer, WorkerProtocol};
 
 use super::connection::{BreakReason, WorkerConnection};
+use super::lives::Life;
 use super::pool::ConnectionPool;
 
 /// Header in which workers tell how long they keep idle connections.
@@ -38,6 +39,8 @@
     body: Incoming,
     keep_alive: Option<Duration>,
     closes: bool,
+    /// The worker's life.
+    life: Life,
 }
 
 /// The head of a worker's answer, with the exchange that brings its body.
@@ -74,7 +77,8 @@
         headers: HeaderMap,
     ) -> Result<Sent, SendFailure> {
         while let Some(connection) = pool.take(&worker.id) {
-            match Self::on(connection, protocol, worker, request, headers.clone()).await {
+            let life = pool.lives.of(&worker.id);
+            match Self::on(connection, life, protocol, worker, request, headers.clone()).await {
                 Err(failure) if !failure.sent => {}
                 other => return other,
             }
@@ -84,18 +88,26 @@
             sent: false,
             reason,
         })?;
-        Self::on(connection, protocol, worker, request, headers).await
+        let life = pool.lives.of(&worker.id);
+        Self::on(connection, life, protocol, worker, request, headers).await
     }
 
     async fn on(
         mut connection: WorkerConnection,
+        life: Life,
         protocol: &dyn WorkerProtocol,
         worker: &Arc<WorkerEntry>,
         request: &WorkerRequest,
         headers: HeaderMap,
     ) -> Result<Sent, SendFailure> {
         let http_request = build(request, headers);
-        let response = connection.send(http_request).await;
+        let response = tokio::select! {
+            response = connection.send(http_request) => response,
+            () = life.cancelled() => {
+                let reason = BreakReason::Restarted;
+                return Err(SendFailure { sent: true, reason });
+            }
+        };
         let response = response.map_err(|unanswered| SendFailure {
             sent: unanswered.sent,
             reason: unanswered.reason,
@@ -116,6 +128,7 @@
             body,
             keep_alive: keep_alive(&head.headers),
             closes: answer.closes,
+            life,
         };
         Ok(Sent {
             head,
@@ -129,7 +142,10 @@
     /// # Errors
     /// When the answer breaks off or is malformed.
     pub async fn next_piece(&mut self) -> Result<Option<Bytes>, BreakReason> {
-        self.connection.next_piece(&mut self.body).await
+        tokio::select! {
+            piece = self.connection.next_piece(&mut self.body) => piece,
+            () = self.life.cancelled() => Err(BreakReason::Restarted),
+        }
     }
 
     /// The whole rest of the body, and the connection kept for another
--- a/crates/pinerill-forward/src/fleet/choice.rs
+++ b/crates/pinerill-forward/src/fleet/choice.rs
@@ -3,6 +3,8 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+use pinerill_calls::directory::WorkerId;
+
 use super::prefixes::Prompt;
 use super::suspicion;
 use super::worker::Worker;
@@ -34,7 +36,7 @@
     /// The prompt.
     pub prompt: &'a Prompt,
     /// Workers that are not to be chosen, by identifier.
-    pub except: &'a [String],
+    pub except: &'a [WorkerId],
 }
 
 /// Where a caller's call may go now.
--- a/crates/pinerill-forward/src/fleet/mod.rs
+++ b/crates/pinerill-forward/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! is asked for a worker. Its beliefs carry the time at which they were learnt
 //! and fade with it.
 
+mod births;
 mod choice;
 mod peers;
 mod prefixes;
@@ -17,6 +18,7 @@
 use pinerill_calls::directory::{WorkerEntry, WorkerId, WorkerState};
 use pinerill_calls::protocol::LoadSample;
 
+use self::births::Births;
 use self::peers::PeerBook;
 
 pub use choice::{BatchCapacity, Placement, Wanted};
@@ -53,9 +55,19 @@
     workers: HashMap<WorkerId, Worker>,
     by_service: HashMap<String, Vec<WorkerId>>,
     by_key: HashMap<WorkerKey, WorkerId>,
+    births: Births,
     peers: PeerBook,
 }
 
+/// A worker that the directory names no more.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GoneWorker {
+    /// Its last entry.
+    pub entry: Arc<WorkerEntry>,
+    /// It has started again since, so that its process has ended for certain.
+    pub is_restarted: bool,
+}
+
 impl Fleet {
     /// A fleet without workers, seen from a zone.
     pub fn new(zone: &str, settings: ChoiceSettings) -> Self {
@@ -65,17 +77,24 @@
             workers: HashMap::new(),
             by_service: HashMap::new(),
             by_key: HashMap::new(),
+            births: Births::default(),
             peers: PeerBook::default(),
         }
     }
 
     /// Takes in a whole directory. What is known of workers that stay is kept;
-    /// one that was seen leaving stays so. Returns the workers that are gone.
-    pub fn take_directory(&mut self, entries: &[WorkerEntry]) -> Vec<Arc<WorkerEntry>> {
+    /// one that was seen leaving stays so. Of a worker that has started again only the
+    /// newest start that was ever listed counts, and nothing that was known of it before.
+    /// Returns the workers that are gone.
+    pub fn take_directory(&mut self, now_ms: u64, entries: &[WorkerEntry]) -> Vec<GoneWorker> {
         let mut earlier = std::mem::take(&mut self.workers);
         self.by_service.clear();
         self.by_key.clear();
+        self.births.forget_old(now_ms);
         for entry in entries {
+            if !self.births.is_newest(now_ms, &entry.id) {
+                continue;
+            }
             let worker = match earlier.remove(&entry.id) {
                 Some(mut known) => {
                     known.take_entry(entry);
@@ -91,7 +110,11 @@
         }
         self.recount_peers();
         let gone = earlier.into_values();
-        gone.map(|worker| worker.entry().clone()).collect()
+        gone.map(|worker| GoneWorker {
+            is_restarted: self.births.has_newer(&worker.entry().id),
+            entry: worker.entry().clone(),
+        })
+        .collect()
     }
 
     /// Whether the directory has any worker.
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -253,7 +253,7 @@
 
 impl Occupied {
     /// The worker.
-    pub fn worker(&self) -> &str {
+    pub fn worker(&self) -> &WorkerId {
         &self.worker
     }
 
