Beliefs, leases and deadlines age by boot time

Cause: the steady clock stands still while a machine is suspended, so that a directory, a lease, a leadership, other nodes' counts and the time that a caller still waits looked fresh after waking. Found by reading. Change: BootInstant (CLOCK_BOOTTIME by rustix) takes the place of Instant in nodes, control machines and group hosts; deadlines of calls and long polls are set anew once a suspension is seen; it is logged and counted. Hosts take their clock as a setting, so that tests move it. No test suspends a machine.

--- a/crates/pinerill-cluster/src/server/control.rs
+++ b/crates/pinerill-cluster/src/server/control.rs
@@ -1,9 +1,9 @@
 //! What the parts of a control machine share.
 
+use pinerill_process::clock::BootInstant;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
 
 use parking_lot::Mutex;
 use pinerill_calls::digest::Digest;
@@ -40,7 +40,7 @@
     pub(super) traffic: Traffic,
     /// Counts changes that watches and long polls wait for.
     pub(super) news: watch::Sender<u64>,
-    pub(super) started: Instant,
+    pub(super) started: BootInstant,
     pub(super) stopping: CancellationToken,
 }
 
--- a/crates/pinerill-cluster/src/server/monitoring.rs
+++ b/crates/pinerill-cluster/src/server/monitoring.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write;
 use std::sync::atomic::Ordering;
 
+use pinerill_process::clock::suspensions;
 use pinerill_process::Monitored;
 
 use super::control::Control;
@@ -41,6 +42,7 @@
         line("peers_connected", self.pool.peers().len() as u64);
         line("messages_received_total", counters.messages_received);
         line("table_version", table.unwrap_or_default());
+        line("suspensions_total", suspensions());
         line("items_waiting", waiting as u64);
         line("has_jobs", u64::from(!jobs));
         line("workers", workers.unwrap_or_default() as u64);
--- a/crates/pinerill-cluster/src/server/peers.rs
+++ b/crates/pinerill-cluster/src/server/peers.rs
@@ -5,7 +5,9 @@
 //! is there; the leader records it and the group's membership follows.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use pinerill_process::clock::BootInstant;
 
 use pinerill_calls::digest::Digest;
 use pinerill_calls::message::{
@@ -37,19 +39,19 @@
 /// The leader as another machine named it; the group itself tells members only.
 #[derive(Debug, Default)]
 pub(super) struct NamedLeader {
-    named: Option<(KnownLeader, Instant)>,
+    named: Option<(KnownLeader, BootInstant)>,
 }
 
 impl NamedLeader {
     /// Takes in what a machine says; what is known of a later term stays.
     fn take_in(&mut self, leader: KnownLeader) {
-        let newer = |(known, _): &(KnownLeader, Instant)| known.term > leader.term;
+        let newer = |(known, _): &(KnownLeader, BootInstant)| known.term > leader.term;
         if !self.current().as_ref().is_some_and(newer) {
-            self.named = Some((leader, Instant::now()));
+            self.named = Some((leader, BootInstant::now()));
         }
     }
 
-    fn current(&self) -> Option<(KnownLeader, Instant)> {
+    fn current(&self) -> Option<(KnownLeader, BootInstant)> {
         self.named
             .filter(|(_, heard)| heard.elapsed() < NAMED_LEADER_LIFE)
     }
--- a/crates/pinerill-cluster/src/server/run.rs
+++ b/crates/pinerill-cluster/src/server/run.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use pinerill_process::clock::{watch_suspensions, BootInstant};
 
 use anyhow::Context;
 use parking_lot::Mutex;
@@ -199,7 +201,7 @@
         worker_list: protocols.worker_list,
         traffic: Traffic::default(),
         news: watch::Sender::new(0),
-        started: Instant::now(),
+        started: BootInstant::now(),
         stopping,
     });
     Ok((control, identity))
@@ -248,12 +250,17 @@
         spawn(Box::pin(async move { upkeep.keep_up().await })),
         spawn(Box::pin(async move { workers.follow_workers().await })),
         spawn(Box::pin(async move { traffic.log_traffic().await })),
+        spawn(Box::pin(watch_suspensions(log_suspension))),
         spawn(Box::pin(
             async move { reloading.follow_settings(file).await },
         )),
     ]
 }
 
+fn log_suspension(suspended: Duration) {
+    log::warn!(event = "machine_was_suspended", ms = suspended.as_millis() as u64; "");
+}
+
 impl Control {
     /// Logs which bytes it exchanged with whom.
     async fn log_traffic(&self) {
--- a/crates/pinerill-cluster/src/server/workers.rs
+++ b/crates/pinerill-cluster/src/server/workers.rs
@@ -4,7 +4,8 @@
 
 use anyhow::{bail, Context};
 use pinerill_calls::directory::{ListReading, SkippedEntries, WorkerEntry};
-use tokio::time::{sleep, timeout, Instant};
+use pinerill_process::clock::BootInstant;
+use tokio::time::{sleep, timeout};
 
 use super::control::Control;
 
@@ -36,7 +37,7 @@
                 let _ = timeout(FOLLOWER_PAUSE, news.changed()).await;
                 continue;
             }
-            let started = Instant::now();
+            let started = BootInstant::now();
             let read = self.read_workers(&client).await;
             if read.is_ok() != reachable {
                 reachable = read.is_ok();
--- a/crates/pinerill-control/src/host/settings.rs
+++ b/crates/pinerill-control/src/host/settings.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use pinerill_process::clock::Clock;
 use pinerill_replica::{GroupId, ReplicaConfig, ReplicaId};
 
 use super::driver::DriverSettings;
@@ -9,6 +10,8 @@
 /// Settings shared by all groups of a host.
 #[derive(Clone, Debug)]
 pub struct HostSettings {
+    /// The clock by which leaders, leases and silent peers age.
+    pub clock: Clock,
     /// Time between heartbeats.
     pub heartbeat: Duration,
     /// Shortest election timeout.
@@ -38,6 +41,7 @@
 impl Default for HostSettings {
     fn default() -> Self {
         HostSettings {
+            clock: Clock::default(),
             heartbeat: Duration::from_millis(100),
             election_min: Duration::from_millis(500),
             election_max: Duration::from_millis(1000),
--- a/crates/pinerill-control/src/host/task.rs
+++ b/crates/pinerill-control/src/host/task.rs
@@ -6,7 +6,6 @@
 
 use pinerill_replica::{GroupId, RoleChange};
 use tokio::sync::{mpsc, watch};
-use tokio::time::Instant;
 
 use super::counters::count;
 use super::driver::{Answer, DriverInput, Effect, GroupDriver, StoredWrite};
@@ -25,7 +24,8 @@
     /// Weak, so that a stopped host's store completions end nowhere.
     events: mpsc::WeakUnboundedSender<Event>,
     status: watch::Sender<GroupStatus>,
-    started: Instant,
+    /// Time on the host's clock when the task began.
+    started: Duration,
     stopping: bool,
 }
 
@@ -38,12 +38,12 @@
         status: watch::Sender<GroupStatus>,
     ) -> Self {
         GroupTask {
+            started: shared.settings.clock.time(),
             group,
             driver,
             shared,
             events,
             status,
-            started: Instant::now(),
             stopping: false,
         }
     }
@@ -53,14 +53,14 @@
         self.finish_round();
         let mut events = Vec::new();
         while !self.stopping {
-            let deadline = self.started + Duration::from_millis(self.driver.next_deadline_ms());
+            let until_deadline = self.until_deadline();
             tokio::select! {
                 count = inbox.recv_many(&mut events, MAX_EVENTS) => {
                     if count == 0 {
                         break;
                     }
                 }
-                () = tokio::time::sleep_until(deadline) => {}
+                () = tokio::time::sleep(until_deadline) => {}
             }
             for event in events.drain(..) {
                 self.handle(event);
@@ -71,7 +71,15 @@
     }
 
     fn now_ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
+        let time = self.shared.settings.clock.time();
+        time.saturating_sub(self.started).as_millis() as u64
+    }
+
+    /// Time until the driver must be called. A timer that was set before the machine was
+    /// suspended fires late; what is due then is found by the clock.
+    fn until_deadline(&self) -> Duration {
+        let left_ms = self.driver.next_deadline_ms().saturating_sub(self.now_ms());
+        Duration::from_millis(left_ms)
     }
 
     fn finish_round(&mut self) {
--- a/crates/pinerill-control/tests/host_cluster.rs
+++ b/crates/pinerill-control/tests/host_cluster.rs
@@ -2,9 +2,14 @@
 
 mod host_support;
 
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
-use host_support::{confirmed_read, eventually, settings, Cluster, CountingMachine, GROUP};
+use host_support::{
+    confirmed_read, eventually, settings, test_clock, Cluster, CountingMachine, GROUP,
+};
 use pinerill_control::host::{ChangeError, GroupHost, ProposeError};
 use pinerill_replica::{ChangeRefused, GroupId, MembershipChange, ReplicaId};
 use pinerill_storage::{GroupStore, MemoryStore, Store};
@@ -37,6 +42,37 @@
     assert_eq!(refused, Err(ProposeError::NotLeader { leader }));
 }
 
+/// A leader that was suspended heard nothing meanwhile, though the steady clock says that no
+/// time has passed: it leads no more before it says anything as a leader.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_that_was_suspended_steps_down_at_once() {
+    let mut cluster = Cluster::new();
+    let voters = [id(1), id(2), id(3)];
+    let mut suspended = BTreeMap::new();
+    for voter in voters {
+        let by_ms = Arc::new(AtomicU64::new(0));
+        cluster.settings.clock = test_clock(by_ms.clone());
+        // Far longer than the test may take to see it.
+        cluster.settings.election_min = Duration::from_secs(3);
+        cluster.settings.election_max = Duration::from_secs(5);
+        cluster.start(Arc::new(MemoryStore::synced(voter)), &voters);
+        suspended.insert(voter, by_ms);
+    }
+    cluster.propose_many(0, 5).await;
+    let leader = cluster.leader().await;
+    cluster.network.cut(leader);
+    suspended[&leader].store(10_000, Ordering::SeqCst);
+    let began = Instant::now();
+    let group = &cluster.members[&leader].group;
+    eventually("it steps down", || (!group.status().leads()).then_some(())).await;
+    assert!(
+        began.elapsed() < Duration::from_millis(1_500),
+        "{:?}",
+        began.elapsed()
+    );
+    assert!(group.propose(b"late".to_vec()).await.is_err());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn every_host_on_disk_survives_a_restart() {
     let folders = [(); 3].map(|()| tempfile::tempdir().expect("folder"));
--- a/crates/pinerill-control/tests/host_support/mod.rs
+++ b/crates/pinerill-control/tests/host_support/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)]
 
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +10,7 @@
 use pinerill_control::host::{
     GroupHandle, GroupHost, HostSettings, ProposeError, StateMachine, TableWriter, Transport,
 };
+use pinerill_process::clock::Clock;
 use pinerill_replica::{Envelope, GroupId, Message, ReplicaId};
 use pinerill_storage::GroupStore;
 
@@ -101,8 +102,16 @@
     new_machine: fn() -> M,
 }
 
+/// A clock that stands still where a test pauses tokio's, and that can be put forward as by
+/// a suspension of the machine.
+pub fn test_clock(suspended_ms: Arc<AtomicU64>) -> Clock {
+    let begin = tokio::time::Instant::now();
+    Clock::new(move || begin.elapsed() + Duration::from_millis(suspended_ms.load(Ordering::SeqCst)))
+}
+
 pub fn settings() -> HostSettings {
     HostSettings {
+        clock: test_clock(Arc::default()),
         heartbeat: Duration::from_millis(30),
         election_min: Duration::from_millis(150),
         election_max: Duration::from_millis(300),
--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -1,7 +1,9 @@
 //! Runs one item until it has an end.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use pinerill_process::clock::BootInstant;
 
 use bytes::Bytes;
 use http::header::AUTHORIZATION;
@@ -57,7 +59,7 @@
     /// When its result is due, on the node's clock, milliseconds.
     due_ms: i64,
     /// When it gave way, until the next event after that.
-    gave_way: Option<Instant>,
+    gave_way: Option<BootInstant>,
     /// How often it gave way.
     times_given_way: u32,
     /// Length of the text, and of what is kept of it.
@@ -68,7 +70,7 @@
 /// to the worker, which then stops working on it.
 pub(super) async fn run(node: Arc<Node>, held: Arc<Held>, leased: LeasedItem, reporter: Reporter) {
     let item = leased.item.clone();
-    let started = Instant::now();
+    let started = BootInstant::now();
     let Some(mut running) = begin(&node, leased).await else {
         // It did not run, so that no failure is told: it may have ended
         // meanwhile, or its route be gone or newer here than at the leader.
@@ -245,7 +247,7 @@
             Some(ItemEnd::Impossible)
         }
         Verdict::Taken if sent.head.status == StatusCode::OK => {
-            let began = Instant::now();
+            let began = BootInstant::now();
             let read = read_events(running, sent.exchange, place, &mut run, node).await;
             running.ran += began.elapsed();
             match read {
@@ -280,7 +282,7 @@
 /// Waits for a worker with room, and for the leader's word that the item is
 /// still this node's. None after a while if nothing of the item is here yet.
 async fn find_place(node: &Arc<Node>, held: &Held, running: &mut Running) -> Option<Occupied> {
-    let began = Instant::now();
+    let began = BootInstant::now();
     while running.last.is_some() || began.elapsed() < PLACE_TIME {
         if held.is_renewed() && !node.calls_wait() {
             let wanted = Wanted {
@@ -406,7 +408,7 @@
 }
 
 fn gave_way(node: &Node, running: &mut Running, worker: &str) {
-    running.gave_way.get_or_insert_with(Instant::now);
+    running.gave_way.get_or_insert_with(BootInstant::now);
     running.times_given_way += 1;
     node.metrics.items_gave_way.inc();
     log::info!(
--- a/crates/pinerill-forward/src/call/attempt.rs
+++ b/crates/pinerill-forward/src/call/attempt.rs
@@ -1,11 +1,13 @@
 //! One attempt at one worker, up to the head of its answer.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use pinerill_process::clock::{timeout_at, BootInstant};
 
 use pinerill_calls::directory::WorkerId;
 use pinerill_calls::protocol::{AttemptFacts, NotRunReason, Verdict};
-use tokio::time::{sleep, timeout_at};
+use tokio::time::sleep;
 
 use super::decision::AttemptEnd;
 use super::{Call, CallRecord};
@@ -73,9 +75,9 @@
             headers,
         );
         let limit = patience.map_or(call.deadline, |patience| {
-            call.deadline.min(Instant::now() + patience)
+            call.deadline.min(BootInstant::now() + patience)
         });
-        let answered = timeout_at(limit.into(), begun).await;
+        let answered = timeout_at(limit, begun).await;
         let sent = match answered {
             Ok(Ok(sent)) => sent,
             Ok(Err(failure)) => {
@@ -124,7 +126,7 @@
         call: &Call,
         record: &mut CallRecord,
     ) -> Result<Placed, AttemptEnd> {
-        let began = Instant::now();
+        let began = BootInstant::now();
         let fresh = !self.sent;
         let placed = node.dispatcher.place(node, call, &self.failed, fresh).await;
         record.waited(began.elapsed());
--- a/crates/pinerill-forward/src/call/online.rs
+++ b/crates/pinerill-forward/src/call/online.rs
@@ -5,6 +5,7 @@
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use pinerill_calls::protocol::{Refusal, Verdict};
+use pinerill_process::clock::timeout_at;
 
 use super::attempt::{Attempted, Attempts};
 use super::decision::{AttemptEnd, CallProgress, Next};
@@ -102,7 +103,7 @@
     let reading = sent
         .exchange
         .read_whole(node.connections(), WHOLE_ANSWER_LIMIT);
-    let read = tokio::time::timeout_at(call.deadline.into(), reading).await;
+    let read = timeout_at(call.deadline, reading).await;
     let body = match read.unwrap_or(Err(BreakReason::Silent)) {
         Ok(body) => {
             run.answered();
--- a/crates/pinerill-forward/src/call/relay.rs
+++ b/crates/pinerill-forward/src/call/relay.rs
@@ -4,8 +4,8 @@
 //! the route allows it, the events go on from another worker behind the last
 //! one that was wholly passed on; the connection to the first is closed before.
 
+use pinerill_process::clock::{timeout_at, BootInstant};
 use std::sync::Arc;
-use std::time::Instant;
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -16,7 +16,6 @@
 use pinerill_calls::protocol::Verdict;
 use thiserror::Error;
 use tokio::task::yield_now;
-use tokio::time::timeout_at;
 
 use super::attempt::{Attempted, Attempts};
 use super::decision::{AttemptEnd, CallProgress, Next};
@@ -113,7 +112,7 @@
             return Err(BreakReason::Silent);
         };
         loop {
-            let piece = timeout_at(limit.into(), running.exchange.next_piece()).await;
+            let piece = timeout_at(limit, running.exchange.next_piece()).await;
             let Some(piece) = piece.unwrap_or(Err(BreakReason::Silent))? else {
                 return match self.scanner.has_part() {
                     true => Err(BreakReason::Cut),
@@ -132,7 +131,7 @@
 
     /// How long to wait for a worker that is silent. Silence alone never ends
     /// an answer that can't go on elsewhere.
-    fn patience_until(&self) -> Instant {
+    fn patience_until(&self) -> BootInstant {
         let deadline = self.call.deadline;
         if !self.progress.may_go_on_elsewhere() {
             return deadline;
@@ -141,7 +140,7 @@
             true => self.call.first_patience(),
             false => self.call.gap_patience(),
         };
-        deadline.min(Instant::now() + patience)
+        deadline.min(BootInstant::now() + patience)
     }
 
     fn finish(&mut self) {
--- a/crates/pinerill-forward/src/call/request.rs
+++ b/crates/pinerill-forward/src/call/request.rs
@@ -1,7 +1,9 @@
 //! What a call is, for all its attempts.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use pinerill_process::clock::BootInstant;
 
 use http::HeaderMap;
 use pinerill_calls::protocol::CallHead;
@@ -39,25 +41,25 @@
     /// Its prompt.
     pub prompt: Prompt,
     /// When it arrived.
-    pub arrived: Instant,
+    pub arrived: BootInstant,
     /// When it must have its final answer.
-    pub deadline: Instant,
+    pub deadline: BootInstant,
 }
 
 impl Call {
     /// The time until which it may be held: the caller's and the route's.
-    pub fn deadline_of(head: &CallHead, route: &Route, arrived: Instant) -> Instant {
+    pub fn deadline_of(head: &CallHead, route: &Route, arrived: BootInstant) -> BootInstant {
         let allowed = Duration::from_millis(route.timeout_ms);
         arrived + head.deadline.map_or(allowed, |told| told.min(allowed))
     }
 
     /// Time that is left.
     pub fn remaining(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.deadline.remaining()
     }
 
     /// When its first event must have reached the caller, who gives it up then.
-    pub fn first_event_by(&self) -> Instant {
+    pub fn first_event_by(&self) -> BootInstant {
         let patience = self.route.caller_patience_ms.map(Duration::from_millis);
         let given_up = patience.map(|patience| self.arrived + patience);
         given_up.map_or(self.deadline, |at| at.min(self.deadline))
--- a/crates/pinerill-forward/src/cluster/client.rs
+++ b/crates/pinerill-forward/src/cluster/client.rs
@@ -7,12 +7,13 @@
 
 use parking_lot::Mutex;
 use pinerill_calls::message::{decode, CallsRequest, CallsResponse, ControlAddress};
+use pinerill_process::clock::BootInstant;
 use pinerill_wire::api::{CallError, CallErrorKind};
 use pinerill_wire::connection::{Connection, Identity, LinkCounters};
 use pinerill_wire::message::{RefusalCode, Request, Response};
 use thiserror::Error;
 use tokio::sync::Mutex as AsyncMutex;
-use tokio::time::{sleep, Instant};
+use tokio::time::sleep;
 
 /// Pause before the next machine is asked.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
@@ -65,13 +66,13 @@
     /// Those of this node's zone that hold the group's state.
     near: Vec<SocketAddr>,
     /// Until when those that failed are avoided.
-    avoided: HashMap<SocketAddr, Instant>,
+    avoided: HashMap<SocketAddr, BootInstant>,
 }
 
 impl Addresses {
     fn is_avoided(&self, address: &SocketAddr) -> bool {
         let until = self.avoided.get(address);
-        until.is_some_and(|until| *until > Instant::now())
+        until.is_some_and(|until| *until > BootInstant::now())
     }
 
     /// The leader if it answers, otherwise each in turn; those that failed a
@@ -152,14 +153,14 @@
         hold: Duration,
     ) -> Result<Answered, CallFailure> {
         let encoded = request.clone().into_wire();
-        let deadline = Instant::now() + time;
+        let deadline = BootInstant::now() + time;
         let mut failure = CallFailure {
             maybe_done: false,
             invalid: false,
             message: "no control machine was asked".to_owned(),
         };
         loop {
-            let left = deadline.saturating_duration_since(Instant::now());
+            let left = deadline.remaining();
             if left.is_zero() {
                 return Err(failure);
             }
@@ -245,7 +246,7 @@
 
     async fn connection(&self, address: SocketAddr) -> Result<Connection, CallError> {
         let slot = self.connections.lock().entry(address).or_default().clone();
-        let waited = Instant::now();
+        let waited = BootInstant::now();
         let mut held = slot.lock().await;
         if let Some(connection) = held.as_ref().filter(|one| !one.is_closed()) {
             return Ok(connection.clone());
@@ -279,7 +280,7 @@
         if matches!(error.kind, CallErrorKind::Refused(_)) {
             return;
         }
-        let until = Instant::now() + AVOID_TIME;
+        let until = BootInstant::now() + AVOID_TIME;
         self.addresses.lock().avoided.insert(address, until);
     }
 
--- a/crates/pinerill-forward/src/cluster/watch.rs
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -13,7 +13,8 @@
 };
 use pinerill_calls::protocol::WorkerListProtocol;
 use pinerill_calls::table::RouteIndex;
-use tokio::time::{sleep, Instant};
+use pinerill_process::clock::BootInstant;
+use tokio::time::sleep;
 
 use crate::crash::broken_runs::CrashEvidence;
 use crate::node::Node;
@@ -83,7 +84,7 @@
     /// What the log says; none before the first line of this process.
     told: Option<bool>,
     /// When the last failure was logged.
-    failure_logged: Option<Instant>,
+    failure_logged: Option<BootInstant>,
 }
 
 impl Reachability {
@@ -107,7 +108,7 @@
             return;
         }
         self.told = Some(false);
-        self.failure_logged = Some(Instant::now());
+        self.failure_logged = Some(BootInstant::now());
         let asked = node.cluster.known_addresses();
         let silent_ms = node
             .now_ms()
@@ -210,7 +211,7 @@
         if Duration::from_millis(silent_ms) < LIST_AFTER {
             continue;
         }
-        let started = Instant::now();
+        let started = BootInstant::now();
         match read_list(&node, &client, list.as_ref()).await {
             Ok(reading) => {
                 take_workers(&node, Directory::new(reading.workers).workers(), "list");
--- a/crates/pinerill-forward/src/dispatch/mod.rs
+++ b/crates/pinerill-forward/src/dispatch/mod.rs
@@ -16,12 +16,14 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use pinerill_process::clock::timeout_at;
 
 use parking_lot::Mutex;
 use pinerill_calls::directory::WorkerId;
 use tokio::sync::{oneshot, Notify};
-use tokio::time::{sleep, timeout, timeout_at};
+use tokio::time::{sleep, timeout};
 
 use self::admission::{admit, Admission, Applicant, Pace};
 use self::demand::ZoneDemand;
@@ -149,7 +151,7 @@
             true => self.times.latest_place(call),
             false => call.deadline,
         };
-        let granted = timeout_at(latest.into(), granted).await;
+        let granted = timeout_at(latest, granted).await;
         match granted {
             Ok(Ok(result)) => result,
             Ok(Err(_)) | Err(_) if fresh => Err(self.waited_in_vain(node, call)),
@@ -211,10 +213,7 @@
         let applicant = Applicant {
             ahead,
             interval_ms,
-            patience: self
-                .times
-                .latest_place(call)
-                .saturating_duration_since(Instant::now()),
+            patience: self.times.latest_place(call).remaining(),
         };
         match admit(&applicant, rand::random()) {
             Admission::Wait => Ok(()),
--- a/crates/pinerill-forward/src/dispatch/times.rs
+++ b/crates/pinerill-forward/src/dispatch/times.rs
@@ -1,7 +1,9 @@
 //! How long calls take at workers, by route, as this node saw it.
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use pinerill_process::clock::BootInstant;
 
 use parking_lot::Mutex;
 
@@ -53,7 +55,7 @@
     /// first event before the caller gives up, and for the last one before the
     /// deadline. Times that calls seldom stay below are counted, none while they are
     /// not known.
-    pub(super) fn latest_place(&self, call: &Call) -> Instant {
+    pub(super) fn latest_place(&self, call: &Call) -> BootInstant {
         let routes = self.routes.lock();
         let times = routes.get(&call.route.name);
         let least = |time: fn(&RouteTimes) -> &RunTime| {
--- a/crates/pinerill-forward/src/exchange/pool.rs
+++ b/crates/pinerill-forward/src/exchange/pool.rs
@@ -2,7 +2,9 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use pinerill_process::clock::BootInstant;
 
 use parking_lot::Mutex;
 use pinerill_calls::directory::{WorkerEntry, WorkerId};
@@ -22,7 +24,7 @@
 
 struct Idle {
     connection: WorkerConnection,
-    until: Instant,
+    until: BootInstant,
 }
 
 /// Connections that may carry another request, by worker; the one used last
@@ -64,7 +66,7 @@
     }
 
     async fn open_timed(&self, worker: &WorkerEntry) -> Result<WorkerConnection, BreakReason> {
-        let began = Instant::now();
+        let began = BootInstant::now();
         let connection = WorkerConnection::open(worker.address).await?;
         let mut times = self.connect_times.lock();
         times.took(&worker.zone, began.elapsed());
@@ -73,7 +75,7 @@
 
     /// Takes a connection to a worker, if one is open.
     pub fn take(&self, worker: &str) -> Option<WorkerConnection> {
-        let now = Instant::now();
+        let now = BootInstant::now();
         loop {
             let idle = self.idle.lock().get_mut(worker)?.pop()?;
             let mut connection = idle.connection;
@@ -95,7 +97,7 @@
             return;
         }
         let time = keep_alive.map_or(IDLE_TIME, |told| told.saturating_sub(IDLE_MARGIN));
-        let until = Instant::now() + time.min(IDLE_TIME);
+        let until = BootInstant::now() + time.min(IDLE_TIME);
         let mut idle = self.idle.lock();
         let kept = idle.entry(worker.clone()).or_default();
         if kept.len() < KEPT_PER_WORKER {
@@ -115,7 +117,7 @@
 
     /// Closes what has been idle for too long.
     pub fn sweep(&self) {
-        let now = Instant::now();
+        let now = BootInstant::now();
         let mut idle = self.idle.lock();
         for kept in idle.values_mut() {
             kept.retain_mut(|one| one.until > now && one.connection.is_reusable());
--- a/crates/pinerill-forward/src/gateway/jobs.rs
+++ b/crates/pinerill-forward/src/gateway/jobs.rs
@@ -1,6 +1,8 @@
 //! Submissions, results, bodies and ends of jobs.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use pinerill_process::clock::BootInstant;
 
 use pinerill_calls::compression::decompress;
 use pinerill_calls::job::{ItemCall, NewCallJob, ResultPage};
@@ -27,12 +29,10 @@
 pub(super) async fn submit(
     node: &Node,
     job: NewCallJob,
-    deadline: Instant,
+    deadline: BootInstant,
 ) -> Result<HttpAnswer, Refusal> {
     let id = job.id.clone();
-    let time = deadline
-        .saturating_duration_since(Instant::now())
-        .min(ASK_TIME);
+    let time = deadline.remaining().min(ASK_TIME);
     let request = CallsRequest::SubmitJob(Box::new(job));
     let answer = node.cluster.call(&request, time, Duration::ZERO).await;
     let result = match answer {
--- a/crates/pinerill-forward/src/gateway/request.rs
+++ b/crates/pinerill-forward/src/gateway/request.rs
@@ -1,7 +1,9 @@
 //! One request: head, route, admission, body, and what serves it.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use pinerill_process::clock::{timeout_at, BootInstant};
 
 use bytes::Bytes;
 use http::header::AUTHORIZATION;
@@ -11,7 +13,6 @@
 use hyper::body::Incoming;
 use pinerill_calls::protocol::{CallHead, CallerAnswer, CallerRequest, HttpAnswer, Refusal};
 use pinerill_calls::table::{Route, RouteIndex, RouteKind};
-use tokio::time::timeout_at;
 
 use super::jobs;
 use crate::call::{run_call, AnswerBody, Call};
@@ -30,7 +31,7 @@
 /// Answers one request.
 pub(super) async fn serve(node: Arc<Node>, request: Request<Incoming>) -> Response<AnswerBody> {
     node.metrics.requests.inc();
-    let arrived = Instant::now();
+    let arrived = BootInstant::now();
     let (head, body) = request.into_parts();
     let path = head.uri.path().to_owned();
     let mut id = String::new();
@@ -72,7 +73,7 @@
     head: Parts,
     call: CallHead,
     body: Incoming,
-    arrived: Instant,
+    arrived: BootInstant,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let table = admit(&node).await?;
     let path = head.uri.path();
@@ -115,8 +116,8 @@
     call: CallHead,
     route: Arc<Route>,
     body: Bytes,
-    arrived: Instant,
-    deadline: Instant,
+    arrived: BootInstant,
+    deadline: BootInstant,
 ) -> Result<Call, Refusal> {
     let target = route.target_at(rand::random()).ok_or(Refusal::NoRoute)?;
     let service = target.service.clone();
@@ -146,9 +147,9 @@
     })
 }
 
-async fn read_body(body: Incoming, limit: u64, deadline: Instant) -> Result<Bytes, Refusal> {
+async fn read_body(body: Incoming, limit: u64, deadline: BootInstant) -> Result<Bytes, Refusal> {
     let limited = Limited::new(body, limit as usize);
-    let read = timeout_at(deadline.into(), limited.collect()).await;
+    let read = timeout_at(deadline, limited.collect()).await;
     match read {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::TooLong),
--- a/crates/pinerill-forward/src/monitoring.rs
+++ b/crates/pinerill-forward/src/monitoring.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
+use pinerill_process::clock::suspensions;
 use pinerill_process::Monitored;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
@@ -33,6 +34,7 @@
     pub(crate) items_withheld: IntCounter,
     workers_crashed: IntCounterVec,
     pub(crate) runs_crashed: IntCounter,
+    suspensions: IntGauge,
     pub(crate) peer_messages_dropped: IntCounter,
     requests_suspected: IntGauge,
     requests_blocked: IntGauge,
@@ -142,6 +144,10 @@
                 "pinerill_node_runs_crashed_total",
                 "Runs of requests that ended with a crash of their worker",
             )?,
+            suspensions: gauge(
+                "pinerill_node_suspensions",
+                "Times that the machine was suspended and woke again",
+            )?,
             peer_messages_dropped: counter(
                 "pinerill_node_peer_messages_dropped_total",
                 "Datagrams of other nodes that could not be read or were not theirs to send",
@@ -214,6 +220,7 @@
         let heard_ms = self.beliefs.control_heard_ms.load(Ordering::Relaxed);
         let version = self.table().map_or(0, |index| index.table().version);
         metrics.table_version.set(number(version));
+        metrics.suspensions.set(number(suspensions()));
         metrics
             .requests_suspected
             .set(number(self.suspected_requests() as u64));
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -2,14 +2,15 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use pinerill_process::clock::{timeout_at, BootInstant};
 
 use parking_lot::{Mutex, RwLock};
 use pinerill_calls::directory::WorkerId;
 use pinerill_calls::protocol::{CallerProtocol, LoadSample, WorkerProtocol};
 use pinerill_calls::table::RouteIndex;
 use tokio::sync::{Notify, Semaphore};
-use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
 
 use crate::batch::Runs;
@@ -55,7 +56,7 @@
     pub(crate) crashes: CrashDesk,
     pub(crate) metrics: Metrics,
     pub(crate) beliefs: Beliefs,
-    started: Instant,
+    started: BootInstant,
     pub(crate) stopping: CancellationToken,
     /// When it began to stop, on its clock; 0 before.
     stop_began_ms: AtomicU64,
@@ -93,7 +94,7 @@
             crashes: CrashDesk::default(),
             metrics: parts.metrics,
             beliefs: Beliefs::default(),
-            started: Instant::now(),
+            started: BootInstant::now(),
             stopping: parts.stopping,
             stop_began_ms: AtomicU64::new(0),
         }
@@ -152,7 +153,7 @@
             if let Some(table) = self.table() {
                 return Some(table);
             }
-            timeout_at(until.into(), taken).await.ok()?;
+            timeout_at(until, taken).await.ok()?;
         }
     }
 
--- a/crates/pinerill-forward/src/run.rs
+++ b/crates/pinerill-forward/src/run.rs
@@ -6,6 +6,7 @@
 
 use anyhow::Context;
 use pinerill_calls::protocol::{CallerProtocol, WorkerListProtocol, WorkerProtocol};
+use pinerill_process::clock::watch_suspensions;
 use pinerill_process::{monitoring_server, Server, SettingsFile, StopSignals};
 use pinerill_wire::api::Role;
 use pinerill_wire::connection::{ClusterKey, Identity};
@@ -82,6 +83,7 @@
     let telling_zones = spawn(boxed(peers::tell_zones(node.clone())));
     let telling_crashes = spawn(boxed(peers::tell_crashes(node.clone())));
     let placing = spawn(boxed(dispatch::run(node.clone())));
+    let watching_clocks = spawn(boxed(watch_clocks(node.clone())));
     let sweeping = spawn(boxed(sweep(node.clone())));
     let ending = async {
         gateway::serve(node.clone(), listener, grace).await;
@@ -109,6 +111,7 @@
         telling_crashes,
         placing,
         reloading,
+        watching_clocks,
         sweeping,
     ));
     tokio::join!(probes.stop(), metrics.stop());
@@ -165,6 +168,17 @@
     }
 }
 
+/// Says when the machine was suspended: what was believed before is old by that time.
+async fn watch_clocks(node: Arc<Node>) {
+    watch_suspensions(|suspended| {
+        log::warn!(
+            event = "machine_was_suspended", ms = suspended.as_millis() as u64,
+            directory_age_ms = node.directory_age_ms(); ""
+        );
+    })
+    .await;
+}
+
 async fn sweep(node: Arc<Node>) {
     loop {
         sleep(SWEEP_PAUSE).await;
--- a/crates/pinerill-process/src/lib.rs
+++ b/crates/pinerill-process/src/lib.rs
@@ -2,6 +2,7 @@
 //! ([`StopSignals`]), HTTP servers that stop in a planned way ([`Server`]),
 //! a settings file that may change ([`SettingsFile`]), and what operators look at ([`monitoring_server`]).
 
+pub mod clock;
 pub mod logging;
 mod monitoring;
 mod server;
