A node that was suspended asks again before it sends calls

Cause: after waking, calls that came in the first moment would be sent by a directory and a table as old as the suspension; found by reading. No test suspends a machine.

--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -15,6 +15,8 @@
 use pinerill_calls::protocol::{AttemptFacts, NotRunReason, Verdict};
 use tokio::time::{sleep, timeout};
 
+use pinerill_process::clock::suspensions;
+
 use super::leases::Held;
 use super::preemption::RunningItem;
 use super::reports::Reporter;
@@ -193,7 +195,7 @@
         return Attempt::Withheld;
     }
     match find_place(node, held, running).await {
-        Some(place) => match attempt_at(node, running, place).await {
+        Some(place) => match attempt_at(node, held, running, place).await {
             Some(end) => Attempt::Ended(end),
             None => Attempt::GoesOn,
         },
@@ -216,7 +218,12 @@
 }
 
 /// One attempt at one worker; none if the item must go on elsewhere.
-async fn attempt_at(node: &Arc<Node>, running: &mut Running, place: Occupied) -> Option<ItemEnd> {
+async fn attempt_at(
+    node: &Arc<Node>,
+    held: &Held,
+    running: &mut Running,
+    place: Occupied,
+) -> Option<ItemEnd> {
     let chosen = place.worker().clone();
     running.attempts += 1;
     let Begun {
@@ -248,13 +255,14 @@
         }
         Verdict::Taken if sent.head.status == StatusCode::OK => {
             let began = BootInstant::now();
-            let read = read_events(running, sent.exchange, place, &mut run, node).await;
+            let read = read_events(running, held, sent.exchange, place, &mut run, node).await;
             running.ran += began.elapsed();
             match read {
                 Ok(ReadEnd::GaveWay) => {
                     gave_way(node, running, &chosen);
                     None
                 }
+                Ok(ReadEnd::LeaseInDoubt) => None,
                 Ok(ReadEnd::Whole) => {
                     run.answered();
                     let text = std::mem::take(&mut running.text).into_bytes();
@@ -356,10 +364,13 @@
     Whole,
     /// The run ended for a call that waits.
     GaveWay,
+    /// The machine was suspended, and the leader has not confirmed the lease since.
+    LeaseInDoubt,
 }
 
 async fn read_events(
     running: &mut Running,
+    held: &Held,
     mut exchange: Exchange,
     place: Occupied,
     worker_run: &mut WorkerRun,
@@ -367,6 +378,7 @@
 ) -> Result<ReadEnd, BreakReason> {
     let mut run = register(node, running);
     let mut scanner = EventScanner::after(running.last);
+    let suspensions_before = suspensions();
     loop {
         let piece = tokio::select! {
             piece = timeout(PATIENCE, exchange.next_piece()) => piece,
@@ -379,6 +391,10 @@
         let Some(piece) = piece.unwrap_or(Err(BreakReason::Silent))? else {
             break;
         };
+        if suspensions() != suspensions_before && !held.is_renewed() {
+            place.succeeded();
+            return Ok(ReadEnd::LeaseInDoubt);
+        }
         let batch = scanner.push(&piece).map_err(|_| BreakReason::EventOrder)?;
         if batch.count > 0 {
             running.text.append(&batch.bytes);
--- a/crates/pinerill-forward/src/cluster/watch.rs
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -62,12 +62,14 @@
             processes: held.processes,
             wait_ms: HOLD.as_millis() as u64,
         });
+        let asked = BootInstant::now();
         let answer = node.cluster.call(&request, ASK_TIME, HOLD).await;
         let failure = match answer {
             Ok(answered) => {
                 if let CallsResponse::Watch(response) = answered.response {
                     reachability.heard(&node);
                     take_in(&node, *response, &mut held);
+                    node.waking.heard(asked);
                 }
                 continue;
             }
@@ -215,6 +217,7 @@
         match read_list(&node, &client, list.as_ref()).await {
             Ok(reading) => {
                 take_workers(&node, Directory::new(reading.workers).workers(), "list");
+                node.waking.heard(started);
                 node.beliefs.told_by_others.store(true, Ordering::Relaxed);
                 if reading.skipped.count > 0 {
                     log::warn!(
--- a/crates/pinerill-forward/src/gateway/request.rs
+++ b/crates/pinerill-forward/src/gateway/request.rs
@@ -104,6 +104,7 @@
             retry_after: Some(STOPPING_RETRY),
         });
     }
+    node.until_awake().await;
     node.first_table().await.ok_or(Refusal::NotRun {
         reason: "no route table yet",
         retry_after: Some(STARTING_RETRY),
--- a/crates/pinerill-forward/src/lib.rs
+++ b/crates/pinerill-forward/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod fleet;
 pub mod gateway;
 pub mod run_time;
+pub mod waking;
 
 mod monitoring;
 mod node;
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -11,6 +11,7 @@
 use pinerill_calls::protocol::{CallerProtocol, LoadSample, WorkerProtocol};
 use pinerill_calls::table::RouteIndex;
 use tokio::sync::{Notify, Semaphore};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use crate::batch::Runs;
@@ -22,6 +23,7 @@
 use crate::fleet::{BatchCapacity, Chosen, Fleet, Prompt, Wanted};
 use crate::monitoring::{Beliefs, Metrics};
 use crate::peers::Peers;
+use crate::waking::Waking;
 use pinerill_calls::settings::NodeSettings;
 
 /// Part of the time for a planned stop in which calls are still taken: callers
@@ -36,6 +38,9 @@
 /// second here.
 const CALLS_HELD_AT_START: usize = 64;
 
+/// Pause between two looks whether the leader has answered after a suspension.
+const WAKING_LOOK_PAUSE: Duration = Duration::from_millis(10);
+
 /// A node.
 pub struct Node {
     pub(crate) settings: NodeSettings,
@@ -54,6 +59,7 @@
     pub(crate) dispatcher: Dispatcher,
     pub(crate) runs: Arc<Runs>,
     pub(crate) crashes: CrashDesk,
+    pub(crate) waking: Waking,
     pub(crate) metrics: Metrics,
     pub(crate) beliefs: Beliefs,
     started: BootInstant,
@@ -92,6 +98,7 @@
             dispatcher: Dispatcher::default(),
             runs: Arc::default(),
             crashes: CrashDesk::default(),
+            waking: Waking::default(),
             metrics: parts.metrics,
             beliefs: Beliefs::default(),
             started: BootInstant::now(),
@@ -157,6 +164,27 @@
         }
     }
 
+    /// Looks whether the machine was suspended, and says so.
+    pub(crate) fn look_at_clocks(&self) {
+        let Some(suspended) = self.waking.look() else {
+            return;
+        };
+        // The leader shall tell all of it again.
+        self.beliefs.told_by_others.store(true, Ordering::Relaxed);
+        log::warn!(
+            event = "machine_was_suspended", ms = suspended.as_millis() as u64,
+            directory_age_ms = self.directory_age_ms(); ""
+        );
+    }
+
+    /// Waits while what is believed is as old as before a suspension of the machine.
+    pub(crate) async fn until_awake(&self) {
+        self.look_at_clocks();
+        while let Some(left) = self.waking.hold() {
+            sleep(left.min(WAKING_LOOK_PAUSE)).await;
+        }
+    }
+
     /// Takes in a route table unless one as new is in force.
     pub(crate) fn take_table(&self, index: RouteIndex) -> bool {
         let mut held = self.table.write();
--- a/crates/pinerill-forward/src/run.rs
+++ b/crates/pinerill-forward/src/run.rs
@@ -168,15 +168,9 @@
     }
 }
 
-/// Says when the machine was suspended: what was believed before is old by that time.
+/// Looks at the clocks again and again.
 async fn watch_clocks(node: Arc<Node>) {
-    watch_suspensions(|suspended| {
-        log::warn!(
-            event = "machine_was_suspended", ms = suspended.as_millis() as u64,
-            directory_age_ms = node.directory_age_ms(); ""
-        );
-    })
-    .await;
+    watch_suspensions(|_| node.look_at_clocks()).await;
 }
 
 async fn sweep(node: Arc<Node>) {
