--- a/crates/pinerill-cluster/src/server/control.rs
+++ b/crates/pinerill-cluster/src/server/control.rs
@@ -1,6 +1,6 @@
 //! What the parts of a control machine share.
 
-use pinerill_process::clock::BootInstant;
+use pinerill_process::clock::BootTime;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -40,7 +40,7 @@
     pub(super) traffic: Traffic,
     /// Counts changes that watches and long polls wait for.
     pub(super) news: watch::Sender<u64>,
-    pub(super) started: BootInstant,
+    pub(super) started: BootTime,
     pub(super) stopping: CancellationToken,
 }
 
--- a/crates/pinerill-cluster/src/server/jobs.rs
+++ b/crates/pinerill-cluster/src/server/jobs.rs
@@ -6,7 +6,7 @@
 use pinerill_calls::message::{
     CallsResponse, LeaseRequest, LeaseResponse, LeasedItem, ReadItem, ReadResults, SubmitOutcome,
 };
-use pinerill_process::clock::{timeout_at, BootInstant};
+use pinerill_process::clock::{timeout_at, BootTime};
 use pinerill_storage::DATABASE_FILE;
 use pinerill_wire::message::Refusal;
 use tokio::time::sleep;
@@ -117,14 +117,14 @@
     ) -> Result<CallsResponse, Box<Refusal>> {
         let step = "read results";
         let wait = Duration::from_millis(read.wait_ms).min(LONGEST_WAIT);
-        let deadline = BootInstant::now() + wait;
+        let deadline = BootTime::now() + wait;
         let mut news = self.news.subscribe();
         self.barrier(step).await?;
         loop {
             let Some(part) = self.listed_part(&read) else {
                 return Ok(CallsResponse::Results(None));
             };
-            let waited = BootInstant::now() >= deadline;
+            let waited = BootTime::now() >= deadline;
             if !part.entries.is_empty() || waited || self.stopping.is_cancelled() {
                 return self.with_texts(read.from, part).await;
             }
@@ -243,12 +243,12 @@
         request: LeaseRequest,
     ) -> Result<CallsResponse, Box<Refusal>> {
         let wait = Duration::from_millis(request.wait_ms).min(LONGEST_WAIT);
-        let deadline = BootInstant::now() + wait;
+        let deadline = BootTime::now() + wait;
         let mut news = self.news.subscribe();
         loop {
             let decision = self.decide_leases(&request)?;
             let has_news = !decision.leased.is_empty() || !decision.stop.is_empty();
-            if has_news || BootInstant::now() >= deadline || self.stopping.is_cancelled() {
+            if has_news || BootTime::now() >= deadline || self.stopping.is_cancelled() {
                 return Ok(self.described(decision));
             }
             let _ = timeout_at(deadline, news.changed()).await;
--- a/crates/pinerill-cluster/src/server/peers.rs
+++ b/crates/pinerill-cluster/src/server/peers.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use pinerill_process::clock::BootInstant;
+use pinerill_process::clock::BootTime;
 
 use pinerill_calls::digest::Digest;
 use pinerill_calls::message::{
@@ -39,19 +39,19 @@
 /// The leader as another machine named it; the group itself tells members only.
 #[derive(Debug, Default)]
 pub(super) struct NamedLeader {
-    named: Option<(KnownLeader, BootInstant)>,
+    named: Option<(KnownLeader, BootTime)>,
 }
 
 impl NamedLeader {
     /// Takes in what a machine says; what is known of a later term stays.
     fn take_in(&mut self, leader: KnownLeader) {
-        let newer = |(known, _): &(KnownLeader, BootInstant)| known.term > leader.term;
+        let newer = |(known, _): &(KnownLeader, BootTime)| known.term > leader.term;
         if !self.current().as_ref().is_some_and(newer) {
-            self.named = Some((leader, BootInstant::now()));
+            self.named = Some((leader, BootTime::now()));
         }
     }
 
-    fn current(&self) -> Option<(KnownLeader, BootInstant)> {
+    fn current(&self) -> Option<(KnownLeader, BootTime)> {
         self.named
             .filter(|(_, heard)| heard.elapsed() < NAMED_LEADER_LIFE)
     }
--- a/crates/pinerill-cluster/src/server/run.rs
+++ b/crates/pinerill-cluster/src/server/run.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pinerill_process::clock::{watch_suspensions, BootInstant};
+use pinerill_process::clock::{watch_suspensions, BootTime};
 
 use anyhow::Context;
 use parking_lot::Mutex;
@@ -201,7 +201,7 @@
         worker_list: protocols.worker_list,
         traffic: Traffic::default(),
         news: watch::Sender::new(0),
-        started: BootInstant::now(),
+        started: BootTime::now(),
         stopping,
     });
     Ok((control, identity))
--- a/crates/pinerill-cluster/src/server/watch.rs
+++ b/crates/pinerill-cluster/src/server/watch.rs
@@ -4,7 +4,7 @@
 
 use pinerill_calls::digest::Digest;
 use pinerill_calls::message::{CallsResponse, Processes, WatchRequest, WatchResponse};
-use pinerill_process::clock::{timeout_at, BootInstant};
+use pinerill_process::clock::{timeout_at, BootTime};
 use pinerill_wire::message::Refusal;
 
 use super::control::Control;
@@ -18,7 +18,7 @@
     /// longer than it takes to be deposed.
     pub(super) async fn watch(&self, request: WatchRequest) -> Result<CallsResponse, Box<Refusal>> {
         let wait = Duration::from_millis(request.wait_ms).min(LONGEST_WAIT);
-        let deadline = BootInstant::now() + wait;
+        let deadline = BootTime::now() + wait;
         let mut news = self.news.subscribe();
         loop {
             let response = self.news_for(&request)?;
--- a/crates/pinerill-cluster/src/server/workers.rs
+++ b/crates/pinerill-cluster/src/server/workers.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{bail, Context};
 use pinerill_calls::directory::{ListReading, SkippedEntries, WorkerEntry};
-use pinerill_process::clock::BootInstant;
+use pinerill_process::clock::BootTime;
 use tokio::time::{sleep, timeout};
 
 use super::control::Control;
@@ -37,7 +37,7 @@
                 let _ = timeout(FOLLOWER_PAUSE, news.changed()).await;
                 continue;
             }
-            let started = BootInstant::now();
+            let started = BootTime::now();
             let read = self.read_workers(&client).await;
             if read.is_ok() != reachable {
                 reachable = read.is_ok();
--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pinerill_process::clock::BootInstant;
+use pinerill_process::clock::BootTime;
 
 use bytes::Bytes;
 use http::header::AUTHORIZATION;
@@ -61,7 +61,7 @@
     /// When its result is due, on the node's clock, milliseconds.
     due_ms: i64,
     /// When it gave way, until the next event after that.
-    gave_way: Option<BootInstant>,
+    gave_way: Option<BootTime>,
     /// How often it gave way.
     times_given_way: u32,
     /// Length of the text, and of what is kept of it.
@@ -72,7 +72,7 @@
 /// to the worker, which then stops working on it.
 pub(super) async fn run(node: Arc<Node>, held: Arc<Held>, leased: LeasedItem, reporter: Reporter) {
     let item = leased.item.clone();
-    let started = BootInstant::now();
+    let started = BootTime::now();
     let Some(mut running) = begin(&node, leased).await else {
         // It did not run, so that no failure is told: it may have ended
         // meanwhile, or its route be gone or newer here than at the leader.
@@ -254,7 +254,7 @@
             Some(ItemEnd::Impossible)
         }
         Verdict::Taken if sent.head.status == StatusCode::OK => {
-            let began = BootInstant::now();
+            let began = BootTime::now();
             let read = read_events(running, held, sent.exchange, place, &mut run, node).await;
             running.ran += began.elapsed();
             match read {
@@ -290,7 +290,7 @@
 /// Waits for a worker with room, and for the leader's word that the item is
 /// still this node's. None after a while if nothing of the item is here yet.
 async fn find_place(node: &Arc<Node>, held: &Held, running: &mut Running) -> Option<Occupied> {
-    let began = BootInstant::now();
+    let began = BootTime::now();
     while running.last.is_some() || began.elapsed() < PLACE_TIME {
         if held.is_renewed() && !node.calls_wait() {
             let wanted = Wanted {
@@ -424,7 +424,7 @@
 }
 
 fn gave_way(node: &Node, running: &mut Running, worker: &str) {
-    running.gave_way.get_or_insert_with(BootInstant::now);
+    running.gave_way.get_or_insert_with(BootTime::now);
     running.times_given_way += 1;
     node.metrics.items_gave_way.inc();
     log::info!(
--- a/crates/pinerill-forward/src/batch/leases.rs
+++ b/crates/pinerill-forward/src/batch/leases.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pinerill_process::clock::BootInstant;
+use pinerill_process::clock::BootTime;
 
 use parking_lot::Mutex;
 use pinerill_calls::job::ItemRef;
@@ -38,7 +38,7 @@
 /// What the node holds.
 pub(super) struct Held {
     tasks: Mutex<HashMap<ItemRef, AbortOnDropHandle<()>>>,
-    renewed: Mutex<Option<BootInstant>>,
+    renewed: Mutex<Option<BootTime>>,
     /// Something ended, so that there may be room.
     pub(super) changed: Notify,
 }
@@ -99,7 +99,7 @@
 
 async fn lease(node: Arc<Node>, held: Arc<Held>, reporter: reports::Reporter) {
     while !(node.stopping.is_cancelled() && held.is_empty()) {
-        let started = BootInstant::now();
+        let started = BootTime::now();
         let request = CallsRequest::LeaseItems(LeaseRequest {
             node: node.start.clone(),
             held: held.items(),
--- a/crates/pinerill-forward/src/call/attempt.rs
+++ b/crates/pinerill-forward/src/call/attempt.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pinerill_process::clock::{timeout_at, BootInstant};
+use pinerill_process::clock::{timeout_at, BootTime};
 
 use pinerill_calls::directory::WorkerId;
 use pinerill_calls::protocol::{AttemptFacts, NotRunReason, Verdict};
@@ -75,7 +75,7 @@
             headers,
         );
         let limit = patience.map_or(call.deadline, |patience| {
-            call.deadline.min(BootInstant::now() + patience)
+            call.deadline.min(BootTime::now() + patience)
         });
         let answered = timeout_at(limit, begun).await;
         let sent = match answered {
@@ -126,7 +126,7 @@
         call: &Call,
         record: &mut CallRecord,
     ) -> Result<Placed, AttemptEnd> {
-        let began = BootInstant::now();
+        let began = BootTime::now();
         let fresh = !self.sent;
         let placed = node.dispatcher.place(node, call, &self.failed, fresh).await;
         record.waited(began.elapsed());
--- a/crates/pinerill-forward/src/call/record.rs
+++ b/crates/pinerill-forward/src/call/record.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pinerill_process::clock::BootInstant;
+use pinerill_process::clock::BootTime;
 
 use pinerill_calls::protocol::Refusal;
 
@@ -64,15 +64,15 @@
     route: String,
     kind: &'static str,
     table_version: u64,
-    arrived: BootInstant,
+    arrived: BootTime,
     /// Each attempt with what decided it and what became of it.
     attempts: String,
     /// Time that it waited here for places at workers.
     waited: Duration,
     /// When it got its first place.
-    placed: Option<BootInstant>,
-    first_event: Option<BootInstant>,
-    last_event: Option<BootInstant>,
+    placed: Option<BootTime>,
+    first_event: Option<BootTime>,
+    last_event: Option<BootTime>,
     events: usize,
     outcome: CallOutcome,
 }
@@ -103,7 +103,7 @@
             self.attempts.push_str("; ");
         }
         let at = self.elapsed_ms();
-        self.placed.get_or_insert_with(BootInstant::now);
+        self.placed.get_or_insert_with(BootTime::now);
         // Writing to a text can't fail.
         let _ = write!(
             self.attempts,
@@ -125,7 +125,7 @@
 
     /// Events are passed on.
     pub fn events(&mut self, count: usize) {
-        let now = BootInstant::now();
+        let now = BootTime::now();
         let metrics = &self.node.metrics;
         match self.last_event {
             None => metrics.first_event(self.kind, now.duration_since(self.arrived)),
--- a/crates/pinerill-forward/src/call/relay.rs
+++ b/crates/pinerill-forward/src/call/relay.rs
@@ -4,7 +4,7 @@
 //! the route allows it, the events go on from another worker behind the last
 //! one that was wholly passed on; the connection to the first is closed before.
 
-use pinerill_process::clock::{timeout_at, BootInstant};
+use pinerill_process::clock::{timeout_at, BootTime};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -131,7 +131,7 @@
 
     /// How long to wait for a worker that is silent. Silence alone never ends
     /// an answer that can't go on elsewhere.
-    fn patience_until(&self) -> BootInstant {
+    fn patience_until(&self) -> BootTime {
         let deadline = self.call.deadline;
         if !self.progress.may_go_on_elsewhere() {
             return deadline;
@@ -140,7 +140,7 @@
             true => self.call.first_patience(),
             false => self.call.gap_patience(),
         };
-        deadline.min(BootInstant::now() + patience)
+        deadline.min(BootTime::now() + patience)
     }
 
     fn finish(&mut self) {
--- a/crates/pinerill-forward/src/call/request.rs
+++ b/crates/pinerill-forward/src/call/request.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pinerill_process::clock::BootInstant;
+use pinerill_process::clock::BootTime;
 
 use http::HeaderMap;
 use pinerill_calls::protocol::CallHead;
@@ -41,14 +41,14 @@
     /// Its prompt.
     pub prompt: Prompt,
     /// When it arrived.
-    pub arrived: BootInstant,
+    pub arrived: BootTime,
     /// When it must have its final answer.
-    pub deadline: BootInstant,
+    pub deadline: BootTime,
 }
 
 impl Call {
     /// The time until which it may be held: the caller's and the route's.
-    pub fn deadline_of(head: &CallHead, route: &Route, arrived: BootInstant) -> BootInstant {
+    pub fn deadline_of(head: &CallHead, route: &Route, arrived: BootTime) -> BootTime {
         let allowed = Duration::from_millis(route.timeout_ms);
         arrived + head.deadline.map_or(allowed, |told| told.min(allowed))
     }
@@ -59,7 +59,7 @@
     }
 
     /// When its first event must have reached the caller, who gives it up then.
-    pub fn first_event_by(&self) -> BootInstant {
+    pub fn first_event_by(&self) -> BootTime {
         let patience = self.route.caller_patience_ms.map(Duration::from_millis);
         let given_up = patience.map(|patience| self.arrived + patience);
         given_up.map_or(self.deadline, |at| at.min(self.deadline))
--- a/crates/pinerill-forward/src/cluster/client.rs
+++ b/crates/pinerill-forward/src/cluster/client.rs
@@ -7,7 +7,7 @@
 
 use parking_lot::Mutex;
 use pinerill_calls::message::{decode, CallsRequest, CallsResponse, ControlAddress};
-use pinerill_process::clock::BootInstant;
+use pinerill_process::clock::BootTime;
 use pinerill_wire::api::{CallError, CallErrorKind};
 use pinerill_wire::connection::{Connection, Identity, LinkCounters};
 use pinerill_wire::message::{RefusalCode, Request, Response};
@@ -66,13 +66,13 @@
     /// Those of this node's zone that hold the group's state.
     near: Vec<SocketAddr>,
     /// Until when those that failed are avoided.
-    avoided: HashMap<SocketAddr, BootInstant>,
+    avoided: HashMap<SocketAddr, BootTime>,
 }
 
 impl Addresses {
     fn is_avoided(&self, address: &SocketAddr) -> bool {
         let until = self.avoided.get(address);
-        until.is_some_and(|until| *until > BootInstant::now())
+        until.is_some_and(|until| *until > BootTime::now())
     }
 
     /// The leader if it answers, otherwise each in turn; those that failed a
@@ -153,7 +153,7 @@
         hold: Duration,
     ) -> Result<Answered, CallFailure> {
         let encoded = request.clone().into_wire();
-        let deadline = BootInstant::now() + time;
+        let deadline = BootTime::now() + time;
         let mut failure = CallFailure {
             maybe_done: false,
             invalid: false,
@@ -246,7 +246,7 @@
 
     async fn connection(&self, address: SocketAddr) -> Result<Connection, CallError> {
         let slot = self.connections.lock().entry(address).or_default().clone();
-        let waited = BootInstant::now();
+        let waited = BootTime::now();
         let mut held = slot.lock().await;
         if let Some(connection) = held.as_ref().filter(|one| !one.is_closed()) {
             return Ok(connection.clone());
@@ -280,7 +280,7 @@
         if matches!(error.kind, CallErrorKind::Refused(_)) {
             return;
         }
-        let until = BootInstant::now() + AVOID_TIME;
+        let until = BootTime::now() + AVOID_TIME;
         self.addresses.lock().avoided.insert(address, until);
     }
 
--- a/crates/pinerill-forward/src/cluster/watch.rs
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -13,7 +13,7 @@
 };
 use pinerill_calls::protocol::WorkerListProtocol;
 use pinerill_calls::table::RouteIndex;
-use pinerill_process::clock::BootInstant;
+use pinerill_process::clock::BootTime;
 use tokio::time::sleep;
 
 use crate::crash::broken_runs::CrashEvidence;
@@ -62,7 +62,7 @@
             processes: held.processes,
             wait_ms: HOLD.as_millis() as u64,
         });
-        let asked = BootInstant::now();
+        let asked = BootTime::now();
         let answer = node.cluster.call(&request, ASK_TIME, HOLD).await;
         let failure = match answer {
             Ok(answered) => {
@@ -86,7 +86,7 @@
     /// What the log says; none before the first line of this process.
     told: Option<bool>,
     /// When the last failure was logged.
-    failure_logged: Option<BootInstant>,
+    failure_logged: Option<BootTime>,
 }
 
 impl Reachability {
@@ -110,7 +110,7 @@
             return;
         }
         self.told = Some(false);
-        self.failure_logged = Some(BootInstant::now());
+        self.failure_logged = Some(BootTime::now());
         let asked = node.cluster.known_addresses();
         let silent_ms = node
             .now_ms()
@@ -213,7 +213,7 @@
         if Duration::from_millis(silent_ms) < LIST_AFTER {
             continue;
         }
-        let started = BootInstant::now();
+        let started = BootTime::now();
         match read_list(&node, &client, list.as_ref()).await {
             Ok(reading) => {
                 take_workers(&node, Directory::new(reading.workers).workers(), "list");
--- a/crates/pinerill-forward/src/crash/mod.rs
+++ b/crates/pinerill-forward/src/crash/mod.rs
@@ -25,7 +25,7 @@
 use serde::{Deserialize, Serialize};
 
 pub(crate) use desk::CrashDesk;
-pub(crate) use operators::with_crash_pages;
+pub(crate) use operators::with_blocked_requests;
 pub(crate) use verdicts::REPORTS_TOLD;
 
 pub use fingerprint::{RequestFingerprint, RequestIdentity};
--- a/crates/pinerill-forward/src/crash/operators.rs
+++ b/crates/pinerill-forward/src/crash/operators.rs
@@ -9,8 +9,8 @@
 use super::RequestFingerprint;
 use crate::node::Node;
 
-/// Adds the pages to a node's server for operators.
-pub(crate) fn with_crash_pages(server: Rocket<Build>, node: Arc<Node>) -> Rocket<Build> {
+/// Adds what is asked of blocked requests to a node's server for operators.
+pub(crate) fn with_blocked_requests(server: Rocket<Build>, node: Arc<Node>) -> Rocket<Build> {
     server
         .manage(node)
         .mount("/requests/blocked", routes![list, clear])
--- a/crates/pinerill-forward/src/dispatch/times.rs
+++ b/crates/pinerill-forward/src/dispatch/times.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use pinerill_process::clock::BootInstant;
+use pinerill_process::clock::BootTime;
 
 use parking_lot::Mutex;
 
@@ -55,7 +55,7 @@
     /// first event before the caller gives up, and for the last one before the
     /// deadline. Times that calls seldom stay below are counted, none while they are
     /// not known.
-    pub(super) fn latest_place(&self, call: &Call) -> BootInstant {
+    pub(super) fn latest_place(&self, call: &Call) -> BootTime {
         let routes = self.routes.lock();
         let times = routes.get(&call.route.name);
         let least = |time: fn(&RouteTimes) -> &RunTime| {
--- a/crates/pinerill-forward/src/exchange/pool.rs
+++ b/crates/pinerill-forward/src/exchange/pool.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pinerill_process::clock::BootInstant;
+use pinerill_process::clock::BootTime;
 
 use parking_lot::Mutex;
 use pinerill_calls::directory::{WorkerEntry, WorkerId};
@@ -24,7 +24,7 @@
 
 struct Idle {
     connection: WorkerConnection,
-    until: BootInstant,
+    until: BootTime,
 }
 
 /// Connections that may carry another request, by worker; the one used last
@@ -66,7 +66,7 @@
     }
 
     async fn open_timed(&self, worker: &WorkerEntry) -> Result<WorkerConnection, BreakReason> {
-        let began = BootInstant::now();
+        let began = BootTime::now();
         let connection = WorkerConnection::open(worker.address).await?;
         let mut times = self.connect_times.lock();
         times.took(&worker.zone, began.elapsed());
@@ -75,7 +75,7 @@
 
     /// Takes a connection to a worker, if one is open.
     pub fn take(&self, worker: &str) -> Option<WorkerConnection> {
-        let now = BootInstant::now();
+        let now = BootTime::now();
         loop {
             let idle = self.idle.lock().get_mut(worker)?.pop()?;
             let mut connection = idle.connection;
@@ -97,7 +97,7 @@
             return;
         }
         let time = keep_alive.map_or(IDLE_TIME, |told| told.saturating_sub(IDLE_MARGIN));
-        let until = BootInstant::now() + time.min(IDLE_TIME);
+        let until = BootTime::now() + time.min(IDLE_TIME);
         let mut idle = self.idle.lock();
         let kept = idle.entry(worker.clone()).or_default();
         if kept.len() < KEPT_PER_WORKER {
@@ -117,7 +117,7 @@
 
     /// Closes what has been idle for too long.
     pub fn sweep(&self) {
-        let now = BootInstant::now();
+        let now = BootTime::now();
         let mut idle = self.idle.lock();
         for kept in idle.values_mut() {
             kept.retain_mut(|one| one.until > now && one.connection.is_reusable());
--- a/crates/pinerill-forward/src/gateway/jobs.rs
+++ b/crates/pinerill-forward/src/gateway/jobs.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pinerill_process::clock::BootInstant;
+use pinerill_process::clock::BootTime;
 
 use pinerill_calls::compression::decompress;
 use pinerill_calls::job::{ItemCall, NewCallJob, ResultPage};
@@ -29,7 +29,7 @@
 pub(super) async fn submit(
     node: &Node,
     job: NewCallJob,
-    deadline: BootInstant,
+    deadline: BootTime,
 ) -> Result<HttpAnswer, Refusal> {
     let id = job.id.clone();
     let time = deadline.remaining().min(ASK_TIME);
--- a/crates/pinerill-forward/src/gateway/request.rs
+++ b/crates/pinerill-forward/src/gateway/request.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pinerill_process::clock::{timeout_at, BootInstant};
+use pinerill_process::clock::{timeout_at, BootTime};
 
 use bytes::Bytes;
 use http::header::AUTHORIZATION;
@@ -31,7 +31,7 @@
 /// Answers one request.
 pub(super) async fn serve(node: Arc<Node>, request: Request<Incoming>) -> Response<AnswerBody> {
     node.metrics.requests.inc();
-    let arrived = BootInstant::now();
+    let arrived = BootTime::now();
     let (head, body) = request.into_parts();
     let path = head.uri.path().to_owned();
     let mut id = String::new();
@@ -73,7 +73,7 @@
     head: Parts,
     call: CallHead,
     body: Incoming,
-    arrived: BootInstant,
+    arrived: BootTime,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let table = admit(&node).await?;
     let path = head.uri.path();
@@ -117,8 +117,8 @@
     call: CallHead,
     route: Arc<Route>,
     body: Bytes,
-    arrived: BootInstant,
-    deadline: BootInstant,
+    arrived: BootTime,
+    deadline: BootTime,
 ) -> Result<Call, Refusal> {
     let target = route.target_at(rand::random()).ok_or(Refusal::NoRoute)?;
     let service = target.service.clone();
@@ -148,7 +148,7 @@
     })
 }
 
-async fn read_body(body: Incoming, limit: u64, deadline: BootInstant) -> Result<Bytes, Refusal> {
+async fn read_body(body: Incoming, limit: u64, deadline: BootTime) -> Result<Bytes, Refusal> {
     let limited = Limited::new(body, limit as usize);
     let read = timeout_at(deadline, limited.collect()).await;
     match read {
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pinerill_process::clock::{timeout_at, BootInstant};
+use pinerill_process::clock::{timeout_at, BootTime};
 
 use parking_lot::{Mutex, RwLock};
 use pinerill_calls::directory::WorkerId;
@@ -62,7 +62,7 @@
     pub(crate) waking: Waking,
     pub(crate) metrics: Metrics,
     pub(crate) beliefs: Beliefs,
-    started: BootInstant,
+    started: BootTime,
     pub(crate) stopping: CancellationToken,
     /// When it began to stop, on its clock; 0 before.
     stop_began_ms: AtomicU64,
@@ -101,7 +101,7 @@
             waking: Waking::default(),
             metrics: parts.metrics,
             beliefs: Beliefs::default(),
-            started: BootInstant::now(),
+            started: BootTime::now(),
             stopping: parts.stopping,
             stop_began_ms: AtomicU64::new(0),
         }
--- a/crates/pinerill-forward/src/run.rs
+++ b/crates/pinerill-forward/src/run.rs
@@ -16,7 +16,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::cluster::{self, ClusterClient};
-use crate::crash::with_crash_pages;
+use crate::crash::with_blocked_requests;
 use crate::exchange::ConnectionPool;
 use crate::fleet::{ChoiceSettings, Fleet};
 use crate::monitoring::Metrics;
@@ -68,8 +68,8 @@
     )?;
     let node = Arc::new(node);
     let probes = Server::start(ready_listen, monitoring_server(ready_listen, node.clone())).await?;
-    let admin_pages = with_crash_pages(monitoring_server(admin, node.clone()), node.clone());
-    let metrics = Server::start(admin, admin_pages).await?;
+    let admin_server = with_blocked_requests(monitoring_server(admin, node.clone()), node.clone());
+    let metrics = Server::start(admin, admin_server).await?;
     log::info!(
         event = "started", node = node.settings.name.as_str(),
         address:% = node.settings.listen; ""
--- a/crates/pinerill-forward/src/waking.rs
+++ b/crates/pinerill-forward/src/waking.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
-use pinerill_process::clock::{BootInstant, SuspensionWatch};
+use pinerill_process::clock::{BootTime, SuspensionWatch};
 
 /// Longest time for which calls are held after waking. An answer of a control machine takes
 /// some milliseconds; while none answers, the node goes on with what it has.
@@ -17,7 +17,7 @@
 /// When the machine woke, and whether the node has asked again since.
 #[derive(Debug)]
 pub struct Waking {
-    boot: BootInstant,
+    boot: BootTime,
     steady: Instant,
     state: Mutex<WakingState>,
 }
@@ -25,7 +25,7 @@
 impl Default for Waking {
     fn default() -> Self {
         Waking {
-            boot: BootInstant::now(),
+            boot: BootTime::now(),
             steady: Instant::now(),
             state: Mutex::new(WakingState::new()),
         }
@@ -40,7 +40,7 @@
     }
 
     /// Who was asked at that moment has answered.
-    pub fn heard(&self, asked: BootInstant) {
+    pub fn heard(&self, asked: BootTime) {
         self.state.lock().heard(asked - self.boot);
     }
 
--- a/crates/pinerill-forward/tests/broken_runs.rs
+++ b/crates/pinerill-forward/tests/broken_runs.rs
@@ -1,23 +1,16 @@
 //! Which runs ended because their worker crashed, and what makes two tries one request.
 
-use std::net::{Ipv4Addr, SocketAddr};
+mod support;
 
 use bytes::Bytes;
 use http::{HeaderValue, Method};
-use pinerill_calls::directory::{WorkerEntry, WorkerId, WorkerState};
+use pinerill_calls::directory::WorkerId;
 use pinerill_forward::crash::broken_runs::{BrokenRun, BrokenRuns, CrashEvidence, RunEnd};
 use pinerill_forward::crash::{RequestFingerprint, RequestIdentity, WorkerStart};
+use support::entry;
 
 fn worker(id: &str) -> WorkerStart {
-    WorkerStart::of(&WorkerEntry {
-        id: WorkerId::new(id, None),
-        service: "svc".to_owned(),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
-        zone: "za".to_owned(),
-        slots: 4,
-        state: WorkerState::Ready,
-        cold_left_ms: 0,
-    })
+    WorkerStart::of(&entry(WorkerId::new(id, None)))
 }
 
 fn run(name: &str, end: RunEnd) -> BrokenRun {
--- a/crates/pinerill-forward/tests/crash_ledger.rs
+++ b/crates/pinerill-forward/tests/crash_ledger.rs
@@ -1,8 +1,8 @@
 //! What is concluded from crashes, and what that costs sound requests.
 
-use std::net::{Ipv4Addr, SocketAddr};
+mod support;
 
-use pinerill_calls::directory::{WorkerEntry, WorkerId, WorkerState};
+use pinerill_calls::directory::WorkerId;
 use pinerill_calls::message::encode;
 use pinerill_forward::crash::ledger::{
     CrashLedger, CrashReport, Verdict, CRASHES_ANYWHERE, CRASHES_AT_ONE_POINT, CRASH_LIFE_MS,
@@ -11,21 +11,14 @@
 use pinerill_forward::crash::{RequestFingerprint, WorkerStart};
 use proptest::prelude::*;
 use rand::{rngs::StdRng, Rng, SeedableRng};
+use support::entry;
 
 /// One packet of the usual networks, and the reports that are told in one.
 const DATAGRAM_BYTES: usize = 1_400;
 const REPORTS_TOLD: usize = 32;
 
 fn worker(number: usize) -> WorkerStart {
-    WorkerStart::of(&WorkerEntry {
-        id: WorkerId::new(&format!("w{number}"), None),
-        service: "svc".to_owned(),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
-        zone: "za".to_owned(),
-        slots: 4,
-        state: WorkerState::Ready,
-        cold_left_ms: 0,
-    })
+    WorkerStart::of(&entry(WorkerId::new(&format!("w{number}"), None)))
 }
 
 fn request(number: usize) -> RequestFingerprint {
--- a/crates/pinerill-forward/tests/crash_news.rs
+++ b/crates/pinerill-forward/tests/crash_news.rs
@@ -3,16 +3,17 @@
 //! request that crashes its workers runs no more than a few times once the nodes that can
 //! hear each other have had time to.
 
-use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr};
+mod support;
 
-use pinerill_calls::directory::{WorkerEntry, WorkerId, WorkerState};
+use pinerill_calls::directory::WorkerId;
 use pinerill_forward::crash::ledger::{CrashLedger, CrashReport, Verdict, CRASHES_AT_ONE_POINT};
 use pinerill_forward::crash::{RequestFingerprint, WorkerStart};
 use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+use support::entry;
 
 /// Time within which nodes that hear each other must know, milliseconds.
 const NEWS_MS: u64 = 3_000;
@@ -35,15 +36,7 @@
 }
 
 fn worker(start: usize) -> WorkerStart {
-    WorkerStart::of(&WorkerEntry {
-        id: WorkerId::new(&format!("start-{start}"), None),
-        service: "svc".to_owned(),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
-        zone: "za".to_owned(),
-        slots: 4,
-        state: WorkerState::Ready,
-        cold_left_ms: 0,
-    })
+    WorkerStart::of(&entry(WorkerId::new(&format!("start-{start}"), None)))
 }
 
 struct SimulatedNode {
--- a/crates/pinerill-process/src/clock.rs
+++ b/crates/pinerill-process/src/clock.rs
@@ -3,7 +3,7 @@
 //! The steady clock (`std::time::Instant`, tokio's timers) stands still while a machine is
 //! suspended, so that a machine that wakes takes for fresh what is long out of date: a
 //! directory, a lease, another node's counts, the time that a caller still waits. The
-//! boot-time clock goes on. Whatever is believed about others is aged by [`BootInstant`];
+//! boot-time clock goes on. Whatever is believed about others is aged by [`BootTime`];
 //! timers merely wake tasks, which then look at this clock before they act.
 
 use std::fmt;
@@ -26,15 +26,15 @@
 
 /// A moment on the clock that counts time in which the machine was suspended too.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct BootInstant(Duration);
+pub struct BootTime(Duration);
 
-impl BootInstant {
+impl BootTime {
     /// This moment.
     pub fn now() -> Self {
         let time = clock_gettime(ClockId::Boottime);
         let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
         let nanoseconds = u32::try_from(time.tv_nsec).unwrap_or(0);
-        BootInstant(Duration::new(seconds, nanoseconds))
+        BootTime(Duration::new(seconds, nanoseconds))
     }
 
     /// Time since then; zero if it lies ahead.
@@ -43,7 +43,7 @@
     }
 
     /// Time from an earlier moment to this one; zero if that one is later.
-    pub fn duration_since(&self, earlier: BootInstant) -> Duration {
+    pub fn duration_since(&self, earlier: BootTime) -> Duration {
         self.0.saturating_sub(earlier.0)
     }
 
@@ -53,8 +53,8 @@
     }
 
     /// A moment so much earlier; none if the clock began later.
-    pub fn checked_sub(&self, time: Duration) -> Option<BootInstant> {
-        self.0.checked_sub(time).map(BootInstant)
+    pub fn checked_sub(&self, time: Duration) -> Option<BootTime> {
+        self.0.checked_sub(time).map(BootTime)
     }
 
     /// The moment on the timers' clock at which it comes, as long as the machine isn't
@@ -64,18 +64,18 @@
     }
 }
 
-impl Add<Duration> for BootInstant {
-    type Output = BootInstant;
+impl Add<Duration> for BootTime {
+    type Output = BootTime;
 
-    fn add(self, time: Duration) -> BootInstant {
-        BootInstant(self.0 + time)
+    fn add(self, time: Duration) -> BootTime {
+        BootTime(self.0 + time)
     }
 }
 
-impl Sub<BootInstant> for BootInstant {
+impl Sub<BootTime> for BootTime {
     type Output = Duration;
 
-    fn sub(self, earlier: BootInstant) -> Duration {
+    fn sub(self, earlier: BootTime) -> Duration {
         self.duration_since(earlier)
     }
 }
@@ -97,9 +97,9 @@
 }
 
 impl Default for Clock {
-    /// The clock of [`BootInstant`].
+    /// The clock of [`BootTime`].
     fn default() -> Self {
-        let begin = BootInstant::now();
+        let begin = BootTime::now();
         Clock::new(move || begin.elapsed())
     }
 }
@@ -149,7 +149,7 @@
 /// # Errors
 /// [`DeadlinePassed`].
 pub async fn timeout_at<F: Future>(
-    deadline: BootInstant,
+    deadline: BootTime,
     future: F,
 ) -> Result<F::Output, DeadlinePassed> {
     let mut future = pin!(future);
@@ -176,7 +176,7 @@
 
 /// Looks for suspensions until the process ends; `on_waking` is told how long each was.
 pub async fn watch_suspensions(on_waking: impl Fn(Duration)) {
-    let (boot, steady) = (BootInstant::now(), Instant::now());
+    let (boot, steady) = (BootTime::now(), Instant::now());
     let mut watch = SuspensionWatch::begin(Duration::ZERO, Duration::ZERO);
     loop {
         sleep(LOOK_PAUSE).await;
--- a/crates/pinerill-process/tests/clock.rs
+++ b/crates/pinerill-process/tests/clock.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use pinerill_process::clock::{timeout_at, BootInstant, DeadlinePassed, SuspensionWatch};
+use pinerill_process::clock::{timeout_at, BootTime, DeadlinePassed, SuspensionWatch};
 
 fn ms(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
@@ -30,7 +30,7 @@
 
 #[test]
 fn moments_are_compared_without_a_panic_whichever_is_later() {
-    let first = BootInstant::now();
+    let first = BootTime::now();
     let later = first + ms(500);
     assert_eq!(later - first, ms(500));
     assert_eq!(first - later, Duration::ZERO);
@@ -44,9 +44,9 @@
     let began = Instant::now();
     let never = std::future::pending::<()>();
     assert_eq!(
-        timeout_at(BootInstant::now() + ms(30), never).await,
+        timeout_at(BootTime::now() + ms(30), never).await,
         Err(DeadlinePassed)
     );
     assert!(began.elapsed() >= ms(30));
-    assert_eq!(timeout_at(BootInstant::now(), async { 7 }).await, Ok(7));
+    assert_eq!(timeout_at(BootTime::now(), async { 7 }).await, Ok(7));
 }
