A withheld item is tried twice more, seconds apart

Cause: three crashes in a row can hit a sound item that always ran beside a guilty request, as happens where there are few workers; it would have been lost with its job's time. Change: a node tries an item that it withholds again after eight seconds, twice at the most; no other node has it meanwhile. A good end clears it everywhere.

--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -37,9 +37,14 @@
 const FETCH_TIME: Duration = Duration::from_secs(2);
 /// Silence after which an item is continued at another worker.
 const PATIENCE: Duration = Duration::from_millis(2_500);
-/// Pause before an item that is known to crash workers is looked at again: it may be
-/// cleared, or its crashes be forgotten.
-const WITHHELD_PAUSE: Duration = Duration::from_secs(2);
+/// Pause between two looks at an item that is known to crash workers: it may be cleared, or
+/// its crashes be forgotten.
+const WITHHELD_PAUSE: Duration = Duration::from_secs(1);
+/// Time after which such an item is tried once more, and how often. A sound one that ran
+/// beside a guilty request three times in a row, as happens where there are few workers, ends
+/// well and is cleared; a guilty one costs two workers more, seconds apart.
+const TRIAL_PAUSE: Duration = Duration::from_secs(8);
+const MOST_TRIALS: u32 = 2;
 /// Bytes of an answer's body that is no series of events.
 const SHORT_ANSWER_LIMIT: usize = 64 << 10;
 
@@ -56,6 +61,10 @@
     /// The worker that broke it off last.
     avoid: Vec<WorkerId>,
     attempts: u32,
+    /// Runs though it was known to crash workers.
+    trials: u32,
+    /// It may run once more though it is.
+    on_trial: bool,
     /// Time that it has run at workers.
     ran: Duration,
     /// When its result is due, on the node's clock, milliseconds.
@@ -85,7 +94,7 @@
         match attempt(&node, &held, &mut running).await {
             Attempt::Ended(end) => break end,
             Attempt::GoesOn => {}
-            Attempt::Withheld => withhold(&node, &running).await,
+            Attempt::Withheld => withhold(&node, &mut running).await,
             Attempt::NoPlace => {
                 log::info!(
                     event = "item_given_back", id = running.leased.id.as_str(),
@@ -146,6 +155,8 @@
         last: None,
         avoid: Vec::new(),
         attempts: 0,
+        trials: 0,
+        on_trial: false,
         ran: Duration::ZERO,
         due_ms,
         gave_way: None,
@@ -191,7 +202,7 @@
 }
 
 async fn attempt(node: &Arc<Node>, held: &Held, running: &mut Running) -> Attempt {
-    if node.is_blocked(&running.identity) {
+    if node.is_blocked(&running.identity) && !std::mem::take(&mut running.on_trial) {
         return Attempt::Withheld;
     }
     match find_place(node, held, running).await {
@@ -205,15 +216,23 @@
 
 /// Keeps an item from workers that it would crash. It stays leased to this node, so that
 /// no other one begins it, until the leader gives it up: an item may be told as dead only
-/// after its time, since a crash is no answer of failure.
-async fn withhold(node: &Node, running: &Running) {
+/// after its time, since a crash is no answer of failure. As only this node has it, its
+/// trials come one after the other.
+async fn withhold(node: &Node, running: &mut Running) {
     node.metrics.items_withheld.inc();
     log::warn!(
         event = "item_withheld", id = running.leased.id.as_str(),
-        request:% = running.identity.fingerprint(), attempts = running.attempts; ""
+        request:% = running.identity.fingerprint(), attempts = running.attempts,
+        trials = running.trials; ""
     );
+    let since = BootTime::now();
     while node.is_blocked(&running.identity) {
         sleep(WITHHELD_PAUSE).await;
+        if running.trials < MOST_TRIALS && since.elapsed() >= TRIAL_PAUSE {
+            running.trials += 1;
+            running.on_trial = true;
+            return;
+        }
     }
 }
 
