Fleets under bundles age what they believe by boot time too

Change: the node's clock, its deadlines and the stamps of job groups use BootTime; both kinds of process watch for suspensions. Time-outs of batch runs and of links between processes stay on the steady clock: they end what is silent, later at worst. No test suspends a machine.

--- a/crates/pinerill-cluster/src/server/run.rs
+++ b/crates/pinerill-cluster/src/server/run.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pinerill_process::clock::{watch_suspensions, BootTime};
+use pinerill_process::clock::{log_suspensions, BootTime};
 
 use anyhow::Context;
 use parking_lot::Mutex;
@@ -250,17 +250,13 @@
         spawn(Box::pin(async move { upkeep.keep_up().await })),
         spawn(Box::pin(async move { workers.follow_workers().await })),
         spawn(Box::pin(async move { traffic.log_traffic().await })),
-        spawn(Box::pin(watch_suspensions(log_suspension))),
+        spawn(Box::pin(log_suspensions())),
         spawn(Box::pin(
             async move { reloading.follow_settings(file).await },
         )),
     ]
 }
 
-fn log_suspension(suspended: Duration) {
-    log::warn!(event = "machine_was_suspended", ms = suspended.as_millis() as u64; "");
-}
-
 impl Control {
     /// Logs which bytes it exchanged with whom.
     async fn log_traffic(&self) {
--- a/crates/pinerill-control/src/job/stamper.rs
+++ b/crates/pinerill-control/src/job/stamper.rs
@@ -2,7 +2,7 @@
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use tokio::time::Instant;
+use pinerill_process::clock::BootTime;
 
 use super::clock::StampSource;
 use super::machine::JobMachine;
@@ -11,14 +11,14 @@
 /// Makes the stamps of one task.
 pub(super) struct Stamper {
     source: StampSource,
-    started: Instant,
+    started: BootTime,
 }
 
 impl Stamper {
     pub(super) fn new() -> Self {
         Self {
             source: StampSource::default(),
-            started: Instant::now(),
+            started: BootTime::now(),
         }
     }
 
--- a/crates/pinerill-control/src/server/run.rs
+++ b/crates/pinerill-control/src/server/run.rs
@@ -6,6 +6,7 @@
 
 use anyhow::Context;
 use parking_lot::Mutex;
+use pinerill_process::clock::log_suspensions;
 use pinerill_process::{monitoring_server, Server, StopSignals};
 use pinerill_storage::{GroupStore, Store};
 use pinerill_types::settings::{ControlSettings, Settings};
@@ -208,6 +209,7 @@
         spawn(control.clone().follow_platform()),
         spawn(confirm(control.clone())),
         spawn(log_counters(control.clone(), counters_pause)),
+        spawn(log_suspensions()),
         spawn(place),
     ];
     let others = control.other_addresses();
--- a/crates/pinerill-node/src/clock.rs
+++ b/crates/pinerill-node/src/clock.rs
@@ -2,12 +2,15 @@
 //! one and passes the value in.
 
 use std::sync::OnceLock;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
-/// Milliseconds since the process first asked; never goes back.
+use pinerill_process::clock::BootTime;
+
+/// Milliseconds since the process first asked, also while the machine is suspended; never
+/// goes back.
 pub fn now_ms() -> u64 {
-    static START: OnceLock<Instant> = OnceLock::new();
-    START.get_or_init(Instant::now).elapsed().as_millis() as u64
+    static START: OnceLock<BootTime> = OnceLock::new();
+    START.get_or_init(BootTime::now).elapsed().as_millis() as u64
 }
 
 /// Milliseconds since the Unix epoch.
--- a/crates/pinerill-node/src/gateway/admission.rs
+++ b/crates/pinerill-node/src/gateway/admission.rs
@@ -2,7 +2,9 @@
 //! limits, in this order.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use pinerill_process::clock::BootTime;
 
 use parking_lot::Mutex;
 use pinerill_types::{ServiceName, TenantName};
@@ -149,7 +151,7 @@
     kind: RequestKind,
     body: &[u8],
 ) -> Result<(Admitted, OnlineRequest), RequestFailure> {
-    let received = Instant::now();
+    let received = BootTime::now();
     let in_flight = node.drain.enter().ok_or_else(draining)?;
     let authenticated = authenticate(node, caller)?;
     caller.check_identifier()?;
--- a/crates/pinerill-node/src/online/execution.rs
+++ b/crates/pinerill-node/src/online/execution.rs
@@ -6,9 +6,9 @@
 mod placing;
 mod reading;
 
+use pinerill_process::clock::{timeout_at, BootTime};
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Instant;
 
 use parking_lot::Mutex;
 use pinerill_types::{EngineId, ServiceName, TenantName};
@@ -59,9 +59,9 @@
     /// It goes to the old script.
     pub to_script: bool,
     /// When it arrived.
-    pub received: Instant,
+    pub received: BootTime,
     /// When its answer must be whole.
-    pub deadline: Instant,
+    pub deadline: BootTime,
 }
 
 /// Runs `request` to its end; everything the caller gets goes to `events`.
@@ -170,7 +170,7 @@
         let deadline = self.request.deadline;
         let run = script::run(&self.context.scripts, &self.request, &self.delivery);
         let ended = tokio::select! {
-            ended = tokio::time::timeout_at(deadline.into(), run) => ended,
+            ended = timeout_at(deadline, run) => ended,
             () = self.delivery.caller_gone() => return Err(Stop::CallerGone),
         };
         let failure = match ended {
@@ -189,7 +189,7 @@
             attempts: self.attempts,
             maybe_run_before: self.maybe_run,
             can_continue: failure.can_continue,
-            expired: Instant::now() >= self.request.deadline,
+            expired: BootTime::now() >= self.request.deadline,
         };
         self.maybe_run |= failure.end == AttemptEnd::MaybeRun;
         match decide(&failure.end, situation, || self.take_budget()) {
--- a/crates/pinerill-node/src/online/execution/attempt.rs
+++ b/crates/pinerill-node/src/online/execution/attempt.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use pinerill_process::clock::sleep_until;
 use reqwest::Response;
 
 use super::failure::{refusal_code, AttemptStop, Interrupt};
@@ -109,7 +110,7 @@
             biased;
             done = work => Ok(done),
             () = self.delivery.caller_gone() => Err(Interrupt::CallerGone),
-            () = tokio::time::sleep_until(self.request.deadline.into()) => {
+            () = sleep_until(self.request.deadline) => {
                 Err(Interrupt::Deadline)
             }
         }
--- a/crates/pinerill-node/src/online/execution/placing.rs
+++ b/crates/pinerill-node/src/online/execution/placing.rs
@@ -1,6 +1,8 @@
 //! A place at an engine, or why there is none.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use pinerill_process::clock::BootTime;
 
 use pinerill_types::outcome::Outcome;
 
@@ -22,10 +24,7 @@
             excluded: self.tried.clone(),
             begun_with: self.begun_with.clone(),
         };
-        let left = self
-            .request
-            .deadline
-            .saturating_duration_since(Instant::now());
+        let left = self.request.deadline.remaining();
         let patience = Duration::from_millis(self.request.plan.settings.queue_ms).min(left);
         let acquired = tokio::select! {
             acquired = self.context.dispatcher.acquire(demand, patience) => acquired,
@@ -35,7 +34,7 @@
     }
 
     fn no_place(&self, no_place: NoPlace) -> RequestFailure {
-        let expired = Instant::now() >= self.request.deadline;
+        let expired = BootTime::now() >= self.request.deadline;
         let (code, message, after) = match no_place {
             _ if expired => (
                 FailureCode::DeadlineExceeded,
--- a/crates/pinerill-node/src/online/execution/reading.rs
+++ b/crates/pinerill-node/src/online/execution/reading.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use pinerill_process::clock::timeout_at;
 use reqwest::Response;
 
 use super::failure::{AttemptStop, Interrupt};
@@ -80,7 +81,7 @@
 
     async fn flush(&mut self) -> Result<(), Interrupt> {
         let deadline = self.request.deadline;
-        let flushed = tokio::time::timeout_at(deadline.into(), self.delivery.flush()).await;
+        let flushed = timeout_at(deadline, self.delivery.flush()).await;
         let Ok(text) = flushed else {
             return Err(Interrupt::Deadline);
         };
--- a/crates/pinerill-node/src/run.rs
+++ b/crates/pinerill-node/src/run.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use pinerill_process::clock::log_suspensions;
 use pinerill_process::{monitoring_server, Server, StopSignals};
 use pinerill_types::settings::Settings;
 use pinerill_wire::api::{ControlApi, Role};
@@ -123,6 +124,7 @@
         spawn(BatchShell::new(node, node.execution.dispatcher.clone()).run()),
         spawn(node.disconnects.clone().run()),
         spawn(log_counters(node.clone(), counters_pause)),
+        spawn(log_suspensions()),
     ]
 }
 
--- a/crates/pinerill-process/src/clock.rs
+++ b/crates/pinerill-process/src/clock.rs
@@ -16,7 +16,7 @@
 use rustix::time::{clock_gettime, ClockId};
 use thiserror::Error;
 use tokio::sync::watch;
-use tokio::time::{sleep, sleep_until};
+use tokio::time::sleep;
 
 /// Pause between two looks at the clocks: how late after waking a time-out may come.
 const LOOK_PAUSE: Duration = Duration::from_millis(200);
@@ -158,7 +158,7 @@
         tokio::select! {
             biased;
             output = &mut future => return Ok(output),
-            () = sleep_until(deadline.on_timer()) => {
+            () = tokio::time::sleep_until(deadline.on_timer()) => {
                 if deadline.remaining().is_zero() {
                     return Err(DeadlinePassed);
                 }
@@ -169,11 +169,25 @@
     }
 }
 
+/// Waits until a moment, which also comes while the machine is suspended.
+pub async fn sleep_until(moment: BootTime) {
+    // Nothing else can end it.
+    let _ = timeout_at(moment, std::future::pending::<()>()).await;
+}
+
 /// Suspensions of the machine that this process has seen.
 pub fn suspensions() -> u64 {
     *SUSPENSIONS.borrow()
 }
 
+/// Looks for suspensions until the process ends, and logs each.
+pub async fn log_suspensions() {
+    watch_suspensions(|suspended| {
+        log::warn!(event = "machine_was_suspended", ms = suspended.as_millis() as u64; "");
+    })
+    .await;
+}
+
 /// Looks for suspensions until the process ends; `on_waking` is told how long each was.
 pub async fn watch_suspensions(on_waking: impl Fn(Duration)) {
     let (boot, steady) = (BootTime::now(), Instant::now());
