--- a/crates/pinerill-cluster/src/server/peers.rs
+++ b/crates/pinerill-cluster/src/server/peers.rs
@@ -7,13 +7,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use pinerill_process::clock::BootTime;
-
 use pinerill_calls::digest::Digest;
 use pinerill_calls::message::{
     decode, CallsRequest, CallsResponse, ControlAddress, JoinRequest, JoinResponse, KnownLeader,
     MachineRecord,
 };
+use pinerill_process::clock::BootTime;
 use pinerill_replica::ReplicaId;
 use pinerill_wire::message::{Refusal, Response};
 use rand::seq::SliceRandom;
--- a/crates/pinerill-cluster/src/server/run.rs
+++ b/crates/pinerill-cluster/src/server/run.rs
@@ -6,15 +6,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pinerill_process::clock::{log_suspensions, BootTime};
-
 use anyhow::Context;
 use parking_lot::Mutex;
 use pinerill_calls::message::MachineRecord;
 use pinerill_calls::protocol::{OperatorProtocol, WorkerListProtocol};
+use pinerill_calls::settings::{cluster_key, ControlSettings, ForwardingSettings, SettingsError};
 use pinerill_calls::traffic::Traffic;
 use pinerill_control::host::{GroupHost, HostSettings};
 use pinerill_control::server::PeerTransport;
+use pinerill_process::clock::{log_suspensions, BootTime};
 use pinerill_process::{monitoring_server, Server, SettingsFile, StopSignals};
 use pinerill_replica::{GroupId, ReplicaId};
 use pinerill_storage::{GroupStore, Store};
@@ -30,7 +30,6 @@
 use super::operators;
 use super::service::ControlService;
 use crate::machine::ClusterMachine;
-use pinerill_calls::settings::{cluster_key, ControlSettings, ForwardingSettings, SettingsError};
 
 /// The one replicated group.
 const GROUP: GroupId = GroupId(0);
--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -3,27 +3,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pinerill_process::clock::BootTime;
-
-use bytes::Bytes;
-use http::header::AUTHORIZATION;
-use http::{HeaderValue, Method, StatusCode, Uri};
-use pinerill_calls::compression::{compress, decompress};
+use http::StatusCode;
+use pinerill_calls::compression::compress;
 use pinerill_calls::directory::WorkerId;
-use pinerill_calls::job::{Header, ItemCall, ItemEnd, ItemReport};
-use pinerill_calls::message::{decode, CallsRequest, CallsResponse, LeasedItem, ReadItem};
+use pinerill_calls::job::{ItemEnd, ItemReport};
+use pinerill_calls::message::LeasedItem;
 use pinerill_calls::protocol::{AttemptFacts, NotRunReason, Verdict};
+use pinerill_process::clock::{suspensions, BootTime};
 use tokio::time::{sleep, timeout};
 
-use pinerill_process::clock::suspensions;
-
 use super::leases::Held;
 use super::preemption::RunningItem;
 use super::reports::Reporter;
+use super::running::{begin, Running};
 use super::runs::Run;
-use crate::crash::{RequestIdentity, Run as WorkerRun};
-use crate::exchange::{BreakReason, EventScanner, EventText, Exchange, Sent, WorkerRequest};
-use crate::fleet::{Prompt, Wanted};
+use crate::crash::Run as WorkerRun;
+use crate::exchange::{BreakReason, EventScanner, Exchange, Sent};
+use crate::fleet::Wanted;
 use crate::node::{Node, Occupied};
 
 /// Pause before an item that could not begin is given back.
@@ -33,8 +29,6 @@
 const PLACE_TIME: Duration = Duration::from_millis(300);
 /// Pause before a place is looked for again.
 const PLACE_PAUSE: Duration = Duration::from_millis(50);
-/// Longest wait for an item's call.
-const FETCH_TIME: Duration = Duration::from_secs(2);
 /// Silence after which an item is continued at another worker.
 const PATIENCE: Duration = Duration::from_millis(2_500);
 /// Pause between two looks at an item that is known to crash workers: it may be cleared, or
@@ -48,35 +42,6 @@
 /// Bytes of an answer's body that is no series of events.
 const SHORT_ANSWER_LIMIT: usize = 64 << 10;
 
-/// An item with what has arrived of it.
-struct Running {
-    leased: LeasedItem,
-    service: String,
-    headers: Vec<Header>,
-    identity: Arc<RequestIdentity>,
-    request: WorkerRequest,
-    prompt: Prompt,
-    text: EventText,
-    last: Option<u64>,
-    /// The worker that broke it off last.
-    avoid: Vec<WorkerId>,
-    attempts: u32,
-    /// Runs though it was known to crash workers.
-    trials: u32,
-    /// It may run once more though it is.
-    on_trial: bool,
-    /// Time that it has run at workers.
-    ran: Duration,
-    /// When its result is due, on the node's clock, milliseconds.
-    due_ms: i64,
-    /// When it gave way, until the next event after that.
-    gave_way: Option<BootTime>,
-    /// How often it gave way.
-    times_given_way: u32,
-    /// Length of the text, and of what is kept of it.
-    bytes: (usize, usize),
-}
-
 /// Runs an item and reports its end. Dropping the future closes the connection
 /// to the worker, which then stops working on it.
 pub(super) async fn run(node: Arc<Node>, held: Arc<Held>, leased: LeasedItem, reporter: Reporter) {
@@ -124,71 +89,6 @@
     let _ = reporter.send(ItemReport { item, end });
 }
 
-async fn begin(node: &Node, leased: LeasedItem) -> Option<Running> {
-    let call = fetch(node, &leased).await?;
-    let uri: Uri = call.path.parse().ok()?;
-    let table = node.table()?;
-    let route = table.route(&leased.host, uri.path())?;
-    let service = route.target_at(rand::random())?.service.clone();
-    let due_ms = node.now_ms() as i64 + leased.due_in_ms;
-    let body = Bytes::from(call.body);
-    let identity = RequestIdentity::new(
-        credentials(&call.headers),
-        Method::POST,
-        leased.host.clone(),
-        uri.clone(),
-        body.clone(),
-    );
-    Some(Running {
-        identity: Arc::new(identity),
-        service,
-        prompt: Prompt::of_call(&node.caller_protocol.item_head(&call.headers)),
-        request: WorkerRequest {
-            method: Method::POST,
-            uri,
-            body,
-            id: leased.id.clone(),
-        },
-        headers: call.headers,
-        leased,
-        text: EventText::default(),
-        last: None,
-        avoid: Vec::new(),
-        attempts: 0,
-        trials: 0,
-        on_trial: false,
-        ran: Duration::ZERO,
-        due_ms,
-        gave_way: None,
-        times_given_way: 0,
-        bytes: (0, 0),
-    })
-}
-
-fn credentials(headers: &[Header]) -> Option<HeaderValue> {
-    let named = |header: &&Header| header.name.eq_ignore_ascii_case(AUTHORIZATION.as_str());
-    let header = headers.iter().find(named)?;
-    HeaderValue::from_str(&header.value).ok()
-}
-
-/// The item's call, from a control machine of this zone if there is one: they
-/// all hold it, and bytes between zones are dear.
-async fn fetch(node: &Node, leased: &LeasedItem) -> Option<ItemCall> {
-    let request = CallsRequest::ReadItem(ReadItem {
-        job: leased.item.job.clone(),
-        item: leased.id.clone(),
-    });
-    let answer = node
-        .cluster
-        .call_near(&request, FETCH_TIME, Duration::ZERO)
-        .await;
-    let CallsResponse::Item(Some(call)) = answer.ok()?.response else {
-        return None;
-    };
-    let bytes = decompress(&call).ok()?;
-    decode(&bytes).ok()
-}
-
 /// How an attempt at one worker ended.
 enum Attempt {
     /// The item has an end.
--- a/crates/pinerill-forward/src/batch/leases.rs
+++ b/crates/pinerill-forward/src/batch/leases.rs
@@ -5,11 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pinerill_process::clock::BootTime;
-
 use parking_lot::Mutex;
 use pinerill_calls::job::ItemRef;
 use pinerill_calls::message::{CallsRequest, CallsResponse, LeaseRequest, LeaseResponse};
+use pinerill_process::clock::BootTime;
 use tokio::sync::{mpsc, Notify};
 use tokio::time::sleep;
 use tokio_util::task::AbortOnDropHandle;
--- a/crates/pinerill-forward/src/batch/mod.rs
+++ b/crates/pinerill-forward/src/batch/mod.rs
@@ -1,6 +1,6 @@
 //! Leased items of jobs.
 //!
-//! `leases` renews what the node holds and takes more, `item` runs one item
+//! `leases` renews what the node holds and takes more, `running` is an item that runs here, `item` runs one
 //! until it has an end, `reports` tells the ends to the leader. An item is held
 //! until its end is recorded. `preemption` says which running items give way to
 //! calls that wait.
@@ -9,6 +9,7 @@
 mod leases;
 pub mod preemption;
 mod reports;
+mod running;
 mod runs;
 
 pub(crate) use leases::{give_back, run};
--- a/crates/pinerill-forward/src/call/attempt.rs
+++ b/crates/pinerill-forward/src/call/attempt.rs
@@ -3,10 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pinerill_process::clock::{timeout_at, BootTime};
-
 use pinerill_calls::directory::WorkerId;
 use pinerill_calls::protocol::{AttemptFacts, NotRunReason, Verdict};
+use pinerill_process::clock::{timeout_at, BootTime};
 use tokio::time::sleep;
 
 use super::decision::AttemptEnd;
--- a/crates/pinerill-forward/src/call/record.rs
+++ b/crates/pinerill-forward/src/call/record.rs
@@ -4,9 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pinerill_process::clock::BootTime;
-
 use pinerill_calls::protocol::Refusal;
+use pinerill_process::clock::BootTime;
 
 use super::Call;
 use crate::fleet::Chosen;
--- a/crates/pinerill-forward/src/call/request.rs
+++ b/crates/pinerill-forward/src/call/request.rs
@@ -3,11 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pinerill_process::clock::BootTime;
-
 use http::HeaderMap;
 use pinerill_calls::protocol::CallHead;
 use pinerill_calls::table::Route;
+use pinerill_process::clock::BootTime;
 
 use crate::crash::RequestIdentity;
 use crate::exchange::WorkerRequest;
--- a/crates/pinerill-forward/src/crash/desk.rs
+++ b/crates/pinerill-forward/src/crash/desk.rs
@@ -38,11 +38,6 @@
         }
     }
 
-    /// A run ended since its worker has started again.
-    pub(super) fn run_crashed(&self, worker: WorkerStart, run: BrokenRun) {
-        self.runs_crashed(worker, &[run]);
-    }
-
     /// Connects to a worker at which a run broke off: a process that has crashed refuses.
     /// A connection that comes about is kept for the next request.
     pub(super) fn look_for_crash(
@@ -95,7 +90,8 @@
         self.runs_crashed(start, &runs);
     }
 
-    fn runs_crashed(&self, worker: WorkerStart, runs: &[BrokenRun]) {
+    /// Takes runs that ended with a crash of their worker into the ledger, and tells.
+    pub(super) fn runs_crashed(&self, worker: WorkerStart, runs: &[BrokenRun]) {
         self.metrics.runs_crashed.inc_by(runs.len() as u64);
         let reports = runs.iter().map(|run| CrashReport {
             request: run.request,
--- a/crates/pinerill-forward/src/crash/run.rs
+++ b/crates/pinerill-forward/src/crash/run.rs
@@ -67,8 +67,9 @@
         self.is_open = false;
         self.node.request_outlived(&self.request, self.reach);
         if *reason == BreakReason::Restarted {
+            let run = self.ended(RunEnd::Broke);
             self.node
-                .run_crashed(WorkerStart::of(&self.worker), self.ended(RunEnd::Broke));
+                .runs_crashed(WorkerStart::of(&self.worker), &[run]);
         } else if reason.may_be_crash() {
             self.note(RunEnd::Broke);
             self.node.look_for_crash(&self.worker, reason);
--- a/crates/pinerill-forward/src/dispatch/mod.rs
+++ b/crates/pinerill-forward/src/dispatch/mod.rs
@@ -18,10 +18,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pinerill_process::clock::timeout_at;
-
 use parking_lot::Mutex;
 use pinerill_calls::directory::WorkerId;
+use pinerill_process::clock::timeout_at;
 use tokio::sync::{oneshot, Notify};
 use tokio::time::{sleep, timeout};
 
--- a/crates/pinerill-forward/src/dispatch/times.rs
+++ b/crates/pinerill-forward/src/dispatch/times.rs
@@ -3,9 +3,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use pinerill_process::clock::BootTime;
-
 use parking_lot::Mutex;
+use pinerill_process::clock::BootTime;
 
 use crate::call::Call;
 use crate::run_time::RunTime;
--- a/crates/pinerill-forward/src/exchange/pool.rs
+++ b/crates/pinerill-forward/src/exchange/pool.rs
@@ -4,10 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pinerill_process::clock::BootTime;
-
 use parking_lot::Mutex;
 use pinerill_calls::directory::{WorkerEntry, WorkerId};
+use pinerill_process::clock::BootTime;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
--- a/crates/pinerill-forward/src/gateway/jobs.rs
+++ b/crates/pinerill-forward/src/gateway/jobs.rs
@@ -2,14 +2,13 @@
 
 use std::time::Duration;
 
-use pinerill_process::clock::BootTime;
-
 use pinerill_calls::compression::decompress;
 use pinerill_calls::job::{ItemCall, NewCallJob, ResultPage};
 use pinerill_calls::message::{
     decode, CallsRequest, CallsResponse, ReadItem, ReadResults, SubmitOutcome,
 };
 use pinerill_calls::protocol::{CallerAnswer, CallerRequest, HttpAnswer, Refusal};
+use pinerill_process::clock::BootTime;
 
 use crate::cluster::{Answered, CallFailure};
 use crate::node::Node;
--- a/crates/pinerill-forward/src/gateway/request.rs
+++ b/crates/pinerill-forward/src/gateway/request.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pinerill_process::clock::{timeout_at, BootTime};
-
 use bytes::Bytes;
 use http::header::AUTHORIZATION;
 use http::request::Parts;
@@ -13,6 +11,7 @@
 use hyper::body::Incoming;
 use pinerill_calls::protocol::{CallHead, CallerAnswer, CallerRequest, HttpAnswer, Refusal};
 use pinerill_calls::table::{Route, RouteIndex, RouteKind};
+use pinerill_process::clock::{timeout_at, BootTime};
 
 use super::jobs;
 use crate::call::{run_call, AnswerBody, Call};
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pinerill_process::clock::{timeout_at, BootTime};
-
 use parking_lot::{Mutex, RwLock};
 use pinerill_calls::directory::WorkerId;
 use pinerill_calls::protocol::{CallerProtocol, LoadSample, WorkerProtocol};
+use pinerill_calls::settings::NodeSettings;
 use pinerill_calls::table::RouteIndex;
+use pinerill_process::clock::{timeout_at, BootTime};
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -24,7 +24,6 @@
 use crate::monitoring::{Beliefs, Metrics};
 use crate::peers::Peers;
 use crate::waking::Waking;
-use pinerill_calls::settings::NodeSettings;
 
 /// Part of the time for a planned stop in which calls are still taken: callers
 /// need some seconds to learn of it.
--- a/crates/pinerill-forward/tests/crash_news.rs
+++ b/crates/pinerill-forward/tests/crash_news.rs
@@ -5,6 +5,8 @@
 
 mod support;
 
+use std::collections::BTreeMap;
+
 use pinerill_calls::directory::WorkerId;
 use pinerill_forward::crash::ledger::{CrashLedger, CrashReport, Verdict, CRASHES_AT_ONE_POINT};
 use pinerill_forward::crash::{RequestFingerprint, WorkerStart};
@@ -12,7 +14,6 @@
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
-use std::collections::BTreeMap;
 use support::entry;
 
 /// Time within which nodes that hear each other must know, milliseconds.
--- a/crates/pinerill-node/src/gateway/admission.rs
+++ b/crates/pinerill-node/src/gateway/admission.rs
@@ -4,9 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pinerill_process::clock::BootTime;
-
 use parking_lot::Mutex;
+use pinerill_process::clock::BootTime;
 use pinerill_types::{ServiceName, TenantName};
 
 use super::caller::Caller;
--- a/crates/pinerill-node/src/online/execution/placing.rs
+++ b/crates/pinerill-node/src/online/execution/placing.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use pinerill_process::clock::BootTime;
-
 use pinerill_types::outcome::Outcome;
 
 use super::failure::{Stop, RETRY_AFTER_DEFAULT_MS};
