--- a/crates/pinerill-forward/src/crash/fingerprint.rs
+++ b/crates/pinerill-forward/src/crash/fingerprint.rs
@@ -57,7 +57,7 @@
 }
 
 /// What a request is, whichever try brings it. Its fingerprint is computed when it is
-/// first asked for: while no worker crashes, no body is hashed.
+/// first asked for: while no worker crashes, only for runs that end early.
 #[derive(Debug)]
 pub struct RequestIdentity {
     /// Credentials that the caller sent, if any: without them one caller could get the
--- a/crates/pinerill-forward/src/crash/mod.rs
+++ b/crates/pinerill-forward/src/crash/mod.rs
@@ -10,8 +10,8 @@
 //! Told are differences that can be merged in any order: each report at once to the nodes of
 //! the zone and by relays to the others, and again for some seconds, blocked requests for
 //! as long as they are blocked. So a lost, late or doubled datagram changes nothing, a
-//! node that starts anew or was cut off knows what is blocked within a second, and while no
-//! worker crashes nothing is told and no body is hashed.
+//! node that starts anew or was cut off knows what is blocked within a second. While no worker
+//! crashes nothing is told, and a body is hashed only if its run ends early.
 
 pub mod broken_runs;
 mod desk;
--- a/crates/pinerill-forward/tests/crash_price.rs
+++ b/crates/pinerill-forward/tests/crash_price.rs
@@ -1,7 +1,7 @@
 //! What the search for requests that crash workers costs. In a release build a body of 18 KB is
-//! hashed in some 13 us, and a ledger is asked in less than 1 us; both only while workers have
-//! crashed a while ago. Before there was a ledger, and while none has crashed, nothing is
-//! hashed. The bounds here are those of a build without optimisation on a busy machine.
+//! hashed in some 13 us, and a ledger is asked in less than 1 us. While no worker has crashed
+//! a while ago, only the bodies of runs that end early are hashed; before there was a
+//! ledger, none was. The bounds here are those of a build without optimisation on a busy machine.
 
 use std::time::{Duration, Instant};
 
