Comment: why waking compares with the steady clock

Cause: a reader finds the one steady clock left where beliefs are aged and no reason for it. Change: one comment line.

--- a/crates/pinerill-forward/src/waking.rs
+++ b/crates/pinerill-forward/src/waking.rs
@@ -18,6 +18,7 @@
 #[derive(Debug)]
 pub struct Waking {
     boot: BootTime,
+    /// The clock that stands still meanwhile: only its distance from the other one counts.
     steady: Instant,
     state: Mutex<WakingState>,
 }
