--- a/crates/pinerill-node/src/admission.rs
+++ b/crates/pinerill-node/src/admission.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 
+use pinerill_quota::bucket::TokenBucket;
 use pinerill_types::TenantName;
 
 use crate::configuration::TenantPlan;
@@ -10,53 +11,6 @@
 /// Idle tenants are forgotten when more than this many are known.
 const TENANTS_KEPT: usize = 4_096;
 
-/// A bucket that fills at a rate and lets one pass for each token.
-#[derive(Debug, Clone)]
-pub struct TokenBucket {
-    tokens: f64,
-    filled_ms: u64,
-}
-
-impl TokenBucket {
-    /// A full bucket.
-    pub fn full(now_ms: u64, burst: f64) -> Self {
-        Self {
-            tokens: burst,
-            filled_ms: now_ms,
-        }
-    }
-
-    /// Takes one token, or says how long until there is one, milliseconds.
-    ///
-    /// # Errors
-    /// The wait in milliseconds.
-    pub fn take(&mut self, now_ms: u64, per_second: f64, burst: f64) -> Result<(), u64> {
-        let elapsed = now_ms.saturating_sub(self.filled_ms) as f64;
-        self.tokens = (self.tokens + elapsed * per_second / 1_000.0).min(burst);
-        self.filled_ms = now_ms;
-        if self.tokens >= 1.0 {
-            self.tokens -= 1.0;
-            return Ok(());
-        }
-        let missing = 1.0 - self.tokens;
-        Err((missing * 1_000.0 / per_second).ceil() as u64)
-    }
-
-    /// Adds tokens, up to a limit.
-    pub fn add(&mut self, tokens: f64, limit: f64) {
-        self.tokens = (self.tokens + tokens).min(limit);
-    }
-
-    /// Takes one token if there is one; nothing fills the bucket by itself.
-    pub fn take_one(&mut self) -> bool {
-        let enough = self.tokens >= 1.0;
-        if enough {
-            self.tokens -= 1.0;
-        }
-        enough
-    }
-}
-
 /// Why a tenant's request is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LimitReached {
--- a/crates/pinerill-node/src/configuration/tenants.rs
+++ b/crates/pinerill-node/src/configuration/tenants.rs
@@ -7,11 +7,7 @@
 use std::sync::Arc;
 
 use pinerill_types::bundle::Tenant;
-use pinerill_types::{ServiceName, TenantName};
-use sha2::{Digest as _, Sha256};
-
-/// SHA-256 of a bearer key.
-type KeyHash = [u8; 32];
+use pinerill_types::{KeyHash, ServiceName, TenantName};
 
 /// A tenant with its limits.
 #[derive(Debug, PartialEq)]
@@ -82,7 +78,7 @@
 
     /// The tenant that a bearer key belongs to.
     pub(super) fn of_key(&self, key: &str) -> Option<&TenantPlan> {
-        let hash: KeyHash = Sha256::digest(key.as_bytes()).into();
+        let hash = KeyHash::of(key.as_bytes());
         self.by_key.get(&hash).map(Arc::as_ref)
     }
 
@@ -138,10 +134,8 @@
 }
 
 fn key_hashes(texts: &[String]) -> Box<[KeyHash]> {
-    let hashes = texts.iter().filter_map(|text| {
-        let mut hash = KeyHash::default();
-        hex::decode_to_slice(text, &mut hash).ok()?;
-        Some(hash)
-    });
-    hashes.collect()
+    texts
+        .iter()
+        .filter_map(|text| KeyHash::from_hex(text))
+        .collect()
 }
--- a/crates/pinerill-node/src/online/retry.rs
+++ b/crates/pinerill-node/src/online/retry.rs
@@ -2,7 +2,7 @@
 
 use pinerill_types::outcome::Outcome;
 
-use crate::admission::TokenBucket;
+use pinerill_quota::bucket::TokenBucket;
 
 /// Retries that may be saved up per service.
 const RETRY_RESERVE: f64 = 20.0;
--- a/crates/pinerill-types/src/lib.rs
+++ b/crates/pinerill-types/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod error;
 pub mod id;
 pub mod job;
+pub mod key_hash;
 pub mod outcome;
 pub mod settings;
 
@@ -14,3 +15,4 @@
     AdapterName, Digest, EngineId, Fence, JobId, ModelName, NodeName, OperatorName, RequestId,
     ServiceName, TenantName, WorkerName, ZoneName,
 };
+pub use key_hash::KeyHash;
