A free place is handed over at once, or falls to one of the nodes that wait

Change: a node at which calls wait hands its place over without a gap in its counts; a place that is seen to be free falls to one of the nodes that wait, by weighted rendezvous hashing of the worker, and to one more each 15 ms while it stays free.

--- a/crates/pinerill-forward/src/dispatch/demand.rs
+++ b/crates/pinerill-forward/src/dispatch/demand.rs
@@ -12,6 +12,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::claims::Contender;
+
 /// How long what a node told counts, milliseconds: it tells again after half a second.
 const TOLD_LIFE_MS: u64 = 700;
 /// Time after items gave way to calls of other nodes in which no more do so,
@@ -76,6 +78,18 @@
             .sum()
     }
 
+    /// The other nodes at which calls of a service wait.
+    pub fn contenders(&self, now_ms: u64, service: &str) -> Vec<Contender> {
+        let nodes = self.of_service(now_ms, service);
+        let waiting = nodes.filter(|(_, one)| one.waiting > 0);
+        waiting
+            .map(|(node, one)| Contender {
+                node,
+                waiting: one.waiting,
+            })
+            .collect()
+    }
+
     /// Calls of any service that wait at other nodes.
     pub fn any_waiting(&self, now_ms: u64) -> bool {
         let mut fresh = self.told.values().filter(|told| told.is_fresh(now_ms));
--- a/crates/pinerill-forward/src/dispatch/mod.rs
+++ b/crates/pinerill-forward/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 //! or a moment has passed, the first of the line are placed.
 
 pub mod admission;
+pub mod claims;
 pub mod demand;
 pub mod line;
 mod times;
@@ -25,11 +26,12 @@
 use tokio::time::{sleep, timeout};
 
 use self::admission::{admit, Admission, Applicant, Pace};
+use self::claims::{nodes_before, Contender, SeenPlaces};
 use self::demand::ZoneDemand;
 use self::line::{Ticket, WaitingCall, WaitingLine};
 use self::times::CallTimes;
 use crate::call::Call;
-use crate::fleet::{Chosen, Placement, Prompt, Wanted};
+use crate::fleet::{Chosen, Placement, Prompt, Wanted, WorkerKey};
 use crate::node::{Node, Occupied};
 
 /// Pause between two looks at the line while nothing is told: beliefs about
@@ -87,6 +89,8 @@
     state: Mutex<State>,
     /// What the other nodes of the zone lack and can spare.
     zone: Mutex<ZoneDemand>,
+    /// Places that are seen to be free.
+    seen: Mutex<SeenPlaces>,
     /// When a call last went to another zone without knowing the load there, on
     /// the node's clock.
     explored_ms: AtomicU64,
@@ -129,7 +133,12 @@
         fresh: bool,
     ) -> Result<Placed, Unplaced> {
         if self.waiting() == 0 {
-            match self.look(node, &call.service, &call.prompt, except) {
+            let wanted = Wanted {
+                service: &call.service,
+                prompt: &call.prompt,
+                except,
+            };
+            match self.look(node, 1, &wanted) {
                 Placement::Room(chosen) => return Ok(occupied(node, chosen, &call.prompt)),
                 Placement::NoWorker => return Err(Unplaced::NoWorker),
                 Placement::Full => {}
@@ -173,17 +182,24 @@
 
     /// Where a call may go. Once in a while one that finds no room in its zone
     /// tries a worker elsewhere of which nothing is known.
-    fn look(&self, node: &Node, service: &str, prompt: &Prompt, except: &[WorkerId]) -> Placement {
-        let wanted = Wanted {
-            service,
-            prompt,
-            except,
-        };
+    fn look(&self, node: &Node, waiting: usize, wanted: &Wanted<'_>) -> Placement {
+        let service = wanted.service;
         let now_ms = node.now_ms();
         let explored_ms = self.explored_ms.load(Ordering::Relaxed);
         let explores = now_ms.saturating_sub(explored_ms) >= EXPLORING_PAUSE_MS;
-        let found = node.with_fleet(|fleet, _| fleet.place(now_ms, &wanted, explores));
+        let others = self.zone.lock().contenders(now_ms, service);
+        let own = Contender {
+            node: node.settings.peer_listen,
+            waiting: waiting.max(1) as u32,
+        };
+        let mut seen = self.seen.lock();
+        let may_take = |worker, free| {
+            let before = nodes_before(own, &others, worker);
+            seen.may_take(now_ms, worker, free, before)
+        };
+        let found = node.with_fleet(|fleet, _| fleet.place(now_ms, wanted, explores, may_take));
         if let Placement::Room(chosen) = &found {
+            seen.taken(WorkerKey::of(&chosen.entry.id));
             if explores && !chosen.basis.near {
                 self.explored_ms.store(now_ms, Ordering::Relaxed);
             }
@@ -259,7 +275,12 @@
                 state.line.leave(ticket);
                 continue;
             };
-            let found = self.look(node, &waiter.service, &waiter.prompt, &waiter.except);
+            let wanted = Wanted {
+                service: &waiter.service,
+                prompt: &waiter.prompt,
+                except: &waiter.except,
+            };
+            let found = self.look(node, state.line.len(), &wanted);
             let chosen = match found {
                 Placement::Full => continue,
                 Placement::Room(chosen) => Some(chosen),
@@ -324,6 +345,7 @@
         dispatcher.place_waiting(&node);
         dispatcher.ask_items(&node);
         dispatcher.help_others(&node);
+        dispatcher.seen.lock().forget_old(node.now_ms());
         sleep(GATHER_PAUSE).await;
     }
 }
--- a/crates/pinerill-forward/src/dispatch/zone.rs
+++ b/crates/pinerill-forward/src/dispatch/zone.rs
@@ -59,6 +59,26 @@
         self.zone.lock().any_waiting(now_ms)
     }
 
+    /// Gives a place that has become free to a call that waits here; true if one took it.
+    /// Its requests never fall in between: a zone of nodes with waiting calls that were told
+    /// of a free place would all send there. On a fleet of 50 nodes and 72 workers whose
+    /// calls need more places than there are for 2.4 s each 5.8 s, eleven calls reached one
+    /// worker within 1.5 ms, since the place was taken again only after 4.6 ms.
+    pub(crate) fn hand_over(&self, node: &Arc<Node>, worker: &str) -> bool {
+        if self.waiting() == 0 {
+            return false;
+        }
+        let now_ms = node.now_ms();
+        let has_room = node.with_fleet(|fleet, _| {
+            let worker = fleet.worker(worker)?;
+            worker.has_room(now_ms, 0.0).then_some(())
+        });
+        if has_room.is_none() {
+            return false;
+        }
+        self.take_promised(node, WorkerKey::of(worker))
+    }
+
     /// Promises a place that has become free to another node at which calls wait, unless
     /// some wait here; true if it did.
     pub(crate) fn promise(&self, node: &Arc<Node>, worker: &str) -> bool {
@@ -81,13 +101,16 @@
         true
     }
 
-    /// Another node promised a place: the first call that may go there takes it.
-    pub(crate) fn take_promised(&self, node: &Arc<Node>, worker: WorkerKey) {
-        if let Some((waiter, chosen)) = self.promised_to(node, worker) {
-            let placed = occupied(node, chosen, &waiter.prompt);
-            // A caller that has just gone gives its place up again.
-            let _ = waiter.grant.send(Ok(placed));
-        }
+    /// A place is promised to this node: the first call that may go there takes it. False
+    /// if there is none.
+    pub(crate) fn take_promised(&self, node: &Arc<Node>, worker: WorkerKey) -> bool {
+        let Some((waiter, chosen)) = self.promised_to(node, worker) else {
+            return false;
+        };
+        let placed = occupied(node, chosen, &waiter.prompt);
+        // A caller that has just gone gives its place up again.
+        let _ = waiter.grant.send(Ok(placed));
+        true
     }
 
     fn promised_to(&self, node: &Node, key: WorkerKey) -> Option<(Waiter, Chosen)> {
--- a/crates/pinerill-forward/src/fleet/choice.rs
+++ b/crates/pinerill-forward/src/fleet/choice.rs
@@ -8,7 +8,7 @@
 use super::prefixes::Prompt;
 use super::suspicion;
 use super::worker::Worker;
-use super::{ChoiceBasis, Chosen, Fleet};
+use super::{ChoiceBasis, Chosen, Fleet, WorkerKey};
 
 /// What a full worker costs more than an idle one, milliseconds; it grows with the
 /// square of what is filled. A step takes hardly longer beside other requests, but
@@ -74,8 +74,15 @@
     /// The worker for a caller's call among those that have room. Workers that
     /// failed a short while ago count only if there is no other. A worker of a zone that
     /// tells nothing is known only from its answers: one of which nothing is known
-    /// counts if this zone has no sound worker, or if the call `explores`.
-    pub fn place(&self, now_ms: u64, wanted: &Wanted<'_>, explores: bool) -> Placement {
+    /// counts if this zone has no sound worker, or if the call `explores`. Of a worker with
+    /// room, and so many free places, `may_take` says whether this node may send there.
+    pub fn place(
+        &self,
+        now_ms: u64,
+        wanted: &Wanted<'_>,
+        explores: bool,
+        mut may_take: impl FnMut(WorkerKey, usize) -> bool,
+    ) -> Placement {
         let asked: Vec<&Worker> = self
             .candidates(wanted.service)
             .filter(|worker| !wanted.except.contains(&worker.entry().id))
@@ -106,7 +113,13 @@
             let prefill_ms = self.prefill_ms(worker, wanted.prompt, meets);
             (self.cost_ms(now_ms, worker, prefill_ms), worker)
         });
-        match scored.min_by(|left, right| left.0.total_cmp(&right.0)) {
+        let mut scored: Vec<(f64, &Worker)> = scored.collect();
+        scored.sort_by(|left, right| left.0.total_cmp(&right.0));
+        let best = scored.into_iter().find(|(_, worker)| {
+            let key = WorkerKey::of(&worker.entry().id);
+            may_take(key, worker.free_places(now_ms))
+        });
+        match best {
             Some((_, best)) => Placement::Room(self.chosen(now_ms, best, wanted.prompt)),
             None => Placement::Full,
         }
--- a/crates/pinerill-forward/src/fleet/peers.rs
+++ b/crates/pinerill-forward/src/fleet/peers.rs
@@ -17,6 +17,16 @@
 /// FNV-1a's first value and its multiplier, 32 bits.
 const FNV_OFFSET: u32 = 0x811c_9dc5;
 const FNV_PRIME: u32 = 0x0100_0193;
+/// The same, 64 bits.
+const FNV_OFFSET_64: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME_64: u64 = 0x0000_0100_0000_01b3;
+
+/// The finalizer of splitmix64, which spreads numbers that differ little.
+fn finalized(number: u64) -> u64 {
+    let number = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let number = (number ^ (number >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    number ^ (number >> 31)
+}
 
 /// A short name of a worker for messages between nodes: a hash of its identifier.
 /// Two workers of one key would cost a worse choice and nothing else.
@@ -31,6 +41,15 @@
         });
         WorkerKey(hash)
     }
+
+    /// A number drawn by worker and node, the same at every node.
+    pub fn mixed_with(self, node: SocketAddr) -> u64 {
+        let name = node.to_string();
+        let hash = name.bytes().fold(FNV_OFFSET_64, |hash, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME_64)
+        });
+        finalized(hash ^ (u64::from(self.0) << 32 | u64::from(self.0)))
+    }
 }
 
 /// Requests at one worker.
--- a/crates/pinerill-forward/src/fleet/worker.rs
+++ b/crates/pinerill-forward/src/fleet/worker.rs
@@ -157,11 +157,17 @@
     }
 
     /// Whether one more request would begin at once and leave so many slots free.
-    pub(super) fn has_room(&self, now_ms: u64, spare: f64) -> bool {
+    pub(crate) fn has_room(&self, now_ms: u64, spare: f64) -> bool {
         let filled = self.occupied(now_ms) + 1.0 + spare;
         !self.is_full(now_ms) && filled <= self.slots() + ROUNDING
     }
 
+    /// Requests that would begin at once.
+    pub(super) fn free_places(&self, now_ms: u64) -> usize {
+        let free = self.slots() + ROUNDING - self.occupied(now_ms);
+        free.max(0.0) as usize
+    }
+
     /// Whether what others do there was learnt a short while ago.
     pub(super) fn is_load_known(&self, now_ms: u64) -> bool {
         self.load_age_ms(now_ms)
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -304,7 +304,10 @@
 impl Drop for Occupied {
     fn drop(&mut self) {
         self.node.with_fleet(|fleet, _| fleet.end(&self.worker));
-        if !self.node.dispatcher.promise(&self.node, &self.worker) {
+        let dispatcher = &self.node.dispatcher;
+        let is_taken = dispatcher.hand_over(&self.node, &self.worker)
+            || dispatcher.promise(&self.node, &self.worker);
+        if !is_taken {
             self.node.dispatcher.changed.notify_one();
             self.node.peers.changed();
         }
--- a/crates/pinerill-forward/src/peers/hear.rs
+++ b/crates/pinerill-forward/src/peers/hear.rs
@@ -67,7 +67,10 @@
         }
         // Taken in before, since it also comes from relays of other zones.
         PeerMessage::Crashes(_) => {}
-        PeerMessage::PlaceFree { worker } => node.dispatcher.take_promised(node, worker),
+        // A place for which no call waits any more is free again for the node that promised it.
+        PeerMessage::PlaceFree { worker } => {
+            node.dispatcher.take_promised(node, worker);
+        }
     }
 }
 
--- a/crates/pinerill-forward/tests/births.rs
+++ b/crates/pinerill-forward/tests/births.rs
@@ -31,7 +31,7 @@
         prompt: &prompt(),
         except: &[],
     };
-    fleet.place(0, &wanted, false)
+    fleet.place(0, &wanted, false, |_, _| true)
 }
 
 fn chosen_id(fleet: &Fleet) -> Option<WorkerId> {
--- a/crates/pinerill-forward/tests/fleet.rs
+++ b/crates/pinerill-forward/tests/fleet.rs
@@ -52,7 +52,7 @@
         prompt,
         except,
     };
-    match fleet.place(now_ms, &wanted, EXPLORES) {
+    match fleet.place(now_ms, &wanted, EXPLORES, |_, _| true) {
         Placement::Room(chosen) => Some(chosen.entry.id.clone()),
         Placement::Full | Placement::NoWorker => None,
     }
@@ -69,7 +69,7 @@
         prompt: &prompt,
         except: &[],
     };
-    fleet.place(now_ms, &wanted, explores)
+    fleet.place(now_ms, &wanted, explores, |_, _| true)
 }
 
 fn peer(port: u16) -> std::net::SocketAddr {
