Lenders of requests begin with a part of what is tolerated

Change: a quarter of what the tolerance leaves, up to the burst; a call waits for its token for 500 ms instead of 800, which the tolerance must cover too. The bound holds in bound.rs with each defect seen.

--- a/crates/pinerill-quota/src/bucket.rs
+++ b/crates/pinerill-quota/src/bucket.rs
@@ -10,19 +10,14 @@
 }
 
 impl TokenBucket {
-    /// A full bucket.
-    pub fn full(now_ms: u64, burst: f64) -> Self {
+    /// A bucket that holds these tokens.
+    pub fn holding(now_ms: u64, tokens: f64) -> Self {
         Self {
-            tokens: burst,
+            tokens,
             filled_ms: now_ms,
         }
     }
 
-    /// An empty bucket.
-    pub fn empty(now_ms: u64) -> Self {
-        Self::full(now_ms, 0.0)
-    }
-
     /// Takes one token, or says how long until there is one, milliseconds.
     ///
     /// # Errors
--- a/crates/pinerill-quota/src/lender.rs
+++ b/crates/pinerill-quota/src/lender.rs
@@ -17,11 +17,12 @@
 pub const LOAN_LIFE_MS: u64 = 5_000;
 
 /// Longest time that a request waits for a token, milliseconds: its token may be lent so
-/// much later than it came.
-pub const LONGEST_WAIT_MS: u64 = 800;
+/// much later than it came, for which a part of what is tolerated is needed.
+pub const LONGEST_WAIT_MS: u64 = 500;
 
-/// Lenders whose tokens may be held at once: one and its predecessor. More of them in the
-/// life of a loan lend next to nothing, since each begins with empty buckets.
+/// Lenders that may begin, and whose tokens may be held, within a window. A fleet that has
+/// lost its leader takes about half a second to have another one, so that there may be more;
+/// but hardly each of them lends all that it may.
 const LENDERS_AT_ONCE: f64 = 2.0;
 
 /// On which terms a tenant's tokens are lent.
@@ -29,20 +30,27 @@
 struct Terms {
     limit: RequestLimit,
     most_held: f64,
+    /// Tokens in the bucket of a lender that begins.
+    at_start: f64,
 }
 
 impl Terms {
     /// What is tolerated covers, first, requests that wait for a token over the edge of a
-    /// window. Where it does not, the limit is kept lower. The rest may be held.
+    /// window. Where it does not, the limit is kept lower. Half of the rest may be held, and
+    /// half is what lenders begin with. On a fleet whose processes were all killed, whose
+    /// lender began with nothing, 670 of 1,184 calls of the first two seconds were refused
+    /// below their limits.
     fn of(limit: &RequestLimit, tolerance: &Tolerance) -> Self {
         let allowed = limit.allowed_in(tolerance.window_ms);
         let tolerated = tolerance.beyond(limit);
         let while_waiting = limit.allowed_in(LONGEST_WAIT_MS) - limit.burst;
         let left = tolerated - while_waiting;
         let kept = ((allowed + left.min(0.0)) / allowed).clamp(0.0, 1.0);
+        let for_each = left.max(0.0) / LENDERS_AT_ONCE / 2.0;
         Terms {
             limit: limit.scaled(kept),
-            most_held: left.max(0.0) / LENDERS_AT_ONCE,
+            most_held: for_each,
+            at_start: for_each.min(limit.burst),
         }
     }
 }
@@ -69,8 +77,8 @@
 }
 
 impl Lender {
-    /// A lender that begins now, with empty buckets: what another one has lent until now
-    /// is not known here.
+    /// A lender that begins now, with nearly empty buckets: what another one has lent until
+    /// now is not known here.
     pub fn begin(tolerance: Tolerance, now_ms: u64) -> Self {
         Lender {
             tolerance,
@@ -108,13 +116,14 @@
         limit: RequestLimit,
     ) -> TenantLoan {
         let began_ms = self.began_ms;
+        let tolerance = self.tolerance;
         let account = self.accounts.entry(ask.tenant.clone()).or_insert_with(|| {
-            let bucket = match is_on(Defect::FullAtStart) {
-                true => TokenBucket::full(began_ms, limit.burst),
-                false => TokenBucket::empty(began_ms),
+            let at_start = match is_on(Defect::FullAtStart) {
+                true => limit.burst,
+                false => Terms::of(&limit, &tolerance).at_start,
             };
             Account {
-                bucket,
+                bucket: TokenBucket::holding(began_ms, at_start),
                 first_limit: limit,
                 loans: HashMap::new(),
             }
@@ -123,7 +132,7 @@
             true => account.first_limit,
             false => limit,
         };
-        account.lend(now_ms, node, ask, &Terms::of(&limit, &self.tolerance))
+        account.lend(now_ms, node, ask, &Terms::of(&limit, &tolerance))
     }
 
     /// Tokens of a tenant that nodes hold.
@@ -142,7 +151,9 @@
 
 impl Account {
     fn lend(&mut self, now_ms: u64, node: &str, ask: &TenantAsk, terms: &Terms) -> TenantLoan {
-        let Terms { limit, most_held } = *terms;
+        let Terms {
+            limit, most_held, ..
+        } = *terms;
         let burst = limit.burst.max(1.0);
         self.bucket.fill(now_ms, limit.rate_per_s, burst);
         self.loans.retain(|_, loan| loan.lapses_ms > now_ms);
--- a/crates/pinerill-quota/src/lib.rs
+++ b/crates/pinerill-quota/src/lib.rs
@@ -18,9 +18,9 @@
 //! late or cut off: a node that hears nothing spends what it holds, until that lapses, and
 //! no more.
 //!
-//! A new lender does not know what its predecessor lent. It begins with empty buckets, so
-//! that both together lend what one bucket would, and each lets nodes hold half of what may
-//! be held.
+//! A new lender does not know what its predecessor lent. It begins with as much as a part of
+//! the tolerance allows, so that both together lend little more than one bucket would, and
+//! each lets nodes hold half of what may be held.
 //!
 //! # Why loans, and not fixed shares or told counts
 //!
--- a/crates/pinerill-quota/tests/support/mod.rs
+++ b/crates/pinerill-quota/tests/support/mod.rs
@@ -134,7 +134,7 @@
             way_draw: seeded(4),
             buckets: tenants
                 .iter()
-                .map(|tenant| TokenBucket::full(0, tenant.limit.burst))
+                .map(|tenant| TokenBucket::holding(0, tenant.limit.burst))
                 .collect(),
             runs: vec![Vec::new(); tenants.len()],
             limits: tenants.iter().map(|one| vec![(0, one.limit)]).collect(),
