Items begin at five of six slots of a worker

Change: the default of node.batch_share is 0.84 instead of 0.75; with 1.0 each call must wait for an item to give way. Test: items at an idle worker of 6, 12, 17 slots 4, 9, 12 -> 5, 10, 14.

--- a/crates/pinerill-calls/src/settings/node.rs
+++ b/crates/pinerill-calls/src/settings/node.rs
@@ -37,8 +37,15 @@
     pub batch_share: f64,
 }
 
+/// Five of six slots. Slots that items leave free between bursts of calls are lost to them,
+/// and items that are behind then keep their places in the next burst. On a fleet of 72
+/// workers of 6 slots whose calls come in bursts, the worth of three days with faults rose
+/// from 0.653, 0.696 and 0.705 with 0.75 to 0.748, 0.786 and 0.683; with 1.0, where each call
+/// must wait for an item to give way, it was 0.738, 0.772 and 0.655. On three smaller fleets
+/// the means of 5, 5 and 10 days are 0.792, 0.884, 0.686; 0.815, 0.888, 0.692; and 0.826,
+/// 0.875, 0.676.
 fn default_batch_share() -> f64 {
-    0.75
+    0.84
 }
 
 impl NodeSettings {
--- a/crates/pinerill-calls/tests/messages.rs
+++ b/crates/pinerill-calls/tests/messages.rs
@@ -86,7 +86,7 @@
     let cases = [
         ("name = \"node-1\"", "name = \"\"", "node.name"),
         (
-            "batch_share = 0.75",
+            "batch_share = 0.84",
             "batch_share = 1.5",
             "node.batch_share",
         ),
--- a/crates/pinerill-forward/src/fleet/mod.rs
+++ b/crates/pinerill-forward/src/fleet/mod.rs
@@ -42,7 +42,7 @@
         ChoiceSettings {
             prefill_tokens_per_ms: 50.0,
             other_zone_ms: 40.0,
-            batch_share: 0.75,
+            batch_share: 0.84,
         }
     }
 }
--- a/crates/pinerill-forward/tests/fleet.rs
+++ b/crates/pinerill-forward/tests/fleet.rs
@@ -519,3 +519,31 @@
     assert_eq!(place_once(&fleet, 1_000), None);
     assert_eq!(place_once(&fleet, 5_000), Some(id("a")));
 }
+
+/// Items that begin at an idle worker of so many slots, by the default share.
+fn items_beside_no_calls(slots: u32) -> u32 {
+    let mut wide = entry("a", "near");
+    wide.slots = slots;
+    let mut fleet = Fleet::new("near", ChoiceSettings::default());
+    fleet.take_directory(NOW_MS, &[wide]);
+    let none = Prompt::default();
+    let wanted = Wanted {
+        service: "s",
+        prompt: &none,
+        except: &[],
+        runs_once: false,
+    };
+    let mut items = 0;
+    while fleet.choose_for_item(NOW_MS, &wanted).is_some() {
+        fleet.begin(NOW_MS, "a", 0.0);
+        items += 1;
+    }
+    items
+}
+
+#[test]
+fn items_use_what_calls_leave_between_bursts_but_for_a_place_in_six() {
+    // Before, with 0.75: 4, 9 and 12, a third of the slots of small workers idle.
+    let places = [6, 12, 17].map(items_beside_no_calls);
+    assert_eq!(places, [5, 10, 14]);
+}
