Circles among calls' messages and control machines' parts are gone

Cause: digest, directory and message needed each other, as did control, peers and refusal. Change: the encoding stands in a file of its own below digests and messages; refusals name the machine's record instead of the whole machine; the leader that others name has its file.

--- a/crates/pinerill-calls/src/digest.rs
+++ b/crates/pinerill-calls/src/digest.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::message::encode;
+use crate::encoding::encode;
 
 /// FNV-1a's first value and its multiplier, 64 bits.
 const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
--- a/crates/pinerill-calls/src/lib.rs
+++ b/crates/pinerill-calls/src/lib.rs
@@ -4,13 +4,14 @@
 //! the service that its route names. This crate has the [`table`] of routes,
 //! the [`job`]s whose items are whole calls, the [`directory`] of workers, the
 //! [`protocol`] ports through which a foreign manner of speaking is met, and
-//! the typed [`message`]s between nodes and control machines.
+//! the typed [`message`]s between nodes and control machines with their [`encoding`].
 //!
 //! Nothing here reads a clock or a socket.
 
 pub mod compression;
 pub mod digest;
 pub mod directory;
+pub mod encoding;
 pub mod job;
 pub mod message;
 pub mod protocol;
--- a/crates/pinerill-cluster/src/server/control.rs
+++ b/crates/pinerill-cluster/src/server/control.rs
@@ -18,7 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::leadership::Leadership;
-use super::peers::NamedLeader;
+use super::named_leader::NamedLeader;
 use super::refusal;
 use crate::machine::{Applied, ClusterMachine, Command, StampedCommand};
 use pinerill_calls::settings::ControlSettings;
@@ -85,7 +85,11 @@
     ) -> Result<R, Box<Refusal>> {
         let term = self.group.status().term;
         if !self.leads() {
-            return Err(refusal::not_leader(self, step));
+            return Err(refusal::not_leader(
+                &self.record,
+                self.leader_address(),
+                step,
+            ));
         }
         let mut held = self.leadership.lock();
         let current = held.as_ref().is_some_and(|one| one.term() == term);
@@ -99,7 +103,11 @@
         }
         match held.as_mut() {
             Some(leadership) => Ok(look(leadership)),
-            None => Err(refusal::not_leader(self, step)),
+            None => Err(refusal::not_leader(
+                &self.record,
+                self.leader_address(),
+                step,
+            )),
         }
     }
 
@@ -122,14 +130,18 @@
         let proposed = self.group.propose(encode(&stamped)).await;
         let answer = proposed.map_err(|error| self.refuse_proposal(step, &error))?;
         self.tell_news();
-        decode(&answer).map_err(|error| refusal::unknown(self, step, error))
+        decode(&answer).map_err(|error| refusal::unknown(&self.record, step, error))
     }
 
     fn refuse_proposal(&self, step: &'static str, error: &ProposeError) -> Box<Refusal> {
         match error {
-            ProposeError::NotLeader { .. } => refusal::not_leader(self, step),
-            ProposeError::Busy | ProposeError::Stopped => refusal::unavailable(self, step, error),
-            ProposeError::Unknown => refusal::unknown(self, step, error),
+            ProposeError::NotLeader { .. } => {
+                refusal::not_leader(&self.record, self.leader_address(), step)
+            }
+            ProposeError::Busy | ProposeError::Stopped => {
+                refusal::unavailable(&self.record, step, error)
+            }
+            ProposeError::Unknown => refusal::unknown(&self.record, step, error),
         }
     }
 
@@ -141,7 +153,7 @@
     pub(super) async fn barrier(&self, step: &'static str) -> Result<(), Box<Refusal>> {
         match self.group.read_barrier().await {
             Ok(_) => Ok(()),
-            Err(error) => Err(refusal::unavailable(self, step, error)),
+            Err(error) => Err(refusal::unavailable(&self.record, step, error)),
         }
     }
 
--- a/crates/pinerill-cluster/src/server/jobs.rs
+++ b/crates/pinerill-cluster/src/server/jobs.rs
@@ -78,7 +78,11 @@
                 log::info!(event = "job_submitted", job:% = id, items, outcome:? = outcome; "");
                 Ok(CallsResponse::SubmitJob(outcome))
             }
-            other => Err(refusal::unknown(self, step, format!("answered {other:?}"))),
+            other => Err(refusal::unknown(
+                &self.record,
+                step,
+                format!("answered {other:?}"),
+            )),
         }
     }
 
@@ -159,7 +163,11 @@
         self.barrier(step).await?;
         match self.read_texts(from, &part)? {
             Some(entries) => Ok(results(from, part.total, entries)),
-            None => Err(refusal::unavailable(self, step, "a text is missing")),
+            None => Err(refusal::unavailable(
+                &self.record,
+                step,
+                "a text is missing",
+            )),
         }
     }
 
@@ -170,7 +178,7 @@
         part: &ListedPart,
     ) -> Result<Option<Vec<ListedItem>>, Box<Refusal>> {
         let failed =
-            |error: &dyn std::fmt::Display| refusal::unavailable(self, "read texts", error);
+            |error: &dyn std::fmt::Display| refusal::unavailable(&self.record, "read texts", error);
         if part.entries.is_empty() {
             return Ok(Some(Vec::new()));
         }
@@ -215,7 +223,11 @@
                 return Ok(CallsResponse::Item(Some(call)));
             }
         }
-        Err(refusal::unavailable(self, step, "a call is missing"))
+        Err(refusal::unavailable(
+            &self.record,
+            step,
+            "a call is missing",
+        ))
     }
 
     /// Number of the job and position of an item that waits.
@@ -231,9 +243,9 @@
     fn read_call(&self, number: u64, index: u32) -> Result<Option<Vec<u8>>, Box<Refusal>> {
         let step = "read call of item";
         let table = self.group.table();
-        let table = table.map_err(|error| refusal::unavailable(self, step, error))?;
+        let table = table.map_err(|error| refusal::unavailable(&self.record, step, error))?;
         let call = table.get(&call_key(number, index));
-        call.map_err(|error| refusal::unavailable(self, step, error))
+        call.map_err(|error| refusal::unavailable(&self.record, step, error))
     }
 
     /// Renews and hands out leases; waits for an item if none is free and the
--- a/crates/pinerill-cluster/src/server/mod.rs
+++ b/crates/pinerill-cluster/src/server/mod.rs
@@ -19,6 +19,7 @@
 mod leadership;
 mod members;
 mod monitoring;
+mod named_leader;
 mod operators;
 mod peers;
 mod quota;
--- a/crates/pinerill-cluster/src/server/operators.rs
+++ b/crates/pinerill-cluster/src/server/operators.rs
@@ -159,14 +159,18 @@
     pub(super) async fn put_table(&self, put: PutTable) -> Result<CallsResponse, Box<Refusal>> {
         let step = "put table";
         if let Err(error) = put.table.check() {
-            return Err(refusal::invalid(self, step, error));
+            return Err(refusal::invalid(&self.record, step, error));
         }
         let version = put.table.version;
         let applied = self.propose(step, Command::PutTable(Box::new(put))).await?;
         log::info!(event = "table_kept", version; "");
         match applied {
             Applied::Done => Ok(CallsResponse::Done),
-            other => Err(refusal::unknown(self, step, format!("answered {other:?}"))),
+            other => Err(refusal::unknown(
+                &self.record,
+                step,
+                format!("answered {other:?}"),
+            )),
         }
     }
 }
--- a/crates/pinerill-cluster/src/server/peers.rs
+++ b/crates/pinerill-cluster/src/server/peers.rs
@@ -12,7 +12,6 @@
     decode, CallsRequest, CallsResponse, ControlAddress, JoinRequest, JoinResponse, KnownLeader,
     MachineRecord,
 };
-use pinerill_process::clock::BootTime;
 use pinerill_replica::ReplicaId;
 use pinerill_wire::message::{Refusal, Response};
 use rand::seq::SliceRandom;
@@ -30,37 +29,6 @@
 const GOSSIP_PEERS: usize = 5;
 /// Longest wait for an answer.
 const ANSWER_TIME: Duration = Duration::from_millis(800);
-/// How long a leader that another machine named is believed without being named
-/// again: three rounds, so that a lost answer does not matter, and no longer than
-/// an election takes.
-const NAMED_LEADER_LIFE: Duration = Duration::from_millis(1_200);
-
-/// The leader as another machine named it; the group itself tells members only.
-#[derive(Debug, Default)]
-pub(super) struct NamedLeader {
-    named: Option<(KnownLeader, BootTime)>,
-}
-
-impl NamedLeader {
-    /// Takes in what a machine says; what is known of a later term stays.
-    fn take_in(&mut self, leader: KnownLeader) {
-        let newer = |(known, _): &(KnownLeader, BootTime)| known.term > leader.term;
-        if !self.current().as_ref().is_some_and(newer) {
-            self.named = Some((leader, BootTime::now()));
-        }
-    }
-
-    fn current(&self) -> Option<(KnownLeader, BootTime)> {
-        self.named
-            .filter(|(_, heard)| heard.elapsed() < NAMED_LEADER_LIFE)
-    }
-
-    /// Its address, if it was named lately.
-    pub(super) fn address(&self) -> Option<SocketAddr> {
-        self.current().map(|(leader, _)| leader.address)
-    }
-}
-
 impl Control {
     /// Internal addresses of all control machines that are known here.
     pub(super) fn known_addresses(&self) -> Vec<SocketAddr> {
@@ -238,7 +206,7 @@
         let step = "pass on to the leader";
         let Some(leader) = self.leader_address() else {
             return Err(super::refusal::unavailable(
-                self,
+                &self.record,
                 step,
                 "no leader is known",
             ));
@@ -249,14 +217,14 @@
             .await;
         match answer {
             Ok(Response::Calls(bytes)) => {
-                decode(&bytes).map_err(|error| super::refusal::unknown(self, step, error))
+                decode(&bytes).map_err(|error| super::refusal::unknown(&self.record, step, error))
             }
             Ok(_) => Err(super::refusal::unknown(
-                self,
+                &self.record,
                 step,
                 "an answer of another kind",
             )),
-            Err(error) => Err(super::refusal::unknown(self, step, error)),
+            Err(error) => Err(super::refusal::unknown(&self.record, step, error)),
         }
     }
 }
--- a/crates/pinerill-cluster/src/server/service.rs
+++ b/crates/pinerill-cluster/src/server/service.rs
@@ -20,13 +20,13 @@
 impl Service for ControlService {
     async fn call(&self, peer: &Peer, request: Request) -> Response {
         let Request::Calls(bytes) = request else {
-            let refused = refusal::invalid(&self.control, "read request", "not served here");
+            let refused = refusal::invalid(&self.control.record, "read request", "not served here");
             return Response::Refused(*refused);
         };
         let request: CallsRequest = match decode(&bytes) {
             Ok(request) => request,
             Err(error) => {
-                let refused = refusal::invalid(&self.control, "read request", error);
+                let refused = refusal::invalid(&self.control.record, "read request", error);
                 return Response::Refused(*refused);
             }
         };
