--- a/crates/pinerill-cluster/tests/machine.rs
+++ b/crates/pinerill-cluster/tests/machine.rs
@@ -1,6 +1,6 @@
 //! The replicated state machine: configuration, jobs, control machines.
 
-use std::collections::BTreeMap;
+mod support;
 
 use pinerill_calls::job::{
     CallJobId, ItemEnd, ItemRef, ItemReport, ListedState, NewCallItem, NewCallJob,
@@ -12,23 +12,11 @@
 use pinerill_cluster::machine::{
     call_key, text_key, Applied, ClusterMachine, Command, StampedCommand,
 };
-use pinerill_control::host::{StateMachine, TableWriter};
+use pinerill_control::host::StateMachine;
+use support::Table;
 
 const GIVE_UP_MS: u64 = 60_000;
 
-#[derive(Default)]
-struct Table(BTreeMap<Vec<u8>, Vec<u8>>);
-
-impl TableWriter for Table {
-    fn put(&mut self, key: &[u8], value: &[u8]) {
-        self.0.insert(key.to_vec(), value.to_vec());
-    }
-
-    fn delete(&mut self, key: &[u8]) {
-        self.0.remove(key);
-    }
-}
-
 #[derive(Default)]
 struct Group {
     machine: ClusterMachine,
--- a/crates/pinerill-cluster/tests/stored_state.rs
+++ b/crates/pinerill-cluster/tests/stored_state.rs
@@ -1,29 +1,17 @@
 //! State that a process of the version before has stored: `stored/` was written by its code.
 
-use std::collections::BTreeMap;
+mod support;
 
 use pinerill_calls::job::{CallJobId, ItemCall, ListedState};
 use pinerill_calls::message::{decode_stored, PREVIOUS_VERSION};
 use pinerill_cluster::machine::ClusterMachine;
-use pinerill_control::host::{StateMachine, TableWriter};
+use pinerill_control::host::StateMachine;
+use support::Table;
 
 const COMMANDS: &str = include_str!("stored/commands.hex");
 const SNAPSHOT: &str = include_str!("stored/snapshot.hex");
 const ITEM_CALL: &str = include_str!("stored/item_call.hex");
 
-#[derive(Default)]
-struct Table(BTreeMap<Vec<u8>, Vec<u8>>);
-
-impl TableWriter for Table {
-    fn put(&mut self, key: &[u8], value: &[u8]) {
-        self.0.insert(key.to_vec(), value.to_vec());
-    }
-
-    fn delete(&mut self, key: &[u8]) {
-        self.0.remove(key);
-    }
-}
-
 fn bytes(line: &str) -> Vec<u8> {
     let digits = line.trim().as_bytes().chunks(2);
     digits
