--- a/crates/pinerill/tests/explain.rs
+++ b/crates/pinerill/tests/explain.rs
@@ -30,7 +30,7 @@
     let folder = Folder::new();
     let file = folder.write("forwarding.toml", &example);
     pinerill(&["settings", "check", "--forwarding", &file]).done();
-    let wrong = example.replace("batch_share = 0.75", "batch_share = 7.0");
+    let wrong = example.replace("batch_share = 0.84", "batch_share = 7.0");
     let file = folder.write("wrong.toml", &wrong);
     let message =
         pinerill(&["settings", "check", "--forwarding", &file]).refused(exit::WRONG_INPUT);
