A look at an earlier time takes no further place

Cause: the time for which a place was seen is a difference that overflows if a look brings an earlier time than the one before. Change: the difference saturates. Result: a_look_at_an_earlier_time_takes_nothing_more failed before (attempt to subtract with overflow) and passes.

--- a/crates/pinerill-forward/src/dispatch/claims.rs
+++ b/crates/pinerill-forward/src/dispatch/claims.rs
@@ -77,7 +77,7 @@
             seen.first_ms = now_ms;
         }
         seen.last_ms = now_ms;
-        let more_nodes = (now_ms - seen.first_ms) / NEXT_NODE_MS;
+        let more_nodes = now_ms.saturating_sub(seen.first_ms) / NEXT_NODE_MS;
         before < free + more_nodes as usize
     }
 
--- a/crates/pinerill-forward/tests/claims.rs
+++ b/crates/pinerill-forward/tests/claims.rs
@@ -86,6 +86,13 @@
     assert!(!seen.may_take(1_001, worker(1), 1, 1));
 }
 
+#[test]
+fn a_look_at_an_earlier_time_takes_nothing_more() {
+    let mut seen = SeenPlaces::default();
+    assert!(!seen.may_take(101, worker(1), 1, 1));
+    assert!(!seen.may_take(100, worker(1), 1, 1));
+}
+
 #[test]
 fn a_node_alone_takes_what_it_sees() {
     let own = contenders(&[1])[0];
