--- a/crates/pinerill-calls/src/table/tenant.rs
+++ b/crates/pinerill-calls/src/table/tenant.rs
@@ -27,7 +27,7 @@
 pub enum PresentedKey {
     /// It brings none.
     Absent,
-    /// What it brings is no key: more than one, or not text.
+    /// What it brings is no key: an empty one, or more than one.
     Unusable,
     /// A key.
     Key(KeyHash),
