A place that is handed over is no risk for a call that runs once

Cause: places that are promised or handed over passed by the rule that a call that runs once goes to proven workers.

--- a/crates/pinerill-forward/src/dispatch/mod.rs
+++ b/crates/pinerill-forward/src/dispatch/mod.rs
@@ -77,6 +77,17 @@
     grant: oneshot::Sender<Result<Placed, Unplaced>>,
 }
 
+impl Waiter {
+    fn wanted(&self) -> Wanted<'_> {
+        Wanted {
+            service: &self.service,
+            prompt: &self.prompt,
+            except: &self.except,
+            runs_once: self.runs_once,
+        }
+    }
+}
+
 #[derive(Default)]
 struct State {
     line: WaitingLine,
@@ -278,13 +289,7 @@
                 state.line.leave(ticket);
                 continue;
             };
-            let wanted = Wanted {
-                service: &waiter.service,
-                prompt: &waiter.prompt,
-                except: &waiter.except,
-                runs_once: waiter.runs_once,
-            };
-            let found = self.look(node, state.line.len(), &wanted);
+            let found = self.look(node, state.line.len(), &waiter.wanted());
             let chosen = match found {
                 Placement::Full => continue,
                 Placement::Room(chosen) => Some(chosen),
--- a/crates/pinerill-forward/src/dispatch/zone.rs
+++ b/crates/pinerill-forward/src/dispatch/zone.rs
@@ -120,13 +120,9 @@
             let Some(waiter) = state.waiters.get(&ticket) else {
                 continue;
             };
-            let chosen = node.with_fleet(|fleet, _| fleet.promised(now_ms, key, &waiter.prompt));
-            let Some(chosen) = chosen else {
-                continue;
-            };
-            let fits =
-                chosen.entry.service == waiter.service && !waiter.except.contains(&chosen.entry.id);
-            if fits {
+            let wanted = waiter.wanted();
+            let chosen = node.with_fleet(|fleet, _| fleet.promised(now_ms, key, &wanted));
+            if let Some(chosen) = chosen {
                 state.line.leave(ticket);
                 state.pace.started(now_ms);
                 return Some((state.waiters.remove(&ticket)?, chosen));
--- a/crates/pinerill-forward/src/fleet/mod.rs
+++ b/crates/pinerill-forward/src/fleet/mod.rs
@@ -172,11 +172,15 @@
         })
     }
 
-    /// The worker of a place that another node promised, if it may be asked.
-    pub fn promised(&self, now_ms: u64, key: WorkerKey, prompt: &Prompt) -> Option<Chosen> {
+    /// The worker of a place that was promised or handed over, if the call may go there: one
+    /// that runs once only if the worker is proven.
+    pub fn promised(&self, now_ms: u64, key: WorkerKey, wanted: &Wanted<'_>) -> Option<Chosen> {
         let worker = self.workers.get(self.by_key.get(&key)?)?;
-        let serves = worker.entry().state == WorkerState::Ready && !worker.is_avoided(now_ms);
-        serves.then(|| self.chosen(now_ms, worker, prompt))
+        let entry = worker.entry();
+        let fits = entry.service == wanted.service && !wanted.except.contains(&entry.id);
+        let serves = entry.state == WorkerState::Ready && !worker.is_avoided(now_ms);
+        let is_risk = wanted.runs_once && !worker.is_proven(now_ms);
+        (fits && serves && !is_risk).then(|| self.chosen(now_ms, worker, wanted.prompt))
     }
 
     /// The service of a worker, if it is listed.
--- a/crates/pinerill-forward/tests/fleet.rs
+++ b/crates/pinerill-forward/tests/fleet.rs
@@ -46,14 +46,18 @@
     })
 }
 
-fn choose(fleet: &Fleet, now_ms: u64, prompt: &Prompt, except: &[WorkerId]) -> Option<WorkerId> {
-    let wanted = Wanted {
+/// A call that may run again.
+fn wanted<'a>(prompt: &'a Prompt, except: &'a [WorkerId]) -> Wanted<'a> {
+    Wanted {
         service: "s",
         prompt,
         except,
         runs_once: false,
-    };
-    match fleet.place(now_ms, &wanted, EXPLORES, |_, _| true) {
+    }
+}
+
+fn choose(fleet: &Fleet, now_ms: u64, prompt: &Prompt, except: &[WorkerId]) -> Option<WorkerId> {
+    match fleet.place(now_ms, &wanted(prompt, except), EXPLORES, |_, _| true) {
         Placement::Room(chosen) => Some(chosen.entry.id.clone()),
         Placement::Full | Placement::NoWorker => None,
     }
@@ -65,13 +69,7 @@
 
 fn place(fleet: &Fleet, now_ms: u64, explores: bool) -> Placement {
     let prompt = Prompt::default();
-    let wanted = Wanted {
-        service: "s",
-        prompt: &prompt,
-        except: &[],
-        runs_once: false,
-    };
-    fleet.place(now_ms, &wanted, explores, |_, _| true)
+    fleet.place(now_ms, &wanted(&prompt, &[]), explores, |_, _| true)
 }
 
 fn peer(port: u16) -> std::net::SocketAddr {
@@ -160,12 +158,7 @@
 fn items_leave_slots_to_callers() {
     let mut fleet = fleet(&[entry("a", "near")]);
     let none = Prompt::default();
-    let wanted = Wanted {
-        service: "s",
-        prompt: &none,
-        except: &[],
-        runs_once: false,
-    };
+    let wanted = wanted(&none, &[]);
     // 0.65 of 4 slots: two items fit.
     for _ in 0..2 {
         assert!(fleet.choose_for_item(0, &wanted).is_some());
@@ -181,12 +174,7 @@
 fn items_keep_to_their_zone_while_it_has_a_sound_worker() {
     let mut fleet = fleet(&[entry("near", "near"), entry("far", "other")]);
     let none = Prompt::default();
-    let wanted = Wanted {
-        service: "s",
-        prompt: &none,
-        except: &[],
-        runs_once: false,
-    };
+    let wanted = wanted(&none, &[]);
     for _ in 0..3 {
         fleet.begin(0, "near", 0.0);
     }
@@ -404,9 +392,11 @@
     // Nothing is left to promise.
     assert_eq!(fleet.promise(10, "a", 30), None);
     assert!(matches!(place(&fleet, 20, STAYS), Placement::Room(_)));
-    assert!(fleet.promised(0, key, &Prompt::default()).is_some());
+    let none = Prompt::default();
+    assert!(fleet.promised(0, key, &wanted(&none, &[])).is_some());
+    assert!(fleet.promised(0, key, &wanted(&none, &[id("a")])).is_none());
     fleet.failed(0, "a");
-    assert!(fleet.promised(0, key, &Prompt::default()).is_none());
+    assert!(fleet.promised(0, key, &wanted(&none, &[])).is_none());
 }
 
 #[test]
@@ -465,61 +455,6 @@
     assert_eq!(chosen_at(&fleet, 1), id("a"));
 }
 
-/// Workers to which a call that runs once may go.
-fn place_once(fleet: &Fleet, now_ms: u64) -> Option<WorkerId> {
-    let prompt = Prompt::default();
-    let wanted = Wanted {
-        service: "s",
-        prompt: &prompt,
-        except: &[],
-        runs_once: true,
-    };
-    match fleet.place(now_ms, &wanted, STAYS, |_, _| true) {
-        Placement::Room(chosen) => Some(chosen.entry.id.clone()),
-        Placement::Full | Placement::NoWorker => None,
-    }
-}
-
-#[test]
-fn a_call_that_runs_once_goes_to_proven_workers() {
-    let mut fleet = fleet(&[entry("a", "near"), entry("b", "near")]);
-    // It ends each connection at once, so that it looks idle beside the other.
-    fleet.begin(0, "b", 0.0);
-    fleet.broke_for_others(0, WorkerKey::of("a"));
-    assert_eq!(choose(&fleet, 1, &Prompt::default(), &[]), Some(id("a")));
-    assert_eq!(place_once(&fleet, 1), Some(id("b")));
-    fleet.failed(1, "a");
-    assert_eq!(place_once(&fleet, 1_200), Some(id("b")));
-    // A call that may run again has found it sound.
-    fleet.succeeded("a");
-    assert_eq!(place_once(&fleet, 1_201), Some(id("a")));
-}
-
-#[test]
-fn a_call_that_runs_once_waits_for_a_proven_worker_rather_than_risk_another() {
-    let mut fleet = fleet(&[entry("a", "near"), entry("b", "near")]);
-    fleet.broke_for_others(0, WorkerKey::of("a"));
-    for _ in 0..4 {
-        fleet.begin(0, "b", 0.0);
-    }
-    assert_eq!(place_once(&fleet, 1), None);
-    assert_eq!(choose(&fleet, 1, &Prompt::default(), &[]), Some(id("a")));
-    // Where no worker is proven, the call takes what there is.
-    fleet.failed(1, "b");
-    assert_eq!(place_once(&fleet, 2), Some(id("a")));
-}
-
-#[test]
-fn a_worker_that_no_call_tries_again_is_proven_in_the_end() {
-    let mut fleet = fleet(&[entry("a", "near"), entry("b", "near")]);
-    fleet.failed(0, "a");
-    for _ in 0..4 {
-        fleet.begin(0, "b", 0.0);
-    }
-    assert_eq!(place_once(&fleet, 1_000), None);
-    assert_eq!(place_once(&fleet, 5_000), Some(id("a")));
-}
-
 /// Items that begin at an idle worker of so many slots, by the default share.
 fn items_beside_no_calls(slots: u32) -> u32 {
     let mut wide = entry("a", "near");
@@ -527,12 +462,7 @@
     let mut fleet = Fleet::new("near", ChoiceSettings::default());
     fleet.take_directory(NOW_MS, &[wide]);
     let none = Prompt::default();
-    let wanted = Wanted {
-        service: "s",
-        prompt: &none,
-        except: &[],
-        runs_once: false,
-    };
+    let wanted = wanted(&none, &[]);
     let mut items = 0;
     while fleet.choose_for_item(NOW_MS, &wanted).is_some() {
         fleet.begin(NOW_MS, "a", 0.0);
