--- a/crates/pinerill-cluster/src/machine/jobs.rs
+++ b/crates/pinerill-cluster/src/machine/jobs.rs
@@ -1,9 +1,9 @@
 //! All jobs: acceptance, results, ends, and the order in which items wait.
 //!
 //! Invariants: an item is in `queue` exactly while it is [`ItemPhase::Waiting`];
-//! `waiting_tokens` sums the tokens of just these by tenant and route, and has no zeros; `listed` only grows,
-//! and the text of a position is written once, by the report that lists it; `room`
-//! counts the calls of waiting items and the texts of listed ones, and no others.
+//! `waiting_tokens` sums the tokens of just these by tenant and route, and has no zeros;
+//! `listed` only grows, and the text of a position is written once, by the report that lists
+//! it; `room` counts the calls of waiting items and the texts of listed ones, and no others.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
--- a/crates/pinerill-types/src/settings/example.rs
+++ b/crates/pinerill-types/src/settings/example.rs
@@ -6,7 +6,7 @@
 
 [cluster]
 # A process of a cluster with another name is refused.
-name = "lumadar"
+name = "example"
 # File with 64 hexadecimal digits; the same on every machine of the cluster.
 key_file = "/etc/pinerill/cluster.key"
 # Internal addresses of all control machines.
@@ -14,7 +14,7 @@
 
 [control]
 name = "control-1"
-zone = "ain-sebaa"
+zone = "zone-a"
 # Must be one of cluster.controls.
 listen = "10.0.1.1:7400"
 # /metrics, /livez and /readyz.
@@ -33,7 +33,7 @@
 
 [node]
 name = "node-1"
-zone = "ain-sebaa"
+zone = "zone-a"
 # Zones whose workers it may use besides its own, nearest first.
 neighbours = ["sidi-maarouf", "berrechid"]
 # For callers.
