A worker in doubt is asked whether it stays before anything is sent there

What callers and operators saw: a call reached a worker four seconds after the platform's list had shown it as leaving; in our test calls and items went on for as long as the list could not be read.

Cause: a node took each answer of the leader for proof that its directory was fresh. The answer proves that the leader lives, not that it has read the list; and without any answer nothing bounded how long the last directory was acted on.

Change: the leader tells how old its newest reading was as the watch arrived; a node counts it from when it asked. An answer of a worker's own without Connection: close counts from when it was asked. What is known holds for the notice less 500 ms, and is looked at again right before a request is written. Beyond that the worker is asked at its health path first. Health paths are part of the route table, so messages and stored state have version 7; the stored fixtures were written by the code of version 6.

--- a/crates/pinerill-calls/src/directory.rs
+++ b/crates/pinerill-calls/src/directory.rs
@@ -282,11 +282,14 @@
 pub struct DirectoryHistory {
     /// The newest last.
     directories: VecDeque<Directory>,
+    /// When the newest whole reading of the list began, on its reader's clock, milliseconds.
+    read_ms: Option<u64>,
 }
 
 impl DirectoryHistory {
-    /// Takes in a whole reading; true if it is news.
-    pub fn take(&mut self, workers: Vec<WorkerEntry>) -> bool {
+    /// Takes in a whole reading of the list that began at that time; true if it is news.
+    pub fn take(&mut self, began_ms: u64, workers: Vec<WorkerEntry>) -> bool {
+        self.read_ms = self.read_ms.max(Some(began_ms));
         let directory = Directory::new(workers);
         if self.directories.back() == Some(&directory) {
             return false;
@@ -303,6 +306,12 @@
         self.directories.back()
     }
 
+    /// Time from the beginning of the newest reading to a moment, milliseconds; none before
+    /// the first reading. The beginning counts, since a page may have been read then.
+    pub fn age_ms(&self, at_ms: u64) -> Option<u64> {
+        Some(at_ms.saturating_sub(self.read_ms?))
+    }
+
     /// What leads from the directory with this digest to the present one; none if it is
     /// the present one or nothing was read yet. Who holds none that is known here gets
     /// the whole.
--- a/crates/pinerill-calls/src/encoding.rs
+++ b/crates/pinerill-calls/src/encoding.rs
@@ -16,10 +16,11 @@
 /// | 4 | slack of the backlog in answers to lease requests, nodes of other zones in answers to watches, callers' patience in routes |
 /// | 5 | what an asker of a watch or a joining machine knows already is named by its digest and not sent again |
 /// | 6 | tenants and public routes in route tables, requests borrowed |
-const VERSION: u8 = 6;
+/// | 7 | age of the directory in answers to watches, health paths of services |
+const VERSION: u8 = 7;
 
 /// The version before, whose stored state is still read.
-pub const PREVIOUS_VERSION: u8 = 5;
+pub const PREVIOUS_VERSION: u8 = 6;
 
 /// Why bytes are not a message.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
--- a/crates/pinerill-calls/src/message.rs
+++ b/crates/pinerill-calls/src/message.rs
@@ -103,6 +103,11 @@
     pub table: Option<RouteTable>,
     /// The directory, if it is another one.
     pub directory: Option<DirectoryUpdate>,
+    /// Time from the beginning of the newest whole reading of the platform list to the
+    /// arrival of the request, milliseconds; none if this leader has read none. Counted to the
+    /// arrival and not to the answer, so that the asker may count it from when it asked,
+    /// whatever the way took and however long the answer was held.
+    pub directory_age_ms: Option<u64>,
     /// Nodes that watch.
     pub nodes: u32,
     /// Other processes, if they are others than the asker knows.
--- a/crates/pinerill-calls/src/protocol.rs
+++ b/crates/pinerill-calls/src/protocol.rs
@@ -13,7 +13,7 @@
 };
 pub use operator::{OperatorAnswer, OperatorProtocol, OperatorRequest};
 pub use worker::{
-    AttemptFacts, LoadSample, MalformedPage, NotRunReason, Verdict, WorkerAnswer,
+    AttemptFacts, HealthAnswer, LoadSample, MalformedPage, NotRunReason, Verdict, WorkerAnswer,
     WorkerListProtocol, WorkerProtocol,
 };
 
--- a/crates/pinerill-calls/src/protocol/worker.rs
+++ b/crates/pinerill-calls/src/protocol/worker.rs
@@ -26,6 +26,9 @@
     /// What an answer's head says.
     fn read_answer(&self, head: &Parts) -> WorkerAnswer;
 
+    /// What the head of an answer at a worker's health path says.
+    fn read_health(&self, head: &Parts) -> HealthAnswer;
+
     /// Headers of a worker's answer that are passed on to the caller.
     fn answer_headers(&self, worker: &HeaderMap) -> HeaderMap;
 }
@@ -58,6 +61,15 @@
     pub encoded: bool,
 }
 
+/// What a worker says of itself when it is asked for its health.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HealthAnswer {
+    /// It is sound, and is not leaving.
+    pub stays: bool,
+    /// The start of a worker that answers, if it names itself.
+    pub worker: Option<String>,
+}
+
 /// What became of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
--- a/crates/pinerill-calls/src/settings/node.rs
+++ b/crates/pinerill-calls/src/settings/node.rs
@@ -30,6 +30,10 @@
     pub seed_port: Option<u16>,
     /// The platform list of workers, read while no control machine answers.
     pub worker_list: SocketAddr,
+    /// Time from the moment at which the platform list shows a worker as leaving after which
+    /// nothing new may reach it, milliseconds.
+    #[serde(default = "default_leave_notice_ms")]
+    pub leave_notice_ms: u64,
     /// Time for a planned stop, seconds.
     pub stop_s: f64,
     /// Part of a worker's slots up to which items of jobs begin there; calls count.
@@ -48,6 +52,15 @@
     0.84
 }
 
+/// The shortest that the users' deployments set.
+fn default_leave_notice_ms() -> u64 {
+    3_000
+}
+
+/// Shortest notice that can be kept, milliseconds: the list is read once a second, and nodes
+/// hear of each reading within half a second.
+const LEAST_LEAVE_NOTICE_MS: u64 = 1_000;
+
 impl NodeSettings {
     /// Internal addresses of the seeds.
     pub fn seed_addresses(&self) -> Vec<SocketAddr> {
@@ -62,6 +75,11 @@
             "node.batch_share",
             "must lie between 0 and 1",
         )?;
+        require(
+            self.leave_notice_ms >= LEAST_LEAVE_NOTICE_MS,
+            "node.leave_notice_ms",
+            "must be at least 1000",
+        )?;
         require(self.stop_s > 0.0, "node.stop_s", "must be above 0")
     }
 }
--- a/crates/pinerill-calls/src/table.rs
+++ b/crates/pinerill-calls/src/table.rs
@@ -137,6 +137,8 @@
     pub slots: Option<u32>,
     /// Tokens that fit into one worker's memory, if told.
     pub cache_tokens: Option<u64>,
+    /// Path at which a worker tells whether it is sound and stays, if there is one.
+    pub health_path: Option<String>,
 }
 
 /// Bounds on what a caller may send.
--- a/crates/pinerill-calls/src/table/previous.rs
+++ b/crates/pinerill-calls/src/table/previous.rs
@@ -2,62 +2,47 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{BatchLimits, RequestLimits, Route, RouteKind, RouteTable, Service, Target};
+use super::{RequestLimits, Route, RouteTable, Service, Tenant};
 
-/// A route table without tenants.
+/// A route table whose services have no health path.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct PreviousRouteTable {
     version: u64,
-    routes: Vec<PreviousRoute>,
-    services: Vec<Service>,
+    routes: Vec<Route>,
+    services: Vec<PreviousService>,
     limits: RequestLimits,
+    tenants: Option<Vec<Tenant>>,
 }
 
-/// A route of such a table.
+/// A service of such a table.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-struct PreviousRoute {
+struct PreviousService {
     name: String,
-    host: String,
-    path_prefix: String,
-    kind: RouteKind,
-    timeout_ms: u64,
-    objective_ms: u64,
-    rank: u32,
-    targets: Vec<Target>,
-    attempts: u32,
-    gap_ms: Option<u64>,
-    caller_patience_ms: Option<u64>,
-    batch: Option<BatchLimits>,
+    max_connections: u32,
+    slots: Option<u32>,
+    cache_tokens: Option<u64>,
 }
 
 impl From<PreviousRouteTable> for RouteTable {
     fn from(table: PreviousRouteTable) -> Self {
         RouteTable {
             version: table.version,
-            routes: table.routes.into_iter().map(Route::from).collect(),
-            services: table.services,
+            routes: table.routes,
+            services: table.services.into_iter().map(Service::from).collect(),
             limits: table.limits,
-            tenants: None,
+            tenants: table.tenants,
         }
     }
 }
 
-impl From<PreviousRoute> for Route {
-    fn from(route: PreviousRoute) -> Self {
-        Route {
-            name: route.name,
-            host: route.host,
-            path_prefix: route.path_prefix,
-            kind: route.kind,
-            timeout_ms: route.timeout_ms,
-            objective_ms: route.objective_ms,
-            rank: route.rank,
-            targets: route.targets,
-            attempts: route.attempts,
-            gap_ms: route.gap_ms,
-            caller_patience_ms: route.caller_patience_ms,
-            batch: route.batch,
-            is_public: false,
+impl From<PreviousService> for Service {
+    fn from(service: PreviousService) -> Self {
+        Service {
+            name: service.name,
+            max_connections: service.max_connections,
+            slots: service.slots,
+            cache_tokens: service.cache_tokens,
+            health_path: None,
         }
     }
 }
--- a/crates/pinerill-calls/tests/directory.rs
+++ b/crates/pinerill-calls/tests/directory.rs
@@ -8,6 +8,9 @@
 use pinerill_calls::message::encode;
 use proptest::prelude::*;
 
+/// When readings of the list begin, where it does not matter.
+const READ_MS: u64 = 0;
+
 fn worker(number: u64, slots: u32) -> WorkerEntry {
     WorkerEntry {
         id: WorkerId::new(&format!("w-{number}"), None),
@@ -27,20 +30,20 @@
 #[test]
 fn the_order_of_the_list_is_no_change() {
     let mut history = DirectoryHistory::default();
-    assert!(history.take(workers(0..5)));
+    assert!(history.take(READ_MS, workers(0..5)));
     let mut reversed = workers(0..5);
     reversed.reverse();
-    assert!(!history.take(reversed));
+    assert!(!history.take(READ_MS, reversed));
 }
 
 #[test]
 fn one_worker_that_changes_is_told_alone() {
     let mut history = DirectoryHistory::default();
-    history.take(workers(0..130));
+    history.take(READ_MS, workers(0..130));
     let held = history.present().unwrap().clone();
     let mut changed = workers(0..130);
     changed[7].state = WorkerState::Draining;
-    history.take(changed);
+    history.take(READ_MS, changed);
     let update = history.update_from(Some(held.digest())).unwrap();
     // Some 5 kB if all of them were told.
     assert!(
@@ -57,7 +60,7 @@
 fn who_holds_nothing_or_something_unknown_gets_the_whole() {
     let mut history = DirectoryHistory::default();
     assert_eq!(history.update_from(None), None);
-    history.take(workers(0..3));
+    history.take(READ_MS, workers(0..3));
     let stranger = Digest::of(&"another directory");
     for held in [None, Some(stranger)] {
         let update = history.update_from(held).unwrap();
@@ -72,11 +75,11 @@
 #[test]
 fn a_change_that_belongs_to_another_directory_is_refused() {
     let mut history = DirectoryHistory::default();
-    history.take(workers(0..3));
+    history.take(READ_MS, workers(0..3));
     let first = history.present().unwrap().clone();
-    history.take(workers(1..4));
+    history.take(READ_MS, workers(1..4));
     let second = history.present().unwrap().clone();
-    history.take(workers(2..6));
+    history.take(READ_MS, workers(2..6));
     let from_second = history.update_from(Some(second.digest())).unwrap();
     // The answer that led from the first to the second was lost.
     let late = Directory::updated(Some(&first), from_second.clone());
@@ -103,7 +106,7 @@
         let mut history = DirectoryHistory::default();
         let mut seen = Vec::new();
         for reading in &readings {
-            history.take(reading.iter().map(|(number, slots)| worker(*number, *slots)).collect());
+            history.take(READ_MS, reading.iter().map(|(number, slots)| worker(*number, *slots)).collect());
             seen.push(history.present().unwrap().clone());
         }
         let held = &seen[held_at % seen.len()];
--- a/crates/pinerill-calls/tests/route_table.rs
+++ b/crates/pinerill-calls/tests/route_table.rs
@@ -10,6 +10,7 @@
         max_connections: 10,
         slots: Some(4),
         cache_tokens: None,
+        health_path: None,
     }
 }
 
--- a/crates/pinerill-calls/tests/tenants.rs
+++ b/crates/pinerill-calls/tests/tenants.rs
@@ -56,6 +56,7 @@
             max_connections: 1,
             slots: None,
             cache_tokens: None,
+            health_path: None,
         }],
         limits: RequestLimits::default(),
         tenants,
--- a/crates/pinerill-cluster/src/server/watch.rs
+++ b/crates/pinerill-cluster/src/server/watch.rs
@@ -17,29 +17,35 @@
     /// leader answers, so that nobody follows a machine that is cut off for
     /// longer than it takes to be deposed.
     pub(super) async fn watch(&self, request: WatchRequest) -> Result<CallsResponse, Box<Refusal>> {
+        let arrived_ms = self.now_ms();
         let wait = Duration::from_millis(request.wait_ms).min(LONGEST_WAIT);
         let deadline = BootTime::now() + wait;
         let mut news = self.news.subscribe();
         loop {
-            let response = self.news_for(&request)?;
+            let response = self.news_for(&request, arrived_ms)?;
             let has_news = response.table.is_some() || response.directory.is_some();
             if has_news || self.stopping.is_cancelled() {
                 return Ok(CallsResponse::Watch(Box::new(response)));
             }
             if timeout_at(deadline, news.changed()).await.is_err() {
-                let response = self.news_for(&request)?;
+                let response = self.news_for(&request, arrived_ms)?;
                 return Ok(CallsResponse::Watch(Box::new(response)));
             }
         }
     }
 
-    fn news_for(&self, request: &WatchRequest) -> Result<WatchResponse, Box<Refusal>> {
+    fn news_for(
+        &self,
+        request: &WatchRequest,
+        arrived_ms: u64,
+    ) -> Result<WatchResponse, Box<Refusal>> {
         let now_ms = self.now_ms();
-        let (nodes, directory, silent, peers, relays) =
+        let (nodes, directory, directory_age_ms, silent, peers, relays) =
             self.with_leadership("watch", |leadership| {
                 (
                     leadership.hear_node(request, now_ms),
                     leadership.directory.update_from(request.directory),
+                    leadership.directory.age_ms(arrived_ms),
                     leadership.lost_machines(now_ms),
                     leadership.peers(&request.zone),
                     leadership.relays(),
@@ -57,6 +63,7 @@
         Ok(WatchResponse {
             table,
             directory,
+            directory_age_ms,
             nodes,
             processes: (!known).then_some(processes),
         })
--- a/crates/pinerill-cluster/src/server/workers.rs
+++ b/crates/pinerill-cluster/src/server/workers.rs
@@ -37,7 +37,7 @@
                 let _ = timeout(FOLLOWER_PAUSE, news.changed()).await;
                 continue;
             }
-            let started = BootTime::now();
+            let (started, began_ms) = (BootTime::now(), self.now_ms());
             let read = self.read_workers(&client).await;
             if read.is_ok() != reachable {
                 reachable = read.is_ok();
@@ -46,7 +46,7 @@
             match read {
                 Ok(reading) => {
                     skipping.note(&reading.skipped);
-                    self.take_workers(reading.workers);
+                    self.take_workers(began_ms, reading.workers);
                     let pause = Duration::from_millis(self.settings.worker_list.poll_ms);
                     sleep(pause.saturating_sub(started.elapsed())).await;
                 }
@@ -58,9 +58,10 @@
         }
     }
 
-    fn take_workers(&self, workers: Vec<WorkerEntry>) {
+    fn take_workers(&self, began_ms: u64, workers: Vec<WorkerEntry>) {
         let count = workers.len();
-        let changed = self.with_leadership("take workers", |one| one.directory.take(workers));
+        let changed =
+            self.with_leadership("take workers", |one| one.directory.take(began_ms, workers));
         if changed == Ok(true) {
             log::info!(event = "workers_changed", count; "");
             self.tell_news();
--- a/crates/pinerill-cluster/tests/stored_state.rs
+++ b/crates/pinerill-cluster/tests/stored_state.rs
@@ -25,13 +25,16 @@
 fn assert_whole(machine: &ClusterMachine) {
     let table = &machine.table().expect("a table").table;
     assert_eq!(table.version, 7);
-    assert_eq!(table.tenants, None);
+    let tenants = table.tenants.as_ref().expect("tenants");
+    assert_eq!((tenants.len(), tenants[0].rank), (1, Some(1)));
+    let service = &table.services[0];
+    assert_eq!((service.slots, &service.health_path), (Some(4), &None));
     assert_eq!(
         (table.routes[0].rank, table.routes[0].is_public),
         (2, false)
     );
     assert_eq!(machine.machines()[&5].name, "m-1");
-    let id = CallJobId::new(None, "job");
+    let id = CallJobId::new(Some("t"), "job");
     let (_, record) = machine.jobs().find(&id).expect("the job");
     assert_eq!(record.listed[0].state, ListedState::Completed);
     assert_eq!(machine.jobs().queue().len(), 2);
--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -242,6 +242,7 @@
     }) else {
         return Err(BreakReason::Connect("the worker is gone".to_owned()));
     };
+    node.confirm(&worker).await?;
     let run = WorkerRun::begin(node, &worker, &running.identity, running.last);
     let facts = AttemptFacts {
         remaining: None,
@@ -258,7 +259,9 @@
         &worker,
         &running.request,
         headers,
+        || node.may_send(&worker),
     );
+    let asked_ms = node.now_ms();
     let sent = match timeout(PATIENCE, begun).await {
         Ok(Ok(sent)) => sent,
         Ok(Err(failure)) => {
@@ -273,9 +276,7 @@
             return Err(BreakReason::Silent);
         }
     };
-    if let Some(load) = sent.answer.load {
-        node.take_load(&worker.id, load);
-    }
+    node.heard_worker(asked_ms, &worker.id, &sent.answer);
     Ok(Begun { sent, place, run })
 }
 
--- a/crates/pinerill-forward/src/call/attempt.rs
+++ b/crates/pinerill-forward/src/call/attempt.rs
@@ -59,6 +59,10 @@
         record.attempt(&chosen);
         self.sent = true;
         let worker = chosen.entry.clone();
+        if let Err(reason) = node.confirm(&worker).await {
+            record.attempt_failed(&reason);
+            return Err(self.not_sent(node, &worker.id, call, &reason));
+        }
         let run = Run::begin(node, &worker, &call.identity, resume_after);
         let facts = AttemptFacts {
             remaining: Some(call.remaining()),
@@ -73,7 +77,9 @@
             &worker,
             &call.request,
             headers,
+            || node.may_send(&worker),
         );
+        let asked_ms = node.now_ms();
         let limit = patience.map_or(call.deadline, |patience| {
             call.deadline.min(BootTime::now() + patience)
         });
@@ -91,9 +97,7 @@
                 return Err(self.lost(node, run, call, failure));
             }
         };
-        if let Some(load) = sent.answer.load {
-            node.take_load(&worker.id, load);
-        }
+        node.heard_worker(asked_ms, &worker.id, &sent.answer);
         if let Verdict::NotRun(reason) = sent.answer.verdict {
             record.attempt_failed(&reason);
             run.not_begun();
@@ -149,12 +153,23 @@
             return AttemptEnd::MayHaveRun;
         }
         let worker = run.worker().clone();
+        run.not_begun();
+        self.not_sent(node, &worker, call, &failure.reason)
+    }
+
+    /// Nothing of the call went to a worker; another one is to be tried.
+    fn not_sent(
+        &mut self,
+        node: &Node,
+        worker: &WorkerId,
+        call: &Call,
+        reason: &BreakReason,
+    ) -> AttemptEnd {
         log::info!(
             event = "attempt_not_sent", id = call.head.id.as_str(), worker = worker.as_str(),
-            reason:% = failure.reason; ""
+            reason:% = reason; ""
         );
-        run.not_begun();
-        self.failed_at(node, worker, &failure.reason);
+        self.failed_at(node, worker.clone(), reason);
         AttemptEnd::NotRun
     }
 
--- a/crates/pinerill-forward/src/cluster/client.rs
+++ b/crates/pinerill-forward/src/cluster/client.rs
@@ -48,6 +48,8 @@
     pub response: CallsResponse,
     /// Another try may have been carried out.
     pub maybe_done_before: bool,
+    /// When the machine that answered was asked.
+    pub asked: BootTime,
 }
 
 /// Connections to control machines, opened when first needed.
@@ -166,12 +168,14 @@
             }
             let address = self.addresses.lock().next();
             let limit = left.min(TRY_TIME + hold);
+            let asked = BootTime::now();
             match self.call_at(address, encoded.clone(), limit).await {
                 Ok(response) => {
                     self.addresses.lock().leader = Some(address);
                     return Ok(Answered {
                         response,
                         maybe_done_before: failure.maybe_done,
+                        asked,
                     });
                 }
                 Err(error) => {
@@ -209,6 +213,7 @@
         };
         if let Some(address) = near {
             let limit = time.min(TRY_TIME + hold);
+            let asked_at = BootTime::now();
             let asked = self
                 .call_at(address, request.clone().into_wire(), limit)
                 .await;
@@ -217,6 +222,7 @@
                     return Ok(Answered {
                         response,
                         maybe_done_before: false,
+                        asked: asked_at,
                     });
                 }
                 Err(error) => self.avoid_if_lost(address, &error),
--- a/crates/pinerill-forward/src/cluster/watch.rs
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -7,7 +7,7 @@
 
 use anyhow::{bail, Context};
 use pinerill_calls::digest::Digest;
-use pinerill_calls::directory::{Directory, ListReading, WorkerEntry};
+use pinerill_calls::directory::{Directory, ListReading, WorkerEntry, WorkerState};
 use pinerill_calls::message::{
     CallsRequest, CallsResponse, Processes, WatchRequest, WatchResponse,
 };
@@ -62,14 +62,13 @@
             processes: held.processes,
             wait_ms: HOLD.as_millis() as u64,
         });
-        let asked = BootTime::now();
         let answer = node.cluster.call(&request, ASK_TIME, HOLD).await;
         let failure = match answer {
             Ok(answered) => {
                 if let CallsResponse::Watch(response) = answered.response {
                     reachability.heard(&node);
-                    take_in(&node, *response, &mut held);
-                    node.waking.heard(asked);
+                    take_in(&node, answered.asked, *response, &mut held);
+                    node.waking.heard(answered.asked);
                 }
                 continue;
             }
@@ -130,14 +129,11 @@
     processes: Option<Digest>,
 }
 
-fn take_in(node: &Node, response: WatchResponse, held: &mut Held) {
+fn take_in(node: &Node, asked: BootTime, response: WatchResponse, held: &mut Held) {
     if let Some(processes) = response.processes {
         held.processes = Some(Digest::of(&processes));
         learn_processes(node, processes);
     }
-    if held.directory.is_some() {
-        note_directory(node);
-    }
     node.beliefs.nodes.store(response.nodes, Ordering::Relaxed);
     if let Some(table) = response.table {
         let version = table.version;
@@ -158,6 +154,16 @@
             }
         };
     }
+    if let (Some(_), Some(age_ms)) = (&held.directory, response.directory_age_ms) {
+        confirm_directory(node, asked, Duration::from_millis(age_ms));
+    }
+}
+
+/// The directory held is what a reading of the list showed that was so old when it was asked
+/// for. An answer alone proves nothing: the leader answers also while it can't read the list.
+fn confirm_directory(node: &Node, asked: BootTime, age: Duration) {
+    let listed_ms = node.ms_at(asked) as i64 - age.as_millis() as i64;
+    node.with_fleet(|fleet, _| fleet.confirm_directory(listed_ms));
 }
 
 fn learn_processes(node: &Node, processes: Processes) {
@@ -170,14 +176,7 @@
     node.cluster.learn_zones(processes.controls);
 }
 
-fn note_directory(node: &Node) {
-    node.beliefs
-        .directory_heard_ms
-        .store(node.now_ms(), Ordering::Relaxed);
-}
-
 fn take_workers(node: &Node, workers: &[WorkerEntry], source: &str) {
-    note_directory(node);
     let gone = node.with_fleet(|fleet, now_ms| fleet.take_directory(now_ms, workers));
     node.connections().end_earlier_starts(workers);
     for worker in &gone {
@@ -188,8 +187,12 @@
         };
         node.worker_crashed(&worker.entry, evidence);
     }
+    let leaving = workers
+        .iter()
+        .filter(|one| one.state == WorkerState::Draining);
     log::info!(
-        event = "directory_taken", source, workers = workers.len(), gone = gone.len(); ""
+        event = "directory_taken", source, workers = workers.len(), leaving = leaving.count(),
+        gone = gone.len(); ""
     );
 }
 
@@ -217,6 +220,7 @@
         match read_list(&node, &client, list.as_ref()).await {
             Ok(reading) => {
                 take_workers(&node, Directory::new(reading.workers).workers(), "list");
+                confirm_directory(&node, started, Duration::ZERO);
                 node.waking.heard(started);
                 node.beliefs.told_by_others.store(true, Ordering::Relaxed);
                 if reading.skipped.count > 0 {
--- /dev/null
+++ b/crates/pinerill-forward/src/confirmation.rs
@@ -0,0 +1,123 @@
+//! Makes sure, right before something is sent to a worker, that the worker stays.
+//!
+//! Mostly the last reading of the platform list says so, or an answer of the worker's own. Where
+//! both are too old ([`crate::fleet::Standing`]) the worker is asked at its health path first. One
+//! that can't be asked, or doesn't say that it stays, gets nothing.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+use http::Uri;
+use parking_lot::Mutex;
+use pinerill_calls::directory::{WorkerEntry, WorkerId};
+use pinerill_calls::protocol::{NotRunReason, Verdict, WorkerAnswer};
+use tokio::sync::Mutex as AsyncMutex;
+use tokio::time::timeout;
+
+use crate::exchange::{ask_health, BreakReason};
+use crate::fleet::Standing;
+use crate::node::Node;
+
+/// Longest wait for a worker's word that it stays. It waits for a slot there like a request;
+/// the request that shall follow has a slot that is believed to be free.
+const ASKING_TIME: Duration = Duration::from_millis(500);
+
+/// Questions under way, so that of several requests for one worker the first asks for all.
+#[derive(Default)]
+pub(crate) struct Questions {
+    asking: Mutex<HashMap<WorkerId, Weak<AsyncMutex<()>>>>,
+}
+
+impl Questions {
+    fn of(&self, worker: &WorkerId) -> Arc<AsyncMutex<()>> {
+        let mut asking = self.asking.lock();
+        if let Some(held) = asking.get(worker).and_then(Weak::upgrade) {
+            return held;
+        }
+        asking.retain(|_, held| held.strong_count() > 0);
+        let turn = Arc::new(AsyncMutex::new(()));
+        asking.insert(worker.clone(), Arc::downgrade(&turn));
+        turn
+    }
+}
+
+impl Node {
+    /// Makes sure that a worker may be sent something new.
+    ///
+    /// # Errors
+    /// Why it may not.
+    pub(crate) async fn confirm(&self, worker: &Arc<WorkerEntry>) -> Result<(), BreakReason> {
+        if self.standing(worker) != Standing::InDoubt {
+            return self.may_send(worker);
+        }
+        let turn = self.questions.of(&worker.id);
+        let asked = timeout(ASKING_TIME, async {
+            let _turn = turn.lock().await;
+            match self.standing(worker) {
+                Standing::InDoubt => self.ask_whether_it_stays(worker).await,
+                Standing::Stays | Standing::Leaves => Ok(()),
+            }
+        });
+        let asked = asked.await;
+        asked.unwrap_or(Err(BreakReason::InDoubt("no answer in time")))?;
+        self.may_send(worker)
+    }
+
+    /// Whether something new may be sent to a worker at this moment.
+    ///
+    /// # Errors
+    /// Why not.
+    pub(crate) fn may_send(&self, worker: &WorkerEntry) -> Result<(), BreakReason> {
+        match self.standing(worker) {
+            Standing::Stays => Ok(()),
+            Standing::InDoubt => Err(BreakReason::InDoubt("what is known of it is too old")),
+            Standing::Leaves => Err(BreakReason::Leaves),
+        }
+    }
+
+    /// Takes in what the head of a worker's answer says of the worker. `asked_ms` is when the
+    /// request was sent at the earliest.
+    pub(crate) fn heard_worker(&self, asked_ms: u64, worker: &str, answer: &WorkerAnswer) {
+        if let Some(load) = answer.load {
+            self.take_load(worker, load);
+        }
+        let is_another = answer.verdict == Verdict::NotRun(NotRunReason::OtherWorker);
+        // A worker that leaves closes its connections, though not only such a one does.
+        if !answer.closes && !is_another {
+            self.with_fleet(|fleet, _| fleet.confirm_worker(asked_ms, worker));
+        }
+    }
+
+    fn standing(&self, worker: &WorkerEntry) -> Standing {
+        self.with_fleet(|fleet, now_ms| fleet.standing(now_ms, &worker.id))
+    }
+
+    async fn ask_whether_it_stays(&self, worker: &Arc<WorkerEntry>) -> Result<(), BreakReason> {
+        let path = self.health_path(&worker.service);
+        let path = path.ok_or(BreakReason::InDoubt("its service has no health path"))?;
+        let asked_ms = self.now_ms();
+        self.metrics.workers_asked.inc();
+        let asked = ask_health(self.connections(), self.worker_protocol(), worker, &path).await;
+        let stays = asked.as_ref().is_ok_and(|answer| {
+            let named = answer.worker.as_deref();
+            answer.stays && named == Some(worker.id.name())
+        });
+        log::info!(
+            event = "worker_asked", worker = worker.id.as_str(), stays, answer:? = asked,
+            directory_age_ms = self.directory_age_ms(), ms = self.now_ms() - asked_ms; ""
+        );
+        asked?;
+        if !stays {
+            return Err(BreakReason::InDoubt("it doesn't say that it stays"));
+        }
+        self.with_fleet(|fleet, _| fleet.confirm_worker(asked_ms, &worker.id));
+        Ok(())
+    }
+
+    fn health_path(&self, service: &str) -> Option<Uri> {
+        let index = self.table()?;
+        let path = index.table().service(service)?.health_path.as_deref()?;
+        path.parse().ok()
+    }
+}
--- a/crates/pinerill-forward/src/exchange/mod.rs
+++ b/crates/pinerill-forward/src/exchange/mod.rs
@@ -8,11 +8,13 @@
 pub mod connect_times;
 mod connection;
 mod events;
+mod health;
 mod lives;
 mod pool;
 mod send;
 
 pub use connection::{BreakReason, WorkerConnection};
 pub use events::{EventBatch, EventOrderError, EventScanner, EventText};
+pub use health::ask_health;
 pub use pool::ConnectionPool;
 pub use send::{Exchange, SendFailure, Sent, WorkerRequest};
--- a/crates/pinerill-forward/src/exchange/send.rs
+++ b/crates/pinerill-forward/src/exchange/send.rs
@@ -65,7 +65,9 @@
 impl Exchange {
     /// Sends a request to a worker and awaits the head of its answer. A
     /// connection that was idle may have been closed by the worker meanwhile;
-    /// if nothing of the request was sent there, a new one takes its place.
+    /// if nothing of the request was sent there, a new one takes its place. Right before the
+    /// request is written, `may_send` has the last word: opening a connection takes time, in
+    /// which news may come or what is known may become too old.
     ///
     /// # Errors
     /// [`SendFailure`], which tells whether the request may have arrived.
@@ -75,8 +77,14 @@
         worker: &Arc<WorkerEntry>,
         request: &WorkerRequest,
         headers: HeaderMap,
+        may_send: impl Fn() -> Result<(), BreakReason>,
     ) -> Result<Sent, SendFailure> {
+        let not_sent = |reason| SendFailure {
+            sent: false,
+            reason,
+        };
         while let Some(connection) = pool.take(&worker.id) {
+            may_send().map_err(not_sent)?;
             let life = pool.lives.of(&worker.id);
             match Self::on(connection, life, protocol, worker, request, headers.clone()).await {
                 Err(failure) if !failure.sent => {}
@@ -84,10 +92,8 @@
             }
         }
         let opened = pool.open(worker).await;
-        let connection = opened.map_err(|reason| SendFailure {
-            sent: false,
-            reason,
-        })?;
+        let connection = opened.map_err(not_sent)?;
+        may_send().map_err(not_sent)?;
         let life = pool.lives.of(&worker.id);
         Self::on(connection, life, protocol, worker, request, headers).await
     }
--- a/crates/pinerill-forward/src/fleet/mod.rs
+++ b/crates/pinerill-forward/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 mod births;
 mod choice;
+mod notice;
 mod peers;
 mod prefixes;
 mod suspicion;
@@ -19,9 +20,11 @@
 use pinerill_calls::protocol::LoadSample;
 
 use self::births::Births;
+use self::notice::NoticeBound;
 use self::peers::PeerBook;
 
 pub use choice::{BatchCapacity, Placement, Wanted};
+pub use notice::Standing;
 pub use peers::{TellingOrder, WorkerCount, WorkerKey};
 pub use prefixes::{PrefixMemory, Prompt};
 pub use worker::Worker;
@@ -35,6 +38,8 @@
     pub other_zone_ms: f64,
     /// Part of a worker's slots up to which items of jobs begin there; calls count.
     pub batch_share: f64,
+    /// Time from a worker's notice after which nothing new may reach it, milliseconds.
+    pub leave_notice_ms: u64,
 }
 
 impl Default for ChoiceSettings {
@@ -43,6 +48,7 @@
             prefill_tokens_per_ms: 50.0,
             other_zone_ms: 40.0,
             batch_share: 0.84,
+            leave_notice_ms: 3_000,
         }
     }
 }
@@ -57,6 +63,9 @@
     by_key: HashMap<WorkerKey, WorkerId>,
     births: Births,
     peers: PeerBook,
+    /// As of when the directory is what the platform list shows, on the node's clock; before
+    /// zero if the list was read before the node began.
+    listed_ms: Option<i64>,
 }
 
 /// A worker that the directory names no more.
@@ -79,6 +88,7 @@
             by_key: HashMap::new(),
             births: Births::default(),
             peers: PeerBook::default(),
+            listed_ms: None,
         }
     }
 
@@ -117,6 +127,41 @@
         .collect()
     }
 
+    /// The directory is what the list showed at a moment, or showed since.
+    pub fn confirm_directory(&mut self, listed_ms: i64) {
+        self.listed_ms = self.listed_ms.max(Some(listed_ms));
+    }
+
+    /// As of when the directory is known to be what the list shows.
+    pub fn listed_ms(&self) -> Option<i64> {
+        self.listed_ms
+    }
+
+    /// A worker said of itself that it stays, when it was asked at that moment.
+    pub fn confirm_worker(&mut self, asked_ms: u64, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.stays(asked_ms);
+        }
+    }
+
+    /// Whether a worker may be sent something new now.
+    pub fn standing(&self, now_ms: u64, id: &str) -> Standing {
+        let Some(worker) = self.workers.get(id) else {
+            return Standing::Leaves;
+        };
+        if worker.entry().state == WorkerState::Draining {
+            return Standing::Leaves;
+        }
+        let bound = NoticeBound::new(self.settings.leave_notice_ms);
+        match bound.holds(
+            now_ms,
+            self.listed_ms.max(worker.stayed_ms().map(|ms| ms as i64)),
+        ) {
+            true => Standing::Stays,
+            false => Standing::InDoubt,
+        }
+    }
+
     /// Whether the directory has any worker.
     pub fn is_empty(&self) -> bool {
         self.workers.is_empty()
--- a/crates/pinerill-forward/src/fleet/worker.rs
+++ b/crates/pinerill-forward/src/fleet/worker.rs
@@ -56,6 +56,8 @@
     /// When it last ended a connection on which it had a request of another node.
     broke_for_others_ms: Option<u64>,
     full_until_ms: u64,
+    /// When it was last asked something whose answer showed that it stays.
+    stayed_ms: Option<u64>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -80,6 +82,7 @@
             suspicion: Suspicion::default(),
             broke_for_others_ms: None,
             full_until_ms: 0,
+            stayed_ms: None,
         }
     }
 
@@ -107,6 +110,16 @@
         }
     }
 
+    /// It was asked something at that moment, and its answer showed that it stays.
+    pub(super) fn stays(&mut self, asked_ms: u64) {
+        self.stayed_ms = self.stayed_ms.max(Some(asked_ms));
+    }
+
+    /// When it was last asked something whose answer showed that it stays.
+    pub(super) fn stayed_ms(&self) -> Option<u64> {
+        self.stayed_ms
+    }
+
     /// A prompt was sent there; it is read after those sent before.
     pub(super) fn expect_prefill(&mut self, now_ms: u64, prefill_ms: f64) {
         let begins_ms = self.reading_until_ms.max(now_ms as f64);
--- a/crates/pinerill-forward/src/gateway/jobs.rs
+++ b/crates/pinerill-forward/src/gateway/jobs.rs
@@ -42,10 +42,12 @@
         Ok(Answered {
             response: CallsResponse::SubmitJob(SubmitOutcome::OverLimit),
             maybe_done_before: false,
+            ..
         }) => Err(Refusal::OverLimit),
         Ok(Answered {
             response: CallsResponse::SubmitJob(SubmitOutcome::NoRoom),
             maybe_done_before: false,
+            ..
         }) => Err(Refusal::NotRun {
             reason: "the control machines have no room for the job",
             retry_after: Some(NO_ROOM_RETRY),
--- a/crates/pinerill-forward/src/lib.rs
+++ b/crates/pinerill-forward/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A call's way, top to bottom: [`gateway`] reads its head, finds its route
 //! and admits it; [`call`] runs it: [`dispatch`] finds a place for it at a
-//! worker that [`fleet`] chooses, [`exchange`] sends it there and reads the answer, [`call::decision`] says what follows,
+//! worker that [`fleet`] chooses, `confirmation` makes sure that the worker stays, [`exchange`] sends it there and reads the answer, [`call::decision`] says what follows,
 //! and the answer or its events go back to the caller. [`batch`] runs leased
 //! items of jobs over the same fleet and exchange. [`cluster`] keeps the route
 //! table and the directory of workers up to date. [`crash`] keeps requests that crash workers from running on.
@@ -21,6 +21,7 @@
 pub mod run_time;
 pub mod waking;
 
+mod confirmation;
 mod monitoring;
 mod node;
 mod peers;
--- a/crates/pinerill-forward/src/monitoring.rs
+++ b/crates/pinerill-forward/src/monitoring.rs
@@ -30,6 +30,7 @@
     whole: HistogramVec,
     pub(crate) worker_failures: IntCounter,
     pub(crate) worker_refusals: IntCounter,
+    pub(crate) workers_asked: IntCounter,
     items: IntCounterVec,
     pub(crate) items_gave_way: IntCounter,
     pub(crate) items_withheld: IntCounter,
@@ -53,8 +54,6 @@
     pub(crate) nodes: AtomicU32,
     /// When a control machine last answered, on the node's clock.
     pub(crate) control_heard_ms: AtomicU64,
-    /// When the directory was last confirmed or replaced, on the node's clock.
-    pub(crate) directory_heard_ms: AtomicU64,
     /// Something else than the leader has said since which workers or control machines
     /// there are, so that the leader must tell all of it again.
     pub(crate) told_by_others: AtomicBool,
@@ -128,6 +127,10 @@
                 "pinerill_node_worker_refusals_total",
                 "Attempts at workers that had no room",
             )?,
+            workers_asked: counter(
+                "pinerill_node_workers_asked_total",
+                "Workers that were asked whether they stay, as what was known was too old",
+            )?,
             items: counters(
                 "pinerill_node_items_total",
                 "Items of jobs that ended here, by end",
@@ -177,7 +180,7 @@
             )?,
             directory_age_ms: gauge(
                 "pinerill_node_directory_age_ms",
-                "Time since the directory of workers was confirmed",
+                "Age of the reading of the platform list that the directory goes by",
             )?,
             idle_connections: gauge(
                 "pinerill_node_idle_connections",
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -16,6 +16,7 @@
 
 use crate::batch::Runs;
 use crate::cluster::ClusterClient;
+use crate::confirmation::Questions;
 use crate::crash::broken_runs::CrashEvidence;
 use crate::crash::CrashDesk;
 use crate::dispatch::Dispatcher;
@@ -59,6 +60,7 @@
     pub(crate) dispatcher: Dispatcher,
     pub(crate) runs: Arc<Runs>,
     pub(crate) crashes: CrashDesk,
+    pub(crate) questions: Questions,
     pub(crate) waking: Waking,
     pub(crate) quota: QuotaDesk,
     pub(crate) metrics: Metrics,
@@ -99,6 +101,7 @@
             dispatcher: Dispatcher::default(),
             runs: Arc::default(),
             crashes: CrashDesk::default(),
+            questions: Questions::default(),
             waking: Waking::default(),
             quota: QuotaDesk::default(),
             metrics: parts.metrics,
@@ -127,11 +130,18 @@
         self.started.elapsed().as_millis() as u64
     }
 
-    /// Time since the directory of workers was confirmed or replaced,
-    /// milliseconds.
+    /// A moment on the node's clock, milliseconds.
+    pub(crate) fn ms_at(&self, moment: BootTime) -> u64 {
+        (moment - self.started).as_millis() as u64
+    }
+
+    /// Age of the reading of the platform list that the directory of workers goes by,
+    /// milliseconds; the age of this process before the first.
     pub fn directory_age_ms(&self) -> u64 {
-        let heard_ms = self.beliefs.directory_heard_ms.load(Ordering::Relaxed);
-        self.now_ms().saturating_sub(heard_ms)
+        self.with_fleet(|fleet, now_ms| {
+            let listed_ms = fleet.listed_ms().unwrap_or(0);
+            (now_ms as i64).saturating_sub(listed_ms).max(0) as u64
+        })
     }
 
     /// Time since a control machine answered, milliseconds.
--- a/crates/pinerill-forward/src/run.rs
+++ b/crates/pinerill-forward/src/run.rs
@@ -138,6 +138,7 @@
     let identity = Identity::new(cluster, key, Role::Node, &settings.name, &settings.zone);
     let choice = ChoiceSettings {
         batch_share: settings.batch_share,
+        leave_notice_ms: settings.leave_notice_ms,
         ..ChoiceSettings::default()
     };
     Ok(Node::new(NodeParts {
--- a/crates/pinerill-forward/tests/restarted_worker.rs
+++ b/crates/pinerill-forward/tests/restarted_worker.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, Method};
 use pinerill_calls::directory::{WorkerEntry, WorkerId, WorkerState};
 use pinerill_calls::job::Header;
-use pinerill_calls::protocol::{AttemptFacts, Verdict, WorkerAnswer, WorkerProtocol};
+use pinerill_calls::protocol::{AttemptFacts, HealthAnswer, Verdict, WorkerAnswer, WorkerProtocol};
 use pinerill_forward::exchange::{BreakReason, ConnectionPool, Exchange, WorkerRequest};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -40,6 +40,13 @@
         }
     }
 
+    fn read_health(&self, _: &Parts) -> HealthAnswer {
+        HealthAnswer {
+            stays: true,
+            worker: None,
+        }
+    }
+
     fn answer_headers(&self, worker: &HeaderMap) -> HeaderMap {
         worker.clone()
     }
@@ -81,7 +88,7 @@
         body: Bytes::from_static(b"body"),
         id: "call".to_owned(),
     };
-    let begun = Exchange::begin(pool, &Plain, worker, &request, HeaderMap::new()).await;
+    let begun = Exchange::begin(pool, &Plain, worker, &request, HeaderMap::new(), || Ok(())).await;
     match begun {
         Ok(sent) => Ok(sent.exchange),
         Err(failure) => {
