A node's own reading of the list replaces no later news

What callers would see: calls at a worker that was gone, or that had left notice, after control machines came back while a node still read the list itself, page by page.

Cause: such a reading was taken in whatever the leader had told since it began. It brought back a worker that the leader's later list no longer had, as one that stays, and the directory counted as known as of the leader's moment.

Change: a reading that began before the moment as of which the directory is known is passed over, in one step under the fleet's lock. Why it holds: what replaces a directory is never older than it.

--- a/crates/pinerill-forward/src/cluster/watch.rs
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -17,6 +17,7 @@
 use tokio::time::sleep;
 
 use crate::crash::broken_runs::CrashEvidence;
+use crate::fleet::GoneWorker;
 use crate::node::Node;
 
 /// How long the leader may hold an answer.
@@ -145,7 +146,7 @@
         // After a change that does not fit, the whole is asked for.
         held.directory = match Directory::updated(held.directory.as_ref(), update) {
             Ok(directory) => {
-                take_workers(node, directory.workers(), "control");
+                take_workers(node, directory.workers());
                 Some(directory)
             }
             Err(error) => {
@@ -176,10 +177,33 @@
     node.cluster.learn_zones(processes.controls);
 }
 
-fn take_workers(node: &Node, workers: &[WorkerEntry], source: &str) {
+/// Takes in a directory that the leader told.
+fn take_workers(node: &Node, workers: &[WorkerEntry]) {
     let gone = node.with_fleet(|fleet, now_ms| fleet.take_directory(now_ms, workers));
+    note_workers(node, workers, &gone, "control");
+}
+
+/// Takes in a reading of this node's own, unless the leader has told a later one meanwhile.
+fn take_reading(node: &Node, began: BootTime, reading: ListReading) {
+    let directory = Directory::new(reading.workers);
+    let began_ms = node.ms_at(began) as i64;
+    let taken =
+        node.with_fleet(|fleet, now_ms| fleet.take_reading(now_ms, began_ms, directory.workers()));
+    match taken {
+        Some(gone) => {
+            note_workers(node, directory.workers(), &gone, "list");
+            node.waking.heard(began);
+        }
+        None => log::info!(
+            event = "reading_passed_over", ms = began.elapsed().as_millis() as u64; ""
+        ),
+    }
+}
+
+/// Acts on workers that are gone, and says what was taken in.
+fn note_workers(node: &Node, workers: &[WorkerEntry], gone: &[GoneWorker], source: &str) {
     node.connections().end_earlier_starts(workers);
-    for worker in &gone {
+    for worker in gone {
         node.connections().forget(&worker.entry.id);
         let evidence = match worker.is_restarted {
             true => CrashEvidence::Replaced,
@@ -219,16 +243,14 @@
         let started = BootTime::now();
         match read_list(&node, &client, list.as_ref()).await {
             Ok(reading) => {
-                take_workers(&node, Directory::new(reading.workers).workers(), "list");
-                confirm_directory(&node, started, Duration::ZERO);
-                node.waking.heard(started);
-                node.beliefs.told_by_others.store(true, Ordering::Relaxed);
                 if reading.skipped.count > 0 {
                     log::warn!(
                         event = "worker_entries_skipped", count = reading.skipped.count,
                         first_reason:? = reading.skipped.first_reason; ""
                     );
                 }
+                take_reading(&node, started, reading);
+                node.beliefs.told_by_others.store(true, Ordering::Relaxed);
             }
             Err(error) => log::warn!(
                 event = "worker_list_failed", error:% = format!("{error:#}"),
--- a/crates/pinerill-forward/src/fleet/mod.rs
+++ b/crates/pinerill-forward/src/fleet/mod.rs
@@ -127,6 +127,24 @@
         .collect()
     }
 
+    /// Takes in a reading of the list that this node made itself and that began at a moment on
+    /// its clock. None, and nothing is taken, if the directory shows the list as of a later
+    /// moment: a reading of many slow pages may end behind the leader's news, and would bring
+    /// back a worker that is gone as one that stays.
+    pub fn take_reading(
+        &mut self,
+        now_ms: u64,
+        began_ms: i64,
+        entries: &[WorkerEntry],
+    ) -> Option<Vec<GoneWorker>> {
+        if self.listed_ms >= Some(began_ms) {
+            return None;
+        }
+        let gone = self.take_directory(now_ms, entries);
+        self.confirm_directory(began_ms);
+        Some(gone)
+    }
+
     /// The directory is what the list showed at a moment, or showed since.
     pub fn confirm_directory(&mut self, listed_ms: i64) {
         self.listed_ms = self.listed_ms.max(Some(listed_ms));
--- a/crates/pinerill-forward/tests/leave_notice.rs
+++ b/crates/pinerill-forward/tests/leave_notice.rs
@@ -2,7 +2,8 @@
 //!
 //! Readings of the list, watches, a node's own readings and a worker's answers come in any
 //! order, late, or never; leaders change; the worker leaves at some moment. The design is played
-//! beside defects of it: knowledge that is counted from any moment later than its origin.
+//! beside defects of it: knowledge that is counted from a moment later than its origin, or that
+//! older knowledge replaces.
 
 use pinerill_calls::directory::{
     Directory, DirectoryHistory, DirectoryUpdate, WorkerEntry, WorkerId, WorkerState,
@@ -31,6 +32,8 @@
     AnswerComes,
     /// From the worker's answer.
     WorkerAnswers,
+    /// From its origin, but a node's own reading is taken in whatever it knows by then.
+    OlderReadingTaken,
 }
 
 struct Watch {
@@ -91,7 +94,12 @@
         }
     }
 
+    /// The list shows a worker no more some time after it was shown as leaving.
     fn shown(&self) -> Vec<WorkerEntry> {
+        let gone_ms = self.left_ms.map(|left_ms| left_ms + NOTICE_MS);
+        if gone_ms.is_some_and(|gone_ms| self.now_ms > gone_ms) {
+            return Vec::new();
+        }
         let state = match self.left_ms {
             Some(_) => WorkerState::Draining,
             None => WorkerState::Ready,
@@ -164,10 +172,17 @@
     }
 
     fn end_own_reading(&mut self) {
-        if let Some(reading) = self.own_reading.take() {
+        let Some(reading) = self.own_reading.take() else {
+            return;
+        };
+        let began_ms = reading.began_ms as i64;
+        self.held = None;
+        if self.counting == Counting::OlderReadingTaken {
             self.fleet.take_directory(self.now_ms, &reading.shown);
-            self.fleet.confirm_directory(reading.began_ms as i64);
-            self.held = None;
+            self.fleet.confirm_directory(began_ms);
+        } else {
+            let (now_ms, fleet) = (self.now_ms, &mut self.fleet);
+            let _ = fleet.take_reading(now_ms, began_ms, &reading.shown);
         }
     }
 
@@ -203,7 +218,7 @@
             }
             61..=72 => self.leader_answers(),
             73..=84 => self.answer_comes(),
-            85 => self.own_reading = self.begin_reading(),
+            85 => self.own_reading = self.own_reading.take().or(self.begin_reading()),
             86 => self.end_own_reading(),
             87..=90 => self.question = Some((self.now_ms, None)),
             91..=94 => {
@@ -263,6 +278,7 @@
         Counting::ReadingEnds,
         Counting::AnswerComes,
         Counting::WorkerAnswers,
+        Counting::OlderReadingTaken,
     ] {
         let outcome = play(counting);
         assert!(outcome.late > 0, "{counting:?} is not caught: {outcome:?}");
