Nodes' own readings of the list leave the leader its part of the rate

What callers would see: after an outage of the control machines of a large fleet, workers that come or leave are known late, since the leader's readings of the list are answered 429 beside the nodes'.

Cause: each node read the list every 2 to 4 s whatever the number of nodes and pages: 250 nodes with three pages ask for 250 pages a second where all processes together may ask for 44.

Change: the pause of a node grows with nodes times pages over half of the rate, which the settings name (node.worker_list_calls_per_s); few nodes read as before.

--- a/crates/pinerill-calls/src/directory.rs
+++ b/crates/pinerill-calls/src/directory.rs
@@ -144,6 +144,7 @@
     /// Entries so far that name none.
     pub skipped: SkippedEntries,
     tokens: HashSet<String>,
+    pages: usize,
 }
 
 /// A list whose pages lead back to one that was read already.
@@ -157,6 +158,7 @@
     /// # Errors
     /// [`EndlessList`].
     pub fn take(&mut self, page: WorkerPage) -> Result<Option<String>, EndlessList> {
+        self.pages += 1;
         self.workers.extend(page.workers);
         self.skipped.extend(page.skipped);
         match page.next {
@@ -164,6 +166,11 @@
             next => Ok(next),
         }
     }
+
+    /// Pages taken in so far.
+    pub fn pages(&self) -> usize {
+        self.pages
+    }
 }
 
 /// What leads from a directory that the asker holds to the present one.
--- a/crates/pinerill-calls/src/settings/node.rs
+++ b/crates/pinerill-calls/src/settings/node.rs
@@ -30,6 +30,9 @@
     pub seed_port: Option<u16>,
     /// The platform list of workers, read while no control machine answers.
     pub worker_list: SocketAddr,
+    /// Calls a second that the platform list answers, from all processes together.
+    #[serde(default = "default_worker_list_calls_per_s")]
+    pub worker_list_calls_per_s: f64,
     /// Time from the moment at which the platform list shows a worker as leaving after which
     /// nothing new may reach it, milliseconds.
     #[serde(default = "default_leave_notice_ms")]
@@ -52,6 +55,11 @@
     0.84
 }
 
+/// Half of what the users' lists answer.
+fn default_worker_list_calls_per_s() -> f64 {
+    20.0
+}
+
 /// The shortest that the users' deployments set.
 fn default_leave_notice_ms() -> u64 {
     3_000
@@ -75,6 +83,12 @@
             "node.batch_share",
             "must lie between 0 and 1",
         )?;
+        let rate = self.worker_list_calls_per_s;
+        require(
+            rate.is_finite() && rate > 0.0,
+            "node.worker_list_calls_per_s",
+            "must be above 0",
+        )?;
         require(
             self.leave_notice_ms >= LEAST_LEAVE_NOTICE_MS,
             "node.leave_notice_ms",
--- /dev/null
+++ b/crates/pinerill-forward/src/cluster/list_pace.rs
@@ -0,0 +1,22 @@
+//! How often nodes read the platform list themselves while no control machine answers. Pure.
+
+use std::time::Duration;
+
+/// Shortest pause between two readings of one node. As many nodes may begin at once, each adds
+/// a random part of the same length.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(2_000);
+/// Part of the list's rate that nodes use up together. All processes share the rate, and a leader
+/// that has just come back must find room for its own readings: 250 nodes that read three pages each
+/// two to four seconds ask for 250 pages a second, where 44 are answered.
+const RATE_PART: f64 = 0.5;
+
+/// Pause before the next reading of one node among so many, if a reading has so many pages and
+/// the list answers so many calls a second from all processes together. `random` is between 0
+/// and 1.
+pub fn reading_pause(nodes: u32, pages: usize, calls_per_s: f64, random: f64) -> Duration {
+    let calls = f64::from(nodes.max(1)) * pages.max(1) as f64;
+    // The random part makes the mean one and a half times the pause.
+    let fair = calls / (calls_per_s * RATE_PART * 1.5);
+    let pause = SHORTEST_PAUSE.max(Duration::from_secs_f64(fair));
+    pause + pause.mul_f64(random)
+}
--- a/crates/pinerill-forward/src/cluster/mod.rs
+++ b/crates/pinerill-forward/src/cluster/mod.rs
@@ -2,6 +2,7 @@
 //! directory.
 
 mod client;
+pub mod list_pace;
 mod watch;
 
 pub use client::{Answered, CallFailure, ClusterClient};
--- a/crates/pinerill-forward/src/cluster/watch.rs
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -16,6 +16,7 @@
 use pinerill_process::clock::BootTime;
 use tokio::time::sleep;
 
+use super::list_pace::reading_pause;
 use crate::crash::broken_runs::CrashEvidence;
 use crate::fleet::GoneWorker;
 use crate::node::Node;
@@ -32,9 +33,6 @@
 const LOST_PAUSE: Duration = Duration::from_millis(100);
 /// Time without an answer after which the platform list is read here.
 const LIST_AFTER: Duration = Duration::from_millis(3_000);
-/// Pause between two own readings of the list; as many nodes may read it at
-/// once, each adds a random part of the same length.
-const LIST_PAUSE: Duration = Duration::from_millis(2_000);
 /// Longest wait for one page.
 const PAGE_TIME: Duration = Duration::from_millis(1_000);
 /// Pages of one reading; more can't be right.
@@ -232,9 +230,11 @@
             return;
         }
     };
+    let mut pages = 1;
     loop {
-        let jitter = LIST_PAUSE.mul_f64(rand::random());
-        sleep(LIST_PAUSE + jitter).await;
+        let nodes = node.beliefs.nodes.load(Ordering::Relaxed);
+        let rate = node.settings.worker_list_calls_per_s;
+        sleep(reading_pause(nodes, pages, rate, rand::random())).await;
         let heard_ms = node.beliefs.control_heard_ms.load(Ordering::Relaxed);
         let silent_ms = node.now_ms().saturating_sub(heard_ms);
         if Duration::from_millis(silent_ms) < LIST_AFTER {
@@ -243,6 +243,7 @@
         let started = BootTime::now();
         match read_list(&node, &client, list.as_ref()).await {
             Ok(reading) => {
+                pages = reading.pages();
                 if reading.skipped.count > 0 {
                     log::warn!(
                         event = "worker_entries_skipped", count = reading.skipped.count,
