A refused page of the platform list is asked for again, not the whole list

What callers would see: workers that leave or come are not known while the list refuses some of the leader's calls, as it does where it has more pages than it answers a second.

Cause: a page that failed ended the whole reading, and the next one began with the first page, at the same rate, to fail at the same place.

Change: a page is asked for up to five times, 100 ms apart, and the reading goes on from there.

--- a/crates/pinerill-cluster/src/server/workers.rs
+++ b/crates/pinerill-cluster/src/server/workers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use anyhow::{bail, Context};
-use pinerill_calls::directory::{ListReading, SkippedEntries, WorkerEntry};
+use pinerill_calls::directory::{ListReading, SkippedEntries, WorkerEntry, WorkerPage};
 use pinerill_process::clock::BootTime;
 use tokio::time::{sleep, timeout};
 
@@ -11,6 +11,11 @@
 
 /// Longest wait for one page.
 const PAGE_TIME: Duration = Duration::from_millis(1_000);
+/// Tries of one page, and the pause between two. All processes share the list's rate, and a reading
+/// that began anew after each refused page would never end where it has more pages than are
+/// answered in a second: 3,000 workers have 60 pages, the users' list answers 50 calls a second.
+const PAGE_TRIES: usize = 5;
+const PAGE_PAUSE: Duration = Duration::from_millis(100);
 /// Pages of one reading; more can't be right.
 const PAGE_LIMIT: usize = 1_000;
 /// Pause after a machine looked and did not lead, unless there is news.
@@ -72,7 +77,7 @@
         let mut reading = ListReading::default();
         let mut token: Option<String> = None;
         for _ in 0..PAGE_LIMIT {
-            let page = self.read_page(client, token.as_deref()).await?;
+            let page = self.read_page_at_last(client, token.as_deref()).await?;
             token = reading.take(page)?;
             if token.is_none() {
                 return Ok(reading);
@@ -81,11 +86,29 @@
         bail!("more than {PAGE_LIMIT} pages")
     }
 
+    /// Reads a page, some times if need be.
+    async fn read_page_at_last(
+        &self,
+        client: &reqwest::Client,
+        token: Option<&str>,
+    ) -> anyhow::Result<WorkerPage> {
+        for _ in 1..PAGE_TRIES {
+            match self.read_page(client, token).await {
+                Ok(page) => return Ok(page),
+                Err(error) => log::info!(
+                    event = "worker_page_failed", error:% = format!("{error:#}"); ""
+                ),
+            }
+            sleep(PAGE_PAUSE).await;
+        }
+        self.read_page(client, token).await
+    }
+
     async fn read_page(
         &self,
         client: &reqwest::Client,
         token: Option<&str>,
-    ) -> anyhow::Result<pinerill_calls::directory::WorkerPage> {
+    ) -> anyhow::Result<WorkerPage> {
         let path = self.worker_list.page_path(token);
         let url = format!("http://{}{path}", self.settings.worker_list.address);
         let response = client.get(url).send().await.context("ask for a page")?;
