Names of the confirmation of workers: lease, health check, confirmed

Questions, doubt and staying said in words of their own what the field calls a lease on a confirmation and a health check. Metric pinerill_node_health_checks_total, line health_checked.

--- a/crates/pinerill-calls/src/protocol/worker.rs
+++ b/crates/pinerill-calls/src/protocol/worker.rs
@@ -65,7 +65,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HealthAnswer {
     /// It is sound, and is not leaving.
-    pub stays: bool,
+    pub healthy: bool,
     /// The start of a worker that answers, if it names itself.
     pub worker: Option<String>,
 }
--- a/crates/pinerill-forward/src/confirmation.rs
+++ b/crates/pinerill-forward/src/confirmation.rs
@@ -1,7 +1,7 @@
 //! Makes sure, right before something is sent to a worker, that the worker stays.
 //!
 //! Mostly the last reading of the platform list says so, or an answer of the worker's own. Where
-//! both are too old ([`crate::fleet::Standing`]) the worker is asked at its health path first. One
+//! both are too old ([`crate::fleet::Standing`]) the worker's health is checked first. One
 //! that can't be asked, or doesn't say that it stays, gets nothing.
 
 use std::collections::HashMap;
@@ -15,29 +15,29 @@
 use tokio::sync::Mutex as AsyncMutex;
 use tokio::time::timeout;
 
-use crate::exchange::{ask_health, BreakReason};
+use crate::exchange::{check_health, BreakReason};
 use crate::fleet::Standing;
 use crate::node::Node;
 
-/// Longest wait for a worker's word that it stays. It waits for a slot there like a request;
+/// Longest wait for a health check. It waits for a slot there like a request;
 /// the request that shall follow has a slot that is believed to be free.
-const ASKING_TIME: Duration = Duration::from_millis(500);
+const HEALTH_CHECK_TIME: Duration = Duration::from_millis(500);
 
-/// Questions under way, so that of several requests for one worker the first asks for all.
+/// HealthChecks under way, so that of several requests for one worker the first asks for all.
 #[derive(Default)]
-pub(crate) struct Questions {
-    asking: Mutex<HashMap<WorkerId, Weak<AsyncMutex<()>>>>,
+pub(crate) struct HealthChecks {
+    running: Mutex<HashMap<WorkerId, Weak<AsyncMutex<()>>>>,
 }
 
-impl Questions {
+impl HealthChecks {
     fn of(&self, worker: &WorkerId) -> Arc<AsyncMutex<()>> {
-        let mut asking = self.asking.lock();
-        if let Some(held) = asking.get(worker).and_then(Weak::upgrade) {
+        let mut running = self.running.lock();
+        if let Some(held) = running.get(worker).and_then(Weak::upgrade) {
             return held;
         }
-        asking.retain(|_, held| held.strong_count() > 0);
+        running.retain(|_, held| held.strong_count() > 0);
         let turn = Arc::new(AsyncMutex::new(()));
-        asking.insert(worker.clone(), Arc::downgrade(&turn));
+        running.insert(worker.clone(), Arc::downgrade(&turn));
         turn
     }
 }
@@ -48,19 +48,21 @@
     /// # Errors
     /// Why it may not.
     pub(crate) async fn confirm(&self, worker: &Arc<WorkerEntry>) -> Result<(), BreakReason> {
-        if self.standing(worker) != Standing::InDoubt {
+        if self.standing(worker) != Standing::Unconfirmed {
             return self.may_send(worker);
         }
-        let turn = self.questions.of(&worker.id);
-        let asked = timeout(ASKING_TIME, async {
+        let turn = self.health_checks.of(&worker.id);
+        let asked = timeout(HEALTH_CHECK_TIME, async {
             let _turn = turn.lock().await;
             match self.standing(worker) {
-                Standing::InDoubt => self.ask_whether_it_stays(worker).await,
-                Standing::Stays | Standing::Leaves => Ok(()),
+                Standing::Unconfirmed => self.check_health_of(worker).await,
+                Standing::Confirmed | Standing::Leaving => Ok(()),
             }
         });
         let asked = asked.await;
-        asked.unwrap_or(Err(BreakReason::InDoubt("no answer in time")))?;
+        asked.unwrap_or(Err(BreakReason::Unconfirmed(
+            "no answer to a health check in time",
+        )))?;
         self.may_send(worker)
     }
 
@@ -70,9 +72,11 @@
     /// Why not.
     pub(crate) fn may_send(&self, worker: &WorkerEntry) -> Result<(), BreakReason> {
         match self.standing(worker) {
-            Standing::Stays => Ok(()),
-            Standing::InDoubt => Err(BreakReason::InDoubt("what is known of it is too old")),
-            Standing::Leaves => Err(BreakReason::Leaves),
+            Standing::Confirmed => Ok(()),
+            Standing::Unconfirmed => {
+                Err(BreakReason::Unconfirmed("what is known of it is too old"))
+            }
+            Standing::Leaving => Err(BreakReason::Leaving),
         }
     }
 
@@ -93,23 +97,23 @@
         self.with_fleet(|fleet, now_ms| fleet.standing(now_ms, &worker.id))
     }
 
-    async fn ask_whether_it_stays(&self, worker: &Arc<WorkerEntry>) -> Result<(), BreakReason> {
+    async fn check_health_of(&self, worker: &Arc<WorkerEntry>) -> Result<(), BreakReason> {
         let path = self.health_path(&worker.service);
-        let path = path.ok_or(BreakReason::InDoubt("its service has no health path"))?;
+        let path = path.ok_or(BreakReason::Unconfirmed("its service has no health path"))?;
         let asked_ms = self.now_ms();
-        self.metrics.workers_asked.inc();
-        let asked = ask_health(self.connections(), self.worker_protocol(), worker, &path).await;
-        let stays = asked.as_ref().is_ok_and(|answer| {
+        self.metrics.health_checks.inc();
+        let asked = check_health(self.connections(), self.worker_protocol(), worker, &path).await;
+        let healthy = asked.as_ref().is_ok_and(|answer| {
             let named = answer.worker.as_deref();
-            answer.stays && named == Some(worker.id.name())
+            answer.healthy && named == Some(worker.id.name())
         });
         log::info!(
-            event = "worker_asked", worker = worker.id.as_str(), stays, answer:? = asked,
+            event = "health_checked", worker = worker.id.as_str(), healthy, answer:? = asked,
             directory_age_ms = self.directory_age_ms(), ms = self.now_ms() - asked_ms; ""
         );
         asked?;
-        if !stays {
-            return Err(BreakReason::InDoubt("it doesn't say that it stays"));
+        if !healthy {
+            return Err(BreakReason::Unconfirmed("it is not healthy, or leaving"));
         }
         self.with_fleet(|fleet, _| fleet.confirm_worker(asked_ms, &worker.id));
         Ok(())
--- a/crates/pinerill-forward/src/exchange/connection.rs
+++ b/crates/pinerill-forward/src/exchange/connection.rs
@@ -50,12 +50,12 @@
     /// The worker has started again; what it ran before is gone.
     #[error("the worker has started again")]
     Restarted,
-    /// The worker leaves, or is gone, so that nothing was sent.
-    #[error("the worker leaves")]
-    Leaves,
+    /// The worker is leaving, or gone, so that nothing was sent.
+    #[error("the worker is leaving")]
+    Leaving,
     /// The worker is not known to stay, so that nothing was sent.
     #[error("the worker is not known to stay: {0}")]
-    InDoubt(&'static str),
+    Unconfirmed(&'static str),
     /// Nothing came for too long.
     #[error("silent for too long")]
     Silent,
--- a/crates/pinerill-forward/src/exchange/health.rs
+++ b/crates/pinerill-forward/src/exchange/health.rs
@@ -1,4 +1,4 @@
-//! Asks a worker whether it is sound and stays.
+//! Health checks: whether a worker is sound and not leaving.
 
 use std::sync::Arc;
 
@@ -15,34 +15,34 @@
 /// Longest answer that is read, so that its connection may carry the request that follows.
 const ANSWER_LIMIT: usize = 64 << 10;
 
-/// Asks a worker at its health path. The answer is of the worker that is there now.
+/// Checks the health of a worker. The answer is of the worker that is there now.
 ///
 /// # Errors
 /// Why there is no answer.
-pub async fn ask_health(
+pub async fn check_health(
     pool: &Arc<ConnectionPool>,
     protocol: &dyn WorkerProtocol,
     worker: &Arc<WorkerEntry>,
     path: &Uri,
 ) -> Result<HealthAnswer, BreakReason> {
     while let Some(connection) = pool.take(&worker.id) {
-        // A connection that rested may have ended meanwhile; asking twice does no harm.
-        if let Ok(answer) = ask_on(connection, pool, protocol, worker, path).await {
+        // A connection that rested may have ended meanwhile; checking twice does no harm.
+        if let Ok(answer) = check_on(connection, pool, protocol, worker, path).await {
             return Ok(answer);
         }
     }
     let connection = pool.open(worker).await?;
-    ask_on(connection, pool, protocol, worker, path).await
+    check_on(connection, pool, protocol, worker, path).await
 }
 
-async fn ask_on(
+async fn check_on(
     mut connection: WorkerConnection,
     pool: &ConnectionPool,
     protocol: &dyn WorkerProtocol,
     worker: &WorkerEntry,
     path: &Uri,
 ) -> Result<HealthAnswer, BreakReason> {
-    let sent = connection.send(question(worker, path)?).await;
+    let sent = connection.send(health_request(worker, path)?).await;
     let response = sent.map_err(|unanswered| unanswered.reason)?;
     let (head, mut body) = response.into_parts();
     let mut length = 0;
@@ -58,12 +58,12 @@
     Ok(protocol.read_health(&head))
 }
 
-fn question(worker: &WorkerEntry, path: &Uri) -> Result<Request<Full<Bytes>>, BreakReason> {
+fn health_request(worker: &WorkerEntry, path: &Uri) -> Result<Request<Full<Bytes>>, BreakReason> {
     let host = HeaderValue::try_from(worker.address.to_string());
     let host = host.map_err(|error| BreakReason::Connection(error.to_string()))?;
-    let mut question = Request::new(Full::new(Bytes::new()));
-    *question.method_mut() = Method::GET;
-    *question.uri_mut() = path.clone();
-    question.headers_mut().insert(HOST, host);
-    Ok(question)
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.method_mut() = Method::GET;
+    *request.uri_mut() = path.clone();
+    request.headers_mut().insert(HOST, host);
+    Ok(request)
 }
--- a/crates/pinerill-forward/src/exchange/mod.rs
+++ b/crates/pinerill-forward/src/exchange/mod.rs
@@ -15,6 +15,6 @@
 
 pub use connection::{BreakReason, WorkerConnection};
 pub use events::{EventBatch, EventOrderError, EventScanner, EventText};
-pub use health::ask_health;
+pub use health::check_health;
 pub use pool::ConnectionPool;
 pub use send::{Exchange, SendFailure, Sent, WorkerRequest};
--- a/crates/pinerill-forward/src/fleet/mod.rs
+++ b/crates/pinerill-forward/src/fleet/mod.rs
@@ -20,7 +20,7 @@
 use pinerill_calls::protocol::LoadSample;
 
 use self::births::Births;
-use self::notice::NoticeBound;
+use self::notice::ConfirmationLease;
 use self::peers::PeerBook;
 
 pub use choice::{BatchCapacity, Placement, Wanted};
@@ -158,25 +158,26 @@
     /// A worker said of itself that it stays, when it was asked at that moment.
     pub fn confirm_worker(&mut self, asked_ms: u64, id: &str) {
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.stays(asked_ms);
+            worker.confirm(asked_ms);
         }
     }
 
     /// Whether a worker may be sent something new now.
     pub fn standing(&self, now_ms: u64, id: &str) -> Standing {
         let Some(worker) = self.workers.get(id) else {
-            return Standing::Leaves;
+            return Standing::Leaving;
         };
         if worker.entry().state == WorkerState::Draining {
-            return Standing::Leaves;
+            return Standing::Leaving;
         }
-        let bound = NoticeBound::new(self.settings.leave_notice_ms);
-        match bound.holds(
+        let lease = ConfirmationLease::new(self.settings.leave_notice_ms);
+        match lease.holds(
             now_ms,
-            self.listed_ms.max(worker.stayed_ms().map(|ms| ms as i64)),
+            self.listed_ms
+                .max(worker.confirmed_ms().map(|ms| ms as i64)),
         ) {
-            true => Standing::Stays,
-            false => Standing::InDoubt,
+            true => Standing::Confirmed,
+            false => Standing::Unconfirmed,
         }
     }
 
--- a/crates/pinerill-forward/src/fleet/notice.rs
+++ b/crates/pinerill-forward/src/fleet/notice.rs
@@ -12,23 +12,23 @@
 /// eighth of a core; their calls reach workers 2 to 6 ms after they arrived.
 const SENDING_MS: u64 = 500;
 
-/// The time for which knowledge that a worker stays holds.
+/// The lease on the confirmation that a worker stays.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct NoticeBound {
-    holds_ms: u64,
+pub(super) struct ConfirmationLease {
+    length_ms: u64,
 }
 
-impl NoticeBound {
+impl ConfirmationLease {
     /// For workers that may get something new up to `notice_ms` after they are shown as leaving.
     pub(super) fn new(notice_ms: u64) -> Self {
-        NoticeBound {
-            holds_ms: notice_ms.saturating_sub(SENDING_MS),
+        ConfirmationLease {
+            length_ms: notice_ms.saturating_sub(SENDING_MS),
         }
     }
 
     /// Whether what was known at a moment may still be acted on.
     pub(super) fn holds(self, now_ms: u64, known_ms: Option<i64>) -> bool {
-        let until_ms = known_ms.map(|known_ms| known_ms.saturating_add_unsigned(self.holds_ms));
+        let until_ms = known_ms.map(|known_ms| known_ms.saturating_add_unsigned(self.length_ms));
         until_ms.is_some_and(|until_ms| now_ms as i64 <= until_ms)
     }
 }
@@ -37,9 +37,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
     /// It was known to stay a short while ago.
-    Stays,
-    /// What is known of it is too old: it must be asked first.
-    InDoubt,
+    Confirmed,
+    /// What is known of it is too old: its health must be checked first.
+    Unconfirmed,
     /// It is leaving, or gone.
-    Leaves,
+    Leaving,
 }
--- a/crates/pinerill-forward/src/fleet/worker.rs
+++ b/crates/pinerill-forward/src/fleet/worker.rs
@@ -57,7 +57,7 @@
     broke_for_others_ms: Option<u64>,
     full_until_ms: u64,
     /// When it was last asked something whose answer showed that it stays.
-    stayed_ms: Option<u64>,
+    confirmed_ms: Option<u64>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -82,7 +82,7 @@
             suspicion: Suspicion::default(),
             broke_for_others_ms: None,
             full_until_ms: 0,
-            stayed_ms: None,
+            confirmed_ms: None,
         }
     }
 
@@ -111,13 +111,13 @@
     }
 
     /// It was asked something at that moment, and its answer showed that it stays.
-    pub(super) fn stays(&mut self, asked_ms: u64) {
-        self.stayed_ms = self.stayed_ms.max(Some(asked_ms));
+    pub(super) fn confirm(&mut self, asked_ms: u64) {
+        self.confirmed_ms = self.confirmed_ms.max(Some(asked_ms));
     }
 
     /// When it was last asked something whose answer showed that it stays.
-    pub(super) fn stayed_ms(&self) -> Option<u64> {
-        self.stayed_ms
+    pub(super) fn confirmed_ms(&self) -> Option<u64> {
+        self.confirmed_ms
     }
 
     /// A prompt was sent there; it is read after those sent before.
--- a/crates/pinerill-forward/src/monitoring.rs
+++ b/crates/pinerill-forward/src/monitoring.rs
@@ -30,7 +30,7 @@
     whole: HistogramVec,
     pub(crate) worker_failures: IntCounter,
     pub(crate) worker_refusals: IntCounter,
-    pub(crate) workers_asked: IntCounter,
+    pub(crate) health_checks: IntCounter,
     items: IntCounterVec,
     pub(crate) items_gave_way: IntCounter,
     pub(crate) items_withheld: IntCounter,
@@ -127,9 +127,9 @@
                 "pinerill_node_worker_refusals_total",
                 "Attempts at workers that had no room",
             )?,
-            workers_asked: counter(
-                "pinerill_node_workers_asked_total",
-                "Workers that were asked whether they stay, as what was known was too old",
+            health_checks: counter(
+                "pinerill_node_health_checks_total",
+                "Health checks of workers whose confirmation had run out",
             )?,
             items: counters(
                 "pinerill_node_items_total",
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -16,7 +16,7 @@
 
 use crate::batch::Runs;
 use crate::cluster::ClusterClient;
-use crate::confirmation::Questions;
+use crate::confirmation::HealthChecks;
 use crate::crash::broken_runs::CrashEvidence;
 use crate::crash::CrashDesk;
 use crate::dispatch::Dispatcher;
@@ -60,7 +60,7 @@
     pub(crate) dispatcher: Dispatcher,
     pub(crate) runs: Arc<Runs>,
     pub(crate) crashes: CrashDesk,
-    pub(crate) questions: Questions,
+    pub(crate) health_checks: HealthChecks,
     pub(crate) waking: Waking,
     pub(crate) quota: QuotaDesk,
     pub(crate) metrics: Metrics,
@@ -101,7 +101,7 @@
             dispatcher: Dispatcher::default(),
             runs: Arc::default(),
             crashes: CrashDesk::default(),
-            questions: Questions::default(),
+            health_checks: HealthChecks::default(),
             waking: Waking::default(),
             quota: QuotaDesk::default(),
             metrics: parts.metrics,
--- a/crates/pinerill-forward/tests/leave_notice.rs
+++ b/crates/pinerill-forward/tests/leave_notice.rs
@@ -235,7 +235,7 @@
     }
 
     fn sends(&self) -> bool {
-        self.fleet.standing(self.now_ms, &worker_id()) == Standing::Stays
+        self.fleet.standing(self.now_ms, &worker_id()) == Standing::Confirmed
     }
 }
 
@@ -321,6 +321,6 @@
     world.now_ms += NOTICE_MS;
     assert_eq!(
         world.fleet.standing(world.now_ms, &worker_id()),
-        Standing::InDoubt
+        Standing::Unconfirmed
     );
 }
--- a/crates/pinerill-forward/tests/restarted_worker.rs
+++ b/crates/pinerill-forward/tests/restarted_worker.rs
@@ -42,7 +42,7 @@
 
     fn read_health(&self, _: &Parts) -> HealthAnswer {
         HealthAnswer {
-            stays: true,
+            healthy: true,
             worker: None,
         }
     }
