A connection between processes keeps 4 KiB to read into, and its end wakes its holder

Cause: each accepted and each opened connection held a read buffer of 64 KiB, and a control machine has one of each process: 985 of them are 62 MB of the 270 MB that it may use. Each connection to another control machine was looked at 20 times a second to see whether it had ended: 149 of them are 2,980 wake-ups a second at each of 150 machines.

Change: 4 KiB are read at once (longer messages are read into their own place), and the end of a connection wakes whoever holds it. Work at rest no longer grows with the connections.

--- a/crates/pinerill-wire/src/connection/link.rs
+++ b/crates/pinerill-wire/src/connection/link.rs
@@ -28,6 +28,9 @@
 const WRITE_QUEUE: usize = 1024;
 /// Bytes gathered before one write.
 const WRITE_BATCH_BYTES: usize = 64 * 1024;
+/// Bytes read at once where messages are short; longer ones are read into their own place. Each
+/// connection keeps so many, and a control machine has one of each process of the fleet.
+pub(super) const READ_BUFFER_BYTES: usize = 4 * 1024;
 
 /// Bytes and messages over connections, shared by any number of them.
 #[derive(Debug, Default)]
@@ -115,6 +118,11 @@
         self.shared.closed.load(Ordering::Acquire)
     }
 
+    /// Waits until the connection has ended.
+    pub async fn closed(&self) {
+        self.shared.stop.cancelled().await;
+    }
+
     /// Ends the connection; calls in flight end with an unknown outcome.
     pub fn close(&self) {
         self.shared.stop.cancel();
@@ -237,7 +245,7 @@
 }
 
 async fn read_loop(socket: OwnedReadHalf, shared: Arc<Shared>) {
-    let mut reader = BufReader::with_capacity(WRITE_BATCH_BYTES, socket);
+    let mut reader = BufReader::with_capacity(READ_BUFFER_BYTES, socket);
     loop {
         let frame = tokio::select! {
             () = shared.stop.cancelled() => break,
--- a/crates/pinerill-wire/src/connection/pool.rs
+++ b/crates/pinerill-wire/src/connection/pool.rs
@@ -16,8 +16,6 @@
 
 /// Pause before connecting again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
-/// Pause between looks at whether a connection has ended.
-const CHECK_PAUSE: Duration = Duration::from_millis(50);
 
 type Connections = Mutex<BTreeMap<SocketAddr, Connection>>;
 
@@ -176,9 +174,7 @@
     let name = connection.peer().name.clone();
     log::info!(peer = name.as_str(), address:%; "peer connected");
     pool.connections.lock().insert(address, connection.clone());
-    while !connection.is_closed() {
-        sleep(CHECK_PAUSE).await;
-    }
+    connection.closed().await;
     pool.connections.lock().remove(&address);
     log::info!(peer = name.as_str(), address:%; "peer disconnected");
 }
--- a/crates/pinerill-wire/src/connection/server.rs
+++ b/crates/pinerill-wire/src/connection/server.rs
@@ -14,7 +14,7 @@
 use super::framing::{frame_bytes, ConnectionError};
 use super::handshake;
 use super::identity::Identity;
-use super::link::read_from_peer;
+use super::link::{read_from_peer, READ_BUFFER_BYTES};
 use crate::api::{Peer, Service};
 use crate::codec::Frame;
 use crate::message::{BundleUpdate, Request, Response};
@@ -23,7 +23,7 @@
 const REQUESTS_PER_PEER: usize = 256;
 /// Answers that may wait to be written.
 const ANSWER_QUEUE: usize = 256;
-/// Bytes gathered before one write or read.
+/// Bytes gathered before one write.
 const BUFFER_BYTES: usize = 64 * 1024;
 
 /// What the accepting side counts.
@@ -96,7 +96,7 @@
     let (read_half, write_half) = stream.into_split();
     let (answers, queue) = mpsc::channel(ANSWER_QUEUE);
     let writer = tokio::spawn(write_answers(write_half, queue));
-    let mut reader = BufReader::with_capacity(BUFFER_BYTES, read_half);
+    let mut reader = BufReader::with_capacity(READ_BUFFER_BYTES, read_half);
     let session = Session {
         peer: Arc::new(peer),
         service,
