Cells: a node is told a part of the workers, and woken by what concerns it

Between two leaders nodes without a table asked the platform list, whose refusals held up the leader's own reading. What grew faster than the fleet: nodes x workers at a start and at a change; nodes x items, as each applied entry woke all watches and requests for items; nodes x pages.

Change: - Workers of a service with more than 200 are divided by their names into parts, and nodes into as many cells; what a node is told, holds and looks through is its cell's. A fleet of small services is one cell, as before. The leader places nodes evenly and they name their cell to the next one. Crash reports go on to other cells by one bridge each, log2(cells) steps. - Watches are woken by a table, evacuations or workers; one request for items for each item that waits. Nodes are told members and a few other control machines. - The leader's readings use a fifth of the list's rate where they have many pages, within half of the leave notice. A node without a route table leaves the list alone, and one that is refused doubles its pause.

Not yet played on the fleet.

--- a/crates/pinerill-calls/src/directory.rs
+++ b/crates/pinerill-calls/src/directory.rs
@@ -53,6 +53,13 @@
     }
 }
 
+impl From<String> for WorkerId {
+    /// From a whole identifier.
+    fn from(identifier: String) -> Self {
+        WorkerId(identifier)
+    }
+}
+
 impl std::ops::Deref for WorkerId {
     type Target = str;
 
@@ -227,6 +234,14 @@
         self.digest
     }
 
+    /// Whether it names this start of a worker.
+    pub fn lists(&self, worker: &WorkerId) -> bool {
+        let place = self
+            .workers
+            .binary_search_by(|one| one.id.name().cmp(worker.name()));
+        place.is_ok_and(|place| self.workers[place].id == *worker)
+    }
+
     /// All workers.
     pub fn workers(&self) -> &[WorkerEntry] {
         &self.workers
--- a/crates/pinerill-calls/src/lib.rs
+++ b/crates/pinerill-calls/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! Nothing here reads a clock or a socket.
 
+pub mod cells;
 pub mod compression;
 pub mod digest;
 pub mod directory;
--- a/crates/pinerill-calls/src/message.rs
+++ b/crates/pinerill-calls/src/message.rs
@@ -10,6 +10,7 @@
 use pinerill_wire::message::{Request, Response};
 use serde::{Deserialize, Serialize};
 
+use crate::cells::CellId;
 use crate::digest::Digest;
 use crate::directory::{DirectoryUpdate, WorkerId};
 use crate::evacuation::Evacuations;
@@ -103,6 +104,8 @@
     pub processes: Option<Digest>,
     /// Revision of the evacuations that it knows; none if it was told none yet.
     pub evacuations: Option<u64>,
+    /// The cell that it was told to be in, if it was.
+    pub cell: Option<CellId>,
     /// How long the answer may be held, milliseconds.
     pub wait_ms: u64,
 }
@@ -121,6 +124,10 @@
     pub directory_age_ms: Option<u64>,
     /// Nodes that watch.
     pub nodes: u32,
+    /// The asker's cell: whose workers the directory names.
+    pub cell: CellId,
+    /// Nodes of this cell.
+    pub cell_nodes: u32,
     /// Other processes, if they are others than the asker knows.
     pub processes: Option<Processes>,
     /// The evacuated zones, if the asker knows an earlier revision or none.
@@ -132,10 +139,12 @@
 pub struct Processes {
     /// All control machines.
     pub controls: Vec<ControlAddress>,
-    /// Where the nodes of the asker's zone hear each other, its own included.
+    /// Where the nodes of the asker's zone and cell hear each other, its own included.
     pub peers: Vec<SocketAddr>,
-    /// The relays of all zones.
+    /// The relays of all zones in this cell.
     pub relays: Vec<ZoneRelays>,
+    /// Nodes of other cells to which the asker hands on what all nodes must hear.
+    pub bridges: Vec<SocketAddr>,
 }
 
 /// The nodes of a zone that tell other zones what is in flight there, and hear it of them.
--- a/crates/pinerill-calls/src/settings/control.rs
+++ b/crates/pinerill-calls/src/settings/control.rs
@@ -8,6 +8,7 @@
 use pinerill_quota::limit::Tolerance;
 use serde::Deserialize;
 
+use super::node::{default_leave_notice_ms, default_worker_list_calls_per_s};
 use super::{require, SettingsError};
 
 /// Settings of a control machine; the section `[control]`.
@@ -166,6 +167,22 @@
     /// Pause between two readings of the whole list, milliseconds.
     #[serde(default = "default_poll_ms")]
     pub poll_ms: u64,
+    /// Calls a second that the list answers, from all processes together. A list of many pages
+    /// is read less often than each `poll_ms`.
+    #[serde(default = "default_worker_list_calls_per_s")]
+    pub calls_per_s: f64,
+    /// Time from the moment at which the list shows a worker as leaving after which nothing
+    /// new may reach it, milliseconds.
+    #[serde(default = "default_leave_notice_ms")]
+    pub leave_notice_ms: u64,
+}
+
+impl WorkerListSettings {
+    /// Longest time between two readings, milliseconds: half of the notice, so that nodes hear
+    /// of a reading before what they know by the one before runs out.
+    pub fn longest_poll_ms(&self) -> u64 {
+        self.leave_notice_ms / 2
+    }
 }
 
 fn default_retention_s() -> f64 {
@@ -211,6 +228,12 @@
         )?;
         self.quota.check()?;
         self.slow_start.check()?;
+        let rate = self.worker_list.calls_per_s;
+        require(
+            rate.is_finite() && rate > 0.0,
+            "control.worker_list.calls_per_s",
+            "must be above 0",
+        )?;
         require(
             self.worker_list.poll_ms > 0,
             "control.worker_list.poll_ms",
--- a/crates/pinerill-calls/src/settings/node.rs
+++ b/crates/pinerill-calls/src/settings/node.rs
@@ -61,12 +61,12 @@
 }
 
 /// Half of what the users' lists answer.
-fn default_worker_list_calls_per_s() -> f64 {
+pub(super) fn default_worker_list_calls_per_s() -> f64 {
     20.0
 }
 
 /// The shortest that the users' deployments set.
-fn default_leave_notice_ms() -> u64 {
+pub(super) fn default_leave_notice_ms() -> u64 {
     3_000
 }
 
--- a/crates/pinerill-cluster/src/leases.rs
+++ b/crates/pinerill-cluster/src/leases.rs
@@ -66,6 +66,8 @@
     pub leased: Vec<QueuePosition>,
     /// Items that it must stop.
     pub stop: Vec<ItemRef>,
+    /// Items that it had, does not hold any more, and that wait for others.
+    pub freed: usize,
     /// Slack of the tightest item that no node has, beyond what it is to keep,
     /// milliseconds; none if there is no item that could still be on time.
     pub backlog_slack_ms: Option<i64>,
@@ -105,7 +107,9 @@
         may_run: impl Fn(&JobRecord) -> bool,
     ) -> LeaseDecision {
         let mut ended = Vec::new();
+        let mut had = 0;
         self.leases.retain(|place, lease| {
+            had += usize::from(lease.node == ask.node);
             if lease.node == ask.node && !jobs.queue().contains(place) {
                 ended.push(*place);
             }
@@ -124,6 +128,8 @@
                 decision.stop.push(item.clone());
             }
         }
+        let renewed = ask.held.len() - decision.stop.len();
+        decision.freed = had.saturating_sub(ended.len() + renewed);
         if now_ms >= self.started_ms + self.settings.reclaim_ms {
             decision.leased = self.hand_out(now_ms, jobs, job_clock_ms, ask, may_run);
         }
--- a/crates/pinerill-cluster/src/lib.rs
+++ b/crates/pinerill-cluster/src/lib.rs
@@ -7,7 +7,9 @@
 //! sockets, timers and the store of [`pinerill_control::host`].
 
 pub mod backlog;
+pub mod cells;
 pub mod leases;
+pub mod list_pace;
 pub mod machine;
 pub mod membership;
 pub mod server;
--- a/crates/pinerill-cluster/src/server/control.rs
+++ b/crates/pinerill-cluster/src/server/control.rs
@@ -14,7 +14,7 @@
 use pinerill_replica::ReplicaId;
 use pinerill_wire::connection::PeerPool;
 use pinerill_wire::message::Refusal;
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 use tokio_util::sync::CancellationToken;
 
 use super::leadership::{Leadership, Tolerances};
@@ -38,8 +38,13 @@
     pub(super) worker_list: Arc<dyn WorkerListProtocol>,
     /// Bytes of requests that it answered.
     pub(super) traffic: Traffic,
-    /// Counts changes that watches and long polls wait for.
+    /// Counts changes that readers of results wait for.
     pub(super) news: watch::Sender<u64>,
+    /// Counts changes that watches wait for. It is apart from the other, since each change
+    /// here is worked off for each node.
+    pub(super) watch_news: watch::Sender<u64>,
+    /// Items wait that no node has; wakes one node that wants some for each of them.
+    pub(super) items_wait: Notify,
     pub(super) started: BootTime,
     pub(super) stopping: CancellationToken,
 }
@@ -160,8 +165,13 @@
         }
     }
 
-    /// Wakes watches and long polls.
+    /// Wakes readers of results.
     pub(super) fn tell_news(&self) {
         self.news.send_modify(|count| *count += 1);
     }
+
+    /// Wakes watches.
+    pub(super) fn tell_watch_news(&self) {
+        self.watch_news.send_modify(|count| *count += 1);
+    }
 }
--- a/crates/pinerill-cluster/src/server/jobs.rs
+++ b/crates/pinerill-cluster/src/server/jobs.rs
@@ -258,14 +258,20 @@
     ) -> Result<CallsResponse, Box<Refusal>> {
         let wait = Duration::from_millis(request.wait_ms).min(LONGEST_WAIT);
         let deadline = BootTime::now() + wait;
-        let mut news = self.news.subscribe();
         loop {
             let decision = self.decide_leases(&request)?;
+            for _ in 0..decision.freed {
+                self.items_wait.notify_one();
+            }
             let has_news = !decision.leased.is_empty() || !decision.stop.is_empty();
             if has_news || BootTime::now() >= deadline || self.stopping.is_cancelled() {
                 return Ok(self.described(decision));
             }
-            let _ = timeout_at(deadline, news.changed()).await;
+            match request.want > 0 {
+                // Either an item waits or the time is up; both are looked at above.
+                true => drop(timeout_at(deadline, self.items_wait.notified()).await),
+                false => sleep(deadline.remaining()).await,
+            }
         }
     }
 
--- a/crates/pinerill-cluster/src/server/monitoring.rs
+++ b/crates/pinerill-cluster/src/server/monitoring.rs
@@ -20,7 +20,7 @@
             .leadership
             .lock()
             .as_ref()
-            .and_then(|one| one.worker_count());
+            .and_then(|one| one.cells.worker_count());
         let mut text = String::new();
         let mut line = |name: &str, value: u64| {
             let _ = writeln!(text, "pinerill_control_{name} {value}");
@@ -46,6 +46,13 @@
         line("items_waiting", waiting as u64);
         line("has_jobs", u64::from(!jobs));
         line("workers", workers.unwrap_or_default() as u64);
+        let (cells, nodes) = self
+            .leadership
+            .lock()
+            .as_ref()
+            .map_or((0, 0), |one| (one.cells.count(), one.cells.node_count()));
+        line("cells", cells as u64);
+        line("nodes", nodes as u64);
         let links = self.pool.counters();
         line(
             "links_sent_bytes_total",
--- a/crates/pinerill-cluster/src/server/peers.rs
+++ b/crates/pinerill-cluster/src/server/peers.rs
@@ -27,6 +27,10 @@
 /// Machines that are told in such a round while a leader is known: a new address is at
 /// all of 45 machines after three rounds, and messages grow with their number only.
 const GOSSIP_PEERS: usize = 5;
+/// Control machines that nodes are told, where there are not more members: enough to find the
+/// leader by while several are lost. All of them would be told to each node again whenever one
+/// comes or goes.
+const CONTROLS_TOLD: usize = 16;
 /// Longest wait for an answer.
 const ANSWER_TIME: Duration = Duration::from_millis(800);
 impl Control {
@@ -44,11 +48,11 @@
         known
     }
 
-    /// Where nodes find control machines: all that are recorded but for those
-    /// in `lost`. Before any is recorded, all that are known.
+    /// Where nodes find control machines: all members but for those in `lost`, and some others
+    /// that are recorded. Before any is recorded, all that are known.
     pub(super) fn known_controls(&self, lost: &[u64]) -> Vec<ControlAddress> {
         let members = self.group.status().members;
-        let recorded: Vec<ControlAddress> = self.group.with_machine(|machine| {
+        let mut recorded: Vec<ControlAddress> = self.group.with_machine(|machine| {
             let records = machine.machines().values();
             records
                 .filter(|record| !lost.contains(&record.replica))
@@ -60,6 +64,9 @@
                 .collect()
         });
         if !recorded.is_empty() {
+            recorded.sort_by_key(|one| !one.is_member);
+            let told = CONTROLS_TOLD.max(members.voters.len() + members.learners.len());
+            recorded.truncate(told);
             return recorded;
         }
         let known = self.known_addresses().into_iter();
--- a/crates/pinerill-cluster/src/server/run.rs
+++ b/crates/pinerill-cluster/src/server/run.rs
@@ -21,7 +21,7 @@
 use pinerill_wire::api::Role;
 use pinerill_wire::connection::{self, ClusterKey, Identity, PeerPool};
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
@@ -60,6 +60,8 @@
 const TRANSFER_LOG_PART: u64 = 12;
 /// Most bytes of these entries.
 const MOST_TRANSFER_LOG_BYTES: u64 = 32 << 20;
+/// Nodes that are woken for items of one change at most: each takes some.
+const MOST_WOKEN: usize = 256;
 /// Pause between two log lines on bytes exchanged.
 const TRAFFIC_PAUSE: Duration = Duration::from_secs(10);
 /// How long a read waits to be confirmed.
@@ -122,6 +124,7 @@
     }
     log::info!(event = "stopping", machine = control.record.name.as_str(); "");
     control.tell_news();
+    control.tell_watch_news();
     control.host.hand_over().await;
     operators.stop().await;
     closing.cancel();
@@ -200,6 +203,8 @@
         worker_list: protocols.worker_list,
         traffic: Traffic::default(),
         news: watch::Sender::new(0),
+        watch_news: watch::Sender::new(0),
+        items_wait: Notify::new(),
         started: BootTime::now(),
         stopping,
     });
@@ -229,6 +234,14 @@
     }
 }
 
+/// What nodes were last woken for.
+#[derive(Debug, Default)]
+struct ToldState {
+    table_version: Option<u64>,
+    evacuations: u64,
+    waiting_items: usize,
+}
+
 type Task = AbortOnDropHandle<()>;
 
 fn start_tasks(control: &Arc<Control>, file: SettingsFile) -> Vec<Task> {
@@ -287,12 +300,31 @@
         }
     }
 
+    /// Wakes those nodes alone that what was applied concerns: items end many times a second,
+    /// and all nodes have a watch and a request for items here.
+    fn tell_applied(&self, told: &ToldState) -> ToldState {
+        let now = self.group.with_machine(|machine| ToldState {
+            table_version: machine.table_version(),
+            evacuations: machine.evacuations().revision(),
+            waiting_items: machine.jobs().queue().len(),
+        });
+        if (now.table_version, now.evacuations) != (told.table_version, told.evacuations) {
+            self.tell_watch_news();
+        }
+        let more = now.waiting_items.saturating_sub(told.waiting_items);
+        for _ in 0..more.min(MOST_WOKEN) {
+            self.items_wait.notify_one();
+        }
+        now
+    }
+
     /// Wakes long polls when something was applied or leadership changed, and
     /// logs the latter. Ends with the group, which ends when its store fails.
     async fn tell_changes(&self) {
         let mut status = self.group.watch_status();
         let mut last = None;
         let mut applied = 0;
+        let mut told = ToldState::default();
         while status.changed().await.is_ok() {
             let now = status.borrow_and_update().clone();
             let role = (now.term, now.leader, now.role);
@@ -301,10 +333,12 @@
                 let leader = now.leader.map(|one| one.0);
                 log::info!(event = "role_changed", term = now.term, leader:?, role:? = now.role; "");
                 self.tell_news();
+                self.tell_watch_news();
             }
             if applied != now.applied {
                 applied = now.applied;
                 self.tell_news();
+                told = self.tell_applied(&told);
             }
         }
     }
--- a/crates/pinerill-cluster/src/server/watch.rs
+++ b/crates/pinerill-cluster/src/server/watch.rs
@@ -2,16 +2,31 @@
 
 use std::time::Duration;
 
+use pinerill_calls::cells::CellId;
 use pinerill_calls::digest::Digest;
+use pinerill_calls::directory::DirectoryUpdate;
 use pinerill_calls::message::{CallsResponse, Processes, WatchRequest, WatchResponse};
 use pinerill_process::clock::{timeout_at, BootTime};
 use pinerill_wire::message::Refusal;
 
 use super::control::Control;
+use crate::cells::{Neighbours, WatchingNode};
 
 /// Longest time that an answer is held.
 const LONGEST_WAIT: Duration = Duration::from_secs(2);
 
+/// What the leadership knows for one node.
+struct Told {
+    cell: CellId,
+    directory: Option<DirectoryUpdate>,
+    directory_age_ms: Option<u64>,
+    neighbours: Neighbours,
+    nodes: u32,
+    cell_nodes: u32,
+    /// Control machines that are silent for long.
+    silent: Vec<u64>,
+}
+
 impl Control {
     /// Answers once there is something newer, or when the time is up. Only the
     /// leader answers, so that nobody follows a machine that is cut off for
@@ -20,7 +35,7 @@
         let arrived_ms = self.now_ms();
         let wait = Duration::from_millis(request.wait_ms).min(LONGEST_WAIT);
         let deadline = BootTime::now() + wait;
-        let mut news = self.news.subscribe();
+        let mut news = self.watch_news.subscribe();
         loop {
             let response = self.news_for(&request, arrived_ms)?;
             let has_news = response.table.is_some()
@@ -42,17 +57,26 @@
         arrived_ms: u64,
     ) -> Result<WatchResponse, Box<Refusal>> {
         let now_ms = self.now_ms();
-        let (nodes, directory, directory_age_ms, silent, peers, relays) =
-            self.with_leadership("watch", |leadership| {
-                (
-                    leadership.hear_node(request, now_ms),
-                    leadership.directory.update_from(request.directory),
-                    leadership.directory.age_ms(arrived_ms),
-                    leadership.lost_machines(now_ms),
-                    leadership.peers(&request.zone),
-                    leadership.relays(),
-                )
-            })?;
+        let asker = WatchingNode {
+            name: &request.node,
+            zone: &request.zone,
+            peer: request.peer,
+            cell: request.cell,
+        };
+        let told = self.with_leadership("watch", |leadership| {
+            let cells = &mut leadership.cells;
+            let cell = cells.hear(now_ms, &asker);
+            let directory = cells.directory(cell);
+            Told {
+                cell,
+                directory: directory.update_from(request.directory),
+                directory_age_ms: directory.age_ms(arrived_ms),
+                neighbours: cells.neighbours(cell, &request.zone, request.peer),
+                nodes: cells.node_count() as u32,
+                cell_nodes: cells.nodes_of(cell) as u32,
+                silent: leadership.lost_machines(now_ms),
+            }
+        })?;
         let (table, evacuations) = self.group.with_machine(|machine| {
             let table = machine.table_newer_than(request.table_version).cloned();
             let present = machine.evacuations();
@@ -60,16 +84,19 @@
             (table, is_news.then(|| present.clone()))
         });
         let processes = Processes {
-            controls: self.known_controls(&silent),
-            peers,
-            relays,
+            controls: self.known_controls(&told.silent),
+            peers: told.neighbours.peers,
+            relays: told.neighbours.relays,
+            bridges: told.neighbours.bridges,
         };
         let known = request.processes == Some(Digest::of(&processes));
         Ok(WatchResponse {
             table,
-            directory,
-            directory_age_ms,
-            nodes,
+            directory: told.directory,
+            directory_age_ms: told.directory_age_ms,
+            nodes: told.nodes,
+            cell: told.cell,
+            cell_nodes: told.cell_nodes,
             processes: (!known).then_some(processes),
             evacuations,
         })
--- a/crates/pinerill-cluster/src/server/workers.rs
+++ b/crates/pinerill-cluster/src/server/workers.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use anyhow::{bail, Context};
-use pinerill_calls::directory::{ListReading, SkippedEntries, WorkerEntry, WorkerPage};
+use pinerill_calls::directory::{ListReading, SkippedEntries, WorkerEntry, WorkerId, WorkerPage};
 use pinerill_process::clock::BootTime;
 use tokio::time::{sleep, timeout};
 
 use super::control::Control;
+use crate::list_pace::{reading_interval, ReadingBounds};
 
 /// Longest wait for one page.
 const PAGE_TIME: Duration = Duration::from_millis(1_000);
@@ -51,9 +52,9 @@
             match read {
                 Ok(reading) => {
                     skipping.note(&reading.skipped);
+                    let interval = self.reading_interval(reading.pages());
                     self.take_workers(began_ms, reading.workers);
-                    let pause = Duration::from_millis(self.settings.worker_list.poll_ms);
-                    sleep(pause.saturating_sub(started.elapsed())).await;
+                    sleep(interval.saturating_sub(started.elapsed())).await;
                 }
                 Err(error) => {
                     log::warn!(event = "worker_list_failed", error:% = format!("{error:#}"); "");
@@ -63,13 +64,29 @@
         }
     }
 
+    fn reading_interval(&self, pages: usize) -> Duration {
+        let list = &self.settings.worker_list;
+        let bounds = ReadingBounds {
+            shortest: Duration::from_millis(list.poll_ms),
+            longest: Duration::from_millis(list.longest_poll_ms()),
+        };
+        reading_interval(pages, list.calls_per_s, bounds)
+    }
+
     fn take_workers(&self, began_ms: u64, workers: Vec<WorkerEntry>) {
         let count = workers.len();
-        let changed =
-            self.with_leadership("take workers", |one| one.directory.take(began_ms, workers));
+        let changed = self.with_leadership("take workers", |leadership| {
+            let cells = &mut leadership.cells;
+            let is_news = cells.take_workers(began_ms, workers);
+            if is_news {
+                let is_listed = |name: &str| cells.lists(&WorkerId::from(name.to_owned()));
+                leadership.slow_starts.keep_only(is_listed);
+            }
+            is_news
+        });
         if changed == Ok(true) {
             log::info!(event = "workers_changed", count; "");
-            self.tell_news();
+            self.tell_watch_news();
         }
     }
 
--- a/crates/pinerill-forward/src/batch/leases.rs
+++ b/crates/pinerill-forward/src/batch/leases.rs
@@ -128,7 +128,7 @@
     if node.stopping.is_cancelled() || node.table().is_none() || node.calls_wait() {
         return 0;
     }
-    let nodes = node.beliefs.nodes.load(Ordering::Relaxed).max(1);
+    let nodes = node.beliefs.cell_nodes.load(Ordering::Relaxed).max(1);
     node.batch_capacity(nodes).items.min(TAKEN_AT_ONCE)
 }
 
--- a/crates/pinerill-forward/src/cluster/list_pace.rs
+++ b/crates/pinerill-forward/src/cluster/list_pace.rs
@@ -10,6 +10,15 @@
 /// two to four seconds ask for 250 pages a second, where 44 are answered.
 const RATE_PART: f64 = 0.5;
 
+/// How often in a row the pause is doubled at most after a reading that failed.
+const MOST_DOUBLINGS: u32 = 5;
+
+/// Pause before the next reading after so many that failed in a row: the list is asked by more
+/// than it answers, or by more than this node knows of.
+pub fn pause_after_failures(pause: Duration, failures: u32) -> Duration {
+    pause * (1 << failures.min(MOST_DOUBLINGS))
+}
+
 /// Pause before the next reading of one node among so many, if a reading has so many pages and
 /// the list answers so many calls a second from all processes together. `random` is between 0
 /// and 1.
--- a/crates/pinerill-forward/src/cluster/watch.rs
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use anyhow::{bail, Context};
+use pinerill_calls::cells::{CellId, Partition};
 use pinerill_calls::digest::Digest;
 use pinerill_calls::directory::{Directory, ListReading, WorkerEntry, WorkerState};
 use pinerill_calls::evacuation::Evacuations;
@@ -17,7 +18,7 @@
 use pinerill_process::clock::BootTime;
 use tokio::time::sleep;
 
-use super::list_pace::reading_pause;
+use super::list_pace::{pause_after_failures, reading_pause};
 use crate::crash::broken_runs::CrashEvidence;
 use crate::fleet::GoneWorker;
 use crate::node::Node;
@@ -51,7 +52,10 @@
     let mut reachability = Reachability::default();
     loop {
         if node.beliefs.told_by_others.swap(false, Ordering::Relaxed) {
-            held = Held::default();
+            held = Held {
+                cell: held.cell,
+                ..Held::default()
+            };
         }
         let request = CallsRequest::Watch(WatchRequest {
             node: node.settings.name.clone(),
@@ -61,6 +65,7 @@
             directory: held.directory.as_ref().map(Directory::digest),
             processes: held.processes,
             evacuations: node.with_fleet(|fleet, _| fleet.evacuations_revision()),
+            cell: held.cell,
             wait_ms: HOLD.as_millis() as u64,
         });
         let answer = node.cluster.call(&request, ASK_TIME, HOLD).await;
@@ -128,6 +133,8 @@
 struct Held {
     directory: Option<Directory>,
     processes: Option<Digest>,
+    /// The cell that this node is in.
+    cell: Option<CellId>,
 }
 
 fn take_in(node: &Node, asked: BootTime, response: WatchResponse, held: &mut Held) {
@@ -136,6 +143,9 @@
         learn_processes(node, processes);
     }
     node.beliefs.nodes.store(response.nodes, Ordering::Relaxed);
+    let cell_nodes = &node.beliefs.cell_nodes;
+    cell_nodes.store(response.cell_nodes, Ordering::Relaxed);
+    take_cell(node, response.cell, held);
     if let Some(table) = response.table {
         let version = table.version;
         if node.take_table(RouteIndex::new(table)) {
@@ -163,6 +173,16 @@
     }
 }
 
+/// Of another cell nothing is held.
+fn take_cell(node: &Node, cell: CellId, held: &mut Held) {
+    if held.cell == Some(cell) {
+        return;
+    }
+    held.cell = Some(cell);
+    *node.beliefs.cell.lock() = Some(cell);
+    log::info!(event = "cell_changed", index = cell.index, count = cell.count; "");
+}
+
 fn take_evacuations(node: &Node, evacuations: Evacuations) {
     let revision = evacuations.revision();
     let zones: Vec<String> = evacuations.zones().map(str::to_owned).collect();
@@ -183,10 +203,10 @@
 fn learn_processes(node: &Node, processes: Processes) {
     log::info!(
         event = "processes_learnt", controls = processes.controls.len(),
-        peers = processes.peers.len(), relays:? = processes.relays; ""
+        peers = processes.peers.len(), relays:? = processes.relays,
+        bridges = processes.bridges.len(); ""
     );
-    node.peers
-        .learn(&node.settings.zone, processes.peers, &processes.relays);
+    node.peers.learn(&node.settings.zone, &processes);
     node.cluster.learn_zones(processes.controls);
 }
 
@@ -196,9 +216,20 @@
     note_workers(node, workers, &gone, "control");
 }
 
+/// Workers of this node's cell; of all, if it knows none.
+fn workers_in_cell(node: &Node, workers: Vec<WorkerEntry>) -> Vec<WorkerEntry> {
+    let Some(cell) = *node.beliefs.cell.lock() else {
+        return workers;
+    };
+    let partition = Partition::default().next(&workers);
+    let mut workers = workers;
+    workers.retain(|worker| partition.is_in(cell.index, worker));
+    workers
+}
+
 /// Takes in a reading of this node's own, unless the leader has told a later one meanwhile.
 fn take_reading(node: &Node, began: BootTime, reading: ListReading) {
-    let directory = Directory::new(reading.workers);
+    let directory = Directory::new(workers_in_cell(node, reading.workers));
     let began_ms = node.ms_at(began) as i64;
     let taken =
         node.with_fleet(|fleet, now_ms| fleet.take_reading(now_ms, began_ms, directory.workers()));
@@ -247,19 +278,24 @@
         }
     };
     let mut pages = 1;
+    let mut failures = 0;
     loop {
         let nodes = node.beliefs.nodes.load(Ordering::Relaxed);
         let rate = node.settings.worker_list_calls_per_s;
-        sleep(reading_pause(nodes, pages, rate, rand::random())).await;
+        let pause = reading_pause(nodes, pages, rate, rand::random());
+        sleep(pause_after_failures(pause, failures)).await;
         let heard_ms = node.beliefs.control_heard_ms.load(Ordering::Relaxed);
         let silent_ms = node.now_ms().saturating_sub(heard_ms);
-        if Duration::from_millis(silent_ms) < LIST_AFTER {
+        // Without a route table no call can go anywhere, so that workers are of no use: where all
+        // processes have just started, the leader alone needs the list.
+        if Duration::from_millis(silent_ms) < LIST_AFTER || node.table().is_none() {
             continue;
         }
         let started = BootTime::now();
         match read_list(&node, &client, list.as_ref()).await {
             Ok(reading) => {
                 pages = reading.pages();
+                failures = 0;
                 if reading.skipped.count > 0 {
                     log::warn!(
                         event = "worker_entries_skipped", count = reading.skipped.count,
@@ -269,10 +305,13 @@
                 take_reading(&node, started, reading);
                 node.beliefs.told_by_others.store(true, Ordering::Relaxed);
             }
-            Err(error) => log::warn!(
-                event = "worker_list_failed", error:% = format!("{error:#}"),
-                ms = started.elapsed().as_millis() as u64; ""
-            ),
+            Err(error) => {
+                failures += 1;
+                log::warn!(
+                    event = "worker_list_failed", error:% = format!("{error:#}"), failures,
+                    ms = started.elapsed().as_millis() as u64; ""
+                );
+            }
         }
     }
 }
--- a/crates/pinerill-forward/src/monitoring.rs
+++ b/crates/pinerill-forward/src/monitoring.rs
@@ -3,6 +3,8 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64};
 use std::time::Duration;
 
+use parking_lot::Mutex;
+use pinerill_calls::cells::CellId;
 use pinerill_process::clock::suspensions;
 use pinerill_process::Monitored;
 use prometheus::{
@@ -53,6 +55,10 @@
 pub(crate) struct Beliefs {
     /// Nodes that watch, as the leader tells.
     pub(crate) nodes: AtomicU32,
+    /// Nodes of this one's cell, as the leader tells.
+    pub(crate) cell_nodes: AtomicU32,
+    /// The cell that this node is in; none before the leader told.
+    pub(crate) cell: Mutex<Option<CellId>>,
     /// When a control machine last answered, on the node's clock.
     pub(crate) control_heard_ms: AtomicU64,
     /// Something else than the leader has said since which workers or control machines
--- a/crates/pinerill-forward/src/peers/crashes.rs
+++ b/crates/pinerill-forward/src/peers/crashes.rs
@@ -1,7 +1,8 @@
 //! Tells of workers that crashed under requests.
 //!
 //! Each report goes at once to the nodes of the zone; relays hand what is new to them on to
-//! relays of other zones, and these to their nodes. Besides, each node tells a few others
+//! relays of other zones, and these to their nodes; the bridge of a cell does so to other cells.
+//! Besides, each node tells a few others
 //! again what they may have missed.
 
 use std::sync::Arc;
@@ -28,6 +29,18 @@
     pub(crate) fn tell_crashes(&self, reports: &[CrashReport]) {
         self.tell_crashes_near(reports);
         self.hand_crashes_on(reports);
+        self.hand_crashes_to_cells(reports);
+    }
+
+    /// Tells the bridges to other cells, if this node is one.
+    pub(super) fn hand_crashes_to_cells(&self, reports: &[CrashReport]) {
+        let bridges = self.bridges();
+        if bridges.is_empty() {
+            return;
+        }
+        for part in reports.chunks(REPORTS_TOLD) {
+            self.send_far(&PeerMessage::Crashes(part.to_vec()), bridges.clone());
+        }
     }
 
     /// Tells the nodes of this zone.
@@ -66,5 +79,6 @@
         if let Some(relays) = node.peers.told_relays() {
             node.peers.send_far(&message, relays);
         }
+        node.peers.send_far(&message, node.peers.bridges());
     }
 }
--- a/crates/pinerill-forward/src/peers/hear.rs
+++ b/crates/pinerill-forward/src/peers/hear.rs
@@ -17,7 +17,8 @@
             continue;
         };
         let (near, far) = (node.peers.is_near(from), node.peers.is_far_relay(from));
-        if !near && !far {
+        let bridge = node.peers.is_bridge(from);
+        if !near && !far && !bridge {
             continue;
         }
         match decode::<PeerMessage>(&datagram[..length]) {
@@ -27,10 +28,13 @@
             }
             Ok(PeerMessage::Crashes(reports)) => {
                 let news = node.take_crashes(&reports);
-                match near {
-                    true => node.peers.hand_crashes_on(&news),
-                    false => node.peers.tell_crashes_near(&news),
+                if near || bridge {
+                    node.peers.hand_crashes_on(&news);
                 }
+                if !near {
+                    node.peers.tell_crashes_near(&news);
+                }
+                node.peers.hand_crashes_to_cells(&news);
             }
             Ok(message) if near => take_in(&node, from, message),
             // A message of another version, or one that only nodes of the zone may send.
--- a/crates/pinerill-forward/src/peers/mod.rs
+++ b/crates/pinerill-forward/src/peers/mod.rs
@@ -17,7 +17,10 @@
 //! | node | nodes of its zone | long prompts, workers that did not answer | each |
 //! | node | one node of its zone | a place that became free | while calls wait there |
 //! | relay | one relay of each other zone, and from there to all its nodes | counts of the zone | each [`tell::PAUSE_PER_ZONE`] times the other zones, while they change |
-//! | node | nodes of its zone, by relays all others | crashes of workers under requests ([`crashes`]) | each, and again for a while |
+//! | node | nodes of its zone, by relays and bridges all others | crashes of workers under requests ([`crashes`]) | each, and again for a while |
+//!
+//! Zones are those of the node's cell ([`pinerill_calls::cells`]). What all nodes must hear
+//! goes on to the nodes that bridge to some other cells, and from there to more.
 //!
 //! A datagram that is lost costs a worse choice and nothing else.
 //!
@@ -35,7 +38,7 @@
 use std::net::SocketAddr;
 
 use parking_lot::RwLock;
-use pinerill_calls::message::{encode, ZoneRelays};
+use pinerill_calls::message::{encode, Processes};
 use pinerill_calls::traffic::{Reach, Traffic};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -59,6 +62,8 @@
     far_relays: Vec<Vec<SocketAddr>>,
     /// This node's place among the relays of its zone; none if it is none.
     own_place: Option<usize>,
+    /// Nodes of other cells.
+    bridges: Vec<SocketAddr>,
 }
 
 /// The other nodes.
@@ -88,10 +93,12 @@
         })
     }
 
-    /// Takes in where the nodes of this zone and the relays of all zones are.
-    pub(crate) fn learn(&self, zone: &str, mut near: Vec<SocketAddr>, relays: &[ZoneRelays]) {
+    /// Takes in where the other nodes are.
+    pub(crate) fn learn(&self, zone: &str, processes: &Processes) {
         let own = self.socket.local_addr().ok();
+        let mut near = processes.peers.clone();
         near.retain(|address| Some(*address) != own);
+        let relays = &processes.relays;
         let own_relays = relays.iter().find(|one| one.zone == zone);
         let own_place = own_relays.and_then(|one| {
             let mut places = one.addresses.iter();
@@ -102,6 +109,7 @@
             near,
             far_relays: far.map(|one| one.addresses.clone()).collect(),
             own_place,
+            bridges: processes.bridges.clone(),
         };
     }
 
@@ -188,6 +196,15 @@
         Some(addresses.far_relays.concat())
     }
 
+    /// Nodes of other cells to which this one hands on what all must hear.
+    fn bridges(&self) -> Vec<SocketAddr> {
+        self.addresses.read().bridges.clone()
+    }
+
+    fn is_bridge(&self, address: SocketAddr) -> bool {
+        self.addresses.read().bridges.contains(&address)
+    }
+
     /// The other nodes of this zone.
     fn near(&self) -> Vec<SocketAddr> {
         self.addresses.read().near.clone()
--- a/crates/pinerill-forward/tests/list_pace.rs
+++ b/crates/pinerill-forward/tests/list_pace.rs
@@ -1,6 +1,8 @@
 //! Nodes that read the platform list themselves leave the leader its part of the list's rate.
 
-use pinerill_forward::cluster::list_pace::reading_pause;
+use std::time::Duration;
+
+use pinerill_forward::cluster::list_pace::{pause_after_failures, reading_pause};
 
 /// Calls a second that the users' list answers.
 const CALLS_PER_S: f64 = 44.0;
@@ -28,6 +30,21 @@
     }
 }
 
+/// A node that has heard no leader yet doesn't know how many others read.
+#[test]
+fn nodes_that_know_of_no_others_leave_the_list_alone_once_it_refuses_them() {
+    let pause = reading_pause(0, 1, CALLS_PER_S, 0.5);
+    let mut rate = Vec::new();
+    for failures in 0..8 {
+        let calls = 835.0 / pause_after_failures(pause, failures).as_secs_f64();
+        rate.push(calls);
+    }
+    assert!(rate.windows(2).all(|pair| pair[1] <= pair[0]));
+    assert!(rate[5] <= CALLS_PER_S / 4.0, "{rate:?}");
+    let longest = pause_after_failures(pause, u32::MAX);
+    assert!(longest <= Duration::from_secs(120), "{longest:?}");
+}
+
 #[test]
 fn few_nodes_read_each_two_to_four_seconds() {
     for random in [0.0, 0.5, 1.0] {
