Requests of all nodes are worked off in turns, so that no heartbeat waits behind them

All 835 watches woke at once and were worked off in a row on one thread, some 100 us each, on 0.3 cores; heartbeats waited behind them, for longer than the shortest election timeout (300 ms). After each election the same nodes came all at once to the next leader. What grew: nodes per turn of the leader's other tasks, with no bound.

Change: watches and requests for items take turns, eight between two turns of any other task; connections are accepted eight at a time. The control machines that nodes are told are looked at five times a second, not once for each watch.

Not yet played on the fleet.

--- a/crates/pinerill-cluster/src/lib.rs
+++ b/crates/pinerill-cluster/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod machine;
 pub mod membership;
 pub mod server;
+pub mod turns;
 
 pub use server::{run, ControlProtocols};
--- a/crates/pinerill-cluster/src/server/control.rs
+++ b/crates/pinerill-cluster/src/server/control.rs
@@ -21,6 +21,7 @@
 use super::named_leader::NamedLeader;
 use super::refusal;
 use crate::machine::{Applied, ClusterMachine, Command, StampedCommand};
+use crate::turns::Turns;
 use pinerill_calls::settings::ControlSettings;
 
 /// A control machine.
@@ -43,6 +44,8 @@
     /// Counts changes that watches wait for. It is apart from the other, since each change
     /// here is worked off for each node.
     pub(super) watch_news: watch::Sender<u64>,
+    /// Turns of requests that all nodes make.
+    pub(super) turns: Turns,
     /// Items wait that no node has; wakes one node that wants some for each of them.
     pub(super) items_wait: Notify,
     pub(super) started: BootTime,
--- a/crates/pinerill-cluster/src/server/jobs.rs
+++ b/crates/pinerill-cluster/src/server/jobs.rs
@@ -259,7 +259,7 @@
         let wait = Duration::from_millis(request.wait_ms).min(LONGEST_WAIT);
         let deadline = BootTime::now() + wait;
         loop {
-            let decision = self.decide_leases(&request)?;
+            let decision = self.decide_in_turn(&request).await?;
             for _ in 0..decision.freed {
                 self.items_wait.notify_one();
             }
@@ -275,6 +275,11 @@
         }
     }
 
+    async fn decide_in_turn(&self, request: &LeaseRequest) -> Result<LeaseDecision, Box<Refusal>> {
+        let _turn = self.turns.take().await;
+        self.decide_leases(request)
+    }
+
     fn decide_leases(&self, request: &LeaseRequest) -> Result<LeaseDecision, Box<Refusal>> {
         let now_ms = self.now_ms();
         let ask = LeaseAsk {
--- a/crates/pinerill-cluster/src/server/leadership.rs
+++ b/crates/pinerill-cluster/src/server/leadership.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use pinerill_calls::message::ControlAddress;
 use pinerill_quota::lender::Lender;
 use pinerill_quota::limit::Tolerance;
 
@@ -12,6 +13,9 @@
 /// Nodes are not sent to a control machine that was silent for this long.
 const MACHINE_LIFE_MS: u64 = 4_000;
 
+/// Time for which a look at the control machines serves all nodes, milliseconds.
+const CONTROLS_LIFE_MS: u64 = 200;
+
 /// How far limits may be exceeded, over all nodes.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Tolerances {
@@ -38,6 +42,8 @@
     pub(super) limits: LimitIndex,
     /// Lends permits for requests to workers that are still cold, by worker.
     pub(super) slow_starts: Lender,
+    /// Control machines as nodes were told last, and when they were looked at.
+    controls: Option<(u64, Vec<ControlAddress>)>,
     /// When a majority was last asked whether this machine leads, and said so.
     pub(super) confirmed_ms: Option<u64>,
 }
@@ -54,6 +60,7 @@
             lender: Lender::begin(tolerances.quota, now_ms),
             limits: LimitIndex::default(),
             slow_starts: Lender::begin(tolerances.slow_start, now_ms),
+            controls: None,
             confirmed_ms: None,
         }
     }
@@ -87,6 +94,17 @@
             .collect()
     }
 
+    /// Control machines as they were looked at a moment ago: the look goes through all of them,
+    /// and all nodes ask twice a second.
+    pub(super) fn controls_told(&self, now_ms: u64) -> Option<Vec<ControlAddress>> {
+        let (at_ms, controls) = self.controls.as_ref()?;
+        (now_ms < at_ms + CONTROLS_LIFE_MS).then(|| controls.clone())
+    }
+
+    pub(super) fn keep_controls(&mut self, now_ms: u64, controls: Vec<ControlAddress>) {
+        self.controls = Some((now_ms, controls));
+    }
+
     /// Control machines that were heard in this leadership and are silent
     /// for long.
     pub(super) fn lost_machines(&self, now_ms: u64) -> Vec<u64> {
--- a/crates/pinerill-cluster/src/server/mod.rs
+++ b/crates/pinerill-cluster/src/server/mod.rs
@@ -12,6 +12,7 @@
 //! | `members` | carries out changes of the group's membership |
 //! | `workers` | reads the platform list |
 //! | `operators` | operators' requests |
+
 //! | `zones` | operators' orders about zones |
 //! | `quota`, `slow_start` | lend tokens of tenants' calls, and of requests to cold workers |
 //! | `monitoring` | metrics and readiness |
--- a/crates/pinerill-cluster/src/server/run.rs
+++ b/crates/pinerill-cluster/src/server/run.rs
@@ -30,6 +30,7 @@
 use super::operators;
 use super::service::ControlService;
 use crate::machine::ClusterMachine;
+use crate::turns::Turns;
 
 /// The one replicated group.
 const GROUP: GroupId = GroupId(0);
@@ -204,6 +205,7 @@
         traffic: Traffic::default(),
         news: watch::Sender::new(0),
         watch_news: watch::Sender::new(0),
+        turns: Turns::default(),
         items_wait: Notify::new(),
         started: BootTime::now(),
         stopping,
--- a/crates/pinerill-cluster/src/server/watch.rs
+++ b/crates/pinerill-cluster/src/server/watch.rs
@@ -5,7 +5,9 @@
 use pinerill_calls::cells::CellId;
 use pinerill_calls::digest::Digest;
 use pinerill_calls::directory::DirectoryUpdate;
-use pinerill_calls::message::{CallsResponse, Processes, WatchRequest, WatchResponse};
+use pinerill_calls::message::{
+    CallsResponse, ControlAddress, Processes, WatchRequest, WatchResponse,
+};
 use pinerill_process::clock::{timeout_at, BootTime};
 use pinerill_wire::message::Refusal;
 
@@ -23,8 +25,8 @@
     neighbours: Neighbours,
     nodes: u32,
     cell_nodes: u32,
-    /// Control machines that are silent for long.
-    silent: Vec<u64>,
+    /// Control machines, if they were looked at a moment ago.
+    controls: Option<Vec<ControlAddress>>,
 }
 
 impl Control {
@@ -37,7 +39,7 @@
         let deadline = BootTime::now() + wait;
         let mut news = self.watch_news.subscribe();
         loop {
-            let response = self.news_for(&request, arrived_ms)?;
+            let response = self.news_in_turn(&request, arrived_ms).await?;
             let has_news = response.table.is_some()
                 || response.directory.is_some()
                 || response.evacuations.is_some();
@@ -45,12 +47,21 @@
                 return Ok(CallsResponse::Watch(Box::new(response)));
             }
             if timeout_at(deadline, news.changed()).await.is_err() {
-                let response = self.news_for(&request, arrived_ms)?;
+                let response = self.news_in_turn(&request, arrived_ms).await?;
                 return Ok(CallsResponse::Watch(Box::new(response)));
             }
         }
     }
 
+    async fn news_in_turn(
+        &self,
+        request: &WatchRequest,
+        arrived_ms: u64,
+    ) -> Result<WatchResponse, Box<Refusal>> {
+        let _turn = self.turns.take().await;
+        self.news_for(request, arrived_ms)
+    }
+
     fn news_for(
         &self,
         request: &WatchRequest,
@@ -74,7 +85,7 @@
                 neighbours: cells.neighbours(cell, &request.zone, request.peer),
                 nodes: cells.node_count() as u32,
                 cell_nodes: cells.nodes_of(cell) as u32,
-                silent: leadership.lost_machines(now_ms),
+                controls: leadership.controls_told(now_ms),
             }
         })?;
         let (table, evacuations) = self.group.with_machine(|machine| {
@@ -83,8 +94,12 @@
             let is_news = request.evacuations < Some(present.revision());
             (table, is_news.then(|| present.clone()))
         });
+        let controls = match told.controls {
+            Some(controls) => controls,
+            None => self.look_at_controls(now_ms)?,
+        };
         let processes = Processes {
-            controls: self.known_controls(&told.silent),
+            controls,
             peers: told.neighbours.peers,
             relays: told.neighbours.relays,
             bridges: told.neighbours.bridges,
@@ -101,4 +116,15 @@
             evacuations,
         })
     }
+
+    /// Looks which control machines there are, for the watches that come within a moment.
+    fn look_at_controls(&self, now_ms: u64) -> Result<Vec<ControlAddress>, Box<Refusal>> {
+        let step = "look at control machines";
+        let silent = self.with_leadership(step, |leadership| leadership.lost_machines(now_ms))?;
+        let controls = self.known_controls(&silent);
+        self.with_leadership(step, |leadership| {
+            leadership.keep_controls(now_ms, controls.clone());
+        })?;
+        Ok(controls)
+    }
 }
--- a/crates/pinerill-forward/src/gateway/listener.rs
+++ b/crates/pinerill-forward/src/gateway/listener.rs
@@ -30,6 +30,12 @@
 /// Time at a stop in which connections end with their next answer, before those
 /// that rest are closed: callers hear of it before they send.
 const CLOSING_LEAD: Duration = Duration::from_millis(2_500);
+/// Bytes that the system holds for a caller who reads slowly; by itself it would grow to some
+/// megabytes.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
+/// Bytes that a connection holds for a caller who reads slowly. What is beyond stays with the
+/// worker, whose answer is then not read any further.
+const HELD_BYTES: usize = 64 << 10;
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -102,6 +108,7 @@
         .timer(TokioTimer::new())
         .keep_alive(keep_alive)
         .header_read_timeout(resting)
+        .max_buf_size(HELD_BYTES.max(limits.max_header_bytes as usize * 2))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let lead = async {
@@ -121,5 +128,7 @@
 
 fn set_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    SockRef::from(stream).set_tcp_user_timeout(Some(SILENCE_LIMIT))
+    let socket = SockRef::from(stream);
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+    socket.set_tcp_user_timeout(Some(SILENCE_LIMIT))
 }
--- a/crates/pinerill-wire/src/connection/server.rs
+++ b/crates/pinerill-wire/src/connection/server.rs
@@ -8,7 +8,7 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, Semaphore};
-use tokio::task::JoinSet;
+use tokio::task::{yield_now, JoinSet};
 use tokio_util::sync::CancellationToken;
 
 use super::framing::{frame_bytes, ConnectionError};
@@ -21,6 +21,9 @@
 
 /// Requests of one peer that are carried out at once; more wait unread.
 const REQUESTS_PER_PEER: usize = 256;
+/// Connections that are accepted between two turns of other tasks: their proofs take some tens
+/// of microseconds each, and a whole fleet may connect at once.
+const ACCEPTED_AT_ONCE: usize = 8;
 /// Answers that may wait to be written.
 const ANSWER_QUEUE: usize = 256;
 /// Bytes gathered before one write.
@@ -51,7 +54,13 @@
     stop: CancellationToken,
 ) {
     let mut connections = JoinSet::new();
+    let mut taken: usize = 0;
     loop {
+        taken += 1;
+        if taken.is_multiple_of(ACCEPTED_AT_ONCE) {
+            // What else is ready goes first, however many connections wait.
+            yield_now().await;
+        }
         let accepted = tokio::select! {
             () = stop.cancelled() => break,
             accepted = listener.accept() => accepted,
