A caller who reads slowly keeps its answer, and takes a bounded part of a node's memory

Cause: TCP_USER_TIMEOUT of 5 s on callers' connections also ends one whose window stays closed for so long, which a small buffer that is read slowly does. What a node holds for such a caller was bounded by defaults alone: 408 KiB in hyper, some megabytes in the system.

Change: 30 s; a call's own deadline ends its answer before.

The aim: all of them within a quarter of the smallest node's 120 MB, 150 kB each.

--- a/crates/pinerill-forward/src/gateway/listener.rs
+++ b/crates/pinerill-forward/src/gateway/listener.rs
@@ -25,17 +25,18 @@
 use super::request;
 use crate::node::Node;
 
-/// Unacknowledged bytes end a caller's connection after this time.
-const SILENCE_LIMIT: Duration = Duration::from_secs(5);
+/// Unacknowledged bytes, and a caller who takes none, end a connection after this time. One who
+/// reads slowly takes some each few seconds; a call's own deadline ends its answer before.
+const SILENCE_LIMIT: Duration = Duration::from_secs(30);
 /// Time at a stop in which connections end with their next answer, before those
 /// that rest are closed: callers hear of it before they send.
 const CLOSING_LEAD: Duration = Duration::from_millis(2_500);
 /// Bytes that the system holds for a caller who reads slowly; by itself it would grow to some
 /// megabytes.
-const SEND_BUFFER_BYTES: usize = 64 << 10;
+const SEND_BUFFER_BYTES: usize = 32 << 10;
 /// Bytes that a connection holds for a caller who reads slowly. What is beyond stays with the
 /// worker, whose answer is then not read any further.
-const HELD_BYTES: usize = 64 << 10;
+const HELD_BYTES: usize = 32 << 10;
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
