--- a/crates/pinerill-cluster/tests/leases.rs
+++ b/crates/pinerill-cluster/tests/leases.rs
@@ -180,3 +180,26 @@
     let targets = [("late", 1_000), ("soon", 5_000), ("later", 9_000)];
     assert_eq!(order_of_jobs(&targets, 4_000), ["later", "late", "soon"]);
 }
+
+/// Items of the most urgent job stay for nodes that may run them, and hold up no others.
+#[test]
+fn items_go_only_to_nodes_at_which_their_job_may_run() {
+    let mut leader = Leader::with_job(2);
+    submit(&mut leader.machine, "b", 2, 30_000);
+    let clock = leader.machine.clock_ms();
+    let ask = LeaseAsk {
+        node: "away",
+        held: &[],
+        want: 4,
+        run_ms: 0,
+    };
+    let elsewhere = CallJobId::new(None, "a");
+    let (book, jobs) = (&mut leader.book, leader.machine.jobs());
+    let away = book.lease_where(READY, jobs, clock, &ask, |job| job.id != elsewhere);
+    let at_home = book.lease_where(READY, jobs, clock, &ask, |_| true);
+    let of_job = |place: &QueuePosition| jobs.record(place.job).map(|record| record.id.clone());
+    let leased: Vec<_> = away.leased.iter().filter_map(of_job).collect();
+    assert_eq!(leased, vec![CallJobId::new(None, "b"); 2]);
+    let leased: Vec<_> = at_home.leased.iter().filter_map(of_job).collect();
+    assert_eq!(&leased[..2], vec![elsewhere; 2]);
+}
