Ports of rehearsals are probed without listening

Cause: a port is picked by listening at it for a moment. A process that another thread forks in that moment holds a copy of the listener until it executes its program, and the stand-in that the port was picked for can't bind. An older comment of the tests knew of the copy, for another consequence.

Change: the probe is bound and doesn't listen, so that a copy keeps nobody from listening.

--- a/crates/pinerill-rehearse/src/fleet/ports.rs
+++ b/crates/pinerill-rehearse/src/fleet/ports.rs
@@ -4,11 +4,13 @@
 //! connections: a process that is started again on its port must not find it
 //! taken by such a connection meanwhile.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::ops::Range;
 use std::sync::atomic::{AtomicU16, Ordering};
 
 use anyhow::bail;
+use socket2::{Domain, Socket, Type};
 
 /// Ports that are tried.
 const PORTS: Range<u16> = 10_240..32_000;
@@ -26,13 +28,22 @@
 pub fn free_address() -> anyhow::Result<SocketAddr> {
     for _ in PORTS {
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, next_port()));
-        if TcpListener::bind(address).is_ok() {
+        if probe(address).is_ok() {
             return Ok(address);
         }
     }
     bail!("picking a free port: all of {PORTS:?} are taken")
 }
 
+/// Whether nobody listens at an address. The socket is bound and doesn't listen: a process that
+/// another thread starts at this moment holds a copy until it executes its program, and a
+/// listener would keep the port from whoever it was picked for until then.
+fn probe(address: SocketAddr) -> io::Result<()> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())
+}
+
 /// The next port in turn. Processes begin at different ones, so that two
 /// rehearsals at once rarely try the same.
 fn next_port() -> u16 {
--- a/crates/pinerill-rehearse/tests/common/mod.rs
+++ b/crates/pinerill-rehearse/tests/common/mod.rs
@@ -12,9 +12,7 @@
 use serde_json::Value;
 
 /// Starts a stand-in and waits until it answers HTTP at `ready`, whatever the
-/// status. An open port is not enough: the listener that picked the port lives
-/// on in a child that another test's thread has forked but not yet executed,
-/// so a connection to it succeeds and is reset a moment later.
+/// status.
 pub async fn start_standin(folder: &Path, ready: SocketAddr, arguments: &[&str]) -> ChildProcess {
     let spec = ProcessSpec {
         name: format!("{}-{}", arguments[0], ready.port()),
