A control machine keeps connections to members, the leader and a few others

Each of 150 control machines opened and accepted a connection to each of 149 others at that moment, on 0.3 cores, the leader among them: connections of all to all grow with the square of the control machines, for whose members alone they are needed.

Change: beyond 16 known machines one keeps connections to the seeds, the members, the leader, and three others by rendezvous hashing; one that knows no leader tries more of them in each round, until it has found one. What is known of addresses no longer depends on connections.

--- a/crates/pinerill-cluster/src/lib.rs
+++ b/crates/pinerill-cluster/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod backlog;
 pub mod cells;
+pub mod connections;
 pub mod leases;
 pub mod list_pace;
 pub mod machine;
--- a/crates/pinerill-cluster/src/server/control.rs
+++ b/crates/pinerill-cluster/src/server/control.rs
@@ -1,7 +1,7 @@
 //! What the parts of a control machine share.
 
 use pinerill_process::clock::BootTime;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -33,6 +33,10 @@
     pub(super) group: GroupHandle<ClusterMachine>,
     pub(super) leadership: Mutex<Option<Leadership>>,
     pub(super) named_leader: Mutex<NamedLeader>,
+    /// Addresses of control machines that were ever learnt.
+    pub(super) learnt: Mutex<BTreeSet<SocketAddr>>,
+    /// Those that the settings name.
+    pub(super) seeds: Mutex<Vec<SocketAddr>>,
     /// Digest of the control machines that each one knew when it last answered.
     pub(super) told_digests: Mutex<HashMap<SocketAddr, Digest>>,
     pub(super) operators: Arc<dyn OperatorProtocol>,
--- a/crates/pinerill-cluster/src/server/peers.rs
+++ b/crates/pinerill-cluster/src/server/peers.rs
@@ -18,6 +18,7 @@
 use tokio::time::sleep;
 
 use super::control::Control;
+use crate::connections::KnownMachines;
 use crate::machine::Command;
 
 /// Pause between two rounds of telling others.
@@ -36,7 +37,7 @@
 impl Control {
     /// Internal addresses of all control machines that are known here.
     pub(super) fn known_addresses(&self) -> Vec<SocketAddr> {
-        let mut known = self.pool.addresses();
+        let mut known: Vec<SocketAddr> = self.learnt.lock().iter().copied().collect();
         known.push(self.record.address);
         let recorded = self.group.with_machine(|machine| {
             let records = machine.machines().values();
@@ -110,15 +111,55 @@
         })
     }
 
-    /// Connects to machines that were not known.
+    /// Takes in that there are machines at these addresses.
     pub(super) fn learn(&self, addresses: &[SocketAddr]) {
-        for address in addresses {
-            if *address != self.record.address {
-                self.pool.add(*address);
-            }
+        let mut learnt = self.learnt.lock();
+        let before = learnt.len();
+        let others = addresses.iter().filter(|one| **one != self.record.address);
+        learnt.extend(others);
+        let is_news = learnt.len() > before;
+        drop(learnt);
+        if is_news {
+            self.keep_connections();
+        }
+    }
+
+    /// Opens the connections to other machines that are wanted now, and ends the others.
+    fn keep_connections(&self) {
+        let known = self.known_addresses();
+        let random = some_of(known.clone());
+        let machines = KnownMachines {
+            own: self.record.address,
+            known: known.into_iter().collect(),
+            seeds: self.seeds.lock().clone(),
+            members: self.member_addresses(),
+            leader: self.leader_address(),
+        };
+        let mut wanted = machines.wanted(&random);
+        let kept = self.pool.addresses();
+        if machines.leader.is_none() {
+            // More and more of them, until a leader is found.
+            wanted.extend(&kept);
+        }
+        for address in kept.iter().filter(|one| !wanted.contains(one)) {
+            self.pool.remove(*address);
+        }
+        for address in wanted {
+            self.pool.add(address);
         }
     }
 
+    fn member_addresses(&self) -> Vec<SocketAddr> {
+        let members = self.group.status().members;
+        self.group.with_machine(|machine| {
+            let records = machine.machines().values();
+            records
+                .filter(|record| members.contains(ReplicaId(record.replica)))
+                .map(|record| record.address)
+                .collect()
+        })
+    }
+
     async fn record_if_new(&self, machine: &MachineRecord) -> Result<(), Box<Refusal>> {
         let recorded = self.group.with_machine(|state| {
             state.machines().get(&machine.replica) == Some(machine)
@@ -147,6 +188,7 @@
     }
 
     async fn tell_others(&self, round: u32) {
+        self.keep_connections();
         if self.leads() {
             let own = self.record.clone();
             let joining = JoinRequest {
@@ -194,6 +236,9 @@
             self.learn(&joined.known);
             if let Some(leader) = joined.leader {
                 self.named_leader.lock().take_in(leader);
+                if leader.address != self.record.address {
+                    self.pool.add(leader.address);
+                }
             }
         }
     }
--- a/crates/pinerill-cluster/src/server/run.rs
+++ b/crates/pinerill-cluster/src/server/run.rs
@@ -199,6 +199,8 @@
         group,
         leadership: Mutex::new(None),
         named_leader: Mutex::default(),
+        learnt: Mutex::new(others.iter().copied().collect()),
+        seeds: Mutex::new(others),
         told_digests: Mutex::default(),
         operators: protocols.operators,
         worker_list: protocols.worker_list,
@@ -296,6 +298,7 @@
                     let seeds = seeds.unwrap_or_default();
                     log::info!(event = "settings_reloaded", seeds:? = seeds; "");
                     self.learn(&seeds);
+                    *self.seeds.lock() = seeds;
                 }
                 Err(error) => log::warn!(event = "settings_refused", error:%; ""),
             }
