--- a/crates/pinerill-calls/src/cells.rs
+++ b/crates/pinerill-calls/src/cells.rs
@@ -110,6 +110,7 @@
     parts
 }
 
+/// The part of its service that a worker is in.
 fn part(worker: &WorkerEntry, parts: u32) -> u32 {
     let name = worker.id.name().bytes();
     let hash = name.fold(FNV_OFFSET, |hash, byte| {
--- a/crates/pinerill-forward/tests/support/mod.rs
+++ b/crates/pinerill-forward/tests/support/mod.rs
@@ -1,8 +1,11 @@
-//! Workers for tests.
+//! Workers and services for tests.
+
+#![allow(dead_code)]
 
 use std::net::{Ipv4Addr, SocketAddr};
 
 use pinerill_calls::directory::{WorkerEntry, WorkerId, WorkerState};
+use pinerill_calls::table::{RequestLimits, RouteTable, Service, SlowStart};
 
 /// A worker of four slots that is ready.
 pub fn entry(id: WorkerId) -> WorkerEntry {
@@ -16,3 +19,29 @@
         cold_left_ms: 0,
     }
 }
+
+/// The same in a zone.
+pub fn entry_in(zone: &str, name: &str) -> WorkerEntry {
+    WorkerEntry {
+        zone: zone.to_owned(),
+        ..entry(WorkerId::new(name, None))
+    }
+}
+
+/// A table whose one service spares cold workers so.
+pub fn table_with(slow_start: SlowStart) -> RouteTable {
+    RouteTable {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![Service {
+            name: "svc".to_owned(),
+            max_connections: 10,
+            slots: Some(4),
+            cache_tokens: None,
+            health_path: None,
+            slow_start: Some(slow_start),
+        }],
+        limits: RequestLimits::default(),
+        tenants: None,
+    }
+}
