Permits for cold workers are asked for by service

Whether a node asks for permits in other zones was decided over all services: a worker of one service that served in its zone kept it from asking for the cold workers of another service that has none there, so that calls to that service waited until a worker was warm. Found by reading. It is decided for each service now. permits_are_asked_for_a_service_that_has_no_worker_in_this_zone failed before (nothing was asked) and passes; the other five tests of the file pass.

--- a/crates/pinerill-forward/src/fleet/slow_start.rs
+++ b/crates/pinerill-forward/src/fleet/slow_start.rs
@@ -76,11 +76,17 @@
         !self.needs_permit(now_ms, worker) || worker.has_permit(now_ms)
     }
 
-    /// Workers for which permits can be asked: those of this zone, and the others while no
-    /// worker of this zone serves.
+    /// Workers for which permits can be asked: of each service those of this zone, and the
+    /// others while none of its workers in this zone serves.
     pub fn cold_workers(&self, now_ms: u64) -> Vec<ColdWorker> {
         let services = self.slow_starts.keys();
-        let ready = services.flat_map(|service| self.candidates(service));
+        services
+            .flat_map(|service| self.cold_workers_of(service, now_ms))
+            .collect()
+    }
+
+    fn cold_workers_of(&self, service: &str, now_ms: u64) -> Vec<ColdWorker> {
+        let ready = self.candidates(service);
         let sound: Vec<&Worker> = ready.filter(|one| !one.is_avoided(now_ms)).collect();
         let zone_has_any = sound.iter().any(|one| one.entry().zone == self.zone);
         let wanted = sound.into_iter().filter(|worker| {
--- a/crates/pinerill-forward/tests/slow_start.rs
+++ b/crates/pinerill-forward/tests/slow_start.rs
@@ -9,7 +9,7 @@
 use std::collections::VecDeque;
 
 use pinerill_calls::directory::{WorkerEntry, WorkerId};
-use pinerill_calls::table::{SlowStart, ANYWHERE};
+use pinerill_calls::table::{Service, SlowStart, ANYWHERE};
 use pinerill_forward::fleet::{ChoiceSettings, Fleet, Placement, Prompt, Wanted};
 use pinerill_quota::bucket::TokenBucket;
 use pinerill_quota::lender::Lender;
@@ -229,6 +229,28 @@
     assert!(fleet.is_permitted(60_000 + STEPS * STEP_MS, "w", None));
 }
 
+/// A worker of one service that serves in this zone is of no use to calls of another.
+#[test]
+fn permits_are_asked_for_a_service_that_has_no_worker_in_this_zone() {
+    let mut table = table_with(SLOW_START);
+    let other = Service {
+        name: "other".to_owned(),
+        ..table.services[0].clone()
+    };
+    table.services.push(other);
+    let far = WorkerEntry {
+        service: "other".to_owned(),
+        cold_left_ms: 3_000,
+        ..entry_in("far", "far")
+    };
+    let mut fleet = Fleet::new("z", ChoiceSettings::default());
+    fleet.take_slow_starts(&table);
+    fleet.take_directory(0, &[cold_entry("near", 0), far]);
+    let asked = fleet.cold_workers(0);
+    let asked: Vec<String> = asked.iter().map(|worker| worker.id.to_string()).collect();
+    assert_eq!(asked, ["far"]);
+}
+
 /// Where a service doesn't say what a cold worker bears, none is spared.
 #[test]
 fn workers_of_a_service_without_a_rate_need_no_permit() {
