Control machines say which commands and requests of another build they could not read

A replica that skipped a command said nothing, so that a lagging state looked like a lost job. Now a line for each: command_unread with the entry's index and error, request_unread with the peer. No decision changes.

--- a/crates/pinerill-cluster/src/machine/mod.rs
+++ b/crates/pinerill-cluster/src/machine/mod.rs
@@ -162,14 +162,17 @@
 }
 
 impl StateMachine for ClusterMachine {
-    fn apply(&mut self, _index: u64, command: &[u8], table: &mut dyn TableWriter) -> Vec<u8> {
+    fn apply(&mut self, index: u64, command: &[u8], table: &mut dyn TableWriter) -> Vec<u8> {
         let applied = match previous::read_command(command) {
             Ok(stamped) => {
                 self.clock_ms += stamped.elapsed_ms.min(LONGEST_STEP_MS);
                 self.carry_out(stamped.command, table)
             }
             // A command of a later version: every replica of this one skips it.
-            Err(_) => Applied::NotUnderstood,
+            Err(error) => {
+                log::error!(event = "command_unread", index, error:%; "");
+                Applied::NotUnderstood
+            }
         };
         encode(&applied)
     }
--- a/crates/pinerill-cluster/src/server/service.rs
+++ b/crates/pinerill-cluster/src/server/service.rs
@@ -26,6 +26,10 @@
         let request: CallsRequest = match decode(&bytes) {
             Ok(request) => request,
             Err(error) => {
+                log::warn!(
+                    event = "request_unread", peer = peer.name.as_str(), role:? = peer.role,
+                    error:%; ""
+                );
                 let refused = refusal::invalid(&self.control.record, "read request", error);
                 return Response::Refused(*refused);
             }
