--- a/crates/pinerill-cluster/tests/support/mod.rs
+++ b/crates/pinerill-cluster/tests/support/mod.rs
@@ -1,8 +1,14 @@
-//! A state table in memory.
+//! A state table in memory, and what earlier builds wrote.
+
+#![allow(dead_code)]
+
+#[path = "../../../pinerill-calls/tests/support/golden.rs"]
+pub mod golden;
 
 use std::collections::BTreeMap;
 
-use pinerill_control::host::TableWriter;
+use pinerill_cluster::machine::ClusterMachine;
+use pinerill_control::host::{StateMachine, TableWriter};
 
 /// What a state machine wrote.
 #[derive(Default)]
@@ -17,3 +23,8 @@
         self.0.remove(key);
     }
 }
+
+/// Applies a command that must be readable.
+pub fn apply(machine: &mut ClusterMachine, index: u64, command: &[u8], table: &mut Table) {
+    machine.apply(index, command, table);
+}
