A replica never skips a command that it can't read, and never ends in a loop over it

Callers saw an accepted job answered 404 and an item with another result than before. ClusterMachine answered NotUnderstood to a command of another encoding and went on: its state lacked jobs and results while it counted as up to date, read and led. Now applying can fail; the group halts on that replica: it answers, votes and writes nothing, says which entry it is, and its process stays instead of being started over and over.

--- a/crates/pinerill-cluster/src/machine/command.rs
+++ b/crates/pinerill-cluster/src/machine/command.rs
@@ -57,6 +57,4 @@
         /// Whether there is such a job.
         known: bool,
     },
-    /// The command is of a version that is not known here.
-    NotUnderstood,
 }
--- a/crates/pinerill-cluster/src/machine/mod.rs
+++ b/crates/pinerill-cluster/src/machine/mod.rs
@@ -18,7 +18,7 @@
 use pinerill_calls::evacuation::Evacuations;
 use pinerill_calls::message::{encode, MachineRecord, PutTable};
 use pinerill_calls::table::RouteTable;
-use pinerill_control::host::{StateMachine, TableWriter};
+use pinerill_control::host::{StateMachine, TableWriter, UnreadableState};
 use serde::{Deserialize, Serialize};
 
 pub use command::{Applied, Command, StampedCommand};
@@ -162,19 +162,16 @@
 }
 
 impl StateMachine for ClusterMachine {
-    fn apply(&mut self, index: u64, command: &[u8], table: &mut dyn TableWriter) -> Vec<u8> {
-        let applied = match previous::read_command(command) {
-            Ok(stamped) => {
-                self.clock_ms += stamped.elapsed_ms.min(LONGEST_STEP_MS);
-                self.carry_out(stamped.command, table)
-            }
-            // A command of a later version: every replica of this one skips it.
-            Err(error) => {
-                log::error!(event = "command_unread", index, error:%; "");
-                Applied::NotUnderstood
-            }
-        };
-        encode(&applied)
+    fn apply(
+        &mut self,
+        _index: u64,
+        command: &[u8],
+        table: &mut dyn TableWriter,
+    ) -> Result<Vec<u8>, UnreadableState> {
+        let read = previous::read_command(command);
+        let stamped = read.map_err(|error| UnreadableState(error.to_string()))?;
+        self.clock_ms += stamped.elapsed_ms.min(LONGEST_STEP_MS);
+        Ok(encode(&self.carry_out(stamped.command, table)))
     }
 
     fn snapshot(&self) -> Vec<u8> {
--- a/crates/pinerill-control/examples/job_rates.rs
+++ b/crates/pinerill-control/examples/job_rates.rs
@@ -55,7 +55,10 @@
             commands: vec![command],
         });
         let start = Instant::now();
-        let replies = self.machine.apply(self.entries, &entry, &mut self.table);
+        let replies = self
+            .machine
+            .apply(self.entries, &entry, &mut self.table)
+            .expect("a command");
         self.applying += start.elapsed();
         let mut replies: JobReplies = decode(&replies).expect("replies");
         replies.remove(0)
--- a/crates/pinerill-control/src/host/driver/mod.rs
+++ b/crates/pinerill-control/src/host/driver/mod.rs
@@ -24,7 +24,7 @@
 
 use self::outgoing::OutgoingSnapshots;
 use self::table_visibility::TableVisibility;
-use super::{ChangeError, ProposeError, ReadError, StateMachine};
+use super::{ChangeError, ProposeError, ReadError, StateMachine, UnreadableState};
 
 /// Bounds of a driver.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -128,6 +128,14 @@
     SnapshotInstalled,
     /// The group can't go on.
     Failed(StorageError),
+    /// An entry or a snapshot can't be read by this build. The driver must not be used any
+    /// more: what it answered and voted from then on would rest on a state that lags.
+    Unreadable {
+        /// Index of the entry, or of the snapshot.
+        index: u64,
+        /// Why.
+        error: UnreadableState,
+    },
 }
 
 /// A request that the replica holds under a token.
@@ -156,6 +164,8 @@
     saving_snapshot: bool,
     /// Bytes applied since that snapshot.
     bytes_since_snapshot: u64,
+    /// Nothing more is applied.
+    halted: bool,
     effects: Vec<Effect<R>>,
 }
 
@@ -183,6 +193,7 @@
             snapshot_index: applied,
             saving_snapshot: false,
             bytes_since_snapshot: 0,
+            halted: false,
             effects: Vec::new(),
         }
     }
--- a/crates/pinerill-control/src/host/driver/output.rs
+++ b/crates/pinerill-control/src/host/driver/output.rs
@@ -5,7 +5,7 @@
 
 use super::{Answer, Effect, GroupDriver, PendingRequest, StoredWrite};
 use crate::host::error::{change_error, propose_error, read_error};
-use crate::host::{StateMachine, TableWriter};
+use crate::host::{StateMachine, TableWriter, UnreadableState};
 
 /// Collects table writes as operations for the store.
 struct BatchTableWriter {
@@ -59,6 +59,9 @@
             self.refuse(dropped);
         }
         self.answer_reads();
+        if self.halted {
+            return;
+        }
         for request in output.snapshot_requests {
             self.read_snapshot_chunk(request);
         }
@@ -73,6 +76,9 @@
         let prepared = self
             .install(&persist)
             .and_then(|()| WriteBatch::from_persist(self.group, &persist));
+        if self.halted {
+            return;
+        }
         let write = StoredWrite::Persist {
             sequence: persist.sequence,
             installed,
@@ -91,7 +97,10 @@
         };
         let decoded = decode_snapshot(&snapshot.data)?;
         let restored = self.machine.write().restore(&decoded.memory);
-        restored.map_err(super::snapshot::refused_snapshot)?;
+        if let Err(error) = restored {
+            self.halt(snapshot.meta.index, UnreadableState(format!("{error:#}")));
+            return Ok(());
+        }
         log::info!(
             event = "snapshot_installing", group:% = self.group, index = snapshot.meta.index,
             bytes = snapshot.data.len(), replaced_index = self.visibility.applied(); ""
@@ -104,29 +113,50 @@
     }
 
     fn apply(&mut self, committed: Vec<Committed>) {
-        let Some(last) = committed.last() else {
+        if committed.is_empty() || self.halted {
             return;
-        };
-        let last_index = last.entry.index;
-        let entries = committed.len();
-        self.effects.push(Effect::Applied { entries });
+        }
+        let mut last_index = self.visibility.applied();
+        let mut entries = 0;
+        let mut unreadable = None;
         let mut table = BatchTableWriter {
             operations: Vec::new(),
         };
         let machine = self.machine.clone();
         let mut machine = machine.write();
         for Committed { entry, token } in committed {
-            self.bytes_since_snapshot += entry.size() as u64;
-            let answer = match &entry.kind {
+            let applied = match &entry.kind {
                 EntryKind::Command(command) => machine.apply(entry.index, command, &mut table),
-                EntryKind::Empty | EntryKind::Membership(_) => Vec::new(),
+                EntryKind::Empty | EntryKind::Membership(_) => Ok(Vec::new()),
+            };
+            let answer = match applied {
+                Ok(answer) => answer,
+                Err(error) => {
+                    unreadable = Some((entry.index, error));
+                    break;
+                }
             };
+            self.bytes_since_snapshot += entry.size() as u64;
+            last_index = entry.index;
+            entries += 1;
             if let Some(token) = token {
                 self.answer_applied(token, answer);
             }
         }
         drop(machine);
+        self.effects.push(Effect::Applied { entries });
         self.write_table(last_index, table.operations);
+        if let Some((index, error)) = unreadable {
+            self.halt(index, error);
+        }
+    }
+
+    fn halt(&mut self, index: u64, error: UnreadableState) {
+        self.halted = true;
+        // Whoever waits learns that the outcome is not known.
+        self.requests.clear();
+        self.reads.clear();
+        self.effects.push(Effect::Unreadable { index, error });
     }
 
     fn write_table(&mut self, last_index: u64, operations: Vec<Operation>) {
--- a/crates/pinerill-control/src/host/driver/snapshot.rs
+++ b/crates/pinerill-control/src/host/driver/snapshot.rs
@@ -1,18 +1,11 @@
 //! Saving, sending and compacting behind snapshots.
 
-use std::path::Path;
-
 use pinerill_replica::{Input, SnapshotRequest};
-use pinerill_storage::{Operation, SnapshotStream, StorageCause, StorageError, WriteBatch};
+use pinerill_storage::{Operation, SnapshotStream, StorageError, WriteBatch};
 
 use super::{Effect, GroupDriver, StoredWrite};
 use crate::host::StateMachine;
 
-pub(super) fn refused_snapshot(error: anyhow::Error) -> StorageError {
-    let cause = StorageCause::Corrupted(format!("{error:#}"));
-    StorageError::new("restore", Path::new("(received snapshot)"), cause)
-}
-
 impl<M: StateMachine, R> GroupDriver<M, R> {
     /// Saves a snapshot after enough entries or bytes. It is queued at the
     /// store behind the table writes of every entry that it covers.
--- a/crates/pinerill-control/src/host/machine.rs
+++ b/crates/pinerill-control/src/host/machine.rs
@@ -2,7 +2,7 @@
 
 use pinerill_replica::{Envelope, ReplicaId};
 
-pub use crate::machine::{StateMachine, TableWriter};
+pub use crate::machine::{StateMachine, TableWriter, UnreadableState};
 
 /// Carries messages to other replicas. Messages may be lost, repeated or
 /// reordered; sending never blocks.
--- a/crates/pinerill-control/src/host/status.rs
+++ b/crates/pinerill-control/src/host/status.rs
@@ -27,6 +27,8 @@
     pub members_committed: bool,
     /// Followers, if it leads.
     pub peers: Vec<PeerStatus>,
+    /// Its state can't be read by this build; it takes no part any more.
+    pub halted: bool,
 }
 
 impl GroupStatus {
@@ -43,6 +45,7 @@
             members_committed: status.membership_index <= status.commit,
             members: status.membership,
             peers: status.peers,
+            halted: false,
         }
     }
 
@@ -54,10 +57,11 @@
             || leadership(self) != leadership(other)
             || self.members_committed != other.members_committed
             || self.members != other.members
+            || self.halted != other.halted
     }
 
     /// Whether this replica leads and knows everything committed before.
     pub fn leads(&self) -> bool {
-        self.role == Role::Leader && self.settled
+        self.role == Role::Leader && self.settled && !self.halted
     }
 }
--- a/crates/pinerill-control/src/host/task.rs
+++ b/crates/pinerill-control/src/host/task.rs
@@ -13,6 +13,8 @@
 use super::group_host::Shared;
 use super::{ChangeError, GroupStatus, ProposeError, StateMachine};
 
+/// Pause of a halted group's task between two looks at its inbox, which wakes it anyway.
+const HALTED_PAUSE: Duration = Duration::from_secs(60);
 /// Events taken into one round.
 const MAX_EVENTS: usize = 1024;
 
@@ -27,6 +29,9 @@
     /// Time on the host's clock when the task began.
     started: Duration,
     stopping: bool,
+    /// The state can't be read by this build: nothing is answered, sent or written any more.
+    /// The task stays, so that the process isn't started again and again over the same state.
+    halted: bool,
 }
 
 impl<M: StateMachine> GroupTask<M> {
@@ -45,6 +50,7 @@
             events,
             status,
             stopping: false,
+            halted: false,
         }
     }
 
@@ -63,13 +69,23 @@
                 () = tokio::time::sleep(until_deadline) => {}
             }
             for event in events.drain(..) {
-                self.handle(event);
+                match self.halted {
+                    true => self.refuse(event),
+                    false => self.handle(event),
+                }
             }
             self.finish_round();
         }
         refuse_queued(inbox);
     }
 
+    fn refuse(&mut self, event: Event) {
+        match event {
+            Event::Stop => self.stopping = true,
+            other => refuse_event(other),
+        }
+    }
+
     fn now_ms(&self) -> u64 {
         let time = self.shared.settings.clock.time();
         time.saturating_sub(self.started).as_millis() as u64
@@ -78,11 +94,17 @@
     /// Time until the driver must be called. A timer that was set before the machine was
     /// suspended fires late; what is due then is found by the clock.
     fn until_deadline(&self) -> Duration {
+        if self.halted {
+            return HALTED_PAUSE;
+        }
         let left_ms = self.driver.next_deadline_ms().saturating_sub(self.now_ms());
         Duration::from_millis(left_ms)
     }
 
     fn finish_round(&mut self) {
+        if self.halted {
+            return;
+        }
         for effect in self.driver.finish_round(self.now_ms()) {
             self.carry_out(effect);
         }
@@ -132,6 +154,9 @@
     }
 
     fn carry_out(&mut self, effect: Effect<Reply>) {
+        if self.halted {
+            return;
+        }
         let counters = &self.shared.counters;
         match effect {
             Effect::Write { batch, write } => {
@@ -155,6 +180,13 @@
                 log::error!("group {}: stopped: {error}", self.group);
                 self.stopping = true;
             }
+            Effect::Unreadable { index, error } => {
+                log::error!(
+                    event = "group_halted", group:% = self.group, index, error:%,
+                    remedy = "run the build that wrote it, or a newer one"; ""
+                );
+                self.halted = true;
+            }
         }
     }
 
@@ -181,7 +213,8 @@
     }
 
     fn publish_status(&self) {
-        let status = GroupStatus::new(self.group, self.driver.status());
+        let mut status = GroupStatus::new(self.group, self.driver.status());
+        status.halted = self.halted;
         self.status.send_if_modified(|current| {
             let modified = current.differs_from(&status);
             *current = status;
@@ -194,14 +227,18 @@
 fn refuse_queued(mut inbox: mpsc::UnboundedReceiver<Event>) {
     inbox.close();
     while let Ok(event) = inbox.try_recv() {
-        match event {
-            Event::Propose { reply, .. } => drop(reply.send(Err(ProposeError::Stopped))),
-            Event::ChangeMembership { reply, .. } => {
-                let stopped = ChangeError::Propose(ProposeError::Stopped);
-                let _ = reply.send(Err(stopped));
-            }
-            // A dropped read is answered as stopped.
-            _ => {}
+        refuse_event(event);
+    }
+}
+
+fn refuse_event(event: Event) {
+    match event {
+        Event::Propose { reply, .. } => drop(reply.send(Err(ProposeError::Stopped))),
+        Event::ChangeMembership { reply, .. } => {
+            let stopped = ChangeError::Propose(ProposeError::Stopped);
+            let _ = reply.send(Err(stopped));
         }
+        // A dropped read is answered as stopped.
+        _ => {}
     }
 }
--- a/crates/pinerill-control/src/job/machine.rs
+++ b/crates/pinerill-control/src/job/machine.rs
@@ -17,7 +17,7 @@
 use super::record::Job;
 use super::tenant::Tenants;
 use crate::codec::{decode, encode};
-use crate::machine::{StateMachine, TableWriter};
+use crate::machine::{StateMachine, TableWriter, UnreadableState};
 
 /// State of a job group.
 ///
@@ -146,12 +146,17 @@
 }
 
 impl StateMachine for JobMachine {
-    fn apply(&mut self, _index: u64, command: &[u8], table: &mut dyn TableWriter) -> Vec<u8> {
+    fn apply(
+        &mut self,
+        _index: u64,
+        command: &[u8],
+        table: &mut dyn TableWriter,
+    ) -> Result<Vec<u8>, UnreadableState> {
         let replies = match decode::<JobEntry>(command) {
             Ok(entry) => self.apply_entry(entry, table),
             Err(_) => JobReplies::new(),
         };
-        encode(&replies)
+        Ok(encode(&replies))
     }
 
     fn snapshot(&self) -> Vec<u8> {
--- a/crates/pinerill-control/src/machine.rs
+++ b/crates/pinerill-control/src/machine.rs
@@ -1,5 +1,13 @@
 //! What a replicated group asks of its state machine.
 
+use thiserror::Error;
+
+/// A command or a snapshot that this build does not read: it was written by another build, or
+/// is damaged.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("unreadable state: {0}")]
+pub struct UnreadableState(pub String);
+
 /// Collects writes to a group's state table.
 pub trait TableWriter {
     /// Sets a key.
@@ -25,7 +33,16 @@
 /// that already holds their writes, is therefore idempotent.
 pub trait StateMachine: Send + Sync + 'static {
     /// Applies the committed command at `index` and returns its reply.
-    fn apply(&mut self, index: u64, command: &[u8], table: &mut dyn TableWriter) -> Vec<u8>;
+    ///
+    /// # Errors
+    /// [`UnreadableState`] for a command that this build does not read. Nothing of it is
+    /// applied, and nothing behind it may be: another replica may have read it.
+    fn apply(
+        &mut self,
+        index: u64,
+        command: &[u8],
+        table: &mut dyn TableWriter,
+    ) -> Result<Vec<u8>, UnreadableState>;
     /// The part of the state that is in memory; the table travels besides.
     fn snapshot(&self) -> Vec<u8>;
     /// Replaces the part in memory.
--- a/crates/pinerill-control/src/meta/machine.rs
+++ b/crates/pinerill-control/src/meta/machine.rs
@@ -13,7 +13,7 @@
 use super::command::{Founding, MetaCommand, MetaReply, ProposalOutcome};
 use super::history;
 use crate::codec::{decode, encode};
-use crate::machine::{StateMachine, TableWriter};
+use crate::machine::{StateMachine, TableWriter, UnreadableState};
 
 /// Version of the founding bundle.
 const FOUNDING_VERSION: u64 = 0;
@@ -239,14 +239,19 @@
 }
 
 impl StateMachine for MetaMachine {
-    fn apply(&mut self, _index: u64, command: &[u8], table: &mut dyn TableWriter) -> Vec<u8> {
+    fn apply(
+        &mut self,
+        _index: u64,
+        command: &[u8],
+        table: &mut dyn TableWriter,
+    ) -> Result<Vec<u8>, UnreadableState> {
         let reply = match decode::<MetaCommand>(command) {
             Ok(command) => self.apply_command(command, table),
             Err(error) => MetaReply::Rejected {
                 message: error.to_string(),
             },
         };
-        encode(&reply)
+        Ok(encode(&reply))
     }
 
     fn snapshot(&self) -> Vec<u8> {
--- a/crates/pinerill-sim/src/cluster/observed.rs
+++ b/crates/pinerill-sim/src/cluster/observed.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use parking_lot::Mutex;
-use pinerill_control::machine::{StateMachine, TableWriter};
+use pinerill_control::machine::{StateMachine, TableWriter, UnreadableState};
 
 /// A command applied for the first time anywhere.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -77,10 +77,15 @@
 }
 
 impl<M: StateMachine> StateMachine for Observed<M> {
-    fn apply(&mut self, index: u64, command: &[u8], table: &mut dyn TableWriter) -> Vec<u8> {
-        let answer = self.inner.apply(index, command, table);
+    fn apply(
+        &mut self,
+        index: u64,
+        command: &[u8],
+        table: &mut dyn TableWriter,
+    ) -> Result<Vec<u8>, UnreadableState> {
+        let answer = self.inner.apply(index, command, table)?;
         self.log.lock().record(index, command, &answer);
-        answer
+        Ok(answer)
     }
 
     fn snapshot(&self) -> Vec<u8> {
--- a/crates/pinerill-sim/src/cluster/process.rs
+++ b/crates/pinerill-sim/src/cluster/process.rs
@@ -195,6 +195,10 @@
             Effect::Failed(error) => {
                 self.violate("a group runs on", format!("machine {place}: {error}"));
             }
+            Effect::Unreadable { index, error } => {
+                let what = format!("machine {place}, entry {index}: {error}");
+                self.violate("a group runs on", what);
+            }
         }
     }
 
