Messages and state of formats 4 to 8 are read and written side by side

Callers saw LOST, TWICE and CONFIG while machines were replaced one by one: each process understood its own encoding alone. Cause: one version byte over a layout that names no fields, and no way to learn what the other side reads.

- pinerill-calls::formats has the forms of 4 to 7, a module each, turned into the present ones and back; bytes are compared with what those builds wrote themselves.
- pinerill-calls::session finds what a peer reads: requests go out in the newest format, after a refusal as unreadable a harmless one probes the older ones.
Between processes of one build nothing is added.
The leader raises it only once all known machines have told that they read the newest one: for an order that needs it, else after ten minutes in which they may go back.
A machine that reads less than what is in force is kept out with a reason.
- Nodes of older builds are told whole directories under the digests of their format; calls of items name a format that their reader knows; leases get the zone from the handshake.
- The route table in force is the accepted document as the present build reads it: a table stored by an older build lacks what that one did not know.
- Below format 6 the limit of waiting tokens is checked by the leader alone: replicas of two builds count it differently once there are tenants.

--- a/crates/pinerill-calls/src/directory.rs
+++ b/crates/pinerill-calls/src/directory.rs
@@ -7,6 +7,7 @@
 use thiserror::Error;
 
 use crate::digest::Digest;
+use crate::encoding::Format;
 
 /// Directories that a control machine remembers: the list is read once a second and nodes
 /// ask twice, so that only one that was cut off lags by more.
@@ -234,6 +235,11 @@
         self.digest
     }
 
+    /// Its digest in an older format.
+    pub fn digest_as(&self, format: Format) -> Digest {
+        Digest::of_as(format, &self.workers)
+    }
+
     /// Whether it names this start of a worker.
     pub fn lists(&self, worker: &WorkerId) -> bool {
         let place = self
@@ -273,7 +279,22 @@
         held: Option<&Directory>,
         update: DirectoryUpdate,
     ) -> Result<Directory, DirectoryMismatch> {
-        let workers = match update.change {
+        let directory = Self::changed(held, update.change)?;
+        match directory.digest == update.digest {
+            true => Ok(directory),
+            false => Err(DirectoryMismatch),
+        }
+    }
+
+    /// The directory that a change leads to, whatever it is named.
+    ///
+    /// # Errors
+    /// [`DirectoryMismatch`] if the change needs a directory and none is held.
+    pub fn changed(
+        held: Option<&Directory>,
+        change: DirectoryChange,
+    ) -> Result<Directory, DirectoryMismatch> {
+        let workers = match change {
             DirectoryChange::Whole(workers) => workers,
             DirectoryChange::Difference { removed, put } => {
                 let held = held.ok_or(DirectoryMismatch)?;
@@ -285,11 +306,7 @@
                 workers
             }
         };
-        let directory = Directory::new(workers);
-        match directory.digest == update.digest {
-            true => Ok(directory),
-            false => Err(DirectoryMismatch),
-        }
+        Ok(Directory::new(workers))
     }
 
     fn by_id(&self) -> HashMap<&str, &WorkerEntry> {
--- /dev/null
+++ b/crates/pinerill-calls/src/formats/v6.rs
@@ -0,0 +1,127 @@
+//! Format 6: besides what format 7 lacks, no health paths and no age of the directory.
+
+use serde::{Deserialize, Serialize};
+
+use super::responses::{OlderProcesses, WatchParts};
+use super::v7::{self, TableRoute, TableTenant};
+use super::{OlderRequest, OlderResponse, OlderTable};
+use crate::directory::DirectoryUpdate;
+use crate::message::WatchResponse;
+use crate::packed::UnpackError;
+use crate::table::{RequestLimits, RouteTable};
+
+/// A request.
+pub type Request = OlderRequest<Table>;
+/// A response.
+pub type Response = OlderResponse<Watched<Table>>;
+
+/// A route table.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Table {
+    version: u64,
+    routes: Vec<TableRoute>,
+    services: Vec<TableService>,
+    limits: RequestLimits,
+    tenants: Option<Vec<TableTenant>>,
+}
+
+/// A service of such a table.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(super) struct TableService {
+    name: String,
+    max_connections: u32,
+    slots: Option<u32>,
+    cache_tokens: Option<u64>,
+}
+
+/// An answer to a watch, of format 5 too.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Watched<T> {
+    table: Option<T>,
+    directory: Option<DirectoryUpdate>,
+    nodes: u32,
+    processes: Option<OlderProcesses>,
+}
+
+impl OlderTable for Table {}
+
+impl<T: OlderTable> TryFrom<WatchResponse> for Watched<T> {
+    type Error = UnpackError;
+
+    fn try_from(response: WatchResponse) -> Result<Self, UnpackError> {
+        let parts = WatchParts::of(response)?;
+        Ok(Watched {
+            table: parts.table,
+            directory: parts.directory,
+            nodes: parts.nodes,
+            processes: parts.processes,
+        })
+    }
+}
+
+impl<T: OlderTable> From<Watched<T>> for WatchResponse {
+    fn from(watched: Watched<T>) -> Self {
+        let parts = WatchParts {
+            table: watched.table,
+            directory: watched.directory,
+            directory_age_ms: None,
+            nodes: watched.nodes,
+            processes: watched.processes,
+        };
+        parts.into_response()
+    }
+}
+
+impl From<Table> for v7::Table {
+    fn from(table: Table) -> Self {
+        v7::Table {
+            version: table.version,
+            routes: table.routes,
+            services: table.services.into_iter().map(Into::into).collect(),
+            limits: table.limits,
+            tenants: table.tenants,
+        }
+    }
+}
+
+impl From<Table> for RouteTable {
+    fn from(table: Table) -> Self {
+        v7::Table::from(table).into()
+    }
+}
+
+impl From<RouteTable> for Table {
+    fn from(table: RouteTable) -> Self {
+        let table = v7::Table::from(table);
+        Table {
+            version: table.version,
+            routes: table.routes,
+            services: table.services.into_iter().map(Into::into).collect(),
+            limits: table.limits,
+            tenants: table.tenants,
+        }
+    }
+}
+
+impl From<TableService> for v7::TableService {
+    fn from(service: TableService) -> Self {
+        v7::TableService {
+            name: service.name,
+            max_connections: service.max_connections,
+            slots: service.slots,
+            cache_tokens: service.cache_tokens,
+            health_path: None,
+        }
+    }
+}
+
+impl From<v7::TableService> for TableService {
+    fn from(service: v7::TableService) -> Self {
+        TableService {
+            name: service.name,
+            max_connections: service.max_connections,
+            slots: service.slots,
+            cache_tokens: service.cache_tokens,
+        }
+    }
+}
--- a/crates/pinerill-calls/src/lib.rs
+++ b/crates/pinerill-calls/src/lib.rs
@@ -4,9 +4,10 @@
 //! the service that its route names. This crate has the [`table`] of routes,
 //! the [`job`]s whose items are whole calls, the [`directory`] of workers, the
 //! [`protocol`] ports through which a foreign manner of speaking is met, and
-//! the typed [`message`]s between nodes and control machines with their [`encoding`].
+//! the typed [`message`]s between nodes and control machines with their [`encoding`],
+//! the [`formats`] of older builds, and how a [`session`] finds the one that a peer reads.
 //!
-//! Nothing here reads a clock or a socket.
+//! Nothing here reads a socket, and but for [`session`] nothing reads a clock.
 
 pub mod cells;
 pub mod compression;
@@ -14,10 +15,12 @@
 pub mod directory;
 pub mod encoding;
 pub mod evacuation;
+pub mod formats;
 pub mod job;
 pub mod message;
 pub mod packed;
 pub mod protocol;
+pub mod session;
 pub mod settings;
 pub mod table;
 pub mod traffic;
--- a/crates/pinerill-calls/src/message.rs
+++ b/crates/pinerill-calls/src/message.rs
@@ -1,13 +1,15 @@
 //! Messages between processes that forward calls.
 //!
 //! They travel inside the internal protocol's frames as [`Request::Calls`] and
-//! [`Response::Calls`], in the encoding of [`crate::encoding`]. Refusals use the internal
-//! protocol's own.
+//! [`Response::Calls`], in the encoding of [`crate::encoding`] and, to and from processes of
+//! older builds, the forms of [`crate::formats`]. Refusals use the internal protocol's own.
+//!
+//! [`Request::Calls`]: pinerill_wire::message::Request::Calls
+//! [`Response::Calls`]: pinerill_wire::message::Response::Calls
 
 use std::net::SocketAddr;
 
 use pinerill_quota::message::{TenantAsk, TenantLoan};
-use pinerill_wire::message::{Request, Response};
 use serde::{Deserialize, Serialize};
 
 use crate::cells::CellId;
@@ -18,9 +20,7 @@
 use crate::packed::Packed;
 use crate::table::RouteTable;
 
-pub use crate::encoding::{
-    decode, decode_stored, decode_version, encode, MessageError, PREVIOUS_VERSION,
-};
+pub use crate::encoding::{decode, decode_any, encode, Format, MessageError};
 
 /// What one process asks of another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -355,16 +355,4 @@
             CallsRequest::BorrowSlowStarts(_) => "slow_start",
         }
     }
-
-    /// As a request of the internal protocol.
-    pub fn into_wire(self) -> Request {
-        Request::Calls(encode(&self))
-    }
-}
-
-impl CallsResponse {
-    /// As a response of the internal protocol.
-    pub fn into_wire(self) -> Response {
-        Response::Calls(encode(&self))
-    }
 }
--- a/crates/pinerill-calls/src/protocol/operator.rs
+++ b/crates/pinerill-calls/src/protocol/operator.rs
@@ -4,6 +4,7 @@
 
 use super::{HttpAnswer, MalformedRequest};
 use crate::message::{PutTable, RetirementState};
+use crate::table::RouteTable;
 
 /// Reads operators' requests and writes their answers.
 pub trait OperatorProtocol: Send + Sync + 'static {
@@ -14,6 +15,12 @@
     /// good.
     fn read_request(&self, head: &Parts, body: &[u8]) -> Result<OperatorRequest, MalformedRequest>;
 
+    /// The route table of a document that was accepted, as this build reads it.
+    ///
+    /// # Errors
+    /// When the document can't be understood.
+    fn read_table(&self, document: &[u8]) -> Result<RouteTable, MalformedRequest>;
+
     /// An answer in the operators' manner.
     fn answer(&self, answer: &OperatorAnswer) -> HttpAnswer;
 }
--- a/crates/pinerill-calls/src/table.rs
+++ b/crates/pinerill-calls/src/table.rs
@@ -6,7 +6,6 @@
 mod check;
 mod homes;
 mod lookup;
-mod previous;
 mod tenant;
 
 use serde::{Deserialize, Serialize};
@@ -14,7 +13,6 @@
 pub use check::TableError;
 pub use homes::{Homes, ANYWHERE};
 pub use lookup::RouteIndex;
-pub use previous::PreviousRouteTable;
 pub use tenant::{Access, AccessDenied, PresentedKey, Tenant};
 
 /// All routes and services of one version.
--- /dev/null
+++ b/crates/pinerill-cluster/src/machine/formats.rs
@@ -0,0 +1,220 @@
+//! Commands and snapshots in the formats that this build reads and writes.
+//!
+//! Up to format 7 they differ in their route tables alone; orders about zones came with 8.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pinerill_calls::encoding::{decode_any, encode, encode_as, format_of, Format, MessageError};
+use pinerill_calls::evacuation::Evacuations;
+use pinerill_calls::formats::{NotExpressible, OlderTable, TableOf5, TableOf6, TableOf7};
+use pinerill_calls::job::{CallJobId, ItemReport, NewCallJob};
+use pinerill_calls::message::{MachineRecord, PutTable};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use super::{ClusterMachine, Command, Jobs, StampedCommand};
+
+/// Reads a command, and says in which format it is.
+///
+/// # Errors
+/// [`MessageError`] when it is of an unknown format or malformed.
+pub fn read_command(bytes: &[u8]) -> Result<(Format, StampedCommand), MessageError> {
+    let format = format_of(bytes)?;
+    let command = match format.byte() {
+        4 | 5 => read_older::<TableOf5>(bytes)?,
+        6 => read_older::<TableOf6>(bytes)?,
+        7 => read_older::<TableOf7>(bytes)?,
+        _ => decode_any(bytes)?,
+    };
+    Ok((format, command))
+}
+
+/// Writes a command.
+///
+/// # Errors
+/// [`NotExpressible`] if the format has no such command.
+pub fn write_command(command: StampedCommand, format: Format) -> Result<Vec<u8>, NotExpressible> {
+    match format.byte() {
+        4 | 5 => write_older::<TableOf5>(command, format),
+        6 => write_older::<TableOf6>(command, format),
+        7 => write_older::<TableOf7>(command, format),
+        _ => Ok(encode(&command)),
+    }
+}
+
+/// Reads a snapshot.
+///
+/// # Errors
+/// [`MessageError`] when it is of an unknown format or malformed.
+pub(super) fn read_machine(bytes: &[u8]) -> Result<ClusterMachine, MessageError> {
+    let format = format_of(bytes)?;
+    let mut machine = match format.byte() {
+        4 | 5 => decode_any::<OlderMachine<TableOf5>>(bytes)?.into(),
+        6 => decode_any::<OlderMachine<TableOf6>>(bytes)?.into(),
+        7 => decode_any::<OlderMachine<TableOf7>>(bytes)?.into(),
+        _ => decode_any::<ClusterMachine>(bytes)?,
+    };
+    machine.format = Some(format);
+    Ok(machine)
+}
+
+/// Writes a snapshot in the format in force.
+pub(super) fn write_machine(machine: &ClusterMachine) -> Vec<u8> {
+    let format = machine.format();
+    match format.byte() {
+        4 | 5 => encode_as(format, &MachineView::<TableOf5>::of(machine)),
+        6 => encode_as(format, &MachineView::<TableOf6>::of(machine)),
+        7 => encode_as(format, &MachineView::<TableOf7>::of(machine)),
+        _ => encode(machine),
+    }
+}
+
+#[derive(Serialize, Deserialize)]
+struct OlderStampedCommand<T> {
+    elapsed_ms: u64,
+    command: OlderCommand<T>,
+}
+
+#[derive(Serialize, Deserialize)]
+enum OlderCommand<T> {
+    PutTable(Box<OlderPutTable<T>>),
+    SubmitJob {
+        job: Box<NewCallJob>,
+        room_bytes: Option<u64>,
+    },
+    EndJob(CallJobId),
+    ReportItems(Vec<ItemReport>),
+    RecordMachine(MachineRecord),
+    Retire(u64),
+    Upkeep {
+        retention_ms: u64,
+    },
+}
+
+#[derive(Serialize, Deserialize)]
+struct OlderPutTable<T> {
+    table: T,
+    document: Vec<u8>,
+}
+
+#[derive(Deserialize)]
+struct OlderMachine<T> {
+    clock_ms: u64,
+    table: Option<OlderPutTable<T>>,
+    machines: BTreeMap<u64, MachineRecord>,
+    replaced: BTreeSet<u64>,
+    retiring: BTreeSet<u64>,
+    jobs: Jobs,
+}
+
+/// What [`OlderMachine`] reads, of a machine in use.
+#[derive(Serialize)]
+struct MachineView<'machine, T> {
+    clock_ms: u64,
+    table: Option<OlderPutTable<T>>,
+    machines: &'machine BTreeMap<u64, MachineRecord>,
+    replaced: &'machine BTreeSet<u64>,
+    retiring: &'machine BTreeSet<u64>,
+    jobs: &'machine Jobs,
+}
+
+fn read_older<T: OlderTable + DeserializeOwned>(
+    bytes: &[u8],
+) -> Result<StampedCommand, MessageError> {
+    let stamped: OlderStampedCommand<T> = decode_any(bytes)?;
+    Ok(StampedCommand {
+        elapsed_ms: stamped.elapsed_ms,
+        command: stamped.command.into(),
+    })
+}
+
+fn write_older<T: OlderTable>(
+    stamped: StampedCommand,
+    format: Format,
+) -> Result<Vec<u8>, NotExpressible> {
+    let command = OlderCommand::<T>::try_from(stamped.command)
+        .map_err(|what| NotExpressible { format, what })?;
+    let stamped = OlderStampedCommand {
+        elapsed_ms: stamped.elapsed_ms,
+        command,
+    };
+    Ok(encode_as(format, &stamped))
+}
+
+impl<T: OlderTable> From<OlderCommand<T>> for Command {
+    fn from(command: OlderCommand<T>) -> Self {
+        match command {
+            OlderCommand::PutTable(put) => Command::PutTable(Box::new((*put).into())),
+            OlderCommand::SubmitJob { job, room_bytes } => Command::SubmitJob { job, room_bytes },
+            OlderCommand::EndJob(id) => Command::EndJob(id),
+            OlderCommand::ReportItems(reports) => Command::ReportItems(reports),
+            OlderCommand::RecordMachine(record) => Command::RecordMachine(record),
+            OlderCommand::Retire(replica) => Command::Retire(replica),
+            OlderCommand::Upkeep { retention_ms } => Command::Upkeep { retention_ms },
+        }
+    }
+}
+
+impl<T: OlderTable> TryFrom<Command> for OlderCommand<T> {
+    /// What the format does not have.
+    type Error = &'static str;
+
+    fn try_from(command: Command) -> Result<Self, &'static str> {
+        Ok(match command {
+            Command::PutTable(put) => OlderCommand::PutTable(Box::new((*put).into())),
+            Command::SubmitJob { job, room_bytes } => OlderCommand::SubmitJob { job, room_bytes },
+            Command::EndJob(id) => OlderCommand::EndJob(id),
+            Command::ReportItems(reports) => OlderCommand::ReportItems(reports),
+            Command::RecordMachine(record) => OlderCommand::RecordMachine(record),
+            Command::Retire(replica) => OlderCommand::Retire(replica),
+            Command::Upkeep { retention_ms } => OlderCommand::Upkeep { retention_ms },
+            Command::EvacuateZone(_) | Command::ReturnZone(_) => return Err("orders about zones"),
+        })
+    }
+}
+
+impl<T: OlderTable> From<OlderPutTable<T>> for PutTable {
+    fn from(put: OlderPutTable<T>) -> Self {
+        PutTable {
+            table: put.table.into(),
+            document: put.document,
+        }
+    }
+}
+
+impl<T: OlderTable> From<PutTable> for OlderPutTable<T> {
+    fn from(put: PutTable) -> Self {
+        OlderPutTable {
+            table: put.table.into(),
+            document: put.document,
+        }
+    }
+}
+
+impl<T: OlderTable> From<OlderMachine<T>> for ClusterMachine {
+    fn from(machine: OlderMachine<T>) -> Self {
+        ClusterMachine {
+            format: None,
+            clock_ms: machine.clock_ms,
+            table: machine.table.map(PutTable::from),
+            machines: machine.machines,
+            replaced: machine.replaced,
+            retiring: machine.retiring,
+            jobs: machine.jobs,
+            evacuations: Evacuations::default(),
+        }
+    }
+}
+
+impl<'machine, T: OlderTable> MachineView<'machine, T> {
+    fn of(machine: &'machine ClusterMachine) -> Self {
+        MachineView {
+            clock_ms: machine.clock_ms,
+            table: machine.table.clone().map(OlderPutTable::from),
+            machines: &machine.machines,
+            replaced: &machine.replaced,
+            retiring: &machine.retiring,
+            jobs: &machine.jobs,
+        }
+    }
+}
--- a/crates/pinerill-cluster/src/machine/mod.rs
+++ b/crates/pinerill-cluster/src/machine/mod.rs
@@ -5,23 +5,29 @@
 //! Time is a clock of the group's own: each command brings the time that has
 //! passed since its leader's last one, so that no machine's time of day counts
 //! and no time runs while nobody leads.
+//!
+//! Machines of several builds replicate it side by side. The format in force is the newest one
+//! of any command applied, so that all replicas agree on it; snapshots are written in it, and
+//! the leader writes a newer one only once all machines have told that they read it
+//! (`server::upgrade`). A command that can't be read ends the replica's part: another one may
+//! have read and applied it.
 
 mod command;
+mod formats;
 mod job;
 mod jobs;
 mod keys;
-mod previous;
 mod room;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use pinerill_calls::evacuation::Evacuations;
-use pinerill_calls::message::{encode, MachineRecord, PutTable};
-use pinerill_calls::table::RouteTable;
+use pinerill_calls::message::{encode, Format, MachineRecord, PutTable};
 use pinerill_control::host::{StateMachine, TableWriter, UnreadableState};
 use serde::{Deserialize, Serialize};
 
 pub use command::{Applied, Command, StampedCommand};
+pub use formats::{read_command, write_command};
 pub use job::{ItemPhase, ItemRecord, JobRecord, ListedRecord};
 pub use jobs::{Admission, Jobs, QueuePosition};
 pub use keys::{call_key, text_key};
@@ -34,6 +40,9 @@
 /// State of the group.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub struct ClusterMachine {
+    /// Newest format of what was applied or restored; its byte stands before the snapshot.
+    #[serde(skip)]
+    format: Option<Format>,
     clock_ms: u64,
     table: Option<PutTable>,
     machines: BTreeMap<u64, MachineRecord>,
@@ -44,6 +53,12 @@
 }
 
 impl ClusterMachine {
+    /// The format in force: in which commands and snapshots are written. A state that nothing
+    /// was applied to is the beginning of a new group.
+    pub fn format(&self) -> Format {
+        self.format.unwrap_or(Format::NEWEST)
+    }
+
     /// The group's clock, milliseconds.
     pub fn clock_ms(&self) -> u64 {
         self.clock_ms
@@ -152,13 +167,6 @@
     pub fn table_version(&self) -> Option<u64> {
         self.table.as_ref().map(|held| held.table.version)
     }
-
-    /// The route table, if it is newer than the given version.
-    pub fn table_newer_than(&self, version: Option<u64>) -> Option<&RouteTable> {
-        let held = self.table.as_ref()?;
-        let newer = version.is_none_or(|version| held.table.version > version);
-        newer.then_some(&held.table)
-    }
 }
 
 impl StateMachine for ClusterMachine {
@@ -168,18 +176,19 @@
         command: &[u8],
         table: &mut dyn TableWriter,
     ) -> Result<Vec<u8>, UnreadableState> {
-        let read = previous::read_command(command);
-        let stamped = read.map_err(|error| UnreadableState(error.to_string()))?;
+        let read = read_command(command);
+        let (format, stamped) = read.map_err(|error| UnreadableState(error.to_string()))?;
+        self.format = self.format.max(Some(format));
         self.clock_ms += stamped.elapsed_ms.min(LONGEST_STEP_MS);
         Ok(encode(&self.carry_out(stamped.command, table)))
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        encode(self)
+        formats::write_machine(self)
     }
 
     fn restore(&mut self, bytes: &[u8]) -> anyhow::Result<()> {
-        *self = previous::read_machine(bytes)?;
+        *self = formats::read_machine(bytes)?;
         Ok(())
     }
 }
--- a/crates/pinerill-cluster/src/server/control.rs
+++ b/crates/pinerill-cluster/src/server/control.rs
@@ -3,12 +3,15 @@
 use pinerill_process::clock::BootTime;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
 use std::sync::Arc;
 
 use parking_lot::Mutex;
 use pinerill_calls::digest::Digest;
-use pinerill_calls::message::{decode, encode, MachineRecord};
+use pinerill_calls::message::{decode, MachineRecord, PutTable};
 use pinerill_calls::protocol::{OperatorProtocol, WorkerListProtocol};
+use pinerill_calls::session::PeerFormats;
+use pinerill_calls::table::RouteTable;
 use pinerill_calls::traffic::Traffic;
 use pinerill_control::host::{GroupHandle, GroupHost, ProposeError};
 use pinerill_replica::ReplicaId;
@@ -19,6 +22,7 @@
 
 use super::leadership::{Leadership, Tolerances};
 use super::named_leader::NamedLeader;
+use super::older_builds::OlderDigests;
 use super::refusal;
 use crate::machine::{Applied, ClusterMachine, Command, StampedCommand};
 use crate::turns::Turns;
@@ -39,6 +43,14 @@
     pub(super) seeds: Mutex<Vec<SocketAddr>>,
     /// Digest of the control machines that each one knew when it last answered.
     pub(super) told_digests: Mutex<HashMap<SocketAddr, Digest>>,
+    /// In which formats the others are asked.
+    pub(super) peer_formats: PeerFormats,
+    /// How nodes of older builds name directories.
+    pub(super) older_digests: Mutex<OlderDigests>,
+    /// Requests that could not be read.
+    pub(super) unread_requests: AtomicU64,
+    /// The route table as this build reads the document in force.
+    pub(super) table_read: Mutex<Option<Arc<RouteTable>>>,
     pub(super) operators: Arc<dyn OperatorProtocol>,
     pub(super) worker_list: Arc<dyn WorkerListProtocol>,
     /// Bytes of requests that it answered.
@@ -86,6 +98,40 @@
             .with_machine(|machine| Some(machine.machines().get(&replica.0)?.address))
     }
 
+    /// The route table in force: the accepted document as this build reads it, since the
+    /// table stored beside it may have been read by a build that knows less of it.
+    pub(super) fn table_in_force(&self) -> Option<Arc<RouteTable>> {
+        let mut read = self.table_read.lock();
+        let held = self.group.with_machine(|machine| {
+            let held = machine.table()?;
+            let known = read
+                .as_ref()
+                .filter(|one| one.version == held.table.version);
+            Some(match known {
+                Some(known) => known.clone(),
+                None => Arc::new(self.read_again(held)),
+            })
+        });
+        read.clone_from(&held);
+        held
+    }
+
+    fn read_again(&self, held: &PutTable) -> RouteTable {
+        let version = held.table.version;
+        match self.operators.read_table(&held.document) {
+            Ok(table) if table.version == version => table,
+            Ok(table) => {
+                let read = table.version;
+                log::error!(event = "document_of_another_version", version, read; "");
+                held.table.clone()
+            }
+            Err(error) => {
+                log::error!(event = "document_unreadable", version, error:%; "");
+                held.table.clone()
+            }
+        }
+    }
+
     /// Looks at this leadership's soft state.
     ///
     /// # Errors
@@ -142,7 +188,7 @@
             elapsed_ms,
             command,
         };
-        let proposed = self.group.propose(encode(&stamped)).await;
+        let proposed = self.group.propose(self.encoded(step, stamped)?).await;
         let answer = proposed.map_err(|error| self.refuse_proposal(step, &error))?;
         self.tell_news();
         decode(&answer).map_err(|error| refusal::unknown(&self.record, step, error))
--- a/crates/pinerill-cluster/src/server/jobs.rs
+++ b/crates/pinerill-cluster/src/server/jobs.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use pinerill_calls::formats::restamp_job;
 use pinerill_calls::job::{CallJobId, ItemReport, ListedItem, ListedState, NewCallJob, ResultPage};
 use pinerill_calls::message::{
-    CallsResponse, LeaseRequest, LeaseResponse, LeasedItem, ReadItem, ReadResults, SubmitOutcome,
+    CallsResponse, Format, LeaseRequest, LeaseResponse, LeasedItem, ReadItem, ReadResults,
+    SubmitOutcome,
 };
 use pinerill_calls::table::RouteTable;
 use pinerill_process::clock::{timeout_at, BootTime};
@@ -13,6 +15,7 @@
 use tokio::time::sleep;
 
 use super::control::Control;
+use super::older_builds::without_counted_limit;
 use super::refusal;
 use crate::leases::{LeaseAsk, LeaseDecision};
 use crate::machine::{
@@ -47,7 +50,12 @@
 }
 
 impl Control {
-    pub(super) async fn submit_job(&self, job: NewCallJob) -> Result<CallsResponse, Box<Refusal>> {
+    /// `format` is the one that the calls of the job's items name.
+    pub(super) async fn submit_job(
+        &self,
+        format: Format,
+        mut job: NewCallJob,
+    ) -> Result<CallsResponse, Box<Refusal>> {
         let step = "submit job";
         let id = job.id.clone();
         let items = job.items.len();
@@ -70,6 +78,11 @@
                 return Ok(CallsResponse::SubmitJob(outcome));
             }
         }
+        let in_force = self.group.with_machine(|machine| machine.format());
+        if format != in_force {
+            restamp_job(&mut job, in_force);
+        }
+        without_counted_limit(&mut job, in_force);
         let command = Command::SubmitJob {
             job: Box::new(job),
             room_bytes,
@@ -289,10 +302,10 @@
             run_ms: request.run_ms,
         };
         let region = self.settings.zones.get(&request.zone).map(String::as_str);
+        let table = self.table_in_force();
         self.with_leadership("lease items", |leadership| {
             self.group.with_machine(|machine| {
-                let table = machine.table().map(|held| &held.table);
-                let may_run = |job: &JobRecord| is_home(table, job, region);
+                let may_run = |job: &JobRecord| is_home(table.as_deref(), job, region);
                 let clock_ms = machine.clock_ms();
                 leadership
                     .leases
--- a/crates/pinerill-cluster/src/server/leadership.rs
+++ b/crates/pinerill-cluster/src/server/leadership.rs
@@ -9,6 +9,7 @@
 use pinerill_quota::limit::Tolerance;
 
 use super::quota::LimitIndex;
+use super::upgrade::MachineFormats;
 use crate::cells::Cells;
 use crate::leases::{LeaseBook, LeaseSettings};
 
@@ -48,6 +49,8 @@
     pub(super) packed_table: Option<(u64, Packed<RouteTable>)>,
     /// Control machines as nodes were told last, and when they were looked at.
     controls: Option<(u64, Vec<ControlAddress>)>,
+    /// Which formats the control machines read.
+    pub(super) formats: MachineFormats,
     /// When a majority was last asked whether this machine leads, and said so.
     pub(super) confirmed_ms: Option<u64>,
 }
@@ -66,6 +69,7 @@
             slow_starts: Lender::begin(tolerances.slow_start, now_ms),
             packed_table: None,
             controls: None,
+            formats: MachineFormats::default(),
             confirmed_ms: None,
         }
     }
--- a/crates/pinerill-cluster/src/server/mod.rs
+++ b/crates/pinerill-cluster/src/server/mod.rs
@@ -12,9 +12,10 @@
 //! | `members` | carries out changes of the group's membership |
 //! | `workers` | reads the platform list |
 //! | `operators` | operators' requests |
-
 //! | `zones` | operators' orders about zones |
 //! | `quota`, `slow_start` | lend tokens of tenants' calls, and of requests to cold workers |
+//! | `upgrade` | formats of commands while machines of several builds stand side by side |
+//! | `older_builds` | answers processes of older builds |
 //! | `monitoring` | metrics and readiness |
 
 mod control;
@@ -23,6 +24,7 @@
 mod members;
 mod monitoring;
 mod named_leader;
+mod older_builds;
 mod operators;
 mod peers;
 mod quota;
@@ -30,6 +32,7 @@
 mod run;
 mod service;
 mod slow_start;
+mod upgrade;
 mod watch;
 mod workers;
 mod zones;
--- a/crates/pinerill-cluster/src/server/monitoring.rs
+++ b/crates/pinerill-cluster/src/server/monitoring.rs
@@ -29,6 +29,11 @@
         line("term", status.term);
         line("commit_index", status.commit);
         line("applied_index", status.applied);
+        let format = self.group.with_machine(|machine| machine.format());
+        line("format_in_force", u64::from(format.byte()));
+        line("halted", u64::from(status.halted));
+        let unread = self.unread_requests.load(Ordering::Relaxed);
+        line("requests_unread_total", unread);
         line("votes", u64::from(status.members.is_voter(status.replica)));
         line("knows_leader", u64::from(self.leader_address().is_some()));
         let (jobs_bytes, expected_bytes) = self.job_bytes();
--- a/crates/pinerill-cluster/src/server/peers.rs
+++ b/crates/pinerill-cluster/src/server/peers.rs
@@ -9,11 +9,12 @@
 
 use pinerill_calls::digest::Digest;
 use pinerill_calls::message::{
-    decode, CallsRequest, CallsResponse, ControlAddress, JoinRequest, JoinResponse, KnownLeader,
+    CallsRequest, CallsResponse, ControlAddress, Format, JoinRequest, JoinResponse, KnownLeader,
     MachineRecord,
 };
 use pinerill_replica::ReplicaId;
-use pinerill_wire::message::{Refusal, Response};
+use pinerill_wire::api::CallError;
+use pinerill_wire::message::Refusal;
 use rand::seq::SliceRandom;
 use tokio::time::sleep;
 
@@ -81,13 +82,24 @@
     }
 
     /// Takes in that a machine is there; the leader records a new one.
-    pub(super) async fn joined(&self, join: JoinRequest) -> Result<CallsResponse, Box<Refusal>> {
+    pub(super) async fn joined(
+        &self,
+        join: JoinRequest,
+        reads: Format,
+    ) -> Result<CallsResponse, Box<Refusal>> {
         self.learn(&join.known);
         self.learn(&[join.machine.address]);
         if self.leads() {
             let now_ms = self.now_ms();
             let replica = join.machine.replica;
-            self.with_leadership("join", |one| one.hear_machine(replica, now_ms))?;
+            let is_news = self.with_leadership("join", |one| {
+                one.hear_machine(replica, now_ms);
+                one.formats.hear(replica, reads)
+            })?;
+            if is_news {
+                let machine = join.machine.name.as_str();
+                log::info!(event = "machine_reads", machine, replica, format:% = reads; "");
+            }
             self.record_if_new(&join.machine).await?;
         }
         let known = self.known_addresses();
@@ -197,7 +209,7 @@
                 known: Vec::new(),
             };
             // Whatever is refused here is tried in the next round.
-            let _ = self.joined(joining).await;
+            let _ = self.joined(joining, Format::NEWEST).await;
         }
         let leader = self.leader_address();
         let gossip = round.is_multiple_of(ROUNDS_PER_GOSSIP);
@@ -222,14 +234,8 @@
             known_digest,
             known: if same { Vec::new() } else { known },
         });
-        let answer = self
-            .pool
-            .call(address, request.into_wire(), ANSWER_TIME)
-            .await;
-        let Ok(Response::Calls(bytes)) = answer else {
-            return;
-        };
-        if let Ok(CallsResponse::Joined(joined)) = decode(&bytes) {
+        let answer = self.ask(address, &request).await;
+        if let Ok(CallsResponse::Joined(joined)) = answer {
             let mut told = self.told_digests.lock();
             told.insert(address, joined.known_digest);
             drop(told);
@@ -263,21 +269,19 @@
                 "no leader is known",
             ));
         };
-        let answer = self
-            .pool
-            .call(leader, request.into_wire(), ANSWER_TIME)
-            .await;
-        match answer {
-            Ok(Response::Calls(bytes)) => {
-                decode(&bytes).map_err(|error| super::refusal::unknown(&self.record, step, error))
-            }
-            Ok(_) => Err(super::refusal::unknown(
-                &self.record,
-                step,
-                "an answer of another kind",
-            )),
-            Err(error) => Err(super::refusal::unknown(&self.record, step, error)),
-        }
+        let answer = self.ask(leader, &request).await;
+        answer.map_err(|error| super::refusal::unknown(&self.record, step, error))
+    }
+
+    /// Asks another machine in a format that it reads.
+    async fn ask(
+        &self,
+        address: SocketAddr,
+        request: &CallsRequest,
+    ) -> Result<CallsResponse, CallError> {
+        let send = |request| self.pool.call(address, request, ANSWER_TIME);
+        let answered = self.peer_formats.ask(address, request, send).await?;
+        Ok(answered.response)
     }
 }
 
--- a/crates/pinerill-cluster/src/server/quota.rs
+++ b/crates/pinerill-cluster/src/server/quota.rs
@@ -50,11 +50,9 @@
         let step = "lend requests";
         self.confirm_leadership(step).await?;
         let now_ms = self.now_ms();
+        let table = self.table_in_force();
         let loans = self.with_leadership(step, |leadership| {
-            let changed = self.group.with_machine(|machine| {
-                let table = machine.table().map(|held| &held.table);
-                leadership.limits.take(table)
-            });
+            let changed = leadership.limits.take(table.as_deref());
             let limits = &leadership.limits;
             if changed {
                 leadership
--- a/crates/pinerill-cluster/src/server/run.rs
+++ b/crates/pinerill-cluster/src/server/run.rs
@@ -2,7 +2,7 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +10,7 @@
 use parking_lot::Mutex;
 use pinerill_calls::message::MachineRecord;
 use pinerill_calls::protocol::{OperatorProtocol, WorkerListProtocol};
+use pinerill_calls::session::PeerFormats;
 use pinerill_calls::settings::{cluster_key, ControlSettings, ForwardingSettings, SettingsError};
 use pinerill_calls::traffic::Traffic;
 use pinerill_control::host::{GroupHost, HostError, HostSettings};
@@ -228,6 +229,10 @@
         learnt: Mutex::new(others.iter().copied().collect()),
         seeds: Mutex::new(others),
         told_digests: Mutex::default(),
+        peer_formats: PeerFormats::default(),
+        older_digests: Mutex::default(),
+        unread_requests: AtomicU64::new(0),
+        table_read: Mutex::default(),
         operators: protocols.operators,
         worker_list: protocols.worker_list,
         traffic: Traffic::default(),
--- a/crates/pinerill-cluster/src/server/service.rs
+++ b/crates/pinerill-cluster/src/server/service.rs
@@ -1,9 +1,11 @@
 //! Hands each internal request to its part.
 
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use pinerill_calls::message::{decode, CallsRequest, CallsResponse};
+use pinerill_calls::formats::{decode_request, encode_response};
+use pinerill_calls::message::{CallsRequest, CallsResponse, Format, MessageError};
 use pinerill_calls::traffic::Reach;
 use pinerill_wire::api::{Peer, Role, Service};
 use pinerill_wire::message::{Notification, Refusal, Request, Response};
@@ -23,13 +25,11 @@
             let refused = refusal::invalid(&self.control.record, "read request", "not served here");
             return Response::Refused(*refused);
         };
-        let request: CallsRequest = match decode(&bytes) {
-            Ok(request) => request,
+        let (format, request) = match decode_request(&bytes) {
+            Ok(read) => read,
             Err(error) => {
-                log::warn!(
-                    event = "request_unread", peer = peer.name.as_str(), role:? = peer.role,
-                    error:%; ""
-                );
+                // A peer of a newer build takes this refusal for "ask in an older format".
+                self.control.count_unread(peer, &error);
                 let refused = refusal::invalid(&self.control.record, "read request", error);
                 return Response::Refused(*refused);
             }
@@ -38,14 +38,15 @@
         let reach = Reach::between(&self.control.record.zone, &peer.zone);
         let traffic = &self.control.traffic;
         traffic.received(purpose, reach, bytes.len());
-        let response = match self.control.answer(request).await {
-            Ok(response) => response.into_wire(),
-            Err(refused) => return Response::Refused(*refused),
-        };
-        if let Response::Calls(bytes) = &response {
-            traffic.sent(purpose, reach, 1, bytes.len());
+        let answered = self.control.answer_as(format, &peer.zone, request).await;
+        let written = answered.and_then(|response| self.control.write(response, format));
+        match written {
+            Ok(bytes) => {
+                traffic.sent(purpose, reach, 1, bytes.len());
+                Response::Calls(bytes)
+            }
+            Err(refused) => Response::Refused(*refused),
         }
-        response
     }
 
     fn notified(&self, peer: &Peer, notification: Notification) {
@@ -60,7 +61,19 @@
 }
 
 impl Control {
-    /// Carries out one internal request.
+    fn write(&self, response: CallsResponse, format: Format) -> Result<Vec<u8>, Box<Refusal>> {
+        let written = encode_response(response, format);
+        written.map_err(|error| refusal::unknown(&self.record, "write answer", error))
+    }
+
+    fn count_unread(&self, peer: &Peer, error: &MessageError) {
+        self.unread_requests.fetch_add(1, Ordering::Relaxed);
+        log::warn!(
+            event = "request_unread", peer = peer.name.as_str(), role:? = peer.role, error:%; ""
+        );
+    }
+
+    /// Carries out one internal request of the present form.
     ///
     /// # Errors
     /// A refusal, with the leader where another machine can answer.
@@ -70,14 +83,14 @@
     ) -> Result<CallsResponse, Box<Refusal>> {
         match request {
             CallsRequest::Watch(watch) => self.watch(watch).await,
-            CallsRequest::SubmitJob(job) => self.submit_job(*job).await,
+            CallsRequest::SubmitJob(job) => self.submit_job(Format::NEWEST, *job).await,
             CallsRequest::ReadResults(read) => self.read_results(read).await,
             CallsRequest::ReadItem(read) => self.read_item(read).await,
             CallsRequest::EndJob(job) => self.end_job(job).await,
             CallsRequest::LeaseItems(lease) => self.lease_items(lease).await,
             CallsRequest::ReportItems(reports) => self.report_items(reports).await,
             CallsRequest::Borrow(borrow) => self.lend(borrow).await,
-            CallsRequest::Join(join) => self.joined(join).await,
+            CallsRequest::Join(join) => self.joined(join, Format::NEWEST).await,
             CallsRequest::PutTable(put) => self.put_table(*put).await,
             CallsRequest::ReadDocument => self.read_document().await,
             CallsRequest::StartRetirement(name) => self.start_retirement(&name).await,
--- a/crates/pinerill-cluster/src/server/slow_start.rs
+++ b/crates/pinerill-cluster/src/server/slow_start.rs
@@ -19,19 +19,18 @@
     ) -> Result<CallsResponse, Box<Refusal>> {
         let step = "lend slow starts";
         self.confirm_leadership(step).await?;
-        let limits: Vec<Option<RequestLimit>> = self.group.with_machine(|machine| {
-            let table = machine.table().map(|held| &held.table);
-            let workers = request.workers.iter();
-            workers
-                .map(|worker| {
-                    let slow_start = table?.service(&worker.service)?.slow_start?;
-                    Some(RequestLimit {
-                        rate_per_s: slow_start.rate_per_s,
-                        burst: 0.0,
-                    })
+        let table = self.table_in_force();
+        let table = table.as_deref();
+        let workers = request.workers.iter();
+        let limits: Vec<Option<RequestLimit>> = workers
+            .map(|worker| {
+                let slow_start = table?.service(&worker.service)?.slow_start?;
+                Some(RequestLimit {
+                    rate_per_s: slow_start.rate_per_s,
+                    burst: 0.0,
                 })
-                .collect()
-        });
+            })
+            .collect();
         let now_ms = self.now_ms();
         let lent = self.with_leadership(step, |leadership| {
             let asked = request.workers.into_iter().zip(limits);
--- a/crates/pinerill-cluster/src/server/watch.rs
+++ b/crates/pinerill-cluster/src/server/watch.rs
@@ -123,16 +123,18 @@
         &self,
         version: Option<u64>,
     ) -> Result<Option<Packed<RouteTable>>, Box<Refusal>> {
+        let table = self.table_in_force();
+        let is_newer = |table: &RouteTable| version.is_none_or(|known| table.version > known);
+        let Some(table) = table.filter(|table| is_newer(table)) else {
+            return Ok(None);
+        };
         self.with_leadership("pack table", |leadership| {
-            self.group.with_machine(|machine| {
-                let table = machine.table_newer_than(version)?;
-                let held = leadership.packed_table.take();
-                let held = held.filter(|(packed_version, _)| *packed_version == table.version);
-                let (_, packed) = leadership
-                    .packed_table
-                    .insert(held.unwrap_or_else(|| (table.version, Packed::new(table))));
-                Some(packed.clone())
-            })
+            let held = leadership.packed_table.take();
+            let held = held.filter(|(packed_version, _)| *packed_version == table.version);
+            let (_, packed) = leadership
+                .packed_table
+                .insert(held.unwrap_or_else(|| (table.version, Packed::new(&table))));
+            Some(packed.clone())
         })
     }
 
--- a/crates/pinerill-forward/src/batch/running.rs
+++ b/crates/pinerill-forward/src/batch/running.rs
@@ -9,7 +9,7 @@
 use pinerill_calls::compression::decompress;
 use pinerill_calls::directory::WorkerId;
 use pinerill_calls::job::{Header, ItemCall};
-use pinerill_calls::message::{decode_stored, CallsRequest, CallsResponse, LeasedItem, ReadItem};
+use pinerill_calls::message::{decode_any, CallsRequest, CallsResponse, LeasedItem, ReadItem};
 use pinerill_calls::table::Homes;
 use pinerill_process::clock::BootTime;
 
@@ -120,5 +120,5 @@
         return None;
     };
     let bytes = decompress(&call).ok()?;
-    decode_stored(&bytes).ok()
+    decode_any(&bytes).ok()
 }
--- a/crates/pinerill-forward/src/cluster/client.rs
+++ b/crates/pinerill-forward/src/cluster/client.rs
@@ -6,15 +6,19 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use pinerill_calls::message::{decode, CallsRequest, CallsResponse, ControlAddress};
+use pinerill_calls::formats::{decode_response, directory_place, encode_placed_watch};
+use pinerill_calls::message::{CallsRequest, CallsResponse, ControlAddress, Format};
+use pinerill_calls::session::{encode_for, unreadable, PeerFormats};
 use pinerill_process::clock::BootTime;
 use pinerill_wire::api::{CallError, CallErrorKind};
 use pinerill_wire::connection::{Connection, Identity, LinkCounters};
-use pinerill_wire::message::{RefusalCode, Request, Response};
+use pinerill_wire::message::RefusalCode;
 use thiserror::Error;
 use tokio::sync::Mutex as AsyncMutex;
 use tokio::time::sleep;
 
+use super::older_leader::OlderLeader;
+
 /// Pause before the next machine is asked.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 /// Longest wait for one machine beyond the time that it may hold the answer.
@@ -57,6 +61,8 @@
     identity: Identity,
     addresses: Mutex<Addresses>,
     connections: Mutex<HashMap<SocketAddr, Slot>>,
+    formats: PeerFormats,
+    older_leader: Mutex<OlderLeader>,
     counters: Arc<LinkCounters>,
 }
 
@@ -115,6 +121,8 @@
                 avoided: HashMap::new(),
             }),
             connections: Mutex::default(),
+            formats: PeerFormats::default(),
+            older_leader: Mutex::default(),
             counters: Arc::default(),
         }
     }
@@ -166,7 +174,6 @@
         time: Duration,
         hold: Duration,
     ) -> Result<Answered, CallFailure> {
-        let encoded = request.clone().into_wire();
         let deadline = BootTime::now() + time;
         let mut failure = CallFailure {
             maybe_done: false,
@@ -181,7 +188,7 @@
             let address = self.addresses.lock().next();
             let limit = left.min(TRY_TIME + hold);
             let asked = BootTime::now();
-            match self.call_at(address, encoded.clone(), limit).await {
+            match self.call_at(address, request, limit).await {
                 Ok(response) => {
                     self.addresses.lock().leader = Some(address);
                     return Ok(Answered {
@@ -226,10 +233,7 @@
         if let Some(address) = near {
             let limit = time.min(TRY_TIME + hold);
             let asked_at = BootTime::now();
-            let asked = self
-                .call_at(address, request.clone().into_wire(), limit)
-                .await;
-            match asked {
+            match self.call_at(address, request, limit).await {
                 Ok(response) => {
                     return Ok(Answered {
                         response,
@@ -246,19 +250,42 @@
     async fn call_at(
         &self,
         address: SocketAddr,
-        request: Request,
+        request: &CallsRequest,
         time: Duration,
     ) -> Result<CallsResponse, CallError> {
         let connection = self.connection(address).await?;
-        let unreadable = |message: String| CallError {
-            kind: CallErrorKind::Unknown,
-            step: "read answer".to_owned(),
-            peer: address.to_string(),
-            message,
+        let encode = |format| self.encode(format, request, address);
+        let send = |request| connection.call(request, time);
+        let (format, bytes) = self.formats.exchange(address, encode, send).await?;
+        let response = decode_response(&bytes).map_err(|error| unreadable(address, error))?;
+        match response {
+            CallsResponse::Watch(watch) if format != Format::NEWEST => {
+                let place = directory_place(&bytes).filter(|_| format < Format::DIGESTS);
+                let watch = self.older_leader.lock().take_in(format, place, *watch);
+                Ok(CallsResponse::Watch(Box::new(watch)))
+            }
+            response => Ok(response),
+        }
+    }
+
+    /// A watch names what is held as an older leader names it; other requests differ in their
+    /// form alone.
+    fn encode(
+        &self,
+        format: Format,
+        request: &CallsRequest,
+        address: SocketAddr,
+    ) -> Result<Vec<u8>, CallError> {
+        let CallsRequest::Watch(watch) = request else {
+            return encode_for(request.clone(), format, address);
         };
-        match connection.call(request, time).await? {
-            Response::Calls(bytes) => decode(&bytes).map_err(|error| unreadable(error.to_string())),
-            _ => Err(unreadable("an answer of another kind".to_owned())),
+        if format == Format::NEWEST {
+            return encode_for(request.clone(), format, address);
+        }
+        let (watch, place) = self.older_leader.lock().asked(format, watch.clone());
+        match format < Format::DIGESTS {
+            true => Ok(encode_placed_watch(watch, place)),
+            false => encode_for(CallsRequest::Watch(watch), format, address),
         }
     }
 
--- a/crates/pinerill-forward/src/cluster/mod.rs
+++ b/crates/pinerill-forward/src/cluster/mod.rs
@@ -3,7 +3,9 @@
 
 mod client;
 pub mod list_pace;
+mod older_leader;
 mod watch;
 
 pub use client::{Answered, CallFailure, ClusterClient};
+pub use older_leader::OlderLeader;
 pub(crate) use watch::follow;
--- a/crates/pinerill-forward/src/gateway/jobs.rs
+++ b/crates/pinerill-forward/src/gateway/jobs.rs
@@ -5,7 +5,7 @@
 use pinerill_calls::compression::decompress;
 use pinerill_calls::job::{CallJobId, ItemCall, NewCallJob, ResultPage};
 use pinerill_calls::message::{
-    decode_stored, CallsRequest, CallsResponse, ReadItem, ReadResults, SubmitOutcome,
+    decode_any, CallsRequest, CallsResponse, ReadItem, ReadResults, SubmitOutcome,
 };
 use pinerill_calls::protocol::{CallerAnswer, CallerRequest, HttpAnswer, Refusal};
 use pinerill_calls::table::Homes;
@@ -137,7 +137,7 @@
         CallsResponse::Item(Some(call)) => {
             let unreadable = Refusal::WorkerFailed("a stored call can't be read");
             let bytes = decompress(&call).map_err(|_| unreadable.clone())?;
-            let call: ItemCall = decode_stored(&bytes).map_err(|_| unreadable)?;
+            let call: ItemCall = decode_any(&bytes).map_err(|_| unreadable)?;
             Ok(node
                 .caller_protocol
                 .answer(CallerAnswer::ItemBody(&call.body)))
