A node reads the platform list itself while the leader does not tell the directory's age

Now the first answer without an age makes the node read the list, at the pace that all nodes share, and it acts on its own readings instead of an undated directory, which may be older. In fleets of hundreds of nodes the shared pace is longer than what is known of a worker holds (open).

--- a/crates/pinerill-forward/src/cluster/list_pace.rs
+++ b/crates/pinerill-forward/src/cluster/list_pace.rs
@@ -5,6 +5,9 @@
 /// Shortest pause between two readings of one node. As many nodes may begin at once, each adds
 /// a random part of the same length.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(2_000);
+/// The same while the leader answers, but does not tell how old its reading is: short enough
+/// that what is known of workers does not run out between two readings of a small fleet.
+const SHORTEST_PAUSE_UNDATED: Duration = Duration::from_millis(700);
 /// Part of the list's rate that nodes use up together. All processes share the rate, and a leader
 /// that has just come back must find room for its own readings: 250 nodes that read three pages each
 /// two to four seconds ask for 250 pages a second, where 44 are answered.
@@ -23,9 +26,33 @@
 /// the list answers so many calls a second from all processes together. `random` is between 0
 /// and 1.
 pub fn reading_pause(nodes: u32, pages: usize, calls_per_s: f64, random: f64) -> Duration {
+    pause_from(SHORTEST_PAUSE, nodes, pages, calls_per_s, random)
+}
+
+/// The same beside a leader that does not tell how old its reading is.
+pub fn undated_pause(nodes: u32, pages: usize, calls_per_s: f64, random: f64) -> Duration {
+    pause_from(SHORTEST_PAUSE_UNDATED, nodes, pages, calls_per_s, random)
+}
+
+/// Pause before the first reading once such a leader was found, as all nodes find it at once.
+pub fn first_undated_pause(nodes: u32, pages: usize, calls_per_s: f64, random: f64) -> Duration {
+    fair_pause(nodes, pages, calls_per_s).mul_f64(random)
+}
+
+fn pause_from(
+    shortest: Duration,
+    nodes: u32,
+    pages: usize,
+    calls_per_s: f64,
+    random: f64,
+) -> Duration {
+    let pause = shortest.max(fair_pause(nodes, pages, calls_per_s));
+    pause + pause.mul_f64(random)
+}
+
+/// The pause with which the nodes together keep to their part of the rate.
+fn fair_pause(nodes: u32, pages: usize, calls_per_s: f64) -> Duration {
     let calls = f64::from(nodes.max(1)) * pages.max(1) as f64;
     // The random part makes the mean one and a half times the pause.
-    let fair = calls / (calls_per_s * RATE_PART * 1.5);
-    let pause = SHORTEST_PAUSE.max(Duration::from_secs_f64(fair));
-    pause + pause.mul_f64(random)
+    Duration::from_secs_f64(calls / (calls_per_s * RATE_PART * 1.5))
 }
--- a/crates/pinerill-forward/src/cluster/watch.rs
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -1,5 +1,6 @@
 //! Follows the leader: route table, directory, control machines. While no
-//! control machine answers, the node reads the platform list itself, slowly.
+//! control machine answers, or the leader is of a build that does not tell how old its
+//! directory is, the node reads the platform list itself, slowly.
 
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -21,7 +22,7 @@
 use pinerill_process::clock::BootTime;
 use tokio::time::sleep;
 
-use super::list_pace::{pause_after_failures, reading_pause};
+use super::list_pace::{first_undated_pause, pause_after_failures, reading_pause, undated_pause};
 use crate::crash::broken_runs::CrashEvidence;
 use crate::fleet::GoneWorker;
 use crate::node::Node;
@@ -135,6 +136,8 @@
 #[derive(Default)]
 struct Held {
     directory: Option<Directory>,
+    /// The directory held is one that this node does not act on.
+    passed_over: bool,
     processes: Option<Digest>,
     /// The cell that this node is in.
     cell: Option<CellId>,
@@ -155,15 +158,37 @@
     if let Some(evacuations) = response.evacuations {
         take_evacuations(node, evacuations);
     }
+    let is_dated = response.directory_age_ms.is_some();
+    note_dated(node, is_dated, response.directory.is_some());
+    if is_dated && held.passed_over {
+        // The whole is asked for next time.
+        held.directory = None;
+        held.passed_over = false;
+        return;
+    }
     if let Some(update) = response.directory {
+        // An undated directory may be older than this node's own reading of the list.
+        let own = node.with_fleet(|fleet, _| fleet.listed_ms().is_some());
+        held.passed_over = !is_dated && own;
         // After a change that does not fit, the whole is asked for.
-        held.directory = take_update(node, held.directory.take(), &update);
+        held.directory = take_update(node, held.directory.take(), &update, held.passed_over);
     }
     if let (Some(_), Some(age_ms)) = (&held.directory, response.directory_age_ms) {
         confirm_directory(node, asked, Duration::from_millis(age_ms));
     }
 }
 
+/// A leader that has not read the list yet tells neither a directory nor an age.
+fn note_dated(node: &Node, is_dated: bool, is_told: bool) {
+    if !is_dated && !is_told {
+        return;
+    }
+    if node.beliefs.undated.swap(!is_dated, Ordering::Relaxed) == is_dated {
+        log::info!(event = "directory_dated", dated = is_dated; "");
+        node.beliefs.undated_found.notify_one();
+    }
+}
+
 fn take_table(node: &Node, packed: &Packed<RouteTable>) {
     let table = match packed.unpack() {
         Ok(table) => table,
@@ -183,6 +208,7 @@
     node: &Node,
     held: Option<Directory>,
     packed: &Packed<DirectoryUpdate>,
+    passed_over: bool,
 ) -> Option<Directory> {
     let update = match packed.unpack() {
         Ok(update) => update,
@@ -193,7 +219,9 @@
     };
     match Directory::updated(held.as_ref(), update) {
         Ok(directory) => {
-            take_workers(node, directory.workers());
+            if !passed_over {
+                take_workers(node, directory.workers());
+            }
             Some(directory)
         }
         Err(error) => {
@@ -312,13 +340,25 @@
     loop {
         let nodes = node.beliefs.nodes.load(Ordering::Relaxed);
         let rate = node.settings.worker_list_calls_per_s;
-        let pause = reading_pause(nodes, pages, rate, rand::random());
-        sleep(pause_after_failures(pause, failures)).await;
+        let pause = match node.beliefs.undated.load(Ordering::Relaxed) {
+            true => undated_pause(nodes, pages, rate, rand::random()),
+            false => reading_pause(nodes, pages, rate, rand::random()),
+        };
+        let paused = sleep(pause_after_failures(pause, failures));
+        tokio::select! {
+            () = paused => {}
+            // Nothing is known of the workers until the first reading.
+            () = node.beliefs.undated_found.notified() => {
+                sleep(first_undated_pause(nodes, pages, rate, rand::random())).await;
+            }
+        }
         let heard_ms = node.beliefs.control_heard_ms.load(Ordering::Relaxed);
         let silent_ms = node.now_ms().saturating_sub(heard_ms);
         // Without a route table no call can go anywhere, so that workers are of no use: where all
         // processes have just started, the leader alone needs the list.
-        if Duration::from_millis(silent_ms) < LIST_AFTER || node.table().is_none() {
+        let undated = node.beliefs.undated.load(Ordering::Relaxed);
+        let is_needed = undated || Duration::from_millis(silent_ms) >= LIST_AFTER;
+        if !is_needed || node.table().is_none() {
             continue;
         }
         let started = BootTime::now();
--- a/crates/pinerill-forward/src/monitoring.rs
+++ b/crates/pinerill-forward/src/monitoring.rs
@@ -11,6 +11,7 @@
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
 };
+use tokio::sync::Notify;
 
 use crate::node::Node;
 
@@ -64,6 +65,10 @@
     /// Something else than the leader has said since which workers or control machines
     /// there are, so that the leader must tell all of it again.
     pub(crate) told_by_others: AtomicBool,
+    /// The leader answers and does not tell how old its directory is: it is of an older build.
+    pub(crate) undated: AtomicBool,
+    /// It was just found that it does not.
+    pub(crate) undated_found: Notify,
 }
 
 impl Metrics {
