Commands that can't be read halt the product's other groups too

The same class of fault stood in the meta and job machines: an unreadable command was answered as rejected, or with nothing, and passed over. The tests that wanted it passed over want it refused with the state unchanged.

--- a/crates/pinerill-control/src/host/mod.rs
+++ b/crates/pinerill-control/src/host/mod.rs
@@ -18,6 +18,7 @@
 mod settings;
 mod status;
 mod task;
+mod unreadable;
 
 pub use counters::HostCounters;
 pub use error::{ChangeError, HostError, ProposeError, ReadError};
@@ -26,3 +27,4 @@
 pub use machine::{StateMachine, TableWriter, Transport, UnreadableState};
 pub use settings::HostSettings;
 pub use status::GroupStatus;
+pub use unreadable::stay_out_if_unreadable;
--- a/crates/pinerill-control/src/job/machine.rs
+++ b/crates/pinerill-control/src/job/machine.rs
@@ -152,11 +152,9 @@
         command: &[u8],
         table: &mut dyn TableWriter,
     ) -> Result<Vec<u8>, UnreadableState> {
-        let replies = match decode::<JobEntry>(command) {
-            Ok(entry) => self.apply_entry(entry, table),
-            Err(_) => JobReplies::new(),
-        };
-        Ok(encode(&replies))
+        let entry = decode::<JobEntry>(command);
+        let entry = entry.map_err(|error| UnreadableState(error.to_string()))?;
+        Ok(encode(&self.apply_entry(entry, table)))
     }
 
     fn snapshot(&self) -> Vec<u8> {
--- a/crates/pinerill-control/src/meta/machine.rs
+++ b/crates/pinerill-control/src/meta/machine.rs
@@ -245,13 +245,9 @@
         command: &[u8],
         table: &mut dyn TableWriter,
     ) -> Result<Vec<u8>, UnreadableState> {
-        let reply = match decode::<MetaCommand>(command) {
-            Ok(command) => self.apply_command(command, table),
-            Err(error) => MetaReply::Rejected {
-                message: error.to_string(),
-            },
-        };
-        Ok(encode(&reply))
+        let command = decode::<MetaCommand>(command);
+        let command = command.map_err(|error| UnreadableState(error.to_string()))?;
+        Ok(encode(&self.apply_command(command, table)))
     }
 
     fn snapshot(&self) -> Vec<u8> {
--- a/crates/pinerill-control/src/server/run.rs
+++ b/crates/pinerill-control/src/server/run.rs
@@ -27,7 +27,7 @@
 use super::service::ControlService;
 use super::snapshots::Snapshots;
 use super::transport::PeerTransport;
-use crate::host::{GroupHost, HostSettings};
+use crate::host::{stay_out_if_unreadable, GroupHost, HostSettings};
 use crate::placement;
 
 /// Longest wait for answers in flight at a planned stop.
@@ -66,7 +66,9 @@
     let counters_pause = Duration::from_secs(settings.log.counters_seconds);
     let listener = listen(&settings).await?;
     let control = build(settings)?;
-    control.groups.open_stored()?;
+    if let Err(error) = control.groups.open_stored() {
+        return stay_out_if_unreadable(error, &signals.planned).await;
+    }
     let monitoring = monitoring_server(control.settings.admin, control.clone());
     let admin = Server::start(control.settings.admin, monitoring).await?;
     let closing = CancellationToken::new();
--- a/crates/pinerill-control/tests/job_machine.rs
+++ b/crates/pinerill-control/tests/job_machine.rs
@@ -4,10 +4,8 @@
 mod job_support;
 
 use job_support::*;
-use pinerill_control::codec::decode;
 use pinerill_control::job::{
-    JobCommand, JobMachine, JobReplies, JobReply, Rejection, DELETE_LIMIT, ENDED_CELLS_MS,
-    RECEIVING_LIMIT_MS,
+    JobCommand, JobMachine, JobReply, Rejection, DELETE_LIMIT, ENDED_CELLS_MS, RECEIVING_LIMIT_MS,
 };
 use pinerill_control::machine::StateMachine;
 use pinerill_types::job::{ItemCounts, ItemState, JobState};
@@ -216,16 +214,12 @@
 }
 
 #[test]
-fn unknown_entry_changes_nothing() {
+fn an_entry_that_cannot_be_read_is_not_skipped() {
     let mut jobs = Jobs::new();
     jobs.accept(&job("anna", "k", 2));
     let before = jobs.machine.snapshot();
     for bytes in [&[][..], &[9, 0], &[1, 0, 250]] {
-        let replies = jobs
-            .machine
-            .apply(1, bytes, &mut jobs.table)
-            .expect("a command");
-        assert_eq!(decode::<JobReplies>(&replies).unwrap(), []);
+        assert!(jobs.machine.apply(1, bytes, &mut jobs.table).is_err());
     }
     assert_eq!(jobs.machine.snapshot(), before);
     assert!(JobMachine::new(GROUP).restore(&[1, 2]).is_err());
--- a/crates/pinerill-control/tests/meta_machine.rs
+++ b/crates/pinerill-control/tests/meta_machine.rs
@@ -263,13 +263,13 @@
 }
 
 #[test]
-fn unknown_command_is_rejected() {
+fn a_command_that_cannot_be_read_is_not_skipped() {
     let mut machine = MetaMachine::new();
     let mut table = MemoryTable::default();
+    let before = machine.snapshot();
     for bytes in [&[][..], &[9, 0], &[1, 250]] {
-        let reply = machine.apply(1, bytes, &mut table).expect("a command");
-        let reply: MetaReply = pinerill_control::codec::decode(&reply).unwrap();
-        assert!(matches!(reply, MetaReply::Rejected { .. }));
+        assert!(machine.apply(1, bytes, &mut table).is_err());
+        assert_eq!(machine.snapshot(), before);
     }
 }
 
