What needs a newer format is refused until the last machine reads it; then earlier builds stay out

The test first failed on a fault of its own kind: machines told others by gossip in the format that was cached for the peer, so that a machine that reads 8 was taken for one that reads 4 and kept out.

--- a/crates/pinerill-calls/src/session.rs
+++ b/crates/pinerill-calls/src/session.rs
@@ -82,7 +82,20 @@
     where
         Sent: Future<Output = Result<Response, CallError>>,
     {
-        let assumed = self.assumed(peer);
+        self.exchange_from(self.assumed(peer), peer, encode, send)
+            .await
+    }
+
+    async fn exchange_from<Sent>(
+        &self,
+        assumed: Format,
+        peer: SocketAddr,
+        encode: impl Fn(Format) -> Result<Vec<u8>, CallError>,
+        send: impl Fn(Request) -> Sent,
+    ) -> Result<(Format, Vec<u8>), CallError>
+    where
+        Sent: Future<Output = Result<Response, CallError>>,
+    {
         let refused = match send(Request::Calls(encode(assumed)?)).await {
             Err(error) if is_invalid(&error) => error,
             answered => return bytes_of(peer, answered?),
@@ -124,6 +137,23 @@
         None
     }
 
+    /// The same, whatever the peer was found to read: what arrives in an older format then says
+    /// that the sender was refused in the newer ones.
+    ///
+    /// # Errors
+    /// As [`PeerFormats::exchange`].
+    pub async fn ask_anew<Sent>(
+        &self,
+        peer: SocketAddr,
+        request: &CallsRequest,
+        send: impl Fn(Request) -> Sent,
+    ) -> Result<FormattedAnswer, CallError>
+    where
+        Sent: Future<Output = Result<Response, CallError>>,
+    {
+        self.ask_from(Format::NEWEST, peer, request, send).await
+    }
+
     /// Sends a request that needs no care beyond its form.
     ///
     /// # Errors
@@ -134,11 +164,24 @@
         request: &CallsRequest,
         send: impl Fn(Request) -> Sent,
     ) -> Result<FormattedAnswer, CallError>
+    where
+        Sent: Future<Output = Result<Response, CallError>>,
+    {
+        self.ask_from(self.assumed(peer), peer, request, send).await
+    }
+
+    async fn ask_from<Sent>(
+        &self,
+        assumed: Format,
+        peer: SocketAddr,
+        request: &CallsRequest,
+        send: impl Fn(Request) -> Sent,
+    ) -> Result<FormattedAnswer, CallError>
     where
         Sent: Future<Output = Result<Response, CallError>>,
     {
         let encode = |format| encode_for(request.clone(), format, peer);
-        let (format, bytes) = self.exchange(peer, encode, send).await?;
+        let (format, bytes) = self.exchange_from(assumed, peer, encode, send).await?;
         let response = decode_response(&bytes).map_err(|error| unreadable(peer, error))?;
         Ok(FormattedAnswer { response, format })
     }
--- a/crates/pinerill-cluster/src/server/control.rs
+++ b/crates/pinerill-cluster/src/server/control.rs
@@ -45,6 +45,8 @@
     pub(super) told_digests: Mutex<HashMap<SocketAddr, Digest>>,
     /// In which formats the others are asked.
     pub(super) peer_formats: PeerFormats,
+    /// Machines whose build does not read the format in force, by data folder.
+    pub(super) kept_out: Mutex<BTreeSet<u64>>,
     /// How nodes of older builds name directories.
     pub(super) older_digests: Mutex<OlderDigests>,
     /// Requests that could not be read.
--- a/crates/pinerill-cluster/src/server/older_builds.rs
+++ b/crates/pinerill-cluster/src/server/older_builds.rs
@@ -72,7 +72,7 @@
                 other => Ok(other),
             },
             CallsRequest::Join(join) => {
-                self.may_take_part(&join.machine.name, format)?;
+                self.may_take_part(&join.machine, format)?;
                 self.joined(join, format).await
             }
             other => self.answer(other).await,
--- a/crates/pinerill-cluster/src/server/peers.rs
+++ b/crates/pinerill-cluster/src/server/peers.rs
@@ -234,7 +234,10 @@
             known_digest,
             known: if same { Vec::new() } else { known },
         });
-        let answer = self.ask(address, &request).await;
+        // The leader learns from this request which formats this machine reads.
+        let send = |request| self.pool.call(address, request, ANSWER_TIME);
+        let answered = self.peer_formats.ask_anew(address, &request, send).await;
+        let answer = answered.map(|answered| answered.response);
         if let Ok(CallsResponse::Joined(joined)) = answer {
             let mut told = self.told_digests.lock();
             told.insert(address, joined.known_digest);
--- a/crates/pinerill-cluster/src/server/run.rs
+++ b/crates/pinerill-cluster/src/server/run.rs
@@ -13,7 +13,7 @@
 use pinerill_calls::session::PeerFormats;
 use pinerill_calls::settings::{cluster_key, ControlSettings, ForwardingSettings, SettingsError};
 use pinerill_calls::traffic::Traffic;
-use pinerill_control::host::{GroupHost, HostError, HostSettings};
+use pinerill_control::host::{stay_out_if_unreadable, GroupHost, HostSettings};
 use pinerill_control::server::PeerTransport;
 use pinerill_process::clock::{log_suspensions, BootTime};
 use pinerill_process::{monitoring_server, Server, SettingsFile, StopSignals};
@@ -95,11 +95,8 @@
     let closed = CancellationToken::new();
     let built = build(settings, &cluster.name, key, protocols, &closed, stopping);
     let (control, identity) = match built {
-        Err(error) if is_unreadable(&error) => {
-            stay_out(&error, &signals).await;
-            return Ok(());
-        }
-        built => built?,
+        Ok(built) => built,
+        Err(error) => return stay_out_if_unreadable(error, &signals.planned).await,
     };
     let monitoring = monitoring_server(control.settings.admin, control.clone());
     let admin = Server::start(control.settings.admin, monitoring).await?;
@@ -148,25 +145,6 @@
     Ok(())
 }
 
-/// Whether the stored state can't be read by this build.
-fn is_unreadable(error: &anyhow::Error) -> bool {
-    matches!(
-        error.downcast_ref::<HostError>(),
-        Some(HostError::Restore { .. })
-    )
-}
-
-/// Waits for the stop signal over state that can't be read. A process that ended would be
-/// started again and again; nothing of the state is touched, so that the build that wrote it
-/// can go on with it.
-async fn stay_out(error: &anyhow::Error, signals: &StopSignals) {
-    log::error!(
-        event = "state_unreadable", error:% = format!("{error:#}"),
-        remedy = "run the build that wrote it, or a newer one"; ""
-    );
-    signals.planned.cancelled().await;
-}
-
 /// Identity of the data folder that founds the cluster at an address. All
 /// founding machines know each other's by it, without having met.
 fn founding_replica(address: SocketAddr) -> ReplicaId {
@@ -230,6 +208,7 @@
         seeds: Mutex::new(others),
         told_digests: Mutex::default(),
         peer_formats: PeerFormats::default(),
+        kept_out: Mutex::default(),
         older_digests: Mutex::default(),
         unread_requests: AtomicU64::new(0),
         table_read: Mutex::default(),
--- a/crates/pinerill-cluster/src/server/service.rs
+++ b/crates/pinerill-cluster/src/server/service.rs
@@ -51,7 +51,7 @@
 
     fn notified(&self, peer: &Peer, notification: Notification) {
         let Notification::Replica(envelopes) = notification;
-        if peer.role != Role::Control {
+        if peer.role != Role::Control || self.control.is_kept_out(peer.replica) {
             return;
         }
         for envelope in envelopes {
--- a/crates/pinerill-cluster/src/server/upgrade.rs
+++ b/crates/pinerill-cluster/src/server/upgrade.rs
@@ -8,7 +8,7 @@
 
 use std::collections::BTreeMap;
 
-use pinerill_calls::message::Format;
+use pinerill_calls::message::{Format, MachineRecord};
 use pinerill_wire::message::Refusal;
 
 use super::control::Control;
@@ -115,17 +115,31 @@
             .map_err(|error| refusal::unavailable(&self.record, step, error))
     }
 
-    /// Whether a machine that reads this format may take part.
+    /// Whether a machine that reads this format may take part. One that may not is not heard
+    /// in the group either: it might skip what it can't read and answer from what is left.
     ///
     /// # Errors
     /// A refusal that says which format is in force.
-    pub(super) fn may_take_part(&self, machine: &str, reads: Format) -> Result<(), Box<Refusal>> {
+    pub(super) fn may_take_part(
+        &self,
+        machine: &MachineRecord,
+        reads: Format,
+    ) -> Result<(), Box<Refusal>> {
         let in_force = self.group.with_machine(|state| state.format());
+        let mut kept_out = self.kept_out.lock();
         if reads >= in_force {
+            kept_out.remove(&machine.replica);
             return Ok(());
         }
+        kept_out.insert(machine.replica);
+        let machine = machine.name.as_str();
         log::warn!(event = "machine_kept_out", machine, reads:%, in_force:%; "");
         let reason = format!("format {in_force} is in force, the asker's build reads {reads}");
         Err(refusal::unavailable(&self.record, "join", reason))
     }
+
+    /// Whether a machine may not take part.
+    pub(super) fn is_kept_out(&self, replica: u64) -> bool {
+        self.kept_out.lock().contains(&replica)
+    }
 }
