A peer that is lost or unknown while it is asked what it reads is no refusal for good

Read in the diff: a peer that refused the newest format and was lost before a probe was answered left the first refusal standing, which nodes pass on to callers as 400. It did nothing, and is asked again now; a peer that reads no known format is unavailable, not invalid. A request that the cached older format lacks is tried in the newest, since the machine may have been replaced, and the cache lasts 2 s instead of 5, so that an order about a zone is not told late by it. The route table with its document has one older form for messages and state.

--- a/crates/pinerill-calls/src/formats/mod.rs
+++ b/crates/pinerill-calls/src/formats/mod.rs
@@ -26,6 +26,7 @@
 use requests::OlderRequest;
 use responses::{OlderProcesses, OlderResponse};
 
+pub use requests::OlderPutTable;
 pub use v4::DirectoryPosition;
 pub use v5::Table as TableOf5;
 pub use v6::Table as TableOf6;
--- a/crates/pinerill-calls/src/session.rs
+++ b/crates/pinerill-calls/src/session.rs
@@ -20,8 +20,9 @@
 use crate::message::{CallsRequest, CallsResponse};
 
 /// Time for which a peer is spoken to in an older format before the newest is tried again:
-/// short, since the machine there may have been replaced meanwhile.
-const OLDER_FOR: Duration = Duration::from_secs(5);
+/// short, since the machine there may have been replaced meanwhile, and what came with a newer
+/// format, as orders about zones, is told in it alone.
+const OLDER_FOR: Duration = Duration::from_secs(2);
 
 /// What is read and written by peers of an older build.
 #[derive(Debug, Default)]
@@ -96,45 +97,46 @@
     where
         Sent: Future<Output = Result<Response, CallError>>,
     {
-        let refused = match send(Request::Calls(encode(assumed)?)).await {
+        let (assumed, bytes) = match encode(assumed) {
+            Ok(bytes) => (assumed, bytes),
+            // The peer may have been replaced by a newer build meanwhile.
+            Err(_) => (Format::NEWEST, encode(Format::NEWEST)?),
+        };
+        let refused = match send(Request::Calls(bytes)).await {
             Err(error) if is_invalid(&error) => error,
             answered => return bytes_of(peer, answered?),
         };
-        match self.find(peer, assumed, &send).await {
-            Some(found) if found != assumed => {
-                self.take_in(peer, found);
-                let answered = send(Request::Calls(encode(found)?)).await?;
-                bytes_of(peer, answered)
-            }
-            _ => Err(refused),
+        let found = self.find(peer, &send).await?;
+        if found == assumed {
+            return Err(refused);
         }
+        self.take_in(peer, found);
+        let answered = send(Request::Calls(encode(found)?)).await?;
+        bytes_of(peer, answered)
     }
 
-    /// The newest format that a peer reads; none if it refuses all.
+    /// The newest format that a peer reads.
+    ///
+    /// # Errors
+    /// Nothing was carried out: the peer is gone, or it reads no format that is known here.
     async fn find<Sent>(
         &self,
         peer: SocketAddr,
-        assumed: Format,
         send: &impl Fn(Request) -> Sent,
-    ) -> Option<Format>
+    ) -> Result<Format, CallError>
     where
         Sent: Future<Output = Result<Response, CallError>>,
     {
         for format in Format::newest_first() {
-            let probe = encode_for(harmless(), format, peer).ok()?;
+            let probe = encode_for(harmless(), format, peer)?;
             match send(Request::Calls(probe)).await {
                 Err(error) if is_invalid(&error) => {}
+                Err(error) if !is_refusal(&error) => return Err(not_sent(peer, error)),
                 // Whatever else it answers, it has read the request.
-                Ok(_) => return Some(format),
-                Err(CallError {
-                    kind: CallErrorKind::Refused(_),
-                    ..
-                }) => return Some(format),
-                Err(_) => return None,
+                Ok(_) | Err(_) => return Ok(format),
             }
         }
-        log::warn!(event = "peer_reads_no_known_format", peer:%, assumed:%; "");
-        None
+        Err(refused(peer, "it reads no format that is known here"))
     }
 
     /// The same, whatever the peer was found to read: what arrives in an older format then says
@@ -196,12 +198,24 @@
     format: Format,
     peer: SocketAddr,
 ) -> Result<Vec<u8>, CallError> {
-    encode_request(request, format).map_err(|error| {
-        log::warn!(event = "request_not_expressible", peer:%, error:%; "");
-        let step = "write for a peer of an older build";
-        let refusal = Refusal::new(RefusalCode::Unavailable, step, peer.to_string(), error);
-        refusal.into()
-    })
+    encode_request(request, format).map_err(|error| refused(peer, error))
+}
+
+/// A request that the peer would not understand, and that was not sent.
+fn refused(peer: SocketAddr, reason: impl std::fmt::Display) -> CallError {
+    log::warn!(event = "request_not_expressible", peer:%, reason:%; "");
+    let step = "write for a peer of another build";
+    Refusal::new(RefusalCode::Unavailable, step, peer.to_string(), reason).into()
+}
+
+/// The peer was lost while it was asked what it reads; the request itself was not carried out.
+fn not_sent(peer: SocketAddr, error: CallError) -> CallError {
+    CallError {
+        kind: CallErrorKind::NotSent,
+        step: "find the peer's format".to_owned(),
+        peer: peer.to_string(),
+        message: error.to_string(),
+    }
 }
 
 /// The error of an answer that can't be read: what was asked may have been done.
@@ -223,6 +237,10 @@
     matches!(&error.kind, CallErrorKind::Refused(refusal) if refusal.code == RefusalCode::Invalid)
 }
 
+fn is_refusal(error: &CallError) -> bool {
+    matches!(error.kind, CallErrorKind::Refused(_))
+}
+
 fn bytes_of(peer: SocketAddr, response: Response) -> Result<(Format, Vec<u8>), CallError> {
     let Response::Calls(bytes) = response else {
         return Err(unreadable(peer, "an answer of another kind"));
--- a/crates/pinerill-cluster/src/machine/formats.rs
+++ b/crates/pinerill-cluster/src/machine/formats.rs
@@ -6,7 +6,9 @@
 
 use pinerill_calls::encoding::{decode_any, encode, encode_as, format_of, Format, MessageError};
 use pinerill_calls::evacuation::Evacuations;
-use pinerill_calls::formats::{NotExpressible, OlderTable, TableOf5, TableOf6, TableOf7};
+use pinerill_calls::formats::{
+    NotExpressible, OlderPutTable, OlderTable, TableOf5, TableOf6, TableOf7,
+};
 use pinerill_calls::job::{CallJobId, ItemReport, NewCallJob};
 use pinerill_calls::message::{MachineRecord, PutTable};
 use serde::de::DeserializeOwned;
@@ -91,12 +93,6 @@
     },
 }
 
-#[derive(Serialize, Deserialize)]
-struct OlderPutTable<T> {
-    table: T,
-    document: Vec<u8>,
-}
-
 #[derive(Deserialize)]
 struct OlderMachine<T> {
     clock_ms: u64,
@@ -173,24 +169,6 @@
     }
 }
 
-impl<T: OlderTable> From<OlderPutTable<T>> for PutTable {
-    fn from(put: OlderPutTable<T>) -> Self {
-        PutTable {
-            table: put.table.into(),
-            document: put.document,
-        }
-    }
-}
-
-impl<T: OlderTable> From<PutTable> for OlderPutTable<T> {
-    fn from(put: PutTable) -> Self {
-        OlderPutTable {
-            table: put.table.into(),
-            document: put.document,
-        }
-    }
-}
-
 impl<T: OlderTable> From<OlderMachine<T>> for ClusterMachine {
     fn from(machine: OlderMachine<T>) -> Self {
         ClusterMachine {
