The limit of waiting tokens is counted again under formats of earlier builds

Replicas of two builds count alike as long as the document names no tenants; only with tenants the limit is left out there (open: several jobs at once may then pass it together).

--- a/crates/pinerill-cluster/src/server/jobs.rs
+++ b/crates/pinerill-cluster/src/server/jobs.rs
@@ -82,7 +82,7 @@
         if format != in_force {
             restamp_job(&mut job, in_force);
         }
-        without_counted_limit(&mut job, in_force);
+        without_counted_limit(&mut job, in_force, self.table_in_force().as_deref());
         let command = Command::SubmitJob {
             job: Box::new(job),
             room_bytes,
--- a/crates/pinerill-cluster/src/server/older_builds.rs
+++ b/crates/pinerill-cluster/src/server/older_builds.rs
@@ -8,6 +8,7 @@
 use pinerill_calls::job::NewCallJob;
 use pinerill_calls::message::{CallsRequest, CallsResponse, Format, WatchRequest, WatchResponse};
 use pinerill_calls::packed::Packed;
+use pinerill_calls::table::RouteTable;
 use pinerill_wire::message::Refusal;
 
 use super::control::Control;
@@ -142,11 +143,16 @@
     }
 }
 
-/// What must not depend on how a build counts the tokens that wait: up to format 5 tenants are
-/// not told apart, so that replicas of two builds could decide differently. The leader has
-/// decided before.
-pub(super) fn without_counted_limit(job: &mut NewCallJob, in_force: Format) {
-    if in_force < Format::TENANTS {
+/// Takes the limit out of a job where replicas of two builds would count the tokens that wait
+/// differently: builds of formats without tenants don't tell these apart. The leader has decided
+/// before, though several jobs at once may then pass the limit together.
+pub(super) fn without_counted_limit(
+    job: &mut NewCallJob,
+    in_force: Format,
+    table: Option<&RouteTable>,
+) {
+    let has_tenants = table.is_some_and(|table| table.tenants.is_some());
+    if in_force < Format::TENANTS && has_tenants {
         job.max_waiting_tokens = 0;
     }
 }
