A node notices a leader without an age of the directory whatever else it tells

Leaders of both builds took turns; the older one named the directory that the node held by its digest, so that its answers told neither a directory nor an age, which was taken for a leader that has not read the list yet. No reading of the node's own began, and what was known of workers ran out for good. The format of the answer says now which it is.

--- a/crates/pinerill-forward/src/cluster/client.rs
+++ b/crates/pinerill-forward/src/cluster/client.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 use pinerill_calls::formats::{decode_response, directory_place, encode_placed_watch};
 use pinerill_calls::message::{CallsRequest, CallsResponse, ControlAddress, Format};
-use pinerill_calls::session::{encode_for, unreadable, PeerFormats};
+use pinerill_calls::session::{encode_for, unreadable, FormattedAnswer, PeerFormats};
 use pinerill_process::clock::BootTime;
 use pinerill_wire::api::{CallError, CallErrorKind};
 use pinerill_wire::connection::{Connection, Identity, LinkCounters};
@@ -54,6 +54,8 @@
     pub maybe_done_before: bool,
     /// When the machine that answered was asked.
     pub asked: BootTime,
+    /// The newest format that it reads and this build knows.
+    pub format: Format,
 }
 
 /// Connections to control machines, opened when first needed.
@@ -189,12 +191,13 @@
             let limit = left.min(TRY_TIME + hold);
             let asked = BootTime::now();
             match self.call_at(address, request, limit).await {
-                Ok(response) => {
+                Ok(answer) => {
                     self.addresses.lock().leader = Some(address);
                     return Ok(Answered {
-                        response,
+                        response: answer.response,
                         maybe_done_before: failure.maybe_done,
                         asked,
+                        format: answer.format,
                     });
                 }
                 Err(error) => {
@@ -234,11 +237,12 @@
             let limit = time.min(TRY_TIME + hold);
             let asked_at = BootTime::now();
             match self.call_at(address, request, limit).await {
-                Ok(response) => {
+                Ok(answer) => {
                     return Ok(Answered {
-                        response,
+                        response: answer.response,
                         maybe_done_before: false,
                         asked: asked_at,
+                        format: answer.format,
                     });
                 }
                 Err(error) => self.avoid_if_lost(address, &error),
@@ -252,20 +256,21 @@
         address: SocketAddr,
         request: &CallsRequest,
         time: Duration,
-    ) -> Result<CallsResponse, CallError> {
+    ) -> Result<FormattedAnswer, CallError> {
         let connection = self.connection(address).await?;
         let encode = |format| self.encode(format, request, address);
         let send = |request| connection.call(request, time);
         let (format, bytes) = self.formats.exchange(address, encode, send).await?;
         let response = decode_response(&bytes).map_err(|error| unreadable(address, error))?;
-        match response {
+        let response = match response {
             CallsResponse::Watch(watch) if format != Format::NEWEST => {
                 let place = directory_place(&bytes).filter(|_| format < Format::DIGESTS);
                 let watch = self.older_leader.lock().take_in(format, place, *watch);
-                Ok(CallsResponse::Watch(Box::new(watch)))
+                CallsResponse::Watch(Box::new(watch))
             }
-            response => Ok(response),
-        }
+            response => response,
+        };
+        Ok(FormattedAnswer { response, format })
     }
 
     /// A watch names what is held as an older leader names it; other requests differ in their
--- a/crates/pinerill-forward/src/cluster/watch.rs
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -14,7 +14,7 @@
 };
 use pinerill_calls::evacuation::Evacuations;
 use pinerill_calls::message::{
-    CallsRequest, CallsResponse, Processes, WatchRequest, WatchResponse,
+    CallsRequest, CallsResponse, Format, Processes, WatchRequest, WatchResponse,
 };
 use pinerill_calls::packed::Packed;
 use pinerill_calls::protocol::WorkerListProtocol;
@@ -77,7 +77,8 @@
             Ok(answered) => {
                 if let CallsResponse::Watch(response) = answered.response {
                     reachability.heard(&node);
-                    take_in(&node, answered.asked, *response, &mut held);
+                    let is_dated = answered.format >= Format::DIRECTORY_AGE;
+                    take_in(&node, answered.asked, is_dated, *response, &mut held);
                     node.waking.heard(answered.asked);
                 }
                 continue;
@@ -143,7 +144,8 @@
     cell: Option<CellId>,
 }
 
-fn take_in(node: &Node, asked: BootTime, response: WatchResponse, held: &mut Held) {
+/// `is_dated`: whether the leader's build tells how old its directory is.
+fn take_in(node: &Node, asked: BootTime, is_dated: bool, response: WatchResponse, held: &mut Held) {
     if let Some(processes) = response.processes {
         held.processes = Some(Digest::of(&processes));
         learn_processes(node, processes);
@@ -158,8 +160,7 @@
     if let Some(evacuations) = response.evacuations {
         take_evacuations(node, evacuations);
     }
-    let is_dated = response.directory_age_ms.is_some();
-    note_dated(node, is_dated, response.directory.is_some());
+    note_dated(node, is_dated);
     if is_dated && held.passed_over {
         // The whole is asked for next time.
         held.directory = None;
@@ -178,11 +179,7 @@
     }
 }
 
-/// A leader that has not read the list yet tells neither a directory nor an age.
-fn note_dated(node: &Node, is_dated: bool, is_told: bool) {
-    if !is_dated && !is_told {
-        return;
-    }
+fn note_dated(node: &Node, is_dated: bool) {
     if node.beliefs.undated.swap(!is_dated, Ordering::Relaxed) == is_dated {
         log::info!(event = "directory_dated", dated = is_dated; "");
         node.beliefs.undated_found.notify_one();
