Log what binds a worker's answer to an item's failed run

Change: lines item_run_failed (worker, status, id named, requests that the connection has carried, number of the run) and answer_of_other_request, the latter at health checks too. No logic changes.

--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -210,10 +210,15 @@
         }
         Verdict::Failed | Verdict::Accepted | Verdict::Other => {
             run.mark_answered();
+            let failed_run = rand::random();
+            log::info!(
+                event = "item_run_failed", id = running.leased.id.as_str(),
+                worker = chosen.as_str(), status = sent.head.status.as_u16(),
+                named = sent.answer.id.as_deref(), carried = sent.exchange.carried(),
+                run = failed_run; ""
+            );
             drain(node, sent).await;
-            Some(ItemOutcome::Failed {
-                run: rand::random(),
-            })
+            Some(ItemOutcome::Failed { run: failed_run })
         }
     }
 }
--- a/crates/pinerill-forward/src/exchange/connection.rs
+++ b/crates/pinerill-forward/src/exchange/connection.rs
@@ -113,6 +113,8 @@
 pub struct WorkerConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: Pin<Box<Driver>>,
+    /// Number of requests and health checks sent so far.
+    carried: usize,
     /// Why the connection ended; `None` while it is open.
     ended: Option<String>,
 }
@@ -148,6 +150,7 @@
         Ok(WorkerConnection {
             sender,
             driver: Box::pin(driver),
+            carried: 0,
             ended: None,
         })
     }
@@ -157,6 +160,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Unanswered> {
+        self.carried += 1;
         let answer = self.sender.try_send_request(request);
         let answered = drive(&mut self.driver, &mut self.ended, answer).await;
         answered.map_err(|mut error| {
@@ -166,6 +170,11 @@
         })
     }
 
+    /// Returns the number of requests and health checks that the connection has carried.
+    pub(super) fn carried(&self) -> usize {
+        self.carried
+    }
+
     /// Returns the next chunk of a response body; `None` at its regular end. Trailers are
     /// skipped.
     pub(super) async fn next_piece(
--- a/crates/pinerill-forward/src/exchange/health.rs
+++ b/crates/pinerill-forward/src/exchange/health.rs
@@ -59,7 +59,14 @@
             return Ok(protocol.read_health(&head));
         }
     }
-    if !protocol.read_answer(&head).closes_connection {
+    let answer = protocol.read_answer(&head);
+    if let Some(named) = &answer.id {
+        log::warn!(
+            event = "answer_of_other_request", worker = worker.id.as_str(), named = named.as_str(),
+            status = head.status.as_u16(), carried = connection.carried(); ""
+        );
+    }
+    if !answer.closes_connection {
         pool.put(&worker.id, connection, None);
     }
     Ok(protocol.read_health(&head))
--- a/crates/pinerill-forward/src/exchange/send.rs
+++ b/crates/pinerill-forward/src/exchange/send.rs
@@ -132,6 +132,11 @@
         let answer = protocol.read_answer(&head);
         if answer.id.as_deref().is_some_and(|id| id != request.id) {
             let reason = BreakReason::OtherRequest;
+            log::warn!(
+                event = "answer_of_other_request", id = request.id.as_str(),
+                worker = worker.id.as_str(), named = answer.id.as_deref(),
+                status = head.status.as_u16(), carried = connection.carried(); ""
+            );
             return Err(SendFailure { sent: true, reason });
         }
         if answer.has_content_encoding {
@@ -153,6 +158,12 @@
         })
     }
 
+    /// Returns the number of requests and health checks that the connection has carried, this
+    /// exchange included.
+    pub fn carried(&self) -> usize {
+        self.connection.carried()
+    }
+
     /// Returns the next chunk of the body; `None` at its regular end.
     ///
     /// # Errors
