Log why an item of a job is given up

Change: the state machine remembers the latest items given up (256 at most) with the reason: the numbers of the failed runs and how many are allowed; impossible; or acceptance, limit and time on the group's clock. The leader writes one line item_given_up each. Ruled out: a field in the answer of a command, which would change its encoding.

--- a/crates/pinerill-cluster/src/machine/jobs.rs
+++ b/crates/pinerill-cluster/src/machine/jobs.rs
@@ -13,6 +13,7 @@
 use pinerill_control::host::TableWriter;
 use serde::{Deserialize, Serialize};
 
+use super::given_up::{GiveUpReason, GivenUpItem, GivenUpItems};
 use super::job::{ItemPhase, ItemRecord, JobRecord, ListedRecord};
 use super::keys::{call_key, text_key};
 use super::store_usage::StoreUsage;
@@ -52,6 +53,8 @@
     queue: BTreeSet<QueuePosition>,
     waiting_tokens: BTreeMap<String, u64>,
     room: StoreUsage,
+    #[serde(skip)]
+    given_up: GivenUpItems,
 }
 
 impl Jobs {
@@ -89,6 +92,11 @@
         &self.room
     }
 
+    /// Items given up since this process started or restored a snapshot.
+    pub fn given_up(&self) -> &GivenUpItems {
+        &self.given_up
+    }
+
     /// Returns the position of a waiting item in the queue; `None` if the item is unknown,
     /// listed or dropped.
     pub fn position(&self, id: &CallJobId, index: u32) -> Option<QueuePosition> {
@@ -203,10 +211,10 @@
             ItemOutcome::Completed(text) => {
                 self.append_result(position, ListedState::Completed, &text, table);
             }
-            ItemOutcome::Impossible => self.append_result(position, ListedState::Dead, &[], table),
+            ItemOutcome::Impossible => self.give_up(position, GiveUpReason::Impossible, table),
             ItemOutcome::Failed { run } => {
-                if self.count_failure(position, run) {
-                    self.append_result(position, ListedState::Dead, &[], table);
+                if let Some(reason) = self.count_failure(position, run) {
+                    self.give_up(position, reason, table);
                 }
             }
         }
@@ -214,14 +222,13 @@
 
     /// Gives up items that are too old and deletes finished jobs after their retention.
     pub(super) fn upkeep(&mut self, now_ms: u64, retention_ms: u64, table: &mut dyn TableWriter) {
-        let too_old: Vec<QueuePosition> = self
+        let too_old: Vec<(QueuePosition, GiveUpReason)> = self
             .queue
             .iter()
-            .filter(|queued| self.is_past_give_up(queued.job, now_ms))
-            .copied()
+            .filter_map(|queued| Some((*queued, self.past_give_up(queued.job, now_ms)?)))
             .collect();
-        for queued in too_old {
-            self.append_result(queued, ListedState::Dead, &[], table);
+        for (queued, reason) in too_old {
+            self.give_up(queued, reason, table);
         }
         let expired: Vec<u64> = self
             .records
@@ -237,26 +244,47 @@
         }
     }
 
-    fn is_past_give_up(&self, number: u64, now_ms: u64) -> bool {
-        let record = self.records.get(&number);
-        record.is_some_and(|record| now_ms > record.give_up_at_ms)
+    fn past_give_up(&self, number: u64, now_ms: u64) -> Option<GiveUpReason> {
+        let record = self.records.get(&number)?;
+        (now_ms > record.give_up_at_ms).then_some(GiveUpReason::TooOld {
+            accepted_ms: record.accepted_ms,
+            give_up_at_ms: record.give_up_at_ms,
+            clock_ms: now_ms,
+        })
     }
 
-    /// Records a failed run and returns true once the item has failed too often. A run counts
-    /// once however often it is reported, because a node repeats a report whose answer it did
-    /// not receive.
-    fn count_failure(&mut self, position: QueuePosition, run: u64) -> bool {
-        let Some(record) = self.records.get_mut(&position.job) else {
-            return false;
-        };
+    /// Records a failed run and returns the reason to give the item up once it has failed too
+    /// often. A run counts once however often it is reported, because a node repeats a report
+    /// whose answer it did not receive.
+    fn count_failure(&mut self, position: QueuePosition, run: u64) -> Option<GiveUpReason> {
+        let record = self.records.get_mut(&position.job)?;
         let attempts = record.attempts;
-        let Some(item) = record.items.get_mut(position.index as usize) else {
-            return false;
-        };
+        let item = record.items.get_mut(position.index as usize)?;
         if !item.failed_runs.contains(&run) {
             item.failed_runs.push(run);
         }
-        item.failed_runs.len() >= attempts as usize
+        let failed_too_often = item.failed_runs.len() >= attempts as usize;
+        failed_too_often.then(|| GiveUpReason::FailedRuns {
+            runs: item.failed_runs.clone(),
+            attempts,
+        })
+    }
+
+    fn give_up(
+        &mut self,
+        position: QueuePosition,
+        reason: GiveUpReason,
+        table: &mut dyn TableWriter,
+    ) {
+        self.append_result(position, ListedState::Dead, &[], table);
+        let Some(record) = self.records.get(&position.job) else {
+            return;
+        };
+        self.given_up.record(GivenUpItem {
+            job: record.id.clone(),
+            id: record.items[position.index as usize].id.clone(),
+            reason,
+        });
     }
 
     fn append_result(
--- a/crates/pinerill-cluster/src/machine/mod.rs
+++ b/crates/pinerill-cluster/src/machine/mod.rs
@@ -13,6 +13,7 @@
 
 mod command;
 mod formats;
+mod given_up;
 mod job;
 mod jobs;
 mod keys;
@@ -27,6 +28,7 @@
 
 pub use command::{Applied, Command, StampedCommand};
 pub use formats::{read_command, write_command};
+pub use given_up::{GiveUpReason, GivenUpItem, GivenUpItems};
 pub use job::{ItemPhase, ItemRecord, JobRecord, ListedRecord};
 pub use jobs::{Admission, Jobs, QueuePosition};
 pub use keys::{call_key, text_key};
--- a/crates/pinerill-cluster/src/server/jobs.rs
+++ b/crates/pinerill-cluster/src/server/jobs.rs
@@ -20,8 +20,8 @@
 use super::refusal;
 use crate::leases::{LeaseArgs, LeaseDecision};
 use crate::machine::{
-    call_key, text_key, Admission, Applied, Command, ItemPhase, JobRecord, ListedRecord,
-    QueuePosition,
+    call_key, text_key, Admission, Applied, Command, GivenUpItem, ItemPhase, JobRecord,
+    ListedRecord, QueuePosition,
 };
 
 /// Number of attempts to read an item's call if it is missing in the table.
@@ -360,6 +360,29 @@
         })
     }
 
+    /// Logs why items were given up, at the leader only. `logged` is the number of items handled
+    /// by earlier calls; returns the new number. After a restored snapshot, the count starts
+    /// again.
+    pub(super) fn log_given_up(&self, logged: u64) -> u64 {
+        let leads = self.leads();
+        let (total, items) = self.group.with_machine(|machine| {
+            let given_up = machine.jobs().given_up();
+            let seen = if logged > given_up.total() { 0 } else { logged };
+            let items: Vec<GivenUpItem> = match leads {
+                true => given_up.after(seen).cloned().collect(),
+                false => Vec::new(),
+            };
+            (given_up.total(), items)
+        });
+        for item in items {
+            log::info!(
+                event = "item_given_up", id = item.id.as_str(), job:% = item.job,
+                reason:% = item.reason; ""
+            );
+        }
+        total
+    }
+
     /// Returns the bytes that jobs occupy in the store now, and those expected once all items are
     /// done.
     pub(super) fn job_bytes(&self) -> (u64, u64) {
--- a/crates/pinerill-cluster/src/server/run.rs
+++ b/crates/pinerill-cluster/src/server/run.rs
@@ -351,6 +351,7 @@
         let mut last = None;
         let mut applied = 0;
         let mut notified = NotifiedState::default();
+        let mut given_up = 0;
         while status.changed().await.is_ok() {
             let now = status.borrow_and_update().clone();
             let role = (now.term, now.leader, now.role);
@@ -363,6 +364,7 @@
             }
             if applied != now.applied {
                 applied = now.applied;
+                given_up = self.log_given_up(given_up);
                 self.notify_state_change();
                 notified = self.notify_applied(&notified);
             }
--- a/crates/pinerill-cluster/tests/machine.rs
+++ b/crates/pinerill-cluster/tests/machine.rs
@@ -8,7 +8,7 @@
 use pinerill_calls::message::{decode, encode, MachineRecord, PutTable, SubmitOutcome};
 use pinerill_calls::table::{RequestLimits, RouteTable};
 use pinerill_cluster::machine::{
-    call_key, text_key, Applied, ClusterMachine, Command, StampedCommand,
+    call_key, text_key, Applied, ClusterMachine, Command, GiveUpReason, GivenUpItem, StampedCommand,
 };
 use pinerill_control::host::StateMachine;
 use support::Table;
@@ -241,6 +241,66 @@
     assert_eq!(group.listed("a"), [(0, ListedState::Dead)]);
 }
 
+#[test]
+fn each_given_up_item_is_recorded_with_its_reason() {
+    let mut group = Group::default();
+    group.submit("a", 4);
+    group.report("a", 0, ItemOutcome::Impossible);
+    for run in [7, 8, 9] {
+        group.report("a", 1, ItemOutcome::Failed { run });
+    }
+    group.report("a", 2, completed(b"x"));
+    group.advance(GIVE_UP_MS + 1_000);
+    let given_up = group.machine.jobs().given_up();
+    let item = |number: u32, reason| GivenUpItem {
+        job: job_id("a"),
+        id: format!("a-{number}"),
+        reason,
+    };
+    let failed = GiveUpReason::FailedRuns {
+        runs: vec![7, 8, 9],
+        attempts: 3,
+    };
+    let too_old = GiveUpReason::TooOld {
+        accepted_ms: 0,
+        give_up_at_ms: GIVE_UP_MS,
+        clock_ms: GIVE_UP_MS + 1_000,
+    };
+    let expected = [
+        item(0, GiveUpReason::Impossible),
+        item(1, failed),
+        item(3, too_old),
+    ];
+    assert_eq!(given_up.after(0).cloned().collect::<Vec<_>>(), expected);
+    assert_eq!(
+        given_up.after(2).cloned().collect::<Vec<_>>(),
+        expected[2..]
+    );
+    assert_eq!(given_up.after(3).count(), 0);
+}
+
+#[test]
+fn the_record_of_given_up_items_is_bounded_and_not_in_snapshots() {
+    let mut group = Group::default();
+    let items = 1_000;
+    let mut large = job("a", items);
+    large.max_waiting_tokens = 0;
+    let job = Box::new(large);
+    let room_bytes = None;
+    group.apply(Command::SubmitJob { job, room_bytes });
+    for index in 0..items as u32 {
+        group.report("a", index, ItemOutcome::Impossible);
+    }
+    let given_up = group.machine.jobs().given_up();
+    assert_eq!(given_up.total(), items as u64);
+    assert_eq!(given_up.after(0).count(), 256);
+    assert_eq!(given_up.after(items as u64 - 10).count(), 10);
+    let snapshot = group.machine.snapshot();
+    group.machine.restore(&snapshot).expect("a snapshot");
+    assert_eq!(group.machine.jobs().given_up().total(), 0);
+    assert_eq!(group.machine.snapshot(), snapshot);
+}
+
 #[test]
 fn a_suspended_leader_does_not_expire_items_at_once() {
     let mut group = Group::default();
