Only a failed run counts as one: an item is retried after any other answer

What callers saw: an item is listed as dead although no worker answered 422 or, as often as the route allows, 500, and its time limit has not passed. Cause: every 5xx, every 4xx but 421 and 422, every 3xx and every 2xx other than 200 counted as a failed run. Such an answer comes from a worker that is leaving or overloaded, or from something in front of it, and says nothing of the item. An item so answered is tried again with a pause of 100 ms, doubled each time up to 2 s, at workers that have not answered it so. After five such answers without an event the node gives the item back, since another zone's workers may do better. It ends by its result, a 422, its failed runs or its time limit. The worker is not reported as failed: the item may be what it refuses, and no item may take workers from calls. For calls nothing changes, since they only ask whether a request was accepted or not run.

--- a/crates/pinerill-calls/src/protocol/worker.rs
+++ b/crates/pinerill-calls/src/protocol/worker.rs
@@ -85,9 +85,10 @@
     NotRun(NotRunReason),
     /// No worker can ever process the request.
     Impossible,
-    /// The request may have run, and failed.
+    /// The worker ran the request, and the run failed.
     Failed,
-    /// Any other response of the worker, which is passed on to the caller.
+    /// Any other response: neither a result nor a failed run. The request may have run. For a
+    /// call, the response is passed on to the caller.
     Other,
 }
 
--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -46,6 +46,14 @@
 /// Trial runs that a blocked item gets. An item that does cause crashes costs two more workers,
 /// seconds apart.
 const MAX_TRIALS: u32 = 2;
+/// Delay after the first response that is neither a result nor a failed run. It doubles with each
+/// further one.
+const NO_RESULT_DELAY: Duration = Duration::from_millis(100);
+/// Number of such responses after which an item that has no events yet is released: workers of
+/// another zone may process it.
+const MAX_WITHOUT_RESULT: u32 = 5;
+/// Longest delay after such a response.
+const MAX_NO_RESULT_DELAY: Duration = Duration::from_secs(2);
 /// Largest response body, in bytes, that is read when the response is not an event stream.
 const SHORT_ANSWER_LIMIT: usize = 64 << 10;
 
@@ -72,7 +80,7 @@
             AttemptResult::Ended(end) => break end,
             AttemptResult::Retry => {}
             AttemptResult::Withheld => withhold(&node, &mut running).await,
-            AttemptResult::NoSlot => {
+            AttemptResult::Unplaced => {
                 log::info!(
                     event = "item_given_back", id = running.leased.id.as_str(),
                     job:% = item.job, index = item.index; ""
@@ -109,20 +117,24 @@
     Retry,
     /// The item was not sent because its request is known to crash workers.
     Withheld,
-    /// No worker has a free slot for the item, and none of its events have arrived.
-    NoSlot,
+    /// None of the item's events have arrived, and either no worker has a free slot for it or
+    /// several workers responded without a result.
+    Unplaced,
 }
 
 async fn attempt(node: &Arc<Node>, held: &HeldLeases, running: &mut ActiveItem) -> AttemptResult {
     if node.is_blocked(&running.identity) && !std::mem::take(&mut running.on_trial) {
         return AttemptResult::Withheld;
     }
+    if running.last_event.is_none() && running.without_result >= MAX_WITHOUT_RESULT {
+        return AttemptResult::Unplaced;
+    }
     match wait_for_slot(node, held, running).await {
         Some(slot) => match attempt_on(node, held, running, slot).await {
             Some(end) => AttemptResult::Ended(end),
             None => AttemptResult::Retry,
         },
-        None => AttemptResult::NoSlot,
+        None => AttemptResult::Unplaced,
     }
 }
 
@@ -208,7 +220,15 @@
                 }
             }
         }
-        Verdict::Failed | Verdict::Accepted | Verdict::Other => {
+        Verdict::Accepted | Verdict::Other => {
+            run.mark_answered();
+            record_no_result(running, &chosen, &sent);
+            drain(node, sent).await;
+            drop(slot);
+            sleep(no_result_delay(running.without_result)).await;
+            None
+        }
+        Verdict::Failed => {
             run.mark_answered();
             let failed_run = rand::random();
             log::info!(
@@ -402,6 +422,28 @@
     );
 }
 
+/// Counts and logs a response that is neither a result nor a failed run, and makes the next
+/// attempt avoid the worker. The worker is not reported to the fleet: the item itself may be what
+/// it does not accept.
+fn record_no_result(running: &mut ActiveItem, worker: &WorkerId, sent: &StartedAnswer) {
+    running.without_result += 1;
+    if !running.avoid.contains(worker) {
+        running.avoid.push(worker.clone());
+    }
+    log::info!(
+        event = "item_without_result", id = running.leased.id.as_str(), worker = worker.as_str(),
+        status = sent.head.status.as_u16(), named = sent.answer.id.as_deref(),
+        carried = sent.exchange.carried(), times = running.without_result; ""
+    );
+}
+
+/// Returns the delay after an item's response without a result; `times` counts them, from 1.
+fn no_result_delay(times: u32) -> Duration {
+    let doublings = times.saturating_sub(1).min(u32::BITS - 1);
+    let delay = NO_RESULT_DELAY.saturating_mul(1 << doublings);
+    delay.min(MAX_NO_RESULT_DELAY)
+}
+
 /// Reads the rest of a response so that its connection can be reused.
 async fn drain(node: &Node, sent: StartedAnswer) {
     let reading = sent
--- a/crates/pinerill-forward/src/batch/running.rs
+++ b/crates/pinerill-forward/src/batch/running.rs
@@ -35,9 +35,12 @@
     pub(super) text: EventText,
     /// Number of the last event received; None before the first.
     pub(super) last_event: Option<u64>,
-    /// Worker of the last broken attempt, which the next attempt avoids; empty if there is none.
+    /// Workers that the next attempt avoids: that of the last broken attempt, and those that
+    /// responded without a result since. Empty once no other worker is available.
     pub(super) avoid: Vec<WorkerId>,
     pub(super) attempts: u32,
+    /// Number of responses that were neither a result nor a failed run.
+    pub(super) without_result: u32,
     /// Number of trial runs made although the request is known to crash workers.
     pub(super) trials: u32,
     /// Whether the next attempt is a trial run that ignores the block on the request.
@@ -92,6 +95,7 @@
         last_event: None,
         avoid: Vec::new(),
         attempts: 0,
+        without_result: 0,
         trials: 0,
         on_trial: false,
         time_run: Duration::ZERO,
