The leader counts no time twice between two commands

What callers could see: items given up before max_wait_s. Cause: a command read the time, then took the leadership's lock. A task that was delayed in between put the time of the last command back, and the next command counted the time since then once more, up to 2 s a command. The term and the role of the replica were read apart as well, so that a change of leader between the two reads could continue the measurement of an earlier term. Change: CommandClock never goes back; term and role come from one reading of the status. That the term and role were read apart is from reading the code, not from a run.

--- a/crates/pinerill-cluster/src/lib.rs
+++ b/crates/pinerill-cluster/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod backlog;
 pub mod cells;
+pub mod command_clock;
 pub mod connections;
 pub mod leases;
 pub mod list_pace;
--- a/crates/pinerill-cluster/src/server/control.rs
+++ b/crates/pinerill-cluster/src/server/control.rs
@@ -155,8 +155,8 @@
         step: &'static str,
         access: impl FnOnce(&mut Leadership) -> R,
     ) -> Result<R, Box<Refusal>> {
-        let term = self.group.status().term;
-        if !self.leads() {
+        let status = self.group.status();
+        if !status.leads() {
             return Err(refusal::not_leader(
                 &self.record,
                 self.leader_address(),
@@ -164,6 +164,7 @@
             ));
         }
         let mut guard = self.leadership.lock();
+        let term = status.term;
         let current = guard.as_ref().is_some_and(|one| one.term() == term);
         if !current {
             log::info!(event = "leadership_begins", machine = self.record.name.as_str(), term; "");
--- a/crates/pinerill-cluster/src/server/leadership.rs
+++ b/crates/pinerill-cluster/src/server/leadership.rs
@@ -12,6 +12,7 @@
 use super::quota::LimitIndex;
 use super::upgrade::MachineFormats;
 use crate::cells::Cells;
+use crate::command_clock::CommandClock;
 use crate::leases::{LeaseBook, LeaseSettings};
 
 /// Time without an announcement after which a control machine is left out of the list that nodes
@@ -34,7 +35,7 @@
 pub(super) struct Leadership {
     term: u64,
     began_ms: u64,
-    last_command_ms: u64,
+    command_clock: CommandClock,
     /// Watching nodes and the workers of the platform list, by cell.
     pub(super) cells: Cells,
     /// Time of the last announcement of each control machine, by identity of its data folder.
@@ -64,7 +65,7 @@
         Leadership {
             term,
             began_ms: now_ms,
-            last_command_ms: now_ms,
+            command_clock: CommandClock::begin(now_ms),
             cells: Cells::default(),
             last_contact_ms: BTreeMap::new(),
             leases: LeaseBook::new(LeaseSettings::default(), now_ms),
@@ -87,12 +88,9 @@
         now_ms.saturating_sub(self.began_ms)
     }
 
-    /// Returns the milliseconds since the previous command of this leadership, or since its
-    /// beginning for the first one, and restarts the measurement at `now_ms`.
+    /// Returns the time since the previous command of this leadership, see [`CommandClock`].
     pub(super) fn take_elapsed_ms(&mut self, now_ms: u64) -> u64 {
-        let elapsed = now_ms.saturating_sub(self.last_command_ms);
-        self.last_command_ms = now_ms;
-        elapsed
+        self.command_clock.take_elapsed_ms(now_ms)
     }
 
     /// Records that a control machine announced itself.
