Commands are enqueued in the order of the times that they carry

What callers could see: items given up before max_wait_s, by up to 2 s. Cause: a command took the time since the previous one, was encoded and then enqueued. One that is longer to encode, such as a route table, was overtaken by a job that came meanwhile. The job was accepted first, and the time before it was then added to its age. Change: CommandOrder holds one lock from the taking of the time to the queue of the group, whose handle gets a call that enqueues without waiting. The lock covers the encoding, so that proposals of one leader are encoded one after the other.

--- a/crates/pinerill-cluster/src/lib.rs
+++ b/crates/pinerill-cluster/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod backlog;
 pub mod cells;
 pub mod command_clock;
+pub mod command_order;
 pub mod connections;
 pub mod leases;
 pub mod list_pace;
--- a/crates/pinerill-cluster/src/server/control.rs
+++ b/crates/pinerill-cluster/src/server/control.rs
@@ -14,7 +14,7 @@
 use pinerill_calls::session::PeerFormats;
 use pinerill_calls::table::RouteTable;
 use pinerill_calls::traffic::Traffic;
-use pinerill_control::host::{GroupHandle, GroupHost, ProposeError};
+use pinerill_control::host::{EnqueuedCommand, GroupHandle, GroupHost, ProposeError};
 use pinerill_replica::ReplicaId;
 use pinerill_wire::connection::PeerPool;
 use pinerill_wire::message::Refusal;
@@ -25,6 +25,7 @@
 use super::leadership::{Leadership, Tolerances};
 use super::older_builds::OlderDigests;
 use super::refusal;
+use crate::command_order::CommandOrder;
 use crate::machine::{Applied, ClusterMachine, Command, StampedCommand};
 use crate::turns::RequestLimiter;
 use pinerill_calls::settings::ControlSettings;
@@ -37,6 +38,7 @@
     pub(super) host: GroupHost,
     pub(super) group: GroupHandle<ClusterMachine>,
     pub(super) leadership: Mutex<Option<Leadership>>,
+    pub(super) command_order: CommandOrder,
     pub(super) leader_hint: Mutex<LeaderHint>,
     /// Internal addresses of every other control machine that this one has learned of since its
     /// start.
@@ -198,22 +200,33 @@
         step: &'static str,
         command: Command,
     ) -> Result<Applied, Box<Refusal>> {
-        let now_ms = self.now_ms();
-        let elapsed_ms =
-            self.with_leadership(step, |leadership| leadership.take_elapsed_ms(now_ms))?;
-        let stamped = StampedCommand {
-            elapsed_ms,
-            command,
-        };
-        let proposed = self
-            .group
-            .propose(self.encode_command(step, stamped)?)
-            .await;
+        let enqueued = self.enqueue(step, command)?;
+        let proposed = enqueued.answer().await;
         let answer = proposed.map_err(|error| self.refuse_proposal(step, &error))?;
         self.notify_state_change();
         decode(&answer).map_err(|error| refusal::unknown(&self.record, step, error))
     }
 
+    /// Adds the elapsed time to a command and enqueues it.
+    fn enqueue(
+        &self,
+        step: &'static str,
+        command: Command,
+    ) -> Result<EnqueuedCommand, Box<Refusal>> {
+        let take_elapsed_ms = || {
+            let now_ms = self.now_ms();
+            self.with_leadership(step, |leadership| leadership.take_elapsed_ms(now_ms))
+        };
+        self.command_order.enqueue(take_elapsed_ms, |elapsed_ms| {
+            let stamped = StampedCommand {
+                elapsed_ms,
+                command,
+            };
+            let enqueued = self.group.enqueue(self.encode_command(step, stamped)?);
+            enqueued.map_err(|error| self.refuse_proposal(step, &error))
+        })
+    }
+
     fn refuse_proposal(&self, step: &'static str, error: &ProposeError) -> Box<Refusal> {
         match error {
             ProposeError::NotLeader { .. } => {
--- a/crates/pinerill-cluster/src/server/run.rs
+++ b/crates/pinerill-cluster/src/server/run.rs
@@ -30,6 +30,7 @@
 use super::control::Control;
 use super::operators;
 use super::service::ControlService;
+use crate::command_order::CommandOrder;
 use crate::machine::ClusterMachine;
 use crate::turns::RequestLimiter;
 
@@ -209,6 +210,7 @@
         host,
         group,
         leadership: Mutex::new(None),
+        command_order: CommandOrder::default(),
         leader_hint: Mutex::default(),
         learned_addresses: Mutex::new(others.iter().copied().collect()),
         seeds: Mutex::new(others),
--- a/crates/pinerill-control/src/host/handle.rs
+++ b/crates/pinerill-control/src/host/handle.rs
@@ -23,6 +23,19 @@
     pub(super) read_timeout: Duration,
 }
 
+/// A command that was proposed and whose outcome is not known yet.
+#[must_use]
+pub struct EnqueuedCommand {
+    answer: oneshot::Receiver<Result<Vec<u8>, ProposeError>>,
+}
+
+impl EnqueuedCommand {
+    /// Resolves with the machine's answer once the command is committed and applied here.
+    pub async fn answer(self) -> Result<Vec<u8>, ProposeError> {
+        self.answer.await.unwrap_or(Err(ProposeError::Unknown))
+    }
+}
+
 impl<M> Clone for GroupHandle<M> {
     fn clone(&self) -> Self {
         GroupHandle {
@@ -47,6 +60,15 @@
     /// committed and applied here. Table writes of the command are visible
     /// after a [`GroupHandle::read_barrier`].
     pub async fn propose(&self, command: Vec<u8>) -> Result<Vec<u8>, ProposeError> {
+        self.enqueue(command)?.answer().await
+    }
+
+    /// Proposes a command without waiting for it. Commands of one leader are applied in the
+    /// order in which they were enqueued.
+    ///
+    /// # Errors
+    /// [`ProposeError::Busy`] or [`ProposeError::Stopped`] if the command was not enqueued.
+    pub fn enqueue(&self, command: Vec<u8>) -> Result<EnqueuedCommand, ProposeError> {
         let places = self.places.clone();
         let permit = places.try_acquire_owned().map_err(|_| ProposeError::Busy)?;
         let (reply, answer) = oneshot::channel();
@@ -56,7 +78,7 @@
             permit,
         };
         self.events.send(event).map_err(|_| ProposeError::Stopped)?;
-        answer.await.unwrap_or(Err(ProposeError::Unknown))
+        Ok(EnqueuedCommand { answer })
     }
 
     /// Waits until this replica has applied, visibly in machine and table,
--- a/crates/pinerill-control/src/host/mod.rs
+++ b/crates/pinerill-control/src/host/mod.rs
@@ -23,7 +23,7 @@
 pub use counters::HostCounters;
 pub use error::{ChangeError, HostError, ProposeError, ReadError};
 pub use group_host::GroupHost;
-pub use handle::{GroupHandle, TableReader};
+pub use handle::{EnqueuedCommand, GroupHandle, TableReader};
 pub use machine::{StateMachine, TableWriter, Transport, UnreadableState};
 pub use settings::HostSettings;
 pub use status::GroupStatus;
--- a/crates/pinerill-control/tests/host_cluster.rs
+++ b/crates/pinerill-control/tests/host_cluster.rs
@@ -42,6 +42,19 @@
     assert_eq!(refused, Err(ProposeError::NotLeader { leader }));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn commands_are_applied_in_the_order_in_which_they_were_enqueued() {
+    let (cluster, _stores) = three();
+    let group = cluster.leader_group().await;
+    let enqueued: Vec<_> = (0..50u64)
+        .map(|number| group.enqueue(format!("{number:05}").into_bytes()))
+        .collect();
+    for (number, command) in (1u64..).zip(enqueued) {
+        let answer = command.expect("enqueued").answer().await;
+        assert_eq!(answer, Ok(number.to_be_bytes().to_vec()));
+    }
+}
+
 /// A leader that was suspended heard nothing meanwhile, though the steady clock says that no
 /// time has passed: it leads no more before it says anything as a leader.
 #[tokio::test(flavor = "multi_thread")]
