Read each page of the worker list on a connection of its own

What callers would see: with a list that sends its last page once more, late, a reading ends with that page and shows one worker of three. Nodes drop the other two as gone: their connections close, crash evidence is recorded against them, and calls crowd on the one that is left. A copy of an older page also makes an older reading count as read now, which the notice of leaving workers rests on. Cause: a page does not say which request it answers. Control machines and nodes kept the connection, and a copy that arrives behind the next request is read as the answer to it. Evidence: platform/tests/repeated_pages, real processes, three workers on two pages, a stand-in that sends the last answer of a connection once more where the next reading begins on it. Fix: the clients keep no idle connection, so a connection carries one request and no earlier answer can arrive on it. The rate of the list counts calls, not connections.

--- a/crates/pinerill-cluster/src/server/workers.rs
+++ b/crates/pinerill-cluster/src/server/workers.rs
@@ -12,6 +12,9 @@
 
 /// Timeout of the request for one page.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Idle connections that are kept. A page does not say which request it answers, so each request
+/// has a connection of its own, on which no answer to an earlier one can arrive.
+const MAX_IDLE_CONNECTIONS: usize = 0;
 /// Maximum number of attempts per page, and the delay between two of them. All processes share the
 /// call rate of the list. If a poll restarted after each refused page, it would never complete for
 /// a list with more pages than are answered in a second: 3,000 workers make 60 pages, and the
@@ -176,6 +179,7 @@
     reqwest::Client::builder()
         .timeout(PAGE_TIMEOUT)
         .connect_timeout(PAGE_TIMEOUT)
+        .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
         .no_proxy()
         .build()
         .context("build the HTTP client for the worker list")
--- a/crates/pinerill-forward/src/cluster/watch.rs
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -42,6 +42,9 @@
 const LIST_READ_DELAY: Duration = Duration::from_millis(3_000);
 /// Timeout for one page of the worker list.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Idle connections that are kept. A page does not say which request it answers, so each request
+/// has a connection of its own, on which no answer to an earlier one can arrive.
+const MAX_IDLE_CONNECTIONS: usize = 0;
 /// Limit on the pages of one read; more pages indicate a faulty list.
 const MAX_PAGES: usize = 1_000;
 
@@ -353,6 +356,7 @@
 async fn read_list_when_needed(node: Arc<Node>, list: Arc<dyn WorkerListProtocol>) {
     let client = match reqwest::Client::builder()
         .timeout(PAGE_TIMEOUT)
+        .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
         .no_proxy()
         .build()
     {
