Poll the list of machines on a connection for each poll

What callers would see: a machine that the list shows as leaving or gone counts as live again, until the next poll mends it. Cause: a list does not say which poll it answers, and its revision may start again with the platform. The client kept the connection; a late copy of an earlier answer on it was taken as the newest list. Evidence: crates/pinerill-control/tests/platform_list, a stand-in on a raw socket that sends the first answer of a connection once more before the third. Before: polls named the revisions 0, 1, 2, 1, 2, 3, 2, 3, so an earlier list was taken twice; the test failed. Fix: the client keeps no idle connection, so that no answer to an earlier poll can arrive. Result: the test passes: the revisions never go back.

--- a/crates/pinerill-control/src/server/platform.rs
+++ b/crates/pinerill-control/src/server/platform.rs
@@ -20,6 +20,9 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
 /// Shortest pause between two lists.
 const LIST_PAUSE: Duration = Duration::from_millis(50);
+/// Idle connections that are kept. A list does not say which poll it answers, so each poll has a
+/// connection of its own, on which no answer to an earlier one can arrive.
+const MAX_IDLE_CONNECTIONS: usize = 0;
 /// Machines of this kind hold engines.
 const WORKER_KIND: &str = "worker";
 
@@ -71,7 +74,11 @@
         let Some(address) = self.settings.platform else {
             return;
         };
-        let client = match reqwest::Client::builder().no_proxy().build() {
+        let built = reqwest::Client::builder()
+            .no_proxy()
+            .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
+            .build();
+        let client = match built {
             Ok(client) => client,
             Err(error) => {
                 log::error!(step = "build HTTP client", error:%; "no platform list");
--- a/crates/pinerill-control/tests/server_support/mod.rs
+++ b/crates/pinerill-control/tests/server_support/mod.rs
@@ -38,6 +38,7 @@
     addresses: Vec<SocketAddr>,
     admins: Vec<SocketAddr>,
     machines: BTreeMap<usize, Machine>,
+    platform: Option<SocketAddr>,
 }
 
 /// Ports below those of outgoing connections, so that a machine that is
@@ -60,6 +61,11 @@
     /// Starts `count` control machines with empty folders, each in a zone of
     /// its own.
     pub fn start(count: usize) -> Self {
+        Self::start_with(count, None)
+    }
+
+    /// Starts them with the platform that lists machines, if one is given.
+    pub fn start_with(count: usize, platform: Option<SocketAddr>) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         std::fs::write(folder.path().join("key"), hex::encode(KEY)).expect("a key file");
         let mut fleet = Self {
@@ -67,6 +73,7 @@
             addresses: free_addresses(count),
             admins: free_addresses(count),
             machines: BTreeMap::new(),
+            platform,
         };
         for number in 0..count {
             fleet.start_machine(number);
@@ -95,7 +102,7 @@
             listen: self.addresses[number],
             admin: self.admins[number],
             data_folder: self.data_folder(number),
-            platform: None,
+            platform: self.platform,
             heartbeat_ms: 30,
             election_ms: 150,
             snapshot_entries: 50,
