Return the tokens of a repeated ask to the bucket once

What callers would see: a tenant passes more requests than its limit and the tolerance allow. The lender bounded the returned tokens by what the node had on loan, and after the first arrival that is what the node still holds: the second arrival put as many into the bucket again. Evidence: bound::an_ask_that_arrives_again_returns_its_tokens_once, ten tokens on loan, four of them returned. Fix: at most the tokens on loan that the node no longer holds return. At the first arrival that is no other bound, since returned and held tokens together are on loan; a repeated ask finds none left but those of the answer that was lost.

--- a/crates/pinerill-quota/src/lender.rs
+++ b/crates/pinerill-quota/src/lender.rs
@@ -151,9 +151,11 @@
         self.bucket.fill(now_ms, limit.rate_per_s, burst);
         self.loans.retain(|_, loan| loan.expires_ms > now_ms);
         let recorded = self.loans.remove(node).map_or(0, |loan| loan.tokens);
-        // Only tokens that this lender lent and that have not expired return to the bucket.
+        // Only tokens that this lender lent and that have not expired return to the bucket, and
+        // none that the node still holds: an ask may arrive again.
+        let returnable = recorded.saturating_sub(ask.held);
         self.bucket
-            .add(f64::from(ask.returned.min(recorded)), burst);
+            .add(f64::from(ask.returned.min(returnable)), burst);
         let held = ask.held + self.loans.values().map(|loan| loan.tokens).sum::<u32>();
         let urgent = ask.urgent.min(self.bucket.whole_tokens());
         self.bucket.remove(urgent);
--- a/crates/pinerill-quota/tests/bound.rs
+++ b/crates/pinerill-quota/tests/bound.rs
@@ -7,7 +7,7 @@
 use pinerill_quota::borrower::{Admission, Borrower};
 use pinerill_quota::defect::{turn_on, Defect};
 use pinerill_quota::lender::Lender;
-use pinerill_quota::limit::RequestLimit;
+use pinerill_quota::limit::{RequestLimit, Tolerance};
 use pinerill_quota::message::TenantAsk;
 use support::loans::Loans;
 use support::{simulate, Outcome, Scenario, Tenant, TOLERANCE};
@@ -212,6 +212,40 @@
     assert!(excess > 0.0, "the defect is not detected: {excess}");
 }
 
+/// Returns how many tokens one node gets for waiting requests after another one returned some of
+/// those that it held, in an ask that reached the lender this many times.
+fn lent_after_return(arrivals: u32) -> u32 {
+    let limit = RequestLimit {
+        rate_per_s: 0.001,
+        burst: 100.0,
+    };
+    let tolerance = Tolerance {
+        requests: 100.0,
+        ..TOLERANCE
+    };
+    let mut lender = Lender::new(tolerance, 0);
+    let ask = |held, returned, urgent, ahead| TenantAsk {
+        tenant: "t".to_owned(),
+        held,
+        returned,
+        urgent,
+        ahead,
+    };
+    let mut lend = |node, ask| lender.lend(1, node, &[ask], |_| Some(limit))[0];
+    let ahead = lend("n1", ask(0, 0, 0, 10)).ahead;
+    assert_eq!(ahead, 10);
+    for _ in 0..arrivals {
+        lend("n1", ask(6, 4, 0, 0));
+    }
+    lend("n2", ask(0, 0, 1_000, 0)).urgent
+}
+
+#[test]
+fn an_ask_that_arrives_again_returns_its_tokens_once() {
+    assert_eq!(lent_after_return(2), lent_after_return(1));
+    assert_eq!(lent_after_return(5), lent_after_return(1));
+}
+
 #[test]
 fn a_returned_token_counts_once() {
     let excess = with_defect(Defect::ReturnedTwice, worst_of_seeds);
