--- a/crates/pinerill-wire/tests/connections.rs
+++ b/crates/pinerill-wire/tests/connections.rs
@@ -216,6 +216,64 @@
     assert_eq!(soon, Ok(Response::Done));
 }
 
+/// Messages of the accepting side that prove it.
+const PROOF_MESSAGES: usize = 2;
+
+/// Passes connections on to a server. Each answer comes once more before the next one and at once
+/// behind it.
+async fn start_repeating(server: SocketAddr) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            let far = TcpStream::connect(server).await.expect("connect");
+            let (mut near_read, near_write) = near.into_split();
+            let (far_read, mut far_write) = far.into_split();
+            tokio::spawn(async move { tokio::io::copy(&mut near_read, &mut far_write).await });
+            tokio::spawn(repeat_answers(far_read, near_write));
+        }
+    });
+    address
+}
+
+/// Ends with the connection.
+async fn repeat_answers(
+    mut from: tokio::net::tcp::OwnedReadHalf,
+    mut to: tokio::net::tcp::OwnedWriteHalf,
+) -> std::io::Result<()> {
+    let mut earlier = Vec::new();
+    for number in 0.. {
+        let length = from.read_u32_le().await?;
+        // The correlation number stands between the length and the message.
+        let mut rest = vec![0; 8 + length as usize];
+        from.read_exact(&mut rest).await?;
+        let frame = [&length.to_le_bytes()[..], &rest].concat();
+        to.write_all(&earlier).await?;
+        to.write_all(&frame).await?;
+        if number >= PROOF_MESSAGES {
+            to.write_all(&frame).await?;
+            earlier = frame;
+        }
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_repeated_answer_reaches_no_other_call() {
+    let server = start(None).await;
+    let repeating = start_repeating(server.address).await;
+    let connection = open(repeating, identity("home", 1)).await.expect("open");
+    for lost in 1..6 {
+        let request = Request::ReplaceReplica(ReplaceReplica { lost, new: 0 });
+        let answer = connection.call(request, LONG).await.expect("an answer");
+        let Response::ReplaceReplica(progress) = answer else {
+            panic!("unexpected {answer:?}");
+        };
+        assert_eq!(u64::from(progress.done), lost);
+    }
+    assert!(!connection.is_closed());
+}
+
 /// Sends raw bytes on a proved connection's stead and reads what comes back.
 async fn raw(address: SocketAddr, bytes: &[u8]) -> Vec<u8> {
     let mut stream = TcpStream::connect(address).await.expect("connect");
