Open a connection for each request to an old script

What callers would see: a caller of a service that still has an old script gets the answer to another caller's prompt, with status 200. Cause: answers of old scripts name no request. The node kept connections to them, and an answer that a script sends once more, behind the next request on its connection, was passed on as the answer to that. Evidence: crates/pinerill-node late_answers, a stand-in on a raw socket that sends each answer once more before the next. Before: the second call, "prompt 1", was answered 200 with the text of "prompt 0"; the test failed. Fix: the client for scripts keeps no idle connection. On a connection that carries one request there is no other one whose answer could arrive. Result: pinerill-quota and pinerill-node, all tests: pass, none failed.

--- a/crates/pinerill-node/src/engine/client.rs
+++ b/crates/pinerill-node/src/engine/client.rs
@@ -9,6 +9,8 @@
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Idle connections that a client for single use keeps.
+const MAX_IDLE_CONNECTIONS: usize = 0;
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Timeout for the response headers of an attach.
@@ -170,13 +172,27 @@
 /// # Errors
 /// When the HTTP library fails to initialize.
 pub fn worker_client() -> reqwest::Result<Client> {
+    builder().pool_idle_timeout(IDLE_TIMEOUT).build()
+}
+
+/// Builds an HTTP client that opens a connection for each request. It is for answers that do not
+/// name their request: on a connection that carried another request before, such an answer could
+/// be a late one to that request.
+///
+/// # Errors
+/// When the HTTP library fails to initialize.
+pub fn single_use_client() -> reqwest::Result<Client> {
+    builder()
+        .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
+        .build()
+}
+
+fn builder() -> reqwest::ClientBuilder {
     Client::builder()
         .no_proxy()
         .http1_only()
         .tcp_nodelay(true)
         .connect_timeout(CONNECT_TIMEOUT)
-        .pool_idle_timeout(IDLE_TIMEOUT)
-        .build()
 }
 
 /// Client for the HTTP API of one engine.
--- a/crates/pinerill-node/src/engine/mod.rs
+++ b/crates/pinerill-node/src/engine/mod.rs
@@ -10,8 +10,8 @@
 pub use answer_reader::{AnswerReader, DroppedFrames, Progress};
 pub use assembly::{Assembly, Finish, FrameOutcome};
 pub use client::{
-    error_chain, worker_client, AttachError, CancelAnswer, EngineCall, EngineClient, PauseAnswer,
-    Priority, Refusal, SendError, SendOutcome,
+    error_chain, single_use_client, worker_client, AttachError, CancelAnswer, EngineCall,
+    EngineClient, PauseAnswer, Priority, Refusal, SendError, SendOutcome,
 };
 pub use frame::{parse_load_header, Frame, LoadHeader, Usage};
 pub use sse::SseParser;
--- a/crates/pinerill-node/src/node.rs
+++ b/crates/pinerill-node/src/node.rs
@@ -12,7 +12,7 @@
 use crate::configuration::Configuration;
 use crate::dispatcher::Dispatcher;
 use crate::drain::Drain;
-use crate::engine::worker_client;
+use crate::engine::single_use_client;
 use crate::gateway::Disconnects;
 use crate::groups::Groups;
 use crate::jobs::{IntakeMemory, JobsClient};
@@ -72,7 +72,7 @@
             fleet: fleet.clone(),
             dispatcher,
             metrics: metrics.clone(),
-            scripts: worker_client()?,
+            scripts: single_use_client()?,
             budgets: Mutex::default(),
         });
         let groups = Arc::<Groups>::default();
--- a/crates/pinerill-node/tests/support/mod.rs
+++ b/crates/pinerill-node/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod control;
 pub mod jobs;
 pub mod proxy;
+pub mod repeating;
 pub mod worker;
 
 use std::net::{SocketAddr, TcpListener};
