A connection carries an id once: a repeated answer is no other attempt's

Cause: an answer was bound to a request by its place on the connection and by the request's id. All attempts of a request carry one id, and the pool gave the connection that was used last to the next attempt, so that a worker's late copy of the first attempt's answer was taken for the second's. A health check has no id and took any answer for its own; an answer without an id was taken for any request's. Change: each connection keeps what it has carried (exchange::history): a request id once, one health check, 256 requests at most. An answer with the id of the request is then no repetition. One without an id counts if its place is certain (no health check on the connection) or its stamp is, and ends the reuse of the connection, since a copy of it could not be told apart. A health check takes no answer that names a request. Ruled out: comparing stamps, which refusals don't have; a connection for each request, which has a price.

--- a/crates/pinerill-calls/src/protocol/worker.rs
+++ b/crates/pinerill-calls/src/protocol/worker.rs
@@ -55,6 +55,9 @@
 pub struct WorkerAnswer {
     /// Identifier of the request to which the worker responds; `None` if the response has none.
     pub id: Option<String>,
+    /// Whether the worker has marked the response as that to a request. Responses to health checks
+    /// are not marked.
+    pub is_stamped: bool,
     /// Outcome of the request.
     pub verdict: Verdict,
     /// Load of the worker when it responded; `None` if the response does not report it.
--- a/crates/pinerill-forward/src/exchange/connection.rs
+++ b/crates/pinerill-forward/src/exchange/connection.rs
@@ -23,6 +23,7 @@
 use tokio::time::timeout;
 
 use super::connect_times;
+use super::history::{ConnectionHistory, Origin, ResponseIdentity};
 
 /// TCP user timeout: a connection ends if sent bytes stay unacknowledged for this time.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -41,9 +42,12 @@
     /// The connection ended early, or the bytes received were not a valid response.
     #[error("connection: {0}")]
     Connection(String),
-    /// The request id in the response is not the one that was sent.
+    /// The response belongs to no request that was sent on the connection.
     #[error("the response carries the id of another request")]
     OtherRequest,
+    /// The response repeats that to an earlier request on the connection.
+    #[error("the response repeats an earlier one")]
+    Repetition,
     /// The response body has a content encoding, which no caller requested.
     #[error("the response body has a content encoding")]
     Encoded,
@@ -113,8 +117,7 @@
 pub struct WorkerConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: Pin<Box<Driver>>,
-    /// Number of requests and health checks sent so far.
-    carried: usize,
+    history: ConnectionHistory,
     /// Why the connection ended; `None` while it is open.
     ended: Option<String>,
 }
@@ -150,17 +153,20 @@
         Ok(WorkerConnection {
             sender,
             driver: Box::pin(driver),
-            carried: 0,
+            history: ConnectionHistory::default(),
             ended: None,
         })
     }
 
-    /// Sends a request and awaits the head of its response.
+    /// Sends a request and awaits the head of a response. `id` is the request's id, or `None` for
+    /// a health check; the caller then passes the identity of the response to
+    /// [`WorkerConnection::check_response`].
     pub(super) async fn send(
         &mut self,
+        id: Option<&str>,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Unanswered> {
-        self.carried += 1;
+        self.history.begin(id);
         let answer = self.sender.try_send_request(request);
         let answered = drive(&mut self.driver, &mut self.ended, answer).await;
         answered.map_err(|mut error| {
@@ -170,9 +176,27 @@
         })
     }
 
+    /// Checks that a response belongs to the request that was sent last.
+    pub(super) fn check_response(
+        &mut self,
+        response: ResponseIdentity<'_>,
+    ) -> Result<(), BreakReason> {
+        match self.history.receive(response) {
+            Origin::Current => Ok(()),
+            Origin::Earlier => Err(BreakReason::Repetition),
+            Origin::Unknown => Err(BreakReason::OtherRequest),
+        }
+    }
+
     /// Returns the number of requests and health checks that the connection has carried.
     pub(super) fn carried(&self) -> usize {
-        self.carried
+        self.history.carried()
+    }
+
+    /// Returns whether the connection may carry a request with this id, or a health check for
+    /// `None`. A repetition of a response must not be mistaken for that to a later attempt.
+    pub(super) fn may_carry(&self, request: Option<&str>) -> bool {
+        self.history.may_carry(request)
     }
 
     /// Returns the next chunk of a response body; `None` at its regular end. Trailers are
@@ -196,8 +220,12 @@
     }
 
     /// Returns whether the connection can carry another request: it is open, its last response
-    /// was read to the end, and the worker has sent nothing since.
+    /// was read to the end, the worker has sent nothing since, and its responses can be told
+    /// apart.
     pub fn is_reusable(&mut self) -> bool {
+        if !self.history.is_usable() {
+            return false;
+        }
         let waker = futures_util::task::noop_waker();
         let mut context = Context::from_waker(&waker);
         self.poll_driver(&mut context);
--- a/crates/pinerill-forward/src/exchange/health.rs
+++ b/crates/pinerill-forward/src/exchange/health.rs
@@ -13,6 +13,7 @@
 use pinerill_calls::protocol::{HealthAnswer, WorkerProtocol};
 
 use super::connection::{BreakReason, WorkerConnection};
+use super::history::ResponseIdentity;
 use super::pool::ConnectionPool;
 
 /// Longest health response that is read to its end, in bytes. Only a connection whose response
@@ -31,7 +32,7 @@
     worker: &Arc<WorkerEntry>,
     path: &Uri,
 ) -> Result<HealthAnswer, BreakReason> {
-    while let Some(connection) = pool.take(&worker.id) {
+    while let Some(connection) = pool.take(&worker.id, None) {
         // The worker may have closed an idle connection. A health check has no side effects, so it
         // can be repeated.
         if let Ok(answer) = check_on(connection, pool, protocol, worker, path).await {
@@ -49,9 +50,22 @@
     worker: &WorkerEntry,
     path: &Uri,
 ) -> Result<HealthAnswer, BreakReason> {
-    let sent = connection.send(health_request(worker, path)?).await;
+    let sent = connection.send(None, health_request(worker, path)?).await;
     let response = sent.map_err(|unanswered| unanswered.reason)?;
     let (head, mut body) = response.into_parts();
+    let answer = protocol.read_answer(&head);
+    let identity = ResponseIdentity {
+        request: answer.id.as_deref(),
+        is_stamped: answer.is_stamped,
+    };
+    if let Err(reason) = connection.check_response(identity) {
+        log::warn!(
+            event = "answer_of_other_request", worker = worker.id.as_str(),
+            named = answer.id.as_deref(), status = head.status.as_u16(),
+            carried = connection.carried(), reason:% = reason; ""
+        );
+        return Err(reason);
+    }
     let mut length = 0;
     while let Some(piece) = connection.next_piece(&mut body).await? {
         length += piece.len();
@@ -59,13 +73,6 @@
             return Ok(protocol.read_health(&head));
         }
     }
-    let answer = protocol.read_answer(&head);
-    if let Some(named) = &answer.id {
-        log::warn!(
-            event = "answer_of_other_request", worker = worker.id.as_str(), named = named.as_str(),
-            status = head.status.as_u16(), carried = connection.carried(); ""
-        );
-    }
     if !answer.closes_connection {
         pool.put(&worker.id, connection, None);
     }
--- a/crates/pinerill-forward/src/exchange/mod.rs
+++ b/crates/pinerill-forward/src/exchange/mod.rs
@@ -3,12 +3,14 @@
 //! An exchange owns its connection and polls it without a task of its own. Dropping the
 //! exchange closes the connection at once, which tells the worker that the response is no
 //! longer wanted. A connection is reused only after a response that was read to its end,
-//! carried the right request id and left no unread bytes.
+//! carried the right request id and left no unread bytes, and never for a request that it has
+//! carried before ([`history`]).
 
 pub mod connect_times;
 mod connection;
 mod events;
 mod health;
+pub mod history;
 mod incarnations;
 mod pool;
 mod send;
--- a/crates/pinerill-forward/src/exchange/pool.rs
+++ b/crates/pinerill-forward/src/exchange/pool.rs
@@ -76,12 +76,20 @@
         Ok(connection)
     }
 
-    /// Takes a usable idle connection to a worker; `None` if there is none. Expired and closed
-    /// connections that it comes across are dropped.
-    pub fn take(&self, worker: &str) -> Option<WorkerConnection> {
+    /// Takes an idle connection to a worker that may carry a request with this id, or a health
+    /// check for `None`; returns `None` if there is none. Expired and closed connections that it
+    /// comes across are dropped.
+    pub fn take(&self, worker: &str, request: Option<&str>) -> Option<WorkerConnection> {
         let now = BootTime::now();
         loop {
-            let idle = self.idle.lock().get_mut(worker)?.pop()?;
+            let idle = {
+                let mut by_worker = self.idle.lock();
+                let kept = by_worker.get_mut(worker)?;
+                let last = kept
+                    .iter()
+                    .rposition(|idle| idle.connection.may_carry(request))?;
+                kept.remove(last)
+            };
             let mut connection = idle.connection;
             if idle.expires_at > now && connection.is_reusable() {
                 return Some(connection);
--- a/crates/pinerill-forward/src/exchange/send.rs
+++ b/crates/pinerill-forward/src/exchange/send.rs
@@ -13,6 +13,7 @@
 use pinerill_calls::protocol::{WorkerAnswer, WorkerProtocol};
 
 use super::connection::{BreakReason, WorkerConnection};
+use super::history::ResponseIdentity;
 use super::incarnations::IncarnationToken;
 use super::pool::ConnectionPool;
 
@@ -84,7 +85,7 @@
             sent: false,
             reason,
         };
-        while let Some(connection) = pool.take(&worker.id) {
+        while let Some(connection) = pool.take(&worker.id, Some(&request.id)) {
             may_send().map_err(not_sent)?;
             let incarnation = pool.incarnations.token_for(&worker.id);
             match Self::send_on(
@@ -118,7 +119,7 @@
     ) -> Result<StartedAnswer, SendFailure> {
         let http_request = build_http_request(request, headers);
         let response = tokio::select! {
-            response = connection.send(http_request) => response,
+            response = connection.send(Some(&request.id), http_request) => response,
             () = incarnation.cancelled() => {
                 let reason = BreakReason::Restarted;
                 return Err(SendFailure { sent: true, reason });
@@ -130,12 +131,15 @@
         })?;
         let (head, body) = response.into_parts();
         let answer = protocol.read_answer(&head);
-        if answer.id.as_deref().is_some_and(|id| id != request.id) {
-            let reason = BreakReason::OtherRequest;
+        let identity = ResponseIdentity {
+            request: answer.id.as_deref(),
+            is_stamped: answer.is_stamped,
+        };
+        if let Err(reason) = connection.check_response(identity) {
             log::warn!(
                 event = "answer_of_other_request", id = request.id.as_str(),
                 worker = worker.id.as_str(), named = answer.id.as_deref(),
-                status = head.status.as_u16(), carried = connection.carried(); ""
+                status = head.status.as_u16(), carried = connection.carried(), reason:% = reason; ""
             );
             return Err(SendFailure { sent: true, reason });
         }
--- /dev/null
+++ b/crates/pinerill-forward/tests/repeated_answers.rs
@@ -0,0 +1,184 @@
+//! Exchanges with a worker that repeats a response late, before the next one on its connection.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::response::Parts;
+use http::{HeaderMap, Method, Uri};
+use pinerill_calls::directory::{WorkerEntry, WorkerId};
+use pinerill_calls::job::Header;
+use pinerill_calls::protocol::{
+    AttemptContext, HealthAnswer, Verdict, WorkerAnswer, WorkerProtocol,
+};
+use pinerill_forward::exchange::{
+    check_health, BreakReason, ConnectionPool, Exchange, StartedAnswer, WorkerRequest,
+};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+/// Far above the time of an exchange on loopback.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(5);
+const MAX_BODY_BYTES: usize = 1 << 10;
+
+/// Reads the id and the stamp of a response from headers of these names.
+struct NamingProtocol;
+
+impl WorkerProtocol for NamingProtocol {
+    fn call_headers(&self, caller: &HeaderMap, _: &AttemptContext<'_>) -> HeaderMap {
+        caller.clone()
+    }
+
+    fn item_headers(&self, _: &str, _: &str, _: &[Header], _: &AttemptContext<'_>) -> HeaderMap {
+        HeaderMap::new()
+    }
+
+    fn read_answer(&self, head: &Parts) -> WorkerAnswer {
+        let id = head.headers.get("id").and_then(|id| id.to_str().ok());
+        WorkerAnswer {
+            id: id.map(str::to_owned),
+            is_stamped: head.headers.contains_key("stamp"),
+            verdict: Verdict::Accepted,
+            load: None,
+            closes_connection: false,
+            has_content_encoding: false,
+        }
+    }
+
+    fn read_health(&self, head: &Parts) -> HealthAnswer {
+        HealthAnswer {
+            healthy: head.status.is_success(),
+            worker: None,
+            cold_left_ms: None,
+        }
+    }
+
+    fn answer_headers(&self, worker: &HeaderMap) -> HeaderMap {
+        worker.clone()
+    }
+}
+
+/// Starts a worker that repeats each response right before the next one on its connection. The
+/// first connection answers 500, the others 200; the body names connection and request.
+async fn repeating_worker() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listen");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        for connection in 1.. {
+            let (stream, _) = listener.accept().await.expect("a connection");
+            tokio::spawn(serve(stream, connection));
+        }
+    });
+    address
+}
+
+async fn serve(stream: TcpStream, connection: u32) {
+    let (read, mut write) = stream.into_split();
+    let mut lines = BufReader::new(read).lines();
+    let mut last = String::new();
+    while let Ok(Some(line)) = lines.next_line().await {
+        let path = line.split(' ').nth(1).expect("a path").to_owned();
+        while lines
+            .next_line()
+            .await
+            .is_ok_and(|line| line != Some(String::new()))
+        {}
+        let response = response(&path, connection);
+        let written = write
+            .write_all(format!("{last}{response}").as_bytes())
+            .await;
+        if written.is_err() {
+            return;
+        }
+        last = response;
+    }
+}
+
+fn response(path: &str, connection: u32) -> String {
+    let id = path.trim_start_matches('/');
+    let named = match id {
+        "health" => String::new(),
+        "unnamed" => "stamp: s\r\n".to_owned(),
+        _ => format!("id: {id}\r\nstamp: s\r\n"),
+    };
+    let status = if connection == 1 {
+        "500 Failed"
+    } else {
+        "200 OK"
+    };
+    let body = format!("{connection} {id}");
+    format!(
+        "HTTP/1.1 {status}\r\n{named}content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+struct Scene {
+    pool: Arc<ConnectionPool>,
+    worker: Arc<WorkerEntry>,
+}
+
+impl Scene {
+    async fn start() -> Self {
+        let mut entry = support::entry(WorkerId::new("w", None));
+        entry.address = repeating_worker().await;
+        Scene {
+            pool: Arc::new(ConnectionPool::default()),
+            worker: Arc::new(entry),
+        }
+    }
+
+    /// Sends a request and returns the body of its response.
+    async fn ask(&self, id: &str) -> Result<Bytes, BreakReason> {
+        let request = WorkerRequest {
+            method: Method::GET,
+            uri: format!("/{id}").parse().expect("a path"),
+            body: Bytes::new(),
+            id: id.to_owned(),
+        };
+        let headers = HeaderMap::new();
+        let begun = Exchange::begin(
+            &self.pool,
+            &NamingProtocol,
+            &self.worker,
+            &request,
+            headers,
+            || Ok(()),
+        );
+        let begun = timeout(EXCHANGE_TIMEOUT, begun).await.expect("no time-out");
+        let StartedAnswer { exchange, .. } = begun.map_err(|failure| failure.reason)?;
+        let read = exchange.read_whole(&self.pool, MAX_BODY_BYTES);
+        timeout(EXCHANGE_TIMEOUT, read).await.expect("no time-out")
+    }
+
+    async fn is_healthy(&self) -> Result<bool, BreakReason> {
+        let path = Uri::from_static("/health");
+        let checked = check_health(&self.pool, &NamingProtocol, &self.worker, &path);
+        let checked = timeout(EXCHANGE_TIMEOUT, checked).await;
+        Ok(checked.expect("no time-out")?.healthy)
+    }
+}
+
+#[tokio::test]
+async fn a_repeated_response_is_not_taken_for_that_to_a_second_attempt() {
+    let scene = Scene::start().await;
+    assert_eq!(scene.ask("a").await, Ok(Bytes::from("1 a")));
+    assert_eq!(scene.ask("a").await, Ok(Bytes::from("2 a")));
+    assert_eq!(scene.ask("a").await, Ok(Bytes::from("3 a")));
+}
+
+#[tokio::test]
+async fn a_repeated_response_is_not_taken_for_a_health_answer_nor_the_other_way_round() {
+    let scene = Scene::start().await;
+    assert_eq!(scene.is_healthy().await, Ok(false));
+    for id in ["a", "b", "c"] {
+        let answered = scene.ask(id).await;
+        let is_own = |body: &Bytes| body.ends_with(format!(" {id}").as_bytes());
+        assert!(answered.as_ref().map_or(true, is_own), "{id}: {answered:?}");
+        assert_eq!(scene.is_healthy().await, Ok(true), "{id}");
+    }
+}
--- a/crates/pinerill-forward/tests/restarted_worker.rs
+++ b/crates/pinerill-forward/tests/restarted_worker.rs
@@ -35,6 +35,7 @@
     fn read_answer(&self, _: &Parts) -> WorkerAnswer {
         WorkerAnswer {
             id: None,
+            is_stamped: true,
             verdict: Verdict::Accepted,
             load: None,
             closes_connection: false,
