Skip a worker's repeated answer and deliver the request's own behind it

What callers saw: 502 and 504 for sound calls, streams that were cut, items that ran again and an item's 422 that was thrown away, wherever a worker's late copy of an earlier answer stood before the own one; and a 200 with an empty text, which was a health check's true answer that came behind a copy. Cause: the HTTP library gives one answer to each request and ends a connection on which another one stands. So an answer that belonged to an earlier request broke the exchange, although the request's own stood right behind it and its id tells the two apart; the call then avoided a sound worker. Change: WorkerConnection reads HTTP/1 itself: EncodedRequest writes, ResponseDecoder (pure) decodes. An answer of an earlier request is read to its end and skipped, at health checks as well; the connection is closed after the exchange. Metric pinerill_node_repeated_responses_total and lines repeated_answer_skipped, answer_of_other_request. Why it works: exchange::history makes the id of the request, or for a health check that no id is named, the proof that an answer isn't a copy; so what stands before it can be thrown away.

--- a/crates/pinerill-forward/src/exchange/connection.rs
+++ b/crates/pinerill-forward/src/exchange/connection.rs
@@ -1,125 +1,55 @@
 //! One HTTP/1 connection to a worker.
 //!
 //! The connection has no task of its own: it makes progress only while its owner awaits one of
-//! its methods, and dropping it closes the socket.
+//! its methods, and dropping it closes the socket. It reads responses itself, because a response
+//! that repeats an earlier one is skipped and the request's own is read behind it.
 
-use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::{pin, Pin};
-use std::task::{Context, Poll};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures_util::future::poll_fn;
-use http::{Request, Response};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
+use bytes::{Bytes, BytesMut};
+use http::response::Parts;
+use http::Method;
+use pinerill_calls::protocol::{WorkerAnswer, WorkerProtocol};
 use socket2::SockRef;
-use thiserror::Error;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::break_reason::BreakReason;
 use super::connect_times;
 use super::history::{ConnectionHistory, Origin, ResponseIdentity};
+use super::request::EncodedRequest;
+use super::response::{BodyPart, MalformedResponse, ResponseDecoder};
 
 /// TCP user timeout: a connection ends if sent bytes stay unacknowledged for this time.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Maximum size of the buffer for a worker's response.
-const BUFFER_BYTES: usize = 32 << 10;
-
-/// Why an exchange with a worker failed or was not begun.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
-pub enum BreakReason {
-    /// No connection to the worker could be established.
-    #[error("connect: {0}")]
-    Connect(String),
-    /// The worker's machine refused the connection, so no process listens there.
-    #[error("connect: connection refused")]
-    Refused,
-    /// The connection ended early, or the bytes received were not a valid response.
-    #[error("connection: {0}")]
-    Connection(String),
-    /// The response belongs to no request that was sent on the connection.
-    #[error("the response carries the id of another request")]
-    OtherRequest,
-    /// The response repeats that to an earlier request on the connection.
-    #[error("the response repeats an earlier one")]
-    Repetition,
-    /// The response body has a content encoding, which no caller requested.
-    #[error("the response body has a content encoding")]
-    Encoded,
-    /// Events of the response are missing, duplicate, out of order or too long.
-    #[error("events out of order")]
-    EventOrder,
-    /// The worker has restarted; requests sent to its earlier incarnation are lost.
-    #[error("the worker has restarted")]
-    Restarted,
-    /// The worker is leaving the fleet or has left it; nothing was sent.
-    #[error("the worker is leaving or gone")]
-    Leaving,
-    /// It could not be confirmed that the worker is healthy and not leaving; nothing was sent.
-    #[error("the worker could not be confirmed: {0}")]
-    Unconfirmed(&'static str),
-    /// The worker's zone is being evacuated; nothing was sent.
-    #[error("the worker's zone is evacuated")]
-    Evacuated,
-    /// The worker is in slow start and there is no permit for the request; nothing was sent.
-    #[error("no slow-start permit for a cold worker")]
-    Cold,
-    /// The worker sent nothing within the timeout that applied.
-    #[error("silent for too long")]
-    Silent,
-    /// The response ended in the middle of an event.
-    #[error("the response ended within an event")]
-    Truncated,
-}
-
-impl BreakReason {
-    /// Returns whether the worker could not be reached or did not respond, in which case other
-    /// nodes can expect no response either.
-    pub fn is_unresponsive(&self) -> bool {
-        matches!(
-            self,
-            BreakReason::Connect(_) | BreakReason::Refused | BreakReason::Silent
-        )
-    }
-
-    /// Returns whether the connection or the response broke off, which other nodes may see too.
-    pub fn is_disconnect(&self) -> bool {
-        matches!(self, BreakReason::Connection(_) | BreakReason::Truncated)
-    }
-
-    /// Returns whether the reason counts as a failure of the worker. It does not if the request
-    /// was held back because of an evacuation or slow start.
-    pub fn is_failure(&self) -> bool {
-        !matches!(self, BreakReason::Evacuated | BreakReason::Cold)
-    }
-
-    /// Returns whether a crash of the worker may be the cause. A worker that sent an invalid
-    /// response is still running.
-    pub fn may_be_crash(&self) -> bool {
-        matches!(
-            self,
-            BreakReason::Connection(_)
-                | BreakReason::Truncated
-                | BreakReason::Silent
-                | BreakReason::Restarted
-        )
-    }
-}
-
-type Driver = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+/// Maximum size of the head of a worker's response.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+/// Space for received bytes that is reserved before each read.
+const READ_BYTES: usize = 8 << 10;
+/// Maximum size of the body of a repeated response that is skipped.
+const MAX_SKIPPED_BYTES: usize = 4 << 20;
 
 /// A connection to a worker that carries one request at a time.
 pub struct WorkerConnection {
-    sender: SendRequest<Full<Bytes>>,
-    driver: Pin<Box<Driver>>,
+    stream: TcpStream,
+    worker: SocketAddr,
+    /// Counts the responses of all connections that repeated earlier ones.
+    repetitions: Arc<AtomicU64>,
     history: ConnectionHistory,
-    /// Why the connection ended; `None` while it is open.
-    ended: Option<String>,
+    decoder: ResponseDecoder,
+    /// Bytes of the current request that are not yet written.
+    unsent: EncodedRequest,
+    /// Received bytes that are not yet decoded.
+    received: BytesMut,
+    /// Whether writing has failed, so that the rest of the request is not sent.
+    write_failed: bool,
+    /// Whether the connection has failed or ended.
+    is_broken: bool,
 }
 
 /// A request that could not be sent or whose response head did not arrive.
@@ -129,13 +59,24 @@
     pub(super) reason: BreakReason,
 }
 
+/// What a wait for bytes of the worker has brought.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Received {
+    Bytes,
+    End,
+}
+
 impl WorkerConnection {
-    /// Connects to a worker, waiting at most [`connect_times::MAX_TIMEOUT`].
+    /// Connects to a worker, waiting at most [`connect_times::MAX_TIMEOUT`]. Responses that repeat
+    /// earlier ones are added to `repetitions`.
     ///
     /// # Errors
     /// Returns [`BreakReason::Refused`] if the worker's machine refuses the connection, and
     /// [`BreakReason::Connect`] on any other failure.
-    pub async fn open(address: SocketAddr) -> Result<Self, BreakReason> {
+    pub(super) async fn open(
+        address: SocketAddr,
+        repetitions: Arc<AtomicU64>,
+    ) -> Result<Self, BreakReason> {
         let failed = |error: String| BreakReason::Connect(error);
         let connected = timeout(connect_times::MAX_TIMEOUT, TcpStream::connect(address)).await;
         let stream = connected
@@ -145,46 +86,113 @@
                 _ => failed(error.to_string()),
             })?;
         set_options(&stream).map_err(|error| failed(error.to_string()))?;
-        let (sender, driver) = http1::Builder::new()
-            .max_buf_size(BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| failed(error.to_string()))?;
         Ok(WorkerConnection {
-            sender,
-            driver: Box::pin(driver),
+            stream,
+            worker: address,
+            repetitions,
             history: ConnectionHistory::default(),
-            ended: None,
+            decoder: ResponseDecoder::new(MAX_HEAD_BYTES),
+            unsent: EncodedRequest::default(),
+            received: BytesMut::new(),
+            write_failed: false,
+            is_broken: false,
         })
     }
 
-    /// Sends a request and awaits the head of a response. `id` is the request's id, or `None` for
-    /// a health check; the caller then passes the identity of the response to
-    /// [`WorkerConnection::check_response`].
+    /// Sends a request and awaits the head of its response; responses that repeat earlier ones
+    /// are skipped. `id` is the request's id, or `None` for a health check.
     pub(super) async fn send(
         &mut self,
+        protocol: &dyn WorkerProtocol,
         id: Option<&str>,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, Unanswered> {
+        request: EncodedRequest,
+    ) -> Result<(Parts, WorkerAnswer), Unanswered> {
         self.history.begin(id);
-        let answer = self.sender.try_send_request(request);
-        let answered = drive(&mut self.driver, &mut self.ended, answer).await;
-        answered.map_err(|mut error| {
-            let sent = error.take_message().is_none();
-            let reason = BreakReason::Connection(error.into_error().to_string());
-            Unanswered { sent, reason }
+        let method = request.method().clone();
+        self.unsent = request;
+        let answered = self.response_head(protocol, &method).await;
+        answered.map_err(|reason| Unanswered {
+            sent: !self.unsent.is_untouched(),
+            reason,
         })
     }
 
-    /// Checks that a response belongs to the request that was sent last.
-    pub(super) fn check_response(
+    async fn response_head(
         &mut self,
-        response: ResponseIdentity<'_>,
-    ) -> Result<(), BreakReason> {
-        match self.history.receive(response) {
-            Origin::Current => Ok(()),
-            Origin::Earlier => Err(BreakReason::Repetition),
-            Origin::Unknown => Err(BreakReason::OtherRequest),
+        protocol: &dyn WorkerProtocol,
+        method: &Method,
+    ) -> Result<(Parts, WorkerAnswer), BreakReason> {
+        loop {
+            let head = self.next_head(method).await?;
+            let answer = protocol.read_answer(&head);
+            let origin = self.history.receive(ResponseIdentity {
+                request: answer.id.as_deref(),
+                is_stamped: answer.is_stamped,
+            });
+            match origin {
+                Origin::Current => return Ok((head, answer)),
+                Origin::Earlier => {
+                    self.repetitions.fetch_add(1, Ordering::Relaxed);
+                    self.log_other_response("repeated_answer_skipped", &head, &answer);
+                    self.skip_body().await?;
+                }
+                Origin::Unknown => {
+                    self.log_other_response("answer_of_other_request", &head, &answer);
+                    return Err(BreakReason::OtherRequest);
+                }
+            }
+        }
+    }
+
+    fn log_other_response(&self, event: &'static str, head: &Parts, answer: &WorkerAnswer) {
+        log::warn!(
+            event = event, id = self.history.current(), address:% = self.worker,
+            named = answer.id.as_deref(), status = head.status.as_u16(),
+            carried = self.history.carried(); ""
+        );
+    }
+
+    async fn next_head(&mut self, method: &Method) -> Result<Parts, BreakReason> {
+        loop {
+            let head = self.decoder.next_head(method, &mut self.received);
+            if let Some(head) = head.map_err(|error| self.malformed(&error))? {
+                return Ok(head);
+            }
+            if self.receive().await? == Received::End {
+                return Err(self.malformed(&MalformedResponse::Truncated));
+            }
+        }
+    }
+
+    /// Reads a repeated response to its end. If it ends with the connection, so does the exchange.
+    async fn skip_body(&mut self) -> Result<(), BreakReason> {
+        let mut skipped = 0;
+        while let Some(data) = self.next_piece().await? {
+            skipped += data.len();
+            if skipped > MAX_SKIPPED_BYTES {
+                return Err(BreakReason::Repetition);
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the next chunk of a response body; `None` at its regular end. Trailers are
+    /// skipped.
+    pub(super) async fn next_piece(&mut self) -> Result<Option<Bytes>, BreakReason> {
+        loop {
+            let part = self.decoder.next_part(&mut self.received);
+            let part = match part.map_err(|error| self.malformed(&error))? {
+                Some(part) => part,
+                None if self.receive().await? == Received::Bytes => continue,
+                None => {
+                    let end = self.decoder.end_of_input();
+                    end.map_err(|error| self.malformed(&error))?
+                }
+            };
+            return Ok(match part {
+                BodyPart::Data(data) => Some(data),
+                BodyPart::End => None,
+            });
         }
     }
 
@@ -199,79 +207,79 @@
         self.history.may_carry(request)
     }
 
-    /// Returns the next chunk of a response body; `None` at its regular end. Trailers are
-    /// skipped.
-    pub(super) async fn next_piece(
-        &mut self,
-        body: &mut Incoming,
-    ) -> Result<Option<Bytes>, BreakReason> {
+    /// Returns whether the connection can carry another request: it is open, its last request
+    /// was written and its last response read to the end, the worker has sent nothing since, and
+    /// its responses can be told apart.
+    pub fn is_reusable(&mut self) -> bool {
+        !self.is_broken
+            && !self.write_failed
+            && self.history.is_usable()
+            && self.decoder.keeps_alive()
+            && self.unsent.remaining() == 0
+            && self.received.is_empty()
+            && self.is_silent()
+    }
+
+    /// Returns whether the worker has neither sent anything nor closed the connection.
+    fn is_silent(&self) -> bool {
+        let read = self.stream.try_read(&mut [0]);
+        matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Waits for bytes of the worker, and writes the rest of the request meanwhile.
+    async fn receive(&mut self) -> Result<Received, BreakReason> {
         loop {
-            let frame = drive(&mut self.driver, &mut self.ended, body.frame()).await;
-            match frame {
-                None => return Ok(None),
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Ok(Some(data));
-                    }
+            self.write_unsent()?;
+            match self.read_available() {
+                Ok(0) => {
+                    self.is_broken = true;
+                    return Ok(Received::End);
                 }
-                Some(Err(error)) => return Err(BreakReason::Connection(error.to_string())),
+                Ok(_) => return Ok(Received::Bytes),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(self.failed(&error)),
             }
+            let interest = match self.is_writing() {
+                true => Interest::READABLE | Interest::WRITABLE,
+                false => Interest::READABLE,
+            };
+            let ready = self.stream.ready(interest).await;
+            ready.map_err(|error| self.failed(&error))?;
         }
     }
 
-    /// Returns whether the connection can carry another request: it is open, its last response
-    /// was read to the end, the worker has sent nothing since, and its responses can be told
-    /// apart.
-    pub fn is_reusable(&mut self) -> bool {
-        if !self.history.is_usable() {
-            return false;
-        }
-        let waker = futures_util::task::noop_waker();
-        let mut context = Context::from_waker(&waker);
-        self.poll_driver(&mut context);
-        let ready = self.sender.poll_ready(&mut context);
-        self.ended.is_none() && matches!(ready, Poll::Ready(Ok(())))
+    fn is_writing(&self) -> bool {
+        self.unsent.remaining() > 0 && !self.write_failed
     }
 
-    fn poll_driver(&mut self, context: &mut Context<'_>) {
-        if self.ended.is_none() {
-            poll_driver(&mut self.driver, &mut self.ended, context);
+    /// Writes as much of the request as the connection accepts. A worker may respond to a part
+    /// of a request and read no more, so a response may still arrive after a failed write.
+    fn write_unsent(&mut self) -> Result<(), BreakReason> {
+        while self.is_writing() {
+            match self.unsent.write_to(&self.stream) {
+                Ok(()) => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if self.unsent.is_untouched() => return Err(self.failed(&error)),
+                Err(_) => self.write_failed = true,
+            }
         }
+        Ok(())
     }
-}
 
-fn poll_driver(
-    driver: &mut Pin<Box<Driver>>,
-    ended: &mut Option<String>,
-    context: &mut Context<'_>,
-) {
-    if let Poll::Ready(result) = driver.as_mut().poll(context) {
-        *ended = Some(match result {
-            Ok(()) => "closed".to_owned(),
-            Err(error) => error.to_string(),
-        });
+    fn read_available(&mut self) -> io::Result<usize> {
+        self.received.reserve(READ_BYTES);
+        self.stream.try_read_buf(&mut self.received)
     }
-}
 
-/// Awaits a future that depends on the connection while also polling the connection itself.
-/// Both are polled by the same task. The future is polled again after the connection, because
-/// progress or the end of the connection may have made it ready.
-async fn drive<F: Future>(
-    driver: &mut Pin<Box<Driver>>,
-    ended: &mut Option<String>,
-    future: F,
-) -> F::Output {
-    let mut future = pin!(future);
-    poll_fn(|context| {
-        if let Poll::Ready(output) = future.as_mut().poll(context) {
-            return Poll::Ready(output);
-        }
-        if ended.is_none() {
-            poll_driver(driver, ended, context);
-        }
-        future.as_mut().poll(context)
-    })
-    .await
+    fn malformed(&mut self, error: &MalformedResponse) -> BreakReason {
+        self.is_broken = true;
+        BreakReason::Connection(error.to_string())
+    }
+
+    fn failed(&mut self, error: &io::Error) -> BreakReason {
+        self.is_broken = true;
+        BreakReason::Connection(error.to_string())
+    }
 }
 
 fn set_options(stream: &TcpStream) -> io::Result<()> {
--- a/crates/pinerill-forward/src/exchange/health.rs
+++ b/crates/pinerill-forward/src/exchange/health.rs
@@ -7,14 +7,14 @@
 
 use bytes::Bytes;
 use http::header::HOST;
-use http::{HeaderValue, Method, Request, Uri};
-use http_body_util::Full;
+use http::{HeaderMap, HeaderValue, Method, Uri};
 use pinerill_calls::directory::WorkerEntry;
 use pinerill_calls::protocol::{HealthAnswer, WorkerProtocol};
 
-use super::connection::{BreakReason, WorkerConnection};
-use super::history::ResponseIdentity;
+use super::break_reason::BreakReason;
+use super::connection::WorkerConnection;
 use super::pool::ConnectionPool;
+use super::request::EncodedRequest;
 
 /// Longest health response that is read to its end, in bytes. Only a connection whose response
 /// was read completely can carry the next request.
@@ -50,24 +50,14 @@
     worker: &WorkerEntry,
     path: &Uri,
 ) -> Result<HealthAnswer, BreakReason> {
-    let sent = connection.send(None, health_request(worker, path)?).await;
-    let response = sent.map_err(|unanswered| unanswered.reason)?;
-    let (head, mut body) = response.into_parts();
-    let answer = protocol.read_answer(&head);
-    let identity = ResponseIdentity {
-        request: answer.id.as_deref(),
-        is_stamped: answer.is_stamped,
-    };
-    if let Err(reason) = connection.check_response(identity) {
-        log::warn!(
-            event = "answer_of_other_request", worker = worker.id.as_str(),
-            named = answer.id.as_deref(), status = head.status.as_u16(),
-            carried = connection.carried(), reason:% = reason; ""
-        );
-        return Err(reason);
-    }
+    let host = HeaderValue::try_from(worker.address.to_string());
+    let host = host.map_err(|error| BreakReason::Connection(error.to_string()))?;
+    let headers = HeaderMap::from_iter([(HOST, host)]);
+    let request = EncodedRequest::new(&Method::GET, path, headers, Bytes::new());
+    let sent = connection.send(protocol, None, request).await;
+    let (head, answer) = sent.map_err(|unanswered| unanswered.reason)?;
     let mut length = 0;
-    while let Some(piece) = connection.next_piece(&mut body).await? {
+    while let Some(piece) = connection.next_piece().await? {
         length += piece.len();
         if length > MAX_ANSWER_BYTES {
             return Ok(protocol.read_health(&head));
@@ -78,13 +68,3 @@
     }
     Ok(protocol.read_health(&head))
 }
-
-fn health_request(worker: &WorkerEntry, path: &Uri) -> Result<Request<Full<Bytes>>, BreakReason> {
-    let host = HeaderValue::try_from(worker.address.to_string());
-    let host = host.map_err(|error| BreakReason::Connection(error.to_string()))?;
-    let mut request = Request::new(Full::new(Bytes::new()));
-    *request.method_mut() = Method::GET;
-    *request.uri_mut() = path.clone();
-    request.headers_mut().insert(HOST, host);
-    Ok(request)
-}
--- a/crates/pinerill-forward/src/exchange/history.rs
+++ b/crates/pinerill-forward/src/exchange/history.rs
@@ -80,6 +80,11 @@
         self.current = request.map(str::to_owned);
     }
 
+    /// Returns the id of the current request; `None` if it is a health check.
+    pub fn current(&self) -> Option<&str> {
+        self.current.as_deref()
+    }
+
     /// Returns to which request a response belongs, and records that it has arrived.
     pub fn receive(&mut self, response: ResponseIdentity<'_>) -> Origin {
         let origin = self.origin(response);
--- a/crates/pinerill-forward/src/exchange/mod.rs
+++ b/crates/pinerill-forward/src/exchange/mod.rs
@@ -6,6 +6,7 @@
 //! carried the right request id and left no unread bytes, and never for a request that it has
 //! carried before ([`history`]).
 
+mod break_reason;
 pub mod connect_times;
 mod connection;
 mod events;
@@ -13,9 +14,12 @@
 pub mod history;
 mod incarnations;
 mod pool;
+mod request;
+pub mod response;
 mod send;
 
-pub use connection::{BreakReason, WorkerConnection};
+pub use break_reason::BreakReason;
+pub use connection::WorkerConnection;
 pub use events::{EventBatch, EventOrderError, EventScanner, EventText};
 pub use health::check_health;
 pub use pool::ConnectionPool;
--- a/crates/pinerill-forward/src/exchange/pool.rs
+++ b/crates/pinerill-forward/src/exchange/pool.rs
@@ -4,6 +4,7 @@
 //! keeps idle ones for later requests.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,8 +14,9 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use super::break_reason::BreakReason;
 use super::connect_times::ConnectTimes;
-use super::connection::{BreakReason, WorkerConnection};
+use super::connection::WorkerConnection;
 use super::incarnations::IncarnationTokens;
 
 /// Maximum number of idle connections kept per worker.
@@ -35,6 +37,7 @@
 pub struct ConnectionPool {
     idle: Mutex<HashMap<WorkerId, Vec<IdleConnection>>>,
     connect_times: Mutex<ConnectTimes>,
+    repetitions: Arc<AtomicU64>,
     pub(super) incarnations: IncarnationTokens,
 }
 
@@ -70,7 +73,7 @@
 
     async fn open_timed(&self, worker: &WorkerEntry) -> Result<WorkerConnection, BreakReason> {
         let began = BootTime::now();
-        let connection = WorkerConnection::open(worker.address).await?;
+        let connection = WorkerConnection::open(worker.address, self.repetitions.clone()).await?;
         let mut times = self.connect_times.lock();
         times.record(&worker.zone, began.elapsed());
         Ok(connection)
@@ -130,6 +133,11 @@
         self.len() == 0
     }
 
+    /// Returns how many responses were skipped because they repeated earlier ones.
+    pub fn repetitions(&self) -> u64 {
+        self.repetitions.load(Ordering::Relaxed)
+    }
+
     /// Closes expired idle connections and those that the worker has closed.
     pub fn sweep(&self) {
         let now = BootTime::now();
--- a/crates/pinerill-forward/src/exchange/send.rs
+++ b/crates/pinerill-forward/src/exchange/send.rs
@@ -4,18 +4,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::response::Parts;
-use http::{HeaderMap, HeaderName, Method, Request, Uri};
-use http_body_util::Full;
-use hyper::body::Incoming;
+use http::{HeaderMap, HeaderName, Method, Uri};
 use pinerill_calls::directory::WorkerEntry;
 use pinerill_calls::protocol::{WorkerAnswer, WorkerProtocol};
 
-use super::connection::{BreakReason, WorkerConnection};
-use super::history::ResponseIdentity;
+use super::break_reason::BreakReason;
+use super::connection::WorkerConnection;
 use super::incarnations::IncarnationToken;
 use super::pool::ConnectionPool;
+use super::request::EncodedRequest;
 
 /// Header in which workers advertise how long they keep idle connections.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -38,7 +36,6 @@
 pub struct Exchange {
     worker: Arc<WorkerEntry>,
     connection: WorkerConnection,
-    body: Incoming,
     keep_alive: Option<Duration>,
     closes: bool,
     /// Cancelled when the worker has restarted.
@@ -117,32 +114,19 @@
         request: &WorkerRequest,
         headers: HeaderMap,
     ) -> Result<StartedAnswer, SendFailure> {
-        let http_request = build_http_request(request, headers);
-        let response = tokio::select! {
-            response = connection.send(Some(&request.id), http_request) => response,
+        let body = request.body.clone();
+        let encoded = EncodedRequest::new(&request.method, &request.uri, headers, body);
+        let answered = tokio::select! {
+            answered = connection.send(protocol, Some(&request.id), encoded) => answered,
             () = incarnation.cancelled() => {
                 let reason = BreakReason::Restarted;
                 return Err(SendFailure { sent: true, reason });
             }
         };
-        let response = response.map_err(|unanswered| SendFailure {
+        let (head, answer) = answered.map_err(|unanswered| SendFailure {
             sent: unanswered.sent,
             reason: unanswered.reason,
         })?;
-        let (head, body) = response.into_parts();
-        let answer = protocol.read_answer(&head);
-        let identity = ResponseIdentity {
-            request: answer.id.as_deref(),
-            is_stamped: answer.is_stamped,
-        };
-        if let Err(reason) = connection.check_response(identity) {
-            log::warn!(
-                event = "answer_of_other_request", id = request.id.as_str(),
-                worker = worker.id.as_str(), named = answer.id.as_deref(),
-                status = head.status.as_u16(), carried = connection.carried(), reason:% = reason; ""
-            );
-            return Err(SendFailure { sent: true, reason });
-        }
         if answer.has_content_encoding {
             let reason = BreakReason::Encoded;
             return Err(SendFailure { sent: true, reason });
@@ -150,7 +134,6 @@
         let exchange = Exchange {
             worker: worker.clone(),
             connection,
-            body,
             keep_alive: keep_alive(&head.headers),
             closes: answer.closes_connection,
             incarnation,
@@ -174,7 +157,7 @@
     /// Returns an error if the response breaks off or is malformed, or if the worker restarts.
     pub async fn next_piece(&mut self) -> Result<Option<Bytes>, BreakReason> {
         tokio::select! {
-            piece = self.connection.next_piece(&mut self.body) => piece,
+            piece = self.connection.next_piece() => piece,
             () = self.incarnation.cancelled() => Err(BreakReason::Restarted),
         }
     }
@@ -210,19 +193,6 @@
     }
 }
 
-fn build_http_request(request: &WorkerRequest, mut headers: HeaderMap) -> Request<Full<Bytes>> {
-    // The body is sent as a whole, so hyper derives the content length from it. The caller's
-    // framing and connection headers describe another connection.
-    headers.remove(CONTENT_LENGTH);
-    headers.remove(TRANSFER_ENCODING);
-    headers.remove(CONNECTION);
-    let mut built = Request::new(Full::new(request.body.clone()));
-    *built.method_mut() = request.method.clone();
-    *built.uri_mut() = request.uri.clone();
-    *built.headers_mut() = headers;
-    built
-}
-
 /// Returns the idle time from `Keep-Alive: timeout=N`, which is in seconds; `None` if the header
 /// is missing or malformed.
 fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
--- a/crates/pinerill-forward/src/monitoring.rs
+++ b/crates/pinerill-forward/src/monitoring.rs
@@ -34,6 +34,7 @@
     pub(crate) worker_failures: IntCounter,
     pub(crate) worker_refusals: IntCounter,
     pub(crate) health_checks: IntCounter,
+    repeated_responses: IntCounter,
     pub(crate) slow_starts: IntCounter,
     items: IntCounterVec,
     pub(crate) items_preempted: IntCounter,
@@ -144,6 +145,10 @@
                 "pinerill_node_health_checks_total",
                 "Health checks of workers whose confirmation had run out",
             )?,
+            repeated_responses: counter(
+                "pinerill_node_repeated_responses_total",
+                "Responses of workers that were skipped because they repeated earlier ones",
+            )?,
             slow_starts: counter(
                 "pinerill_node_slow_starts_total",
                 "Permits borrowed for requests to workers that were still cold",
@@ -265,6 +270,11 @@
         metrics
             .directory_age_ms
             .set(number(self.directory_age_ms()));
+        let repetitions = self.connections().repetitions();
+        let counted = metrics.repeated_responses.get();
+        metrics
+            .repeated_responses
+            .inc_by(repetitions.saturating_sub(counted));
         metrics
             .idle_connections
             .set(number(self.connections().len() as u64));
--- a/crates/pinerill-forward/tests/repeated_answers.rs
+++ b/crates/pinerill-forward/tests/repeated_answers.rs
@@ -7,16 +7,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::response::Parts;
 use http::{HeaderMap, Method, Uri};
 use pinerill_calls::directory::{WorkerEntry, WorkerId};
-use pinerill_calls::job::Header;
-use pinerill_calls::protocol::{
-    AttemptContext, HealthAnswer, Verdict, WorkerAnswer, WorkerProtocol,
-};
 use pinerill_forward::exchange::{
     check_health, BreakReason, ConnectionPool, Exchange, StartedAnswer, WorkerRequest,
 };
+use support::protocol::NamingProtocol;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -25,43 +21,6 @@
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(5);
 const MAX_BODY_BYTES: usize = 1 << 10;
 
-/// Reads the id and the stamp of a response from headers of these names.
-struct NamingProtocol;
-
-impl WorkerProtocol for NamingProtocol {
-    fn call_headers(&self, caller: &HeaderMap, _: &AttemptContext<'_>) -> HeaderMap {
-        caller.clone()
-    }
-
-    fn item_headers(&self, _: &str, _: &str, _: &[Header], _: &AttemptContext<'_>) -> HeaderMap {
-        HeaderMap::new()
-    }
-
-    fn read_answer(&self, head: &Parts) -> WorkerAnswer {
-        let id = head.headers.get("id").and_then(|id| id.to_str().ok());
-        WorkerAnswer {
-            id: id.map(str::to_owned),
-            is_stamped: head.headers.contains_key("stamp"),
-            verdict: Verdict::Accepted,
-            load: None,
-            closes_connection: false,
-            has_content_encoding: false,
-        }
-    }
-
-    fn read_health(&self, head: &Parts) -> HealthAnswer {
-        HealthAnswer {
-            healthy: head.status.is_success(),
-            worker: None,
-            cold_left_ms: None,
-        }
-    }
-
-    fn answer_headers(&self, worker: &HeaderMap) -> HeaderMap {
-        worker.clone()
-    }
-}
-
 /// Starts a worker that repeats each response right before the next one on its connection. The
 /// first connection answers 500, the others 200; the body names connection and request.
 async fn repeating_worker() -> SocketAddr {
@@ -182,3 +141,27 @@
         assert_eq!(scene.is_healthy().await, Ok(true), "{id}");
     }
 }
+
+#[tokio::test]
+async fn the_own_response_behind_a_repeated_one_is_delivered() {
+    let scene = Scene::start().await;
+    assert_eq!(scene.ask("a").await, Ok(Bytes::from("1 a")));
+    assert_eq!(scene.ask("b").await, Ok(Bytes::from("1 b")));
+    assert_eq!(scene.ask("c").await, Ok(Bytes::from("2 c")));
+    assert_eq!(scene.is_healthy().await, Ok(true));
+    assert!(
+        scene.pool.is_empty(),
+        "a connection with repetitions is closed"
+    );
+}
+
+#[tokio::test]
+async fn a_response_without_an_id_is_delivered_and_ends_the_reuse() {
+    let scene = Scene::start().await;
+    assert_eq!(scene.ask("unnamed").await, Ok(Bytes::from("1 unnamed")));
+    assert!(
+        scene.pool.is_empty(),
+        "a repetition could not be told apart"
+    );
+    assert_eq!(scene.ask("a").await, Ok(Bytes::from("2 a")));
+}
--- a/crates/pinerill-forward/tests/restarted_worker.rs
+++ b/crates/pinerill-forward/tests/restarted_worker.rs
@@ -1,19 +1,17 @@
 //! Exchanges with a restarted worker must end promptly. Its old connection may stay open and
 //! silent, so that the exchange would otherwise end only at its time-out.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::response::Parts;
 use http::{HeaderMap, Method};
 use pinerill_calls::directory::{WorkerEntry, WorkerId, WorkerState};
-use pinerill_calls::job::Header;
-use pinerill_calls::protocol::{
-    AttemptContext, HealthAnswer, Verdict, WorkerAnswer, WorkerProtocol,
-};
 use pinerill_forward::exchange::{BreakReason, ConnectionPool, Exchange, WorkerRequest};
+use support::protocol::NamingProtocol;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
@@ -21,41 +19,6 @@
 /// Far below any time-out of an exchange.
 const SHORT_TIMEOUT: Duration = Duration::from_millis(500);
 
-struct PassThroughProtocol;
-
-impl WorkerProtocol for PassThroughProtocol {
-    fn call_headers(&self, caller: &HeaderMap, _: &AttemptContext<'_>) -> HeaderMap {
-        caller.clone()
-    }
-
-    fn item_headers(&self, _: &str, _: &str, _: &[Header], _: &AttemptContext<'_>) -> HeaderMap {
-        HeaderMap::new()
-    }
-
-    fn read_answer(&self, _: &Parts) -> WorkerAnswer {
-        WorkerAnswer {
-            id: None,
-            is_stamped: true,
-            verdict: Verdict::Accepted,
-            load: None,
-            closes_connection: false,
-            has_content_encoding: false,
-        }
-    }
-
-    fn read_health(&self, _: &Parts) -> HealthAnswer {
-        HealthAnswer {
-            healthy: true,
-            worker: None,
-            cold_left_ms: None,
-        }
-    }
-
-    fn answer_headers(&self, worker: &HeaderMap) -> HeaderMap {
-        worker.clone()
-    }
-}
-
 fn entry(address: SocketAddr, started_at_ms: u64) -> WorkerEntry {
     WorkerEntry {
         id: WorkerId::new("w", Some(started_at_ms)),
@@ -95,7 +58,7 @@
     };
     let begun = Exchange::begin(
         pool,
-        &PassThroughProtocol,
+        &NamingProtocol,
         worker,
         &request,
         HeaderMap::new(),
--- a/crates/pinerill-forward/tests/support/mod.rs
+++ b/crates/pinerill-forward/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod protocol;
+
 use std::net::{Ipv4Addr, SocketAddr};
 
 use pinerill_calls::directory::{WorkerEntry, WorkerId, WorkerState};
