A job has the limits of the route table in force, not of its node's table

What callers saw: an item is dead after fewer answers of 500 than the configuration in force allows. Cause: the node that takes a job in reads attempts, max_wait_s, the target time and the queue's limit from its own table. A node that was suspended answers what waits in its sockets before it receives the table that was acknowledged meanwhile, and the job keeps these limits for good. Change: the leader sets a job's limits from the table in force, before it decides whether the job fits. It finds the route by host and path as nodes do. A job without a batch route in that table keeps what its node read. Ruled out: that a job submitted again under other limits changes its own; the state machine, which this commit leaves as it was, keeps the first ones (a_job_submitted_again_under_other_limits_keeps_its_first_ones).

--- a/crates/pinerill-calls/src/table/lookup.rs
+++ b/crates/pinerill-calls/src/table/lookup.rs
@@ -7,6 +7,17 @@
 
 use super::{Route, RouteTable, Target, Tenant};
 
+impl RouteTable {
+    /// Returns the same route as [`RouteIndex::route`], by a search of all routes.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let name = host.split(':').next().unwrap_or_default();
+        let of_host = self.routes.iter().filter(|route| {
+            route.host.eq_ignore_ascii_case(name) && path.starts_with(route.path_prefix.as_str())
+        });
+        of_host.max_by_key(|route| route.path_prefix.len())
+    }
+}
+
 /// A route table with indexes by host and by key. All calls under the table share it.
 #[derive(Debug)]
 pub struct RouteIndex {
--- a/crates/pinerill-cluster/src/lib.rs
+++ b/crates/pinerill-cluster/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod command_clock;
 pub mod command_order;
 pub mod connections;
+pub mod job_limits;
 pub mod leases;
 pub mod list_pace;
 pub mod machine;
--- a/crates/pinerill-cluster/src/server/jobs.rs
+++ b/crates/pinerill-cluster/src/server/jobs.rs
@@ -18,6 +18,7 @@
 use super::control::Control;
 use super::older_builds::clear_token_limit;
 use super::refusal;
+use crate::job_limits::set_limits;
 use crate::leases::{LeaseArgs, LeaseDecision};
 use crate::machine::{
     call_key, text_key, Admission, Applied, Command, GivenUpItem, ItemPhase, JobRecord,
@@ -53,8 +54,8 @@
 }
 
 impl Control {
-    /// Submits a job unless it is already known or exceeds a limit. `format` is the format in
-    /// which the calls of its items are encoded.
+    /// Submits a job with the limits in force unless it is already known or exceeds one. `format`
+    /// is the format in which the calls of its items are encoded.
     pub(super) async fn submit_job(
         &self,
         format: Format,
@@ -63,6 +64,10 @@
         let step = "submit job";
         let id = job.id.clone();
         let items = job.items.len();
+        let table = self.table_in_force();
+        if let Some(table) = &table {
+            set_limits(&mut job, table);
+        }
         let room_bytes = self.max_job_bytes();
         // Rejected and known jobs are not written to the log, because the log is on the same disk.
         // The rejection is final even if space would have been freed by the time the command was
@@ -87,7 +92,7 @@
         if format != in_force {
             convert_job(&mut job, in_force);
         }
-        clear_token_limit(&mut job, in_force, self.table_in_force().as_deref());
+        clear_token_limit(&mut job, in_force, table.as_deref());
         let command = Command::SubmitJob {
             job: Box::new(job),
             room_bytes,
--- a/crates/pinerill-cluster/tests/machine.rs
+++ b/crates/pinerill-cluster/tests/machine.rs
@@ -127,6 +127,24 @@
     assert_eq!(group.machine.jobs().waiting_tokens(&job_id("a"), "r"), 800);
 }
 
+#[test]
+fn a_job_submitted_again_under_other_limits_keeps_its_first_ones() {
+    let mut group = Group::default();
+    group.submit("a", 1);
+    let mut again = job("a", 1);
+    again.attempts = 1;
+    again.give_up_ms = 1_000;
+    let job = Box::new(again);
+    let room_bytes = None;
+    group.apply(Command::SubmitJob { job, room_bytes });
+    group.report("a", 0, ItemOutcome::Failed { run: 1 });
+    group.report("a", 0, ItemOutcome::Failed { run: 2 });
+    group.advance(GIVE_UP_MS);
+    assert_eq!(group.listed("a"), []);
+    group.report("a", 0, ItemOutcome::Failed { run: 3 });
+    assert_eq!(group.listed("a"), [(0, ListedState::Dead)]);
+}
+
 #[test]
 fn a_job_over_the_token_limit_leaves_no_state() {
     let mut group = Group::default();
