Take no refusal or cancel of an engine for a promise to another request

What callers would see: a request that may run once runs twice; a running request is given up as unknown. Cause: an engine's tokens name their request, its refusals and its answers to cancels and attaches do not. On a pooled connection a late copy of an earlier refusal is read as the answer to the next request: "not started" of one request counts for another, which then runs elsewhere as well. A copied "not_started" of a cancel does the same, and a copied 404 of an attach ends a request that runs. Fix: at-most-once requests, cancels and attaches open a connection each, on which no answer to an earlier request can arrive. Repeatable requests keep the pool: a copied "not started" costs them an attempt.

--- a/crates/pinerill-node/src/batch/run.rs
+++ b/crates/pinerill-node/src/batch/run.rs
@@ -139,6 +139,7 @@
             adapter: adapter.as_deref(),
             kv_handle: None,
             continue_from: self.run.partial.reader.next_offset(),
+            at_most_once: self.run.item.input.at_most_once,
             body,
         };
         let mut sending = std::pin::pin!(client.send(call));
--- a/crates/pinerill-node/src/engine/client.rs
+++ b/crates/pinerill-node/src/engine/client.rs
@@ -55,6 +55,9 @@
     /// Number of answer tokens that are already delivered, from which the engine
     /// continues.
     pub continue_from: u32,
+    /// Whether the request must not run again once it may have run, so that a refusal
+    /// must certainly be its own.
+    pub at_most_once: bool,
     /// Request body in JSON.
     pub body: Bytes,
 }
@@ -167,12 +170,24 @@
     state: String,
 }
 
-/// Builds the HTTP client with the connection pool of one worker.
+/// HTTP clients of one worker.
+#[derive(Debug, Clone)]
+pub struct WorkerClient {
+    /// Keeps its connections for further requests.
+    pub pooled: Client,
+    /// Opens a connection for each request.
+    pub single_use: Client,
+}
+
+/// Builds the HTTP clients of one worker.
 ///
 /// # Errors
 /// When the HTTP library fails to initialize.
-pub fn worker_client() -> reqwest::Result<Client> {
-    builder().pool_idle_timeout(IDLE_TIMEOUT).build()
+pub fn worker_client() -> reqwest::Result<WorkerClient> {
+    Ok(WorkerClient {
+        pooled: builder().pool_idle_timeout(IDLE_TIMEOUT).build()?,
+        single_use: single_use_client()?,
+    })
 }
 
 /// Builds an HTTP client that opens a connection for each request. It is for answers that do not
@@ -196,16 +211,19 @@
 }
 
 /// Client for the HTTP API of one engine.
+///
+/// Tokens name their request; refusals and the answers to cancels and attaches do not. Where such
+/// an answer decides what becomes of a request, it comes on a connection of its own.
 #[derive(Debug, Clone)]
 pub struct EngineClient {
-    http: Client,
+    http: WorkerClient,
     base: String,
 }
 
 impl EngineClient {
     /// Creates a client that uses the connections of `http`. `base` is the URL
     /// prefix of the engine, such as `http://127.0.0.1:9000/engines/0`.
-    pub fn new(http: Client, base: String) -> Self {
+    pub fn new(http: WorkerClient, base: String) -> Self {
         Self { http, base }
     }
 
@@ -215,8 +233,11 @@
     /// [`SendError`], which says whether the engine may have received the
     /// request.
     pub async fn send(&self, call: EngineCall<'_>) -> Result<SendOutcome, SendError> {
-        let mut request = self
-            .http
+        let http = match call.at_most_once {
+            true => &self.http.single_use,
+            false => &self.http.pooled,
+        };
+        let mut request = http
             .post(format!("{}{}", self.base, call.path))
             .header("Content-Type", "application/json")
             .header("X-Request-Id", call.request_id)
@@ -248,7 +269,7 @@
             "{}/v1/requests/{request_id}/stream?offset={offset}",
             self.base
         );
-        let sent = tokio::time::timeout(ATTACH_TIMEOUT, self.http.get(url).send()).await;
+        let sent = tokio::time::timeout(ATTACH_TIMEOUT, self.http.single_use.get(url).send()).await;
         let response = match sent {
             Err(_) => return Err(AttachError::Unreachable("no answer in time".to_owned())),
             Ok(Err(error)) => return Err(AttachError::Unreachable(error_chain(&error))),
@@ -263,7 +284,8 @@
 
     /// Cancels a request at the engine.
     pub async fn cancel(&self, request_id: &str, timeout: Duration) -> CancelAnswer {
-        match self.post_state(request_id, "cancel", timeout).await {
+        let http = &self.http.single_use;
+        match self.post_state(http, request_id, "cancel", timeout).await {
             Some(state) if state == "not_started" => CancelAnswer::NotStarted,
             Some(state) if state == "cancelled" || state == "finished" => CancelAnswer::Ended,
             _ => CancelAnswer::Unknown,
@@ -281,16 +303,23 @@
     }
 
     async fn set_paused(&self, request_id: &str, verb: &str) -> PauseAnswer {
-        match self.post_state(request_id, verb, PAUSE_TIMEOUT).await {
+        let http = &self.http.pooled;
+        match self.post_state(http, request_id, verb, PAUSE_TIMEOUT).await {
             Some(state) if state == "unknown" => PauseAnswer::UnknownRequest,
             Some(_) => PauseAnswer::Done,
             None => PauseAnswer::Unreachable,
         }
     }
 
-    async fn post_state(&self, request_id: &str, verb: &str, timeout: Duration) -> Option<String> {
+    async fn post_state(
+        &self,
+        http: &Client,
+        request_id: &str,
+        verb: &str,
+        timeout: Duration,
+    ) -> Option<String> {
         let url = format!("{}/v1/requests/{request_id}/{verb}", self.base);
-        let response = self.http.post(url).timeout(timeout).send().await.ok()?;
+        let response = http.post(url).timeout(timeout).send().await.ok()?;
         let body = response.bytes().await.ok()?;
         let state: StateResponse = serde_json::from_slice(&body).ok()?;
         Some(state.state)
@@ -305,7 +334,7 @@
         }
         let body = serde_json::json!({ "request_id": request_id });
         let url = format!("{}/v1/kv/export", self.base);
-        let request = self.http.post(url).timeout(timeout).json(&body);
+        let request = self.http.pooled.post(url).timeout(timeout).json(&body);
         let response = request.send().await.ok()?.error_for_status().ok()?;
         let exported: Exported = response.json().await.ok()?;
         Some(exported.handle)
@@ -316,7 +345,7 @@
     pub async fn import_kv(&self, handle: &str, source: &str, timeout: Duration) -> bool {
         let body = serde_json::json!({ "handle": handle, "source": source });
         let url = format!("{}/v1/kv/import", self.base);
-        let request = self.http.post(url).timeout(timeout).json(&body);
+        let request = self.http.pooled.post(url).timeout(timeout).json(&body);
         let answer = request.send().await;
         answer.is_ok_and(|response| response.status() == StatusCode::OK)
     }
--- a/crates/pinerill-node/src/engine/mod.rs
+++ b/crates/pinerill-node/src/engine/mod.rs
@@ -11,7 +11,7 @@
 pub use assembly::{Assembly, Finish, FrameOutcome};
 pub use client::{
     error_chain, single_use_client, worker_client, AttachError, CancelAnswer, EngineCall,
-    EngineClient, PauseAnswer, Priority, Refusal, SendError, SendOutcome,
+    EngineClient, PauseAnswer, Priority, Refusal, SendError, SendOutcome, WorkerClient,
 };
 pub use frame::{parse_load_header, Frame, LoadHeader, Usage};
 pub use sse::SseParser;
--- a/crates/pinerill-node/src/membership/engine.rs
+++ b/crates/pinerill-node/src/membership/engine.rs
@@ -13,7 +13,7 @@
 use super::report::{EngineReport, Role};
 use super::serving::{EngineCapabilities, Served};
 use crate::configuration::ServicePlan;
-use crate::engine::{worker_client, EngineClient, LoadHeader};
+use crate::engine::{worker_client, EngineClient, LoadHeader, WorkerClient};
 use crate::metrics::Metrics;
 use crate::routing::{Candidate, LoadEstimate};
 
@@ -29,8 +29,8 @@
     /// Distance of the zone: 0 for the node's own zone, 1 for the nearest
     /// neighbour zone, and so on.
     pub zone_rank: u32,
-    /// HTTP client with the connection pool of this worker.
-    pub http: reqwest::Client,
+    /// HTTP clients of this worker.
+    pub http: WorkerClient,
     /// Health state, which decides whether the worker may get new work.
     pub health: Mutex<Health>,
     /// Whether this node schedules batch work on the worker.
--- a/crates/pinerill-node/src/membership/probe.rs
+++ b/crates/pinerill-node/src/membership/probe.rs
@@ -145,7 +145,7 @@
 
 async fn fetch_report(entry: &WorkerEntry) -> reqwest::Result<WorkerReport> {
     let url = format!("http://{}/worker", entry.worker.address);
-    let request = entry.worker.http.get(url).timeout(REPORT_TIMEOUT);
+    let request = entry.worker.http.pooled.get(url).timeout(REPORT_TIMEOUT);
     request.send().await?.error_for_status()?.json().await
 }
 
@@ -170,7 +170,7 @@
     let address = entry.worker.address;
     let url =
         format!("http://{address}/worker/cache_events?after={after}&wait_ms={EVENTS_WAIT_MS}");
-    let request = entry.worker.http.get(url).timeout(EVENTS_TIMEOUT);
+    let request = entry.worker.http.pooled.get(url).timeout(EVENTS_TIMEOUT);
     request.send().await?.error_for_status()?.json().await
 }
 
--- a/crates/pinerill-node/src/online/execution/attempt.rs
+++ b/crates/pinerill-node/src/online/execution/attempt.rs
@@ -103,6 +103,7 @@
             adapter: served.adapter.as_deref(),
             kv_handle: kv_handle.as_deref(),
             continue_from,
+            at_most_once: self.request.at_most_once,
             body: self.request.parsed.body(&served.model, true),
         };
         self.interruptible(engine.client.send(call)).await
--- a/crates/pinerill-node/src/online/prefill.rs
+++ b/crates/pinerill-node/src/online/prefill.rs
@@ -53,6 +53,7 @@
         adapter: served.adapter.as_deref(),
         kv_handle: None,
         continue_from: 0,
+        at_most_once: false,
         body: request.parsed.prefill_body(&served.model),
     };
     let sent = tokio::time::timeout(PREFILL_TIMEOUT, run_prefill(engine, call)).await;
