Believe an engine's refusal of a request as invalid only if it is its own

What callers would see: a sound request is answered 400 invalid_request, and a sound item of a batch fails for good, since no attempt follows such a refusal. Cause: a refusal names no request. On a pooled connection a late copy of the 400 to an invalid request is read as the answer to the next one. Evidence: late_answers::a_late_copy_of_an_invalid_requests_refusal_refuses_no_other_request, a worker on a raw socket that sends its 400 once more before the next answer. Before: the sound call behind the first invalid one was answered 400 invalid_request, outcome not_run; the test failed. Fix: a request that was refused as invalid on a pooled connection is sent once more on one of its own. A 400 there is its own; a duplicate shows that the engine has the request, to which the node then attaches. Invalid requests are rare and cost the engine a second refusal.

--- a/crates/pinerill-node/src/engine/client.rs
+++ b/crates/pinerill-node/src/engine/client.rs
@@ -82,6 +82,11 @@
         self.code == DUPLICATE_REQUEST
     }
 
+    /// Returns whether the engine will never accept the request.
+    fn is_invalid(&self) -> bool {
+        self.status == StatusCode::BAD_REQUEST.as_u16()
+    }
+
     /// Returns whether the engine has not loaded the model or adapter.
     pub fn lacks_model(&self) -> bool {
         matches!(self.code.as_str(), "model_not_loaded" | "loading")
@@ -233,16 +238,40 @@
     /// [`SendError`], which says whether the engine may have received the
     /// request.
     pub async fn send(&self, call: EngineCall<'_>) -> Result<SendOutcome, SendError> {
-        let http = match call.at_most_once {
-            true => &self.http.single_use,
-            false => &self.http.pooled,
-        };
+        if call.at_most_once {
+            return self.send_with(&self.http.single_use, &call).await;
+        }
+        match self.send_with(&self.http.pooled, &call).await? {
+            SendOutcome::Refused(refusal) if refusal.is_invalid() => {
+                self.confirm_invalid(&call).await
+            }
+            outcome => Ok(outcome),
+        }
+    }
+
+    /// Sends a request that was refused as invalid once more, on a connection of its own: no
+    /// attempt follows such a refusal, which may be that of an earlier request on the pooled
+    /// connection. A duplicate shows that it was, and that the engine has this one.
+    async fn confirm_invalid(&self, call: &EngineCall<'_>) -> Result<SendOutcome, SendError> {
+        match self.send_with(&self.http.single_use, call).await? {
+            SendOutcome::Refused(refusal) if refusal.is_duplicate() => {
+                Err(SendError::PossiblyReceived(refusal.message))
+            }
+            outcome => Ok(outcome),
+        }
+    }
+
+    async fn send_with(
+        &self,
+        http: &Client,
+        call: &EngineCall<'_>,
+    ) -> Result<SendOutcome, SendError> {
         let mut request = http
             .post(format!("{}{}", self.base, call.path))
             .header("Content-Type", "application/json")
             .header("X-Request-Id", call.request_id)
             .header("X-Priority", call.priority.header_value())
-            .body(call.body);
+            .body(call.body.clone());
         if let Some(adapter) = call.adapter {
             request = request.header("X-Adapter", adapter);
         }
--- a/crates/pinerill-node/tests/late_answers.rs
+++ b/crates/pinerill-node/tests/late_answers.rs
@@ -111,24 +111,29 @@
     }
 }
 
-#[tokio::test]
-async fn a_late_copy_of_a_refusal_runs_no_at_most_once_request_twice() {
-    let (runs, refused) = (Runs::default(), Mutex::new(false));
-    let counted = runs.clone();
-    let handler = move |request: &RawRequest| engine_answer(&counted, &refused, request);
-    let worker = repeating::start(handler).await;
+async fn node_with_worker(address: SocketAddr, engines: u16) -> TestNode {
     let control = Arc::new(FakeControl::new(bundle()));
     control.list_workers(vec![WorkerRecord {
         name: "worker-1".into(),
-        address: worker,
+        address,
         zone: "zone-1".into(),
-        engines: 2,
+        engines,
         state: WorkerState::Live,
         leaving_incarnation: 0,
     }]);
     let node = TestNode::start(control).await;
     node.until_metric("workers{state=\"reporting\"}", |value| value >= 1.0)
         .await;
+    node
+}
+
+#[tokio::test]
+async fn a_late_copy_of_a_refusal_runs_no_at_most_once_request_twice() {
+    let (runs, refused) = (Runs::default(), Mutex::new(false));
+    let counted = runs.clone();
+    let handler = move |request: &RawRequest| engine_answer(&counted, &refused, request);
+    let worker = repeating::start(handler).await;
+    let node = node_with_worker(worker, 2).await;
     let request = online(&node, "once").header("Pinerill-At-Most-Once", "true");
     let (status, body) = answer(request).await;
     let runs: Vec<u32> = runs.lock().values().copied().collect();
@@ -182,3 +187,58 @@
     assert_eq!(lost, Err(AttachError::UnknownRequest));
     assert_eq!(client.attach("runs", 0).await.map(drop), Ok(()));
 }
+
+/// Prompt that the engine refuses as invalid.
+const INVALID: &str = "invalid";
+
+fn refusing_answer(prompts: &Mutex<BTreeMap<String, String>>, request: &RawRequest) -> RawAnswer {
+    let plain = |status, body| RawAnswer {
+        status,
+        body,
+        repeated: false,
+        preceded: false,
+    };
+    if request.path == "/worker" {
+        return plain(200, report());
+    }
+    let mut prompts = prompts.lock();
+    if !request.path.ends_with("/completions") {
+        let known = prompts.iter().find(|(id, _)| request.path.contains(*id));
+        return match known {
+            Some((id, prompt)) => plain(200, stream(id, prompt)),
+            None => plain(404, refusal("unknown_request")),
+        };
+    }
+    let body: Value = serde_json::from_slice(&request.body).expect("JSON");
+    let prompt = body["prompt"].as_str().unwrap_or_default();
+    if prompt == INVALID {
+        return RawAnswer {
+            repeated: true,
+            ..plain(400, refusal("bad_request"))
+        };
+    }
+    if prompts.contains_key(&request.id) {
+        return plain(409, refusal("duplicate_request"));
+    }
+    prompts.insert(request.id.clone(), prompt.to_owned());
+    RawAnswer {
+        preceded: true,
+        ..plain(200, stream(&request.id, prompt))
+    }
+}
+
+#[tokio::test]
+async fn a_late_copy_of_an_invalid_requests_refusal_refuses_no_other_request() {
+    let prompts = Mutex::default();
+    let worker = repeating::start(move |request| refusing_answer(&prompts, request)).await;
+    let node = node_with_worker(worker, 1).await;
+    for number in 0..CALLS {
+        let (status, _) = answer(online(&node, INVALID)).await;
+        assert_eq!(status, 400);
+        let prompt = format!("sound {number}");
+        let (status, body) = answer(online(&node, &prompt)).await;
+        let whole = text(&prompt, TOKENS);
+        let found = body["choices"][0]["text"].as_str();
+        assert_eq!((status, found), (200, Some(&*whole)), "{body}");
+    }
+}
