Take no engine's state for that of another engine of its worker

What callers would see: an engine stays without a model that the bundle places there, for thirty rounds at a time, so that its service has fewer engines than it should. Cause: the engines of a worker share connections. A late copy of one engine's state, read as the answer to the question to another one, made that one look complete; the round counted as settled, and settled rounds are passed over for half a minute. Fix: a state names its engine. An answer that names another one is logged and the question asked again, three times at most. A late copy of the same engine's earlier state is still taken; the next round that isn't passed over mends it.

--- a/crates/pinerill-control/src/placement/runner.rs
+++ b/crates/pinerill-control/src/placement/runner.rs
@@ -8,6 +8,7 @@
 use futures::stream::{self, StreamExt};
 use pinerill_types::{EngineId, Fence};
 use pinerill_wire::message::{WorkerRecord, WorkerState};
+use serde::Deserialize;
 use tokio_util::sync::CancellationToken;
 
 use super::assignment::{Models, ObservedEngines};
@@ -25,6 +26,8 @@
 const ENGINE_TIME: Duration = Duration::from_secs(2);
 /// Version of the founding bundle, which names operators only.
 const FOUNDING_VERSION: u64 = 0;
+/// Most questions to one engine in a round.
+const MOST_QUESTIONS: u32 = 3;
 /// Questions in flight.
 const CONCURRENT_QUESTIONS: usize = 64;
 
@@ -107,6 +110,15 @@
     workers_revision: u64,
 }
 
+/// A state and the engine that it names. All engines of a worker share its connections, on which
+/// an answer may come once more, late.
+#[derive(Debug, Deserialize)]
+struct AnsweredState {
+    engine: Option<u16>,
+    #[serde(flatten)]
+    state: EngineState,
+}
+
 /// What one round found.
 struct Planned {
     orders: Vec<PlannedOrder>,
@@ -257,17 +269,35 @@
     }
 }
 
+/// Asks an engine for its state, and again while another engine's answer comes.
 async fn ask(
     client: reqwest::Client,
     worker: WorkerRecord,
     engine: u16,
 ) -> Option<(EngineId, EngineState)> {
+    for _ in 0..MOST_QUESTIONS {
+        let answer = ask_once(&client, &worker, engine).await?;
+        if answer.engine.is_none_or(|named| named == engine) {
+            let id = EngineId {
+                worker: worker.name,
+                engine,
+            };
+            return Some((id, answer.state));
+        }
+        log::warn!(
+            step = "ask engine", peer:% = worker.address, engine, named:? = answer.engine;
+            "answer of another engine"
+        );
+    }
+    None
+}
+
+async fn ask_once(
+    client: &reqwest::Client,
+    worker: &WorkerRecord,
+    engine: u16,
+) -> Option<AnsweredState> {
     let url = format!("http://{}/engines/{engine}/v1/state", worker.address);
     let response = client.get(url).timeout(ENGINE_TIME).send().await;
-    let state = response.ok()?.json::<EngineState>().await.ok()?;
-    let id = EngineId {
-        worker: worker.name,
-        engine,
-    };
-    Some((id, state))
+    response.ok()?.json().await.ok()
 }
