--- a/crates/pinerill-node/tests/late_answers.rs
+++ b/crates/pinerill-node/tests/late_answers.rs
@@ -223,6 +223,7 @@
     prompts.insert(request.id.clone(), prompt.to_owned());
     RawAnswer {
         preceded: true,
+        repeated: true,
         ..plain(200, stream(&request.id, prompt))
     }
 }
@@ -242,3 +243,21 @@
         assert_eq!((status, found), (200, Some(&*whole)), "{body}");
     }
 }
+
+#[tokio::test]
+async fn a_late_copy_of_a_stream_reaches_no_other_caller() {
+    let prompts = Mutex::default();
+    let worker = repeating::start(move |request| refusing_answer(&prompts, request)).await;
+    let node = node_with_worker(worker, 1).await;
+    for number in 0..CALLS {
+        let prompt = format!("prompt {number}");
+        let (status, body) = answer(online(&node, &prompt)).await;
+        let whole = text(&prompt, TOKENS);
+        let found = body["choices"][0]["text"].as_str();
+        assert_eq!((status, found), (200, Some(&*whole)), "{body}");
+    }
+    assert!(
+        node.metric("resumes_total").await >= 1.0,
+        "no copy was read"
+    );
+}
