--- a/crates/pinerill-cluster/src/server/run.rs
+++ b/crates/pinerill-cluster/src/server/run.rs
@@ -30,6 +30,7 @@
 use super::control::Control;
 use super::operators;
 use super::service::ControlService;
+use crate::command_order::CommandOrder;
 use crate::machine::ClusterMachine;
 use crate::turns::RequestLimiter;
 
@@ -209,6 +210,7 @@
         host,
         group,
         leadership: Mutex::new(None),
+        command_order: CommandOrder::default(),
         leader_hint: Mutex::default(),
         learned_addresses: Mutex::new(others.iter().copied().collect()),
         seeds: Mutex::new(others),
@@ -351,6 +353,7 @@
         let mut last = None;
         let mut applied = 0;
         let mut notified = NotifiedState::default();
+        let mut given_up = 0;
         while status.changed().await.is_ok() {
             let now = status.borrow_and_update().clone();
             let role = (now.term, now.leader, now.role);
@@ -363,6 +366,7 @@
             }
             if applied != now.applied {
                 applied = now.applied;
+                given_up = self.log_given_up(given_up);
                 self.notify_state_change();
                 notified = self.notify_applied(&notified);
             }
