--- a/crates/pinerill-calls/src/protocol/worker.rs
+++ b/crates/pinerill-calls/src/protocol/worker.rs
@@ -55,6 +55,9 @@
 pub struct WorkerAnswer {
     /// Identifier of the request to which the worker responds; `None` if the response has none.
     pub id: Option<String>,
+    /// Whether the worker has marked the response as that to a request. Responses to health checks
+    /// are not marked.
+    pub is_stamped: bool,
     /// Outcome of the request.
     pub verdict: Verdict,
     /// Load of the worker when it responded; `None` if the response does not report it.
@@ -85,9 +88,10 @@
     NotRun(NotRunReason),
     /// No worker can ever process the request.
     Impossible,
-    /// The request may have run, and failed.
+    /// The worker ran the request, and the run failed.
     Failed,
-    /// Any other response of the worker, which is passed on to the caller.
+    /// Any other response: neither a result nor a failed run. The request may have run. For a
+    /// call, the response is passed on to the caller.
     Other,
 }
 
