A replica's status is published before its messages leave

Callers saw: nothing by itself yet; a member that hears a new leader and asks it at once can be told that it does not lead. Found while tracing the hand-over of a planned stop. Cause: the group's task sent the messages and answers of a round and published its status behind them. A thread that gets no turn in between leaves the old status for as long. Change: the status is published first; once more behind a round that halts the group. Why it works: whatever reaches another task leaves this one after its status. The machine is applied within the round already, so that the status claims nothing that is not so.

--- a/crates/pinerill-control/src/host/task.rs
+++ b/crates/pinerill-control/src/host/task.rs
@@ -105,10 +105,15 @@
         if self.halted {
             return;
         }
-        for effect in self.driver.finish_round(self.now_ms()) {
+        let effects = self.driver.finish_round(self.now_ms());
+        // Who is reached by a message or an answer may ask this process at once.
+        self.publish_status();
+        for effect in effects {
             self.carry_out(effect);
         }
-        self.publish_status();
+        if self.halted {
+            self.publish_status();
+        }
     }
 
     fn handle(&mut self, event: Event) {
--- a/crates/pinerill-control/tests/host_cluster.rs
+++ b/crates/pinerill-control/tests/host_cluster.rs
@@ -3,15 +3,15 @@
 mod host_support;
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use host_support::{
-    confirmed_read, eventually, settings, test_clock, Cluster, CountingMachine, GROUP,
+    confirmed_read, eventually, settings, test_clock, Cluster, CountingMachine, Fate, GROUP,
 };
 use pinerill_control::host::{ChangeError, GroupHost, ProposeError};
-use pinerill_replica::{ChangeRefused, GroupId, MembershipChange, ReplicaId};
+use pinerill_replica::{ChangeRefused, GroupId, MembershipChange, Message, ReplicaId};
 use pinerill_storage::{GroupStore, MemoryStore, Store};
 
 fn id(number: u64) -> ReplicaId {
@@ -209,6 +209,41 @@
     assert!(followed.any(|leader| leader != old), "a successor is known");
 }
 
+/// Three voters whose election timeouts are far longer than a test may take to see a hand-over.
+fn three_with_long_elections() -> Cluster {
+    let mut cluster = Cluster::new();
+    cluster.settings.election_min = Duration::from_secs(3);
+    cluster.settings.election_max = Duration::from_secs(5);
+    let voters = [id(1), id(2), id(3)];
+    for voter in voters {
+        cluster.start(Arc::new(MemoryStore::synced(voter)), &voters);
+    }
+    cluster
+}
+
+/// Whoever hears the new leader may ask it at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_shows_that_it_leads_before_others_hear_it() {
+    let cluster = three_with_long_elections();
+    let groups: BTreeMap<_, _> = cluster
+        .members
+        .iter()
+        .map(|(id, member)| (*id, member.group.clone()))
+        .collect();
+    let unshown = Arc::new(AtomicUsize::new(0));
+    let count = unshown.clone();
+    cluster.network.set_rule(move |envelope| {
+        if let Message::AppendRequest(request) = &envelope.message {
+            let shown = groups[&envelope.from].status();
+            let leads = shown.term == request.term && shown.leader == Some(envelope.from);
+            count.fetch_add(usize::from(!leads), Ordering::SeqCst);
+        }
+        Fate::Deliver
+    });
+    cluster.propose_many(0, 5).await;
+    assert_eq!(unshown.load(Ordering::SeqCst), 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_full_queue_refuses() {
     let mut cluster = Cluster::new();
--- a/crates/pinerill-control/tests/host_support/mod.rs
+++ b/crates/pinerill-control/tests/host_support/mod.rs
@@ -56,11 +56,22 @@
     }
 }
 
-/// Delivers at once to the hosts of the same process.
+/// What becomes of a message.
+pub enum Fate {
+    Deliver,
+    Lose,
+    DeliverAfter(Duration),
+}
+
+/// Decides what becomes of each message that is not cut.
+pub type Rule = Box<dyn Fn(&Envelope) -> Fate + Send + Sync>;
+
+/// Delivers to the hosts of the same process, at once unless a rule says otherwise.
 #[derive(Default)]
 pub struct Network {
     hosts: RwLock<HashMap<ReplicaId, GroupHost>>,
     cut: RwLock<HashSet<ReplicaId>>,
+    rule: RwLock<Option<Rule>>,
     /// Answers to parts of snapshots are lost.
     pub snapshot_answers_lost: AtomicBool,
     /// Parts of snapshots that were sent and not cut.
@@ -80,9 +91,19 @@
         if is_answer && self.snapshot_answers_lost.load(Ordering::SeqCst) {
             return;
         }
-        let host = self.hosts.read().get(&to).cloned();
-        if let Some(host) = host {
-            host.on_message(envelope);
+        let Some(host) = self.hosts.read().get(&to).cloned() else {
+            return;
+        };
+        let rule = self.rule.read();
+        match rule.as_ref().map_or(Fate::Deliver, |rule| rule(&envelope)) {
+            Fate::Deliver => host.on_message(envelope),
+            Fate::Lose => {}
+            Fate::DeliverAfter(delay) => {
+                tokio::spawn(async move {
+                    tokio::time::sleep(delay).await;
+                    host.on_message(envelope);
+                });
+            }
         }
     }
 }
@@ -96,6 +117,11 @@
         self.cut.write().remove(&replica);
     }
 
+    /// Puts a rule in place of the last one.
+    pub fn set_rule(&self, rule: impl Fn(&Envelope) -> Fate + Send + Sync + 'static) {
+        *self.rule.write() = Some(Box::new(rule));
+    }
+
     pub fn remove(&self, replica: ReplicaId) {
         self.hosts.write().remove(&replica);
     }
