A proposal that is sent while its group halts is answered

Callers saw: a proposal that met a halt waited for ever; so did a planned stop's callers. Cause: a halted group's task closed its queue and refused what try_recv showed. A send that was admitted before the close but not yet put in doesn't show; it stayed in the queue unanswered for as long as the caller, who waits for the answer, holds the group's handle. Change: the task receives until the end of the closed queue, which comes only behind all admitted sends.

--- a/crates/pinerill-control/src/host/task.rs
+++ b/crates/pinerill-control/src/host/task.rs
@@ -76,7 +76,7 @@
             }
             self.finish_round();
         }
-        refuse_queued(inbox);
+        refuse_queued(inbox).await;
     }
 
     fn refuse(&mut self, event: Event) {
@@ -228,10 +228,12 @@
     }
 }
 
-/// Requests that never reached the replica did nothing, and are told so.
-fn refuse_queued(mut inbox: mpsc::UnboundedReceiver<Event>) {
+/// Requests that never reached the replica did nothing, and are told so. The end of the queue is
+/// waited for: one that a caller is just putting in doesn't show yet, and would be kept in the
+/// queue unanswered for as long as that caller holds the group's handle.
+async fn refuse_queued(mut inbox: mpsc::UnboundedReceiver<Event>) {
     inbox.close();
-    while let Ok(event) = inbox.try_recv() {
+    while let Some(event) = inbox.recv().await {
         refuse_event(event);
     }
 }
