--- a/crates/pinerill-forward/tests/support/mod.rs
+++ b/crates/pinerill-forward/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod protocol;
+pub mod raw_worker;
 
 use std::net::{Ipv4Addr, SocketAddr};
 
