A reset response without a length is not whole after a failed write

What callers would see: a 200 whose body is cut off, or a stream that ends early as if complete, where a worker responds before it has read the request, without a length, and then resets the connection. Cause: WorkerConnection writes before it reads. The failed write takes the socket's error, so the read behind it gives the regular end of a connection, which ends a body without a length. Change: after a failed write, the end of the connection ends no body. Evidence: the test got Ok("part") without the change and passes with it; it also passes with hyper's client, which reads first.

--- a/crates/pinerill-forward/src/exchange/connection.rs
+++ b/crates/pinerill-forward/src/exchange/connection.rs
@@ -184,6 +184,10 @@
             let part = match part.map_err(|error| self.malformed(&error))? {
                 Some(part) => part,
                 None if self.receive().await? == Received::Bytes => continue,
+                // A failed write takes the socket's error, so that a reset reads as a regular end.
+                None if self.write_failed => {
+                    return Err(self.malformed(&MalformedResponse::Truncated));
+                }
                 None => {
                     let end = self.decoder.end_of_input();
                     end.map_err(|error| self.malformed(&error))?
