A worker that never pauses does not hold up timeouts and other tasks

What callers would see: an exchange that outlasts its deadline, and other calls on the same thread that wait meanwhile, where a worker sends interim responses or repetitions faster than they are read. Cause: reads by try_read take nothing from tokio's budget for a task, so that a loop whose reads never have to wait never yields; hyper's client polled the stream, which does. Change: each read takes from the budget. Nothing is read yet at that point, so a dropped future loses nothing. Evidence: with a limit of 300 ms the two tests took over 2 s without the change, until the worker stopped, and pass with it; both pass with hyper's client.

--- a/crates/pinerill-forward/src/exchange/connection.rs
+++ b/crates/pinerill-forward/src/exchange/connection.rs
@@ -17,6 +17,7 @@
 use socket2::SockRef;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
+use tokio::task::coop::consume_budget;
 use tokio::time::timeout;
 
 use super::break_reason::BreakReason;
@@ -233,6 +234,8 @@
     /// Waits for bytes of the worker, and writes the rest of the request meanwhile.
     async fn receive(&mut self) -> Result<Received, BreakReason> {
         loop {
+            // Reads that never have to wait would otherwise keep timeouts and other tasks waiting.
+            consume_budget().await;
             self.write_unsent()?;
             match self.read_available() {
                 Ok(0) => {
