A planned stop returns once its successor is heard

Callers saw: right behind a planned stop no member may know a leader; they are told of none until the election ends, for an election timeout if the candidate missed the vote of the member that stopped. Cause: the hand-over ended as soon as the old leader followed the candidate's term, so before anybody was elected, and the group halted. The vote of the old leader, which waits for its write, could be lost. A group whose leader had just stepped down for another reason wasn't waited for at all. Change: the stop waits in each group in which it votes until it has heard another leader, for three of the longest election timeouts at most. It votes until then. No message changes. Why it works: a leader sends its first append after its own status says that it leads.

--- a/crates/pinerill-control/src/host/group_host.rs
+++ b/crates/pinerill-control/src/host/group_host.rs
@@ -18,6 +18,10 @@
     GroupHandle, GroupStatus, HostCounters, HostError, HostSettings, StateMachine, Transport,
 };
 
+/// Longest election timeouts that a planned stop waits for successors: one for voters that are
+/// told to campaign and don't, one for a split vote, one for the election that follows it.
+const HAND_OVER_ELECTIONS: u32 = 3;
+
 struct RunningGroup {
     events: mpsc::UnboundedSender<Event>,
     status: watch::Receiver<GroupStatus>,
@@ -147,25 +151,31 @@
         }
     }
 
-    /// Hands every leadership over to another voter, as far as one takes it
-    /// within an election's time.
+    /// Hands every leadership over to another voter. Returns once
+    /// this replica has heard from each group's new leader, or when no voter took over within
+    /// the time of some elections. Until then it votes: a successor may need its vote.
     pub async fn hand_over(&self) {
         let own = self.replica_id();
-        let mut led = Vec::new();
+        let mut statuses = Vec::new();
         for group in self.inner.groups.read().values() {
             let status = group.status.clone();
             let leads = status.borrow().leader == Some(own);
             if leads {
                 let _ = group.events.send(Event::TransferLeadership { to: None });
-                led.push(status);
             }
+            statuses.push(status);
         }
-        let limit: Duration = self.inner.shared.settings.election_max;
-        let all_handed_over = async {
-            for status in &mut led {
-                let _ = status.wait_for(|status| status.leader != Some(own)).await;
+        let limit: Duration = self.inner.shared.settings.election_max * HAND_OVER_ELECTIONS;
+        let all_led_elsewhere = async {
+            for status in &mut statuses {
+                let _ = status.wait_for(GroupStatus::has_nothing_to_hand_over).await;
             }
         };
-        let _ = tokio::time::timeout(limit, all_handed_over).await;
+        if tokio::time::timeout(limit, all_led_elsewhere)
+            .await
+            .is_err()
+        {
+            log::warn!("stop: no other replica leads every group after {limit:?}");
+        }
     }
 }
--- a/crates/pinerill-control/src/host/status.rs
+++ b/crates/pinerill-control/src/host/status.rs
@@ -60,6 +60,17 @@
             || self.halted != other.halted
     }
 
+    /// Whether nothing is left that this replica could hand over: another one leads, or this
+    /// one has no vote or is halted.
+    pub fn has_nothing_to_hand_over(&self) -> bool {
+        let votes = self.members.is_voter(self.replica);
+        let is_led_elsewhere = match self.leader {
+            Some(leader) => leader != self.replica,
+            None => !votes,
+        };
+        is_led_elsewhere || self.halted
+    }
+
     /// Whether this replica leads and knows everything committed before.
     pub fn leads(&self) -> bool {
         self.role == Role::Leader && self.settled && !self.halted
--- a/crates/pinerill-control/tests/host_cluster.rs
+++ b/crates/pinerill-control/tests/host_cluster.rs
@@ -221,6 +221,26 @@
     cluster
 }
 
+/// The leaders that the other members know, without the member itself.
+fn successors(cluster: &Cluster, stopped: ReplicaId) -> Vec<ReplicaId> {
+    let others = cluster.members.iter().filter(|(id, _)| **id != stopped);
+    let known = others.filter_map(|(_, member)| member.group.status().leader);
+    known.filter(|leader| *leader != stopped).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_does_not_return_before_the_candidate_has_its_votes() {
+    let cluster = three_with_long_elections();
+    cluster.propose("before").await;
+    let old = cluster.leader().await;
+    cluster.network.set_rule(|envelope| match envelope.message {
+        Message::VoteResponse(_) => Fate::DeliverAfter(Duration::from_millis(200)),
+        _ => Fate::Deliver,
+    });
+    cluster.members[&old].host.stop().await;
+    assert!(!successors(&cluster, old).is_empty());
+}
+
 /// Whoever hears the new leader may ask it at once.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leader_shows_that_it_leads_before_others_hear_it() {
