A planned stop tries other successors and takes nothing that it would cut

Callers saw: when the first successor didn't campaign, the stop ended without a leader; meanwhile the leader took proposals again and the halt cut them: Unknown, in a planned stop. A group of one voter waited a whole election timeout for nobody. Cause: the transfer is one order to one voter. If it is lost the leader gives the transfer up after the longest election timeout and goes on as one that stays. Change: replicas are told that they drain (Input::Drain). One that drains takes no proposals and no changes of members, ignores an order to campaign, and as leader offers leadership to a voter, after the shortest election timeout to another one, until one leads. An order names the leader's term, so a second one changes nothing at a voter that campaigns. The only voter ends once its log is committed. The simulation's planned restart drains too. A transfer that an operator asks for is as before, and so are messages and formats: a member of an older build sees an order to campaign as ever.

--- a/crates/pinerill-control/src/host/driver/mod.rs
+++ b/crates/pinerill-control/src/host/driver/mod.rs
@@ -65,6 +65,8 @@
         /// The next leader; `None` picks the voter with the longest log.
         to: Option<ReplicaId>,
     },
+    /// The process is about to stop.
+    Drain,
     /// A write of an [`Effect::Write`] is durable. Writes are reported in
     /// the order of their effects.
     Stored(StoredWrite),
@@ -237,6 +239,7 @@
                 self.step(Input::ChangeMembership { token, change });
             }
             DriverInput::TransferLeadership { to } => self.step(Input::TransferLeadership { to }),
+            DriverInput::Drain => self.step(Input::Drain),
             DriverInput::Stored(write) => self.stored(write),
         }
     }
--- a/crates/pinerill-control/src/host/error.rs
+++ b/crates/pinerill-control/src/host/error.rs
@@ -16,8 +16,8 @@
     /// The command may or may not be applied.
     #[error("propose: the outcome is unknown")]
     Unknown,
-    /// Nothing was appended: too much is in flight, or leadership is being
-    /// handed over.
+    /// Nothing was appended: too much is in flight, leadership is being
+    /// handed over, or the process is about to stop.
     #[error("propose: busy")]
     Busy,
     /// Nothing was appended: the group does not run any more.
--- a/crates/pinerill-control/src/host/event.rs
+++ b/crates/pinerill-control/src/host/event.rs
@@ -32,6 +32,7 @@
     TransferLeadership {
         to: Option<ReplicaId>,
     },
+    Drain,
     Stored(Result<StoredWrite, StorageError>),
     Stop,
 }
--- a/crates/pinerill-control/src/host/group_host.rs
+++ b/crates/pinerill-control/src/host/group_host.rs
@@ -151,19 +151,14 @@
         }
     }
 
-    /// Hands every leadership over to another voter. Returns once
+    /// Takes no more proposals and hands every leadership over to another voter. Returns once
     /// this replica has heard from each group's new leader, or when no voter took over within
     /// the time of some elections. Until then it votes: a successor may need its vote.
     pub async fn hand_over(&self) {
-        let own = self.replica_id();
         let mut statuses = Vec::new();
         for group in self.inner.groups.read().values() {
-            let status = group.status.clone();
-            let leads = status.borrow().leader == Some(own);
-            if leads {
-                let _ = group.events.send(Event::TransferLeadership { to: None });
-            }
-            statuses.push(status);
+            let _ = group.events.send(Event::Drain);
+            statuses.push(group.status.clone());
         }
         let limit: Duration = self.inner.shared.settings.election_max * HAND_OVER_ELECTIONS;
         let all_led_elsewhere = async {
--- a/crates/pinerill-control/src/host/status.rs
+++ b/crates/pinerill-control/src/host/status.rs
@@ -27,6 +27,10 @@
     pub members_committed: bool,
     /// Followers, if it leads.
     pub peers: Vec<PeerStatus>,
+    /// Whether its log holds entries that are not committed as far as it knows.
+    pub has_uncommitted: bool,
+    /// Whether the process is about to stop; no proposals are taken.
+    pub draining: bool,
     /// Its state can't be read by this build; it takes no part any more.
     pub halted: bool,
 }
@@ -45,11 +49,14 @@
             members_committed: status.membership_index <= status.commit,
             members: status.membership,
             peers: status.peers,
+            has_uncommitted: status.last_index > status.commit,
+            draining: status.draining,
             halted: false,
         }
     }
 
-    /// Whether anything but the followers' progress differs.
+    /// Whether anything but the followers' progress differs. Entries that are not committed any
+    /// more show by the commit index.
     pub(super) fn differs_from(&self, other: &GroupStatus) -> bool {
         let position = |status: &GroupStatus| (status.term, status.commit, status.applied);
         let leadership = |status: &GroupStatus| (status.role, status.leader, status.settled);
@@ -57,18 +64,21 @@
             || leadership(self) != leadership(other)
             || self.members_committed != other.members_committed
             || self.members != other.members
+            || self.draining != other.draining
             || self.halted != other.halted
     }
 
     /// Whether nothing is left that this replica could hand over: another one leads, or this
-    /// one has no vote or is halted.
+    /// one has no vote, is halted, or is the only voter and has finished what it took.
     pub fn has_nothing_to_hand_over(&self) -> bool {
         let votes = self.members.is_voter(self.replica);
+        let is_only_voter = votes && self.members.voters.len() == 1;
+        let is_finished = is_only_voter && self.draining && !self.has_uncommitted;
         let is_led_elsewhere = match self.leader {
             Some(leader) => leader != self.replica,
             None => !votes,
         };
-        is_led_elsewhere || self.halted
+        is_led_elsewhere || is_finished || self.halted
     }
 
     /// Whether this replica leads and knows everything committed before.
--- a/crates/pinerill-control/src/host/task.rs
+++ b/crates/pinerill-control/src/host/task.rs
@@ -139,6 +139,7 @@
                 request: Reply::Change(reply),
             },
             Event::TransferLeadership { to } => DriverInput::TransferLeadership { to },
+            Event::Drain => DriverInput::Drain,
             Event::Stored(Ok(write)) => {
                 if matches!(write, StoredWrite::Snapshot(_)) {
                     count(&self.shared.counters.snapshots_saved, 1);
--- a/crates/pinerill-control/tests/host_cluster.rs
+++ b/crates/pinerill-control/tests/host_cluster.rs
@@ -3,14 +3,14 @@
 mod host_support;
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use host_support::{
     confirmed_read, eventually, settings, test_clock, Cluster, CountingMachine, Fate, GROUP,
 };
-use pinerill_control::host::{ChangeError, GroupHost, ProposeError};
+use pinerill_control::host::{ChangeError, GroupHandle, GroupHost, ProposeError};
 use pinerill_replica::{ChangeRefused, GroupId, MembershipChange, Message, ReplicaId};
 use pinerill_storage::{GroupStore, MemoryStore, Store};
 
@@ -241,6 +241,85 @@
     assert!(!successors(&cluster, old).is_empty());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_hands_over_though_the_first_order_to_campaign_is_lost() {
+    let mut cluster = Cluster::new();
+    // A lost order costs the shortest election timeout, votes and load have the rest.
+    cluster.settings.election_min = Duration::from_millis(300);
+    cluster.settings.election_max = Duration::from_secs(3);
+    let voters = [id(1), id(2), id(3)];
+    for voter in voters {
+        cluster.start(Arc::new(MemoryStore::synced(voter)), &voters);
+    }
+    cluster.propose("before").await;
+    let old = cluster.leader().await;
+    let lost = AtomicBool::new(false);
+    cluster.network.set_rule(move |envelope| {
+        let is_order = matches!(envelope.message, Message::TimeoutNow(_));
+        match is_order && !lost.swap(true, Ordering::SeqCst) {
+            true => Fate::Lose,
+            false => Fate::Deliver,
+        }
+    });
+    cluster.members[&old].host.stop().await;
+    assert!(!successors(&cluster, old).is_empty());
+}
+
+/// A server lets answers in flight end between the hand-over and the halt.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_that_nobody_follows_takes_no_proposal_that_its_halt_would_cut() {
+    let (cluster, _stores) = three();
+    cluster.propose("before").await;
+    let old = cluster.leader().await;
+    cluster.network.set_rule(|envelope| match envelope.message {
+        Message::TimeoutNow(_) => Fate::Lose,
+        _ => Fate::Deliver,
+    });
+    let member = &cluster.members[&old];
+    member.host.hand_over().await;
+    for _ in 0..40 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        let proposed = member.group.propose(b"late".to_vec()).await;
+        let refused = matches!(
+            proposed,
+            Err(ProposeError::Busy | ProposeError::NotLeader { .. })
+        );
+        assert!(refused, "{proposed:?}");
+    }
+    member.host.halt().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_of_the_only_voter_finishes_what_it_took() {
+    let mut cluster = Cluster::new();
+    cluster.settings.election_min = Duration::from_secs(3);
+    cluster.settings.election_max = Duration::from_secs(5);
+    cluster.start(Arc::new(MemoryStore::synced(id(1))), &[id(1)]);
+    cluster.propose("before").await;
+    let group = cluster.members[&id(1)].group.clone();
+    let callers: Vec<_> = (0..20)
+        .map(|_| tokio::spawn(propose_until_refused(group.clone())))
+        .collect();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let began = Instant::now();
+    cluster.members[&id(1)].host.stop().await;
+    let took = began.elapsed();
+    for caller in callers {
+        assert_ne!(caller.await.expect("ran"), ProposeError::Unknown);
+    }
+    assert!(took < cluster.settings.election_max, "{took:?}");
+}
+
+/// Proposes one command after the other; what ends that.
+async fn propose_until_refused(group: GroupHandle<CountingMachine>) -> ProposeError {
+    loop {
+        match group.propose(b"x".to_vec()).await {
+            Ok(_) | Err(ProposeError::Busy) => tokio::task::yield_now().await,
+            Err(error) => return error,
+        }
+    }
+}
+
 /// Whoever hears the new leader may ask it at once.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leader_shows_that_it_leads_before_others_hear_it() {
--- a/crates/pinerill-replica/src/election.rs
+++ b/crates/pinerill-replica/src/election.rs
@@ -242,6 +242,7 @@
     pub(crate) fn on_timeout_now(&mut self, request: TimeoutNow) {
         let applies = request.term == self.term()
             && self.role != Role::Leader
+            && !self.draining
             && self.membership().is_voter(self.id());
         if applies {
             self.start_election(true);
--- a/crates/pinerill-replica/src/input.rs
+++ b/crates/pinerill-replica/src/input.rs
@@ -57,4 +57,7 @@
         /// The next leader; `None` picks the voter with the longest log.
         to: Option<ReplicaId>,
     },
+    /// The replica is about to stop. From now on it takes no proposals, and as leader it hands
+    /// leadership over: to one voter after the other, until one campaigns.
+    Drain,
 }
--- a/crates/pinerill-replica/src/leader.rs
+++ b/crates/pinerill-replica/src/leader.rs
@@ -72,7 +72,10 @@
             self.become_follower(self.term(), None);
             return;
         }
-        self.expire_transfer();
+        let expired = self.expire_transfer();
+        if self.draining {
+            self.offer_leadership(expired);
+        }
         let Some(leading) = &mut self.leading else {
             return;
         };
@@ -117,7 +120,7 @@
             return;
         };
         let full = leading.uncommitted_bytes >= self.config.max_uncommitted_bytes;
-        if full || leading.transfer.is_some() {
+        if full || self.draining || leading.transfer.is_some() {
             self.drop_request(token, DropReason::Busy);
             return;
         }
@@ -201,10 +204,32 @@
     }
 
     pub(crate) fn transfer_leadership(&mut self, to: Option<ReplicaId>) {
-        let deadline_ms = self.now_ms + self.config.election_max_ms;
-        let Some(to) = to.or_else(|| self.best_successor()) else {
+        if let Some(to) = to.or_else(|| self.best_successor(None)) {
+            self.start_transfer(to, self.config.election_max_ms);
+        }
+    }
+
+    /// Takes no more proposals and leads no longer than until another voter does.
+    pub(crate) fn drain(&mut self) {
+        self.draining = true;
+        self.offer_leadership(None);
+    }
+
+    /// Starts a transfer unless one is going on. A voter that answers needs less than the
+    /// shortest election timeout to campaign; one that doesn't may stand still or may not
+    /// have been reached.
+    fn offer_leadership(&mut self, last: Option<ReplicaId>) {
+        let transferring = |leading: &Leading| leading.transfer.is_some();
+        if self.leading.as_ref().is_none_or(transferring) {
             return;
-        };
+        }
+        if let Some(to) = self.best_successor(last) {
+            self.start_transfer(to, self.config.election_min_ms);
+        }
+    }
+
+    fn start_transfer(&mut self, to: ReplicaId, limit_ms: u64) {
+        let deadline_ms = self.now_ms + limit_ms;
         let eligible = self.membership().is_voter(to) && to != self.id();
         if let (true, Some(leading)) = (eligible, &mut self.leading) {
             leading.transfer = Some(Transfer {
@@ -216,7 +241,8 @@
         }
     }
 
-    fn best_successor(&self) -> Option<ReplicaId> {
+    /// The voter with the longest log of those that answer; one other than `last` if there is.
+    fn best_successor(&self, last: Option<ReplicaId>) -> Option<ReplicaId> {
         let now_ms = self.now_ms;
         let window_ms = self.config.election_min_ms;
         let leading = self.leading.as_ref()?;
@@ -226,7 +252,7 @@
             .filter(|(id, _)| self.membership().is_voter(**id));
         voters
             .filter(|(_, progress)| now_ms < progress.last_contact_ms + window_ms)
-            .max_by_key(|(_, progress)| progress.match_index)
+            .max_by_key(|(id, progress)| (Some(**id) != last, progress.match_index))
             .map(|(id, _)| *id)
     }
 
@@ -253,12 +279,14 @@
         }
     }
 
-    fn expire_transfer(&mut self) {
+    /// Gives a transfer up that took too long; returns to whom it was.
+    fn expire_transfer(&mut self) -> Option<ReplicaId> {
         let now_ms = self.now_ms;
-        if let Some(leading) = &mut self.leading {
-            leading
-                .transfer
-                .take_if(|transfer| now_ms >= transfer.deadline_ms);
-        }
+        let expired = self
+            .leading
+            .as_mut()?
+            .transfer
+            .take_if(|transfer| now_ms >= transfer.deadline_ms);
+        expired.map(|transfer| transfer.to)
     }
 }
--- a/crates/pinerill-replica/src/membership_change.rs
+++ b/crates/pinerill-replica/src/membership_change.rs
@@ -11,6 +11,10 @@
             self.drop_request(token, DropReason::NotLeader { leader });
             return;
         }
+        if self.draining {
+            self.drop_request(token, DropReason::Busy);
+            return;
+        }
         let checked = self
             .check_change(change)
             .and_then(|()| self.membership().with_change(change));
--- a/crates/pinerill-replica/src/output.rs
+++ b/crates/pinerill-replica/src/output.rs
@@ -79,7 +79,8 @@
     /// Leadership was lost while the entry was in flight; it may still commit.
     #[error("leadership was lost; the outcome is unknown")]
     Unknown,
-    /// Nothing was appended: too much is in flight or a transfer is going on.
+    /// Nothing was appended: too much is in flight, a transfer is going on, or the replica
+    /// is about to stop.
     #[error("too many proposals in flight")]
     Busy,
     /// A forwarded read was not answered in time.
--- a/crates/pinerill-replica/src/replica.rs
+++ b/crates/pinerill-replica/src/replica.rs
@@ -61,6 +61,8 @@
     pub membership_index: u64,
     /// Followers, if it leads.
     pub peers: Vec<PeerStatus>,
+    /// Whether it is about to stop and takes no proposals.
+    pub draining: bool,
 }
 
 /// One replica of a group.
@@ -79,6 +81,8 @@
     pub(crate) leading: Option<Leading>,
     pub(crate) forwarded_reads: ForwardedReads,
     pub(crate) incoming_snapshot: Option<IncomingSnapshot>,
+    /// Whether it is about to stop: it takes no proposals and keeps no leadership.
+    pub(crate) draining: bool,
     pub(crate) output: Output,
     reported: RoleChange,
 }
@@ -105,6 +109,7 @@
             leading: None,
             forwarded_reads: ForwardedReads::new(config.seed),
             incoming_snapshot: None,
+            draining: false,
             output: Output::default(),
             reported,
             config,
@@ -131,6 +136,7 @@
                 done,
             } => self.snapshot_chunk_read(to, meta, offset, bytes, done),
             Input::TransferLeadership { to } => self.transfer_leadership(to),
+            Input::Drain => self.drain(),
         }
     }
 
@@ -171,6 +177,7 @@
             membership: self.membership().clone(),
             membership_index: self.log.membership_index(),
             peers: self.peer_status(),
+            draining: self.draining,
         }
     }
 
--- a/crates/pinerill-replica/tests/elections.rs
+++ b/crates/pinerill-replica/tests/elections.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use pinerill_replica::{
-    Envelope, HardState, Input, MembershipChange, Message, Replica, RestoredState, Role,
-    SnapshotMeta, VoteRequest,
+    DropReason, Dropped, Envelope, HardState, Input, MembershipChange, Message, Replica,
+    RestoredState, Role, SnapshotMeta, VoteRequest,
 };
 use support::{config, id, Cluster, GROUP};
 
@@ -173,6 +173,75 @@
     assert_eq!(cluster.commands(leaders[0]), vec![1]);
 }
 
+/// Loses every message of one kind from the leader.
+fn drop_orders_to_campaign(cluster: &mut Cluster) {
+    cluster.lost = |message| matches!(message, Message::TimeoutNow(_));
+}
+
+#[test]
+fn a_draining_leader_turns_to_another_voter_when_the_first_does_not_campaign() {
+    let mut cluster = Cluster::new(3);
+    let leader = cluster.elect();
+    drop_orders_to_campaign(&mut cluster);
+    cluster.step(leader, Input::Drain);
+    cluster.deliver_all();
+    cluster.lost = |_| false;
+    let first = cluster.last_order_to_campaign.expect("ordered");
+    cluster.run(config(leader).election_min_ms + 200);
+    let leaders = cluster.leaders();
+    assert_eq!(leaders.len(), 1);
+    assert_ne!(leaders[0], leader);
+    assert_ne!(leaders[0], first);
+}
+
+#[test]
+fn a_draining_leader_takes_no_proposal_between_two_attempts() {
+    let mut cluster = Cluster::new(3);
+    let leader = cluster.elect();
+    drop_orders_to_campaign(&mut cluster);
+    cluster.step(leader, Input::Drain);
+    for token in 0..300 {
+        cluster.propose(leader, token);
+        cluster.run(10);
+    }
+    let change = MembershipChange::AddLearner(id(4));
+    cluster.change(leader, 300, change);
+    let dropped = &cluster.node(leader).dropped;
+    assert_eq!(dropped.len(), 301);
+    let busy = |one: &Dropped| one.reason == DropReason::Busy;
+    assert!(dropped.iter().all(busy));
+}
+
+#[test]
+fn a_draining_replica_that_wins_an_election_hands_over_at_once() {
+    let mut cluster = Cluster::new(3);
+    let leader = cluster.elect();
+    let others = (1..=3).map(id).filter(|one| *one != leader);
+    for other in others {
+        cluster.step(other, Input::Drain);
+    }
+    let restarted = cluster.node(leader).disk.clone();
+    cluster.isolate(leader);
+    cluster.run(3_000);
+    cluster.cut.clear();
+    cluster.start(leader, restarted);
+    cluster.run(3_000);
+    assert_eq!(cluster.leaders(), vec![leader]);
+}
+
+/// It would have to hand leadership on, and may end before that is done.
+#[test]
+fn a_draining_follower_is_not_made_leader_by_an_order() {
+    let mut cluster = Cluster::new(3);
+    let leader = cluster.elect();
+    let draining = id(leader.0 % 3 + 1);
+    cluster.step(draining, Input::Drain);
+    let to = Some(draining);
+    cluster.step(leader, Input::TransferLeadership { to });
+    cluster.run(config(leader).election_min_ms);
+    assert_eq!(cluster.leaders(), vec![leader]);
+}
+
 /// A removed learner hears nothing of later leaders; it must not send anybody to
 /// the one that it last heard.
 #[test]
--- a/crates/pinerill-replica/tests/support/mod.rs
+++ b/crates/pinerill-replica/tests/support/mod.rs
@@ -27,6 +27,10 @@
     pub nodes: BTreeMap<ReplicaId, Node>,
     pub queue: VecDeque<Envelope>,
     pub cut: BTreeSet<(ReplicaId, ReplicaId)>,
+    /// Which messages are lost on every link.
+    pub lost: fn(&Message) -> bool,
+    /// Whom a leader last told to campaign at once, whether it heard or not.
+    pub last_order_to_campaign: Option<ReplicaId>,
     pub sent: BTreeMap<&'static str, usize>,
 }
 
@@ -47,6 +51,8 @@
             nodes: BTreeMap::new(),
             queue: VecDeque::new(),
             cut: BTreeSet::new(),
+            lost: |_| false,
+            last_order_to_campaign: None,
             sent: BTreeMap::new(),
         };
         let snapshot = SnapshotMeta::bootstrap((1..=voters).map(id));
@@ -99,7 +105,11 @@
     fn post(&mut self, messages: Vec<Envelope>) {
         for envelope in messages {
             *self.sent.entry(name(&envelope.message)).or_default() += 1;
-            if !self.cut.contains(&(envelope.from, envelope.to)) {
+            if matches!(envelope.message, Message::TimeoutNow(_)) {
+                self.last_order_to_campaign = Some(envelope.to);
+            }
+            let cut = self.cut.contains(&(envelope.from, envelope.to));
+            if !cut && !(self.lost)(&envelope.message) {
                 self.queue.push_back(envelope);
             }
         }
--- a/crates/pinerill-sim/src/cluster/inject.rs
+++ b/crates/pinerill-sim/src/cluster/inject.rs
@@ -125,8 +125,7 @@
     fn planned_restart(&mut self, target: Target) -> Option<()> {
         let place = self.choose(target)?;
         let process = self.machines[place].process.as_mut()?;
-        let input = DriverInput::TransferLeadership { to: None };
-        process.inbox.push(input);
+        process.inbox.push(DriverInput::Drain);
         let stop = Fault::Crash {
             target: Target::Place(place),
             down_ms: HAND_OVER_MS,
