HEAD has a connection of its own, so that repetitions are framed as they were sent

What callers would see: a 502 in place of a sound answer where a repetition stands before the own response and one of the two belongs to HEAD and the other does not. Cause: a response is framed by the method of the request that waits. A repetition of a GET's response was read without its body before a HEAD's own, and that of a HEAD's response with a body that it does not have, which swallowed the own response. Change: HEAD goes to a new connection, which is not used again. Keeping each request's method would save that connection, but HEAD is rare. Evidence: the two tests got an error from a malformed head before, and pass now.

--- a/crates/pinerill-forward/src/exchange/connection.rs
+++ b/crates/pinerill-forward/src/exchange/connection.rs
@@ -220,6 +220,8 @@
             && !self.write_failed
             && self.history.is_usable()
             && self.decoder.keeps_alive()
+            // A repetition would be read with the body that a response to HEAD does not have.
+            && self.unsent.method() != Method::HEAD
             && self.unsent.remaining() == 0
             && self.received.is_empty()
             && self.is_silent()
--- a/crates/pinerill-forward/src/exchange/send.rs
+++ b/crates/pinerill-forward/src/exchange/send.rs
@@ -82,7 +82,10 @@
             sent: false,
             reason,
         };
-        while let Some(connection) = pool.take(&worker.id, Some(&request.id)) {
+        // The body of a repetition would be read as the response to HEAD, which has none.
+        let may_reuse = request.method != Method::HEAD;
+        let take_idle = || pool.take(&worker.id, Some(&request.id));
+        while let Some(connection) = may_reuse.then(take_idle).flatten() {
             may_send().map_err(not_sent)?;
             let incarnation = pool.incarnations.token_for(&worker.id);
             match Self::send_on(
--- a/crates/pinerill-forward/tests/repetition_framing.rs
+++ b/crates/pinerill-forward/tests/repetition_framing.rs
@@ -8,7 +8,8 @@
 use http::Method;
 use pinerill_forward::exchange::ConnectionPool;
 use support::raw_worker::{ask, read_some, worker};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 #[tokio::test]
 async fn a_named_response_is_found_behind_several_repetitions() {
@@ -59,3 +60,39 @@
     assert!(own.is_err(), "{own:?}");
     assert!(pool.is_empty());
 }
+
+/// Serves a connection: repeats each response before the next one. Responses to HEAD and GET
+/// have the ids `head` and `get`.
+async fn repeat_to_head_and_get(mut stream: TcpStream) {
+    let mut last = "";
+    let mut request = [0; 1_024];
+    while stream.read(&mut request).await.is_ok_and(|read| read > 0) {
+        let response = match request.starts_with(b"HEAD ") {
+            true => "HTTP/1.1 200 OK\r\nid: head\r\ncontent-length: 9\r\n\r\n",
+            false => "HTTP/1.1 200 OK\r\nid: get\r\ncontent-length: 3\r\n\r\ngot",
+        };
+        let both = [last, response].concat();
+        stream.write_all(both.as_bytes()).await.expect("written");
+        last = response;
+    }
+}
+
+#[tokio::test]
+async fn a_repeated_response_to_head_does_not_swallow_the_own_response_behind_it() {
+    let worker = worker(repeat_to_head_and_get).await;
+    let pool = Arc::new(ConnectionPool::default());
+    let first = ask(&pool, &worker, Method::HEAD, "head", Bytes::new()).await;
+    assert_eq!(first, Ok(Bytes::new()));
+    let own = ask(&pool, &worker, Method::GET, "get", Bytes::new()).await;
+    assert_eq!(own, Ok(Bytes::from("got")));
+}
+
+#[tokio::test]
+async fn the_body_of_a_repeated_response_is_not_read_as_the_response_to_head() {
+    let worker = worker(repeat_to_head_and_get).await;
+    let pool = Arc::new(ConnectionPool::default());
+    let first = ask(&pool, &worker, Method::GET, "get", Bytes::new()).await;
+    assert_eq!(first, Ok(Bytes::from("got")));
+    let own = ask(&pool, &worker, Method::HEAD, "head", Bytes::new()).await;
+    assert_eq!(own, Ok(Bytes::new()));
+}
