Attempts of one request keep no more connections than they use at once

What callers would see: refused connections at a worker whose limit idle ones use up, where an item or a call is refused there again and again. Cause: a connection carries a request id once, so each further attempt at the same worker opened one, and the earlier ones stayed idle for up to 4 s, 64 for each worker and node. Change: where idle connections are left that may not carry the request, the oldest is closed before another one is opened, so the number doesn't grow. Result: many_attempts_of_a_request_keep_few_connections passes, one idle connection after each of 50 attempts.

--- a/crates/pinerill-forward/src/exchange/pool.rs
+++ b/crates/pinerill-forward/src/exchange/pool.rs
@@ -81,17 +81,24 @@
 
     /// Takes an idle connection to a worker that may carry a request with this id, or a health
     /// check for `None`; returns `None` if there is none. Expired and closed connections that it
-    /// comes across are dropped.
+    /// comes across are dropped. If idle connections are left that may not carry it, the oldest is
+    /// closed: the caller opens another one, and many attempts of one request must not use up the
+    /// connections that the worker accepts.
     pub fn take(&self, worker: &str, request: Option<&str>) -> Option<WorkerConnection> {
         let now = BootTime::now();
         loop {
             let idle = {
                 let mut by_worker = self.idle.lock();
                 let kept = by_worker.get_mut(worker)?;
-                let last = kept
-                    .iter()
-                    .rposition(|idle| idle.connection.may_carry(request))?;
-                kept.remove(last)
+                let may_carry = |idle: &IdleConnection| idle.connection.may_carry(request);
+                match kept.iter().rposition(may_carry) {
+                    Some(last) => kept.remove(last),
+                    None if kept.is_empty() => return None,
+                    None => {
+                        kept.remove(0);
+                        return None;
+                    }
+                }
             };
             let mut connection = idle.connection;
             if idle.expires_at > now && connection.is_reusable() {
--- a/crates/pinerill-forward/tests/repeated_answers.rs
+++ b/crates/pinerill-forward/tests/repeated_answers.rs
@@ -60,7 +60,7 @@
 fn response(path: &str, connection: u32) -> String {
     let id = path.trim_start_matches('/');
     let named = match id {
-        "health" => String::new(),
+        "health" => "instance: w\r\n".to_owned(),
         "unnamed" => "stamp: s\r\n".to_owned(),
         _ => format!("id: {id}\r\nstamp: s\r\n"),
     };
@@ -165,3 +165,13 @@
     );
     assert_eq!(scene.ask("a").await, Ok(Bytes::from("2 a")));
 }
+
+#[tokio::test]
+async fn many_attempts_of_a_request_keep_few_connections() {
+    let scene = Scene::start().await;
+    for attempt in 1..=50 {
+        let own = Bytes::from(format!("{attempt} a"));
+        assert_eq!(scene.ask("a").await, Ok(own));
+        assert_eq!(scene.pool.len(), 1);
+    }
+}
