Unmarked bytes on a used connection are nobody's answer

What callers would see: bytes that a worker sends in excess delivered as the answer of the next request on the connection; an unnamed 500 would count as an item's failed run. Cause: an answer without an id and without a stamp counted as the current request's wherever no health check had gone before; behind a health check it was skipped and the exchange waited for another one in silence. Change: an answer that names no request counts if it bears the stamp, or if the connection has carried nothing else. A health answer is told by the worker's mark (is_health_answer) and skipped behind a health check; any other ends the exchange at once.

--- a/crates/pinerill-calls/src/protocol/worker.rs
+++ b/crates/pinerill-calls/src/protocol/worker.rs
@@ -55,9 +55,10 @@
 pub struct WorkerAnswer {
     /// Identifier of the request to which the worker responds; `None` if the response has none.
     pub id: Option<String>,
-    /// Whether the worker has marked the response as that to a request. Responses to health checks
-    /// are not marked.
+    /// Whether the worker has marked the response as that to a request.
     pub is_stamped: bool,
+    /// Whether the worker has marked the response as that to a health check.
+    pub is_health_answer: bool,
     /// Outcome of the request.
     pub verdict: Verdict,
     /// Load of the worker when it responded; `None` if the response does not report it.
--- a/crates/pinerill-forward/src/exchange/connection.rs
+++ b/crates/pinerill-forward/src/exchange/connection.rs
@@ -129,6 +129,7 @@
             let origin = self.history.receive(ResponseIdentity {
                 request: answer.id.as_deref(),
                 is_stamped: answer.is_stamped,
+                is_health_answer: answer.is_health_answer,
             });
             match origin {
                 Origin::Current => return Ok((head, answer)),
--- a/crates/pinerill-forward/src/exchange/history.rs
+++ b/crates/pinerill-forward/src/exchange/history.rs
@@ -6,8 +6,9 @@
 //! does not bind a response to an attempt.
 //!
 //! Invariants: a connection carries a request id at most once, and at most one health check. A
-//! response with the id of the current request is therefore no repetition, and a repetition
-//! bears the id of an earlier request or, after a health check, none.
+//! response with the id of the current request is therefore no repetition. One without an id
+//! belongs to the current request only if the worker has stamped it or the connection has
+//! carried nothing else.
 
 use std::collections::hash_map::RandomState;
 use std::hash::BuildHasher;
@@ -31,9 +32,10 @@
 pub struct ResponseIdentity<'a> {
     /// Request id that the response names; `None` if it names none.
     pub request: Option<&'a str>,
-    /// Whether the worker has marked the response as that to a request. Responses to health
-    /// checks are not marked.
+    /// Whether the worker has marked the response as that to a request.
     pub is_stamped: bool,
+    /// Whether the worker has marked the response as that to a health check.
+    pub is_health_answer: bool,
 }
 
 /// The requests that one connection has carried.
@@ -103,8 +105,9 @@
             (_, Some(named)) if self.has_carried(named) => Origin::Earlier,
             (_, Some(_)) => Origin::Unknown,
             (None, None) => Origin::Current,
-            (Some(_), None) if self.health_checked && !response.is_stamped => Origin::Earlier,
-            (Some(_), None) => Origin::Current,
+            (Some(_), None) if response.is_stamped || self.carried() == 1 => Origin::Current,
+            (Some(_), None) if response.is_health_answer && self.health_checked => Origin::Earlier,
+            (Some(_), None) => Origin::Unknown,
         }
     }
 
--- a/crates/pinerill-forward/tests/connection_history.rs
+++ b/crates/pinerill-forward/tests/connection_history.rs
@@ -6,17 +6,27 @@
     ResponseIdentity {
         request: Some(id),
         is_stamped: true,
+        is_health_answer: false,
     }
 }
 
 const HEALTH: ResponseIdentity<'_> = ResponseIdentity {
     request: None,
     is_stamped: false,
+    is_health_answer: true,
 };
 
 const STAMPED_WITHOUT_ID: ResponseIdentity<'_> = ResponseIdentity {
     request: None,
     is_stamped: true,
+    is_health_answer: false,
+};
+
+/// Bytes that a worker sends in excess, or a response of a worker that names nothing.
+const UNMARKED: ResponseIdentity<'_> = ResponseIdentity {
+    request: None,
+    is_stamped: false,
+    is_health_answer: false,
 };
 
 /// A connection that has carried these requests, each with a response; `None` is a health check.
@@ -80,14 +90,28 @@
 
 #[test]
 fn an_answer_without_an_id_counts_where_its_place_or_its_stamp_is_certain() {
-    let mut fresh = ConnectionHistory::default();
-    fresh.begin(Some("a"));
-    assert_eq!(fresh.receive(HEALTH), Origin::Current);
-    assert!(!fresh.is_usable(), "a repetition could not be told apart");
-    let mut checked = carried(&[None]);
-    checked.begin(Some("a"));
-    assert_eq!(checked.receive(STAMPED_WITHOUT_ID), Origin::Current);
-    assert!(!checked.is_usable());
+    for response in [UNMARKED, STAMPED_WITHOUT_ID] {
+        let mut fresh = ConnectionHistory::default();
+        fresh.begin(Some("a"));
+        assert_eq!(fresh.receive(response), Origin::Current);
+        assert!(!fresh.is_usable(), "a repetition could not be told apart");
+    }
+    for earlier in [Some("b"), None] {
+        let mut used = carried(&[earlier]);
+        used.begin(Some("a"));
+        assert_eq!(used.receive(STAMPED_WITHOUT_ID), Origin::Current);
+        assert!(!used.is_usable());
+    }
+}
+
+#[test]
+fn unmarked_bytes_behind_an_earlier_answer_belong_to_no_request() {
+    for earlier in [Some("b"), None] {
+        let mut used = carried(&[earlier]);
+        used.begin(Some("a"));
+        assert_eq!(used.receive(UNMARKED), Origin::Unknown);
+        assert!(!used.is_usable());
+    }
 }
 
 #[test]
--- a/crates/pinerill-forward/tests/support/protocol.rs
+++ b/crates/pinerill-forward/tests/support/protocol.rs
@@ -24,6 +24,7 @@
         WorkerAnswer {
             id: id.map(str::to_owned),
             is_stamped: head.headers.contains_key("stamp"),
+            is_health_answer: head.headers.contains_key("instance"),
             verdict: Verdict::Accepted,
             load: None,
             closes_connection: false,
