--- a/crates/pinerill-forward/src/exchange/connection.rs
+++ b/crates/pinerill-forward/src/exchange/connection.rs
@@ -38,7 +38,8 @@
 /// A connection to a worker that carries one request at a time.
 pub struct WorkerConnection {
     stream: TcpStream,
-    worker: SocketAddr,
+    /// The worker's address, for log lines.
+    address: SocketAddr,
     /// Counts the responses of all connections that repeated earlier ones.
     repetitions: Arc<AtomicU64>,
     history: ConnectionHistory,
@@ -89,7 +90,7 @@
         set_options(&stream).map_err(|error| failed(error.to_string()))?;
         Ok(WorkerConnection {
             stream,
-            worker: address,
+            address,
             repetitions,
             history: ConnectionHistory::default(),
             decoder: ResponseDecoder::new(MAX_HEAD_BYTES),
@@ -148,7 +149,7 @@
 
     fn log_other_response(&self, event: &'static str, head: &Parts, answer: &WorkerAnswer) {
         log::warn!(
-            event = event, id = self.history.current(), address:% = self.worker,
+            event = event, id = self.history.current(), address:% = self.address,
             named = answer.id.as_deref(), status = head.status.as_u16(),
             carried = self.history.carried(); ""
         );
