An exchange skips a bounded number of interim and repeated responses

What callers would see: an exchange that outlasts its deadline where a worker floods its connection. Cause: a read takes from the task's budget, but each read holds up to 340 short heads, so one turn of the task could decode some 40,000 of them before a timeout was looked at. Change: at most 256 repeated responses, as many as a connection can have carried, and 64 interim ones; then the exchange fails.

--- a/crates/pinerill-forward/src/exchange/break_reason.rs
+++ b/crates/pinerill-forward/src/exchange/break_reason.rs
@@ -17,8 +17,8 @@
     /// The response belongs to no request that was sent on the connection.
     #[error("the response carries the id of another request")]
     OtherRequest,
-    /// A response that repeats an earlier one is too long to be skipped.
-    #[error("a repeated response exceeds the size limit")]
+    /// The responses that repeat earlier ones are too many or too long to be skipped.
+    #[error("repeated responses exceed the limits")]
     Repetition,
     /// The response body has a content encoding, which no caller requested.
     #[error("the response body has a content encoding")]
--- a/crates/pinerill-forward/src/exchange/connection.rs
+++ b/crates/pinerill-forward/src/exchange/connection.rs
@@ -32,6 +32,9 @@
 const MAX_HEAD_BYTES: usize = 32 << 10;
 /// Space for received bytes that is reserved before each read.
 const READ_BYTES: usize = 8 << 10;
+/// Maximum number of repeated responses that one exchange skips. A connection has carried no more
+/// requests.
+const MAX_REPETITIONS: usize = 256;
 /// Maximum size of the body of a repeated response that is skipped.
 const MAX_SKIPPED_BYTES: usize = 4 << 20;
 
@@ -124,7 +127,7 @@
         protocol: &dyn WorkerProtocol,
         method: &Method,
     ) -> Result<(Parts, WorkerAnswer), BreakReason> {
-        loop {
+        for _ in 0..=MAX_REPETITIONS {
             let head = self.next_head(method).await?;
             let answer = protocol.read_answer(&head);
             let origin = self.history.receive(ResponseIdentity {
@@ -145,6 +148,7 @@
                 }
             }
         }
+        Err(BreakReason::Repetition)
     }
 
     fn log_other_response(&self, event: &'static str, head: &Parts, answer: &WorkerAnswer) {
--- a/crates/pinerill-forward/src/exchange/response.rs
+++ b/crates/pinerill-forward/src/exchange/response.rs
@@ -15,6 +15,8 @@
 const MAX_CHUNK_LINE_BYTES: usize = 4 << 10;
 /// End of a line in the framing of a body.
 const LINE_END: &[u8] = b"\r\n";
+/// Maximum number of interim responses before one response.
+const MAX_INTERIM_RESPONSES: usize = 64;
 /// Maximum number of trailer lines after a chunked body.
 const MAX_TRAILERS: usize = 100;
 
@@ -72,6 +74,8 @@
     max_head_bytes: usize,
     remaining: Remaining,
     keeps_alive: bool,
+    /// Number of interim responses since the last final one.
+    interim_responses: usize,
 }
 
 impl ResponseDecoder {
@@ -81,6 +85,7 @@
             max_head_bytes,
             remaining: Remaining::Nothing,
             keeps_alive: true,
+            interim_responses: 0,
         }
     }
 
@@ -93,7 +98,7 @@
     /// returns `None` until it has arrived completely. Interim responses are skipped.
     ///
     /// # Errors
-    /// Returns an error if the bytes are not a valid head.
+    /// Returns an error if the bytes are not a valid head, or after too many interim responses.
     pub fn next_head(
         &mut self,
         request: &Method,
@@ -107,8 +112,15 @@
                 return Err(MalformedResponse::Head("protocol upgrade".to_owned()));
             }
             if head.status.is_informational() {
+                self.interim_responses += 1;
+                if self.interim_responses > MAX_INTERIM_RESPONSES {
+                    return Err(MalformedResponse::TooLong(
+                        "the series of interim responses",
+                    ));
+                }
                 continue;
             }
+            self.interim_responses = 0;
             self.remaining = body_length(request, &head)?;
             self.keeps_alive = self.remaining != Remaining::UntilClose && keeps_alive(&head);
             return Ok(Some(head));
--- a/crates/pinerill-forward/tests/response_decoder.rs
+++ b/crates/pinerill-forward/tests/response_decoder.rs
@@ -175,6 +175,15 @@
     let long = "x".repeat(MAX_HEAD_BYTES);
     let head = decode_whole(&format!("HTTP/1.1 200 OK\r\nname: {long}"));
     assert_eq!(head, Err(MalformedResponse::TooLong("the head")));
+    let interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    let whole = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    assert_eq!(decode_whole(&(interim.repeat(64) + whole)), ok("", true));
+    assert_eq!(
+        decode_whole(&(interim.repeat(65) + whole)),
+        Err(MalformedResponse::TooLong(
+            "the series of interim responses"
+        ))
+    );
     let line = "1".repeat(5_000);
     let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
     let size = decode_whole(&format!("{chunked}1;{line}"));
