--- a/crates/pinerill-forward/src/dispatch/mod.rs
+++ b/crates/pinerill-forward/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 pub mod claims;
 pub mod demand;
 pub mod queue;
+pub mod report;
 mod times;
 mod zone;
 
--- a/crates/pinerill-forward/src/fleet/mod.rs
+++ b/crates/pinerill-forward/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod choice;
 mod eligibility;
 mod incarnations;
+pub mod pace;
 mod peers;
 mod prefixes;
 mod slow_start;
@@ -29,6 +30,7 @@
 
 pub use choice::{BatchCapacity, Placement, PlacementRequest};
 pub use eligibility::Eligibility;
+pub use pace::WorkerPace;
 pub use peers::{ReportOrder, WorkerCount, WorkerKey};
 pub use prefixes::{PrefixMemory, Prompt};
 pub use slow_start::SlowStartPermit;
--- a/crates/pinerill-forward/src/peers/message.rs
+++ b/crates/pinerill-forward/src/peers/message.rs
@@ -4,7 +4,8 @@
 
 use crate::crash::ledger::CrashReport;
 use crate::dispatch::demand::ServiceDemand;
-use crate::fleet::{ReportOrder, WorkerCount, WorkerKey};
+use crate::dispatch::report::{QueueReport, ReturnTicket, TenantUse};
+use crate::fleet::{ReportOrder, WorkerCount, WorkerKey, WorkerPace};
 
 /// Longest datagram in bytes, which fits into one packet of common networks.
 pub(super) const DATAGRAM_BYTES: usize = 1_400;
@@ -59,6 +60,33 @@
         /// Worker that closed the connection.
         worker: WorkerKey,
     },
+    // Messages below are unknown to builds that precede them, which drop them.
+    /// To nodes of the zone, while calls wait: the sender's queue and the slots its tenants use.
+    Queue {
+        /// Position in the sequence of such messages from the node, so that late ones are dropped.
+        order: ReportOrder,
+        /// Waiting calls by service, and the use of slots by tenant.
+        report: QueueReport,
+    },
+    /// From a relay to a relay of another zone, which forwards it to the nodes of its zone: the
+    /// slots that tenants use in the sender's zone.
+    ZoneTenants {
+        /// Position in the sequence of such messages from the relay, so that late ones are dropped.
+        order: ReportOrder,
+        /// Name of the sender's zone.
+        zone: String,
+        /// Slots in use and waiting calls of the tenants with the most of them.
+        tenants: Vec<TenantUse>,
+    },
+    /// To nodes of the zone: paces of workers as the sender has observed them.
+    Paces {
+        /// Position in the sequence of such messages from the node, so that late ones are dropped.
+        order: ReportOrder,
+        /// Observed paces.
+        paces: Vec<WorkerPace>,
+    },
+    /// To nodes of the zone: calls that the sender has rejected and invited to return.
+    Returning(Vec<ReturnTicket>),
 }
 
 impl PeerMessage {
@@ -72,6 +100,10 @@
             PeerMessage::Broke { .. } => "broke",
             PeerMessage::Crashes(_) => "crashes",
             PeerMessage::SlotFree { .. } => "place_free",
+            PeerMessage::Queue { .. } => "queue",
+            PeerMessage::ZoneTenants { .. } => "zone_tenants",
+            PeerMessage::Paces { .. } => "paces",
+            PeerMessage::Returning(_) => "returning",
         }
     }
 }
