Nodes find the leader sooner after all power was lost

Change: control machines announce themselves every 80 ms for two seconds while they know no leader; the first attempts of their connections end after 250 ms, doubling; nodes that know no leader connect to three control machines at the same time and ask the first one that they reach.

--- a/crates/pinerill-cluster/src/server/peers.rs
+++ b/crates/pinerill-cluster/src/server/peers.rs
@@ -25,6 +25,12 @@
 
 /// Interval between two rounds of announcements.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(400);
+/// Interval between two rounds while no leader is known. Nodes that have just started learn the
+/// leader from the seeds, so a seed must learn it soon after it has started itself.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(80);
+/// Number of rounds [`SEARCH_INTERVAL`] apart. A longer search goes on at the usual interval, so
+/// that a fleet without a quorum is not flooded.
+const MAX_SEARCH_ROUNDS: u32 = 25;
 /// Every round with a number divisible by this one is sent to other machines as well, not only to
 /// the leader.
 const ROUNDS_PER_GOSSIP: u32 = 5;
@@ -197,13 +203,25 @@
         Ok(())
     }
 
-    /// Announces this machine to others in rounds, [`ANNOUNCE_INTERVAL`] apart. Never returns.
+    /// Announces this machine to others in rounds, [`ANNOUNCE_INTERVAL`] apart, or
+    /// [`SEARCH_INTERVAL`] while it searches for a leader. Never returns.
     pub(super) async fn announce_periodically(&self) {
         let mut round: u32 = 0;
+        let mut search_rounds: u32 = 0;
         loop {
             self.announce_to_peers(round).await;
             round = round.wrapping_add(1);
-            sleep(ANNOUNCE_INTERVAL).await;
+            search_rounds = match self.leader_address() {
+                Some(_) => 0,
+                None => search_rounds.saturating_add(1),
+            };
+            let is_searching = (1..=MAX_SEARCH_ROUNDS).contains(&search_rounds);
+            sleep(if is_searching {
+                SEARCH_INTERVAL
+            } else {
+                ANNOUNCE_INTERVAL
+            })
+            .await;
         }
     }
 
--- a/crates/pinerill-forward/src/cluster/client.rs
+++ b/crates/pinerill-forward/src/cluster/client.rs
@@ -8,6 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::stream::FuturesUnordered;
+use futures_util::StreamExt;
 use parking_lot::Mutex;
 use pinerill_calls::formats::{decode_response, directory_position, encode_positioned_watch};
 use pinerill_calls::message::{CallsRequest, CallsResponse, ControlAddress, Format};
@@ -29,6 +31,10 @@
 /// Longest time for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Number of machines that are connected to at the same time while the leader is unknown. The first
+/// one that is reached is asked, so that one whose machine is down does not hold the request up.
+const MAX_CANDIDATES: usize = 3;
+
 /// Time for which an address is skipped after it failed to answer, unless there is no other. It
 /// keeps further requests from waiting for a machine that a request has just timed out on.
 const AVOID_TIME: Duration = Duration::from_millis(700);
@@ -90,19 +96,26 @@
         until.is_some_and(|until| *until > BootTime::now())
     }
 
-    /// Returns the address for the next attempt: the known leader, otherwise the next address in
-    /// rotation. Skips avoided addresses unless all are avoided.
-    fn next(&mut self) -> SocketAddr {
+    /// Returns the addresses for the next attempt, in order of preference: the known leader alone,
+    /// otherwise the next few in rotation. Skips avoided addresses unless all are avoided.
+    fn candidates(&mut self) -> Vec<SocketAddr> {
         if let Some(leader) = self.leader.filter(|leader| !self.is_avoided(leader)) {
-            return leader;
+            return vec![leader];
         }
+        let mut candidates = Vec::with_capacity(MAX_CANDIDATES);
         for _ in 0..self.known.len() {
             let address = self.next_in_rotation();
-            if !self.is_avoided(&address) {
-                return address;
+            if !self.is_avoided(&address) && !candidates.contains(&address) {
+                candidates.push(address);
+            }
+            if candidates.len() == MAX_CANDIDATES {
+                break;
             }
         }
-        self.next_in_rotation()
+        if candidates.is_empty() {
+            candidates.push(self.next_in_rotation());
+        }
+        candidates
     }
 
     fn next_in_rotation(&mut self) -> SocketAddr {
@@ -193,10 +206,15 @@
             if left.is_zero() {
                 return Err(failure);
             }
-            let address = self.addresses.lock().next();
+            let candidates = self.addresses.lock().candidates();
+            let (address, connected) = self.connect_first(&candidates).await;
             let limit = left.min(ATTEMPT_TIMEOUT + long_poll);
             let sent_at = BootTime::now();
-            match self.call_address(address, request, limit).await {
+            let answer = match connected {
+                Ok(()) => self.call_address(address, request, limit).await,
+                Err(error) => Err(error),
+            };
+            match answer {
                 Ok(answer) => {
                     self.addresses.lock().leader = Some(address);
                     return Ok(Answered {
@@ -257,6 +275,27 @@
         self.call(request, time, long_poll).await
     }
 
+    /// Connects to all `candidates` at the same time. Returns the first one that is reached, or the
+    /// one that failed last with its error.
+    async fn connect_first(
+        &self,
+        candidates: &[SocketAddr],
+    ) -> (SocketAddr, Result<(), CallError>) {
+        let connecting = candidates.iter().map(|address| async move {
+            let connected = self.connection(*address).await;
+            (*address, connected.map(drop))
+        });
+        let mut connecting: FuturesUnordered<_> = connecting.collect();
+        let mut last = (candidates[0], Ok(()));
+        while let Some(connected) = connecting.next().await {
+            last = connected;
+            if last.1.is_ok() {
+                break;
+            }
+        }
+        last
+    }
+
     async fn call_address(
         &self,
         address: SocketAddr,
--- a/crates/pinerill-wire/src/connection/pool.rs
+++ b/crates/pinerill-wire/src/connection/pool.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 use super::identity::Identity;
@@ -16,6 +16,12 @@
 
 /// Pause before connecting again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
+/// Time limit of the first attempt to connect, handshake included. It is short because a machine
+/// that is starting drops the first packet in silence; the packet is only sent again after seconds.
+const FIRST_ATTEMPT_LIMIT: Duration = Duration::from_millis(250);
+/// Longest time limit of an attempt. The limit doubles with each attempt that fails, so that slow
+/// peers are reached as well.
+const LONGEST_ATTEMPT_LIMIT: Duration = Duration::from_secs(2);
 
 type Connections = Mutex<BTreeMap<SocketAddr, Connection>>;
 
@@ -161,10 +167,19 @@
 }
 
 async fn keep_connected(pool: PeerPool, address: SocketAddr) {
+    let mut limit = FIRST_ATTEMPT_LIMIT;
     loop {
-        match Connection::open(address, &pool.identity, pool.counters.clone()).await {
-            Ok(connection) => hold(&pool, address, connection).await,
-            Err(error) => log::debug!(error:%; "peer is not connected"),
+        let opening = Connection::open(address, &pool.identity, pool.counters.clone());
+        match timeout(limit, opening).await {
+            Ok(Ok(connection)) => {
+                hold(&pool, address, connection).await;
+                limit = FIRST_ATTEMPT_LIMIT;
+            }
+            Ok(Err(error)) => log::debug!(error:%; "peer is not connected"),
+            Err(_) => {
+                log::debug!(address:%, limit_ms = limit.as_millis() as u64; "peer does not answer");
+                limit = (limit * 2).min(LONGEST_ATTEMPT_LIMIT);
+            }
         }
         sleep(RECONNECT_PAUSE).await;
     }
