--- a/crates/pinerill-calls/src/settings/node.rs
+++ b/crates/pinerill-calls/src/settings/node.rs
@@ -55,12 +55,6 @@
 /// Returns five of six slots as a fraction. A lower fraction wastes the slots that items leave
 /// free between bursts of calls, and items that are late for this reason keep their slots in the
 /// next burst. With a fraction of 1, each call has to wait for an item to yield.
-///
-/// On a fleet of 72 workers with 6 slots each and calls in bursts, callers obtain these shares of
-/// the value of all requests on three days with faults: 0.653, 0.696 and 0.705 with a fraction of
-/// 0.75; 0.748, 0.786 and 0.683 with 0.84; 0.738, 0.772 and 0.655 with 1. The means of 5, 5 and 10
-/// days on three smaller fleets are 0.792, 0.884 and 0.686 with 0.75; 0.815, 0.888 and 0.692 with
-/// 0.84; 0.826, 0.875 and 0.676 with 1.
 fn default_batch_share() -> f64 {
     0.84
 }
--- a/crates/pinerill-cluster/src/backlog.rs
+++ b/crates/pinerill-cluster/src/backlog.rs
@@ -15,15 +15,10 @@
 const MIN_COMPLETIONS: u64 = 6;
 /// Share of its initial slack that an item keeps in reserve if items complete without any slack
 /// left, or if their remaining slack is unknown: capacity that is given up before a fault is
-/// missing after it. On a fleet whose slots are always scarce, the mean value of completed work
-/// over 15 days with faults is 0.638 without the reserve, 0.684 with it, and 0.667 if no item
-/// is ever preempted.
+/// missing after it.
 const SLACK_RESERVE_SHARE: f64 = 0.5;
 /// Share of initial slack left on completion from which items keep no reserve: they have more
-/// than enough, and calls wait for the capacity that they reserve. On a fleet of 130 workers
-/// with capacity for everything but the bursts, the value of a day's work is 0.892 in one run
-/// with this rule, against 0.815 and 0.857 in two runs without it; where slots are scarce the
-/// difference is within noise.
+/// than enough, and calls wait for the capacity that they reserve.
 const AMPLE_SLACK_SHARE: f64 = 0.5;
 /// Limits of the completion history: the number of entries kept, the age up to which an entry
 /// counts (milliseconds), and the least number of entries that give an estimate.
--- a/crates/pinerill-forward/src/exchange/connect_times.rs
+++ b/crates/pinerill-forward/src/exchange/connect_times.rs
@@ -3,9 +3,7 @@
 //! A worker whose machine has disappeared does not respond at all, and each node has to find
 //! that out by itself. Half a second of waiting for such a worker makes a call late; a small
 //! multiple of the usual connect time does not, and the call can safely go to another worker
-//! because nothing was sent. On a fleet of 78 nodes with workers that stop responding, this
-//! timeout together with early elections raises the score of a day from 0.779 to 0.814 (one
-//! run each).
+//! because nothing was sent.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
--- a/crates/pinerill-forward/src/peers/broadcast.rs
+++ b/crates/pinerill-forward/src/peers/broadcast.rs
@@ -12,9 +12,8 @@
 use crate::node::Node;
 
 /// Pause between two broadcasts for each other node of the zone. It grows with the zone, since each
-/// node receives more messages the more nodes there are. With 20 nodes and 30 workers per zone, the
-/// share of calls in time is 0.88 with 1.2 ms per node and 0.92 with 0.3 ms (means of two days with
-/// faults, two seeds each).
+/// node receives more messages the more nodes there are; a longer pause makes counts stale, so that
+/// several nodes take the same slot.
 const PAUSE_PER_PEER: Duration = Duration::from_micros(300);
 /// Shortest pause between two broadcasts.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(6);
@@ -22,9 +21,7 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(150);
 /// Pause between two broadcasts of a zone's counts by one relay, for each other zone. With two
 /// relays per zone, a node receives 80 such messages per second whatever the number of zones and
-/// nodes. Each costs a node some 26 us of processor time: with 200 per second, at 40 ms and five
-/// zones, all processes of 250 nodes used 241 s on a day of low load, against 160 s without these
-/// messages.
+/// nodes; each of them costs every node processor time.
 pub(super) const PAUSE_PER_ZONE: Duration = Duration::from_millis(25);
 /// Delay before a change is broadcast while calls wait here. One of them takes a free slot at once,
 /// and a peer that received the count in between would send a call to the same slot.
--- a/crates/pinerill-forward/src/peers/mod.rs
+++ b/crates/pinerill-forward/src/peers/mod.rs
@@ -24,11 +24,6 @@
 //! forwarded to bridge nodes of some other cells, and from there to further cells.
 //!
 //! A lost datagram can cause a worse choice of a worker and nothing else.
-//!
-//! On a fleet of 250 nodes and 130 workers in five zones, with a sixth of the workers becoming
-//! unresponsive in the course of a run, callers get 0.923 and 0.950 of the possible value in two
-//! runs, against 0.858 in one run without this exchange, the slots that are promised by
-//! [`crate::dispatch::demand`] and the shorter connect timeouts.
 
 mod broadcast;
 mod crashes;
