--- a/crates/pinerill-forward/src/cluster/client.rs
+++ b/crates/pinerill-forward/src/cluster/client.rs
@@ -31,9 +31,12 @@
 /// Longest time for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Number of machines that are connected to at the same time while the leader is unknown. The first
+/// Number of machines that are connected to for one attempt while the leader is unknown. The first
 /// one that is reached is asked, so that one whose machine is down does not hold the request up.
 const MAX_CANDIDATES: usize = 3;
+/// Delay after which the next candidate is connected to as well. It covers a connection between
+/// regions, so that a candidate that can be reached is the one that is asked.
+const NEXT_CANDIDATE_DELAY: Duration = Duration::from_millis(60);
 
 /// Time for which an address is skipped after it failed to answer, unless there is no other. It
 /// keeps further requests from waiting for a machine that a request has just timed out on.
@@ -102,26 +105,19 @@
         if let Some(leader) = self.leader.filter(|leader| !self.is_avoided(leader)) {
             return vec![leader];
         }
-        let mut candidates = Vec::with_capacity(MAX_CANDIDATES);
-        for _ in 0..self.known.len() {
-            let address = self.next_in_rotation();
-            if !self.is_avoided(&address) && !candidates.contains(&address) {
-                candidates.push(address);
-            }
-            if candidates.len() == MAX_CANDIDATES {
-                break;
-            }
-        }
+        // The rotation advances by one address per attempt, so that each is preferred in turn.
+        self.rotation = self.rotation.wrapping_add(1);
+        let count = self.known.len();
+        let rotated = (0..count).map(|offset| self.known[(self.rotation + offset) % count]);
+        let mut candidates: Vec<SocketAddr> = rotated
+            .filter(|address| !self.is_avoided(address))
+            .take(MAX_CANDIDATES)
+            .collect();
         if candidates.is_empty() {
-            candidates.push(self.next_in_rotation());
+            candidates.push(self.known[self.rotation % count]);
         }
         candidates
     }
-
-    fn next_in_rotation(&mut self) -> SocketAddr {
-        self.rotation = self.rotation.wrapping_add(1);
-        self.known[self.rotation % self.known.len()]
-    }
 }
 
 impl ClusterClient {
@@ -275,16 +271,20 @@
         self.call(request, time, long_poll).await
     }
 
-    /// Connects to all `candidates` at the same time. Returns the first one that is reached, or the
-    /// one that failed last with its error.
+    /// Connects to the `candidates`, each [`NEXT_CANDIDATE_DELAY`] after the one before. Returns the
+    /// first one that is reached, or the one that failed last with its error.
     async fn connect_first(
         &self,
         candidates: &[SocketAddr],
     ) -> (SocketAddr, Result<(), CallError>) {
-        let connecting = candidates.iter().map(|address| async move {
-            let connected = self.connection(*address).await;
-            (*address, connected.map(drop))
-        });
+        let connecting = candidates
+            .iter()
+            .zip(0..)
+            .map(|(address, position)| async move {
+                sleep(NEXT_CANDIDATE_DELAY * position).await;
+                let connected = self.connection(*address).await;
+                (*address, connected.map(drop))
+            });
         let mut connecting: FuturesUnordered<_> = connecting.collect();
         let mut last = (candidates[0], Ok(()));
         while let Some(connected) = connecting.next().await {
--- a/crates/pinerill-forward/tests/cluster_client.rs
+++ b/crates/pinerill-forward/tests/cluster_client.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
 use pinerill_calls::job::CallJobId;
@@ -174,3 +174,20 @@
     let counts = [&refused, &answered, &request_count].map(|count| count.load(Ordering::SeqCst));
     assert_eq!(counts, [0, 1, 0]);
 }
+
+#[tokio::test]
+async fn a_new_client_is_not_held_up_by_seeds_that_do_not_answer() {
+    let (first, _) = start_unresponsive().await;
+    let (second, _) = start_unresponsive().await;
+    let (leader, _) = start(None).await;
+    let request = CallsRequest::EndJob(CallJobId::new(None, "j"));
+    // The client begins at a random seed, so several of them cover each order.
+    for _ in 0..8 {
+        let client = ClusterClient::new(identity(Role::Node), &[first, second, leader]);
+        let began = Instant::now();
+        let answer = client.call(&request, LONG, Duration::ZERO).await;
+        assert!(answer.is_ok());
+        // Waiting for one unresponsive seed takes 400 ms.
+        assert!(began.elapsed() < Duration::from_millis(300), "{began:?}");
+    }
+}
--- a/crates/pinerill-wire/tests/connections.rs
+++ b/crates/pinerill-wire/tests/connections.rs
@@ -10,7 +10,7 @@
 use pinerill_wire::client::ControlClient;
 use pinerill_wire::codec::{encode_frame, Frame};
 use pinerill_wire::connection::{
-    serve, ClusterKey, Connection, Identity, LinkCounters, ServerCounters,
+    serve, ClusterKey, Connection, Identity, LinkCounters, PeerPool, ServerCounters,
 };
 use pinerill_wire::message::{
     BundleShow, ClusterStatusRequest, GroupRecord, Refusal, RefusalCode, ReplaceReplica, Request,
@@ -418,3 +418,38 @@
     let after = connection.call(status(), LONG).await;
     assert_eq!(after.expect_err("closed").kind, CallErrorKind::NotSent);
 }
+
+/// Accepts connections at an address and passes them on to `server`, except the first one, which
+/// gets no answer. A machine that is starting drops the first packet likewise.
+async fn start_silent_at_first(server: SocketAddr) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listen");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let _silent = listener.accept().await;
+        while let Ok((mut near, _)) = listener.accept().await {
+            let mut far = TcpStream::connect(server).await.expect("connect");
+            tokio::spawn(async move {
+                tokio::io::copy_bidirectional(&mut near, &mut far)
+                    .await
+                    .is_ok()
+            });
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn a_pool_reaches_a_peer_soon_that_is_silent_at_first() {
+    let server = start(None).await;
+    let address = start_silent_at_first(server.address).await;
+    let stop = CancellationToken::new();
+    let began = std::time::Instant::now();
+    let pool = PeerPool::start(&[address], &identity("home", 1), &stop);
+    while pool.connected_peers().is_empty() {
+        assert!(began.elapsed() < LONG, "never connected");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    // An attempt without a limit of its own waits five seconds for the handshake.
+    assert!(began.elapsed() < Duration::from_secs(2), "{began:?}");
+    stop.cancel();
+}
