A data folder whose creation was cut short opens again

Cause: the database library writes its header before the mark by which it knows its file, and both in place. Ruled out: a marker "being created" beside the files. The library's lock on pinerill.redb keeps other processes out meanwhile. New folders' own names are synced.

--- a/crates/pinerill-storage/src/lib.rs
+++ b/crates/pinerill-storage/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod batch;
 mod codec;
+mod creation;
 mod error;
 mod memory;
 mod memory_group;
--- a/crates/pinerill-storage/src/store.rs
+++ b/crates/pinerill-storage/src/store.rs
@@ -11,6 +11,7 @@
 use pinerill_replica::{GroupId, ReplicaId};
 use redb::{Builder, Database, ReadableDatabase, ReadableTable};
 
+use crate::creation;
 use crate::reader::{open_table, TransactionReader};
 use crate::replacement::Replacements;
 use crate::tables::{decode, encode, TableFailure, HARD_STATES, IDENTITY, IDENTITY_KEY, SNAPSHOTS};
@@ -50,6 +51,11 @@
         let folder = folder.as_ref();
         let path = folder.join(DATABASE_FILE);
         create_folder(folder)?;
+        let newcomer = Identity {
+            replica: newcomer,
+            cluster: None,
+        };
+        creation::ensure(&path, newcomer)?;
         let database = open_database(&path)?;
         let identity = load_or_create_identity(&database, &path, newcomer)?;
         Self::start(database, path, identity)
@@ -195,7 +201,7 @@
     }
 }
 
-fn explain<T>(
+pub(crate) fn explain<T>(
     step: &'static str,
     path: &Path,
     result: Result<T, TableFailure>,
@@ -203,16 +209,27 @@
     result.map_err(|failure| StorageError::new(step, path, failure.into_cause()))
 }
 
-fn io_error(step: &'static str, path: &Path, error: std::io::Error) -> StorageError {
+pub(crate) fn io_error(step: &'static str, path: &Path, error: std::io::Error) -> StorageError {
     StorageError::new(step, path, StorageCause::Io(error.to_string()))
 }
 
+/// Makes the folder, and its name durable.
 fn create_folder(folder: &Path) -> Result<(), StorageError> {
-    fs::create_dir_all(folder).map_err(|error| io_error("creation of the folder", folder, error))
+    let missing = folder.ancestors().take_while(|folder| !folder.exists());
+    let missing: Vec<&Path> = missing.collect();
+    fs::create_dir_all(folder)
+        .map_err(|error| io_error("creation of the folder", folder, error))?;
+    let holders = missing.iter().filter_map(|created| created.parent());
+    holders
+        .map(|holder| match holder.as_os_str().is_empty() {
+            true => Path::new("."),
+            false => holder,
+        })
+        .try_for_each(sync_folder)
 }
 
 /// Makes the names of new files durable.
-fn sync_folder(folder: &Path) -> Result<(), StorageError> {
+pub(crate) fn sync_folder(folder: &Path) -> Result<(), StorageError> {
     File::open(folder)
         .and_then(|opened| opened.sync_all())
         .map_err(|error| io_error("sync of the folder", folder, error))
@@ -251,7 +268,7 @@
 fn load_or_create_identity(
     database: &Database,
     path: &Path,
-    newcomer: ReplicaId,
+    newcomer: Identity,
 ) -> Result<Identity, StorageError> {
     let step = "reading of the identity";
     if let Some(identity) = explain(step, path, read_identity(database))? {
@@ -260,13 +277,9 @@
     if explain(step, path, has_tables(database))? {
         return Err(StorageError::new(step, path, StorageCause::Foreign));
     }
-    let identity = Identity {
-        replica: newcomer,
-        cluster: None,
-    };
-    let written = write_identity(database, &identity);
+    let written = write_identity(database, &newcomer);
     explain("writing of the identity", path, written)?;
-    Ok(identity)
+    Ok(newcomer)
 }
 
 fn read_identity(database: &Database) -> Result<Option<Identity>, TableFailure> {
@@ -286,7 +299,7 @@
     Ok(tables.next().is_some())
 }
 
-fn write_identity(database: &Database, identity: &Identity) -> Result<(), TableFailure> {
+pub(crate) fn write_identity(database: &Database, identity: &Identity) -> Result<(), TableFailure> {
     let encoded = encode(identity)?;
     let transaction = database.begin_write()?;
     {
--- a/crates/pinerill-storage/src/thin_file/journal.rs
+++ b/crates/pinerill-storage/src/thin_file/journal.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 
 /// Bytes of a record: kind and checksum of 4 bytes, and a value of 8.
-const RECORD_BYTES: usize = 16;
+pub(crate) const RECORD_BYTES: usize = 16;
 const LENGTH: u32 = 1;
 const PLACE: u32 = 2;
 /// Records beyond what the places need, after which the journal is rewritten.
@@ -17,7 +17,7 @@
 
 /// One change of the places.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Record {
+pub(crate) enum Record {
     /// The virtual length; blocks beyond it are dropped.
     Length(u64),
     /// A block got a slot.
@@ -49,10 +49,7 @@
         let file = super::open_file(path)?;
         let mut bytes = vec![0; file.metadata()?.len() as usize];
         file.read_exact_at(&mut bytes, 0)?;
-        let chunks = bytes.chunks_exact(RECORD_BYTES).enumerate();
-        let records: Vec<Record> = chunks
-            .map_while(|(number, bytes)| decode(number as u64, bytes))
-            .collect();
+        let records = records_in(&bytes);
         let journal = Journal {
             path: path.to_path_buf(),
             file,
@@ -94,19 +91,7 @@
         if self.records < records.len() as u64 + SPARE_RECORDS {
             return Ok(());
         }
-        let path = self.path.with_extension(REWRITTEN);
-        let mut bytes = Vec::with_capacity(records.len() * RECORD_BYTES);
-        for (number, record) in records.iter().enumerate() {
-            bytes.extend_from_slice(&encode(number as u64, *record));
-        }
-        fs::write(&path, &bytes)?;
-        let file = super::open_file(&path)?;
-        file.sync_all()?;
-        fs::rename(&path, &self.path)?;
-        if let Some(folder) = self.path.parent() {
-            File::open(folder)?.sync_all()?;
-        }
-        self.file = file;
+        self.file = write_whole(&self.path, records)?;
         self.records = records.len() as u64;
         self.dirty = false;
         self.is_cut = true;
@@ -123,6 +108,32 @@
     }
 }
 
+/// Makes the journal at `path` one that says just this. A loss of power leaves what was
+/// there before, or the new one.
+pub(super) fn write_whole(path: &Path, records: &[Record]) -> io::Result<File> {
+    let rewritten = path.with_extension(REWRITTEN);
+    let mut bytes = Vec::with_capacity(records.len() * RECORD_BYTES);
+    for (number, record) in records.iter().enumerate() {
+        bytes.extend_from_slice(&encode(number as u64, *record));
+    }
+    fs::write(&rewritten, &bytes)?;
+    let file = super::open_file(&rewritten)?;
+    file.sync_all()?;
+    fs::rename(&rewritten, path)?;
+    if let Some(folder) = path.parent() {
+        File::open(folder)?.sync_all()?;
+    }
+    Ok(file)
+}
+
+/// The valid records at the start of a journal's bytes.
+pub(crate) fn records_in(bytes: &[u8]) -> Vec<Record> {
+    let chunks = bytes.chunks_exact(RECORD_BYTES).enumerate();
+    chunks
+        .map_while(|(number, bytes)| decode(number as u64, bytes))
+        .collect()
+}
+
 fn encode(number: u64, record: Record) -> [u8; RECORD_BYTES] {
     let (kind, value) = match record {
         Record::Length(length) => (LENGTH, length),
--- a/crates/pinerill-storage/src/thin_file/mod.rs
+++ b/crates/pinerill-storage/src/thin_file/mod.rs
@@ -15,16 +15,17 @@
 mod journal;
 mod map;
 
-use std::fs::{File, OpenOptions};
+use std::fs::{self, File, OpenOptions};
 use std::io;
 use std::ops::Bound;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use parking_lot::RwLock;
 use redb::backends::FileBackend;
 use redb::{BackendError, StorageBackend};
 
-use journal::{Journal, Record};
+use journal::Journal;
+pub(crate) use journal::{records_in, Record, RECORD_BYTES};
 use map::{BlockMap, Slot};
 
 /// Bytes of a block and of a slot.
@@ -60,7 +61,7 @@
     /// # Errors
     /// When a file can't be opened or read.
     pub fn open(path: &Path) -> io::Result<Self> {
-        let journal_path = path.with_extension(JOURNAL_SUFFIX);
+        let journal_path = journal_path(path);
         let (mut journal, records) = Journal::open(&journal_path)?;
         let data = open_file(path)?;
         let data_bytes = data.metadata()?.len();
@@ -207,6 +208,17 @@
     }
 }
 
+/// Where the journal of a data file lies.
+pub(crate) fn journal_path(path: &Path) -> PathBuf {
+    path.with_extension(JOURNAL_SUFFIX)
+}
+
+/// Writes the journal of a data file that has none: every block lies at its own place.
+pub(crate) fn write_journal_in_place(path: &Path) -> io::Result<()> {
+    let map = BlockMap::in_place(fs::metadata(path)?.len());
+    journal::write_whole(&journal_path(path), &map.records()).map(drop)
+}
+
 fn open_file(path: &Path) -> io::Result<File> {
     OpenOptions::new()
         .read(true)
