A leader that was suspended steps down though answers wait in its queue

Cause: an event of a group counted as of the moment its task read it. An answer that came before a suspension and was read after it counted as contact, and the leader led on for another shortest election timeout. Change: events carry the time at which they came. One that waited for the longest election timeout or more counts as of then; one that waited for less counts as of now, as before, so that a short standstill deposes nobody.

--- a/crates/pinerill-control/src/host/group_host.rs
+++ b/crates/pinerill-control/src/host/group_host.rs
@@ -7,12 +7,13 @@
 use parking_lot::{Mutex, RwLock};
 use pinerill_replica::{Envelope, GroupId, ReplicaId};
 use pinerill_storage::GroupStore;
-use tokio::sync::{mpsc, watch, Semaphore};
+use tokio::sync::{watch, Semaphore};
 use tokio::task::JoinHandle;
 
 use super::counters::{count, CounterCells};
 use super::driver::GroupDriver;
 use super::event::Event;
+use super::inbox::EventSender;
 use super::task::GroupTask;
 use super::{
     GroupHandle, GroupStatus, HostCounters, HostError, HostSettings, StateMachine, Transport,
@@ -23,7 +24,7 @@
 const HAND_OVER_ELECTIONS: u32 = 3;
 
 struct RunningGroup {
-    events: mpsc::UnboundedSender<Event>,
+    events: EventSender,
     status: watch::Receiver<GroupStatus>,
 }
 
@@ -93,7 +94,7 @@
         let config = shared.settings.replica_config(self.replica_id(), group);
         let bounds = shared.settings.driver_settings();
         let driver = GroupDriver::start(config, members, machine, shared.store.clone(), bounds)?;
-        let (events, inbox) = mpsc::unbounded_channel();
+        let (events, inbox) = EventSender::new(shared.settings.clock.clone());
         let status = GroupStatus::new(group, driver.status());
         let (status_sender, status) = watch::channel(status);
         let handle = GroupHandle {
@@ -123,7 +124,9 @@
         let groups = self.inner.groups.read();
         match groups.get(&envelope.group) {
             // A closed inbox means that the group stops: the message is lost.
-            Some(group) => drop(group.events.send(Event::Message(envelope))),
+            Some(group) => {
+                let _ = group.events.send(Event::Message(envelope));
+            }
             None => count(&counters.messages_unknown_group, 1),
         }
     }
--- a/crates/pinerill-control/src/host/handle.rs
+++ b/crates/pinerill-control/src/host/handle.rs
@@ -7,9 +7,10 @@
 use parking_lot::RwLock;
 use pinerill_replica::{GroupId, MembershipChange, ReplicaId};
 use pinerill_storage::{GroupReader, GroupStore, StateEntry, StorageError};
-use tokio::sync::{mpsc, oneshot, watch, Semaphore};
+use tokio::sync::{oneshot, watch, Semaphore};
 
 use super::event::Event;
+use super::inbox::EventSender;
 use super::{ChangeError, GroupStatus, ProposeError, ReadError};
 
 /// A cheaply cloned handle on a running group.
@@ -17,7 +18,7 @@
     pub(super) group: GroupId,
     pub(super) machine: Arc<RwLock<M>>,
     pub(super) store: Arc<dyn GroupStore>,
-    pub(super) events: mpsc::UnboundedSender<Event>,
+    pub(super) events: EventSender,
     pub(super) places: Arc<Semaphore>,
     pub(super) status: watch::Receiver<GroupStatus>,
     pub(super) read_timeout: Duration,
--- a/crates/pinerill-control/src/host/mod.rs
+++ b/crates/pinerill-control/src/host/mod.rs
@@ -14,6 +14,7 @@
 mod event;
 mod group_host;
 mod handle;
+mod inbox;
 mod machine;
 mod settings;
 mod status;
--- a/crates/pinerill-control/src/host/task.rs
+++ b/crates/pinerill-control/src/host/task.rs
@@ -11,6 +11,7 @@
 use super::driver::{Answer, DriverInput, Effect, GroupDriver, StoredWrite};
 use super::event::{Event, Reply};
 use super::group_host::Shared;
+use super::inbox::{Arrived, WeakEventSender};
 use super::{ChangeError, GroupStatus, ProposeError, StateMachine};
 
 /// Pause of a halted group's task between two looks at its inbox, which wakes it anyway.
@@ -24,7 +25,7 @@
     driver: GroupDriver<M, Reply>,
     shared: Arc<Shared>,
     /// Weak, so that a stopped host's store completions end nowhere.
-    events: mpsc::WeakUnboundedSender<Event>,
+    events: WeakEventSender,
     status: watch::Sender<GroupStatus>,
     /// Time on the host's clock when the task began.
     started: Duration,
@@ -39,7 +40,7 @@
         group: GroupId,
         driver: GroupDriver<M, Reply>,
         shared: Arc<Shared>,
-        events: mpsc::WeakUnboundedSender<Event>,
+        events: WeakEventSender,
         status: watch::Sender<GroupStatus>,
     ) -> Self {
         GroupTask {
@@ -55,7 +56,7 @@
     }
 
     /// Runs until the host stops or the store fails.
-    pub(super) async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Event>) {
+    pub(super) async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Arrived>) {
         self.finish_round();
         let mut events = Vec::new();
         while !self.stopping {
@@ -68,10 +69,10 @@
                 }
                 () = tokio::time::sleep(until_deadline) => {}
             }
-            for event in events.drain(..) {
+            for arrived in events.drain(..) {
                 match self.halted {
-                    true => self.refuse(event),
-                    false => self.handle(event),
+                    true => self.refuse(arrived.event),
+                    false => self.handle(arrived),
                 }
             }
             self.finish_round();
@@ -87,10 +88,21 @@
     }
 
     fn now_ms(&self) -> u64 {
-        let time = self.shared.settings.clock.time();
+        self.ms_since_start(self.shared.settings.clock.time())
+    }
+
+    fn ms_since_start(&self, time: Duration) -> u64 {
         time.saturating_sub(self.started).as_millis() as u64
     }
 
+    /// When an event counts. What waited for the longest election timeout says nothing about
+    /// now: meanwhile all voters may have given this replica up, or it them.
+    fn counts_at_ms(&self, arrived: &Arrived) -> u64 {
+        let settings = &self.shared.settings;
+        let counts_at = arrived.counts_at(settings.clock.time(), settings.election_max);
+        self.ms_since_start(counts_at)
+    }
+
     /// Time until the driver must be called. A timer that was set before the machine was
     /// suspended fires late; what is due then is found by the clock.
     fn until_deadline(&self) -> Duration {
@@ -116,8 +128,9 @@
         }
     }
 
-    fn handle(&mut self, event: Event) {
-        let input = match event {
+    fn handle(&mut self, arrived: Arrived) {
+        let counts_at_ms = self.counts_at_ms(&arrived);
+        let input = match arrived.event {
             Event::Message(envelope) => DriverInput::Message(envelope),
             Event::Propose {
                 command,
@@ -156,7 +169,7 @@
                 return;
             }
         };
-        self.driver.handle(self.now_ms(), input);
+        self.driver.handle(counts_at_ms, input);
     }
 
     fn carry_out(&mut self, effect: Effect<Reply>) {
@@ -232,10 +245,10 @@
 /// Requests that never reached the replica did nothing, and are told so. The end of the queue is
 /// waited for: one that a caller is just putting in doesn't show yet, and would be kept in the
 /// queue unanswered for as long as that caller holds the group's handle.
-async fn refuse_queued(mut inbox: mpsc::UnboundedReceiver<Event>) {
+async fn refuse_queued(mut inbox: mpsc::UnboundedReceiver<Arrived>) {
     inbox.close();
-    while let Some(event) = inbox.recv().await {
-        refuse_event(event);
+    while let Some(arrived) = inbox.recv().await {
+        refuse_event(arrived.event);
     }
 }
 
