A leader that steps down answers what it has in flight once its fate is known

Cause: a leader that stepped down told every caller in flight that the outcome is unknown, though the next leader commits most of it a moment later. Under load a leader hears no answer for its window and steps down: planned stops cut proposals, and callers that propose again apply a command twice. Ruled out: to decide by what this replica's log holds. An entry that was replaced here may be kept by another voter, which wins and commits it (tested). Change: proposals are kept by index and term of their entry. The commit index decides: the entry itself is committed, then the caller has its answer; another one in its place, then nothing was applied and the caller hears "not the leader". A planned stop waits for these answers too, within its limit.

--- a/crates/pinerill-control/src/host/status.rs
+++ b/crates/pinerill-control/src/host/status.rs
@@ -31,6 +31,8 @@
     pub has_uncommitted: bool,
     /// Whether the process is about to stop; no proposals are taken.
     pub draining: bool,
+    /// Proposals from when it led whose fate it doesn't know yet.
+    pub undecided: usize,
     /// Its state can't be read by this build; it takes no part any more.
     pub halted: bool,
 }
@@ -51,6 +53,7 @@
             peers: status.peers,
             has_uncommitted: status.last_index > status.commit,
             draining: status.draining,
+            undecided: status.undecided,
             halted: false,
         }
     }
@@ -65,11 +68,13 @@
             || self.members_committed != other.members_committed
             || self.members != other.members
             || self.draining != other.draining
+            || self.undecided != other.undecided
             || self.halted != other.halted
     }
 
-    /// Whether nothing is left that this replica could hand over: another one leads, or this
-    /// one has no vote, is halted, or is the only voter and has finished what it took.
+    /// Whether nothing is left that this replica could hand over or answer: another one leads
+    /// and the fate of what this one took is known, or this one has no vote, is halted, or is
+    /// the only voter and has finished what it took.
     pub fn has_nothing_to_hand_over(&self) -> bool {
         let votes = self.members.is_voter(self.replica);
         let is_only_voter = votes && self.members.voters.len() == 1;
@@ -78,7 +83,8 @@
             Some(leader) => leader != self.replica,
             None => !votes,
         };
-        is_led_elsewhere || is_finished || self.halted
+        let is_handed_over = is_led_elsewhere && self.undecided == 0;
+        is_handed_over || is_finished || self.halted
     }
 
     /// Whether this replica leads and knows everything committed before.
--- /dev/null
+++ b/crates/pinerill-control/tests/host_undecided.rs
@@ -0,0 +1,99 @@
+//! Proposals in flight at a leader that steps down.
+
+mod host_support;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use host_support::{eventually, Cluster, CountingMachine, Fate};
+use pinerill_control::host::{GroupHandle, ProposeError};
+use pinerill_replica::{Message, ReplicaId};
+use pinerill_storage::MemoryStore;
+use tokio::task::JoinHandle;
+
+const CALLERS: u8 = 20;
+/// Elections in this file, of 600 ms at most, with room for a busy machine.
+const ELECTION_MIN: Duration = Duration::from_millis(300);
+const ELECTION_MAX: Duration = Duration::from_millis(600);
+
+fn three() -> Cluster {
+    let mut cluster = Cluster::new();
+    cluster.settings.election_min = ELECTION_MIN;
+    cluster.settings.election_max = ELECTION_MAX;
+    let voters = [1, 2, 3].map(ReplicaId);
+    for voter in voters {
+        cluster.start(Arc::new(MemoryStore::synced(voter)), &voters);
+    }
+    cluster
+}
+
+/// Proposes one command after the other; what ends that.
+async fn propose_until_refused(group: GroupHandle<CountingMachine>, caller: u8) -> ProposeError {
+    loop {
+        match group.propose(vec![caller]).await {
+            Ok(_) | Err(ProposeError::Busy) => tokio::task::yield_now().await,
+            Err(error) => return error,
+        }
+    }
+}
+
+/// Callers propose, then no answer reaches the leader any more until it steps down.
+async fn steps_down_under_callers(cluster: &Cluster) -> (ReplicaId, Vec<JoinHandle<ProposeError>>) {
+    cluster.propose("before").await;
+    let old = cluster.leader().await;
+    let group = &cluster.members[&old].group;
+    let callers = (0..CALLERS).map(|caller| {
+        let proposing = propose_until_refused(group.clone(), caller);
+        tokio::spawn(proposing)
+    });
+    let callers = callers.collect();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    cluster.network.set_rule(move |envelope| {
+        let is_answer = matches!(
+            envelope.message,
+            Message::AppendResponse(_) | Message::HeartbeatResponse(_)
+        );
+        match is_answer && envelope.to == old {
+            true => Fate::Lose,
+            false => Fate::Deliver,
+        }
+    });
+    eventually("it steps down", || (!group.status().leads()).then_some(())).await;
+    cluster.network.set_rule(|_| Fate::Deliver);
+    (old, callers)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_that_steps_down_answers_what_the_next_one_commits() {
+    let cluster = three();
+    let (_, callers) = steps_down_under_callers(&cluster).await;
+    for caller in callers {
+        let ended = caller.await.expect("ran");
+        assert!(matches!(ended, ProposeError::NotLeader { .. }), "{ended:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_waits_for_what_an_earlier_leadership_left() {
+    let cluster = three();
+    let (old, callers) = steps_down_under_callers(&cluster).await;
+    cluster.members[&old].host.stop().await;
+    for caller in callers {
+        assert_ne!(caller.await.expect("ran"), ProposeError::Unknown);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_that_stays_cut_off_ends_its_callers_wait() {
+    let cluster = three();
+    cluster.propose("before").await;
+    let old = cluster.leader().await;
+    cluster.network.cut(old);
+    let group = &cluster.members[&old].group;
+    let began = Instant::now();
+    let proposed = group.propose(b"cut off".to_vec()).await;
+    let took = began.elapsed();
+    assert_eq!(proposed, Err(ProposeError::Unknown));
+    // It steps down, waits for two elections, and a busy machine has the rest.
+    assert!(took < 2 * ELECTION_MIN + 3 * ELECTION_MAX, "{took:?}");
+}
--- a/crates/pinerill-replica/src/leader.rs
+++ b/crates/pinerill-replica/src/leader.rs
@@ -58,9 +58,7 @@
         let Some(leading) = self.leading.take() else {
             return;
         };
-        for token in leading.proposals.into_values() {
-            self.drop_request(token, DropReason::Unknown);
-        }
+        self.keep_undecided(leading.proposals);
         self.refuse_reads(leading.reads);
     }
 
--- a/crates/pinerill-replica/src/output.rs
+++ b/crates/pinerill-replica/src/output.rs
@@ -70,13 +70,15 @@
 /// Why a request was given up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum DropReason {
-    /// Nothing was appended: this replica does not lead.
+    /// Nothing is appended: this replica does not lead, or led when it appended the entry and
+    /// another one was committed in its place.
     #[error("not the leader (leader: {leader:?})")]
     NotLeader {
         /// The leader, if known.
         leader: Option<ReplicaId>,
     },
-    /// Leadership was lost while the entry was in flight; it may still commit.
+    /// Leadership was lost while the entry was in flight, and its fate did not show in time;
+    /// it may still commit.
     #[error("leadership was lost; the outcome is unknown")]
     Unknown,
     /// Nothing was appended: too much is in flight, a transfer is going on, or the replica
--- a/crates/pinerill-replica/src/replica.rs
+++ b/crates/pinerill-replica/src/replica.rs
@@ -7,6 +7,7 @@
 use crate::log::Log;
 use crate::read_index::ForwardedReads;
 use crate::snapshot::IncomingSnapshot;
+use crate::undecided::Undecided;
 use crate::{
     Committed, DropReason, Dropped, Envelope, HardState, Input, Membership, Message, Output,
     ReplicaConfig, ReplicaId, RestoredState, RoleChange, SnapshotMeta,
@@ -63,6 +64,8 @@
     pub peers: Vec<PeerStatus>,
     /// Whether it is about to stop and takes no proposals.
     pub draining: bool,
+    /// Proposals from when it led whose fate it doesn't know yet.
+    pub undecided: usize,
 }
 
 /// One replica of a group.
@@ -79,6 +82,8 @@
     pub(crate) durability: Durability,
     pub(crate) election: Election,
     pub(crate) leading: Option<Leading>,
+    /// Proposals from when it led.
+    pub(crate) undecided: Undecided,
     pub(crate) forwarded_reads: ForwardedReads,
     pub(crate) incoming_snapshot: Option<IncomingSnapshot>,
     /// Whether it is about to stop: it takes no proposals and keeps no leadership.
@@ -107,6 +112,7 @@
             log,
             election: Election::default(),
             leading: None,
+            undecided: Undecided::default(),
             forwarded_reads: ForwardedReads::new(config.seed),
             incoming_snapshot: None,
             draining: false,
@@ -161,6 +167,7 @@
             None => self.election.deadline_ms,
         };
         own.min(self.forwarded_reads.deadline_ms())
+            .min(self.undecided.deadline_ms())
     }
 
     /// A view of the replica for operators and tests.
@@ -178,6 +185,7 @@
             membership_index: self.log.membership_index(),
             peers: self.peer_status(),
             draining: self.draining,
+            undecided: self.undecided.len(),
         }
     }
 
@@ -230,6 +238,7 @@
 
     fn tick(&mut self) {
         self.expire_forwarded_reads();
+        self.expire_undecided();
         if self.leading.is_some() {
             self.tick_leader();
         } else {
@@ -319,10 +328,12 @@
                 debug_assert!(false, "committed entry {index} is not in the log");
                 break;
             };
+            let led_before = self.take_decided(index, entry.term);
             let token = self
                 .leading
                 .as_mut()
-                .and_then(|leading| leading.proposals.remove(&index));
+                .and_then(|leading| leading.proposals.remove(&index))
+                .or(led_before);
             self.output.committed.push(Committed { entry, token });
             self.applied = index;
         }
--- a/crates/pinerill-replica/src/snapshot.rs
+++ b/crates/pinerill-replica/src/snapshot.rs
@@ -267,6 +267,7 @@
             return;
         }
         self.drop_unapplied();
+        self.drop_undecided_up_to(meta.index);
         self.log = Log::new(&meta, Vec::new());
         self.commit = meta.index;
         self.applied = meta.index;
