Slots are shared among tenants, and released ones go to the first call of the zone

Cause: a node gives a released slot to its own queue, and queues order by rank and latest start without knowing tenants, so a tenant with many calls keeps all slots of a worker at one node. Change: nodes divide the slots that calls use by max-min shares; calls of a rank within their tenant's share precede those over it, in the queue, at admission and among the nodes that claim a free slot. Nodes report their queue and their tenants' use (PeerMessage::Queue, with starts_per_s of each service) every 50 ms while calls wait, relays report zones (ZoneTenants), and a released slot is promised to a node whose first call precedes. All of it only where the route table has tenants. Waiters moved to a module of their own.

--- a/crates/pinerill-forward/src/dispatch/mod.rs
+++ b/crates/pinerill-forward/src/dispatch/mod.rs
@@ -4,7 +4,9 @@
 //! rather than at a worker, whose own queue only knows the order of arrival; it is rejected at once
 //! if it cannot be served in time (`admission`). `queue` keeps the order of the waiting calls,
 //! `claims` decides which node may use a free slot that several see, `demand` records the waiting
-//! calls and preemptible items of the zone's other nodes, and `zone` serves those nodes. The queue
+//! calls and preemptible items of the zone's other nodes, and `zone` serves those nodes. Where the
+//! route table has tenants, `shares` divides the slots among them by their use (`tenant_use`), and
+//! `zone_order` and `sharing` pass released slots to the first calls of the zone. The queue
 //! is scanned whenever a slot is released, a peer reports a free one, or the scan interval has
 //! passed.
 
@@ -13,26 +15,35 @@
 pub mod demand;
 pub mod queue;
 pub mod report;
+pub mod report_pace;
+pub mod shares;
+mod sharing;
+pub mod tenant_use;
 mod times;
+mod waiters;
 mod zone;
+pub mod zone_order;
 
-use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
 use parking_lot::Mutex;
 use pinerill_calls::directory::WorkerId;
-use pinerill_calls::table::AllowedRegions;
 use pinerill_process::clock::timeout_at;
-use tokio::sync::{oneshot, Notify};
+use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
-use self::admission::{admit, Admission, AdmissionRequest, StartRate};
-use self::claims::{nodes_ahead, Contender, FreeSlotClaims};
+use self::admission::{admit, Admission, AdmissionRequest};
+use self::claims::FreeSlotClaims;
 use self::demand::ZoneDemand;
-use self::queue::{Ticket, WaitingCall, WaitingQueue};
+use self::queue::{Ticket, WaitingCall};
+use self::report::TenantKey;
+use self::sharing::OwnClaim;
+use self::tenant_use::TenantUses;
 use self::times::CallTimes;
+use self::waiters::{State, Waiter};
+use self::zone_order::ZoneQueues;
 use crate::call::Call;
 use crate::fleet::{ChosenWorker, Placement, PlacementRequest, Prompt, WorkerKey};
 use crate::node::{Node, OccupiedSlot};
@@ -72,40 +83,16 @@
     },
 }
 
-struct Waiter {
-    service: String,
-    prompt: Prompt,
-    except: Vec<WorkerId>,
-    runs_once: bool,
-    homes: AllowedRegions,
-    grant: oneshot::Sender<Result<Placed, Unplaced>>,
-}
-
-impl Waiter {
-    fn wanted(&self) -> PlacementRequest<'_> {
-        PlacementRequest {
-            service: &self.service,
-            prompt: &self.prompt,
-            except: &self.except,
-            runs_once: self.runs_once,
-            homes: &self.homes,
-        }
-    }
-}
-
-#[derive(Default)]
-struct State {
-    queue: WaitingQueue,
-    waiters: HashMap<Ticket, Waiter>,
-    start_rate: StartRate,
-}
-
 /// Queue of the calls that wait for a slot at this node, and the state needed to serve it.
 #[derive(Default)]
 pub struct Dispatcher {
     state: Mutex<State>,
     /// Waiting calls and preemptible items reported by the zone's other nodes.
     peer_demand: Mutex<ZoneDemand>,
+    /// Slots that tenants' calls use, here and elsewhere.
+    tenants: Mutex<TenantUses>,
+    /// Queues of the zone's other nodes, as they report them.
+    zone_queues: Mutex<ZoneQueues>,
     /// Observations of free slots, from which this node's claims follow.
     claims: Mutex<FreeSlotClaims>,
     /// Time in milliseconds on the node's clock at which a call was last sent to another zone
@@ -115,6 +102,8 @@
     pub(crate) times: CallTimes,
     /// Notified when a slot may have become free.
     pub(crate) changed: Notify,
+    /// Notified when a call begins to wait.
+    pub(crate) queue_changed: Notify,
 }
 
 /// Removes a call from the queue when its future is dropped, for example because the caller
@@ -160,8 +149,11 @@
                 runs_once: runs_once(call),
                 homes: &call.homes,
             };
-            match self.find_slot(node, 1, &wanted) {
-                Placement::Available(chosen) => return Ok(occupy_slot(node, chosen, &call.prompt)),
+            let tenant = TenantKey::from_name(call.access.name());
+            match self.find_slot(node, self.claim_of_newcomer(node, tenant), &wanted) {
+                Placement::Available(chosen) => {
+                    return Ok(occupy_slot(node, chosen, &call.prompt, tenant));
+                }
                 Placement::NoWorker => return Err(Unplaced::NoWorker),
                 Placement::Full => {}
             }
@@ -177,6 +169,7 @@
             ticket,
         };
         self.changed.notify_one();
+        self.queue_changed.notify_one();
         let latest = match fresh {
             true => self.times.latest_slot_time(call),
             false => call.deadline,
@@ -200,27 +193,23 @@
             event = "call_waited_in_vain", id = call.head.id.as_str(), line = self.waiting(),
             interval_ms:? = interval_ms, retry_after_ms = retry_after.as_millis() as u64; ""
         );
+        self.record_timeout(node, call);
         Unplaced::Rejected { retry_after }
     }
 
     /// Finds a worker with a free slot that this node may claim. At most once per
     /// `EXPLORATION_INTERVAL_MS`, a call that finds no slot in its zone may go to a worker of
     /// another zone whose load is unknown.
-    fn find_slot(&self, node: &Node, waiting: usize, wanted: &PlacementRequest<'_>) -> Placement {
+    fn find_slot(&self, node: &Node, own: OwnClaim, wanted: &PlacementRequest<'_>) -> Placement {
         let service = wanted.service;
         let now_ms = node.now_ms();
         let explored_ms = self.explored_ms.load(Ordering::Relaxed);
         let may_explore = now_ms.saturating_sub(explored_ms) >= EXPLORATION_INTERVAL_MS;
         let others = self.peer_demand.lock().contenders(now_ms, service);
-        let own = Contender {
-            node: node.settings.peer_listen,
-            waiting: waiting.max(1) as u32,
-        };
+        let order = self.claim_order(node, own, others, service);
         let mut claims = self.claims.lock();
-        let may_claim = |worker, free| {
-            let ahead = nodes_ahead(own, &others, worker);
-            claims.may_claim(now_ms, worker, free, ahead)
-        };
+        let may_claim =
+            |worker, free| claims.may_claim(now_ms, worker, free, order.nodes_ahead(worker));
         let found = node.with_fleet(|fleet, _| fleet.place(now_ms, wanted, may_explore, may_claim));
         if let Placement::Available(chosen) = &found {
             claims.record_claim(WorkerKey::from_id(&chosen.entry.id));
@@ -244,9 +233,11 @@
 
     fn admit(&self, node: &Node, call: &Call, waiting: &WaitingCall) -> Result<(), Unplaced> {
         let now_ms = node.now_ms();
-        let (ahead, interval_ms) = {
-            let state = self.state.lock();
-            let ahead = state.queue.ahead_of(now_ms, waiting);
+        let ((ahead, over_share), interval_ms) = {
+            let mut state = self.state.lock();
+            self.refresh_shares(node, &mut state);
+            let tenant = TenantKey::from_name(call.access.name());
+            let ahead = state.queue.place_of(now_ms, tenant, waiting);
             (ahead, state.start_rate.interval_ms(now_ms))
         };
         let request = AdmissionRequest {
@@ -266,58 +257,12 @@
                     objective_ms = call.route.objective_ms,
                     retry_after_ms = retry_after.as_millis() as u64; ""
                 );
+                self.record_rejection(node, call, over_share);
                 Err(Unplaced::Rejected { retry_after })
             }
         }
     }
 
-    fn enqueue(
-        &self,
-        call: &Call,
-        except: &[WorkerId],
-        waiting: WaitingCall,
-    ) -> (Ticket, oneshot::Receiver<Result<Placed, Unplaced>>) {
-        let (grant, granted) = oneshot::channel();
-        let waiter = Waiter {
-            service: call.service.clone(),
-            prompt: call.prompt.clone(),
-            except: except.to_vec(),
-            runs_once: runs_once(call),
-            homes: call.homes.clone(),
-            grant,
-        };
-        let mut state = self.state.lock();
-        let ticket = state.queue.push(waiting);
-        state.waiters.insert(ticket, waiter);
-        (ticket, granted)
-    }
-
-    /// Removes the first call that can be assigned now from the queue. The choice is `None` if its
-    /// service has no usable worker left. Returns `None` if none of the first calls finds a slot.
-    fn dequeue_placeable(&self, node: &Node) -> Option<(Waiter, Option<ChosenWorker>)> {
-        let now_ms = node.now_ms();
-        let mut state = self.state.lock();
-        for ticket in state.queue.head(now_ms, MAX_SCANNED_CALLS) {
-            let Some(waiter) = state.waiters.get(&ticket) else {
-                state.queue.remove(ticket);
-                continue;
-            };
-            let found = self.find_slot(node, state.queue.len(), &waiter.wanted());
-            let chosen = match found {
-                Placement::Full => continue,
-                Placement::Available(chosen) => Some(chosen),
-                Placement::NoWorker => None,
-            };
-            state.queue.remove(ticket);
-            if chosen.is_some() {
-                state.start_rate.record_start(now_ms);
-            }
-            let waiter = state.waiters.remove(&ticket)?;
-            return Some((waiter, chosen));
-        }
-        None
-    }
-
     /// Preempts batch items for the calls that wait at this node.
     fn preempt_for_own_calls(&self, node: &Node) {
         let now_ms = node.now_ms();
@@ -326,19 +271,10 @@
         }
     }
 
-    fn waiting_by_service(&self) -> HashMap<String, usize> {
-        let state = self.state.lock();
-        let mut waiting = HashMap::new();
-        for waiter in state.waiters.values() {
-            *waiting.entry(waiter.service.clone()).or_default() += 1;
-        }
-        waiting
-    }
-
     fn place_waiting(&self, node: &Arc<Node>) {
         while let Some((waiter, chosen)) = self.dequeue_placeable(node) {
             let result = match chosen {
-                Some(chosen) => Ok(occupy_slot(node, chosen, &waiter.prompt)),
+                Some(chosen) => Ok(occupy_slot(node, chosen, &waiter.prompt, waiter.tenant)),
                 None => Err(Unplaced::NoWorker),
             };
             // If the caller has just disconnected, dropping the result releases the slot.
@@ -352,9 +288,14 @@
     !call.route.kind.may_repeat()
 }
 
-fn occupy_slot(node: &Arc<Node>, chosen: ChosenWorker, prompt: &Prompt) -> Placed {
+fn occupy_slot(
+    node: &Arc<Node>,
+    chosen: ChosenWorker,
+    prompt: &Prompt,
+    tenant: TenantKey,
+) -> Placed {
     Placed {
-        place: node.occupy_slot(&chosen, prompt),
+        place: node.occupy_slot(&chosen, prompt).counted_for(tenant),
         chosen,
     }
 }
--- a/crates/pinerill-forward/src/dispatch/report.rs
+++ b/crates/pinerill-forward/src/dispatch/report.rs
@@ -3,6 +3,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::hash_name;
+
 /// Short identifier of a tenant in messages between nodes: a 32-bit hash of its name. On a
 /// collision two tenants share one share of the slots.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -65,3 +67,11 @@
     /// Time after which the place is given up, in milliseconds.
     pub expires_in_ms: u32,
 }
+
+impl TenantKey {
+    /// Returns the key of a tenant's name; every node computes the same key. Callers without a
+    /// tenant share one key.
+    pub fn from_name(tenant: Option<&str>) -> Self {
+        TenantKey(hash_name(tenant.unwrap_or_default()))
+    }
+}
--- /dev/null
+++ b/crates/pinerill-forward/src/dispatch/waiters.rs
@@ -0,0 +1,135 @@
+//! The calls that wait at this node, with what is needed to give them a slot.
+
+use std::collections::HashMap;
+
+use pinerill_calls::directory::WorkerId;
+use pinerill_calls::table::AllowedRegions;
+use tokio::sync::oneshot;
+
+use super::admission::StartRate;
+use super::queue::{Ticket, WaitingCall, WaitingQueue};
+use super::report::TenantKey;
+use super::sharing::OwnClaim;
+use super::{runs_once, Dispatcher, Placed, Unplaced, MAX_SCANNED_CALLS};
+use crate::call::Call;
+use crate::fleet::{ChosenWorker, Placement, PlacementRequest, Prompt};
+use crate::node::Node;
+
+/// Number of services for which start rates are kept. When a further one appears, all are
+/// discarded.
+const MAX_SERVICES: usize = 256;
+
+pub(super) struct Waiter {
+    pub(super) service: String,
+    pub(super) tenant: TenantKey,
+    pub(super) prompt: Prompt,
+    except: Vec<WorkerId>,
+    runs_once: bool,
+    homes: AllowedRegions,
+    pub(super) grant: oneshot::Sender<Result<Placed, Unplaced>>,
+}
+
+impl Waiter {
+    pub(super) fn wanted(&self) -> PlacementRequest<'_> {
+        PlacementRequest {
+            service: &self.service,
+            prompt: &self.prompt,
+            except: &self.except,
+            runs_once: self.runs_once,
+            homes: &self.homes,
+        }
+    }
+}
+
+#[derive(Default)]
+pub(super) struct State {
+    pub(super) queue: WaitingQueue,
+    pub(super) waiters: HashMap<Ticket, Waiter>,
+    pub(super) start_rate: StartRate,
+    /// Rates at which waiting calls of each service get slots.
+    pub(super) service_starts: HashMap<String, StartRate>,
+    /// Time in milliseconds on the node's clock at which shares were last computed.
+    pub(super) shares_ms: u64,
+}
+
+impl State {
+    /// Removes a call that gets a slot.
+    pub(super) fn take_started(&mut self, now_ms: u64, ticket: Ticket) -> Option<Waiter> {
+        self.queue.remove(ticket);
+        self.start_rate.record_start(now_ms);
+        let waiter = self.waiters.remove(&ticket)?;
+        let is_known = self.service_starts.contains_key(&waiter.service);
+        if !is_known && self.service_starts.len() >= MAX_SERVICES {
+            self.service_starts.clear();
+        }
+        let starts = self.service_starts.entry(waiter.service.clone());
+        starts.or_default().record_start(now_ms);
+        Some(waiter)
+    }
+}
+
+impl Dispatcher {
+    pub(super) fn enqueue(
+        &self,
+        call: &Call,
+        except: &[WorkerId],
+        waiting: WaitingCall,
+    ) -> (Ticket, oneshot::Receiver<Result<Placed, Unplaced>>) {
+        let (grant, granted) = oneshot::channel();
+        let tenant = TenantKey::from_name(call.access.name());
+        let waiter = Waiter {
+            service: call.service.clone(),
+            tenant,
+            prompt: call.prompt.clone(),
+            except: except.to_vec(),
+            runs_once: runs_once(call),
+            homes: call.homes.clone(),
+            grant,
+        };
+        let mut state = self.state.lock();
+        let ticket = state.queue.push_of(tenant, waiting);
+        state.waiters.insert(ticket, waiter);
+        (ticket, granted)
+    }
+
+    /// Removes the first call that can be assigned now from the queue. The choice is `None` if its
+    /// service has no usable worker left. Returns `None` if none of the first calls finds a slot.
+    pub(super) fn dequeue_placeable(&self, node: &Node) -> Option<(Waiter, Option<ChosenWorker>)> {
+        let now_ms = node.now_ms();
+        let mut state = self.state.lock();
+        self.refresh_shares(node, &mut state);
+        let mut order = state.queue.order(now_ms, None);
+        order.truncate(MAX_SCANNED_CALLS);
+        for queued in order {
+            let ticket = queued.ticket;
+            let Some(waiter) = state.waiters.get(&ticket) else {
+                state.queue.remove(ticket);
+                continue;
+            };
+            let own = OwnClaim {
+                waiting: state.queue.len(),
+                over_share: queued.over_share,
+            };
+            match self.find_slot(node, own, &waiter.wanted()) {
+                Placement::Full => {}
+                Placement::Available(chosen) => {
+                    return Some((state.take_started(now_ms, ticket)?, Some(chosen)));
+                }
+                Placement::NoWorker => {
+                    state.queue.remove(ticket);
+                    return Some((state.waiters.remove(&ticket)?, None));
+                }
+            }
+        }
+        None
+    }
+
+    pub(super) fn waiting_by_service(&self) -> HashMap<String, usize> {
+        let state = self.state.lock();
+        let mut waiting = HashMap::new();
+        for waiter in state.waiters.values() {
+            *waiting.entry(waiter.service.clone()).or_default() += 1;
+        }
+        waiting
+    }
+}
--- a/crates/pinerill-forward/src/dispatch/zone.rs
+++ b/crates/pinerill-forward/src/dispatch/zone.rs
@@ -121,7 +121,7 @@
         let Some((waiter, chosen)) = self.dequeue_for_promise(node, worker) else {
             return false;
         };
-        let placed = occupy_slot(node, chosen, &waiter.prompt);
+        let placed = occupy_slot(node, chosen, &waiter.prompt, waiter.tenant);
         // If the caller has just disconnected, dropping the result releases the slot.
         let _ = waiter.grant.send(Ok(placed));
         true
@@ -130,6 +130,7 @@
     fn dequeue_for_promise(&self, node: &Node, key: WorkerKey) -> Option<(Waiter, ChosenWorker)> {
         let now_ms = node.now_ms();
         let mut state = self.state.lock();
+        self.refresh_shares(node, &mut state);
         for ticket in state.queue.head(now_ms, MAX_SCANNED_CALLS) {
             let Some(waiter) = state.waiters.get(&ticket) else {
                 continue;
@@ -137,9 +138,7 @@
             let wanted = waiter.wanted();
             let chosen = node.with_fleet(|fleet, _| fleet.promised_worker(now_ms, key, &wanted));
             if let Some(chosen) = chosen {
-                state.queue.remove(ticket);
-                state.start_rate.record_start(now_ms);
-                return Some((state.waiters.remove(&ticket)?, chosen));
+                return Some((state.take_started(now_ms, ticket)?, chosen));
             }
         }
         None
@@ -148,7 +147,7 @@
 
 /// Broadcasts this node's counts once a promise has expired, since the slot may be free then. Does
 /// nothing if the slot is released after the runtime has shut down.
-fn broadcast_after(node: &Arc<Node>, time: Duration) {
+pub(super) fn broadcast_after(node: &Arc<Node>, time: Duration) {
     let Ok(runtime) = Handle::try_current() else {
         return;
     };
--- /dev/null
+++ b/crates/pinerill-forward/src/dispatch/zone_order.rs
@@ -0,0 +1,180 @@
+//! Order of the queues of a zone's nodes, by the heads that they report, and the node to which a
+//! released slot is passed. Pure.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use super::claims::{nodes_ahead, Contender};
+use super::report::{QueuePosition, ServiceQueue};
+use crate::fleet::WorkerKey;
+
+/// Time for which a node's report counts, in milliseconds.
+const REPORT_TTL_MS: u64 = 700;
+
+#[derive(Debug)]
+struct PeerQueues {
+    at_ms: u64,
+    services: Vec<ServiceQueue>,
+}
+
+/// The latest queues of the other nodes in the zone.
+#[derive(Debug, Default)]
+pub struct ZoneQueues {
+    reports: HashMap<SocketAddr, PeerQueues>,
+}
+
+/// Returns whether a call at one node precedes a call at another by more than a slot costs that is
+/// passed on, `cost_ms`. Calls that can still meet their objective precede late ones, and of late
+/// calls the newest goes first.
+pub fn precedes(one: &QueuePosition, other: &QueuePosition, cost_ms: u64) -> bool {
+    let class = |position: &QueuePosition| (position.rank, position.over_share);
+    if class(one) != class(other) {
+        return class(one) < class(other);
+    }
+    let cost_ms = i64::try_from(cost_ms).unwrap_or(i64::MAX);
+    let (one_ms, other_ms) = (i64::from(one.slack_ms), i64::from(other.slack_ms));
+    match (one_ms >= 0, other_ms >= 0) {
+        (true, true) => one_ms.saturating_add(cost_ms) < other_ms,
+        (false, false) => one_ms > other_ms.saturating_add(cost_ms),
+        (in_time, _) => in_time,
+    }
+}
+
+impl ZoneQueues {
+    /// Replaces the queues of a node. An empty list removes them.
+    pub fn record(&mut self, now_ms: u64, node: SocketAddr, services: Vec<ServiceQueue>) {
+        self.reports
+            .retain(|_, report| now_ms <= report.at_ms + REPORT_TTL_MS);
+        if services.is_empty() {
+            self.reports.remove(&node);
+            return;
+        }
+        let report = PeerQueues {
+            at_ms: now_ms,
+            services,
+        };
+        self.reports.insert(node, report);
+    }
+
+    /// Discards all reports.
+    pub fn forget(&mut self) {
+        self.reports.clear();
+    }
+
+    /// Returns the node to which a slot of `service` is passed that this node could give to a call
+    /// at the position `own`, or to none if that is `None`. Among the nodes whose heads precede
+    /// it, those of the first rank and part are drawn from by `draw`, a random number between 0 and
+    /// 1, in proportion to their calls that wait there. One of these counts as served.
+    pub fn receiver(
+        &mut self,
+        now_ms: u64,
+        service: &str,
+        own: Option<QueuePosition>,
+        cost_ms: u64,
+        draw: f64,
+    ) -> Option<SocketAddr> {
+        let mut nodes: Vec<(QueuePosition, u32, SocketAddr)> = self
+            .heads(now_ms, service)
+            .filter(|(_, head, _)| own.is_none_or(|own| precedes(head, &own, cost_ms)))
+            .map(|(node, head, queue)| (head, calls_of_part(queue, head.over_share), node))
+            .collect();
+        let class = |head: &QueuePosition| (head.rank, head.over_share);
+        let first = nodes.iter().map(|(head, _, _)| class(head)).min()?;
+        nodes.retain(|(head, _, _)| class(head) == first);
+        nodes.sort_unstable_by_key(|(_, _, node)| *node);
+        let node = draw_weighted(&nodes, draw)?;
+        self.count_as_served(node, service);
+        Some(node)
+    }
+
+    /// Returns how many of the `others` that have waiting calls claim a free slot at a worker before
+    /// this one: of those whose calls are of the same part the ones that precede `own` in the claim
+    /// order, and before calls over share all nodes with calls within share. A node whose queue is
+    /// unknown counts as one of the same part.
+    pub fn nodes_ahead(
+        &self,
+        now_ms: u64,
+        service: &str,
+        own: Contender,
+        own_over_share: bool,
+        others: &[Contender],
+        worker: WorkerKey,
+    ) -> usize {
+        let parts: HashMap<SocketAddr, bool> = self
+            .heads(now_ms, service)
+            .map(|(node, head, _)| (node, head.over_share))
+            .collect();
+        let is_over = |other: &Contender| parts.get(&other.node).copied();
+        let same_part =
+            |other: &&Contender| is_over(other).is_none_or(|over| over == own_over_share);
+        let same: Vec<Contender> = others.iter().filter(same_part).copied().collect();
+        let within = others.iter().filter(|other| is_over(other) == Some(false));
+        let preferred = match own_over_share {
+            true => within.filter(|other| other.waiting > 0).count(),
+            false => 0,
+        };
+        preferred + nodes_ahead(own, &same, worker)
+    }
+
+    fn heads<'a>(
+        &'a self,
+        now_ms: u64,
+        service: &'a str,
+    ) -> impl Iterator<Item = (SocketAddr, QueuePosition, &'a ServiceQueue)> {
+        let fresh = self.reports.iter();
+        let fresh = fresh.filter(move |(_, report)| now_ms <= report.at_ms + REPORT_TTL_MS);
+        fresh.filter_map(move |(node, report)| {
+            let mut queues = report.services.iter();
+            let queue = queues.find(|queue| queue.service == service)?;
+            let mut head = queue.head?;
+            let age_ms = i32::try_from(now_ms.saturating_sub(report.at_ms)).unwrap_or(i32::MAX);
+            head.slack_ms = head.slack_ms.saturating_sub(age_ms);
+            Some((*node, head, queue))
+        })
+    }
+
+    /// Takes the first call from the known queue of a node. The position of the next one is unknown
+    /// until the next report, so it counts like the first as long as calls of its part are left.
+    fn count_as_served(&mut self, node: SocketAddr, service: &str) {
+        let report = self.reports.get_mut(&node);
+        let mut queues = report.into_iter().flat_map(|report| &mut report.services);
+        let Some(queue) = queues.find(|queue| queue.service == service) else {
+            return;
+        };
+        let Some(head) = &mut queue.head else {
+            return;
+        };
+        let calls = match head.over_share {
+            true => &mut queue.over_share,
+            false => &mut queue.within_share,
+        };
+        *calls = calls.saturating_sub(1);
+        if *calls > 0 {
+            return;
+        }
+        match queue.over_share {
+            0 => queue.head = None,
+            _ => head.over_share = true,
+        }
+    }
+}
+
+fn calls_of_part(queue: &ServiceQueue, over_share: bool) -> u32 {
+    match over_share {
+        true => queue.over_share,
+        false => queue.within_share,
+    }
+}
+
+fn draw_weighted(nodes: &[(QueuePosition, u32, SocketAddr)], draw: f64) -> Option<SocketAddr> {
+    let weight = |calls: u32| f64::from(calls.max(1));
+    let total: f64 = nodes.iter().map(|(_, calls, _)| weight(*calls)).sum();
+    let mut to_skip = draw * total;
+    for (_, calls, node) in nodes {
+        if to_skip < weight(*calls) {
+            return Some(*node);
+        }
+        to_skip -= weight(*calls);
+    }
+    nodes.last().map(|(_, _, node)| *node)
+}
--- a/crates/pinerill-forward/src/fleet/mod.rs
+++ b/crates/pinerill-forward/src/fleet/mod.rs
@@ -31,6 +31,7 @@
 pub use choice::{BatchCapacity, Placement, PlacementRequest};
 pub use eligibility::Eligibility;
 pub use pace::WorkerPace;
+pub(crate) use peers::hash_name;
 pub use peers::{ReportOrder, WorkerCount, WorkerKey};
 pub use prefixes::{PrefixMemory, Prompt};
 pub use slow_start::SlowStartPermit;
--- a/crates/pinerill-forward/src/fleet/peers.rs
+++ b/crates/pinerill-forward/src/fleet/peers.rs
@@ -32,6 +32,13 @@
     number ^ (number >> 31)
 }
 
+/// Returns a 32-bit hash of a name; every node computes the same value.
+pub(crate) fn hash_name(name: &str) -> u32 {
+    name.bytes().fold(FNV_OFFSET, |hash, byte| {
+        (hash ^ u32::from(byte)).wrapping_mul(FNV_PRIME)
+    })
+}
+
 /// Short identifier of a worker in messages between nodes: a 32-bit hash of the worker's
 /// identifier. A collision only makes the choice of a worker less accurate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -40,10 +47,7 @@
 impl WorkerKey {
     /// Returns the key for a worker identifier; every node computes the same key.
     pub fn from_id(worker: &str) -> Self {
-        let hash = worker.bytes().fold(FNV_OFFSET, |hash, byte| {
-            (hash ^ u32::from(byte)).wrapping_mul(FNV_PRIME)
-        });
-        WorkerKey(hash)
+        WorkerKey(hash_name(worker))
     }
 
     /// Returns a hash of the worker and a node; every node computes the same value.
@@ -77,7 +81,7 @@
 impl ReportOrder {
     /// Returns whether this report supersedes an `earlier` one of the same reporter. A report from
     /// a different start always does.
-    fn is_newer_than(self, earlier: ReportOrder) -> bool {
+    pub(crate) fn is_newer_than(self, earlier: ReportOrder) -> bool {
         self.start != earlier.start || self.sequence > earlier.sequence
     }
 }
--- a/crates/pinerill-forward/src/monitoring.rs
+++ b/crates/pinerill-forward/src/monitoring.rs
@@ -8,8 +8,8 @@
 use pinerill_process::clock::suspensions;
 use pinerill_process::Monitored;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 use tokio::sync::Notify;
 
@@ -46,6 +46,9 @@
     requests_suspected: IntGauge,
     requests_blocked: IntGauge,
     waiting_calls: IntGauge,
+    waiting_by_part: IntGaugeVec,
+    pub(crate) slots_passed: IntCounter,
+    share_rejections: IntCounterVec,
     table_version: IntGauge,
     control_silent_ms: IntGauge,
     directory_age_ms: IntGauge,
@@ -101,6 +104,11 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
+        let gauges = |name: &str, help: &str, labels: &[&str]| {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(gauges.clone()))?;
+            Ok::<_, prometheus::Error>(gauges)
+        };
         Ok(Metrics {
             requests: counter("pinerill_node_requests_total", "Callers' requests")?,
             refusals: counters(
@@ -195,6 +203,20 @@
                 "pinerill_node_waiting_calls",
                 "Calls that wait for a place at a worker",
             )?,
+            waiting_by_part: gauges(
+                "pinerill_node_waiting_calls_by_part",
+                "Calls that wait for a slot, within or over the share of their tenant",
+                &["part"],
+            )?,
+            slots_passed: counter(
+                "pinerill_node_slots_passed_total",
+                "Released slots that were passed to a node whose first call precedes those here",
+            )?,
+            share_rejections: counters(
+                "pinerill_node_share_rejections_total",
+                "Calls rejected while slots are shared among tenants, within or over their share",
+                &["part"],
+            )?,
             table_version: gauge("pinerill_node_table_version", "Route table in force")?,
             control_silent_ms: gauge(
                 "pinerill_node_control_silent_ms",
@@ -222,6 +244,11 @@
         self.quota_refusals.with_label_values(&[reason]).inc();
     }
 
+    /// Counts a rejected call by the part of the queue that it belongs to.
+    pub(crate) fn share_rejected(&self, part: &str) {
+        self.share_rejections.with_label_values(&[part]).inc();
+    }
+
     pub(crate) fn first_event(&self, kind: &str, time: Duration) {
         let histogram = self.first_event.with_label_values(&[kind]);
         histogram.observe(time.as_secs_f64());
@@ -264,6 +291,11 @@
         metrics
             .waiting_calls
             .set(number(self.dispatcher.waiting() as u64));
+        let (within, over) = self.dispatcher.waiting_by_part(self.now_ms());
+        for (part, calls) in [("within", within), ("over", over)] {
+            let gauge = metrics.waiting_by_part.with_label_values(&[part]);
+            gauge.set(number(calls as u64));
+        }
         metrics
             .control_silent_ms
             .set(number(self.control_silent_ms()));
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -21,6 +21,7 @@
 use crate::confirmation::HealthChecks;
 use crate::crash::broken_runs::CrashEvidence;
 use crate::crash::CrashTracker;
+use crate::dispatch::report::TenantKey;
 use crate::dispatch::Dispatcher;
 use crate::exchange::{BreakReason, ConnectionPool};
 use crate::fleet::{BatchCapacity, ChosenWorker, Fleet, PlacementRequest, Prompt, SlowStartPermit};
@@ -198,6 +199,7 @@
         let Some(suspended) = self.waking.check_clocks() else {
             return;
         };
+        self.dispatcher.forget_reports();
         // The next request to the leader asks for the full state.
         self.known_state
             .needs_full_update
@@ -217,6 +219,14 @@
         }
     }
 
+    /// Returns whether slots are shared among tenants, as they are if the route table has any.
+    pub(crate) fn shares_slots(&self) -> bool {
+        let table = self.table.read();
+        table
+            .as_ref()
+            .is_some_and(|index| index.table().tenants.is_some())
+    }
+
     /// Replaces the route table if `index` has a higher version. Returns whether it did.
     pub(crate) fn install_table(&self, index: RouteIndex) -> bool {
         let mut current = self.table.write();
@@ -268,6 +278,7 @@
             node: self.clone(),
             worker,
             permit,
+            tenant: None,
         }
     }
 
@@ -323,9 +334,18 @@
     node: Arc<Node>,
     worker: WorkerId,
     permit: Option<SlowStartPermit>,
+    /// Tenant whose call occupies the slot; `None` for an item of a job.
+    tenant: Option<TenantKey>,
 }
 
 impl OccupiedSlot {
+    /// Counts the slot as used by a call of the tenant.
+    pub(crate) fn counted_for(mut self, tenant: TenantKey) -> Self {
+        self.node.dispatcher.record_tenant_start(tenant);
+        self.tenant = Some(tenant);
+        self
+    }
+
     /// Returns the worker that the slot belongs to.
     pub fn worker(&self) -> &WorkerId {
         &self.worker
@@ -348,7 +368,11 @@
         self.node
             .with_fleet(|fleet, _| fleet.end_request(&self.worker));
         let dispatcher = &self.node.dispatcher;
-        let is_taken = dispatcher.grant_freed_slot(&self.node, &self.worker)
+        if let Some(tenant) = self.tenant {
+            dispatcher.record_tenant_end(tenant);
+        }
+        let is_taken = dispatcher.pass_freed_slot(&self.node, &self.worker)
+            || dispatcher.grant_freed_slot(&self.node, &self.worker)
             || dispatcher.promise_freed_slot(&self.node, &self.worker);
         if !is_taken {
             self.node.dispatcher.changed.notify_one();
--- a/crates/pinerill-forward/src/peers/mod.rs
+++ b/crates/pinerill-forward/src/peers/mod.rs
@@ -18,6 +18,8 @@
 //! | node | nodes of its zone | long prompts, workers that did not answer or closed a connection | each |
 //! | node | one node of its zone | a slot that became free | while calls wait at that node |
 //! | relay | one relay of each other zone, and from there all its nodes | requests in flight in the zone | every [`broadcast::PAUSE_PER_ZONE`] times the number of other zones, while they change |
+//! | node | nodes of its zone | queue, and slots that tenants use ([`message::PeerMessage::Queue`]) | every 50 ms while calls wait, if the route table has tenants |
+//! | relay | one relay of each other zone, and from there all its nodes | slots that tenants use in the zone | every 250 ms while calls wait in the zone, if the route table has tenants |
 //! | node | nodes of its zone and, through relays and bridges, all others | crashes of workers under requests ([`crashes`]) | each, and again for some seconds |
 //!
 //! Zones are those of the node's cell ([`pinerill_calls::cells`]). Messages for all nodes are
@@ -33,6 +35,7 @@
 mod broadcast;
 mod crashes;
 mod message;
+mod queue_reports;
 mod receive;
 
 use std::io;
@@ -49,6 +52,7 @@
 
 pub(crate) use broadcast::{broadcast_counts, broadcast_zone_counts, promise_time};
 pub(crate) use crashes::resend_crash_reports;
+pub(crate) use queue_reports::{broadcast_queue, broadcast_zone_tenants};
 pub(crate) use receive::receive;
 
 /// Shortest expected prefill time for which a prompt is broadcast, milliseconds.
--- a/crates/pinerill-forward/src/peers/receive.rs
+++ b/crates/pinerill-forward/src/peers/receive.rs
@@ -26,7 +26,9 @@
             continue;
         }
         match decode::<PeerMessage>(&datagram[..length]) {
-            Ok(message @ PeerMessage::ZoneInFlight { .. }) if from_relay => {
+            Ok(message @ (PeerMessage::ZoneInFlight { .. } | PeerMessage::ZoneTenants { .. }))
+                if from_relay =>
+            {
                 node.peers.broadcast_to_zone(&message);
                 apply(&node, from, message);
             }
@@ -79,11 +81,24 @@
         }
         // Handled in `receive`, since relays of other zones and bridges send these too.
         PeerMessage::Crashes(_) => {}
+        PeerMessage::Queue { order, report } => {
+            let now_ms = node.now_ms();
+            node.dispatcher
+                .record_queue_report(now_ms, from, order, report);
+        }
+        PeerMessage::ZoneTenants {
+            order,
+            zone,
+            tenants,
+        } => {
+            if zone != node.settings.zone {
+                let now_ms = node.now_ms();
+                node.dispatcher
+                    .record_zone_tenants(now_ms, &zone, order, tenants);
+            }
+        }
         // Their consumers are not built yet.
-        PeerMessage::Queue { .. }
-        | PeerMessage::ZoneTenants { .. }
-        | PeerMessage::Paces { .. }
-        | PeerMessage::Returning(_) => {}
+        PeerMessage::Paces { .. } | PeerMessage::Returning(_) => {}
         // Nothing else is needed if no call waits any more: the promising node counts the slot as
         // free again once the promise expires.
         PeerMessage::SlotFree { worker } => {
--- a/crates/pinerill-forward/src/run.rs
+++ b/crates/pinerill-forward/src/run.rs
@@ -89,6 +89,8 @@
     let receiving_from_peers = spawn(boxed(peers::receive(node.clone())));
     let broadcasting = spawn(boxed(peers::broadcast_counts(node.clone())));
     let broadcasting_to_zones = spawn(boxed(peers::broadcast_zone_counts(node.clone())));
+    let reporting_queue = spawn(boxed(peers::broadcast_queue(node.clone())));
+    let reporting_tenants = spawn(boxed(peers::broadcast_zone_tenants(node.clone())));
     let broadcasting_crashes = spawn(boxed(peers::resend_crash_reports(node.clone())));
     let dispatching = spawn(boxed(dispatch::run(node.clone())));
     let borrowing = spawn(boxed(quota::borrow(node.clone())));
@@ -118,6 +120,8 @@
         receiving_from_peers,
         broadcasting,
         broadcasting_to_zones,
+        reporting_queue,
+        reporting_tenants,
         broadcasting_crashes,
         dispatching,
         borrowing,
