Leases of items are divided among tenants

Cause: the leader grants items by due time alone, so a tenant with many items holds back those of others. Change: a new lease goes to the tenant with the fewest leased items among those with queued ones; within a tenant, and with one tenant or none, the order is as before (lease_shares.rs, pure). Jobs whose tenant has enough candidates are skipped in one step of the queue.

--- /dev/null
+++ b/crates/pinerill-cluster/src/lease_shares.rs
@@ -0,0 +1,105 @@
+//! Divides new leases among the tenants whose items are queued. Pure.
+//!
+//! Each lease goes to the tenant with the fewest leased items among those with queued ones, so that
+//! no tenant gets an item beyond its max-min share of all leased items while items of another wait.
+//! A tenant's own items are leased in the order of the queue, and so are those of tenants that have
+//! equally many.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::ops::Bound;
+
+use crate::machine::{JobRecord, Jobs, QueuePosition};
+
+/// Items of one tenant.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TenantItems<P> {
+    /// Number of its items that are leased.
+    pub leased: usize,
+    /// Its queued items that may be leased, first to run first, each with its place in the queue of
+    /// all tenants.
+    pub queued: Vec<(usize, P)>,
+}
+
+impl<P> Default for TenantItems<P> {
+    fn default() -> Self {
+        TenantItems {
+            leased: 0,
+            queued: Vec::new(),
+        }
+    }
+}
+
+/// Returns up to `want` items to lease, in the order in which they are picked.
+pub fn pick<P: Copy>(tenants: &[TenantItems<P>], want: usize) -> Vec<P> {
+    let mut next = vec![0; tenants.len()];
+    let mut waiting: BinaryHeap<Reverse<(usize, usize, usize)>> = tenants
+        .iter()
+        .enumerate()
+        .filter_map(|(number, tenant)| {
+            let (place, _) = tenant.queued.first()?;
+            Some(Reverse((tenant.leased, *place, number)))
+        })
+        .collect();
+    let mut picked = Vec::new();
+    while picked.len() < want {
+        let Some(Reverse((leased, _, number))) = waiting.pop() else {
+            break;
+        };
+        let queued = &tenants[number].queued;
+        picked.push(queued[next[number]].1);
+        next[number] += 1;
+        if let Some((place, _)) = queued.get(next[number]) {
+            waiting.push(Reverse((leased + 1, *place, number)));
+        }
+    }
+    picked
+}
+
+/// Returns up to `want` items of each tenant that may be leased, in the order of leases: from
+/// `first_on_time` on, then those before it. All items of a job have the same due time, so a job's
+/// rest is skipped once its tenant has enough. `is_free` says of an item that it is not leased, and
+/// `may_run` of a job that its items may run at the node.
+pub fn queued_by_tenant(
+    jobs: &Jobs,
+    first_on_time: QueuePosition,
+    want: usize,
+    is_free: impl Fn(&QueuePosition) -> bool,
+    may_run: impl Fn(&JobRecord) -> bool,
+) -> HashMap<Option<&str>, TenantItems<QueuePosition>> {
+    let on_time = (Bound::Included(first_on_time), Bound::Unbounded);
+    let late = (Bound::Unbounded, Bound::Excluded(first_on_time));
+    let mut tenants: HashMap<Option<&str>, TenantItems<QueuePosition>> = HashMap::new();
+    let mut place = 0;
+    for range in [on_time, late] {
+        for first in first_of_jobs(jobs, range) {
+            let Some(record) = jobs.record(first.job).filter(|record| may_run(record)) else {
+                continue;
+            };
+            let items = tenants.entry(record.id.tenant()).or_default();
+            let of_job = jobs.queue().range((Bound::Included(first), range.1));
+            let of_job = of_job.take_while(|position| position.job == first.job);
+            let missing = want - items.queued.len();
+            for position in of_job.filter(|position| is_free(position)).take(missing) {
+                items.queued.push((place, *position));
+                place += 1;
+            }
+        }
+    }
+    tenants
+}
+
+/// Returns the first queued item of each job in a range of the queue.
+fn first_of_jobs(
+    jobs: &Jobs,
+    (mut from, to): (Bound<QueuePosition>, Bound<QueuePosition>),
+) -> impl Iterator<Item = QueuePosition> + '_ {
+    std::iter::from_fn(move || {
+        let first = *jobs.queue().range((from, to)).next()?;
+        from = Bound::Excluded(QueuePosition {
+            index: u32::MAX,
+            ..first
+        });
+        Some(first)
+    })
+}
--- a/crates/pinerill-cluster/src/leases.rs
+++ b/crates/pinerill-cluster/src/leases.rs
@@ -10,6 +10,7 @@
 use pinerill_calls::job::ItemRef;
 
 use crate::backlog::{Backlog, ItemDeadline};
+use crate::lease_shares::{pick, queued_by_tenant};
 use crate::machine::{JobRecord, Jobs, QueuePosition};
 
 /// Durations of leases.
@@ -170,8 +171,8 @@
         true
     }
 
-    /// Grants leases, first for items that can be on time if they start now, most urgent first,
-    /// then for items that are late or will be.
+    /// Grants leases, of each tenant first for items that can be on time if they start now, most
+    /// urgent first, then for items that are late or will be.
     fn grant_new(
         &mut self,
         now_ms: u64,
@@ -181,19 +182,19 @@
         may_run: impl Fn(&JobRecord) -> bool,
     ) -> Vec<QueuePosition> {
         let first_on_time = first_on_time(job_clock_ms, request.run_ms);
-        let on_time = jobs.queue().range(first_on_time..);
-        let late = jobs.queue().range(..first_on_time);
-        let free: Vec<QueuePosition> = on_time
-            .chain(late)
-            .filter(|position| is_free(&self.leases, now_ms, position))
-            .filter(|position| jobs.record(position.job).is_some_and(&may_run))
-            .take(request.want)
-            .copied()
-            .collect();
-        for position in &free {
+        let is_free = |position: &QueuePosition| is_free(&self.leases, now_ms, position);
+        let mut tenants = queued_by_tenant(jobs, first_on_time, request.want, is_free, may_run);
+        for position in self.leases.keys() {
+            let record = jobs.record(position.job);
+            if let Some(tenant) = record.and_then(|record| tenants.get_mut(&record.id.tenant())) {
+                tenant.leased += 1;
+            }
+        }
+        let picked = pick(&tenants.into_values().collect::<Vec<_>>(), request.want);
+        for position in &picked {
             self.grant(now_ms, *position, request.node);
         }
-        free
+        picked
     }
 
     fn grant(&mut self, now_ms: u64, position: QueuePosition, node: &str) {
--- a/crates/pinerill-cluster/src/lib.rs
+++ b/crates/pinerill-cluster/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod command_order;
 pub mod connections;
 pub mod job_limits;
+pub mod lease_shares;
 pub mod leases;
 pub mod list_pace;
 pub mod machine;
