--- a/crates/pinerill-forward/src/dispatch/sharing.rs
+++ b/crates/pinerill-forward/src/dispatch/sharing.rs
@@ -5,13 +5,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::claims::{nodes_ahead, Contender};
+use super::claims::Contender;
 use super::queue::Queued;
 use super::report::{QueuePosition, QueueReport, ServiceQueue, TenantKey, TenantUse};
 use super::shares::Shares;
 use super::waiters::State;
 use super::zone::broadcast_after;
-use super::{Dispatcher, ZoneQueues};
+use super::zone_order::Rivals;
+use super::Dispatcher;
 use crate::call::Call;
 use crate::fleet::{ReportOrder, WorkerKey};
 use crate::node::Node;
@@ -32,53 +33,41 @@
 }
 
 /// Order in which nodes with waiting calls claim a free slot.
-pub(super) struct ClaimOrder<'a> {
-    now_ms: u64,
-    service: &'a str,
+pub(super) struct ClaimOrder {
     own: Contender,
-    over_share: bool,
-    others: Vec<Contender>,
-    /// Queues of the other nodes; `None` where slots are not shared among tenants.
-    queues: Option<parking_lot::MutexGuard<'a, ZoneQueues>>,
+    rivals: Rivals,
 }
 
-impl ClaimOrder<'_> {
+impl ClaimOrder {
     /// Returns how many other nodes precede this one at a worker.
     pub(super) fn nodes_ahead(&self, worker: WorkerKey) -> usize {
-        match &self.queues {
-            None => nodes_ahead(self.own, &self.others, worker),
-            Some(queues) => queues.nodes_ahead(
-                self.now_ms,
-                self.service,
-                self.own,
-                self.over_share,
-                &self.others,
-                worker,
-            ),
-        }
+        self.rivals.nodes_ahead(self.own, worker)
     }
 }
 
 impl Dispatcher {
-    pub(super) fn claim_order<'a>(
-        &'a self,
+    pub(super) fn claim_order(
+        &self,
         node: &Node,
         own: OwnClaim,
         others: Vec<Contender>,
-        service: &'a str,
-    ) -> ClaimOrder<'a> {
-        let is_shared = node.shares_slots() && !others.is_empty();
-        ClaimOrder {
-            now_ms: node.now_ms(),
-            service,
-            own: Contender {
-                node: node.settings.peer_listen,
-                waiting: own.waiting.max(1) as u32,
+        service: &str,
+    ) -> ClaimOrder {
+        let rivals = match node.shares_slots() && !others.is_empty() {
+            true => {
+                let queues = self.zone_queues.lock();
+                queues.rivals(node.now_ms(), service, own.over_share, others)
+            }
+            false => Rivals {
+                equal: others,
+                preferred: 0,
             },
-            over_share: own.over_share,
-            others,
-            queues: is_shared.then(|| self.zone_queues.lock()),
-        }
+        };
+        let own = Contender {
+            node: node.settings.peer_listen,
+            waiting: own.waiting.max(1) as u32,
+        };
+        ClaimOrder { own, rivals }
     }
 
     /// Returns the claim of a call that arrives while no call waits here.
--- a/crates/pinerill-forward/src/dispatch/zone_order.rs
+++ b/crates/pinerill-forward/src/dispatch/zone_order.rs
@@ -23,6 +23,22 @@
     reports: HashMap<SocketAddr, PeerQueues>,
 }
 
+/// Other nodes that compete with this one for free slots.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Rivals {
+    /// Nodes whose calls are of the same part.
+    pub equal: Vec<Contender>,
+    /// Number of nodes with calls within share, where this node's are over share.
+    pub preferred: usize,
+}
+
+impl Rivals {
+    /// Returns how many of them claim a free slot at a worker before this node, `own`.
+    pub fn nodes_ahead(&self, own: Contender, worker: WorkerKey) -> usize {
+        self.preferred + nodes_ahead(own, &self.equal, worker)
+    }
+}
+
 /// Returns whether a call at one node precedes a call at another by more than a slot costs that is
 /// passed on, `cost_ms`. Calls that can still meet their objective precede late ones, and of late
 /// calls the newest goes first.
@@ -87,33 +103,31 @@
         Some(node)
     }
 
-    /// Returns how many of the `others` that have waiting calls claim a free slot at a worker before
-    /// this one: of those whose calls are of the same part the ones that precede `own` in the claim
-    /// order, and before calls over share all nodes with calls within share. A node whose queue is
-    /// unknown counts as one of the same part.
-    pub fn nodes_ahead(
+    /// Returns which of the `others` that have waiting calls compete with this node for free slots,
+    /// if the call that would get one here is over share or not. A node whose queue is unknown
+    /// counts as one of the same part.
+    pub fn rivals(
         &self,
         now_ms: u64,
         service: &str,
-        own: Contender,
-        own_over_share: bool,
-        others: &[Contender],
-        worker: WorkerKey,
-    ) -> usize {
+        over_share: bool,
+        others: Vec<Contender>,
+    ) -> Rivals {
         let parts: HashMap<SocketAddr, bool> = self
             .heads(now_ms, service)
             .map(|(node, head, _)| (node, head.over_share))
             .collect();
-        let is_over = |other: &Contender| parts.get(&other.node).copied();
-        let same_part =
-            |other: &&Contender| is_over(other).is_none_or(|over| over == own_over_share);
-        let same: Vec<Contender> = others.iter().filter(same_part).copied().collect();
-        let within = others.iter().filter(|other| is_over(other) == Some(false));
-        let preferred = match own_over_share {
-            true => within.filter(|other| other.waiting > 0).count(),
-            false => 0,
-        };
-        preferred + nodes_ahead(own, &same, worker)
+        let mut rivals = Rivals::default();
+        for other in others {
+            match parts.get(&other.node) {
+                Some(part) if *part != over_share => {
+                    let precedes = over_share && other.waiting > 0;
+                    rivals.preferred += usize::from(precedes);
+                }
+                _ => rivals.equal.push(other),
+            }
+        }
+        rivals
     }
 
     fn heads<'a>(
--- a/crates/pinerill-forward/tests/zone_order.rs
+++ b/crates/pinerill-forward/tests/zone_order.rs
@@ -108,7 +108,10 @@
     let others = [contender(1), contender(2)];
     for number in 0..40 {
         let worker = WorkerKey::from_id(&format!("w{number}"));
-        let ahead = |over| zone.nodes_ahead(0, SERVICE, contender(9), over, &others, worker);
+        let ahead = |over| {
+            let rivals = zone.rivals(0, SERVICE, over, others.to_vec());
+            rivals.nodes_ahead(contender(9), worker)
+        };
         let ahead_of_two =
             pinerill_forward::dispatch::claims::nodes_ahead(contender(9), &[contender(2)], worker);
         assert_eq!(ahead(true), 1 + ahead_of_two);
@@ -150,6 +153,22 @@
     assert!(!pace.is_due(30, occasion(true, &within)));
 }
 
+#[test]
+fn slots_that_are_wanted_elsewhere_are_reported_four_times_a_second() {
+    let mut pace = ReportPace::default();
+    let wanted = || Occasion {
+        uses_slots_wanted_elsewhere: true,
+        ..occasion(false, &[])
+    };
+    let sent: Vec<u64> = (0..1_000)
+        .step_by(10)
+        .filter(|now_ms| pace.is_due(*now_ms, wanted()))
+        .collect();
+    assert_eq!(sent, [0, 250, 500, 750]);
+    assert!(pace.is_due(1_000, occasion(false, &[])));
+    assert!(!pace.is_due(1_500, occasion(false, &[])));
+}
+
 /// Time of one call at a worker, and number of its slots.
 const RUN_MS: u64 = 60;
 const SLOTS: usize = 4;
