Slots are passed between nodes only for the sake of shares; leases keep items that can be on time first

Change: a slot goes to another node only for a more urgent rank or a tenant within its share; leases are divided among tenants first for items that can be on time, then for late ones.

--- a/crates/pinerill-cluster/src/lease_shares.rs
+++ b/crates/pinerill-cluster/src/lease_shares.rs
@@ -56,34 +56,33 @@
     picked
 }
 
-/// Returns up to `want` items of each tenant that may be leased, in the order of leases: from
-/// `first_on_time` on, then those before it. All items of a job have the same due time, so a job's
-/// rest is skipped once its tenant has enough. `is_free` says of an item that it is not leased, and
-/// `may_run` of a job that its items may run at the node.
+/// Range of the queue.
+pub type QueueRange = (Bound<QueuePosition>, Bound<QueuePosition>);
+
+/// Returns up to `want` items of each tenant in a range of the queue that may be leased, in the order
+/// of the queue. All items of a job have the same due time, so a job's rest is skipped once its
+/// tenant has enough. `is_free` says of an item that it is not leased, and `may_run` of a job that
+/// its items may run at the node.
 pub fn queued_by_tenant(
     jobs: &Jobs,
-    first_on_time: QueuePosition,
+    range: QueueRange,
     want: usize,
     is_free: impl Fn(&QueuePosition) -> bool,
     may_run: impl Fn(&JobRecord) -> bool,
 ) -> HashMap<Option<&str>, TenantItems<QueuePosition>> {
-    let on_time = (Bound::Included(first_on_time), Bound::Unbounded);
-    let late = (Bound::Unbounded, Bound::Excluded(first_on_time));
     let mut tenants: HashMap<Option<&str>, TenantItems<QueuePosition>> = HashMap::new();
     let mut place = 0;
-    for range in [on_time, late] {
-        for first in first_of_jobs(jobs, range) {
-            let Some(record) = jobs.record(first.job).filter(|record| may_run(record)) else {
-                continue;
-            };
-            let items = tenants.entry(record.id.tenant()).or_default();
-            let of_job = jobs.queue().range((Bound::Included(first), range.1));
-            let of_job = of_job.take_while(|position| position.job == first.job);
-            let missing = want - items.queued.len();
-            for position in of_job.filter(|position| is_free(position)).take(missing) {
-                items.queued.push((place, *position));
-                place += 1;
-            }
+    for first in first_of_jobs(jobs, range) {
+        let Some(record) = jobs.record(first.job).filter(|record| may_run(record)) else {
+            continue;
+        };
+        let items = tenants.entry(record.id.tenant()).or_default();
+        let of_job = jobs.queue().range((Bound::Included(first), range.1));
+        let of_job = of_job.take_while(|position| position.job == first.job);
+        let missing = want - items.queued.len();
+        for position in of_job.filter(|position| is_free(position)).take(missing) {
+            items.queued.push((place, *position));
+            place += 1;
         }
     }
     tenants
@@ -92,7 +91,7 @@
 /// Returns the first queued item of each job in a range of the queue.
 fn first_of_jobs(
     jobs: &Jobs,
-    (mut from, to): (Bound<QueuePosition>, Bound<QueuePosition>),
+    (mut from, to): QueueRange,
 ) -> impl Iterator<Item = QueuePosition> + '_ {
     std::iter::from_fn(move || {
         let first = *jobs.queue().range((from, to)).next()?;
--- a/crates/pinerill-cluster/src/leases.rs
+++ b/crates/pinerill-cluster/src/leases.rs
@@ -6,11 +6,12 @@
 //! time to do so.
 
 use std::collections::HashMap;
+use std::ops::Bound;
 
 use pinerill_calls::job::ItemRef;
 
 use crate::backlog::{Backlog, ItemDeadline};
-use crate::lease_shares::{pick, queued_by_tenant};
+use crate::lease_shares::{pick, queued_by_tenant, QueueRange};
 use crate::machine::{JobRecord, Jobs, QueuePosition};
 
 /// Durations of leases.
@@ -171,8 +172,9 @@
         true
     }
 
-    /// Grants leases, of each tenant first for items that can be on time if they start now, most
-    /// urgent first, then for items that are late or will be.
+    /// Grants leases, first for items that can be on time if they start now, then for items that
+    /// are late or will be. Within each of the two they are divided among tenants, and each tenant's
+    /// most urgent items go first.
     fn grant_new(
         &mut self,
         now_ms: u64,
@@ -182,19 +184,41 @@
         may_run: impl Fn(&JobRecord) -> bool,
     ) -> Vec<QueuePosition> {
         let first_on_time = first_on_time(job_clock_ms, request.run_ms);
+        let on_time = (Bound::Included(first_on_time), Bound::Unbounded);
+        let late = (Bound::Unbounded, Bound::Excluded(first_on_time));
+        let mut granted = Vec::new();
+        for range in [on_time, late] {
+            let want = request.want - granted.len();
+            let picked = self.pick_free(now_ms, jobs, range, want, &may_run);
+            for position in &picked {
+                self.grant(now_ms, *position, request.node);
+            }
+            granted.extend(picked);
+        }
+        granted
+    }
+
+    /// Picks up to `want` items of a range of the queue that are not leased.
+    fn pick_free(
+        &self,
+        now_ms: u64,
+        jobs: &Jobs,
+        range: QueueRange,
+        want: usize,
+        may_run: impl Fn(&JobRecord) -> bool,
+    ) -> Vec<QueuePosition> {
+        if want == 0 {
+            return Vec::new();
+        }
         let is_free = |position: &QueuePosition| is_free(&self.leases, now_ms, position);
-        let mut tenants = queued_by_tenant(jobs, first_on_time, request.want, is_free, may_run);
+        let mut tenants = queued_by_tenant(jobs, range, want, is_free, may_run);
         for position in self.leases.keys() {
             let record = jobs.record(position.job);
             if let Some(tenant) = record.and_then(|record| tenants.get_mut(&record.id.tenant())) {
                 tenant.leased += 1;
             }
         }
-        let picked = pick(&tenants.into_values().collect::<Vec<_>>(), request.want);
-        for position in &picked {
-            self.grant(now_ms, *position, request.node);
-        }
-        picked
+        pick(&tenants.into_values().collect::<Vec<_>>(), want)
     }
 
     fn grant(&mut self, now_ms: u64, position: QueuePosition, node: &str) {
--- a/crates/pinerill-forward/src/dispatch/sharing.rs
+++ b/crates/pinerill-forward/src/dispatch/sharing.rs
@@ -205,7 +205,7 @@
         let time_ms = time.as_millis() as u64;
         let draw = rand::random();
         let mut queues = self.zone_queues.lock();
-        let receiver = queues.receiver(now_ms, &service, own, time_ms, draw);
+        let receiver = queues.receiver(now_ms, &service, own, draw);
         drop(queues);
         let Some(peer) = receiver else {
             return false;
--- a/crates/pinerill-forward/src/dispatch/zone_order.rs
+++ b/crates/pinerill-forward/src/dispatch/zone_order.rs
@@ -39,21 +39,13 @@
     }
 }
 
-/// Returns whether a call at one node precedes a call at another by more than a slot costs that is
-/// passed on, `cost_ms`. Calls that can still meet their objective precede late ones, and of late
-/// calls the newest goes first.
-pub fn precedes(one: &QueuePosition, other: &QueuePosition, cost_ms: u64) -> bool {
+/// Returns whether a released slot is passed from a call at `other` to one at `one`: the call is of
+/// a more urgent rank, or its tenant is within its share and the other's is not. Calls of one rank
+/// and part keep the slots that their own nodes release: what a slot loses on its way is more than
+/// such a call gains.
+pub fn precedes(one: &QueuePosition, other: &QueuePosition) -> bool {
     let class = |position: &QueuePosition| (position.rank, position.over_share);
-    if class(one) != class(other) {
-        return class(one) < class(other);
-    }
-    let cost_ms = i64::try_from(cost_ms).unwrap_or(i64::MAX);
-    let (one_ms, other_ms) = (i64::from(one.slack_ms), i64::from(other.slack_ms));
-    match (one_ms >= 0, other_ms >= 0) {
-        (true, true) => one_ms.saturating_add(cost_ms) < other_ms,
-        (false, false) => one_ms > other_ms.saturating_add(cost_ms),
-        (in_time, _) => in_time,
-    }
+    class(one) < class(other)
 }
 
 impl ZoneQueues {
@@ -86,12 +78,11 @@
         now_ms: u64,
         service: &str,
         own: Option<QueuePosition>,
-        cost_ms: u64,
         draw: f64,
     ) -> Option<SocketAddr> {
         let mut nodes: Vec<(QueuePosition, u32, SocketAddr)> = self
             .heads(now_ms, service)
-            .filter(|(_, head, _)| own.is_none_or(|own| precedes(head, &own, cost_ms)))
+            .filter(|(_, head, _)| own.is_none_or(|own| precedes(head, &own)))
             .map(|(node, head, queue)| (head, calls_of_part(queue, head.over_share), node))
             .collect();
         let class = |head: &QueuePosition| (head.rank, head.over_share);
