--- a/crates/pinerill-cluster/src/leases.rs
+++ b/crates/pinerill-cluster/src/leases.rs
@@ -181,6 +181,9 @@
         request: &LeaseArgs<'_>,
         may_run: impl Fn(&JobRecord) -> bool,
     ) -> Vec<QueuePosition> {
+        if request.want == 0 {
+            return Vec::new();
+        }
         let first_on_time = first_on_time(job_clock_ms, request.run_ms);
         let is_free = |position: &QueuePosition| is_free(&self.leases, now_ms, position);
         let mut tenants = queued_by_tenant(jobs, first_on_time, request.want, is_free, may_run);
--- a/crates/pinerill-cluster/tests/lease_shares.rs
+++ b/crates/pinerill-cluster/tests/lease_shares.rs
@@ -1,5 +1,7 @@
 //! Division of leases among tenants.
 
+use std::time::Instant;
+
 use pinerill_calls::job::{CallJobId, NewCallItem, NewCallJob};
 use pinerill_calls::message::encode;
 use pinerill_cluster::lease_shares::{pick, TenantItems};
@@ -100,6 +102,24 @@
     assert_eq!(leader.lease("y", 2, 50_000), items("many", 5..7));
 }
 
+#[test]
+fn cost_of_a_lease_with_10_000_queued_items() {
+    let one_job = [(None, "many", 10_000, 20_000)];
+    let names: Vec<String> = (0..10_000).map(|number| format!("job-{number}")).collect();
+    let many_jobs: Vec<_> = names
+        .iter()
+        .map(|name| (None, name.as_str(), 1, 20_000))
+        .collect();
+    for (what, jobs) in [("one job", &one_job[..]), ("10,000 jobs", &many_jobs)] {
+        let mut leader = Leader::with_jobs(jobs);
+        for want in [0, 4] {
+            let began = Instant::now();
+            assert_eq!(leader.lease("x", want, 0).len(), want);
+            println!("{what}, {want} items wanted: {:?}", began.elapsed());
+        }
+    }
+}
+
 #[test]
 fn leases_of_all_nodes_count() {
     let mut leader = Leader::with_jobs(&[(Some("large"), "many", 100, 20_000)]);
--- a/crates/pinerill-forward/src/dispatch/queue.rs
+++ b/crates/pinerill-forward/src/dispatch/queue.rs
@@ -8,6 +8,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
+use std::hash::Hash;
 
 use super::report::{QueuePosition, TenantKey};
 use super::shares::Shares;
@@ -210,6 +211,21 @@
     }
 }
 
+/// Keeps the first `max` calls of each `key`, in the same order.
+pub fn first_of_each<K: Eq + Hash>(
+    mut order: Vec<Queued>,
+    max: usize,
+    key: impl Fn(&Queued) -> K,
+) -> Vec<Queued> {
+    let mut kept: HashMap<K, usize> = HashMap::new();
+    order.retain(|queued| {
+        let calls = kept.entry(key(queued)).or_default();
+        *calls += 1;
+        *calls <= max
+    });
+    order
+}
+
 /// Marks the calls that exceed the room of their tenants, and moves them behind the others of their
 /// rank.
 fn separate_parts(order: &mut [(TenantKey, Queued)], shares: &Shares) {
--- a/crates/pinerill-forward/src/dispatch/report.rs
+++ b/crates/pinerill-forward/src/dispatch/report.rs
@@ -1,10 +1,18 @@
 //! What nodes of a zone report to each other about their queues and about the tenants whose calls
 //! use slots. Pure.
 
+use std::cmp::Reverse;
+
+use pinerill_calls::message::encode;
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::hash_name;
 
+/// Number of services in one report.
+pub const MAX_REPORTED_SERVICES: usize = 16;
+/// Length of an encoded report in bytes; with the head of its message it fits into a datagram.
+pub const MAX_REPORT_BYTES: usize = 1_360;
+
 /// Short identifier of a tenant in messages between nodes: a 32-bit hash of its name. On a
 /// collision two tenants share one share of the slots.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -68,6 +76,24 @@
     pub expires_in_ms: u32,
 }
 
+impl QueueReport {
+    /// Leaves out services until the report fits into a datagram: those without waiting calls first,
+    /// then those whose first call comes last by rank and part, and of these those with the fewest
+    /// calls.
+    pub fn fitted(mut self) -> Self {
+        self.services.sort_unstable_by_key(|queue| {
+            let calls = u64::from(queue.within_share) + u64::from(queue.over_share);
+            let class = queue.head.map(|head| (head.rank, head.over_share));
+            (class.is_none(), class, Reverse(calls))
+        });
+        self.services.truncate(MAX_REPORTED_SERVICES);
+        while !self.services.is_empty() && encode(&self).len() > MAX_REPORT_BYTES {
+            self.services.pop();
+        }
+        self
+    }
+}
+
 impl TenantKey {
     /// Returns the key of a tenant's name; every node computes the same key. Callers without a
     /// tenant share one key.
--- a/crates/pinerill-forward/src/dispatch/shares.rs
+++ b/crates/pinerill-forward/src/dispatch/shares.rs
@@ -112,7 +112,7 @@
             limit: level,
             in_use: 0,
         });
-        standing.in_use += 1;
+        standing.in_use = standing.in_use.saturating_add(1);
     }
 
     /// Counts a slot that a call of the tenant has released since the division.
--- a/crates/pinerill-forward/src/dispatch/sharing.rs
+++ b/crates/pinerill-forward/src/dispatch/sharing.rs
@@ -20,8 +20,6 @@
 
 /// Minimum time between two divisions of the slots, in milliseconds.
 const DIVISION_INTERVAL_MS: u64 = 20;
-/// Number of services in one report; those with the fewest waiting calls are left out.
-const MAX_REPORTED_SERVICES: usize = 16;
 
 /// What this node claims a free slot for.
 #[derive(Debug, Clone, Copy)]
@@ -166,14 +164,10 @@
         let now_ms = node.now_ms();
         let mut state = self.state.lock();
         self.refresh_shares(node, &mut state);
-        let mut services = queues_by_service(&state, now_ms);
-        services.sort_unstable_by_key(|queue| {
-            std::cmp::Reverse(u64::from(queue.within_share) + u64::from(queue.over_share))
-        });
-        services.truncate(MAX_REPORTED_SERVICES);
+        let services = queues_by_service(&state, now_ms);
         let waiting = state.queue.waiting_by_tenant();
         let tenants = self.tenants.lock().own_report(&waiting);
-        QueueReport { services, tenants }
+        QueueReport { services, tenants }.fitted()
     }
 
     /// Returns the use of slots by the tenants of this zone, for other zones.
--- a/crates/pinerill-forward/src/dispatch/waiters.rs
+++ b/crates/pinerill-forward/src/dispatch/waiters.rs
@@ -7,7 +7,7 @@
 use tokio::sync::oneshot;
 
 use super::admission::StartRate;
-use super::queue::{Ticket, WaitingCall, WaitingQueue};
+use super::queue::{first_of_each, Queued, Ticket, WaitingCall, WaitingQueue};
 use super::report::TenantKey;
 use super::sharing::OwnClaim;
 use super::{runs_once, Dispatcher, Placed, Unplaced, MAX_SCANNED_CALLS};
@@ -53,6 +53,21 @@
 }
 
 impl State {
+    /// Returns the calls that are tried for a free slot: the first ones of the queue or, where slots
+    /// are shared, of each service, since calls within share whose service has no free slot stay
+    /// ahead of all others.
+    pub(super) fn scanned(&self, now_ms: u64) -> Vec<Queued> {
+        let mut order = self.queue.order(now_ms, None);
+        if self.queue.shares().is_none() {
+            order.truncate(MAX_SCANNED_CALLS);
+            return order;
+        }
+        first_of_each(order, MAX_SCANNED_CALLS, |queued| {
+            let waiter = self.waiters.get(&queued.ticket);
+            waiter.map(|waiter| waiter.service.as_str())
+        })
+    }
+
     /// Removes a call that gets a slot.
     pub(super) fn take_started(&mut self, now_ms: u64, ticket: Ticket) -> Option<Waiter> {
         self.queue.remove(ticket);
@@ -98,9 +113,7 @@
         let now_ms = node.now_ms();
         let mut state = self.state.lock();
         self.refresh_shares(node, &mut state);
-        let mut order = state.queue.order(now_ms, None);
-        order.truncate(MAX_SCANNED_CALLS);
-        for queued in order {
+        for queued in state.scanned(now_ms) {
             let ticket = queued.ticket;
             let Some(waiter) = state.waiters.get(&ticket) else {
                 state.queue.remove(ticket);
--- a/crates/pinerill-forward/src/dispatch/zone.rs
+++ b/crates/pinerill-forward/src/dispatch/zone.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::demand::ServiceDemand;
-use super::{occupy_slot, Dispatcher, Waiter, MAX_SCANNED_CALLS};
+use super::{occupy_slot, Dispatcher, Waiter};
 use crate::fleet::{ChosenWorker, WorkerKey};
 use crate::node::Node;
 use crate::peers::promise_time;
@@ -131,7 +131,8 @@
         let now_ms = node.now_ms();
         let mut state = self.state.lock();
         self.refresh_shares(node, &mut state);
-        for ticket in state.queue.head(now_ms, MAX_SCANNED_CALLS) {
+        for queued in state.scanned(now_ms) {
+            let ticket = queued.ticket;
             let Some(waiter) = state.waiters.get(&ticket) else {
                 continue;
             };
--- a/crates/pinerill-forward/tests/sharing_cost.rs
+++ b/crates/pinerill-forward/tests/sharing_cost.rs
@@ -86,6 +86,27 @@
     assert!(longest <= DATAGRAM_BYTES, "{longest}");
 }
 
+#[test]
+fn a_report_with_long_names_of_services_fits_and_keeps_the_first_calls() {
+    let mut report = full_report(16);
+    for (number, queue) in report.services.iter_mut().enumerate() {
+        queue.service = format!("{number}-{}", "long".repeat(50));
+        queue.head = queue.head.map(|head| QueuePosition {
+            over_share: number != 9,
+            ..head
+        });
+    }
+    report.services[9].over_share = 0;
+    assert!(HEAD_BYTES + encode(&report).len() > DATAGRAM_BYTES);
+    let fitted = report.fitted();
+    let bytes = HEAD_BYTES + encode(&fitted).len();
+    println!("{} services: {bytes} bytes", fitted.services.len());
+    assert!(bytes <= DATAGRAM_BYTES, "{bytes}");
+    assert!(fitted.services.len() >= 4);
+    assert_eq!(fitted.tenants.len(), MAX_REPORTED_TENANTS);
+    assert!(fitted.services[0].service.starts_with("9-"));
+}
+
 fn fleet() -> Fleet {
     let entries: Vec<WorkerEntry> = (0..WORKERS)
         .map(|number| WorkerEntry {
--- a/crates/pinerill-forward/tests/tenant_shares.rs
+++ b/crates/pinerill-forward/tests/tenant_shares.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use pinerill_forward::dispatch::queue::{WaitingCall, WaitingQueue};
+use pinerill_forward::dispatch::queue::{first_of_each, WaitingCall, WaitingQueue};
 use pinerill_forward::dispatch::report::{TenantKey, TenantUse};
 use pinerill_forward::dispatch::shares::{Shares, TenantDemand, DEFAULT_WEIGHT};
 use pinerill_forward::dispatch::tenant_use::{TenantUses, MAX_REPORTED_TENANTS};
@@ -179,6 +179,32 @@
     assert!(!known.any_in_use());
 }
 
+#[test]
+fn calls_of_a_service_without_free_slots_do_not_hide_those_of_another() {
+    let mut queue = WaitingQueue::default();
+    let demands: Vec<_> = (1..9).map(|tenant| demand(tenant, 0, 1)).collect();
+    let busy = demand(9, 8, 1);
+    queue.set_shares(Some(Shares::of_slots_in_use(
+        &[&demands[..], &[busy]].concat(),
+    )));
+    let other = queue.push_of(TenantKey(9), call(1, 1_000));
+    for tenant in 1..9 {
+        queue.push_of(TenantKey(tenant), call(1, 2_000));
+    }
+    assert!(!queue.head(0, 6).contains(&other));
+    let scanned = first_of_each(queue.order(0, None), 6, |queued| queued.ticket == other);
+    assert_eq!(scanned.len(), 7);
+    assert_eq!(scanned.last().map(|queued| queued.ticket), Some(other));
+}
+
+#[test]
+fn an_absurd_report_of_slots_in_use_does_not_overflow() {
+    let mut shares = Shares::of_slots_in_use(&[demand(1, u32::MAX, u32::MAX), demand(2, 1, 1)]);
+    shares.record_start(TenantKey(1));
+    assert_eq!(shares.in_use(TenantKey(1)), u32::MAX);
+    assert!(!shares.is_used_up(TenantKey(2)));
+}
+
 fn any_demands() -> impl Strategy<Value = Vec<TenantDemand>> {
     let one = (0_u32..20, 0_u32..60, 0.0_f64..3.0);
     prop::collection::vec(one, 1..40).prop_map(|all| {
