--- a/crates/pinerill-forward/src/dispatch/mod.rs
+++ b/crates/pinerill-forward/src/dispatch/mod.rs
@@ -150,7 +150,11 @@
                 homes: &call.homes,
             };
             let tenant = TenantKey::from_name(call.access.name());
-            match self.find_slot(node, self.claim_of_newcomer(node, tenant), &wanted) {
+            match self.find_slot(
+                node,
+                self.claim_of_newcomer(node, call.rank, tenant),
+                &wanted,
+            ) {
                 Placement::Available(chosen) => {
                     return Ok(occupy_slot(node, chosen, &call.prompt, tenant));
                 }
--- a/crates/pinerill-forward/src/dispatch/queue.rs
+++ b/crates/pinerill-forward/src/dispatch/queue.rs
@@ -75,6 +75,13 @@
     precedence: Precedence,
 }
 
+impl Queued {
+    /// Returns the urgency class of the call.
+    pub fn rank(&self) -> u32 {
+        self.precedence.rank
+    }
+}
+
 /// Calls that wait for a slot at a worker, ordered by urgency.
 #[derive(Debug, Default)]
 pub struct WaitingQueue {
--- a/crates/pinerill-forward/src/dispatch/sharing.rs
+++ b/crates/pinerill-forward/src/dispatch/sharing.rs
@@ -26,7 +26,9 @@
 pub(super) struct OwnClaim {
     /// Number of calls that wait here.
     pub(super) waiting: usize,
-    /// Whether the call that would get the slot is over its tenant's share.
+    /// Rank of the call that would get the slot.
+    pub(super) rank: u32,
+    /// Whether that call is over its tenant's share.
     pub(super) over_share: bool,
 }
 
@@ -54,7 +56,7 @@
         let rivals = match node.shares_slots() && !others.is_empty() {
             true => {
                 let queues = self.zone_queues.lock();
-                queues.rivals(node.now_ms(), service, own.over_share, others)
+                queues.rivals(node.now_ms(), service, own.rank, own.over_share, others)
             }
             false => Rivals {
                 equal: others,
@@ -69,12 +71,13 @@
     }
 
     /// Returns the claim of a call that arrives while no call waits here.
-    pub(super) fn claim_of_newcomer(&self, node: &Node, tenant: TenantKey) -> OwnClaim {
+    pub(super) fn claim_of_newcomer(&self, node: &Node, rank: u32, tenant: TenantKey) -> OwnClaim {
         let mut state = self.state.lock();
         self.refresh_shares(node, &mut state);
         let shares = state.queue.shares();
         OwnClaim {
             waiting: 1,
+            rank,
             over_share: shares.is_some_and(|shares| shares.is_used_up(tenant)),
         }
     }
--- a/crates/pinerill-forward/src/dispatch/waiters.rs
+++ b/crates/pinerill-forward/src/dispatch/waiters.rs
@@ -121,6 +121,7 @@
             };
             let own = OwnClaim {
                 waiting: state.queue.len(),
+                rank: queued.rank(),
                 over_share: queued.over_share,
             };
             match self.find_slot(node, own, &waiter.wanted()) {
--- a/crates/pinerill-forward/src/dispatch/zone_order.rs
+++ b/crates/pinerill-forward/src/dispatch/zone_order.rs
@@ -104,26 +104,28 @@
     }
 
     /// Returns which of the `others` that have waiting calls compete with this node for free slots,
-    /// if the call that would get one here is over share or not. A node whose queue is unknown
-    /// counts as one of the same part.
+    /// if the call that would get one here is of this rank, and over share or not. Parts matter only
+    /// where the call within share is of the same or a more urgent rank. A node whose queue is
+    /// unknown counts as one of the same part.
     pub fn rivals(
         &self,
         now_ms: u64,
         service: &str,
+        rank: u32,
         over_share: bool,
         others: Vec<Contender>,
     ) -> Rivals {
-        let parts: HashMap<SocketAddr, bool> = self
+        let heads: HashMap<SocketAddr, QueuePosition> = self
             .heads(now_ms, service)
-            .map(|(node, head, _)| (node, head.over_share))
+            .map(|(node, head, _)| (node, head))
             .collect();
         let mut rivals = Rivals::default();
         for other in others {
-            match parts.get(&other.node) {
-                Some(part) if *part != over_share => {
-                    let precedes = over_share && other.waiting > 0;
-                    rivals.preferred += usize::from(precedes);
+            match heads.get(&other.node) {
+                Some(head) if over_share && !head.over_share && head.rank <= rank => {
+                    rivals.preferred += usize::from(other.waiting > 0);
                 }
+                Some(head) if !over_share && head.over_share && rank <= head.rank => {}
                 _ => rivals.equal.push(other),
             }
         }
--- a/crates/pinerill-forward/tests/sharing_cost.rs
+++ b/crates/pinerill-forward/tests/sharing_cost.rs
@@ -203,7 +203,7 @@
     });
     print_cost("choice of a worker, with shares", || {
         let own = contender(PEERS + 1);
-        let rivals = zone.rivals(0, "svc", false, others.clone());
+        let rivals = zone.rivals(0, "svc", 1, false, others.clone());
         let ahead = |worker| rivals.nodes_ahead(own, worker);
         black_box(place(&ahead));
     });
--- a/crates/pinerill-forward/tests/zone_order.rs
+++ b/crates/pinerill-forward/tests/zone_order.rs
@@ -109,7 +109,7 @@
     for number in 0..40 {
         let worker = WorkerKey::from_id(&format!("w{number}"));
         let ahead = |over| {
-            let rivals = zone.rivals(0, SERVICE, over, others.to_vec());
+            let rivals = zone.rivals(0, SERVICE, 0, over, others.to_vec());
             rivals.nodes_ahead(contender(9), worker)
         };
         let ahead_of_two =
@@ -119,6 +119,29 @@
     }
 }
 
+#[test]
+fn a_more_urgent_call_over_share_yields_no_free_slot_to_a_lower_rank() {
+    let mut zone = ZoneQueues::default();
+    zone.record(0, node(1), queue(1, 0, position(2, false, 500)));
+    let other = Contender {
+        node: node(1),
+        waiting: 1,
+    };
+    let rivals = |rank, over| zone.rivals(0, SERVICE, rank, over, vec![other]);
+    assert_eq!(
+        (rivals(1, true).preferred, rivals(1, true).equal.len()),
+        (0, 1)
+    );
+    assert_eq!(
+        (rivals(2, true).preferred, rivals(2, true).equal.len()),
+        (1, 0)
+    );
+    zone.record(0, node(1), queue(0, 1, position(1, true, 500)));
+    let rivals = |rank, over| zone.rivals(0, SERVICE, rank, over, vec![other]);
+    assert_eq!(rivals(1, false).equal.len(), 0);
+    assert_eq!(rivals(2, false).equal.len(), 1);
+}
+
 fn occasion(
     calls_wait: bool,
     heads: &[QueuePosition],
