--- a/crates/pinerill-cluster/src/lease_shares.rs
+++ b/crates/pinerill-cluster/src/lease_shares.rs
@@ -77,9 +77,12 @@
                 continue;
             };
             let items = tenants.entry(record.id.tenant()).or_default();
+            let missing = want - items.queued.len();
+            if missing == 0 {
+                continue;
+            }
             let of_job = jobs.queue().range((Bound::Included(first), range.1));
             let of_job = of_job.take_while(|position| position.job == first.job);
-            let missing = want - items.queued.len();
             for position in of_job.filter(|position| is_free(position)).take(missing) {
                 items.queued.push((place, *position));
                 place += 1;
@@ -92,14 +95,19 @@
 /// Returns the first queued item of each job in a range of the queue.
 fn first_of_jobs(
     jobs: &Jobs,
-    (mut from, to): (Bound<QueuePosition>, Bound<QueuePosition>),
+    (from, to): (Bound<QueuePosition>, Bound<QueuePosition>),
 ) -> impl Iterator<Item = QueuePosition> + '_ {
+    let mut queued = jobs.queue().range((from, to)).peekable();
     std::iter::from_fn(move || {
-        let first = *jobs.queue().range((from, to)).next()?;
-        from = Bound::Excluded(QueuePosition {
-            index: u32::MAX,
-            ..first
-        });
+        let first = *queued.next()?;
+        if queued.peek().is_some_and(|next| next.job == first.job) {
+            let last_of_job = QueuePosition {
+                index: u32::MAX,
+                ..first
+            };
+            let rest = (Bound::Excluded(last_of_job), to);
+            queued = jobs.queue().range(rest).peekable();
+        }
         Some(first)
     })
 }
