--- a/crates/pinerill-forward/src/dispatch/sharing.rs
+++ b/crates/pinerill-forward/src/dispatch/sharing.rs
@@ -20,15 +20,15 @@
 
 /// Minimum time between two divisions of the slots, in milliseconds.
 const DIVISION_INTERVAL_MS: u64 = 20;
-/// Number of services in one report; those with the fewest waiting calls are left out.
-const MAX_REPORTED_SERVICES: usize = 16;
 
 /// What this node claims a free slot for.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct OwnClaim {
     /// Number of calls that wait here.
     pub(super) waiting: usize,
-    /// Whether the call that would get the slot is over its tenant's share.
+    /// Rank of the call that would get the slot.
+    pub(super) rank: u32,
+    /// Whether that call is over its tenant's share.
     pub(super) over_share: bool,
 }
 
@@ -56,7 +56,7 @@
         let rivals = match node.shares_slots() && !others.is_empty() {
             true => {
                 let queues = self.zone_queues.lock();
-                queues.rivals(node.now_ms(), service, own.over_share, others)
+                queues.rivals(node.now_ms(), service, own.rank, own.over_share, others)
             }
             false => Rivals {
                 equal: others,
@@ -71,12 +71,13 @@
     }
 
     /// Returns the claim of a call that arrives while no call waits here.
-    pub(super) fn claim_of_newcomer(&self, node: &Node, tenant: TenantKey) -> OwnClaim {
+    pub(super) fn claim_of_newcomer(&self, node: &Node, rank: u32, tenant: TenantKey) -> OwnClaim {
         let mut state = self.state.lock();
         self.refresh_shares(node, &mut state);
         let shares = state.queue.shares();
         OwnClaim {
             waiting: 1,
+            rank,
             over_share: shares.is_some_and(|shares| shares.is_used_up(tenant)),
         }
     }
@@ -166,14 +167,10 @@
         let now_ms = node.now_ms();
         let mut state = self.state.lock();
         self.refresh_shares(node, &mut state);
-        let mut services = queues_by_service(&state, now_ms);
-        services.sort_unstable_by_key(|queue| {
-            std::cmp::Reverse(u64::from(queue.within_share) + u64::from(queue.over_share))
-        });
-        services.truncate(MAX_REPORTED_SERVICES);
+        let services = queues_by_service(&state, now_ms);
         let waiting = state.queue.waiting_by_tenant();
         let tenants = self.tenants.lock().own_report(&waiting);
-        QueueReport { services, tenants }
+        QueueReport { services, tenants }.fitted()
     }
 
     /// Returns the use of slots by the tenants of this zone, for other zones.
