Calls prefer faster workers of their zone; items with slack take slower ones

Cause: nodes spread calls over workers of one service whatever their speed. Change: nodes estimate each worker's usual time between events from the streams that they read, tell the zone once a second (Paces) and order the workers of their own zone by cost plus expected extra run time once a worker differs by more than 20 % from the median. Positions of other zones' workers stay. Items choose by slack; run times of items, run_ms and preemption count at usual pace. Load samples of the moment can be used but stay off. tests/preemption.rs only gets the new field of RunningItem.

--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -23,7 +23,8 @@
 use super::runs::ItemRun;
 use crate::crash::Run as WorkerRun;
 use crate::exchange::{BreakReason, EventScanner, Exchange, StartedAnswer};
-use crate::fleet::PlacementRequest;
+use crate::fleet::{ItemTime, PlacementRequest};
+use crate::gaps::GapMeter;
 use crate::node::{Node, OccupiedSlot};
 
 /// Delay before an item that could not be prepared is released to the leader.
@@ -198,8 +199,11 @@
         }
         Verdict::Accepted if sent.head.status == StatusCode::OK => {
             let began = BootTime::now();
-            let read = read_events(running, held, sent.exchange, slot, &mut run, node).await;
-            running.time_run += began.elapsed();
+            let pace = node.with_fleet(|fleet, _| fleet.pace_of(&chosen));
+            let registered = register_run(node, running, pace);
+            let exchange = sent.exchange;
+            let read = read_events(running, held, exchange, slot, &mut run, registered).await;
+            running.time_run += began.elapsed().div_f64(pace);
             match read {
                 Ok(ReadEnd::Preempted) => {
                     record_preemption(node, running, &chosen);
@@ -260,7 +264,7 @@
                 runs_once: false,
                 homes: &running.homes,
             };
-            if let Some(chosen) = node.choose_for_item(&wanted) {
+            if let Some(chosen) = node.choose_for_item(&wanted, item_time(node, running)) {
                 return Some(node.occupy_slot(&chosen, &running.prompt));
             }
         }
@@ -270,6 +274,17 @@
     None
 }
 
+/// Returns the remaining run time of an item and the time until it is due; `None` before a first item
+/// has completed on this node.
+fn item_time(node: &Node, running: &ActiveItem) -> Option<ItemTime> {
+    let whole_ms = Some(node.runs.longest_run_ms()).filter(|ms| *ms > 0)? as f64;
+    let ran_ms = running.time_run.as_secs_f64() * 1_000.0;
+    Some(ItemTime {
+        remaining_ms: (whole_ms - ran_ms).max(0.0),
+        until_due_ms: running.due_ms as f64 - node.now_ms() as f64,
+    })
+}
+
 /// A run for which the worker has started to respond.
 struct StartedRun {
     sent: StartedAnswer,
@@ -346,12 +361,14 @@
     mut exchange: Exchange,
     slot: OccupiedSlot,
     worker_run: &mut WorkerRun,
-    node: &Node,
+    mut run: ItemRun,
 ) -> Result<ReadEnd, BreakReason> {
-    let mut run = register_run(node, running);
+    let node = slot.node().clone();
     let mut scanner = EventScanner::after(running.last_event);
     let suspensions_before = suspensions();
+    let mut meter = GapMeter::new(BootTime::now(), suspensions_before);
     loop {
+        meter.begin_read(BootTime::now());
         let piece = tokio::select! {
             piece = timeout(IDLE_TIMEOUT, exchange.next_piece()) => piece,
             // Dropping the exchange closes its connection, which stops the worker's run.
@@ -372,6 +389,8 @@
             running.text.append(&batch.bytes);
             running.last_event = scanner.last();
             worker_run.record_event(running.last_event);
+            let gap = meter.record_events(BootTime::now(), batch.count, suspensions());
+            node.record_gap(slot.worker(), gap);
             if let Some(interrupted_at) = running.interrupted_at.take() {
                 node.runs.record_interruption(interrupted_at.elapsed());
             }
@@ -380,18 +399,20 @@
     if scanner.has_partial_event() {
         return Err(BreakReason::Truncated);
     }
+    node.record_gap(slot.worker(), meter.take_gap());
     slot.succeeded();
     exchange.finish(node.connections());
     Ok(ReadEnd::Complete)
 }
 
-fn register_run(node: &Node, running: &ActiveItem) -> ItemRun {
+fn register_run(node: &Node, running: &ActiveItem, pace: f64) -> ItemRun {
     node.runs.begin(RunningItem {
         service: running.service.clone(),
         due_ms: running.due_ms,
         began_ms: node.now_ms(),
         ran_ms: running.time_run.as_secs_f64() * 1_000.0,
         allowed_ms: running.leased.due_in_ms.max(0) as f64,
+        pace,
     })
 }
 
--- a/crates/pinerill-forward/src/batch/leases.rs
+++ b/crates/pinerill-forward/src/batch/leases.rs
@@ -117,7 +117,7 @@
             zone: node.settings.zone.clone(),
             held: held.items(),
             want: items_wanted(&node),
-            run_ms: node.runs.longest_run_ms(),
+            run_ms: expected_run_ms(&node),
             wait_ms: poll_time.as_millis() as u64,
         });
         let answer = node
@@ -138,6 +138,13 @@
     }
 }
 
+/// Returns the run time that an item rarely exceeds at the workers with free slots for items, in
+/// milliseconds; 0 if unknown.
+fn expected_run_ms(node: &Node) -> u64 {
+    let pace = node.with_fleet(|fleet, now_ms| fleet.batch_pace(now_ms));
+    (node.runs.longest_run_ms() as f64 * pace) as u64
+}
+
 /// Returns the number of items to request now; 0 while the node is stopping, has no route table
 /// or has calls waiting.
 fn items_wanted(node: &Node) -> u32 {
--- a/crates/pinerill-forward/src/batch/preemption.rs
+++ b/crates/pinerill-forward/src/batch/preemption.rs
@@ -38,10 +38,12 @@
     pub due_ms: i64,
     /// Start of this run in milliseconds on the node's clock.
     pub began_ms: u64,
-    /// Total duration of the item's earlier runs in milliseconds.
+    /// Total duration of the item's earlier runs in milliseconds, as at a worker of usual pace.
     pub ran_ms: f64,
     /// Time from the lease to the due time in milliseconds.
     pub allowed_ms: f64,
+    /// Time that work takes at the worker of this run, relative to a worker of usual pace.
+    pub pace: f64,
 }
 
 /// Inputs of the preemption decision, for logging.
@@ -101,7 +103,7 @@
         self.running.len()
     }
 
-    /// Records the total time that a completed item ran at workers.
+    /// Records the total time that a completed item ran, as at workers of usual pace.
     pub fn record_run_time(&mut self, time: Duration) {
         self.run_time.record(time);
     }
@@ -111,7 +113,7 @@
         self.interruption_time.record(time);
     }
 
-    /// Returns the estimate of the total run time of an item.
+    /// Returns the estimate of the total run time of an item at a worker of usual pace.
     pub fn run_time(&self) -> &RunTime {
         &self.run_time
     }
@@ -193,10 +195,10 @@
     /// late only if even the shortest expected run time is too long; its slack assumes the longest.
     fn timing(&self, now_ms: u64, item: &RunningItem) -> Timing {
         let until_due_ms = item.due_ms as f64 - now_ms as f64;
-        let ran_ms = item.ran_ms + now_ms.saturating_sub(item.began_ms) as f64;
+        let ran_ms = item.ran_ms + now_ms.saturating_sub(item.began_ms) as f64 / item.pace;
         let remaining_ms = |whole_ms: Option<f64>| {
             let whole_ms = whole_ms.unwrap_or(item.allowed_ms * INITIAL_RUN_TIME_SHARE);
-            (whole_ms - ran_ms).max(0.0)
+            (whole_ms - ran_ms).max(0.0) * item.pace
         };
         if remaining_ms(self.run_time.shortest_ms()) > until_due_ms {
             return Timing::Late;
--- a/crates/pinerill-forward/src/batch/running.rs
+++ b/crates/pinerill-forward/src/batch/running.rs
@@ -45,7 +45,7 @@
     pub(super) trials: u32,
     /// Whether the next attempt is a trial run that ignores the block on the request.
     pub(super) on_trial: bool,
-    /// Total time that the item has run at workers.
+    /// Total time that the item has run at workers, as a worker of usual pace would have taken.
     pub(super) time_run: Duration,
     /// Due time of the result in milliseconds on the node's clock.
     pub(super) due_ms: i64,
--- a/crates/pinerill-forward/src/batch/runs.rs
+++ b/crates/pinerill-forward/src/batch/runs.rs
@@ -86,7 +86,7 @@
         self.state.lock().preemption.preemptible(now_ms)
     }
 
-    /// Records the total time that a completed item ran at workers.
+    /// Records the total time that a completed item ran, as at workers of usual pace.
     pub(super) fn record_run_time(&self, time: Duration) {
         self.state.lock().preemption.record_run_time(time);
     }
@@ -96,7 +96,8 @@
         self.state.lock().preemption.record_interruption(time);
     }
 
-    /// Returns the total run time, in milliseconds, that an item rarely exceeds; 0 if unknown.
+    /// Returns the total run time, in milliseconds, that an item rarely exceeds at a worker of usual
+    /// pace; 0 if unknown.
     pub(super) fn longest_run_ms(&self) -> u64 {
         let longest = self.state.lock().preemption.run_time().longest_ms();
         longest.map_or(0, |ms| ms as u64)
--- a/crates/pinerill-forward/src/call/relay.rs
+++ b/crates/pinerill-forward/src/call/relay.rs
@@ -4,7 +4,7 @@
 //! route allows it, another worker continues the stream after the last event that was passed on
 //! completely; the connection to the first worker is closed before that.
 
-use pinerill_process::clock::{timeout_at, BootTime};
+use pinerill_process::clock::{suspensions, timeout_at, BootTime};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -22,6 +22,7 @@
 use super::{Call, CallOutcome, CallRecord};
 use crate::crash::Run;
 use crate::exchange::{BreakReason, EventScanner, Exchange};
+use crate::gaps::GapMeter;
 use crate::node::{Node, OccupiedSlot};
 
 /// Body of a response to a caller, either complete or streamed.
@@ -39,6 +40,8 @@
     call: Call,
     running: Option<Running>,
     scanner: EventScanner,
+    /// Gaps between the events of the current attempt.
+    meter: GapMeter,
     progress: CallProgress,
     attempts: Attempts,
     record: CallRecord,
@@ -64,6 +67,7 @@
     ) -> Self {
         Relay {
             scanner: EventScanner::after(call.head.resume_after),
+            meter: GapMeter::new(BootTime::now(), suspensions()),
             node,
             call,
             running: Some(running),
@@ -112,6 +116,7 @@
         let Some(running) = &mut self.running else {
             return Err(BreakReason::Silent);
         };
+        self.meter.begin_read(BootTime::now());
         loop {
             let piece = timeout_at(limit, running.exchange.next_piece()).await;
             let Some(piece) = piece.unwrap_or(Err(BreakReason::Silent))? else {
@@ -124,6 +129,8 @@
             let batch = batch.map_err(|_| BreakReason::EventOrder)?;
             if batch.count > 0 {
                 running.run.record_event(self.scanner.last());
+                let gap = (self.meter).record_events(BootTime::now(), batch.count, suspensions());
+                self.node.record_gap(running.slot.worker(), gap);
                 self.record.add_events(batch.count);
                 return Ok(Some(batch.bytes));
             }
@@ -153,6 +160,11 @@
             run,
         }) = self.running.take()
         {
+            self.node.record_gap(slot.worker(), self.meter.take_gap());
+            if self.scanner.last().is_some() && self.call.head.resume_after.is_none() {
+                let run_time = self.meter.run_time(BootTime::now());
+                self.node.record_call_run(slot.worker(), run_time);
+            }
             slot.succeeded();
             run.mark_answered();
             exchange.finish(self.node.connections());
@@ -205,6 +217,7 @@
             run.mark_answered();
             return Err(AttemptEnd::MayHaveRun);
         }
+        self.meter = GapMeter::resumed(BootTime::now(), suspensions());
         self.running = Some(Running {
             exchange: sent.exchange,
             slot,
--- a/crates/pinerill-forward/src/fleet/mod.rs
+++ b/crates/pinerill-forward/src/fleet/mod.rs
@@ -5,9 +5,12 @@
 //! at which they were received, and expire or fade with age.
 
 mod choice;
+mod cost;
 mod eligibility;
 mod incarnations;
+mod items;
 pub mod pace;
+mod paces;
 mod peers;
 mod prefixes;
 mod slow_start;
@@ -26,11 +29,15 @@
 
 use self::eligibility::ConfirmationLease;
 use self::incarnations::Incarnations;
+use self::pace::USUAL_PACE;
+use self::paces::Paces;
 use self::peers::PeerReports;
 
-pub use choice::{BatchCapacity, Placement, PlacementRequest};
+pub use choice::{Placement, PlacementRequest};
 pub use eligibility::Eligibility;
+pub use items::{BatchCapacity, ItemTime};
 pub use pace::WorkerPace;
+pub use paces::{KnownPace, MAX_PACES_PER_MESSAGE};
 pub use peers::{ReportOrder, WorkerCount, WorkerKey};
 pub use prefixes::{PrefixMemory, Prompt};
 pub use slow_start::SlowStartPermit;
@@ -49,6 +56,9 @@
     /// Time in milliseconds, from when a worker is shown as leaving, after which no new request may
     /// reach it.
     pub leave_notice_ms: u64,
+    /// Age in milliseconds below which a worker's load sample tells how long its work takes at this
+    /// moment; 0 to ignore it.
+    pub moment_age_ms: u64,
 }
 
 impl Default for ChoiceSettings {
@@ -58,6 +68,7 @@
             other_zone_ms: 40.0,
             batch_share: 0.84,
             leave_notice_ms: 3_000,
+            moment_age_ms: 0,
         }
     }
 }
@@ -78,6 +89,7 @@
     /// Slow-start settings of the services that limit requests to cold workers.
     slow_starts: HashMap<String, SlowStart>,
     peers: PeerReports,
+    paces: Paces,
     /// Time on the node's clock as of which the directory matches the platform list. Negative if
     /// the list was read before the node started, `None` before the first confirmation.
     listed_ms: Option<i64>,
@@ -107,6 +119,7 @@
             evacuations: None,
             slow_starts: HashMap::new(),
             peers: PeerReports::default(),
+            paces: Paces::default(),
             listed_ms: None,
         }
     }
@@ -297,6 +310,11 @@
             .then(|| self.to_chosen_worker(now_ms, worker, request.prompt))
     }
 
+    /// Returns the identifier of the worker with this key, or `None` if it is not listed.
+    pub fn id_of(&self, key: WorkerKey) -> Option<&WorkerId> {
+        self.by_key.get(&key)
+    }
+
     /// Returns the service of a worker, or `None` if the worker is not listed.
     pub fn service_of(&self, id: &str) -> Option<&str> {
         Some(self.workers.get(id)?.entry().service.as_str())
@@ -394,6 +412,8 @@
     pub load_age_ms: Option<u64>,
     /// Whether the worker is in this node's zone.
     pub near: bool,
+    /// Time that work takes there, relative to the median of its service in this zone.
+    pub pace: f64,
 }
 
 impl std::fmt::Display for ChoiceBasis {
@@ -403,6 +423,10 @@
             Some(age) => write!(formatter, "{age} ms old")?,
             None => formatter.write_str("unknown")?,
         }
-        formatter.write_str(if self.near { ", near" } else { ", far" })
+        formatter.write_str(if self.near { ", near" } else { ", far" })?;
+        match self.pace == USUAL_PACE {
+            true => Ok(()),
+            false => write!(formatter, ", pace {:.2}", self.pace),
+        }
     }
 }
--- a/crates/pinerill-forward/src/fleet/peers.rs
+++ b/crates/pinerill-forward/src/fleet/peers.rs
@@ -77,7 +77,7 @@
 impl ReportOrder {
     /// Returns whether this report supersedes an `earlier` one of the same reporter. A report from
     /// a different start always does.
-    fn is_newer_than(self, earlier: ReportOrder) -> bool {
+    pub(super) fn is_newer_than(self, earlier: ReportOrder) -> bool {
         self.start != earlier.start || self.sequence > earlier.sequence
     }
 }
--- a/crates/pinerill-forward/src/fleet/worker.rs
+++ b/crates/pinerill-forward/src/fleet/worker.rs
@@ -5,6 +5,7 @@
 use pinerill_calls::directory::{WorkerEntry, WorkerState};
 use pinerill_calls::protocol::LoadSample;
 
+use super::pace::USUAL_PACE;
 use super::prefixes::PrefixMemory;
 use super::slow_start::SlowStartPermit;
 use super::suspicion::Suspicion;
@@ -69,12 +70,15 @@
     may_have_restarted: bool,
     /// Permit for one request while the worker is cold.
     permit: Option<SlowStartPermit>,
+    /// Time that work takes there, relative to the median of its service in this zone.
+    pub(super) pace: f64,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct OtherRequestsSample {
     requests: u32,
     received_ms: u64,
+    work_percent: Option<u32>,
 }
 
 impl Worker {
@@ -97,6 +101,7 @@
             confirmed_ms: None,
             may_have_restarted: false,
             permit: None,
+            pace: USUAL_PACE,
         }
     }
 
@@ -153,9 +158,18 @@
         self.other_requests = Some(OtherRequestsSample {
             requests: all.saturating_sub(self.known_in_flight()),
             received_ms: now_ms,
+            work_percent: sample.work_percent,
         });
     }
 
+    /// Returns the time that work takes at this moment in percent of the usual one, as the last load
+    /// sample tells it; `None` if that is `max_age_ms` old or older.
+    pub(super) fn work_percent(&self, now_ms: u64, max_age_ms: u64) -> Option<u32> {
+        let sample = self.other_requests?;
+        let is_fresh = now_ms.saturating_sub(sample.received_ms) < max_age_ms;
+        sample.work_percent.filter(|_| is_fresh)
+    }
+
     /// Extends the cold period to at least `cold_ms` from now; never shortens it.
     pub(super) fn extend_cold_period(&mut self, now_ms: u64, cold_ms: u64) {
         let until_ms = now_ms.saturating_add(cold_ms);
--- a/crates/pinerill-forward/src/lib.rs
+++ b/crates/pinerill-forward/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod dispatch;
 pub mod exchange;
 pub mod fleet;
+pub mod gaps;
 pub mod gateway;
 pub mod run_time;
 mod slow_start;
--- a/crates/pinerill-forward/src/monitoring.rs
+++ b/crates/pinerill-forward/src/monitoring.rs
@@ -8,8 +8,8 @@
 use pinerill_process::clock::suspensions;
 use pinerill_process::Monitored;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 use tokio::sync::Notify;
 
@@ -50,6 +50,7 @@
     control_silent_ms: IntGauge,
     directory_age_ms: IntGauge,
     idle_connections: IntGauge,
+    worker_pace: GaugeVec,
 }
 
 /// Single values that a node knows about the cluster.
@@ -101,7 +102,16 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
+        let worker_pace = GaugeVec::new(
+            Opts::new(
+                "pinerill_node_worker_pace",
+                "Pace of workers out of tolerance, with the samples and age in ms behind it",
+            ),
+            &["worker", "value"],
+        )?;
+        registry.register(Box::new(worker_pace.clone()))?;
         Ok(Metrics {
+            worker_pace,
             requests: counter("pinerill_node_requests_total", "Callers' requests")?,
             refusals: counters(
                 "pinerill_node_refusals_total",
@@ -243,6 +253,23 @@
         self.workers_crashed.with_label_values(&[evidence]).inc();
     }
 
+    /// Replaces the paces of workers by those of workers now out of tolerance.
+    fn show_paces(&self, node: &Node) {
+        self.worker_pace.reset();
+        for known in node.with_fleet(|fleet, _| fleet.unusual_paces()) {
+            let worker = node.worker_name(known.worker);
+            let set = |label: &str, value: f64| {
+                let gauge = self
+                    .worker_pace
+                    .with_label_values(&[worker.as_str(), label]);
+                gauge.set(value);
+            };
+            set("pace", known.pace);
+            set("samples", f64::from(known.samples));
+            set("age_ms", known.age_ms as f64);
+        }
+    }
+
     pub(crate) fn item_ended(&self, end: &str) {
         self.items.with_label_values(&[end]).inc();
     }
@@ -278,6 +305,7 @@
         metrics
             .idle_connections
             .set(number(self.connections().len() as u64));
+        metrics.show_paces(self);
         let mut text = Vec::new();
         TextEncoder::new()
             .encode(&metrics.registry.gather(), &mut text)
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -23,7 +23,10 @@
 use crate::crash::CrashTracker;
 use crate::dispatch::Dispatcher;
 use crate::exchange::{BreakReason, ConnectionPool};
-use crate::fleet::{BatchCapacity, ChosenWorker, Fleet, PlacementRequest, Prompt, SlowStartPermit};
+use crate::fleet::{
+    BatchCapacity, ChosenWorker, Fleet, ItemTime, PlacementRequest, Prompt, SlowStartPermit,
+    WorkerKey,
+};
 use crate::monitoring::{KnownState, Metrics};
 use crate::peers::Peers;
 use crate::quota::NodeQuota;
@@ -240,8 +243,12 @@
     }
 
     /// Chooses a worker for an item of a job. Returns None if no suitable worker has a free slot.
-    pub fn choose_for_item(&self, wanted: &PlacementRequest<'_>) -> Option<ChosenWorker> {
-        self.with_fleet(|fleet, now_ms| fleet.choose_for_item(now_ms, wanted))
+    pub fn choose_for_item(
+        &self,
+        wanted: &PlacementRequest<'_>,
+        time: Option<ItemTime>,
+    ) -> Option<ChosenWorker> {
+        self.with_fleet(|fleet, now_ms| fleet.choose_for_timed_item(now_ms, wanted, time))
     }
 
     /// Returns how many items of jobs this node may start now, if `nodes` nodes share the workers.
@@ -276,6 +283,26 @@
         self.with_fleet(|fleet, now_ms| fleet.record_load(now_ms, worker, load));
     }
 
+    /// Records a measured time between two events of a stream of a worker, if there is one.
+    pub(crate) fn record_gap(&self, worker: &str, gap: Option<Duration>) {
+        if let Some(gap) = gap {
+            self.with_fleet(|fleet, now_ms| fleet.record_gap(now_ms, worker, gap));
+        }
+    }
+
+    /// Returns the identifier of a worker; empty if it is not listed any more.
+    pub(crate) fn worker_name(&self, worker: WorkerKey) -> String {
+        self.with_fleet(|fleet, _| fleet.id_of(worker).map(ToString::to_string))
+            .unwrap_or_default()
+    }
+
+    /// Records how long a whole call ran at a worker, if that was measured.
+    pub(crate) fn record_call_run(&self, worker: &str, run_time: Option<Duration>) {
+        if let Some(run_time) = run_time {
+            self.with_fleet(|fleet, _| fleet.record_run(worker, run_time));
+        }
+    }
+
     /// Records that an attempt failed because the worker was unreachable, closed the connection or
     /// timed out. Ignores reasons that are not the worker's failure.
     pub fn worker_failed(&self, worker: &str, reason: &BreakReason) {
@@ -331,6 +358,11 @@
         &self.worker
     }
 
+    /// Returns the node that occupies the slot.
+    pub(crate) fn node(&self) -> &Arc<Node> {
+        &self.node
+    }
+
     /// Returns the permit to send the request while the worker is in slow start, if one was taken.
     pub fn permit(&self) -> Option<SlowStartPermit> {
         self.permit
--- a/crates/pinerill-forward/src/peers/broadcast.rs
+++ b/crates/pinerill-forward/src/peers/broadcast.rs
@@ -50,17 +50,17 @@
 }
 
 /// Numbers the messages of one broadcast task, so that receivers can drop late ones.
-struct Sequence(ReportOrder);
+pub(super) struct Sequence(ReportOrder);
 
 impl Sequence {
-    fn new() -> Self {
+    pub(super) fn new() -> Self {
         Sequence(ReportOrder {
             start: rand::random(),
             sequence: 0,
         })
     }
 
-    fn next(&mut self) -> ReportOrder {
+    pub(super) fn next(&mut self) -> ReportOrder {
         self.0.sequence += 1;
         self.0
     }
--- a/crates/pinerill-forward/src/peers/mod.rs
+++ b/crates/pinerill-forward/src/peers/mod.rs
@@ -17,6 +17,7 @@
 //! | node | nodes of its zone | requests in flight, waiting calls ([`message::PeerMessage::InFlight`]) | at each change, at a rate that falls with the number of nodes |
 //! | node | nodes of its zone | long prompts, workers that did not answer or closed a connection | each |
 //! | node | one node of its zone | a slot that became free | while calls wait at that node |
+//! | node | nodes of its zone | paces of workers that it has observed anew ([`paces`]) | once a second |
 //! | relay | one relay of each other zone, and from there all its nodes | requests in flight in the zone | every [`broadcast::PAUSE_PER_ZONE`] times the number of other zones, while they change |
 //! | node | nodes of its zone and, through relays and bridges, all others | crashes of workers under requests ([`crashes`]) | each, and again for some seconds |
 //!
@@ -33,6 +34,7 @@
 mod broadcast;
 mod crashes;
 mod message;
+mod paces;
 mod receive;
 
 use std::io;
@@ -49,6 +51,7 @@
 
 pub(crate) use broadcast::{broadcast_counts, broadcast_zone_counts, promise_time};
 pub(crate) use crashes::resend_crash_reports;
+pub(crate) use paces::broadcast_paces;
 pub(crate) use receive::receive;
 
 /// Shortest expected prefill time for which a prompt is broadcast, milliseconds.
--- a/crates/pinerill-forward/src/peers/receive.rs
+++ b/crates/pinerill-forward/src/peers/receive.rs
@@ -79,11 +79,14 @@
         }
         // Handled in `receive`, since relays of other zones and bridges send these too.
         PeerMessage::Crashes(_) => {}
+        PeerMessage::Paces { order, paces } => {
+            node.with_fleet(|fleet, now_ms| {
+                fleet.record_peer_paces(now_ms, from, order, &paces);
+            });
+        }
         // Their consumers are not built yet.
-        PeerMessage::Queue { .. }
-        | PeerMessage::ZoneTenants { .. }
-        | PeerMessage::Paces { .. }
-        | PeerMessage::Returning(_) => {}
+        PeerMessage::Queue { .. } | PeerMessage::ZoneTenants { .. } | PeerMessage::Returning(_) => {
+        }
         // Nothing else is needed if no call waits any more: the promising node counts the slot as
         // free again once the promise expires.
         PeerMessage::SlotFree { worker } => {
--- a/crates/pinerill-forward/src/run.rs
+++ b/crates/pinerill-forward/src/run.rs
@@ -88,6 +88,7 @@
     let reloading_settings = spawn(boxed(reload_settings(node.clone(), file)));
     let receiving_from_peers = spawn(boxed(peers::receive(node.clone())));
     let broadcasting = spawn(boxed(peers::broadcast_counts(node.clone())));
+    let broadcasting_paces = spawn(boxed(peers::broadcast_paces(node.clone())));
     let broadcasting_to_zones = spawn(boxed(peers::broadcast_zone_counts(node.clone())));
     let broadcasting_crashes = spawn(boxed(peers::resend_crash_reports(node.clone())));
     let dispatching = spawn(boxed(dispatch::run(node.clone())));
@@ -117,6 +118,7 @@
         following_cluster,
         receiving_from_peers,
         broadcasting,
+        broadcasting_paces,
         broadcasting_to_zones,
         broadcasting_crashes,
         dispatching,
--- a/crates/pinerill-forward/tests/preemption.rs
+++ b/crates/pinerill-forward/tests/preemption.rs
@@ -19,6 +19,7 @@
         began_ms: NOW,
         ran_ms: 0.0,
         allowed_ms: 20_000.0,
+        pace: 1.0,
     }
 }
 
