--- a/crates/pinerill-forward/src/fleet/pace.rs
+++ b/crates/pinerill-forward/src/fleet/pace.rs
@@ -16,8 +16,9 @@
 const HALF_WEIGHT_AGE_MS: f64 = 10_000.0;
 /// Age in milliseconds from which an observation does not count.
 pub(super) const OBSERVATION_LIFETIME_MS: u64 = 30_000;
-/// Number of gaps, as they count at their age, from which the pace of a worker is known.
-const KNOWN_GAPS: f64 = 6.0;
+/// Number of gaps that have not expired from which the pace of a worker is known. Their age doesn't
+/// matter here: a worker that gets few calls would else be known and unknown in turn.
+const KNOWN_GAPS: u32 = 6;
 /// Largest difference from the median of the service that counts as none.
 const TOLERANCE: f64 = 0.2;
 /// Difference below which a worker that was out of tolerance counts as within it again.
@@ -121,12 +122,14 @@
 /// Returns the usual gap of a worker, in microseconds, from the observations of several nodes: their
 /// median by the number of gaps behind them. `None` if too few gaps are behind them.
 pub fn combined_gap_us(now_ms: u64, observations: &mut [Observation]) -> Option<f64> {
+    let current = observations.iter().filter(|one| !one.is_expired(now_ms));
+    let gaps: u32 = current.map(|one| u32::from(one.samples)).sum();
+    if gaps < KNOWN_GAPS {
+        return None;
+    }
     observations.sort_unstable_by_key(|one| one.gap_us);
     let weights = observations.iter().map(|one| one.weight(now_ms));
     let total: f64 = weights.sum();
-    if total < KNOWN_GAPS {
-        return None;
-    }
     let mut counted = 0.0;
     let middle = observations.iter().find(|one| {
         counted += one.weight(now_ms);
--- a/crates/pinerill-forward/src/fleet/paces.rs
+++ b/crates/pinerill-forward/src/fleet/paces.rs
@@ -39,6 +39,9 @@
     sent_ms: u64,
     of_peers: HashMap<SocketAddr, Observation>,
     pace: Option<KnownPace>,
+    /// Pace while it is unknown: that of the fastest worker of the service, so that the worker gets
+    /// calls and its pace becomes known.
+    assumed_pace: Option<f64>,
 }
 
 impl WorkerObservations {
@@ -170,7 +173,8 @@
         for (key, observations) in &paces.workers {
             let id = self.by_key.get(key);
             if let Some(worker) = id.and_then(|id| self.workers.get_mut(id)) {
-                worker.pace = observations.pace.map_or(USUAL_PACE, |known| known.pace);
+                let known = observations.pace.map(|known| known.pace);
+                worker.pace = known.or(observations.assumed_pace).unwrap_or(USUAL_PACE);
             }
         }
         self.paces = paces;
@@ -195,9 +199,7 @@
 ) {
     let mut gaps = Vec::new();
     for key in of_service {
-        let Some(worker) = workers.get_mut(key) else {
-            continue;
-        };
+        let worker = workers.entry(*key).or_default();
         worker.of_peers.retain(|_, one| !one.is_expired(now_ms));
         let mut current = worker.current(now_ms);
         let gap_us = combined_gap_us(now_ms, &mut current);
@@ -205,6 +207,10 @@
     }
     let mut known: Vec<f64> = gaps.iter().filter_map(|(_, gap_us, _)| *gap_us).collect();
     let median_us = median(&mut known);
+    let lowest_us = known.iter().copied().reduce(f64::min);
+    let assumed = lowest_us
+        .zip(median_us)
+        .map(|(lowest, median)| pace(lowest, median, false));
     for (key, gap_us, current) in gaps {
         let Some(worker) = workers.get_mut(&key) else {
             continue;
@@ -223,6 +229,7 @@
             age_ms: now_ms.saturating_sub(latest_ms.unwrap_or(now_ms)),
         };
         worker.pace = gap_us.map(|_| known);
+        worker.assumed_pace = assumed;
         if was_out != (pace != USUAL_PACE) {
             changed.push(known);
         }
