Only calls try workers of unknown pace; far workers' paces are dropped

Cause (review): a worker of unknown pace counted as the fastest known one everywhere, so that run times of items, run_ms, the remaining time in preemption and the choice for urgent items were wrong there by up to 4 times. Peers' figures of workers of other zones were kept for good, one for each address of a peer. Items were scored with an added constant of 8 while all paces were usual, which rounds utilizations that hardly differ to equal ones. The mean pace for run_ms counted workers that get no items. Change: the assumed pace is a field of its own that only the choice for calls reads. Figures count and stay only for workers listed in this zone. The time of items counts only while paces differ.

--- a/crates/pinerill-forward/src/fleet/cost.rs
+++ b/crates/pinerill-forward/src/fleet/cost.rs
@@ -89,6 +89,6 @@
         }
         let percent = worker.work_percent(now_ms, self.settings.moment_age_ms);
         let told = percent.filter(|percent| WORK_PERCENT_RANGE.contains(percent));
-        worker.pace * told.map_or(USUAL_PACE, |percent| f64::from(percent) / 100.0)
+        worker.placing_pace * told.map_or(USUAL_PACE, |percent| f64::from(percent) / 100.0)
     }
 }
--- a/crates/pinerill-forward/src/fleet/items.rs
+++ b/crates/pinerill-forward/src/fleet/items.rs
@@ -83,6 +83,8 @@
         };
         let candidates = || matching.iter().copied().filter(healthy).filter(may_begin);
         let own_zone_serves = candidates().any(|worker| self.is_in_own_zone(worker));
+        let paces_differ = candidates().any(|worker| worker.pace != USUAL_PACE);
+        let time = time.filter(|_| paces_differ);
         let with_free_slot = candidates().filter(|worker| {
             let in_reach = self.is_in_own_zone(worker) || !own_zone_serves;
             let has_batch_slot = worker.occupied(now_ms) + 1.0 <= worker.slots() * share;
@@ -140,8 +142,14 @@
     /// this zone, by the slots that are free for items there. 1 if none is free.
     pub fn batch_pace(&self, now_ms: u64) -> f64 {
         let (mut slots, mut weighted) = (0.0, 0.0);
-        let local = self.workers.values().filter(|one| self.is_in_own_zone(one));
-        for worker in local {
+        let services = self.by_service.keys();
+        let ready = services.flat_map(|service| self.candidates(service));
+        let may_begin = |worker: &&Worker| {
+            self.is_in_own_zone(worker)
+                && !worker.is_avoided(now_ms)
+                && !self.needs_permit(now_ms, worker)
+        };
+        for worker in ready.filter(may_begin) {
             let free = worker.slots() * self.settings.batch_share - worker.occupied(now_ms);
             slots += free.max(0.0);
             weighted += free.max(0.0) * worker.pace;
--- a/crates/pinerill-forward/src/fleet/paces.rs
+++ b/crates/pinerill-forward/src/fleet/paces.rs
@@ -39,8 +39,8 @@
     sent_ms: u64,
     of_peers: HashMap<SocketAddr, Observation>,
     pace: Option<KnownPace>,
-    /// Pace while it is unknown: that of the fastest worker of the service, so that the worker gets
-    /// calls and its pace becomes known.
+    /// Pace that counts when a call is placed while the pace is unknown: that of the fastest worker
+    /// of the service, so that the worker gets calls and its pace becomes known.
     assumed_pace: Option<f64>,
 }
 
@@ -117,8 +117,8 @@
         }
         self.paces.orders.insert(peer, (order, now_ms));
         for pace in paces.iter().take(MAX_PACES_PER_MESSAGE) {
-            let is_listed = self.by_key.contains_key(&pace.worker);
-            let Some(observation) = Observation::from_peer(now_ms, pace).filter(|_| is_listed)
+            let is_local = self.is_local_key(pace.worker);
+            let Some(observation) = Observation::from_peer(now_ms, pace).filter(|_| is_local)
             else {
                 continue;
             };
@@ -148,16 +148,20 @@
         paces.collect()
     }
 
-    /// Computes the paces anew, and forgets workers that are not listed and observations that have
+    /// Returns whether a worker with this key is listed in this zone.
+    fn is_local_key(&self, key: WorkerKey) -> bool {
+        let worker = self.by_key.get(&key).and_then(|id| self.workers.get(id));
+        worker.is_some_and(|worker| self.is_in_own_zone(worker))
+    }
+
+    /// Computes the paces anew, and forgets workers that are not listed in this zone and observations that have
     /// expired. Returns the workers that have left or reentered the tolerance.
     pub fn refresh_paces(&mut self, now_ms: u64) -> Vec<KnownPace> {
         let mut paces = std::mem::take(&mut self.paces);
         paces
             .orders
             .retain(|_, (_, at_ms)| now_ms < at_ms.saturating_add(OBSERVATION_LIFETIME_MS));
-        paces
-            .workers
-            .retain(|worker, _| self.by_key.contains_key(worker));
+        paces.workers.retain(|worker, _| self.is_local_key(*worker));
         paces
             .run_ms
             .retain(|service, _| self.by_service.contains_key(service));
@@ -174,7 +178,8 @@
             let id = self.by_key.get(key);
             if let Some(worker) = id.and_then(|id| self.workers.get_mut(id)) {
                 let known = observations.pace.map(|known| known.pace);
-                worker.pace = known.or(observations.assumed_pace).unwrap_or(USUAL_PACE);
+                worker.pace = known.unwrap_or(USUAL_PACE);
+                worker.placing_pace = known.or(observations.assumed_pace).unwrap_or(USUAL_PACE);
             }
         }
         self.paces = paces;
--- a/crates/pinerill-forward/src/fleet/worker.rs
+++ b/crates/pinerill-forward/src/fleet/worker.rs
@@ -70,8 +70,11 @@
     may_have_restarted: bool,
     /// Permit for one request while the worker is cold.
     permit: Option<SlowStartPermit>,
-    /// Time that work takes there, relative to the median of its service in this zone.
+    /// Time that work takes there, relative to the median of its service in this zone; 1 if unknown.
     pub(super) pace: f64,
+    /// Pace that counts when a call is placed: the known one, otherwise that of the fastest known
+    /// worker of the service.
+    pub(super) placing_pace: f64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -102,6 +105,7 @@
             may_have_restarted: false,
             permit: None,
             pace: USUAL_PACE,
+            placing_pace: USUAL_PACE,
         }
     }
 
