Test: items are placed as before while paces are usual

Cause: no test held the choice for items equal on even fleets; the constant added to all costs was mended in without one.

--- a/crates/pinerill-forward/tests/worker_pace.rs
+++ b/crates/pinerill-forward/tests/worker_pace.rs
@@ -380,6 +380,27 @@
     assert!((fleet.batch_pace(2_000) - 3.5 / 3.0).abs() < 1e-9);
 }
 
+#[test]
+fn items_are_placed_as_before_while_paces_are_usual() {
+    let mut fleet = fleet(&["a", "b", "c"]);
+    // Prefills whose times differ by less than the rounding of larger costs.
+    for (number, id) in ["a", "b", "c"].into_iter().enumerate() {
+        let prefill_ms = 100.0 - number as f64 * 5e-14;
+        fleet.begin_request(0, id, prefill_ms);
+    }
+    let prompt = Prompt::default();
+    let wanted = request(&prompt);
+    let untimed = fleet.choose_for_item(0, &wanted).expect("a worker");
+    for until_due_ms in [-5_000.0, 0.0, 1_000.0, 60_000.0] {
+        let time = ItemTime {
+            remaining_ms: 1_000.0,
+            until_due_ms,
+        };
+        let timed = fleet.choose_for_timed_item(0, &wanted, Some(time));
+        assert_eq!(timed.expect("a worker").entry.id, untimed.entry.id);
+    }
+}
+
 #[test]
 fn what_a_worker_tells_of_the_moment_counts_only_where_set_and_while_fresh() {
     let chosen = |moment_age_ms, percent, now_ms| {
