--- a/crates/pinerill-forward/src/peers/mod.rs
+++ b/crates/pinerill-forward/src/peers/mod.rs
@@ -17,6 +17,7 @@
 //! | node | nodes of its zone | requests in flight, waiting calls ([`message::PeerMessage::InFlight`]) | at each change, at a rate that falls with the number of nodes |
 //! | node | nodes of its zone | long prompts, workers that did not answer or closed a connection | each |
 //! | node | one node of its zone | a slot that became free | while calls wait at that node |
+//! | node | nodes of its zone | paces of workers that it has observed anew ([`paces`]) | once a second |
 //! | relay | one relay of each other zone, and from there all its nodes | requests in flight in the zone | every [`broadcast::PAUSE_PER_ZONE`] times the number of other zones, while they change |
 //! | node | nodes of its zone | queue, and slots that tenants use ([`message::PeerMessage::Queue`]) | every 50 ms while calls wait, if the route table has tenants |
 //! | relay | one relay of each other zone, and from there all its nodes | slots that tenants use in the zone | every 250 ms while calls wait in the zone, if the route table has tenants |
@@ -30,6 +31,7 @@
 mod broadcast;
 mod crashes;
 mod message;
+mod paces;
 mod queue_reports;
 mod receive;
 
@@ -47,6 +49,7 @@
 
 pub(crate) use broadcast::{broadcast_counts, broadcast_zone_counts, promise_time};
 pub(crate) use crashes::resend_crash_reports;
+pub(crate) use paces::broadcast_paces;
 pub(crate) use queue_reports::{broadcast_queue, broadcast_zone_tenants};
 pub(crate) use receive::receive;
 
--- a/crates/pinerill-forward/tests/sharing_cost.rs
+++ b/crates/pinerill-forward/tests/sharing_cost.rs
@@ -208,6 +208,6 @@
         black_box(place(&ahead));
     });
     print_cost("receiver of a released slot", || {
-        black_box(zone.receiver(0, "svc", None, 13, 0.5));
+        black_box(zone.receiver(0, "svc", None, 0.5));
     });
 }
--- a/crates/pinerill-forward/tests/zone_order.rs
+++ b/crates/pinerill-forward/tests/zone_order.rs
@@ -14,7 +14,6 @@
 use pinerill_forward::fleet::{ReportOrder, WorkerKey};
 use proptest::prelude::*;
 
-/// Cost of a slot that is passed on, in milliseconds.
 const SERVICE: &str = "svc";
 
 fn node(number: usize) -> SocketAddr {
