Sharing is switched on by settings; tenants weigh as much as their limits allow

Change: node.share_slots and control.share_leases, both off by default; weights follow the rates of the tenants' limits, so that a tenant within its limit is over its share only if others ask for less of theirs.

--- a/crates/pinerill-calls/src/settings/control.rs
+++ b/crates/pinerill-calls/src/settings/control.rs
@@ -46,6 +46,9 @@
     /// Number `n` of control machines that may fail at the same time. The replicated group has at
     /// least `2n + 1` voters, and up to `4n + 1` if there are enough machines.
     pub tolerated_losses: usize,
+    /// Whether leases of items are divided among the tenants whose items wait.
+    #[serde(default)]
+    pub share_leases: bool,
     /// The platform's worker list.
     pub worker_list: WorkerListSettings,
     /// Time for which the results of a finished job can be read, in seconds.
--- a/crates/pinerill-cluster/src/leases.rs
+++ b/crates/pinerill-cluster/src/leases.rs
@@ -19,6 +19,8 @@
 pub struct LeaseSettings {
     /// Time until a lease expires unless it is renewed, milliseconds.
     pub duration_ms: u64,
+    /// Whether leases are divided among the tenants whose items wait.
+    pub shares_among_tenants: bool,
     /// Time for which a new leader waits for nodes to list the items they hold, milliseconds.
     pub reclaim_ms: u64,
 }
@@ -28,6 +30,7 @@
         LeaseSettings {
             duration_ms: 3_000,
             reclaim_ms: 1_500,
+            shares_among_tenants: false,
         }
     }
 }
@@ -211,6 +214,14 @@
             return Vec::new();
         }
         let is_free = |position: &QueuePosition| is_free(&self.leases, now_ms, position);
+        if !self.settings.shares_among_tenants {
+            let free = jobs
+                .queue()
+                .range(range)
+                .filter(|position| is_free(position));
+            let runnable = free.filter(|position| jobs.record(position.job).is_some_and(&may_run));
+            return runnable.take(want).copied().collect();
+        }
         let mut tenants = queued_by_tenant(jobs, range, want, is_free, may_run);
         for position in self.leases.keys() {
             let record = jobs.record(position.job);
--- a/crates/pinerill-cluster/src/server/control.rs
+++ b/crates/pinerill-cluster/src/server/control.rs
@@ -26,6 +26,7 @@
 use super::older_builds::OlderDigests;
 use super::refusal;
 use crate::command_order::CommandOrder;
+use crate::leases::LeaseSettings;
 use crate::machine::{Applied, ClusterMachine, Command, StampedCommand};
 use crate::turns::RequestLimiter;
 use pinerill_calls::settings::ControlSettings;
@@ -177,6 +178,10 @@
                     quota: self.settings.quota.tolerance(),
                     slow_start: self.settings.slow_start.tolerance(),
                 },
+                LeaseSettings {
+                    shares_among_tenants: self.settings.share_leases,
+                    ..LeaseSettings::default()
+                },
             ));
         }
         match guard.as_mut() {
--- a/crates/pinerill-cluster/src/server/leadership.rs
+++ b/crates/pinerill-cluster/src/server/leadership.rs
@@ -61,14 +61,19 @@
 }
 
 impl Leadership {
-    pub(super) fn begin(term: u64, now_ms: u64, tolerances: Tolerances) -> Self {
+    pub(super) fn begin(
+        term: u64,
+        now_ms: u64,
+        tolerances: Tolerances,
+        lease_settings: LeaseSettings,
+    ) -> Self {
         Leadership {
             term,
             began_ms: now_ms,
             command_clock: CommandClock::begin(now_ms),
             cells: Cells::default(),
             last_contact_ms: BTreeMap::new(),
-            leases: LeaseBook::new(LeaseSettings::default(), now_ms),
+            leases: LeaseBook::new(lease_settings, now_ms),
             lender: Lender::new(tolerances.quota, now_ms),
             limits: LimitIndex::default(),
             slow_starts: Lender::new(tolerances.slow_start, now_ms),
--- a/crates/pinerill-cluster/tests/lease_shares.rs
+++ b/crates/pinerill-cluster/tests/lease_shares.rs
@@ -56,16 +56,22 @@
             let applied = machine.apply(1, &bytes, &mut NullTable);
             assert!(applied.is_ok(), "{applied:?}");
         }
-        let settings = LeaseSettings {
-            duration_ms: 3_000,
-            reclaim_ms: RECLAIM_END,
-        };
         Leader {
             machine,
-            book: LeaseBook::new(settings, 0),
+            book: LeaseBook::new(SETTINGS, 0),
         }
     }
 
+    /// The same leader without division among tenants.
+    fn without_shares(mut self) -> Self {
+        let settings = LeaseSettings {
+            shares_among_tenants: false,
+            ..SETTINGS
+        };
+        self.book = LeaseBook::new(settings, 0);
+        self
+    }
+
     /// Leases items to a node that holds none; returns their jobs' names and indexes.
     fn lease(&mut self, node: &str, want: usize, run_ms: u64) -> Vec<(String, u32)> {
         let clock = self.machine.clock_ms();
@@ -85,10 +91,35 @@
     }
 }
 
+const SETTINGS: LeaseSettings = LeaseSettings {
+    duration_ms: 3_000,
+    reclaim_ms: RECLAIM_END,
+    shares_among_tenants: true,
+};
+
 fn items(name: &str, indexes: std::ops::Range<u32>) -> Vec<(String, u32)> {
     indexes.map(|index| (name.to_owned(), index)).collect()
 }
 
+#[test]
+fn without_the_setting_items_are_leased_by_due_time_alone() {
+    let jobs = [
+        (Some("large"), "many", 100, 20_000),
+        (Some("small"), "few", 3, 30_000),
+    ];
+    let mut leader = Leader::with_jobs(&jobs).without_shares();
+    assert_eq!(leader.lease("x", 8, 1_000), items("many", 0..8));
+}
+
+#[test]
+fn items_that_can_be_on_time_go_before_late_ones_of_other_tenants() {
+    let mut leader = Leader::with_jobs(&[
+        (Some("late"), "late", 3, 1_000),
+        (Some("large"), "many", 100, 60_000),
+    ]);
+    assert_eq!(leader.lease("x", 4, 50_000), items("many", 0..4));
+}
+
 #[test]
 fn late_items_of_one_tenant_do_not_hold_back_others() {
     // All items are due before a run of 50 s can end, those of the large tenant first.
--- a/crates/pinerill-cluster/tests/leases.rs
+++ b/crates/pinerill-cluster/tests/leases.rs
@@ -9,6 +9,7 @@
 const SETTINGS: LeaseSettings = LeaseSettings {
     duration_ms: 3_000,
     reclaim_ms: 1_500,
+    shares_among_tenants: false,
 };
 /// Time at which a leadership that began at 0 starts to grant leases.
 const RECLAIM_END: u64 = 1_500;
--- a/crates/pinerill-forward/src/dispatch/shares.rs
+++ b/crates/pinerill-forward/src/dispatch/shares.rs
@@ -5,12 +5,52 @@
 //! wants, and the others get that level times their weight.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use super::report::TenantKey;
 
 /// Weight of a tenant whose weight is not a positive finite number.
 pub const DEFAULT_WEIGHT: f64 = 1.0;
 
+/// Weights of tenants in the division of slots.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Weights {
+    by_tenant: HashMap<TenantKey, f64>,
+    /// Weight of all other tenants.
+    other: f64,
+}
+
+impl Default for Weights {
+    fn default() -> Self {
+        Weights {
+            by_tenant: HashMap::new(),
+            other: DEFAULT_WEIGHT,
+        }
+    }
+}
+
+impl Weights {
+    /// Returns weights in proportion to the rates that the tenants' limits allow, in requests per
+    /// second. A tenant without a limit weighs as much as the largest one with a limit; all weigh
+    /// the same if none has a limit.
+    pub fn of_limits(rates: impl IntoIterator<Item = (TenantKey, f64)>) -> Self {
+        let valid = rates
+            .into_iter()
+            .filter(|(_, rate)| rate.is_finite() && *rate > 0.0);
+        let by_tenant: HashMap<TenantKey, f64> = valid.collect();
+        let other = by_tenant.values().copied().reduce(f64::max);
+        Weights {
+            by_tenant,
+            other: other.unwrap_or(DEFAULT_WEIGHT),
+        }
+    }
+
+    /// Returns the weight of a tenant.
+    pub fn of(&self, tenant: TenantKey) -> f64 {
+        self.by_tenant.get(&tenant).copied().unwrap_or(self.other)
+    }
+}
+
 /// What one tenant wants and has.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct TenantDemand {
@@ -51,6 +91,8 @@
     /// Slots per unit of weight up to which demands are filled; infinite if all are met.
     level: f64,
     standings: HashMap<TenantKey, Standing>,
+    /// Weights of tenants that had no demand at the division.
+    weights: Arc<Weights>,
 }
 
 impl Shares {
@@ -69,9 +111,24 @@
         Shares {
             level,
             standings: standings.collect(),
+            weights: Arc::default(),
         }
     }
 
+    /// Sets the weights of tenants that had no demand at the division.
+    pub fn with_weights(mut self, weights: Arc<Weights>) -> Self {
+        self.weights = weights;
+        self
+    }
+
+    fn limit(&self, tenant: TenantKey) -> f64 {
+        let standing = self.standings.get(&tenant);
+        standing.map_or_else(
+            || self.level * self.weights.of(tenant),
+            |standing| standing.limit,
+        )
+    }
+
     /// Divides the slots that calls use now, and at least one, among the tenants.
     pub fn of_slots_in_use(demands: &[TenantDemand]) -> Self {
         let in_use: f64 = demands.iter().map(|demand| f64::from(demand.in_use)).sum();
@@ -82,7 +139,7 @@
     /// at most.
     pub fn share(&self, tenant: TenantKey) -> f64 {
         let standing = self.standings.get(&tenant);
-        standing.map_or(self.level, |standing| standing.share)
+        standing.map_or_else(|| self.limit(tenant), |standing| standing.share)
     }
 
     /// Returns the slots in use by a tenant's calls.
@@ -99,17 +156,17 @@
 
     /// Returns how many more slots a tenant may take until it uses its share or more.
     pub fn room(&self, tenant: TenantKey) -> u32 {
-        let standing = self.standings.get(&tenant);
-        let limit = standing.map_or(self.level, |standing| standing.limit);
-        (limit - f64::from(self.in_use(tenant))).max(0.0).ceil() as u32
+        (self.limit(tenant) - f64::from(self.in_use(tenant)))
+            .max(0.0)
+            .ceil() as u32
     }
 
     /// Counts a slot that a call of the tenant has taken since the division.
     pub fn record_start(&mut self, tenant: TenantKey) {
-        let level = self.level;
+        let limit = self.limit(tenant);
         let standing = self.standings.entry(tenant).or_insert(Standing {
-            share: level,
-            limit: level,
+            share: limit,
+            limit,
             in_use: 0,
         });
         standing.in_use = standing.in_use.saturating_add(1);
--- a/crates/pinerill-forward/src/dispatch/sharing.rs
+++ b/crates/pinerill-forward/src/dispatch/sharing.rs
@@ -5,10 +5,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use pinerill_calls::table::RouteTable;
+
 use super::claims::Contender;
 use super::queue::Queued;
 use super::report::{QueuePosition, QueueReport, ServiceQueue, TenantKey, TenantUse};
-use super::shares::Shares;
+use super::shares::{Shares, Weights};
 use super::waiters::State;
 use super::zone::broadcast_after;
 use super::zone_order::Rivals;
@@ -95,13 +97,25 @@
             return;
         }
         let waiting = state.queue.waiting_by_tenant();
-        let demands = self.tenants.lock().demands(now_ms, &waiting);
-        state
-            .queue
-            .set_shares(Some(Shares::of_slots_in_use(&demands)));
+        let (demands, weights) = {
+            let tenants = self.tenants.lock();
+            (tenants.demands(now_ms, &waiting), tenants.weights())
+        };
+        let shares = Shares::of_slots_in_use(&demands).with_weights(weights);
+        state.queue.set_shares(Some(shares));
         state.shares_ms = now_ms;
     }
 
+    /// Sets the weights of tenants in the division of slots from the limits of the route table.
+    pub(crate) fn apply_limits(&self, table: &RouteTable) {
+        let tenants = table.tenants.iter().flatten();
+        let rates = tenants.filter_map(|tenant| {
+            let key = TenantKey::from_name(Some(&tenant.name));
+            Some((key, tenant.limit?.rate_per_s))
+        });
+        self.tenants.lock().set_weights(Weights::of_limits(rates));
+    }
+
     /// Counts a slot that a call of the tenant takes.
     pub(crate) fn record_tenant_start(&self, tenant: TenantKey) {
         let mut state = self.state.lock();
--- a/crates/pinerill-forward/src/dispatch/tenant_use.rs
+++ b/crates/pinerill-forward/src/dispatch/tenant_use.rs
@@ -7,9 +7,10 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use super::report::{TenantKey, TenantUse};
-use super::shares::{TenantDemand, DEFAULT_WEIGHT};
+use super::shares::{TenantDemand, Weights};
 use crate::fleet::ReportOrder;
 
 /// Number of tenants in one report.
@@ -41,9 +42,20 @@
 pub struct TenantUses {
     own: HashMap<TenantKey, u32>,
     reports: HashMap<Reporter, Report>,
+    weights: Arc<Weights>,
 }
 
 impl TenantUses {
+    /// Replaces the weights of the tenants.
+    pub fn set_weights(&mut self, weights: Weights) {
+        self.weights = Arc::new(weights);
+    }
+
+    /// Returns the weights of the tenants.
+    pub fn weights(&self) -> Arc<Weights> {
+        self.weights.clone()
+    }
+
     /// Counts a slot that a call of this node takes.
     pub fn record_start(&mut self, tenant: TenantKey) {
         *self.own.entry(tenant).or_default() += 1;
@@ -134,7 +146,7 @@
         heaviest(sums)
     }
 
-    /// Returns what each known tenant uses and wants at all nodes, with equal weights.
+    /// Returns what each known tenant uses and wants at all nodes.
     pub fn demands(&self, now_ms: u64, waiting: &WaitingByTenant) -> Vec<TenantDemand> {
         let mut sums = self.own_uses(waiting);
         for (_, report) in self.fresh(now_ms) {
@@ -144,7 +156,7 @@
             tenant: sum.tenant,
             in_use: sum.running,
             waiting: sum.waiting,
-            weight: DEFAULT_WEIGHT,
+            weight: self.weights.of(sum.tenant),
         });
         demands.collect()
     }
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -222,8 +222,12 @@
         }
     }
 
-    /// Returns whether slots are shared among tenants, as they are if the route table has any.
+    /// Returns whether slots are shared among tenants: the settings ask for it, and the route table
+    /// has tenants.
     pub(crate) fn shares_slots(&self) -> bool {
+        if !self.settings.share_slots {
+            return false;
+        }
         let table = self.table.read();
         table
             .as_ref()
@@ -239,6 +243,7 @@
             .is_none_or(|known| known.table().version < version);
         if newer {
             self.with_fleet(|fleet, _| fleet.apply_slow_starts(index.table()));
+            self.dispatcher.apply_limits(index.table());
             *current = Some(Arc::new(index));
             self.table_installed.notify_waiters();
         }
--- a/crates/pinerill-forward/tests/tenant_shares.rs
+++ b/crates/pinerill-forward/tests/tenant_shares.rs
@@ -6,7 +6,7 @@
 
 use pinerill_forward::dispatch::queue::{first_of_each, WaitingCall, WaitingQueue};
 use pinerill_forward::dispatch::report::{TenantKey, TenantUse};
-use pinerill_forward::dispatch::shares::{Shares, TenantDemand, DEFAULT_WEIGHT};
+use pinerill_forward::dispatch::shares::{Shares, TenantDemand, Weights, DEFAULT_WEIGHT};
 use pinerill_forward::dispatch::tenant_use::{TenantUses, MAX_REPORTED_TENANTS};
 use pinerill_forward::fleet::ReportOrder;
 use proptest::prelude::*;
@@ -226,6 +226,24 @@
     }
 }
 
+#[test]
+fn tenants_weigh_as_much_as_their_limits_allow() {
+    let weights = Weights::of_limits([(TenantKey(1), 30.0), (TenantKey(2), 10.0)]);
+    assert_eq!(weights.of(TenantKey(1)), 30.0);
+    assert_eq!(weights.of(TenantKey(3)), 30.0, "without a limit");
+    let weighted = |tenant, in_use| TenantDemand {
+        weight: weights.of(TenantKey(tenant)),
+        ..demand(tenant, in_use, 20)
+    };
+    let shares = Shares::divide(8.0, &[weighted(1, 5), weighted(2, 3)]);
+    assert_eq!(shares.share(TenantKey(1)), 6.0);
+    assert!(!shares.is_used_up(TenantKey(1)));
+    assert!(shares.is_used_up(TenantKey(2)));
+    let absurd = [0.0, -1.0, f64::NAN, f64::INFINITY];
+    let ignored = Weights::of_limits(absurd.map(|rate| (TenantKey(1), rate)));
+    assert_eq!(ignored, Weights::default());
+}
+
 proptest! {
     #[test]
     fn shares_sum_up_to_the_capacity_or_to_all_demands(
