Limits are divided into leased parts for zones: the decisions, not in use yet

Cause: only the leader lends tokens, so calls of limited tenants wait or are refused while it is frozen or their zone is cut off.

Change: pinerill-quota has the pure decisions. Division (leader) divides each limit by demand and counts a part as out until its holder reports a smaller one or its lease is over; PartHolder (zone lender) applies only the answer to its latest request; LeaderLender lends what is not out; follow_up says what a node asks the leader after its zone lender. No process uses them yet.

Four defects are detected.

--- a/crates/pinerill-quota/src/borrower.rs
+++ b/crates/pinerill-quota/src/borrower.rs
@@ -127,6 +127,21 @@
         }
     }
 
+    fn apply_urgent(&mut self, now_ms: u64, loan: &TenantLoan) {
+        // Tokens lent for requests that have given up since then serve no others.
+        self.reserved = (self.reserved + loan.urgent).min(self.waiting);
+        match loan.shortage {
+            None => self.rejected = 0,
+            Some(Shortage::LimitReached { next_ms }) => {
+                self.next_token_ms = next_ms;
+                self.limited_until_ms = now_ms.saturating_add(next_ms);
+            }
+            // The lender's table has no limit for this tenant, so its version differs from
+            // the node's: all waiting requests pass.
+            Some(Shortage::NoLimit) => self.reserved = self.waiting,
+        }
+    }
+
     fn admit(&mut self, now_ms: u64) -> Admission {
         if self.tokens > 0 {
             self.tokens -= 1;
@@ -266,21 +281,19 @@
                 state.tokens += loan.ahead;
                 state.expires_ms = asked_ms + LOAN_LIFETIME_MS;
             }
-            // Tokens lent for requests that have given up since then serve no others.
-            state.reserved = (state.reserved + loan.urgent).min(state.waiting);
             if ask.ahead > 0 && loan.ahead == 0 {
                 state.prefetch_from_ms = now_ms + PREFETCH_BACKOFF_MS;
             }
-            match loan.shortage {
-                None => state.rejected = 0,
-                Some(Shortage::LimitReached { next_ms }) => {
-                    state.next_token_ms = next_ms;
-                    state.limited_until_ms = now_ms.saturating_add(next_ms);
-                }
-                // The lender's table has no limit for this tenant, so its version differs from
-                // the node's: all waiting requests pass.
-                Some(Shortage::NoLimit) => state.reserved = state.waiting,
-            }
+            state.apply_urgent(now_ms, loan);
+        }
+    }
+
+    /// Applies the answer of a second lender to requests that wait: it lends tokens for these
+    /// only, so those that are held expire as before.
+    pub fn apply_urgent(&mut self, now_ms: u64, asks: &[TenantAsk], loans: &[TenantLoan]) {
+        for (ask, loan) in asks.iter().zip(loans) {
+            let state = self.tenant_state(now_ms, &ask.tenant);
+            state.apply_urgent(now_ms, loan);
         }
     }
 
--- a/crates/pinerill-quota/src/defect.rs
+++ b/crates/pinerill-quota/src/defect.rs
@@ -1,7 +1,7 @@
 //! Deliberate defects with which the tests show that they detect violations of the limits.
 //! They can be turned on only if the feature `defects` is enabled.
 
-/// A deliberate defect of the borrower or the lender.
+/// A deliberate defect of the borrower, the lender or the division of limits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Defect {
     /// Tokens on loan never expire.
@@ -12,6 +12,14 @@
     FullAtStart,
     /// The lender does not bound the number of tokens on loan.
     UnboundedLoans,
+    /// The leader grows one part before another holder has confirmed that it shrank.
+    GrowsBeforeShrink,
+    /// A new leader grants parts before it knows which of them are out.
+    NewLeaderGrants,
+    /// A holder goes on lending after its lease is over.
+    PartsNeverExpire,
+    /// A holder applies answers to requests that it sent before its latest one.
+    LateAnswersApply,
 }
 
 #[cfg(feature = "defects")]
--- a/crates/pinerill-quota/src/lender.rs
+++ b/crates/pinerill-quota/src/lender.rs
@@ -56,6 +56,31 @@
             initial_tokens: per_lender.min(limit.burst),
         }
     }
+
+    /// Returns the terms for a fraction of the limit. Its bucket contains more than the fraction
+    /// of the burst, since tokens of other fractions can't serve its requests: one token, which
+    /// [`crate::fraction::divided_tolerance`] sets aside, and the fraction of what a second
+    /// lender's nodes could hold; the fractions together hold only what one lender allows.
+    fn scaled(&self, scale: Scale) -> Self {
+        let mut limit = self.limit.scaled(scale.lent);
+        if scale.lent > 0.0 {
+            limit.burst += 1.0 + self.max_held * scale.lent;
+        }
+        Terms {
+            limit,
+            max_held: self.max_held * scale.held,
+            initial_tokens: self.initial_tokens * scale.lent,
+        }
+    }
+}
+
+/// The fraction of a limit under which a lender lends.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Scale {
+    /// Fraction of rate, burst and initial tokens.
+    pub(crate) lent: f64,
+    /// Fraction of the tokens that nodes may hold in advance.
+    pub(crate) held: f64,
 }
 
 /// Tokens that one node holds of one tenant.
@@ -136,6 +161,38 @@
         account.lend(now_ms, node, ask, &Terms::new(&limit, &tolerance))
     }
 
+    /// Answers a loan request under a fraction of the tenant's limit.
+    pub(crate) fn lend_fraction(
+        &mut self,
+        now_ms: u64,
+        node: &str,
+        ask: &TenantAsk,
+        (limit, scale): (RequestLimit, Scale),
+    ) -> TenantLoan {
+        let terms = Terms::new(&limit, &self.tolerance).scaled(scale);
+        let account = self.accounts.entry(ask.tenant.clone());
+        let account = account.or_insert_with(|| Account::empty(now_ms));
+        account.lend(now_ms, node, ask, &terms)
+    }
+
+    /// Opens the account of a tenant with the initial tokens of a fraction of its limit.
+    pub(crate) fn open(&mut self, now_ms: u64, tenant: &str, limit: RequestLimit, scale: Scale) {
+        let terms = Terms::new(&limit, &self.tolerance).scaled(scale);
+        let mut account = Account::empty(now_ms);
+        account.bucket = TokenBucket::with_tokens(now_ms, terms.initial_tokens);
+        self.accounts.insert(tenant.to_owned(), account);
+    }
+
+    /// Refills the bucket of a tenant under the fraction that applied until now. Required before
+    /// the fraction changes: a bucket is refilled for the time since its last use.
+    pub(crate) fn settle(&mut self, now_ms: u64, tenant: &str, limit: RequestLimit, scale: Scale) {
+        let terms = Terms::new(&limit, &self.tolerance).scaled(scale);
+        if let Some(account) = self.accounts.get_mut(tenant) {
+            let limit = terms.limit;
+            account.bucket.fill(now_ms, limit.rate_per_s, limit.burst);
+        }
+    }
+
     /// Drops the accounts of all tenants for which `is_limited` returns false.
     pub fn keep_only(&mut self, is_limited: impl Fn(&str) -> bool) {
         self.accounts.retain(|tenant, _| is_limited(tenant));
@@ -143,6 +200,13 @@
 }
 
 impl Account {
+    fn empty(now_ms: u64) -> Self {
+        Account {
+            bucket: TokenBucket::with_tokens(now_ms, 0.0),
+            loans: HashMap::new(),
+        }
+    }
+
     fn lend(&mut self, now_ms: u64, node: &str, ask: &TenantAsk, terms: &Terms) -> TenantLoan {
         let Terms {
             limit, max_held, ..
--- a/crates/pinerill-quota/src/lib.rs
+++ b/crates/pinerill-quota/src/lib.rs
@@ -23,6 +23,28 @@
 //! part of the tolerance allows, so that both together lend little more than one bucket
 //! would, and each of them lets nodes hold half of the tokens that may be held.
 //!
+//! # Division of limits
+//!
+//! With several zones the leader lends only a part of each limit itself; the other parts are
+//! leased to one *zone lender* in each zone ([`division`], [`part`]). Parts are counted in
+//! thousandths of a limit, and those on which any process may act add up to at most one limit
+//! at every moment. Each part is lent under limit and tolerance scaled to it ([`fraction`]),
+//! and the bound above holds by addition:
+//!
+//! - A bucket is refilled for the time under its old part before the part changes, so the
+//!   buckets together gain at most the rate, and contain at most the burst.
+//! - Nodes may hold tokens only for the smallest part of the last
+//!   [`lender::LOAN_LIFETIME_MS`], so tokens held of a part that has moved are not counted
+//!   twice.
+//! - A bucket contains one token more than its part of the burst, so that small parts yield
+//!   whole tokens. One request of the tolerance is set aside for each part
+//!   ([`fraction::divided_tolerance`]).
+//! - Since held tokens of all parts together stay within what one of the two lenders of a
+//!   window may let nodes hold, the buckets together contain as much more as the other one's.
+//!
+//! A holder applies a changed limit when it receives the route table. One that is cut off
+//! lends under the former limit until its lease is over.
+//!
 //! # Alternatives
 //!
 //! A fixed share of 1/n of the limit for each of n nodes needs no messages. But the callers
@@ -33,8 +55,14 @@
 pub mod borrower;
 pub mod bucket;
 pub mod defect;
+pub mod division;
+pub mod follow_up;
+pub mod fraction;
+pub mod leader;
 pub mod lender;
 pub mod limit;
 pub mod message;
+pub mod part;
+pub mod renewal;
 
 mod demand;
--- a/crates/pinerill-quota/src/limit.rs
+++ b/crates/pinerill-quota/src/limit.rs
@@ -33,7 +33,7 @@
     }
 
     /// Returns the limit with rate and burst multiplied by `factor`.
-    pub(crate) fn scaled(&self, factor: f64) -> Self {
+    pub fn scaled(&self, factor: f64) -> Self {
         RequestLimit {
             rate_per_s: self.rate_per_s * factor,
             burst: self.burst * factor,
--- a/crates/pinerill-quota/tests/support/mod.rs
+++ b/crates/pinerill-quota/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod fleet;
 pub mod loans;
 pub mod other_strategies;
 
@@ -180,7 +181,8 @@
             }
         }
         for tenant in 0..self.outcomes.len() {
-            let excess = excess(&mut self.runs[tenant], &self.limits[tenant]);
+            let lag_ms = 2 * TOLERANCE.window_ms;
+            let excess = excess(&mut self.runs[tenant], &self.limits[tenant], lag_ms);
             self.outcomes[tenant].excess = excess;
         }
         self.outcomes
@@ -284,7 +286,7 @@
     }
 }
 
-fn poisson(rng: &mut Pcg64Mcg, expected: f64) -> u32 {
+pub fn poisson(rng: &mut Pcg64Mcg, expected: f64) -> u32 {
     let bound = (-expected).exp();
     let mut product: f64 = rng.gen();
     let mut count = 0;
@@ -296,8 +298,9 @@
 }
 
 /// Returns the largest number of calls in any window beyond the highest applicable limit and
-/// its tolerance. A limit still applies for one window after it was replaced.
-fn excess(runs: &mut [u64], limits: &[(u64, RequestLimit)]) -> f64 {
+/// its tolerance. A limit still applies to windows that end within `lag_ms` after it was
+/// replaced: two windows where each lender uses the newest limit.
+pub fn excess(runs: &mut [u64], limits: &[(u64, RequestLimit)], lag_ms: u64) -> f64 {
     runs.sort_unstable();
     let mut most = f64::MIN;
     let mut first = 0;
@@ -305,7 +308,7 @@
         while runs[last] >= runs[first] + TOLERANCE.window_ms {
             first += 1;
         }
-        let from_ms = runs[last].saturating_sub(2 * TOLERANCE.window_ms);
+        let from_ms = runs[last].saturating_sub(lag_ms);
         let ended = |index: usize| limits.get(index + 1).map_or(u64::MAX, |next| next.0);
         let in_force = limits
             .iter()
