Divided limits: parts follow demand in steps, tokens move with them

Change: a part grows by at most 100 in a renewal; what no longer fits into the leader's bucket goes to the holder whose part grows; a leader to which all report that they hold nothing adds the initial tokens of the parts; a holder renews at once after it got a session. The simulated node stays with the machine that lent last.

Not in use: no message carries the decisions.

--- a/crates/pinerill-quota/src/division.rs
+++ b/crates/pinerill-quota/src/division.rs
@@ -16,6 +16,9 @@
 const FLOOR: u16 = 30;
 /// Smallest change of a part. Smaller differences in demand are noise.
 const LEAST_CHANGE: u16 = 40;
+/// Largest growth of a part in one renewal, so that the first zone to report its demand after a
+/// restart does not take what the others need shortly after.
+const MOST_GROWTH: u16 = 100;
 /// Difference in rate between two clocks over the lifetime of a part, in milliseconds.
 const CLOCK_MARGIN_MS: u64 = 200;
 
@@ -54,6 +57,8 @@
     term: u64,
     began_ms: u64,
     sessions: u64,
+    /// Whether a part of a predecessor was reported.
+    has_adopted: bool,
     /// Zone of each control machine, by address.
     members: BTreeMap<String, String>,
     holders: BTreeMap<String, Holder>,
@@ -69,6 +74,7 @@
             term,
             began_ms: now_ms,
             sessions: 0,
+            has_adopted: false,
             members,
             holders: BTreeMap::new(),
             lenders: BTreeMap::new(),
@@ -94,6 +100,13 @@
             || members.all(|machine| self.holders.contains_key(machine))
     }
 
+    /// Returns whether all control machines have reported, and none of them held a part that a
+    /// predecessor had granted: all of them have started anew.
+    pub fn is_fresh(&self) -> bool {
+        let mut members = self.members.keys();
+        !self.has_adopted && members.all(|machine| self.holders.contains_key(machine))
+    }
+
     /// Returns the part of a tenant's limit that the leader may lend itself now.
     pub fn own_part(&self, now_ms: u64, tenant: &str) -> u16 {
         let rest = WHOLE.saturating_sub(self.out_except(now_ms, tenant, ""));
@@ -139,7 +152,12 @@
             };
             if part > 0 {
                 let tenant = tenant.to_owned();
-                parts.push(TenantPart { tenant, part });
+                let tokens = 0;
+                parts.push(TenantPart {
+                    tenant,
+                    part,
+                    tokens,
+                });
             }
         }
         self.grant(now_ms, &request.machine, &parts);
@@ -161,6 +179,8 @@
         // What was held when the request was sent may have expired on its way.
         let is_valid = now_ms < holder.expires_ms;
         let holdings = request.holdings.iter();
+        let holds_any = holdings.clone().any(|one| one.part > 0);
+        self.has_adopted |= holder.session == 0 && holds_any;
         *holder = Holder {
             session: session.number,
             number: request.number,
@@ -218,7 +238,7 @@
         let is_small = target.abs_diff(held) < LEAST_CHANGE && held >= FLOOR;
         match target > held && self.is_complete(now_ms) {
             _ if is_small && !is_needed => held,
-            true => target.min(available).max(held),
+            true => target.min(held + MOST_GROWTH).min(available).max(held),
             false => target.min(held),
         }
     }
--- a/crates/pinerill-quota/src/fraction.rs
+++ b/crates/pinerill-quota/src/fraction.rs
@@ -73,18 +73,37 @@
         }
     }
 
-    /// Sets the part of a tenant's limit from now on.
-    pub fn set(&mut self, now_ms: u64, tenant: &str, limit: RequestLimit, part: u16) {
+    /// Sets the part of a tenant's limit from now on. Returns the tokens that were removed from
+    /// the bucket because a smaller one can't contain them.
+    pub fn set(&mut self, now_ms: u64, tenant: &str, limit: RequestLimit, part: u16) -> u32 {
         if let Some(fraction) = self.fractions.get_mut(tenant) {
             fraction.refresh(now_ms);
             if fraction.lent != part {
                 let scale = fraction.scale();
                 self.lender.settle(now_ms, tenant, limit, scale);
                 fraction.set(part);
+                let scale = fraction.scale();
+                return self.lender.take_excess(tenant, limit, scale);
             }
         } else if part > 0 {
             self.begin(now_ms, tenant, limit, part);
         }
+        0
+    }
+
+    /// Adds tokens to the bucket of a tenant, at most up to its capacity.
+    pub fn add(&mut self, now_ms: u64, tenant: &str, limit: RequestLimit, tokens: u32) {
+        if let Some(fraction) = self.fractions.get(tenant) {
+            let terms = (limit, fraction.scale());
+            self.lender.add_tokens(now_ms, tenant, terms, tokens);
+        }
+    }
+
+    /// Adds the initial tokens of a part of a tenant's limit, which nobody had before.
+    pub fn add_initial(&mut self, now_ms: u64, tenant: &str, limit: RequestLimit, part: u16) {
+        let lent = f64::from(part) / f64::from(WHOLE);
+        let tokens = self.lender.initial_tokens(limit, Scale { lent, held: 0.0 });
+        self.add(now_ms, tenant, limit, tokens);
     }
 
     fn begin(&mut self, now_ms: u64, tenant: &str, limit: RequestLimit, part: u16) {
--- a/crates/pinerill-quota/src/leader.rs
+++ b/crates/pinerill-quota/src/leader.rs
@@ -6,13 +6,15 @@
 use crate::fraction::FractionLender;
 use crate::limit::{RequestLimit, Tolerance};
 use crate::message::{Shortage, TenantAsk, TenantLoan};
-use crate::renewal::{PartAnswer, PartRequest};
+use crate::renewal::{PartAnswer, PartRequest, WHOLE};
 
 /// Division of all limits and lender of the leader's own parts, in one term.
 #[derive(Debug)]
 pub struct LeaderLender {
     division: Division,
     lender: FractionLender,
+    /// Whether the initial tokens of parts that nobody held were added.
+    is_opened: bool,
 }
 
 impl LeaderLender {
@@ -28,6 +30,7 @@
         LeaderLender {
             division: Division::begin(term, now_ms, members),
             lender: FractionLender::new(tolerance, now_ms, RESERVE),
+            is_opened: false,
         }
     }
 
@@ -44,16 +47,40 @@
         limits: &HashMap<String, RequestLimit>,
     ) -> Option<PartAnswer> {
         let tenants = limits.keys().map(String::as_str);
-        let answer = self.division.answer(now_ms, request, tenants);
+        let mut answer = self.division.answer(now_ms, request, tenants);
         // The own part shrinks at the same moment as another one grows.
+        let mut excess: HashMap<&str, u32> = HashMap::new();
         for (tenant, limit) in limits {
             let own = self.division.own_part(now_ms, tenant);
-            self.lender.set(now_ms, tenant, *limit, own);
+            let tokens = self.lender.set(now_ms, tenant, *limit, own);
+            if tokens > 0 {
+                excess.insert(tenant, tokens);
+            }
+        }
+        self.open(now_ms, limits);
+        if let Some(PartAnswer::Parts(parts)) = &mut answer {
+            for one in parts {
+                one.tokens = excess.remove(one.tenant.as_str()).unwrap_or(0);
+            }
         }
         self.lender.keep_only(|tenant| limits.contains_key(tenant));
         answer
     }
 
+    /// Adds the initial tokens of the parts that nobody held when the term began.
+    fn open(&mut self, now_ms: u64, limits: &HashMap<String, RequestLimit>) {
+        if self.is_opened || !self.division.is_complete(now_ms) {
+            return;
+        }
+        self.is_opened = true;
+        if self.division.is_fresh() {
+            for (tenant, limit) in limits {
+                self.lender
+                    .add_initial(now_ms, tenant, *limit, WHOLE - RESERVE);
+            }
+        }
+    }
+
     /// Answers the loan requests of a node, in their order, under the leader's own part.
     pub fn lend(
         &mut self,
--- a/crates/pinerill-quota/src/lender.rs
+++ b/crates/pinerill-quota/src/lender.rs
@@ -186,13 +186,43 @@
     /// Refills the bucket of a tenant under the fraction that applied until now. Required before
     /// the fraction changes: a bucket is refilled for the time since its last use.
     pub(crate) fn settle(&mut self, now_ms: u64, tenant: &str, limit: RequestLimit, scale: Scale) {
+        self.add_tokens(now_ms, tenant, (limit, scale), 0);
+    }
+
+    /// Refills the bucket of a tenant and adds tokens, at most up to its capacity.
+    pub(crate) fn add_tokens(
+        &mut self,
+        now_ms: u64,
+        tenant: &str,
+        (limit, scale): (RequestLimit, Scale),
+        tokens: u32,
+    ) {
         let terms = Terms::new(&limit, &self.tolerance).scaled(scale);
         if let Some(account) = self.accounts.get_mut(tenant) {
             let limit = terms.limit;
             account.bucket.fill(now_ms, limit.rate_per_s, limit.burst);
+            account.bucket.add(f64::from(tokens), limit.burst);
         }
     }
 
+    /// Removes and returns the whole tokens of a bucket beyond the capacity under a fraction.
+    pub(crate) fn take_excess(&mut self, tenant: &str, limit: RequestLimit, scale: Scale) -> u32 {
+        let terms = Terms::new(&limit, &self.tolerance).scaled(scale);
+        let capacity = terms.limit.burst.max(0.0).ceil() as u32;
+        let account = self.accounts.get_mut(tenant);
+        account.map_or(0, |account| {
+            let excess = account.bucket.whole_tokens().saturating_sub(capacity);
+            account.bucket.remove(excess);
+            excess
+        })
+    }
+
+    /// Returns the tokens with which a lender of a fraction of a limit begins.
+    pub(crate) fn initial_tokens(&self, limit: RequestLimit, scale: Scale) -> u32 {
+        let terms = Terms::new(&limit, &self.tolerance).scaled(scale);
+        terms.initial_tokens as u32
+    }
+
     /// Drops the accounts of all tenants for which `is_limited` returns false.
     pub fn keep_only(&mut self, is_limited: impl Fn(&str) -> bool) {
         self.accounts.retain(|tenant, _| is_limited(tenant));
--- a/crates/pinerill-quota/src/part.rs
+++ b/crates/pinerill-quota/src/part.rs
@@ -30,6 +30,7 @@
     session: Option<Session>,
     /// Number and time of the latest request.
     sent: Option<(u64, u64)>,
+    is_answered: bool,
     lease_until_ms: u64,
     lender: FractionLender,
     demands: HashMap<String, Demand>,
@@ -43,6 +44,7 @@
             machine: machine.to_owned(),
             session: None,
             sent: None,
+            is_answered: false,
             lease_until_ms: 0,
             lender: FractionLender::new(tolerance, now_ms, 0),
             demands: HashMap::new(),
@@ -60,6 +62,7 @@
         self.lender.keep_only(|tenant| limit_of(tenant).is_some());
         let number = self.sent.map_or(1, |(number, _)| number + 1);
         self.sent = Some((number, now_ms));
+        self.is_answered = false;
         PartRequest {
             machine: self.machine.clone(),
             session: self.session,
@@ -101,15 +104,21 @@
             return false;
         };
         let is_late = number != latest || now_ms >= sent_ms + ANSWER_VALIDITY_MS;
-        if is_late && !is_on(Defect::LateAnswersApply) {
+        if is_late && !is_on(Defect::LateAnswersApply) || self.is_answered {
             return false;
         }
+        self.is_answered = true;
         self.expire(now_ms, &limit_of);
         match answer {
             PartAnswer::Session(session) => self.session = Some(*session),
             PartAnswer::Parts(parts) => {
                 self.lease_until_ms = sent_ms + PART_LIFETIME_MS;
-                self.set_parts(now_ms, parts, limit_of);
+                self.set_parts(now_ms, parts, &limit_of);
+                for one in parts.iter().filter(|one| one.tokens > 0) {
+                    if let Some(limit) = limit_of(&one.tenant) {
+                        self.lender.add(now_ms, &one.tenant, limit, one.tokens);
+                    }
+                }
             }
         }
         true
--- a/crates/pinerill-quota/src/renewal.rs
+++ b/crates/pinerill-quota/src/renewal.rs
@@ -61,4 +61,6 @@
     pub tenant: String,
     /// The part, in units of 1/[`WHOLE`] of the limit.
     pub part: u16,
+    /// Tokens that the leader hands over with a larger part, from its own bucket.
+    pub tokens: u32,
 }
--- a/crates/pinerill-quota/tests/division.rs
+++ b/crates/pinerill-quota/tests/division.rs
@@ -49,23 +49,45 @@
     }
 }
 
+/// Probabilities with which an outage of a process or zone begins and ends in a tenth of a second.
+#[derive(Debug, Clone, Copy)]
+struct Outages {
+    begin: f64,
+    end: f64,
+}
+
+/// Outages of 3 s on average.
+const SHORT: Outages = Outages {
+    begin: 0.004,
+    end: 0.03,
+};
+/// Outages that often last longer than a part. They are rarer, so that a majority remains.
+const LONG: Outages = Outages {
+    begin: 0.001,
+    end: 0.007,
+};
+
 /// Injects the faults of one tenth of a second.
-fn inject(fleet: &mut Fleet, rng: &mut Pcg64Mcg) {
+fn inject(fleet: &mut Fleet, rng: &mut Pcg64Mcg, outages: Outages) {
     for machine in 0..MACHINES {
         match fleet.is_frozen(machine) {
-            true if rng.gen_bool(0.03) => fleet.thaw(machine),
-            false if rng.gen_bool(0.004) => fleet.freeze(machine),
+            true if rng.gen_bool(outages.end) => fleet.thaw(machine),
+            false if rng.gen_bool(outages.begin) => fleet.freeze(machine),
             _ => {}
         }
         if rng.gen_bool(0.002) {
             fleet.restart_machine(machine);
         }
     }
-    if let Some(leader) = fleet.leader.filter(|_| rng.gen_bool(0.01)) {
+    if let Some(leader) = fleet.leader.filter(|_| rng.gen_bool(2.5 * outages.begin)) {
         fleet.freeze(leader);
     }
     for zone in 0..ZONES {
-        let toggles = if fleet.is_cut(zone) { 0.03 } else { 0.004 };
+        let toggles = if fleet.is_cut(zone) {
+            outages.end
+        } else {
+            outages.begin
+        };
         if rng.gen_bool(toggles) {
             fleet.set_cut(zone, !fleet.is_cut(zone));
         }
@@ -95,9 +117,10 @@
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x5eed);
     let mut fleet = Fleet::new(Way::Divided, NODES, greedy_tenants(), unreliable(), seed);
     fleet.in_bursts = false;
+    let outages = if seed % 4 < 2 { SHORT } else { LONG };
     while fleet.now_ms < RUN_MS {
         fleet.run(100);
-        inject(&mut fleet, &mut rng);
+        inject(&mut fleet, &mut rng, outages);
         change(&mut fleet, &mut rng, seed.is_multiple_of(2));
     }
     assert!(fleet.admitted() > 1_000, "seed {seed}: little was admitted");
--- a/crates/pinerill-quota/tests/support/fleet.rs
+++ b/crates/pinerill-quota/tests/support/fleet.rs
@@ -24,7 +24,7 @@
 const RENEWAL_MS: u64 = 225;
 const ZONE_LENDER_TIMEOUT_MS: u64 = 75;
 const AVOIDANCE_MS: u64 = 1_000;
-const REFUSAL_MEMORY_MS: u64 = 2_000;
+const REFUSAL_MEMORY_MS: u64 = 500;
 const LEADER_TIMEOUT_MS: u64 = 400;
 const PREFETCH_INTERVAL_MS: u64 = 100;
 
@@ -126,6 +126,8 @@
     exchanges: u64,
     prefetch_ms: u64,
     avoided: [u64; MACHINES],
+    /// The machine that lent last as lender of the zone.
+    lender: Option<usize>,
     waiting: Vec<Call>,
 }
 
@@ -440,6 +442,9 @@
                     let limits = &machine.limits;
                     let limit_of = |tenant: &str| limits.get(tenant).copied();
                     machine.holder.apply(now_ms, number, &answer, limit_of);
+                    if matches!(answer, PartAnswer::Session(_)) {
+                        machine.renew_ms = now_ms;
+                    }
                 }
                 return;
             }
@@ -557,7 +562,11 @@
         let usable = |one: &usize| self.now_ms >= self.nodes[number].avoided[*one];
         let mut near = (0..MACHINES).filter(|one| zone_of(*one) == zone_of(number));
         let of_zone = match self.way {
-            Way::Divided => near.find(usable).map(|one| (one, false)),
+            Way::Divided => {
+                let known = self.nodes[number].lender.filter(usable);
+                let lender = known.or_else(|| near.find(usable));
+                lender.map(|one| (one, false))
+            }
             Way::SingleLender => None,
         };
         of_zone.or_else(|| self.leader.filter(usable).map(|one| (one, true)))
@@ -623,8 +632,10 @@
             }
             return;
         }
+        node.lender = Some(exchange.to);
         if loans.iter().all(Option::is_none) {
             node.avoided[exchange.to] = now_ms + REFUSAL_MEMORY_MS;
+            node.lender = None;
         }
         let rest = follow_up(exchange.asks, loans);
         let (asks, loans) = rest.answered;
