--- a/crates/pinerill-calls/src/settings/node.rs
+++ b/crates/pinerill-calls/src/settings/node.rs
@@ -46,8 +46,8 @@
     /// Slots in use by calls count as well.
     #[serde(default = "default_batch_share")]
     pub batch_share: f64,
-    /// Whether tenants share slots while calls wait, if the route table has tenants: calls of tenants
-    /// that use less than their share go first.
+    /// Whether tenants share slots while calls wait, if the route table has tenants: of the calls of
+    /// one urgency class, those of tenants that use less than their share go first.
     #[serde(default)]
     pub share_slots: bool,
     /// Zones of the fleet, each with its region. The region of any other zone is unknown, so calls
--- a/crates/pinerill-cluster/src/lease_shares.rs
+++ b/crates/pinerill-cluster/src/lease_shares.rs
@@ -1,4 +1,4 @@
-//! Divides new leases among the tenants whose items are queued. Pure.
+//! Divides new leases among the tenants whose items are queued, if the settings ask for it. Pure.
 //!
 //! Each lease goes to the tenant with the fewest leased items among those with queued ones, so that
 //! no tenant gets an item beyond its max-min share of all leased items while items of another wait.
--- a/crates/pinerill-cluster/src/leases.rs
+++ b/crates/pinerill-cluster/src/leases.rs
@@ -14,7 +14,7 @@
 use crate::lease_shares::{pick, queued_by_tenant, QueueRange};
 use crate::machine::{JobRecord, Jobs, QueuePosition};
 
-/// Durations of leases.
+/// Durations of leases, and how they are divided.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeaseSettings {
     /// Time until a lease expires unless it is renewed, milliseconds.
@@ -176,8 +176,8 @@
     }
 
     /// Grants leases, first for items that can be on time if they start now, then for items that
-    /// are late or will be. Within each of the two they are divided among tenants, and each tenant's
-    /// most urgent items go first.
+    /// are late or will be. Within each of the two the most urgent items go first or, if leases are
+    /// divided among tenants, those of each tenant do.
     fn grant_new(
         &mut self,
         now_ms: u64,
--- a/crates/pinerill-control/src/host/inbox.rs
+++ b/crates/pinerill-control/src/host/inbox.rs
@@ -1,7 +1,7 @@
 //! The queue of a group's events, each with the time at which it came.
 //!
 //! Events wait there while the machine is suspended or the task stands still. What an event
-//! shows, as that a follower answers, held when it came.
+//! shows, for example that a follower answers, was true when it came.
 
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
 
 impl Arrived {
     /// The time at which the event counts. One that waited for less than `longest_wait`
-    /// counts as of now: whoever stood still for a moment is not taken for cut off.
+    /// counts as of now, so that a short pause of this replica doesn't look like a cut connection.
     pub(super) fn counts_at(&self, now: Duration, longest_wait: Duration) -> Duration {
         match now.saturating_sub(self.at) < longest_wait {
             true => now,
--- a/crates/pinerill-control/src/host/task.rs
+++ b/crates/pinerill-control/src/host/task.rs
@@ -95,8 +95,8 @@
         time.saturating_sub(self.started).as_millis() as u64
     }
 
-    /// When an event counts. What waited for the longest election timeout says nothing about
-    /// now: meanwhile all voters may have given this replica up, or it them.
+    /// When an event counts. One that waited for the longest election timeout or more says nothing
+    /// about now: another leader may have been elected meanwhile.
     fn counts_at_ms(&self, arrived: &Arrived) -> u64 {
         let settings = &self.shared.settings;
         let counts_at = arrived.counts_at(settings.clock.time(), settings.election_max);
--- a/crates/pinerill-forward/src/cluster/client.rs
+++ b/crates/pinerill-forward/src/cluster/client.rs
@@ -34,8 +34,8 @@
 /// Number of machines that are connected to for one attempt while the leader is unknown. The first
 /// one that is reached is asked, so that one whose machine is down does not hold the request up.
 const MAX_CANDIDATES: usize = 3;
-/// Delay after which the next candidate is connected to as well. It covers a connection between
-/// regions, so that a candidate that can be reached is the one that is asked.
+/// Delay after which the next candidate is connected to as well. It is longer than connecting to
+/// another region takes, so that a later candidate is asked only if the earlier ones can't be reached.
 const NEXT_CANDIDATE_DELAY: Duration = Duration::from_millis(60);
 
 /// Time for which an address is skipped after it failed to answer, unless there is no other. It
--- a/crates/pinerill-forward/src/dispatch/mod.rs
+++ b/crates/pinerill-forward/src/dispatch/mod.rs
@@ -4,8 +4,8 @@
 //! rather than at a worker, whose own queue only knows the order of arrival; it is rejected at once
 //! if it cannot be served in time (`admission`). `queue` keeps the order of the waiting calls,
 //! `claims` decides which node may use a free slot that several see, `demand` records the waiting
-//! calls and preemptible items of the zone's other nodes, and `zone` serves those nodes. Where the
-//! route table has tenants, `shares` divides the slots among them by their use (`tenant_use`), and
+//! calls and preemptible items of the zone's other nodes, and `zone` serves those nodes. If the
+//! settings ask for it and the route table has tenants, `shares` divides the slots among them by their use (`tenant_use`), and
 //! `zone_order` and `sharing` pass released slots to the first calls of the zone. The queue
 //! is scanned whenever a slot is released, a peer reports a free one, or the scan interval has
 //! passed.
--- a/crates/pinerill-forward/src/dispatch/shares.rs
+++ b/crates/pinerill-forward/src/dispatch/shares.rs
@@ -78,9 +78,12 @@
     }
 }
 
+/// What the division gives one tenant, in slots, and what it uses.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Standing {
+    /// The smaller one of its demand and `limit`.
     share: f64,
+    /// What it could get at most: the common level times its weight.
     limit: f64,
     in_use: u32,
 }
--- a/crates/pinerill-forward/src/dispatch/sharing.rs
+++ b/crates/pinerill-forward/src/dispatch/sharing.rs
@@ -1,5 +1,5 @@
 //! Sharing of slots among tenants: applies the decisions of `shares`, `tenant_use` and `zone_order`
-//! to the queue and to released slots, while the route table has tenants.
+//! to the queue and to released slots, if the settings ask for it and the route table has tenants.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/pinerill-forward/src/dispatch/tenant_use.rs
+++ b/crates/pinerill-forward/src/dispatch/tenant_use.rs
@@ -1,9 +1,8 @@
 //! Slots that tenants' calls use and calls of theirs that wait, at this node, at its peers and in
 //! other zones. Pure.
 //!
-//! A report lists only the tenants with the most slots and waiting calls; others are left out, so
-//! that they count only where they have calls themselves. Without reports, a node knows its own
-//! use.
+//! A report lists only the tenants with the most slots and waiting calls. Of any other tenant, each
+//! node counts only its own calls; without reports, it does so of all tenants.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/pinerill-forward/src/dispatch/zone_order.rs
+++ b/crates/pinerill-forward/src/dispatch/zone_order.rs
@@ -69,10 +69,12 @@
         self.reports.clear();
     }
 
-    /// Returns the node to which a slot of `service` is passed that this node could give to a call
-    /// at the position `own`, or to none if that is `None`. Among the nodes whose heads precede
-    /// it, those of the first rank and part are drawn from by `draw`, a random number between 0 and
-    /// 1, in proportion to their calls that wait there. One of these counts as served.
+    /// Returns the node to which a free slot of `service` is passed; `None` if this node keeps it.
+    /// `own` is the position of the call that would get the slot here, `None` if no call waits for
+    /// it. Only nodes whose heads precede `own` are considered, and among them only those with the
+    /// first rank and part. `draw`, a random number between 0 and 1, selects one of these with
+    /// probabilities in proportion to their waiting calls of that part. One call there then counts
+    /// as served.
     pub fn receiver(
         &mut self,
         now_ms: u64,
--- a/crates/pinerill-forward/src/fleet/cost.rs
+++ b/crates/pinerill-forward/src/fleet/cost.rs
@@ -15,8 +15,8 @@
 /// Fraction of a prefix's prefill time that is counted at the worker to which all nodes of a zone
 /// send that prefix, while this node does not know whether the worker has processed it.
 const PREFERRED_WORKER_PREFILL_FACTOR: f64 = 0.5;
-/// Fraction of a call's run time that it waits on average at a worker whose last slot several nodes
-/// take at the same instant, for each slot of the worker: the calls there end one after the other.
+/// Average wait of a call at a worker whose last slot another node takes at the same instant, as a
+/// multiple of the time between two ends of calls there: the run time divided by the slots.
 const SHARED_SLOT_WAIT: f64 = 1.0;
 /// Bounds of the current work time of a load sample, in percent of the usual one. Values outside
 /// them count as not told.
@@ -24,7 +24,8 @@
 
 /// Returns the time in milliseconds that a call takes longer at a worker than at a usual one that is
 /// idle. `factor` is the time that work takes there relative to the usual one; `utilization` is the
-/// fraction of its `slots` in use, which a call may lose to one of another node.
+/// fraction of its `slots` in use. The higher it is, the likelier a call of another node takes the
+/// last slot first.
 fn extra_run_ms(run_ms: f64, factor: f64, utilization: f64, slots: f64) -> f64 {
     let collision = SHARED_SLOT_WAIT * utilization * utilization / slots;
     run_ms * (factor - USUAL_PACE) + run_ms * factor * collision
@@ -82,7 +83,7 @@
     }
 
     /// Returns the time that work takes at a worker of this zone relative to the usual one: its pace
-    /// and, while a load sample is fresh, what the worker tells of the moment.
+    /// and, while a load sample is fresh, the current work time in it.
     fn run_factor(&self, now_ms: u64, worker: &Worker) -> f64 {
         if !self.is_in_own_zone(worker) {
             return USUAL_PACE;
--- a/crates/pinerill-forward/src/fleet/pace.rs
+++ b/crates/pinerill-forward/src/fleet/pace.rs
@@ -16,8 +16,9 @@
 const HALF_WEIGHT_AGE_MS: f64 = 10_000.0;
 /// Age in milliseconds from which an observation does not count.
 pub(super) const OBSERVATION_LIFETIME_MS: u64 = 30_000;
-/// Number of gaps that have not expired from which the pace of a worker is known. Their age doesn't
-/// matter here: a worker that gets few calls would else be known and unknown in turn.
+/// Least number of unexpired gaps with which the pace of a worker is known. They all count in full
+/// here, whatever their age: otherwise the pace of a worker that gets few calls would become known
+/// and unknown in turn.
 const KNOWN_GAPS: u32 = 6;
 /// Largest difference from the median of the service that counts as none.
 const TOLERANCE: f64 = 0.2;
--- a/crates/pinerill-forward/src/fleet/paces.rs
+++ b/crates/pinerill-forward/src/fleet/paces.rs
@@ -12,7 +12,7 @@
 
 /// Limit on the paces in one message, up to 11 bytes each.
 pub const MAX_PACES_PER_MESSAGE: usize = 110;
-/// Limit on the workers of which a node tells the pace in its metrics.
+/// Limit on the workers whose pace a node shows in its metrics.
 const MAX_TOLD_PACES: usize = 200;
 /// Upper bound on the expected run time of a call, in milliseconds.
 const MAX_RUN_MS: f64 = 5_000.0;
@@ -154,8 +154,8 @@
         worker.is_some_and(|worker| self.is_in_own_zone(worker))
     }
 
-    /// Computes the paces anew, and forgets workers that are not listed in this zone and observations that have
-    /// expired. Returns the workers that have left or reentered the tolerance.
+    /// Computes the paces anew, and forgets workers that are not listed in this zone and observations
+    /// that have expired. Returns the workers that have left or reentered the tolerance.
     pub fn refresh_paces(&mut self, now_ms: u64) -> Vec<KnownPace> {
         let mut paces = std::mem::take(&mut self.paces);
         paces
--- a/crates/pinerill-forward/src/gaps.rs
+++ b/crates/pinerill-forward/src/gaps.rs
@@ -19,7 +19,7 @@
     last_event: Option<BootTime>,
     gaps: Vec<Duration>,
     suspensions: u64,
-    /// Whether the stream was always read without delay.
+    /// Whether this attempt sends the stream from its start and was always read without delay.
     is_unhindered: bool,
 }
 
@@ -82,7 +82,8 @@
         gap
     }
 
-    /// Returns the duration of a stream that has ended, if it tells of the worker alone.
+    /// Returns the duration of a stream that has ended; `None` if the attempt continued another one,
+    /// or the duration may include delays that are not the worker's.
     pub fn run_time(&self, now: BootTime) -> Option<Duration> {
         self.is_unhindered.then(|| now.duration_since(self.began))
     }
--- a/crates/pinerill-quota/src/division.rs
+++ b/crates/pinerill-quota/src/division.rs
@@ -1,8 +1,8 @@
-//! The leader's division of limits into parts.
+//! The leader's division of limits into parts, which are counted in units of 1/[`WHOLE`].
 //!
 //! Invariant: the parts that any process may act on add up to at most [`WHOLE`]. The part of a
-//! holder counts as out until the holder reports a smaller one or its lease is over by the
-//! leader's clock, which is later than by the holder's. A new leader grows no part before all
+//! holder counts as out until the holder reports a smaller one or its lease is over. The leader
+//! lets a lease end later than the holder does. A new leader grows no part before all
 //! control machines have reported to it or all leases of its predecessors are over.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
--- a/crates/pinerill-storage/src/creation/found.rs
+++ b/crates/pinerill-storage/src/creation/found.rs
@@ -1,9 +1,9 @@
 //! What the files of a data folder show. Pure.
 //!
-//! The name of a database's file and of its journal last before anything is written
+//! The names of a database's file and of its journal are durable before anything is written
 //! into either. A creation in place first records the length, then the place of the
 //! first block, then writes the header without its mark; once that is synced, the mark.
-//! Nothing is kept before the mark lasts.
+//! No data is stored before the mark is durable.
 
 use crate::thin_file::{records_in, Record, RECORD_BYTES};
 
@@ -18,7 +18,7 @@
     NeverFinished,
     /// A file in which all blocks lie at their own places.
     WithoutJournal,
-    /// A file and its journal, whole or damaged: the database tells.
+    /// A file and its journal. Whether they are damaged shows when the database is opened.
     Whole,
     /// A journal that says where blocks lie, without a file.
     Lost,
