Comments and notes say what is off: return tickets, samples of the moment, shares in peers

Cause: the zone admission note said it was in effect though nothing sends its message; the table of peer messages named the route table alone as the condition of sharing; the pace note told of load samples as applied. Change: comments and notes only.

--- a/crates/pinerill-forward/src/dispatch/queue.rs
+++ b/crates/pinerill-forward/src/dispatch/queue.rs
@@ -70,7 +70,8 @@
 pub struct Queued {
     /// Ticket of the call.
     pub ticket: Ticket,
-    /// Whether its tenant uses its share without this call or with the calls before it.
+    /// Whether its tenant's share is used up by its slots in use and its waiting calls before this
+    /// one.
     pub over_share: bool,
     precedence: Precedence,
 }
--- a/crates/pinerill-forward/src/dispatch/report.rs
+++ b/crates/pinerill-forward/src/dispatch/report.rs
@@ -65,7 +65,8 @@
     pub waiting: u32,
 }
 
-/// Place kept for a rejected call whose caller was told when to return.
+/// Place kept for a rejected call whose caller was told when to return. Not in use: nodes keep no
+/// such places.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReturnTicket {
     /// Hash of the request, which is the same whenever its caller repeats it.
--- a/crates/pinerill-forward/src/fleet/cost.rs
+++ b/crates/pinerill-forward/src/fleet/cost.rs
@@ -83,7 +83,8 @@
     }
 
     /// Returns the time that work takes at a worker of this zone relative to the usual one: its pace
-    /// and, while a load sample is fresh, the current work time in it.
+    /// and, while a load sample is fresh ([`super::ChoiceSettings::moment_age_ms`], by default never),
+    /// the current work time in it.
     fn run_factor(&self, now_ms: u64, worker: &Worker) -> f64 {
         if !self.is_in_own_zone(worker) {
             return USUAL_PACE;
--- a/crates/pinerill-forward/src/fleet/mod.rs
+++ b/crates/pinerill-forward/src/fleet/mod.rs
@@ -58,7 +58,7 @@
     /// reach it.
     pub leave_notice_ms: u64,
     /// Age in milliseconds below which a worker's load sample tells how long its work takes at this
-    /// moment; 0 to ignore it.
+    /// moment; 0, the default, to ignore it.
     pub moment_age_ms: u64,
 }
 
--- a/crates/pinerill-forward/src/peers/message.rs
+++ b/crates/pinerill-forward/src/peers/message.rs
@@ -85,7 +85,8 @@
         /// Observed paces.
         paces: Vec<WorkerPace>,
     },
-    /// To nodes of the zone: calls that the sender has rejected and invited to return.
+    /// Not in use: no node sends it, and receivers ignore it. To nodes of the zone: calls that the
+    /// sender has rejected and invited to return.
     Returning(Vec<ReturnTicket>),
 }
 
--- a/crates/pinerill-forward/src/peers/mod.rs
+++ b/crates/pinerill-forward/src/peers/mod.rs
@@ -19,8 +19,8 @@
 //! | node | one node of its zone | a slot that became free | while calls wait at that node |
 //! | node | nodes of its zone | paces of workers that it has observed anew ([`paces`]) | once a second |
 //! | relay | one relay of each other zone, and from there all its nodes | requests in flight in the zone | every [`broadcast::PAUSE_PER_ZONE`] times the number of other zones, while they change |
-//! | node | nodes of its zone | queue, and slots that tenants use ([`message::PeerMessage::Queue`]) | every 50 ms while calls wait, if the route table has tenants |
-//! | relay | one relay of each other zone, and from there all its nodes | slots that tenants use in the zone | every 250 ms while calls wait in the zone, if the route table has tenants |
+//! | node | nodes of its zone | queue, and slots that tenants use ([`message::PeerMessage::Queue`]) | every 50 ms while calls wait, if slots are shared among tenants |
+//! | relay | one relay of each other zone, and from there all its nodes | slots that tenants use in the zone | every 250 ms while calls wait in the zone, if slots are shared among tenants |
 //! | node | nodes of its zone and, through relays and bridges, all others | crashes of workers under requests ([`crashes`]) | each, and again for some seconds |
 //!
 //! Zones are those of the node's cell ([`pinerill_calls::cells`]). Messages for all nodes are
--- a/crates/pinerill-forward/src/peers/receive.rs
+++ b/crates/pinerill-forward/src/peers/receive.rs
@@ -102,7 +102,7 @@
                 fleet.record_peer_paces(now_ms, from, order, &paces);
             });
         }
-        // Nothing uses it yet.
+        // Not in use.
         PeerMessage::Returning(_) => {}
         // Nothing else is needed if no call waits any more: the promising node counts the slot as
         // free again once the promise expires.
--- a/crates/pinerill-quota/src/lib.rs
+++ b/crates/pinerill-quota/src/lib.rs
@@ -29,8 +29,7 @@
 //! whole limits. The design requires several zones: the leader then lends only a part of each
 //! limit itself; the other parts are leased to one *zone lender* in each zone ([`division`],
 //! [`part`]). Parts are counted in thousandths of a limit, and those on which any process may
-//! act add up to at most one limit
-//! at every moment. Each part is lent under limit and tolerance scaled to it ([`fraction`]),
+//! act add up to at most one limit at every moment. Each part is lent under limit and tolerance scaled to it ([`fraction`]),
 //! and the bound above holds by addition:
 //!
 //! - A bucket is refilled for the time under its old part before the part changes, so the
