--- a/crates/pinerill-cluster/src/leases.rs
+++ b/crates/pinerill-cluster/src/leases.rs
@@ -6,18 +6,21 @@
 //! time to do so.
 
 use std::collections::HashMap;
+use std::ops::Bound;
 
 use pinerill_calls::job::ItemRef;
 
 use crate::backlog::{Backlog, ItemDeadline};
-use crate::lease_shares::{pick, queued_by_tenant};
+use crate::lease_shares::{pick, queued_by_tenant, QueueRange};
 use crate::machine::{JobRecord, Jobs, QueuePosition};
 
-/// Durations of leases.
+/// Durations of leases, and how they are divided.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeaseSettings {
     /// Time until a lease expires unless it is renewed, milliseconds.
     pub duration_ms: u64,
+    /// Whether leases are divided among the tenants whose items wait.
+    pub shares_among_tenants: bool,
     /// Time for which a new leader waits for nodes to list the items they hold, milliseconds.
     pub reclaim_ms: u64,
 }
@@ -27,6 +30,7 @@
         LeaseSettings {
             duration_ms: 3_000,
             reclaim_ms: 1_500,
+            shares_among_tenants: false,
         }
     }
 }
@@ -171,8 +175,9 @@
         true
     }
 
-    /// Grants leases, of each tenant first for items that can be on time if they start now, most
-    /// urgent first, then for items that are late or will be.
+    /// Grants leases, first for items that can be on time if they start now, then for items that
+    /// are late or will be. Within each of the two the most urgent items go first or, if leases are
+    /// divided among tenants, those of each tenant do.
     fn grant_new(
         &mut self,
         now_ms: u64,
@@ -182,19 +187,49 @@
         may_run: impl Fn(&JobRecord) -> bool,
     ) -> Vec<QueuePosition> {
         let first_on_time = first_on_time(job_clock_ms, request.run_ms);
+        let on_time = (Bound::Included(first_on_time), Bound::Unbounded);
+        let late = (Bound::Unbounded, Bound::Excluded(first_on_time));
+        let mut granted = Vec::new();
+        for range in [on_time, late] {
+            let want = request.want - granted.len();
+            let picked = self.pick_free(now_ms, jobs, range, want, &may_run);
+            for position in &picked {
+                self.grant(now_ms, *position, request.node);
+            }
+            granted.extend(picked);
+        }
+        granted
+    }
+
+    /// Picks up to `want` items of a range of the queue that are not leased.
+    fn pick_free(
+        &self,
+        now_ms: u64,
+        jobs: &Jobs,
+        range: QueueRange,
+        want: usize,
+        may_run: impl Fn(&JobRecord) -> bool,
+    ) -> Vec<QueuePosition> {
+        if want == 0 {
+            return Vec::new();
+        }
         let is_free = |position: &QueuePosition| is_free(&self.leases, now_ms, position);
-        let mut tenants = queued_by_tenant(jobs, first_on_time, request.want, is_free, may_run);
+        if !self.settings.shares_among_tenants {
+            let free = jobs
+                .queue()
+                .range(range)
+                .filter(|position| is_free(position));
+            let runnable = free.filter(|position| jobs.record(position.job).is_some_and(&may_run));
+            return runnable.take(want).copied().collect();
+        }
+        let mut tenants = queued_by_tenant(jobs, range, want, is_free, may_run);
         for position in self.leases.keys() {
             let record = jobs.record(position.job);
             if let Some(tenant) = record.and_then(|record| tenants.get_mut(&record.id.tenant())) {
                 tenant.leased += 1;
             }
         }
-        let picked = pick(&tenants.into_values().collect::<Vec<_>>(), request.want);
-        for position in &picked {
-            self.grant(now_ms, *position, request.node);
-        }
-        picked
+        pick(&tenants.into_values().collect::<Vec<_>>(), want)
     }
 
     fn grant(&mut self, now_ms: u64, position: QueuePosition, node: &str) {
--- a/crates/pinerill-forward/src/dispatch/queue.rs
+++ b/crates/pinerill-forward/src/dispatch/queue.rs
@@ -8,6 +8,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
+use std::hash::Hash;
 
 use super::report::{QueuePosition, TenantKey};
 use super::shares::Shares;
@@ -69,11 +70,19 @@
 pub struct Queued {
     /// Ticket of the call.
     pub ticket: Ticket,
-    /// Whether its tenant uses its share without this call or with the calls before it.
+    /// Whether its tenant's share is used up by its slots in use and its waiting calls before this
+    /// one.
     pub over_share: bool,
     precedence: Precedence,
 }
 
+impl Queued {
+    /// Returns the urgency class of the call.
+    pub fn rank(&self) -> u32 {
+        self.precedence.rank
+    }
+}
+
 /// Calls that wait for a slot at a worker, ordered by urgency.
 #[derive(Debug, Default)]
 pub struct WaitingQueue {
@@ -210,6 +219,21 @@
     }
 }
 
+/// Keeps the first `max` calls of each `key`, in the same order.
+pub fn first_of_each<K: Eq + Hash>(
+    mut order: Vec<Queued>,
+    max: usize,
+    key: impl Fn(&Queued) -> K,
+) -> Vec<Queued> {
+    let mut kept: HashMap<K, usize> = HashMap::new();
+    order.retain(|queued| {
+        let calls = kept.entry(key(queued)).or_default();
+        *calls += 1;
+        *calls <= max
+    });
+    order
+}
+
 /// Marks the calls that exceed the room of their tenants, and moves them behind the others of their
 /// rank.
 fn separate_parts(order: &mut [(TenantKey, Queued)], shares: &Shares) {
--- a/crates/pinerill-forward/src/dispatch/sharing.rs
+++ b/crates/pinerill-forward/src/dispatch/sharing.rs
@@ -1,14 +1,16 @@
 //! Sharing of slots among tenants: applies the decisions of `shares`, `tenant_use` and `zone_order`
-//! to the queue and to released slots, while the route table has tenants.
+//! to the queue and to released slots, if the settings ask for it and the route table has tenants.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use pinerill_calls::table::RouteTable;
+
 use super::claims::Contender;
 use super::queue::Queued;
 use super::report::{QueuePosition, QueueReport, ServiceQueue, TenantKey, TenantUse};
-use super::shares::Shares;
+use super::shares::{Shares, Weights};
 use super::waiters::State;
 use super::zone::broadcast_after;
 use super::zone_order::Rivals;
@@ -20,15 +22,15 @@
 
 /// Minimum time between two divisions of the slots, in milliseconds.
 const DIVISION_INTERVAL_MS: u64 = 20;
-/// Number of services in one report; those with the fewest waiting calls are left out.
-const MAX_REPORTED_SERVICES: usize = 16;
 
 /// What this node claims a free slot for.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct OwnClaim {
     /// Number of calls that wait here.
     pub(super) waiting: usize,
-    /// Whether the call that would get the slot is over its tenant's share.
+    /// Rank of the call that would get the slot.
+    pub(super) rank: u32,
+    /// Whether that call is over its tenant's share.
     pub(super) over_share: bool,
 }
 
@@ -56,7 +58,7 @@
         let rivals = match node.shares_slots() && !others.is_empty() {
             true => {
                 let queues = self.zone_queues.lock();
-                queues.rivals(node.now_ms(), service, own.over_share, others)
+                queues.rivals(node.now_ms(), service, own.rank, own.over_share, others)
             }
             false => Rivals {
                 equal: others,
@@ -71,12 +73,13 @@
     }
 
     /// Returns the claim of a call that arrives while no call waits here.
-    pub(super) fn claim_of_newcomer(&self, node: &Node, tenant: TenantKey) -> OwnClaim {
+    pub(super) fn claim_of_newcomer(&self, node: &Node, rank: u32, tenant: TenantKey) -> OwnClaim {
         let mut state = self.state.lock();
         self.refresh_shares(node, &mut state);
         let shares = state.queue.shares();
         OwnClaim {
             waiting: 1,
+            rank,
             over_share: shares.is_some_and(|shares| shares.is_used_up(tenant)),
         }
     }
@@ -94,13 +97,25 @@
             return;
         }
         let waiting = state.queue.waiting_by_tenant();
-        let demands = self.tenants.lock().demands(now_ms, &waiting);
-        state
-            .queue
-            .set_shares(Some(Shares::of_slots_in_use(&demands)));
+        let (demands, weights) = {
+            let tenants = self.tenants.lock();
+            (tenants.demands(now_ms, &waiting), tenants.weights())
+        };
+        let shares = Shares::of_slots_in_use(&demands).with_weights(weights);
+        state.queue.set_shares(Some(shares));
         state.shares_ms = now_ms;
     }
 
+    /// Sets the weights of tenants in the division of slots from the limits of the route table.
+    pub(crate) fn apply_limits(&self, table: &RouteTable) {
+        let tenants = table.tenants.iter().flatten();
+        let rates = tenants.filter_map(|tenant| {
+            let key = TenantKey::from_name(Some(&tenant.name));
+            Some((key, tenant.limit?.rate_per_s))
+        });
+        self.tenants.lock().set_weights(Weights::of_limits(rates));
+    }
+
     /// Counts a slot that a call of the tenant takes.
     pub(crate) fn record_tenant_start(&self, tenant: TenantKey) {
         let mut state = self.state.lock();
@@ -166,14 +181,10 @@
         let now_ms = node.now_ms();
         let mut state = self.state.lock();
         self.refresh_shares(node, &mut state);
-        let mut services = queues_by_service(&state, now_ms);
-        services.sort_unstable_by_key(|queue| {
-            std::cmp::Reverse(u64::from(queue.within_share) + u64::from(queue.over_share))
-        });
-        services.truncate(MAX_REPORTED_SERVICES);
+        let services = queues_by_service(&state, now_ms);
         let waiting = state.queue.waiting_by_tenant();
         let tenants = self.tenants.lock().own_report(&waiting);
-        QueueReport { services, tenants }
+        QueueReport { services, tenants }.fitted()
     }
 
     /// Returns the use of slots by the tenants of this zone, for other zones.
@@ -205,7 +216,7 @@
         let time_ms = time.as_millis() as u64;
         let draw = rand::random();
         let mut queues = self.zone_queues.lock();
-        let receiver = queues.receiver(now_ms, &service, own, time_ms, draw);
+        let receiver = queues.receiver(now_ms, &service, own, draw);
         drop(queues);
         let Some(peer) = receiver else {
             return false;
--- a/crates/pinerill-forward/src/dispatch/tenant_use.rs
+++ b/crates/pinerill-forward/src/dispatch/tenant_use.rs
@@ -1,15 +1,15 @@
 //! Slots that tenants' calls use and calls of theirs that wait, at this node, at its peers and in
 //! other zones. Pure.
 //!
-//! A report lists only the tenants with the most slots and waiting calls; others are left out, so
-//! that they count only where they have calls themselves. Without reports, a node knows its own
-//! use.
+//! A report lists only the tenants with the most slots and waiting calls. Of any other tenant, each
+//! node counts only its own calls; without reports, it does so of all tenants.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use super::report::{TenantKey, TenantUse};
-use super::shares::{TenantDemand, DEFAULT_WEIGHT};
+use super::shares::{TenantDemand, Weights};
 use crate::fleet::ReportOrder;
 
 /// Number of tenants in one report.
@@ -41,9 +41,20 @@
 pub struct TenantUses {
     own: HashMap<TenantKey, u32>,
     reports: HashMap<Reporter, Report>,
+    weights: Arc<Weights>,
 }
 
 impl TenantUses {
+    /// Replaces the weights of the tenants.
+    pub fn set_weights(&mut self, weights: Weights) {
+        self.weights = Arc::new(weights);
+    }
+
+    /// Returns the weights of the tenants.
+    pub fn weights(&self) -> Arc<Weights> {
+        self.weights.clone()
+    }
+
     /// Counts a slot that a call of this node takes.
     pub fn record_start(&mut self, tenant: TenantKey) {
         *self.own.entry(tenant).or_default() += 1;
@@ -134,7 +145,7 @@
         heaviest(sums)
     }
 
-    /// Returns what each known tenant uses and wants at all nodes, with equal weights.
+    /// Returns what each known tenant uses and wants at all nodes.
     pub fn demands(&self, now_ms: u64, waiting: &WaitingByTenant) -> Vec<TenantDemand> {
         let mut sums = self.own_uses(waiting);
         for (_, report) in self.fresh(now_ms) {
@@ -144,7 +155,7 @@
             tenant: sum.tenant,
             in_use: sum.running,
             waiting: sum.waiting,
-            weight: DEFAULT_WEIGHT,
+            weight: self.weights.of(sum.tenant),
         });
         demands.collect()
     }
--- a/crates/pinerill-forward/src/dispatch/zone.rs
+++ b/crates/pinerill-forward/src/dispatch/zone.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::demand::ServiceDemand;
-use super::{occupy_slot, Dispatcher, Waiter, MAX_SCANNED_CALLS};
+use super::{occupy_slot, Dispatcher, Waiter};
 use crate::fleet::{ChosenWorker, WorkerKey};
 use crate::node::Node;
 use crate::peers::promise_time;
@@ -71,10 +71,7 @@
 
     /// Grants a slot that has just become free to a call that waits at this node; returns whether a
     /// call took it. The worker's request count does not drop in between: if the free slot were
-    /// broadcast, all nodes of the zone with waiting calls would send a call there. Without this, on
-    /// a fleet of 50 nodes and 72 workers, with calls that need more slots than exist for 2.4 s of
-    /// every 5.8 s, eleven calls reached one worker within 1.5 ms, because the slot was only
-    /// occupied again after 4.6 ms.
+    /// broadcast, all nodes of the zone with waiting calls would send a call there.
     pub(crate) fn grant_freed_slot(&self, node: &Arc<Node>, worker: &str) -> bool {
         if self.waiting() == 0 {
             return false;
@@ -131,7 +128,8 @@
         let now_ms = node.now_ms();
         let mut state = self.state.lock();
         self.refresh_shares(node, &mut state);
-        for ticket in state.queue.head(now_ms, MAX_SCANNED_CALLS) {
+        for queued in state.scanned(now_ms) {
+            let ticket = queued.ticket;
             let Some(waiter) = state.waiters.get(&ticket) else {
                 continue;
             };
--- a/crates/pinerill-forward/src/dispatch/zone_order.rs
+++ b/crates/pinerill-forward/src/dispatch/zone_order.rs
@@ -39,21 +39,13 @@
     }
 }
 
-/// Returns whether a call at one node precedes a call at another by more than a slot costs that is
-/// passed on, `cost_ms`. Calls that can still meet their objective precede late ones, and of late
-/// calls the newest goes first.
-pub fn precedes(one: &QueuePosition, other: &QueuePosition, cost_ms: u64) -> bool {
+/// Returns whether a released slot is passed from a call at `other` to one at `one`: the call is of
+/// a more urgent rank, or its tenant is within its share and the other's is not. Calls of one rank
+/// and part keep the slots that their own nodes release: what a slot loses on its way is more than
+/// such a call gains.
+pub fn precedes(one: &QueuePosition, other: &QueuePosition) -> bool {
     let class = |position: &QueuePosition| (position.rank, position.over_share);
-    if class(one) != class(other) {
-        return class(one) < class(other);
-    }
-    let cost_ms = i64::try_from(cost_ms).unwrap_or(i64::MAX);
-    let (one_ms, other_ms) = (i64::from(one.slack_ms), i64::from(other.slack_ms));
-    match (one_ms >= 0, other_ms >= 0) {
-        (true, true) => one_ms.saturating_add(cost_ms) < other_ms,
-        (false, false) => one_ms > other_ms.saturating_add(cost_ms),
-        (in_time, _) => in_time,
-    }
+    class(one) < class(other)
 }
 
 impl ZoneQueues {
@@ -77,21 +69,22 @@
         self.reports.clear();
     }
 
-    /// Returns the node to which a slot of `service` is passed that this node could give to a call
-    /// at the position `own`, or to none if that is `None`. Among the nodes whose heads precede
-    /// it, those of the first rank and part are drawn from by `draw`, a random number between 0 and
-    /// 1, in proportion to their calls that wait there. One of these counts as served.
+    /// Returns the node to which a free slot of `service` is passed; `None` if this node keeps it.
+    /// `own` is the position of the call that would get the slot here, `None` if no call waits for
+    /// it. Only nodes whose heads precede `own` are considered, and among them only those with the
+    /// first rank and part. `draw`, a random number between 0 and 1, selects one of these with
+    /// probabilities in proportion to their waiting calls of that part. One call there then counts
+    /// as served.
     pub fn receiver(
         &mut self,
         now_ms: u64,
         service: &str,
         own: Option<QueuePosition>,
-        cost_ms: u64,
         draw: f64,
     ) -> Option<SocketAddr> {
         let mut nodes: Vec<(QueuePosition, u32, SocketAddr)> = self
             .heads(now_ms, service)
-            .filter(|(_, head, _)| own.is_none_or(|own| precedes(head, &own, cost_ms)))
+            .filter(|(_, head, _)| own.is_none_or(|own| precedes(head, &own)))
             .map(|(node, head, queue)| (head, calls_of_part(queue, head.over_share), node))
             .collect();
         let class = |head: &QueuePosition| (head.rank, head.over_share);
@@ -104,26 +97,28 @@
     }
 
     /// Returns which of the `others` that have waiting calls compete with this node for free slots,
-    /// if the call that would get one here is over share or not. A node whose queue is unknown
-    /// counts as one of the same part.
+    /// if the call that would get one here is of this rank, and over share or not. Parts matter only
+    /// where the call within share is of the same or a more urgent rank. A node whose queue is
+    /// unknown counts as one of the same part.
     pub fn rivals(
         &self,
         now_ms: u64,
         service: &str,
+        rank: u32,
         over_share: bool,
         others: Vec<Contender>,
     ) -> Rivals {
-        let parts: HashMap<SocketAddr, bool> = self
+        let heads: HashMap<SocketAddr, QueuePosition> = self
             .heads(now_ms, service)
-            .map(|(node, head, _)| (node, head.over_share))
+            .map(|(node, head, _)| (node, head))
             .collect();
         let mut rivals = Rivals::default();
         for other in others {
-            match parts.get(&other.node) {
-                Some(part) if *part != over_share => {
-                    let precedes = over_share && other.waiting > 0;
-                    rivals.preferred += usize::from(precedes);
+            match heads.get(&other.node) {
+                Some(head) if over_share && !head.over_share && head.rank <= rank => {
+                    rivals.preferred += usize::from(other.waiting > 0);
                 }
+                Some(head) if !over_share && head.over_share && rank <= head.rank => {}
                 _ => rivals.equal.push(other),
             }
         }
--- a/crates/pinerill-forward/src/peers/receive.rs
+++ b/crates/pinerill-forward/src/peers/receive.rs
@@ -97,8 +97,13 @@
                     .record_zone_tenants(now_ms, &zone, order, tenants);
             }
         }
-        // Their consumers are not built yet.
-        PeerMessage::Paces { .. } | PeerMessage::Returning(_) => {}
+        PeerMessage::Paces { order, paces } => {
+            node.with_fleet(|fleet, now_ms| {
+                fleet.record_peer_paces(now_ms, from, order, &paces);
+            });
+        }
+        // Not in use.
+        PeerMessage::Returning(_) => {}
         // Nothing else is needed if no call waits any more: the promising node counts the slot as
         // free again once the promise expires.
         PeerMessage::SlotFree { worker } => {
--- a/crates/pinerill-forward/src/run.rs
+++ b/crates/pinerill-forward/src/run.rs
@@ -88,6 +88,7 @@
     let reloading_settings = spawn(boxed(reload_settings(node.clone(), file)));
     let receiving_from_peers = spawn(boxed(peers::receive(node.clone())));
     let broadcasting = spawn(boxed(peers::broadcast_counts(node.clone())));
+    let broadcasting_paces = spawn(boxed(peers::broadcast_paces(node.clone())));
     let broadcasting_to_zones = spawn(boxed(peers::broadcast_zone_counts(node.clone())));
     let reporting_queue = spawn(boxed(peers::broadcast_queue(node.clone())));
     let reporting_tenants = spawn(boxed(peers::broadcast_zone_tenants(node.clone())));
@@ -119,6 +120,7 @@
         following_cluster,
         receiving_from_peers,
         broadcasting,
+        broadcasting_paces,
         broadcasting_to_zones,
         reporting_queue,
         reporting_tenants,
