Lines and counters tell of standstills and of outcomes told to be unknown

Three known failures of host_cluster end in a caller that hears that the outcome of its proposal is unknown. Nothing told why: a group whose process had no turn left no trace, and neither did such an answer.

A group's driver is now called at least every second heartbeat and tells when it is called later than that by a heartbeat or more (`stood_still`, `standstills_total`, `standstill_milliseconds_total`). An answer that the outcome is unknown leaves `proposal_unknown` with its wait, role and term (`proposals_unknown_total`), requests that a stop cuts leave `requests_cut`. A follower that hears its leader is called for each heartbeat, so that no timer of its own fires. No logic changes.

--- a/crates/pinerill-control/src/host/driver/mod.rs
+++ b/crates/pinerill-control/src/host/driver/mod.rs
@@ -11,6 +11,7 @@
 mod snapshot;
 mod start;
 mod table_visibility;
+mod turns;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -24,6 +25,7 @@
 
 use self::outgoing::OutgoingSnapshots;
 use self::table_visibility::TableVisibility;
+use self::turns::Turns;
 use super::{ChangeError, ProposeError, ReadError, StateMachine, UnreadableState};
 
 /// Bounds of a driver.
@@ -128,6 +130,11 @@
     },
     /// A snapshot from the leader took the place of the machine's state.
     SnapshotInstalled,
+    /// The process had no turn for this long.
+    StoodStill {
+        /// Length in milliseconds.
+        ms: u64,
+    },
     /// The group can't go on.
     Failed(StorageError),
     /// An entry or a snapshot can't be read by this build. The driver must not be used any
@@ -156,6 +163,7 @@
     store: Arc<dyn GroupStore>,
     settings: DriverSettings,
     now_ms: u64,
+    turns: Turns,
     next_token: u64,
     requests: HashMap<u64, PendingRequest<R>>,
     reads: Vec<R>,
@@ -178,6 +186,7 @@
         machine: M,
         store: Arc<dyn GroupStore>,
         settings: DriverSettings,
+        turns: Turns,
     ) -> Self {
         let applied = replica.status().applied;
         GroupDriver {
@@ -187,6 +196,7 @@
             store,
             settings,
             now_ms: 0,
+            turns,
             next_token: 0,
             requests: HashMap::new(),
             reads: Vec::new(),
@@ -210,6 +220,11 @@
         self.replica.status()
     }
 
+    /// Proposals, changes of membership and rounds of reads that have no answer yet.
+    pub fn pending_requests(&self) -> usize {
+        self.requests.len()
+    }
+
     /// Term of the log's entry at `index`; none if it is compacted away or
     /// not there.
     pub fn term_at(&self, index: u64) -> Option<u64> {
@@ -217,15 +232,16 @@
     }
 
     /// When the next round is due at the latest, in milliseconds of the
-    /// caller's steady clock.
+    /// caller's steady clock. Rounds are due often enough to tell when the process
+    /// had no turn.
     pub fn next_deadline_ms(&self) -> u64 {
-        self.replica.next_deadline_ms()
+        self.replica.next_deadline_ms().min(self.turns.next_ms())
     }
 
     /// Takes one event in, at the given time of a steady clock in
     /// milliseconds. Its effects come with [`GroupDriver::finish_round`].
     pub fn handle(&mut self, now_ms: u64, input: DriverInput<R>) {
-        self.now_ms = now_ms;
+        self.begin_turn(now_ms);
         match input {
             DriverInput::Message(envelope) => self.step(Input::Message(envelope)),
             DriverInput::Propose { command, request } => {
@@ -247,7 +263,7 @@
     /// Ends a round of events: proposals, reads and messages of one round
     /// share writes, appends and heartbeats.
     pub fn finish_round(&mut self, now_ms: u64) -> Vec<Effect<R>> {
-        self.now_ms = now_ms;
+        self.begin_turn(now_ms);
         self.start_reads();
         self.step(Input::Tick);
         self.outgoing_snapshots.drop_idle(now_ms);
@@ -255,6 +271,14 @@
         std::mem::take(&mut self.effects)
     }
 
+    fn begin_turn(&mut self, now_ms: u64) {
+        self.now_ms = now_ms;
+        let Some(ms) = self.turns.take(now_ms) else {
+            return;
+        };
+        self.effects.push(Effect::StoodStill { ms });
+    }
+
     fn stored(&mut self, write: StoredWrite) {
         match write {
             StoredWrite::Persist {
--- a/crates/pinerill-control/src/host/driver/start.rs
+++ b/crates/pinerill-control/src/host/driver/start.rs
@@ -5,6 +5,7 @@
 use pinerill_replica::{GroupId, Replica, ReplicaConfig, ReplicaId, SnapshotMeta};
 use pinerill_storage::{GroupStore, Operation, RestoredGroup, WriteBatch};
 
+use super::turns::Turns;
 use super::{DriverSettings, GroupDriver};
 use crate::host::{HostError, StateMachine};
 
@@ -24,8 +25,10 @@
     ) -> Result<Self, HostError> {
         let group = config.group;
         let restored = restore(store.as_ref(), group, members, &mut machine)?;
+        let turns = Turns::new(config.heartbeat_ms);
         let replica = Replica::new(config, restored.state);
-        Ok(GroupDriver::new(group, replica, machine, store, settings))
+        let driver = GroupDriver::new(group, replica, machine, store, settings, turns);
+        Ok(driver)
     }
 }
 
--- a/crates/pinerill-control/src/host/event.rs
+++ b/crates/pinerill-control/src/host/event.rs
@@ -1,5 +1,7 @@
 //! What a group's task is told.
 
+use std::time::Duration;
+
 use pinerill_replica::{Envelope, MembershipChange, ReplicaId};
 use pinerill_storage::StorageError;
 use tokio::sync::{oneshot, OwnedSemaphorePermit};
@@ -41,6 +43,8 @@
 pub(super) enum Reply {
     Propose {
         reply: ProposeReply,
+        /// Time on the host's clock at which the caller proposed.
+        proposed_at: Duration,
         /// Frees the place in the bounded queue when dropped.
         _permit: OwnedSemaphorePermit,
     },
--- a/crates/pinerill-control/src/host/mod.rs
+++ b/crates/pinerill-control/src/host/mod.rs
@@ -6,7 +6,7 @@
 //! proposals, reads and messages that wait together share writes, appends and
 //! heartbeat rounds. Writes of all groups go to one store, which syncs them
 //! together. An idle group costs its heartbeats and nothing else: tasks sleep
-//! until the replica's next deadline.
+//! until the replica's next deadline, and wake sooner only where no heartbeat comes.
 
 mod counters;
 pub mod driver;
--- a/crates/pinerill-control/src/host/task.rs
+++ b/crates/pinerill-control/src/host/task.rs
@@ -77,9 +77,23 @@
             }
             self.finish_round();
         }
+        self.log_cut_requests();
         refuse_queued(inbox).await;
     }
 
+    /// Callers that wait when the group stops are told that the outcome is unknown.
+    fn log_cut_requests(&self) {
+        let cut = self.driver.pending_requests();
+        if cut == 0 {
+            return;
+        }
+        let status = self.driver.status();
+        log::warn!(
+            event = "requests_cut", group:% = self.group, requests = cut, role:? = status.role,
+            term = status.term, undecided = status.undecided; ""
+        );
+    }
+
     fn refuse(&mut self, event: Event) {
         match event {
             Event::Stop => self.stopping = true,
@@ -140,6 +154,7 @@
                 count(&self.shared.counters.proposals, 1);
                 let request = Reply::Propose {
                     reply,
+                    proposed_at: arrived.at,
                     _permit: permit,
                 };
                 DriverInput::Propose { command, request }
@@ -190,11 +205,15 @@
                 if matches!(answer, Answer::Read(Ok(_))) {
                     count(&counters.reads, 1);
                 }
+                if answer == Answer::Proposed(Err(ProposeError::Unknown)) {
+                    self.note_unknown_outcome(&request);
+                }
                 request.send(answer);
             }
             Effect::RoleChanged(change) => self.role_changed(change),
             Effect::Applied { entries } => count(&counters.entries_applied, entries),
             Effect::SnapshotInstalled => count(&counters.snapshots_installed, 1),
+            Effect::StoodStill { ms } => self.note_standstill(ms),
             Effect::Failed(error) => {
                 log::error!("group {}: stopped: {error}", self.group);
                 self.stopping = true;
@@ -221,6 +240,31 @@
         );
     }
 
+    fn note_standstill(&self, ms: u64) {
+        let counters = &self.shared.counters;
+        count(&counters.standstills, 1);
+        count(&counters.standstill_ms, ms as usize);
+        log::warn!(event = "stood_still", group:% = self.group, ms; "");
+    }
+
+    fn note_unknown_outcome(&self, request: &Reply) {
+        count(&self.shared.counters.proposals_unknown, 1);
+        let Reply::Propose { proposed_at, .. } = request else {
+            return;
+        };
+        let waited = self
+            .shared
+            .settings
+            .clock
+            .time()
+            .saturating_sub(*proposed_at);
+        let status = self.driver.status();
+        log::warn!(
+            event = "proposal_unknown", group:% = self.group, waited_ms = waited.as_millis() as u64,
+            role:? = status.role, term = status.term, undecided = status.undecided; ""
+        );
+    }
+
     /// A completion for the store that reports to this task.
     fn completion(&self, write: StoredWrite) -> pinerill_storage::Completion {
         let events = self.events.clone();
--- a/crates/pinerill-control/src/server/metrics.rs
+++ b/crates/pinerill-control/src/server/metrics.rs
@@ -86,6 +86,21 @@
             "Changes of role, term or leader of groups.",
             host.role_changes,
         )?;
+        page.counter(
+            "standstills_total",
+            "Times that a group had no turn for a while.",
+            host.standstills,
+        )?;
+        page.counter(
+            "standstill_milliseconds_total",
+            "Time that groups had no turn.",
+            host.standstill_ms,
+        )?;
+        page.counter(
+            "proposals_unknown_total",
+            "Proposals whose outcome was told to be unknown.",
+            host.proposals_unknown,
+        )?;
         page.counter(
             "snapshots_saved_total",
             "Snapshots saved.",
