A committed entry of a later term decides the proposals behind it

Callers of a control machine that had stepped down with several proposals in flight heard after two longest election timeouts that the outcome is unknown; a planned stop waited for them as long.

Cause: a proposal counted as decided once the commit index reached its entry. Where nobody proposes any more, it never does. The trace of a planned stop under standstills shows three leaders that commit one entry each, 1772 of term 2 to 1774 of term 4, and callers of term 1 at later indexes who wait until their time is up. But terms never fall along a log, and every later leader has what is committed: behind an entry of term 2 there is none of term 1. So the committed entry decides them too, and they are refused as not applied.

`an_entry_behind_one_of_a_later_term_was_not_applied` fails without the change: the second proposal gets no answer.

--- a/crates/pinerill-replica/src/undecided.rs
+++ b/crates/pinerill-replica/src/undecided.rs
@@ -1,8 +1,10 @@
 //! Proposals of a leader that leads no more, until their fate is known.
 //!
-//! The next leader may still commit such an entry, or another in its place. Both show here
-//! once the commit index reaches the entry. That an entry is replaced in this replica's log
-//! alone decides nothing: another voter may keep it and win an election with it.
+//! The next leader may still commit such an entry. Or an entry of a later term is committed, at
+//! this index or before it: terms never fall along a log, and every later leader has what is
+//! committed, so that none can have an entry of an earlier term behind it. Both show here by the
+//! commit index. That an entry is replaced in this replica's log alone decides nothing: another
+//! voter may keep it and win an election with it.
 
 use std::collections::BTreeMap;
 
@@ -35,23 +37,19 @@
         deadlines.min().unwrap_or(u64::MAX)
     }
 
-    /// Takes out the proposals that an entry decides: the token of the one that it is, and
-    /// the tokens of those that it takes the place of.
+    /// Takes out the proposals that a committed entry decides: the token of the one that it is,
+    /// and the tokens of those that can't be committed any more.
     fn decided_by(&mut self, index: u64, term: u64) -> (Option<u64>, Vec<u64>) {
-        let mut committed = None;
+        let committed = self.proposals.remove(&(index, term));
         let mut replaced = Vec::new();
-        while let Some(first) = self.proposals.first_entry() {
-            let (at, of_term) = *first.key();
-            if at > index {
-                break;
+        self.proposals.retain(|(at, of_term), waiting| {
+            let is_replaced = *at <= index || *of_term < term;
+            if is_replaced {
+                replaced.push(waiting.token);
             }
-            let token = first.remove().token;
-            match (at, of_term) == (index, term) {
-                true => committed = Some(token),
-                false => replaced.push(token),
-            }
-        }
-        (committed, replaced)
+            !is_replaced
+        });
+        (committed.map(|waiting| waiting.token), replaced)
     }
 
     fn take_expired(&mut self, now_ms: u64) -> Vec<u64> {
@@ -87,9 +85,12 @@
         }
     }
 
-    /// The token of the proposal that a committed entry came from. Proposals in whose place
-    /// it was committed can never be, and are dropped.
+    /// The token of the proposal that a committed entry came from. Proposals that can't be
+    /// committed beside it are dropped.
     pub(crate) fn take_decided(&mut self, index: u64, term: u64) -> Option<u64> {
+        if self.undecided.proposals.is_empty() {
+            return None;
+        }
         let (committed, replaced) = self.undecided.decided_by(index, term);
         let leader = self.leader;
         for token in replaced {
--- a/crates/pinerill-replica/tests/undecided.rs
+++ b/crates/pinerill-replica/tests/undecided.rs
@@ -164,6 +164,24 @@
     assert_eq!(alone.replica.status().undecided, 0);
 }
 
+/// Guards against callers who wait, and hear that the outcome is unknown, because nothing is
+/// committed any more at the index of their entry.
+#[test]
+fn an_entry_behind_one_of_a_later_term_was_not_applied() {
+    let mut alone = Alone::leader_with_a_proposal();
+    alone.propose(SECOND_TOKEN);
+    let next_term = alone.term() + 1;
+    let entries = vec![entry(PROPOSED, next_term, EntryKind::Empty)];
+    alone.append(2, next_term, entries, BEFORE);
+    assert_eq!(alone.dropped(), [], "replaced in this log only");
+    let entries = vec![entry(PROPOSED, next_term, EntryKind::Empty)];
+    alone.append(2, next_term, entries, PROPOSED);
+    let refused = [TOKEN, SECOND_TOKEN].map(|token| (token, not_leader(2)));
+    assert_eq!(alone.dropped(), refused);
+    assert_eq!(alone.committed_tokens(), [0; 0]);
+    assert_eq!(alone.replica.status().undecided, 0);
+}
+
 #[test]
 fn an_entry_that_was_replaced_here_may_still_be_committed() {
     let mut alone = Alone::leader_with_a_proposal();
