Time without a turn is no evidence that others are silent

Cause: after a standstill of the whole process (a suspension, or no processor time) every follower's election was due before its leader could speak, and the time in which a proposal's fate may show was used up while nobody could act.

Change: the driver tells the replica of a standstill (Input::StoodStill), and the deadlines by which it gives others up are put off by that: election, fate of proposals, forwarded reads, transfer of leadership. After a shorter standstill it hears its followers before it judges them.

--- a/crates/pinerill-control/src/host/driver/mod.rs
+++ b/crates/pinerill-control/src/host/driver/mod.rs
@@ -276,6 +276,8 @@
         let Some(ms) = self.turns.take(now_ms) else {
             return;
         };
+        self.outgoing_snapshots.put_off(ms);
+        self.step(Input::StoodStill { ms });
         self.effects.push(Effect::StoodStill { ms });
     }
 
--- a/crates/pinerill-control/src/host/driver/outgoing.rs
+++ b/crates/pinerill-control/src/host/driver/outgoing.rs
@@ -38,6 +38,13 @@
         self.streams.insert(to, Outgoing { stream, used_ms });
     }
 
+    /// Keeps every stream for longer.
+    pub(super) fn put_off(&mut self, ms: u64) {
+        for outgoing in self.streams.values_mut() {
+            outgoing.used_ms += ms;
+        }
+    }
+
     /// Lets go of what nobody asks for any more.
     pub(super) fn drop_idle(&mut self, now_ms: u64) {
         self.streams
--- /dev/null
+++ b/crates/pinerill-control/tests/host_standstill.rs
@@ -0,0 +1,115 @@
+//! A group whose process has no turn for moments, again and again. All members of a group live
+//! in one thread, so that they stand still together, as on a machine that is suspended or
+//! starved. Each seed has a thread and a group of its own.
+
+mod host_support;
+
+use std::future::Future;
+use std::ops::RangeInclusive;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use host_support::Cluster;
+use pinerill_control::host::ProposeError;
+use pinerill_replica::ReplicaId;
+use pinerill_storage::MemoryStore;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio_util::task::AbortOnDropHandle;
+
+/// Lengths of the standstills, in milliseconds: from less than the shortest election timeout
+/// of the hosts here to three times the longest.
+const STANDSTILL_MS: RangeInclusive<u64> = 100..=950;
+/// Lengths of the turns between them, in milliseconds.
+const TURN_MS: RangeInclusive<u64> = 10..=90;
+const SEEDS: std::ops::Range<u64> = 0..6;
+/// Standstills during which commands are proposed one after the other.
+const STANDSTILLS: u32 = 12;
+
+/// Runs a test once for each seed, side by side.
+fn for_each_seed<F: Future<Output = ()>>(test: impl Fn(u64) -> F + Copy + Send + 'static) {
+    let run = |seed| {
+        std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .expect("a runtime");
+            runtime.block_on(test(seed));
+        })
+    };
+    let threads: Vec<_> = SEEDS.map(run).collect();
+    for thread in threads {
+        thread.join().expect("the seed passes");
+    }
+}
+
+/// Stops this thread, and so every member, again and again until dropped.
+struct Standstills {
+    count: Arc<AtomicU32>,
+    _task: AbortOnDropHandle<()>,
+}
+
+impl Standstills {
+    fn begin(seed: u64) -> Self {
+        let count = Arc::<AtomicU32>::default();
+        let counted = count.clone();
+        let mut random = StdRng::seed_from_u64(seed);
+        let task = tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(Duration::from_millis(random.gen_range(TURN_MS))).await;
+                std::thread::sleep(Duration::from_millis(random.gen_range(STANDSTILL_MS)));
+                counted.fetch_add(1, Ordering::SeqCst);
+            }
+        });
+        Standstills {
+            count,
+            _task: AbortOnDropHandle::new(task),
+        }
+    }
+
+    fn count(&self) -> u32 {
+        self.count.load(Ordering::SeqCst)
+    }
+}
+
+fn three() -> Cluster {
+    let mut cluster = Cluster::new();
+    let voters = [1, 2, 3].map(ReplicaId);
+    for voter in voters {
+        cluster.start(Arc::new(MemoryStore::synced(voter)), &voters);
+    }
+    cluster
+}
+
+/// Proposes a command until it is applied; the outcome of each attempt must be known.
+async fn propose(cluster: &Cluster, command: &[u8]) {
+    loop {
+        let group = cluster.leader_group().await;
+        match group.propose(command.to_vec()).await {
+            Ok(_) => return,
+            Err(error) => assert_ne!(error, ProposeError::Unknown),
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Guards against commands that are applied twice because their callers heard that the outcome
+/// is unknown, though nobody was cut off and no message was lost.
+#[test]
+fn callers_learn_the_outcome_though_the_process_stands_still_again_and_again() {
+    for_each_seed(|seed| async move {
+        let cluster = three();
+        cluster.propose("before").await;
+        let standstills = Standstills::begin(seed);
+        let mut proposed = 1;
+        while standstills.count() < STANDSTILLS {
+            propose(&cluster, b"counted").await;
+            proposed += 1;
+        }
+        drop(standstills);
+        let group = cluster.leader_group().await;
+        let applied = group.with_machine(|machine| machine.count);
+        assert_eq!(applied, proposed, "seed {seed}");
+    });
+}
--- a/crates/pinerill-replica/src/election.rs
+++ b/crates/pinerill-replica/src/election.rs
@@ -35,6 +35,11 @@
     pub(crate) fn is_armed(&self) -> bool {
         self.armed
     }
+
+    /// Lets the next election start later.
+    pub(crate) fn put_off(&mut self, ms: u64) {
+        self.deadline_ms += ms;
+    }
 }
 
 /// One round of the splitmix64 generator.
--- a/crates/pinerill-replica/src/input.rs
+++ b/crates/pinerill-replica/src/input.rs
@@ -57,6 +57,13 @@
         /// The next leader; `None` picks the voter with the longest log.
         to: Option<ReplicaId>,
     },
+    /// The process had no turn for this long, up to now: its machine was suspended, or other
+    /// work had the processors. Others may have spoken meanwhile; what they said comes after
+    /// this input.
+    StoodStill {
+        /// Length in milliseconds.
+        ms: u64,
+    },
     /// The replica is about to stop. From now on it takes no proposals, and as leader it hands
     /// leadership over: to one voter after the other, until one campaigns.
     Drain,
--- a/crates/pinerill-replica/src/leader.rs
+++ b/crates/pinerill-replica/src/leader.rs
@@ -25,6 +25,8 @@
     pub(crate) next_heartbeat_ms: u64,
     /// When the leader next checks that a majority still answers.
     next_quorum_check_ms: u64,
+    /// How long a majority may have been silent at that check, in milliseconds.
+    quorum_silence_ms: u64,
     /// Tokens of local proposals by the index of their entry.
     pub(crate) proposals: BTreeMap<u64, u64>,
     pub(crate) uncommitted_bytes: usize,
@@ -32,6 +34,20 @@
     pub(crate) transfer: Option<Transfer>,
 }
 
+impl Leading {
+    /// Puts deadlines off after a standstill. Followers could not answer a leader that asked
+    /// nothing, so they are heard first. But others elect a leader in place of one that is
+    /// silent for the longest election timeout, so that such a silence ends the leadership at
+    /// once, also if the leader stood still for all of it.
+    pub(crate) fn put_off(&mut self, ms: u64, now_ms: u64, longest_silence_ms: u64) {
+        self.next_quorum_check_ms = now_ms;
+        self.quorum_silence_ms = longest_silence_ms;
+        if let Some(transfer) = &mut self.transfer {
+            transfer.deadline_ms += ms;
+        }
+    }
+}
+
 impl Replica {
     pub(crate) fn become_leader(&mut self) {
         self.role = Role::Leader;
@@ -43,6 +59,7 @@
             first_index: self.log.last_index() + 1,
             next_heartbeat_ms: self.now_ms,
             next_quorum_check_ms: self.now_ms + self.config.election_min_ms,
+            quorum_silence_ms: self.config.election_min_ms,
             proposals: BTreeMap::new(),
             uncommitted_bytes: 0,
             reads: ReadQueue::default(),
@@ -88,18 +105,19 @@
     /// down, so that its callers learn it soon.
     fn keeps_quorum(&mut self) -> bool {
         let now_ms = self.now_ms;
-        let window_ms = self.config.election_min_ms;
+        let usual_silence_ms = self.config.election_min_ms;
         let own = self.config.id;
         let Some(leading) = &mut self.leading else {
             return false;
         };
-        leading.next_quorum_check_ms = now_ms + window_ms / 2;
+        leading.next_quorum_check_ms = now_ms + usual_silence_ms / 2;
+        let silence_ms = std::mem::replace(&mut leading.quorum_silence_ms, usual_silence_ms);
         let progress = &leading.progress;
         self.log.membership().has_quorum(|voter| {
             voter == own
                 || progress
                     .get(&voter)
-                    .is_some_and(|peer| now_ms < peer.last_contact_ms + window_ms)
+                    .is_some_and(|peer| now_ms < peer.last_contact_ms + silence_ms)
         })
     }
 
--- a/crates/pinerill-replica/src/lib.rs
+++ b/crates/pinerill-replica/src/lib.rs
@@ -29,6 +29,7 @@
 mod replica;
 mod replication;
 mod snapshot;
+mod standstill;
 mod undecided;
 
 pub use config::{ReplicaConfig, RestoredState};
--- a/crates/pinerill-replica/src/read_index.rs
+++ b/crates/pinerill-replica/src/read_index.rs
@@ -88,6 +88,13 @@
         }
     }
 
+    /// Lets every request wait for longer.
+    pub(crate) fn put_off(&mut self, ms: u64) {
+        for forwarded in self.sent.values_mut() {
+            forwarded.deadline_ms += ms;
+        }
+    }
+
     pub(crate) fn deadline_ms(&self) -> u64 {
         let deadlines = self.sent.values().map(|forwarded| forwarded.deadline_ms);
         deadlines.min().unwrap_or(u64::MAX)
--- a/crates/pinerill-replica/src/undecided.rs
+++ b/crates/pinerill-replica/src/undecided.rs
@@ -37,6 +37,13 @@
         deadlines.min().unwrap_or(u64::MAX)
     }
 
+    /// Lets every proposal wait for longer.
+    pub(crate) fn put_off(&mut self, ms: u64) {
+        for waiting in self.proposals.values_mut() {
+            waiting.deadline_ms += ms;
+        }
+    }
+
     /// Takes out the proposals that a committed entry decides: the token of the one that it is,
     /// and the tokens of those that can't be committed any more.
     fn decided_by(&mut self, index: u64, term: u64) -> (Option<u64>, Vec<u64>) {
