The limit of a planned stop's hand-over counts turns, not time

A control machine that was asked to stop answered callers that the outcome is unknown (a_planned_stop_hands_leadership_over_and_cuts_no_proposal): it gave up waiting for a successor after three longest election timeouts, most of which its process, or all processes, stood still, and the halt cut what waited.

The limit now counts each heartbeat's time once, however long it lasted, so that it is used up by time in which somebody could act. Unchanged on a machine that isn't held up.

--- a/crates/pinerill-control/src/host/group_host.rs
+++ b/crates/pinerill-control/src/host/group_host.rs
@@ -15,6 +15,7 @@
 use super::event::Event;
 use super::inbox::EventSender;
 use super::task::GroupTask;
+use super::turn_timeout::timeout_in_turns;
 use super::{
     GroupHandle, GroupStatus, HostCounters, HostError, HostSettings, StateMachine, Transport,
 };
@@ -163,16 +164,15 @@
             let _ = group.events.send(Event::Drain);
             statuses.push(group.status.clone());
         }
-        let limit: Duration = self.inner.shared.settings.election_max * HAND_OVER_ELECTIONS;
+        let settings = &self.inner.shared.settings;
+        let limit: Duration = settings.election_max * HAND_OVER_ELECTIONS;
         let all_led_elsewhere = async {
             for status in &mut statuses {
                 let _ = status.wait_for(GroupStatus::has_nothing_to_hand_over).await;
             }
         };
-        if tokio::time::timeout(limit, all_led_elsewhere)
-            .await
-            .is_err()
-        {
+        let in_time = timeout_in_turns(limit, settings.heartbeat, all_led_elsewhere).await;
+        if in_time.is_none() {
             log::warn!("stop: no other replica leads every group after {limit:?}");
         }
     }
--- a/crates/pinerill-control/src/host/mod.rs
+++ b/crates/pinerill-control/src/host/mod.rs
@@ -19,6 +19,7 @@
 mod settings;
 mod status;
 mod task;
+mod turn_timeout;
 mod unreadable;
 
 pub use counters::HostCounters;
--- a/crates/pinerill-control/tests/host_standstill.rs
+++ b/crates/pinerill-control/tests/host_standstill.rs
@@ -10,12 +10,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use host_support::Cluster;
-use pinerill_control::host::ProposeError;
+use host_support::{Cluster, CountingMachine};
+use pinerill_control::host::{GroupHandle, ProposeError};
 use pinerill_replica::ReplicaId;
 use pinerill_storage::MemoryStore;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use tokio::task::JoinHandle;
 use tokio_util::task::AbortOnDropHandle;
 
 /// Lengths of the standstills, in milliseconds: from less than the shortest election timeout
@@ -26,6 +27,7 @@
 const SEEDS: std::ops::Range<u64> = 0..6;
 /// Standstills during which commands are proposed one after the other.
 const STANDSTILLS: u32 = 12;
+const CALLERS: u8 = 20;
 
 /// Runs a test once for each seed, side by side.
 fn for_each_seed<F: Future<Output = ()>>(test: impl Fn(u64) -> F + Copy + Send + 'static) {
@@ -94,6 +96,22 @@
     }
 }
 
+/// Proposes one command after the other; what ends that.
+fn propose_until_refused(
+    group: &GroupHandle<CountingMachine>,
+    caller: u8,
+) -> JoinHandle<ProposeError> {
+    let group = group.clone();
+    tokio::spawn(async move {
+        loop {
+            match group.propose(vec![caller]).await {
+                Ok(_) | Err(ProposeError::Busy) => tokio::task::yield_now().await,
+                Err(error) => return error,
+            }
+        }
+    })
+}
+
 /// Guards against commands that are applied twice because their callers heard that the outcome
 /// is unknown, though nobody was cut off and no message was lost.
 #[test]
@@ -113,3 +131,26 @@
         assert_eq!(applied, proposed, "seed {seed}");
     });
 }
+
+/// Guards against planned stops that cut what they had taken, because time without a turn used
+/// up the time of the hand-over.
+#[test]
+fn a_planned_stop_cuts_no_proposal_though_the_process_stands_still_again_and_again() {
+    for_each_seed(|seed| async move {
+        let cluster = three();
+        cluster.propose("before").await;
+        let stopped = cluster.leader().await;
+        let group = cluster.members[&stopped].group.clone();
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|caller| propose_until_refused(&group, caller))
+            .collect();
+        let standstills = Standstills::begin(seed);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        cluster.members[&stopped].host.stop().await;
+        drop(standstills);
+        for caller in callers {
+            let ended = caller.await.expect("ran");
+            assert_ne!(ended, ProposeError::Unknown, "seed {seed}");
+        }
+    });
+}
