The callers of a leader that steps down end because another one leads

No caller of the product waited: in 2 of 2 traced runs the leader that stepped down had won the election of term 2, all three members agreed on it, nothing was undecided, and 270,000 proposals were applied from second 4 to second 8. The callers of the test end only when they are refused, and nobody refused them.

So the test was wrong: it left to chance who leads next. Its check is as it was, and now holds in every run: nobody hears the old leader's requests for votes, so that another one leads, and each caller must end with NotLeader. The other case has a test of its own, a_leader_that_steps_down_and_leads_again_answers_what_it_had_in_flight: there nobody hears the others' requests; the callers must be served on, and none may hear that the outcome is unknown.

--- a/crates/pinerill-control/tests/host_undecided.rs
+++ b/crates/pinerill-control/tests/host_undecided.rs
@@ -7,7 +7,7 @@
 
 use host_support::{eventually, Cluster, CountingMachine, Fate};
 use pinerill_control::host::{GroupHandle, ProposeError};
-use pinerill_replica::{Message, ReplicaId};
+use pinerill_replica::{Envelope, Message, ReplicaId};
 use pinerill_storage::MemoryStore;
 use tokio::task::JoinHandle;
 
@@ -37,8 +37,43 @@
     }
 }
 
+/// Who may win the election after a leader has stepped down.
+#[derive(Clone, Copy)]
+enum Successor {
+    Anyone,
+    /// Nobody hears the old leader's requests for votes.
+    Another,
+    /// Nobody hears the requests of the others.
+    Same,
+}
+
+impl Successor {
+    fn may_ask_for_votes(self, candidate: ReplicaId, old: ReplicaId) -> bool {
+        match self {
+            Successor::Anyone => true,
+            Successor::Another => candidate != old,
+            Successor::Same => candidate == old,
+        }
+    }
+
+    /// What becomes of a message that is no answer to the old leader.
+    fn fate(self, envelope: &Envelope, old: ReplicaId) -> Fate {
+        let asks_for_vote = matches!(
+            envelope.message,
+            Message::PreVoteRequest(_) | Message::VoteRequest(_)
+        );
+        match asks_for_vote && !self.may_ask_for_votes(envelope.from, old) {
+            true => Fate::Lose,
+            false => Fate::Deliver,
+        }
+    }
+}
+
 /// Callers propose, then no answer reaches the leader any more until it steps down.
-async fn steps_down_under_callers(cluster: &Cluster) -> (ReplicaId, Vec<JoinHandle<ProposeError>>) {
+async fn steps_down_under_callers(
+    cluster: &Cluster,
+    successor: Successor,
+) -> (ReplicaId, Vec<JoinHandle<ProposeError>>) {
     cluster.propose("before").await;
     let old = cluster.leader().await;
     let group = &cluster.members[&old].group;
@@ -55,28 +90,54 @@
         );
         match is_answer && envelope.to == old {
             true => Fate::Lose,
-            false => Fate::Deliver,
+            false => successor.fate(envelope, old),
         }
     });
     eventually("it steps down", || (!group.status().leads()).then_some(())).await;
-    cluster.network.set_rule(|_| Fate::Deliver);
+    let rule = move |envelope: &Envelope| successor.fate(envelope, old);
+    cluster.network.set_rule(rule);
     (old, callers)
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leader_that_steps_down_answers_what_the_next_one_commits() {
     let cluster = three();
-    let (_, callers) = steps_down_under_callers(&cluster).await;
+    let (_, callers) = steps_down_under_callers(&cluster, Successor::Another).await;
     for caller in callers {
         let ended = caller.await.expect("ran");
         assert!(matches!(ended, ProposeError::NotLeader { .. }), "{ended:?}");
     }
 }
 
+/// Guards against callers that wait in vain, or hear that the outcome is unknown, when the
+/// leader that stepped down is elected again: what it had in flight is committed, and it serves
+/// its callers on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_that_steps_down_and_leads_again_answers_what_it_had_in_flight() {
+    let cluster = three();
+    let (old, callers) = steps_down_under_callers(&cluster, Successor::Same).await;
+    let group = &cluster.members[&old].group;
+    let answers = || group.with_machine(|machine| machine.count);
+    eventually("it leads again", || group.status().leads().then_some(())).await;
+    let before = answers();
+    let served = before + u64::from(CALLERS);
+    eventually("it serves on", || (answers() >= served).then_some(())).await;
+    cluster.network.set_rule(|_| Fate::Deliver);
+    cluster.members[&old].host.stop().await;
+    for caller in callers {
+        let ended = caller.await.expect("ran");
+        let refused = matches!(
+            ended,
+            ProposeError::NotLeader { .. } | ProposeError::Stopped
+        );
+        assert!(refused, "{ended:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_waits_for_what_an_earlier_leadership_left() {
     let cluster = three();
-    let (old, callers) = steps_down_under_callers(&cluster).await;
+    let (old, callers) = steps_down_under_callers(&cluster, Successor::Anyone).await;
     cluster.members[&old].host.stop().await;
     for caller in callers {
         assert_ne!(caller.await.expect("ran"), ProposeError::Unknown);
