A stopping node reads what came while it had no turn before it closes

Cause: 2.5 s after its order to stop a node closes connections that rest. If the process has no turn just then, that timer is handled before the runtime knows what has arrived, and the connection is closed with the request unread.

Change: before a resting connection is closed, and before a node without connections stops listening, a pause of 20 ms must pass on time, which shows that the process had its turns and has read what came.

--- a/crates/pinerill-forward/src/gateway/listener.rs
+++ b/crates/pinerill-forward/src/gateway/listener.rs
@@ -9,7 +9,7 @@
 use std::io;
 use std::pin::pin;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::header::CONNECTION;
 use http::HeaderValue;
@@ -33,6 +33,9 @@
 /// next response. Idle connections are closed after it, so that callers learn of the stop before they
 /// send on a connection that is being closed.
 const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(2_500);
+/// Pause before something that rests is closed. It must pass on time: then the process had its
+/// turns, and has read what came before.
+const READ_PAUSE: Duration = Duration::from_millis(20);
 /// Socket send buffer for a caller that reads slowly. By default the kernel grows it to several
 /// megabytes.
 const SEND_BUFFER_BYTES: usize = 32 << 10;
@@ -63,27 +66,42 @@
             }
         }
     }
-    let ending = async {
-        loop {
-            tokio::select! {
-                accepted = listener.accept() => {
-                    if let Ok((stream, _)) = accepted {
-                        connections.spawn(serve_connection(node.clone(), stream));
-                    }
-                }
-                ended = connections.join_next() => {
-                    if ended.is_none() {
-                        break;
-                    }
-                }
-            }
-        }
-    };
+    let ending = drain(&node, &listener, &mut connections);
     if tokio::time::timeout(grace, ending).await.is_err() {
         log::warn!(event = "connections_cut"; "");
     }
 }
 
+/// Accepts connections until none is left.
+async fn drain(node: &Arc<Node>, listener: &TcpListener, connections: &mut JoinSet<()>) {
+    loop {
+        let all_ended = async {
+            while connections.join_next().await.is_some() {}
+            pause_on_time().await;
+        };
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = all_ended => return,
+        };
+        if let Ok((stream, _)) = accepted {
+            connections.spawn(serve_connection(node.clone(), stream));
+        }
+    }
+}
+
+/// Waits until a pause has passed on time. After a time without a turn, for example a suspension
+/// of the machine, timers fire before it is known what has arrived meanwhile.
+async fn pause_on_time() {
+    loop {
+        let began = Instant::now();
+        sleep(READ_PAUSE).await;
+        if began.elapsed() < 2 * READ_PAUSE {
+            return;
+        }
+    }
+}
+
 async fn serve_connection(node: Arc<Node>, stream: TcpStream) {
     if set_options(&stream).is_err() {
         return;
@@ -117,8 +135,10 @@
     let idle_close = async {
         stopping.cancelled().await;
         sleep(IDLE_CLOSE_DELAY).await;
+        pause_on_time().await;
     };
     let ended = tokio::select! {
+        biased;
         ended = connection.as_mut() => Some(ended),
         () = idle_close => None,
     };
