--- a/crates/pinerill-control/tests/host_standstill.rs
+++ b/crates/pinerill-control/tests/host_standstill.rs
@@ -10,13 +10,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use host_support::{Cluster, CountingMachine};
-use pinerill_control::host::{GroupHandle, ProposeError};
+use host_support::{propose_until_refused, Cluster};
+use pinerill_control::host::ProposeError;
 use pinerill_replica::ReplicaId;
 use pinerill_storage::MemoryStore;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use tokio::task::JoinHandle;
 use tokio_util::task::AbortOnDropHandle;
 
 /// Lengths of the standstills, in milliseconds: from less than the shortest election timeout
@@ -96,22 +95,6 @@
     }
 }
 
-/// Proposes one command after the other; what ends that.
-fn propose_until_refused(
-    group: &GroupHandle<CountingMachine>,
-    caller: u8,
-) -> JoinHandle<ProposeError> {
-    let group = group.clone();
-    tokio::spawn(async move {
-        loop {
-            match group.propose(vec![caller]).await {
-                Ok(_) | Err(ProposeError::Busy) => tokio::task::yield_now().await,
-                Err(error) => return error,
-            }
-        }
-    })
-}
-
 /// Guards against commands that are applied twice because their callers heard that the outcome
 /// is unknown, though nobody was cut off and no message was lost.
 #[test]
@@ -148,9 +131,14 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
         cluster.members[&stopped].host.stop().await;
         drop(standstills);
+        let mut applied = 1;
         for caller in callers {
-            let ended = caller.await.expect("ran");
-            assert_ne!(ended, ProposeError::Unknown, "seed {seed}");
+            let heard = caller.await.expect("ran");
+            assert_ne!(heard.ended, ProposeError::Unknown, "seed {seed}");
+            applied += heard.applied;
         }
+        let successor = cluster.leader_group().await;
+        let count = successor.with_machine(|machine| machine.count);
+        assert_eq!(count, applied, "seed {seed}: answers and refusals are true");
     });
 }
--- a/crates/pinerill-control/tests/host_support/mod.rs
+++ b/crates/pinerill-control/tests/host_support/mod.rs
@@ -14,6 +14,7 @@
 use pinerill_process::clock::Clock;
 use pinerill_replica::{Envelope, GroupId, Message, ReplicaId};
 use pinerill_storage::GroupStore;
+use tokio::task::JoinHandle;
 
 pub const GROUP: GroupId = GroupId(1);
 pub const WAIT: Duration = Duration::from_secs(20);
@@ -260,3 +261,30 @@
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
+
+/// What a caller of a group heard.
+pub struct Heard {
+    /// Proposals that were answered as applied.
+    pub applied: u64,
+    /// What ended it.
+    pub ended: ProposeError,
+}
+
+/// Proposes one command after the other until one is refused.
+pub fn propose_until_refused(
+    group: &GroupHandle<CountingMachine>,
+    caller: u8,
+) -> JoinHandle<Heard> {
+    let group = group.clone();
+    tokio::spawn(async move {
+        let mut applied = 0;
+        loop {
+            match group.propose(vec![caller]).await {
+                Ok(_) => applied += 1,
+                Err(ProposeError::Busy) => {}
+                Err(ended) => return Heard { applied, ended },
+            }
+            tokio::task::yield_now().await;
+        }
+    })
+}
--- a/crates/pinerill-control/tests/host_undecided.rs
+++ b/crates/pinerill-control/tests/host_undecided.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use host_support::{eventually, Cluster, CountingMachine, Fate};
-use pinerill_control::host::{GroupHandle, ProposeError};
+use host_support::{eventually, propose_until_refused, Cluster, Fate, Heard};
+use pinerill_control::host::ProposeError;
 use pinerill_replica::{Envelope, Message, ReplicaId};
 use pinerill_storage::MemoryStore;
 use tokio::task::JoinHandle;
@@ -27,27 +27,6 @@
     cluster
 }
 
-/// What a caller heard.
-struct Heard {
-    /// Proposals that were answered as applied.
-    applied: u64,
-    /// What ended it.
-    ended: ProposeError,
-}
-
-/// Proposes one command after the other until one is refused.
-async fn propose_until_refused(group: GroupHandle<CountingMachine>, caller: u8) -> Heard {
-    let mut applied = 0;
-    loop {
-        match group.propose(vec![caller]).await {
-            Ok(_) => applied += 1,
-            Err(ProposeError::Busy) => {}
-            Err(ended) => return Heard { applied, ended },
-        }
-        tokio::task::yield_now().await;
-    }
-}
-
 /// Who may win the election after a leader has stepped down.
 #[derive(Clone, Copy)]
 enum Successor {
@@ -88,10 +67,7 @@
     cluster.propose("before").await;
     let old = cluster.leader().await;
     let group = &cluster.members[&old].group;
-    let callers = (0..CALLERS).map(|caller| {
-        let proposing = propose_until_refused(group.clone(), caller);
-        tokio::spawn(proposing)
-    });
+    let callers = (0..CALLERS).map(|caller| propose_until_refused(group, caller));
     let callers = callers.collect();
     tokio::time::sleep(Duration::from_millis(50)).await;
     cluster.network.set_rule(move |envelope| {
