Pauses of the process are named so; a failed accept in a stop waits like any other

Logic is as it was.

While a node stops, the loop that accepts connections tried again at once after an error; it now logs accept_failed and waits 10 ms, by the same function as before the stop.

--- a/crates/pinerill-cluster/src/server/monitoring.rs
+++ b/crates/pinerill-cluster/src/server/monitoring.rs
@@ -40,8 +40,11 @@
         line("jobs_bytes", jobs_bytes);
         line("jobs_expected_bytes", expected_bytes);
         line("store_bytes", self.store_bytes().unwrap_or_default());
-        line("standstills_total", counters.standstills);
-        line("standstill_milliseconds_total", counters.standstill_ms);
+        line("process_pauses_total", counters.process_pauses);
+        line(
+            "process_pause_milliseconds_total",
+            counters.process_pause_ms,
+        );
         line("proposals_unknown_total", counters.proposals_unknown);
         line("snapshots_saved_total", counters.snapshots_saved);
         line("snapshots_installed_total", counters.snapshots_installed);
--- a/crates/pinerill-control/src/host/counters.rs
+++ b/crates/pinerill-control/src/host/counters.rs
@@ -25,10 +25,10 @@
     pub snapshots_installed: u64,
     /// Changes of role, term or leader.
     pub role_changes: u64,
-    /// Times that a group's task had no turn for a while.
-    pub standstills: u64,
-    /// Milliseconds of these.
-    pub standstill_ms: u64,
+    /// Pauses of the process that a group's task detected.
+    pub process_pauses: u64,
+    /// Milliseconds of these pauses.
+    pub process_pause_ms: u64,
     /// Proposals whose outcome their callers were told to be unknown.
     pub proposals_unknown: u64,
     /// Batches made durable by the store.
@@ -51,8 +51,8 @@
     pub(super) snapshots_saved: AtomicU64,
     pub(super) snapshots_installed: AtomicU64,
     pub(super) role_changes: AtomicU64,
-    pub(super) standstills: AtomicU64,
-    pub(super) standstill_ms: AtomicU64,
+    pub(super) process_pauses: AtomicU64,
+    pub(super) process_pause_ms: AtomicU64,
     pub(super) proposals_unknown: AtomicU64,
 }
 
@@ -74,8 +74,8 @@
             snapshots_saved: value(&self.snapshots_saved),
             snapshots_installed: value(&self.snapshots_installed),
             role_changes: value(&self.role_changes),
-            standstills: value(&self.standstills),
-            standstill_ms: value(&self.standstill_ms),
+            process_pauses: value(&self.process_pauses),
+            process_pause_ms: value(&self.process_pause_ms),
             proposals_unknown: value(&self.proposals_unknown),
             store_batches: store.batches,
             store_syncs: store.syncs,
--- a/crates/pinerill-control/src/host/driver/mod.rs
+++ b/crates/pinerill-control/src/host/driver/mod.rs
@@ -8,10 +8,10 @@
 
 mod outgoing;
 mod output;
+mod pause_detector;
 mod snapshot;
 mod start;
 mod table_visibility;
-mod turns;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -24,8 +24,8 @@
 use pinerill_storage::{GroupStore, StorageError, WriteBatch};
 
 use self::outgoing::OutgoingSnapshots;
+use self::pause_detector::PauseDetector;
 use self::table_visibility::TableVisibility;
-use self::turns::Turns;
 use super::{ChangeError, ProposeError, ReadError, StateMachine, UnreadableState};
 
 /// Bounds of a driver.
@@ -130,8 +130,8 @@
     },
     /// A snapshot from the leader took the place of the machine's state.
     SnapshotInstalled,
-    /// The process had no turn for this long.
-    StoodStill {
+    /// The process was paused.
+    ProcessPaused {
         /// Length in milliseconds.
         ms: u64,
     },
@@ -163,7 +163,7 @@
     store: Arc<dyn GroupStore>,
     settings: DriverSettings,
     now_ms: u64,
-    turns: Turns,
+    pauses: PauseDetector,
     next_token: u64,
     requests: HashMap<u64, PendingRequest<R>>,
     reads: Vec<R>,
@@ -186,7 +186,7 @@
         machine: M,
         store: Arc<dyn GroupStore>,
         settings: DriverSettings,
-        turns: Turns,
+        pauses: PauseDetector,
     ) -> Self {
         let applied = replica.status().applied;
         GroupDriver {
@@ -196,7 +196,7 @@
             store,
             settings,
             now_ms: 0,
-            turns,
+            pauses,
             next_token: 0,
             requests: HashMap::new(),
             reads: Vec::new(),
@@ -232,16 +232,18 @@
     }
 
     /// When the next round is due at the latest, in milliseconds of the
-    /// caller's steady clock. Rounds are due often enough to tell when the process
-    /// had no turn.
+    /// caller's steady clock. Rounds are due often enough to detect pauses of the
+    /// process.
     pub fn next_deadline_ms(&self) -> u64 {
-        self.replica.next_deadline_ms().min(self.turns.next_ms())
+        self.replica
+            .next_deadline_ms()
+            .min(self.pauses.next_call_ms())
     }
 
     /// Takes one event in, at the given time of a steady clock in
     /// milliseconds. Its effects come with [`GroupDriver::finish_round`].
     pub fn handle(&mut self, now_ms: u64, input: DriverInput<R>) {
-        self.begin_turn(now_ms);
+        self.begin_call(now_ms);
         match input {
             DriverInput::Message(envelope) => self.step(Input::Message(envelope)),
             DriverInput::Propose { command, request } => {
@@ -263,7 +265,7 @@
     /// Ends a round of events: proposals, reads and messages of one round
     /// share writes, appends and heartbeats.
     pub fn finish_round(&mut self, now_ms: u64) -> Vec<Effect<R>> {
-        self.begin_turn(now_ms);
+        self.begin_call(now_ms);
         self.start_reads();
         self.step(Input::Tick);
         self.outgoing_snapshots.drop_idle(now_ms);
@@ -271,14 +273,14 @@
         std::mem::take(&mut self.effects)
     }
 
-    fn begin_turn(&mut self, now_ms: u64) {
+    fn begin_call(&mut self, now_ms: u64) {
         self.now_ms = now_ms;
-        let Some(ms) = self.turns.take(now_ms) else {
+        let Some(ms) = self.pauses.record_call(now_ms) else {
             return;
         };
-        self.outgoing_snapshots.put_off(ms);
-        self.step(Input::StoodStill { ms });
-        self.effects.push(Effect::StoodStill { ms });
+        self.outgoing_snapshots.postpone(ms);
+        self.step(Input::ProcessPaused { ms });
+        self.effects.push(Effect::ProcessPaused { ms });
     }
 
     fn stored(&mut self, write: StoredWrite) {
--- a/crates/pinerill-control/src/host/driver/outgoing.rs
+++ b/crates/pinerill-control/src/host/driver/outgoing.rs
@@ -39,7 +39,7 @@
     }
 
     /// Keeps every stream for longer.
-    pub(super) fn put_off(&mut self, ms: u64) {
+    pub(super) fn postpone(&mut self, ms: u64) {
         for outgoing in self.streams.values_mut() {
             outgoing.used_ms += ms;
         }
--- a/crates/pinerill-control/src/host/driver/start.rs
+++ b/crates/pinerill-control/src/host/driver/start.rs
@@ -5,7 +5,7 @@
 use pinerill_replica::{GroupId, Replica, ReplicaConfig, ReplicaId, SnapshotMeta};
 use pinerill_storage::{GroupStore, Operation, RestoredGroup, WriteBatch};
 
-use super::turns::Turns;
+use super::pause_detector::PauseDetector;
 use super::{DriverSettings, GroupDriver};
 use crate::host::{HostError, StateMachine};
 
@@ -25,9 +25,9 @@
     ) -> Result<Self, HostError> {
         let group = config.group;
         let restored = restore(store.as_ref(), group, members, &mut machine)?;
-        let turns = Turns::new(config.heartbeat_ms);
+        let pauses = PauseDetector::new(config.heartbeat_ms);
         let replica = Replica::new(config, restored.state);
-        let driver = GroupDriver::new(group, replica, machine, store, settings, turns);
+        let driver = GroupDriver::new(group, replica, machine, store, settings, pauses);
         Ok(driver)
     }
 }
--- a/crates/pinerill-control/src/host/group_host.rs
+++ b/crates/pinerill-control/src/host/group_host.rs
@@ -14,8 +14,8 @@
 use super::driver::GroupDriver;
 use super::event::Event;
 use super::inbox::EventSender;
+use super::pause_timeout::timeout_without_pauses;
 use super::task::GroupTask;
-use super::turn_timeout::timeout_in_turns;
 use super::{
     GroupHandle, GroupStatus, HostCounters, HostError, HostSettings, StateMachine, Transport,
 };
@@ -171,7 +171,7 @@
                 let _ = status.wait_for(GroupStatus::has_nothing_to_hand_over).await;
             }
         };
-        let in_time = timeout_in_turns(limit, settings.heartbeat, all_led_elsewhere).await;
+        let in_time = timeout_without_pauses(limit, settings.heartbeat, all_led_elsewhere).await;
         if in_time.is_none() {
             log::warn!("stop: no other replica leads every group after {limit:?}");
         }
--- a/crates/pinerill-control/src/host/mod.rs
+++ b/crates/pinerill-control/src/host/mod.rs
@@ -16,10 +16,10 @@
 mod handle;
 mod inbox;
 mod machine;
+mod pause_timeout;
 mod settings;
 mod status;
 mod task;
-mod turn_timeout;
 mod unreadable;
 
 pub use counters::HostCounters;
--- a/crates/pinerill-control/src/host/turn_timeout.rs
+++ b/crates/pinerill-control/src/host/pause_timeout.rs
@@ -1,4 +1,4 @@
-//! A timeout that leaves out time in which the process had no turn.
+//! A timeout that leaves out pauses of the process.
 
 use std::future::Future;
 use std::pin::pin;
@@ -6,10 +6,10 @@
 
 use tokio::time::sleep;
 
-/// Awaits a future until the process has had its turns for `limit`; none if that passes first.
-/// Each `interval` counts as no longer than it should have lasted, so that a suspension or a
-/// busy machine doesn't use the limit up.
-pub(super) async fn timeout_in_turns<F: Future>(
+/// Awaits a future for `limit`, not counting pauses of the process; none if that passes first. The
+/// time is counted in steps of `interval`, each of which counts as no longer than that, so that a
+/// suspension or a busy machine doesn't use the limit up.
+pub(super) async fn timeout_without_pauses<F: Future>(
     limit: Duration,
     interval: Duration,
     future: F,
--- a/crates/pinerill-control/src/host/task.rs
+++ b/crates/pinerill-control/src/host/task.rs
@@ -206,14 +206,14 @@
                     count(&counters.reads, 1);
                 }
                 if answer == Answer::Proposed(Err(ProposeError::Unknown)) {
-                    self.note_unknown_outcome(&request);
+                    self.record_unknown_outcome(&request);
                 }
                 request.send(answer);
             }
             Effect::RoleChanged(change) => self.role_changed(change),
             Effect::Applied { entries } => count(&counters.entries_applied, entries),
             Effect::SnapshotInstalled => count(&counters.snapshots_installed, 1),
-            Effect::StoodStill { ms } => self.note_standstill(ms),
+            Effect::ProcessPaused { ms } => self.record_process_pause(ms),
             Effect::Failed(error) => {
                 log::error!("group {}: stopped: {error}", self.group);
                 self.stopping = true;
@@ -240,14 +240,14 @@
         );
     }
 
-    fn note_standstill(&self, ms: u64) {
+    fn record_process_pause(&self, ms: u64) {
         let counters = &self.shared.counters;
-        count(&counters.standstills, 1);
-        count(&counters.standstill_ms, ms as usize);
-        log::warn!(event = "stood_still", group:% = self.group, ms; "");
+        count(&counters.process_pauses, 1);
+        count(&counters.process_pause_ms, ms as usize);
+        log::warn!(event = "process_paused", group:% = self.group, ms; "");
     }
 
-    fn note_unknown_outcome(&self, request: &Reply) {
+    fn record_unknown_outcome(&self, request: &Reply) {
         count(&self.shared.counters.proposals_unknown, 1);
         let Reply::Propose { proposed_at, .. } = request else {
             return;
--- a/crates/pinerill-control/src/server/metrics.rs
+++ b/crates/pinerill-control/src/server/metrics.rs
@@ -87,14 +87,14 @@
             host.role_changes,
         )?;
         page.counter(
-            "standstills_total",
-            "Times that a group had no turn for a while.",
-            host.standstills,
+            "process_pauses_total",
+            "Pauses of the process, counted by each group.",
+            host.process_pauses,
         )?;
         page.counter(
-            "standstill_milliseconds_total",
-            "Time that groups had no turn.",
-            host.standstill_ms,
+            "process_pause_milliseconds_total",
+            "Length of these pauses.",
+            host.process_pause_ms,
         )?;
         page.counter(
             "proposals_unknown_total",
--- a/crates/pinerill-control/tests/host_standstill.rs
+++ b/crates/pinerill-control/tests/host_process_pause.rs
@@ -1,6 +1,6 @@
-//! A group whose process has no turn for moments, again and again. All members of a group live
-//! in one thread, so that they stand still together, as on a machine that is suspended or
-//! starved. Each seed has a thread and a group of its own.
+//! A group whose process is paused again and again. All members of a group live in one thread,
+//! so that they are paused together, as on a machine that is suspended or short of processor
+//! time. Each seed has a thread and a group of its own.
 
 mod host_support;
 
@@ -18,14 +18,14 @@
 use rand::{Rng, SeedableRng};
 use tokio_util::task::AbortOnDropHandle;
 
-/// Lengths of the standstills, in milliseconds: from less than the shortest election timeout
+/// Lengths of the pauses, in milliseconds: from less than the shortest election timeout
 /// of the hosts here to three times the longest.
-const STANDSTILL_MS: RangeInclusive<u64> = 100..=950;
-/// Lengths of the turns between them, in milliseconds.
-const TURN_MS: RangeInclusive<u64> = 10..=90;
+const PAUSE_MS: RangeInclusive<u64> = 100..=950;
+/// Lengths of the times between them, in milliseconds.
+const RUN_MS: RangeInclusive<u64> = 10..=90;
 const SEEDS: std::ops::Range<u64> = 0..6;
-/// Standstills during which commands are proposed one after the other.
-const STANDSTILLS: u32 = 12;
+/// Pauses during which commands are proposed one after the other.
+const PAUSES: u32 = 12;
 const CALLERS: u8 = 20;
 
 /// Runs a test once for each seed, side by side.
@@ -46,24 +46,24 @@
 }
 
 /// Stops this thread, and so every member, again and again until dropped.
-struct Standstills {
+struct Pauses {
     count: Arc<AtomicU32>,
     _task: AbortOnDropHandle<()>,
 }
 
-impl Standstills {
+impl Pauses {
     fn begin(seed: u64) -> Self {
         let count = Arc::<AtomicU32>::default();
         let counted = count.clone();
         let mut random = StdRng::seed_from_u64(seed);
         let task = tokio::spawn(async move {
             loop {
-                tokio::time::sleep(Duration::from_millis(random.gen_range(TURN_MS))).await;
-                std::thread::sleep(Duration::from_millis(random.gen_range(STANDSTILL_MS)));
+                tokio::time::sleep(Duration::from_millis(random.gen_range(RUN_MS))).await;
+                std::thread::sleep(Duration::from_millis(random.gen_range(PAUSE_MS)));
                 counted.fetch_add(1, Ordering::SeqCst);
             }
         });
-        Standstills {
+        Pauses {
             count,
             _task: AbortOnDropHandle::new(task),
         }
@@ -98,27 +98,27 @@
 /// Guards against commands that are applied twice because their callers heard that the outcome
 /// is unknown, though nobody was cut off and no message was lost.
 #[test]
-fn callers_learn_the_outcome_though_the_process_stands_still_again_and_again() {
+fn callers_learn_the_outcome_under_repeated_process_pauses() {
     for_each_seed(|seed| async move {
         let cluster = three();
         cluster.propose("before").await;
-        let standstills = Standstills::begin(seed);
+        let pauses = Pauses::begin(seed);
         let mut proposed = 1;
-        while standstills.count() < STANDSTILLS {
+        while pauses.count() < PAUSES {
             propose(&cluster, b"counted").await;
             proposed += 1;
         }
-        drop(standstills);
+        drop(pauses);
         let group = cluster.leader_group().await;
         let applied = group.with_machine(|machine| machine.count);
         assert_eq!(applied, proposed, "seed {seed}");
     });
 }
 
-/// Guards against planned stops that cut what they had taken, because time without a turn used
-/// up the time of the hand-over.
+/// Guards against planned stops that cut what they had taken, because pauses used up the time of
+/// the hand-over.
 #[test]
-fn a_planned_stop_cuts_no_proposal_though_the_process_stands_still_again_and_again() {
+fn a_planned_stop_cuts_no_proposal_under_repeated_process_pauses() {
     for_each_seed(|seed| async move {
         let cluster = three();
         cluster.propose("before").await;
@@ -127,10 +127,10 @@
         let callers: Vec<_> = (0..CALLERS)
             .map(|caller| propose_until_refused(&group, caller))
             .collect();
-        let standstills = Standstills::begin(seed);
+        let pauses = Pauses::begin(seed);
         tokio::time::sleep(Duration::from_millis(50)).await;
         cluster.members[&stopped].host.stop().await;
-        drop(standstills);
+        drop(pauses);
         let mut applied = 1;
         for caller in callers {
             let heard = caller.await.expect("ran");
--- a/crates/pinerill-forward/src/gateway/listener.rs
+++ b/crates/pinerill-forward/src/gateway/listener.rs
@@ -33,8 +33,8 @@
 /// next response. Idle connections are closed after it, so that callers learn of the stop before they
 /// send on a connection that is being closed.
 const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(2_500);
-/// Pause before something that rests is closed. It must pass on time: then the process had its
-/// turns, and has read what came before.
+/// Pause before something that rests is closed. It must pass on time: then the process was not
+/// paused, and has read what came before.
 const READ_PAUSE: Duration = Duration::from_millis(20);
 /// Socket send buffer for a caller that reads slowly. By default the kernel grows it to several
 /// megabytes.
@@ -60,10 +60,7 @@
             Ok((stream, _)) => {
                 connections.spawn(serve_connection(node.clone(), stream));
             }
-            Err(error) => {
-                log::warn!(event = "accept_failed", error:%; "");
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
+            Err(error) => report_failed_accept(&error).await,
         }
     }
     let ending = drain(&node, &listener, &mut connections);
@@ -84,13 +81,21 @@
             accepted = listener.accept() => accepted,
             () = all_ended => return,
         };
-        if let Ok((stream, _)) = accepted {
-            connections.spawn(serve_connection(node.clone(), stream));
+        match accepted {
+            Ok((stream, _)) => {
+                connections.spawn(serve_connection(node.clone(), stream));
+            }
+            Err(error) => report_failed_accept(&error).await,
         }
     }
 }
 
-/// Waits until a pause has passed on time. After a time without a turn, for example a suspension
+async fn report_failed_accept(error: &io::Error) {
+    log::warn!(event = "accept_failed", error:%; "");
+    sleep(ACCEPT_RETRY_DELAY).await;
+}
+
+/// Waits until a pause has passed on time. After a pause of the process, for example a suspension
 /// of the machine, timers fire before it is known what has arrived meanwhile.
 async fn pause_on_time() {
     loop {
--- a/crates/pinerill-replica/src/election.rs
+++ b/crates/pinerill-replica/src/election.rs
@@ -37,7 +37,7 @@
     }
 
     /// Lets the next election start later.
-    pub(crate) fn put_off(&mut self, ms: u64) {
+    pub(crate) fn postpone(&mut self, ms: u64) {
         self.deadline_ms += ms;
     }
 }
--- a/crates/pinerill-replica/src/input.rs
+++ b/crates/pinerill-replica/src/input.rs
@@ -57,10 +57,10 @@
         /// The next leader; `None` picks the voter with the longest log.
         to: Option<ReplicaId>,
     },
-    /// The process had no turn for this long, up to now: its machine was suspended, or other
+    /// The process was paused for this long, up to now: its machine was suspended, or other
     /// work had the processors. Others may have spoken meanwhile; what they said comes after
     /// this input.
-    StoodStill {
+    ProcessPaused {
         /// Length in milliseconds.
         ms: u64,
     },
--- a/crates/pinerill-replica/src/leader.rs
+++ b/crates/pinerill-replica/src/leader.rs
@@ -35,11 +35,11 @@
 }
 
 impl Leading {
-    /// Puts deadlines off after a standstill. Followers could not answer a leader that asked
+    /// Postpones deadlines after a pause of the process. Followers could not answer a leader that asked
     /// nothing, so they are heard first. But others elect a leader in place of one that is
     /// silent for the longest election timeout, so that such a silence ends the leadership at
-    /// once, also if the leader stood still for all of it.
-    pub(crate) fn put_off(&mut self, ms: u64, now_ms: u64, longest_silence_ms: u64) {
+    /// once, also if the leader was paused for all of it.
+    pub(crate) fn postpone(&mut self, ms: u64, now_ms: u64, longest_silence_ms: u64) {
         self.next_quorum_check_ms = now_ms;
         self.quorum_silence_ms = longest_silence_ms;
         if let Some(transfer) = &mut self.transfer {
--- a/crates/pinerill-replica/src/lib.rs
+++ b/crates/pinerill-replica/src/lib.rs
@@ -24,12 +24,12 @@
 mod membership_change;
 mod message;
 mod output;
+mod process_pause;
 mod progress;
 mod read_index;
 mod replica;
 mod replication;
 mod snapshot;
-mod standstill;
 mod undecided;
 
 pub use config::{ReplicaConfig, RestoredState};
--- a/crates/pinerill-replica/src/read_index.rs
+++ b/crates/pinerill-replica/src/read_index.rs
@@ -89,7 +89,7 @@
     }
 
     /// Lets every request wait for longer.
-    pub(crate) fn put_off(&mut self, ms: u64) {
+    pub(crate) fn postpone(&mut self, ms: u64) {
         for forwarded in self.sent.values_mut() {
             forwarded.deadline_ms += ms;
         }
--- a/crates/pinerill-replica/src/replica.rs
+++ b/crates/pinerill-replica/src/replica.rs
@@ -142,7 +142,7 @@
                 done,
             } => self.snapshot_chunk_read(to, meta, offset, bytes, done),
             Input::TransferLeadership { to } => self.transfer_leadership(to),
-            Input::StoodStill { ms } => self.stood_still(ms),
+            Input::ProcessPaused { ms } => self.process_paused(ms),
             Input::Drain => self.drain(),
         }
     }
--- a/crates/pinerill-replica/src/undecided.rs
+++ b/crates/pinerill-replica/src/undecided.rs
@@ -38,7 +38,7 @@
     }
 
     /// Lets every proposal wait for longer.
-    pub(crate) fn put_off(&mut self, ms: u64) {
+    pub(crate) fn postpone(&mut self, ms: u64) {
         for waiting in self.proposals.values_mut() {
             waiting.deadline_ms += ms;
         }
--- a/crates/pinerill-replica/tests/standstill.rs
+++ b/crates/pinerill-replica/tests/process_pause.rs
@@ -1,4 +1,4 @@
-//! Replicas whose process had no turn for a while.
+//! Replicas whose process was paused.
 
 mod support;
 
@@ -7,11 +7,11 @@
 };
 use support::{config, id, Cluster, GROUP};
 
-/// Lets the time pass with no turn for these replicas; what they hear comes after it.
-fn stand_still(cluster: &mut Cluster, replicas: &[ReplicaId], ms: u64) {
+/// Pauses these replicas; what they hear comes after it.
+fn pause(cluster: &mut Cluster, replicas: &[ReplicaId], ms: u64) {
     cluster.now_ms += ms;
     for replica in replicas {
-        cluster.step(*replica, Input::StoodStill { ms });
+        cluster.step(*replica, Input::ProcessPaused { ms });
         cluster.step(*replica, Input::Tick);
     }
 }
@@ -24,16 +24,16 @@
     cluster.node(replica).replica.status().term
 }
 
-/// Guards against elections, and proposals cut by them, that nothing but a standstill of all
+/// Guards against elections, and proposals cut by them, that nothing but a pause of all
 /// members brings about.
 #[test]
-fn a_group_that_stands_still_for_less_than_an_election_keeps_its_leader() {
+fn a_group_paused_for_less_than_an_election_keeps_its_leader() {
     let mut cluster = Cluster::new(3);
     let leader = cluster.elect();
     let term_before = term(&mut cluster, leader);
-    let standstill_ms = config(leader).election_max_ms - 2 * config(leader).heartbeat_ms;
+    let pause_ms = config(leader).election_max_ms - 2 * config(leader).heartbeat_ms;
     for token in 0..20 {
-        stand_still(&mut cluster, &all(), standstill_ms);
+        pause(&mut cluster, &all(), pause_ms);
         cluster.propose(leader, token);
         cluster.run(100);
     }
@@ -45,17 +45,17 @@
 
 /// Others may have elected a leader meanwhile: its callers must not wait for it to find out.
 #[test]
-fn a_leader_that_stood_still_for_an_election_steps_down_at_once() {
+fn a_leader_paused_for_an_election_steps_down_at_once() {
     let mut cluster = Cluster::new(3);
     let leader = cluster.elect();
-    let standstill_ms = config(leader).election_max_ms;
-    stand_still(&mut cluster, &[leader], standstill_ms);
+    let pause_ms = config(leader).election_max_ms;
+    pause(&mut cluster, &[leader], pause_ms);
     assert_ne!(cluster.node(leader).replica.status().role, Role::Leader);
 }
 
-/// Standstills that follow each other must not add up to a leadership without followers.
+/// Pauses that follow each other must not add up to a leadership without followers.
 #[test]
-fn a_leader_that_hears_nobody_between_standstills_steps_down() {
+fn a_leader_that_hears_nobody_between_pauses_steps_down() {
     let mut cluster = Cluster::new(3);
     let leader = cluster.elect();
     cluster.isolate(leader);
@@ -64,7 +64,7 @@
         config(leader).election_max_ms,
     );
     for _ in 0..=longest_ms / shortest_ms {
-        stand_still(&mut cluster, &[leader], shortest_ms);
+        pause(&mut cluster, &[leader], shortest_ms);
     }
     assert_ne!(cluster.node(leader).replica.status().role, Role::Leader);
 }
@@ -94,20 +94,20 @@
 
 /// A follower that heard nobody because it could not knows nothing of its leader's silence.
 #[test]
-fn a_follower_that_stood_still_lets_its_leader_speak_first() {
+fn a_paused_follower_lets_its_leader_speak_first() {
     let mut replica = follower();
     let ms = 20_000;
-    replica.step(ms, Input::StoodStill { ms });
+    replica.step(ms, Input::ProcessPaused { ms });
     replica.step(ms, Input::Tick);
     assert_eq!(replica.status().role, Role::Follower);
     assert_eq!(replica.status().leader, Some(id(2)));
 }
 
 #[test]
-fn a_follower_that_stood_still_campaigns_when_its_leader_stays_silent() {
+fn a_paused_follower_campaigns_when_its_leader_stays_silent() {
     let mut replica = follower();
     let ms = 20_000;
-    replica.step(ms, Input::StoodStill { ms });
+    replica.step(ms, Input::ProcessPaused { ms });
     replica.step(ms + config(id(1)).election_max_ms, Input::Tick);
     assert_eq!(replica.status().role, Role::PreCandidate);
 }
--- a/crates/pinerill-replica/tests/undecided.rs
+++ b/crates/pinerill-replica/tests/undecided.rs
@@ -109,9 +109,9 @@
         self.step(Input::Tick);
     }
 
-    fn stand_still(&mut self, ms: u64) {
+    fn pause(&mut self, ms: u64) {
         self.now_ms += ms;
-        self.step(Input::StoodStill { ms });
+        self.step(Input::ProcessPaused { ms });
         self.step(Input::Tick);
     }
 
@@ -258,11 +258,11 @@
 /// Guards against callers who hear that the outcome is unknown because suspended time used up
 /// the time in which it could show.
 #[test]
-fn a_standstill_leaves_as_much_time_for_a_fate_to_show() {
+fn a_pause_leaves_as_much_time_for_a_fate_to_show() {
     let mut alone = Alone::leader_with_a_proposal();
     alone.step_down_by_silence();
     let limit_ms = 2 * config(id(1)).election_max_ms;
-    alone.stand_still(3 * limit_ms);
+    alone.pause(3 * limit_ms);
     assert_eq!(alone.dropped(), []);
     alone.tick(limit_ms - 1);
     assert_eq!(alone.dropped(), []);
--- a/crates/pinerill-sim/src/cluster/process.rs
+++ b/crates/pinerill-sim/src/cluster/process.rs
@@ -192,8 +192,8 @@
                 self.observe("snapshot installed");
                 self.note(|| format!("machine {place} installs a snapshot"));
             }
-            Effect::StoodStill { ms } => {
-                self.note(|| format!("machine {place} had no turn for {ms} ms"));
+            Effect::ProcessPaused { ms } => {
+                self.note(|| format!("machine {place} was paused for {ms} ms"));
             }
             Effect::Failed(error) => {
                 self.violate("a group runs on", format!("machine {place}: {error}"));
