--- a/crates/pinerill-control/src/host/pause_timeout.rs
+++ b/crates/pinerill-control/src/host/pause_timeout.rs
@@ -7,8 +7,8 @@
 use tokio::time::sleep;
 
 /// Awaits a future for `limit`, not counting pauses of the process; none if that passes first. The
-/// time is counted in steps of `interval`, each of which counts as no longer than that, so that a
-/// suspension or a busy machine doesn't use the limit up.
+/// time is counted in steps: each counts as `interval`, however long a suspension or a busy machine
+/// made it.
 pub(super) async fn timeout_without_pauses<F: Future>(
     limit: Duration,
     interval: Duration,
--- a/crates/pinerill-replica/src/input.rs
+++ b/crates/pinerill-replica/src/input.rs
@@ -58,8 +58,7 @@
         to: Option<ReplicaId>,
     },
     /// The process was paused for this long, up to now: its machine was suspended, or other
-    /// work had the processors. Others may have spoken meanwhile; what they said comes after
-    /// this input.
+    /// work had the processors. Messages that arrived meanwhile follow this input.
     ProcessPaused {
         /// Length in milliseconds.
         ms: u64,
--- a/crates/pinerill-replica/src/leader.rs
+++ b/crates/pinerill-replica/src/leader.rs
@@ -35,10 +35,10 @@
 }
 
 impl Leading {
-    /// Postpones deadlines after a pause of the process. Followers could not answer a leader that asked
-    /// nothing, so they are heard first. But others elect a leader in place of one that is
-    /// silent for the longest election timeout, so that such a silence ends the leadership at
-    /// once, also if the leader was paused for all of it.
+    /// Postpones deadlines after a pause of the process. A paused leader sends no heartbeats, so
+    /// its followers get time to answer the next ones. Without an answer of a majority for the
+    /// longest election timeout, pauses included, the leader steps down at once: the followers
+    /// may have elected another one.
     pub(crate) fn postpone(&mut self, ms: u64, now_ms: u64, longest_silence_ms: u64) {
         self.next_quorum_check_ms = now_ms;
         self.quorum_silence_ms = longest_silence_ms;
--- a/crates/pinerill-replica/src/process_pause.rs
+++ b/crates/pinerill-replica/src/process_pause.rs
@@ -1,9 +1,9 @@
 //! Pauses of the process.
 //!
-//! A replica that was paused heard nobody, whoever spoke. A pause is no evidence that others are
-//! silent, and nothing could be done here meanwhile: deadlines by which this replica gives others
-//! up are postponed by it. Whether others may have given up this replica is another question,
-//! and there the time counts: see [`Leading`] and `hears_leader`.
+//! A paused replica handles no messages, so a pause is no evidence that other replicas are
+//! silent. The deadlines after which this replica regards them as failed are postponed by its
+//! length. The other replicas may regard this one as failed meanwhile, so the leader's check of
+//! its quorum ([`Leading`]) and the refusal of votes (`hears_leader`) count the pause.
 //!
 //! [`Leading`]: crate::leader::Leading
 
