Directories state the software version of workers (format 9); lines tell versions and resumptions

Change: an entry of a directory holds the version of its incarnation. Datagrams between nodes keep format 8, whose layout does not change, so that nodes of both builds still hear each other. Zones' orders need format 8, not the newest one. call lines tell resumes, resume_after and the version of each attempt's worker. Nothing is decided by it.

--- a/crates/pinerill-calls/src/directory.rs
+++ b/crates/pinerill-calls/src/directory.rs
@@ -13,6 +13,7 @@
 
 use crate::digest::Digest;
 use crate::encoding::Format;
+use crate::formats::older_directory_digest;
 
 /// Number of directories, including the current one, that a control machine retains to compute
 /// differences. The list is read once per second and nodes ask twice per second, so only a node
@@ -110,6 +111,9 @@
     /// Remaining time in milliseconds during which the worker is slow after its start; 0 once it
     /// is warm.
     pub cold_left_ms: u64,
+    /// Version of the software that this incarnation runs; `None` if the source does not state it,
+    /// as leaders of formats before 9 do.
+    pub version: Option<String>,
 }
 
 /// Whether a worker accepts new requests.
@@ -251,7 +255,10 @@
 
     /// Returns the digest that a process of the given format computes for this directory.
     pub fn digest_in_format(&self, format: Format) -> Digest {
-        Digest::of_in_format(format, &self.workers)
+        match format < Format::WORKER_VERSIONS {
+            true => older_directory_digest(format, &self.workers),
+            false => Digest::of_in_format(format, &self.workers),
+        }
     }
 
     /// Whether the directory contains this incarnation of a worker.
--- a/crates/pinerill-calls/src/encoding.rs
+++ b/crates/pinerill-calls/src/encoding.rs
@@ -22,6 +22,7 @@
 /// | 6 | tenants and public routes in route tables, borrowing of request tokens |
 /// | 7 | age of the directory in answers to watches, health check paths of services |
 /// | 8 | evacuated zones, slow starts of services, allowed regions, cells of the fleet |
+/// | 9 | software versions of workers |
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Format(u8);
 
@@ -34,8 +35,15 @@
     pub const TENANTS: Format = Format(6);
     /// The first format whose answers to watches contain the age of the directory.
     pub const DIRECTORY_AGE: Format = Format(7);
+    /// The first format with evacuated zones, and with the sender's zone in lease requests.
+    pub const ZONES: Format = Format(8);
+    /// The first format whose directories state the software versions of workers.
+    pub const WORKER_VERSIONS: Format = Format(9);
+    /// The format of datagrams between nodes. Their layout only grows by variants at its end, which
+    /// receivers of builds without them drop.
+    pub const DATAGRAMS: Format = Format(8);
     /// The newest format, which processes of this build use among themselves.
-    pub const NEWEST: Format = Format(8);
+    pub const NEWEST: Format = Format(9);
 
     /// Returns the format with this byte, or `None` if this build does not support it.
     pub fn from_byte(byte: u8) -> Option<Self> {
--- a/crates/pinerill-calls/src/formats/mod.rs
+++ b/crates/pinerill-calls/src/formats/mod.rs
@@ -11,6 +11,7 @@
 mod v5;
 mod v6;
 mod v7;
+mod v8;
 
 use serde::de::DeserializeOwned;
 use serde::Serialize;
@@ -18,6 +19,7 @@
 
 use crate::compression::{compress, decompress};
 use crate::digest::Digest;
+use crate::directory::WorkerEntry;
 use crate::encoding::{decode_any, encode, encode_as, format_of, Format, MessageError};
 use crate::job::{ItemCall, NewCallJob};
 use crate::message::{CallsRequest, CallsResponse, Processes, WatchRequest};
@@ -60,6 +62,7 @@
     let what = request.purpose();
     let missing = |_| NotExpressible { format, what };
     Ok(match format.byte() {
+        8 => encode_as(format, &request),
         7 => encode_as(format, &v7::Request::try_from(request).map_err(missing)?),
         6 => encode_as(format, &v6::Request::try_from(request).map_err(missing)?),
         5 => encode_as(format, &v5::Request::try_from(request).map_err(missing)?),
@@ -94,6 +97,7 @@
     let what = "such answer";
     let missing = |_| NotExpressible { format, what };
     Ok(match format.byte() {
+        8 => v8::encode_response(response).map_err(|_| NotExpressible { format, what })?,
         7 => encode_as(format, &v7::Response::try_from(response).map_err(missing)?),
         6 => encode_as(format, &v6::Response::try_from(response).map_err(missing)?),
         5 => encode_as(format, &v5::Response::try_from(response).map_err(missing)?),
@@ -111,6 +115,7 @@
         5 => decode_any::<v5::Response>(bytes)?.into(),
         6 => decode_any::<v6::Response>(bytes)?.into(),
         7 => decode_any::<v7::Response>(bytes)?.into(),
+        8 => v8::decode_response(bytes)?,
         _ => decode_any(bytes)?,
     })
 }
@@ -134,9 +139,17 @@
     }
 }
 
-/// Computes the digest that a process of formats 5 to 7 computes for its known processes.
+/// Computes the digest that a process of formats 5 to 8 computes for its known processes.
 pub fn older_processes_digest(format: Format, processes: &Processes) -> Digest {
-    Digest::of_in_format(format, &OlderProcesses::from(processes.clone()))
+    match format < Format::ZONES {
+        true => Digest::of_in_format(format, &OlderProcesses::from(processes.clone())),
+        false => Digest::of_in_format(format, processes),
+    }
+}
+
+/// Computes the digest that a process of formats 5 to 8 computes for a directory of these workers.
+pub fn older_directory_digest(format: Format, workers: &[WorkerEntry]) -> Digest {
+    Digest::of_in_format(format, &v8::older_workers(workers))
 }
 
 /// Converts the compressed call of an item, stored or received, to a format that the reader supports. The
--- a/crates/pinerill-calls/src/formats/responses.rs
+++ b/crates/pinerill-calls/src/formats/responses.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::OlderTable;
+use super::{v8, OlderTable};
 use crate::cells::CellId;
 use crate::directory::DirectoryUpdate;
 use crate::job::ResultPage;
@@ -44,7 +44,7 @@
 #[derive(Debug)]
 pub(super) struct WatchParts<T> {
     pub(super) table: Option<T>,
-    pub(super) directory: Option<DirectoryUpdate>,
+    pub(super) directory: Option<v8::DirectoryUpdate>,
     pub(super) directory_age_ms: Option<u64>,
     pub(super) nodes: u32,
     pub(super) processes: Option<OlderProcesses>,
@@ -60,7 +60,7 @@
         let directory = response.directory.map(|packed| packed.unpack());
         Ok(WatchParts {
             table: table.map(T::from),
-            directory: directory.transpose()?,
+            directory: directory.transpose()?.map(v8::DirectoryUpdate::from),
             directory_age_ms: response.directory_age_ms,
             nodes: response.nodes,
             processes: response.processes.map(OlderProcesses::from),
@@ -70,9 +70,10 @@
     /// Converts the fields to the current type, with a single cell and without evacuations.
     pub(super) fn into_response(self) -> WatchResponse {
         let table: Option<crate::table::RouteTable> = self.table.map(T::into);
+        let directory = self.directory.map(DirectoryUpdate::from);
         WatchResponse {
             table: table.as_ref().map(Packed::new),
-            directory: self.directory.as_ref().map(Packed::new),
+            directory: directory.as_ref().map(Packed::new),
             directory_age_ms: self.directory_age_ms,
             nodes: self.nodes,
             cell: CellId { index: 0, count: 1 },
--- a/crates/pinerill-calls/src/formats/v4.rs
+++ b/crates/pinerill-calls/src/formats/v4.rs
@@ -7,10 +7,10 @@
 
 use super::requests::{OlderLease, OlderPutTable};
 use super::responses::WatchParts;
-use super::v5;
+use super::{v5, v8};
 use crate::cells::CellId;
 use crate::digest::Digest;
-use crate::directory::{Directory, DirectoryChange, DirectoryUpdate, WorkerEntry};
+use crate::directory::{Directory, DirectoryChange, DirectoryUpdate};
 use crate::job::{CallJobId, ItemReport, NewCallJob, ResultPage};
 use crate::message::{
     CallsRequest, CallsResponse, ControlAddress, JoinRequest, JoinResponse, KnownLeader,
@@ -91,7 +91,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 struct RevisedDirectory {
     revision: u64,
-    workers: Vec<WorkerEntry>,
+    workers: Vec<v8::WorkerEntry>,
 }
 
 /// The counterpart of [`ControlAddress`], without the membership flag.
@@ -286,7 +286,7 @@
         let table: Option<RouteTable> = response.table.map(v5::Table::into);
         let directory = response
             .directory
-            .map(|positioned| Directory::new(positioned.directory.workers));
+            .map(|positioned| Directory::new(v8::into_entries(positioned.directory.workers)));
         let update = directory.map(|directory| DirectoryUpdate {
             digest: directory.digest(),
             change: DirectoryChange::Whole(directory.workers().to_vec()),
@@ -333,12 +333,12 @@
     }
 }
 
-impl TryFrom<DirectoryUpdate> for PositionedDirectory {
+impl TryFrom<v8::DirectoryUpdate> for PositionedDirectory {
     /// The update is a difference and not a whole directory.
     type Error = ();
 
-    fn try_from(update: DirectoryUpdate) -> Result<Self, ()> {
-        let DirectoryChange::Whole(workers) = update.change else {
+    fn try_from(update: v8::DirectoryUpdate) -> Result<Self, ()> {
+        let v8::DirectoryChange::Whole(workers) = update.change else {
             return Err(());
         };
         let position = DirectoryPosition::from_digest(update.digest);
--- a/crates/pinerill-calls/src/formats/v6.rs
+++ b/crates/pinerill-calls/src/formats/v6.rs
@@ -5,8 +5,7 @@
 
 use super::responses::{OlderProcesses, WatchParts};
 use super::v7::{self, TableRoute, TableTenant};
-use super::{OlderRequest, OlderResponse, OlderTable};
-use crate::directory::DirectoryUpdate;
+use super::{v8, OlderRequest, OlderResponse, OlderTable};
 use crate::message::WatchResponse;
 use crate::packed::UnpackError;
 use crate::table::{RequestLimits, RouteTable};
@@ -40,7 +39,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct OlderWatchResponse<T> {
     table: Option<T>,
-    directory: Option<DirectoryUpdate>,
+    directory: Option<v8::DirectoryUpdate>,
     nodes: u32,
     processes: Option<OlderProcesses>,
 }
--- a/crates/pinerill-calls/src/formats/v7.rs
+++ b/crates/pinerill-calls/src/formats/v7.rs
@@ -6,8 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::responses::{OlderProcesses, WatchParts};
-use super::{OlderRequest, OlderResponse, OlderTable};
-use crate::directory::DirectoryUpdate;
+use super::{v8, OlderRequest, OlderResponse, OlderTable};
 use crate::message::WatchResponse;
 use crate::packed::UnpackError;
 use crate::table::{
@@ -71,7 +70,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct OlderWatchResponse {
     table: Option<Table>,
-    directory: Option<DirectoryUpdate>,
+    directory: Option<v8::DirectoryUpdate>,
     directory_age_ms: Option<u64>,
     nodes: u32,
     processes: Option<OlderProcesses>,
--- a/crates/pinerill-calls/src/packed.rs
+++ b/crates/pinerill-calls/src/packed.rs
@@ -8,7 +8,7 @@
 use thiserror::Error;
 
 use crate::compression::{compress, decompress, DecompressError};
-use crate::encoding::{decode, encode, MessageError};
+use crate::encoding::{decode_as, encode_as, Format, MessageError};
 
 /// A value of type `T` in its encoded and compressed form.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,8 +32,13 @@
 impl<T: Serialize> Packed<T> {
     /// Encodes a value in the newest format and compresses it.
     pub fn new(value: &T) -> Self {
+        Self::in_format(Format::NEWEST, value)
+    }
+
+    /// Encodes a value whose type has the layout of the given format, and compresses it.
+    pub fn in_format(format: Format, value: &T) -> Self {
         Packed {
-            bytes: compress(&encode(value)),
+            bytes: compress(&encode_as(format, value)),
             value_type: PhantomData,
         }
     }
@@ -45,7 +50,15 @@
     /// # Errors
     /// [`UnpackError`] if the bytes are not a packed value of type `T`.
     pub fn unpack(&self) -> Result<T, UnpackError> {
-        Ok(decode(&decompress(&self.bytes)?)?)
+        self.unpack_from(Format::NEWEST)
+    }
+
+    /// Restores a value that was packed in the given format.
+    ///
+    /// # Errors
+    /// [`UnpackError`] if the bytes are not a packed value of type `T` in that format.
+    pub fn unpack_from(&self, format: Format) -> Result<T, UnpackError> {
+        Ok(decode_as(format, &decompress(&self.bytes)?)?)
     }
 }
 
--- a/crates/pinerill-calls/src/protocol/caller.rs
+++ b/crates/pinerill-calls/src/protocol/caller.rs
@@ -86,6 +86,9 @@
     /// Identifier of the last event that the caller has received, after which a resumed stream
     /// continues; `None` for a new call.
     pub resume_after: Option<u64>,
+    /// Identifier of the caller's attempt that brought the first event of the stream that this call
+    /// continues; `None` if the caller names none.
+    pub resumes: Option<String>,
     /// Name of the requested model; `None` if the caller names no model.
     pub model: Option<String>,
     /// Parts of the prompt in order. Other calls may share all of them but the last one.
--- a/crates/pinerill-calls/tests/cells.rs
+++ b/crates/pinerill-calls/tests/cells.rs
@@ -14,6 +14,7 @@
         slots: 8,
         state: WorkerState::Ready,
         cold_left_ms: 0,
+        version: None,
     };
     numbers.map(entry).collect()
 }
--- a/crates/pinerill-calls/tests/directory.rs
+++ b/crates/pinerill-calls/tests/directory.rs
@@ -21,6 +21,7 @@
         slots,
         state: WorkerState::Ready,
         cold_left_ms: 0,
+        version: None,
     }
 }
 
--- a/crates/pinerill-cluster/examples/leader_rates.rs
+++ b/crates/pinerill-cluster/examples/leader_rates.rs
@@ -23,6 +23,7 @@
         slots: 8,
         state: WorkerState::Ready,
         cold_left_ms: 0,
+        version: None,
     }
 }
 
--- a/crates/pinerill-cluster/src/machine/formats.rs
+++ b/crates/pinerill-cluster/src/machine/formats.rs
@@ -1,11 +1,11 @@
 //! Reads and writes commands and snapshots in every format that this build supports.
 //!
 //! Formats up to 7 differ only in their route tables. Format 8 adds the commands that evacuate
-//! and return zones.
+//! and return zones; commands and snapshots of format 9 have the same layout.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use pinerill_calls::encoding::{decode_any, encode, encode_as, format_of, Format, MessageError};
+use pinerill_calls::encoding::{decode_any, encode_as, format_of, Format, MessageError};
 use pinerill_calls::evacuation::Evacuations;
 use pinerill_calls::formats::{
     NotExpressible, OlderPutTable, OlderTable, TableV5, TableV6, TableV7,
@@ -41,7 +41,7 @@
         4 | 5 => write_older::<TableV5>(command, format),
         6 => write_older::<TableV6>(command, format),
         7 => write_older::<TableV7>(command, format),
-        _ => Ok(encode(&command)),
+        _ => Ok(encode_as(format, &command)),
     }
 }
 
@@ -68,7 +68,7 @@
         4 | 5 => encode_as(format, &MachineView::<TableV5>::from_machine(machine)),
         6 => encode_as(format, &MachineView::<TableV6>::from_machine(machine)),
         7 => encode_as(format, &MachineView::<TableV7>::from_machine(machine)),
-        _ => encode(machine),
+        _ => encode_as(format, machine),
     }
 }
 
--- a/crates/pinerill-cluster/src/server/older_builds.rs
+++ b/crates/pinerill-cluster/src/server/older_builds.rs
@@ -18,7 +18,7 @@
 /// each format, and nodes name the digest of the current directory or of one of the few before it.
 const MAX_OLDER_DIGESTS: usize = 32;
 
-/// Evacuation revision that is put into the watches of older builds, which don't support
+/// Evacuation revision that is put into the watches of builds that don't support
 /// evacuations. No revision is newer, so the response contains none.
 const MAX_EVACUATION_REVISION: u64 = u64::MAX;
 
@@ -63,7 +63,7 @@
             CallsRequest::Watch(watch) if format != Format::NEWEST => {
                 self.watch_older_build(format, watch).await
             }
-            CallsRequest::LeaseItems(mut lease) if format != Format::NEWEST => {
+            CallsRequest::LeaseItems(mut lease) if format < Format::ZONES => {
                 // Older builds send their zone only in the handshake.
                 lease.zone = zone.to_owned();
                 self.lease_items(lease).await
@@ -94,7 +94,9 @@
         let named_by_digest = format >= Format::DIGESTS;
         let mut watch = request;
         watch.processes = None;
-        watch.evacuations = Some(MAX_EVACUATION_REVISION);
+        if format < Format::ZONES {
+            watch.evacuations = Some(MAX_EVACUATION_REVISION);
+        }
         if let (true, Some(older)) = (named_by_digest, watch.directory) {
             watch.directory = self.older_digests.lock().current_digest(older);
         }
--- a/crates/pinerill-cluster/src/server/upgrade.rs
+++ b/crates/pinerill-cluster/src/server/upgrade.rs
@@ -84,10 +84,11 @@
             let ripe = formats.is_upgrade_due(now_ms, &lagging);
             (lagging, ripe)
         })?;
-        let needed = matches!(
+        let orders_zones = matches!(
             stamped.command,
             Command::EvacuateZone(_) | Command::ReturnZone(_)
         );
+        let needed = orders_zones && in_force < Format::ZONES;
         if needed && !lagging.is_empty() {
             let names = lagging.iter().map(|replica| known[replica].name.as_str());
             let names: Vec<&str> = names.collect();
--- a/crates/pinerill-forward/src/call/record.rs
+++ b/crates/pinerill-forward/src/call/record.rs
@@ -63,6 +63,10 @@
     route: String,
     kind: &'static str,
     table_version: u64,
+    /// Identifier of the attempt that the caller continues; empty if it names none.
+    resumes: String,
+    /// Last event that the caller has; `None` for a new call.
+    resume_after: Option<u64>,
     arrived: BootTime,
     /// Text that lists each attempt with its start, its worker, the basis of the choice and the
     /// failure, if any.
@@ -86,6 +90,8 @@
             route: call.route.name.clone(),
             kind: call.route.kind.name(),
             table_version: call.table_version,
+            resumes: call.head.resumes.clone().unwrap_or_default(),
+            resume_after: call.head.resume_after,
             arrived: call.arrived,
             attempts: String::new(),
             waited: Duration::ZERO,
@@ -105,9 +111,10 @@
         let at = self.elapsed_ms();
         self.placed.get_or_insert_with(BootTime::now);
         // Writing to a `String` can't fail.
+        let version = chosen.entry.version.as_deref().unwrap_or("unknown version");
         let _ = write!(
             self.attempts,
-            "{at} ms {} ({})",
+            "{at} ms {} {version} ({})",
             chosen.entry.id, chosen.basis
         );
     }
@@ -171,7 +178,8 @@
             .map(|at| at.duration_since(self.arrived).as_millis() as u64);
         log::info!(
             event = self.outcome.event(), id = self.id.as_str(), route = self.route.as_str(),
-            table = self.table_version, directory_age_ms = self.node.directory_age_ms(),
+            table = self.table_version, resumes = self.resumes.as_str(),
+            resume_after:? = self.resume_after, directory_age_ms = self.node.directory_age_ms(),
             attempts = self.attempts.as_str(),
             waited_ms = self.waited.as_millis() as u64, first_ms:? = first_ms, events = self.events,
             ms = taken.as_millis() as u64, reason = self.outcome.reason().as_str(); ""
--- a/crates/pinerill-forward/src/cluster/mod.rs
+++ b/crates/pinerill-forward/src/cluster/mod.rs
@@ -2,10 +2,12 @@
 //! route table, the worker directory and the addresses of other processes.
 
 mod client;
+mod directory_kind;
 pub mod list_pace;
 mod older_leader;
 mod watch;
 
 pub use client::{Answered, CallFailure, ClusterClient};
+pub(crate) use directory_kind::DirectoryKind;
 pub use older_leader::OlderLeader;
 pub(crate) use watch::follow_leader;
--- a/crates/pinerill-forward/src/cluster/watch.rs
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -2,7 +2,8 @@
 //! the leader.
 //!
 //! The node reads the platform's worker list itself, at a limited rate, while no control machine
-//! answers or while the leader is of an older build that does not send the age of its directory.
+//! answers or while the leader is of an older build that does not send the age of its directory or
+//! the software versions of workers.
 
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -16,7 +17,7 @@
 };
 use pinerill_calls::evacuation::Evacuations;
 use pinerill_calls::message::{
-    CallsRequest, CallsResponse, Format, Processes, WatchRequest, WatchResponse,
+    CallsRequest, CallsResponse, Processes, WatchRequest, WatchResponse,
 };
 use pinerill_calls::packed::Packed;
 use pinerill_calls::protocol::WorkerListProtocol;
@@ -24,6 +25,7 @@
 use pinerill_process::clock::BootTime;
 use tokio::time::sleep;
 
+use super::directory_kind::DirectoryKind;
 use super::list_pace::{first_undated_pause, pause_after_failures, reading_pause, undated_pause};
 use crate::crash::broken_runs::CrashEvidence;
 use crate::fleet::RemovedWorker;
@@ -85,8 +87,9 @@
             Ok(answered) => {
                 if let CallsResponse::Watch(response) = answered.response {
                     reachability.record_answer(&node);
-                    let is_dated = answered.format >= Format::DIRECTORY_AGE;
-                    apply_watch_response(&node, answered.sent_at, is_dated, *response, &mut state);
+                    let directory_kind = DirectoryKind::of_format(answered.format);
+                    let sent_at = answered.sent_at;
+                    apply_watch_response(&node, sent_at, directory_kind, *response, &mut state);
                     node.waking.record_refresh(answered.sent_at);
                 }
                 continue;
@@ -154,12 +157,12 @@
     cell: Option<CellId>,
 }
 
-/// Applies a watch response. `is_dated` is whether the leader's build sends the age of its
+/// Applies a watch response. `directory_kind` is what the leader's build states about its
 /// directory.
 fn apply_watch_response(
     node: &Node,
     sent_at: BootTime,
-    is_dated: bool,
+    directory_kind: DirectoryKind,
     response: WatchResponse,
     state: &mut WatchState,
 ) {
@@ -179,7 +182,8 @@
     if let Some(evacuations) = response.evacuations {
         apply_evacuations(node, evacuations);
     }
-    record_directory_dated(node, is_dated);
+    record_directory_kind(node, directory_kind);
+    let is_dated = directory_kind != DirectoryKind::Undated;
     if is_dated && state.directory_ignored {
         // The next watch requests the full directory.
         state.directory = None;
@@ -203,10 +207,12 @@
     }
 }
 
-fn record_directory_dated(node: &Node, is_dated: bool) {
-    if node.known_state.undated.swap(!is_dated, Ordering::Relaxed) == is_dated {
-        log::info!(event = "directory_dated", dated = is_dated; "");
-        node.known_state.undated_changed.notify_one();
+fn record_directory_kind(node: &Node, directory_kind: DirectoryKind) {
+    let known_state = &node.known_state;
+    let earlier = std::mem::replace(&mut *known_state.directory_kind.lock(), directory_kind);
+    if earlier != directory_kind {
+        log::info!(event = "directory_kind", kind:? = directory_kind; "");
+        known_state.directory_kind_changed.notify_one();
     }
 }
 
@@ -371,15 +377,15 @@
     loop {
         let nodes = node.known_state.nodes.load(Ordering::Relaxed);
         let rate = node.settings.worker_list_calls_per_s;
-        let pause = match node.known_state.undated.load(Ordering::Relaxed) {
-            true => undated_pause(nodes, pages, rate, rand::random()),
-            false => reading_pause(nodes, pages, rate, rand::random()),
+        let pause = match *node.known_state.directory_kind.lock() {
+            DirectoryKind::Undated => undated_pause(nodes, pages, rate, rand::random()),
+            _ => reading_pause(nodes, pages, rate, rand::random()),
         };
         let paused = sleep(pause_after_failures(pause, failures));
         tokio::select! {
             () = paused => {}
-            // Without dated directories, the state of workers is unknown until the first read.
-            () = node.known_state.undated_changed.notified() => {
+            // What the leader's directory lacks is unknown until the first read.
+            () = node.known_state.directory_kind_changed.notified() => {
                 sleep(first_undated_pause(nodes, pages, rate, rand::random())).await;
             }
         }
@@ -390,8 +396,9 @@
         let silent_ms = node.now_ms().saturating_sub(last_answer_ms);
         // Without a route table no call can be sent, so the node does not need workers yet. When
         // all processes have just started, this leaves the list to the leader.
-        let undated = node.known_state.undated.load(Ordering::Relaxed);
-        let is_needed = undated || Duration::from_millis(silent_ms) >= LIST_READ_DELAY;
+        let directory_kind = *node.known_state.directory_kind.lock();
+        let leader_is_silent = Duration::from_millis(silent_ms) >= LIST_READ_DELAY;
+        let is_needed = leader_is_silent || directory_kind != DirectoryKind::Complete;
         if !is_needed || node.table().is_none() {
             continue;
         }
@@ -406,6 +413,10 @@
                         first_reason:? = reading.skipped.first_reason; ""
                     );
                 }
+                if directory_kind == DirectoryKind::Unversioned && !leader_is_silent {
+                    node.with_fleet(|fleet, _| fleet.learn_versions(&reading.workers));
+                    continue;
+                }
                 apply_listing(&node, started, reading);
                 node.known_state
                     .needs_full_update
--- a/crates/pinerill-forward/src/fleet/mod.rs
+++ b/crates/pinerill-forward/src/fleet/mod.rs
@@ -185,6 +185,17 @@
         Some(removed)
     }
 
+    /// Records the software versions that a listing states for workers whose version is not known.
+    /// An incarnation keeps its version, so that an older listing is as good as a newer one.
+    pub fn learn_versions(&mut self, entries: &[WorkerEntry]) {
+        for entry in entries {
+            let worker = self.workers.get_mut(&entry.id);
+            if let (Some(worker), Some(version)) = (worker, &entry.version) {
+                worker.learn_version(version);
+            }
+        }
+    }
+
     /// Records that the directory matches the platform list as of `listed_ms` or later.
     pub fn confirm_directory(&mut self, listed_ms: i64) {
         self.listed_ms = self.listed_ms.max(Some(listed_ms));
--- a/crates/pinerill-forward/src/fleet/worker.rs
+++ b/crates/pinerill-forward/src/fleet/worker.rs
@@ -115,18 +115,29 @@
     }
 
     /// Replaces the directory entry. A worker that was seen draining stays draining under the same
-    /// identifier.
+    /// identifier, and keeps its software version if the new entry does not state one.
     pub(super) fn update_entry(&mut self, now_ms: u64, entry: &WorkerEntry) {
         self.extend_cold_period(now_ms, entry.cold_left_ms);
         let is_draining = self.entry.state == WorkerState::Draining;
         if *self.entry != *entry {
-            self.entry = Arc::new(entry.clone());
+            let mut entry = entry.clone();
+            entry.version = entry.version.or_else(|| self.entry.version.clone());
+            self.entry = Arc::new(entry);
         }
         if is_draining {
             self.mark_draining();
         }
     }
 
+    /// Records the software version of the worker if it is not known yet.
+    pub(super) fn learn_version(&mut self, version: &str) {
+        if self.entry.version.is_none() {
+            let mut entry = WorkerEntry::clone(&self.entry);
+            entry.version = Some(version.to_owned());
+            self.entry = Arc::new(entry);
+        }
+    }
+
     pub(super) fn mark_draining(&mut self) {
         if self.entry.state != WorkerState::Draining {
             let mut entry = WorkerEntry::clone(&self.entry);
--- a/crates/pinerill-forward/src/monitoring.rs
+++ b/crates/pinerill-forward/src/monitoring.rs
@@ -13,6 +13,7 @@
 };
 use tokio::sync::Notify;
 
+use crate::cluster::DirectoryKind;
 use crate::node::Node;
 
 /// Bucket bounds of latency histograms in seconds, from a fast first event to the longest time
@@ -71,10 +72,10 @@
     /// Whether the node must request the full state from the leader, because a source other than
     /// the leader has changed the known workers or control machines, or the machine was suspended.
     pub(crate) needs_full_update: AtomicBool,
-    /// Whether the leader's responses lack the age of its directory, as those of older builds do.
-    pub(crate) undated: AtomicBool,
-    /// Notified when `undated` changes.
-    pub(crate) undated_changed: Notify,
+    /// What the leader's directories state; those of older builds lack something.
+    pub(crate) directory_kind: Mutex<DirectoryKind>,
+    /// Notified when `directory_kind` changes.
+    pub(crate) directory_kind_changed: Notify,
 }
 
 impl Metrics {
--- a/crates/pinerill-forward/src/peers/mod.rs
+++ b/crates/pinerill-forward/src/peers/mod.rs
@@ -39,7 +39,8 @@
 use std::net::SocketAddr;
 
 use parking_lot::RwLock;
-use pinerill_calls::message::{encode, Processes};
+use pinerill_calls::encoding::{encode_as, Format};
+use pinerill_calls::message::Processes;
 use pinerill_calls::traffic::{Reach, Traffic};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -169,7 +170,7 @@
     }
 
     fn send(&self, message: &PeerMessage, reach: Reach, to: impl IntoIterator<Item = SocketAddr>) {
-        let datagram = encode(message);
+        let datagram = encode_as(Format::DATAGRAMS, message);
         let mut sent = 0;
         for address in to {
             // The datagram is dropped if the socket's buffer is full, as the network may do too.
--- a/crates/pinerill-forward/src/peers/receive.rs
+++ b/crates/pinerill-forward/src/peers/receive.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use pinerill_calls::message::decode;
+use pinerill_calls::encoding::{decode_as, Format};
 
 use super::message::{PeerMessage, DATAGRAM_BYTES};
 use crate::fleet::{ReportOrder, WorkerCount};
@@ -25,7 +25,7 @@
         if !from_zone && !from_relay && !from_bridge {
             continue;
         }
-        match decode::<PeerMessage>(&datagram[..length]) {
+        match decode_as::<PeerMessage>(Format::DATAGRAMS, &datagram[..length]) {
             Ok(message @ (PeerMessage::ZoneInFlight { .. } | PeerMessage::ZoneTenants { .. }))
                 if from_relay =>
             {
--- a/crates/pinerill-forward/tests/fleet.rs
+++ b/crates/pinerill-forward/tests/fleet.rs
@@ -23,6 +23,7 @@
         slots: 4,
         state: WorkerState::Ready,
         cold_left_ms: 0,
+        version: None,
     }
 }
 
--- a/crates/pinerill-forward/tests/leave_notice.rs
+++ b/crates/pinerill-forward/tests/leave_notice.rs
@@ -115,6 +115,7 @@
             slots: 4,
             state,
             cold_left_ms: 0,
+            version: None,
         }]
     }
 
--- a/crates/pinerill-forward/tests/pace_play.rs
+++ b/crates/pinerill-forward/tests/pace_play.rs
@@ -93,6 +93,7 @@
         slots: SLOTS,
         state: WorkerState::Ready,
         cold_left_ms: 0,
+        version: None,
     }
 }
 
--- a/crates/pinerill-forward/tests/restarted_worker.rs
+++ b/crates/pinerill-forward/tests/restarted_worker.rs
@@ -28,6 +28,7 @@
         slots: 4,
         state: WorkerState::Ready,
         cold_left_ms: 0,
+        version: None,
     }
 }
 
--- a/crates/pinerill-forward/tests/sharing_cost.rs
+++ b/crates/pinerill-forward/tests/sharing_cost.rs
@@ -117,6 +117,7 @@
             slots: 4,
             state: WorkerState::Ready,
             cold_left_ms: 0,
+            version: None,
         })
         .collect();
     let mut fleet = Fleet::new("za", ChoiceSettings::default());
--- a/crates/pinerill-forward/tests/support/mod.rs
+++ b/crates/pinerill-forward/tests/support/mod.rs
@@ -20,6 +20,7 @@
         slots: 4,
         state: WorkerState::Ready,
         cold_left_ms: 0,
+        version: None,
     }
 }
 
