--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -22,8 +22,8 @@
 use super::running::{prepare, ActiveItem};
 use super::runs::ItemRun;
 use crate::crash::Run as WorkerRun;
-use crate::exchange::{BreakReason, EventScanner, Exchange, StartedAnswer};
-use crate::fleet::{ItemTime, PlacementRequest};
+use crate::exchange::{BreakReason, EventScanner, EventText, Exchange, StartedAnswer};
+use crate::fleet::{ItemTime, PlacementRequest, RequiredSoftware, WorkerSoftware};
 use crate::gaps::GapMeter;
 use crate::node::{Node, OccupiedSlot};
 
@@ -200,7 +200,7 @@
         Verdict::Accepted if sent.head.status == StatusCode::OK => {
             let began = BootTime::now();
             let pace = node.with_fleet(|fleet, _| fleet.pace_of(&chosen));
-            let registered = register_run(node, running, pace);
+            let registered = register_run(node, running, run.software(), pace);
             let exchange = sent.exchange;
             let read = read_events(running, held, exchange, slot, &mut run, registered).await;
             running.time_run += began.elapsed().div_f64(pace);
@@ -256,11 +256,13 @@
 ) -> Option<OccupiedSlot> {
     let began = BootTime::now();
     while running.last_event.is_some() || began.elapsed() < SLOT_WAIT_TIMEOUT {
+        begin_again_if_software_gone(node, running);
         if held.is_renewed() && !node.has_waiting_calls() {
             let wanted = PlacementRequest {
                 service: &running.service,
                 prompt: &running.prompt,
                 except: &running.avoid,
+                software: running.software,
                 runs_once: false,
                 homes: &running.homes,
             };
@@ -274,6 +276,24 @@
     None
 }
 
+/// Makes an item begin again if no worker is left that may continue its text. Its text is not
+/// completed by another software version.
+fn begin_again_if_software_gone(node: &Node, running: &mut ActiveItem) {
+    let lacking =
+        node.with_fleet(|fleet, _| fleet.lacks_software(&running.service, running.software));
+    if !lacking {
+        return;
+    }
+    log::info!(
+        event = "item_begins_again", id = running.leased.id.as_str(), last:? = running.last_event;
+        "no worker has the software version of its text"
+    );
+    running.text = EventText::default();
+    running.last_event = None;
+    running.software = RequiredSoftware::Any;
+    running.time_run = Duration::ZERO;
+}
+
 /// Returns the remaining run time of an item and the time until it is due; `None` before a first item
 /// has completed on this node.
 fn item_time(node: &Node, running: &ActiveItem) -> Option<ItemTime> {
@@ -388,6 +408,9 @@
         if batch.count > 0 {
             running.text.append(&batch.bytes);
             running.last_event = scanner.last();
+            if !running.software.is_bound() {
+                running.software = RequiredSoftware::SameAs(worker_run.origin());
+            }
             worker_run.record_event(running.last_event);
             let gap = meter.record_events(BootTime::now(), batch.count, suspensions());
             node.record_gap(slot.worker(), gap);
@@ -405,9 +428,10 @@
     Ok(ReadEnd::Complete)
 }
 
-fn register_run(node: &Node, running: &ActiveItem, pace: f64) -> ItemRun {
+fn register_run(node: &Node, running: &ActiveItem, software: WorkerSoftware, pace: f64) -> ItemRun {
     node.runs.begin(RunningItem {
         service: running.service.clone(),
+        software,
         due_ms: running.due_ms,
         began_ms: node.now_ms(),
         ran_ms: running.time_run.as_secs_f64() * 1_000.0,
--- a/crates/pinerill-forward/src/batch/preemption.rs
+++ b/crates/pinerill-forward/src/batch/preemption.rs
@@ -12,6 +12,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::fleet::{RequiredSoftware, WorkerSoftware};
 use crate::run_time::RunTime;
 
 /// Assumed run time of an item, as a share of the time from its lease to its due time, until a
@@ -30,6 +31,8 @@
 pub struct RunningItem {
     /// Service whose slot the item occupies.
     pub service: String,
+    /// Software of the worker.
+    pub software: WorkerSoftware,
     /// Due time of the result in milliseconds on the node's clock; may be in the past.
     pub due_ms: i64,
     /// Start of this run in milliseconds on the node's clock.
@@ -124,6 +127,17 @@
     /// most one run per call. Returns no run within `PREEMPTION_COOLDOWN_MS` of the service's last
     /// preemption.
     pub fn preempt(&mut self, now_ms: u64, service: &str, calls: usize) -> Vec<RunId> {
+        self.preempt_at(now_ms, service, RequiredSoftware::Any, calls)
+    }
+
+    /// Like [`Preemption::preempt`], for calls that wait for a worker with this software.
+    pub fn preempt_at(
+        &mut self,
+        now_ms: u64,
+        service: &str,
+        software: RequiredSoftware,
+        calls: usize,
+    ) -> Vec<RunId> {
         let last_ms = self.last_preemption_ms.get(service);
         if calls == 0 || last_ms.is_some_and(|at| now_ms < at + PREEMPTION_COOLDOWN_MS) {
             return Vec::new();
@@ -131,7 +145,7 @@
         let of_service = self
             .running
             .iter()
-            .filter(|(_, item)| item.service == service);
+            .filter(|(_, item)| item.service == service && software.allows(&item.software));
         let mut order: Vec<(f64, RunId)> = of_service
             .filter_map(|(run, item)| Some((self.preemption_score(now_ms, item)?, *run)))
             .collect();
--- a/crates/pinerill-forward/src/batch/running.rs
+++ b/crates/pinerill-forward/src/batch/running.rs
@@ -15,7 +15,7 @@
 
 use crate::crash::{RequestIdentity, Requester};
 use crate::exchange::{EventText, WorkerRequest};
-use crate::fleet::Prompt;
+use crate::fleet::{Prompt, RequiredSoftware};
 use crate::node::Node;
 
 /// Time limit for fetching an item's call.
@@ -35,6 +35,8 @@
     pub(super) text: EventText,
     /// Number of the last event received; None before the first.
     pub(super) last_event: Option<u64>,
+    /// Software that may continue the text; any while no event has arrived.
+    pub(super) software: RequiredSoftware,
     /// Workers that the next attempt avoids: that of the last broken attempt, and those that
     /// responded without a result since. Empty once no other worker is available.
     pub(super) avoid: Vec<WorkerId>,
@@ -93,6 +95,7 @@
         leased,
         text: EventText::default(),
         last_event: None,
+        software: RequiredSoftware::Any,
         avoid: Vec::new(),
         attempts: 0,
         without_result: 0,
--- a/crates/pinerill-forward/src/batch/runs.rs
+++ b/crates/pinerill-forward/src/batch/runs.rs
@@ -8,6 +8,8 @@
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
+use crate::fleet::RequiredSoftware;
+
 use super::preemption::{Preemption, RunId, RunningItem};
 
 /// Minimum interval, in milliseconds, between two log lines about a preemption that freed no slot.
@@ -66,10 +68,19 @@
         }
     }
 
-    /// Preempts up to `calls` runs for calls that wait for a slot of `service`.
-    pub(crate) fn preempt(&self, now_ms: u64, service: &str, calls: usize) {
+    /// Preempts up to `calls` runs for calls that wait for a slot of `service` at a worker with this
+    /// software.
+    pub(crate) fn preempt(
+        &self,
+        now_ms: u64,
+        service: &str,
+        software: RequiredSoftware,
+        calls: usize,
+    ) {
         let mut state = self.state.lock();
-        let ended = state.preemption.preempt(now_ms, service, calls);
+        let ended = state
+            .preemption
+            .preempt_at(now_ms, service, software, calls);
         for run in &ended {
             if let Some(stop_sender) = state.stop_senders.remove(run) {
                 // Sending fails only if the run has just ended by itself.
--- a/crates/pinerill-forward/src/call/attempt.rs
+++ b/crates/pinerill-forward/src/call/attempt.rs
@@ -11,8 +11,9 @@
 use super::decision::AttemptEnd;
 use super::{Call, CallRecord};
 use crate::crash::Run;
-use crate::dispatch::{Placed, Unplaced};
+use crate::dispatch::{Placed, Unplaced, WantedWorker};
 use crate::exchange::{BreakReason, Exchange, SendFailure, StartedAnswer};
+use crate::fleet::RequiredSoftware;
 use crate::node::{Node, OccupiedSlot};
 
 /// Delay before the next attempt when no worker is available.
@@ -25,6 +26,8 @@
     failed: Vec<WorkerId>,
     /// Whether an attempt was already made at some worker.
     sent: bool,
+    /// Software that the worker of the next attempt must run.
+    software: RequiredSoftware,
 }
 
 /// An attempt whose response head has arrived.
@@ -39,6 +42,19 @@
 }
 
 impl Attempts {
+    /// Returns the state of a call that has not been sent and whose worker must run this software.
+    pub fn requiring(software: RequiredSoftware) -> Self {
+        Attempts {
+            software,
+            ..Attempts::default()
+        }
+    }
+
+    /// Requires that further attempts go to workers with this software.
+    pub fn require_software(&mut self, software: RequiredSoftware) {
+        self.software = software;
+    }
+
     /// Waits for a free slot at a worker and sends the call there. `resume_after` is the id of the
     /// event after which the response should continue. `answer_timeout` limits the wait for the
     /// response head; without it, the call's deadline applies alone.
@@ -142,12 +158,19 @@
     ) -> Result<Placed, AttemptEnd> {
         let began = BootTime::now();
         let fresh = !self.sent;
-        let placed = node.dispatcher.place(node, call, &self.failed, fresh).await;
+        let wanted = WantedWorker {
+            except: &self.failed,
+            software: self.software,
+        };
+        let placed = node.dispatcher.place(node, call, wanted, fresh).await;
         record.add_wait(began.elapsed());
         match placed {
             Ok(placed) => Ok(placed),
             Err(Unplaced::Rejected { retry_after }) => Err(AttemptEnd::Rejected { retry_after }),
             Err(Unplaced::OutOfTime) => Err(AttemptEnd::NotRun),
+            Err(Unplaced::NoWorker) if self.is_software_gone(node, call) => {
+                Err(AttemptEnd::SoftwareGone)
+            }
             Err(Unplaced::NoWorker) => {
                 sleep(NO_WORKER_RETRY_DELAY.min(call.remaining())).await;
                 Err(AttemptEnd::NotRun)
@@ -155,6 +178,12 @@
         }
     }
 
+    /// Returns whether only workers of other software are left, apart from those that have failed.
+    /// A service without any worker may just not be known yet.
+    fn is_software_gone(&self, node: &Node, call: &Call) -> bool {
+        self.software.is_bound() && node.with_fleet(|fleet, _| fleet.has_candidates(&call.service))
+    }
+
     fn handle_send_failure(
         &mut self,
         node: &Node,
--- a/crates/pinerill-forward/src/call/decision.rs
+++ b/crates/pinerill-forward/src/call/decision.rs
@@ -21,6 +21,9 @@
         /// Time after which the caller should retry.
         retry_after: Duration,
     },
+    /// The call continues a stream, and its service has no worker of the software version that
+    /// began it; nothing was sent.
+    SoftwareGone,
     /// The call is known to crash the workers that run it; nothing was sent.
     CrashesWorkers,
     /// The worker may have run the call: it broke off, did not respond in time or sent an invalid
@@ -71,6 +74,9 @@
         if end == AttemptEnd::CrashesWorkers {
             return Next::Refuse(Refusal::CrashesWorkers);
         }
+        if end == AttemptEnd::SoftwareGone {
+            return Next::Refuse(self.software_refusal());
+        }
         if end == AttemptEnd::MayHaveRun {
             self.may_have_run = true;
             self.runs_left = self.runs_left.saturating_sub(1);
@@ -115,6 +121,18 @@
         }
     }
 
+    /// Returns the refusal for a stream that no worker can continue. The caller is not told to come
+    /// again, since workers of an older version don't return.
+    fn software_refusal(self) -> Refusal {
+        if self.may_have_run {
+            return self.refusal();
+        }
+        Refusal::NotRun {
+            reason: "no worker has the software version that began the stream",
+            retry_after: None,
+        }
+    }
+
     /// Returns the refusal for a call whose deadline is reached.
     pub fn timeout_refusal(&self) -> Refusal {
         if self.may_have_run {
--- a/crates/pinerill-forward/src/call/online.rs
+++ b/crates/pinerill-forward/src/call/online.rs
@@ -22,10 +22,17 @@
 ///
 /// # Errors
 /// Returns the refusal for the caller if no attempt gave a response.
-pub async fn run_call(node: Arc<Node>, call: Call) -> Result<Response<AnswerBody>, Refusal> {
+pub async fn run_call(node: Arc<Node>, mut call: Call) -> Result<Response<AnswerBody>, Refusal> {
     let mut record = CallRecord::begin(&node, &call);
+    let required = match node.required_software(&call).await {
+        Ok(required) => call.follow_origin(required),
+        Err(refusal) => {
+            record.set_outcome(CallOutcome::Refused(refusal.clone()));
+            return Err(refusal);
+        }
+    };
     let mut progress = CallProgress::new(call.route.kind, call.route.attempts);
-    let mut attempts = Attempts::default();
+    let mut attempts = Attempts::requiring(required);
     loop {
         let may_fail_over = progress.may_fail_over();
         let answer_timeout = may_fail_over.then(|| call.first_event_timeout());
--- a/crates/pinerill-forward/src/call/relay.rs
+++ b/crates/pinerill-forward/src/call/relay.rs
@@ -22,6 +22,7 @@
 use super::{Call, CallOutcome, CallRecord};
 use crate::crash::Run;
 use crate::exchange::{BreakReason, EventScanner, Exchange};
+use crate::fleet::{RequiredSoftware, StreamOrigin};
 use crate::gaps::GapMeter;
 use crate::node::{Node, OccupiedSlot};
 
@@ -45,6 +46,8 @@
     progress: CallProgress,
     attempts: Attempts,
     record: CallRecord,
+    /// Whether the origin of the stream is recorded for later resumptions.
+    is_origin_recorded: bool,
     ended: bool,
 }
 
@@ -74,6 +77,7 @@
             progress,
             attempts,
             record,
+            is_origin_recorded: false,
             ended: false,
         }
     }
@@ -132,11 +136,25 @@
                 let gap = (self.meter).record_events(BootTime::now(), batch.count, suspensions());
                 self.node.record_gap(running.slot.worker(), gap);
                 self.record.add_events(batch.count);
+                let origin = running.run.origin();
+                self.bind_to(origin);
                 return Ok(Some(batch.bytes));
             }
         }
     }
 
+    /// Binds the stream to the worker of its first events: from then on it continues only at the
+    /// same software version, here and at other nodes.
+    fn bind_to(&mut self, origin: StreamOrigin) {
+        if self.is_origin_recorded {
+            return;
+        }
+        self.is_origin_recorded = true;
+        self.attempts
+            .require_software(RequiredSoftware::SameAs(origin));
+        self.node.record_origin(&self.call, origin);
+    }
+
     /// Returns the time until which to wait for the next event: the call's deadline if no other
     /// worker may continue the stream, or else the end of the silence timeout.
     fn silence_deadline(&self) -> BootTime {
--- a/crates/pinerill-forward/src/call/request.rs
+++ b/crates/pinerill-forward/src/call/request.rs
@@ -11,8 +11,9 @@
 
 use crate::crash::RequestIdentity;
 use crate::exchange::WorkerRequest;
-use crate::fleet::Prompt;
+use crate::fleet::{Prompt, RequiredSoftware, ServiceKey};
 use crate::quota::Permit;
+use crate::resumption::origins::StreamKey;
 
 /// Shortest time in which an attempt can be expected to end. With less time left, no attempt is
 /// begun.
@@ -68,6 +69,43 @@
                 .map_or(allowed, |requested| requested.min(allowed))
     }
 
+    /// Returns the key of the stream that this call continues; `None` if it continues none or the
+    /// caller does not name it.
+    pub(crate) fn continued_stream(&self) -> Option<StreamKey> {
+        self.head.resume_after?;
+        let attempt = self.head.resumes.as_deref()?;
+        Some(StreamKey::new(&self.identity.requester, attempt))
+    }
+
+    /// Returns the key of the stream that this call begins or continues; `None` if the caller does
+    /// not name it, so that it can't be continued.
+    pub(crate) fn stream_key(&self) -> Option<StreamKey> {
+        if self.head.resume_after.is_some() {
+            return self.continued_stream();
+        }
+        let attempt = self.head.id.as_str();
+        (!attempt.is_empty()).then(|| StreamKey::new(&self.identity.requester, attempt))
+    }
+
+    /// Directs a call that continues a stream to the service that began it, if its route still
+    /// allows that.
+    pub(crate) fn follow_origin(&mut self, required: RequiredSoftware) -> RequiredSoftware {
+        let RequiredSoftware::SameAs(origin) = required else {
+            return required;
+        };
+        let mut targets = self.route.targets.iter();
+        let target = targets
+            .find(|target| target.weight > 0 && ServiceKey::of(&target.service) == origin.service);
+        match target {
+            Some(target) => {
+                self.service.clone_from(&target.service);
+                required
+            }
+            // Versions are compared within a service; the route has moved to another one.
+            None => RequiredSoftware::Any,
+        }
+    }
+
     /// Records on the quota permit, if any, that a worker may have run the call.
     pub(crate) fn mark_run(&self) {
         if let Some(permit) = &self.permit {
--- a/crates/pinerill-forward/src/cluster/watch.rs
+++ b/crates/pinerill-forward/src/cluster/watch.rs
@@ -414,7 +414,9 @@
                     );
                 }
                 if directory_kind == DirectoryKind::Unversioned && !leader_is_silent {
-                    node.with_fleet(|fleet, _| fleet.learn_versions(&reading.workers));
+                    node.with_fleet(|fleet, now_ms| {
+                        fleet.learn_versions(now_ms, &reading.workers);
+                    });
                     continue;
                 }
                 apply_listing(&node, started, reading);
--- a/crates/pinerill-forward/src/crash/fingerprint.rs
+++ b/crates/pinerill-forward/src/crash/fingerprint.rs
@@ -35,6 +35,13 @@
         short.copy_from_slice(&hasher.finalize()[..FINGERPRINT_BYTES]);
         RequestFingerprint(short)
     }
+
+    /// Returns the first 64 bits as a number.
+    pub fn short(&self) -> u64 {
+        let mut short = [0; 8];
+        short.copy_from_slice(&self.0[..8]);
+        u64::from_le_bytes(short)
+    }
 }
 
 impl fmt::Display for RequestFingerprint {
@@ -81,7 +88,7 @@
         }
     }
 
-    fn parts(&self) -> (&[u8], &[u8]) {
+    pub(crate) fn parts(&self) -> (&[u8], &[u8]) {
         match self {
             Requester::Tenant(name) => (b"tenant", name.as_bytes()),
             Requester::Credentials(value) => (b"credentials", value.as_bytes()),
--- a/crates/pinerill-forward/src/crash/mod.rs
+++ b/crates/pinerill-forward/src/crash/mod.rs
@@ -39,10 +39,7 @@
 impl WorkerIncarnation {
     /// Returns the incarnation that a directory entry describes.
     pub fn of(worker: &WorkerEntry) -> Self {
-        let RequestFingerprint(bytes) =
-            RequestFingerprint::of_parts(&[worker.id.as_str().as_bytes()]);
-        let mut short = [0; 8];
-        short.copy_from_slice(&bytes[..8]);
-        WorkerIncarnation(u64::from_le_bytes(short))
+        let id = worker.id.as_str().as_bytes();
+        WorkerIncarnation(RequestFingerprint::of_parts(&[id]).short())
     }
 }
--- a/crates/pinerill-forward/src/crash/run.rs
+++ b/crates/pinerill-forward/src/crash/run.rs
@@ -8,6 +8,7 @@
 use super::broken_runs::{BrokenRun, RunEnd};
 use super::{RequestIdentity, WorkerIncarnation};
 use crate::exchange::BreakReason;
+use crate::fleet::{StreamOrigin, WorkerSoftware};
 use crate::node::Node;
 
 /// One run of a request at a worker. A run that is dropped before an outcome is recorded counts as
@@ -44,6 +45,16 @@
         &self.worker.id
     }
 
+    /// Returns the software of the worker.
+    pub fn software(&self) -> WorkerSoftware {
+        WorkerSoftware::of(&self.worker)
+    }
+
+    /// Returns the origin of a stream that this run begins.
+    pub fn origin(&self) -> StreamOrigin {
+        StreamOrigin::of(&self.worker)
+    }
+
     /// Returns the number of the last event received; 0 if none was.
     pub fn last_event(&self) -> u64 {
         self.last_event
--- a/crates/pinerill-forward/src/dispatch/mod.rs
+++ b/crates/pinerill-forward/src/dispatch/mod.rs
@@ -45,7 +45,9 @@
 use self::waiters::{State, Waiter};
 use self::zone_order::ZoneQueues;
 use crate::call::Call;
-use crate::fleet::{ChosenWorker, Placement, PlacementRequest, Prompt, WorkerKey};
+use crate::fleet::{
+    ChosenWorker, Placement, PlacementRequest, Prompt, RequiredSoftware, WorkerKey,
+};
 use crate::node::{Node, OccupiedSlot};
 
 /// Interval between two scans of the queue without a notification. Estimates of other nodes' load
@@ -69,6 +71,15 @@
     pub place: OccupiedSlot,
 }
 
+/// Workers that one attempt of a call may go to.
+#[derive(Debug, Clone, Copy)]
+pub struct WantedWorker<'a> {
+    /// Workers at which the call has failed.
+    pub except: &'a [WorkerId],
+    /// Software that the worker must run.
+    pub software: RequiredSoftware,
+}
+
 /// Reason why a call got no slot.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Unplaced {
@@ -137,7 +148,7 @@
         &self,
         node: &Arc<Node>,
         call: &Call,
-        except: &[WorkerId],
+        worker: WantedWorker<'_>,
         fresh: bool,
     ) -> Result<Placed, Unplaced> {
         node.slow_starts.record_call();
@@ -145,7 +156,8 @@
             let wanted = PlacementRequest {
                 service: &call.service,
                 prompt: &call.prompt,
-                except,
+                except: worker.except,
+                software: worker.software,
                 runs_once: runs_once(call),
                 homes: &call.homes,
             };
@@ -166,7 +178,7 @@
         if fresh {
             self.admit(node, call, &waiting)?;
         }
-        let (ticket, granted) = self.enqueue(call, except, waiting);
+        let (ticket, granted) = self.enqueue(call, worker, waiting);
         node.peers.notify_changed();
         let _queue_guard = QueueGuard {
             dispatcher: self,
@@ -270,8 +282,8 @@
     /// Preempts batch items for the calls that wait at this node.
     fn preempt_for_own_calls(&self, node: &Node) {
         let now_ms = node.now_ms();
-        for (service, calls) in self.waiting_by_service() {
-            node.runs.preempt(now_ms, &service, calls);
+        for ((service, software), calls) in self.waiting_by_software() {
+            node.runs.preempt(now_ms, &service, software, calls);
         }
     }
 
--- a/crates/pinerill-forward/src/dispatch/waiters.rs
+++ b/crates/pinerill-forward/src/dispatch/waiters.rs
@@ -10,9 +10,9 @@
 use super::queue::{first_of_each, Queued, Ticket, WaitingCall, WaitingQueue};
 use super::report::TenantKey;
 use super::sharing::OwnClaim;
-use super::{runs_once, Dispatcher, Placed, Unplaced, MAX_SCANNED_CALLS};
+use super::{runs_once, Dispatcher, Placed, Unplaced, WantedWorker, MAX_SCANNED_CALLS};
 use crate::call::Call;
-use crate::fleet::{ChosenWorker, Placement, PlacementRequest, Prompt};
+use crate::fleet::{ChosenWorker, Placement, PlacementRequest, Prompt, RequiredSoftware};
 use crate::node::Node;
 
 /// Number of services for which start rates are kept. When a further one appears, all are
@@ -24,6 +24,7 @@
     pub(super) tenant: TenantKey,
     pub(super) prompt: Prompt,
     except: Vec<WorkerId>,
+    software: RequiredSoftware,
     runs_once: bool,
     homes: AllowedRegions,
     pub(super) grant: oneshot::Sender<Result<Placed, Unplaced>>,
@@ -35,6 +36,7 @@
             service: &self.service,
             prompt: &self.prompt,
             except: &self.except,
+            software: self.software,
             runs_once: self.runs_once,
             homes: &self.homes,
         }
@@ -53,18 +55,16 @@
 }
 
 impl State {
-    /// Returns the calls that are tried for a free slot: the first ones of the queue or, where slots
-    /// are shared, of each service, since calls within share whose service has no free slot stay
-    /// ahead of all others.
+    /// Returns the calls that are tried for a free slot: the first ones of the queue that require the
+    /// same software, so that streams whose version has no free slot don't hold up all others.
+    /// Where slots are shared, also the first ones of each service, since calls within share whose
+    /// service has no free slot stay ahead of all others.
     pub(super) fn scanned(&self, now_ms: u64) -> Vec<Queued> {
-        let mut order = self.queue.order(now_ms, None);
-        if self.queue.shares().is_none() {
-            order.truncate(MAX_SCANNED_CALLS);
-            return order;
-        }
+        let order = self.queue.order(now_ms, None);
+        let by_service = self.queue.shares().is_some();
         first_of_each(order, MAX_SCANNED_CALLS, |queued| {
-            let waiter = self.waiters.get(&queued.ticket);
-            waiter.map(|waiter| waiter.service.as_str())
+            let waiter = self.waiters.get(&queued.ticket)?;
+            Some((by_service.then_some(&waiter.service), waiter.software))
         })
     }
 
@@ -87,7 +87,7 @@
     pub(super) fn enqueue(
         &self,
         call: &Call,
-        except: &[WorkerId],
+        worker: WantedWorker<'_>,
         waiting: WaitingCall,
     ) -> (Ticket, oneshot::Receiver<Result<Placed, Unplaced>>) {
         let (grant, granted) = oneshot::channel();
@@ -96,7 +96,8 @@
             service: call.service.clone(),
             tenant,
             prompt: call.prompt.clone(),
-            except: except.to_vec(),
+            except: worker.except.to_vec(),
+            software: worker.software,
             runs_once: runs_once(call),
             homes: call.homes.clone(),
             grant,
@@ -138,6 +139,17 @@
         None
     }
 
+    /// Returns the number of waiting calls by service and required software.
+    pub(super) fn waiting_by_software(&self) -> HashMap<(String, RequiredSoftware), usize> {
+        let state = self.state.lock();
+        let mut waiting = HashMap::new();
+        for waiter in state.waiters.values() {
+            let key = (waiter.service.clone(), waiter.software);
+            *waiting.entry(key).or_default() += 1;
+        }
+        waiting
+    }
+
     pub(super) fn waiting_by_service(&self) -> HashMap<String, usize> {
         let state = self.state.lock();
         let mut waiting = HashMap::new();
--- a/crates/pinerill-forward/src/dispatch/zone.rs
+++ b/crates/pinerill-forward/src/dispatch/zone.rs
@@ -10,7 +10,7 @@
 
 use super::demand::ServiceDemand;
 use super::{occupy_slot, Dispatcher, Waiter};
-use crate::fleet::{ChosenWorker, WorkerKey};
+use crate::fleet::{ChosenWorker, RequiredSoftware, WorkerKey};
 use crate::node::Node;
 use crate::peers::promise_time;
 
@@ -27,7 +27,8 @@
                 .lock()
                 .preemption_share(now_ms, &own, rand::random());
             if share > 0 {
-                node.runs.preempt(now_ms, &own.service, share);
+                node.runs
+                    .preempt(now_ms, &own.service, RequiredSoftware::Any, share);
             }
         }
     }
--- a/crates/pinerill-forward/src/fleet/choice.rs
+++ b/crates/pinerill-forward/src/fleet/choice.rs
@@ -7,6 +7,7 @@
 use pinerill_calls::table::AllowedRegions;
 
 use super::prefixes::Prompt;
+use super::software::RequiredSoftware;
 use super::suspicion;
 use super::worker::Worker;
 use super::{ChoiceBasis, ChosenWorker, Fleet, WorkerKey};
@@ -24,6 +25,8 @@
     pub prompt: &'a Prompt,
     /// Identifiers of workers that must not be chosen.
     pub except: &'a [WorkerId],
+    /// Software that the worker must run.
+    pub software: RequiredSoftware,
     /// Whether the call must not be retried, so that it is lost if its worker fails.
     pub runs_once: bool,
     /// Regions in which the call may be served.
@@ -124,11 +127,12 @@
     }
 
     /// Returns the ready workers of the service that the request neither excludes nor bars by
-    /// region.
+    /// region or software.
     pub(super) fn matching_workers(&self, request: &PlacementRequest<'_>) -> Vec<&Worker> {
         let candidates = self.candidates(request.service);
         candidates
             .filter(|worker| !request.except.contains(&worker.entry().id))
+            .filter(|worker| request.software.allows(&worker.software()))
             .filter(|worker| self.is_region_allowed(request.homes, worker))
             .collect()
     }
--- a/crates/pinerill-forward/src/fleet/mod.rs
+++ b/crates/pinerill-forward/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod peers;
 mod prefixes;
 mod slow_start;
+mod software;
 mod suspicion;
 mod worker;
 mod zones;
@@ -38,10 +39,14 @@
 pub use items::{BatchCapacity, ItemTime};
 pub use pace::WorkerPace;
 pub use paces::{KnownPace, MAX_PACES_PER_MESSAGE};
-pub(crate) use peers::hash_name;
+pub(crate) use peers::{hash_name, hash_with_node};
 pub use peers::{ReportOrder, WorkerCount, WorkerKey};
 pub use prefixes::{PrefixMemory, Prompt};
 pub use slow_start::SlowStartPermit;
+pub use software::{
+    ListedVersions, RequiredSoftware, ServiceKey, SoftwareVersion, StreamOrigin, VersionHistory,
+    WorkerSoftware,
+};
 pub use worker::Worker;
 
 /// Settings for the selection of workers.
@@ -85,6 +90,7 @@
     by_service: HashMap<String, Vec<WorkerId>>,
     by_key: HashMap<WorkerKey, WorkerId>,
     incarnations: Incarnations,
+    versions: VersionHistory,
     /// Zones whose workers receive no new requests. `None` before the leader has sent any state.
     evacuations: Option<Evacuations>,
     /// Slow-start settings of the services that limit requests to cold workers.
@@ -117,6 +123,7 @@
             by_service: HashMap::new(),
             by_key: HashMap::new(),
             incarnations: Incarnations::default(),
+            versions: VersionHistory::default(),
             evacuations: None,
             slow_starts: HashMap::new(),
             peers: PeerReports::default(),
@@ -157,6 +164,7 @@
             let service = self.by_service.entry(entry.service.clone());
             service.or_default().push(entry.id.clone());
         }
+        self.record_versions(now_ms);
         self.recompute_peer_counts();
         let removed = earlier.into_values();
         removed
@@ -187,13 +195,14 @@
 
     /// Records the software versions that a listing states for workers whose version is not known.
     /// An incarnation keeps its version, so that an older listing is as good as a newer one.
-    pub fn learn_versions(&mut self, entries: &[WorkerEntry]) {
+    pub fn learn_versions(&mut self, now_ms: u64, entries: &[WorkerEntry]) {
         for entry in entries {
             let worker = self.workers.get_mut(&entry.id);
             if let (Some(worker), Some(version)) = (worker, &entry.version) {
                 worker.learn_version(version);
             }
         }
+        self.record_versions(now_ms);
     }
 
     /// Records that the directory matches the platform list as of `listed_ms` or later.
@@ -311,7 +320,9 @@
     ) -> Option<ChosenWorker> {
         let worker = self.workers.get(self.by_key.get(&key)?)?;
         let entry = worker.entry();
-        let fits = entry.service == request.service && !request.except.contains(&entry.id);
+        let fits = entry.service == request.service
+            && !request.except.contains(&entry.id)
+            && request.software.allows(&worker.software());
         let serves = entry.state == WorkerState::Ready
             && !self.is_evacuated(&entry.zone)
             && self.may_receive_request(now_ms, worker)
@@ -395,6 +406,11 @@
         }
     }
 
+    /// Returns whether a service has workers that accept new requests.
+    pub fn has_candidates(&self, service: &str) -> bool {
+        self.candidates(service).next().is_some()
+    }
+
     fn candidates(&self, service: &str) -> impl Iterator<Item = &Worker> {
         let ids = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         ids.iter()
--- a/crates/pinerill-forward/src/fleet/peers.rs
+++ b/crates/pinerill-forward/src/fleet/peers.rs
@@ -39,6 +39,15 @@
     })
 }
 
+/// Returns a hash of a number and a node; every node computes the same value.
+pub(crate) fn hash_with_node(number: u64, node: SocketAddr) -> u64 {
+    let name = node.to_string();
+    let hash = name.bytes().fold(FNV_OFFSET_64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME_64)
+    });
+    splitmix64_finalize(hash ^ number)
+}
+
 /// Short identifier of a worker in messages between nodes: a 32-bit hash of the worker's
 /// identifier. A collision only makes the choice of a worker less accurate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -52,11 +61,7 @@
 
     /// Returns a hash of the worker and a node; every node computes the same value.
     pub fn hash_with_node(self, node: SocketAddr) -> u64 {
-        let name = node.to_string();
-        let hash = name.bytes().fold(FNV_OFFSET_64, |hash, byte| {
-            (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME_64)
-        });
-        splitmix64_finalize(hash ^ (u64::from(self.0) << 32 | u64::from(self.0)))
+        hash_with_node(u64::from(self.0) << 32 | u64::from(self.0), node)
     }
 }
 
--- a/crates/pinerill-forward/src/fleet/worker.rs
+++ b/crates/pinerill-forward/src/fleet/worker.rs
@@ -8,6 +8,7 @@
 use super::pace::USUAL_PACE;
 use super::prefixes::PrefixMemory;
 use super::slow_start::SlowStartPermit;
+use super::software::WorkerSoftware;
 use super::suspicion::Suspicion;
 
 /// Age in milliseconds up to which a load sample counts in full.
@@ -38,6 +39,7 @@
 #[derive(Debug)]
 pub struct Worker {
     entry: Arc<WorkerEntry>,
+    software: WorkerSoftware,
     /// This node's requests in flight at the worker.
     pub(super) in_flight: u32,
     /// Requests in flight there of the other nodes of this zone, from their reports.
@@ -88,6 +90,7 @@
     pub(super) fn new(now_ms: u64, entry: WorkerEntry) -> Self {
         Worker {
             cold_until_ms: now_ms.saturating_add(entry.cold_left_ms),
+            software: WorkerSoftware::of(&entry),
             entry: Arc::new(entry),
             in_flight: 0,
             peers_in_flight: 0,
@@ -114,6 +117,11 @@
         &self.entry
     }
 
+    /// Returns the software that the worker runs.
+    pub fn software(&self) -> WorkerSoftware {
+        self.software
+    }
+
     /// Replaces the directory entry. A worker that was seen draining stays draining under the same
     /// identifier, and keeps its software version if the new entry does not state one.
     pub(super) fn update_entry(&mut self, now_ms: u64, entry: &WorkerEntry) {
@@ -122,6 +130,7 @@
         if *self.entry != *entry {
             let mut entry = entry.clone();
             entry.version = entry.version.or_else(|| self.entry.version.clone());
+            self.software = WorkerSoftware::of(&entry);
             self.entry = Arc::new(entry);
         }
         if is_draining {
@@ -134,6 +143,7 @@
         if self.entry.version.is_none() {
             let mut entry = WorkerEntry::clone(&self.entry);
             entry.version = Some(version.to_owned());
+            self.software = WorkerSoftware::of(&entry);
             self.entry = Arc::new(entry);
         }
     }
--- a/crates/pinerill-forward/src/lib.rs
+++ b/crates/pinerill-forward/src/lib.rs
@@ -6,7 +6,8 @@
 //! sends the request and reads the response, and [`call::decision`] decides whether to retry. The
 //! response or its events go back to the caller. [`batch`] runs leased items of jobs over the same
 //! fleet and exchange. [`cluster`] keeps the route table and the directory of workers up to date.
-//! [`crash`] blocks requests that repeatedly crash workers.
+//! [`crash`] blocks requests that repeatedly crash workers. [`resumption`] finds out which software
+//! version began a stream that a caller continues.
 //!
 //! Decisions (the choice of a worker, the step after an attempt, the order of events, the number
 //! of items to lease) are made by code without I/O; the other code supplies its inputs.
@@ -29,6 +30,7 @@
 mod node;
 mod peers;
 mod quota;
+pub mod resumption;
 mod run;
 
 pub use node::Node;
--- a/crates/pinerill-forward/src/monitoring.rs
+++ b/crates/pinerill-forward/src/monitoring.rs
@@ -44,6 +44,8 @@
     pub(crate) runs_crashed: IntCounter,
     suspensions: IntGauge,
     pub(crate) peer_messages_dropped: IntCounter,
+    resumptions: IntCounterVec,
+    origins_recorded: IntGauge,
     requests_suspected: IntGauge,
     requests_blocked: IntGauge,
     waiting_calls: IntGauge,
@@ -202,6 +204,15 @@
                 "pinerill_node_peer_messages_dropped_total",
                 "Datagrams of other nodes that could not be read or were not theirs to send",
             )?,
+            resumptions: counters(
+                "pinerill_node_resumptions_total",
+                "Streams that callers continue, by what is known of the version that began them",
+                &["basis"],
+            )?,
+            origins_recorded: gauge(
+                "pinerill_node_stream_origins",
+                "Streams that callers may continue whose origin is recorded here",
+            )?,
             requests_suspected: gauge(
                 "pinerill_node_requests_suspected",
                 "Requests under which workers crashed a while ago",
@@ -277,6 +288,11 @@
         histogram.observe(time.as_secs_f64());
     }
 
+    /// Counts a stream that a caller continues.
+    pub(crate) fn resumption(&self, basis: &str) {
+        self.resumptions.with_label_values(&[basis]).inc();
+    }
+
     pub(crate) fn worker_crashed(&self, evidence: &str) {
         self.workers_crashed.with_label_values(&[evidence]).inc();
     }
@@ -310,6 +326,9 @@
         let version = self.table().map_or(0, |index| index.table().version);
         metrics.table_version.set(number(version));
         metrics.suspensions.set(number(suspensions()));
+        metrics
+            .origins_recorded
+            .set(number(self.resumptions.recorded() as u64));
         metrics
             .requests_suspected
             .set(number(self.suspected_requests() as u64));
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -31,6 +31,7 @@
 use crate::monitoring::{KnownState, Metrics};
 use crate::peers::Peers;
 use crate::quota::NodeQuota;
+use crate::resumption::Resumptions;
 use crate::slow_start::SlowStartDemand;
 use crate::waking::ResumeGate;
 
@@ -67,6 +68,7 @@
     pub(crate) dispatcher: Dispatcher,
     pub(crate) runs: Arc<ItemRuns>,
     pub(crate) crashes: CrashTracker,
+    pub(crate) resumptions: Resumptions,
     pub(crate) health_checks: HealthChecks,
     pub(crate) waking: ResumeGate,
     pub(crate) quota: NodeQuota,
@@ -109,6 +111,7 @@
             dispatcher: Dispatcher::default(),
             runs: Arc::default(),
             crashes: CrashTracker::default(),
+            resumptions: Resumptions::default(),
             health_checks: HealthChecks::default(),
             waking: ResumeGate::default(),
             quota: NodeQuota::default(),
--- a/crates/pinerill-forward/src/peers/message.rs
+++ b/crates/pinerill-forward/src/peers/message.rs
@@ -6,6 +6,8 @@
 use crate::dispatch::demand::ServiceDemand;
 use crate::dispatch::report::{QueueReport, ReturnTicket, TenantUse};
 use crate::fleet::{ReportOrder, WorkerCount, WorkerKey, WorkerPace};
+use crate::resumption::origins::OriginRecord;
+use crate::resumption::{OriginQuery, OriginReply};
 
 /// Longest datagram in bytes, which fits into one packet of common networks.
 pub(super) const DATAGRAM_BYTES: usize = 1_400;
@@ -88,6 +90,14 @@
     /// Not in use: no node sends it, and receivers ignore it. To nodes of the zone: calls that the
     /// sender has rejected and invited to return.
     Returning(Vec<ReturnTicket>),
+    /// To nodes of the zone, and between relays: the origin of a stream, which the receiver keeps.
+    StreamOrigin(OriginRecord),
+    /// To a relay of the zone: the origin of a stream, which it keeps and sends to other zones.
+    OriginForRelays(OriginRecord),
+    /// To nodes of the zone: a question about a stream that a caller continues.
+    OriginQuery(OriginQuery),
+    /// To one node of the zone: the answer to its question.
+    OriginReply(OriginReply),
 }
 
 impl PeerMessage {
@@ -105,6 +115,8 @@
             PeerMessage::ZoneTenants { .. } => "zone_tenants",
             PeerMessage::Paces { .. } => "paces",
             PeerMessage::Returning(_) => "returning",
+            PeerMessage::StreamOrigin(_) | PeerMessage::OriginForRelays(_) => "stream_origin",
+            PeerMessage::OriginQuery(_) | PeerMessage::OriginReply(_) => "origin_query",
         }
     }
 }
--- a/crates/pinerill-forward/src/peers/mod.rs
+++ b/crates/pinerill-forward/src/peers/mod.rs
@@ -17,6 +17,7 @@
 //! | node | nodes of its zone | requests in flight, waiting calls ([`message::PeerMessage::InFlight`]) | at each change, at a rate that falls with the number of nodes |
 //! | node | nodes of its zone | long prompts, workers that did not answer or closed a connection | each |
 //! | node | one node of its zone | a slot that became free | while calls wait at that node |
+//! | node | some nodes of its zone, relays | origins of streams, questions about them ([`origins`]) | each |
 //! | node | nodes of its zone | paces of workers that it has observed anew ([`paces`]) | once a second |
 //! | relay | one relay of each other zone, and from there all its nodes | requests in flight in the zone | every [`broadcast::PAUSE_PER_ZONE`] times the number of other zones, while they change |
 //! | node | nodes of its zone | queue, and slots that tenants use ([`message::PeerMessage::Queue`]) | every 50 ms while calls wait, if slots are shared among tenants |
@@ -31,6 +32,7 @@
 mod broadcast;
 mod crashes;
 mod message;
+mod origins;
 mod paces;
 mod queue_reports;
 mod receive;
@@ -66,6 +68,8 @@
     remote_relays: Vec<Vec<SocketAddr>>,
     /// Index of this node among the relays of its zone; `None` if it is not a relay.
     relay_index: Option<usize>,
+    /// Relays of this zone except this node.
+    own_relays: Vec<SocketAddr>,
     /// Nodes of other cells to which this node is a bridge; empty if it is not a bridge.
     bridges: Vec<SocketAddr>,
 }
@@ -108,11 +112,14 @@
             let mut relay_addresses = one.addresses.iter();
             relay_addresses.position(|address| Some(*address) == own)
         });
+        let mut own_relays = own_relays.map_or_else(Vec::new, |one| one.addresses.clone());
+        own_relays.retain(|address| Some(*address) != own);
         let remote = relays.iter().filter(|one| one.zone != zone);
         *self.addresses.write() = Addresses {
             zone_peers,
             remote_relays: remote.map(|one| one.addresses.clone()).collect(),
             relay_index,
+            own_relays,
             bridges: processes.bridges.clone(),
         };
     }
@@ -202,6 +209,11 @@
         Some(addresses.remote_relays.concat())
     }
 
+    /// Returns the other relays of this zone.
+    fn own_relays(&self) -> Vec<SocketAddr> {
+        self.addresses.read().own_relays.clone()
+    }
+
     /// Returns the nodes of other cells to which this node forwards messages for all nodes.
     fn bridges(&self) -> Vec<SocketAddr> {
         self.addresses.read().bridges.clone()
--- a/crates/pinerill-forward/src/peers/receive.rs
+++ b/crates/pinerill-forward/src/peers/receive.rs
@@ -42,6 +42,9 @@
                 }
                 node.peers.forward_crashes_to_cells(&changed);
             }
+            Ok(PeerMessage::StreamOrigin(record)) if from_zone || from_relay => {
+                node.keep_origin(&record);
+            }
             Ok(message) if from_zone => apply(&node, from, message),
             // The message is of another version, or only nodes of the zone may send it.
             Ok(_) | Err(_) => node.metrics.peer_messages_dropped.inc(),
@@ -79,8 +82,14 @@
         PeerMessage::Broke { worker } => {
             node.with_fleet(|fleet, now_ms| fleet.record_peer_connection_loss(now_ms, worker));
         }
-        // Handled in `receive`, since relays of other zones and bridges send these too.
-        PeerMessage::Crashes(_) => {}
+        // Handled in `receive`, since relays of other zones or bridges send these too.
+        PeerMessage::Crashes(_) | PeerMessage::StreamOrigin(_) => {}
+        PeerMessage::OriginForRelays(record) => {
+            node.keep_origin(&record);
+            node.peers.forward_origin(&record);
+        }
+        PeerMessage::OriginQuery(query) => node.answer_origin_query(from, &query),
+        PeerMessage::OriginReply(reply) => node.take_origin_reply(&reply),
         PeerMessage::Queue { order, report } => {
             let now_ms = node.now_ms();
             node.dispatcher
--- /dev/null
+++ b/crates/pinerill-forward/src/resumption/decision.rs
@@ -0,0 +1,109 @@
+//! Decides what a resumption requires of its worker. Pure.
+//!
+//! Not knowing the origin is not the same as there being one version only. A node is sure without a
+//! record if it has heard another node, or there is none, and all that answered have seen a
+//! single version for longer than a stream lives. A node that hears nobody may be cut off while
+//! others send streams to workers of a version that it has not seen.
+
+use super::origins::KnownOrigin;
+use crate::fleet::{ListedVersions, RequiredSoftware};
+
+/// What one node knows about a stream and the versions that may have begun it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Knowledge {
+    /// Record of the stream's origin.
+    pub origin: KnownOrigin,
+    /// Versions of the service within the longest life of a stream.
+    pub versions: ListedVersions,
+}
+
+/// What is known about a resumption.
+#[derive(Debug, Clone)]
+pub struct ResumptionInputs {
+    /// What the node that got the resumption knows.
+    pub own: Knowledge,
+    /// Number of other nodes that were asked.
+    pub asked: usize,
+    /// Their answers so far.
+    pub answers: Vec<Knowledge>,
+    /// Whether no further answers are awaited.
+    pub is_final: bool,
+}
+
+/// Why a resumption may go to a worker, or why it is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResumptionBasis {
+    /// The origin is recorded.
+    Record,
+    /// Only one version can have begun the stream.
+    SingleVersion,
+    /// The origin is unknown, or records contradict each other.
+    Unknown,
+}
+
+impl ResumptionBasis {
+    /// Returns the label used in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            ResumptionBasis::Record => "record",
+            ResumptionBasis::SingleVersion => "single_version",
+            ResumptionBasis::Unknown => "unknown",
+        }
+    }
+}
+
+/// The decision about a resumption.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResumptionDecision {
+    /// More answers are needed.
+    Wait,
+    /// The stream may continue at a worker with this software.
+    Continue(RequiredSoftware, ResumptionBasis),
+    /// The stream could be mixed from two versions.
+    Refuse,
+}
+
+/// Decides about a resumption.
+pub fn decide(inputs: &ResumptionInputs) -> ResumptionDecision {
+    let answers = inputs.answers.iter();
+    let origin = answers.fold(inputs.own.origin, |known, answer| {
+        known.merged_with(answer.origin)
+    });
+    match origin {
+        KnownOrigin::Worker(origin) => {
+            let required = RequiredSoftware::SameAs(origin);
+            ResumptionDecision::Continue(required, ResumptionBasis::Record)
+        }
+        KnownOrigin::Contradictory => ResumptionDecision::Refuse,
+        KnownOrigin::Unknown if !inputs.is_final && inputs.answers.len() < inputs.asked => {
+            ResumptionDecision::Wait
+        }
+        KnownOrigin::Unknown => decide_without_record(inputs),
+    }
+}
+
+fn decide_without_record(inputs: &ResumptionInputs) -> ResumptionDecision {
+    if inputs.asked > 0 && inputs.answers.is_empty() {
+        return ResumptionDecision::Refuse;
+    }
+    let mut single = None;
+    let all = std::iter::once(&inputs.own).chain(&inputs.answers);
+    for knowledge in all {
+        match knowledge.versions {
+            ListedVersions::Unknown => {}
+            ListedVersions::Single(version) if single.is_none_or(|known| known == version) => {
+                single = Some(version);
+            }
+            ListedVersions::Single(_) | ListedVersions::Several => {
+                return ResumptionDecision::Refuse;
+            }
+        }
+    }
+    match single {
+        Some(version) => ResumptionDecision::Continue(
+            RequiredSoftware::Version(version),
+            ResumptionBasis::SingleVersion,
+        ),
+        None => ResumptionDecision::Refuse,
+    }
+}
--- a/crates/pinerill-forward/src/run.rs
+++ b/crates/pinerill-forward/src/run.rs
@@ -194,12 +194,13 @@
     watch_suspensions(|_| node.check_suspension()).await;
 }
 
-/// Periodically removes expired connections, silent peers and old crash records.
+/// Periodically removes expired connections, silent peers, and old records of crashes and streams.
 async fn sweep(node: Arc<Node>) {
     loop {
         sleep(SWEEP_INTERVAL).await;
         ConnectionPool::sweep(node.connections());
         node.with_fleet(|fleet, now_ms| fleet.forget_silent_peers(now_ms));
         node.forget_old_crashes();
+        node.forget_old_origins();
     }
 }
--- a/crates/pinerill-forward/tests/births.rs
+++ b/crates/pinerill-forward/tests/births.rs
@@ -6,7 +6,8 @@
 use pinerill_calls::protocol::{CallHead, PromptPart};
 use pinerill_calls::table::ALL_REGIONS;
 use pinerill_forward::fleet::{
-    ChoiceSettings, Fleet, Placement, PlacementRequest, Prompt, ReportOrder, WorkerCount, WorkerKey,
+    ChoiceSettings, Fleet, Placement, PlacementRequest, Prompt, ReportOrder, RequiredSoftware,
+    WorkerCount, WorkerKey,
 };
 
 /// Time in milliseconds at which directories are applied.
@@ -31,6 +32,7 @@
         service: "svc",
         prompt: &prompt(),
         except: &[],
+        software: RequiredSoftware::Any,
         runs_once: false,
         homes: &ALL_REGIONS,
     };
--- a/crates/pinerill-forward/tests/evacuation.rs
+++ b/crates/pinerill-forward/tests/evacuation.rs
@@ -6,7 +6,8 @@
 use pinerill_calls::evacuation::Evacuations;
 use pinerill_calls::table::{AllowedRegions, SlowStart, ALL_REGIONS};
 use pinerill_forward::fleet::{
-    ChoiceSettings, Eligibility, Fleet, Placement, PlacementRequest, Prompt, WorkerKey,
+    ChoiceSettings, Eligibility, Fleet, Placement, PlacementRequest, Prompt, RequiredSoftware,
+    WorkerKey,
 };
 
 use support::{entry_in, table_with};
@@ -32,6 +33,7 @@
         service: "svc",
         prompt,
         except: &[],
+        software: RequiredSoftware::Any,
         runs_once: false,
         homes,
     }
--- a/crates/pinerill-forward/tests/fleet.rs
+++ b/crates/pinerill-forward/tests/fleet.rs
@@ -4,7 +4,8 @@
 use pinerill_calls::protocol::{CallHead, LoadSample, PromptPart};
 use pinerill_calls::table::ALL_REGIONS;
 use pinerill_forward::fleet::{
-    ChoiceSettings, Fleet, Placement, PlacementRequest, Prompt, ReportOrder, WorkerCount, WorkerKey,
+    ChoiceSettings, Fleet, Placement, PlacementRequest, Prompt, ReportOrder, RequiredSoftware,
+    WorkerCount, WorkerKey,
 };
 
 /// Time in milliseconds at which directories are applied.
@@ -54,6 +55,7 @@
         service: "s",
         prompt,
         except,
+        software: RequiredSoftware::Any,
         runs_once: false,
         homes: &ALL_REGIONS,
     }
--- a/crates/pinerill-forward/tests/pace_play.rs
+++ b/crates/pinerill-forward/tests/pace_play.rs
@@ -8,7 +8,8 @@
 use pinerill_calls::protocol::LoadSample;
 use pinerill_calls::table::ALL_REGIONS;
 use pinerill_forward::fleet::{
-    ChoiceSettings, Fleet, Placement, PlacementRequest, Prompt, ReportOrder, WorkerCount,
+    ChoiceSettings, Fleet, Placement, PlacementRequest, Prompt, ReportOrder, RequiredSoftware,
+    WorkerCount,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -188,6 +189,7 @@
             service: "s",
             prompt: &prompt,
             except: &[],
+            software: RequiredSoftware::Any,
             runs_once: false,
             homes: &ALL_REGIONS,
         };
--- a/crates/pinerill-forward/tests/preemption.rs
+++ b/crates/pinerill-forward/tests/preemption.rs
@@ -1,8 +1,12 @@
 //! Selection of the running items that are preempted for waiting calls.
 
+mod support;
+
 use std::time::Duration;
 
+use pinerill_calls::directory::WorkerId;
 use pinerill_forward::batch::preemption::{Preemption, RunId, RunningItem};
+use pinerill_forward::fleet::{RequiredSoftware, SoftwareVersion, WorkerSoftware};
 use proptest::prelude::*;
 
 /// Start time of all runs in these tests, in milliseconds.
@@ -12,9 +16,16 @@
 
 const NONE: [RunId; 0] = [];
 
+fn software(version: Option<&str>) -> WorkerSoftware {
+    let mut entry = support::entry(WorkerId::new("w", None));
+    entry.version = version.map(str::to_owned);
+    WorkerSoftware::of(&entry)
+}
+
 fn item(service: &str, due_ms: i64) -> RunningItem {
     RunningItem {
         service: service.to_owned(),
+        software: software(None),
         due_ms,
         began_ms: NOW,
         ran_ms: 0.0,
@@ -176,3 +187,19 @@
     assert_eq!(preemptible.get("s"), Some(&2));
     assert_eq!(preemptible.get("other"), Some(&1));
 }
+
+#[test]
+fn a_stream_bound_to_a_version_preempts_no_item_at_another_version() {
+    let mut preemption = items_of_four_seconds();
+    let at = |version: &str| RunningItem {
+        software: software(Some(version)),
+        ..item("svc", 60_000)
+    };
+    preemption.begin(at("v2"));
+    let older = preemption.begin(at("v1"));
+    let mut entry = support::entry(WorkerId::new("w", None));
+    entry.version = Some("v1".to_owned());
+    let required = RequiredSoftware::Version(SoftwareVersion::of(&entry).expect("a version"));
+    let preempted = preemption.preempt_at(LATER, "svc", required, 2);
+    assert_eq!(preempted, vec![older]);
+}
--- a/crates/pinerill-forward/tests/proven_workers.rs
+++ b/crates/pinerill-forward/tests/proven_workers.rs
@@ -5,7 +5,7 @@
 use pinerill_calls::directory::{WorkerEntry, WorkerId};
 use pinerill_calls::table::ALL_REGIONS;
 use pinerill_forward::fleet::{
-    ChoiceSettings, Fleet, Placement, PlacementRequest, Prompt, WorkerKey,
+    ChoiceSettings, Fleet, Placement, PlacementRequest, Prompt, RequiredSoftware, WorkerKey,
 };
 use support::entry;
 
@@ -27,6 +27,7 @@
         service: SERVICE,
         prompt,
         except: &[],
+        software: RequiredSoftware::Any,
         runs_once,
         homes: &ALL_REGIONS,
     }
--- a/crates/pinerill-forward/tests/sharing_cost.rs
+++ b/crates/pinerill-forward/tests/sharing_cost.rs
@@ -16,7 +16,9 @@
 use pinerill_forward::dispatch::shares::Shares;
 use pinerill_forward::dispatch::tenant_use::{TenantUses, MAX_REPORTED_TENANTS};
 use pinerill_forward::dispatch::zone_order::ZoneQueues;
-use pinerill_forward::fleet::{ChoiceSettings, Fleet, PlacementRequest, Prompt, ReportOrder};
+use pinerill_forward::fleet::{
+    ChoiceSettings, Fleet, PlacementRequest, Prompt, ReportOrder, RequiredSoftware,
+};
 
 const TENANTS: u32 = 1_000;
 const WORKERS: usize = 100;
@@ -180,6 +182,7 @@
         service: "svc",
         prompt: &prompt,
         except: &[],
+        software: RequiredSoftware::Any,
         runs_once: false,
         homes: &homes,
     };
--- a/crates/pinerill-forward/tests/slow_start.rs
+++ b/crates/pinerill-forward/tests/slow_start.rs
@@ -12,7 +12,9 @@
 
 use pinerill_calls::directory::{WorkerEntry, WorkerId};
 use pinerill_calls::table::{Service, SlowStart, ALL_REGIONS};
-use pinerill_forward::fleet::{ChoiceSettings, Fleet, Placement, PlacementRequest, Prompt};
+use pinerill_forward::fleet::{
+    ChoiceSettings, Fleet, Placement, PlacementRequest, Prompt, RequiredSoftware,
+};
 use pinerill_quota::bucket::TokenBucket;
 use pinerill_quota::lender::Lender;
 use pinerill_quota::limit::{RequestLimit, Tolerance};
@@ -159,6 +161,7 @@
         service: "svc",
         prompt: &prompt,
         except: &[],
+        software: RequiredSoftware::Any,
         runs_once: false,
         homes: &ALL_REGIONS,
     };
--- a/crates/pinerill-forward/tests/worker_pace.rs
+++ b/crates/pinerill-forward/tests/worker_pace.rs
@@ -7,8 +7,8 @@
 use pinerill_calls::protocol::LoadSample;
 use pinerill_calls::table::ALL_REGIONS;
 use pinerill_forward::fleet::{
-    ChoiceSettings, Fleet, ItemTime, Placement, PlacementRequest, Prompt, ReportOrder, WorkerKey,
-    WorkerPace, MAX_PACES_PER_MESSAGE,
+    ChoiceSettings, Fleet, ItemTime, Placement, PlacementRequest, Prompt, ReportOrder,
+    RequiredSoftware, WorkerKey, WorkerPace, MAX_PACES_PER_MESSAGE,
 };
 use pinerill_forward::gaps::GapMeter;
 use pinerill_process::clock::BootTime;
@@ -57,6 +57,7 @@
         service: "s",
         prompt,
         except: &[],
+        software: RequiredSoftware::Any,
         runs_once: false,
         homes: &ALL_REGIONS,
     }
