Requests with a part of their prompts that crashes workers are refused, however different they are

Cause: the ledger of crashes knew whole requests. No two of these are alike, so that each had its free crashes and one run more by retry. Change: a crash counts for each part of each prompt that ran at the worker, the last part aside, by caller and service (crash::part_ledger). A run that completes, or has written for two seconds, clears its parts. Only prompt evidence counts (a refused connection). A blocked part is checked before each attempt, while a call waits and for items, which get no trial runs. Operators see and clear parts beside requests. Lines of crashes name the parts that ran there. Why it holds: no run with a crashing part gets past the beginning of its answer, so that its count only grows, and all other parts are cleared by sound runs, also by those under way when a part was blocked.

--- a/crates/pinerill-calls/src/protocol/caller.rs
+++ b/crates/pinerill-calls/src/protocol/caller.rs
@@ -166,8 +166,9 @@
     /// No response arrived before the deadline. The request may have run.
     #[error("no answer in time")]
     TimedOut,
-    /// The request ran before, and each worker that ran it crashed. It is not run again.
-    #[error("workers that ran this request crashed")]
+    /// Each worker that ran the request, or requests with the same part in their prompts, crashed.
+    /// It is not run again.
+    #[error("workers that ran this request, or others with a part of its prompt, crashed")]
     CrashesWorkers,
     /// The worker failed, for this reason. The request may have run.
     #[error("the worker failed: {0}")]
--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -21,7 +21,7 @@
 use super::reports::ReportSender;
 use super::running::{prepare, ActiveItem};
 use super::runs::ItemRun;
-use crate::crash::Run as WorkerRun;
+use crate::crash::{BlockReason, Run as WorkerRun};
 use crate::exchange::{BreakReason, EventScanner, EventText, Exchange, StartedAnswer};
 use crate::fleet::{ItemTime, PlacementRequest, RequiredSoftware, WorkerSoftware};
 use crate::gaps::GapMeter;
@@ -124,8 +124,12 @@
 }
 
 async fn attempt(node: &Arc<Node>, held: &HeldLeases, running: &mut ActiveItem) -> AttemptResult {
-    if node.is_blocked(&running.identity) && !std::mem::take(&mut running.on_trial) {
-        return AttemptResult::Withheld;
+    match node.block_reason(&running.identity) {
+        Some(BlockReason::Part) => return AttemptResult::Withheld,
+        Some(BlockReason::Request) if !std::mem::take(&mut running.on_trial) => {
+            return AttemptResult::Withheld;
+        }
+        Some(BlockReason::Request) | None => {}
     }
     if running.last_event.is_none() && running.without_result >= MAX_WITHOUT_RESULT {
         return AttemptResult::Unplaced;
@@ -151,9 +155,11 @@
         trials = running.trials; ""
     );
     let since = BootTime::now();
-    while node.is_blocked(&running.identity) {
+    while let Some(reason) = node.block_reason(&running.identity) {
         sleep(BLOCK_CHECK_INTERVAL).await;
-        if running.trials < MAX_TRIALS && since.elapsed() >= TRIAL_DELAY {
+        // Trials of all items that share a part would crash as many workers.
+        let may_try = reason == BlockReason::Request;
+        if may_try && running.trials < MAX_TRIALS && since.elapsed() >= TRIAL_DELAY {
             running.trials += 1;
             running.on_trial = true;
             return;
@@ -211,7 +217,7 @@
                 }
                 Ok(ReadEnd::LeaseUnconfirmed) => None,
                 Ok(ReadEnd::Complete) => {
-                    run.mark_answered();
+                    run.mark_stream_completed();
                     let text = std::mem::take(&mut running.text).into_bytes();
                     let kept = compress(&text);
                     running.bytes = (text.len(), kept.len());
--- a/crates/pinerill-forward/src/batch/running.rs
+++ b/crates/pinerill-forward/src/batch/running.rs
@@ -79,12 +79,14 @@
         uri.clone(),
         body.clone(),
     );
+    let head = node.caller_protocol.item_head(&call.headers);
+    let identity = identity.with_prompt(&service, &head.prompt);
     let tenant = leased.item.job.tenant();
     Some(ActiveItem {
         homes: table.allowed_regions(route, tenant),
         identity: Arc::new(identity),
         service,
-        prompt: Prompt::from_call(&node.caller_protocol.item_head(&call.headers)),
+        prompt: Prompt::from_call(&head),
         request: WorkerRequest {
             method: Method::POST,
             uri,
--- a/crates/pinerill-forward/src/call/online.rs
+++ b/crates/pinerill-forward/src/call/online.rs
@@ -110,13 +110,17 @@
     // The slot is freed only after the body was read.
     let _slot = slot;
     let headers = node.worker_protocol().answer_headers(&sent.head.headers);
+    let verdict = sent.answer.verdict;
     let reading = sent
         .exchange
         .read_whole(node.connections(), MAX_BUFFERED_ANSWER_BYTES);
     let read = timeout_at(call.deadline, reading).await;
     let body = match read.unwrap_or(Err(BreakReason::Silent)) {
         Ok(body) => {
-            run.mark_answered();
+            match verdict {
+                Verdict::Accepted => run.mark_completed(),
+                _ => run.mark_answered(),
+            }
             body
         }
         Err(reason) => {
--- a/crates/pinerill-forward/src/call/relay.rs
+++ b/crates/pinerill-forward/src/call/relay.rs
@@ -184,7 +184,7 @@
                 self.node.record_call_run(slot.worker(), run_time);
             }
             slot.succeeded();
-            run.mark_answered();
+            run.mark_stream_completed();
             exchange.finish(self.node.connections());
         }
     }
--- a/crates/pinerill-forward/src/crash/broken_runs.rs
+++ b/crates/pinerill-forward/src/crash/broken_runs.rs
@@ -8,7 +8,7 @@
 
 use std::collections::HashMap;
 
-use super::{RequestFingerprint, WorkerIncarnation};
+use super::{PartKey, RequestFingerprint, WorkerIncarnation};
 
 /// Longest time in milliseconds between the end of a run and a refused connection for which both
 /// are attributed to the same crash. It is short because a process that ends closes all its
@@ -64,10 +64,12 @@
 }
 
 /// A run that ended before its answer was complete.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BrokenRun {
     /// Fingerprint of the request that ran.
     pub request: RequestFingerprint,
+    /// Parts of its prompt that other requests may share.
+    pub parts: Vec<PartKey>,
     /// Number of the last event received; 0 if none was.
     pub last_event: u64,
     /// Whether the connection broke or this node closed it.
--- a/crates/pinerill-forward/src/crash/fingerprint.rs
+++ b/crates/pinerill-forward/src/crash/fingerprint.rs
@@ -10,9 +10,12 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Uri};
+use pinerill_calls::protocol::PromptPart;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+use super::part_key::{shared_parts, PartKey};
+
 /// Length of a fingerprint in bytes. With 128 bits of SHA-256, nobody finds a request with the
 /// fingerprint of a given other one, by chance or on purpose, so no secret seed is needed.
 const FINGERPRINT_BYTES: usize = 16;
@@ -111,7 +114,12 @@
     pub uri: Uri,
     /// Complete request body.
     pub body: Bytes,
+    /// Service that runs the request; empty if its prompt is not known.
+    service: String,
+    /// Identifiers of the parts of its prompt that other requests may share.
+    shared_parts: Vec<u64>,
     fingerprint: OnceLock<RequestFingerprint>,
+    part_keys: OnceLock<Vec<PartKey>>,
 }
 
 impl RequestIdentity {
@@ -123,10 +131,29 @@
             host,
             uri,
             body,
+            service: String::new(),
+            shared_parts: Vec::new(),
             fingerprint: OnceLock::new(),
+            part_keys: OnceLock::new(),
         }
     }
 
+    /// Adds the prompt with which the request runs at a service.
+    pub fn with_prompt(mut self, service: &str, prompt: &[PromptPart]) -> Self {
+        service.clone_into(&mut self.service);
+        self.shared_parts = shared_parts(prompt);
+        self
+    }
+
+    /// Returns the keys of the parts of the prompt that other requests may share. The first call
+    /// computes and caches them.
+    pub fn part_keys(&self) -> &[PartKey] {
+        self.part_keys.get_or_init(|| {
+            let key = |part: &u64| PartKey::new(&self.requester, &self.service, *part);
+            self.shared_parts.iter().map(key).collect()
+        })
+    }
+
     /// Returns the fingerprint, which the first call computes and caches.
     pub fn fingerprint(&self) -> RequestFingerprint {
         *self.fingerprint.get_or_init(|| {
--- a/crates/pinerill-forward/src/crash/ledger.rs
+++ b/crates/pinerill-forward/src/crash/ledger.rs
@@ -23,6 +23,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::rotation::Rotation;
 use super::{RequestFingerprint, WorkerIncarnation};
 
 /// Number of crashes at about the same point of a request's answer that block it.
@@ -171,8 +172,7 @@
 #[derive(Debug, Default)]
 pub struct CrashLedger {
     requests: HashMap<RequestFingerprint, Crashes>,
-    /// Index in the sorted reports at which the next resend begins.
-    next_resend: usize,
+    resent: Rotation,
 }
 
 impl CrashLedger {
@@ -257,14 +257,7 @@
             all.extend(due.map(|(worker, crash)| report(now_ms, *request, *worker, crash)));
         }
         all.sort_unstable_by_key(|report| (report.request, report.worker));
-        if all.is_empty() {
-            return all;
-        }
-        let begin = self.next_resend % all.len();
-        self.next_resend = begin + limit;
-        all.rotate_left(begin);
-        all.truncate(limit);
-        all
+        self.resent.take(all, limit)
     }
 
     /// Removes requests whose last crash is at least [`CRASH_LIFE_MS`] ago.
--- a/crates/pinerill-forward/src/crash/run.rs
+++ b/crates/pinerill-forward/src/crash/run.rs
@@ -2,8 +2,10 @@
 //! detection.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use pinerill_calls::directory::{WorkerEntry, WorkerId};
+use pinerill_process::clock::BootTime;
 
 use super::broken_runs::{BrokenRun, RunEnd};
 use super::{RequestIdentity, WorkerIncarnation};
@@ -11,6 +13,10 @@
 use crate::fleet::{StreamOrigin, WorkerSoftware};
 use crate::node::Node;
 
+/// Time of writing after which a run is past the beginning of its answer. A part of a prompt that
+/// crashes workers does so within some hundred milliseconds.
+const BEGINNING: Duration = Duration::from_secs(2);
+
 /// One run of a request at a worker. A run that is dropped before an outcome is recorded counts as
 /// abandoned by its caller.
 pub struct Run {
@@ -19,6 +25,10 @@
     request: Arc<RequestIdentity>,
     /// Number of the last event received; 0 if none was.
     last_event: u64,
+    /// When the first event of this run arrived.
+    first_event_at: Option<BootTime>,
+    /// Whether the parts of the prompt are recorded as sound.
+    has_sound_parts: bool,
     is_open: bool,
 }
 
@@ -36,6 +46,8 @@
             worker: worker.clone(),
             request: request.clone(),
             last_event: resume_after.unwrap_or(0),
+            first_event_at: None,
+            has_sound_parts: false,
             is_open: true,
         }
     }
@@ -63,6 +75,10 @@
     /// Records that events up to this number were received.
     pub fn record_event(&mut self, event: Option<u64>) {
         self.last_event = self.last_event.max(event.unwrap_or(0));
+        let began = *self.first_event_at.get_or_insert_with(BootTime::now);
+        if !self.has_sound_parts && began.elapsed() >= BEGINNING {
+            self.record_sound_parts();
+        }
     }
 
     /// Ends a run that the worker can't have started.
@@ -70,6 +86,26 @@
         self.is_open = false;
     }
 
+    /// Ends a run whose answer is a success and complete, so that the worker has written all of it.
+    pub fn mark_completed(mut self) {
+        self.record_sound_parts();
+        self.mark_answered();
+    }
+
+    /// Ends a run whose event stream is complete. A stream without events shows nothing about the
+    /// parts of its prompt.
+    pub fn mark_stream_completed(self) {
+        match self.first_event_at {
+            Some(_) => self.mark_completed(),
+            None => self.mark_answered(),
+        }
+    }
+
+    fn record_sound_parts(&mut self) {
+        self.has_sound_parts = true;
+        self.node.record_sound_parts(&self.request);
+    }
+
     /// Ends a run whose answer is complete, which shows that the request did not crash the worker.
     pub fn mark_answered(mut self) {
         self.is_open = false;
@@ -84,8 +120,10 @@
             .clear_crashes_before(&self.request, self.last_event);
         if *reason == BreakReason::Restarted {
             let run = self.to_broken_run(RunEnd::Broken);
+            let worker = WorkerIncarnation::of(&self.worker);
             self.node
-                .report_crashed_runs(WorkerIncarnation::of(&self.worker), &[run]);
+                .report_crashed_runs(worker, std::slice::from_ref(&run));
+            self.node.report_crashed_parts(worker, &[run]);
         } else if reason.may_be_crash() {
             self.record_early_end(RunEnd::Broken);
             self.node.probe_worker(&self.worker, reason);
@@ -100,6 +138,7 @@
     fn to_broken_run(&self, end: RunEnd) -> BrokenRun {
         BrokenRun {
             request: self.request.fingerprint(),
+            parts: self.request.part_keys().to_vec(),
             last_event: self.last_event,
             end,
         }
--- a/crates/pinerill-forward/src/crash/tracker.rs
+++ b/crates/pinerill-forward/src/crash/tracker.rs
@@ -3,7 +3,7 @@
 //! Runs of requests record here when they end early; the watch and the connections to workers
 //! supply evidence.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use parking_lot::Mutex;
@@ -12,12 +12,15 @@
 
 use super::broken_runs::{BrokenRun, BrokenRuns, CrashEvidence};
 use super::ledger::{CrashLedger, CrashReport};
-use super::WorkerIncarnation;
+use super::part_ledger::{PartCrashReport, PartLedger};
+use super::{PartKey, WorkerIncarnation};
 use crate::exchange::BreakReason;
 use crate::node::Node;
 
 /// Limit on the requests listed in one log line.
 const REQUESTS_LOGGED: usize = 16;
+/// Limit on the prompt parts listed in one log line.
+const PARTS_LOGGED: usize = 8;
 
 /// A node's state about crashes of workers.
 #[derive(Default)]
@@ -27,6 +30,8 @@
     probing: Mutex<HashSet<WorkerIncarnation>>,
     /// Known crashes by request, also from other nodes.
     pub(super) ledger: Mutex<CrashLedger>,
+    /// Known crashes by part of prompts, also from other nodes.
+    pub(super) parts: Mutex<PartLedger>,
     /// Wakes tasks that wait for a request to be blocked, whenever a verdict changes.
     pub(super) blocked: Notify,
 }
@@ -35,9 +40,14 @@
     /// Records a run that ended before its answer was complete.
     pub(super) fn record_early_end(&self, worker: WorkerIncarnation, run: BrokenRun) {
         let now_ms = self.now_ms();
-        let is_crash = self.crashes.broken.lock().record(now_ms, worker, run);
+        let is_crash = self
+            .crashes
+            .broken
+            .lock()
+            .record(now_ms, worker, run.clone());
         if is_crash {
-            self.report_crashed_runs(worker, &[run]);
+            self.report_crashed_runs(worker, std::slice::from_ref(&run));
+            self.report_crashed_parts(worker, &[run]);
         }
     }
 
@@ -89,9 +99,13 @@
             .collect();
         log::warn!(
             event = "worker_crashed", worker = worker.id.as_str(), evidence = evidence.label(),
-            runs = runs.len(), requests:? = requests; ""
+            runs = runs.len(), requests:? = requests, parts:? = runs_by_part(&runs); ""
         );
         self.report_crashed_runs(incarnation, &runs);
+        // Other evidence comes seconds late and for several workers at the same time.
+        if evidence == CrashEvidence::Refused {
+            self.report_crashed_parts(incarnation, &runs);
+        }
     }
 
     /// Adds runs that ended with a crash of their worker to the ledger and broadcasts the reports.
@@ -108,4 +122,34 @@
         let changed = self.merge_crash_reports(&reports);
         self.peers.broadcast_crashes(&changed);
     }
+
+    /// Adds the parts of the prompts that ran at a crashed worker to the ledger of parts and
+    /// broadcasts the reports.
+    pub(super) fn report_crashed_parts(&self, worker: WorkerIncarnation, runs: &[BrokenRun]) {
+        let parts: HashSet<PartKey> = runs.iter().flat_map(|run| &run.parts).copied().collect();
+        let reports = parts.into_iter().map(|part| PartCrashReport {
+            part,
+            worker,
+            is_cleared: false,
+            age_ms: 0,
+        });
+        let reports: Vec<PartCrashReport> = reports.collect();
+        let changed = self.merge_part_reports(&reports);
+        self.peers.broadcast_crashes(&changed);
+    }
+}
+
+/// Returns the parts that the prompts of most of the runs hold, with the number of these runs.
+fn runs_by_part(runs: &[BrokenRun]) -> Vec<String> {
+    let mut counts: HashMap<PartKey, usize> = HashMap::new();
+    for part in runs.iter().flat_map(|run| &run.parts) {
+        *counts.entry(*part).or_default() += 1;
+    }
+    let mut counts: Vec<(PartKey, usize)> = counts.into_iter().collect();
+    counts.sort_unstable_by_key(|(part, runs)| (std::cmp::Reverse(*runs), *part));
+    counts.truncate(PARTS_LOGGED);
+    let counts = counts.iter();
+    counts
+        .map(|(part, runs)| format!("{part} in {runs}"))
+        .collect()
 }
--- a/crates/pinerill-forward/src/crash/verdicts.rs
+++ b/crates/pinerill-forward/src/crash/verdicts.rs
@@ -4,21 +4,49 @@
 use std::pin::pin;
 
 use super::ledger::{BlockedRequest, CrashReport, Verdict};
-use super::{RequestFingerprint, RequestIdentity};
+use super::part_ledger::{BlockedPart, PartCrashReport};
+use super::{PartKey, RequestFingerprint, RequestIdentity};
 use crate::node::Node;
 
 /// Limit on the reports in one datagram. Each takes 40 bytes at most; three block a request.
 pub(crate) const MAX_REPORTS_PER_DATAGRAM: usize = 32;
 
+/// Why a request may not be sent to workers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum BlockReason {
+    /// The request itself is known to crash workers.
+    Request,
+    /// A part of its prompt is known to crash workers.
+    Part,
+}
+
 impl Node {
-    /// Returns whether a request is known to crash workers. Computes no fingerprint while the
-    /// ledger is empty.
+    /// Returns whether a request is known to crash workers.
     pub(crate) fn is_blocked(&self, request: &RequestIdentity) -> bool {
+        self.block_reason(request).is_some()
+    }
+
+    /// Returns why a request may not be sent to workers; `None` if it may. Computes no fingerprint
+    /// while the ledgers are empty.
+    pub(crate) fn block_reason(&self, request: &RequestIdentity) -> Option<BlockReason> {
+        if self.is_part_blocked(request) {
+            return Some(BlockReason::Part);
+        }
         if self.crashes.ledger.lock().is_empty() {
+            return None;
+        }
+        let verdict = self.crashes.ledger.lock().verdict(request.fingerprint());
+        (verdict == Verdict::Blocked).then_some(BlockReason::Request)
+    }
+
+    fn is_part_blocked(&self, request: &RequestIdentity) -> bool {
+        let now_ms = self.now_ms();
+        let ledger = self.crashes.parts.lock();
+        if ledger.is_empty() {
             return false;
         }
-        let request = request.fingerprint();
-        self.crashes.ledger.lock().verdict(request) == Verdict::Blocked
+        let mut parts = request.part_keys().iter();
+        parts.any(|part| ledger.verdict(now_ms, *part) == Verdict::Blocked)
     }
 
     /// Waits until a request is known to crash workers, so that its caller need not wait any
@@ -92,6 +120,66 @@
         changed
     }
 
+    /// Records that a run of a request got past the beginning of its answer: the parts of its prompt
+    /// do not crash workers.
+    pub(super) fn record_sound_parts(&self, request: &RequestIdentity) {
+        let now_ms = self.now_ms();
+        for part in request.part_keys() {
+            let cleared = self.crashes.parts.lock().record_sound(now_ms, *part);
+            self.broadcast_cleared_part(*part, &cleared);
+        }
+    }
+
+    /// Clears the crashes under a part and broadcasts that. Returns false if there were none to
+    /// clear.
+    pub(crate) fn clear_part(&self, part: PartKey) -> bool {
+        let now_ms = self.now_ms();
+        let cleared = self.crashes.parts.lock().clear(now_ms, part);
+        self.broadcast_cleared_part(part, &cleared);
+        !cleared.is_empty()
+    }
+
+    fn broadcast_cleared_part(&self, part: PartKey, cleared: &[PartCrashReport]) {
+        if !cleared.is_empty() {
+            log::info!(event = "part_crashes_cleared", part:% = part, crashes = cleared.len(); "");
+            self.peers.broadcast_crashes(cleared);
+        }
+    }
+
+    /// Merges reports of crashes under parts into the ledger, and returns those that changed it.
+    pub(crate) fn merge_part_reports(&self, reports: &[PartCrashReport]) -> Vec<PartCrashReport> {
+        let now_ms = self.now_ms();
+        let mut ledger = self.crashes.parts.lock();
+        let mut changed = Vec::new();
+        for report in reports {
+            let before = ledger.verdict(now_ms, report.part);
+            if !ledger.merge(now_ms, report) {
+                continue;
+            }
+            changed.push(*report);
+            let after = ledger.verdict(now_ms, report.part);
+            if before != after {
+                log_part_verdict(report, after);
+                self.crashes.blocked.notify_waiters();
+            }
+        }
+        changed
+    }
+
+    /// Returns the next reports of crashes under parts to send again to other nodes.
+    pub(crate) fn part_crashes_to_resend(&self) -> Vec<PartCrashReport> {
+        let now_ms = self.now_ms();
+        self.crashes
+            .parts
+            .lock()
+            .reports_to_resend(now_ms, MAX_REPORTS_PER_DATAGRAM)
+    }
+
+    /// Returns the parts of prompts whose requests this node refuses.
+    pub(crate) fn blocked_parts(&self) -> Vec<BlockedPart> {
+        self.crashes.parts.lock().blocked(self.now_ms())
+    }
+
     /// Returns the next reports to send again to other nodes.
     pub(crate) fn crashes_to_resend(&self) -> Vec<CrashReport> {
         let now_ms = self.now_ms();
@@ -101,9 +189,10 @@
             .reports_to_resend(now_ms, MAX_REPORTS_PER_DATAGRAM)
     }
 
-    /// Removes requests whose last crash is older than `CRASH_LIFE_MS`.
+    /// Removes requests and parts of prompts whose last crash is too old to count.
     pub(crate) fn forget_old_crashes(&self) {
         self.crashes.ledger.lock().remove_expired(self.now_ms());
+        self.crashes.parts.lock().remove_expired(self.now_ms());
     }
 
     /// Returns the requests that this node refuses.
@@ -126,3 +215,11 @@
         event, request:% = report.request, reach = report.last_event, age_ms = report.age_ms; ""
     );
 }
+
+fn log_part_verdict(report: &PartCrashReport, verdict: Verdict) {
+    let event = match verdict {
+        Verdict::Blocked => "part_blocked",
+        Verdict::MayRun => "part_unblocked",
+    };
+    log::warn!(event, part:% = report.part, age_ms = report.age_ms; "");
+}
--- a/crates/pinerill-forward/src/gateway/request.rs
+++ b/crates/pinerill-forward/src/gateway/request.rs
@@ -211,6 +211,7 @@
             head.uri.clone(),
             self.body.clone(),
         );
+        let identity = identity.with_prompt(&service, &self.call.prompt);
         Ok(Call {
             identity: Arc::new(identity),
             prompt: Prompt::from_call(&self.call),
--- a/crates/pinerill-forward/src/monitoring.rs
+++ b/crates/pinerill-forward/src/monitoring.rs
@@ -48,6 +48,7 @@
     origins_recorded: IntGauge,
     requests_suspected: IntGauge,
     requests_blocked: IntGauge,
+    parts_blocked: IntGauge,
     waiting_calls: IntGauge,
     waiting_by_part: IntGaugeVec,
     pub(crate) slots_passed: IntCounter,
@@ -221,6 +222,10 @@
                 "pinerill_node_requests_blocked",
                 "Requests that are refused, since they are known to crash workers",
             )?,
+            parts_blocked: gauge(
+                "pinerill_node_prompt_parts_blocked",
+                "Parts of prompts whose requests are refused, since they are known to crash workers",
+            )?,
             waiting_calls: gauge(
                 "pinerill_node_waiting_calls",
                 "Calls that wait for a place at a worker",
@@ -326,6 +331,9 @@
         let version = self.table().map_or(0, |index| index.table().version);
         metrics.table_version.set(number(version));
         metrics.suspensions.set(number(suspensions()));
+        metrics
+            .parts_blocked
+            .set(number(self.blocked_parts().len() as u64));
         metrics
             .origins_recorded
             .set(number(self.resumptions.recorded() as u64));
--- a/crates/pinerill-forward/src/peers/crashes.rs
+++ b/crates/pinerill-forward/src/peers/crashes.rs
@@ -1,4 +1,4 @@
-//! Sends reports of workers that crashed under requests to all nodes.
+//! Sends reports of workers that crashed under requests or parts of prompts to all nodes.
 //!
 //! Each report is sent at once to the nodes of the zone. Relays forward reports that are new to
 //! them to the relays of other zones, which broadcast them in theirs; bridge nodes forward them to
@@ -13,6 +13,7 @@
 use super::message::PeerMessage;
 use super::Peers;
 use crate::crash::ledger::CrashReport;
+use crate::crash::part_ledger::PartCrashReport;
 use crate::crash::MAX_REPORTS_PER_DATAGRAM;
 use crate::node::Node;
 
@@ -23,35 +24,73 @@
 /// others on average, whatever the size of the zone.
 const RESEND_TARGETS: usize = 3;
 
+/// A report of a crash that is sent to all nodes.
+pub(crate) trait CrashNews: Copy {
+    /// Returns the message that contains these reports.
+    fn into_message(reports: Vec<Self>) -> PeerMessage;
+}
+
+impl CrashNews for CrashReport {
+    fn into_message(reports: Vec<Self>) -> PeerMessage {
+        PeerMessage::Crashes(reports)
+    }
+}
+
+impl CrashNews for PartCrashReport {
+    fn into_message(reports: Vec<Self>) -> PeerMessage {
+        PeerMessage::PartCrashes(reports)
+    }
+}
+
+/// Where reports came from.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct NewsSource {
+    /// Whether the sender is a node of this zone.
+    pub(super) is_zone_peer: bool,
+    /// Whether the sender is a bridge to another cell.
+    pub(super) is_bridge: bool,
+}
+
 impl Peers {
     /// Sends crash reports to the nodes of this zone and, if this node is a relay or a bridge, to
     /// other zones or cells.
-    pub(crate) fn broadcast_crashes(&self, reports: &[CrashReport]) {
+    pub(crate) fn broadcast_crashes<R: CrashNews>(&self, reports: &[R]) {
         self.broadcast_crashes_in_zone(reports);
         self.forward_crashes_to_relays(reports);
         self.forward_crashes_to_cells(reports);
     }
 
+    /// Forwards reports that another node sent and that are new to this one.
+    pub(super) fn forward_crashes<R: CrashNews>(&self, source: NewsSource, reports: &[R]) {
+        if source.is_zone_peer || source.is_bridge {
+            self.forward_crashes_to_relays(reports);
+        }
+        if !source.is_zone_peer {
+            self.broadcast_crashes_in_zone(reports);
+        }
+        self.forward_crashes_to_cells(reports);
+    }
+
     /// Forwards crash reports to nodes of other cells, if this node is a bridge.
-    pub(super) fn forward_crashes_to_cells(&self, reports: &[CrashReport]) {
+    fn forward_crashes_to_cells<R: CrashNews>(&self, reports: &[R]) {
         let bridges = self.bridges();
         if bridges.is_empty() {
             return;
         }
         for part in reports.chunks(MAX_REPORTS_PER_DATAGRAM) {
-            self.send_to_other_zones(&PeerMessage::Crashes(part.to_vec()), bridges.clone());
+            self.send_to_other_zones(&R::into_message(part.to_vec()), bridges.clone());
         }
     }
 
     /// Sends crash reports to all other nodes of this zone.
-    pub(super) fn broadcast_crashes_in_zone(&self, reports: &[CrashReport]) {
+    fn broadcast_crashes_in_zone<R: CrashNews>(&self, reports: &[R]) {
         for part in reports.chunks(MAX_REPORTS_PER_DATAGRAM) {
-            self.broadcast_to_zone(&PeerMessage::Crashes(part.to_vec()));
+            self.broadcast_to_zone(&R::into_message(part.to_vec()));
         }
     }
 
     /// Forwards crash reports to all relays of other zones, if this node is a relay.
-    pub(super) fn forward_crashes_to_relays(&self, reports: &[CrashReport]) {
+    fn forward_crashes_to_relays<R: CrashNews>(&self, reports: &[R]) {
         if reports.is_empty() {
             return;
         }
@@ -59,27 +98,32 @@
             return;
         };
         for part in reports.chunks(MAX_REPORTS_PER_DATAGRAM) {
-            self.send_to_other_zones(&PeerMessage::Crashes(part.to_vec()), relays.clone());
+            self.send_to_other_zones(&R::into_message(part.to_vec()), relays.clone());
         }
     }
+
+    /// Sends crash reports to a few random nodes of the zone and, if this node is a relay or a
+    /// bridge, to other zones or cells.
+    fn resend_crashes<R: CrashNews>(&self, reports: Vec<R>) {
+        if reports.is_empty() {
+            return;
+        }
+        let message = R::into_message(reports);
+        let zone_peers = self.zone_peers();
+        let targets = zone_peers.choose_multiple(&mut rand::thread_rng(), RESEND_TARGETS);
+        self.send_in_zone(&message, targets.copied());
+        if let Some(relays) = self.target_relays() {
+            self.send_to_other_zones(&message, relays);
+        }
+        self.send_to_other_zones(&message, self.bridges());
+    }
 }
 
 /// Resends crash reports to a few other nodes at regular intervals, until the node ends.
 pub(crate) async fn resend_crash_reports(node: Arc<Node>) {
     loop {
         sleep(RESEND_PAUSE).await;
-        let reports = node.crashes_to_resend();
-        if reports.is_empty() {
-            continue;
-        }
-        let message = PeerMessage::Crashes(reports);
-        let zone_peers = node.peers.zone_peers();
-        let targets = zone_peers.choose_multiple(&mut rand::thread_rng(), RESEND_TARGETS);
-        node.peers.send_in_zone(&message, targets.copied());
-        if let Some(relays) = node.peers.target_relays() {
-            node.peers.send_to_other_zones(&message, relays);
-        }
-        node.peers
-            .send_to_other_zones(&message, node.peers.bridges());
+        node.peers.resend_crashes(node.crashes_to_resend());
+        node.peers.resend_crashes(node.part_crashes_to_resend());
     }
 }
--- a/crates/pinerill-forward/src/peers/message.rs
+++ b/crates/pinerill-forward/src/peers/message.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::crash::ledger::CrashReport;
+use crate::crash::part_ledger::PartCrashReport;
 use crate::dispatch::demand::ServiceDemand;
 use crate::dispatch::report::{QueueReport, ReturnTicket, TenantUse};
 use crate::fleet::{ReportOrder, WorkerCount, WorkerKey, WorkerPace};
@@ -16,7 +17,7 @@
 
 /// Content of one datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub(super) enum PeerMessage {
+pub(crate) enum PeerMessage {
     /// To nodes of the zone: the sender sent a long prompt to a worker.
     PromptSent {
         /// Worker that got the prompt.
@@ -98,6 +99,8 @@
     OriginQuery(OriginQuery),
     /// To one node of the zone: the answer to its question.
     OriginReply(OriginReply),
+    /// To all nodes, through relays and bridges: workers crashed under parts of prompts.
+    PartCrashes(Vec<PartCrashReport>),
 }
 
 impl PeerMessage {
@@ -109,7 +112,7 @@
             PeerMessage::ZoneInFlight { .. } => "zone_in_flight",
             PeerMessage::NoAnswer { .. } => "no_answer",
             PeerMessage::Broke { .. } => "broke",
-            PeerMessage::Crashes(_) => "crashes",
+            PeerMessage::Crashes(_) | PeerMessage::PartCrashes(_) => "crashes",
             PeerMessage::SlotFree { .. } => "place_free",
             PeerMessage::Queue { .. } => "queue",
             PeerMessage::ZoneTenants { .. } => "zone_tenants",
--- a/crates/pinerill-forward/src/peers/receive.rs
+++ b/crates/pinerill-forward/src/peers/receive.rs
@@ -5,6 +5,7 @@
 
 use pinerill_calls::encoding::{decode_as, Format};
 
+use super::crashes::NewsSource;
 use super::message::{PeerMessage, DATAGRAM_BYTES};
 use crate::fleet::{ReportOrder, WorkerCount};
 use crate::node::Node;
@@ -25,6 +26,10 @@
         if !from_zone && !from_relay && !from_bridge {
             continue;
         }
+        let source = NewsSource {
+            is_zone_peer: from_zone,
+            is_bridge: from_bridge,
+        };
         match decode_as::<PeerMessage>(Format::DATAGRAMS, &datagram[..length]) {
             Ok(message @ (PeerMessage::ZoneInFlight { .. } | PeerMessage::ZoneTenants { .. }))
                 if from_relay =>
@@ -34,13 +39,11 @@
             }
             Ok(PeerMessage::Crashes(reports)) => {
                 let changed = node.merge_crash_reports(&reports);
-                if from_zone || from_bridge {
-                    node.peers.forward_crashes_to_relays(&changed);
-                }
-                if !from_zone {
-                    node.peers.broadcast_crashes_in_zone(&changed);
-                }
-                node.peers.forward_crashes_to_cells(&changed);
+                node.peers.forward_crashes(source, &changed);
+            }
+            Ok(PeerMessage::PartCrashes(reports)) => {
+                let changed = node.merge_part_reports(&reports);
+                node.peers.forward_crashes(source, &changed);
             }
             Ok(PeerMessage::StreamOrigin(record)) if from_zone || from_relay => {
                 node.keep_origin(&record);
@@ -83,7 +86,7 @@
             node.with_fleet(|fleet, now_ms| fleet.record_peer_connection_loss(now_ms, worker));
         }
         // Handled in `receive`, since relays of other zones or bridges send these too.
-        PeerMessage::Crashes(_) | PeerMessage::StreamOrigin(_) => {}
+        PeerMessage::Crashes(_) | PeerMessage::PartCrashes(_) | PeerMessage::StreamOrigin(_) => {}
         PeerMessage::OriginForRelays(record) => {
             node.keep_origin(&record);
             node.peers.forward_origin(&record);
--- a/crates/pinerill-forward/tests/broken_runs.rs
+++ b/crates/pinerill-forward/tests/broken_runs.rs
@@ -17,6 +17,7 @@
 fn run(name: &str, end: RunEnd) -> BrokenRun {
     BrokenRun {
         request: RequestFingerprint::of_parts(&[name.as_bytes()]),
+        parts: Vec::new(),
         last_event: 0,
         end,
     }
