A node that has just started reads which versions were listed before; who hears the leader is sure

Cause: a node that starts knows nothing of the versions of the last seconds, nor does a zone whose nodes start together, and a node whose only neighbour has ended hears nobody. Change: the leader keeps the history of versions that its readings of the list show (pinerill_calls::version_history) and answers ReadVersions, which format 9 has at its end; a node asks while its own history is shorter than a minute, and a resumption waits for the first answer within the time of its lookup. A gap of five seconds between readings ends what is known. A node that has heard the leader within a second counts as hearing somebody: the leader tells all nodes of a new version at once.

--- a/crates/pinerill-calls/src/encoding.rs
+++ b/crates/pinerill-calls/src/encoding.rs
@@ -22,7 +22,7 @@
 /// | 6 | tenants and public routes in route tables, borrowing of request tokens |
 /// | 7 | age of the directory in answers to watches, health check paths of services |
 /// | 8 | evacuated zones, slow starts of services, allowed regions, cells of the fleet |
-/// | 9 | software versions of workers |
+/// | 9 | software versions of workers, requests for their history |
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Format(u8);
 
--- a/crates/pinerill-calls/src/formats/mod.rs
+++ b/crates/pinerill-calls/src/formats/mod.rs
@@ -62,7 +62,7 @@
     let what = request.purpose();
     let missing = |_| NotExpressible { format, what };
     Ok(match format.byte() {
-        8 => encode_as(format, &request),
+        8 => encode_as(format, &v8::to_request(request).map_err(missing)?),
         7 => encode_as(format, &v7::Request::try_from(request).map_err(missing)?),
         6 => encode_as(format, &v6::Request::try_from(request).map_err(missing)?),
         5 => encode_as(format, &v5::Request::try_from(request).map_err(missing)?),
@@ -97,7 +97,7 @@
     let what = "such answer";
     let missing = |_| NotExpressible { format, what };
     Ok(match format.byte() {
-        8 => v8::encode_response(response).map_err(|_| NotExpressible { format, what })?,
+        8 => v8::encode_response(response).map_err(missing)?,
         7 => encode_as(format, &v7::Response::try_from(response).map_err(missing)?),
         6 => encode_as(format, &v6::Response::try_from(response).map_err(missing)?),
         5 => encode_as(format, &v5::Response::try_from(response).map_err(missing)?),
--- a/crates/pinerill-calls/src/formats/requests.rs
+++ b/crates/pinerill-calls/src/formats/requests.rs
@@ -102,7 +102,8 @@
             CallsRequest::RetirementState(name) => OlderRequest::RetirementState(name),
             CallsRequest::EvacuateZone(_)
             | CallsRequest::ReturnZone(_)
-            | CallsRequest::BorrowSlowStarts(_) => return Err(()),
+            | CallsRequest::BorrowSlowStarts(_)
+            | CallsRequest::ReadVersions => return Err(()),
         })
     }
 }
--- a/crates/pinerill-calls/src/formats/responses.rs
+++ b/crates/pinerill-calls/src/formats/responses.rs
@@ -120,7 +120,7 @@
             CallsResponse::Document(document) => OlderResponse::Document(document),
             CallsResponse::Retirement(state) => OlderResponse::Retirement(state),
             CallsResponse::Done => OlderResponse::Done,
-            CallsResponse::SlowStarts(_) => return Err(()),
+            CallsResponse::SlowStarts(_) | CallsResponse::Versions(_) => return Err(()),
         })
     }
 }
--- a/crates/pinerill-calls/src/formats/v4.rs
+++ b/crates/pinerill-calls/src/formats/v4.rs
@@ -213,7 +213,8 @@
             | CallsRequest::ReadDocument
             | CallsRequest::EvacuateZone(_)
             | CallsRequest::ReturnZone(_)
-            | CallsRequest::BorrowSlowStarts(_) => return Err(()),
+            | CallsRequest::BorrowSlowStarts(_)
+            | CallsRequest::ReadVersions => return Err(()),
         })
     }
 }
@@ -262,9 +263,10 @@
             }),
             CallsResponse::Retirement(state) => Response::Retirement(state),
             CallsResponse::Done => Response::Done,
-            CallsResponse::Document(_) | CallsResponse::Lent(_) | CallsResponse::SlowStarts(_) => {
-                return Err(())
-            }
+            CallsResponse::Document(_)
+            | CallsResponse::Lent(_)
+            | CallsResponse::SlowStarts(_)
+            | CallsResponse::Versions(_) => return Err(()),
         })
     }
 }
--- a/crates/pinerill-calls/src/formats/v5.rs
+++ b/crates/pinerill-calls/src/formats/v5.rs
@@ -154,7 +154,9 @@
             CallsResponse::Document(document) => Response::Document(document),
             CallsResponse::Retirement(state) => Response::Retirement(state),
             CallsResponse::Done => Response::Done,
-            CallsResponse::Lent(_) | CallsResponse::SlowStarts(_) => return Err(()),
+            CallsResponse::Lent(_) | CallsResponse::SlowStarts(_) | CallsResponse::Versions(_) => {
+                return Err(())
+            }
         })
     }
 }
--- a/crates/pinerill-calls/src/formats/v8.rs
+++ b/crates/pinerill-calls/src/formats/v8.rs
@@ -1,6 +1,7 @@
 //! Format 8. Compared with format 9 it lacks the software versions of workers in directories.
 //!
 //! Requests have the same layout in both formats, and so do all responses but those to watches.
+//! Requests for the history of versions are missing.
 
 use std::net::SocketAddr;
 
@@ -11,7 +12,7 @@
 use crate::directory::{self, WorkerId, WorkerState};
 use crate::encoding::{decode_any, encode_as, Format, MessageError};
 use crate::evacuation::Evacuations;
-use crate::message::{CallsResponse, Processes, WatchResponse};
+use crate::message::{CallsRequest, CallsResponse, Processes, WatchResponse};
 use crate::packed::{Packed, UnpackError};
 use crate::table::RouteTable;
 
@@ -66,14 +67,27 @@
     Watch(Box<OlderWatchResponse>),
 }
 
+/// Returns a request that format 8 has.
+///
+/// # Errors
+/// The request exists only in newer formats.
+pub(super) fn to_request(request: CallsRequest) -> Result<CallsRequest, ()> {
+    match request {
+        CallsRequest::ReadVersions => Err(()),
+        request => Ok(request),
+    }
+}
+
 /// Encodes a response in format 8.
 ///
 /// # Errors
-/// [`UnpackError`] if the route table or the directory of a watch response cannot be unpacked.
-pub(super) fn encode_response(response: CallsResponse) -> Result<Vec<u8>, UnpackError> {
+/// The response exists only in newer formats, or the route table or the directory of a watch
+/// response cannot be unpacked.
+pub(super) fn encode_response(response: CallsResponse) -> Result<Vec<u8>, ()> {
     match response {
+        CallsResponse::Versions(_) => Err(()),
         CallsResponse::Watch(watch) => {
-            let watch = OlderWatchResponse::try_from(*watch)?;
+            let watch = OlderWatchResponse::try_from(*watch).map_err(|_| ())?;
             Ok(encode_as(FORMAT, &WatchVariant::Watch(Box::new(watch))))
         }
         response => Ok(encode_as(FORMAT, &response)),
--- a/crates/pinerill-calls/src/lib.rs
+++ b/crates/pinerill-calls/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod settings;
 pub mod table;
 pub mod traffic;
+pub mod version_history;
--- a/crates/pinerill-calls/src/message.rs
+++ b/crates/pinerill-calls/src/message.rs
@@ -19,6 +19,7 @@
 use crate::job::{CallJobId, ItemRef, ItemReport, NewCallJob, ResultPage};
 use crate::packed::Packed;
 use crate::table::RouteTable;
+use crate::version_history::ServiceVersions;
 
 pub use crate::encoding::{decode, decode_any, encode, Format, MessageError};
 
@@ -63,6 +64,8 @@
     ReturnZone(String),
     /// Node → leader: borrows permits for requests to workers that are still cold.
     BorrowSlowStarts(SlowStartRequest),
+    /// Node → leader: reads the software versions that were listed in the last minutes.
+    ReadVersions,
 }
 
 /// The answer to a [`CallsRequest`].
@@ -93,6 +96,8 @@
     /// Answer to [`CallsRequest::BorrowSlowStarts`]: the workers for which the leader lends one
     /// permit each.
     SlowStarts(Vec<WorkerId>),
+    /// Answer to [`CallsRequest::ReadVersions`].
+    Versions(Vec<ServiceVersions>),
 }
 
 /// Long poll of a node for the parts of the cluster's state that differ from its known state.
@@ -363,6 +368,7 @@
             CallsRequest::StartRetirement(_) | CallsRequest::RetirementState(_) => "retire",
             CallsRequest::EvacuateZone(_) | CallsRequest::ReturnZone(_) => "evacuate",
             CallsRequest::BorrowSlowStarts(_) => "slow_start",
+            CallsRequest::ReadVersions => "versions",
         }
     }
 }
--- a/crates/pinerill-calls/tests/formats.rs
+++ b/crates/pinerill-calls/tests/formats.rs
@@ -125,6 +125,12 @@
         let lent = CallsResponse::SlowStarts(vec![WorkerId::new("w", None)]);
         assert!(encode_response(lent, format).is_err(), "format {format}");
     }
+    for format in Format::newest_first().skip(1) {
+        let versions = encode_request(CallsRequest::ReadVersions, format);
+        assert!(versions.is_err(), "format {format}");
+        let read = CallsResponse::Versions(Vec::new());
+        assert!(encode_response(read, format).is_err(), "format {format}");
+    }
     let document = encode_request(CallsRequest::ReadDocument, Format::OLDEST);
     assert!(document.is_err());
 }
--- a/crates/pinerill-cluster/src/cells.rs
+++ b/crates/pinerill-cluster/src/cells.rs
@@ -14,6 +14,7 @@
 use pinerill_calls::directory::{DirectoryHistory, DirectoryUpdate, WorkerEntry, WorkerId};
 use pinerill_calls::message::ZoneRelays;
 use pinerill_calls::packed::Packed;
+use pinerill_calls::version_history::{ServiceVersions, VersionHistory};
 
 /// Time without a request after which a node is removed, milliseconds.
 const NODE_TIMEOUT_MS: u64 = 2_500;
@@ -112,6 +113,7 @@
     next_checked: usize,
     nodes: usize,
     workers: Option<usize>,
+    versions: VersionHistory,
 }
 
 impl Default for Cells {
@@ -123,6 +125,7 @@
             next_checked: 0,
             nodes: 0,
             workers: None,
+            versions: VersionHistory::default(),
         }
     }
 }
@@ -132,6 +135,8 @@
     /// any directory.
     pub fn update_workers(&mut self, began_ms: u64, workers: Vec<WorkerEntry>) -> bool {
         self.workers = Some(workers.len());
+        self.versions.record(began_ms as i64, &workers);
+        self.versions.confirm(began_ms as i64);
         self.partition = self.partition.repartition(&workers);
         let divided = self.partition.divide(&workers);
         self.resize(divided.len());
@@ -145,6 +150,11 @@
         is_changed
     }
 
+    /// Returns the software versions of all services that were listed in the last minutes.
+    pub fn versions(&self, now_ms: u64) -> Vec<ServiceVersions> {
+        self.versions.export(now_ms as i64)
+    }
+
     /// Number of listed workers; `None` before the first poll.
     pub fn worker_count(&self) -> Option<usize> {
         self.workers
--- a/crates/pinerill-cluster/src/server/service.rs
+++ b/crates/pinerill-cluster/src/server/service.rs
@@ -105,6 +105,7 @@
             CallsRequest::EvacuateZone(zone) => self.evacuate_zone(zone).await,
             CallsRequest::ReturnZone(zone) => self.return_zone(zone).await,
             CallsRequest::BorrowSlowStarts(request) => self.lend_slow_starts(request).await,
+            CallsRequest::ReadVersions => self.read_versions(),
         }
     }
 }
--- a/crates/pinerill-cluster/src/server/watch.rs
+++ b/crates/pinerill-cluster/src/server/watch.rs
@@ -123,6 +123,16 @@
         })
     }
 
+    /// Returns the software versions that the list has shown in the last minutes. Only the leader
+    /// reads the list.
+    pub(super) fn read_versions(&self) -> Result<CallsResponse, Box<Refusal>> {
+        let now_ms = self.now_ms();
+        let versions = self.with_leadership("read versions", |leadership| {
+            leadership.cells.versions(now_ms)
+        })?;
+        Ok(CallsResponse::Versions(versions))
+    }
+
     /// Returns the route table if it is newer than `version`. The table is packed once and shared
     /// by all nodes.
     fn table_newer_than(
--- a/crates/pinerill-forward/src/cluster/mod.rs
+++ b/crates/pinerill-forward/src/cluster/mod.rs
@@ -5,9 +5,11 @@
 mod directory_kind;
 pub mod list_pace;
 mod older_leader;
+mod versions;
 mod watch;
 
 pub use client::{Answered, CallFailure, ClusterClient};
 pub(crate) use directory_kind::DirectoryKind;
 pub use older_leader::OlderLeader;
+pub(crate) use versions::{read_versions, VersionHistoryRead};
 pub(crate) use watch::follow_leader;
--- a/crates/pinerill-forward/src/fleet/mod.rs
+++ b/crates/pinerill-forward/src/fleet/mod.rs
@@ -27,6 +27,7 @@
 use pinerill_calls::evacuation::Evacuations;
 use pinerill_calls::protocol::LoadSample;
 use pinerill_calls::table::SlowStart;
+use pinerill_calls::version_history::VersionHistory;
 
 use self::eligibility::ConfirmationLease;
 use self::incarnations::Incarnations;
@@ -44,8 +45,7 @@
 pub use prefixes::{PrefixMemory, Prompt};
 pub use slow_start::SlowStartPermit;
 pub use software::{
-    ListedVersions, RequiredSoftware, ServiceKey, SoftwareVersion, StreamOrigin, VersionHistory,
-    WorkerSoftware,
+    ListedVersions, RequiredSoftware, ServiceKey, SoftwareVersion, StreamOrigin, WorkerSoftware,
 };
 pub use worker::Worker;
 
@@ -208,6 +208,7 @@
     /// Records that the directory matches the platform list as of `listed_ms` or later.
     pub fn confirm_directory(&mut self, listed_ms: i64) {
         self.listed_ms = self.listed_ms.max(Some(listed_ms));
+        self.versions.confirm(listed_ms);
     }
 
     /// Returns the time as of which the directory is known to match the platform list, or `None` if
--- a/crates/pinerill-forward/src/fleet/software.rs
+++ b/crates/pinerill-forward/src/fleet/software.rs
@@ -5,17 +5,15 @@
 //! worker that is known to run the same version. A worker of unknown version is the same as no
 //! other worker.
 
-use std::collections::{HashMap, HashSet};
-
 use pinerill_calls::directory::WorkerEntry;
+use pinerill_calls::version_history::{PeriodVersions, ServiceVersions};
 use serde::{Deserialize, Serialize};
 
 use super::Fleet;
 use crate::crash::{RequestFingerprint, WorkerIncarnation};
 
-/// Time in milliseconds after which a version that is no longer listed is forgotten. It exceeds the
-/// life of any stream that callers continue.
-const VERSION_RETENTION_MS: u64 = 600_000;
+/// Period in milliseconds for which a node wants to know the versions of all services.
+const NEEDED_HISTORY_MS: u64 = 60_000;
 
 /// Identifies a service by a hash of its name that is the same at all nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -33,13 +31,16 @@
 pub struct SoftwareVersion(u64);
 
 impl SoftwareVersion {
+    /// Returns the version of a service's software with this text.
+    pub fn new(service: &str, version: &str) -> Self {
+        let parts = [service.as_bytes(), version.as_bytes()];
+        SoftwareVersion(RequestFingerprint::of_parts(&parts).short())
+    }
+
     /// Returns the version that a directory entry states; `None` if it states none.
     pub fn of(entry: &WorkerEntry) -> Option<Self> {
         let version = entry.version.as_deref()?;
-        let parts = [entry.service.as_bytes(), version.as_bytes()];
-        Some(SoftwareVersion(
-            RequestFingerprint::of_parts(&parts).short(),
-        ))
+        Some(SoftwareVersion::new(&entry.service, version))
     }
 }
 
@@ -130,84 +131,22 @@
     Several,
 }
 
-#[derive(Debug, Default)]
-struct ServiceVersions {
-    /// Start of the period for which the versions are known, in milliseconds.
-    known_since_ms: u64,
-    listed: HashSet<Option<SoftwareVersion>>,
-    /// When each version that is no longer listed was last listed, in milliseconds.
-    last_listed_ms: HashMap<Option<SoftwareVersion>, u64>,
-}
-
-/// The versions of each service that were listed in the last minutes.
-#[derive(Debug, Default)]
-pub struct VersionHistory {
-    services: HashMap<ServiceKey, ServiceVersions>,
-}
-
-impl VersionHistory {
-    /// Records the versions that are listed from now on. Those listed before were so until now.
-    pub fn record(
-        &mut self,
-        now_ms: u64,
-        listed: impl IntoIterator<Item = (ServiceKey, Option<SoftwareVersion>)>,
-    ) {
-        for versions in self.services.values_mut() {
-            let until_now = versions.listed.drain().map(|version| (version, now_ms));
-            versions.last_listed_ms.extend(until_now);
-            let is_kept = |at_ms: u64| now_ms < at_ms + VERSION_RETENTION_MS;
-            versions.last_listed_ms.retain(|_, at_ms| is_kept(*at_ms));
-        }
-        for (service, version) in listed {
-            let versions = self
-                .services
-                .entry(service)
-                .or_insert_with(|| ServiceVersions {
-                    known_since_ms: now_ms,
-                    ..ServiceVersions::default()
-                });
-            versions.last_listed_ms.remove(&version);
-            versions.listed.insert(version);
-        }
-        self.services
-            .retain(|_, one| !one.listed.is_empty() || !one.last_listed_ms.is_empty());
+impl Fleet {
+    /// Records the versions of the listed workers in the history.
+    pub(super) fn record_versions(&mut self, now_ms: u64) {
+        let listed = self.workers.values().map(|worker| &**worker.entry());
+        self.versions.record(now_ms as i64, listed);
     }
 
-    /// Returns the versions of a service that were listed in the last `period_ms` milliseconds.
-    pub fn listed_within(
-        &self,
-        now_ms: u64,
-        service: ServiceKey,
-        period_ms: u64,
-    ) -> ListedVersions {
-        let Some(versions) = self.services.get(&service) else {
-            return ListedVersions::Unknown;
-        };
-        let is_recent = |at_ms: u64| now_ms < at_ms + period_ms;
-        let earlier = versions.last_listed_ms.iter();
-        let earlier = earlier.filter(|(_, at_ms)| is_recent(**at_ms));
-        let all: HashSet<Option<SoftwareVersion>> = earlier
-            .map(|(version, _)| *version)
-            .chain(versions.listed.iter().copied())
-            .collect();
-        let known: Vec<SoftwareVersion> = all.iter().copied().flatten().collect();
-        let is_complete = !all.contains(&None) && !is_recent(versions.known_since_ms);
-        match known[..] {
-            [version] if is_complete => ListedVersions::Single(version),
-            [] | [_] => ListedVersions::Unknown,
-            _ => ListedVersions::Several,
-        }
+    /// Adds the history of the leader, as it was at `at_ms`.
+    pub fn import_versions(&mut self, at_ms: u64, versions: &[ServiceVersions]) {
+        self.versions.import(at_ms as i64, versions);
     }
-}
 
-impl Fleet {
-    /// Records the versions of the listed workers in the history.
-    pub(super) fn record_versions(&mut self, now_ms: u64) {
-        let listed = self.workers.values().map(|worker| {
-            let entry = worker.entry();
-            (ServiceKey::of(&entry.service), worker.software().version)
-        });
-        self.versions.record(now_ms, listed);
+    /// Returns whether the leader may know more about the versions of the last minute.
+    pub fn lacks_version_history(&self, now_ms: u64) -> bool {
+        self.versions
+            .is_shorter_than(now_ms as i64, NEEDED_HISTORY_MS)
     }
 
     /// Returns the versions of a service that were listed in the last `period_ms` milliseconds, or
@@ -220,7 +159,17 @@
         period_ms: u64,
     ) -> ListedVersions {
         let oldest_ms = now_ms as i64 - self.settings.leave_notice_ms as i64;
-        let listed = self.versions.listed_within(now_ms, service, period_ms);
+        let mut names = self.versions.services();
+        let Some(name) = names.find(|name| ServiceKey::of(name) == service) else {
+            return ListedVersions::Unknown;
+        };
+        let listed = match self.versions.within(now_ms as i64, name, period_ms) {
+            PeriodVersions::Unknown => ListedVersions::Unknown,
+            PeriodVersions::Single(version) => {
+                ListedVersions::Single(SoftwareVersion::new(name, &version))
+            }
+            PeriodVersions::Several => ListedVersions::Several,
+        };
         let is_current = self.listed_ms.is_some_and(|at_ms| at_ms >= oldest_ms);
         match is_current || listed == ListedVersions::Several {
             true => listed,
--- a/crates/pinerill-forward/src/monitoring.rs
+++ b/crates/pinerill-forward/src/monitoring.rs
@@ -13,7 +13,7 @@
 };
 use tokio::sync::Notify;
 
-use crate::cluster::DirectoryKind;
+use crate::cluster::{DirectoryKind, VersionHistoryRead};
 use crate::node::Node;
 
 /// Bucket bounds of latency histograms in seconds, from a fast first event to the longest time
@@ -79,6 +79,8 @@
     pub(crate) directory_kind: Mutex<DirectoryKind>,
     /// Notified when `directory_kind` changes.
     pub(crate) directory_kind_changed: Notify,
+    /// Whether the leader's history of software versions was read.
+    pub(crate) version_history: VersionHistoryRead,
 }
 
 impl Metrics {
--- a/crates/pinerill-forward/src/resumption/decision.rs
+++ b/crates/pinerill-forward/src/resumption/decision.rs
@@ -1,8 +1,8 @@
 //! Decides what a resumption requires of its worker. Pure.
 //!
 //! Not knowing the origin is not the same as there being one version only. A node is sure without a
-//! record if it has heard another node, or there is none, and all that answered have seen a
-//! single version for longer than a stream lives. A node that hears nobody may be cut off while
+//! record if all nodes that answered have seen a single version for longer than a stream lives, and
+//! if it has just heard the leader or another node. A node that hears nobody may be cut off while
 //! others send streams to workers of a version that it has not seen.
 
 use super::origins::KnownOrigin;
@@ -26,6 +26,8 @@
     pub asked: usize,
     /// Their answers so far.
     pub answers: Vec<Knowledge>,
+    /// Whether the node has just heard the leader, which tells all nodes of a new version at once.
+    pub hears_leader: bool,
     /// Whether no further answers are awaited.
     pub is_final: bool,
 }
@@ -83,7 +85,8 @@
 }
 
 fn decide_without_record(inputs: &ResumptionInputs) -> ResumptionDecision {
-    if inputs.asked > 0 && inputs.answers.is_empty() {
+    let hears_nobody = inputs.asked > 0 && inputs.answers.is_empty() && !inputs.hears_leader;
+    if hears_nobody {
         return ResumptionDecision::Refuse;
     }
     let mut single = None;
--- a/crates/pinerill-forward/src/resumption/lookup.rs
+++ b/crates/pinerill-forward/src/resumption/lookup.rs
@@ -13,6 +13,7 @@
 use super::decision::{decide, Knowledge, ResumptionBasis, ResumptionDecision, ResumptionInputs};
 use super::origins::{longest_stream_life_ms, KnownOrigin, OriginLedger, OriginRecord, StreamKey};
 use crate::call::Call;
+use crate::cluster::DirectoryKind;
 use crate::fleet::{ListedVersions, RequiredSoftware, ServiceKey, StreamOrigin};
 use crate::node::Node;
 
@@ -20,6 +21,10 @@
 /// of milliseconds.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time in milliseconds since the leader's last answer up to which a node counts as hearing it. The
+/// leader answers a watch after half a second if nothing changes.
+const LEADER_CONTACT_MS: u64 = 1_000;
+
 /// Question of a node about a stream that a caller continues there.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct OriginQuery {
@@ -126,12 +131,17 @@
             own: self.knowledge_for(&query),
             asked: 0,
             answers: Vec::new(),
+            hears_leader: self.control_silent_ms() <= LEADER_CONTACT_MS,
             is_final: false,
         };
+        let until = call.deadline.min(BootTime::now() + LOOKUP_TIMEOUT);
         if inputs.own.origin == KnownOrigin::Unknown {
             inputs.asked = self.peers.ask_for_origin(&query);
+            if *self.known_state.directory_kind.lock() == DirectoryKind::Complete {
+                self.known_state.version_history.wait(until).await;
+                inputs.own = self.knowledge_for(&query);
+            }
         }
-        let until = call.deadline.min(BootTime::now() + LOOKUP_TIMEOUT);
         loop {
             let decision = decide(&inputs);
             if decision != ResumptionDecision::Wait {
--- a/crates/pinerill-forward/src/run.rs
+++ b/crates/pinerill-forward/src/run.rs
@@ -84,6 +84,7 @@
         node.clone(),
         protocols.worker_list,
     )));
+    let reading_versions = spawn(boxed(cluster::read_versions(node.clone())));
     let mut items = spawn(boxed(batch::run(node.clone())));
     let reloading_settings = spawn(boxed(reload_settings(node.clone(), file)));
     let receiving_from_peers = spawn(boxed(peers::receive(node.clone())));
@@ -118,6 +119,7 @@
     batch::release_all(&node).await;
     drop((
         following_cluster,
+        reading_versions,
         receiving_from_peers,
         broadcasting,
         broadcasting_paces,
--- a/crates/pinerill-forward/tests/resumptions.rs
+++ b/crates/pinerill-forward/tests/resumptions.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use pinerill_calls::directory::{WorkerEntry, WorkerId};
+use pinerill_calls::version_history::{PeriodVersions, VersionHistory};
 use pinerill_forward::crash::Requester;
 use pinerill_forward::fleet::{
     ChoiceSettings, Fleet, ListedVersions, Placement, PlacementRequest, Prompt, RequiredSoftware,
@@ -52,6 +53,7 @@
         own,
         asked,
         answers: answers.to_vec(),
+        hears_leader: false,
         is_final: true,
     })
 }
@@ -142,6 +144,18 @@
         decision(single, 1, &[other]),
     ];
     assert_eq!(refused, [ResumptionDecision::Refuse; 6]);
+    let hearing_the_leader = |own| {
+        decide(&ResumptionInputs {
+            own,
+            asked: 2,
+            answers: Vec::new(),
+            hears_leader: true,
+            is_final: true,
+        })
+    };
+    assert_eq!(hearing_the_leader(single), at_v1);
+    assert_eq!(hearing_the_leader(started), ResumptionDecision::Refuse);
+    assert_eq!(hearing_the_leader(several), ResumptionDecision::Refuse);
 }
 
 #[test]
@@ -152,6 +166,7 @@
         own,
         asked: 3,
         answers: vec![own],
+        hears_leader: true,
         is_final: false,
     };
     assert_eq!(decide(&inputs), ResumptionDecision::Wait);
@@ -171,6 +186,10 @@
     let service = ServiceKey::of(&v1.service);
     let single = |text: &str| ListedVersions::Single(version(text));
     let seen = |fleet: &mut Fleet, now_ms: u64| {
+        let confirmed_ms = fleet.listed_ms().unwrap_or(1_000);
+        for at_ms in (confirmed_ms..now_ms as i64).step_by(1_000) {
+            fleet.confirm_directory(at_ms);
+        }
         fleet.confirm_directory(now_ms as i64);
         fleet.listed_versions(now_ms, service, LIFE_MS)
     };
@@ -192,6 +211,47 @@
     );
 }
 
+#[test]
+fn a_node_that_has_just_started_goes_by_the_history_of_its_leader() {
+    let mut leader = VersionHistory::default();
+    let (v1, v2) = (worker("a", Some("v1")), worker("b", Some("v2")));
+    leader.record(0, [&v1, &v2]);
+    leader.record(10_000, [&v2]);
+    let fleet_at = |leader_ms: i64| {
+        let mut fleet = Fleet::new("za", ChoiceSettings::default());
+        fleet.apply_directory(100, std::slice::from_ref(&v2));
+        fleet.confirm_directory(100);
+        assert!(fleet.lacks_version_history(100));
+        fleet.import_versions(100, &leader.export(leader_ms));
+        fleet.listed_versions(100, ServiceKey::of(&v2.service), LIFE_MS)
+    };
+    let life_ms = LIFE_MS as i64;
+    assert_eq!(fleet_at(20_000), ListedVersions::Several);
+    assert_eq!(fleet_at(10_000 + life_ms - 1), ListedVersions::Several);
+    let single = ListedVersions::Single(version("v2"));
+    assert_eq!(fleet_at(10_000 + life_ms), single);
+}
+
+#[test]
+fn versions_count_as_unknown_for_a_time_without_readings_of_the_list() {
+    let mut history = VersionHistory::default();
+    let v1 = worker("a", Some("v1"));
+    history.record(0, [&v1]);
+    history.confirm(0);
+    let within = |history: &VersionHistory, now_ms| history.within(now_ms, &v1.service, LIFE_MS);
+    for at_ms in (0..20_000).step_by(1_000) {
+        history.confirm(at_ms);
+    }
+    let single = PeriodVersions::Single("v1".to_owned());
+    assert_eq!(within(&history, 20_000), single);
+    history.confirm(40_000);
+    assert_eq!(within(&history, 40_000), PeriodVersions::Unknown);
+    for at_ms in (40_000..60_000).step_by(1_000) {
+        history.confirm(at_ms);
+    }
+    assert_eq!(within(&history, 40_000 + LIFE_MS as i64), single);
+}
+
 #[test]
 fn a_worker_of_unknown_version_makes_no_version_the_only_one() {
     let mut fleet = Fleet::new("za", ChoiceSettings::default());
