Test: children that are killed are started in a process of their own

Cause: a test of the same program starts children. Between its fork and its exec a child holds the locks of all databases that are open in the test's process, so that one that another test has just closed is still locked. Change: the tests with children stand in killed_creation, unchanged; what both files use stands in support.

--- a/crates/pinerill-storage/tests/creation.rs
+++ b/crates/pinerill-storage/tests/creation.rs
@@ -1,18 +1,17 @@
 //! A creation that was cut short begins anew; a database that was ever whole never does.
 
+mod support;
+
 use std::fs::{self, File};
 use std::path::{Path, PathBuf};
-use std::process::{Command, Stdio};
-use std::sync::mpsc::channel;
 use std::sync::{Arc, Barrier};
-use std::time::Duration;
 
-use pinerill_replica::{GroupId, ReplicaId};
+use pinerill_replica::ReplicaId;
 use pinerill_storage::{
-    GroupStore, Operation, StorageCause, StorageError, Store, ThinFile, WriteBatch, BLOCK_BYTES,
-    DATABASE_FILE,
+    GroupStore, StorageCause, StorageError, Store, ThinFile, BLOCK_BYTES, DATABASE_FILE,
 };
 use redb::{Builder, StorageBackend};
+use support::put;
 
 const JOURNAL_FILE: &str = "pinerill.places";
 const UNFINISHED_FILE: &str = "pinerill.redb-new";
@@ -45,22 +44,6 @@
         .to_vec()
 }
 
-fn put(store: &Store, number: u64, bytes: usize) {
-    let (done, waiting) = channel();
-    let batch = WriteBatch {
-        group: GroupId(0),
-        operations: vec![Operation::PutState {
-            key: number.to_be_bytes().to_vec(),
-            value: vec![number as u8; bytes],
-        }],
-    };
-    store.write(
-        batch,
-        Box::new(move |result| done.send(result).expect("heard")),
-    );
-    waiting.recv().expect("an answer").expect("written");
-}
-
 /// A folder that was created by this build, without work.
 fn created() -> tempfile::TempDir {
     let folder = tempfile::tempdir().expect("folder");
@@ -372,37 +355,3 @@
         assert_eq!(again.identity(), created);
     }
 }
-
-/// Names the folder that a child process is to create.
-const CHILD_FOLDER: &str = "PINERILL_TEST_CREATE";
-
-/// Does nothing unless it is started by `a_killed_first_start_is_followed_by_one_that_opens`.
-#[test]
-fn a_first_start_that_is_to_be_killed() {
-    let Some(folder) = std::env::var_os(CHILD_FOLDER) else {
-        return;
-    };
-    let store = Store::open(folder).expect("opens");
-    put(&store, 1, 100_000);
-}
-
-#[test]
-fn a_killed_first_start_is_followed_by_one_that_opens() {
-    const KILLS: u64 = 60;
-    let program = std::env::current_exe().expect("this program");
-    for number in 0..KILLS {
-        let folder = tempfile::tempdir().expect("folder");
-        let data = folder.path().join("data");
-        let mut child = Command::new(&program)
-            .args(["--exact", "a_first_start_that_is_to_be_killed"])
-            .env(CHILD_FOLDER, &data)
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("starts");
-        std::thread::sleep(Duration::from_millis(number / 2));
-        child.kill().expect("killed");
-        child.wait().expect("ended");
-        let store = Store::open(&data);
-        store.unwrap_or_else(|error| panic!("kill {number}: {error}"));
-    }
-}
