--- a/crates/pinerill-cluster/tests/cells.rs
+++ b/crates/pinerill-cluster/tests/cells.rs
@@ -244,3 +244,24 @@
     assert_eq!(known.peers, [address(0), address(5)]);
     assert!(known.bridges.is_empty(), "a single cell needs no bridges");
 }
+
+#[test]
+fn the_leader_knows_how_long_a_version_is_no_longer_listed() {
+    let of = |number: u32, version: &str| WorkerEntry {
+        version: Some(version.to_owned()),
+        ..worker(number)
+    };
+    let mut cells = Cells::default();
+    cells.update_workers(1_000, vec![of(1, "v1"), of(2, "v2")]);
+    cells.update_workers(2_000, vec![of(2, "v2")]);
+    cells.update_workers(3_000, vec![of(2, "v2")]);
+    let known = cells.versions(4_500);
+    assert_eq!(known.len(), 1);
+    assert_eq!(known[0].known_for_ms, 3_500);
+    let ages: Vec<(Option<&str>, u64)> = known[0]
+        .versions
+        .iter()
+        .map(|age| (age.version.as_deref(), age.unlisted_for_ms))
+        .collect();
+    assert_eq!(ages, [(Some("v2"), 0), (Some("v1"), 2_500)]);
+}
--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -16,24 +16,22 @@
 use pinerill_process::clock::{suspensions, BootTime};
 use tokio::time::{sleep, timeout};
 
+use super::item_slot::wait_for_slot;
 use super::leases::HeldLeases;
 use super::preemption::RunningItem;
 use super::reports::ReportSender;
 use super::running::{prepare, ActiveItem};
 use super::runs::ItemRun;
 use crate::crash::{BlockReason, Run as WorkerRun};
-use crate::exchange::{BreakReason, EventScanner, EventText, Exchange, StartedAnswer};
-use crate::fleet::{ItemTime, PlacementRequest, RequiredSoftware, WorkerSoftware};
+use crate::exchange::{BreakReason, EventScanner, Exchange, StartedAnswer};
+use crate::fleet::{RequiredSoftware, WorkerSoftware};
 use crate::gaps::GapMeter;
 use crate::node::{Node, OccupiedSlot};
 
 /// Delay before an item that could not be prepared is released to the leader.
 const START_FAILURE_DELAY: Duration = Duration::from_millis(500);
-/// Time after which an item that has no events yet and finds no free slot is released:
-/// another zone may have free slots.
-const SLOT_WAIT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval between two searches for a free slot, and delay after a worker rejected the item.
-const SLOT_RETRY_INTERVAL: Duration = Duration::from_millis(50);
+pub(super) const SLOT_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 /// Time without data from a worker after which an attempt fails and the item resumes at another
 /// worker.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -253,64 +251,6 @@
     }
 }
 
-/// Waits for a worker with a free slot while the lease is confirmed and no calls wait. Returns
-/// None after `SLOT_WAIT_TIMEOUT` if no event of the item has arrived; otherwise keeps waiting.
-async fn wait_for_slot(
-    node: &Arc<Node>,
-    held: &HeldLeases,
-    running: &mut ActiveItem,
-) -> Option<OccupiedSlot> {
-    let began = BootTime::now();
-    while running.last_event.is_some() || began.elapsed() < SLOT_WAIT_TIMEOUT {
-        begin_again_if_software_gone(node, running);
-        if held.is_renewed() && !node.has_waiting_calls() {
-            let wanted = PlacementRequest {
-                service: &running.service,
-                prompt: &running.prompt,
-                except: &running.avoid,
-                software: running.software,
-                runs_once: false,
-                homes: &running.homes,
-            };
-            if let Some(chosen) = node.choose_for_item(&wanted, item_time(node, running)) {
-                return Some(node.occupy_slot(&chosen, &running.prompt));
-            }
-        }
-        running.avoid.clear();
-        sleep(SLOT_RETRY_INTERVAL).await;
-    }
-    None
-}
-
-/// Makes an item begin again if no worker is left that may continue its text. Its text is not
-/// completed by another software version.
-fn begin_again_if_software_gone(node: &Node, running: &mut ActiveItem) {
-    let lacking =
-        node.with_fleet(|fleet, _| fleet.lacks_software(&running.service, running.software));
-    if !lacking {
-        return;
-    }
-    log::info!(
-        event = "item_begins_again", id = running.leased.id.as_str(), last:? = running.last_event;
-        "no worker has the software version of its text"
-    );
-    running.text = EventText::default();
-    running.last_event = None;
-    running.software = RequiredSoftware::Any;
-    running.time_run = Duration::ZERO;
-}
-
-/// Returns the remaining run time of an item and the time until it is due; `None` before a first item
-/// has completed on this node.
-fn item_time(node: &Node, running: &ActiveItem) -> Option<ItemTime> {
-    let whole_ms = Some(node.runs.longest_run_ms()).filter(|ms| *ms > 0)? as f64;
-    let ran_ms = running.time_run.as_secs_f64() * 1_000.0;
-    Some(ItemTime {
-        remaining_ms: (whole_ms - ran_ms).max(0.0),
-        until_due_ms: running.due_ms as f64 - node.now_ms() as f64,
-    })
-}
-
 /// A run for which the worker has started to respond.
 struct StartedRun {
     sent: StartedAnswer,
--- a/crates/pinerill-forward/src/peers/origins.rs
+++ b/crates/pinerill-forward/src/peers/origins.rs
@@ -1,6 +1,6 @@
 //! Sends origins of streams to the nodes that are asked for them, and the questions.
 //!
-//! A record goes to a few nodes of the zone, chosen by a hash of the stream, and, if several
+//! A record goes to a few nodes of the zone, selected by a hash of the stream, and, if several
 //! versions are listed, through a relay to a relay of each other zone, since callers may continue
 //! their streams in other zones. A question goes to the nodes of the zone that come first by the
 //! same hash, and to the relays of the zone, which keep the records of other zones.
--- a/crates/pinerill-forward/tests/part_ledger.rs
+++ b/crates/pinerill-forward/tests/part_ledger.rs
@@ -155,7 +155,7 @@
         mut reports in prop::collection::vec((0..6usize, 0..3_000u64, any::<bool>()), 1..20),
         seed in any::<u64>(),
     ) {
-        // Each crash happened at one time, whoever reports it.
+        // All reports of a crash state the same time.
         let crashes: Vec<u64> = reports.iter().map(|(_, at_ms, _)| *at_ms).collect();
         for (number, at_ms, _) in &mut reports {
             *at_ms = crashes[*number % crashes.len()];
