--- a/crates/pinerill-forward/src/cluster/versions.rs
+++ b/crates/pinerill-forward/src/cluster/versions.rs
@@ -14,10 +14,11 @@
 
 /// Time limit for one request.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
-/// Interval between two checks whether the node's own history is long enough.
-const CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Pause after an answer; a leader that has just been elected knows little.
-const PAUSE_AFTER_ANSWER: Duration = Duration::from_secs(5);
+/// Interval between two checks whether there is a directory that states versions.
+const FIRST_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval between two checks whether the node's own history is long enough. A leader that has
+/// just been elected knows little, so that it is asked again.
+const CHECK_INTERVAL: Duration = Duration::from_secs(5);
 /// Pause after a failed request.
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(500);
 
@@ -48,10 +49,11 @@
 pub(crate) async fn read_versions(node: Arc<Node>) {
     loop {
         let is_stated = *node.known_state.directory_kind.lock() == DirectoryKind::Complete;
-        let is_needed = node.with_fleet(|fleet, now_ms| {
-            fleet.listed_ms().is_some() && fleet.lacks_version_history(now_ms)
-        });
-        if !is_needed || !is_stated {
+        if !is_stated || node.with_fleet(|fleet, _| fleet.listed_ms().is_none()) {
+            sleep(FIRST_CHECK_INTERVAL).await;
+            continue;
+        }
+        if !node.with_fleet(|fleet, now_ms| fleet.lacks_version_history(now_ms)) {
             sleep(CHECK_INTERVAL).await;
             continue;
         }
@@ -65,7 +67,7 @@
                     node.with_fleet(|fleet, now_ms| fleet.import_versions(now_ms, &versions));
                     node.known_state.version_history.set_read();
                 }
-                sleep(PAUSE_AFTER_ANSWER).await;
+                sleep(CHECK_INTERVAL).await;
             }
             Err(failure) => {
                 log::info!(
