The origin of a stream is computed with its first event alone

Cause: reading the change as a newcomer: the relay hashed the worker with each batch of events and then found the origin recorded. Change: it asks first.

--- a/crates/pinerill-forward/src/call/relay.rs
+++ b/crates/pinerill-forward/src/call/relay.rs
@@ -136,8 +136,10 @@
                 let gap = (self.meter).record_events(BootTime::now(), batch.count, suspensions());
                 self.node.record_gap(running.slot.worker(), gap);
                 self.record.add_events(batch.count);
-                let origin = running.run.origin();
-                self.bind_to(origin);
+                if !self.is_origin_recorded {
+                    let origin = running.run.origin();
+                    self.bind_to(origin);
+                }
                 return Ok(Some(batch.bytes));
             }
         }
@@ -146,9 +148,6 @@
     /// Binds the stream to the worker of its first events: from then on it continues only at the
     /// same software version, here and at other nodes.
     fn bind_to(&mut self, origin: StreamOrigin) {
-        if self.is_origin_recorded {
-            return;
-        }
         self.is_origin_recorded = true;
         self.attempts
             .require_software(RequiredSoftware::SameAs(origin));
