A node whose known control machines all fail asks its seeds again

Cause: a leader that has just been elected knows no other machine and tells nodes so (processes_learnt controls=1 in all four logs that were looked at). A node put that list in place of its seeds; when that leader was killed before the next list, it asked the dead address alone for as long as it ran. Change: the seeds are kept and asked when no known machine answers; nothing else changes while one does.

--- a/crates/pinerill-forward/src/cluster/client.rs
+++ b/crates/pinerill-forward/src/cluster/client.rs
@@ -82,6 +82,8 @@
 
 #[derive(Debug)]
 struct Addresses {
+    /// Addresses from the settings, which are asked when no known machine answers.
+    seeds: Vec<SocketAddr>,
     known: Vec<SocketAddr>,
     rotation: usize,
     leader: Option<SocketAddr>,
@@ -100,24 +102,32 @@
     }
 
     /// Returns the addresses for the next attempt, in order of preference: the known leader alone,
-    /// otherwise the next few in rotation. Skips avoided addresses unless all are avoided.
+    /// otherwise the next few in rotation, otherwise the seeds: a leader that has just been elected
+    /// may know no other machine. Skips avoided addresses unless all are avoided.
     fn candidates(&mut self) -> Vec<SocketAddr> {
         if let Some(leader) = self.leader.filter(|leader| !self.is_avoided(leader)) {
             return vec![leader];
         }
         // The rotation advances by one address per attempt, so that each is preferred in turn.
         self.rotation = self.rotation.wrapping_add(1);
-        let count = self.known.len();
-        let rotated = (0..count).map(|offset| self.known[(self.rotation + offset) % count]);
-        let mut candidates: Vec<SocketAddr> = rotated
-            .filter(|address| !self.is_avoided(address))
-            .take(MAX_CANDIDATES)
-            .collect();
+        let mut candidates = self.next_in_rotation(&self.known);
+        if candidates.is_empty() {
+            candidates = self.next_in_rotation(&self.seeds);
+        }
         if candidates.is_empty() {
-            candidates.push(self.known[self.rotation % count]);
+            candidates.push(self.known[self.rotation % self.known.len()]);
         }
         candidates
     }
+
+    fn next_in_rotation(&self, addresses: &[SocketAddr]) -> Vec<SocketAddr> {
+        let count = addresses.len();
+        let rotated = (0..count).map(|offset| addresses[(self.rotation + offset) % count]);
+        rotated
+            .filter(|address| !self.is_avoided(address))
+            .take(MAX_CANDIDATES)
+            .collect()
+    }
 }
 
 impl ClusterClient {
@@ -128,6 +138,7 @@
         ClusterClient {
             identity,
             addresses: Mutex::new(Addresses {
+                seeds: seeds.to_vec(),
                 known: seeds.to_vec(),
                 rotation,
                 leader: None,
@@ -150,7 +161,7 @@
         let near = near.map(|one| one.address).collect();
         let members = controls.iter().filter(|one| one.is_member);
         let member_zones = members.map(|one| one.zone.clone()).collect();
-        self.update_addresses(controls.into_iter().map(|one| one.address).collect());
+        self.replace_known(controls.into_iter().map(|one| one.address).collect());
         let mut addresses = self.addresses.lock();
         addresses.near_members = near;
         addresses.member_zones = member_zones;
@@ -161,9 +172,18 @@
         self.addresses.lock().member_zones.clone()
     }
 
+    /// Replaces the seeds, which are asked from now on. Ignores an empty list.
+    pub fn update_seeds(&self, seeds: Vec<SocketAddr>) {
+        if seeds.is_empty() {
+            return;
+        }
+        self.addresses.lock().seeds.clone_from(&seeds);
+        self.replace_known(seeds);
+    }
+
     /// Replaces the known addresses and drops the connections to removed ones. Ignores an empty
     /// list.
-    pub fn update_addresses(&self, known: Vec<SocketAddr>) {
+    fn replace_known(&self, known: Vec<SocketAddr>) {
         if known.is_empty() {
             return;
         }
--- a/crates/pinerill-forward/src/run.rs
+++ b/crates/pinerill-forward/src/run.rs
@@ -181,7 +181,7 @@
                 let seeds = settings.node.map(|node| node.seed_addresses());
                 let seeds = seeds.unwrap_or_default();
                 log::info!(event = "settings_reloaded", seeds:? = seeds; "");
-                node.cluster.update_addresses(seeds);
+                node.cluster.update_seeds(seeds);
                 node.known_state
                     .needs_full_update
                     .store(true, Ordering::Relaxed);
--- a/crates/pinerill-forward/tests/cluster_client.rs
+++ b/crates/pinerill-forward/tests/cluster_client.rs
@@ -191,3 +191,18 @@
         assert!(began.elapsed() < Duration::from_millis(300), "{began:?}");
     }
 }
+
+#[tokio::test]
+async fn a_node_that_was_told_of_one_machine_finds_its_seeds_again_when_that_ends() {
+    let (leader, _) = start(None).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listen");
+    let ended = listener.local_addr().expect("an address");
+    drop(listener);
+    let client = ClusterClient::new(identity(Role::Node), &[ended, leader]);
+    client.update_control_machines(vec![near(ended)]);
+    let request = CallsRequest::EndJob(CallJobId::new(None, "j"));
+    let answer = client
+        .call(&request, Duration::from_secs(5), Duration::ZERO)
+        .await;
+    assert!(answer.is_ok(), "{answer:?}");
+}
