--- a/review/standins/end_overtakes.rs
+++ b/review/standins/end_overtakes.rs
@@ -1,27 +1,36 @@
-//! A front node freezes while a client hands in a batch job there. The client gets no response,
-//! ends the batch job at another node and gets 200. The frozen node wakes.
-//! Rule UNASKED: no item may reach a worker later than `cancel_ms` after that 200.
+//! The leading store is killed while clients hand in batch jobs and end them again, each call on a
+//! connection of its own. Both calls wait at front nodes for the next leader, and come through in any
+//! order.
+//! Rule UNASKED: no item may reach a worker later than `cancel_ms` after the end of its batch job was
+//! acknowledged.
 
 use std::process::ExitCode;
-use std::thread::sleep;
+use std::thread::{sleep, spawn};
 use std::time::Duration;
 
-use crate::support::{
-    call, config, job_body, job_headers, ms, read_answer, send, Fleet, Record, Size,
-};
+use crate::support::{call, config, job_body, job_headers, ms, Fleet, Record, Size};
 use crate::{broken, held, not_run};
 
-const JOB: &str = "51d0c3a97be2f846";
-const ITEMS: usize = 40;
+const JOBS: usize = 12;
+const ITEMS: usize = 8;
 /// `cancel_ms` and `contact_ms` of the small sites, in seconds.
 const CANCEL_S: f64 = 3.0;
 const CONTACT_S: f64 = 3.0;
-/// Time for which the node stands still. The client still waits for its answer when the node wakes.
-const FREEZE_S: f64 = 3.2;
-/// Time without a response after which the client ends the batch job.
-const PATIENCE: Duration = Duration::from_millis(1_500);
-/// Time for which runs are watched.
-const WATCH_S: f64 = 25.0;
+/// Time for which the store is down, as the site file has it.
+const DOWN_S: f64 = 2.8;
+/// Time after which a client ends its batch job.
+const PATIENCE: Duration = Duration::from_millis(250);
+/// Time for which runs are watched after the last end was acknowledged.
+const WATCH: Duration = Duration::from_secs(20);
+
+/// What a client got for a batch job.
+struct Job {
+    id: String,
+    /// When the 202 came, if it came.
+    accepted_at: Option<f64>,
+    /// When the 200 for the end came, if it came.
+    ended_at: Option<f64>,
+}
 
 pub fn run(record: &Record, trouble: bool) -> ExitCode {
     let size = Size {
@@ -31,7 +40,7 @@
         item_events: 40,
         event_time: ms(50),
     };
-    let fleet = match Fleet::start(&size, record) {
+    let mut fleet = match Fleet::start(&size, record) {
         Ok(fleet) => fleet,
         Err(error) => return not_run(record, &error),
     };
@@ -41,72 +50,113 @@
     if let Err(error) = ready {
         return not_run(record, &error);
     }
-    // All machines are in touch before the freeze.
+    // All machines are in touch before the kill.
     sleep(Duration::from_secs_f64(CONTACT_S));
-    if trouble {
-        fleet.signal("front-1", "STOP");
-    }
-    let frozen_at = record.now();
-    let body = job_body(JOB, ITEMS, "9c2e41");
-    let sent = match send(
-        fleet.front(1),
-        "POST",
-        "/pule252/51d0c3",
-        &job_headers(JOB),
-        &body,
-    ) {
-        Ok(stream) => stream,
-        Err(error) => return not_run(record, &error),
+    let Some(leader) = fleet.leading_store() else {
+        return not_run(record, "no store says that it leads");
     };
-    record.line(&format!(
-        "batch job {JOB} of {ITEMS} items is sent to front-1"
-    ));
-    sleep(PATIENCE);
-    let ended = call(
-        fleet.front(2),
-        "DELETE",
-        &format!("/pinerill/lots/{JOB}"),
-        &[],
-        "",
-        ms(4_000),
-    );
-    let status = ended.as_ref().map(|answer| answer.status);
-    record.line(&format!(
-        "the end of batch job {JOB}, sent to front-2, is answered {status:?}"
-    ));
-    let ended_at = record.now();
-    match ended {
-        Ok(answer) if answer.status == 200 => {}
-        _ => return not_run(record, "the end was not acknowledged"),
+    let began = record.now();
+    if trouble {
+        fleet.kill(&crate::support::store_name(leader));
     }
+    let jobs = hand_in_and_end(&fleet, record);
     if trouble {
-        let left = FREEZE_S - (record.now() - frozen_at);
+        let left = DOWN_S - (record.now() - began);
         sleep(Duration::from_secs_f64(left.max(0.0)));
-        fleet.signal("front-1", "CONT");
+        if let Err(error) = fleet.restart_store(leader) {
+            return not_run(record, &error);
+        }
     }
-    let woken_at = record.now();
-    let answer = read_answer(sent, ms(3_000)).map(|answer| answer.status);
-    record.line(&format!(
-        "what the client still gets from front-1: {answer:?}"
-    ));
-    let left = WATCH_S - (record.now() - ended_at);
-    sleep(Duration::from_secs_f64(left.max(0.0)));
-    judge(&fleet, record, ended_at, woken_at)
+    let whole_at = record.now();
+    sleep(WATCH);
+    judge(&fleet, record, &jobs, whole_at)
+}
+
+/// Each client hands in a batch job at one node and ends it at another.
+fn hand_in_and_end(fleet: &Fleet, record: &Record) -> Vec<Job> {
+    let clients: Vec<_> = (0..JOBS)
+        .map(|number| {
+            let nodes = [
+                fleet.front(1 + number % 3),
+                fleet.front(1 + (number + 1) % 3),
+            ];
+            let record = record.clone();
+            spawn(move || {
+                let id = format!(
+                    "{:016x}",
+                    0x51d0_c3a9_7b00_0000_u64 + (number as u64) * 0x10_0000
+                );
+                let (job, own_record) = (id.clone(), record.clone());
+                let handing_in = spawn(move || {
+                    let body = job_body(&job, ITEMS, "9c2e41");
+                    let answer = call(
+                        nodes[0],
+                        "POST",
+                        "/pule252/51d0c3",
+                        &job_headers(&job),
+                        &body,
+                        ms(4_000),
+                    );
+                    let status = answer.map(|answer| answer.status);
+                    own_record.line(&format!(
+                        "batch job {job}, {ITEMS} items: handing in is answered {status:?}"
+                    ));
+                    (status == Ok(202)).then(|| own_record.now())
+                });
+                sleep(PATIENCE);
+                let answer = call(
+                    nodes[1],
+                    "DELETE",
+                    &format!("/pinerill/lots/{id}"),
+                    &[],
+                    "",
+                    ms(4_000),
+                );
+                let status = answer.map(|answer| answer.status);
+                record.line(&format!("batch job {id}: the end is answered {status:?}"));
+                let ended_at = (status == Ok(200)).then(|| record.now());
+                Job {
+                    id,
+                    accepted_at: handing_in.join().expect("a call ends"),
+                    ended_at,
+                }
+            })
+        })
+        .collect();
+    let ended = clients.into_iter().map(|client| client.join());
+    ended.map(|job| job.expect("a client ends")).collect()
 }
 
 /// Counts the runs that began too late, at a time at which all machines were in touch again.
-fn judge(fleet: &Fleet, record: &Record, ended_at: f64, woken_at: f64) -> ExitCode {
-    let bound = (ended_at + CANCEL_S).max(woken_at + CONTACT_S);
+fn judge(fleet: &Fleet, record: &Record, jobs: &[Job], whole_at: f64) -> ExitCode {
     let runs = fleet.runs.lock().expect("lock");
-    let of_job: Vec<_> = runs
-        .iter()
-        .filter(|run| run.request.starts_with(&JOB[..12]))
-        .collect();
-    let late = of_job.iter().filter(|run| run.began > bound).count();
-    record.line(&format!(
-        "{} runs of items of the ended batch job, {late} of them later than {bound:.3} s, when cancel_ms has passed and all machines are in touch",
-        of_job.len()
-    ));
+    let (mut late, mut late_after_both) = (0, 0);
+    for job in jobs {
+        let of_job: Vec<_> = runs
+            .iter()
+            .filter(|run| run.request.starts_with(&job.id[..12]))
+            .collect();
+        let Some(ended_at) = job.ended_at else {
+            record.line(&format!(
+                "batch job {}: {} runs, its end was not acknowledged",
+                job.id,
+                of_job.len()
+            ));
+            continue;
+        };
+        let bound = (ended_at + CANCEL_S).max(whole_at + CONTACT_S);
+        let late_here = of_job.iter().filter(|run| run.began > bound).count();
+        late += late_here;
+        let accepted_first = job.accepted_at.is_some_and(|at| at <= ended_at);
+        late_after_both += if accepted_first { late_here } else { 0 };
+        record.line(&format!(
+            "batch job {}: {} runs, {late_here} of them later than {bound:.3} s, when cancel_ms has passed and all machines are in touch; 202 {} the 200 for the end",
+            job.id,
+            of_job.len(),
+            if accepted_first { "came before" } else { "did not come before" }
+        ));
+    }
+    record.line(&format!("{late} runs too late in all, {late_after_both} of batch jobs whose 202 came before the 200 for the end"));
     match late {
         0 => held(record, "no item reached a worker too late"),
         _ => broken(
--- a/review/standins/support.rs
+++ b/review/standins/support.rs
@@ -30,6 +30,7 @@
 const WHOLE: &str = "whole";
 /// Time by which the list of workers trails reality.
 const LIST_LAG: Duration = Duration::from_millis(800);
+const STORES: usize = 3;
 pub const ZONES: [&str; 3] = ["ain-sebaa", "sidi-maarouf", "berrechid"];
 
 /// Milliseconds as a duration.
@@ -646,11 +647,11 @@
             spoiling,
             record: record.clone(),
         };
-        for store in 1..=3 {
-            fleet.start_process(&format!("store-{store}"), "control", store)?;
+        for store in 1..=STORES {
+            fleet.start_process(&store_name(store), "control", store, true)?;
         }
         for front in 1..=size.fronts {
-            fleet.start_process(&format!("front-{front}"), "node", 10 + front)?;
+            fleet.start_process(&format!("front-{front}"), "node", 10 + front, true)?;
         }
         Ok(fleet)
     }
@@ -659,7 +660,7 @@
     pub fn put_config(&self, document: &str, wait: Duration) -> Result<(), String> {
         let deadline = Instant::now() + wait;
         while Instant::now() < deadline {
-            for store in 1..=3 {
+            for store in 1..=STORES {
                 let to = address(&self.net, store, OPERATOR_PORT);
                 let headers = [("Content-Type", "application/json")];
                 let answer = call(
@@ -715,12 +716,21 @@
         address(&self.net, 10 + front, READY_PORT)
     }
 
-    fn start_process(&mut self, name: &str, role: &str, machine: usize) -> Result<(), String> {
+    fn start_process(
+        &mut self,
+        name: &str,
+        role: &str,
+        machine: usize,
+        first: bool,
+    ) -> Result<(), String> {
         let settings = self.folder.join(format!("{name}.toml"));
-        let text = self.settings(name, role, machine)?;
+        let text = self.settings(name, role, machine, first)?;
         fs::write(&settings, text).map_err(|error| error.to_string())?;
-        let log = fs::File::create(self.folder.join(format!("{name}.log")));
-        let log = log.map_err(|error| error.to_string())?;
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("{name}.log")))
+            .map_err(|error| error.to_string())?;
         let errors = log.try_clone().map_err(|error| error.to_string())?;
         let child = Command::new(PROGRAM)
             .arg(role)
@@ -734,10 +744,16 @@
         Ok(())
     }
 
-    fn settings(&self, name: &str, role: &str, machine: usize) -> Result<String, String> {
+    fn settings(
+        &self,
+        name: &str,
+        role: &str,
+        machine: usize,
+        first: bool,
+    ) -> Result<String, String> {
         let path = format!("deploy/{role}.toml");
         let template = fs::read_to_string(path).map_err(|error| error.to_string())?;
-        let seeds = (1..=3).map(|store| address(&self.net, store, OPERATOR_PORT).to_string());
+        let seeds = (1..=STORES).map(|store| address(&self.net, store, OPERATOR_PORT).to_string());
         let seeds: Vec<String> = seeds.collect();
         let at = |port| address(&self.net, machine, port).to_string();
         let texts = [
@@ -759,7 +775,7 @@
                     .to_string(),
             ),
             ("limits.disk_mb", "480".to_owned()),
-            ("bootstrap", "true".to_owned()),
+            ("bootstrap", first.to_string()),
             ("fault_tolerance.machines", "1".to_owned()),
             ("bounds.status_s", "120".to_owned()),
             ("bounds.drain_ms", "3000".to_owned()),
@@ -768,14 +784,30 @@
         Ok(fill_template(&template, &HashMap::from(texts), &seeds))
     }
 
-    /// Sends a signal to one of the processes, by its id.
-    pub fn signal(&self, name: &str, signal: &str) {
-        self.record.line(&format!("{name} gets SIG{signal}"));
-        let id = self.processes[name].id().to_string();
-        let sent = Command::new("kill")
-            .args([format!("-{signal}"), id])
-            .status();
-        assert!(sent.is_ok_and(|status| status.success()), "send a signal");
+    /// Kills a process at once, by its id.
+    pub fn kill(&mut self, name: &str) {
+        self.record.line(&format!("{name} is killed"));
+        if let Some(mut child) = self.processes.remove(name) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Starts a killed store again, on the disk that it had.
+    pub fn restart_store(&mut self, store: usize) -> Result<(), String> {
+        let name = store_name(store);
+        self.record.line(&format!("{name} starts again"));
+        self.start_process(&name, "control", store, false)
+    }
+
+    /// The store that leads: the one whose log tells last that it does.
+    pub fn leading_store(&self) -> Option<usize> {
+        let told = |store: usize| {
+            let lines = self.log_lines(&store_name(store), "leadership_begins");
+            lines.last().map(|line| (line.clone(), store))
+        };
+        let (_, store) = (1..=STORES).filter_map(told).max()?;
+        Some(store)
     }
 
     /// Lines of a process's log that hold a text.
@@ -798,6 +830,11 @@
     }
 }
 
+/// Name of a store's process.
+pub fn store_name(store: usize) -> String {
+    format!("store-{store}")
+}
+
 fn address(net: &str, machine: usize, port: u16) -> SocketAddr {
     format!("{net}.{machine}:{port}")
         .parse()
