Review: the cases read once more as their readers would

Cause: case 1 took a failed read of the results for an empty list; case 3 said that all batch jobs run, where those whose submission comes first are ended as they should be; the records did not hold the answers to online requests. What was done: case 1 waits for a read that is answered, case 3 is watched for 30 s, the records hold those answers, and the texts say what was counted.

--- a/review/standins/crash_series.rs
+++ b/review/standins/crash_series.rs
@@ -30,6 +30,8 @@
 const TRAFFIC_S: f64 = 12.0;
 /// `finish_s` of the small sites.
 const FINISH_S: f64 = 18.0;
+/// Longest wait for an answer to the last read of the results.
+const READ_S: f64 = 10.0;
 /// The last seconds in which no worker may have had an unlisted item, for the rule to apply.
 const UNTOUCHED_S: f64 = 5.0;
 /// Seconds in which a failure at a worker excuses an item.
@@ -82,10 +84,20 @@
     traffic.stop(record);
     let end = record.now() + FINISH_S;
     let mut unlisted = unlisted_items(&fleet);
-    while record.now() < end && !unlisted.is_empty() {
+    // A read that no node is sure of says nothing; the last one must be answered.
+    while (record.now() < end && unlisted.as_ref().is_none_or(|items| !items.is_empty()))
+        || (unlisted.is_none() && record.now() < end + READ_S)
+    {
         sleep(ms(500));
         unlisted = unlisted_items(&fleet);
     }
+    let Some(unlisted) = unlisted else {
+        return not_run(record, "the results of the batch job can't be read");
+    };
+    record.line(&format!(
+        "results read at front-2: {} of {ITEMS} items are listed",
+        ITEMS - unlisted.len()
+    ));
     for front in 1..=size.fronts {
         for event in ["part_blocked", "item_withheld"] {
             let lines = fleet.log_lines(&format!("front-{front}"), event);
@@ -130,11 +142,12 @@
     broken(record, "LOST: items of an open batch job are neither completed nor dead, and no worker has had them")
 }
 
-fn unlisted_items(fleet: &Fleet) -> Vec<String> {
-    let entries = listed(fleet.front(2), JOB).unwrap_or_default();
+/// Items that the results do not list; none if no node is sure of them.
+fn unlisted_items(fleet: &Fleet) -> Option<Vec<String>> {
+    let entries = listed(fleet.front(2), JOB)?;
     let entries: HashSet<String> = entries.into_iter().map(|entry| entry.id).collect();
     let items = (1..=ITEMS).map(|number| item_id(JOB, number));
-    items.filter(|id| !entries.contains(id)).collect()
+    Some(items.filter(|id| !entries.contains(id)).collect())
 }
 
 /// Crashes the workers that run items of the batch job, again and again. A crashed worker starts
@@ -182,14 +195,17 @@
         let stopped = Arc::new(AtomicBool::new(false));
         let is_stopped = stopped.clone();
         let fronts = [fleet.front(1), fleet.front(2), fleet.front(3)];
+        let record = fleet.record.clone();
         let thread = spawn(move || {
             let (mut sent, mut whole) = (0, 0);
             while !is_stopped.load(Ordering::SeqCst) {
                 let id = format!("{:016x}", 0x5100_0000_0000_0000_u64 + sent as u64);
                 let prompt = format!("3f21:155,{:x}:491", 0xa000 + sent);
                 let answer = stream_request(fronts[sent % fronts.len()], &id, &prompt, ms(6_000));
+                let status = answer.map(|answer| answer.status);
+                record.line(&format!("online request {id} is answered {status:?}"));
                 sent += 1;
-                whole += usize::from(answer.is_ok_and(|answer| answer.status == 200));
+                whole += usize::from(status == Ok(200));
                 sleep(ms(100));
             }
             (sent, whole)
--- a/review/standins/end_overtakes.rs
+++ b/review/standins/end_overtakes.rs
@@ -21,7 +21,7 @@
 /// Time after which a client ends its batch job.
 const PATIENCE: Duration = Duration::from_millis(250);
 /// Time for which runs are watched after the last end was acknowledged.
-const WATCH: Duration = Duration::from_secs(20);
+const WATCH: Duration = Duration::from_secs(30);
 
 /// What a client got for a batch job.
 struct Job {
--- a/review/standins/unsigned_answers.rs
+++ b/review/standins/unsigned_answers.rs
@@ -117,6 +117,8 @@
         );
         let prompt = format!("3f21:155,{:x}:491", 0xa000 + number);
         let answer = stream_request(front, &id, &prompt, ms(6_000));
+        let status = answer.as_ref().map(|answer| answer.status);
+        record.line(&format!("online request {id} is answered {status:?}"));
         if let Ok(answer) = answer {
             if answer.status / 100 == 2 && !answer.head.contains("x-server-stamp") {
                 record.line(&format!(
