--- a/review/standins-2/route_removed.rs
+++ b/review/standins-2/route_removed.rs
@@ -118,7 +118,7 @@
     };
     let stream = "\"timeout_ms\":5000,\"slo_ms\":200,\"attempts\":2,\"gap_target_ms\":250";
     let batch = "\"timeout_ms\":30000,\"slo_ms\":400,\"attempts\":3,\"gap_target_ms\":250,\
-                 \"result_target_ms\":20000,\"max_wait_s\":90.0,\"max_queued_tokens\":1600000";
+                 \"result_target_ms\":20000,\"max_wait_s\":60.0,\"max_queued_tokens\":1600000";
     let mut routes = vec![
         route("call", "stream", stream),
         route(SECOND, "batch", batch),
