--- a/review/standins-2/route_removed.rs
+++ b/review/standins-2/route_removed.rs
@@ -11,7 +11,7 @@
 
 use crate::support::{
     ask, has_trouble, start_worker, status, worker_answer, End, Fleet, Handler, Instance, Record,
-    Request, Verdict, CLIENT_TIMEOUT,
+    Request, Verdict, CLIENT_TIMEOUT, SERVICE,
 };
 
 const NODES: u8 = 2;
@@ -232,6 +232,7 @@
             address,
             slots: SLOTS,
             state: "ready",
+            service: SERVICE,
         });
     }
     fleet.put_configuration(&configuration(1, true))?;
--- a/review/standins-2/stopped_while_waiting.rs
+++ b/review/standins-2/stopped_while_waiting.rs
@@ -13,7 +13,7 @@
 
 use crate::support::{
     ask, has_trouble, start_worker, status, worker_answer, Client, End, Fleet, Handler, Instance,
-    Record, Request, Verdict,
+    Record, Request, Verdict, SERVICE,
 };
 
 const WORKERS: u8 = 2;
@@ -149,6 +149,7 @@
             address,
             slots: SLOTS as u32,
             state: "ready",
+            service: SERVICE,
         });
     }
     fleet.put_configuration(&configuration())?;
--- a/review/standins-2/support.rs
+++ b/review/standins-2/support.rs
@@ -7,6 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -29,7 +30,7 @@
 pub const CLIENT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Host name of all routes.
 pub const HOST: &str = "h.example";
-/// The only service.
+/// The service, unless a case has several.
 pub const SERVICE: &str = "svc";
 
 /// Processes that this run has started, by their ids.
@@ -269,6 +270,7 @@
     pub address: SocketAddr,
     pub slots: u32,
     pub state: &'static str,
+    pub service: &'static str,
 }
 
 /// The platform's list of workers.
@@ -302,6 +304,12 @@
         instances.push(instance);
     }
 
+    /// Takes an instance out of the list.
+    pub fn remove(&self, id: &str) {
+        let mut instances = self.instances.lock().expect("lock");
+        instances.retain(|one| one.id != id);
+    }
+
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
         let mut reader = BufReader::new(stream.try_clone()?);
         let mut writer = stream;
@@ -320,9 +328,9 @@
         let instances = self.instances.lock().expect("lock");
         let entries = instances.iter().map(|one| {
             format!(
-                "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"{ZONE}\",\"version\":\"v1\",\
+                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{ZONE}\",\"version\":\"v1\",\
                  \"slots\":{},\"state\":\"{}\",\"cold_left_ms\":0,\"id\":\"{}\"}}",
-                one.address, one.slots, one.state, one.id
+                one.service, one.address, one.slots, one.state, one.id
             )
         });
         let entries: Vec<String> = entries.collect();
@@ -614,10 +622,22 @@
 
 /// Starts a worker at a port of its own.
 pub fn start_worker(ip: &str, handler: Arc<Handler>) -> io::Result<SocketAddr> {
+    start_worker_until(ip, handler, Arc::default())
+}
+
+/// Starts a worker that takes no more connections once `is_lost` is set, from the next one on.
+pub fn start_worker_until(
+    ip: &str,
+    handler: Arc<Handler>,
+    is_lost: Arc<AtomicBool>,
+) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind((ip, 0))?;
     let address = listener.local_addr()?;
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            if is_lost.load(Ordering::SeqCst) {
+                return;
+            }
             let handler = handler.clone();
             thread::spawn(move || serve_worker(stream, &*handler));
         }
