--- a/review/standins-2/service_moved.rs
+++ b/review/standins-2/service_taken_away.rs
@@ -1,5 +1,5 @@
-//! The workers of a service are taken away, and the configuration moves the service's batch route to
-//! another service, while items run.
+//! A batch route is split between two services, and the workers of one of them are taken away while
+//! items run there.
 
 use std::io::{self, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -14,21 +14,19 @@
 };
 
 const NODES: u8 = 2;
-/// Service of the batch route before the change, and after it.
-const OLD: &str = "old";
-const NEW: &str = "new";
+/// Services of the batch route: the one whose workers are taken away, and the one that stays.
+const LEAVING: &str = "leaving";
+const STAYING: &str = "staying";
 const WORKERS: usize = 2;
 const SLOTS: usize = 4;
 const EVENTS: usize = 160;
 const EVENT_PAUSE: Duration = Duration::from_millis(50);
 const JOB: &str = "job";
 const ITEMS: usize = 12;
-/// Route of the calls that show that the workers of the new service serve.
+/// Route of the calls that show that the workers of the other service serve.
 const PROBE: &str = "probe";
-/// Time from the job to the notice, from that to the change of the configuration, and from the
-/// notice to the end of the workers.
+/// Time from the job to the notice, and from that to the end of the workers.
 const BEFORE_NOTICE: Duration = Duration::from_secs(2);
-const NOTICE_TO_CHANGE: Duration = Duration::from_secs(1);
 const NOTICE: Duration = Duration::from_millis(3_200);
 /// Time after which all results of a job are due, and that which jobs get after traffic has ended.
 const RESULT_TARGET: Duration = Duration::from_secs(20);
@@ -175,11 +173,11 @@
     }
 }
 
-fn configuration(version: u64, service_of_job: &str) -> String {
-    let route = |name: &str, kind: &str, service: &str, rest: &str| {
+fn configuration() -> String {
+    let route = |name: &str, kind: &str, target: &str, rest: &str| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"h.example\",\"path_prefix\":\"/{name}/\",\"type\":\"{kind}\",\
-             \"priority\":0,\"service\":\"{service}\",\"sticky\":true,\"resumable\":true,{rest}}}"
+             \"priority\":0,{target},\"sticky\":true,\"resumable\":true,{rest}}}"
         )
     };
     let service = |name: &str| {
@@ -190,13 +188,17 @@
     let stream = "\"timeout_ms\":15000,\"slo_ms\":200,\"attempts\":2,\"gap_target_ms\":250";
     let batch = "\"timeout_ms\":30000,\"slo_ms\":400,\"attempts\":3,\"gap_target_ms\":250,\
                  \"result_target_ms\":20000,\"max_wait_s\":60.0,\"max_queued_tokens\":1600000";
+    let split = format!(
+        "\"split\":[{{\"service\":\"{LEAVING}\",\"weight\":50}},{{\"service\":\"{STAYING}\",\"weight\":50}}]"
+    );
+    let whole = format!("\"service\":\"{STAYING}\"");
     format!(
-        "{{\"version\":{version},\"routes\":[{},{}],\"services\":[{},{}],\"limits\":{{\"max_header_bytes\":16384,\
+        "{{\"version\":1,\"routes\":[{},{}],\"services\":[{},{}],\"limits\":{{\"max_header_bytes\":16384,\
          \"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}",
-        route(JOB, "batch", service_of_job, batch),
-        route(PROBE, "stream", NEW, stream),
-        service(OLD),
-        service(NEW)
+        route(JOB, "batch", &split, batch),
+        route(PROBE, "stream", &whole, stream),
+        service(LEAVING),
+        service(STAYING)
     )
 }
 
@@ -301,16 +303,16 @@
 pub fn run(record: &Record) -> io::Result<Verdict> {
     let fleet = Fleet::start(NODES, record)?;
     let activity = SharedActivity::default();
-    let old_workers = start_workers(&fleet, OLD, &activity, record)?;
-    start_workers(&fleet, NEW, &activity, record)?;
-    fleet.put_configuration(&configuration(1, OLD))?;
+    let leaving_workers = start_workers(&fleet, LEAVING, &activity, record)?;
+    start_workers(&fleet, STAYING, &activity, record)?;
+    fleet.put_configuration(&configuration())?;
     fleet.wait_until_ready(NODES)?;
     let nodes: Vec<SocketAddr> = (0..NODES).map(|node| fleet.node(node)).collect();
     thread::sleep(BEFORE_NOTICE);
     submit(nodes[0], record)?;
     thread::sleep(BEFORE_NOTICE);
     if has_trouble() {
-        take_away(&fleet, &old_workers, record)?;
+        take_away(&fleet, &leaving_workers, record);
     }
     let verdict = judge(&nodes, &activity, record);
     for (number, node) in nodes.iter().enumerate() {
@@ -323,21 +325,17 @@
     Ok(verdict)
 }
 
-/// Shows all workers of the old service as leaving, moves the route meanwhile, and ends them.
-fn take_away(fleet: &Fleet, workers: &[Arc<Worker>], record: &Record) -> io::Result<()> {
+/// Shows all workers of a service as leaving, and ends them some seconds later.
+fn take_away(fleet: &Fleet, workers: &[Arc<Worker>], record: &Record) {
     for worker in workers {
         worker.is_leaving.store(true, Ordering::SeqCst);
         fleet.list.show(worker.instance("draining"));
         record.note(format!("{} is shown as draining", worker.id));
     }
-    let noticed = Instant::now();
-    thread::sleep(NOTICE_TO_CHANGE);
-    fleet.put_configuration(&configuration(2, NEW))?;
-    thread::sleep(NOTICE.saturating_sub(noticed.elapsed()));
+    thread::sleep(NOTICE);
     for worker in workers {
         worker.end();
         fleet.list.remove(&worker.id);
         record.note(format!("{} is gone", worker.id));
     }
-    Ok(())
 }
