--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,6 +3,7 @@
 //!
 //! Exit status: 0 if the rule held, 1 if it was broken, 2 if the case couldn't run.
 
+mod jobs_at_once;
 mod service_taken_away;
 mod stopped_while_waiting;
 mod support;
@@ -48,6 +49,7 @@
 fn play(case: &str, path: &Path) -> io::Result<Verdict> {
     let record = Record::create(path)?;
     match case {
+        "jobs-at-once" => jobs_at_once::run(&record),
         "service-taken-away" => service_taken_away::run(&record),
         "stopped-while-waiting" => stopped_while_waiting::run(&record),
         _ => Err(io::Error::other(format!("no case {case}"))),
