A stopping node answers every request that waits before it closes its connections

What callers saw: calls that a stopping node had read and that waited for a slot were cut without an answer at 93 % of stop_s, before their deadlines.

Cause: a call waits until its own deadline (dispatch), connections are dropped at a share of stop_s (listener, run); neither bound knew of the other. The same holds for every other wait: bodies, tokens, the leader, a second try.

Change: drain.rs holds the stages of a stop. At 90 % answers fall due: whatever step a request is in is dropped, and it is answered by how far it came (503 not run, 502 after a broken attempt, 504 while a worker or the leader has it). Connections are closed 3 % later, counted from then, so that a paused process still delivers. A second signal takes the same steps. The dispatcher refuses calls earlier whose slots would come too late.

Why it works: the step and the answer are decided in one place that every request passes, so no wait can outlast it.

The loop of attempts has become RunningCall, so that a call's record and progress outlive the attempt that is dropped.

--- a/crates/pinerill-forward/src/call/attempt.rs
+++ b/crates/pinerill-forward/src/call/attempt.rs
@@ -26,6 +26,8 @@
     failed: Vec<WorkerId>,
     /// Whether an attempt was already made at some worker.
     sent: bool,
+    /// Whether the present attempt may have begun at its worker.
+    in_progress: bool,
     /// Software that the worker of the next attempt must run.
     software: RequiredSoftware,
 }
@@ -42,12 +44,9 @@
 }
 
 impl Attempts {
-    /// Returns the state of a call that has not been sent and whose worker must run this software.
-    pub fn requiring(software: RequiredSoftware) -> Self {
-        Attempts {
-            software,
-            ..Attempts::default()
-        }
+    /// Returns whether a worker may have begun the present attempt and it has not ended.
+    pub fn is_in_progress(&self) -> bool {
+        self.in_progress
     }
 
     /// Requires that further attempts go to workers with this software.
@@ -70,6 +69,7 @@
         answer_timeout: Option<Duration>,
         record: &mut CallRecord,
     ) -> Result<Attempted, AttemptEnd> {
+        self.in_progress = false;
         let Placed {
             chosen,
             place: slot,
@@ -103,6 +103,7 @@
             headers,
             || node.may_send(&worker, permit),
         );
+        self.in_progress = true;
         let asked_ms = node.now_ms();
         let limit = answer_timeout.map_or(call.deadline, |answer_timeout| {
             call.deadline.min(BootTime::now() + answer_timeout)
@@ -125,6 +126,7 @@
         if let Verdict::NotRun(reason) = sent.answer.verdict {
             record.attempt_failed(&reason);
             run.mark_not_started();
+            self.in_progress = false;
             self.handle_not_run(node, &worker.id, reason, sent).await;
             return Err(AttemptEnd::NotRun);
         }
@@ -168,6 +170,7 @@
             Ok(placed) => Ok(placed),
             Err(Unplaced::Rejected { retry_after }) => Err(AttemptEnd::Rejected { retry_after }),
             Err(Unplaced::OutOfTime) => Err(AttemptEnd::NotRun),
+            Err(Unplaced::NodeStops) => Err(AttemptEnd::NodeStops),
             Err(Unplaced::NoWorker) if self.is_software_gone(node, call) => {
                 Err(AttemptEnd::SoftwareGone)
             }
@@ -198,6 +201,7 @@
         }
         let worker = run.worker().clone();
         run.mark_not_started();
+        self.in_progress = false;
         self.handle_not_sent(node, &worker, call, &failure.reason)
     }
 
--- a/crates/pinerill-forward/src/call/decision.rs
+++ b/crates/pinerill-forward/src/call/decision.rs
@@ -7,6 +7,8 @@
 use pinerill_calls::protocol::Refusal;
 use pinerill_calls::table::RouteKind;
 
+use crate::drain;
+
 /// Retry delay given to a caller that was refused for lack of capacity, if there is no better
 /// estimate.
 pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(150);
@@ -21,6 +23,8 @@
         /// Time after which the caller should retry.
         retry_after: Duration,
     },
+    /// The node stops, and the call would get a slot too late; nothing was sent.
+    NodeStops,
     /// The call continues a stream, and its service has no worker of the software version that
     /// began it; nothing was sent.
     SoftwareGone,
@@ -71,6 +75,9 @@
         if let AttemptEnd::Rejected { retry_after } = end {
             return Next::Refuse(self.rejection(retry_after));
         }
+        if end == AttemptEnd::NodeStops {
+            return Next::Refuse(self.refusal_at_stop(false));
+        }
         if end == AttemptEnd::CrashesWorkers {
             return Next::Refuse(Refusal::CrashesWorkers);
         }
@@ -133,6 +140,18 @@
         }
     }
 
+    /// Returns the refusal for a call of a stopping node. `is_sent` says whether an attempt is in
+    /// progress that a worker may have begun.
+    pub fn refusal_at_stop(&self, is_sent: bool) -> Refusal {
+        if is_sent {
+            return Refusal::TimedOut;
+        }
+        match self.may_have_run {
+            true => self.refusal(),
+            false => drain::not_run(),
+        }
+    }
+
     /// Returns the refusal for a call whose deadline is reached.
     pub fn timeout_refusal(&self) -> Refusal {
         if self.may_have_run {
--- a/crates/pinerill-forward/src/call/online.rs
+++ b/crates/pinerill-forward/src/call/online.rs
@@ -17,55 +17,110 @@
 /// Largest response body, in bytes, that is buffered before it is passed on.
 const MAX_BUFFERED_ANSWER_BYTES: usize = 16 << 20;
 
+/// A call with the state of its attempts.
+struct RunningCall {
+    node: Arc<Node>,
+    call: Call,
+    progress: CallProgress,
+    attempts: Attempts,
+    record: CallRecord,
+}
+
+/// What the attempts of a call gave for its caller.
+enum CallResponse {
+    /// The head of an event stream has arrived.
+    Stream(Box<Attempted>),
+    /// The whole response.
+    Whole(Response<AnswerBody>),
+}
+
 /// Runs a call. An event stream is returned as soon as its head has arrived; any other response
 /// is buffered first.
 ///
 /// # Errors
-/// Returns the refusal for the caller if no attempt gave a response.
-pub async fn run_call(node: Arc<Node>, mut call: Call) -> Result<Response<AnswerBody>, Refusal> {
-    let mut record = CallRecord::begin(&node, &call);
-    let required = match node.required_software(&call).await {
-        Ok(required) => call.follow_origin(required),
+/// Returns the refusal for the caller if no attempt gave a response, or none before a stopping node
+/// must answer.
+pub async fn run_call(node: Arc<Node>, call: Call) -> Result<Response<AnswerBody>, Refusal> {
+    let mut running = RunningCall {
+        record: CallRecord::begin(&node, &call),
+        progress: CallProgress::new(call.route.kind, call.route.attempts),
+        attempts: Attempts::default(),
+        node: node.clone(),
+        call,
+    };
+    let responded = node.drain.until_answers_due(running.respond()).await;
+    match responded.unwrap_or_else(|_| Err(running.refusal_at_stop())) {
+        Ok(CallResponse::Stream(attempted)) => Ok(running.stream(*attempted)),
+        Ok(CallResponse::Whole(response)) => {
+            running.record.set_outcome(CallOutcome::Answered);
+            Ok(response)
+        }
         Err(refusal) => {
-            record.set_outcome(CallOutcome::Refused(refusal.clone()));
-            return Err(refusal);
+            let outcome = CallOutcome::Refused(refusal.clone());
+            running.record.set_outcome(outcome);
+            Err(refusal)
         }
-    };
-    let mut progress = CallProgress::new(call.route.kind, call.route.attempts);
-    let mut attempts = Attempts::requiring(required);
-    loop {
-        let may_fail_over = progress.may_fail_over();
+    }
+}
+
+impl RunningCall {
+    /// Makes attempts until one gives a response for the caller.
+    async fn respond(&mut self) -> Result<CallResponse, Refusal> {
+        let required = self.node.required_software(&self.call).await?;
+        let required = self.call.follow_origin(required);
+        self.attempts.require_software(required);
+        loop {
+            let end = match self.attempt().await {
+                Ok(response) => return Ok(response),
+                Err(end) => end,
+            };
+            let has_time = self.call.has_time();
+            if let Next::Refuse(refusal) = self.progress.next_after(end, has_time) {
+                return Err(match has_time || refusal == Refusal::CrashesWorkers {
+                    true => refusal,
+                    false => self.progress.timeout_refusal(),
+                });
+            }
+        }
+    }
+
+    async fn attempt(&mut self) -> Result<CallResponse, AttemptEnd> {
+        let (node, call, record) = (&self.node, &self.call, &mut self.record);
+        let may_fail_over = self.progress.may_fail_over();
         let answer_timeout = may_fail_over.then(|| call.first_event_timeout());
         let resume_after = call.head.resume_after;
-        let attempted = attempts
-            .attempt(&node, &call, resume_after, answer_timeout, &mut record)
-            .await;
-        let end = match attempted {
-            Ok(attempted) if is_event_stream(&call, &attempted) => {
-                return Ok(stream_answer(
-                    node, call, attempted, progress, attempts, record,
-                ));
-            }
-            Ok(attempted) => match buffer_answer(&node, &call, attempted, &mut attempts).await {
-                Ok(response) => {
-                    record.set_outcome(CallOutcome::Answered);
-                    return Ok(response);
-                }
-                Err(reason) => {
-                    record.attempt_failed(&reason);
-                    AttemptEnd::MayHaveRun
-                }
-            },
-            Err(end) => end,
-        };
-        if let Next::Refuse(refusal) = progress.next_after(end, call.has_time()) {
-            let refusal = match call.has_time() || refusal == Refusal::CrashesWorkers {
-                true => refusal,
-                false => progress.timeout_refusal(),
-            };
-            record.set_outcome(CallOutcome::Refused(refusal.clone()));
-            return Err(refusal);
+        let attempted = self
+            .attempts
+            .attempt(node, call, resume_after, answer_timeout, record)
+            .await?;
+        if is_event_stream(call, &attempted) {
+            return Ok(CallResponse::Stream(Box::new(attempted)));
+        }
+        let response = buffer_answer(node, call, attempted, &mut self.attempts).await;
+        response.map(CallResponse::Whole).map_err(|reason| {
+            record.attempt_failed(&reason);
+            AttemptEnd::MayHaveRun
+        })
+    }
+
+    /// Returns the refusal for a call that has no response when a stopping node must answer.
+    fn refusal_at_stop(&self) -> Refusal {
+        let is_sent = self.attempts.is_in_progress();
+        if is_sent {
+            self.call.mark_run();
         }
+        self.progress.refusal_at_stop(is_sent)
+    }
+
+    fn stream(self, attempted: Attempted) -> Response<AnswerBody> {
+        let RunningCall {
+            node,
+            call,
+            progress,
+            attempts,
+            record,
+        } = self;
+        stream_answer(node, call, attempted, progress, attempts, record)
     }
 }
 
--- a/crates/pinerill-forward/src/dispatch/admission.rs
+++ b/crates/pinerill-forward/src/dispatch/admission.rs
@@ -84,8 +84,7 @@
     let Some(interval_ms) = request.interval_ms else {
         return Admission::Wait;
     };
-    let expected_ms = interval_ms * (request.ahead + 1) as f64;
-    let expected = Duration::from_secs_f64(expected_ms / 1_000.0);
+    let expected = expected_wait(interval_ms, request.ahead);
     if expected <= request.max_wait {
         return Admission::Wait;
     }
@@ -95,6 +94,12 @@
     }
 }
 
+/// Returns the expected time until a call is given a slot if `ahead` others are served before it, one
+/// each `interval_ms` milliseconds.
+pub fn expected_wait(interval_ms: f64, ahead: usize) -> Duration {
+    Duration::from_secs_f64(interval_ms * (ahead + 1) as f64 / 1_000.0)
+}
+
 /// Returns the delay after which a call with this expected wait should be retried: a fraction of
 /// the wait given by `draw` (between 0 and 1), and at least `RETRY_AFTER`.
 pub fn retry_after(expected: Duration, draw: f64) -> Duration {
--- a/crates/pinerill-forward/src/dispatch/mod.rs
+++ b/crates/pinerill-forward/src/dispatch/mod.rs
@@ -30,7 +30,7 @@
 
 use parking_lot::Mutex;
 use pinerill_calls::directory::WorkerId;
-use pinerill_process::clock::timeout_at;
+use pinerill_process::clock::{timeout_at, BootTime};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
@@ -42,7 +42,7 @@
 use self::sharing::OwnClaim;
 use self::tenant_use::TenantUses;
 use self::times::CallTimes;
-use self::waiters::{State, Waiter};
+use self::waiters::{GrantReceiver, State, Waiter};
 use self::zone_order::ZoneQueues;
 use crate::call::Call;
 use crate::fleet::{
@@ -87,6 +87,8 @@
     NoWorker,
     /// The call's deadline passed while it waited.
     OutOfTime,
+    /// The node stops, and the call would get its slot too late.
+    NodeStops,
     /// The call cannot be served in time.
     Rejected {
         /// Delay after which the caller should retry.
@@ -140,7 +142,8 @@
 
     /// Assigns a slot to a call, waiting for one if necessary. A call that has not been sent to any
     /// worker yet (`fresh`) is rejected if it cannot be served in time; a call that is being
-    /// retried waits until its deadline.
+    /// retried waits until its deadline. On a stopping node both wait only while they can be served
+    /// before responses fall due.
     ///
     /// # Errors
     /// Returns [`Unplaced`] if there is no usable worker, the time is up or the call is rejected.
@@ -152,6 +155,10 @@
         fresh: bool,
     ) -> Result<Placed, Unplaced> {
         node.slow_starts.record_call();
+        let latest = self.latest_slot_time(node, call, fresh);
+        if node.drain.has_begun() && latest.remaining().is_zero() {
+            return Err(refuse_at_stop(call, None, latest));
+        }
         if self.waiting() == 0 {
             let wanted = PlacementRequest {
                 service: &call.service,
@@ -186,24 +193,67 @@
         };
         self.changed.notify_one();
         self.queue_changed.notify_one();
-        let latest = match fresh {
-            true => self.times.latest_slot_time(call),
-            false => call.deadline,
-        };
-        let granted = timeout_at(latest, granted).await;
-        match granted {
+        self.wait_for_grant(node, call, ticket, fresh, granted)
+            .await
+    }
+
+    /// Returns the latest time at which a call may get its slot and still be served in time, at
+    /// this node as well if it stops.
+    fn latest_slot_time(&self, node: &Node, call: &Call, fresh: bool) -> BootTime {
+        let deadline = node.drain.bound(call.deadline);
+        match fresh {
+            true => self.times.latest_slot_time(call, deadline),
+            false => deadline,
+        }
+    }
+
+    /// Waits until a queued call is assigned a slot. If the node begins to stop meanwhile, a fresh call
+    /// that will not get a slot in time is refused at that moment.
+    async fn wait_for_grant(
+        &self,
+        node: &Node,
+        call: &Call,
+        ticket: Ticket,
+        fresh: bool,
+        mut granted: GrantReceiver,
+    ) -> Result<Placed, Unplaced> {
+        let latest = self.latest_slot_time(node, call, fresh);
+        tokio::select! {
+            biased;
+            granted = timeout_at(latest, &mut granted) => match granted {
+                Ok(Ok(result)) => return result,
+                Ok(Err(_)) | Err(_) if fresh => return Err(self.reject_timed_out(node, call)),
+                Ok(Err(_)) | Err(_) => return Err(Unplaced::OutOfTime),
+            },
+            () = node.drain.begun() => {}
+        }
+        let latest = self.latest_slot_time(node, call, fresh);
+        let expected = self.expected_wait(node, ticket);
+        if fresh && expected > Some(latest.remaining()) {
+            return Err(refuse_at_stop(call, expected, latest));
+        }
+        match timeout_at(latest, granted).await {
             Ok(Ok(result)) => result,
-            Ok(Err(_)) | Err(_) if fresh => Err(self.reject_timed_out(node, call)),
-            Ok(Err(_)) | Err(_) => Err(Unplaced::OutOfTime),
+            Ok(Err(_)) | Err(_) => Err(refuse_at_stop(call, expected, latest)),
         }
     }
 
+    /// Returns the expected time until a queued call is assigned a slot; `None` if slots are
+    /// assigned too seldom for an estimate.
+    fn expected_wait(&self, node: &Node, ticket: Ticket) -> Option<Duration> {
+        let now_ms = node.now_ms();
+        let state = self.state.lock();
+        let order = state.queue.order(now_ms, None);
+        let ahead = order.iter().position(|queued| queued.ticket == ticket)?;
+        let interval_ms = state.start_rate.interval_ms(now_ms)?;
+        Some(admission::expected_wait(interval_ms, ahead))
+    }
+
     /// Rejects a call that got no slot in time, with a retry delay derived from the expected wait
     /// in the current queue.
     fn reject_timed_out(&self, node: &Node, call: &Call) -> Unplaced {
         let interval_ms = self.state.lock().start_rate.interval_ms(node.now_ms());
-        let expected_ms = interval_ms.unwrap_or(0.0) * (self.waiting() + 1) as f64;
-        let expected = Duration::from_secs_f64(expected_ms / 1_000.0);
+        let expected = admission::expected_wait(interval_ms.unwrap_or(0.0), self.waiting());
         let retry_after = admission::retry_after(expected, rand::random());
         log::info!(
             event = "call_waited_in_vain", id = call.head.id.as_str(), line = self.waiting(),
@@ -259,10 +309,20 @@
         let request = AdmissionRequest {
             ahead,
             interval_ms,
-            max_wait: self.times.latest_slot_time(call).remaining(),
+            max_wait: self.times.latest_slot_time(call, call.deadline).remaining(),
+        };
+        let before_stop = AdmissionRequest {
+            max_wait: self.latest_slot_time(node, call, true).remaining(),
+            ..request
         };
         match admit(&request, rand::random()) {
-            Admission::Wait => Ok(()),
+            Admission::Wait => match admit(&before_stop, 0.0) {
+                Admission::Wait => Ok(()),
+                Admission::Reject { expected, .. } => {
+                    let latest = self.latest_slot_time(node, call, true);
+                    Err(refuse_at_stop(call, Some(expected), latest))
+                }
+            },
             Admission::Reject {
                 expected,
                 retry_after,
@@ -299,6 +359,16 @@
     }
 }
 
+/// Refuses a call that would get its slot after `latest` at a stopping node.
+fn refuse_at_stop(call: &Call, expected: Option<Duration>, latest: BootTime) -> Unplaced {
+    log::info!(
+        event = "call_not_served_at_stop", id = call.head.id.as_str(),
+        expected_wait_ms:? = expected.map(|expected| expected.as_millis() as u64),
+        left_ms = latest.remaining().as_millis() as u64; ""
+    );
+    Unplaced::NodeStops
+}
+
 /// Returns whether a call may be run only once, so that it is lost if its worker fails.
 fn runs_once(call: &Call) -> bool {
     !call.route.kind.may_repeat()
--- a/crates/pinerill-forward/src/dispatch/times.rs
+++ b/crates/pinerill-forward/src/dispatch/times.rs
@@ -54,9 +54,10 @@
     }
 
     /// Returns the latest time at which a call may get its slot and still be answered in time: its
-    /// first event must come before the caller gives up, and its last one before the deadline. The
-    /// estimate uses times that calls of the route seldom fall below, or 0 while these are unknown.
-    pub(super) fn latest_slot_time(&self, call: &Call) -> BootTime {
+    /// first event must come before the caller gives up, and its last one before the deadline, here
+    /// the caller's or an earlier one. The estimate uses times that calls of the route seldom fall
+    /// below, or 0 while these are unknown.
+    pub(super) fn latest_slot_time(&self, call: &Call, deadline: BootTime) -> BootTime {
         let routes = self.routes.lock();
         let times = routes.get(&call.route.name);
         let lower_bound = |time: fn(&RouteTimes) -> &RunTime| {
@@ -65,10 +66,9 @@
         };
         let first_event_limit = call
             .first_event_deadline()
+            .min(deadline)
             .checked_sub(lower_bound(|times| &times.first_event));
-        let completion_limit = call
-            .deadline
-            .checked_sub(lower_bound(|times| &times.completion));
+        let completion_limit = deadline.checked_sub(lower_bound(|times| &times.completion));
         let first_event_limit = first_event_limit.unwrap_or(call.arrived);
         first_event_limit.min(completion_limit.unwrap_or(call.arrived))
     }
--- a/crates/pinerill-forward/src/dispatch/waiters.rs
+++ b/crates/pinerill-forward/src/dispatch/waiters.rs
@@ -19,6 +19,9 @@
 /// discarded.
 const MAX_SERVICES: usize = 256;
 
+/// Receives the slot of a waiting call, or the reason why it gets none.
+pub(super) type GrantReceiver = oneshot::Receiver<Result<Placed, Unplaced>>;
+
 pub(super) struct Waiter {
     pub(super) service: String,
     pub(super) tenant: TenantKey,
@@ -89,7 +92,7 @@
         call: &Call,
         worker: WantedWorker<'_>,
         waiting: WaitingCall,
-    ) -> (Ticket, oneshot::Receiver<Result<Placed, Unplaced>>) {
+    ) -> (Ticket, GrantReceiver) {
         let (grant, granted) = oneshot::channel();
         let tenant = TenantKey::from_name(call.access.name());
         let waiter = Waiter {
--- a/crates/pinerill-forward/src/gateway/jobs.rs
+++ b/crates/pinerill-forward/src/gateway/jobs.rs
@@ -46,7 +46,7 @@
 }
 
 /// Submits a job to the control machines. The job is stored once they have accepted it; if no
-/// response arrives, it is unknown whether it was stored.
+/// response arrives, or none before this node must answer, it is unknown whether it was stored.
 pub(super) async fn submit(
     node: &Node,
     job: NewCallJob,
@@ -55,7 +55,15 @@
     let id = job.id.clone();
     let time = deadline.remaining().min(CONTROL_CALL_TIMEOUT);
     let request = CallsRequest::SubmitJob(Box::new(job));
-    let answer = node.cluster.call(&request, time, Duration::ZERO).await;
+    let submission = node.cluster.call(&request, time, Duration::ZERO);
+    let answer = match node.drain.until_answers_due(submission).await {
+        Ok(answer) => answer,
+        Err(due) => Err(CallFailure {
+            maybe_done: true,
+            invalid: false,
+            message: due.to_string(),
+        }),
+    };
     let result = match answer {
         Ok(Answered {
             response: CallsResponse::SubmitJob(SubmitOutcome::Accepted),
--- a/crates/pinerill-forward/src/gateway/listener.rs
+++ b/crates/pinerill-forward/src/gateway/listener.rs
@@ -45,9 +45,9 @@
 /// Delay before the next connection is accepted after an error.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
-/// Serves callers until the node stops. Then drains the requests in flight, for at most `grace`,
-/// while new connections are still accepted for one request each.
-pub(crate) async fn serve(node: Arc<Node>, listener: TcpListener, grace: Duration) {
+/// Serves callers until the node stops. Then drains the requests in flight, while new connections
+/// are still accepted for one request each. If it is dropped before, the connections are closed.
+pub(crate) async fn serve(node: Arc<Node>, listener: TcpListener) {
     let mut connections = JoinSet::new();
     let stopping = node.stopping.clone();
     loop {
@@ -63,10 +63,7 @@
             Err(error) => report_failed_accept(&error).await,
         }
     }
-    let ending = drain(&node, &listener, &mut connections);
-    if tokio::time::timeout(grace, ending).await.is_err() {
-        log::warn!(event = "connections_cut"; "");
-    }
+    drain(&node, &listener, &mut connections).await;
 }
 
 /// Accepts connections until none is left.
--- a/crates/pinerill-forward/src/gateway/request.rs
+++ b/crates/pinerill-forward/src/gateway/request.rs
@@ -1,6 +1,7 @@
 //! Handles one request: reads its head, checks route, key and quota, reads the body and passes it
 //! to the handler.
 
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use pinerill_calls::job::NewCallJob;
 use pinerill_calls::protocol::{CallHead, CallerAnswer, CallerRequest, HttpAnswer, Refusal};
 use pinerill_calls::table::{Access, PresentedKey, Route, RouteIndex, RouteKind};
 use pinerill_process::clock::{timeout_at, BootTime};
@@ -17,6 +19,7 @@
 use super::jobs;
 use crate::call::{run_call, AnswerBody, Call};
 use crate::crash::{RequestIdentity, Requester};
+use crate::drain;
 use crate::exchange::WorkerRequest;
 use crate::fleet::Prompt;
 use crate::node::Node;
@@ -26,9 +29,6 @@
 /// a cluster whose processes all start at once takes to know its workers.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(600);
 
-/// Retry delay given to callers while this node stops; they retry at another node.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// Serves one request and returns the response, which may be a refusal.
 pub(super) async fn serve(node: Arc<Node>, request: Request<Incoming>) -> Response<AnswerBody> {
     node.metrics.requests.inc();
@@ -49,7 +49,8 @@
             };
             serve_call(node.clone(), received).await
         }
-        Ok(other) => serve_jobs(&node, &head, key, other).await,
+        // A caller may repeat any of these requests, whether or not it was carried out.
+        Ok(other) => unless_answers_due(&node, serve_jobs(&node, &head, key, other)).await,
         Err(error) => Err(Refusal::Malformed(error.to_string())),
     };
     answered.unwrap_or_else(|refusal| refusal_response(&node, &id, &path, &refusal))
@@ -100,10 +101,37 @@
     response
 }
 
-/// Serves a call or the submission of a job. Route, key and quota are checked before the body is
-/// read.
+/// Serves a call or the submission of a job.
 async fn serve_call(node: Arc<Node>, received: Received) -> Result<Response<AnswerBody>, Refusal> {
-    let table = admit(&node).await?;
+    match unless_answers_due(&node, read_work(&node, received)).await? {
+        Work::Call(call) => run_call(node, *call).await,
+        Work::Job(job, deadline) => jobs::submit(&node, *job, deadline).await.map(into_response),
+    }
+}
+
+/// Awaits a step before which nothing has been sent to a worker or stored.
+///
+/// # Errors
+/// Returns the refusal of the step, or the one of a stopping node if responses fall due first.
+async fn unless_answers_due<T>(
+    node: &Node,
+    step: impl Future<Output = Result<T, Refusal>>,
+) -> Result<T, Refusal> {
+    let output = node.drain.until_answers_due(step).await;
+    output.unwrap_or_else(|_| Err(drain::not_run()))
+}
+
+/// An admitted request, read to its end.
+enum Work {
+    Call(Box<Call>),
+    /// A job to store, and the time by which its caller must have a response.
+    Job(Box<NewCallJob>, BootTime),
+}
+
+/// Admits and reads a call or the submission of a job. Route, key and quota are checked before the
+/// body is read.
+async fn read_work(node: &Arc<Node>, received: Received) -> Result<Work, Refusal> {
+    let table = admit(node).await?;
     let Received {
         head,
         key,
@@ -120,15 +148,15 @@
     let deadline = Call::deadline_of(&call, &route, arrived);
     let limit = table.table().limits.max_body_bytes;
     if route.kind == RouteKind::Batch && head.method == Method::POST {
-        jobs::check_homes(&node, &access.allowed_regions(&route))?;
+        jobs::check_homes(node, &access.allowed_regions(&route))?;
         let body = read_body(body, limit, deadline).await?;
         let job = node
             .caller_protocol
             .read_job(&call, access.name(), path, &route, &body)
             .map_err(|error| Refusal::Malformed(error.to_string()))?;
-        return jobs::submit(&node, job, deadline).await.map(into_response);
+        return Ok(Work::Job(Box::new(job), deadline));
     }
-    let permit = acquire_permit(&node, &access, deadline).await?;
+    let permit = acquire_permit(node, &access, deadline).await?;
     let body = read_body(body, limit, deadline).await?;
     let admitted = Admitted {
         head,
@@ -140,7 +168,7 @@
         arrived,
         deadline,
     };
-    run_call(node, admitted.into_call(&table)?).await
+    Ok(Work::Call(Box::new(admitted.into_call(&table)?)))
 }
 
 /// Waits for a quota permit if the call's tenant has a limit on requests; returns `None` if it
@@ -163,11 +191,8 @@
 /// refused, because its response would be cut off at the end. A node without a route table
 /// refuses calls too, because it can't know that a route does not exist.
 async fn admit(node: &Node) -> Result<Arc<RouteIndex>, Refusal> {
-    if node.rejects_new_calls() {
-        return Err(Refusal::NotRun {
-            reason: "the node stops",
-            retry_after: Some(STOPPING_RETRY_AFTER),
-        });
+    if node.drain.is_admission_over() {
+        return Err(drain::not_run());
     }
     node.wait_for_refresh().await;
     known_table(node).await
--- a/crates/pinerill-forward/src/lib.rs
+++ b/crates/pinerill-forward/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod cluster;
 pub mod crash;
 pub mod dispatch;
+pub mod drain;
 pub mod exchange;
 pub mod fleet;
 pub mod gaps;
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -2,7 +2,7 @@
 //!
 //! All servers and background tasks that `run` starts hold an `Arc<Node>`.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,6 +23,7 @@
 use crate::crash::CrashTracker;
 use crate::dispatch::report::TenantKey;
 use crate::dispatch::Dispatcher;
+use crate::drain::Drain;
 use crate::exchange::{BreakReason, ConnectionPool};
 use crate::fleet::{
     BatchCapacity, ChosenWorker, Fleet, ItemTime, PlacementRequest, Prompt, SlowStartPermit,
@@ -35,10 +36,6 @@
 use crate::slow_start::SlowStartDemand;
 use crate::waking::ResumeGate;
 
-/// Share of the configured stop time in which new calls are still admitted, because it takes some
-/// seconds until callers know that the node is stopping.
-const ADMISSION_SHARE: f64 = 0.35;
-
 /// Time after the node's start until which calls wait for the first route table, with their bodies
 /// still unread. A cluster whose processes all start at once has a leader and a table after about
 /// 0.4 s. A node without a table after this time cannot estimate when it will get one.
@@ -77,8 +74,7 @@
     pub(crate) known_state: KnownState,
     started: BootTime,
     pub(crate) stopping: CancellationToken,
-    /// Time at which the node began to stop in milliseconds on its clock; 0 before.
-    stop_started_ms: AtomicU64,
+    pub(crate) drain: Drain,
 }
 
 /// Arguments of [`Node::new`].
@@ -97,6 +93,7 @@
 impl Node {
     pub(crate) fn new(parts: NodeParts) -> Self {
         Node {
+            drain: Drain::new(Duration::from_secs_f64(parts.settings.stop_s)),
             settings: parts.settings,
             incarnation: parts.incarnation,
             caller_protocol: parts.caller_protocol,
@@ -120,23 +117,9 @@
             known_state: KnownState::default(),
             started: BootTime::now(),
             stopping: parts.stopping,
-            stop_started_ms: AtomicU64::new(0),
         }
     }
 
-    /// Records that the node begins to stop.
-    pub(crate) fn begin_stop(&self) {
-        let now_ms = self.now_ms().max(1);
-        self.stop_started_ms.store(now_ms, Ordering::Relaxed);
-    }
-
-    /// Returns whether the node is stopping and a call that arrives now could not end in time.
-    pub(crate) fn rejects_new_calls(&self) -> bool {
-        let started_ms = self.stop_started_ms.load(Ordering::Relaxed);
-        let admission_ms = self.settings.stop_s * ADMISSION_SHARE * 1_000.0;
-        started_ms > 0 && (self.now_ms() - started_ms) as f64 > admission_ms
-    }
-
     /// Returns the milliseconds since this node started, including suspensions of the machine.
     pub fn now_ms(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
--- a/crates/pinerill-forward/src/run.rs
+++ b/crates/pinerill-forward/src/run.rs
@@ -1,8 +1,8 @@
 //! Starts the servers and background tasks of a node and shuts them down gracefully.
 //!
 //! Called by the binary. After SIGTERM or SIGINT, calls and items in flight get most of the
-//! configured stop time to end; a second signal ends them at once. The leases of unfinished items
-//! are then released.
+//! configured stop time to end ([`crate::drain`]); a second signal ends them at once. The leases of
+//! unfinished items are then released.
 
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -29,8 +29,6 @@
 use crate::{batch, dispatch, gateway, quota, slow_start};
 use pinerill_calls::settings::{cluster_key, ForwardingSettings, NodeSettings, SettingsError};
 
-/// Share of the configured stop time in which requests in flight may end.
-const DRAIN_SHARE: f64 = 0.93;
 /// Interval between two removals of expired connections, peers and crash records.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -58,7 +56,6 @@
     let listener = TcpListener::bind(settings.listen)
         .await
         .with_context(|| format!("listen at {}", settings.listen))?;
-    let grace = Duration::from_secs_f64(settings.stop_s).mul_f64(DRAIN_SHARE);
     let (ready_listen, admin) = (settings.ready_listen, settings.admin);
     let peers = Peers::listen(settings.peer_listen)
         .await
@@ -100,20 +97,24 @@
     let watching_suspensions = spawn(boxed(watch_for_suspensions(node.clone())));
     let sweeping = spawn(boxed(sweep(node.clone())));
     let ending = async {
-        gateway::serve(node.clone(), listener, grace).await;
+        gateway::serve(node.clone(), listener).await;
         // Items in flight get the same time to end as calls.
         let _ = (&mut items).await;
     };
     let stop = async {
         signals.planned.cancelled().await;
-        node.begin_stop();
         log::info!(event = "stopping", node = node.settings.name.as_str(); "");
-        sleep(grace).await;
+        node.drain.finish().await;
+    };
+    let forced_stop = async {
+        signals.forced.cancelled().await;
+        log::warn!(event = "stopped_at_once"; "");
+        node.drain.finish_at_once().await;
     };
     tokio::select! {
         () = ending => {}
         () = stop => log::warn!(event = "work_cut"; ""),
-        () = signals.forced.cancelled() => log::warn!(event = "stopped_at_once"; ""),
+        () = forced_stop => {}
     }
     drop(items);
     batch::release_all(&node).await;
--- a/crates/pinerill-forward/tests/decision.rs
+++ b/crates/pinerill-forward/tests/decision.rs
@@ -96,3 +96,28 @@
         assert_eq!(next, Next::Refuse(Refusal::CrashesWorkers));
     }
 }
+
+/// Guards against "not run" from a stopping node for a call that a worker may have had, and against
+/// any other answer for a call that none has had.
+#[test]
+fn a_stopping_node_says_not_run_only_of_calls_that_no_worker_has_had() {
+    let mut progress = CallProgress::new(RouteKind::Repeatable, 2);
+    let not_run = |refusal: &Refusal| matches!(refusal, Refusal::NotRun { .. });
+    assert!(not_run(&progress.refusal_at_stop(false)));
+    assert_eq!(progress.refusal_at_stop(true), Refusal::TimedOut);
+    let next = progress.next_after(AttemptEnd::NodeStops, true);
+    assert!(
+        matches!(&next, Next::Refuse(refusal) if not_run(refusal)),
+        "{next:?}"
+    );
+    assert_eq!(
+        progress.next_after(AttemptEnd::MayHaveRun, true),
+        Next::Retry
+    );
+    assert!(!not_run(&progress.refusal_at_stop(false)));
+    let next = progress.next_after(AttemptEnd::NodeStops, true);
+    assert!(
+        matches!(&next, Next::Refuse(refusal) if !not_run(refusal)),
+        "{next:?}"
+    );
+}
