Waiting calls of one service no longer hold up calls of another

It tried the first six waiting calls whatever their service, and admission counted the calls ahead and the starts of all services. A node with such calls waiting neither promised slots of other services to its peers nor gave newcomers a free slot at once.

Change: the first six calls of each service and software are tried, as where slots are shared; places, start rates, expected waits, claims and promises count calls of the same service.

Which sound work it holds up: none; calls of one service never used slots of another. Which unsound thing still passes: within a service the first six calls that require the same software still decide for those behind them (waiting_line). Scans try more calls where several services are full at once; the cost at size is not measured.

--- a/crates/pinerill-forward/src/dispatch/mod.rs
+++ b/crates/pinerill-forward/src/dispatch/mod.rs
@@ -159,7 +159,7 @@
         if node.drain.has_begun() && latest.remaining().is_zero() {
             return Err(refuse_at_stop(call, None, latest));
         }
-        if self.waiting() == 0 {
+        if self.state.lock().waiting_of(&call.service) == 0 {
             let wanted = PlacementRequest {
                 service: &call.service,
                 prompt: &call.prompt,
@@ -243,20 +243,28 @@
     fn expected_wait(&self, node: &Node, ticket: Ticket) -> Option<Duration> {
         let now_ms = node.now_ms();
         let state = self.state.lock();
+        let service = &state.waiters.get(&ticket)?.service;
         let order = state.queue.order(now_ms, None);
-        let ahead = order.iter().position(|queued| queued.ticket == ticket)?;
-        let interval_ms = state.start_rate.interval_ms(now_ms)?;
+        let mut competing = order
+            .iter()
+            .filter(|queued| state.is_of_service(queued.ticket, service));
+        let ahead = competing.position(|queued| queued.ticket == ticket)?;
+        let interval_ms = state.start_interval_ms(now_ms, service)?;
         Some(admission::expected_wait(interval_ms, ahead))
     }
 
     /// Rejects a call that got no slot in time, with a retry delay derived from the expected wait
     /// in the current queue.
     fn reject_timed_out(&self, node: &Node, call: &Call) -> Unplaced {
-        let interval_ms = self.state.lock().start_rate.interval_ms(node.now_ms());
-        let expected = admission::expected_wait(interval_ms.unwrap_or(0.0), self.waiting());
+        let (interval_ms, waiting) = {
+            let state = self.state.lock();
+            let interval_ms = state.start_interval_ms(node.now_ms(), &call.service);
+            (interval_ms, state.waiting_of(&call.service))
+        };
+        let expected = admission::expected_wait(interval_ms.unwrap_or(0.0), waiting);
         let retry_after = admission::retry_after(expected, rand::random());
         log::info!(
-            event = "call_waited_in_vain", id = call.head.id.as_str(), line = self.waiting(),
+            event = "call_waited_in_vain", id = call.head.id.as_str(), line = waiting,
             interval_ms:? = interval_ms, retry_after_ms = retry_after.as_millis() as u64; ""
         );
         self.record_timeout(node, call);
@@ -303,8 +311,9 @@
             let mut state = self.state.lock();
             self.refresh_shares(node, &mut state);
             let tenant = TenantKey::from_name(call.access.name());
-            let ahead = state.queue.place_of(now_ms, tenant, waiting);
-            (ahead, state.start_rate.interval_ms(now_ms))
+            let competes = |ticket| state.is_of_service(ticket, &call.service);
+            let place = state.queue.place_among(now_ms, tenant, waiting, competes);
+            (place, state.start_interval_ms(now_ms, &call.service))
         };
         let request = AdmissionRequest {
             ahead,
--- a/crates/pinerill-forward/src/dispatch/queue.rs
+++ b/crates/pinerill-forward/src/dispatch/queue.rs
@@ -166,21 +166,33 @@
         now_ms: u64,
         tenant: TenantKey,
         newcomer: &WaitingCall,
+    ) -> (usize, bool) {
+        self.place_among(now_ms, tenant, newcomer, |_| true)
+    }
+
+    /// Like [`Self::place_of`], where only the calls that `competes` accepts count: those that wait
+    /// for the same slots.
+    pub fn place_among(
+        &self,
+        now_ms: u64,
+        tenant: TenantKey,
+        newcomer: &WaitingCall,
+        competes: impl Fn(Ticket) -> bool,
     ) -> (usize, bool) {
         if self.shares.is_none() {
             let own = Precedence::new(now_ms, self.next_ticket, newcomer);
             let calls = self.calls.iter();
             let ahead = calls
                 .filter(|(ticket, (_, call))| Precedence::new(now_ms, **ticket, call) < own)
-                .count();
-            return (ahead, false);
+                .filter(|(ticket, _)| competes(**ticket));
+            return (ahead.count(), false);
         }
         let order = self.order(now_ms, Some((tenant, newcomer)));
-        let mut ahead = order.iter().enumerate();
-        let own = ahead.find(|(_, queued)| queued.ticket == self.next_ticket);
-        own.map_or((order.len(), true), |(ahead, queued)| {
-            (ahead, queued.over_share)
-        })
+        let is_own = |queued: &Queued| queued.ticket == self.next_ticket;
+        let ahead = order.iter().take_while(|queued| !is_own(queued));
+        let ahead = ahead.filter(|queued| competes(queued.ticket)).count();
+        let own = order.iter().find(|queued| is_own(queued));
+        (ahead, own.is_none_or(|queued| queued.over_share))
     }
 
     /// Returns all calls in the order in which they are served, with `newcomer` as if it had
--- a/crates/pinerill-forward/src/dispatch/waiters.rs
+++ b/crates/pinerill-forward/src/dispatch/waiters.rs
@@ -50,7 +50,6 @@
 pub(super) struct State {
     pub(super) queue: WaitingQueue,
     pub(super) waiters: HashMap<Ticket, Waiter>,
-    pub(super) start_rate: StartRate,
     /// Rates at which waiting calls of each service get slots.
     pub(super) service_starts: HashMap<String, StartRate>,
     /// Time in milliseconds on the node's clock at which shares were last computed.
@@ -58,23 +57,38 @@
 }
 
 impl State {
-    /// Returns the calls that are tried for a free slot: the first ones of the queue that require the
-    /// same software, so that streams whose version has no free slot don't hold up all others.
-    /// Where slots are shared, also the first ones of each service, since calls within share whose
-    /// service has no free slot stay ahead of all others.
+    /// Returns the calls that are tried for a free slot: the first ones of the queue of each service
+    /// that require the same software, so that calls whose service or version has no free slot don't
+    /// hold up all others.
     pub(super) fn scanned(&self, now_ms: u64) -> Vec<Queued> {
         let order = self.queue.order(now_ms, None);
-        let by_service = self.queue.shares().is_some();
         first_of_each(order, MAX_SCANNED_CALLS, |queued| {
             let waiter = self.waiters.get(&queued.ticket)?;
-            Some((by_service.then_some(&waiter.service), waiter.software))
+            Some((&waiter.service, waiter.software))
         })
     }
 
+    /// Returns the number of calls of a service that wait.
+    pub(super) fn waiting_of(&self, service: &str) -> usize {
+        let waiters = self.waiters.values();
+        waiters.filter(|waiter| waiter.service == service).count()
+    }
+
+    /// Returns whether the call with this ticket waits for slots of the service.
+    pub(super) fn is_of_service(&self, ticket: Ticket, service: &str) -> bool {
+        let waiter = self.waiters.get(&ticket);
+        waiter.is_some_and(|waiter| waiter.service == service)
+    }
+
+    /// Returns the mean time between two starts of waiting calls of a service in milliseconds;
+    /// `None` if there were too few lately.
+    pub(super) fn start_interval_ms(&self, now_ms: u64, service: &str) -> Option<f64> {
+        self.service_starts.get(service)?.interval_ms(now_ms)
+    }
+
     /// Removes a call that gets a slot.
     pub(super) fn take_started(&mut self, now_ms: u64, ticket: Ticket) -> Option<Waiter> {
         self.queue.remove(ticket);
-        self.start_rate.record_start(now_ms);
         let waiter = self.waiters.remove(&ticket)?;
         let is_known = self.service_starts.contains_key(&waiter.service);
         if !is_known && self.service_starts.len() >= MAX_SERVICES {
@@ -124,7 +138,7 @@
                 continue;
             };
             let own = OwnClaim {
-                waiting: state.queue.len(),
+                waiting: state.waiting_of(&waiter.service),
                 rank: queued.rank(),
                 over_share: queued.over_share,
             };
--- a/crates/pinerill-forward/src/dispatch/zone.rs
+++ b/crates/pinerill-forward/src/dispatch/zone.rs
@@ -67,8 +67,7 @@
 
     /// Returns whether calls of a service wait at this node or at other nodes of the zone.
     pub(crate) fn has_waiting_calls_of(&self, now_ms: u64, service: &str) -> bool {
-        let is_of_service = |waiter: &Waiter| waiter.service == service;
-        let waits_here = self.state.lock().waiters.values().any(is_of_service);
+        let waits_here = self.state.lock().waiting_of(service) > 0;
         waits_here || self.peer_demand.lock().waiting(now_ms, service) > 0
     }
 
@@ -96,16 +95,19 @@
     }
 
     /// Promises a slot that has just become free to another node with waiting calls, unless calls
-    /// wait at this node. Returns whether the slot was promised.
+    /// of its service wait at this node. Returns whether the slot was promised.
     pub(crate) fn promise_freed_slot(&self, node: &Arc<Node>, worker: &str) -> bool {
         let now_ms = node.now_ms();
-        if self.waiting() > 0 || !self.peers_have_waiting_calls(now_ms) {
+        if !self.peers_have_waiting_calls(now_ms) {
             return false;
         }
+        let service = node.with_fleet(|fleet, _| fleet.service_of(worker).map(str::to_owned));
+        let Some(service) = service.filter(|one| self.state.lock().waiting_of(one) == 0) else {
+            return false;
+        };
         let time = promise_time(&node.peers);
         let until_ms = now_ms + time.as_millis() as u64;
         let promised = node.with_fleet(|fleet, _| {
-            let service = fleet.service_of(worker)?.to_owned();
             let peer = self
                 .peer_demand
                 .lock()
