Lease requests are given up for later ones only while the leases were renewed lately

Cause: a node that gives up a request when an item ends hears no answer to it. Items that end in quick succession could keep it from hearing any for 1.8 s, after which it sends nothing to workers until the next answer. Change: a request is given up only if the last answered one began less than 0.6 s ago.

--- a/crates/pinerill-forward/src/batch/held.rs
+++ b/crates/pinerill-forward/src/batch/held.rs
@@ -42,8 +42,13 @@
 
     /// Returns whether the leader confirmed the leases within `RENEWAL_TTL`.
     pub(super) fn is_renewed(&self) -> bool {
+        self.is_renewed_within(RENEWAL_TTL)
+    }
+
+    /// Returns whether the leader confirmed the leases within this time.
+    pub(super) fn is_renewed_within(&self, time: Duration) -> bool {
         let renewed_at = *self.renewed_at.lock();
-        renewed_at.is_some_and(|at| at.elapsed() < RENEWAL_TTL)
+        renewed_at.is_some_and(|at| at.elapsed() < time)
     }
 
     /// Adds an item with the task that runs it.
--- a/crates/pinerill-forward/src/batch/leases.rs
+++ b/crates/pinerill-forward/src/batch/leases.rs
@@ -36,6 +36,10 @@
 /// Maximum number of items leased per response: items that start together process their prompts
 /// at the same time.
 const MAX_ITEMS_PER_RESPONSE: u32 = 4;
+/// Time since the last renewal after which a request is not given up for a later one, so that items
+/// that end in quick succession do not keep the leases from being renewed.
+const MAX_UNRENEWED_TIME: Duration = Duration::from_millis(600);
+
 /// Leases and runs items until the node is stopping and holds no more of them.
 pub(crate) async fn run(node: Arc<Node>) {
     let (reporter, reported) = mpsc::unbounded_channel();
@@ -89,12 +93,13 @@
             returned: returned.clone(),
             number,
         });
+        let may_be_given_up = are_numbers_known && held.is_renewed_within(MAX_UNRENEWED_TIME);
         let calling = node
             .cluster
             .call(&request, REQUEST_TIMEOUT + poll_time, poll_time);
         let answer = tokio::select! {
             answer = calling => answer,
-            () = wait_for_capacity(&node, &held, &capacities), if are_numbers_known => {
+            () = wait_for_capacity(&node, &held, &capacities), if may_be_given_up => {
                 sleep(MIN_REQUEST_INTERVAL).await;
                 continue;
             }
