Wording of the new modules; a test of lease requests in older formats

No test showed what a lease request of format 10 is in older ones.

Change: comments name the bounds. a_lease_request_keeps_what_an_older_format_has encodes one in formats 4 to 9.

--- a/crates/pinerill-calls/tests/formats.rs
+++ b/crates/pinerill-calls/tests/formats.rs
@@ -11,9 +11,10 @@
     convert_call, decode_request, decode_response, directory_position, encode_positioned_watch,
     encode_request, encode_response,
 };
-use pinerill_calls::job::ItemCall;
+use pinerill_calls::job::{CallJobId, ItemCall, ItemRef};
 use pinerill_calls::message::{
-    decode_any, encode, CallsRequest, CallsResponse, MessageError, SlowStartRequest,
+    decode_any, encode, CallsRequest, CallsResponse, LeaseRequest, MessageError, ServiceCapacity,
+    SlowStartRequest,
 };
 
 /// Whether the request contains a directory position, which only the leader that assigned it can
@@ -135,6 +136,47 @@
     assert!(document.is_err());
 }
 
+/// Guards against lease requests that change their meaning on the way to an older build: it gets what
+/// its format has, and states nothing that it does not.
+#[test]
+fn a_lease_request_keeps_what_an_older_format_has() {
+    let item = |index| ItemRef {
+        job: CallJobId::new(None, "j"),
+        index,
+    };
+    let newest = LeaseRequest {
+        node: "n".to_owned(),
+        zone: "z".to_owned(),
+        held: vec![item(1)],
+        want: 3,
+        run_ms: 700,
+        wait_ms: 500,
+        services: Some(vec![ServiceCapacity {
+            service: "svc".to_owned(),
+            items: 3,
+        }]),
+        returned: vec![item(2)],
+        number: 9,
+    };
+    for format in Format::newest_first().skip(1) {
+        let request = CallsRequest::LeaseItems(newest.clone());
+        let bytes = encode_request(request, format).expect("expressible");
+        let zone = match format >= Format::ZONES {
+            true => newest.zone.clone(),
+            false => String::new(),
+        };
+        let expected = LeaseRequest {
+            zone,
+            services: None,
+            returned: Vec::new(),
+            number: 0,
+            ..newest.clone()
+        };
+        let decoded = decode_request(&bytes);
+        assert_eq!(decoded, Ok((format, CallsRequest::LeaseItems(expected))));
+    }
+}
+
 #[test]
 fn an_unsupported_format_is_reported_with_its_byte() {
     let mut bytes = encode(&CallsRequest::ReadDocument);
--- a/crates/pinerill-cluster/src/lease_requests.rs
+++ b/crates/pinerill-cluster/src/lease_requests.rs
@@ -14,7 +14,7 @@
 /// Interval between two removals of outdated numbers, milliseconds.
 const CLEANUP_INTERVAL_MS: u64 = 1_000;
 
-/// Items that nodes have returned lately.
+/// Items that nodes have returned within `RETURN_HOLD_MS`.
 #[derive(Debug, Default)]
 pub(crate) struct ReturnedItems {
     items: HashMap<QueuePosition, Return>,
@@ -43,7 +43,8 @@
         }
     }
 
-    /// Returns whether the node has returned the item so lately that it does not get it again.
+    /// Returns whether the node has returned the item within `RETURN_HOLD_MS`, so that it does not get
+    /// it again yet.
     pub(crate) fn is_withheld(&self, now_ms: u64, node: &str, position: &QueuePosition) -> bool {
         let returned = self.items.get(position);
         returned.is_some_and(|one| one.node == node && one.until_ms > now_ms)
--- a/crates/pinerill-forward/src/batch/held.rs
+++ b/crates/pinerill-forward/src/batch/held.rs
@@ -20,7 +20,7 @@
     tasks: Mutex<HashMap<ItemRef, AbortOnDropHandle<()>>>,
     /// Number of items that wait for a slot, by service.
     waiting: Mutex<HashMap<String, u32>>,
-    /// Items that no worker took and that the leader is not known to have been told of.
+    /// Items that no worker took, until a request that lists them is answered.
     returned: Mutex<Vec<ItemRef>>,
     /// Start of the last request whose leases the leader confirmed; None before the first.
     renewed_at: Mutex<Option<BootTime>>,
@@ -75,14 +75,14 @@
         self.release(item);
     }
 
-    /// Returns the items that the leader is to be told of as returned.
+    /// Returns the items that the next request lists as returned.
     pub(super) fn returned(&self) -> Vec<ItemRef> {
         self.returned.lock().clone()
     }
 
-    /// Removes items of which the leader has been told, the first ones of the list.
-    pub(super) fn forget_returned(&self, told: &[ItemRef]) {
-        self.returned.lock().drain(..told.len());
+    /// Removes the items that an answered request listed, which are the first ones.
+    pub(super) fn forget_returned(&self, listed: &[ItemRef]) {
+        self.returned.lock().drain(..listed.len());
     }
 
     /// Counts an item of a service as waiting for a slot.
--- a/crates/pinerill-forward/src/dispatch/waiters.rs
+++ b/crates/pinerill-forward/src/dispatch/waiters.rs
@@ -81,7 +81,7 @@
     }
 
     /// Returns the mean time between two starts of waiting calls of a service in milliseconds;
-    /// `None` if there were too few lately.
+    /// `None` if there were too few in the window of [`StartRate`].
     pub(super) fn start_interval_ms(&self, now_ms: u64, service: &str) -> Option<f64> {
         self.service_starts.get(service)?.interval_ms(now_ms)
     }
--- a/crates/pinerill-forward/src/gateway/request.rs
+++ b/crates/pinerill-forward/src/gateway/request.rs
@@ -109,7 +109,7 @@
     }
 }
 
-/// Awaits a step before which nothing has been sent to a worker or stored.
+/// Awaits a step in which nothing is sent to a worker and no job is stored.
 ///
 /// # Errors
 /// Returns the refusal of the step, or the one of a stopping node if responses fall due first.
