--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -124,11 +124,11 @@
 
 async fn attempt(node: &Arc<Node>, held: &HeldLeases, running: &mut ActiveItem) -> AttemptResult {
     match node.block_reason(&running.identity) {
-        Some(BlockReason::Part) => return AttemptResult::Withheld,
-        Some(BlockReason::Request) if !std::mem::take(&mut running.on_trial) => {
+        Some(BlockReason::Part(_)) => return AttemptResult::Withheld,
+        Some(BlockReason::Request(_)) if !std::mem::take(&mut running.on_trial) => {
             return AttemptResult::Withheld;
         }
-        Some(BlockReason::Request) | None => {}
+        Some(BlockReason::Request(_)) | None => {}
     }
     if running.last_event.is_none() && running.without_result >= MAX_WITHOUT_RESULT {
         return AttemptResult::Unplaced;
@@ -147,23 +147,30 @@
 /// node starts it: a crash is not a failure response, so the item may be declared dead only
 /// after its due time. Trials never overlap, since only this node has the item.
 async fn withhold(node: &Node, running: &mut ActiveItem) {
-    node.metrics.items_withheld.inc();
+    let Some(first_reason) = node.block_reason(&running.identity) else {
+        return;
+    };
+    let _withheld = node.metrics.count_withheld_item();
     log::warn!(
         event = "item_withheld", id = running.leased.id.as_str(),
-        request:% = running.identity.fingerprint(), attempts = running.attempts,
-        trials = running.trials; ""
+        request:% = running.identity.fingerprint(), reason:% = first_reason,
+        attempts = running.attempts, last:? = running.last_event, trials = running.trials; ""
     );
     let since = BootTime::now();
     while let Some(reason) = node.block_reason(&running.identity) {
         sleep(BLOCK_CHECK_INTERVAL).await;
         // Trials of all items that share a part would crash as many workers.
-        let may_try = reason == BlockReason::Request;
+        let may_try = matches!(reason, BlockReason::Request(_));
         if may_try && running.trials < MAX_TRIALS && since.elapsed() >= TRIAL_DELAY {
             running.trials += 1;
             running.on_trial = true;
-            return;
+            break;
         }
     }
+    log::info!(
+        event = "item_goes_on", id = running.leased.id.as_str(), withheld_for:% = first_reason,
+        on_trial = running.on_trial, waited_ms = since.elapsed().as_millis() as u64; ""
+    );
 }
 
 /// Makes one attempt at the worker of `slot`. Returns None if the item needs another attempt.
--- a/crates/pinerill-forward/src/crash/verdicts.rs
+++ b/crates/pinerill-forward/src/crash/verdicts.rs
@@ -1,6 +1,7 @@
 //! A node's use of its crash ledger: checks requests before they are sent, and broadcasts changes
 //! to the other nodes.
 
+use std::fmt;
 use std::pin::pin;
 
 use super::ledger::{BlockedRequest, CrashReport, Verdict};
@@ -15,9 +16,18 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum BlockReason {
     /// The request itself is known to crash workers.
-    Request,
+    Request(RequestFingerprint),
     /// A part of its prompt is known to crash workers.
-    Part,
+    Part(PartKey),
+}
+
+impl fmt::Display for BlockReason {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            BlockReason::Request(request) => write!(formatter, "request {request}"),
+            BlockReason::Part(part) => write!(formatter, "part {part}"),
+        }
+    }
 }
 
 impl Node {
@@ -29,24 +39,25 @@
     /// Returns why a request may not be sent to workers; `None` if it may. Computes no fingerprint
     /// while the ledgers are empty.
     pub(crate) fn block_reason(&self, request: &RequestIdentity) -> Option<BlockReason> {
-        if self.is_part_blocked(request) {
-            return Some(BlockReason::Part);
+        if let Some(part) = self.blocked_part(request) {
+            return Some(BlockReason::Part(part));
         }
         if self.crashes.ledger.lock().is_empty() {
             return None;
         }
-        let verdict = self.crashes.ledger.lock().verdict(request.fingerprint());
-        (verdict == Verdict::Blocked).then_some(BlockReason::Request)
+        let request = request.fingerprint();
+        let verdict = self.crashes.ledger.lock().verdict(request);
+        (verdict == Verdict::Blocked).then_some(BlockReason::Request(request))
     }
 
-    fn is_part_blocked(&self, request: &RequestIdentity) -> bool {
+    fn blocked_part(&self, request: &RequestIdentity) -> Option<PartKey> {
         let now_ms = self.now_ms();
         let ledger = self.crashes.parts.lock();
         if ledger.is_empty() {
-            return false;
+            return None;
         }
-        let mut parts = request.part_keys().iter();
-        parts.any(|part| ledger.verdict(now_ms, *part) == Verdict::Blocked)
+        let mut parts = request.part_keys().iter().copied();
+        parts.find(|part| ledger.verdict(now_ms, *part) == Verdict::Blocked)
     }
 
     /// Waits until a request is known to crash workers, so that its caller need not wait any
--- a/crates/pinerill-forward/src/monitoring.rs
+++ b/crates/pinerill-forward/src/monitoring.rs
@@ -39,7 +39,8 @@
     pub(crate) slow_starts: IntCounter,
     items: IntCounterVec,
     pub(crate) items_preempted: IntCounter,
-    pub(crate) items_withheld: IntCounter,
+    items_withheld: IntCounter,
+    items_withheld_now: IntGauge,
     workers_crashed: IntCounterVec,
     pub(crate) runs_crashed: IntCounter,
     suspensions: IntGauge,
@@ -190,6 +191,10 @@
                 "pinerill_node_items_withheld_total",
                 "Items of jobs that are kept from workers, since they are known to crash them",
             )?,
+            items_withheld_now: gauge(
+                "pinerill_node_items_withheld",
+                "Items of jobs that are kept from workers now, since they are known to crash them",
+            )?,
             workers_crashed: counters(
                 "pinerill_node_workers_crashed_total",
                 "Workers that crashed while requests of this node ran there, by what shows it",
@@ -324,6 +329,22 @@
     pub(crate) fn item_ended(&self, end: &str) {
         self.items.with_label_values(&[end]).inc();
     }
+
+    /// Counts an item as kept from workers until the returned guard is dropped.
+    pub(crate) fn count_withheld_item(&self) -> WithheldItem {
+        self.items_withheld.inc();
+        self.items_withheld_now.inc();
+        WithheldItem(self.items_withheld_now.clone())
+    }
+}
+
+/// Counts an item as kept from workers until it is dropped.
+pub(crate) struct WithheldItem(IntGauge);
+
+impl Drop for WithheldItem {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
 }
 
 impl Monitored for Node {
