--- a/crates/pinerill-forward/tests/crash_ledger.rs
+++ b/crates/pinerill-forward/tests/crash_ledger.rs
@@ -77,6 +77,28 @@
     assert_eq!(ledger.verdict(request(1)), Verdict::Blocked);
 }
 
+/// A paused node kept requests blocked that all others had cleared.
+#[test]
+fn a_node_that_missed_a_clearing_hears_of_it_from_the_others() {
+    let crashes: Vec<CrashReport> = (0..CRASHES_AT_ONE_POINT)
+        .map(|at| crash(1, at, 0))
+        .collect();
+    let (mut informed, mut paused) = (ledger(&crashes), ledger(&crashes));
+    informed.clear(2_000, request(1));
+    for now_ms in [40_000, 40_500] {
+        for report in paused.reports_to_resend(now_ms, 32) {
+            informed.merge(now_ms, &report);
+        }
+        for report in informed.reports_to_resend(now_ms, 32) {
+            paused.merge(now_ms, &report);
+        }
+    }
+    assert_eq!(informed.verdict(request(1)), Verdict::MayRun);
+    assert_eq!(paused.verdict(request(1)), Verdict::MayRun);
+    assert_eq!(informed.reports_to_resend(50_000, 32), []);
+    assert_eq!(paused.reports_to_resend(50_000, 32), []);
+}
+
 #[test]
 fn crashes_before_the_point_reached_by_a_later_run_do_not_count() {
     let long = ledger(&[crash(1, 1, 10), crash(1, 2, 70), crash(1, 3, 140)]);
--- a/crates/pinerill-forward/tests/part_ledger.rs
+++ b/crates/pinerill-forward/tests/part_ledger.rs
@@ -80,6 +80,68 @@
     assert_eq!(other.verdict(now_ms, part(1)), Verdict::MayRun);
 }
 
+/// Sends what each ledger sends again to the other one.
+fn exchange(now_ms: u64, ledgers: [&mut PartLedger; 2]) {
+    let [one, other] = ledgers;
+    for report in one.reports_to_resend(now_ms, 32) {
+        other.merge(now_ms, &report);
+    }
+    for report in other.reports_to_resend(now_ms, 32) {
+        one.merge(now_ms, &report);
+    }
+}
+
+/// A paused node kept parts blocked that all others had cleared.
+#[test]
+fn a_node_that_missed_a_clearing_hears_of_it_from_the_others() {
+    let (mut informed, mut paused) = (PartLedger::default(), PartLedger::default());
+    for ledger in [&mut informed, &mut paused] {
+        crash_apart(ledger, 0, part(1), 0..CRASHES_UNDER_PART);
+    }
+    informed.record_sound(3_000, part(1));
+    let resumed_ms = 40_000;
+    for step in 0..2 {
+        exchange(resumed_ms + step * APART_MS, [&mut paused, &mut informed]);
+    }
+    let now_ms = resumed_ms + 2 * APART_MS;
+    assert_eq!(informed.verdict(now_ms, part(1)), Verdict::MayRun);
+    assert_eq!(paused.verdict(now_ms, part(1)), Verdict::MayRun);
+    let later_ms = now_ms + 10_000;
+    assert_eq!(informed.reports_to_resend(later_ms, 32), []);
+    assert_eq!(paused.reports_to_resend(later_ms, 32), []);
+}
+
+/// Crashes that other nodes reported late blocked a part that had been sound since.
+#[test]
+fn a_crash_before_a_sound_run_does_not_count_when_it_is_reported_after_it() {
+    let mut ledger = PartLedger::default();
+    ledger.record_sound(20_000, part(1));
+    let late = |number: usize, age_ms| PartCrashReport {
+        age_ms,
+        ..crash(part(1), number)
+    };
+    for number in 0..CRASHES_UNDER_PROVEN_PART {
+        ledger.merge(20_100, &late(number, 10_000 - number as u64 * APART_MS));
+    }
+    assert_eq!(ledger.verdict(20_100, part(1)), Verdict::MayRun);
+    let resent = ledger.reports_to_resend(20_100, 32);
+    assert!(
+        resent.iter().all(|report| report.is_cleared),
+        "others hear of it"
+    );
+    let later = crash_apart(
+        &mut ledger,
+        21_000,
+        part(1),
+        30..30 + CRASHES_UNDER_PROVEN_PART,
+    );
+    assert_eq!(
+        ledger.verdict(later, part(1)),
+        Verdict::Blocked,
+        "later crashes count"
+    );
+}
+
 #[test]
 fn workers_that_end_at_the_same_moment_block_no_part_of_what_ran_there() {
     let mut ledger = PartLedger::default();
