Nodes that missed a clearing hear of it from the others, and late crash reports do not outlive a sound run

Cause: a clearing is sent for 5 s after it, a blocking crash for as long as it blocks. A node that was paused or cut off for longer keeps its block, sends it to all others, and none answers. And a crash that is reported after a sound run counted anew, though the run had shown that the part isn't its cause. Change: a report of a crash that the receiver knows as cleared makes it send the clearing again, for 5 s; a crash that happened before the last sound run is taken as cleared. Both ledgers for the first, that of parts for the second. Holds up no sound work: it only lifts blocks. Still passes: a node that had no sound run of its own knows of no proof; a late crash of a request counts anew.

--- a/crates/pinerill-forward/src/crash/ledger.rs
+++ b/crates/pinerill-forward/src/crash/ledger.rs
@@ -163,6 +163,9 @@
             known.last_event = known.last_event.max(report.last_event);
             known.is_cleared |= report.is_cleared;
             known.changed_ms = now_ms;
+        } else if known.is_cleared && !report.is_cleared && now_ms > known.changed_ms + RESEND_MS {
+            // The sender missed the clearing, so that it is sent again.
+            known.changed_ms = now_ms;
         }
         changes
     }
--- a/crates/pinerill-forward/src/crash/part_ledger.rs
+++ b/crates/pinerill-forward/src/crash/part_ledger.rs
@@ -117,13 +117,16 @@
         }
     }
 
-    /// Merges a crash report. Returns whether it changed anything.
-    fn merge(&mut self, now_ms: u64, report: &PartCrashReport) -> bool {
+    /// Merges a crash report. `proven_ms` is when a run was last sound, which clears earlier crashes.
+    /// Returns whether the report changed anything.
+    fn merge(&mut self, now_ms: u64, report: &PartCrashReport, proven_ms: Option<u64>) -> bool {
         let Some(known) = self.by_worker.get_mut(&report.worker) else {
             self.evict_if_full();
+            let at_ms = now_ms.saturating_sub(report.age_ms);
             let crash = Crash {
-                is_cleared: report.is_cleared,
-                at_ms: now_ms.saturating_sub(report.age_ms),
+                is_cleared: report.is_cleared
+                    || proven_ms.is_some_and(|proven_ms| at_ms < proven_ms),
+                at_ms,
                 changed_ms: now_ms,
             };
             self.by_worker.insert(report.worker, crash);
@@ -133,6 +136,9 @@
         if changes {
             known.is_cleared = true;
             known.changed_ms = now_ms;
+        } else if known.is_cleared && !report.is_cleared && now_ms > known.changed_ms + RESEND_MS {
+            // The sender missed the clearing, so that it is sent again.
+            known.changed_ms = now_ms;
         }
         changes
     }
@@ -169,8 +175,9 @@
         if !self.parts.contains_key(&report.part) {
             self.evict_if_full();
         }
+        let proven_ms = self.proven_ms.get(&report.part).copied();
         let crashes = self.parts.entry(report.part).or_default();
-        crashes.merge(now_ms, report)
+        crashes.merge(now_ms, report, proven_ms)
     }
 
     /// Returns whether requests with a part may run.
