Blocked items make trial runs, one at a time in the fleet, until one is sound

Cause: a block ends with a sound run, and what is blocked gets none. A part got no trial run at all, an item as a request two, 8 and 16 s after it was withheld; after that both waited for ten minutes. The class: a belief that only an event can end which the belief itself prevents. Change: crash/trials.rs. A trial is due 3 s after the crash that blocks, 6 s after each further one, plus a delay of at most 1 s that depends on the node, for requests and parts alike and without an end. The node that begins one announces it (a datagram kind that older builds drop); the others wait for a crash, a sound run, or 4 s. The verdict is asked again directly before an item is sent, after its wait for a slot. Holds up sound work: a withheld item, for at most 7 s after the last crash under it or 5 s after a trial without outcome (a_trial_is_due_within_one_bound_however_many_crashes_there_were, a_trial_without_outcome_holds_up_the_next_one_for_a_bounded_time). Still passes: what does crash workers costs one about each 6 s as long as an item of it waits: 8 to 13 crashes a minute with 1 to 300 nodes (a_part_that_crashes_workers_costs_the_fleet_few_of_them); on processes 2 later runs of 3 allowed in 16 s for an item and for items that share a part. Calls get no trial runs: without items, a part that only calls hold stays blocked for ten minutes (open).

--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -22,7 +22,8 @@
 use super::reports::ReportSender;
 use super::running::{prepare, ActiveItem};
 use super::runs::ItemRun;
-use crate::crash::{BlockReason, Run as WorkerRun};
+use crate::crash::suspect::Suspect;
+use crate::crash::{Run as WorkerRun, RunPermission};
 use crate::exchange::{BreakReason, EventScanner, Exchange, StartedAnswer};
 use crate::fleet::{RequiredSoftware, WorkerSoftware};
 use crate::gaps::GapMeter;
@@ -35,16 +36,8 @@
 /// Time without data from a worker after which an attempt fails and the item resumes at another
 /// worker.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Interval between two checks of whether a withheld item is still blocked: the block ends when
-/// the request is cleared or its crashes expire.
-const BLOCK_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// Delay before each trial run of a blocked item. A harmless item may have run beside the cause
-/// of three crashes in a row, which happens where there are few workers; a trial then completes
-/// and clears it.
-const TRIAL_DELAY: Duration = Duration::from_secs(8);
-/// Trial runs that a blocked item gets. An item that does cause crashes costs two more workers,
-/// seconds apart.
-const MAX_TRIALS: u32 = 2;
+/// Interval between two checks of whether a withheld item may run.
+const BLOCK_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Delay after the first response that is neither a result nor a failed run. It doubles with each
 /// further one.
 const NO_RESULT_DELAY: Duration = Duration::from_millis(100);
@@ -78,7 +71,7 @@
         match attempt(&node, &held, &mut running).await {
             AttemptResult::Ended(end) => break end,
             AttemptResult::Retry => {}
-            AttemptResult::Withheld => withhold(&node, &mut running).await,
+            AttemptResult::Withheld(suspect) => withhold(&node, &running, suspect).await,
             AttemptResult::Unplaced => {
                 log::info!(
                     event = "item_given_back", id = running.leased.id.as_str(),
@@ -115,61 +108,65 @@
     Ended(ItemOutcome),
     /// The item needs another attempt.
     Retry,
-    /// The item was not sent because its request is known to crash workers.
-    Withheld,
+    /// The item was not sent because this is known to crash workers.
+    Withheld(Suspect),
     /// None of the item's events have arrived, and either no worker has a free slot for it or
     /// several workers responded without a result.
     Unplaced,
 }
 
 async fn attempt(node: &Arc<Node>, held: &HeldLeases, running: &mut ActiveItem) -> AttemptResult {
-    match node.block_reason(&running.identity) {
-        Some(BlockReason::Part(_)) => return AttemptResult::Withheld,
-        Some(BlockReason::Request(_)) if !std::mem::take(&mut running.on_trial) => {
-            return AttemptResult::Withheld;
-        }
-        Some(BlockReason::Request(_)) | None => {}
+    if let RunPermission::Withheld(suspect) = node.item_permission(&running.identity) {
+        return AttemptResult::Withheld(suspect);
     }
     if running.last_event.is_none() && running.without_result >= MAX_WITHOUT_RESULT {
         return AttemptResult::Unplaced;
     }
-    match wait_for_slot(node, held, running).await {
-        Some(slot) => match attempt_on(node, held, running, slot).await {
-            Some(end) => AttemptResult::Ended(end),
-            None => AttemptResult::Retry,
-        },
-        None => AttemptResult::Unplaced,
+    let Some(slot) = wait_for_slot(node, held, running).await else {
+        return AttemptResult::Unplaced;
+    };
+    // Workers may have crashed, or another trial may have begun, while the item waited.
+    match node.begin_item_run(&running.identity) {
+        RunPermission::Withheld(suspect) => return AttemptResult::Withheld(suspect),
+        RunPermission::Trial => record_trial(node, running, slot.worker()),
+        RunPermission::Granted => {}
+    }
+    match attempt_on(node, held, running, slot).await {
+        Some(end) => AttemptResult::Ended(end),
+        None => AttemptResult::Retry,
     }
 }
 
 /// Waits until an item that is blocked for crashing workers is no longer blocked or is due for
-/// a trial run. The item stays leased to this node until the leader stops it, so that no other
-/// node starts it: a crash is not a failure response, so the item may be declared dead only
-/// after its due time. Trials never overlap, since only this node has the item.
-async fn withhold(node: &Node, running: &mut ActiveItem) {
-    let Some(first_reason) = node.block_reason(&running.identity) else {
-        return;
-    };
+/// a trial run. The item stays leased to this node until the leader stops it: a crash is not a
+/// failure response, so the item may be declared dead only after its due time.
+async fn withhold(node: &Node, running: &ActiveItem, suspect: Suspect) {
     let _withheld = node.metrics.count_withheld_item();
     log::warn!(
         event = "item_withheld", id = running.leased.id.as_str(),
-        request:% = running.identity.fingerprint(), reason:% = first_reason,
+        request:% = running.identity.fingerprint(), reason:% = suspect,
         attempts = running.attempts, last:? = running.last_event, trials = running.trials; ""
     );
     let since = BootTime::now();
-    while let Some(reason) = node.block_reason(&running.identity) {
-        sleep(BLOCK_CHECK_INTERVAL).await;
-        // Trials of all items that share a part would crash as many workers.
-        let may_try = matches!(reason, BlockReason::Request(_));
-        if may_try && running.trials < MAX_TRIALS && since.elapsed() >= TRIAL_DELAY {
-            running.trials += 1;
-            running.on_trial = true;
-            break;
+    let permission = loop {
+        match node.item_permission(&running.identity) {
+            RunPermission::Withheld(_) => sleep(BLOCK_CHECK_INTERVAL).await,
+            permission => break permission,
         }
-    }
+    };
     log::info!(
-        event = "item_goes_on", id = running.leased.id.as_str(), withheld_for:% = first_reason,
-        on_trial = running.on_trial, waited_ms = since.elapsed().as_millis() as u64; ""
+        event = "item_goes_on", id = running.leased.id.as_str(), withheld_for:% = suspect,
+        permission:? = permission, waited_ms = since.elapsed().as_millis() as u64; ""
+    );
+}
+
+/// Counts and logs a trial run.
+fn record_trial(node: &Node, running: &mut ActiveItem, worker: &str) {
+    running.trials += 1;
+    node.metrics.trial_runs.inc();
+    log::warn!(
+        event = "trial_begins", id = running.leased.id.as_str(), worker,
+        request:% = running.identity.fingerprint(), trials = running.trials; ""
     );
 }
 
--- a/crates/pinerill-forward/src/batch/running.rs
+++ b/crates/pinerill-forward/src/batch/running.rs
@@ -43,10 +43,8 @@
     pub(super) attempts: u32,
     /// Number of responses that were neither a result nor a failed run.
     pub(super) without_result: u32,
-    /// Number of trial runs made although the request is known to crash workers.
+    /// Number of trial runs made although the item is known to crash workers.
     pub(super) trials: u32,
-    /// Whether the next attempt is a trial run that ignores the block on the request.
-    pub(super) on_trial: bool,
     /// Total time that the item has run at workers, as a worker of usual pace would have taken.
     pub(super) time_run: Duration,
     /// Due time of the result in milliseconds on the node's clock.
@@ -102,7 +100,6 @@
         attempts: 0,
         without_result: 0,
         trials: 0,
-        on_trial: false,
         time_run: Duration::ZERO,
         due_ms,
         interrupted_at: None,
--- a/crates/pinerill-forward/src/crash/ledger.rs
+++ b/crates/pinerill-forward/src/crash/ledger.rs
@@ -24,6 +24,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::rotation::Rotation;
+use super::suspect::BlockingCrashes;
 use super::{RequestFingerprint, WorkerIncarnation};
 
 /// Number of crashes at about the same point of a request's answer that block it.
@@ -125,6 +126,11 @@
         times.max().unwrap_or(0)
     }
 
+    fn last_counted_ms(&self) -> u64 {
+        let times = self.counted().map(|crash| crash.at_ms);
+        times.max().unwrap_or(0)
+    }
+
     /// Sort key for eviction: requests with fewer counted crashes are evicted first, and among
     /// those the one whose last crash is the oldest.
     fn eviction_key(&self) -> (usize, u64) {
@@ -208,6 +214,16 @@
         crashes.map_or(Verdict::MayRun, Crashes::verdict)
     }
 
+    /// Returns the crashes that block a request; `None` if it may run.
+    pub fn blocking(&self, request: RequestFingerprint) -> Option<BlockingCrashes> {
+        let crashes = self.requests.get(&request)?;
+        let counted = crashes.counted().count();
+        (crashes.verdict() == Verdict::Blocked).then(|| BlockingCrashes {
+            further: counted.saturating_sub(CRASHES_AT_ONE_POINT),
+            last_ms: crashes.last_counted_ms(),
+        })
+    }
+
     /// Clears the crashes under a request that happened well before an event which a run of it has
     /// reached, since they had another cause. Returns the reports to broadcast.
     pub fn clear_before(
--- a/crates/pinerill-forward/src/crash/mod.rs
+++ b/crates/pinerill-forward/src/crash/mod.rs
@@ -5,9 +5,9 @@
 //! because their worker crashed are separated from other broken runs ([`broken_runs`]). Each node
 //! keeps a ledger of the crashes under each request ([`ledger`]), and all nodes share its entries
 //! by broadcasting crash reports (`peers::crashes`). A request that is known to crash workers is
-//! refused before it is sent; an item of a job is withheld. The same holds for requests that hold a
-//! part of a prompt that is known to crash workers, however different they are otherwise
-//! ([`part_ledger`]).
+//! refused before it is sent; an item of a job is withheld but for trial runs ([`trials`]). The same
+//! holds for requests that hold a part of a prompt that is known to crash workers, however different
+//! they are otherwise ([`part_ledger`]).
 //!
 //! Crash reports can be merged in any order. Each is sent at once to the nodes of the zone and
 //! through relays to the others, and again for some seconds, or for as long as it blocks a request.
@@ -21,17 +21,21 @@
 mod operators;
 mod part_key;
 pub mod part_ledger;
+mod permission;
 mod rotation;
 mod run;
+pub mod suspect;
 mod tracker;
+pub mod trials;
 mod verdicts;
 
 use pinerill_calls::directory::WorkerEntry;
 use serde::{Deserialize, Serialize};
 
 pub(crate) use operators::mount_blocked_requests;
+pub(crate) use permission::RunPermission;
 pub(crate) use tracker::CrashTracker;
-pub(crate) use verdicts::{BlockReason, MAX_REPORTS_PER_DATAGRAM};
+pub(crate) use verdicts::MAX_REPORTS_PER_DATAGRAM;
 
 pub use fingerprint::{RequestFingerprint, RequestIdentity, Requester};
 pub use part_key::PartKey;
--- a/crates/pinerill-forward/src/crash/part_ledger.rs
+++ b/crates/pinerill-forward/src/crash/part_ledger.rs
@@ -22,6 +22,7 @@
 
 use super::ledger::Verdict;
 use super::rotation::Rotation;
+use super::suspect::BlockingCrashes;
 use super::{PartKey, WorkerIncarnation};
 
 /// Number of crashes under a part that block it.
@@ -182,19 +183,24 @@
 
     /// Returns whether requests with a part may run.
     pub fn verdict(&self, now_ms: u64, part: PartKey) -> Verdict {
-        let Some(crashes) = self.parts.get(&part) else {
-            return Verdict::MayRun;
-        };
-        let counted = crashes.counted();
+        match self.blocking(now_ms, part) {
+            Some(_) => Verdict::Blocked,
+            None => Verdict::MayRun,
+        }
+    }
+
+    /// Returns the crashes that block a part; `None` if requests with it may run.
+    pub fn blocking(&self, now_ms: u64, part: PartKey) -> Option<BlockingCrashes> {
+        let crashes = self.parts.get(&part)?;
         let last_ms = crashes.last_ms();
-        let is_blocked = match self.is_proven(last_ms, part) {
-            true => counted >= CRASHES_UNDER_PROVEN_PART && now_ms < last_ms + PROVEN_BLOCK_MS,
-            false => counted >= CRASHES_UNDER_PART,
+        let is_proven = self.is_proven(last_ms, part);
+        let needed = match is_proven {
+            true => CRASHES_UNDER_PROVEN_PART,
+            false => CRASHES_UNDER_PART,
         };
-        match is_blocked {
-            true => Verdict::Blocked,
-            false => Verdict::MayRun,
-        }
+        let further = crashes.counted().checked_sub(needed)?;
+        let is_over = is_proven && now_ms >= last_ms + PROVEN_BLOCK_MS;
+        (!is_over).then_some(BlockingCrashes { further, last_ms })
     }
 
     /// Records that a run with a part got past the beginning of its answer, and clears the crashes
--- /dev/null
+++ b/crates/pinerill-forward/src/crash/suspect.rs
@@ -0,0 +1,34 @@
+//! What may crash the workers that run it: a request, or a part of prompts.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use super::{PartKey, RequestFingerprint};
+
+/// A request or a part of prompts that is known to crash workers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Suspect {
+    /// A request.
+    Request(RequestFingerprint),
+    /// A part that the prompts of requests may share.
+    Part(PartKey),
+}
+
+impl fmt::Display for Suspect {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Suspect::Request(request) => write!(formatter, "request {request}"),
+            Suspect::Part(part) => write!(formatter, "part {part}"),
+        }
+    }
+}
+
+/// The crashes that block a suspect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BlockingCrashes {
+    /// Number of crashes beyond those that were needed to block it.
+    pub further: usize,
+    /// When the last of them happened, in milliseconds on the node's clock.
+    pub last_ms: u64,
+}
--- a/crates/pinerill-forward/src/crash/tracker.rs
+++ b/crates/pinerill-forward/src/crash/tracker.rs
@@ -13,6 +13,7 @@
 use super::broken_runs::{BrokenRun, BrokenRuns, CrashEvidence};
 use super::ledger::{CrashLedger, CrashReport};
 use super::part_ledger::{PartCrashReport, PartLedger};
+use super::trials::Trials;
 use super::{PartKey, WorkerIncarnation};
 use crate::exchange::BreakReason;
 use crate::node::Node;
@@ -23,7 +24,6 @@
 const PARTS_LOGGED: usize = 8;
 
 /// A node's state about crashes of workers.
-#[derive(Default)]
 pub(crate) struct CrashTracker {
     broken: Mutex<BrokenRuns>,
     /// Workers that are being probed with a new connection.
@@ -32,10 +32,26 @@
     pub(super) ledger: Mutex<CrashLedger>,
     /// Known crashes by part of prompts, also from other nodes.
     pub(super) parts: Mutex<PartLedger>,
+    /// Trial runs of what is blocked, also of other nodes.
+    pub(super) trials: Mutex<Trials>,
     /// Wakes tasks that wait for a request to be blocked, whenever a verdict changes.
     pub(super) blocked: Notify,
 }
 
+impl CrashTracker {
+    /// Creates the state of the node with this name.
+    pub(crate) fn new(node: &str) -> Self {
+        CrashTracker {
+            broken: Mutex::default(),
+            probing: Mutex::default(),
+            ledger: Mutex::default(),
+            parts: Mutex::default(),
+            trials: Mutex::new(Trials::new(node)),
+            blocked: Notify::new(),
+        }
+    }
+}
+
 impl Node {
     /// Records a run that ended before its answer was complete.
     pub(super) fn record_early_end(&self, worker: WorkerIncarnation, run: BrokenRun) {
--- a/crates/pinerill-forward/src/crash/verdicts.rs
+++ b/crates/pinerill-forward/src/crash/verdicts.rs
@@ -1,7 +1,6 @@
 //! A node's use of its crash ledger: checks requests before they are sent, and broadcasts changes
 //! to the other nodes.
 
-use std::fmt;
 use std::pin::pin;
 
 use super::ledger::{BlockedRequest, CrashReport, Verdict};
@@ -12,54 +11,7 @@
 /// Limit on the reports in one datagram. Each takes 40 bytes at most; three block a request.
 pub(crate) const MAX_REPORTS_PER_DATAGRAM: usize = 32;
 
-/// Why a request may not be sent to workers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum BlockReason {
-    /// The request itself is known to crash workers.
-    Request(RequestFingerprint),
-    /// A part of its prompt is known to crash workers.
-    Part(PartKey),
-}
-
-impl fmt::Display for BlockReason {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            BlockReason::Request(request) => write!(formatter, "request {request}"),
-            BlockReason::Part(part) => write!(formatter, "part {part}"),
-        }
-    }
-}
-
 impl Node {
-    /// Returns whether a request is known to crash workers.
-    pub(crate) fn is_blocked(&self, request: &RequestIdentity) -> bool {
-        self.block_reason(request).is_some()
-    }
-
-    /// Returns why a request may not be sent to workers; `None` if it may. Computes no fingerprint
-    /// while the ledgers are empty.
-    pub(crate) fn block_reason(&self, request: &RequestIdentity) -> Option<BlockReason> {
-        if let Some(part) = self.blocked_part(request) {
-            return Some(BlockReason::Part(part));
-        }
-        if self.crashes.ledger.lock().is_empty() {
-            return None;
-        }
-        let request = request.fingerprint();
-        let verdict = self.crashes.ledger.lock().verdict(request);
-        (verdict == Verdict::Blocked).then_some(BlockReason::Request(request))
-    }
-
-    fn blocked_part(&self, request: &RequestIdentity) -> Option<PartKey> {
-        let now_ms = self.now_ms();
-        let ledger = self.crashes.parts.lock();
-        if ledger.is_empty() {
-            return None;
-        }
-        let mut parts = request.part_keys().iter().copied();
-        parts.find(|part| ledger.verdict(now_ms, *part) == Verdict::Blocked)
-    }
-
     /// Waits until a request is known to crash workers, so that its caller need not wait any
     /// longer.
     pub(crate) async fn wait_until_blocked(&self, request: &RequestIdentity) {
@@ -204,6 +156,7 @@
     pub(crate) fn forget_old_crashes(&self) {
         self.crashes.ledger.lock().remove_expired(self.now_ms());
         self.crashes.parts.lock().remove_expired(self.now_ms());
+        self.crashes.trials.lock().remove_expired(self.now_ms());
     }
 
     /// Returns the requests that this node refuses.
--- a/crates/pinerill-forward/src/monitoring.rs
+++ b/crates/pinerill-forward/src/monitoring.rs
@@ -41,6 +41,7 @@
     pub(crate) items_preempted: IntCounter,
     items_withheld: IntCounter,
     items_withheld_now: IntGauge,
+    pub(crate) trial_runs: IntCounter,
     workers_crashed: IntCounterVec,
     pub(crate) runs_crashed: IntCounter,
     suspensions: IntGauge,
@@ -195,6 +196,10 @@
                 "pinerill_node_items_withheld",
                 "Items of jobs that are kept from workers now, since they are known to crash them",
             )?,
+            trial_runs: counter(
+                "pinerill_node_trial_runs_total",
+                "Runs of items that are known to crash workers, to see whether they do",
+            )?,
             workers_crashed: counters(
                 "pinerill_node_workers_crashed_total",
                 "Workers that crashed while requests of this node ran there, by what shows it",
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -94,6 +94,7 @@
     pub(crate) fn new(parts: NodeParts) -> Self {
         Node {
             drain: Drain::new(Duration::from_secs_f64(parts.settings.stop_s)),
+            crashes: CrashTracker::new(&parts.incarnation),
             settings: parts.settings,
             incarnation: parts.incarnation,
             caller_protocol: parts.caller_protocol,
@@ -107,7 +108,6 @@
             connections: Arc::default(),
             dispatcher: Dispatcher::default(),
             runs: Arc::default(),
-            crashes: CrashTracker::default(),
             resumptions: Resumptions::default(),
             health_checks: HealthChecks::default(),
             waking: ResumeGate::default(),
--- a/crates/pinerill-forward/src/peers/crashes.rs
+++ b/crates/pinerill-forward/src/peers/crashes.rs
@@ -1,4 +1,5 @@
-//! Sends reports of workers that crashed under requests or parts of prompts to all nodes.
+//! Sends reports of workers that crashed under requests or parts of prompts, and notices of trial
+//! runs, to all nodes.
 //!
 //! Each report is sent at once to the nodes of the zone. Relays forward reports that are new to
 //! them to the relays of other zones, which broadcast them in theirs; bridge nodes forward them to
@@ -14,6 +15,7 @@
 use super::Peers;
 use crate::crash::ledger::CrashReport;
 use crate::crash::part_ledger::PartCrashReport;
+use crate::crash::trials::TrialNotice;
 use crate::crash::MAX_REPORTS_PER_DATAGRAM;
 use crate::node::Node;
 
@@ -24,7 +26,7 @@
 /// others on average, whatever the size of the zone.
 const RESEND_TARGETS: usize = 3;
 
-/// A report of a crash that is sent to all nodes.
+/// A report of a crash, or a notice of a trial run, that is sent to all nodes.
 pub(crate) trait CrashNews: Copy {
     /// Returns the message that contains these reports.
     fn into_message(reports: Vec<Self>) -> PeerMessage;
@@ -42,6 +44,12 @@
     }
 }
 
+impl CrashNews for TrialNotice {
+    fn into_message(notices: Vec<Self>) -> PeerMessage {
+        PeerMessage::Trials(notices)
+    }
+}
+
 /// Where reports came from.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct NewsSource {
--- a/crates/pinerill-forward/src/peers/message.rs
+++ b/crates/pinerill-forward/src/peers/message.rs
@@ -4,6 +4,7 @@
 
 use crate::crash::ledger::CrashReport;
 use crate::crash::part_ledger::PartCrashReport;
+use crate::crash::trials::TrialNotice;
 use crate::dispatch::demand::ServiceDemand;
 use crate::dispatch::report::{QueueReport, ReturnTicket, TenantUse};
 use crate::fleet::{ReportOrder, WorkerCount, WorkerKey, WorkerPace};
@@ -101,6 +102,8 @@
     OriginReply(OriginReply),
     /// To all nodes, through relays and bridges: workers crashed under parts of prompts.
     PartCrashes(Vec<PartCrashReport>),
+    /// To all nodes, through relays and bridges: the sender makes trial runs of what is blocked.
+    Trials(Vec<TrialNotice>),
 }
 
 impl PeerMessage {
@@ -112,7 +115,9 @@
             PeerMessage::ZoneInFlight { .. } => "zone_in_flight",
             PeerMessage::NoAnswer { .. } => "no_answer",
             PeerMessage::Broke { .. } => "broke",
-            PeerMessage::Crashes(_) | PeerMessage::PartCrashes(_) => "crashes",
+            PeerMessage::Crashes(_) | PeerMessage::PartCrashes(_) | PeerMessage::Trials(_) => {
+                "crashes"
+            }
             PeerMessage::SlotFree { .. } => "place_free",
             PeerMessage::Queue { .. } => "queue",
             PeerMessage::ZoneTenants { .. } => "zone_tenants",
--- a/crates/pinerill-forward/src/peers/receive.rs
+++ b/crates/pinerill-forward/src/peers/receive.rs
@@ -45,6 +45,10 @@
                 let changed = node.merge_part_reports(&reports);
                 node.peers.forward_crashes(source, &changed);
             }
+            Ok(PeerMessage::Trials(notices)) => {
+                let new = node.record_trials(&notices);
+                node.peers.forward_crashes(source, &new);
+            }
             Ok(PeerMessage::StreamOrigin(record)) if from_zone || from_relay => {
                 node.keep_origin(&record);
             }
@@ -86,7 +90,10 @@
             node.with_fleet(|fleet, now_ms| fleet.record_peer_connection_loss(now_ms, worker));
         }
         // Handled in `receive`, since relays of other zones or bridges send these too.
-        PeerMessage::Crashes(_) | PeerMessage::PartCrashes(_) | PeerMessage::StreamOrigin(_) => {}
+        PeerMessage::Crashes(_)
+        | PeerMessage::PartCrashes(_)
+        | PeerMessage::Trials(_)
+        | PeerMessage::StreamOrigin(_) => {}
         PeerMessage::OriginForRelays(record) => {
             node.keep_origin(&record);
             node.peers.forward_origin(&record);
