Blocked calls make trial runs too, 30 s after the last crash

What callers saw: calls that hold a part of prompts which four crashes by chance have blocked were refused with 502 for ten minutes, though all was calm; likewise a request that many callers send alike. Change: a call that arrives when a trial is due, 30 s after the last crash, runs as the trial; trials of items and calls are the same ones, so that there is one at a time. 30 s: its caller loses the answer if the part does crash workers, and that costs two workers a minute at most. Holds up sound work: calls with a blocked part, for 30 to 31 s after the last crash (a_trial_by_a_call_is_due_later_than_by_an_item_and_within_a_bound).

--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -23,6 +23,7 @@
 use super::running::{prepare, ActiveItem};
 use super::runs::ItemRun;
 use crate::crash::suspect::Suspect;
+use crate::crash::trials::TrialRunner;
 use crate::crash::{Run as WorkerRun, RunPermission};
 use crate::exchange::{BreakReason, EventScanner, Exchange, StartedAnswer};
 use crate::fleet::{RequiredSoftware, WorkerSoftware};
@@ -116,7 +117,9 @@
 }
 
 async fn attempt(node: &Arc<Node>, held: &HeldLeases, running: &mut ActiveItem) -> AttemptResult {
-    if let RunPermission::Withheld(suspect) = node.item_permission(&running.identity) {
+    if let RunPermission::Withheld(suspect) =
+        node.run_permission(TrialRunner::Item, &running.identity)
+    {
         return AttemptResult::Withheld(suspect);
     }
     if running.last_event.is_none() && running.without_result >= MAX_WITHOUT_RESULT {
@@ -126,7 +129,7 @@
         return AttemptResult::Unplaced;
     };
     // Workers may have crashed, or another trial may have begun, while the item waited.
-    match node.begin_item_run(&running.identity) {
+    match node.begin_run(TrialRunner::Item, &running.identity) {
         RunPermission::Withheld(suspect) => return AttemptResult::Withheld(suspect),
         RunPermission::Trial => record_trial(node, running, slot.worker()),
         RunPermission::Granted => {}
@@ -149,7 +152,7 @@
     );
     let since = BootTime::now();
     let permission = loop {
-        match node.item_permission(&running.identity) {
+        match node.run_permission(TrialRunner::Item, &running.identity) {
             RunPermission::Withheld(_) => sleep(BLOCK_CHECK_INTERVAL).await,
             permission => break permission,
         }
--- a/crates/pinerill-forward/src/call/attempt.rs
+++ b/crates/pinerill-forward/src/call/attempt.rs
@@ -10,7 +10,8 @@
 
 use super::decision::AttemptEnd;
 use super::{Call, CallRecord};
-use crate::crash::Run;
+use crate::crash::trials::TrialRunner;
+use crate::crash::{Run, RunPermission};
 use crate::dispatch::{Placed, Unplaced, WantedWorker};
 use crate::exchange::{BreakReason, Exchange, SendFailure, StartedAnswer};
 use crate::fleet::RequiredSoftware;
@@ -76,9 +77,15 @@
         } = tokio::select! {
             // A request that is already known to crash workers gets no slot.
             biased;
-            () = node.wait_until_blocked(&call.identity) => return Err(AttemptEnd::CrashesWorkers),
+            () = node.wait_until_withheld(&call.identity) => return Err(AttemptEnd::CrashesWorkers),
             placed = self.wait_for_slot(node, call, record) => placed?,
         };
+        // Another trial may have begun while the call waited.
+        match node.begin_run(TrialRunner::Call, &call.identity) {
+            RunPermission::Withheld(_) => return Err(AttemptEnd::CrashesWorkers),
+            RunPermission::Trial => record_trial(node, call, &chosen.entry.id),
+            RunPermission::Granted => {}
+        }
         record.begin_attempt(&chosen);
         self.sent = true;
         let worker = chosen.entry.clone();
@@ -241,3 +248,12 @@
 
 /// Maximum number of bytes of a refusal's body that are read.
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
+
+/// Counts and logs a trial run.
+fn record_trial(node: &Node, call: &Call, worker: &WorkerId) {
+    node.metrics.trial_runs.inc();
+    log::warn!(
+        event = "trial_begins", id = call.head.id.as_str(), worker = worker.as_str(),
+        request:% = call.identity.fingerprint(); ""
+    );
+}
--- a/crates/pinerill-forward/src/crash/permission.rs
+++ b/crates/pinerill-forward/src/crash/permission.rs
@@ -1,12 +1,11 @@
-//! Whether a request may be sent to workers: a call only if nothing in it is blocked, an item also
-//! for a trial run.
+//! Whether a request may be sent to workers: if nothing in it is blocked, or for a trial run.
 
 use super::suspect::{BlockingCrashes, Suspect};
-use super::trials::TrialNotice;
+use super::trials::{TrialNotice, TrialRunner};
 use super::RequestIdentity;
 use crate::node::Node;
 
-/// Whether an item may be sent to a worker now.
+/// Whether a request may be sent to a worker now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RunPermission {
     /// Nothing in it is known to crash workers.
@@ -18,21 +17,45 @@
 }
 
 impl Node {
-    /// Returns whether a request is known to crash workers.
-    pub(crate) fn is_blocked(&self, request: &RequestIdentity) -> bool {
-        !self.blocking(request).is_empty()
+    /// Returns whether a request may be sent to a worker. [`Node::begin_run`] must confirm it.
+    pub(crate) fn run_permission(
+        &self,
+        runner: TrialRunner,
+        request: &RequestIdentity,
+    ) -> RunPermission {
+        self.permission_for(runner, &self.blocking(request))
     }
 
-    /// Returns whether an item may be sent to a worker. [`Node::begin_item_run`] must confirm it.
-    pub(crate) fn item_permission(&self, item: &RequestIdentity) -> RunPermission {
-        let blocking = self.blocking(item);
+    /// Determines whether a request may be sent to a worker, directly before it is. Announces the trial
+    /// if the run is one.
+    pub(crate) fn begin_run(
+        &self,
+        runner: TrialRunner,
+        request: &RequestIdentity,
+    ) -> RunPermission {
+        let blocking = self.blocking(request);
+        let permission = self.permission_for(runner, &blocking);
+        if permission == RunPermission::Trial {
+            let suspects = blocking.iter().map(|(suspect, _)| *suspect);
+            let notices: Vec<TrialNotice> = suspects.map(TrialNotice::new).collect();
+            self.record_trials(&notices);
+            self.peers.broadcast_crashes(&notices);
+        }
+        permission
+    }
+
+    fn permission_for(
+        &self,
+        runner: TrialRunner,
+        blocking: &[(Suspect, BlockingCrashes)],
+    ) -> RunPermission {
         let Some((first, _)) = blocking.first() else {
             return RunPermission::Granted;
         };
         let now_ms = self.now_ms();
         let trials = self.crashes.trials.lock();
         let is_due = |(suspect, crashes): &(Suspect, BlockingCrashes)| {
-            now_ms >= trials.due_ms(*suspect, *crashes) && trials.has_room_for(*suspect)
+            now_ms >= trials.due_ms(runner, *suspect, *crashes) && trials.has_room_for(*suspect)
         };
         match blocking.iter().all(is_due) {
             true => RunPermission::Trial,
@@ -40,25 +63,6 @@
         }
     }
 
-    /// Determines whether an item may be sent to a worker, directly before it is. Announces the trial
-    /// if the run is one.
-    pub(crate) fn begin_item_run(&self, item: &RequestIdentity) -> RunPermission {
-        let permission = self.item_permission(item);
-        if permission == RunPermission::Trial {
-            let notices: Vec<TrialNotice> = self
-                .blocking(item)
-                .into_iter()
-                .map(|(suspect, _)| TrialNotice {
-                    suspect,
-                    trial: rand::random(),
-                })
-                .collect();
-            self.record_trials(&notices);
-            self.peers.broadcast_crashes(&notices);
-        }
-        permission
-    }
-
     /// Records trials of this or another node, and returns those that are new.
     pub(crate) fn record_trials(&self, notices: &[TrialNotice]) -> Vec<TrialNotice> {
         let now_ms = self.now_ms();
--- a/crates/pinerill-forward/src/crash/trials.rs
+++ b/crates/pinerill-forward/src/crash/trials.rs
@@ -2,9 +2,10 @@
 //! callers pass in the time.
 //!
 //! A block ends with a sound run, and a blocked suspect gets none, so that a harmless one would stay
-//! blocked until its crashes expire. Therefore items, which have no caller who gives up, make trial
-//! runs. Invariant: a trial of a blocked suspect is due at most [`MAX_TRIAL_WAIT_MS`] after its last
-//! crash or the beginning of its last trial, however many crashes there were.
+//! blocked until its crashes expire. Therefore it makes trial runs. Items, which have no caller who
+//! gives up, make them soon; calls, whose callers would lose an answer, seldom. Invariant: a trial run of
+//! a blocked item is due at most [`MAX_TRIAL_WAIT_MS`] after the last crash or the beginning of the
+//! last trial, however many crashes there were; that of a call [`MAX_CALL_TRIAL_WAIT_MS`] after it.
 //!
 //! All nodes together make one trial of a suspect at a time. A node announces the trial that it
 //! begins ([`TrialNotice`]), and the others wait for what comes of it: a crash, a sound run, or the end
@@ -26,12 +27,16 @@
 /// Delay in milliseconds between a further crash and the next trial. A suspect that does crash its
 /// workers costs one of them in this time.
 pub const TRIAL_DELAY_MS: u64 = 6_000;
+/// Delay in milliseconds between a crash and the next trial by a call.
+pub const CALL_TRIAL_DELAY_MS: u64 = 30_000;
 /// Longest delay in milliseconds that nodes add to these.
 pub const TRIAL_SPREAD_MS: u64 = 1_000;
 /// Time in milliseconds in which a trial shows whether the suspect crashes workers.
 pub const TRIAL_TIME_MS: u64 = 4_000;
 /// Longest time in milliseconds from a crash or from the beginning of a trial to the next trial.
 pub const MAX_TRIAL_WAIT_MS: u64 = TRIAL_DELAY_MS + TRIAL_SPREAD_MS;
+/// The same for calls.
+pub const MAX_CALL_TRIAL_WAIT_MS: u64 = CALL_TRIAL_DELAY_MS + TRIAL_SPREAD_MS;
 /// Number of nodes up to which few of them begin a trial at the same moment.
 const MAX_NODES: f64 = 1_024.0;
 /// Limit on the trials remembered per suspect; the oldest are evicted.
@@ -40,6 +45,26 @@
 /// made while so many others go on.
 const MAX_SUSPECTS: usize = 4_096;
 
+/// What would make a trial run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TrialRunner {
+    /// An item of a job.
+    Item,
+    /// A call, whose caller waits.
+    Call,
+}
+
+impl TrialRunner {
+    /// Returns the delay between the last of these crashes and the next trial, milliseconds.
+    fn delay_ms(self, crashes: BlockingCrashes) -> u64 {
+        match (self, crashes.further) {
+            (TrialRunner::Call, _) => CALL_TRIAL_DELAY_MS,
+            (TrialRunner::Item, 0) => FIRST_TRIAL_DELAY_MS,
+            (TrialRunner::Item, _) => TRIAL_DELAY_MS,
+        }
+    }
+}
+
 /// Announces a trial to the other nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TrialNotice {
@@ -49,6 +74,16 @@
     pub trial: u64,
 }
 
+impl TrialNotice {
+    /// Announces a new trial.
+    pub fn new(suspect: Suspect) -> Self {
+        TrialNotice {
+            suspect,
+            trial: rand::random(),
+        }
+    }
+}
+
 /// One trial of a suspect.
 #[derive(Debug, Clone, Copy)]
 struct Trial {
@@ -76,12 +111,8 @@
 
     /// Returns when this node may begin a trial of a suspect that these crashes block, in
     /// milliseconds.
-    pub fn due_ms(&self, suspect: Suspect, crashes: BlockingCrashes) -> u64 {
-        let delay_ms = match crashes.further {
-            0 => FIRST_TRIAL_DELAY_MS,
-            _ => TRIAL_DELAY_MS,
-        };
-        let after_crash_ms = crashes.last_ms + delay_ms;
+    pub fn due_ms(&self, runner: TrialRunner, suspect: Suspect, crashes: BlockingCrashes) -> u64 {
+        let after_crash_ms = crashes.last_ms + runner.delay_ms(crashes);
         let last = self.last(suspect);
         let after_trial_ms = last.map_or(0, |trial| trial.began_ms + TRIAL_TIME_MS);
         let round = last.map_or(0, |trial| trial.number) ^ crashes.further as u64;
--- a/crates/pinerill-forward/src/monitoring.rs
+++ b/crates/pinerill-forward/src/monitoring.rs
@@ -198,7 +198,7 @@
             )?,
             trial_runs: counter(
                 "pinerill_node_trial_runs_total",
-                "Runs of items that are known to crash workers, to see whether they do",
+                "Runs of requests that are known to crash workers, to see whether they do",
             )?,
             workers_crashed: counters(
                 "pinerill_node_workers_crashed_total",
--- a/crates/pinerill-forward/tests/trials.rs
+++ b/crates/pinerill-forward/tests/trials.rs
@@ -3,8 +3,8 @@
 
 use pinerill_forward::crash::suspect::{BlockingCrashes, Suspect};
 use pinerill_forward::crash::trials::{
-    TrialNotice, Trials, FIRST_TRIAL_DELAY_MS, MAX_TRIAL_WAIT_MS, TRIAL_DELAY_MS, TRIAL_SPREAD_MS,
-    TRIAL_TIME_MS,
+    TrialNotice, TrialRunner, Trials, CALL_TRIAL_DELAY_MS, FIRST_TRIAL_DELAY_MS,
+    MAX_CALL_TRIAL_WAIT_MS, MAX_TRIAL_WAIT_MS, TRIAL_DELAY_MS, TRIAL_SPREAD_MS, TRIAL_TIME_MS,
 };
 use pinerill_forward::crash::{PartKey, RequestFingerprint, Requester};
 use rand::rngs::StdRng;
@@ -41,7 +41,7 @@
     for node in nodes(100) {
         for further in 0..100 {
             for suspect in [part(1), Suspect::Request(RequestFingerprint::of_parts(&[]))] {
-                let due_ms = node.due_ms(suspect, crashes(further, 50_000));
+                let due_ms = node.due_ms(TrialRunner::Item, suspect, crashes(further, 50_000));
                 assert!(due_ms >= 50_000 + FIRST_TRIAL_DELAY_MS);
                 assert!(due_ms <= 50_000 + MAX_TRIAL_WAIT_MS, "{due_ms}");
             }
@@ -49,19 +49,31 @@
     }
 }
 
+/// Calls that were blocked by chance were refused for ten minutes.
+#[test]
+fn a_trial_by_a_call_is_due_later_than_by_an_item_and_within_a_bound() {
+    for node in nodes(100) {
+        for further in 0..100 {
+            let due_ms = node.due_ms(TrialRunner::Call, part(1), crashes(further, 50_000));
+            assert!(due_ms >= 50_000 + CALL_TRIAL_DELAY_MS);
+            assert!(due_ms <= 50_000 + MAX_CALL_TRIAL_WAIT_MS, "{due_ms}");
+        }
+    }
+}
+
 /// The node that has begun a trial may be lost or paused.
 #[test]
 fn a_trial_without_outcome_holds_up_the_next_one_for_a_bounded_time() {
     let mut node = Trials::new("node");
     assert!(node.record(9_000, &notice(part(1), 7)));
     assert!(!node.record(9_010, &notice(part(1), 7)), "known already");
-    let due_ms = node.due_ms(part(1), crashes(0, 1_000));
+    let due_ms = node.due_ms(TrialRunner::Item, part(1), crashes(0, 1_000));
     assert!(due_ms >= 9_000 + TRIAL_TIME_MS);
     assert!(due_ms <= 9_000 + TRIAL_TIME_MS + TRIAL_SPREAD_MS);
-    let other_ms = node.due_ms(part(2), crashes(0, 1_000));
+    let other_ms = node.due_ms(TrialRunner::Item, part(2), crashes(0, 1_000));
     assert!(other_ms <= 1_000 + MAX_TRIAL_WAIT_MS, "others don't wait");
     node.remove_expired(due_ms + TRIAL_SPREAD_MS);
-    let later_ms = node.due_ms(part(1), crashes(0, 1_000));
+    let later_ms = node.due_ms(TrialRunner::Item, part(1), crashes(0, 1_000));
     assert!(later_ms <= 1_000 + MAX_TRIAL_WAIT_MS);
 }
 
@@ -77,7 +89,7 @@
     let mut crashed = 0;
     let mut due_ms: Vec<u64> = nodes
         .iter()
-        .map(|node| node.due_ms(suspect, known[0]))
+        .map(|node| node.due_ms(TrialRunner::Item, suspect, known[0]))
         .collect();
     for now_ms in (0..time_ms).step_by(STEP_MS) {
         let (arrived, later) = news.into_iter().partition(|(at_ms, ..)| *at_ms <= now_ms);
@@ -88,7 +100,7 @@
                 Some(trial) => drop(nodes[node].record(now_ms, &notice(suspect, trial))),
                 None => known[node] = crashes(known[node].further + 1, now_ms),
             }
-            due_ms[node] = nodes[node].due_ms(suspect, known[node]);
+            due_ms[node] = nodes[node].due_ms(TrialRunner::Item, suspect, known[node]);
         }
         for node in 0..node_count {
             if now_ms < due_ms[node] {
@@ -96,7 +108,7 @@
             }
             let trial = rng.gen();
             nodes[node].record(now_ms, &notice(suspect, trial));
-            due_ms[node] = nodes[node].due_ms(suspect, known[node]);
+            due_ms[node] = nodes[node].due_ms(TrialRunner::Item, suspect, known[node]);
             crashed += 1;
             for other in 0..node_count {
                 if other != node && !rng.gen_bool(lost) {
