Failing test: a cleared crash moves the last crash that blocks a part

Seen: 8,000 in place of 2,000 ms. The ledger of requests counts uncleared crashes alone. Whether a trial may be delayed so is for the owner to say.

--- a/crates/pinerill-forward/tests/part_ledger.rs
+++ b/crates/pinerill-forward/tests/part_ledger.rs
@@ -399,3 +399,17 @@
         );
     }
 }
+
+/// Crashes that are known to have another cause delayed the trials of a part.
+#[test]
+fn a_cleared_crash_does_not_move_the_last_crash_that_blocks_a_part() {
+    let mut ledger = PartLedger::default();
+    let last_ms = crash_apart(&mut ledger, 0, part(1), 0..CRASHES_UNDER_PART);
+    let cleared = PartCrashReport {
+        is_cleared: true,
+        ..crash(part(1), 50)
+    };
+    ledger.merge(last_ms + 6_000, &cleared);
+    let blocking = ledger.blocking(last_ms + 6_000, part(1)).expect("blocked");
+    assert_eq!(blocking.last_ms, last_ms);
+}
