Trials are claimed: one node of those that begin at once makes them, and what shows nothing is withdrawn

Cause: the delay that keeps nodes from beginning at once was counted from the last crash, so that where a trial had been due for long all of them began (30 of 30). A trial that never ran, or was preempted, held up the next one for 4 s. An item with two blocked parts could wait for ever beside items with one of them. A crash 5 to 7 s before the end broke the users' five calm seconds. Change: a node claims a trial, announces the claim and begins 0.1 s later if no claim of a lower number is known; notices have an order and are taken in only as it rises, so that forwarding ends. A claim is withdrawn where its run shows nothing. It precedes the wait for a slot, so that losers occupy none. Of several parts one that is due is enough. One delay for items, 4 s, which with all else stays under 5 s. Evidence: few_nodes_begin_a_trial_at_once_when_it_has_been_due_for_long, announcements_of_many_trials_of_a_suspect_come_to_rest and both tests of trial_turns failed before. The interface has changed, so that they are adapted: the first is now one_of_the_nodes_that_claim_a_trial_at_once_makes_it and asks for exactly one of 30 (four were allowed); the second plays claims and withdrawals and asks in addition that the next trial is not put off; in the third, trials without outcome are withdrawn, as the nodes do. crashes_at_different_points_that_just_block_a_request_are_not_further_ones went with the count that it was about. Holds up sound work: a withheld item, for 4.5 s after the last crash under it (a_trial_by_an_item_is_due_within_one_bound), and while no worker has a slot. Still passes: what does crash workers costs one each 4 s (a_part_that_crashes_workers_costs_the_fleet_few_of_them); 3 and 2 later runs of 3 allowed in 16 s on processes.

--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -24,7 +24,7 @@
 use super::runs::ItemRun;
 use crate::crash::suspect::Suspect;
 use crate::crash::trials::TrialRunner;
-use crate::crash::{Run as WorkerRun, RunPermission};
+use crate::crash::{Run as WorkerRun, TrialClaim};
 use crate::exchange::{BreakReason, EventScanner, Exchange, StartedAnswer};
 use crate::fleet::{RequiredSoftware, WorkerSoftware};
 use crate::gaps::GapMeter;
@@ -117,24 +117,28 @@
 }
 
 async fn attempt(node: &Arc<Node>, held: &HeldLeases, running: &mut ActiveItem) -> AttemptResult {
-    if let RunPermission::Withheld(suspect) =
-        node.run_permission(TrialRunner::Item, &running.identity)
-    {
-        return AttemptResult::Withheld(suspect);
-    }
     if running.last_event.is_none() && running.without_result >= MAX_WITHOUT_RESULT {
         return AttemptResult::Unplaced;
     }
+    let trial = match node.permit_run(TrialRunner::Item, &running.identity).await {
+        Ok(trial) => trial,
+        Err(suspect) => return AttemptResult::Withheld(suspect),
+    };
     let Some(slot) = wait_for_slot(node, held, running).await else {
         return AttemptResult::Unplaced;
     };
-    // Workers may have crashed, or another trial may have begun, while the item waited.
-    match node.begin_run(TrialRunner::Item, &running.identity) {
-        RunPermission::Withheld(suspect) => return AttemptResult::Withheld(suspect),
-        RunPermission::Trial => record_trial(node, running, slot.worker()),
-        RunPermission::Granted => {}
+    // Workers may have crashed, or the claim may have grown too old, while the item waited.
+    let may_run = match &trial {
+        Some(trial) => trial.is_current(),
+        None => !node.is_blocked(&running.identity),
+    };
+    if !may_run {
+        return AttemptResult::Retry;
     }
-    match attempt_on(node, held, running, slot).await {
+    if trial.is_some() {
+        record_trial(node, running, slot.worker());
+    }
+    match attempt_on(node, held, running, slot, trial).await {
         Some(end) => AttemptResult::Ended(end),
         None => AttemptResult::Retry,
     }
@@ -151,18 +155,29 @@
         attempts = running.attempts, last:? = running.last_event, trials = running.trials; ""
     );
     let since = BootTime::now();
-    let permission = loop {
-        match node.run_permission(TrialRunner::Item, &running.identity) {
-            RunPermission::Withheld(_) => sleep(BLOCK_CHECK_INTERVAL).await,
-            permission => break permission,
-        }
-    };
+    while !may_go_on(node, running) {
+        sleep(BLOCK_CHECK_INTERVAL).await;
+    }
     log::info!(
         event = "item_goes_on", id = running.leased.id.as_str(), withheld_for:% = suspect,
-        permission:? = permission, waited_ms = since.elapsed().as_millis() as u64; ""
+        is_blocked = node.is_blocked(&running.identity),
+        waited_ms = since.elapsed().as_millis() as u64; ""
     );
 }
 
+/// Returns whether a withheld item may run, or may make a trial run for which there is a slot.
+fn may_go_on(node: &Node, running: &ActiveItem) -> bool {
+    if !node.is_blocked(&running.identity) {
+        return true;
+    }
+    let is_due = node
+        .withheld_for(TrialRunner::Item, &running.identity)
+        .is_none();
+    let has_slot =
+        || node.with_fleet(|fleet, now_ms| fleet.has_batch_slot(now_ms, &running.service));
+    is_due && has_slot() && !node.has_waiting_calls_of(&running.service)
+}
+
 /// Counts and logs a trial run.
 fn record_trial(node: &Node, running: &mut ActiveItem, worker: &str) {
     running.trials += 1;
@@ -179,6 +194,7 @@
     held: &HeldLeases,
     running: &mut ActiveItem,
     slot: OccupiedSlot,
+    trial: Option<TrialClaim>,
 ) -> Option<ItemOutcome> {
     let chosen = slot.worker().clone();
     running.attempts += 1;
@@ -186,7 +202,7 @@
         sent,
         slot,
         mut run,
-    } = match send(node, running, slot).await {
+    } = match send(node, running, slot, trial).await {
         Ok(begun) => begun,
         Err(reason) => {
             record_broken_attempt(node, running, &chosen, &reason);
@@ -271,6 +287,7 @@
     node: &Arc<Node>,
     running: &ActiveItem,
     slot: OccupiedSlot,
+    trial: Option<TrialClaim>,
 ) -> Result<StartedRun, BreakReason> {
     let Some(worker) = node.with_fleet(|fleet, _| {
         let worker = fleet.worker(slot.worker())?;
@@ -281,6 +298,7 @@
     let permit = slot.permit();
     node.confirm(&worker, permit).await?;
     let run = WorkerRun::begin(node, &worker, &running.identity, running.last_event);
+    let run = run.on_trial(trial);
     let facts = AttemptContext {
         remaining: None,
         worker: worker.id.name(),
--- a/crates/pinerill-forward/src/call/attempt.rs
+++ b/crates/pinerill-forward/src/call/attempt.rs
@@ -11,7 +11,7 @@
 use super::decision::AttemptEnd;
 use super::{Call, CallRecord};
 use crate::crash::trials::TrialRunner;
-use crate::crash::{Run, RunPermission};
+use crate::crash::Run;
 use crate::dispatch::{Placed, Unplaced, WantedWorker};
 use crate::exchange::{BreakReason, Exchange, SendFailure, StartedAnswer};
 use crate::fleet::RequiredSoftware;
@@ -71,20 +71,26 @@
         record: &mut CallRecord,
     ) -> Result<Attempted, AttemptEnd> {
         self.in_progress = false;
+        let permission = node.permit_run(TrialRunner::Call, &call.identity).await;
+        let Ok(trial) = permission else {
+            return Err(AttemptEnd::CrashesWorkers);
+        };
         let Placed {
             chosen,
             place: slot,
         } = tokio::select! {
             // A request that is already known to crash workers gets no slot.
             biased;
-            () = node.wait_until_withheld(&call.identity) => return Err(AttemptEnd::CrashesWorkers),
+            () = node.wait_until_blocked(&call.identity), if trial.is_none() => {
+                return Err(AttemptEnd::CrashesWorkers);
+            }
             placed = self.wait_for_slot(node, call, record) => placed?,
         };
-        // Another trial may have begun while the call waited.
-        match node.begin_run(TrialRunner::Call, &call.identity) {
-            RunPermission::Withheld(_) => return Err(AttemptEnd::CrashesWorkers),
-            RunPermission::Trial => record_trial(node, call, &chosen.entry.id),
-            RunPermission::Granted => {}
+        if let Some(trial) = &trial {
+            if !trial.is_current() {
+                return Err(AttemptEnd::CrashesWorkers);
+            }
+            record_trial(node, call, &chosen.entry.id);
         }
         record.begin_attempt(&chosen);
         self.sent = true;
@@ -94,7 +100,7 @@
             record.attempt_failed(&reason);
             return Err(self.handle_not_sent(node, &worker.id, call, &reason));
         }
-        let run = Run::begin(node, &worker, &call.identity, resume_after);
+        let run = Run::begin(node, &worker, &call.identity, resume_after).on_trial(trial);
         let facts = AttemptContext {
             remaining: Some(call.remaining()),
             worker: worker.id.name(),
--- a/crates/pinerill-forward/src/crash/ledger.rs
+++ b/crates/pinerill-forward/src/crash/ledger.rs
@@ -7,8 +7,7 @@
 //! crashes. [`CRASHES_ANYWHERE`] crashes block it wherever in the answer they happened. A completed
 //! run clears all crashes that are known by then.
 //!
-//! Blocking a harmless request denies its caller an answer until an operator clears it or
-//! [`CRASH_LIFE_MS`] have passed. Each further crash ends all requests at a worker, some ten calls,
+//! Blocking a harmless request denies its caller an answer until a trial run (`trials`) clears it. Each further crash ends all requests at a worker, some ten calls,
 //! and costs the worker for seconds. Fewer than one harmless request in a thousand gets three
 //! crashes in a row without a completed run, even while one worker in five crashes every few
 //! seconds (a test checks this).
@@ -24,7 +23,6 @@
 use serde::{Deserialize, Serialize};
 
 use super::rotation::Rotation;
-use super::suspect::BlockingCrashes;
 use super::{RequestFingerprint, WorkerIncarnation};
 
 /// Number of crashes at about the same point of a request's answer that block it.
@@ -214,14 +212,11 @@
         crashes.map_or(Verdict::MayRun, Crashes::verdict)
     }
 
-    /// Returns the crashes that block a request; `None` if it may run.
-    pub fn blocking(&self, request: RequestFingerprint) -> Option<BlockingCrashes> {
+    /// Returns when the last of the crashes that block a request happened, in milliseconds; `None` if
+    /// it may run.
+    pub fn last_blocking_crash_ms(&self, request: RequestFingerprint) -> Option<u64> {
         let crashes = self.requests.get(&request)?;
-        let counted = crashes.counted().count();
-        (crashes.verdict() == Verdict::Blocked).then(|| BlockingCrashes {
-            further: counted.saturating_sub(CRASHES_AT_ONE_POINT),
-            last_ms: crashes.last_counted_ms(),
-        })
+        (crashes.verdict() == Verdict::Blocked).then(|| crashes.last_counted_ms())
     }
 
     /// Clears the crashes under a request that happened well before an event which a run of it has
--- a/crates/pinerill-forward/src/crash/mod.rs
+++ b/crates/pinerill-forward/src/crash/mod.rs
@@ -33,7 +33,7 @@
 use serde::{Deserialize, Serialize};
 
 pub(crate) use operators::mount_blocked_requests;
-pub(crate) use permission::RunPermission;
+pub(crate) use permission::TrialClaim;
 pub(crate) use tracker::CrashTracker;
 pub(crate) use verdicts::MAX_REPORTS_PER_DATAGRAM;
 
--- a/crates/pinerill-forward/src/crash/part_ledger.rs
+++ b/crates/pinerill-forward/src/crash/part_ledger.rs
@@ -9,7 +9,7 @@
 //! [`CRASHES_UNDER_PART`] crashes of different incarnations without such a run in between.
 //!
 //! Blocking a harmless part that most prompts hold, such as a system prompt, would be worse than
-//! the crashes. Three rules bound that. Workers that end at the same moment count as one crash, as
+//! the crashes. Four rules bound that. A blocked part makes trial runs (`trials`). Workers that end at the same moment count as one crash, as
 //! they do when a rack loses power. A part with a sound run in the last minute needs
 //! [`CRASHES_UNDER_PROVEN_PART`] crashes, and its block ends [`PROVEN_BLOCK_MS`] after the last one.
 //! And runs that were under way when a part was blocked still clear it.
@@ -22,7 +22,6 @@
 
 use super::ledger::Verdict;
 use super::rotation::Rotation;
-use super::suspect::BlockingCrashes;
 use super::{PartKey, WorkerIncarnation};
 
 /// Number of crashes under a part that block it.
@@ -107,6 +106,11 @@
         times.max().unwrap_or(0)
     }
 
+    fn last_uncleared_ms(&self) -> u64 {
+        let uncleared = self.by_worker.values().filter(|crash| !crash.is_cleared);
+        uncleared.map(|crash| crash.at_ms).max().unwrap_or(0)
+    }
+
     fn evict_if_full(&mut self) {
         if self.by_worker.len() < MAX_CRASHES_PER_PART {
             return;
@@ -183,24 +187,22 @@
 
     /// Returns whether requests with a part may run.
     pub fn verdict(&self, now_ms: u64, part: PartKey) -> Verdict {
-        match self.blocking(now_ms, part) {
+        match self.last_blocking_crash_ms(now_ms, part) {
             Some(_) => Verdict::Blocked,
             None => Verdict::MayRun,
         }
     }
 
-    /// Returns the crashes that block a part; `None` if requests with it may run.
-    pub fn blocking(&self, now_ms: u64, part: PartKey) -> Option<BlockingCrashes> {
+    /// Returns when the last of the crashes that block a part happened, in milliseconds; `None` if
+    /// requests with it may run.
+    pub fn last_blocking_crash_ms(&self, now_ms: u64, part: PartKey) -> Option<u64> {
         let crashes = self.parts.get(&part)?;
-        let last_ms = crashes.last_ms();
-        let is_proven = self.is_proven(last_ms, part);
-        let needed = match is_proven {
-            true => CRASHES_UNDER_PROVEN_PART,
-            false => CRASHES_UNDER_PART,
+        let (counted, last_ms) = (crashes.counted(), crashes.last_ms());
+        let is_blocked = match self.is_proven(last_ms, part) {
+            true => counted >= CRASHES_UNDER_PROVEN_PART && now_ms < last_ms + PROVEN_BLOCK_MS,
+            false => counted >= CRASHES_UNDER_PART,
         };
-        let further = crashes.counted().checked_sub(needed)?;
-        let is_over = is_proven && now_ms >= last_ms + PROVEN_BLOCK_MS;
-        (!is_over).then_some(BlockingCrashes { further, last_ms })
+        is_blocked.then(|| crashes.last_uncleared_ms())
     }
 
     /// Records that a run with a part got past the beginning of its answer, and clears the crashes
--- a/crates/pinerill-forward/src/crash/permission.rs
+++ b/crates/pinerill-forward/src/crash/permission.rs
@@ -1,69 +1,102 @@
 //! Whether a request may be sent to workers: if nothing in it is blocked, or for a trial run.
 
-use super::suspect::{BlockingCrashes, Suspect};
-use super::trials::{TrialNotice, TrialRunner};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::suspect::{BlockedSuspect, Suspect};
+use super::trials::{Claim, TrialNotice, TrialRunner, CLAIM_TIME_MS};
 use super::RequestIdentity;
 use crate::node::Node;
 
-/// Whether a request may be sent to a worker now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum RunPermission {
-    /// Nothing in it is known to crash workers.
-    Granted,
-    /// It is known to crash workers, and a trial run is due.
-    Trial,
-    /// This is known to crash workers.
-    Withheld(Suspect),
+/// The claim of a trial run. It is withdrawn when it is dropped, so that another trial may follow at
+/// once, unless the run may have crashed its worker.
+pub(crate) struct TrialClaim {
+    node: Arc<Node>,
+    claim: Claim,
+    is_withdrawn_when_dropped: bool,
+}
+
+impl TrialClaim {
+    /// Returns whether the run may still begin.
+    pub(crate) fn is_current(&self) -> bool {
+        self.claim.is_current(self.node.now_ms())
+    }
+
+    /// Keeps other nodes from trials until it is known whether the run crashed its worker.
+    pub(super) fn await_evidence(mut self) {
+        self.is_withdrawn_when_dropped = false;
+    }
+}
+
+impl Drop for TrialClaim {
+    fn drop(&mut self) {
+        if self.is_withdrawn_when_dropped {
+            let now_ms = self.node.now_ms();
+            let notices = self
+                .node
+                .crashes
+                .trials
+                .lock()
+                .withdraw(now_ms, &self.claim);
+            self.node.peers.broadcast_crashes(&notices);
+        }
+    }
 }
 
 impl Node {
-    /// Returns whether a request may be sent to a worker. [`Node::begin_run`] must confirm it.
-    pub(crate) fn run_permission(
+    /// Returns what blocks a request and is not due for a trial run; `None` if the request may run.
+    pub(crate) fn withheld_for(
         &self,
         runner: TrialRunner,
         request: &RequestIdentity,
-    ) -> RunPermission {
-        self.permission_for(runner, &self.blocking(request))
+    ) -> Option<Suspect> {
+        let blocked = self.blocked_suspects(request);
+        let first = blocked.first()?;
+        let trials = self.crashes.trials.lock();
+        let may_claim = trials.may_claim(self.now_ms(), runner, &blocked);
+        (!may_claim).then_some(first.suspect)
     }
 
-    /// Determines whether a request may be sent to a worker, directly before it is. Announces the trial
-    /// if the run is one.
-    pub(crate) fn begin_run(
-        &self,
-        runner: TrialRunner,
-        request: &RequestIdentity,
-    ) -> RunPermission {
-        let blocking = self.blocking(request);
-        let permission = self.permission_for(runner, &blocking);
-        if permission == RunPermission::Trial {
-            let suspects = blocking.iter().map(|(suspect, _)| *suspect);
-            let notices: Vec<TrialNotice> = suspects.map(TrialNotice::new).collect();
-            self.record_trials(&notices);
-            self.peers.broadcast_crashes(&notices);
-        }
-        permission
+    /// Returns whether a request is known to crash workers.
+    pub(crate) fn is_blocked(&self, request: &RequestIdentity) -> bool {
+        !self.blocked_suspects(request).is_empty()
     }
 
-    fn permission_for(
-        &self,
+    /// Obtains the permission to send a request to a worker: a claim if the run is a trial.
+    ///
+    /// # Errors
+    /// Returns what is known to crash workers if no trial run is due, or another node makes it.
+    pub(crate) async fn permit_run(
+        self: &Arc<Self>,
         runner: TrialRunner,
-        blocking: &[(Suspect, BlockingCrashes)],
-    ) -> RunPermission {
-        let Some((first, _)) = blocking.first() else {
-            return RunPermission::Granted;
+        request: &RequestIdentity,
+    ) -> Result<Option<TrialClaim>, Suspect> {
+        let blocked = self.blocked_suspects(request);
+        let Some(first) = blocked.first() else {
+            return Ok(None);
         };
         let now_ms = self.now_ms();
-        let trials = self.crashes.trials.lock();
-        let is_due = |(suspect, crashes): &(Suspect, BlockingCrashes)| {
-            now_ms >= trials.due_ms(runner, *suspect, *crashes) && trials.has_room_for(*suspect)
+        let claim = {
+            let mut trials = self.crashes.trials.lock();
+            trials.claim(now_ms, runner, &blocked, rand::random())
+        };
+        let claim = TrialClaim {
+            node: self.clone(),
+            claim: claim.ok_or(first.suspect)?,
+            is_withdrawn_when_dropped: true,
         };
-        match blocking.iter().all(is_due) {
-            true => RunPermission::Trial,
-            false => RunPermission::Withheld(*first),
+        self.peers.broadcast_crashes(claim.claim.notices());
+        sleep(Duration::from_millis(CLAIM_TIME_MS)).await;
+        let is_won = self.crashes.trials.lock().is_won(&claim.claim);
+        match is_won {
+            true => Ok(Some(claim)),
+            false => Err(first.suspect),
         }
     }
 
-    /// Records trials of this or another node, and returns those that are new.
+    /// Takes in notices of trials of other nodes, and returns those to forward.
     pub(crate) fn record_trials(&self, notices: &[TrialNotice]) -> Vec<TrialNotice> {
         let now_ms = self.now_ms();
         let mut trials = self.crashes.trials.lock();
@@ -72,28 +105,33 @@
     }
 
     /// Returns what blocks a request. Computes no fingerprint while the ledgers are empty.
-    fn blocking(&self, request: &RequestIdentity) -> Vec<(Suspect, BlockingCrashes)> {
-        let mut blocking = self.blocking_parts(request);
+    fn blocked_suspects(&self, request: &RequestIdentity) -> Vec<BlockedSuspect> {
+        let mut blocked = self.blocked_parts_of(request);
         let ledger = self.crashes.ledger.lock();
         if !ledger.is_empty() {
-            let request = request.fingerprint();
-            let crashes = ledger.blocking(request);
-            blocking.extend(crashes.map(|crashes| (Suspect::Request(request), crashes)));
+            let fingerprint = request.fingerprint();
+            let last_crash_ms = ledger.last_blocking_crash_ms(fingerprint);
+            blocked.extend(last_crash_ms.map(|last_crash_ms| BlockedSuspect {
+                suspect: Suspect::Request(fingerprint),
+                last_crash_ms,
+            }));
         }
-        blocking
+        blocked
     }
 
-    fn blocking_parts(&self, request: &RequestIdentity) -> Vec<(Suspect, BlockingCrashes)> {
+    fn blocked_parts_of(&self, request: &RequestIdentity) -> Vec<BlockedSuspect> {
         let now_ms = self.now_ms();
         let ledger = self.crashes.parts.lock();
         if ledger.is_empty() {
             return Vec::new();
         }
         let parts = request.part_keys().iter();
-        let blocking = parts.filter_map(|part| {
-            let crashes = ledger.blocking(now_ms, *part)?;
-            Some((Suspect::Part(*part), crashes))
+        let blocked = parts.filter_map(|part| {
+            Some(BlockedSuspect {
+                suspect: Suspect::Part(*part),
+                last_crash_ms: ledger.last_blocking_crash_ms(now_ms, *part)?,
+            })
         });
-        blocking.collect()
+        blocked.collect()
     }
 }
--- a/crates/pinerill-forward/src/crash/run.rs
+++ b/crates/pinerill-forward/src/crash/run.rs
@@ -8,7 +8,7 @@
 use pinerill_process::clock::BootTime;
 
 use super::broken_runs::{BrokenRun, RunEnd};
-use super::{RequestIdentity, WorkerIncarnation};
+use super::{RequestIdentity, TrialClaim, WorkerIncarnation};
 use crate::exchange::BreakReason;
 use crate::fleet::{StreamOrigin, WorkerSoftware};
 use crate::node::Node;
@@ -30,6 +30,8 @@
     /// Whether the parts of the prompt are recorded as sound.
     has_sound_parts: bool,
     is_open: bool,
+    /// Set if this is a trial run of what is known to crash workers.
+    trial: Option<TrialClaim>,
 }
 
 impl Run {
@@ -49,9 +51,16 @@
             first_event_at: None,
             has_sound_parts: false,
             is_open: true,
+            trial: None,
         }
     }
 
+    /// Makes the run a trial run if there is a claim.
+    pub(crate) fn on_trial(mut self, trial: Option<TrialClaim>) -> Self {
+        self.trial = trial;
+        self
+    }
+
     /// Returns the identifier of the worker that runs the request.
     pub fn worker(&self) -> &WorkerId {
         &self.worker.id
@@ -116,6 +125,12 @@
     /// otherwise probes the worker if `reason` may be due to a crash.
     pub fn mark_broken(mut self, reason: &BreakReason) {
         self.is_open = false;
+        if *reason == BreakReason::Restarted || reason.may_be_crash() {
+            self.trial
+                .take()
+                .into_iter()
+                .for_each(TrialClaim::await_evidence);
+        }
         self.node
             .clear_crashes_before(&self.request, self.last_event);
         if *reason == BreakReason::Restarted {
--- a/crates/pinerill-forward/src/crash/suspect.rs
+++ b/crates/pinerill-forward/src/crash/suspect.rs
@@ -24,11 +24,11 @@
     }
 }
 
-/// The crashes that block a suspect.
+/// A suspect that may not run, but for trial runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct BlockingCrashes {
-    /// Number of crashes beyond those that were needed to block it.
-    pub further: usize,
-    /// When the last of them happened, in milliseconds on the node's clock.
-    pub last_ms: u64,
+pub struct BlockedSuspect {
+    /// What is blocked.
+    pub suspect: Suspect,
+    /// When the last of the crashes that block it happened, in milliseconds on the node's clock.
+    pub last_crash_ms: u64,
 }
--- a/crates/pinerill-forward/src/crash/verdicts.rs
+++ b/crates/pinerill-forward/src/crash/verdicts.rs
@@ -5,8 +5,6 @@
 
 use super::ledger::{BlockedRequest, CrashReport, Verdict};
 use super::part_ledger::{BlockedPart, PartCrashReport};
-use super::permission::RunPermission;
-use super::trials::TrialRunner;
 use super::{PartKey, RequestFingerprint, RequestIdentity};
 use crate::node::Node;
 
@@ -14,14 +12,13 @@
 pub(crate) const MAX_REPORTS_PER_DATAGRAM: usize = 32;
 
 impl Node {
-    /// Waits until a call may not be sent to workers, since it is known to crash them, so that its
-    /// caller need not wait any longer.
-    pub(crate) async fn wait_until_withheld(&self, call: &RequestIdentity) {
+    /// Waits until a request is known to crash workers, so that its caller need not wait any
+    /// longer.
+    pub(crate) async fn wait_until_blocked(&self, request: &RequestIdentity) {
         loop {
             let mut notified = pin!(self.crashes.blocked.notified());
             notified.as_mut().enable();
-            let permission = self.run_permission(TrialRunner::Call, call);
-            if matches!(permission, RunPermission::Withheld(_)) {
+            if self.is_blocked(request) {
                 return;
             }
             notified.await;
