A blocked item without a slot claims its trial after a second all the same, and is released

Cause: an item that was due for a trial waited for a slot before it claimed one, without an end. Change: after one second it claims the trial, waits for a slot like any item, and is released if there is none; its claim is withdrawn. Holds up nothing: the wait has an end that it lacked. Still passes: an item of which events have come waits in wait_for_slot.

--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -39,6 +39,9 @@
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Interval between two checks of whether a withheld item may run.
 const BLOCK_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time without a slot after which an item that is due for a trial run claims it all the same, so that
+/// it is released like others without a slot.
+const MAX_SLOTLESS_TIME: Duration = Duration::from_secs(1);
 /// Delay after the first response that is neither a result nor a failed run. It doubles with each
 /// further one.
 const NO_RESULT_DELAY: Duration = Duration::from_millis(100);
@@ -155,7 +158,14 @@
         attempts = running.attempts, last:? = running.last_event, trials = running.trials; ""
     );
     let since = BootTime::now();
-    while !may_go_on(node, running) {
+    let mut due_since = None;
+    while node.is_blocked(&running.identity) {
+        if is_trial_due(node, running) {
+            let due_since = *due_since.get_or_insert_with(BootTime::now);
+            if has_slot(node, running) || due_since.elapsed() >= MAX_SLOTLESS_TIME {
+                break;
+            }
+        }
         sleep(BLOCK_CHECK_INTERVAL).await;
     }
     log::info!(
@@ -165,17 +175,16 @@
     );
 }
 
-/// Returns whether a withheld item may run, or may make a trial run for which there is a slot.
-fn may_go_on(node: &Node, running: &ActiveItem) -> bool {
-    if !node.is_blocked(&running.identity) {
-        return true;
-    }
-    let is_due = node
-        .withheld_for(TrialRunner::Item, &running.identity)
-        .is_none();
-    let has_slot =
-        || node.with_fleet(|fleet, now_ms| fleet.has_batch_slot(now_ms, &running.service));
-    is_due && has_slot() && !node.has_waiting_calls_of(&running.service)
+fn is_trial_due(node: &Node, running: &ActiveItem) -> bool {
+    let withheld_for = node.withheld_for(TrialRunner::Item, &running.identity);
+    withheld_for.is_none()
+}
+
+/// Returns whether a worker has a slot for the item that no call waits for.
+fn has_slot(node: &Node, running: &ActiveItem) -> bool {
+    let service = &running.service;
+    !node.has_waiting_calls_of(service)
+        && node.with_fleet(|fleet, now_ms| fleet.has_batch_slot(now_ms, service))
 }
 
 /// Counts and logs a trial run.
