Claims of trials: nodes that missed one are told, and they end with their runs

What callers saw: nothing; a second reader found it. Cause: a node that had restarted or forgotten the last round claimed an earlier one, which the others ignored without a word, so that two nodes made the same trial. A call claimed before it had a slot and was refused when it got one. A run that was given up at once withdrew its claim before a crash could be known, so that trials followed each other without a delay. An item with events kept a claim while it waited for a worker. With a trial in hand, crashes since the claim did not stop the run; a call with less than a second left waited past its deadline. Change: the answer to an outdated claim is the last one; calls claim with the slot in hand; runs given up in their first 0.5 s keep the claim for its time; the wait for a slot ends with the claim's age (0.6 s); the verdict is asked again; claims take 0.15 s.

--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -127,12 +127,19 @@
         Ok(trial) => trial,
         Err(suspect) => return AttemptResult::Withheld(suspect),
     };
-    let Some(slot) = wait_for_slot(node, held, running).await else {
+    let slot = match &trial {
+        None => wait_for_slot(node, held, running).await,
+        Some(trial) => match timeout(trial.remaining(), wait_for_slot(node, held, running)).await {
+            Ok(slot) => slot,
+            Err(_) => return AttemptResult::Retry,
+        },
+    };
+    let Some(slot) = slot else {
         return AttemptResult::Unplaced;
     };
-    // Workers may have crashed, or the claim may have grown too old, while the item waited.
+    // Workers may have crashed while the item waited.
     let may_run = match &trial {
-        Some(trial) => trial.is_current(),
+        Some(trial) => trial.permits(&running.identity),
         None => !node.is_blocked(&running.identity),
     };
     if !may_run {
--- a/crates/pinerill-forward/src/batch/running.rs
+++ b/crates/pinerill-forward/src/batch/running.rs
@@ -43,7 +43,7 @@
     pub(super) attempts: u32,
     /// Number of responses that were neither a result nor a failed run.
     pub(super) without_result: u32,
-    /// Number of trial runs made although the item is known to crash workers.
+    /// Number of trial runs made although the item is blocked for crashing workers.
     pub(super) trials: u32,
     /// Total time that the item has run at workers, as a worker of usual pace would have taken.
     pub(super) time_run: Duration,
--- a/crates/pinerill-forward/src/call/attempt.rs
+++ b/crates/pinerill-forward/src/call/attempt.rs
@@ -11,7 +11,7 @@
 use super::decision::AttemptEnd;
 use super::{Call, CallRecord};
 use crate::crash::trials::TrialRunner;
-use crate::crash::Run;
+use crate::crash::{Run, TrialClaim};
 use crate::dispatch::{Placed, Unplaced, WantedWorker};
 use crate::exchange::{BreakReason, Exchange, SendFailure, StartedAnswer};
 use crate::fleet::RequiredSoftware;
@@ -19,6 +19,8 @@
 
 /// Delay before the next attempt when no worker is available.
 const NO_WORKER_RETRY_DELAY: Duration = Duration::from_millis(25);
+/// Shortest time until its deadline with which a call makes a trial run.
+const MIN_TRIAL_TIME: Duration = Duration::from_secs(1);
 
 /// The attempts of a call so far, with the workers that later attempts avoid.
 #[derive(Debug, Default)]
@@ -71,27 +73,16 @@
         record: &mut CallRecord,
     ) -> Result<Attempted, AttemptEnd> {
         self.in_progress = false;
-        let permission = node.permit_run(TrialRunner::Call, &call.identity).await;
-        let Ok(trial) = permission else {
-            return Err(AttemptEnd::CrashesWorkers);
-        };
         let Placed {
             chosen,
             place: slot,
         } = tokio::select! {
             // A request that is already known to crash workers gets no slot.
             biased;
-            () = node.wait_until_blocked(&call.identity), if trial.is_none() => {
-                return Err(AttemptEnd::CrashesWorkers);
-            }
+            () = node.wait_until_withheld(&call.identity) => return Err(AttemptEnd::CrashesWorkers),
             placed = self.wait_for_slot(node, call, record) => placed?,
         };
-        if let Some(trial) = &trial {
-            if !trial.is_current() {
-                return Err(AttemptEnd::CrashesWorkers);
-            }
-            record_trial(node, call, &chosen.entry.id);
-        }
+        let trial = permit_run(node, call, &chosen.entry.id).await?;
         record.begin_attempt(&chosen);
         self.sent = true;
         let worker = chosen.entry.clone();
@@ -255,11 +246,26 @@
 /// Maximum number of bytes of a refusal's body that are read.
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
 
-/// Counts and logs a trial run.
-fn record_trial(node: &Node, call: &Call, worker: &WorkerId) {
-    node.metrics.trial_runs.inc();
-    log::warn!(
-        event = "trial_begins", id = call.head.id.as_str(), worker = worker.as_str(),
-        request:% = call.identity.fingerprint(); ""
-    );
+/// Obtains the permission to send a call that has a slot at this worker.
+///
+/// # Errors
+/// Returns an error if the call is known to crash workers and may not make a trial run.
+async fn permit_run(
+    node: &Arc<Node>,
+    call: &Call,
+    worker: &WorkerId,
+) -> Result<Option<TrialClaim>, AttemptEnd> {
+    if node.is_blocked(&call.identity) && call.remaining() < MIN_TRIAL_TIME {
+        return Err(AttemptEnd::CrashesWorkers);
+    }
+    let permission = node.permit_run(TrialRunner::Call, &call.identity).await;
+    let trial = permission.map_err(|_| AttemptEnd::CrashesWorkers)?;
+    if trial.is_some() {
+        node.metrics.trial_runs.inc();
+        log::warn!(
+            event = "trial_begins", id = call.head.id.as_str(), worker = worker.as_str(),
+            request:% = call.identity.fingerprint(); ""
+        );
+    }
+    Ok(trial)
 }
--- a/crates/pinerill-forward/src/crash/permission.rs
+++ b/crates/pinerill-forward/src/crash/permission.rs
@@ -19,9 +19,15 @@
 }
 
 impl TrialClaim {
-    /// Returns whether the run may still begin.
-    pub(crate) fn is_current(&self) -> bool {
-        self.claim.is_current(self.node.now_ms())
+    /// Returns the time in which the run may begin.
+    pub(crate) fn remaining(&self) -> Duration {
+        Duration::from_millis(self.claim.remaining_ms(self.node.now_ms()))
+    }
+
+    /// Returns whether the run of a request may begin.
+    pub(crate) fn permits(&self, request: &RequestIdentity) -> bool {
+        let blocked = self.node.blocked_suspects(request);
+        self.claim.permits(self.node.now_ms(), &blocked)
     }
 
     /// Keeps other nodes from trials until it is known whether the run crashed its worker.
@@ -45,8 +51,17 @@
     }
 }
 
+/// What to do with notices of other nodes.
+pub(crate) struct ReceivedNotices {
+    /// Notices to forward.
+    pub(crate) new: Vec<TrialNotice>,
+    /// Notices that the sender has missed.
+    pub(crate) later: Vec<TrialNotice>,
+}
+
 impl Node {
-    /// Returns what blocks a request and is not due for a trial run; `None` if the request may run.
+    /// Returns the first of what blocks a request; `None` if the request may run, or may make a trial
+    /// run.
     pub(crate) fn withheld_for(
         &self,
         runner: TrialRunner,
@@ -96,12 +111,17 @@
         }
     }
 
-    /// Takes in notices of trials of other nodes, and returns those to forward.
-    pub(crate) fn record_trials(&self, notices: &[TrialNotice]) -> Vec<TrialNotice> {
+    /// Takes in notices of trials of other nodes.
+    pub(crate) fn record_trials(&self, notices: &[TrialNotice]) -> ReceivedNotices {
         let now_ms = self.now_ms();
         let mut trials = self.crashes.trials.lock();
+        let later = notices.iter().filter_map(|one| trials.later_than(one));
+        let later = later.collect();
         let new = notices.iter().filter(|one| trials.record(now_ms, one));
-        new.copied().collect()
+        ReceivedNotices {
+            new: new.copied().collect(),
+            later,
+        }
     }
 
     /// Returns what blocks a request. Computes no fingerprint while the ledgers are empty.
--- a/crates/pinerill-forward/src/crash/run.rs
+++ b/crates/pinerill-forward/src/crash/run.rs
@@ -17,6 +17,9 @@
 /// crashes workers does so within some hundred milliseconds.
 const BEGINNING: Duration = Duration::from_secs(2);
 
+/// Time of writing in which workers crash that do so under a request.
+const EARLY: Duration = Duration::from_millis(500);
+
 /// One run of a request at a worker. A run that is dropped before an outcome is recorded counts as
 /// abandoned by its caller.
 pub struct Run {
@@ -145,6 +148,12 @@
         }
     }
 
+    /// Returns whether the worker may crash under the run although it has not yet.
+    fn may_crash_yet(&self) -> bool {
+        let first = self.first_event_at;
+        first.is_none_or(|first| first.elapsed() < EARLY)
+    }
+
     fn record_early_end(&self, end: RunEnd) {
         self.node
             .record_early_end(WorkerIncarnation::of(&self.worker), self.to_broken_run(end));
@@ -163,6 +172,12 @@
 impl Drop for Run {
     fn drop(&mut self) {
         if self.is_open {
+            if self.may_crash_yet() {
+                self.trial
+                    .take()
+                    .into_iter()
+                    .for_each(TrialClaim::await_evidence);
+            }
             self.node
                 .clear_crashes_before(&self.request, self.last_event);
             self.record_early_end(RunEnd::Abandoned);
--- a/crates/pinerill-forward/src/crash/tracker.rs
+++ b/crates/pinerill-forward/src/crash/tracker.rs
@@ -34,7 +34,7 @@
     pub(super) parts: Mutex<PartLedger>,
     /// Trial runs of what is blocked, also of other nodes.
     pub(super) trials: Mutex<Trials>,
-    /// Wakes tasks that wait for a request to be blocked, whenever a verdict changes.
+    /// Wakes tasks that wait for a request to be blocked, whenever a report changes a verdict.
     pub(super) blocked: Notify,
 }
 
--- a/crates/pinerill-forward/src/crash/trials.rs
+++ b/crates/pinerill-forward/src/crash/trials.rs
@@ -7,14 +7,14 @@
 //! a blocked item is due at most [`MAX_TRIAL_WAIT_MS`] after the last crash, however many there
 //! were; that of a call [`MAX_CALL_TRIAL_WAIT_MS`] after it.
 //!
-//! All nodes together make one trial of a suspect at a time. A node claims a trial and announces the
-//! claim ([`TrialNotice`]); of claims that are made at about the same time, the one with the lowest
-//! number is known at all nodes after [`CLAIM_TIME_MS`] and wins. The others wait for what comes of the
-//! trial: a crash, a sound run, the withdrawal of the claim where the run showed nothing, or the end of
-//! [`TRIAL_TIME_MS`], after which the node counts as paused or lost. So that few claims are made at
-//! once, each node adds a delay that depends on its name, distributed as the feedback timers of
-//! multicast protocols are (RFC 5740, section 4.2.1). Nodes that can't hear each other make trials of
-//! their own, each at the same pace.
+//! Nodes that hear each other make one trial of a suspect at a time. A node claims a trial and announces
+//! the claim ([`TrialNotice`]); of claims that are made at about the same time, the one with the lowest
+//! number wins after [`CLAIM_TIME_MS`], when all nodes are expected to know it. The others wait for what
+//! comes of the trial: a crash, a sound run, which unblocks the suspect, the withdrawal of the claim
+//! where the run showed nothing, or the end of [`TRIAL_TIME_MS`], after which the node counts as paused
+//! or lost. So that few claims are made at once, each node adds a delay that depends on its name,
+//! distributed as the feedback timers of multicast protocols are (RFC 5740, section 4.2.1). A node that
+//! has forgotten the last trial, or has restarted, is told of it in answer to its claim.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -31,13 +31,13 @@
 pub const CALL_TRIAL_DELAY_MS: u64 = 30_000;
 /// Longest delay in milliseconds that nodes add to these.
 pub const TRIAL_SPREAD_MS: u64 = 400;
-/// Time in milliseconds after which the claims that are made at about the same time are known at all
-/// nodes.
-pub const CLAIM_TIME_MS: u64 = 100;
+/// Time in milliseconds from a claim to its run. Claims that are made at about the same time are known
+/// at all nodes by then if datagrams take less than half of it.
+pub const CLAIM_TIME_MS: u64 = 150;
 /// Time in milliseconds in which a trial shows whether the suspect crashes workers.
 pub const TRIAL_TIME_MS: u64 = 4_000;
 /// Longest time in milliseconds from a claim to the beginning of the run.
-const MAX_CLAIM_AGE_MS: u64 = 1_000;
+const MAX_CLAIM_AGE_MS: u64 = 600;
 /// Longest time in milliseconds from a crash to the next trial by an item.
 pub const MAX_TRIAL_WAIT_MS: u64 = TRIAL_DELAY_MS + TRIAL_SPREAD_MS + CLAIM_TIME_MS;
 /// The same for calls.
@@ -73,7 +73,7 @@
 pub struct TrialNotice {
     /// What is tried.
     pub suspect: Suspect,
-    /// Number of the trials of the suspect that the claiming node knew of.
+    /// Position in the sequence of the suspect's trials, as the claiming node knew it.
     pub round: u32,
     /// Random number that identifies the claim.
     pub number: u64,
@@ -102,9 +102,17 @@
         &self.notices
     }
 
-    /// Returns whether the run may still begin; later, other nodes may make a trial as well.
-    pub fn is_current(&self, now_ms: u64) -> bool {
-        now_ms < self.made_ms + MAX_CLAIM_AGE_MS
+    /// Returns the time in milliseconds in which the run may begin; later, other nodes may make a
+    /// trial as well.
+    pub fn remaining_ms(&self, now_ms: u64) -> u64 {
+        (self.made_ms + MAX_CLAIM_AGE_MS).saturating_sub(now_ms)
+    }
+
+    /// Returns whether the run may begin although these are blocked: the claim is not too old, and
+    /// none of them has had a crash since.
+    pub fn permits(&self, now_ms: u64, blocked: &[BlockedSuspect]) -> bool {
+        let is_older = |one: &BlockedSuspect| one.last_crash_ms <= self.made_ms;
+        self.remaining_ms(now_ms) > 0 && blocked.iter().all(is_older)
     }
 }
 
@@ -191,7 +199,7 @@
         })
     }
 
-    /// Returns whether no other claim has precedence, [`CLAIM_TIME_MS`] after it was made.
+    /// Returns whether no other claim has precedence. Callers ask [`CLAIM_TIME_MS`] after the claim.
     pub fn is_won(&self, claim: &Claim) -> bool {
         claim.notices.iter().all(|notice| self.is_last(notice))
     }
@@ -233,6 +241,13 @@
         true
     }
 
+    /// Returns the last notice about a suspect if this one, of another node, is of an earlier round: its
+    /// sender has missed or forgotten the later ones.
+    pub fn later_than(&self, notice: &TrialNotice) -> Option<TrialNotice> {
+        let last = self.last.get(&notice.suspect)?.notice;
+        (last.round > notice.round).then_some(last)
+    }
+
     /// Forgets trials that are too old to matter.
     pub fn remove_expired(&mut self, now_ms: u64) {
         self.last
--- a/crates/pinerill-forward/src/crash/verdicts.rs
+++ b/crates/pinerill-forward/src/crash/verdicts.rs
@@ -5,6 +5,7 @@
 
 use super::ledger::{BlockedRequest, CrashReport, Verdict};
 use super::part_ledger::{BlockedPart, PartCrashReport};
+use super::trials::TrialRunner;
 use super::{PartKey, RequestFingerprint, RequestIdentity};
 use crate::node::Node;
 
@@ -12,13 +13,13 @@
 pub(crate) const MAX_REPORTS_PER_DATAGRAM: usize = 32;
 
 impl Node {
-    /// Waits until a request is known to crash workers, so that its caller need not wait any
-    /// longer.
-    pub(crate) async fn wait_until_blocked(&self, request: &RequestIdentity) {
+    /// Waits until a call is known to crash workers and may not make a trial run, so that its caller
+    /// need not wait any longer.
+    pub(crate) async fn wait_until_withheld(&self, call: &RequestIdentity) {
         loop {
             let mut notified = pin!(self.crashes.blocked.notified());
             notified.as_mut().enable();
-            if self.is_blocked(request) {
+            if self.withheld_for(TrialRunner::Call, call).is_some() {
                 return;
             }
             notified.await;
--- a/crates/pinerill-forward/src/peers/crashes.rs
+++ b/crates/pinerill-forward/src/peers/crashes.rs
@@ -5,6 +5,7 @@
 //! them to the relays of other zones, which broadcast them in theirs; bridge nodes forward them to
 //! other cells. In addition, each node regularly resends to a few others what they may have missed.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -110,6 +111,23 @@
         }
     }
 
+    /// Sends one node the notices of trials that it has missed.
+    pub(super) fn send_trials(
+        &self,
+        to: SocketAddr,
+        is_zone_peer: bool,
+        notices: Vec<TrialNotice>,
+    ) {
+        if notices.is_empty() {
+            return;
+        }
+        let message = TrialNotice::into_message(notices);
+        match is_zone_peer {
+            true => self.send_in_zone(&message, [to]),
+            false => self.send_to_other_zones(&message, vec![to]),
+        }
+    }
+
     /// Sends crash reports to a few random nodes of the zone and, if this node is a relay or a
     /// bridge, to other zones or cells.
     fn resend_crashes<R: CrashNews>(&self, reports: Vec<R>) {
--- a/crates/pinerill-forward/src/peers/message.rs
+++ b/crates/pinerill-forward/src/peers/message.rs
@@ -102,7 +102,8 @@
     OriginReply(OriginReply),
     /// To all nodes, through relays and bridges: workers crashed under parts of prompts.
     PartCrashes(Vec<PartCrashReport>),
-    /// To all nodes, through relays and bridges: the sender makes trial runs of what is blocked.
+    /// To all nodes, through relays and bridges: nodes claim trial runs of what is blocked, or withdraw
+    /// their claims.
     Trials(Vec<TrialNotice>),
 }
 
--- a/crates/pinerill-forward/src/peers/receive.rs
+++ b/crates/pinerill-forward/src/peers/receive.rs
@@ -46,8 +46,9 @@
                 node.peers.forward_crashes(source, &changed);
             }
             Ok(PeerMessage::Trials(notices)) => {
-                let new = node.record_trials(&notices);
-                node.peers.forward_crashes(source, &new);
+                let received = node.record_trials(&notices);
+                node.peers.forward_crashes(source, &received.new);
+                node.peers.send_trials(from, from_zone, received.later);
             }
             Ok(PeerMessage::StreamOrigin(record)) if from_zone || from_relay => {
                 node.keep_origin(&record);
--- a/crates/pinerill-forward/tests/trials.rs
+++ b/crates/pinerill-forward/tests/trials.rs
@@ -124,8 +124,33 @@
 fn a_claim_that_has_grown_old_permits_no_run() {
     let mut node = Trials::new("node");
     let claim = claim(&mut node, 9_000, blocked(part(1), 1_000), 7);
-    assert!(claim.is_current(9_000 + CLAIM_TIME_MS));
-    assert!(!claim.is_current(9_000 + TRIAL_TIME_MS / 2));
+    let known = blocked(part(1), 1_000);
+    assert!(claim.permits(9_000 + CLAIM_TIME_MS, &[known]));
+    assert!(!claim.permits(9_000 + TRIAL_TIME_MS / 2, &[known]));
+    let crashed_since = blocked(part(1), 9_010);
+    assert!(!claim.permits(9_000 + CLAIM_TIME_MS, &[known, crashed_since]));
+}
+
+/// A node that has restarted knows no rounds, and others took no notice of its claims.
+#[test]
+fn a_node_that_has_forgotten_the_last_trial_is_told_and_loses_its_claim() {
+    let (mut informed, mut restarted) = (Trials::new("informed"), Trials::new("restarted"));
+    let one = blocked(part(1), 1_000);
+    for now_ms in [9_000, 9_500] {
+        let claim = claim(&mut informed, now_ms, one, 7);
+        informed.withdraw(now_ms + 200, &claim);
+    }
+    let last = claim(&mut informed, 10_000, one, 7);
+    let outdated = claim(&mut restarted, 10_010, one, 3);
+    let notice = outdated.notices()[0];
+    assert!(!informed.record(10_020, &notice));
+    let later = informed.later_than(&notice).expect("an answer");
+    assert_eq!(later, last.notices()[0]);
+    assert!(informed.later_than(&later).is_none());
+    assert!(restarted.record(10_030, &later));
+    assert!(!restarted.is_won(&outdated));
+    assert!(informed.is_won(&last));
+    assert!(!restarted.may_claim(10_040, TrialRunner::Item, &[one]));
 }
 
 /// Items arrive at all nodes, or workers have room again, long after a trial was due.
