A connection that ends at once is no proof that a worker's process runs

What callers saw: requests that crash their workers went on reaching workers. A process that ends may close its connections before its listening socket. The kernel accepts connections for it meanwhile, and the node's probe after a broken run took one for proof of life: it dropped the run, so that the crash never counted, for requests and parts alike. A process that exits closes its sockets in the order of their descriptors, so that real workers can show it; it was seen with the stand-in worker beside load. Change: ConnectionPool::probe. A connection must stay open and silent for 100 ms; otherwise another one is opened, three at most. Refused ones show a crash as before; if none stays open nothing is shown, and the worker list decides. Holds up: the probe's connection enters the pool 100 ms later; requests meanwhile open their own (a_process_that_keeps_the_connection_runs_and_the_connection_is_usable). Still passes: a listening socket that outlives the connections by more than 100 ms counts as a process that runs (a_listening_socket_that_stays_open_for_long_counts_as_a_process_that_runs). A worker that closes every connection is neither running nor ended (a_process_that_closes_each_connection_is_neither_running_nor_ended).

--- a/crates/pinerill-forward/src/crash/tracker.rs
+++ b/crates/pinerill-forward/src/crash/tracker.rs
@@ -68,7 +68,7 @@
     }
 
     /// Probes a worker at which a run broke off with a new connection, which a crashed process
-    /// refuses. An opened connection goes into the pool for the next request.
+    /// refuses. A connection that stays open goes into the pool for the next request.
     pub(super) fn probe_worker(self: &Arc<Self>, worker: &Arc<WorkerEntry>, reason: &BreakReason) {
         let incarnation = WorkerIncarnation::of(worker);
         // An unresponsive worker would not answer a connection either; the worker list shows
@@ -78,13 +78,13 @@
         }
         let (node, worker) = (self.clone(), worker.clone());
         tokio::spawn(async move {
-            match node.connections().open(&worker).await {
+            match node.connections().probe(&worker).await {
                 Ok(connection) => {
                     node.crashes.broken.lock().mark_alive(incarnation);
                     node.connections().put(&worker.id, connection, None);
                 }
                 Err(BreakReason::Refused) => node.record_crash(&worker, CrashEvidence::Refused),
-                // The worker may be partitioned; the worker list shows whether it has ended.
+                // The worker may be partitioned or ending; the worker list shows whether it has ended.
                 Err(_) => {}
             }
             node.crashes.probing.lock().remove(&incarnation);
--- a/crates/pinerill-forward/src/exchange/connection.rs
+++ b/crates/pinerill-forward/src/exchange/connection.rs
@@ -239,6 +239,13 @@
         matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Waits until the worker sends something or closes the connection, at most for this time.
+    /// Returns whether it did neither.
+    pub(super) async fn stays_silent(&self, time: Duration) -> bool {
+        let broken = async { while self.stream.readable().await.is_ok() && self.is_silent() {} };
+        timeout(time, broken).await.is_err()
+    }
+
     /// Waits for bytes of the worker, and writes the rest of the request meanwhile.
     async fn receive(&mut self) -> Result<Received, BreakReason> {
         loop {
--- a/crates/pinerill-forward/src/exchange/mod.rs
+++ b/crates/pinerill-forward/src/exchange/mod.rs
@@ -22,5 +22,5 @@
 pub use connection::WorkerConnection;
 pub use events::{EventBatch, EventOrderError, EventScanner, EventText};
 pub use health::check_health;
-pub use pool::ConnectionPool;
+pub use pool::{ConnectionPool, PROBE_TIME};
 pub use send::{Exchange, SendFailure, StartedAnswer, WorkerRequest};
--- a/crates/pinerill-forward/src/exchange/pool.rs
+++ b/crates/pinerill-forward/src/exchange/pool.rs
@@ -26,6 +26,10 @@
 /// Subtracted from the keep-alive time that a worker advertises, so that this side closes an
 /// idle connection before the worker does.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
+/// Time for which a connection must stay open to show that the worker's process runs.
+pub const PROBE_TIME: Duration = Duration::from_millis(100);
+/// Maximum number of connections that one probe opens.
+const MAX_PROBE_CONNECTIONS: usize = 3;
 
 struct IdleConnection {
     connection: WorkerConnection,
@@ -71,6 +75,29 @@
         }
     }
 
+    /// Connects to a worker to learn whether its process runs. While a process ends, its listening
+    /// socket may outlive its connections; the kernel then accepts new connections and resets them
+    /// when that socket closes. So a connection that ends within [`PROBE_TIME`] shows nothing, and
+    /// another one is opened.
+    ///
+    /// # Errors
+    /// Returns the reasons of [`ConnectionPool::open`], and [`BreakReason::Connection`] if no
+    /// connection stayed open.
+    pub async fn probe(
+        self: &Arc<Self>,
+        worker: &Arc<WorkerEntry>,
+    ) -> Result<WorkerConnection, BreakReason> {
+        for _ in 0..MAX_PROBE_CONNECTIONS {
+            let connection = self.open(worker).await?;
+            if connection.stays_silent(PROBE_TIME).await {
+                return Ok(connection);
+            }
+        }
+        Err(BreakReason::Connection(
+            "accepted connections did not stay open".to_owned(),
+        ))
+    }
+
     async fn open_timed(&self, worker: &WorkerEntry) -> Result<WorkerConnection, BreakReason> {
         let began = BootTime::now();
         let connection = WorkerConnection::open(worker.address, self.repetitions.clone()).await?;
