Items that wait for a service without workers begin again elsewhere after 3 s

Cause: a node that has events of an item keeps its text and its lease, and looked for a slot without end at the service that was drawn when the item was taken. The way out, lacks_software, answered no if the service had no workers at all. The lease was renewed meanwhile.

Change: one bound for whatever an item with text waits for (batch::stall): 3 s without a worker that may continue it, 10 s (or as long as it has run) without an event for any other reason. It then drops its text and is given back, and its service is drawn anew. Time in which calls wait for workers that exist, in which the lease is not confirmed, or in which the item is withheld for crashes doesn't count.

Ruled out: a check of the route table alone, since workers also go without a configuration; a bound that ends give-way to calls, since that would cost text in each long burst.

--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -71,7 +71,10 @@
         match attempt(&node, &held, &mut running).await {
             AttemptResult::Ended(end) => break end,
             AttemptResult::Retry => {}
-            AttemptResult::Withheld(suspect) => withhold(&node, &running, suspect).await,
+            AttemptResult::Withheld(suspect) => {
+                withhold(&node, &running, suspect).await;
+                running.stall.skip(node.now_ms());
+            }
             AttemptResult::Unplaced => {
                 log::info!(
                     event = "item_given_back", id = running.leased.id.as_str(),
@@ -110,8 +113,8 @@
     Retry,
     /// The item was not sent because this is known to crash workers.
     Withheld(Suspect),
-    /// None of the item's events have arrived, and either no worker has a free slot for it or
-    /// several workers responded without a result.
+    /// None of the item's events have arrived or are kept, and either no worker has a free slot for it
+    /// or several workers responded without a result.
     Unplaced,
 }
 
--- a/crates/pinerill-forward/src/batch/mod.rs
+++ b/crates/pinerill-forward/src/batch/mod.rs
@@ -14,6 +14,7 @@
 mod reports;
 mod running;
 mod runs;
+pub mod stall;
 
 pub(crate) use leases::{release_all, run};
 pub(crate) use runs::ItemRuns;
--- a/crates/pinerill-forward/src/batch/running.rs
+++ b/crates/pinerill-forward/src/batch/running.rs
@@ -13,6 +13,7 @@
 use pinerill_calls::table::{AllowedRegions, Route, Target};
 use pinerill_process::clock::BootTime;
 
+use super::stall::Stall;
 use crate::crash::{RequestIdentity, Requester};
 use crate::exchange::{EventText, WorkerRequest};
 use crate::fleet::{Prompt, RequiredSoftware};
@@ -37,6 +38,8 @@
     pub(super) last_event: Option<u64>,
     /// Software that may continue the text; any while no event has arrived.
     pub(super) software: RequiredSoftware,
+    /// Time without an event.
+    pub(super) stall: Stall,
     /// Workers that the next attempt avoids: that of the last broken attempt, and those that
     /// responded without a result since. Empty once no other worker is available.
     pub(super) avoid: Vec<WorkerId>,
@@ -57,6 +60,20 @@
     pub(super) bytes: (usize, usize),
 }
 
+impl ActiveItem {
+    /// Drops the item's text, so that any worker may run it from the beginning.
+    pub(super) fn begin_again(&mut self, reason: &str) {
+        log::info!(
+            event = "item_begins_again", id = self.leased.id.as_str(), last:? = self.last_event,
+            service = self.service.as_str(), reason; ""
+        );
+        self.text = EventText::default();
+        self.last_event = None;
+        self.software = RequiredSoftware::Any;
+        self.time_run = Duration::ZERO;
+    }
+}
+
 /// Fetches the call of a leased item and looks up its route. Returns None if the call cannot be
 /// fetched or decoded, or if no route of this node's table matches it.
 pub(super) async fn prepare(node: &Node, leased: LeasedItem) -> Option<ActiveItem> {
@@ -96,6 +113,7 @@
         text: EventText::default(),
         last_event: None,
         software: RequiredSoftware::Any,
+        stall: Stall::new(node.now_ms()),
         avoid: Vec::new(),
         attempts: 0,
         without_result: 0,
--- a/crates/pinerill-forward/src/fleet/choice.rs
+++ b/crates/pinerill-forward/src/fleet/choice.rs
@@ -126,17 +126,26 @@
         }
     }
 
+    /// Returns whether the service has a worker that the request may go to, full or not.
+    pub fn has_permitted_worker(&self, request: &PlacementRequest<'_>) -> bool {
+        self.candidates(request.service)
+            .any(|worker| self.is_permitted_by(request, worker))
+    }
+
     /// Returns the ready workers of the service that the request neither excludes nor bars by
     /// region or software.
     pub(super) fn matching_workers(&self, request: &PlacementRequest<'_>) -> Vec<&Worker> {
-        let candidates = self.candidates(request.service);
-        candidates
-            .filter(|worker| !request.except.contains(&worker.entry().id))
-            .filter(|worker| request.software.allows(&worker.software()))
-            .filter(|worker| self.is_region_allowed(request.homes, worker))
+        self.candidates(request.service)
+            .filter(|worker| self.is_permitted_by(request, worker))
             .collect()
     }
 
+    fn is_permitted_by(&self, request: &PlacementRequest<'_>, worker: &Worker) -> bool {
+        !request.except.contains(&worker.entry().id)
+            && request.software.allows(&worker.software())
+            && self.is_region_allowed(request.homes, worker)
+    }
+
     /// Returns whether a worker is in one of the allowed regions.
     pub(super) fn is_region_allowed(&self, homes: &AllowedRegions, worker: &Worker) -> bool {
         let region = self.regions.get(&worker.entry().zone);
