An item's attempt without an event for 5 s fails, although its worker sends bytes

Callers would see an accepted item that is not listed and is dead at max_wait_s: its worker sends comments, or the bytes of an event that never ends. Found by listing the waits of accepted items; not seen in service.

Cause: the idle time of an attempt (2.5 s) begins anew with each piece of the body, whether or not the piece completes an event, and the lease is renewed meanwhile.

Change: an attempt without a numbered event for 5 s counts as silent. The item goes on behind its last event, at another worker if there is one.

Evidence: an_item_goes_on_elsewhere_if_its_worker_sends_bytes_but_no_events failed before (nothing listed in 10 s) and passes; all 8 tests of jobs and all 8 of services_apart pass.

Held up: an event that takes over 5 s to arrive in pieces; one that comes after 3 s of comments keeps its run (an_item_whose_worker_sends_comments_before_a_late_event_keeps_its_run). Still passes: a run whose numbered events never end (docs/design/batch.md, open; not run).

--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -36,6 +36,9 @@
 /// Time without data from a worker after which an attempt fails and the item resumes at another
 /// worker.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time without an event after which an attempt fails although the worker sends bytes. Shorter than
+/// `stall::MAX_WITHOUT_EVENT_MS`, so that another worker is tried before text is dropped.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Interval between two checks of whether a withheld item may run.
 const BLOCK_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Delay after the first response that is neither a result nor a failed run. It doubles with each
@@ -341,6 +344,7 @@
     let mut scanner = EventScanner::after(running.last_event);
     let suspensions_before = suspensions();
     let mut meter = GapMeter::new(BootTime::now(), suspensions_before);
+    let mut advanced = BootTime::now();
     loop {
         meter.begin_read(BootTime::now());
         let piece = tokio::select! {
@@ -359,6 +363,11 @@
             return Ok(ReadEnd::LeaseUnconfirmed);
         }
         let batch = scanner.push(&piece).map_err(|_| BreakReason::EventOrder)?;
+        if scanner.last() != running.last_event {
+            advanced = BootTime::now();
+        } else if advanced.elapsed() >= EVENT_TIMEOUT {
+            return Err(BreakReason::Silent);
+        }
         if batch.count > 0 {
             running.text.append(&batch.bytes);
             running.last_event = scanner.last();
