--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -37,6 +37,9 @@
 /// Time without data from a worker after which an attempt fails and the item resumes at another
 /// worker.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time without an event after which an attempt fails although the worker sends bytes. Shorter than
+/// `stall::MAX_WITHOUT_EVENT_MS`, so that another worker is tried before text is dropped.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Interval between two checks of whether a withheld item may run.
 const BLOCK_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Time without a slot after which an item that is due for a trial run claims it all the same, so that
@@ -75,7 +78,10 @@
         match attempt(&node, &held, &mut running).await {
             AttemptResult::Ended(end) => break end,
             AttemptResult::Retry => {}
-            AttemptResult::Withheld(suspect) => withhold(&node, &running, suspect).await,
+            AttemptResult::Withheld(suspect) => {
+                withhold(&node, &running, suspect).await;
+                running.stall.skip(node.now_ms());
+            }
             AttemptResult::Unplaced => {
                 log::info!(
                     event = "item_given_back", id = running.leased.id.as_str(),
@@ -114,8 +120,8 @@
     Retry,
     /// The item was not sent because this is known to crash workers.
     Withheld(Suspect),
-    /// None of the item's events have arrived, and either no worker has a free slot for it or
-    /// several workers responded without a result.
+    /// None of the item's events have arrived or are kept, and either no worker has a free slot for it
+    /// or several workers responded without a result.
     Unplaced,
 }
 
@@ -375,6 +381,7 @@
     let mut scanner = EventScanner::after(running.last_event);
     let suspensions_before = suspensions();
     let mut meter = GapMeter::new(BootTime::now(), suspensions_before);
+    let mut advanced = BootTime::now();
     loop {
         meter.begin_read(BootTime::now());
         let piece = tokio::select! {
@@ -393,6 +400,11 @@
             return Ok(ReadEnd::LeaseUnconfirmed);
         }
         let batch = scanner.push(&piece).map_err(|_| BreakReason::EventOrder)?;
+        if scanner.last() != running.last_event {
+            advanced = BootTime::now();
+        } else if advanced.elapsed() >= EVENT_TIMEOUT {
+            return Err(BreakReason::Silent);
+        }
         if batch.count > 0 {
             running.text.append(&batch.bytes);
             running.last_event = scanner.last();
