A stream goes on only at the service that began it

What callers saw: a resumption that was answered 200 and ran to its end, but joined from two services, whose software is not the same: on a route that is split between two services, after all nodes were killed; and on a route that had moved to another service in the life of the stream, with and without a kill, in every try. Cause: versions are compared within a service, and which service began a stream was not asked. Without a record a resumption drew its service anew and was sure once that service had shown one version for long; with a record of a service that the route no longer has, any worker would do. Class: a guarantee over the versions of one service taken for one over all that can have begun the stream. Change: on a route with several services in use a resumption goes on by a record only. A record of a service that the route does not have any more refuses (503, not run). When a route moves, nodes and the leader note it at the service that it moves to; what began its streams before is unknown there. The leader tells it to nodes that start later within the history that they read, which keeps its form; a leader that does not know of moves does not undo a node's own note. What it holds up: resumptions without a record at a service that a route has moved to, of all its routes, for one longest life of a stream (a_service_that_a_route_moved_to_is_known_again_after_a_stream_life); on split routes those whose stream is not named or whose record is lost. What still passes: a route that is removed and comes back with another service within a stream's life counts as new.

--- a/crates/pinerill-calls/src/table/lookup.rs
+++ b/crates/pinerill-calls/src/table/lookup.rs
@@ -1,6 +1,6 @@
 //! Lookup of the route of a call and of the tenant of a key.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use pinerill_types::KeyHash;
@@ -77,6 +77,20 @@
             .map(|position| &self.routes[*position])
     }
 
+    /// Returns the services to which all streams of a route go now, though some went to another
+    /// service under the earlier table.
+    pub fn services_moved_to(&self, earlier: &RouteIndex) -> BTreeSet<&str> {
+        let routes = self.routes.iter().chain(&earlier.routes);
+        let moved = routes.filter_map(|route| {
+            let before = earlier.route(&route.host, &route.path_prefix)?;
+            let after = self.route(&route.host, &route.path_prefix)?;
+            let service = after.only_service().filter(|_| after.kind.is_stream())?;
+            let mut before = before.services_in_use();
+            before.any(|other| other != service).then_some(service)
+        });
+        moved.collect()
+    }
+
     /// Returns the tenant that owns the key; `None` if the key is unknown.
     pub(super) fn tenant_with_key(&self, key: &KeyHash) -> Option<&Arc<Tenant>> {
         self.by_key.get(key)
@@ -93,6 +107,20 @@
 }
 
 impl Route {
+    /// Returns the services that calls of the route go to, each once per target.
+    pub fn services_in_use(&self) -> impl Iterator<Item = &str> {
+        let targets = self.targets.iter();
+        let in_use = targets.filter(|target| target.weight > 0);
+        in_use.map(|target| target.service.as_str())
+    }
+
+    /// Returns the service that all calls of the route go to; `None` if there are several.
+    pub fn only_service(&self) -> Option<&str> {
+        let mut services = self.services_in_use();
+        let first = services.next()?;
+        services.all(|service| service == first).then_some(first)
+    }
+
     /// Selects a target by weight. `point` is reduced modulo the sum of the weights, so random
     /// numbers select targets in proportion to their weights. Returns `None` if the sum is 0.
     pub fn target_at(&self, point: u64) -> Option<&Target> {
--- a/crates/pinerill-calls/src/version_history.rs
+++ b/crates/pinerill-calls/src/version_history.rs
@@ -55,11 +55,21 @@
 struct ServiceHistory {
     /// Start of the period for which the versions are known.
     known_since_ms: i64,
+    /// Time before which the service's streams may have begun at another service.
+    moved_ms: Option<i64>,
     listed: BTreeSet<Version>,
     /// When each version that is no longer listed was last listed.
     last_listed_ms: BTreeMap<Version, i64>,
 }
 
+impl ServiceHistory {
+    /// Returns the start of the period for which the versions of the service's streams are known.
+    fn streams_known_since_ms(&self) -> i64 {
+        let moved_ms = self.moved_ms.unwrap_or(self.known_since_ms);
+        moved_ms.max(self.known_since_ms)
+    }
+}
+
 /// The versions of each service. Times are in milliseconds on the clock of the process; they are
 /// negative before its start.
 #[derive(Debug, Default)]
@@ -106,6 +116,13 @@
         self.confirmed_ms = earlier_ms.max(Some(at_ms));
     }
 
+    /// Records that a route has moved to this service: its streams may have begun at another one.
+    pub fn record_move(&mut self, now_ms: i64, service: &str) {
+        if let Some(history) = self.services.get_mut(service) {
+            history.moved_ms = Some(now_ms);
+        }
+    }
+
     /// Returns the versions of a service that were listed in the last `period_ms` milliseconds.
     pub fn within(&self, now_ms: i64, service: &str, period_ms: u64) -> PeriodVersions {
         let Some(history) = self.services.get(service) else {
@@ -119,7 +136,7 @@
             .chain(&history.listed)
             .collect();
         let known: Vec<&String> = all.iter().filter_map(|version| version.as_ref()).collect();
-        let is_complete = !all.contains(&None) && history.known_since_ms <= begin_ms;
+        let is_complete = !all.contains(&None) && history.streams_known_since_ms() <= begin_ms;
         match known[..] {
             [version] if is_complete => PeriodVersions::Single(version.clone()),
             [] | [_] => PeriodVersions::Unknown,
@@ -155,7 +172,7 @@
                 });
                 ServiceVersions {
                     service: service.clone(),
-                    known_for_ms: since(history.known_since_ms),
+                    known_for_ms: since(history.streams_known_since_ms()),
                     versions: ages.collect(),
                 }
             })
@@ -184,6 +201,7 @@
         let history = self.services.entry(service.to_owned());
         history.or_insert_with(|| ServiceHistory {
             known_since_ms: now_ms,
+            moved_ms: None,
             listed: BTreeSet::new(),
             last_listed_ms: BTreeMap::new(),
         })
--- a/crates/pinerill-calls/tests/route_table.rs
+++ b/crates/pinerill-calls/tests/route_table.rs
@@ -127,3 +127,41 @@
         .collect();
     assert_eq!(drawn, ["x", "x", "x", "z", "x", "x", "x", "z"]);
 }
+
+/// Guards against streams that go on at the service to which their route has moved.
+#[test]
+fn a_change_of_the_table_names_the_services_that_get_streams_of_others() {
+    let index = |routes: &[(&str, &[(&str, u64)])]| {
+        let routes = routes.iter().map(|(prefix, targets)| Route {
+            kind: RouteKind::ResumableStream,
+            targets: targets
+                .iter()
+                .map(|(service, weight)| Target {
+                    service: (*service).to_owned(),
+                    weight: *weight,
+                })
+                .collect(),
+            ..route("r", "h", prefix)
+        });
+        RouteIndex::new(table(routes.collect()))
+    };
+    let moved = |before: &[(&str, &[(&str, u64)])], after: &[(&str, &[(&str, u64)])]| {
+        let (before, after) = (index(before), index(after));
+        let services = after.services_moved_to(&before);
+        services.into_iter().map(str::to_owned).collect::<Vec<_>>()
+    };
+    let at_a = ("/", &[("a", 1)][..]);
+    let at_b = ("/", &[("b", 1)][..]);
+    let split = ("/", &[("a", 9), ("b", 1)][..]);
+    let unused = ("/", &[("a", 9), ("b", 0)][..]);
+    let inner_at_b = ("/x/", &[("b", 1)][..]);
+    assert_eq!(moved(&[at_a], &[at_b]), ["b"]);
+    assert_eq!(moved(&[split], &[at_b]), ["b"]);
+    assert_eq!(moved(&[at_a], &[at_a, inner_at_b]), ["b"]);
+    assert_eq!(moved(&[at_a, inner_at_b], &[at_a]), ["a"]);
+    // A route with several services is not sure of either one without a record.
+    assert!(moved(&[at_a], &[split]).is_empty());
+    assert!(moved(&[unused], &[at_a]).is_empty());
+    assert!(moved(&[at_a, inner_at_b], &[at_a, inner_at_b]).is_empty());
+    assert!(moved(&[], &[at_a]).is_empty());
+}
--- a/crates/pinerill-cluster/src/cells.rs
+++ b/crates/pinerill-cluster/src/cells.rs
@@ -8,12 +8,14 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use pinerill_calls::cells::{CellId, Partition};
 use pinerill_calls::digest::Digest;
 use pinerill_calls::directory::{DirectoryHistory, DirectoryUpdate, WorkerEntry, WorkerId};
 use pinerill_calls::message::ZoneRelays;
 use pinerill_calls::packed::Packed;
+use pinerill_calls::table::{RouteIndex, RouteTable};
 use pinerill_calls::version_history::{ServiceVersions, VersionHistory};
 
 /// Time without a request after which a node is removed, milliseconds.
@@ -114,6 +116,8 @@
     nodes: usize,
     workers: Option<usize>,
     versions: VersionHistory,
+    /// Route table that nodes were last sent.
+    table: Option<Arc<RouteTable>>,
 }
 
 impl Default for Cells {
@@ -126,6 +130,7 @@
             nodes: 0,
             workers: None,
             versions: VersionHistory::default(),
+            table: None,
         }
     }
 }
@@ -150,6 +155,23 @@
         is_changed
     }
 
+    /// Records the route table that nodes are sent from now on. Nodes that start later learn from
+    /// the versions which services routes have moved to.
+    pub fn record_table(&mut self, now_ms: u64, table: &Arc<RouteTable>) {
+        let earlier = match &self.table {
+            Some(earlier) if earlier.version >= table.version => return,
+            _ => self.table.replace(table.clone()),
+        };
+        let Some(earlier) = earlier else {
+            return;
+        };
+        let earlier = RouteIndex::new((*earlier).clone());
+        let index = RouteIndex::new((**table).clone());
+        for service in index.services_moved_to(&earlier) {
+            self.versions.record_move(now_ms as i64, service);
+        }
+    }
+
     /// Returns the software versions of all services that were listed in the last minutes.
     pub fn versions(&self, now_ms: u64) -> Vec<ServiceVersions> {
         self.versions.export(now_ms as i64)
--- a/crates/pinerill-cluster/src/server/watch.rs
+++ b/crates/pinerill-cluster/src/server/watch.rs
@@ -1,6 +1,7 @@
 //! Answers the long polls by which nodes follow the route table, the directory of workers, the
 //! evacuations, and the addresses of other processes.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use pinerill_calls::cells::CellId;
@@ -81,8 +82,12 @@
             peer: request.peer,
             cell: request.cell,
         };
+        let table = self.table_in_force();
         let view = self.with_leadership("watch", |leadership| {
             let cells = &mut leadership.cells;
+            if let Some(table) = &table {
+                cells.record_table(now_ms, table);
+            }
             let cell = cells.record_node(now_ms, &node);
             NodeView {
                 cell,
@@ -94,7 +99,7 @@
                 controls: leadership.cached_controls(now_ms),
             }
         })?;
-        let table = self.table_newer_than(request.table_version)?;
+        let table = self.table_newer_than(table, request.table_version)?;
         let evacuations = self.group.with_machine(|machine| {
             let current = machine.evacuations();
             let is_change = request.evacuations < Some(current.revision());
@@ -127,19 +132,23 @@
     /// reads the list.
     pub(super) fn read_versions(&self) -> Result<CallsResponse, Box<Refusal>> {
         let now_ms = self.now_ms();
+        let table = self.table_in_force();
         let versions = self.with_leadership("read versions", |leadership| {
+            if let Some(table) = &table {
+                leadership.cells.record_table(now_ms, table);
+            }
             leadership.cells.versions(now_ms)
         })?;
         Ok(CallsResponse::Versions(versions))
     }
 
-    /// Returns the route table if it is newer than `version`. The table is packed once and shared
+    /// Returns the route table in force if it is newer than `version`. The table is packed once and shared
     /// by all nodes.
     fn table_newer_than(
         &self,
+        table: Option<Arc<RouteTable>>,
         version: Option<u64>,
     ) -> Result<Option<Packed<RouteTable>>, Box<Refusal>> {
-        let table = self.table_in_force();
         let is_newer = |table: &RouteTable| version.is_none_or(|known| table.version > known);
         let Some(table) = table.filter(|table| is_newer(table)) else {
             return Ok(None);
--- a/crates/pinerill-cluster/tests/cells.rs
+++ b/crates/pinerill-cluster/tests/cells.rs
@@ -4,9 +4,11 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use pinerill_calls::cells::CellId;
 use pinerill_calls::directory::{DirectoryChange, WorkerEntry, WorkerId, WorkerState};
+use pinerill_calls::table::{AllowedRegions, RequestLimits, Route, RouteKind, RouteTable, Target};
 use pinerill_cluster::cells::{Cells, WatchingNode};
 
 const ZONES: u32 = 5;
@@ -265,3 +267,47 @@
         .collect();
     assert_eq!(ages, [(Some("v2"), 0), (Some("v1"), 2_500)]);
 }
+
+/// Guards against a leader that tells nodes a history of streams which began at another service.
+#[test]
+fn the_leader_tells_a_short_history_of_a_service_that_a_route_moved_to() {
+    let table = |version: u64, service: &str| {
+        Arc::new(RouteTable {
+            version,
+            routes: vec![stream_route(service)],
+            services: Vec::new(),
+            limits: RequestLimits::default(),
+            tenants: None,
+        })
+    };
+    let mut cells = Cells::default();
+    cells.update_workers(1_000, vec![worker(1)]);
+    cells.record_table(1_500, &table(1, "other"));
+    assert_eq!(cells.versions(4_000)[0].known_for_ms, 3_000);
+    cells.record_table(3_500, &table(2, "service"));
+    cells.record_table(3_900, &table(1, "other"));
+    cells.record_table(3_900, &table(2, "service"));
+    assert_eq!(cells.versions(4_000)[0].known_for_ms, 500);
+}
+
+fn stream_route(service: &str) -> Route {
+    Route {
+        name: "r".to_owned(),
+        host: "h".to_owned(),
+        path_prefix: "/".to_owned(),
+        kind: RouteKind::ResumableStream,
+        timeout_ms: 4_000,
+        objective_ms: 1_000,
+        rank: 0,
+        targets: vec![Target {
+            service: service.to_owned(),
+            weight: 1,
+        }],
+        attempts: 2,
+        gap_ms: None,
+        caller_idle_timeout_ms: None,
+        batch: None,
+        is_public: true,
+        allowed_regions: AllowedRegions::default(),
+    }
+}
--- a/crates/pinerill-forward/src/call/online.rs
+++ b/crates/pinerill-forward/src/call/online.rs
@@ -67,7 +67,12 @@
     /// Makes attempts until one gives a response for the caller.
     async fn respond(&mut self) -> Result<CallResponse, Refusal> {
         let required = self.node.required_software(&self.call).await?;
-        let required = self.call.follow_origin(required);
+        if !self.call.follow_origin(required) {
+            return Err(Refusal::NotRun {
+                reason: "the route has moved from the service that began the stream",
+                retry_after: None,
+            });
+        }
         self.attempts.require_software(required);
         loop {
             let end = match self.attempt().await {
--- a/crates/pinerill-forward/src/call/request.rs
+++ b/crates/pinerill-forward/src/call/request.rs
@@ -87,22 +87,20 @@
         (!attempt.is_empty()).then(|| StreamKey::new(&self.identity.requester, attempt))
     }
 
-    /// Directs a call that continues a stream to the service that began it, if its route still
-    /// allows that.
-    pub(crate) fn follow_origin(&mut self, required: RequiredSoftware) -> RequiredSoftware {
+    /// Directs a call that continues a stream to the service that began it. Returns whether its
+    /// route still allows that.
+    pub(crate) fn follow_origin(&mut self, required: RequiredSoftware) -> bool {
         let RequiredSoftware::SameAs(origin) = required else {
-            return required;
+            return true;
         };
-        let mut targets = self.route.targets.iter();
-        let target = targets
-            .find(|target| target.weight > 0 && ServiceKey::of(&target.service) == origin.service);
-        match target {
-            Some(target) => {
-                self.service.clone_from(&target.service);
-                required
+        let mut services = self.route.services_in_use();
+        let began = services.find(|service| ServiceKey::of(service) == origin.service);
+        match began {
+            Some(service) => {
+                self.service = service.to_owned();
+                true
             }
-            // Versions are compared within a service; the route has moved to another one.
-            None => RequiredSoftware::Any,
+            None => false,
         }
     }
 
--- a/crates/pinerill-forward/src/fleet/software.rs
+++ b/crates/pinerill-forward/src/fleet/software.rs
@@ -138,6 +138,17 @@
         self.versions.record(now_ms as i64, listed);
     }
 
+    /// Records that routes have moved to these services.
+    pub fn record_moves<'service>(
+        &mut self,
+        now_ms: u64,
+        services: impl IntoIterator<Item = &'service str>,
+    ) {
+        for service in services {
+            self.versions.record_move(now_ms as i64, service);
+        }
+    }
+
     /// Adds the history of the leader, as it was at `at_ms`.
     pub fn import_versions(&mut self, at_ms: u64, versions: &[ServiceVersions]) {
         self.versions.import(at_ms as i64, versions);
--- a/crates/pinerill-forward/src/node.rs
+++ b/crates/pinerill-forward/src/node.rs
@@ -228,7 +228,12 @@
             .as_ref()
             .is_none_or(|known| known.table().version < version);
         if newer {
-            self.with_fleet(|fleet, _| fleet.apply_slow_starts(index.table()));
+            self.with_fleet(|fleet, now_ms| {
+                fleet.apply_slow_starts(index.table());
+                if let Some(earlier) = &*current {
+                    fleet.record_moves(now_ms, index.services_moved_to(earlier));
+                }
+            });
             self.dispatcher.apply_limits(index.table());
             *current = Some(Arc::new(index));
             self.table_installed.notify_waiters();
--- a/crates/pinerill-forward/src/resumption/decision.rs
+++ b/crates/pinerill-forward/src/resumption/decision.rs
@@ -3,7 +3,8 @@
 //! Not knowing the origin is not the same as there being one version only. A node is sure without a
 //! record if all nodes that answered have seen a single version for longer than a stream lives, and
 //! if it has just heard the leader or another node. A node that hears nobody may be cut off while
-//! others send streams to workers of a version that it has not seen.
+//! others send streams to workers of a version that it has not seen. On a route with several
+//! services, any of them may have begun the stream, so that it is never sure without a record.
 
 use super::origins::KnownOrigin;
 use crate::fleet::{ListedVersions, RequiredSoftware};
@@ -28,6 +29,8 @@
     pub answers: Vec<Knowledge>,
     /// Whether the node has just heard the leader, which tells all nodes of a new version at once.
     pub hears_leader: bool,
+    /// Whether all calls of the route go to one service.
+    pub has_one_service: bool,
     /// Whether no further answers are awaited.
     pub is_final: bool,
 }
@@ -86,7 +89,7 @@
 
 fn decide_without_record(inputs: &ResumptionInputs) -> ResumptionDecision {
     let hears_nobody = inputs.asked > 0 && inputs.answers.is_empty() && !inputs.hears_leader;
-    if hears_nobody {
+    if hears_nobody || !inputs.has_one_service {
         return ResumptionDecision::Refuse;
     }
     let mut single = None;
--- a/crates/pinerill-forward/src/resumption/lookup.rs
+++ b/crates/pinerill-forward/src/resumption/lookup.rs
@@ -132,6 +132,7 @@
             asked: 0,
             answers: Vec::new(),
             hears_leader: self.control_silent_ms() <= LEADER_CONTACT_MS,
+            has_one_service: call.route.only_service().is_some(),
             is_final: false,
         };
         let until = call.deadline.min(BootTime::now() + LOOKUP_TIMEOUT);
--- a/crates/pinerill-forward/tests/resumptions.rs
+++ b/crates/pinerill-forward/tests/resumptions.rs
@@ -54,6 +54,7 @@
         asked,
         answers: answers.to_vec(),
         hears_leader: false,
+        has_one_service: true,
         is_final: true,
     })
 }
@@ -150,6 +151,7 @@
             asked: 2,
             answers: Vec::new(),
             hears_leader: true,
+            has_one_service: true,
             is_final: true,
         })
     };
@@ -158,6 +160,28 @@
     assert_eq!(hearing_the_leader(several), ResumptionDecision::Refuse);
 }
 
+#[test]
+fn a_stream_of_a_route_with_several_services_goes_on_only_by_a_record() {
+    let single = ListedVersions::Single(version("v1"));
+    let origin = StreamOrigin::of(&worker("a", Some("v1")));
+    let decided = |origin| {
+        decide(&ResumptionInputs {
+            own: knowing(origin, single),
+            asked: 0,
+            answers: Vec::new(),
+            hears_leader: true,
+            has_one_service: false,
+            is_final: true,
+        })
+    };
+    assert_eq!(decided(KnownOrigin::Unknown), ResumptionDecision::Refuse);
+    let required = RequiredSoftware::SameAs(origin);
+    assert_eq!(
+        decided(KnownOrigin::Worker(origin)),
+        ResumptionDecision::Continue(required, ResumptionBasis::Record)
+    );
+}
+
 #[test]
 fn the_record_of_any_node_decides_at_once() {
     let origin = StreamOrigin::of(&worker("a", Some("v1")));
@@ -167,6 +191,7 @@
         asked: 3,
         answers: vec![own],
         hears_leader: true,
+        has_one_service: true,
         is_final: false,
     };
     assert_eq!(decide(&inputs), ResumptionDecision::Wait);
@@ -232,6 +257,37 @@
     assert_eq!(fleet_at(10_000 + life_ms), single);
 }
 
+#[test]
+fn a_service_that_a_route_moved_to_is_known_again_after_a_stream_life() {
+    let mut leader = VersionHistory::default();
+    let v1 = worker("a", Some("v1"));
+    leader.record(0, [&v1]);
+    leader.record_move(100_000, &v1.service);
+    let end_ms = 100_000 + LIFE_MS as i64;
+    let mut node = VersionHistory::default();
+    node.record(end_ms - 1, [&v1]);
+    node.import(end_ms - 1, &leader.export(end_ms - 1));
+    let single = PeriodVersions::Single("v1".to_owned());
+    for history in [&leader, &node] {
+        let within = |now_ms| history.within(now_ms, &v1.service, LIFE_MS);
+        assert_eq!(within(end_ms - 1), PeriodVersions::Unknown);
+        assert_eq!(within(end_ms), single);
+    }
+}
+
+#[test]
+fn the_history_of_a_leader_that_knows_of_no_move_does_not_hide_it() {
+    let mut leader = VersionHistory::default();
+    let mut node = VersionHistory::default();
+    let v1 = worker("a", Some("v1"));
+    leader.record(0, [&v1]);
+    node.record(90_000, [&v1]);
+    node.record_move(100_000, &v1.service);
+    node.import(100_001, &leader.export(100_001));
+    let within = node.within(100_001, &v1.service, LIFE_MS);
+    assert_eq!(within, PeriodVersions::Unknown);
+}
+
 #[test]
 fn versions_count_as_unknown_for_a_time_without_readings_of_the_list() {
     let mut history = VersionHistory::default();
