Histories of versions know nothing of the time of versions that they have forgotten

What callers would see: on a route whose calls may take longer than 150 s, a stream of a version that was last listed more than ten minutes ago, taken up where its origin isn't recorded, goes on at another version. Cause: a version is forgotten ten minutes after it was last listed, but the time before still counted as known, with the remaining version as the only one. The longest life of a stream is four timeouts of its route, which may be longer. Change: with a version, the history forgets the time up to its last listing. Evidence: a_history_is_not_sure_of_more_than_it_remembers failed before ("1200000 ms") and passes. Two more suspicions come to nothing, with tests that pass before as well: a leader that could not read the list for a time, and a leader just elected with nodes just started, are not sure of what they have not seen. What it holds up: nothing on routes whose streams live up to ten minutes; on others, resumptions without a record until a life after the forgotten version was last listed.

--- a/crates/pinerill-calls/src/version_history.rs
+++ b/crates/pinerill-calls/src/version_history.rs
@@ -11,7 +11,7 @@
 use crate::directory::WorkerEntry;
 
 /// Time in milliseconds after which a version that is no longer listed is forgotten. It exceeds the
-/// life of any stream that callers continue.
+/// life of most streams that callers continue.
 const RETENTION_MS: i64 = 600_000;
 /// Longest time in milliseconds between two readings of the list after which the versions in
 /// between count as known. A worker that starts and ends between two readings is hardly ever used.
@@ -63,6 +63,18 @@
 }
 
 impl ServiceHistory {
+    /// Forgets versions that have not been listed for long, and with them the time before.
+    fn forget_old(&mut self, now_ms: i64) {
+        let known_since_ms = &mut self.known_since_ms;
+        self.last_listed_ms.retain(|_, at_ms| {
+            let is_kept = now_ms < *at_ms + RETENTION_MS;
+            if !is_kept {
+                *known_since_ms = (*known_since_ms).max(*at_ms);
+            }
+            is_kept
+        });
+    }
+
     /// Returns the start of the period for which the versions of the service's streams are known.
     fn streams_known_since_ms(&self) -> i64 {
         let moved_ms = self.moved_ms.unwrap_or(self.known_since_ms);
@@ -90,8 +102,7 @@
             let until_now = std::mem::take(&mut history.listed);
             let until_now = until_now.into_iter().map(|version| (version, now_ms));
             history.last_listed_ms.extend(until_now);
-            let is_kept = |at_ms: i64| now_ms < at_ms + RETENTION_MS;
-            history.last_listed_ms.retain(|_, at_ms| is_kept(*at_ms));
+            history.forget_old(now_ms);
         }
         for entry in listed {
             let history = self.history_of(now_ms, &entry.service);
--- a/crates/pinerill-forward/tests/resumptions.rs
+++ b/crates/pinerill-forward/tests/resumptions.rs
@@ -308,6 +308,74 @@
     assert_eq!(within(&history, 40_000 + LIFE_MS as i64), single);
 }
 
+/// Guards against versions that count as never listed since they are forgotten.
+#[test]
+fn a_history_is_not_sure_of_more_than_it_remembers() {
+    let (v1, v2) = (worker("a", Some("v1")), worker("b", Some("v2")));
+    let mut history = VersionHistory::default();
+    history.record(0, [&v1]);
+    history.record(1_000, [&v2]);
+    let mut now_ms = 1_000;
+    while now_ms < 3_600_000 {
+        now_ms += 1_000;
+        history.record(now_ms, [&v2]);
+        history.confirm(now_ms);
+        // A route whose calls may take five minutes.
+        let within = history.within(now_ms, &v1.service, 1_200_000);
+        let is_sure = matches!(within, PeriodVersions::Single(_));
+        assert!(!is_sure || now_ms >= 1_201_000, "{now_ms} ms");
+    }
+}
+
+/// Guards against a version that was in service while nobody read the list.
+#[test]
+fn a_leader_that_could_not_read_the_list_is_not_sure_of_the_time_between() {
+    let (v1, v2) = (worker("a", Some("v1")), worker("b", Some("v2")));
+    let mut leader = VersionHistory::default();
+    for now_ms in (0..=60_000).step_by(1_000) {
+        leader.record(now_ms, [&v2]);
+        leader.confirm(now_ms);
+    }
+    // Meanwhile v1 came and went.
+    let back_ms = 80_000;
+    leader.record(back_ms, [&v2]);
+    leader.confirm(back_ms);
+    let node_at = |now_ms: i64| {
+        let mut node = VersionHistory::default();
+        node.record(now_ms, [&v2]);
+        node.confirm(now_ms);
+        node.import(now_ms, &leader.export(now_ms));
+        node.within(now_ms, &v1.service, LIFE_MS)
+    };
+    assert_eq!(node_at(back_ms), PeriodVersions::Unknown);
+    let known_ms = back_ms + LIFE_MS as i64;
+    assert_eq!(node_at(known_ms - 1), PeriodVersions::Unknown);
+    assert_eq!(node_at(known_ms), PeriodVersions::Single("v2".to_owned()));
+}
+
+/// Guards against a node or leader that takes the time since its start for the life of a stream.
+#[test]
+fn a_leader_just_elected_and_nodes_just_started_are_not_sure_together() {
+    let v2 = worker("b", Some("v2"));
+    let mut leader = VersionHistory::default();
+    leader.record(100, [&v2]);
+    leader.confirm(100);
+    let mut fleet = Fleet::new("za", ChoiceSettings::default());
+    fleet.apply_directory(500, std::slice::from_ref(&v2));
+    fleet.confirm_directory(500);
+    fleet.import_versions(600, &leader.export(600));
+    let service = ServiceKey::of(&v2.service);
+    let seen = |fleet: &Fleet, now_ms| fleet.listed_versions(now_ms, service, LIFE_MS);
+    assert_eq!(seen(&fleet, 600), ListedVersions::Unknown);
+    for at_ms in (600..=LIFE_MS).step_by(1_000) {
+        fleet.confirm_directory(at_ms as i64);
+        assert_eq!(seen(&fleet, at_ms), ListedVersions::Unknown);
+    }
+    fleet.confirm_directory(100 + LIFE_MS as i64);
+    let single = ListedVersions::Single(version("v2"));
+    assert_eq!(seen(&fleet, 100 + LIFE_MS), single);
+}
+
 #[test]
 fn a_worker_of_unknown_version_makes_no_version_the_only_one() {
     let mut fleet = Fleet::new("za", ChoiceSettings::default());
