A resumption waits for what the leader tells a node that has just started

What callers saw: after the loss of all nodes, resumptions refused with 503 by nodes that were about to read that one version alone had served, and by nodes that did not know yet whom to ask for the record. Cause: the wait for the history ended after 250 ms, the time for answers of other nodes, whatever time the call had; other nodes were asked once, before the node knew any; whether it hears the leader was looked at before the wait. Change: while a node that has just started awaits the history, a resumption waits up to half of its time to the first event. Then what the node knows is read anew, and the others are asked if none was. The decision says when waiting can't help (LeaderHistory, decide): an unnamed stream beside several versions or services, a contradiction, a history that has been read and is too short. What it holds up: resumptions at nodes that have just started, until the history is read, for half of their time at most.

--- a/crates/pinerill-forward/src/cluster/versions.rs
+++ b/crates/pinerill-forward/src/cluster/versions.rs
@@ -35,10 +35,15 @@
         self.read.notify_waiters();
     }
 
+    /// Returns whether the history has been read.
+    pub(crate) fn is_read(&self) -> bool {
+        self.is_read.load(Ordering::Relaxed)
+    }
+
     /// Waits until the history has been read once, or until the given time.
     pub(crate) async fn wait(&self, until: BootTime) {
         let read = self.read.notified();
-        if !self.is_read.load(Ordering::Relaxed) {
+        if !self.is_read() {
             // A node that does not get the history decides by what it has seen itself.
             let _ = timeout_at(until, read).await;
         }
--- a/crates/pinerill-forward/src/resumption/lookup.rs
+++ b/crates/pinerill-forward/src/resumption/lookup.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -10,13 +11,19 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 
-use super::decision::{decide, Knowledge, ResumptionBasis, ResumptionDecision, ResumptionInputs};
+use super::decision::{
+    decide, Knowledge, LeaderHistory, ResumptionBasis, ResumptionDecision, ResumptionInputs,
+};
 use super::origins::{longest_stream_life_ms, KnownOrigin, OriginLedger, OriginRecord, StreamKey};
 use crate::call::Call;
 use crate::cluster::DirectoryKind;
 use crate::fleet::{ListedVersions, RequiredSoftware, ServiceKey, StreamOrigin};
 use crate::node::Node;
 
+/// Share of a call's time up to its first event for which a node that has just started awaits what
+/// the leader tells. The rest is for the worker.
+const HISTORY_WAIT_DIVISOR: u32 = 2;
+
 /// Longest time for which answers of other nodes are awaited. A busy node answers within some tens
 /// of milliseconds.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(250);
@@ -129,32 +136,69 @@
         };
         let mut inputs = ResumptionInputs {
             own: self.knowledge_for(&query),
+            history: self.leader_history(),
+            is_named: query.stream.is_some(),
             asked: 0,
             answers: Vec::new(),
-            hears_leader: self.control_silent_ms() <= LEADER_CONTACT_MS,
+            hears_leader: self.hears_leader(),
             has_one_service: call.route.only_service().is_some(),
             is_final: false,
         };
-        let until = call.deadline.min(BootTime::now() + LOOKUP_TIMEOUT);
-        if inputs.own.origin == KnownOrigin::Unknown {
-            inputs.asked = self.peers.ask_for_origin(&query);
-            if *self.known_state.directory_kind.lock() == DirectoryKind::Complete {
-                self.known_state.version_history.wait(until).await;
-                inputs.own = self.knowledge_for(&query);
-            }
-        }
+        let mut until = self.ask_others(call, &query, &mut inputs);
+        let allowed = call.first_event_deadline().remaining() / HISTORY_WAIT_DIVISOR;
+        let history = &self.known_state.version_history;
+        let mut told = pin!(history.wait(BootTime::now() + allowed));
         loop {
             let decision = decide(&inputs);
             if decision != ResumptionDecision::Wait {
                 return (decision, inputs);
             }
-            match timeout_at(until, lookup.answers.recv()).await {
-                Ok(Some(answer)) => inputs.answers.push(answer),
-                Ok(None) | Err(_) => inputs.is_final = true,
+            tokio::select! {
+                () = &mut told, if inputs.history == LeaderHistory::Awaited => {
+                    inputs.history = LeaderHistory::Settled;
+                    inputs.own = self.knowledge_for(&query);
+                    inputs.hears_leader = self.hears_leader();
+                    if inputs.asked == 0 {
+                        until = self.ask_others(call, &query, &mut inputs);
+                    }
+                }
+                answer = timeout_at(until, lookup.answers.recv()), if !inputs.is_final => {
+                    match answer {
+                        Ok(Some(answer)) => inputs.answers.push(answer),
+                        Ok(None) | Err(_) => inputs.is_final = true,
+                    }
+                }
             }
         }
     }
 
+    /// Asks other nodes for the origin unless it is known. Returns the time until which their answers
+    /// are awaited.
+    fn ask_others(
+        &self,
+        call: &Call,
+        query: &OriginQuery,
+        inputs: &mut ResumptionInputs,
+    ) -> BootTime {
+        if inputs.own.origin == KnownOrigin::Unknown {
+            inputs.asked = self.peers.ask_for_origin(query);
+            inputs.is_final = false;
+        }
+        call.deadline.min(BootTime::now() + LOOKUP_TIMEOUT)
+    }
+
+    fn leader_history(&self) -> LeaderHistory {
+        let is_told = *self.known_state.directory_kind.lock() == DirectoryKind::Complete;
+        match is_told && !self.known_state.version_history.is_read() {
+            true => LeaderHistory::Awaited,
+            false => LeaderHistory::Settled,
+        }
+    }
+
+    fn hears_leader(&self) -> bool {
+        self.control_silent_ms() <= LEADER_CONTACT_MS
+    }
+
     fn knowledge_for(&self, query: &OriginQuery) -> Knowledge {
         let now_ms = self.now_ms();
         let origins = self.resumptions.origins.lock();
--- a/crates/pinerill-forward/tests/resumptions.rs
+++ b/crates/pinerill-forward/tests/resumptions.rs
@@ -10,7 +10,7 @@
     ServiceKey, SoftwareVersion, StreamOrigin, WorkerSoftware,
 };
 use pinerill_forward::resumption::decision::{
-    decide, Knowledge, ResumptionBasis, ResumptionDecision, ResumptionInputs,
+    decide, Knowledge, LeaderHistory, ResumptionBasis, ResumptionDecision, ResumptionInputs,
 };
 use pinerill_forward::resumption::origins::{
     KnownOrigin, OriginLedger, OriginRecord, StreamKey, MAX_RECORDS,
@@ -51,6 +51,8 @@
 fn decision(own: Knowledge, asked: usize, answers: &[Knowledge]) -> ResumptionDecision {
     decide(&ResumptionInputs {
         own,
+        history: LeaderHistory::Settled,
+        is_named: true,
         asked,
         answers: answers.to_vec(),
         hears_leader: false,
@@ -148,6 +150,8 @@
     let hearing_the_leader = |own| {
         decide(&ResumptionInputs {
             own,
+            history: LeaderHistory::Settled,
+            is_named: true,
             asked: 2,
             answers: Vec::new(),
             hears_leader: true,
@@ -167,6 +171,8 @@
     let decided = |origin| {
         decide(&ResumptionInputs {
             own: knowing(origin, single),
+            history: LeaderHistory::Settled,
+            is_named: true,
             asked: 0,
             answers: Vec::new(),
             hears_leader: true,
@@ -182,12 +188,45 @@
     );
 }
 
+/// Guards against refusals by nodes that are about to hear of the only version or of other nodes.
+#[test]
+fn a_resumption_waits_for_the_history_unless_it_is_refused_in_any_case() {
+    let unknown = KnownOrigin::Unknown;
+    let single = ListedVersions::Single(version("v1"));
+    let decided = |versions, is_named, has_one_service, history| {
+        decide(&ResumptionInputs {
+            own: knowing(unknown, versions),
+            history,
+            is_named,
+            asked: 0,
+            answers: Vec::new(),
+            hears_leader: false,
+            has_one_service,
+            is_final: false,
+        })
+    };
+    let awaited = |versions, is_named, has_one_service| {
+        decided(versions, is_named, has_one_service, LeaderHistory::Awaited)
+    };
+    let wait = ResumptionDecision::Wait;
+    assert_eq!(awaited(ListedVersions::Unknown, false, true), wait);
+    assert_eq!(awaited(ListedVersions::Several, true, true), wait);
+    assert_eq!(awaited(ListedVersions::Unknown, true, false), wait);
+    let refused = ResumptionDecision::Refuse;
+    assert_eq!(awaited(ListedVersions::Several, false, true), refused);
+    assert_eq!(awaited(single, false, false), refused);
+    let settled = decided(ListedVersions::Unknown, true, true, LeaderHistory::Settled);
+    assert_eq!(settled, refused);
+}
+
 #[test]
 fn the_record_of_any_node_decides_at_once() {
     let origin = StreamOrigin::of(&worker("a", Some("v1")));
     let own = knowing(KnownOrigin::Unknown, ListedVersions::Several);
     let mut inputs = ResumptionInputs {
         own,
+        history: LeaderHistory::Settled,
+        is_named: true,
         asked: 3,
         answers: vec![own],
         hears_leader: true,
