--- a/crates/pinerill-forward/tests/resumptions.rs
+++ b/crates/pinerill-forward/tests/resumptions.rs
@@ -10,7 +10,7 @@
     ServiceKey, SoftwareVersion, StreamOrigin, WorkerSoftware,
 };
 use pinerill_forward::resumption::decision::{
-    decide, Knowledge, ResumptionBasis, ResumptionDecision, ResumptionInputs,
+    decide, Knowledge, LeaderHistory, ResumptionBasis, ResumptionDecision, ResumptionInputs,
 };
 use pinerill_forward::resumption::origins::{
     KnownOrigin, OriginLedger, OriginRecord, StreamKey, MAX_RECORDS,
@@ -51,9 +51,12 @@
 fn decision(own: Knowledge, asked: usize, answers: &[Knowledge]) -> ResumptionDecision {
     decide(&ResumptionInputs {
         own,
+        history: LeaderHistory::Settled,
+        is_named: true,
         asked,
         answers: answers.to_vec(),
         hears_leader: false,
+        has_one_service: true,
         is_final: true,
     })
 }
@@ -147,9 +150,12 @@
     let hearing_the_leader = |own| {
         decide(&ResumptionInputs {
             own,
+            history: LeaderHistory::Settled,
+            is_named: true,
             asked: 2,
             answers: Vec::new(),
             hears_leader: true,
+            has_one_service: true,
             is_final: true,
         })
     };
@@ -158,15 +164,73 @@
     assert_eq!(hearing_the_leader(several), ResumptionDecision::Refuse);
 }
 
+#[test]
+fn a_stream_of_a_route_with_several_services_goes_on_only_by_a_record() {
+    let single = ListedVersions::Single(version("v1"));
+    let origin = StreamOrigin::of(&worker("a", Some("v1")));
+    let decided = |origin| {
+        decide(&ResumptionInputs {
+            own: knowing(origin, single),
+            history: LeaderHistory::Settled,
+            is_named: true,
+            asked: 0,
+            answers: Vec::new(),
+            hears_leader: true,
+            has_one_service: false,
+            is_final: true,
+        })
+    };
+    assert_eq!(decided(KnownOrigin::Unknown), ResumptionDecision::Refuse);
+    let required = RequiredSoftware::SameAs(origin);
+    assert_eq!(
+        decided(KnownOrigin::Worker(origin)),
+        ResumptionDecision::Continue(required, ResumptionBasis::Record)
+    );
+}
+
+/// Guards against refusals by nodes that are about to hear of the only version or of other nodes.
+#[test]
+fn a_resumption_waits_for_the_history_unless_it_is_refused_in_any_case() {
+    let unknown = KnownOrigin::Unknown;
+    let single = ListedVersions::Single(version("v1"));
+    let decided = |versions, is_named, has_one_service, history| {
+        decide(&ResumptionInputs {
+            own: knowing(unknown, versions),
+            history,
+            is_named,
+            asked: 0,
+            answers: Vec::new(),
+            hears_leader: false,
+            has_one_service,
+            is_final: false,
+        })
+    };
+    let awaited = |versions, is_named, has_one_service| {
+        decided(versions, is_named, has_one_service, LeaderHistory::Awaited)
+    };
+    let wait = ResumptionDecision::Wait;
+    assert_eq!(awaited(ListedVersions::Unknown, false, true), wait);
+    assert_eq!(awaited(ListedVersions::Several, true, true), wait);
+    assert_eq!(awaited(ListedVersions::Unknown, true, false), wait);
+    let refused = ResumptionDecision::Refuse;
+    assert_eq!(awaited(ListedVersions::Several, false, true), refused);
+    assert_eq!(awaited(single, false, false), refused);
+    let settled = decided(ListedVersions::Unknown, true, true, LeaderHistory::Settled);
+    assert_eq!(settled, refused);
+}
+
 #[test]
 fn the_record_of_any_node_decides_at_once() {
     let origin = StreamOrigin::of(&worker("a", Some("v1")));
     let own = knowing(KnownOrigin::Unknown, ListedVersions::Several);
     let mut inputs = ResumptionInputs {
         own,
+        history: LeaderHistory::Settled,
+        is_named: true,
         asked: 3,
         answers: vec![own],
         hears_leader: true,
+        has_one_service: true,
         is_final: false,
     };
     assert_eq!(decide(&inputs), ResumptionDecision::Wait);
@@ -232,6 +296,37 @@
     assert_eq!(fleet_at(10_000 + life_ms), single);
 }
 
+#[test]
+fn a_service_that_a_route_moved_to_is_known_again_after_a_stream_life() {
+    let mut leader = VersionHistory::default();
+    let v1 = worker("a", Some("v1"));
+    leader.record(0, [&v1]);
+    leader.record_move(100_000, &v1.service);
+    let end_ms = 100_000 + LIFE_MS as i64;
+    let mut node = VersionHistory::default();
+    node.record(end_ms - 1, [&v1]);
+    node.import(end_ms - 1, &leader.export(end_ms - 1));
+    let single = PeriodVersions::Single("v1".to_owned());
+    for history in [&leader, &node] {
+        let within = |now_ms| history.within(now_ms, &v1.service, LIFE_MS);
+        assert_eq!(within(end_ms - 1), PeriodVersions::Unknown);
+        assert_eq!(within(end_ms), single);
+    }
+}
+
+#[test]
+fn the_history_of_a_leader_that_knows_of_no_move_does_not_hide_it() {
+    let mut leader = VersionHistory::default();
+    let mut node = VersionHistory::default();
+    let v1 = worker("a", Some("v1"));
+    leader.record(0, [&v1]);
+    node.record(90_000, [&v1]);
+    node.record_move(100_000, &v1.service);
+    node.import(100_001, &leader.export(100_001));
+    let within = node.within(100_001, &v1.service, LIFE_MS);
+    assert_eq!(within, PeriodVersions::Unknown);
+}
+
 #[test]
 fn versions_count_as_unknown_for_a_time_without_readings_of_the_list() {
     let mut history = VersionHistory::default();
@@ -252,6 +347,74 @@
     assert_eq!(within(&history, 40_000 + LIFE_MS as i64), single);
 }
 
+/// Guards against versions that count as never listed since they are forgotten.
+#[test]
+fn a_history_is_not_sure_of_more_than_it_remembers() {
+    let (v1, v2) = (worker("a", Some("v1")), worker("b", Some("v2")));
+    let mut history = VersionHistory::default();
+    history.record(0, [&v1]);
+    history.record(1_000, [&v2]);
+    let mut now_ms = 1_000;
+    while now_ms < 3_600_000 {
+        now_ms += 1_000;
+        history.record(now_ms, [&v2]);
+        history.confirm(now_ms);
+        // A route whose calls may take five minutes.
+        let within = history.within(now_ms, &v1.service, 1_200_000);
+        let is_sure = matches!(within, PeriodVersions::Single(_));
+        assert!(!is_sure || now_ms >= 1_201_000, "{now_ms} ms");
+    }
+}
+
+/// Guards against a version that was in service while nobody read the list.
+#[test]
+fn a_leader_that_could_not_read_the_list_is_not_sure_of_the_time_between() {
+    let (v1, v2) = (worker("a", Some("v1")), worker("b", Some("v2")));
+    let mut leader = VersionHistory::default();
+    for now_ms in (0..=60_000).step_by(1_000) {
+        leader.record(now_ms, [&v2]);
+        leader.confirm(now_ms);
+    }
+    // Meanwhile v1 came and went.
+    let back_ms = 80_000;
+    leader.record(back_ms, [&v2]);
+    leader.confirm(back_ms);
+    let node_at = |now_ms: i64| {
+        let mut node = VersionHistory::default();
+        node.record(now_ms, [&v2]);
+        node.confirm(now_ms);
+        node.import(now_ms, &leader.export(now_ms));
+        node.within(now_ms, &v1.service, LIFE_MS)
+    };
+    assert_eq!(node_at(back_ms), PeriodVersions::Unknown);
+    let known_ms = back_ms + LIFE_MS as i64;
+    assert_eq!(node_at(known_ms - 1), PeriodVersions::Unknown);
+    assert_eq!(node_at(known_ms), PeriodVersions::Single("v2".to_owned()));
+}
+
+/// Guards against a node or leader that takes the time since its start for the life of a stream.
+#[test]
+fn a_leader_just_elected_and_nodes_just_started_are_not_sure_together() {
+    let v2 = worker("b", Some("v2"));
+    let mut leader = VersionHistory::default();
+    leader.record(100, [&v2]);
+    leader.confirm(100);
+    let mut fleet = Fleet::new("za", ChoiceSettings::default());
+    fleet.apply_directory(500, std::slice::from_ref(&v2));
+    fleet.confirm_directory(500);
+    fleet.import_versions(600, &leader.export(600));
+    let service = ServiceKey::of(&v2.service);
+    let seen = |fleet: &Fleet, now_ms| fleet.listed_versions(now_ms, service, LIFE_MS);
+    assert_eq!(seen(&fleet, 600), ListedVersions::Unknown);
+    for at_ms in (600..=LIFE_MS).step_by(1_000) {
+        fleet.confirm_directory(at_ms as i64);
+        assert_eq!(seen(&fleet, at_ms), ListedVersions::Unknown);
+    }
+    fleet.confirm_directory(100 + LIFE_MS as i64);
+    let single = ListedVersions::Single(version("v2"));
+    assert_eq!(seen(&fleet, 100 + LIFE_MS), single);
+}
+
 #[test]
 fn a_worker_of_unknown_version_makes_no_version_the_only_one() {
     let mut fleet = Fleet::new("za", ChoiceSettings::default());
