--- a/crates/pinerill-calls/src/protocol/worker.rs
+++ b/crates/pinerill-calls/src/protocol/worker.rs
@@ -59,6 +59,8 @@
     pub is_stamped: bool,
     /// Whether the worker has marked the response as that to a health check.
     pub is_health_answer: bool,
+    /// Whether the worker has marked the response as that to a request that it did not run.
+    pub is_refusal: bool,
     /// Outcome of the request.
     pub verdict: Verdict,
     /// Load of the worker when it responded; `None` if the response does not report it.
--- a/crates/pinerill-forward/src/exchange/break_reason.rs
+++ b/crates/pinerill-forward/src/exchange/break_reason.rs
@@ -17,6 +17,9 @@
     /// The response belongs to no request that was sent on the connection.
     #[error("the response carries the id of another request")]
     OtherRequest,
+    /// The response is a success without the worker's stamp, so no worker is known to have given it.
+    #[error("the response is a success without a stamp")]
+    Unstamped,
     /// The responses that repeat earlier ones are too many or too long to be skipped.
     #[error("repeated responses exceed the limits")]
     Repetition,
--- a/crates/pinerill-forward/src/exchange/connection.rs
+++ b/crates/pinerill-forward/src/exchange/connection.rs
@@ -134,6 +134,7 @@
                 request: answer.id.as_deref(),
                 is_stamped: answer.is_stamped,
                 is_health_answer: answer.is_health_answer,
+                is_refusal: answer.is_refusal,
             });
             match origin {
                 Origin::Current => return Ok((head, answer)),
--- a/crates/pinerill-forward/src/exchange/history.rs
+++ b/crates/pinerill-forward/src/exchange/history.rs
@@ -7,8 +7,8 @@
 //!
 //! Invariants: a connection carries a request id at most once, and at most one health check. A
 //! response with the id of the current request is therefore no repetition. One without an id
-//! belongs to the current request only if the worker has stamped it or the connection has
-//! carried nothing else.
+//! belongs to the current request only if the worker has stamped it, or if it is marked as a refusal
+//! and the connection has carried nothing else. Bytes without any mark belong to no request.
 
 use std::collections::hash_map::RandomState;
 use std::hash::BuildHasher;
@@ -36,6 +36,8 @@
     pub is_stamped: bool,
     /// Whether the worker has marked the response as that to a health check.
     pub is_health_answer: bool,
+    /// Whether the worker has marked the response as that to a request that it did not run.
+    pub is_refusal: bool,
 }
 
 /// The requests that one connection has carried.
@@ -105,7 +107,8 @@
             (_, Some(named)) if self.has_carried(named) => Origin::Earlier,
             (_, Some(_)) => Origin::Unknown,
             (None, None) => Origin::Current,
-            (Some(_), None) if response.is_stamped || self.carried() == 1 => Origin::Current,
+            (Some(_), None) if response.is_stamped => Origin::Current,
+            (Some(_), None) if response.is_refusal && self.carried() == 1 => Origin::Current,
             (Some(_), None) if response.is_health_answer && self.health_checked => Origin::Earlier,
             (Some(_), None) => Origin::Unknown,
         }
--- a/crates/pinerill-forward/src/exchange/send.rs
+++ b/crates/pinerill-forward/src/exchange/send.rs
@@ -7,7 +7,7 @@
 use http::response::Parts;
 use http::{HeaderMap, HeaderName, Method, Uri};
 use pinerill_calls::directory::WorkerEntry;
-use pinerill_calls::protocol::{WorkerAnswer, WorkerProtocol};
+use pinerill_calls::protocol::{Verdict, WorkerAnswer, WorkerProtocol};
 
 use super::break_reason::BreakReason;
 use super::connection::WorkerConnection;
@@ -130,8 +130,7 @@
             sent: unanswered.sent,
             reason: unanswered.reason,
         })?;
-        if answer.has_content_encoding {
-            let reason = BreakReason::Encoded;
+        if let Some(reason) = invalid_head(&answer) {
             return Err(SendFailure { sent: true, reason });
         }
         let exchange = Exchange {
@@ -196,6 +195,14 @@
     }
 }
 
+/// Returns why a response cannot be that of the worker; `None` if it can.
+fn invalid_head(answer: &WorkerAnswer) -> Option<BreakReason> {
+    if answer.verdict == Verdict::Accepted && !answer.is_stamped {
+        return Some(BreakReason::Unstamped);
+    }
+    answer.has_content_encoding.then_some(BreakReason::Encoded)
+}
+
 /// Returns the idle time from `Keep-Alive: timeout=N`, which is in seconds; `None` if the header
 /// is missing or malformed.
 fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
--- a/crates/pinerill-forward/tests/connection_history.rs
+++ b/crates/pinerill-forward/tests/connection_history.rs
@@ -7,6 +7,7 @@
         request: Some(id),
         is_stamped: true,
         is_health_answer: false,
+        is_refusal: false,
     }
 }
 
@@ -14,19 +15,30 @@
     request: None,
     is_stamped: false,
     is_health_answer: true,
+    is_refusal: false,
 };
 
 const STAMPED_WITHOUT_ID: ResponseIdentity<'_> = ResponseIdentity {
     request: None,
     is_stamped: true,
     is_health_answer: false,
+    is_refusal: false,
 };
 
-/// Bytes that a worker sends in excess, or a response of a worker that names nothing.
+/// A refusal of a request whose id the worker could not read.
+const REFUSAL_WITHOUT_ID: ResponseIdentity<'_> = ResponseIdentity {
+    request: None,
+    is_stamped: false,
+    is_health_answer: false,
+    is_refusal: true,
+};
+
+/// Bytes that no worker has marked as a response.
 const UNMARKED: ResponseIdentity<'_> = ResponseIdentity {
     request: None,
     is_stamped: false,
     is_health_answer: false,
+    is_refusal: false,
 };
 
 /// A connection that has carried these requests, each with a response; `None` is a health check.
@@ -90,7 +102,7 @@
 
 #[test]
 fn an_answer_without_an_id_counts_where_its_place_or_its_stamp_is_certain() {
-    for response in [UNMARKED, STAMPED_WITHOUT_ID] {
+    for response in [REFUSAL_WITHOUT_ID, STAMPED_WITHOUT_ID] {
         let mut fresh = ConnectionHistory::default();
         fresh.begin(Some("a"));
         assert_eq!(fresh.receive(response), Origin::Current);
@@ -104,13 +116,23 @@
     }
 }
 
+#[test]
+fn unmarked_bytes_belong_to_no_request_on_a_new_connection_either() {
+    let mut fresh = ConnectionHistory::default();
+    fresh.begin(Some("a"));
+    assert_eq!(fresh.receive(UNMARKED), Origin::Unknown);
+    assert!(!fresh.is_usable());
+}
+
 #[test]
 fn unmarked_bytes_behind_an_earlier_answer_belong_to_no_request() {
-    for earlier in [Some("b"), None] {
-        let mut used = carried(&[earlier]);
-        used.begin(Some("a"));
-        assert_eq!(used.receive(UNMARKED), Origin::Unknown);
-        assert!(!used.is_usable());
+    for response in [UNMARKED, REFUSAL_WITHOUT_ID] {
+        for earlier in [Some("b"), None] {
+            let mut used = carried(&[earlier]);
+            used.begin(Some("a"));
+            assert_eq!(used.receive(response), Origin::Unknown);
+            assert!(!used.is_usable());
+        }
     }
 }
 
--- a/crates/pinerill-forward/tests/flooding_worker.rs
+++ b/crates/pinerill-forward/tests/flooding_worker.rs
@@ -20,7 +20,7 @@
 /// Time that an exchange may take.
 const LIMIT: Duration = Duration::from_millis(300);
 /// Response to the first request on a connection.
-const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nid: a\r\ncontent-length: 0\r\n\r\n";
+const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nid: a\r\nstamp: s\r\ncontent-length: 0\r\n\r\n";
 
 /// Sends a request, with a timeout, on the connection of an earlier one to a worker that sends
 /// these bytes over and over.
--- a/crates/pinerill-forward/tests/repetition_framing.rs
+++ b/crates/pinerill-forward/tests/repetition_framing.rs
@@ -14,13 +14,13 @@
 #[tokio::test]
 async fn a_named_response_is_found_behind_several_repetitions() {
     let worker = worker(|mut stream| async move {
-        let first = "HTTP/1.1 200 OK\r\nid: a\r\ntransfer-encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n";
+        let first = "HTTP/1.1 200 OK\r\nid: a\r\nstamp: s\r\ntransfer-encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n";
         let repetitions = [
-            "HTTP/1.1 200 OK\r\nid: a\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n1\r\na\r\n0\r\nt: 1\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nid: a\r\nstamp: s\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n1\r\na\r\n0\r\nt: 1\r\n\r\n",
             "HTTP/1.1 503 Full\r\nid: a\r\ncontent-length: 0\r\n\r\n",
-            "HTTP/1.1 200 OK\r\nid: a\r\ncontent-length: 1\r\n\r\na",
+            "HTTP/1.1 200 OK\r\nid: a\r\nstamp: s\r\ncontent-length: 1\r\n\r\na",
         ];
-        let own = "HTTP/1.1 200 OK\r\nid: b\r\n\r\nb";
+        let own = "HTTP/1.1 200 OK\r\nid: b\r\nstamp: s\r\n\r\nb";
         read_some(&mut stream).await;
         let written = stream.write_all(first.as_bytes()).await;
         written.expect("written");
@@ -42,8 +42,8 @@
 #[tokio::test]
 async fn a_repetition_that_is_cut_off_makes_no_response() {
     let worker = worker(|mut stream| async move {
-        let first = b"HTTP/1.1 200 OK\r\nid: a\r\ncontent-length: 9\r\n\r\naaaaaaaaa";
-        let own = b"HTTP/1.1 200 OK\r\nid: b\r\ncontent-length: 1\r\n\r\nb";
+        let first = b"HTTP/1.1 200 OK\r\nid: a\r\nstamp: s\r\ncontent-length: 9\r\n\r\naaaaaaaaa";
+        let own = b"HTTP/1.1 200 OK\r\nid: b\r\nstamp: s\r\ncontent-length: 1\r\n\r\nb";
         read_some(&mut stream).await;
         stream.write_all(first).await.expect("written");
         if read_some(&mut stream).await > 0 {
@@ -68,8 +68,8 @@
     let mut request = [0; 1_024];
     while stream.read(&mut request).await.is_ok_and(|read| read > 0) {
         let response = match request.starts_with(b"HEAD ") {
-            true => "HTTP/1.1 200 OK\r\nid: head\r\ncontent-length: 9\r\n\r\n",
-            false => "HTTP/1.1 200 OK\r\nid: get\r\ncontent-length: 3\r\n\r\ngot",
+            true => "HTTP/1.1 200 OK\r\nid: head\r\nstamp: s\r\ncontent-length: 9\r\n\r\n",
+            false => "HTTP/1.1 200 OK\r\nid: get\r\nstamp: s\r\ncontent-length: 3\r\n\r\ngot",
         };
         let both = [last, response].concat();
         stream.write_all(both.as_bytes()).await.expect("written");
--- a/crates/pinerill-forward/tests/support/protocol.rs
+++ b/crates/pinerill-forward/tests/support/protocol.rs
@@ -25,6 +25,7 @@
             id: id.map(str::to_owned),
             is_stamped: head.headers.contains_key("stamp"),
             is_health_answer: head.headers.contains_key("instance"),
+            is_refusal: head.headers.contains_key("refused"),
             verdict: Verdict::Accepted,
             load: None,
             closes_connection: false,
