--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -370,9 +370,7 @@
             }
         }
     }
-    if scanner.has_partial_event() {
-        return Err(BreakReason::Truncated);
-    }
+    scanner.check_end()?;
     node.record_gap(slot.worker(), meter.take_gap());
     slot.succeeded();
     exchange.finish(node.connections());
--- a/crates/pinerill-forward/src/call/relay.rs
+++ b/crates/pinerill-forward/src/call/relay.rs
@@ -124,10 +124,7 @@
         loop {
             let piece = timeout_at(limit, running.exchange.next_piece()).await;
             let Some(piece) = piece.unwrap_or(Err(BreakReason::Silent))? else {
-                return match self.scanner.has_partial_event() {
-                    true => Err(BreakReason::Truncated),
-                    false => Ok(None),
-                };
+                return self.scanner.check_end().map(|()| None);
             };
             let batch = self.scanner.push(&piece);
             let batch = batch.map_err(|_| BreakReason::EventOrder)?;
--- a/crates/pinerill-forward/src/exchange/break_reason.rs
+++ b/crates/pinerill-forward/src/exchange/break_reason.rs
@@ -50,6 +50,9 @@
     /// The response ended in the middle of an event.
     #[error("the response ended within an event")]
     Truncated,
+    /// The response is a stream that begins and ended without any event.
+    #[error("the response ended without an event")]
+    NoEvents,
 }
 
 impl BreakReason {
--- a/crates/pinerill-forward/src/exchange/events.rs
+++ b/crates/pinerill-forward/src/exchange/events.rs
@@ -6,6 +6,8 @@
 use bytes::{Bytes, BytesMut};
 use thiserror::Error;
 
+use super::break_reason::BreakReason;
+
 /// Largest accepted event, in bytes. A longer one is treated as malformed.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -41,6 +43,8 @@
     /// Offset in `pending` from which the search for the end of an event continues.
     search_from: usize,
     last: Option<u64>,
+    /// Whether any event has arrived, here or before the resumption.
+    has_events: bool,
 }
 
 impl EventScanner {
@@ -49,6 +53,7 @@
     pub fn after(last: Option<u64>) -> Self {
         EventScanner {
             last,
+            has_events: last.is_some(),
             ..EventScanner::default()
         }
     }
@@ -58,6 +63,19 @@
         self.last
     }
 
+    /// Checks that the stream may end here: with a complete event, or without any behind the event
+    /// after which it resumes. A stream that begins has at least one event.
+    ///
+    /// # Errors
+    /// Returns why the stream is not whole.
+    pub fn check_end(&self) -> Result<(), BreakReason> {
+        match self.has_partial_event() {
+            true => Err(BreakReason::Truncated),
+            false if self.has_events => Ok(()),
+            false => Err(BreakReason::NoEvents),
+        }
+    }
+
     /// Returns whether the buffer ends with an incomplete event.
     pub fn has_partial_event(&self) -> bool {
         !self.pending.is_empty()
@@ -84,6 +102,7 @@
             return Err(EventOrderError::TooLong);
         }
         self.last = last;
+        self.has_events |= count > 0;
         let bytes = self.pending.split_to(whole).freeze();
         self.search_from = self.pending.len().saturating_sub(1);
         Ok(EventBatch { bytes, count })
--- a/crates/pinerill-forward/src/exchange/response.rs
+++ b/crates/pinerill-forward/src/exchange/response.rs
@@ -62,6 +62,9 @@
     ChunkEnd,
     /// Trailer lines, of which this number may still come.
     Trailers(usize),
+    /// All bytes until the connection ends, of which there must be some: a head that states no
+    /// length may have been cut before the line that does.
+    SomeUntilClose,
     /// All bytes until the connection ends.
     UntilClose,
     /// Nothing.
@@ -122,7 +125,7 @@
             }
             self.interim_responses = 0;
             self.remaining = body_length(request, &head)?;
-            self.keeps_alive = self.remaining != Remaining::UntilClose && keeps_alive(&head);
+            self.keeps_alive = !self.ends_with_connection() && keeps_alive(&head);
             return Ok(Some(head));
         }
     }
@@ -140,7 +143,10 @@
                 Remaining::Nothing => return Ok(Some(BodyPart::End)),
                 Remaining::Length(0) => self.remaining = Remaining::Nothing,
                 Remaining::Chunk(0) => self.remaining = Remaining::ChunkEnd,
-                Remaining::Length(_) | Remaining::Chunk(_) | Remaining::UntilClose => {
+                Remaining::Length(_)
+                | Remaining::Chunk(_)
+                | Remaining::SomeUntilClose
+                | Remaining::UntilClose => {
                     return Ok(self.take_data(received));
                 }
                 Remaining::ChunkSize | Remaining::ChunkEnd | Remaining::Trailers(_) => {
@@ -166,6 +172,13 @@
         Ok(BodyPart::End)
     }
 
+    fn ends_with_connection(&self) -> bool {
+        matches!(
+            self.remaining,
+            Remaining::SomeUntilClose | Remaining::UntilClose
+        )
+    }
+
     fn take_data(&mut self, received: &mut BytesMut) -> Option<BodyPart> {
         if received.is_empty() {
             return None;
@@ -177,7 +190,10 @@
                 *left -= taken;
                 taken
             }
-            _ => available,
+            remaining => {
+                *remaining = Remaining::UntilClose;
+                available
+            }
         };
         // At most `received.len()`, which is a usize.
         let data = received.split_to(taken as usize);
@@ -238,7 +254,11 @@
         return transfer_encoding(head);
     }
     let length = content_length(&head.headers)?;
-    Ok(length.map_or(Remaining::UntilClose, Remaining::Length))
+    let without_length = match head.status.is_success() {
+        true => Remaining::SomeUntilClose,
+        false => Remaining::UntilClose,
+    };
+    Ok(length.map_or(without_length, Remaining::Length))
 }
 
 fn transfer_encoding(head: &Parts) -> Result<Remaining, MalformedResponse> {
@@ -250,7 +270,9 @@
     let coding = codings.and_then(|codings| codings.rsplit(',').next());
     match coding {
         Some(coding) if coding.trim().eq_ignore_ascii_case("chunked") => Ok(Remaining::ChunkSize),
-        _ => Ok(Remaining::UntilClose),
+        _ => Err(MalformedResponse::Length(
+            "a transfer coding that does not end in chunks",
+        )),
     }
 }
 
--- a/crates/pinerill-forward/tests/events.rs
+++ b/crates/pinerill-forward/tests/events.rs
@@ -1,7 +1,7 @@
 //! Scanning of a worker's event stream: incomplete events, event order, size limit and arbitrary
 //! chunk boundaries.
 
-use pinerill_forward::exchange::{EventOrderError, EventScanner, EventText};
+use pinerill_forward::exchange::{BreakReason, EventOrderError, EventScanner, EventText};
 use proptest::prelude::*;
 
 fn series(from: u64, to: u64) -> Vec<u8> {
@@ -53,6 +53,20 @@
     assert_eq!(scanner.last(), Some(1));
 }
 
+/// A stream that a worker framed as empty must not end as if all events had come.
+#[test]
+fn a_stream_without_events_is_whole_only_behind_the_last_event() {
+    let fresh = EventScanner::default();
+    assert_eq!(fresh.check_end(), Err(BreakReason::NoEvents));
+    let mut begun = EventScanner::default();
+    begun.push(&series(1, 1)).expect("in order");
+    assert_eq!(begun.check_end(), Ok(()));
+    begun.push(b"id: 2\nda").expect("in order");
+    assert_eq!(begun.check_end(), Err(BreakReason::Truncated));
+    let resumed = EventScanner::after(Some(4));
+    assert_eq!(resumed.check_end(), Ok(()));
+}
+
 #[test]
 fn events_over_the_size_limit_are_rejected() {
     let mut scanner = EventScanner::default();
--- a/crates/pinerill-forward/tests/response_decoder.rs
+++ b/crates/pinerill-forward/tests/response_decoder.rs
@@ -148,6 +148,42 @@
     }
 }
 
+/// A head that is cut before its framing, but closed by an empty line, states no length.
+#[test]
+fn a_success_without_a_length_or_a_body_is_cut_off() {
+    for cut in [
+        "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nid: a\r\nstamp: s\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nid: a\r\n\r\n",
+    ] {
+        let decoded = decode_whole(cut);
+        assert_eq!(decoded, Err(MalformedResponse::Truncated), "{cut:?}");
+    }
+    for whole in ["HTTP/1.1 503 Full\r\n\r\n", "HTTP/1.1 500 Oops\r\n\r\n"] {
+        let (_, body, keeps_alive) = decode_whole(whole).expect("a failure needs no body");
+        assert!(body.is_empty() && !keeps_alive);
+    }
+}
+
+#[test]
+fn a_transfer_coding_that_does_not_end_in_chunks_is_an_error() {
+    for coding in ["chun", "gzip", "chunked, gzip", ""] {
+        let response = format!("HTTP/1.1 200 OK\r\ntransfer-encoding: {coding}\r\n\r\nbody");
+        let decoded = decode_whole(&response);
+        let is_length = matches!(decoded, Err(MalformedResponse::Length(_)));
+        assert!(is_length, "{coding:?}: {decoded:?}");
+    }
+}
+
+/// What still passes: a length cut short cannot be told from one with surplus bytes behind it.
+#[test]
+fn a_length_cut_short_ends_the_body_there_and_leaves_the_rest() {
+    let cut = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody and its rest";
+    let (decoded, rest) = decode_pieces(&Method::POST, &[cut]);
+    assert_eq!(decoded, ok("body", true));
+    assert_eq!(rest, b" and its rest");
+}
+
 #[test]
 fn bytes_that_are_no_response_are_an_error() {
     for nonsense in [
