Answers without end hold no call, no item and no memory

Cause: the body of a refusal was read without a time limit; comments and empty lines counted as events; the text of an item had no limit; responses that are read whole had a limit each and none together.

--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -46,6 +46,8 @@
 const MAX_WITHOUT_RESULT: u32 = 5;
 /// Longest delay after such a response.
 const MAX_NO_RESULT_DELAY: Duration = Duration::from_secs(2);
+/// Largest text of an item, in bytes: callers read results in pages of up to 1 MB.
+const MAX_TEXT_BYTES: usize = 1 << 20;
 /// Largest response body, in bytes, that is read when the response is not an event stream.
 const SHORT_ANSWER_LIMIT: usize = 64 << 10;
 
@@ -358,6 +360,10 @@
         let batch = scanner.push(&piece).map_err(|_| BreakReason::EventOrder)?;
         if batch.count > 0 {
             running.text.append(&batch.bytes);
+            if running.text.len() > MAX_TEXT_BYTES {
+                running.begin_again();
+                return Err(BreakReason::TooLong);
+            }
             running.last_event = scanner.last();
             if !running.software.is_bound() {
                 running.software = RequiredSoftware::SameAs(worker_run.origin());
--- a/crates/pinerill-forward/src/batch/item_slot.rs
+++ b/crates/pinerill-forward/src/batch/item_slot.rs
@@ -9,8 +9,7 @@
 use super::held::HeldLeases;
 use super::item::SLOT_RETRY_INTERVAL;
 use super::running::ActiveItem;
-use crate::exchange::EventText;
-use crate::fleet::{ItemTime, PlacementRequest, RequiredSoftware};
+use crate::fleet::{ItemTime, PlacementRequest};
 use crate::node::{Node, OccupiedSlot};
 
 /// Time after which an item that has no events yet and finds no free slot is released:
@@ -59,10 +58,7 @@
         event = "item_begins_again", id = running.leased.id.as_str(), last:? = running.last_event;
         "no worker has the software version of its text"
     );
-    running.text = EventText::default();
-    running.last_event = None;
-    running.software = RequiredSoftware::Any;
-    running.time_run = Duration::ZERO;
+    running.begin_again();
 }
 
 /// Returns the remaining run time of an item and the time until it is due; `None` before a first item
--- a/crates/pinerill-forward/src/batch/running.rs
+++ b/crates/pinerill-forward/src/batch/running.rs
@@ -57,6 +57,16 @@
     pub(super) bytes: (usize, usize),
 }
 
+impl ActiveItem {
+    /// Drops what the item's runs have brought, so that the next one begins with the first event.
+    pub(super) fn begin_again(&mut self) {
+        self.text = EventText::default();
+        self.last_event = None;
+        self.software = RequiredSoftware::Any;
+        self.time_run = Duration::ZERO;
+    }
+}
+
 /// Fetches the call of a leased item and looks up its route. Returns None if the call cannot be
 /// fetched or decoded, or if no route of this node's table matches it.
 pub(super) async fn prepare(node: &Node, leased: LeasedItem) -> Option<ActiveItem> {
--- a/crates/pinerill-forward/src/call/attempt.rs
+++ b/crates/pinerill-forward/src/call/attempt.rs
@@ -6,7 +6,7 @@
 use pinerill_calls::directory::WorkerId;
 use pinerill_calls::protocol::{AttemptContext, NotRunReason, Verdict};
 use pinerill_process::clock::{timeout_at, BootTime};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::decision::AttemptEnd;
 use super::{Call, CallRecord};
@@ -19,6 +19,11 @@
 /// Delay before the next attempt when no worker is available.
 const NO_WORKER_RETRY_DELAY: Duration = Duration::from_millis(25);
 
+/// Maximum number of bytes of a refusal's body that are read.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
+/// Time for which the next attempt waits for the end of a refusal's body.
+const REFUSAL_READ_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// The attempts of a call so far, with the workers that later attempts avoid.
 #[derive(Debug, Default)]
 pub struct Attempts {
@@ -234,10 +239,9 @@
             NotRunReason::OtherWorker => node.worker_replaced(worker),
         }
         // The connection returns to the pool if the refusal can be read to its end.
-        let limit = MAX_REFUSAL_BYTES;
-        let _ = sent.exchange.read_whole(node.connections(), limit).await;
+        let reading = sent
+            .exchange
+            .read_whole(node.connections(), MAX_REFUSAL_BYTES);
+        let _ = timeout(REFUSAL_READ_TIMEOUT, reading).await;
     }
 }
-
-/// Maximum number of bytes of a refusal's body that are read.
-const MAX_REFUSAL_BYTES: usize = 64 << 10;
--- a/crates/pinerill-forward/src/exchange/break_reason.rs
+++ b/crates/pinerill-forward/src/exchange/break_reason.rs
@@ -50,6 +50,9 @@
     /// The response ended in the middle of an event.
     #[error("the response ended within an event")]
     Truncated,
+    /// The response body is longer than what may be held of it.
+    #[error("the response body exceeds the size limit")]
+    TooLong,
     /// The response is a stream that begins and ended without any event.
     #[error("the response ended without an event")]
     NoEvents,
--- a/crates/pinerill-forward/src/exchange/events.rs
+++ b/crates/pinerill-forward/src/exchange/events.rs
@@ -10,6 +10,8 @@
 
 /// Largest accepted event, in bytes. A longer one is treated as malformed.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Most bytes of comments and empty lines between two events with data or an id.
+const MAX_EMPTY_BYTES: usize = 64 << 10;
 
 /// Complete events in order of arrival.
 #[derive(Debug, Default, PartialEq, Eq)]
@@ -34,6 +36,9 @@
     /// An event is longer than the limit of 1 MiB.
     #[error("event exceeds the size limit")]
     TooLong,
+    /// More than 64 KiB hold neither data nor an id.
+    #[error("too many bytes without an event")]
+    Empty,
 }
 
 /// Splits a body, received in arbitrary chunks, into complete events.
@@ -45,6 +50,8 @@
     last: Option<u64>,
     /// Whether any event has arrived, here or before the resumption.
     has_events: bool,
+    /// Bytes of comments and empty lines since the last event with data or an id.
+    empty_bytes: usize,
 }
 
 impl EventScanner {
@@ -92,9 +99,18 @@
         self.pending.extend_from_slice(piece);
         let mut last = self.last;
         let mut count = 0;
+        let mut empty_bytes = self.empty_bytes;
+        let mut has_events = self.has_events;
         let mut whole = 0;
         while let Some(end) = self.next_end(whole) {
             last = next_event_number(last, event_number(&self.pending[whole..end]))?;
+            match has_field(&self.pending[whole..end]) {
+                true => (has_events, empty_bytes) = (true, 0),
+                false => empty_bytes += end - whole,
+            }
+            if empty_bytes > MAX_EMPTY_BYTES {
+                return Err(EventOrderError::Empty);
+            }
             whole = end;
             count += 1;
         }
@@ -102,7 +118,8 @@
             return Err(EventOrderError::TooLong);
         }
         self.last = last;
-        self.has_events |= count > 0;
+        self.has_events = has_events;
+        self.empty_bytes = empty_bytes;
         let bytes = self.pending.split_to(whole).freeze();
         self.search_from = self.pending.len().saturating_sub(1);
         Ok(EventBatch { bytes, count })
@@ -133,6 +150,12 @@
     }
 }
 
+/// Returns whether an event has data or an id.
+fn has_field(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.any(|line| line.starts_with(b"data") || line.starts_with(b"id"))
+}
+
 fn event_number(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|byte| *byte == b'\n');
     let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
@@ -156,6 +179,16 @@
         }
     }
 
+    /// Returns the number of bytes of the joined data.
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Returns whether there is no data, or only empty data.
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
     /// Returns the joined data of all events appended so far.
     pub fn into_bytes(self) -> Vec<u8> {
         self.bytes
--- a/crates/pinerill-forward/src/exchange/mod.rs
+++ b/crates/pinerill-forward/src/exchange/mod.rs
@@ -6,6 +6,7 @@
 //! carried the right request id and left no unread bytes, and never for a request that it has
 //! carried before ([`history`]).
 
+pub mod answer_memory;
 mod break_reason;
 pub mod connect_times;
 mod connection;
--- a/crates/pinerill-forward/src/exchange/pool.rs
+++ b/crates/pinerill-forward/src/exchange/pool.rs
@@ -14,6 +14,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use super::answer_memory::AnswerMemory;
 use super::break_reason::BreakReason;
 use super::connect_times::ConnectTimes;
 use super::connection::WorkerConnection;
@@ -39,6 +40,8 @@
     connect_times: Mutex<ConnectTimes>,
     repetitions: Arc<AtomicU64>,
     pub(super) incarnations: IncarnationTokens,
+    /// Memory of the responses that are read whole.
+    pub(super) answer_memory: AnswerMemory,
 }
 
 impl ConnectionPool {
--- a/crates/pinerill-forward/src/exchange/send.rs
+++ b/crates/pinerill-forward/src/exchange/send.rs
@@ -167,20 +167,22 @@
     /// Returns the rest of the body and puts the connection back into the pool.
     ///
     /// # Errors
-    /// Returns an error if the response breaks off, is malformed or exceeds `limit` bytes, or if
-    /// the worker restarts.
+    /// Returns an error if the response breaks off, is malformed or exceeds `limit` bytes, if
+    /// long responses take too much memory together, or if the worker restarts.
     pub async fn read_whole(
         mut self,
         pool: &ConnectionPool,
         limit: usize,
     ) -> Result<Bytes, BreakReason> {
+        let mut memory = pool.answer_memory.begin();
         let mut whole = Vec::new();
         while let Some(piece) = self.next_piece().await? {
-            whole.extend_from_slice(&piece);
-            if whole.len() > limit {
-                let message = "the response body exceeds the size limit".to_owned();
-                return Err(BreakReason::Connection(message));
+            let length = whole.len() + piece.len();
+            if length > limit || !memory.grow_to(length) {
+                return Err(BreakReason::TooLong);
             }
+            reserve(&mut whole, length);
+            whole.extend_from_slice(&piece);
         }
         self.finish(pool);
         Ok(whole.into())
@@ -195,6 +197,13 @@
     }
 }
 
+/// Makes room for a body of this length by steps of a quarter, so that little memory is unused.
+fn reserve(whole: &mut Vec<u8>, length: usize) {
+    if length > whole.capacity() {
+        whole.reserve_exact(length - whole.len() + length / 4);
+    }
+}
+
 /// Returns why a response cannot be that of the worker; `None` if it can.
 fn invalid_head(answer: &WorkerAnswer) -> Option<BreakReason> {
     if answer.verdict == Verdict::Accepted && !answer.is_stamped {
--- a/crates/pinerill-forward/tests/events.rs
+++ b/crates/pinerill-forward/tests/events.rs
@@ -75,6 +75,25 @@
     assert_eq!(scanner.push(&piece), Err(EventOrderError::TooLong));
 }
 
+/// Empty lines and comments without end must not pass as a stream that goes on.
+#[test]
+fn bytes_without_events_are_bounded() {
+    for unit in ["\n\n", ": x\n\n"] {
+        let mut scanner = EventScanner::default();
+        let few = unit.repeat((32 << 10) / unit.len());
+        assert!(scanner.push(few.as_bytes()).is_ok());
+        assert_eq!(scanner.check_end(), Err(BreakReason::NoEvents));
+        assert!(scanner.push(&series(1, 1)).is_ok());
+        assert!(
+            scanner.push(few.as_bytes()).is_ok(),
+            "counted from the event"
+        );
+        let many = unit.repeat((40 << 10) / unit.len());
+        let pushed = scanner.push(many.as_bytes());
+        assert_eq!(pushed, Err(EventOrderError::Empty));
+    }
+}
+
 #[test]
 fn event_text_joins_the_data_of_all_events() {
     let mut text = EventText::default();
