--- a/crates/pinerill-forward/src/batch/item.rs
+++ b/crates/pinerill-forward/src/batch/item.rs
@@ -53,6 +53,8 @@
 const MAX_WITHOUT_RESULT: u32 = 5;
 /// Longest delay after such a response.
 const MAX_NO_RESULT_DELAY: Duration = Duration::from_secs(2);
+/// Largest text of an item, in bytes. It bounds the memory that a worker without an end takes.
+const MAX_TEXT_BYTES: usize = 8 << 20;
 /// Largest response body, in bytes, that is read when the response is not an event stream.
 const SHORT_ANSWER_LIMIT: usize = 64 << 10;
 
@@ -407,6 +409,10 @@
         }
         if batch.count > 0 {
             running.text.append(&batch.bytes);
+            if running.text.len() > MAX_TEXT_BYTES {
+                running.begin_again("its text is too long");
+                return Err(BreakReason::TooLong);
+            }
             running.last_event = scanner.last();
             if !running.software.is_bound() {
                 running.software = RequiredSoftware::SameAs(worker_run.origin());
@@ -419,9 +425,7 @@
             }
         }
     }
-    if scanner.has_partial_event() {
-        return Err(BreakReason::Truncated);
-    }
+    scanner.check_end()?;
     node.record_gap(slot.worker(), meter.take_gap());
     slot.succeeded();
     exchange.finish(node.connections());
--- a/crates/pinerill-forward/src/exchange/break_reason.rs
+++ b/crates/pinerill-forward/src/exchange/break_reason.rs
@@ -17,6 +17,9 @@
     /// The response belongs to no request that was sent on the connection.
     #[error("the response carries the id of another request")]
     OtherRequest,
+    /// The response is a success without the worker's stamp, so no worker is known to have given it.
+    #[error("the response is a success without a stamp")]
+    Unstamped,
     /// The responses that repeat earlier ones are too many or too long to be skipped.
     #[error("repeated responses exceed the limits")]
     Repetition,
@@ -47,6 +50,12 @@
     /// The response ended in the middle of an event.
     #[error("the response ended within an event")]
     Truncated,
+    /// The response body is longer than what may be held of it.
+    #[error("the response body exceeds the size limit")]
+    TooLong,
+    /// The response is a stream that begins and ended without any event.
+    #[error("the response ended without an event")]
+    NoEvents,
 }
 
 impl BreakReason {
--- a/crates/pinerill-forward/src/exchange/send.rs
+++ b/crates/pinerill-forward/src/exchange/send.rs
@@ -7,7 +7,7 @@
 use http::response::Parts;
 use http::{HeaderMap, HeaderName, Method, Uri};
 use pinerill_calls::directory::WorkerEntry;
-use pinerill_calls::protocol::{WorkerAnswer, WorkerProtocol};
+use pinerill_calls::protocol::{Verdict, WorkerAnswer, WorkerProtocol};
 
 use super::break_reason::BreakReason;
 use super::connection::WorkerConnection;
@@ -130,8 +130,7 @@
             sent: unanswered.sent,
             reason: unanswered.reason,
         })?;
-        if answer.has_content_encoding {
-            let reason = BreakReason::Encoded;
+        if let Some(reason) = invalid_head(&answer) {
             return Err(SendFailure { sent: true, reason });
         }
         let exchange = Exchange {
@@ -168,20 +167,22 @@
     /// Returns the rest of the body and puts the connection back into the pool.
     ///
     /// # Errors
-    /// Returns an error if the response breaks off, is malformed or exceeds `limit` bytes, or if
-    /// the worker restarts.
+    /// Returns an error if the response breaks off, is malformed or exceeds `limit` bytes, if
+    /// long responses take too much memory together, or if the worker restarts.
     pub async fn read_whole(
         mut self,
         pool: &ConnectionPool,
         limit: usize,
     ) -> Result<Bytes, BreakReason> {
+        let mut memory = pool.answer_memory.begin();
         let mut whole = Vec::new();
         while let Some(piece) = self.next_piece().await? {
-            whole.extend_from_slice(&piece);
-            if whole.len() > limit {
-                let message = "the response body exceeds the size limit".to_owned();
-                return Err(BreakReason::Connection(message));
+            let length = whole.len() + piece.len();
+            if length > limit || !memory.grow_to(length) {
+                return Err(BreakReason::TooLong);
             }
+            reserve(&mut whole, length);
+            whole.extend_from_slice(&piece);
         }
         self.finish(pool);
         Ok(whole.into())
@@ -196,6 +197,21 @@
     }
 }
 
+/// Makes room for a body of this length by steps of a quarter, so that little memory is unused.
+fn reserve(whole: &mut Vec<u8>, length: usize) {
+    if length > whole.capacity() {
+        whole.reserve_exact(length - whole.len() + length / 4);
+    }
+}
+
+/// Returns why a response cannot be that of the worker; `None` if it can.
+fn invalid_head(answer: &WorkerAnswer) -> Option<BreakReason> {
+    if answer.verdict == Verdict::Accepted && !answer.is_stamped {
+        return Some(BreakReason::Unstamped);
+    }
+    answer.has_content_encoding.then_some(BreakReason::Encoded)
+}
+
 /// Returns the idle time from `Keep-Alive: timeout=N`, which is in seconds; `None` if the header
 /// is missing or malformed.
 fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
