The stand-in of a restarted worker names and stamps its answer

an_incomplete_answer_ends_when_its_worker_restarts_and_not_before failed once successes without a stamp no longer count: its answer had neither id nor stamp, so that the exchange ended before the restart it is about. The answer carries both now, as the platform's workers' do; what it checks is unchanged. Passes, 2 of 2 tests of the file.

--- a/crates/pinerill-forward/tests/restarted_worker.rs
+++ b/crates/pinerill-forward/tests/restarted_worker.rs
@@ -95,7 +95,7 @@
 
 #[tokio::test]
 async fn an_incomplete_answer_ends_when_its_worker_restarts_and_not_before() {
-    let head = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf";
+    let head = b"HTTP/1.1 200 OK\r\nid: call\r\nstamp: s\r\nContent-Length: 10\r\n\r\nhalf";
     let address = stalling_worker(head).await;
     let pool = Arc::new(ConnectionPool::default());
     let first = Arc::new(entry(address, 10));
