--- a/crates/pinerill-forward/src/batch/stall.rs
+++ b/crates/pinerill-forward/src/batch/stall.rs
@@ -2,7 +2,7 @@
 //!
 //! An item of which events have arrived keeps its text, its service and its lease while it waits, and
 //! nothing else may run it. Invariant: whatever it waits for, it begins again elsewhere after a bounded
-//! time without an event. Time in which it gives way to calls or may not be sent at all does not count.
+//! time without an event. Time in which calls precede it or it may not be sent at all does not count.
 
 use std::time::Duration;
 
@@ -20,7 +20,7 @@
     NoWorker,
     /// Workers may continue it, but are full, fail or do not answer.
     Workers,
-    /// It gives way to calls, or the leader has not confirmed its lease.
+    /// Calls of its service wait, or the leader has not confirmed its lease.
     GivesWay,
 }
 
--- a/crates/pinerill-forward/src/crash/trials.rs
+++ b/crates/pinerill-forward/src/crash/trials.rs
@@ -82,8 +82,8 @@
 }
 
 impl TrialNotice {
-    /// Sort key. A node takes in only notices with a higher key than the last one, so that forwarded
-    /// notices come to rest.
+    /// Sort key. A node accepts only notices with a higher key than the last one, so that forwarding
+    /// ends.
     fn precedence(&self) -> (u32, Reverse<u64>, bool) {
         (self.round, Reverse(self.number), self.is_withdrawn)
     }
